Read the configuration again on SIGHUP and move watch and notices at once

Cause: program/run.rs took SIGTERM, SIGINT and SIGUSR1 only, so that SIGHUP kept its default, which ends the process; and platform::{watch, notify} held one address for life. Change: SIGHUP reads the file as a whole; its discovery goes before GW_DISCOVERY. A notice under way is sent again to the new address at once. The old watch lives until the new one has answered. A file that can't be read changes nothing. It holds through a planned stop too. Test: exchanges/reload (spoilt file, three moves, a move after SIGTERM); without the change the program is gone at the first SIGHUP and the test fails.

--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -36,6 +36,18 @@
     settings: Env,
 }
 
+impl File {
+    fn read(path: &str) -> Result<File, ConfigError> {
+        let text = std::fs::read(path).map_err(|source| ConfigError::Read { path: path.into(), source })?;
+        serde_json::from_slice(&text).map_err(|source| ConfigError::Json { path: path.into(), source })
+    }
+}
+
+fn address(what: &'static str, told: Option<String>) -> Result<SocketAddr, ConfigError> {
+    let value = told.ok_or(ConfigError::Missing(what))?;
+    value.parse().map_err(|_| ConfigError::Address { what, value })
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -50,6 +62,7 @@
 }
 
 pub struct Config {
+    pub path: String,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -66,18 +79,14 @@
     /// Reads the file that `GW_CONFIG` names; the other variables go before what it says.
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = var("GW_CONFIG").ok_or(ConfigError::Missing("GW_CONFIG"))?;
-        let text = std::fs::read(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
-        let file: File =
-            serde_json::from_slice(&text).map_err(|source| ConfigError::Json { path, source })?;
-        let address = |what: &'static str, told: Option<String>| {
-            let value = var(what).or(told).ok_or(ConfigError::Missing(what))?;
-            value.parse().map_err(|_| ConfigError::Address { what, value })
-        };
+        let file = File::read(&path)?;
+        let address = |what, told: Option<String>| address(what, var(what).or(told));
         let known = match file.known {
             Some(list) => ProviderList { full: true, ..list.try_into()? },
             None => ProviderList { version: 0, full: true, providers: Vec::new() },
         };
         Ok(Config {
+            path,
             name: var("GW_NAME").unwrap_or(file.name),
             listen: address("GW_LISTEN", file.listen)?,
             discovery: address("GW_DISCOVERY", file.discovery)?,
@@ -91,6 +100,12 @@
         })
     }
 
+    /// Where discovery is by the file as it stands now. It has changed since the start, so that it goes
+    /// before `GW_DISCOVERY`; a file that does not hold as a whole is not believed in part.
+    pub fn discovery_now(path: &str) -> Result<SocketAddr, ConfigError> {
+        address("discovery", File::read(path)?.discovery)
+    }
+
     /// How long a connection to a provider may take to come up.
     pub fn connect(&self) -> Duration {
         self.span(self.env.limits.dial_timeout_ms, 1_000.0)
--- a/courier/src/program/counters.rs
+++ b/courier/src/program/counters.rs
@@ -33,7 +33,7 @@
 counters! {
     connections, taken_on, rejected, malformed, repeated, restored, calls, delivered, errors, full,
     told_to_wait, no_slot, not_sent, held_back, could_not_connect, resets, timed_out, given_up, deferred,
-    undeliverable, notices, notice_tries, list_changes, watches,
+    undeliverable, notices, notice_tries, list_changes, watches, reloads,
 }
 
 impl Counters {
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -10,9 +10,11 @@
 use crate::transport::server::{Connections, serve};
 use actix_rt::net::TcpListener;
 use actix_rt::time::{Instant, sleep, sleep_until};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 
 /// After SIGTERM the front goes on dealing out connections for up to 0.4 s.
 const ACCEPT_ON: Duration = Duration::from_millis(500);
@@ -30,7 +32,7 @@
     #[error(transparent)]
     Router(#[from] RouterError),
     #[error("listen on {addr}: {source}")]
-    Listen { addr: std::net::SocketAddr, source: std::io::Error },
+    Listen { addr: SocketAddr, source: std::io::Error },
     #[error("signals: {0}")]
     Signals(std::io::Error),
 }
@@ -40,6 +42,7 @@
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut ask = signal(SignalKind::user_defined1()).map_err(RunError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
 
     let clock = Clock::start();
     let counters = Rc::new(Counters::default());
@@ -58,14 +61,22 @@
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
-    log::info!("{}: serving on {bound}; {}", config.name, courier.report());
+    log::info!(
+        "{}: serving on {bound}; discovery at {}; {}",
+        config.name,
+        config.discovery,
+        courier.report()
+    );
 
     // Two thirds of the descriptors for consumers: providers' idle connections take the rest.
     let connections = Rc::new(Connections::new(config.sockets.saturating_sub(OWN_SOCKETS) * 2 / 3));
     courier.carry_out(steps);
     actix_rt::spawn(courier.clone().keep_time());
-    actix_rt::spawn(platform::watch(courier.clone(), config.discovery));
-    actix_rt::spawn(platform::notify(courier.clone(), config.discovery));
+    let (moves, discovery) = watch::channel(config.discovery);
+    actix_rt::spawn(platform::watch(courier.clone(), discovery.clone()));
+    actix_rt::spawn(platform::notify(courier.clone(), discovery));
+    // Through a planned stop too: the last notices go where the platform is by then.
+    actix_rt::spawn(reload(hangup, config.path.clone(), moves, courier.clone()));
     let server = actix_rt::spawn(serve(listener, courier.clone(), connections.clone()));
     courier.set_serving(true);
 
@@ -92,3 +103,22 @@
     log::info!("{}: stopped; {}", config.name, courier.report());
     Ok(())
 }
+
+/// Reads the configuration again on each SIGHUP; what can't be read changes nothing.
+async fn reload(
+    mut hangup: Signal,
+    path: String,
+    discovery: watch::Sender<SocketAddr>,
+    courier: Rc<Courier>,
+) {
+    while hangup.recv().await.is_some() {
+        courier.counters.reloads.add(1);
+        match Config::discovery_now(&path) {
+            Ok(addr) => {
+                log::info!("configuration: read again; discovery at {addr}");
+                discovery.send_if_modified(|known| std::mem::replace(known, addr) != addr);
+            }
+            Err(e) => log::error!("configuration: not read again, the old values hold: {e}"),
+        }
+    }
+}
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// A watch says something every two seconds; one silent for so long may be dead.
 const SILENCE: Duration = Duration::from_secs(10);
@@ -18,6 +20,9 @@
 /// Notices in one body: well under the platform's 64 KiB.
 const BATCH: usize = 200;
 
+/// Where the platform is; it may move while the courier runs.
+pub type Discovery = watch::Receiver<SocketAddr>;
+
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("no answer: {0}")]
@@ -34,14 +39,33 @@
     List(#[from] discovery::DiscoveryError),
 }
 
-/// Watches discovery for as long as the courier runs, whatever discovery does.
-pub async fn watch(courier: Rc<Courier>, addr: SocketAddr) {
+/// Watches discovery for as long as the courier runs, whatever discovery does. When it moves, the old
+/// watch goes on until the new one has answered, so that no change is missed in between.
+pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery) {
+    let mut older: Vec<AbortHandle> = Vec::new();
+    loop {
+        let addr = *discovery.borrow_and_update();
+        let task = actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone()));
+        older.retain(|task| !task.is_finished());
+        older.push(task.abort_handle());
+        if discovery.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Watches at one address, until discovery has moved from there.
+async fn follow(courier: Rc<Courier>, addr: SocketAddr, discovery: Discovery, mut older: Vec<AbortHandle>) {
     let client = super::plain_client(awc::Connector::new().timeout(RETRY_MAX));
     let mut pause = RETRY_FIRST;
     loop {
         courier.counters.watches.add(1);
         let mut heard = false;
-        let Err(e) = watch_once(&client, &courier, addr, &mut heard).await;
+        let answered = || older.drain(..).for_each(|task| task.abort());
+        let Err(e) = watch_once(&client, &courier, addr, answered, &mut heard).await;
+        if *discovery.borrow() != addr {
+            return log::info!("discovery: the watch at {addr}, where it was before, is over: {e}");
+        }
         if heard {
             pause = RETRY_FIRST;
         }
@@ -55,6 +79,7 @@
     client: &awc::Client,
     courier: &Rc<Courier>,
     addr: SocketAddr,
+    answered: impl FnOnce(),
     heard: &mut bool,
 ) -> Result<std::convert::Infallible, WatchError> {
     let path = discovery::watch_path(courier.list_version());
@@ -63,6 +88,7 @@
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
+    answered();
     let mut lines = discovery::Lines::default();
     loop {
         let chunk = timeout(SILENCE, answer.next()).await.map_err(|_| WatchError::Silent)?;
@@ -75,7 +101,7 @@
 }
 
 /// Sends notices, many at a time, until the platform has confirmed each.
-pub async fn notify(courier: Rc<Courier>, addr: SocketAddr) {
+pub async fn notify(courier: Rc<Courier>, mut discovery: Discovery) {
     let client = super::plain_client(awc::Connector::new().timeout(NOTICE_TRY));
     let mut batch = BATCH;
     loop {
@@ -85,14 +111,18 @@
             continue;
         }
         courier.counters.notice_tries.add(1);
+        let addr = *discovery.borrow_and_update();
         let post = client.post(format!("http://{addr}{}", notice::PATH)).send_body(notice::encode(&notices));
-        let status = match timeout(NOTICE_TRY, post).await {
-            Ok(Ok(mut answer)) => {
-                while let Some(Ok(_)) = answer.next().await {}
-                Ok(answer.status().as_u16())
-            }
-            Ok(Err(e)) => Err(e.to_string()),
-            Err(_) => Err("no answer in time".to_string()),
+        let tried = timeout(NOTICE_TRY, async {
+            let mut answer = post.await.map_err(|e| e.to_string())?;
+            while let Some(Ok(_)) = answer.next().await {}
+            Ok(answer.status().as_u16())
+        });
+        let status = tokio::select! {
+            biased;
+            status = tried => status.unwrap_or_else(|_| Err("no answer in time".to_string())),
+            // The platform has moved: told twice does no harm, told late does.
+            Ok(()) = discovery.changed() => continue,
         };
         match status {
             Ok(204) => {
--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -8,7 +8,9 @@
 //! `disk`, `open` (a port for provider pN), `consumer` (a request, then its answer), `send NAME` and
 //! `recv NAME` (the same in two steps, on a connection kept by name), `provider pN` (waits for a call,
 //! or reads the answer bytes to give), `shut pN` (closes the call's connection), `gone pN` (waits for
-//! the courier to close it), `closed NAME`, `notices CODE` (waits for notices), `list` (on the watch).
+//! the courier to close it), `closed NAME`, `notices CODE` (waits for notices), `list` (on the watch),
+//! `move NAME` (the platform is at that port now: new configuration, SIGHUP, a watch there), `spoil`
+//! (the same with a file that can't be read).
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, ErrorKind, Lines, Read, Write};
@@ -29,6 +31,8 @@
 
 struct Stage {
     folder: PathBuf,
+    /// The port that plays the platform.
+    platform: String,
     ports: BTreeMap<String, u16>,
     vars: BTreeMap<String, String>,
     child: Option<Child>,
@@ -52,6 +56,7 @@
     let (ears, heard) = channel();
     let mut stage = Stage {
         folder,
+        platform: "platform".into(),
         ports: BTreeMap::new(),
         vars: BTreeMap::new(),
         child: None,
@@ -94,8 +99,7 @@
             "start" => return self.start(),
             "kill" => self.child().kill().and_then(|()| self.child().wait().map(drop)).unwrap(),
             "term" => {
-                let pid = self.child().id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+                self.signal("-TERM");
                 self.logged("stopping; ");
             }
             "exit" => return format!("  {}\n", self.child.take().unwrap().wait().unwrap()),
@@ -136,15 +140,27 @@
                 let heard = self.hear(&name, |r| r.is_some()).unwrap();
                 return self.show(&heard);
             }
+            "move" => {
+                self.platform = name;
+                self.configure();
+                self.signal("-HUP");
+                self.watched();
+            }
+            "spoil" => {
+                std::fs::write(self.folder.join("config.json"), "{").unwrap();
+                self.signal("-HUP");
+                self.logged("not read again, the old values hold");
+            }
             "shut" => self.peers.remove(&name).unwrap().shutdown(Shutdown::Both).unwrap(),
             "gone" => {
                 self.hear(&name, |r| r.is_none());
             }
             "notices" => {
+                let platform = self.platform.clone();
                 let heard =
-                    self.hear("platform", |r| r.as_ref().is_some_and(|r| r.starts_with("POST"))).unwrap();
+                    self.hear(&platform, |r| r.as_ref().is_some_and(|r| r.starts_with("POST"))).unwrap();
                 let answer = format!("HTTP/1.1 {name} X\r\nContent-Length: 0\r\n\r\n");
-                self.peers.get_mut("platform").unwrap().write_all(answer.as_bytes()).unwrap();
+                self.peers.get_mut(&platform).unwrap().write_all(answer.as_bytes()).unwrap();
                 return self.show(&heard);
             }
             "list" => {
@@ -208,7 +224,12 @@
         request
     }
 
-    fn start(&mut self) -> String {
+    fn signal(&mut self, signal: &str) {
+        let pid = self.child().id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    fn configure(&self) -> PathBuf {
         let config = std::fs::read_to_string(
             Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges/config.json"),
         );
@@ -216,8 +237,23 @@
         for (name, default) in [("disk_mb", "1"), ("slots", "8"), ("open_cap", "20")] {
             config = config.replace(&format!("[{name}]"), self.vars.get(name).map_or(default, |v| v));
         }
+        config = config.replace("[discovery]", &format!("127.0.0.1:{}", self.ports[&self.platform]));
         let path = self.folder.join("config.json");
         std::fs::write(&path, config).unwrap();
+        path
+    }
+
+    /// Waits for a watch on discovery, and answers it.
+    fn watched(&mut self) {
+        let platform = self.platform.clone();
+        self.hear(&platform, |r| r.as_ref().is_some_and(|r| r.starts_with("GET"))).unwrap();
+        let mut watch = self.peers.remove(&platform).unwrap();
+        watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        self.peers.insert("watch".into(), watch);
+    }
+
+    fn start(&mut self) -> String {
+        let path = self.configure();
         self.peers.clear();
         self.waiting.clear();
         self.starts.fetch_add(1, Ordering::SeqCst);
@@ -231,10 +267,7 @@
         let port = self.logged("serving on 127.0.0.1:");
         let port = port.split(';').next().unwrap().parse().unwrap();
         self.ports.insert("courier".into(), port);
-        self.hear("platform", |r| r.as_ref().is_some_and(|r| r.starts_with("GET"))).unwrap();
-        let mut watch = self.peers.remove("platform").unwrap();
-        watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        self.peers.insert("watch".into(), watch);
+        self.watched();
         let mut probe = self.connect();
         probe.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
         format!("  {}\n", response(&mut probe).lines().next().unwrap())
--- a/courier/tests/exchanges.rs
+++ b/courier/tests/exchanges.rs
@@ -13,5 +13,5 @@
 
 exchanges! {
     take_on_and_end, outcomes, time_out, could_not_connect, malformed, list_change, kill_and_restart,
-    torn_record, disk_and_table_full, sigterm,
+    torn_record, disk_and_table_full, sigterm, reload,
 }
