--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -52,12 +52,13 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
     disk_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024, disk_mb: 3.0 }
+        Limits { sockets: 1_024, memory_mb: 192.0, disk_mb: 3.0 }
     }
 }
 
@@ -69,6 +70,7 @@
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
+    pub memory: u64,
     /// Bytes that the files in `state` may take together.
     pub disk: u64,
     pub known: ProviderList,
@@ -93,6 +95,7 @@
             state: var("GW_STATE").ok_or(ConfigError::Missing("GW_STATE"))?.into(),
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb.clamp(1.0, 1e6) * 1e6) as u64,
             // A megabyte in the narrower sense: right whichever is meant.
             disk: (file.limits.disk_mb.clamp(0.0, 1e6) * 1e6) as u64,
             known,
--- a/courier/src/program/counters.rs
+++ b/courier/src/program/counters.rs
@@ -31,7 +31,7 @@
 }
 
 counters! {
-    connections, taken_on, rejected, malformed, repeated, restored, calls, delivered, errors, full,
+    connections, taken_on, rejected, malformed, repeated, restored, calls, delivered, errors, spoilt, full,
     told_to_wait, no_slot, not_sent, held_back, could_not_connect, resets, timed_out, given_up, deferred,
     undeliverable, notices, notice_tries, list_changes, watches, reloads,
 }
@@ -41,6 +41,7 @@
         let counter = match end {
             CallEnd::Delivered => &self.delivered,
             CallEnd::Error => &self.errors,
+            CallEnd::Spoilt(_) => &self.spoilt,
             CallEnd::Full(0) => &self.full,
             CallEnd::Full(_) => &self.told_to_wait,
             CallEnd::NoSlot => &self.no_slot,
--- a/courier/src/program/courier.rs
+++ b/courier/src/program/courier.rs
@@ -11,6 +11,9 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot};
 
+/// Between two looks for connections that are dead or too old.
+const SWEEP: std::time::Duration = std::time::Duration::from_secs(1);
+
 pub struct Courier {
     clock: Clock,
     pub counters: Rc<Counters>,
@@ -114,6 +117,14 @@
         }
     }
 
+    /// Frees the descriptors of connections to providers that will not be used again.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(SWEEP).await;
+            self.providers.sweep();
+        }
+    }
+
     pub fn carry_out(self: &Rc<Self>, steps: Vec<Step>) {
         let mut steps = std::collections::VecDeque::from(steps);
         while let Some(step) = steps.pop_front() {
@@ -129,6 +140,7 @@
                         let _ = word.send(());
                     }
                 }
+                Step::Forget(provider) => self.providers.forget(provider),
                 Step::CloseIdle(provider) => self.providers.close_idle(provider),
                 Step::Gate { provider, open } => self.providers.gate(provider, open),
                 Step::Hold { provider, until } => self.providers.hold(provider, until),
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -22,8 +22,11 @@
 const CALLS_END: Duration = Duration::from_millis(3_200);
 const STOP: Duration = Duration::from_millis(3_400);
 const LOOK: Duration = Duration::from_millis(20);
-/// Descriptors for what is neither a consumer's connection nor a provider's.
-const OWN_SOCKETS: usize = 64;
+/// Descriptors for what is neither a consumer's connection nor a provider's: some twenty, and as many
+/// that a closed connection still holds for a moment.
+const OWN_SOCKETS: usize = 32;
+/// The part of the memory that consumers' bodies under way may take.
+const BODIES: u64 = 4;
 
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -46,7 +49,10 @@
 
     let clock = Clock::start();
     let counters = Rc::new(Counters::default());
-    let providers = Providers::new(clock.clone(), config.connect(), config.idle());
+    // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
+    // not ask.
+    let most = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
+    let providers = Providers::new(clock.clone(), config.connect(), config.idle(), most);
     let known = config.known.clone();
     let (router, steps) = Router::open(
         &config.env,
@@ -68,10 +74,10 @@
         courier.report()
     );
 
-    // Two thirds of the descriptors for consumers: providers' idle connections take the rest.
-    let connections = Rc::new(Connections::new(config.sockets.saturating_sub(OWN_SOCKETS) * 2 / 3));
+    let connections = Rc::new(Connections::new(most, config.memory / BODIES));
     courier.carry_out(steps);
     actix_rt::spawn(courier.clone().keep_time());
+    actix_rt::spawn(courier.clone().sweep());
     let (moves, discovery) = watch::channel(config.discovery);
     actix_rt::spawn(platform::watch(courier.clone(), discovery.clone()));
     actix_rt::spawn(platform::notify(courier.clone(), discovery));
--- a/courier/src/protocol/invocation.rs
+++ b/courier/src/protocol/invocation.rs
@@ -29,11 +29,17 @@
     TimeLeft,
     #[error("X-Addressing wants dest=NUMBER")]
     Dest,
+    #[error("no HTTP/1.1 request as RFC 9112 has it")]
+    Unreadable,
+    #[error("the head is over 8 KiB")]
+    HeadTooLarge,
+    #[error("Content-Length is wanted, once, and no Transfer-Encoding")]
+    Length,
     #[error("the body is over 64 KiB")]
     TooLarge,
-    #[error("the body did not arrive")]
-    Body,
-    #[error("the body did not arrive in time")]
+    #[error("more than one request at a time")]
+    Behind,
+    #[error("the request did not arrive in time")]
     Slow,
 }
 
@@ -42,11 +48,48 @@
         match self {
             Malformed::Path => StatusCode::NOT_FOUND,
             Malformed::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Malformed::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Malformed::Length => StatusCode::LENGTH_REQUIRED,
             Malformed::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Malformed::Slow => StatusCode::REQUEST_TIMEOUT,
             _ => StatusCode::BAD_REQUEST,
         }
     }
+
+    /// Where this request ends, and the next would begin, is not known or not to be trusted.
+    pub fn ends_connection(self) -> bool {
+        use Malformed::*;
+        matches!(self, Unreadable | HeadTooLarge | Length | TooLarge | Behind | Slow)
+    }
+}
+
+/// Whether the empty line that ends a head has come.
+pub fn is_whole_head(bytes: &[u8]) -> bool {
+    head_end(bytes).is_some()
+}
+
+fn head_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(4).position(|four| four == b"\r\n\r\n")
+}
+
+/// A bare LF in a head: some readers take it for the end of a line and others do not, so that they would
+/// not agree on what the headers are.
+pub fn has_bare_line_end(bytes: &[u8]) -> bool {
+    let head = &bytes[..head_end(bytes).map_or(bytes.len(), |end| end + 4)];
+    head.iter().enumerate().any(|(at, b)| *b == b'\n' && (at == 0 || head[at - 1] != b'\r'))
+}
+
+/// How long the body is. Nothing but one Content-Length may say so.
+pub fn length(headers: &HeaderMap) -> Result<usize, Malformed> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err(Malformed::Length);
+    }
+    let Some(length) = text(headers, "content-length") else { return Ok(0) };
+    match length.trim().parse::<u64>() {
+        Ok(length) if length <= BODY_MAX as u64 => Ok(length as usize),
+        Ok(_) => Err(Malformed::TooLarge),
+        Err(_) => Err(Malformed::Length),
+    }
 }
 
 /// The head of an invocation; its body follows.
@@ -57,10 +100,12 @@
     key: Option<String>,
     dest: u64,
     time_left: Micros,
+    pub length: usize,
 }
 
 impl Head {
     pub fn decode(method: &Method, path: &str, headers: &HeaderMap) -> Result<Head, Malformed> {
+        let length = length(headers)?;
         let class = path.strip_prefix('/').and_then(|p| p.split('/').next()).filter(|c| !c.is_empty());
         let class = class.filter(|c| *c != "-").ok_or(Malformed::Path)?.to_string();
         if method != Method::POST {
@@ -74,15 +119,15 @@
         let time_left = text(headers, "x-time-left").and_then(super::span).filter(|t| *t <= TIME_MAX);
         let time_left = time_left.ok_or(Malformed::TimeLeft)?;
         let dest = text(headers, "x-addressing").and_then(dest).ok_or(Malformed::Dest)?;
-        let long = text(headers, "content-length").and_then(|n| n.trim().parse::<u64>().ok());
-        if long.is_some_and(|n| n > BODY_MAX as u64) {
-            return Err(Malformed::TooLarge);
+        // Without one the body is empty, and whatever else comes no part of it.
+        if !headers.contains_key(header::CONTENT_LENGTH) {
+            return Err(Malformed::Length);
         }
-        Ok(Head { id, class, key, dest, time_left })
+        Ok(Head { id, class, key, dest, time_left, length })
     }
 
     pub fn with_body(self, body: Bytes) -> Invocation {
-        let Head { id, class, key, dest, time_left } = self;
+        let Head { id, class, key, dest, time_left, .. } = self;
         Invocation { id, class, key, dest, time_left, body }
     }
 }
@@ -112,7 +157,9 @@
         Intake::Delivered => (StatusCode::OK, "delivered\n"),
         Intake::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, "come again\n"),
         Intake::Failed => (StatusCode::CONFLICT, "ended, perhaps with an effect\n"),
+        Intake::Open => (StatusCode::CONFLICT, "an invocation with this id is open\n"),
         Intake::UnknownClass => (StatusCode::NOT_FOUND, "no such class\n"),
+        Intake::UnknownDest => (StatusCode::NOT_FOUND, "no such destination\n"),
     };
     let mut response = plain(status, text);
     if let Intake::Rejected { after } = intake {
--- a/courier/src/protocol/invoker.rs
+++ b/courier/src/protocol/invoker.rs
@@ -1,33 +1,158 @@
 //! Invoker calls: what a provider is sent, and what its answer means.
 
 use crate::routing::{CallEnd, InvokerCall};
-use actix_http::StatusCode;
-use actix_http::header::{self, HeaderMap};
+use httparse::{EMPTY_HEADER, Header, Response, Status};
+use spurshore::Micros;
+
+use super::invocation::BODY_MAX;
 
 /// Where every provider takes its calls.
-pub const PATH: &str = "/events";
+const PATH: &str = "/events";
+/// The platform's answers take some 200 bytes.
+const HEAD_MAX: usize = 8 * 1024;
+const HEADERS_MAX: usize = 64;
+/// More of an answer than this is never read.
+pub const ANSWER_MAX: usize = HEAD_MAX + BODY_MAX;
 
-/// The headers of a call; id and key pass on unchanged.
-pub fn headers(call: &InvokerCall) -> impl Iterator<Item = (&'static str, String)> {
+/// A call as it is written; id, key and body pass on unchanged.
+pub fn encode(call: &InvokerCall) -> Vec<u8> {
     let parcel = &call.invocation;
-    let key = parcel.key.clone().map(|key| ("Idempotency-Key", key));
-    let left = ("X-Time-Left", format!("{}m", call.timeout.div_ceil(1_000)));
-    [("X-Correlation-Id", parcel.id.clone()), left].into_iter().chain(key)
+    let key = parcel.key.as_ref().map(|key| format!("Idempotency-Key: {key}\r\n"));
+    let (id, key, left) = (&parcel.id, key.unwrap_or_default(), call.timeout.div_ceil(1_000));
+    let (addr, length) = (call.addr, parcel.body.len());
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nHost: {addr}\r\nX-Correlation-Id: {id}\r\n{key}X-Time-Left: {left}m\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    [head.as_bytes(), &parcel.body].concat()
 }
 
-/// What an answer's status and headers say of the call.
-pub fn decode(status: StatusCode, headers: &HeaderMap) -> CallEnd {
-    let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
-    match status.as_u16() {
-        200 => CallEnd::Delivered,
-        429 => CallEnd::Full(text(header::RETRY_AFTER).and_then(super::seconds).unwrap_or(0)),
-        503 if text(header::HeaderName::from_static("x-over-slots")).is_some_and(|v| v.trim() == "1") => {
-            CallEnd::NoSlot
+/// What the bytes of an answer say so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The answer that counts has yet to begin.
+    Awaited,
+    /// More of it is to come.
+    Partial,
+    /// `reusable`: the connection stands where the next call may begin.
+    Whole { end: CallEnd, reusable: bool },
+}
+
+/// Reads an answer; `over` where no more of it will come.
+///
+/// A first line with 200 says that the message is delivered, whatever follows. Anything else is believed
+/// only if it is sound to its last byte: a refusal in a spoilt answer may be the remains of something else,
+/// and the call may have run.
+pub fn decode(bytes: &[u8], over: bool) -> Answer {
+    let mut rest = bytes;
+    loop {
+        let mut headers = [EMPTY_HEADER; HEADERS_MAX];
+        let mut head = Response::new(&mut headers);
+        match head.parse(rest) {
+            // An interim answer stands before the one that counts.
+            Ok(Status::Complete(end)) if matches!(head.code, Some(100 | 102..=199)) => rest = &rest[end..],
+            Ok(Status::Complete(end)) => return whole(&head, rest, end, over),
+            Ok(Status::Partial) if !over && rest.is_empty() => return Answer::Awaited,
+            Ok(Status::Partial) if !over && rest.len() <= HEAD_MAX => return Answer::Partial,
+            _ => return spoilt(rest, 0),
+        }
+    }
+}
+
+fn whole(head: &Response, bytes: &[u8], end: usize, over: bool) -> Answer {
+    let header = |name| Lookup::of(head.headers, name);
+    let (code, wait) = (head.code.unwrap_or_default(), header("retry-after"));
+    let told = wait.text().and_then(super::seconds).unwrap_or(0);
+    let closes = header("connection").text().is_some_and(|v| v.to_ascii_lowercase().contains("close"));
+    let body = &bytes[end..];
+    let length = match (header("content-length"), header("transfer-encoding")) {
+        (Lookup::None, Lookup::None) if closes && over => Some(body.len()),
+        (Lookup::None, Lookup::None) if closes && code != 200 => return Answer::Partial,
+        (Lookup::None, Lookup::None) => Some(0),
+        (Lookup::One(length), Lookup::None) if length.bytes().all(|b| b.is_ascii_digit()) => {
+            length.parse().ok().filter(|length| *length <= BODY_MAX)
+        }
+        (Lookup::None, Lookup::One(coding)) if coding.eq_ignore_ascii_case("chunked") => {
+            match chunked(body) {
+                Ok(Some(length)) => Some(length),
+                Ok(None) if body.len() <= BODY_MAX => Some(body.len() + 1),
+                _ => None,
+            }
         }
+        _ => None,
+    };
+    let Some(length) = length else { return spoilt(bytes, told) };
+    if body.len() < length {
+        return if over { spoilt(bytes, told) } else { Answer::Partial };
+    }
+    // A second copy of the same answer takes nothing from the first; other bytes may mean that the
+    // length is wrong, and with it the rest.
+    let behind = &body[length..];
+    if !behind.is_empty() && !bytes[..end + length].starts_with(behind) {
+        return spoilt(bytes, told);
+    }
+    let one = |name, value| header(name).text() == Some(value);
+    let end = match code {
+        200 => CallEnd::Delivered,
+        429 if told > 0 || wait.text().is_some_and(|v| super::seconds(v).is_some()) => CallEnd::Full(told),
+        503 if one("x-over-slots", "1") => CallEnd::NoSlot,
         503 => CallEnd::Full(0),
         504 => CallEnd::Exhausted,
         410 => CallEnd::Over,
         // Anything else says no more than an error does: it may have run.
         _ => CallEnd::Error,
+    };
+    Answer::Whole { end, reusable: behind.is_empty() && !closes && head.version == Some(1) }
+}
+
+/// All that an answer still says that can't be read to its end.
+fn spoilt(bytes: &[u8], told: Micros) -> Answer {
+    let ok = [&b"HTTP/1.1 200"[..], b"HTTP/1.0 200"].iter().any(|ok| bytes.starts_with(ok));
+    let ok = ok && !bytes.get(12).is_some_and(u8::is_ascii_digit);
+    Answer::Whole { end: if ok { CallEnd::Delivered } else { CallEnd::Spoilt(told) }, reusable: false }
+}
+
+/// Bytes up to the end of a chunked body, if that has come.
+fn chunked(bytes: &[u8]) -> Result<Option<usize>, httparse::InvalidChunkSize> {
+    let mut at = 0;
+    loop {
+        let Status::Complete((head, size)) = httparse::parse_chunk_size(&bytes[at..])? else {
+            return Ok(None);
+        };
+        // Each chunk, the last and empty one too, has a line end behind it.
+        let end = at as u64 + head as u64 + size.min(BODY_MAX as u64 + 1);
+        let Some(line_end) = bytes.get(end as usize..end as usize + 2) else { return Ok(None) };
+        if line_end != b"\r\n" {
+            return Err(httparse::InvalidChunkSize);
+        }
+        at = end as usize + 2;
+        if size == 0 {
+            return Ok(Some(at));
+        }
+    }
+}
+
+/// A header that may stand once.
+enum Lookup<'a> {
+    None,
+    One(&'a str),
+    Odd,
+}
+
+impl<'a> Lookup<'a> {
+    fn of(headers: &[Header<'a>], name: &str) -> Self {
+        let mut values = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+        match (values.next().map(std::str::from_utf8), values.next()) {
+            (None, _) => Lookup::None,
+            (Some(Ok(value)), None) if !value.trim().is_empty() => Lookup::One(value.trim()),
+            _ => Lookup::Odd,
+        }
+    }
+
+    fn text(&self) -> Option<&'a str> {
+        match self {
+            Lookup::One(value) => Some(value),
+            _ => None,
+        }
     }
 }
--- a/courier/src/routing/mod.rs
+++ b/courier/src/routing/mod.rs
@@ -51,6 +51,9 @@
 pub enum CallEnd {
     Delivered,
     Error,
+    /// The answer can't be trusted beyond this: it may have run, and it asks to wait so long (0: it
+    /// does not).
+    Spoilt(Micros),
     /// Turned away, and told to wait so long (0: not told).
     Full(Micros),
     NoSlot,
--- a/courier/src/routing/router.rs
+++ b/courier/src/routing/router.rs
@@ -15,9 +15,14 @@
 use std::rc::Rc;
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
-const NO_ROOM_WAIT: Micros = 2_000_000;
+pub const NO_ROOM_WAIT: Micros = 2_000_000;
 /// Advice with a rejection by a courier that stops: by then the front deals to others only.
 const STOPPING_WAIT: Micros = 500_000;
+/// Advice with a rejection for a destination that the list of an earlier life lacks.
+const UNHEARD_WAIT: Micros = 500_000;
+/// A provider that is gone is forgotten after this, if no call is out there: it may come back under its
+/// id, and its destination may have a new one by then.
+const GONE: Micros = 20_000_000;
 /// Ids of invocations that are over, remembered at most.
 const REMEMBERED: usize = 4_096;
 
@@ -39,6 +44,8 @@
     NotWritten(CallId),
     GiveUp(CallId),
     CloseIdle(u32),
+    /// The provider is gone for good.
+    Forget(u32),
     /// Calls to the provider may start, or not any more.
     Gate {
         provider: u32,
@@ -65,7 +72,10 @@
     },
     /// The same id ended before with no promise about its effect.
     Failed,
+    /// Another with this id is owed its end still.
+    Open,
     UnknownClass,
+    UnknownDest,
 }
 
 struct Owed {
@@ -76,10 +86,18 @@
     end: Option<Ending>,
 }
 
+/// A call that is out.
+struct Out {
+    sent: Micros,
+    provider: u32,
+    dest: u64,
+}
+
 struct Known {
     addr: Option<SocketAddr>,
     dest: u64,
     zone: u32,
+    gone: Option<Micros>,
 }
 
 pub struct Router {
@@ -92,13 +110,14 @@
     providers: BTreeMap<u32, Known>,
     /// The version of the list that the providers come from.
     version: u64,
+    /// Discovery has told of its list in this life.
+    heard: bool,
     journal: Journal,
     owed: BTreeMap<MsgId, Owed>,
     ids: HashMap<String, MsgId>,
     over: HashMap<String, End>,
     over_order: VecDeque<(String, Micros)>,
-    /// Calls that are out, with when and where they were sent.
-    out: BTreeMap<CallId, (Micros, u64)>,
+    out: BTreeMap<CallId, Out>,
     notices: VecDeque<MsgId>,
     next: MsgId,
     stopping: bool,
@@ -129,6 +148,7 @@
             provider_names: Names::default(),
             providers: BTreeMap::new(),
             version: 0,
+            heard: false,
             journal,
             owed: BTreeMap::new(),
             ids: HashMap::new(),
@@ -141,6 +161,7 @@
             counters,
         };
         let mut steps = router.list(known, now);
+        router.heard = false;
         for (id, end, until) in book.over {
             router.remember(id, end, until);
         }
@@ -185,7 +206,9 @@
             Intake::TakenOn => self.counters.taken_on.add(1),
             Intake::Delivered => self.counters.repeated.add(1),
             Intake::Rejected { .. } => self.counters.rejected.add(1),
-            Intake::Failed | Intake::UnknownClass => self.counters.malformed.add(1),
+            Intake::Failed | Intake::Open | Intake::UnknownClass | Intake::UnknownDest => {
+                self.counters.malformed.add(1)
+            }
         }
         (intake, steps)
     }
@@ -196,10 +219,10 @@
         let Some(class_number) = self.classes.iter().position(|c| *c == class) else {
             return Intake::UnknownClass;
         };
-        // The answer to an invocation may be lost on its way: the same id is the same invocation.
+        // An id is fresh with every invocation, and the end that is told under it must be its own.
         if let Some(msg) = self.ids.get(&id) {
             return match self.owed[msg].end {
-                None => Intake::TakenOn,
+                None => Intake::Open,
                 Some(Ending::Deferred(after)) => Intake::Rejected { after },
                 Some(Ending::Undeliverable) => Intake::Failed,
             };
@@ -213,6 +236,10 @@
         if self.stopping {
             return Intake::Rejected { after: STOPPING_WAIT };
         }
+        if !self.providers.values().any(|p| p.dest == dest) {
+            // Until discovery has been heard the list is an old one, and lacks what is new.
+            return if self.heard { Intake::UnknownDest } else { Intake::Rejected { after: UNHEARD_WAIT } };
+        }
         if self.ids.len() - self.notices.len() >= self.open_cap {
             return Intake::Rejected { after: NO_ROOM_WAIT };
         }
@@ -237,12 +264,13 @@
     /// An invoker call ended.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        let Some((sent, dest)) = self.out.remove(&call) else { return steps };
+        let Some(Out { sent, dest, .. }) = self.out.remove(&call) else { return steps };
         self.counters.count_call(end);
         let CallId { msg, attempt } = call;
         let (outcome, wait) = match end {
             CallEnd::Delivered => (Outcome::Ok, 0),
             CallEnd::Error => (Outcome::Error, 0),
+            CallEnd::Spoilt(wait) => (Outcome::Error, wait),
             CallEnd::Full(wait) => (Outcome::Full, wait),
             CallEnd::NoSlot | CallEnd::Exhausted | CallEnd::Over | CallEnd::HeldBack => (Outcome::Moot, 0),
             CallEnd::CouldNotConnect => (Outcome::ConnectFailed, 0),
@@ -271,10 +299,12 @@
     /// Discovery told of providers.
     pub fn list(&mut self, list: ProviderList, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        self.version = list.version;
+        (self.version, self.heard) = (list.version, true);
         if list.full {
-            let gone = self.providers.keys().map(|n| Step::Gate { provider: *n, open: false });
-            steps.extend(gone);
+            for (n, p) in &mut self.providers {
+                p.gone = p.gone.or(Some(now));
+                steps.push(Step::Gate { provider: *n, open: false });
+            }
         }
         let mut entries = Vec::with_capacity(list.providers.len());
         for p in list.providers {
@@ -282,7 +312,8 @@
             let zone = self.zones.number(&p.zone) as u32;
             let kind = self.kinds.iter().position(|k| *k == p.kind).unwrap_or(usize::MAX);
             let addr = p.addr.or(self.providers.get(&n).and_then(|known| known.addr));
-            self.providers.insert(n, Known { addr, dest: p.dest, zone });
+            let gone = (p.state == ListState::Gone).then_some(now);
+            self.providers.insert(n, Known { addr, dest: p.dest, zone, gone });
             steps.push(Step::Gate { provider: n, open: p.state == ListState::Ready });
             let (dest, weight, state) = (p.dest, p.weight, p.state);
             entries.push(Entry { endpoint: n, dest, kind, zone, weight, state });
@@ -290,9 +321,24 @@
         let kind = if list.full { ListKind::Whole } else { ListKind::Delta };
         let orders = self.facade.list(now, kind, entries);
         self.carry_out(orders, now, &mut steps);
+        self.forget_providers(now, &mut steps);
         steps
     }
 
+    /// Without this the tables would grow with every provider that ever was.
+    fn forget_providers(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        let (names, out) = (&mut self.provider_names, &self.out);
+        self.providers.retain(|n, p| {
+            let used = out.values().any(|out| out.provider == *n);
+            let keeps = used || p.gone.is_none_or(|gone| now < gone + GONE);
+            if !keeps {
+                names.forget(u64::from(*n));
+                steps.push(Step::Forget(*n));
+            }
+            keeps
+        });
+    }
+
     /// Time has passed; wanted at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -375,7 +421,7 @@
             log::error!("call {call:?} to provider {provider}: not known");
             return;
         };
-        self.out.insert(call, (now, dest));
+        self.out.insert(call, Out { sent: now, provider, dest });
         // Without its record a call must not leave: after a restart it would count as never made.
         if !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
             return steps.push(Step::NotWritten(call));
@@ -435,3 +481,39 @@
         written.inspect_err(|e| log::error!("{e}")).is_ok()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::routing::Provider;
+
+    /// New providers replace old ones all day: what is kept of them must not grow with the day.
+    #[test]
+    fn a_provider_gone_for_good_leaves_every_table() {
+        let folder = std::env::temp_dir().join(format!("quillmount-router-{}", std::process::id()));
+        let known = ProviderList { version: 0, full: true, providers: Vec::new() };
+        let env = Env::default();
+        let (mut router, _) = Router::open(&env, 7, known, &folder, 9_999, 0, Rc::default()).unwrap();
+        let (mut forgotten, mut most) = (0, 0);
+        for n in 0..1_000 {
+            let line = |n: u64, state| Provider {
+                id: format!("s-{n}"),
+                addr: "127.0.0.1:1".parse().ok(),
+                dest: 1,
+                kind: String::new(),
+                zone: String::new(),
+                weight: 0.0,
+                state,
+            };
+            let providers = vec![line(n, ListState::Ready), line(n.saturating_sub(1), ListState::Gone)];
+            let list = ProviderList { version: n, full: false, providers };
+            let steps = router.list(list, n * 1_000_000);
+            forgotten += steps.iter().filter(|s| matches!(s, Step::Forget(_))).count();
+            most = most.max(router.providers.len());
+        }
+        std::fs::remove_dir_all(folder).unwrap();
+        let kept = (GONE / 1_000_000) as usize + 2;
+        assert!(most <= kept && forgotten >= 999 - kept, "{most} kept, {forgotten} forgotten");
+        assert_eq!((router.provider_names.known("s-1"), router.provider_names.name(1)), (None, ""));
+    }
+}
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -1,182 +1,213 @@
-//! The client of the providers: one awc client each, since awc has no way to close one host's idle
-//! connections; they go with their client.
+//! The client of the providers: one call at a time on a connection, and a pool of idle ones.
+//!
+//! It stands below awc, which gives the word of an interim answer for that of the call, fails a call
+//! whose answer begins with 200 and can't be read to its end, lets go unseen what stands behind an
+//! answer, and can't bound the connections of all hosts together (README).
 
 use crate::program::clock::Clock;
-use crate::protocol::invoker;
+use crate::protocol::invoker::{self, ANSWER_MAX, Answer};
 use crate::routing::{CallEnd, InvokerCall};
 use actix_rt::net::TcpStream;
-use actix_service::Service;
-use actix_tls::connect::{ConnectError as TcpConnectError, ConnectInfo, Connection};
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::Uri;
-use futures_util::StreamExt;
-use futures_util::future::LocalBoxFuture;
+use actix_rt::time::{Instant, sleep, timeout};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
+use tokio::time::timeout_at;
 
-/// How long the rest of an answer may take to come in, so that its connection can be used again.
-const REST: Duration = Duration::from_millis(20);
+/// An answer that has begun comes whole within this; providers write it in one go.
+const REST: Duration = Duration::from_millis(100);
 /// Between the close of a given-up call's connection and the report: the provider's side frees the
 /// slot when it sees the close, and a send that overtakes it is turned away for want of a slot.
 const CLOSING: Duration = Duration::from_millis(5);
+/// Most answers fit into one read of this.
+const READ: usize = 1_024;
 
-/// Whether a call may start now: checked when it is taken up, and again when its connection is up,
-/// since connecting may last longer than the leave that the call had.
-struct Gate {
-    open: Cell<bool>,
-    hold: Cell<Micros>,
-    clock: Clock,
-}
-
-impl Gate {
-    fn lets_through(&self) -> bool {
-        self.open.get() && self.clock.now() >= self.hold.get()
-    }
+struct Idle {
+    stream: TcpStream,
+    addr: SocketAddr,
+    since: Instant,
 }
 
-#[derive(Debug, thiserror::Error)]
-#[error("held back by a change of the list or a wait")]
-struct HeldBack;
-
+/// What is held for one provider. A new provider at the same address has its own.
+#[derive(Default)]
 struct Provider {
-    gate: Rc<Gate>,
-    client: Option<(SocketAddr, awc::Client)>,
+    /// Calls may not start: it drains or is gone.
+    shut: Cell<bool>,
+    hold: Cell<Micros>,
+    idle: RefCell<Vec<Idle>>,
 }
 
 pub struct Providers {
     clock: Clock,
     connect: Duration,
     idle: Duration,
-    all: RefCell<HashMap<u32, Provider>>,
+    /// Connections at once, those of calls included.
+    most: usize,
+    busy: Cell<usize>,
+    all: RefCell<HashMap<u32, Rc<Provider>>>,
 }
 
 impl Providers {
     /// `idle`: when a provider closes a connection that stands idle.
-    pub fn new(clock: Clock, connect: Duration, idle: Duration) -> Self {
+    pub fn new(clock: Clock, connect: Duration, idle: Duration, most: usize) -> Self {
         // A request that is written as the provider closes is reset: stay clear of that moment.
         let idle = idle.saturating_sub(Duration::from_secs(1)).max(idle / 2);
-        Providers { clock, connect, idle, all: RefCell::default() }
+        Providers { clock, connect, idle, most, busy: Cell::new(0), all: RefCell::default() }
     }
 
     pub fn gate(&self, provider: u32, open: bool) {
-        self.with(provider, |p| p.gate.open.set(open));
+        let provider = self.get(provider);
+        provider.shut.set(!open);
+        if !open {
+            provider.idle.borrow_mut().clear();
+        }
     }
 
     pub fn hold(&self, provider: u32, until: Micros) {
-        self.with(provider, |p| p.gate.hold.set(p.gate.hold.get().max(until)));
+        let provider = self.get(provider);
+        provider.hold.set(provider.hold.get().max(until));
     }
 
     /// Closes the idle connections; a call that is out closes its own when it ends.
     pub fn close_idle(&self, provider: u32) {
-        self.with(provider, |p| p.client = None);
+        self.get(provider).idle.borrow_mut().clear();
     }
 
-    fn with<T>(&self, provider: u32, act: impl FnOnce(&mut Provider) -> T) -> T {
-        let mut all = self.all.borrow_mut();
-        act(all.entry(provider).or_insert_with(|| {
-            let gate = Gate { open: Cell::new(true), hold: Cell::new(0), clock: self.clock.clone() };
-            Provider { gate: Rc::new(gate), client: None }
-        }))
+    /// The provider is gone for good; a call that may be out still holds what it needs.
+    pub fn forget(&self, provider: u32) {
+        self.all.borrow_mut().remove(&provider);
     }
 
-    fn client(&self, provider: u32, addr: SocketAddr) -> (Rc<Gate>, awc::Client) {
-        self.with(provider, |p| {
-            if p.client.as_ref().is_none_or(|(known, _)| *known != addr) {
-                let tcp = actix_tls::connect::Connector::default().service();
-                let gated = Gated { tcp, gate: p.gate.clone() };
-                let connector = awc::Connector::new().connector(gated);
-                let connector = connector.timeout(self.connect).conn_keep_alive(self.idle);
-                p.client = Some((addr, super::plain_client(connector)));
-            }
-            let client = p.client.as_ref().map(|(_, client)| client.clone());
-            (p.gate.clone(), client.unwrap_or_default())
-        })
+    /// Closes what has stood idle for too long, or was closed from the other side.
+    pub fn sweep(&self) {
+        for provider in self.all.borrow().values() {
+            provider.idle.borrow_mut().retain(|idle| self.is_fresh(idle));
+        }
+    }
+
+    fn get(&self, provider: u32) -> Rc<Provider> {
+        self.all.borrow_mut().entry(provider).or_default().clone()
+    }
+
+    fn lets_through(&self, provider: &Provider) -> bool {
+        !provider.shut.get() && self.clock.now() >= provider.hold.get()
+    }
+
+    /// Nothing has come on it, no end and no bytes either, which would be taken for an answer.
+    fn is_fresh(&self, idle: &Idle) -> bool {
+        let quiet =
+            idle.stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        quiet && idle.since.elapsed() < self.idle
     }
 
     /// Makes one call, once. `give_up` ends it early; either way its connection is then closed.
     pub async fn call(&self, call: &InvokerCall, give_up: oneshot::Receiver<()>) -> CallEnd {
-        let (gate, client) = self.client(call.provider, call.addr);
-        if !gate.lets_through() {
+        let provider = self.get(call.provider);
+        if !self.lets_through(&provider) {
             return CallEnd::HeldBack;
         }
-        let mut request = client.post(format!("http://{}{}", call.addr, invoker::PATH));
-        for header in invoker::headers(call) {
-            request = request.insert_header(header);
-        }
-        let answer = async {
-            match request.send_body(call.invocation.body.clone()).await {
-                Ok(mut answer) => {
-                    let end = invoker::decode(answer.status(), answer.headers());
-                    // The body means nothing, but a connection is free only behind its end.
-                    let rest = async { while let Some(Ok(_)) = answer.next().await {} };
-                    let _ = actix_rt::time::timeout(REST, rest).await;
-                    end
-                }
-                Err(e) => failure(&e),
-            }
-        };
-        let timeout = Duration::from_micros(call.timeout);
+        self.busy.set(self.busy.get() + 1);
+        let out = Out(&self.busy);
         let end = tokio::select! {
             biased;
-            end = answer => return end,
+            end = self.exchange(&provider, call) => return end,
             Ok(()) = give_up => CallEnd::GivenUp,
-            () = actix_rt::time::sleep(timeout) => CallEnd::TimedOut,
+            () = sleep(Duration::from_micros(call.timeout)) => CallEnd::TimedOut,
         };
-        // The answer's future is gone, and the connection with it.
-        actix_rt::time::sleep(CLOSING).await;
+        // The exchange's future is gone, and the connection with it.
+        drop(out);
+        sleep(CLOSING).await;
         end
     }
-}
 
-/// Only a connect that failed, or a write that did, proves that the call never ran.
-fn failure(e: &SendRequestError) -> CallEnd {
-    match e {
-        // awc gives this name to a connection that ends before the answer, with the call written.
-        SendRequestError::Connect(ConnectError::Disconnected) => CallEnd::Reset,
-        SendRequestError::Connect(ConnectError::Io(e)) if e.get_ref().is_some_and(|e| e.is::<HeldBack>()) => {
-            CallEnd::HeldBack
+    async fn exchange(&self, provider: &Provider, call: &InvokerCall) -> CallEnd {
+        let mut stream = match self.take(provider, call.addr) {
+            Some(stream) => stream,
+            None => match self.open(call.addr).await {
+                Some(stream) => stream,
+                None => return CallEnd::CouldNotConnect,
+            },
+        };
+        // Connecting may last longer than the leave that the call had.
+        if !self.lets_through(provider) {
+            return CallEnd::HeldBack;
+        }
+        // Only a write that failed proves, from here on, that the call never ran.
+        if stream.write_all(&invoker::encode(call)).await.is_err() {
+            return CallEnd::CouldNotConnect;
+        }
+        let mut bytes = Vec::with_capacity(READ);
+        let mut by = None;
+        loop {
+            let read = match by {
+                None => stream.read_buf(&mut bytes).await,
+                Some(by) => timeout_at(by, stream.read_buf(&mut bytes)).await.unwrap_or(Ok(0)),
+            };
+            let over = !read.is_ok_and(|n| n > 0) || bytes.len() > ANSWER_MAX;
+            if bytes.is_empty() {
+                return CallEnd::Reset;
+            }
+            let (end, reusable) = match invoker::decode(&bytes, over) {
+                Answer::Awaited => continue,
+                Answer::Partial => {
+                    by = by.or(Some(Instant::now() + REST));
+                    continue;
+                }
+                Answer::Whole { end, reusable } => (end, reusable),
+            };
+            if reusable && !provider.shut.get() {
+                let idle = Idle { stream, addr: call.addr, since: Instant::now() };
+                provider.idle.borrow_mut().push(idle);
+            }
+            return end;
         }
-        SendRequestError::Connect(_) | SendRequestError::Send(_) => CallEnd::CouldNotConnect,
-        _ => CallEnd::Reset,
     }
-}
 
-/// awc's way to a connection, with the gate at its end.
-#[derive(Clone)]
-struct Gated<S> {
-    tcp: S,
-    gate: Rc<Gate>,
-}
+    /// The connection that was used last: the others come to an age where they can be closed.
+    fn take(&self, provider: &Provider, addr: SocketAddr) -> Option<TcpStream> {
+        let mut idle = provider.idle.borrow_mut();
+        while let Some(last) = idle.pop() {
+            if last.addr == addr && self.is_fresh(&last) {
+                return Some(last.stream);
+            }
+        }
+        None
+    }
 
-impl<S> Service<ConnectInfo<Uri>> for Gated<S>
-where
-    S: Service<ConnectInfo<Uri>, Response = Connection<Uri, TcpStream>, Error = TcpConnectError>,
-    S::Future: 'static,
-{
-    type Response = Connection<Uri, TcpStream>;
-    type Error = TcpConnectError;
-    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
-
-    fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.tcp.poll_ready(cx)
+    async fn open(&self, addr: SocketAddr) -> Option<TcpStream> {
+        self.make_room();
+        let stream = timeout(self.connect, TcpStream::connect(addr)).await.ok()?.ok()?;
+        // Else the last part of a larger call waits for the provider's acknowledgement.
+        stream.set_nodelay(true).ok()?;
+        Some(stream)
     }
 
-    fn call(&self, to: ConnectInfo<Uri>) -> Self::Future {
-        let (connecting, gate) = (self.tcp.call(to), self.gate.clone());
-        Box::pin(async move {
-            let connection = connecting.await?;
-            // Else the last part of a larger call waits for the provider's acknowledgement.
-            connection.io_ref().set_nodelay(true).map_err(TcpConnectError::Io)?;
-            match gate.lets_through() {
-                true => Ok(connection),
-                false => Err(TcpConnectError::Io(std::io::Error::other(HeldBack))),
-            }
-        })
+    /// Of all idle connections the longest idle goes first.
+    fn make_room(&self) {
+        let all = self.all.borrow();
+        let idle: usize = all.values().map(|p| p.idle.borrow().len()).sum();
+        if self.busy.get() + idle <= self.most {
+            return;
+        }
+        // The oldest of a pool is its first.
+        let since = |p: &Rc<Provider>| p.idle.borrow().first().map(|idle| idle.since);
+        let oldest = all.values().filter_map(|p| Some((since(p)?, p))).min_by_key(|(since, _)| *since);
+        if let Some((_, provider)) = oldest {
+            provider.idle.borrow_mut().remove(0);
+        }
+    }
+}
+
+/// A call that is out, with a connection of its own.
+struct Out<'a>(&'a Cell<usize>);
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -1,104 +1,169 @@
-//! The server for consumers. One task serves each connection, all on the one thread.
+//! The server for consumers: actix-http's codec, and a task for each connection on the one thread.
+//!
+//! The loop around the codec is our own: actix-http's dispatcher buffers 128 KiB for each connection and
+//! does not show what stands behind a request, so that neither can be bounded there.
 
 use crate::program::courier::Courier;
-use crate::protocol::invocation::{self, BODY_MAX, Head, Malformed};
-use actix_http::{
-    ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
-};
+use crate::protocol::invocation::{self, Head, Malformed};
+use crate::routing::router::{Intake, NO_ROOM_WAIT};
+use actix_http::body::{BodySize, MessageBody};
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, ServiceConfig, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// How long a consumer's connection may stand idle.
-const KEEP_ALIVE: Duration = Duration::from_secs(120);
-/// How long a body may take to come in.
-const SLOW: Duration = Duration::from_secs(5);
-/// How long the end of a connection may take.
-const DISCONNECT: Duration = Duration::from_millis(500);
-/// Of a body that is refused, so much is read before the answer, so that the consumer gets it.
-const DRAIN_MAX: usize = 4 * 1024 * 1024;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::AbortHandle;
+use tokio::time::timeout_at;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// A whole request comes within this of the connect, or of the end of a rest: a consumer is owed a word
+/// within 3 s, and waits 400 ms itself.
+const REQUEST: Duration = Duration::from_millis(2_200);
+/// How long a connection may rest between requests; the platform asks for 2 s at least.
+const REST: Duration = Duration::from_secs(10);
+/// An answer is small; a consumer that reads nothing for so long has gone.
+const WRITE: Duration = Duration::from_secs(1);
+/// After an answer that ends a connection, so long and so many bytes are waited for, so that a consumer
+/// that still sends gets the answer before its connection is reset.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MAX: usize = 256 * 1024;
+/// The platform's heads take some 300 bytes.
+const HEAD_MAX: usize = 8 * 1024;
+const READ: usize = 2 * 1024;
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
-/// A connection counts as idle so long after its last answer, which is written by then.
-const SETTLED: Duration = Duration::from_millis(20);
+/// A consumer that has come to ask has asked by then; who has not goes first when room is short.
+const GRACE: Duration = Duration::from_millis(300);
+/// One line tells of all malformed requests within this.
+const TELL: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Answered for the last time.
+    Closing,
+    /// Has yet to send a whole request.
+    Asking,
+    Resting,
+}
 
 struct Connection {
-    busy: bool,
+    state: State,
     since: Instant,
-    task: tokio::task::AbortHandle,
+    task: AbortHandle,
 }
 
-/// The consumers' connections, by their address.
+/// The consumers' connections, by number.
 pub struct Connections {
-    all: RefCell<HashMap<SocketAddr, Connection>>,
+    all: RefCell<HashMap<u64, Connection>>,
+    next: Cell<u64>,
     most: usize,
+    /// Bytes of bodies that may be under way together, and that are.
+    room: u64,
+    under_way: Cell<u64>,
     closing: Cell<bool>,
+    malformed: Cell<(u64, Option<Instant>)>,
 }
 
 impl Connections {
-    pub fn new(most: usize) -> Self {
-        Connections { all: RefCell::default(), most: most.max(1), closing: Cell::new(false) }
+    /// `most` connections at once, whose unfinished bodies take `room` bytes at most.
+    pub fn new(most: usize, room: u64) -> Self {
+        Connections {
+            all: RefCell::default(),
+            next: Cell::new(0),
+            most: most.max(1),
+            room,
+            under_way: Cell::new(0),
+            closing: Cell::new(false),
+            malformed: Cell::default(),
+        }
     }
 
-    /// From now on every answer ends its connection.
+    /// From now on every answer ends its connection, and no connection rests.
     pub fn close_after_answers(&self) {
         self.closing.set(true);
     }
 
-    /// Closes the connections that stand idle; true if any remains.
+    /// Closes the connections that rest; true if any other remains.
     pub fn close_idle(&self) -> bool {
         let mut all = self.all.borrow_mut();
         all.retain(|_, c| {
-            let idle = !c.busy && c.since.elapsed() >= SETTLED;
-            if idle {
+            if c.state == State::Resting {
                 c.task.abort();
             }
-            !idle
+            c.state != State::Resting
         });
         !all.is_empty()
     }
 
-    /// Makes room for one more: the longest idle goes first.
+    /// Makes room for one more: first who was answered for the last time, then who was slow to ask,
+    /// then who has rested longest.
     fn make_room(&self) {
         let mut all = self.all.borrow_mut();
         if all.len() < self.most {
             return;
         }
-        let idle = all.iter().filter(|(_, c)| !c.busy && c.since.elapsed() >= SETTLED);
-        let longest = idle.min_by_key(|(_, c)| c.since).map(|(peer, _)| *peer);
-        if let Some(connection) = longest.and_then(|peer| all.remove(&peer)) {
+        let rank = |c: &Connection| match c.state {
+            State::Closing => 0,
+            State::Asking if c.since.elapsed() >= GRACE => 1,
+            State::Resting => 2,
+            State::Asking => 3,
+        };
+        let first = all.iter().min_by_key(|(_, c)| (rank(c), c.since)).map(|(n, _)| *n);
+        if let Some(connection) = first.and_then(|n| all.remove(&n)) {
             connection.task.abort();
         }
     }
 
-    fn set_busy(&self, peer: Option<SocketAddr>, busy: bool) {
-        let mut all = self.all.borrow_mut();
-        if let Some(c) = peer.and_then(|peer| all.get_mut(&peer)) {
-            (c.busy, c.since) = (busy, Instant::now());
+    fn is(&self, number: u64, state: State) {
+        if let Some(c) = self.all.borrow_mut().get_mut(&number) {
+            (c.state, c.since) = (state, Instant::now());
         }
     }
+
+    /// Room for a body under way, if there is any.
+    fn reserve(&self, len: u64) -> Option<Reserved<'_>> {
+        let taken = self.under_way.get() + len;
+        (taken <= self.room).then(|| self.under_way.set(taken)).map(|()| Reserved(self, len))
+    }
+
+    /// Counts a malformed request; a line for each would cost more than its answer.
+    fn tell(&self, why: Malformed) {
+        let (count, told) = self.malformed.get();
+        let now = told.is_none_or(|told| told.elapsed() >= TELL);
+        if now {
+            log::info!("malformed: {} requests, the last of them: {why}", count + 1);
+        }
+        self.malformed.set(if now { (0, Some(Instant::now())) } else { (count + 1, told) });
+    }
+}
+
+struct Reserved<'a>(&'a Connections, u64);
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - self.1);
+    }
+}
+
+/// Leaves the table with its task, however that ends.
+struct Entry(Rc<Connections>, u64);
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.0.all.borrow_mut().remove(&self.1);
+    }
 }
 
 /// Accepts and serves until it is dropped.
 pub async fn serve(listener: TcpListener, courier: Rc<Courier>, connections: Rc<Connections>) {
-    let (to, on) = (courier.clone(), connections.clone());
-    let http = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-        // actix-http times the first head from the connect: a consumer that opens a connection ahead
-        // of its first request would get a 408 where it expects to be served.
-        .client_request_timeout(KEEP_ALIVE)
-        .client_disconnect_timeout(DISCONNECT)
-        .h1(fn_service(move |request: Request| answer(to.clone(), on.clone(), request)));
-    let http = match http.new_service(()).await {
-        Ok(http) => Rc::new(http),
-        Err(()) => return log::error!("server: its service does not start"),
-    };
+    let config = ServiceConfig::default();
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
@@ -108,48 +173,192 @@
                 if let Err(e) = stream.set_nodelay(true) {
                     log::debug!("server: {peer}: {e}");
                 }
-                let (http, on) = (http.clone(), connections.clone());
-                let task = actix_rt::spawn(async move {
-                    serve_one(&*http, stream, peer).await;
-                    on.all.borrow_mut().remove(&peer);
-                });
-                let task = task.abort_handle();
-                let connection = Connection { busy: false, since: Instant::now(), task };
-                connections.all.borrow_mut().insert(peer, connection);
+                let number = connections.next.replace(connections.next.get() + 1);
+                let entry = Entry(connections.clone(), number);
+                let codec = Codec::new(config.clone());
+                let (courier, buf) = (courier.clone(), BytesMut::new());
+                let conversation = Conversation { stream, codec, buf, courier, entry };
+                let task = actix_rt::spawn(conversation.run(peer)).abort_handle();
+                let connection = Connection { state: State::Asking, since: Instant::now(), task };
+                connections.all.borrow_mut().insert(number, connection);
             }
             Err(e) => {
                 log::warn!("server: accept: {e}");
-                actix_rt::time::sleep(ACCEPT_REST).await;
+                sleep(ACCEPT_REST).await;
             }
         }
     }
 }
 
-async fn serve_one<S>(http: &S, stream: TcpStream, peer: SocketAddr)
-where
-    S: Service<(TcpStream, Option<SocketAddr>), Response = (), Error = actix_http::error::DispatchError>,
-{
-    if let Err(e) = http.call((stream, Some(peer))).await {
-        log::debug!("server: {peer}: {e}");
+/// One consumer's connection.
+struct Conversation {
+    stream: TcpStream,
+    codec: Codec,
+    buf: BytesMut,
+    courier: Rc<Courier>,
+    entry: Entry,
+}
+
+impl Conversation {
+    async fn run(mut self, peer: SocketAddr) {
+        if let Err(e) = self.converse().await {
+            log::debug!("server: {peer}: {e}");
+        }
+    }
+
+    async fn converse(&mut self) -> io::Result<()> {
+        let (connections, number) = (self.entry.0.clone(), self.entry.1);
+        loop {
+            let by = Instant::now() + REQUEST;
+            let asked = match timeout_at(by, self.request(&connections)).await {
+                Ok(asked) => asked?,
+                // Who says nothing is owed nothing.
+                Err(_) if self.buf.is_empty() && self.codec.message_type() == MessageType::None => {
+                    return Ok(());
+                }
+                Err(_) => Asked::Malformed(Malformed::Slow),
+            };
+            let (mut answer, closes) = match asked {
+                Asked::Nothing => return Ok(()),
+                Asked::Answered(answer) => (answer, false),
+                Asked::Malformed(why) => {
+                    self.courier.counters.malformed.add(1);
+                    connections.tell(why);
+                    (invocation::refuse(why), why.ends_connection())
+                }
+            };
+            if closes || connections.closing.get() {
+                answer.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            let bytes = self.encode(answer)?;
+            timeout(WRITE, self.stream.write_all(&bytes)).await??;
+            if closes || !self.codec.keep_alive() {
+                connections.is(number, State::Closing);
+                return self.linger().await;
+            }
+            connections.is(number, State::Resting);
+            self.buf = BytesMut::new();
+            if timeout(REST, self.stream.readable()).await.is_err() {
+                return Ok(());
+            }
+            connections.is(number, State::Asking);
+        }
+    }
+
+    /// Reads one request whole, and acts on it; nothing of it holds before its last byte has come.
+    async fn request(&mut self, connections: &Connections) -> io::Result<Asked> {
+        while !invocation::is_whole_head(&self.buf) {
+            let refused = match self.buf.len() {
+                n if n > HEAD_MAX => Some(Malformed::HeadTooLarge),
+                _ if invocation::has_bare_line_end(&self.buf) => Some(Malformed::Unreadable),
+                _ => None,
+            };
+            if let Some(why) = refused {
+                return Ok(Asked::Malformed(why));
+            }
+            if self.read().await? == 0 {
+                return Ok(if self.buf.is_empty() { Asked::Nothing } else { Malformed::Unreadable.into() });
+            }
+        }
+        if invocation::has_bare_line_end(&self.buf) {
+            return Ok(Malformed::Unreadable.into());
+        }
+        let Ok(Some(Message::Item(request))) = self.codec.decode(&mut self.buf) else {
+            return Ok(Malformed::Unreadable.into());
+        };
+        let head = match Head::decode(request.method(), request.path(), request.headers()) {
+            Err(why) if why.ends_connection() => return Ok(why.into()),
+            head => head,
+        };
+        let length = head.as_ref().map_or(invocation::length(request.headers()), |head| Ok(head.length));
+        let length = match length {
+            Ok(length) => length,
+            Err(why) => return Ok(why.into()),
+        };
+        let Some(_reserved) = connections.reserve(length as u64) else {
+            self.courier.counters.rejected.add(1);
+            let mut answer = invocation::answer(Intake::Rejected { after: NO_ROOM_WAIT });
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+            return Ok(Asked::Answered(answer));
+        };
+        if request.head().expect() && self.buf.len() < length {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        while self.buf.len() < length {
+            if self.read().await? == 0 {
+                return Ok(Malformed::Unreadable.into());
+            }
+        }
+        let mut body = Bytes::new();
+        while self.codec.message_type() == MessageType::Payload {
+            match self.codec.decode(&mut self.buf) {
+                Ok(Some(Message::Chunk(Some(chunk)))) => body = chunk,
+                Ok(Some(Message::Chunk(None))) => {}
+                _ => return Ok(Malformed::Unreadable.into()),
+            }
+        }
+        // A consumer sends one request at a time: what stands behind this one has no good reason.
+        if !self.buf.is_empty() || self.stream.try_read_buf(&mut self.buf).is_ok_and(|n| n > 0) {
+            return Ok(Malformed::Behind.into());
+        }
+        Ok(match request.path() {
+            "/-/ready" | "/-/healthy" => Asked::Answered(probe(&self.courier, &request)),
+            _ => match head {
+                Err(why) => why.into(),
+                Ok(head) => {
+                    let intake = self.courier.take_on(head.with_body(body));
+                    Asked::Answered(invocation::answer(intake))
+                }
+            },
+        })
+    }
+
+    async fn read(&mut self) -> io::Result<usize> {
+        self.buf.reserve(READ);
+        self.stream.read_buf(&mut self.buf).await
+    }
+
+    fn encode(&mut self, answer: Response<Bytes>) -> io::Result<BytesMut> {
+        let mut bytes = BytesMut::with_capacity(256);
+        let (head, body) = answer.into_parts();
+        let size = body.size();
+        self.codec.encode(Message::Item((head, size)), &mut bytes)?;
+        if let BodySize::Sized(1..) = size {
+            self.codec.encode(Message::Chunk(Some(body)), &mut bytes)?;
+        }
+        self.codec.encode(Message::Chunk(None), &mut bytes)?;
+        Ok(bytes)
+    }
+
+    /// The answer is on its way; what the consumer still sends is let go.
+    async fn linger(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let (until, mut left) = (Instant::now() + LINGER, LINGER_MAX);
+        self.buf = BytesMut::with_capacity(READ);
+        while left > 0 {
+            self.buf.clear();
+            match timeout_at(until, self.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(n)) if n > 0 => left = left.saturating_sub(n),
+                _ => return Ok(()),
+            }
+        }
+        sleep_until(until).await;
+        Ok(())
     }
 }
 
-async fn answer(
-    courier: Rc<Courier>,
-    connections: Rc<Connections>,
-    mut request: Request,
-) -> Result<Response<Bytes>, actix_http::Error> {
-    let peer = request.peer_addr();
-    connections.set_busy(peer, true);
-    let mut response = match request.path() {
-        "/-/ready" | "/-/healthy" => probe(&courier, &request),
-        _ => hand_in(&courier, &mut request).await,
-    };
-    if connections.closing.get() {
-        response.head_mut().set_connection_type(ConnectionType::Close);
-    }
-    connections.set_busy(peer, false);
-    Ok(response)
+/// What came of one wait for a request.
+enum Asked {
+    /// The connection ended between requests.
+    Nothing,
+    Answered(Response<Bytes>),
+    Malformed(Malformed),
+}
+
+impl From<Malformed> for Asked {
+    fn from(why: Malformed) -> Self {
+        Asked::Malformed(why)
+    }
 }
 
 fn probe(courier: &Courier, request: &Request) -> Response<Bytes> {
@@ -162,37 +371,3 @@
         _ => invocation::refuse(Malformed::Method),
     }
 }
-
-async fn hand_in(courier: &Rc<Courier>, request: &mut Request) -> Response<Bytes> {
-    let head = Head::decode(request.method(), request.path(), request.headers());
-    // The body is read even if the head is refused: a close on unread bytes could lose the answer.
-    let body = match actix_rt::time::timeout(SLOW, read(request)).await {
-        Ok(body) => body,
-        Err(_) => Err(Malformed::Slow),
-    };
-    match head.and_then(|head| Ok(head.with_body(body?))) {
-        Ok(invocation) => invocation::answer(courier.take_on(invocation)),
-        Err(malformed) => {
-            courier.counters.malformed.add(1);
-            log::info!("malformed: {malformed}");
-            invocation::refuse(malformed)
-        }
-    }
-}
-
-async fn read(request: &mut Request) -> Result<Bytes, Malformed> {
-    let mut payload = request.take_payload();
-    let (mut body, mut drained) = (BytesMut::new(), 0);
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Malformed::Body)?;
-        if body.len() + chunk.len() <= BODY_MAX && drained == 0 {
-            body.extend_from_slice(&chunk);
-        } else {
-            drained += chunk.len();
-        }
-        if drained > DRAIN_MAX {
-            break;
-        }
-    }
-    if drained > 0 { Err(Malformed::TooLarge) } else { Ok(body.freeze()) }
-}
--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -3,9 +3,9 @@
 //! With EXCHANGE_TRACE set, every step is printed as it is played.
 //!
 //! Lines of a file: `#` remarks; `>` bytes to send, each line ended as HTTP wants it (the last one
-//! bare where it follows an empty line); everything else is a step:
+//! bare where it follows an empty line), with `\\r` and `\\n` as they stand; everything else is a step:
 //! `set NAME=VALUE`, `start`, `kill`, `term`, `exit`, `tear` (half a record at the journal's end),
-//! `disk`, `open` (a port for provider pN), `consumer` (a request, then its answer), `send NAME` and
+//! `crowd N` (connections that say nothing), `disk`, `open` (a port for provider pN), `consumer` (a request, then its answer), `send NAME` and
 //! `recv NAME` (the same in two steps, on a connection kept by name), `provider pN` (waits for a call,
 //! or reads the answer bytes to give), `shut pN` (closes the call's connection), `gone pN` (waits for
 //! the courier to close it), `closed NAME`, `notices CODE` (waits for notices), `list` (on the watch),
@@ -119,6 +119,12 @@
                 consumer.write_all(bytes.as_bytes()).unwrap();
                 return self.show(&response(&mut consumer));
             }
+            "crowd" => {
+                for n in 0..name.parse().unwrap() {
+                    let silent = self.connect();
+                    self.consumers.insert(format!("silent-{n}"), silent);
+                }
+            }
             "send" => {
                 let fresh = self.connect();
                 self.consumers.entry(name).or_insert(fresh).write_all(bytes.as_bytes()).unwrap();
@@ -234,7 +240,7 @@
             Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges/config.json"),
         );
         let mut config = self.fill(&config.unwrap());
-        for (name, default) in [("disk_mb", "1"), ("slots", "8"), ("open_cap", "20")] {
+        for (name, default) in [("disk_mb", "1"), ("slots", "8"), ("open_cap", "20"), ("sockets", "1024")] {
             config = config.replace(&format!("[{name}]"), self.vars.get(name).map_or(default, |v| v));
         }
         config = config.replace("[discovery]", &format!("127.0.0.1:{}", self.ports[&self.platform]));
@@ -327,6 +333,7 @@
     // Every request names its host, as HTTP/1.1 demands.
     let host = |l: &str| if l.ends_with(" HTTP/1.1") { "Host: backend.local\r\n" } else { "" };
     let head_lines: String = lines[..head].iter().map(|l| format!("{l}\r\n{}", host(l))).collect();
+    let head_lines = head_lines.replace("\\r", "\r").replace("\\n", "\n");
     let body = lines.get(head + 1..).unwrap_or_default().join("\n");
     let body = match body.strip_prefix('*').and_then(|n| n.parse().ok()) {
         Some(n) => "x".repeat(n),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -110,6 +110,12 @@
         self.to_name.insert(n, name.to_string());
         n
     }
+    /// The number is not used again.
+    pub fn forget(&mut self, number: u64) {
+        if let Some(name) = self.to_name.remove(&number) {
+            self.to_number.remove(&name);
+        }
+    }
     pub fn known(&self, name: &str) -> Option<u64> {
         self.to_number.get(name).copied()
     }
