--- a/courier/src/program/courier.rs
+++ b/courier/src/program/courier.rs
@@ -151,6 +151,7 @@
     }
 
     fn call(self: &Rc<Self>, call: InvokerCall) {
+        log::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
         let (word, give_up) = oneshot::channel();
         self.calls.borrow_mut().insert(call.call, word);
         let this = self.clone();
--- a/courier/src/routing/router.rs
+++ b/courier/src/routing/router.rs
@@ -254,6 +254,7 @@
         self.ids.insert(id.clone(), msg);
         let parcel = Rc::new(Parcel { id, key, body });
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: None });
+        log::debug!("taken on: {msg} for destination {dest}, class {class_number}, {time_left} us");
         let class = class_number;
         let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
         let orders = self.facade.pick(now, message);
@@ -437,6 +438,7 @@
             Ending::Undeliverable => self.counters.undeliverable.add(1),
             Ending::Deferred(_) => self.counters.deferred.add(1),
         }
+        log::debug!("ended: {msg} as {ending:?}");
         self.notices.push_back(msg);
         self.write(&Record::End { msg, end: ending.into() }, now);
         steps.push(Step::Notify);
