Keep idle connections after a reset or a failed connect elsewhere

Cause: rules.rs links closed the idle connections of a whole kind, of all kinds after a reset, and went on closing each after its call for a minute. Providers that go away and connections that are cut do that many times a minute without any table being full. Change: a reset or a quickly failed connect closes what is idle at that endpoint. Only one that answers between two connects that fail within 10 s is taken to be full, for 10 s. Ruled out and taken back: preferring connections whose last answer is 5 ms old, and asking the socket before use.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,8 +77,10 @@
 const CROSSING: f64 = 0.75;
 /// A connect that fails within this met a full table, not a place that is down, microseconds.
 const DIALLED: Micros = SEC / 2;
-/// How long after a sign of it connections are taken to be scarce or short-lived, microseconds.
-const CROWDED: Micros = 60 * SEC;
+/// Two such connects within this, with an answer between them, tell of a table that is full, microseconds.
+const REFUSED: Micros = 10 * SEC;
+/// How long after that connections are taken to be scarce there, microseconds.
+const CROWDED: Micros = 10 * SEC;
 
 // ---- Which message next. ----
 /// How far ahead the loss by waiting is looked for, microseconds.
@@ -154,6 +156,8 @@
     dest: DestId, lane: usize, zone: u32, rate: f64, listed: bool, calls: u32,
     /// When each idle connection was last used.
     idle: Vec<Micros>,
+    /// When it last answered and refused a connection, and until when its table is taken to be full.
+    answered: Micros, refused: Micros, crowded: Micros,
     /// Drawn anew with each call: decides between equals.
     lot: f64,
 }
@@ -212,8 +216,6 @@
     keys: BTreeMap<u64, (VecDeque<MsgId>, Micros)>,
     /// Messages left inside each tenant's share, and when that was counted.
     shares: Vec<(f64, Micros)>,
-    /// When connections were last seen to be scarce or dropped, for each kind of destination.
-    crowded: BTreeMap<usize, Micros>,
     /// No message is due before.
     look_at: Micros,
     timer: Micros, ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
@@ -553,33 +555,30 @@
         }
     }
 
-    /// Closes what is idle after a quickly failed connect at a kind, or a reset of an idle connection, and
-    /// for a while each after its call. Guards also tables that others fill; it costs handshakes.
+    /// Closes what is idle where a connect failed quickly or an idle connection was reset: a place that went
+    /// down took all of them along. One that refuses connections, yet answers on those it has, holds as many
+    /// as it can: there each is closed after its call for a while. It costs handshakes.
     fn links(&mut self, id: EndpointId, c: &Completed, reused: bool) {
         let (now, o) = (self.now, c.outcome);
-        let kind_of = |e: &Endpoint| self.dests.get(&e.dest).map_or(0, |d| d.kind);
         let e = self.endpoints.get_mut(&id).expect("the caller knows the endpoint");
-        let kind = kind_of(e);
-        let scarce = |k: usize| self.crowded.get(&k).is_some_and(|t| now < *t + CROWDED);
         if matches!(o, Outcome::Ok | Outcome::Error | Outcome::Full) {
             e.idle.push(now);
+            e.answered = now;
             let wanted = self.dests.get(&e.dest).is_some_and(|d| !d.held.is_empty());
-            if scarce(kind) && !wanted {
-                e.idle.clear();
-                self.acts.push(Action::CloseIdle { endpoint: id });
+            if wanted || now >= e.crowded {
+                return;
             }
-        } else if (o == Outcome::ConnectFailed && c.elapsed < DIALLED) || (o == Outcome::Reset && reused) {
-            // The list is walked for the first sign only.
-            let kinds = if o == Outcome::Reset { 0..self.set.kinds.len() } else { kind..kind + 1 };
-            let fresh = kinds.clone().any(|k| !scarce(k));
-            let struck = if fresh { 0..=EndpointId::MAX } else { id..=id };
-            for (n, e) in self.endpoints.range_mut(struck).filter(|(_, e)| !e.idle.is_empty()) {
-                if kinds.contains(&kind_of(e)) {
-                    e.idle.clear();
-                    self.acts.push(Action::CloseIdle { endpoint: *n });
-                }
+        } else if o == Outcome::ConnectFailed && c.elapsed < DIALLED {
+            if e.answered > e.refused && now < e.refused + REFUSED {
+                e.crowded = now + CROWDED;
             }
-            self.crowded.extend(kinds.map(|k| (k, now)));
+            e.refused = now;
+        } else if o != Outcome::Reset || !reused {
+            return;
+        }
+        if !e.idle.is_empty() {
+            e.idle.clear();
+            self.acts.push(Action::CloseIdle { endpoint: id });
         }
     }
 
