--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,7 +60,9 @@
 
 // ---- Time-outs, microseconds or multiples of CAL. ----
 const TIMEOUT_CALS: f64 = 8.0;
-const TIMEOUT_MIN: f64 = 3.0 * 1e6;
+const TIMEOUT_MIN: f64 = 4.0 * 1e6;
+/// The same for a trial in an outage: it is to find the end of it.
+const TRIAL_MIN: f64 = 1.0 * 1e6;
 /// Time-outs in a row double the next one's patience, this many times at most.
 const TIMEOUT_DOUBLINGS: u32 = 2;
 /// An unsafe message's time-out is its end: it has this many times the patience of others.
@@ -649,7 +651,10 @@
         // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
         let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
         l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
-        if out || (o != Outcome::Ok && !limit) {
+        // What was sent before a call that succeeded tells of the time before; and a refusal between
+        // successes is the limit's, which is no outage.
+        let past = sent <= l.ok_sent || (o == Outcome::Full && !l.out && !crowd);
+        if out || (o != Outcome::Ok && !limit && !past) {
             self.knows(lane, out);
         }
     }
@@ -938,6 +943,7 @@
     /// would feed on themselves; they double it instead, to tell slow from silent.
     fn patience(&self) -> Micros {
         let doubled = (1u32 << self.timeouts.min(TIMEOUT_DOUBLINGS)) as f64;
-        ((TIMEOUT_CALS * self.answered).max(TIMEOUT_MIN) * doubled) as Micros
+        let least = if self.out { TRIAL_MIN } else { TIMEOUT_MIN };
+        ((TIMEOUT_CALS * self.answered).max(least) * doubled) as Micros
     }
 }
