--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,7 +17,7 @@
 /// Step of one window update: small, since the threshold lies far above the usual latency.
 const GAMMA: f64 = 0.02;
 /// Constant growth, calls: small, since one call in flight may already be over a limit.
-const BETA: f64 = 0.1;
+const BETA: f64 = 10.0;
 /// Threshold over the baseline. Service times spread widely even without a queue.
 const THRESHOLD: f64 = 10.0;
 /// Floor of CAL and of a baseline, microseconds: the design's millisecond.
@@ -650,7 +650,7 @@
         }
         // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
         let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
-        l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
+        l.w = l.w.clamp(1.0, top.max(1) as f64);
         // What was sent before a call that succeeded tells of the time before; and a refusal between
         // successes is the limit's, which is no outage.
         let past = sent <= l.ok_sent || (o == Outcome::Full && !l.out && !crowd);
