--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 /// Refusals this soon after a shrink tell of the same used-up span, microseconds.
 const SHRINK_REST: Micros = SEC;
 /// First and longest pause after refusals or failures in a row, microseconds, and its growth.
-const PAUSE_FIRST: f64 = 0.4 * 1e6;
+const PAUSE_FIRST: f64 = 0.6 * 1e6;
 const PAUSE_MAX: f64 = 1.5 * 1e6;
 const PAUSE_GROWTH: f64 = 1.5;
 /// Longest pause of a lane with a window below one, microseconds: about a limit's fixed span.
