--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,7 +60,7 @@
 
 // ---- Time-outs, microseconds or multiples of CAL. ----
 const TIMEOUT_CALS: f64 = 8.0;
-const TIMEOUT_MIN: f64 = 4.0 * 1e6;
+const TIMEOUT_MIN: f64 = 0.45;
 /// The same for a trial in an outage: it is to find the end of it.
 const TRIAL_MIN: f64 = 1.0 * 1e6;
 /// Time-outs in a row double the next one's patience, this many times at most.
@@ -205,6 +205,8 @@
 #[rustfmt::skip]
 pub struct Dispatcher {
     set: Settings, rng: u64, now: Micros,
+    /// The least time-out.
+    least: f64,
     msgs: BTreeMap<MsgId, Msg>, open: u32,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     dests: BTreeMap<DestId, Dest>,
@@ -235,9 +237,23 @@
                 "no slot, no attempt, or a share or worth that is no number of zero or more",
             ));
         }
+        let spans = set.classes.iter().filter_map(|c| match c.effect {
+            Effect::Keyed { span, .. } => Some(span),
+            _ => None,
+        });
+        let least = TIMEOUT_MIN * spans.min().unwrap_or(5 * SEC) as f64;
         let shares = set.tenants.iter().map(|_| (f64::MAX, 0)).collect();
         let ask_at = if set.must_ask { 0 } else { NEVER };
-        Ok(Dispatcher { set, rng: seed, shares, timer: NEVER, ask_at, ask_gap: ASK_FIRST, ..Self::default() })
+        Ok(Dispatcher {
+            set,
+            rng: seed,
+            least,
+            shares,
+            timer: NEVER,
+            ask_at,
+            ask_gap: ASK_FIRST,
+            ..Self::default()
+        })
     }
 
     /// Takes one batch of events that happened by `clock` and returns what to do, in order.
@@ -720,11 +736,11 @@
         let mut at = l.wait_until;
         if l.out {
             if l.trial.is_some() {
-                at = at.max(l.last_sent + l.patience());
+                at = at.max(l.last_sent + l.patience(self.least));
             }
         } else {
             // Calls past all patience hold slots, but no longer the window.
-            let patience = l.patience();
+            let patience = l.patience(self.least);
             let mut live = l.live.iter().map(|(_, sent)| *sent).filter(|t| t + patience > self.now);
             let eff = l.effective(self.now);
             let most = if eff >= 1.0 { eff as usize } else { 2 - (eff < l.w) as usize };
@@ -831,7 +847,8 @@
         let ends = self.stop_at.is_none_or(|stop| eta + (eta - self.now) <= stop);
         let usual = self.choose(lane, None).filter(|_| ends)?;
         // How long a call there is likely to hold its slot (a quarter of a second where nothing is known).
-        let slot = if l.timeouts > 0 { l.patience() as f64 } else { l.cal.unwrap_or(SEC as f64 / 4.0) };
+        let slot =
+            if l.timeouts > 0 { l.patience(self.least) as f64 } else { l.cal.unwrap_or(SEC as f64 / 4.0) };
         let mut best: Option<Pick> = None;
         for id in &self.dests[&self.endpoints[&usual.1].dest].held {
             let m = &self.msgs[id];
@@ -883,8 +900,8 @@
         l.trial = l.out.then_some(id);
         let timeout = match self.set.classes[m.class].effect {
             Effect::Unsafe if self.set.cancel => m.deadline,
-            Effect::Unsafe => (l.patience() as f64 * UNSAFE_PATIENCE) as Micros,
-            _ => l.patience(),
+            Effect::Unsafe => (l.patience(self.least) as f64 * UNSAFE_PATIENCE) as Micros,
+            _ => l.patience(self.least),
         };
         let timeout = timeout.min(m.deadline.saturating_sub(now)).max(1);
         m.attempts.push(Attempt { endpoint, zone, lane, sent: now, ran: Ran::Out, reused, withdrawn: false });
@@ -941,9 +958,9 @@
 
     /// How long a call that may be repeated is waited for: from answers only, since time-outs
     /// would feed on themselves; they double it instead, to tell slow from silent.
-    fn patience(&self) -> Micros {
+    fn patience(&self, least: f64) -> Micros {
         let doubled = (1u32 << self.timeouts.min(TIMEOUT_DOUBLINGS)) as f64;
-        let least = if self.out { TRIAL_MIN } else { TIMEOUT_MIN };
+        let least = if self.out { TRIAL_MIN } else { least };
         ((TIMEOUT_CALS * self.answered).max(least) * doubled) as Micros
     }
 }
