--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,7 +16,8 @@
 const ALPHA: f64 = 0.7;
 /// Step of one window update: small, since the threshold lies far above the usual latency.
 const GAMMA: f64 = 0.02;
-/// Constant growth, calls: small, since one call in flight may already be over a limit.
+/// Constant growth, calls: with the step, a fifth of a call for each success. Large beside a small window,
+/// so that those who share a limit and were refused at different times come to equal parts of it.
 const BETA: f64 = 10.0;
 /// Threshold over the baseline. Service times spread widely even without a queue.
 const THRESHOLD: f64 = 10.0;
@@ -60,7 +61,8 @@
 
 // ---- Time-outs, microseconds or multiples of CAL. ----
 const TIMEOUT_CALS: f64 = 8.0;
-const TIMEOUT_MIN: f64 = 0.45;
+/// The least, as a part of the shortest time for which a key is remembered: leaves time to call again.
+const TIMEOUT_MIN: f64 = 2.0 / 3.0;
 /// The same for a trial in an outage: it is to find the end of it.
 const TRIAL_MIN: f64 = 1.0 * 1e6;
 /// Time-outs in a row double the next one's patience, this many times at most.
@@ -669,7 +671,7 @@
         l.w = l.w.clamp(1.0, top.max(1) as f64);
         // What was sent before a call that succeeded tells of the time before; and a refusal between
         // successes is the limit's, which is no outage.
-        let past = sent <= l.ok_sent || (o == Outcome::Full && !l.out && !crowd);
+        let past = sent < l.ok_sent || (o == Outcome::Full && !l.out && !crowd);
         if out || (o != Outcome::Ok && !limit && !past) {
             self.knows(lane, out);
         }
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -311,6 +311,64 @@
     }
 }
 
+/// Ends all calls but `one` well.
+fn answer_all_but(w: &mut World, one: Option<MsgId>) {
+    let out: Vec<MsgId> = w.out.keys().map(|k| k.0).filter(|m| Some(*m) != one).collect();
+    out.into_iter().for_each(|m| drop(w.finish(m, Outcome::Ok, 0)));
+}
+
+/// One of two senders just after an outage, with a call out that was sent before it.
+fn returning() -> (World, MsgId) {
+    let mut w = world(2, 1, 6.0);
+    let early = w.one(0, 5);
+    for _ in 0..3 {
+        let m = w.one(0, 5);
+        w.finish_after(m, 1_000, Outcome::Error);
+        w.step(&[Event::Hangup { msg: m }]);
+        w.pass(2 * SEC);
+    }
+    assert!(w.d.lane(0).unwrap().in_outage);
+    w.one(0, 5);
+    while w.d.lane(0).unwrap().in_outage {
+        w.pass(SEC);
+        answer_all_but(&mut w, Some(early));
+    }
+    (w, early)
+}
+
+/// Whether three calls go one right after the other when the guard should have lifted.
+fn is_free(w: &mut World) -> bool {
+    w.pass(COLD);
+    answer_all_but(w, None);
+    w.pass(2 * SEC);
+    (0..3).all(|_| {
+        let m = w.one(0, 5);
+        answer_all_but(w, None);
+        w.sends(m) == 1
+    })
+}
+
+#[test]
+fn neither_a_refusal_between_successes_nor_a_call_from_before_renews_the_guard() {
+    let (mut w, early) = returning();
+    w.finish(early, Outcome::Timeout, 0);
+    assert!(is_free(&mut w), "a call sent in the outage tells nothing of what came after");
+    let (mut w, early) = returning();
+    w.step(&[Event::Hangup { msg: early }]);
+    w.finish(early, Outcome::Moot, 0);
+    w.pass(2 * SEC);
+    let m = w.one(0, 5);
+    w.finish_after(m, 1_000, Outcome::Full);
+    assert!(is_free(&mut w), "one refusal among successes is a limit's");
+    let (mut w, early) = returning();
+    w.step(&[Event::Hangup { msg: early }]);
+    w.finish(early, Outcome::Moot, 0);
+    w.pass(2 * SEC);
+    let m = w.one(0, 5);
+    w.finish_after(m, 1_000, Outcome::Error);
+    assert!(!is_free(&mut w), "an error is a failure seen");
+}
+
 #[test]
 fn what_cannot_go_in_its_time_is_answered_at_once() {
     let mut s = set(270, FAR);
