Learn nothing from calls older than a success, and reclaim overdue slots sooner

All 21 slots were held by calls that hung (1 s at least, 2 s for a fee-debit, before one could be called off), each two time-outs in a row paused the destination, three made it an outage, though calls sent later had been answered.

At fault: rules.rs, on_completed() handed failures of calls sent before a later success to learn(); RECLAIM_MIN 1 s. Now such a failure binds by the wait it told only, and a call may be called off for a free slot after 0.3 s, if that is eight times the usual.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,9 +16,8 @@
 const ALPHA: f64 = 0.7;
 /// Step of one window update: small, since the threshold lies far above the usual latency.
 const GAMMA: f64 = 0.02;
-/// Constant growth, calls: with the step, a fifth of a call for each success. Large beside a small window,
-/// so that those who share a limit and were refused at different times come to equal parts of it.
-const BETA: f64 = 10.0;
+/// Constant growth, calls: small, since one call in flight may already be over a limit.
+const BETA: f64 = 0.1;
 /// Threshold over the baseline. Service times spread widely even without a queue.
 const THRESHOLD: f64 = 10.0;
 /// Floor of CAL and of a baseline, microseconds: the design's millisecond.
@@ -30,7 +29,7 @@
 /// Refusals this soon after a shrink tell of the same used-up span, microseconds.
 const SHRINK_REST: Micros = SEC;
 /// First and longest pause after refusals or failures in a row, microseconds, and its growth.
-const PAUSE_FIRST: f64 = 0.6 * 1e6;
+const PAUSE_FIRST: f64 = 0.4 * 1e6;
 const PAUSE_MAX: f64 = 1.5 * 1e6;
 const PAUSE_GROWTH: f64 = 1.5;
 /// Longest pause of a lane with a window below one, microseconds: about a limit's fixed span.
@@ -69,8 +68,9 @@
 const TIMEOUT_DOUBLINGS: u32 = 2;
 /// An unsafe message's time-out is its end: it has this many times the patience of others.
 const UNSAFE_PATIENCE: f64 = 2.0;
-/// Bounds on how old a call grows before it gives up its slot when they are short, microseconds.
-const RECLAIM_MIN: f64 = 1.0 * 1e6;
+/// Bounds on how old a call grows before it gives up its slot when they are short, microseconds. Where a
+/// third of the calls hang at a high rate, these fill all slots within a second.
+const RECLAIM_MIN: f64 = 0.3 * 1e6;
 const RECLAIM_MAX: f64 = 4.0 * 1e6;
 /// Kept clear of the end of a key's memory, microseconds: covers the trip there.
 const MEMORY_MARGIN: Micros = 100_000;
@@ -562,7 +562,13 @@
         self.lanes[lane].live.retain(|(id, _)| *id != c.msg);
         self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
         self.links(endpoint, c, reused);
-        if reused && c.outcome == Outcome::Reset {
+        // What was sent before a call that succeeded tells of that call, or of nothing.
+        let past = sent < self.lanes[lane].ok_sent && !matches!(c.outcome, Outcome::Ok | Outcome::Full);
+        if past {
+            let l = &mut self.lanes[lane];
+            l.trial = l.trial.filter(|n| *n != c.msg);
+            l.wait_until = l.wait_until.max(now + c.wait);
+        } else if reused && c.outcome == Outcome::Reset {
             // It tells nothing of the destination's health; but the rule counts it as a failure seen.
             self.knows(lane, false);
         } else {
@@ -668,11 +674,10 @@
         }
         // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
         let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
-        l.w = l.w.clamp(1.0, top.max(1) as f64);
-        // What was sent before a call that succeeded tells of the time before; and a refusal between
-        // successes is the limit's, which is no outage.
-        let past = sent < l.ok_sent || (o == Outcome::Full && !l.out && !crowd);
-        if out || (o != Outcome::Ok && !limit && !past) {
+        l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
+        // A refusal between successes is the limit's, which is no outage.
+        let limit = limit || (o == Outcome::Full && !l.out && !crowd);
+        if out || (o != Outcome::Ok && !limit) {
             self.knows(lane, out);
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use spurshore::*;
+use std::collections::VecDeque;
 
 /// Destinations 0 to n - 1 of one endpoint each, all having answered in 100 ms.
 fn known(slots: u32, n: u32) -> World {
@@ -34,6 +35,58 @@
     assert_eq!(w.sends(other), 1);
 }
 
+#[test]
+fn where_slots_are_short_a_call_gives_its_own_up_at_eight_times_the_usual_latency() {
+    let mut w = known(2, 3);
+    let stuck = [w.one(0, 0), w.one(0, 1)];
+    let other = w.one(0, 2);
+    let cancel = Action::Cancel { msg: stuck[0], attempt: 0 };
+    w.pass(750_000);
+    assert!(w.log.iter().all(|(_, a)| *a != cancel), "100 ms are usual");
+    w.pass(100_000);
+    assert!(w.log.iter().any(|(_, a)| *a == cancel));
+    w.finish(stuck[0], Outcome::Cancelled, 0);
+    assert_eq!(w.sends(other) + w.sends(stuck[0]), 2);
+}
+
+#[test]
+fn calls_that_hang_beside_later_ones_that_are_answered_are_no_outage() {
+    let mut w = known(16, 1);
+    let mut hung: VecDeque<(Micros, MsgId)> = VecDeque::new();
+    for n in 0..300 {
+        let m = w.one(2, 0);
+        assert_eq!(w.sends(m), 1, "call {n} waits");
+        if n % 3 == 0 {
+            hung.push_back((w.now + 400_000, m));
+            w.pass(100_000);
+        } else {
+            w.finish_after(m, 100_000, Outcome::Ok);
+        }
+        while hung.front().is_some_and(|(at, _)| *at <= w.now) {
+            let (_, m) = hung.pop_front().unwrap();
+            w.finish(m, Outcome::Timeout, 0);
+        }
+        let lane = w.d.lane(0).unwrap();
+        assert!(!lane.in_outage);
+        assert!((lane.cal.unwrap() - 100_000.0).abs() < 1.0, "{lane:?}");
+    }
+}
+
+#[test]
+fn a_wait_told_by_a_call_sent_before_a_success_still_binds() {
+    let mut w = known(8, 1);
+    let early = w.one(2, 0);
+    w.pass(10_000);
+    let later = w.one(2, 0);
+    w.finish_after(later, 100_000, Outcome::Ok);
+    w.finish(early, Outcome::Error, 2 * SEC);
+    let m = w.one(0, 0);
+    w.pass(2 * SEC - 10_000);
+    assert_eq!(w.sends(m), 0);
+    w.pass(20_000);
+    assert_eq!(w.sends(m), 1);
+}
+
 #[test]
 fn without_permission_to_cancel_unsafe_calls_time_out_instead() {
     let mut set = settings(4);
