--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,9 +95,10 @@
 const SHARE_BURST: f64 = 2.0;
 /// Part of the holding limit at which shedding starts.
 const SHED_AT: f64 = 0.9;
-/// Answer this long before the time is up, microseconds: a notice that is not confirmed is sent again after
-/// 0.3 s, and would come too late by then.
+/// Answer this long before the time is up, microseconds, but a fiftieth of it at most, and no later than the
+/// least: a notice that is not confirmed is sent again after 0.3 s, and would come too late by then.
 const ANSWER_EARLY: Micros = 150_000;
+const ANSWER_EARLY_LEAST: Micros = 10_000;
 /// Pauses between calls to a list service that failed, microseconds.
 const ASK_FIRST: Micros = SEC / 2;
 const ASK_MAX: Micros = 4 * SEC;
@@ -131,7 +132,7 @@
 #[rustfmt::skip]
 struct Msg {
     class: usize, worth: f64, key: Option<u64>, dest: DestId,
-    born: Micros, aim: Micros, deadline: Micros,
+    born: Micros, came: Micros, aim: Micros, deadline: Micros,
     /// Owed an answer still; an ended message stays until its attempts are over.
     open: bool, attempts: Vec<Attempt>,
 }
@@ -247,16 +248,8 @@
         let least = TIMEOUT_MIN * spans.min().unwrap_or(5 * SEC) as f64;
         let shares = set.tenants.iter().map(|_| (f64::MAX, 0)).collect();
         let ask_at = if set.must_ask { 0 } else { NEVER };
-        Ok(Dispatcher {
-            set,
-            rng: seed,
-            least,
-            shares,
-            timer: NEVER,
-            ask_at,
-            ask_gap: ASK_FIRST,
-            ..Self::default()
-        })
+        let fresh = Self::default();
+        Ok(Dispatcher { set, rng: seed, least, shares, timer: NEVER, ask_at, ask_gap: ASK_FIRST, ..fresh })
     }
 
     /// Takes one batch of events that happened by `clock` and returns what to do, in order.
@@ -390,9 +383,9 @@
             self.keys.entry(k).or_default().0.push_back(m.id);
         }
         let born = m.deadline.saturating_sub(class.deadline);
-        let (deadline, dest) = (m.deadline, m.dest);
+        let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
         let attempts = past.iter().map(Attempt::of_past).collect();
-        let msg = Msg { class: m.class, worth, key, born, aim, deadline, dest, open: true, attempts };
+        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, attempts };
         self.open += 1;
         self.msgs.insert(m.id, msg);
         self.hold(m.id);
@@ -484,7 +477,8 @@
         if m.is_out() {
             return m.deadline;
         }
-        let last = m.deadline.saturating_sub(ANSWER_EARLY);
+        let early = (m.deadline.saturating_sub(m.came) / 50).clamp(ANSWER_EARLY_LEAST, ANSWER_EARLY);
+        let last = m.deadline.saturating_sub(early);
         // A turn too late is none: the client may reach a sender that knows nothing. One missed, look again.
         let last = match self.hope(m) {
             0 => last,
