Let consumers that have only asked whether the courier is ready leave last

Replayed with a line for each connection closed to make room: 200 consumers want a connection each, 176 fit; they ask /-/ready, rest, and hand in on the same connection some time later. Those were closed after 190 ms of rest by those who came anew, 800 a second, and never got to ask.

At fault: server.rs, the rank of resting connections in make_room, which knew how long each rested but not whether it had handed anything in.

Now a connection that has but probed goes after those that have handed in. The tests' send no longer opens a second connection by the way.

--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -57,6 +57,8 @@
     Asking,
     AskingMore,
     Resting,
+    /// Rests, and has but seen that the courier is ready: it is about to ask.
+    Probed,
     /// Asked to go: closes, or answers what came in this moment and closes.
     Leaving,
 }
@@ -69,6 +71,10 @@
 }
 
 impl Connection {
+    fn rests(&self) -> bool {
+        matches!(self.state, State::Resting | State::Probed)
+    }
+
     fn ask_to_leave(&mut self) {
         self.state = State::Leaving;
         self.leave.notify_one();
@@ -112,7 +118,7 @@
     /// Asks the connections that rest to leave; true if any remains.
     pub fn close_idle(&self) -> bool {
         let mut all = self.all.borrow_mut();
-        all.values_mut().filter(|c| c.state == State::Resting).for_each(Connection::ask_to_leave);
+        all.values_mut().filter(|c| c.rests()).for_each(Connection::ask_to_leave);
         !all.is_empty()
     }
 
@@ -134,15 +140,16 @@
             State::Closing => 0,
             State::Asking | State::AskingMore if c.since.elapsed() >= GRACE => 1,
             State::Resting => 2,
-            State::Asking => 3,
-            State::AskingMore => 4,
-            State::Leaving => 5,
+            State::Probed => 3,
+            State::Asking => 4,
+            State::AskingMore => 5,
+            State::Leaving => 6,
         };
         let leaving = all.values().filter(|c| c.state == State::Leaving).count();
         let first = all.iter().min_by_key(|(_, c)| (rank(c), c.since)).map(|(n, _)| *n);
         let Some(number) = first else { return false };
         match all.get_mut(&number) {
-            Some(c) if matches!(c.state, State::Resting | State::Leaving) => {
+            Some(c) if c.rests() || c.state == State::Leaving => {
                 if leaving >= LEAVING_MAX {
                     return true;
                 }
@@ -258,9 +265,10 @@
                 }
                 Err(_) => Asked::Malformed(Malformed::Slow),
             };
+            let rests = if matches!(asked, Asked::Probed(_)) { State::Probed } else { State::Resting };
             let (mut answer, closes) = match asked {
                 Asked::Nothing => return Ok(()),
-                Asked::Answered(answer) => (answer, false),
+                Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
                 Asked::Malformed(why) => {
                     self.courier.counters.malformed.add(1);
                     connections.tell(why);
@@ -276,7 +284,7 @@
                 connections.is(number, State::Closing);
                 return self.linger().await;
             }
-            connections.is(number, State::Resting);
+            connections.is(number, rests);
             self.buf = BytesMut::new();
             leaves = tokio::select! {
                 biased;
@@ -349,7 +357,7 @@
             return Ok(Malformed::Behind.into());
         }
         Ok(match request.path() {
-            "/-/ready" | "/-/healthy" => Asked::Answered(probe(&self.courier, &request)),
+            "/-/ready" | "/-/healthy" => Asked::Probed(probe(&self.courier, &request)),
             _ => match head {
                 Err(why) => why.into(),
                 Ok(head) => {
@@ -399,6 +407,7 @@
     /// The connection ended between requests.
     Nothing,
     Answered(Response<Bytes>),
+    Probed(Response<Bytes>),
     Malformed(Malformed),
 }
 
--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -134,8 +134,10 @@
                 }
             }
             "send" => {
-                let fresh = self.connect();
-                self.consumers.entry(name).or_insert(fresh).write_all(bytes.as_bytes()).unwrap();
+                let known = self.consumers.remove(&name);
+                let mut consumer = known.unwrap_or_else(|| self.connect());
+                consumer.write_all(bytes.as_bytes()).unwrap();
+                self.consumers.insert(name, consumer);
             }
             "recv" => {
                 let heard = response(self.consumers.get_mut(&name).unwrap());
