Make the core a package without I/O, and the protocol one above it

What the core has to say is a typed Note among its steps. protocol/ is a package of its own. The wiring of router and sockets moved from program to transport. A torn tail is now dropped by a compaction, not by cutting the file, since a Store cannot cut; a tail that could not be cut off after a refused write is cut before the next one, where it would have hidden every later record.

--- a/courier/src/routing/journal.rs
+++ b/core/src/journal.rs
@@ -1,15 +1,16 @@
-//! The journal of what is owed, in the folder that lasts: append-only records, each with its length
-//! and checksum. Nothing is synced, since what is written survives the process.
+//! The journal of what is owed, in a [`Store`] that outlasts the process: append-only records, each with
+//! its length and checksum.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use spurshore::{Micros, MsgId};
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
+use std::io;
+use std::sync::Arc;
 
-use super::Ending;
+use crate::Ending;
+use crate::note::Note;
+use crate::store::Store;
 
 /// Length and checksum before each record.
 const FRAME: u64 = 8;
@@ -18,10 +19,10 @@
 /// Room that each owed invocation may still need for its attempts, outcomes and end.
 const RESERVE: u64 = 512;
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Clone, Debug, thiserror::Error)]
 pub enum JournalError {
-    #[error("journal {path}: {what}: {source}")]
-    Io { what: &'static str, path: PathBuf, source: io::Error },
+    #[error("journal: {what} failed: {source}")]
+    Io { what: &'static str, source: Arc<io::Error> },
     #[error("journal: a record could not be encoded: {0}")]
     Encode(#[from] postcard::Error),
     #[error("journal: no room in its share of the disk")]
@@ -106,7 +107,7 @@
 }
 
 /// What the journal holds: what is owed, and what is over but remembered.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Book {
     pub owed: BTreeMap<MsgId, Entry>,
     pub over: Vec<(String, End, Micros)>,
@@ -115,6 +116,13 @@
 }
 
 impl Book {
+    /// What these bytes tell, up to the first record that is not sound, and the length of that part.
+    pub fn read(bytes: &[u8]) -> (Book, usize) {
+        let mut book = Book::default();
+        let sound = decode(bytes, &mut book);
+        (book, sound)
+    }
+
     fn apply(&mut self, record: Record) {
         match record {
             Record::TakeOn { msg, taken } => {
@@ -195,10 +203,9 @@
     }
 }
 
-pub struct Journal {
-    path: PathBuf,
-    file: File,
-    len: u64,
+#[derive(Clone, Debug)]
+pub struct Journal<S> {
+    store: S,
     /// Bytes that all files together may take.
     budget: u64,
     /// What the owed invocations would take after compaction, at most.
@@ -208,35 +215,31 @@
     over: u64,
 }
 
-impl Journal {
-    /// Opens the journal in `folder`, or begins one, and reads what it holds.
-    pub fn open(folder: &Path, budget: u64, now: Micros) -> Result<(Journal, Book), JournalError> {
-        let path = folder.join("journal");
-        let io = |what| {
-            let path = path.clone();
-            move |source| JournalError::Io { what, path, source }
-        };
-        fs::create_dir_all(folder).map_err(io("make its folder"))?;
-        // A compaction that a kill cut short: the old file still tells all.
-        match fs::remove_file(path.with_extension("new")) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(io("remove a half copy")(e)),
-            _ => {}
-        }
-        let bytes = match fs::read(&path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
-            read => read.map_err(io("read"))?,
-        };
+fn io(what: &'static str) -> impl Fn(io::Error) -> JournalError {
+    move |source| JournalError::Io { what, source: Arc::new(source) }
+}
+
+impl<S: Store> Journal<S> {
+    /// Reads what the store holds, up to the first record that is not sound, and drops the rest.
+    ///
+    /// # Errors
+    /// The store can't be read, or does not take the copy without the torn record.
+    pub fn open(
+        store: S,
+        budget: u64,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(Self, Book), JournalError> {
+        let mut journal = Journal { store, budget, live: BTreeMap::new(), live_sum: 0, over: 0 };
+        let bytes = journal.store.read().map_err(io("read"))?;
         let mut book = Book::default();
         let sound = decode(&bytes, &mut book);
         if sound < bytes.len() {
-            log::warn!("journal: {} bytes of a torn record dropped at its end", bytes.len() - sound);
+            notes.push(Note::Torn(bytes.len() - sound));
+            // A record behind a torn one would never be read again.
+            journal.compact(now, notes)?;
         }
         book.over.retain(|(.., until)| *until > now);
-        let file = OpenOptions::new().create(true).append(true).open(&path).map_err(io("open"))?;
-        // A record behind a torn one would never be read again.
-        file.set_len(sound as u64).map_err(io("cut a torn record"))?;
-        let mut journal =
-            Journal { path, file, len: sound as u64, budget, live: BTreeMap::new(), live_sum: 0, over: 0 };
         for (msg, entry) in &book.owed {
             journal.count(*msg, encoded_len(&Record::TakeOn { msg: *msg, taken: entry.taken.clone() })?);
         }
@@ -244,28 +247,49 @@
         Ok((journal, book))
     }
 
+    /// The store below, for whoever explores or inspects it.
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
+    pub fn store_mut(&mut self) -> &mut S {
+        &mut self.store
+    }
+
     fn count(&mut self, msg: MsgId, len: u64) {
         self.live.insert(msg, len + RESERVE);
         self.live_sum += len + RESERVE;
     }
 
     /// Records that an invocation was taken on; fails where its share of the disk is full.
-    pub fn take_on(&mut self, msg: MsgId, taken: TakenOn, now: Micros) -> Result<(), JournalError> {
+    ///
+    /// # Errors
+    /// Its share is full, or the store refused the record: then nothing of it is there.
+    pub fn take_on(
+        &mut self,
+        msg: MsgId,
+        taken: TakenOn,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
         let frame = encode(&Record::TakeOn { msg, taken })?;
         let len = frame.len() as u64;
         // The old file and its compacted copy stand side by side for a moment.
         if 2 * (self.live_sum + self.over + len + RESERVE) + 4 * BLOCK > self.budget {
             return Err(JournalError::Full);
         }
-        self.append(&frame, now)?;
+        self.append(&frame, now, notes)?;
         self.count(msg, len);
         Ok(())
     }
 
     /// Records a step of an invocation that is owed.
-    pub fn note(&mut self, record: &Record, now: Micros) -> Result<(), JournalError> {
+    ///
+    /// # Errors
+    /// The store refused the record: then nothing of it is there.
+    pub fn note(&mut self, record: &Record, now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
         let frame = encode(record)?;
-        self.append(&frame, now)
+        self.append(&frame, now, notes)
     }
 
     /// The invocation is over and needs no room any more, save the memory of its id.
@@ -281,43 +305,29 @@
 
     /// Bytes on disk, as the platform counts them.
     pub fn disk(&self) -> u64 {
-        self.len.next_multiple_of(BLOCK)
+        self.store.len().next_multiple_of(BLOCK)
     }
 
-    fn append(&mut self, frame: &[u8], now: Micros) -> Result<(), JournalError> {
+    fn append(&mut self, frame: &[u8], now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
         let len = frame.len() as u64;
         let copy = self.live_sum + self.over + len + RESERVE;
-        if self.len + len + copy + 4 * BLOCK > self.budget {
-            self.compact(now)?;
-        }
-        if let Err(source) = self.file.write_all(frame) {
-            // What was written of it would hide every later record.
-            let cut = self.file.set_len(self.len);
-            log::error!("journal: write failed: {source}; cut back: {cut:?}");
-            return Err(JournalError::Io { what: "write", path: self.path.clone(), source });
+        if self.store.len() + len + copy + 4 * BLOCK > self.budget {
+            self.compact(now, notes)?;
         }
-        self.len += len;
-        Ok(())
+        self.store.append(frame).map_err(io("write"))
     }
 
-    /// Writes what still matters into a new file and puts it in the old one's place.
-    fn compact(&mut self, now: Micros) -> Result<(), JournalError> {
-        let path = self.path.with_extension("new");
-        let io = |what| {
-            let path = path.clone();
-            move |source| JournalError::Io { what, path, source }
-        };
+    /// Puts what still matters in the place of all that was written.
+    fn compact(&mut self, now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
         let mut book = Book::default();
-        decode(&fs::read(&self.path).map_err(io("read for a copy"))?, &mut book);
+        decode(&self.store.read().map_err(io("read for a copy"))?, &mut book);
         let mut bytes = Vec::new();
         for record in book.records(now) {
             bytes.extend(encode(&record)?);
         }
-        fs::write(&path, &bytes).map_err(io("write a copy"))?;
-        fs::rename(&path, &self.path).map_err(io("put the copy in place"))?;
-        self.file = OpenOptions::new().append(true).open(&self.path).map_err(io("open the copy"))?;
-        log::info!("journal: compacted from {} to {} bytes", self.len, bytes.len());
-        self.len = bytes.len() as u64;
+        let from = self.store.len();
+        self.store.replace(&bytes).map_err(io("write of a copy"))?;
+        notes.push(Note::Compacted { from, to: bytes.len() as u64 });
         Ok(())
     }
 }
--- a/courier/src/routing/mod.rs
+++ b/core/src/lib.rs
@@ -1,13 +1,16 @@
 //! What the courier owes and how it gets there, without a word of HTTP: another front can hand the
 //! same values in and pass through the same decisions and rules.
 
+pub mod counters;
 pub mod journal;
+pub mod note;
 pub mod router;
+pub mod store;
 
 use bytes::Bytes;
 use spurshore::{ListState, Micros, MsgId};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// One message as a consumer handed it in.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,7 +37,7 @@
     pub call: CallId,
     pub provider: u32,
     pub addr: SocketAddr,
-    pub invocation: Rc<Parcel>,
+    pub invocation: Arc<Parcel>,
     pub timeout: Micros,
 }
 
--- a/courier/src/routing/router.rs
+++ b/core/src/router.rs
@@ -1,9 +1,11 @@
 //! The driver of the decisions: hands in what happened, carries the table of owed invocations and
 //! the journal along, and says what the transport is to do. It owns no socket and no clock.
 
-use super::journal::{End, Journal, JournalError, Record, TakenOn};
-use super::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList};
-use crate::program::counters::Counters;
+use crate::counters::Counters;
+use crate::journal::{End, Journal, JournalError, Record, TakenOn};
+use crate::note::Note;
+use crate::store::Store;
+use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList};
 use spurshore::{
     Entry, Facade, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
     Settings, SettingsError,
@@ -11,8 +13,7 @@
 use spurshore_settings::{Env, Names, settings};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::path::Path;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
@@ -58,6 +59,8 @@
     },
     /// There are notices to send.
     Notify,
+    /// A line for the log.
+    Note(Note),
 }
 
 /// The answer to an invocation handed in.
@@ -78,8 +81,9 @@
     UnknownDest,
 }
 
+#[derive(Clone, Debug)]
 struct Owed {
-    parcel: Rc<Parcel>,
+    parcel: Arc<Parcel>,
     dest: u64,
     deadline: Micros,
     /// Ended, and the platform has yet to confirm it.
@@ -87,12 +91,14 @@
 }
 
 /// A call that is out.
+#[derive(Clone, Debug)]
 struct Out {
     sent: Micros,
     provider: u32,
     dest: u64,
 }
 
+#[derive(Clone, Debug)]
 struct Known {
     addr: Option<SocketAddr>,
     dest: u64,
@@ -100,7 +106,8 @@
     gone: Option<Micros>,
 }
 
-pub struct Router {
+#[derive(Clone, Debug)]
+pub struct Router<S> {
     facade: Facade,
     classes: Vec<String>,
     kinds: Vec<String>,
@@ -112,7 +119,7 @@
     version: u64,
     /// Discovery has told of its list in this life.
     heard: bool,
-    journal: Journal,
+    journal: Journal<S>,
     owed: BTreeMap<MsgId, Owed>,
     ids: HashMap<String, MsgId>,
     over: HashMap<String, End>,
@@ -121,24 +128,26 @@
     notices: VecDeque<MsgId>,
     next: MsgId,
     stopping: bool,
-    counters: Rc<Counters>,
+    /// The journal's words since the last steps.
+    notes: Vec<Note>,
+    pub counters: Counters,
 }
 
-impl Router {
+impl<S: Store> Router<S> {
     /// Reads the journal and takes up what it owes; the steps are the first to carry out.
     pub fn open(
         env: &Env,
         seed: u64,
         known: ProviderList,
-        folder: &Path,
+        store: S,
         disk: u64,
         now: Micros,
-        counters: Rc<Counters>,
-    ) -> Result<(Router, Vec<Step>), RouterError> {
+    ) -> Result<(Self, Vec<Step>), RouterError> {
         let mut zones = Names::default();
         let settings: Settings = settings(env, &mut zones).map_err(RouterError::Decode)?;
         let open_cap = settings.open_cap as usize;
-        let (journal, book) = Journal::open(folder, disk, now)?;
+        let mut notes = Vec::new();
+        let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
         let mut router = Router {
             facade: Facade::new(settings, seed)?,
             classes: env.categories.iter().map(|c| c.name.clone()).collect(),
@@ -158,7 +167,8 @@
             notices: VecDeque::new(),
             next: book.next,
             stopping: false,
-            counters,
+            notes,
+            counters: Counters::default(),
         };
         let mut steps = router.list(known, now);
         router.heard = false;
@@ -172,9 +182,9 @@
                 End::Delivered | End::Undeliverable => Ending::Undeliverable,
             });
             router.ids.insert(id.clone(), msg);
-            let parcel = Rc::new(Parcel { id, key, body });
+            let parcel = Arc::new(Parcel { id, key, body });
             router.owed.insert(msg, Owed { parcel, dest, deadline, end });
-            router.counters.restored.add(1);
+            router.counters.restored += 1;
             if end.is_some() {
                 router.notices.push_back(msg);
                 steps.push(Step::Notify);
@@ -182,7 +192,7 @@
             }
             let Some(class) = router.classes.iter().position(|c| *c == class) else {
                 // The settings have changed since: nothing can be decided about it any more.
-                log::error!("journal: invocation {msg} has class {class:?}, which the settings lack");
+                steps.push(Step::Note(Note::UnknownClass { msg, class }));
                 router.end(msg, Ending::Undeliverable, now, &mut steps);
                 continue;
             };
@@ -195,6 +205,7 @@
             let orders = router.facade.restore(now, message, past.collect());
             router.carry_out(orders, now, &mut steps);
         }
+        router.say(&mut steps);
         Ok((router, steps))
     }
 
@@ -202,12 +213,13 @@
     pub fn take_on(&mut self, invocation: Invocation, now: Micros) -> (Intake, Vec<Step>) {
         let mut steps = Vec::new();
         let intake = self.intake(invocation, now, &mut steps);
+        self.say(&mut steps);
         match intake {
-            Intake::TakenOn => self.counters.taken_on.add(1),
-            Intake::Delivered => self.counters.repeated.add(1),
-            Intake::Rejected { .. } => self.counters.rejected.add(1),
+            Intake::TakenOn => self.counters.taken_on += 1,
+            Intake::Delivered => self.counters.repeated += 1,
+            Intake::Rejected { .. } => self.counters.rejected += 1,
             Intake::Failed | Intake::Open | Intake::UnknownClass | Intake::UnknownDest => {
-                self.counters.malformed.add(1)
+                self.counters.malformed += 1
             }
         }
         (intake, steps)
@@ -246,16 +258,16 @@
         let (msg, deadline) = (self.next, now.saturating_add(time_left));
         let (taken_id, taken_key, taken_body) = (id.clone(), key.clone(), body.clone());
         let taken = TakenOn { id: taken_id, class, key: taken_key, dest, deadline, body: taken_body };
-        if let Err(e) = self.journal.take_on(msg, taken, now) {
-            log::warn!("rejected for want of room on disk: {e}");
+        if let Err(e) = self.journal.take_on(msg, taken, now, &mut self.notes) {
+            steps.push(Step::Note(Note::NoRoom(e)));
             return Intake::Rejected { after: NO_ROOM_WAIT };
         }
         self.next += 1;
         self.ids.insert(id.clone(), msg);
-        let parcel = Rc::new(Parcel { id, key, body });
+        let parcel = Arc::new(Parcel { id, key, body });
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: None });
-        log::debug!("taken on: {msg} for destination {dest}, class {class_number}, {time_left} us");
         let class = class_number;
+        steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
         let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
@@ -294,6 +306,7 @@
         let elapsed = now.saturating_sub(sent);
         let orders = self.facade.report(now, Report { msg, attempt, outcome, elapsed, finished, wait });
         self.carry_out(orders, now, &mut steps);
+        self.say(&mut steps);
         steps
     }
 
@@ -323,6 +336,7 @@
         let orders = self.facade.list(now, kind, entries);
         self.carry_out(orders, now, &mut steps);
         self.forget_providers(now, &mut steps);
+        self.say(&mut steps);
         steps
     }
 
@@ -345,6 +359,7 @@
         let mut steps = Vec::new();
         let orders = self.facade.tick(now);
         self.carry_out(orders, now, &mut steps);
+        self.say(&mut steps);
         steps
     }
 
@@ -358,6 +373,7 @@
         self.stopping = true;
         let orders = self.facade.stop(now, at);
         self.carry_out(orders, now, &mut steps);
+        self.say(&mut steps);
         steps
     }
 
@@ -369,13 +385,30 @@
     }
 
     /// The platform has confirmed these notices.
-    pub fn told(&mut self, notices: &[Notice], now: Micros) {
+    pub fn told(&mut self, notices: &[Notice], now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
         for notice in notices {
             self.write(&Record::Told { msg: notice.msg }, now);
             self.notices.retain(|msg| *msg != notice.msg);
             self.over(notice.msg, notice.ending.into());
         }
-        self.counters.notices.add(notices.len() as u64);
+        self.counters.notices += notices.len() as u64;
+        self.say(&mut steps);
+        steps
+    }
+
+    /// The journal's words go with the steps.
+    fn say(&mut self, steps: &mut Vec<Step>) {
+        steps.extend(self.notes.drain(..).map(Step::Note));
+    }
+
+    /// What the journal stands in, for whoever explores it.
+    pub fn journal(&self) -> &Journal<S> {
+        &self.journal
+    }
+
+    pub fn journal_mut(&mut self) -> &mut Journal<S> {
+        &mut self.journal
     }
 
     pub fn version(&self) -> u64 {
@@ -401,7 +434,7 @@
                 Order::Reject { msg, after } => self.end(msg, Ending::Deferred(after), now, steps),
                 Order::Fail { msg } => self.end(msg, Ending::Undeliverable, now, steps),
                 Order::CloseIdle { endpoint } => steps.push(Step::CloseIdle(endpoint)),
-                Order::Note(text) => log::info!("{}", self.named(&text)),
+                Order::Note(text) => steps.push(Step::Note(Note::Decided(self.named(&text)))),
             }
         }
     }
@@ -419,15 +452,15 @@
         let owed = self.owed.get(&call.msg).map(|owed| (owed.parcel.clone(), owed.dest));
         let known = self.providers.get(&provider).and_then(|p| Some((p.addr?, p.zone)));
         let (Some((invocation, dest)), Some((addr, zone))) = (owed, known) else {
-            log::error!("call {call:?} to provider {provider}: not known");
-            return;
+            let CallId { msg, attempt } = call;
+            return steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider }));
         };
         self.out.insert(call, Out { sent: now, provider, dest });
         // Without its record a call must not leave: after a restart it would count as never made.
         if !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
             return steps.push(Step::NotWritten(call));
         }
-        self.counters.calls.add(1);
+        self.counters.calls += 1;
         steps.push(Step::Call(InvokerCall { call, provider, addr, invocation, timeout }));
     }
 
@@ -435,10 +468,10 @@
         let Some(owed) = self.owed.get_mut(&msg).filter(|owed| owed.end.is_none()) else { return };
         owed.end = Some(ending);
         match ending {
-            Ending::Undeliverable => self.counters.undeliverable.add(1),
-            Ending::Deferred(_) => self.counters.deferred.add(1),
+            Ending::Undeliverable => self.counters.undeliverable += 1,
+            Ending::Deferred(_) => self.counters.deferred += 1,
         }
-        log::debug!("ended: {msg} as {ending:?}");
+        steps.push(Step::Note(Note::Ended { msg, ending }));
         self.notices.push_back(msg);
         self.write(&Record::End { msg, end: ending.into() }, now);
         steps.push(Step::Notify);
@@ -479,23 +512,23 @@
 
     /// A step of what is owed; its room was set aside at the take-on.
     fn write(&mut self, record: &Record, now: Micros) -> bool {
-        let written = self.journal.note(record, now);
-        written.inspect_err(|e| log::error!("{e}")).is_ok()
+        let written = self.journal.note(record, now, &mut self.notes);
+        written.map_err(|e| self.notes.push(Note::NotWritten(e))).is_ok()
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::routing::Provider;
+    use crate::Provider;
+    use crate::store::Memory;
 
     /// New providers replace old ones all day: what is kept of them must not grow with the day.
     #[test]
     fn a_provider_gone_for_good_leaves_every_table() {
-        let folder = std::env::temp_dir().join(format!("quillmount-router-{}", std::process::id()));
         let known = ProviderList { version: 0, full: true, providers: Vec::new() };
         let env = Env::default();
-        let (mut router, _) = Router::open(&env, 7, known, &folder, 9_999, 0, Rc::default()).unwrap();
+        let (mut router, _) = Router::open(&env, 7, known, Memory::default(), 9_999, 0).unwrap();
         let (mut forgotten, mut most) = (0, 0);
         for n in 0..1_000 {
             let line = |n: u64, state| Provider {
@@ -513,7 +546,6 @@
             forgotten += steps.iter().filter(|s| matches!(s, Step::Forget(_))).count();
             most = most.max(router.providers.len());
         }
-        std::fs::remove_dir_all(folder).unwrap();
         let kept = (GONE / 1_000_000) as usize + 2;
         assert!(most <= kept && forgotten >= 999 - kept, "{most} kept, {forgotten} forgotten");
         assert_eq!((router.provider_names.known("s-1"), router.provider_names.name(1)), (None, ""));
--- a/courier/src/main.rs
+++ b/courier/src/main.rs
@@ -2,8 +2,6 @@
 //! providers as the decision module says, and owes each invocation its end across restarts.
 
 mod program;
-mod protocol;
-mod routing;
 mod transport;
 
 fn main() -> std::process::ExitCode {
--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -1,7 +1,7 @@
 //! What the platform tells a courier at its start.
 
-use crate::protocol::discovery::{DiscoveryError, List};
-use crate::routing::ProviderList;
+use quillmount_core::ProviderList;
+use quillmount_protocol::discovery::{DiscoveryError, List};
 use serde::Deserialize;
 use spurshore_settings::Env;
 use std::net::SocketAddr;
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -1,15 +1,15 @@
 //! The life of the process: start, signals, planned stop.
 
-use super::clock::Clock;
 use super::config::{Config, ConfigError};
-use super::counters::Counters;
-use super::courier::Courier;
-use crate::routing::router::{Router, RouterError};
+use crate::transport::clock::Clock;
+use crate::transport::courier::Courier;
+use crate::transport::folder::Folder;
 use crate::transport::platform;
 use crate::transport::providers::Providers;
 use crate::transport::server::{Connections, serve};
 use actix_rt::net::TcpListener;
 use actix_rt::time::{Instant, sleep, sleep_until};
+use quillmount_core::router::{Router, RouterError};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
     Router(#[from] RouterError),
     #[error("listen on {addr}: {source}")]
     Listen { addr: SocketAddr, source: std::io::Error },
+    #[error("journal: {0}")]
+    Folder(std::io::Error),
     #[error("signals: {0}")]
     Signals(std::io::Error),
 }
@@ -48,22 +50,14 @@
     let hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
 
     let clock = Clock::start();
-    let counters = Rc::new(Counters::default());
     // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
     // not ask.
     let most = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
     let providers = Providers::new(clock.clone(), config.connect(), config.idle(), most);
     let known = config.known.clone();
-    let (router, steps) = Router::open(
-        &config.env,
-        config.seed,
-        known,
-        &config.state,
-        config.disk,
-        clock.now(),
-        counters.clone(),
-    )?;
-    let courier = Courier::new(clock.clone(), counters, router, providers);
+    let store = Folder::open(&config.state).map_err(RunError::Folder)?;
+    let (router, steps) = Router::open(&config.env, config.seed, known, store, config.disk, clock.now())?;
+    let courier = Courier::new(clock.clone(), router, providers);
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
@@ -118,7 +112,7 @@
     courier: Rc<Courier>,
 ) {
     while hangup.recv().await.is_some() {
-        courier.counters.reloads.add(1);
+        courier.count(|c| c.reloads += 1);
         match Config::discovery_now(&path) {
             Ok(addr) => {
                 log::info!("configuration: read again; discovery at {addr}");
--- a/courier/src/program/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -1,10 +1,12 @@
 //! The wiring: what happens on sockets goes to the router, and the router's steps to the sockets.
 
 use super::clock::Clock;
-use super::counters::Counters;
-use crate::routing::router::{Intake, Router, Step};
-use crate::routing::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
-use crate::transport::providers::Providers;
+use super::folder::Folder;
+use super::providers::Providers;
+use quillmount_core::counters::Counters;
+use quillmount_core::note::{Level, Note};
+use quillmount_core::router::{Intake, Router, Step};
+use quillmount_core::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,8 +18,7 @@
 
 pub struct Courier {
     clock: Clock,
-    pub counters: Rc<Counters>,
-    router: RefCell<Router>,
+    router: RefCell<Router<Folder>>,
     providers: Providers,
     /// Calls that are out; a word on the channel gives one up.
     calls: RefCell<HashMap<CallId, oneshot::Sender<()>>>,
@@ -28,10 +29,9 @@
 }
 
 impl Courier {
-    pub fn new(clock: Clock, counters: Rc<Counters>, router: Router, providers: Providers) -> Rc<Self> {
+    pub fn new(clock: Clock, router: Router<Folder>, providers: Providers) -> Rc<Self> {
         Rc::new(Courier {
             clock,
-            counters,
             router: RefCell::new(router),
             providers,
             calls: RefCell::default(),
@@ -41,6 +41,11 @@
         })
     }
 
+    /// Counts what the router does not see.
+    pub fn count(&self, one: impl FnOnce(&mut Counters)) {
+        one(&mut self.router.borrow_mut().counters);
+    }
+
     pub fn is_serving(&self) -> bool {
         self.serving.get()
     }
@@ -56,7 +61,7 @@
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
-        self.counters.list_changes.add(1);
+        self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
         let steps = self.router.borrow_mut().list(list, self.clock.now());
         log::info!("discovery: version {version} with {lines} lines");
@@ -81,8 +86,9 @@
         self.notices.notified().await;
     }
 
-    pub fn told(&self, notices: &[Notice]) {
-        self.router.borrow_mut().told(notices, self.clock.now());
+    pub fn told(self: &Rc<Self>, notices: &[Notice]) {
+        let steps = self.router.borrow_mut().told(notices, self.clock.now());
+        self.carry_out(steps);
     }
 
     /// Nothing is out and nothing waits to be told.
@@ -93,7 +99,7 @@
     pub fn report(&self) -> String {
         let router = self.router.borrow();
         let (owed, out) = router.load();
-        format!("{} owed={owed} calls_out={out} journal_bytes={}", self.counters, router.disk())
+        format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk())
     }
 
     /// Wakes the router whenever it wants to.
@@ -145,6 +151,7 @@
                 Step::Gate { provider, open } => self.providers.gate(provider, open),
                 Step::Hold { provider, until } => self.providers.hold(provider, until),
                 Step::Notify => self.notices.notify_one(),
+                Step::Note(note) => say(&note),
             }
         }
         self.moved.notify_one();
@@ -164,3 +171,13 @@
         });
     }
 }
+
+fn say(note: &Note) {
+    let level = match note.level() {
+        Level::Debug => log::Level::Debug,
+        Level::Info => log::Level::Info,
+        Level::Warn => log::Level::Warn,
+        Level::Error => log::Level::Error,
+    };
+    log::log!(level, "{note}");
+}
--- /dev/null
+++ b/courier/src/transport/folder.rs
@@ -0,0 +1,99 @@
+//! The journal's file in the folder that lasts.
+
+use quillmount_core::store::Store;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// An append-only file, and its whole replacement by a copy beside it.
+pub struct Folder {
+    path: PathBuf,
+    file: File,
+    len: u64,
+    /// A write failed and what it left could not be cut off yet: it would hide every later record.
+    torn: bool,
+}
+
+impl Folder {
+    /// Opens the file in this folder; makes both where they are missing.
+    ///
+    /// # Errors
+    /// The folder or its file can't be made, opened or rid of a half copy; the text names the path.
+    pub fn open(folder: &Path) -> io::Result<Folder> {
+        let path = folder.join("journal");
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+        fs::create_dir_all(folder).map_err(named)?;
+        // A replacement that a kill cut short: the old file still tells all.
+        match fs::remove_file(path.with_extension("new")) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(named(e)),
+            _ => {}
+        }
+        let file = OpenOptions::new().create(true).append(true).open(&path).map_err(named)?;
+        let len = file.metadata().map_err(named)?.len();
+        Ok(Folder { path, file, len, torn: false })
+    }
+
+    fn named(&self, e: io::Error) -> io::Error {
+        io::Error::new(e.kind(), format!("{}: {e}", self.path.display()))
+    }
+
+    fn cut(&mut self) -> io::Result<()> {
+        self.torn = true;
+        self.file.set_len(self.len).map_err(|e| self.named(e))?;
+        self.torn = false;
+        Ok(())
+    }
+}
+
+impl Store for Folder {
+    fn len(&self) -> u64 {
+        self.len
+    }
+
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        fs::read(&self.path).map_err(|e| self.named(e))
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.torn {
+            self.cut()?;
+        }
+        if let Err(e) = self.file.write_all(bytes) {
+            // Whether it can be cut off now or only before the next write, this one has failed.
+            let _ = self.cut();
+            return Err(self.named(e));
+        }
+        self.len += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let copy = self.path.with_extension("new");
+        fs::write(&copy, bytes).map_err(|e| self.named(e))?;
+        let file = OpenOptions::new().append(true).open(&copy).map_err(|e| self.named(e))?;
+        fs::rename(&copy, &self.path).map_err(|e| self.named(e))?;
+        (self.file, self.len, self.torn) = (file, bytes.len() as u64, false);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A kill between the copy and its renaming leaves a half copy: the old file holds.
+    #[test]
+    fn a_half_copy_is_dropped_and_a_whole_one_takes_the_place() {
+        let folder = std::env::temp_dir().join(format!("quillmount-folder-{}", std::process::id()));
+        let mut store = Folder::open(&folder).unwrap();
+        store.append(b"old").unwrap();
+        fs::write(folder.join("journal.new"), b"ne").unwrap();
+        let mut store = Folder::open(&folder).unwrap();
+        assert_eq!((store.read().unwrap(), store.len()), (b"old".to_vec(), 3));
+        store.replace(b"new one").unwrap();
+        store.append(b"+").unwrap();
+        assert_eq!((store.read().unwrap(), store.len()), (b"new one+".to_vec(), 8));
+        assert!(!folder.join("journal.new").exists());
+        fs::remove_dir_all(folder).unwrap();
+    }
+}
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -1,5 +1,8 @@
 //! Sockets: the server that consumers reach, and the clients of providers and of the platform.
 
+pub mod clock;
+pub mod courier;
+pub mod folder;
 pub mod platform;
 pub mod providers;
 pub mod server;
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -1,9 +1,9 @@
 //! The clients of the platform: the watch on discovery, and the notices.
 
-use crate::program::courier::Courier;
-use crate::protocol::{discovery, notice};
+use crate::transport::courier::Courier;
 use actix_rt::time::{sleep, timeout};
 use futures_util::StreamExt;
+use quillmount_protocol::{discovery, notice};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,7 +59,7 @@
     let client = super::plain_client(awc::Connector::new().timeout(RETRY_MAX));
     let mut pause = RETRY_FIRST;
     loop {
-        courier.counters.watches.add(1);
+        courier.count(|c| c.watches += 1);
         let mut heard = false;
         let answered = || older.drain(..).for_each(|task| task.abort());
         let Err(e) = watch_once(&client, &courier, addr, answered, &mut heard).await;
@@ -110,7 +110,7 @@
             courier.notices_wanted().await;
             continue;
         }
-        courier.counters.notice_tries.add(1);
+        courier.count(|c| c.notice_tries += 1);
         let addr = *discovery.borrow_and_update();
         let post = client.post(format!("http://{addr}{}", notice::PATH)).send_body(notice::encode(&notices));
         let tried = timeout(NOTICE_TRY, async {
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -4,11 +4,11 @@
 //! whose answer begins with 200 and can't be read to its end, lets go unseen what stands behind an
 //! answer, and can't bound the connections of all hosts together (README).
 
-use crate::program::clock::Clock;
-use crate::protocol::invoker::{self, ANSWER_MAX, Answer};
-use crate::routing::{CallEnd, InvokerCall};
+use crate::transport::clock::Clock;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{Instant, sleep, timeout};
+use quillmount_core::{CallEnd, InvokerCall};
+use quillmount_protocol::invoker::{self, ANSWER_MAX, Answer};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -3,15 +3,15 @@
 //! The loop around the codec is our own: actix-http's dispatcher buffers 128 KiB for each connection and
 //! does not show what stands behind a request, so that neither can be bounded there.
 
-use crate::program::courier::Courier;
-use crate::protocol::invocation::{self, Head, Malformed};
-use crate::routing::router::{Intake, NO_ROOM_WAIT};
+use crate::transport::courier::Courier;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, ServiceConfig, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use bytes::{Bytes, BytesMut};
+use quillmount_core::router::{Intake, NO_ROOM_WAIT};
+use quillmount_protocol::invocation::{self, Head, Malformed};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -212,7 +212,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                courier.counters.connections.add(1);
+                courier.count(|c| c.connections += 1);
                 connections.make_room().await;
                 // An answer must not wait for the acknowledgement of the one before.
                 if let Err(e) = stream.set_nodelay(true) {
@@ -270,7 +270,7 @@
                 Asked::Nothing => return Ok(()),
                 Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
                 Asked::Malformed(why) => {
-                    self.courier.counters.malformed.add(1);
+                    self.courier.count(|c| c.malformed += 1);
                     connections.tell(why);
                     (invocation::refuse(why), why.ends_connection())
                 }
@@ -331,7 +331,7 @@
             Err(why) => return Ok(why.into()),
         };
         let Some(_reserved) = connections.reserve(length as u64) else {
-            self.courier.counters.rejected.add(1);
+            self.courier.count(|c| c.rejected += 1);
             let mut answer = invocation::answer(Intake::Rejected { after: NO_ROOM_WAIT });
             answer.head_mut().set_connection_type(ConnectionType::Close);
             return Ok(Asked::Answered(answer));
--- a/courier/src/protocol/discovery.rs
+++ b/protocol/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery's lists: whole in the configuration, and line by line on a watch.
 
-use crate::routing::{Provider, ProviderList};
+use quillmount_core::{Provider, ProviderList};
 use serde::Deserialize;
 use spurshore_settings::state_of_name;
 
--- a/courier/src/protocol/invocation.rs
+++ b/protocol/src/invocation.rs
@@ -1,10 +1,10 @@
 //! What consumers hand in, and the answer they get.
 
-use crate::routing::Invocation;
-use crate::routing::router::Intake;
 use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{Method, Response, StatusCode};
 use bytes::Bytes;
+use quillmount_core::Invocation;
+use quillmount_core::router::Intake;
 use spurshore::Micros;
 
 /// The platform's limit on any body.
--- a/courier/src/protocol/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -1,7 +1,7 @@
 //! Invoker calls: what a provider is sent, and what its answer means.
 
-use crate::routing::{CallEnd, InvokerCall};
 use httparse::{EMPTY_HEADER, Header, Response, Status};
+use quillmount_core::{CallEnd, InvokerCall};
 use spurshore::Micros;
 
 use super::invocation::BODY_MAX;
--- a/courier/src/protocol/notice.rs
+++ b/protocol/src/notice.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: one JSON object on each line.
 
-use crate::routing::{Ending, Notice};
+use quillmount_core::{Ending, Notice};
 use serde::Serialize;
 
 pub const PATH: &str = "/v2/finals";
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -92,7 +92,7 @@
 }
 
 /// Names of one instance on the wire against the numbers that the library sees.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     to_number: BTreeMap<String, u64>,
     to_name: BTreeMap<u64, String>,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -37,6 +37,7 @@
 
 /// A sender's decisions behind plain calls. The clock is any that an earlier life shared: whole
 /// microseconds, such as Unix time.
+#[derive(Clone, Debug)]
 pub struct Facade {
     dispatcher: Dispatcher,
     /// Calls ordered so far for each message that is not over.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -119,10 +119,11 @@
 }
 
 #[rustfmt::skip]
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ran { Out, Never, Maybe }
 
 #[rustfmt::skip]
+#[derive(Clone, Debug)]
 struct Attempt {
     endpoint: EndpointId, zone: u32, lane: usize, sent: Micros, ran: Ran,
     /// It went over a connection that had been idle; it was called off.
@@ -130,6 +131,7 @@
 }
 
 #[rustfmt::skip]
+#[derive(Clone, Debug)]
 struct Msg {
     class: usize, worth: f64, key: Option<u64>, dest: DestId,
     born: Micros, came: Micros, aim: Micros, deadline: Micros,
@@ -157,7 +159,7 @@
 }
 
 #[rustfmt::skip]
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Endpoint {
     dest: DestId, lane: usize, zone: u32, rate: f64, listed: bool, calls: u32,
     /// When each idle connection was last used.
@@ -168,7 +170,7 @@
     lot: f64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Dest {
     kind: usize,
     lanes: Vec<usize>,
@@ -180,7 +182,7 @@
 type Pick = (f64, MsgId, EndpointId, f64);
 
 #[rustfmt::skip]
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 struct Lane {
     endpoints: Vec<EndpointId>,
     /// Messages out, oldest first, with the time each was sent.
@@ -205,7 +207,7 @@
 }
 
 /// One sender's decisions.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 #[rustfmt::skip]
 pub struct Dispatcher {
     set: Settings, rng: u64, now: Micros,
