--- /dev/null
+++ b/core/src/crowd.rs
@@ -0,0 +1,150 @@
+//! The consumers' connections as a table: who goes first where room is short.
+
+use crate::machine::consumer::{Consumer, State};
+use spurshore::Micros;
+use std::collections::HashMap;
+
+/// A consumer that has come to ask has asked by then; who has not goes first when room is short.
+const GRACE: Micros = 300_000;
+/// So many may leave at a time; there are descriptors for as many.
+pub const LEAVING_MAX: usize = 16;
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    state: State,
+    since: Micros,
+    /// Asked to leave, and has not said yet that it does.
+    asked: bool,
+}
+
+impl Entry {
+    fn leaves(&self) -> bool {
+        self.asked || self.state == State::Leaving
+    }
+
+    fn rests(&self) -> bool {
+        !self.asked && matches!(self.state, State::Resting { .. })
+    }
+}
+
+/// What is to be done before one more is let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    Free,
+    /// End this one at once; it has been taken off the table.
+    End(u64),
+    /// Ask this one to leave, and let the new one in beside it.
+    Leave(u64),
+    /// As many as may are leaving: wait for one of them.
+    Wait,
+}
+
+/// The table.
+#[derive(Clone, Debug)]
+pub struct Crowd {
+    all: HashMap<u64, Entry>,
+    most: usize,
+    next: u64,
+}
+
+impl Crowd {
+    /// `most` connections at once, one at least, but for those that leave.
+    pub fn new(most: usize) -> Self {
+        Crowd { all: HashMap::new(), most: most.max(1), next: 0 }
+    }
+
+    /// A new connection; returns its number.
+    pub fn enter(&mut self, now: Micros) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.is(number, Consumer::default().state(), now);
+        number
+    }
+
+    pub fn is(&mut self, number: u64, state: State, now: Micros) {
+        self.all.insert(number, Entry { state, since: now, asked: false });
+    }
+
+    pub fn left(&mut self, number: u64) {
+        self.all.remove(&number);
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Those that rest are to leave; returns their numbers.
+    pub fn all_leave(&mut self) -> Vec<u64> {
+        let resting = self.all.iter_mut().filter(|(_, e)| e.rests());
+        resting.map(|(n, e)| (e.asked = true, *n).1).collect()
+    }
+
+    /// First goes who was answered for the last time, then who was slow to ask, then who has rested
+    /// longest, but not with a request that has just come: that would be lost.
+    pub fn make_room(&mut self, now: Micros) -> Room {
+        if self.all.len() < self.most {
+            return Room::Free;
+        }
+        let rank = |e: &Entry| match e.state {
+            _ if e.leaves() => 6,
+            State::Closing | State::Over | State::Answering { closes: true, .. } => 0,
+            State::Asking { .. } | State::Answering { .. } if now.saturating_sub(e.since) >= GRACE => 1,
+            State::Resting { probed: false } => 2,
+            State::Resting { .. } => 3,
+            State::Asking { first: true, .. } => 4,
+            State::Asking { .. } | State::Answering { .. } | State::Leaving => 5,
+        };
+        let leaving = self.all.values().filter(|e| e.leaves()).count();
+        let first = self.all.iter().min_by_key(|(n, e)| (rank(e), e.since, **n)).map(|(n, e)| (*n, *e));
+        match first {
+            None => Room::Free,
+            Some((_, e)) if (e.leaves() || e.rests()) && leaving >= LEAVING_MAX => Room::Wait,
+            Some((_, e)) if e.leaves() => Room::Free,
+            Some((n, e)) if e.rests() => {
+                self.all.entry(n).and_modify(|e| e.asked = true);
+                Room::Leave(n)
+            }
+            Some((n, _)) => {
+                self.all.remove(&n);
+                Room::End(n)
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_goes_first() {
+        let mut crowd = Crowd::new(4);
+        let states = [
+            State::Asking { first: true, last: false },
+            State::Resting { probed: true },
+            State::Resting { probed: false },
+            State::Closing,
+        ];
+        states.into_iter().enumerate().for_each(|(n, state)| crowd.is(n as u64, state, 10 + n as u64));
+        let mut order = Vec::new();
+        for _ in 0..5 {
+            order.push(crowd.make_room(20));
+        }
+        assert_eq!(order[..2], [Room::End(3), Room::Free]);
+        crowd.is(4, State::Asking { first: true, last: false }, 20);
+        assert_eq!([crowd.make_room(20), crowd.make_room(20)], [Room::Leave(2), Room::Leave(1)]);
+        // Who leaves holds a place still: of the rest the slow one goes first, then the first to have come.
+        assert_eq!([crowd.make_room(20 + GRACE), crowd.make_room(20 + GRACE)], [Room::End(0), Room::Free]);
+    }
+
+    #[test]
+    fn only_so_many_leave_at_a_time() {
+        let mut crowd = Crowd::new(LEAVING_MAX + 2);
+        (0..LEAVING_MAX as u64 + 2).for_each(|n| crowd.is(n, State::Resting { probed: false }, n));
+        (0..LEAVING_MAX as u64).for_each(|n| assert_eq!(crowd.make_room(99), Room::Leave(n)));
+        assert_eq!(crowd.make_room(99), Room::Wait);
+        crowd.left(0);
+        crowd.left(1);
+        assert_eq!(crowd.make_room(99), Room::Free);
+    }
+}
--- /dev/null
+++ b/core/src/hub.rs
@@ -0,0 +1,132 @@
+//! The courier without its sockets: the router, the pool and the calls that are out, wired together. What
+//! is left to the driver is to move bytes, keep time and write the log.
+
+use crate::machine::attempt::Input;
+use crate::note::Note;
+use crate::pool::Pool;
+use crate::router::{Intake, Router, Step};
+use crate::store::Store;
+use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
+use spurshore::Micros;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What the driver is to do, in order.
+#[derive(Debug)]
+pub enum Do<C> {
+    /// Begin an attempt, with a machine of its own.
+    Begin(InvokerCall),
+    /// Tell an attempt that is out: `GiveUp`, `Shut` or `Hold`.
+    Tell(CallId, Input),
+    /// Close these connections, which rested.
+    Close(Vec<C>),
+    /// There are notices to send.
+    Notify,
+    /// A line for the log.
+    Note(Note),
+}
+
+/// The courier's tables and decisions; `C` is a connection to a provider.
+#[derive(Clone, Debug)]
+pub struct Hub<S, C> {
+    pub router: Router<S>,
+    pub pool: Pool<C>,
+    /// Attempts that the driver has begun and that are not over, with their providers.
+    calls: BTreeMap<CallId, u32>,
+}
+
+impl<S: Store, C> Hub<S, C> {
+    pub fn new(router: Router<S>, pool: Pool<C>) -> Self {
+        Hub { router, pool, calls: BTreeMap::new() }
+    }
+
+    /// A consumer hands in an invocation; see [`Router::take_on`].
+    pub fn take_on(&mut self, invocation: Invocation, now: Micros) -> (Intake, Vec<Do<C>>) {
+        let (intake, steps) = self.router.take_on(invocation, now);
+        (intake, self.carry_out(steps, now))
+    }
+
+    /// Discovery told of providers.
+    pub fn list(&mut self, list: ProviderList, now: Micros) -> Vec<Do<C>> {
+        let steps = self.router.list(list, now);
+        self.carry_out(steps, now)
+    }
+
+    /// Time has passed; wanted at the router's `wake_at` at the latest.
+    pub fn tick(&mut self, now: Micros) -> Vec<Do<C>> {
+        let steps = self.router.tick(now);
+        self.carry_out(steps, now)
+    }
+
+    /// Takes nothing on any more; the process ends at `at`.
+    pub fn stop(&mut self, now: Micros, at: Micros) -> Vec<Do<C>> {
+        let steps = self.router.stop(now, at);
+        self.carry_out(steps, now)
+    }
+
+    /// The platform has confirmed these notices.
+    pub fn told(&mut self, notices: &[Notice], now: Micros) -> Vec<Do<C>> {
+        let steps = self.router.told(notices, now);
+        self.carry_out(steps, now)
+    }
+
+    /// An attempt is over.
+    pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Do<C>> {
+        self.calls.remove(&call);
+        let steps = self.router.call_ended(call, end, now);
+        self.carry_out(steps, now)
+    }
+
+    /// Nothing is out and nothing waits to be told.
+    pub fn is_quiet(&self) -> bool {
+        self.calls.is_empty() && self.router.notices(1).is_empty()
+    }
+
+    /// Calls that are out, with their providers.
+    pub fn calls(&self) -> &BTreeMap<CallId, u32> {
+        &self.calls
+    }
+
+    /// What the router's steps come to.
+    pub fn carry_out(&mut self, steps: Vec<Step>, now: Micros) -> Vec<Do<C>> {
+        let mut todo = Vec::with_capacity(steps.len());
+        let mut steps = VecDeque::from(steps);
+        while let Some(step) = steps.pop_front() {
+            match step {
+                Step::Call(call) => {
+                    self.calls.insert(call.call, call.provider);
+                    todo.push(Do::Begin(call));
+                }
+                Step::NotWritten(call) => {
+                    steps.extend(self.router.call_ended(call, CallEnd::HeldBack, now));
+                }
+                Step::GiveUp(call) => todo.push(Do::Tell(call, Input::GiveUp)),
+                Step::Forget(provider) => close(&mut todo, self.pool.forget(provider)),
+                Step::CloseIdle(provider) => close(&mut todo, self.pool.close_idle(provider)),
+                Step::Gate { provider, open } => {
+                    close(&mut todo, self.pool.gate(provider, open));
+                    if !open {
+                        self.tell_all(provider, Input::Shut, &mut todo);
+                    }
+                }
+                Step::Hold { provider, until } => {
+                    self.pool.hold(provider, until);
+                    self.tell_all(provider, Input::Hold, &mut todo);
+                }
+                Step::Notify => todo.push(Do::Notify),
+                Step::Note(note) => todo.push(Do::Note(note)),
+            }
+        }
+        todo
+    }
+
+    fn tell_all(&self, provider: u32, input: Input, todo: &mut Vec<Do<C>>) {
+        let there = self.calls.iter().filter(|(_, p)| **p == provider);
+        todo.extend(there.map(|(call, _)| Do::Tell(*call, input)));
+    }
+}
+
+fn close<C>(todo: &mut Vec<Do<C>>, gone: Vec<C>) {
+    if !gone.is_empty() {
+        todo.push(Do::Close(gone));
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -2,8 +2,12 @@
 //! same values in and pass through the same decisions and rules.
 
 pub mod counters;
+pub mod crowd;
+pub mod hub;
 pub mod journal;
+pub mod machine;
 pub mod note;
+pub mod pool;
 pub mod router;
 pub mod store;
 
@@ -50,7 +54,7 @@
 }
 
 /// How an invoker call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallEnd {
     Delivered,
     Error,
@@ -73,7 +77,7 @@
 }
 
 /// How an invocation that was not delivered ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ending {
     Undeliverable,
     /// The consumer may come again, after so long (0: no advice).
--- /dev/null
+++ b/core/src/machine/attempt.rs
@@ -0,0 +1,320 @@
+//! One attempt: an invoker call from its start to its end.
+
+use super::Machine;
+use crate::CallEnd;
+use spurshore::Micros;
+
+/// An answer that has begun comes whole within this; providers write it in one go.
+pub const REST: Micros = 100_000;
+/// Between the close of a given-up call's connection and the report: the provider's side frees the
+/// slot when it sees the close, and a send that overtakes it is turned away for want of a slot.
+pub const CLOSING: Micros = 5_000;
+
+/// What the bytes of an answer say so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The answer that counts has yet to begin.
+    Awaited,
+    /// More of it is to come.
+    Partial,
+    /// `reusable`: the connection stands where the next call may begin.
+    Whole { end: CallEnd, reusable: bool },
+}
+
+/// Reads an answer's bytes; the flag says that no more of it will come, and then it is `Whole`.
+pub type Decode = fn(&[u8], bool) -> Answer;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    New,
+    Connecting,
+    Writing { written: usize },
+    Awaiting,
+    Reading { by: Micros },
+    Closing { end: CallEnd, until: Micros },
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// `open`: calls to the provider may start now; `resting`: a connection rests there.
+    Start {
+        open: bool,
+        resting: bool,
+    },
+    /// The connection is up; `open` as it stands now, since connecting takes time.
+    Connected {
+        open: bool,
+    },
+    /// Refused, or not up in time.
+    Refused,
+    /// So many more bytes are written, and so many are left.
+    Wrote {
+        bytes: usize,
+        left: usize,
+    },
+    WriteFailed,
+    /// Bytes were added to the answer.
+    Read,
+    /// The provider has ended its side.
+    End,
+    Reset,
+    /// The time of the call is up.
+    Deadline,
+    GiveUp,
+    /// The provider drains or is gone.
+    Shut,
+    /// Its destination has told to wait.
+    Hold,
+    Tick,
+}
+
+/// What is to be done with the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    Nothing,
+    Open,
+    Close,
+    Keep,
+}
+
+/// What is to be done now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Output {
+    pub link: Link,
+    /// The attempt is over.
+    pub end: Option<CallEnd>,
+}
+
+const NOTHING: Output = Output { link: Link::Nothing, end: None };
+
+/// The machine. Its driver connects, writes and reads as the state says, and tells what came of it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    state: State,
+    answer: Vec<u8>,
+    /// More of an answer than this is never read.
+    most: usize,
+    decode: Decode,
+}
+
+impl Attempt {
+    pub fn new(decode: Decode, most: usize) -> Self {
+        Attempt { state: State::New, answer: Vec::new(), most, decode }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Where the driver puts what it reads, before it says [`Input::Read`].
+    pub fn answer_mut(&mut self) -> &mut Vec<u8> {
+        &mut self.answer
+    }
+
+    pub fn answer(&self) -> &[u8] {
+        &self.answer
+    }
+
+    /// When a [`Input::Tick`] is wanted.
+    pub fn wake_at(&self) -> Option<Micros> {
+        match self.state {
+            State::Reading { by } => Some(by),
+            State::Closing { until, .. } => Some(until),
+            _ => None,
+        }
+    }
+
+    /// Nothing of the call has left yet, or not all of it: it has not run.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self.state, State::New | State::Connecting | State::Writing { .. })
+    }
+
+    pub fn step(&mut self, input: Input, now: Micros) -> Output {
+        use State::*;
+        match (self.state, input) {
+            (Over, _) => NOTHING,
+            (Closing { end, until }, Input::Tick) if now >= until => {
+                self.state = Over;
+                Output { link: Link::Nothing, end: Some(end) }
+            }
+            (Closing { .. }, _) => NOTHING,
+            (New, Input::Start { open: false, .. }) => self.end(Link::Nothing, CallEnd::HeldBack),
+            (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
+            (New, Input::Start { .. }) => self.goes(Connecting, Link::Open),
+            (New, Input::GiveUp) => self.end(Link::Nothing, CallEnd::GivenUp),
+            (New, _) => NOTHING,
+            (_, Input::Deadline) => self.close(CallEnd::TimedOut, now),
+            (_, Input::GiveUp) => self.close(CallEnd::GivenUp, now),
+            // Connecting may last longer than the leave that the call had.
+            (Connecting, Input::Connected { open: false }) => self.end(Link::Close, CallEnd::HeldBack),
+            (Connecting, Input::Connected { .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
+            (Connecting, Input::Refused) => self.end(Link::Nothing, CallEnd::CouldNotConnect),
+            (Writing { .. }, Input::Wrote { left: 0, .. }) => self.goes(Awaiting, Link::Nothing),
+            (Writing { written }, Input::Wrote { bytes, .. }) => {
+                self.goes(Writing { written: written + bytes }, Link::Nothing)
+            }
+            // Only a write that failed proves, from here on, that the call never ran.
+            (Writing { .. }, Input::WriteFailed) => self.end(Link::Close, CallEnd::CouldNotConnect),
+            (Awaiting | Reading { .. }, Input::Read) => self.read(now),
+            (Awaiting | Reading { .. }, Input::End | Input::Reset) if self.answer.is_empty() => {
+                self.end(Link::Close, CallEnd::Reset)
+            }
+            (Awaiting | Reading { .. }, Input::End | Input::Reset) => self.last_word(),
+            (Reading { by }, Input::Tick) if now >= by => self.last_word(),
+            _ => NOTHING,
+        }
+    }
+
+    fn goes(&mut self, state: State, link: Link) -> Output {
+        self.state = state;
+        Output { link, end: None }
+    }
+
+    fn end(&mut self, link: Link, end: CallEnd) -> Output {
+        self.state = State::Over;
+        Output { link, end: Some(end) }
+    }
+
+    fn close(&mut self, end: CallEnd, now: Micros) -> Output {
+        self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, Link::Close)
+    }
+
+    fn read(&mut self, now: Micros) -> Output {
+        match (self.decode)(&self.answer, self.answer.len() > self.most) {
+            Answer::Awaited => NOTHING,
+            Answer::Partial => {
+                let by = match self.state {
+                    State::Reading { by } => by,
+                    _ => now.saturating_add(REST),
+                };
+                self.goes(State::Reading { by }, Link::Nothing)
+            }
+            Answer::Whole { end, reusable } => self.end(if reusable { Link::Keep } else { Link::Close }, end),
+        }
+    }
+
+    /// No more of the answer will come.
+    fn last_word(&mut self) -> Output {
+        match (self.decode)(&self.answer, true) {
+            Answer::Whole { end, .. } => self.end(Link::Close, end),
+            Answer::Awaited | Answer::Partial => self.end(Link::Close, CallEnd::Reset),
+        }
+    }
+}
+
+impl PartialEq for Attempt {
+    fn eq(&self, other: &Self) -> bool {
+        (self.state, &self.answer) == (other.state, &other.answer)
+    }
+}
+
+impl Machine for Attempt {
+    type Input = (Input, &'static str);
+    const NAME: &'static str = "An attempt";
+    const ABOUT: &'static str = "`core/src/machine/attempt.rs`: one invoker call, from the router's order to its end. \
+        *open*, *close* and *keep* say what becomes of the connection.";
+
+    fn states() -> Vec<(&'static str, &'static str, Self)> {
+        // For the table an answer is whole with `.`, and does not count yet with `1`.
+        let decode: Decode = |bytes, over| match bytes.last() {
+            Some(b'.') => Answer::Whole { end: CallEnd::Delivered, reusable: !over },
+            _ if over => Answer::Whole { end: CallEnd::Spoilt(0), reusable: false },
+            Some(b'1') => Answer::Awaited,
+            _ => Answer::Partial,
+        };
+        let at = |state, answer: &[u8]| Attempt { state, answer: answer.to_vec(), most: 9, decode };
+        vec![
+            ("New", "ordered, not begun", at(State::New, b"")),
+            (
+                "Connecting",
+                "no connection rested there, and a new one is on its way",
+                at(State::Connecting, b""),
+            ),
+            (
+                "Writing",
+                "less than all of the request is written: it has not run",
+                at(State::Writing { written: 1 }, b""),
+            ),
+            ("Awaiting", "all of it is written: it may have run", at(State::Awaiting, b"")),
+            (
+                "Reading",
+                "a part of the answer has come; the rest has 100 ms",
+                at(State::Reading { by: 1 }, b"2"),
+            ),
+            (
+                "Closing",
+                "given up, and its connection closed; the end is told 5 ms later",
+                at(State::Closing { end: CallEnd::TimedOut, until: 1 }, b""),
+            ),
+            ("Over", "its end has been told", at(State::Over, b"")),
+        ]
+    }
+
+    fn inputs() -> Vec<(&'static str, &'static str, Self::Input)> {
+        vec![
+            (
+                "start, shut",
+                "begun while the provider drains, is gone or has told to wait",
+                (Input::Start { open: false, resting: false }, ""),
+            ),
+            (
+                "start, resting",
+                "begun where a connection rests",
+                (Input::Start { open: true, resting: true }, ""),
+            ),
+            ("start", "begun where none does", (Input::Start { open: true, resting: false }, "")),
+            ("connected", "the connection is up", (Input::Connected { open: true }, "")),
+            (
+                "connected, shut",
+                "it is up, but calls may not start there any more",
+                (Input::Connected { open: false }, ""),
+            ),
+            ("refused", "it was refused, or did not come up in time", (Input::Refused, "")),
+            ("wrote", "some more bytes are written", (Input::Wrote { bytes: 1, left: 1 }, "")),
+            ("wrote last", "the last byte is written", (Input::Wrote { bytes: 1, left: 0 }, "")),
+            (
+                "write failed",
+                "the connection broke before the last byte was written",
+                (Input::WriteFailed, ""),
+            ),
+            ("read interim", "bytes of an answer that does not count yet (1xx)", (Input::Read, "1")),
+            ("read part", "bytes of an answer, with more to come", (Input::Read, "2")),
+            ("read all", "the answer is whole", (Input::Read, ".")),
+            ("end", "the provider ended its side", (Input::End, "")),
+            ("reset", "the connection was reset", (Input::Reset, "")),
+            ("deadline", "the time of the call is up", (Input::Deadline, "")),
+            ("give up", "the module calls it off", (Input::GiveUp, "")),
+            ("shut", "the provider drains or is gone", (Input::Shut, "")),
+            ("hold", "its destination told another call to wait", (Input::Hold, "")),
+            ("tick", "the time that the state waits for has come", (Input::Tick, "")),
+        ]
+    }
+
+    fn state(&self) -> &'static str {
+        match self.state {
+            State::New => "New",
+            State::Connecting => "Connecting",
+            State::Writing { .. } => "Writing",
+            State::Awaiting => "Awaiting",
+            State::Reading { .. } => "Reading",
+            State::Closing { .. } => "Closing",
+            State::Over => "Over",
+        }
+    }
+
+    fn take(&mut self, (input, bytes): Self::Input) -> String {
+        if matches!(self.state, State::Awaiting | State::Reading { .. }) {
+            self.answer.extend_from_slice(bytes.as_bytes());
+        }
+        let output = self.step(input, 2);
+        let link = match output.link {
+            Link::Nothing => "",
+            Link::Open => "open",
+            Link::Close => "close",
+            Link::Keep => "keep",
+        };
+        let end = output.end.map_or(String::new(), |end| format!("end {end:?}"));
+        [link, &end].into_iter().filter(|t| !t.is_empty()).collect::<Vec<_>>().join(", ")
+    }
+}
--- /dev/null
+++ b/core/src/pool.rs
@@ -0,0 +1,228 @@
+//! The connections to the providers: which calls may start where, and what rests for the next one.
+
+use crate::machine::link::{Input, Link};
+use spurshore::Micros;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A connection that rests, of whatever kind the driver has.
+#[derive(Clone, Debug)]
+struct Resting<C> {
+    link: Link,
+    addr: SocketAddr,
+    connection: C,
+}
+
+/// What is held for one provider. A new provider at the same address has its own.
+#[derive(Clone, Debug)]
+struct Provider<C> {
+    /// Calls may not start: it drains or is gone.
+    shut: bool,
+    hold: Micros,
+    /// The oldest first.
+    resting: Vec<Resting<C>>,
+}
+
+impl<C> Default for Provider<C> {
+    fn default() -> Self {
+        Provider { shut: false, hold: 0, resting: Vec::new() }
+    }
+}
+
+/// The pool. Connections that it gives back are to be closed; dropping them is enough on sockets.
+#[derive(Clone, Debug)]
+pub struct Pool<C> {
+    /// How long a connection may rest.
+    rest: Micros,
+    /// Connections at once, those of calls included.
+    most: usize,
+    calls: usize,
+    all: HashMap<u32, Provider<C>>,
+}
+
+impl<C> Pool<C> {
+    /// `idle`: when a provider closes a connection that stands idle, in microseconds; `most` connections
+    /// at once, those of calls included.
+    pub fn new(idle: Micros, most: usize) -> Self {
+        // A request that is written as the provider closes is reset: stay clear of that moment.
+        let rest = idle.saturating_sub(1_000_000).max(idle / 2);
+        Pool { rest, most, calls: 0, all: HashMap::new() }
+    }
+
+    /// Calls to the provider may start, or not any more.
+    pub fn gate(&mut self, provider: u32, open: bool) -> Vec<C> {
+        self.all.entry(provider).or_default().shut = !open;
+        if open { Vec::new() } else { self.close_idle(provider) }
+    }
+
+    /// No call may start there before then.
+    pub fn hold(&mut self, provider: u32, until: Micros) {
+        let provider = self.all.entry(provider).or_default();
+        provider.hold = provider.hold.max(until);
+    }
+
+    /// Whether a call may start there now.
+    pub fn lets_through(&self, provider: u32, now: Micros) -> bool {
+        self.all.get(&provider).is_none_or(|p| !p.shut && now >= p.hold)
+    }
+
+    /// Closes what rests there; a call that is out closes its own when it ends.
+    pub fn close_idle(&mut self, provider: u32) -> Vec<C> {
+        let Some(provider) = self.all.get_mut(&provider) else { return Vec::new() };
+        let all = provider.resting.drain(..);
+        all.map(|mut r| (r.link.step(Input::Close, 0), r.connection).1).collect()
+    }
+
+    /// The provider is gone for good.
+    pub fn forget(&mut self, provider: u32) -> Vec<C> {
+        let gone = self.close_idle(provider);
+        self.all.remove(&provider);
+        gone
+    }
+
+    /// A call begins: it counts, and gets the connection that was used last there, since the others come
+    /// to an age where they can be closed. What was not `quiet` meanwhile is of no use.
+    pub fn begin(
+        &mut self,
+        provider: u32,
+        addr: SocketAddr,
+        now: Micros,
+        quiet: impl Fn(&C) -> bool,
+    ) -> Option<(Link, C)> {
+        self.calls += 1;
+        let resting = &mut self.all.get_mut(&provider)?.resting;
+        while let Some(mut last) = resting.pop() {
+            let quiet = last.addr == addr && quiet(&last.connection);
+            if !last.link.step(Input::Taken { quiet }, now) {
+                return Some((last.link, last.connection));
+            }
+        }
+        None
+    }
+
+    /// A connection for a call that found none.
+    pub fn open(&self) -> Link {
+        Link::opening(self.rest)
+    }
+
+    /// A call ended whose connection may serve another; given back where it may not after all.
+    pub fn keep(
+        &mut self,
+        provider: u32,
+        addr: SocketAddr,
+        mut link: Link,
+        connection: C,
+        now: Micros,
+    ) -> Option<C> {
+        let held = self.all.entry(provider).or_default();
+        if link.step(Input::Kept { open: !held.shut }, now) {
+            return Some(connection);
+        }
+        held.resting.push(Resting { link, addr, connection });
+        None
+    }
+
+    /// A call is over, or has closed its connection.
+    pub fn end(&mut self) {
+        debug_assert!(self.calls > 0, "an end for each beginning");
+        self.calls = self.calls.saturating_sub(1);
+    }
+
+    /// Closes what has rested for too long, or was closed from the other side.
+    pub fn sweep(&mut self, now: Micros, quiet: impl Fn(&C) -> bool) -> Vec<C> {
+        let mut gone = Vec::new();
+        for provider in self.all.values_mut() {
+            for mut r in std::mem::take(&mut provider.resting) {
+                let quiet = quiet(&r.connection);
+                if r.link.step(Input::Looked { quiet }, now) {
+                    gone.push(r.connection);
+                } else {
+                    provider.resting.push(r);
+                }
+            }
+        }
+        gone
+    }
+
+    /// Before a connection is opened: of all that rest the longest resting goes, where room is short.
+    pub fn make_room(&mut self) -> Option<C> {
+        let resting: usize = self.all.values().map(|p| p.resting.len()).sum();
+        if self.calls + resting <= self.most {
+            return None;
+        }
+        // The oldest of a pool is its first.
+        let since = |p: &Provider<C>| p.resting.first().and_then(|r| r.link.since());
+        let oldest = self.all.iter().filter_map(|(n, p)| Some((since(p)?, *n))).min()?.1;
+        let mut oldest = self.all.get_mut(&oldest)?.resting.remove(0);
+        oldest.link.step(Input::Close, 0);
+        Some(oldest.connection)
+    }
+
+    /// Calls that count, and connections that rest.
+    pub fn load(&self) -> (usize, usize) {
+        (self.calls, self.all.values().map(|p| p.resting.len()).sum())
+    }
+
+    /// What rests, by provider; for whoever explores it.
+    pub fn resting(&self) -> impl Iterator<Item = (u32, &C)> {
+        let mut all: Vec<_> = self.all.iter().collect();
+        all.sort_by_key(|(n, _)| **n);
+        all.into_iter().flat_map(|(n, p)| p.resting.iter().map(|r| (*n, &r.connection)))
+    }
+
+    /// Gate and hold of each provider.
+    pub fn gates(&self) -> Vec<(u32, bool, Micros)> {
+        let mut all: Vec<_> = self.all.iter().map(|(n, p)| (*n, !p.shut, p.hold)).collect();
+        all.sort_unstable();
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ADDR: &str = "127.0.0.1:1";
+
+    fn with_resting(pool: &mut Pool<u32>, provider: u32, connection: u32, now: Micros) {
+        let addr = ADDR.parse().unwrap();
+        assert!(pool.begin(provider, addr, now, |_| true).is_none());
+        let mut link = pool.open();
+        link.step(Input::Up, now);
+        assert_eq!(pool.keep(provider, addr, link, connection, now), None);
+        pool.end();
+    }
+
+    #[test]
+    fn the_longest_resting_of_all_goes_when_room_is_short() {
+        let mut pool = Pool::new(15_000_000, 2);
+        with_resting(&mut pool, 7, 70, 10);
+        with_resting(&mut pool, 8, 80, 5);
+        assert_eq!(pool.make_room(), None);
+        assert!(pool.begin(9, ADDR.parse().unwrap(), 20, |_| true).is_none());
+        assert_eq!((pool.make_room(), pool.load()), (Some(80), (1, 1)));
+    }
+
+    #[test]
+    fn a_shut_gate_closes_what_rests_and_what_comes_to_rest() {
+        let mut pool = Pool::new(15_000_000, 9);
+        with_resting(&mut pool, 7, 70, 10);
+        assert_eq!(pool.gate(7, false), [70]);
+        let mut link = pool.open();
+        link.step(Input::Up, 11);
+        assert_eq!(pool.keep(7, ADDR.parse().unwrap(), link, 71, 11), Some(71));
+        assert!(!pool.lets_through(7, 12) && pool.lets_through(8, 12));
+    }
+
+    #[test]
+    fn what_is_too_old_or_not_quiet_serves_no_call() {
+        let addr = ADDR.parse().unwrap();
+        let mut pool = Pool::new(15_000_000, 9);
+        with_resting(&mut pool, 7, 70, 10);
+        assert!(pool.begin(7, addr, 11, |_| false).is_none());
+        pool.end();
+        with_resting(&mut pool, 7, 71, 10);
+        assert_eq!(pool.sweep(14_000_009, |_| true), []);
+        assert_eq!(pool.sweep(14_000_010, |_| true), [71]);
+    }
+}
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -5,10 +5,10 @@
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
 use crate::transport::platform;
-use crate::transport::providers::Providers;
 use crate::transport::server::{Connections, serve};
 use actix_rt::net::TcpListener;
 use actix_rt::time::{Instant, sleep, sleep_until};
+use quillmount_core::pool::Pool;
 use quillmount_core::router::{Router, RouterError};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,11 +53,11 @@
     // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
     // not ask.
     let most = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
-    let providers = Providers::new(clock.clone(), config.connect(), config.idle(), most);
+    let pool = Pool::new(config.idle().as_micros() as u64, most);
     let known = config.known.clone();
     let store = Folder::open(&config.state).map_err(RunError::Folder)?;
     let (router, steps) = Router::open(&config.env, config.seed, known, store, config.disk, clock.now())?;
-    let courier = Courier::new(clock.clone(), router, providers);
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool);
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
@@ -68,8 +68,8 @@
         courier.report()
     );
 
-    let connections = Rc::new(Connections::new(most, config.memory / BODIES));
-    courier.carry_out(steps);
+    let connections = Rc::new(Connections::new(clock.clone(), most, config.memory / BODIES));
+    courier.begin(steps);
     actix_rt::spawn(courier.clone().keep_time());
     actix_rt::spawn(courier.clone().sweep());
     let (moves, discovery) = watch::channel(config.discovery);
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -2,26 +2,31 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
-use super::providers::Providers;
+use super::providers::{self, Words};
+use actix_rt::net::TcpStream;
 use quillmount_core::counters::Counters;
+use quillmount_core::hub::{Do, Hub};
 use quillmount_core::note::{Level, Note};
-use quillmount_core::router::{Intake, Router, Step};
-use quillmount_core::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
+use quillmount_core::pool::Pool;
+use quillmount_core::router::{Intake, Router};
+use quillmount_core::{CallId, Invocation, InvokerCall, Notice, ProviderList};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use tokio::sync::{Notify, oneshot};
+use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Between two looks for connections that are dead or too old.
-const SWEEP: std::time::Duration = std::time::Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_secs(1);
 
 pub struct Courier {
-    clock: Clock,
-    router: RefCell<Router<Folder>>,
-    providers: Providers,
-    /// Calls that are out; a word on the channel gives one up.
-    calls: RefCell<HashMap<CallId, oneshot::Sender<()>>>,
+    pub clock: Clock,
+    /// How long a connection to a provider may take to come up.
+    pub connect: Duration,
+    hub: RefCell<Hub<Folder, TcpStream>>,
+    /// What calls that are out are told.
+    words: RefCell<HashMap<CallId, Rc<Words>>>,
     serving: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
@@ -29,12 +34,12 @@
 }
 
 impl Courier {
-    pub fn new(clock: Clock, router: Router<Folder>, providers: Providers) -> Rc<Self> {
+    pub fn new(clock: Clock, connect: Duration, router: Router<Folder>, pool: Pool<TcpStream>) -> Rc<Self> {
         Rc::new(Courier {
             clock,
-            router: RefCell::new(router),
-            providers,
-            calls: RefCell::default(),
+            connect,
+            hub: RefCell::new(Hub::new(router, pool)),
+            words: RefCell::default(),
             serving: Cell::new(false),
             moved: Notify::new(),
             notices: Notify::new(),
@@ -43,7 +48,7 @@
 
     /// Counts what the router does not see.
     pub fn count(&self, one: impl FnOnce(&mut Counters)) {
-        one(&mut self.router.borrow_mut().counters);
+        one(&mut self.hub.borrow_mut().router.counters);
     }
 
     pub fn is_serving(&self) -> bool {
@@ -54,32 +59,37 @@
         self.serving.set(serving);
     }
 
+    /// The connections to the providers.
+    pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
+        act(&mut self.hub.borrow_mut().pool)
+    }
+
     pub fn take_on(self: &Rc<Self>, invocation: Invocation) -> Intake {
-        let (intake, steps) = self.router.borrow_mut().take_on(invocation, self.clock.now());
-        self.carry_out(steps);
+        let (intake, todo) = self.hub.borrow_mut().take_on(invocation, self.clock.now());
+        self.carry_out(todo);
         intake
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
-        let steps = self.router.borrow_mut().list(list, self.clock.now());
+        let todo = self.hub.borrow_mut().list(list, self.clock.now());
         log::info!("discovery: version {version} with {lines} lines");
-        self.carry_out(steps);
+        self.carry_out(todo);
     }
 
     pub fn list_version(&self) -> u64 {
-        self.router.borrow().version()
+        self.hub.borrow().router.version()
     }
 
     pub fn stop(self: &Rc<Self>, at: Micros) {
         self.serving.set(false);
-        let steps = self.router.borrow_mut().stop(self.clock.now(), at);
-        self.carry_out(steps);
+        let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
+        self.carry_out(todo);
     }
 
     pub fn notices(&self, most: usize) -> Vec<Notice> {
-        self.router.borrow().notices(most)
+        self.hub.borrow().router.notices(most)
     }
 
     pub async fn notices_wanted(&self) {
@@ -87,25 +97,31 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
-        let steps = self.router.borrow_mut().told(notices, self.clock.now());
-        self.carry_out(steps);
+        let todo = self.hub.borrow_mut().told(notices, self.clock.now());
+        self.carry_out(todo);
     }
 
     /// Nothing is out and nothing waits to be told.
     pub fn is_quiet(&self) -> bool {
-        self.calls.borrow().is_empty() && self.notices(1).is_empty()
+        self.hub.borrow().is_quiet()
     }
 
     pub fn report(&self) -> String {
-        let router = self.router.borrow();
+        let router = &self.hub.borrow().router;
         let (owed, out) = router.load();
         format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk())
     }
 
+    /// The first steps of a router that has read its journal.
+    pub fn begin(self: &Rc<Self>, steps: Vec<quillmount_core::router::Step>) {
+        let todo = self.hub.borrow_mut().carry_out(steps, self.clock.now());
+        self.carry_out(todo);
+    }
+
     /// Wakes the router whenever it wants to.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let wake = self.router.borrow().wake_at();
+            let wake = self.hub.borrow().router.wake_at();
             let moved = self.moved.notified();
             match wake {
                 None => moved.await,
@@ -117,8 +133,8 @@
                 }
             }
             if wake.is_some_and(|at| at <= self.clock.now()) {
-                let steps = self.router.borrow_mut().tick(self.clock.now());
-                self.carry_out(steps);
+                let todo = self.hub.borrow_mut().tick(self.clock.now());
+                self.carry_out(todo);
             }
         }
     }
@@ -127,31 +143,23 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(SWEEP).await;
-            self.providers.sweep();
+            drop(self.pool(|pool| pool.sweep(self.clock.now(), providers::is_quiet)));
         }
     }
 
-    pub fn carry_out(self: &Rc<Self>, steps: Vec<Step>) {
-        let mut steps = std::collections::VecDeque::from(steps);
-        while let Some(step) = steps.pop_front() {
-            match step {
-                Step::Call(call) => self.call(call),
-                Step::NotWritten(call) => {
-                    let more = self.router.borrow_mut().call_ended(call, CallEnd::HeldBack, self.clock.now());
-                    steps.extend(more);
-                }
-                Step::GiveUp(call) => {
-                    if let Some(word) = self.calls.borrow_mut().remove(&call) {
-                        // The call may have ended in this very moment; then nobody listens.
-                        let _ = word.send(());
+    fn carry_out(self: &Rc<Self>, todo: Vec<Do<TcpStream>>) {
+        for one in todo {
+            match one {
+                Do::Begin(call) => self.call(call),
+                Do::Tell(call, input) => {
+                    // The call may have ended in this very moment.
+                    if let Some(words) = self.words.borrow().get(&call) {
+                        words.say(input);
                     }
                 }
-                Step::Forget(provider) => self.providers.forget(provider),
-                Step::CloseIdle(provider) => self.providers.close_idle(provider),
-                Step::Gate { provider, open } => self.providers.gate(provider, open),
-                Step::Hold { provider, until } => self.providers.hold(provider, until),
-                Step::Notify => self.notices.notify_one(),
-                Step::Note(note) => say(&note),
+                Do::Close(gone) => drop(gone),
+                Do::Notify => self.notices.notify_one(),
+                Do::Note(note) => say(&note),
             }
         }
         self.moved.notify_one();
@@ -159,15 +167,15 @@
 
     fn call(self: &Rc<Self>, call: InvokerCall) {
         log::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
-        let (word, give_up) = oneshot::channel();
-        self.calls.borrow_mut().insert(call.call, word);
+        let words = Rc::new(Words::default());
+        self.words.borrow_mut().insert(call.call, words.clone());
         let this = self.clone();
         actix_rt::spawn(async move {
-            let end = this.providers.call(&call, give_up).await;
-            this.calls.borrow_mut().remove(&call.call);
-            let steps = this.router.borrow_mut().call_ended(call.call, end, this.clock.now());
+            let end = providers::call(&this, &call, &words).await;
+            this.words.borrow_mut().remove(&call.call);
+            let todo = this.hub.borrow_mut().call_ended(call.call, end, this.clock.now());
             log::debug!("call ended: {:?} to {}: {end:?}", call.call, call.addr);
-            this.carry_out(steps);
+            this.carry_out(todo);
         });
     }
 }
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -1,8 +1,10 @@
-//! The clients of the platform: the watch on discovery, and the notices.
+//! The sockets of the platform: the watch on discovery, and the notices.
 
-use crate::transport::courier::Courier;
+use super::courier::Courier;
 use actix_rt::time::{sleep, timeout};
 use futures_util::StreamExt;
+use quillmount_core::machine::notices::{self, Notices};
+use quillmount_core::machine::watch::{Input, Output, RETRY_MAX, SILENCE, State, Watch};
 use quillmount_protocol::{discovery, notice};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,16 +12,6 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
-/// A watch says something every two seconds; one silent for so long may be dead.
-const SILENCE: Duration = Duration::from_secs(10);
-const RETRY_FIRST: Duration = Duration::from_millis(100);
-const RETRY_MAX: Duration = Duration::from_secs(2);
-/// The platform takes notices at once; one try must leave time for another.
-const NOTICE_TRY: Duration = Duration::from_millis(250);
-const NOTICE_REST: Duration = Duration::from_millis(50);
-/// Notices in one body: well under the platform's 64 KiB.
-const BATCH: usize = 200;
-
 /// Where the platform is; it may move while the courier runs.
 pub type Discovery = watch::Receiver<SocketAddr>;
 
@@ -29,7 +21,7 @@
     Send(#[from] awc::error::SendRequestError),
     #[error("status {0}")]
     Status(awc::http::StatusCode),
-    #[error("silent for {SILENCE:?}")]
+    #[error("silent for {:?}", Duration::from_micros(SILENCE))]
     Silent,
     #[error("broken off: {0}")]
     Broken(#[from] awc::error::PayloadError),
@@ -56,22 +48,36 @@
 
 /// Watches at one address, until discovery has moved from there.
 async fn follow(courier: Rc<Courier>, addr: SocketAddr, discovery: Discovery, mut older: Vec<AbortHandle>) {
-    let client = super::plain_client(awc::Connector::new().timeout(RETRY_MAX));
-    let mut pause = RETRY_FIRST;
+    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(RETRY_MAX)));
+    let moved = || *discovery.borrow() != addr;
+    let mut machine = Watch::new(courier.clock.now());
+    let mut todo = Output::Ask;
     loop {
-        courier.count(|c| c.watches += 1);
-        let mut heard = false;
-        let answered = || older.drain(..).for_each(|task| task.abort());
-        let Err(e) = watch_once(&client, &courier, addr, answered, &mut heard).await;
-        if *discovery.borrow() != addr {
-            return log::info!("discovery: the watch at {addr}, where it was before, is over: {e}");
-        }
-        if heard {
-            pause = RETRY_FIRST;
-        }
-        log::warn!("discovery: watch: {e}; again in {pause:?}");
-        sleep(pause).await;
-        pause = (pause * 2).min(RETRY_MAX);
+        todo = match todo {
+            Output::Ask => {
+                courier.count(|c| c.watches += 1);
+                let over = watch_once(&client, &courier, addr, &mut machine, &mut older).await;
+                let Err(e) = over;
+                // Silence is the machine's own finding.
+                let todo = match e {
+                    WatchError::Silent => Input::Tick { moved: moved() },
+                    _ => Input::Broken { moved: moved() },
+                };
+                let todo = machine.step(todo, courier.clock.now());
+                match todo {
+                    Output::Pause(pause) => {
+                        log::warn!("discovery: watch: {e}; again in {:?}", Duration::from_micros(pause))
+                    }
+                    _ => log::info!("discovery: the watch at {addr}, where it was before, is over: {e}"),
+                }
+                todo
+            }
+            Output::Stop => return,
+            _ => {
+                sleep(courier.clock.until(machine.wake_at().unwrap_or_default())).await;
+                machine.step(Input::Tick { moved: moved() }, courier.clock.now())
+            }
+        };
     }
 }
 
@@ -79,66 +85,83 @@
     client: &awc::Client,
     courier: &Rc<Courier>,
     addr: SocketAddr,
-    answered: impl FnOnce(),
-    heard: &mut bool,
+    machine: &mut Watch,
+    older: &mut Vec<AbortHandle>,
 ) -> Result<std::convert::Infallible, WatchError> {
     let path = discovery::watch_path(courier.list_version());
     let request = client.get(format!("http://{addr}{path}")).send();
-    let mut answer = timeout(SILENCE, request).await.map_err(|_| WatchError::Silent)??;
+    let mut answer = in_time(courier, machine, request).await??;
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
-    answered();
+    if machine.step(Input::Answered, courier.clock.now()) == Output::TakeOver {
+        older.drain(..).for_each(|task| task.abort());
+    }
     let mut lines = discovery::Lines::default();
     loop {
-        let chunk = timeout(SILENCE, answer.next()).await.map_err(|_| WatchError::Silent)?;
+        let chunk = in_time(courier, machine, answer.next()).await?;
         let chunk = chunk.ok_or(WatchError::Ended)??;
-        *heard = true;
+        machine.step(Input::Heard, courier.clock.now());
         for list in lines.feed(&chunk)? {
             courier.list(list);
         }
     }
 }
 
+/// Waits for as long as the machine does.
+async fn in_time<T>(
+    courier: &Courier,
+    machine: &Watch,
+    what: impl Future<Output = T>,
+) -> Result<T, WatchError> {
+    debug_assert!(matches!(machine.state(), State::Asking { .. } | State::Following { .. }));
+    let left = courier.clock.until(machine.wake_at().unwrap_or_default());
+    timeout(left, what).await.map_err(|_| WatchError::Silent)
+}
+
 /// Sends notices, many at a time, until the platform has confirmed each.
 pub async fn notify(courier: Rc<Courier>, mut discovery: Discovery) {
-    let client = super::plain_client(awc::Connector::new().timeout(NOTICE_TRY));
-    let mut batch = BATCH;
+    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(notices::TRY)));
+    let mut machine = Notices::default();
     loop {
-        let notices = courier.notices(batch);
-        if notices.is_empty() {
+        let notices = courier.notices(machine.most());
+        let wanted = notices::Input::Wanted(notices.len());
+        let notices::Output::Send(_) = machine.step(wanted, courier.clock.now()) else {
             courier.notices_wanted().await;
             continue;
-        }
+        };
         courier.count(|c| c.notice_tries += 1);
         let addr = *discovery.borrow_and_update();
         let post = client.post(format!("http://{addr}{}", notice::PATH)).send_body(notice::encode(&notices));
-        let tried = timeout(NOTICE_TRY, async {
+        let left = courier.clock.until(machine.wake_at().unwrap_or_default());
+        let tried = timeout(left, async {
             let mut answer = post.await.map_err(|e| e.to_string())?;
             while let Some(Ok(_)) = answer.next().await {}
             Ok(answer.status().as_u16())
         });
-        let status = tokio::select! {
+        let word = tokio::select! {
             biased;
-            status = tried => status.unwrap_or_else(|_| Err("no answer in time".to_string())),
-            // The platform has moved: told twice does no harm, told late does.
-            Ok(()) = discovery.changed() => continue,
+            status = tried => match status.unwrap_or_else(|_| Err("no answer in time".to_string())) {
+                Ok(204) => notices::Input::Confirmed,
+                Ok(400) => notices::Input::Unreadable,
+                other => {
+                    log::warn!("notices: {} not confirmed: {other:?}", notices.len());
+                    notices::Input::Lost
+                }
+            },
+            Ok(()) = discovery.changed() => notices::Input::Moved,
         };
-        match status {
-            Ok(204) => {
-                batch = BATCH;
-                courier.told(&notices);
-            }
-            // One line that can't be read must not keep the others back: find it, and let it go.
-            Ok(400) if notices.len() > 1 => batch = 1,
-            Ok(400) => {
+        match machine.step(word, courier.clock.now()) {
+            notices::Output::Told => courier.told(&notices),
+            notices::Output::LetGo => {
                 log::error!("notices: the platform can't read the one for {:?}", notices[0].id);
                 courier.told(&notices);
             }
-            other => {
-                log::warn!("notices: {} not confirmed: {other:?}", notices.len());
-                sleep(NOTICE_REST).await;
-            }
+            _ => {}
+        }
+        while let notices::State::Resting { until } = machine.state() {
+            sleep(courier.clock.until(until)).await;
+            machine.step(notices::Input::Tick, courier.clock.now());
         }
     }
 }
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -3,13 +3,16 @@
 //! The loop around the codec is our own: actix-http's dispatcher buffers 128 KiB for each connection and
 //! does not show what stands behind a request, so that neither can be bounded there.
 
-use crate::transport::courier::Courier;
+use super::clock::Clock;
+use super::courier::Courier;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, ServiceConfig, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use bytes::{Bytes, BytesMut};
+use quillmount_core::crowd::{Crowd, Room};
+use quillmount_core::machine::consumer::{Consumer, Input, Output, State};
 use quillmount_core::router::{Intake, NO_ROOM_WAIT};
 use quillmount_protocol::invocation::{self, Head, Malformed};
 use std::cell::{Cell, RefCell};
@@ -40,52 +43,22 @@
 const READ: usize = 2 * 1024;
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
-/// A consumer that has come to ask has asked by then; who has not goes first when room is short.
-const GRACE: Duration = Duration::from_millis(300);
 /// A connection that is to leave may have a request on its way: it is closed after this, if none has come.
 const LAST_LOOK: Duration = Duration::from_millis(5);
-/// So many may leave at a time; there are descriptors for as many.
-const LEAVING_MAX: usize = 16;
 /// One line tells of all malformed requests within this.
 const TELL: Duration = Duration::from_secs(1);
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum State {
-    /// Answered for the last time.
-    Closing,
-    /// Has yet to send a whole request; its first, or one more.
-    Asking,
-    AskingMore,
-    Resting,
-    /// Rests, and has but seen that the courier is ready: it is about to ask.
-    Probed,
-    /// Asked to go: closes, or answers what came in this moment and closes.
-    Leaving,
-}
-
-struct Connection {
-    state: State,
-    since: Instant,
+/// The task of a connection, and its word to leave.
+struct Task {
     task: AbortHandle,
     leave: Rc<Notify>,
 }
 
-impl Connection {
-    fn rests(&self) -> bool {
-        matches!(self.state, State::Resting | State::Probed)
-    }
-
-    fn ask_to_leave(&mut self) {
-        self.state = State::Leaving;
-        self.leave.notify_one();
-    }
-}
-
 /// The consumers' connections, by number.
 pub struct Connections {
-    all: RefCell<HashMap<u64, Connection>>,
-    next: Cell<u64>,
-    most: usize,
+    clock: Clock,
+    crowd: RefCell<Crowd>,
+    tasks: RefCell<HashMap<u64, Task>>,
     /// Bytes of bodies that may be under way together, and that are.
     room: u64,
     under_way: Cell<u64>,
@@ -97,11 +70,11 @@
 
 impl Connections {
     /// `most` connections at once, whose unfinished bodies take `room` bytes at most.
-    pub fn new(most: usize, room: u64) -> Self {
+    pub fn new(clock: Clock, most: usize, room: u64) -> Self {
         Connections {
-            all: RefCell::default(),
-            next: Cell::new(0),
-            most: most.max(1),
+            clock,
+            crowd: RefCell::new(Crowd::new(most)),
+            tasks: RefCell::default(),
             room,
             under_way: Cell::new(0),
             closing: Cell::new(false),
@@ -117,58 +90,38 @@
 
     /// Asks the connections that rest to leave; true if any remains.
     pub fn close_idle(&self) -> bool {
-        let mut all = self.all.borrow_mut();
-        all.values_mut().filter(|c| c.rests()).for_each(Connection::ask_to_leave);
-        !all.is_empty()
+        let leaving = self.crowd.borrow_mut().all_leave();
+        leaving.into_iter().for_each(|number| self.ask_to_leave(number));
+        !self.crowd.borrow().is_empty()
     }
 
-    /// Makes room for one more: first goes who was answered for the last time, then who was slow to ask,
-    /// then who has rested longest, but not with a request that has just come: that would be lost.
-    async fn make_room(&self) {
-        while self.needs_to_wait() {
-            // Those that leave do so within 5 ms, or answer.
-            self.left.notified().await;
+    fn ask_to_leave(&self, number: u64) {
+        if let Some(task) = self.tasks.borrow().get(&number) {
+            task.leave.notify_one();
         }
     }
 
-    fn needs_to_wait(&self) -> bool {
-        let mut all = self.all.borrow_mut();
-        if all.len() < self.most {
-            return false;
-        }
-        let rank = |c: &Connection| match c.state {
-            State::Closing => 0,
-            State::Asking | State::AskingMore if c.since.elapsed() >= GRACE => 1,
-            State::Resting => 2,
-            State::Probed => 3,
-            State::Asking => 4,
-            State::AskingMore => 5,
-            State::Leaving => 6,
-        };
-        let leaving = all.values().filter(|c| c.state == State::Leaving).count();
-        let first = all.iter().min_by_key(|(_, c)| (rank(c), c.since)).map(|(n, _)| *n);
-        let Some(number) = first else { return false };
-        match all.get_mut(&number) {
-            Some(c) if c.rests() || c.state == State::Leaving => {
-                if leaving >= LEAVING_MAX {
-                    return true;
-                }
-                c.ask_to_leave();
-            }
-            Some(_) => {
-                if let Some(c) = all.remove(&number) {
-                    c.task.abort();
+    /// Makes room for one more.
+    async fn make_room(&self) {
+        loop {
+            let room = self.crowd.borrow_mut().make_room(self.clock.now());
+            match room {
+                Room::Free => return,
+                Room::Leave(number) => return self.ask_to_leave(number),
+                Room::End(number) => {
+                    if let Some(task) = self.tasks.borrow_mut().remove(&number) {
+                        task.task.abort();
+                    }
+                    return;
                 }
+                // Those that leave do so within 5 ms, or answer.
+                Room::Wait => self.left.notified().await,
             }
-            None => {}
         }
-        false
     }
 
     fn is(&self, number: u64, state: State) {
-        if let Some(c) = self.all.borrow_mut().get_mut(&number) {
-            (c.state, c.since) = (state, Instant::now());
-        }
+        self.crowd.borrow_mut().is(number, state, self.clock.now());
     }
 
     /// Room for a body under way, if there is any.
@@ -201,7 +154,8 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.0.all.borrow_mut().remove(&self.1);
+        self.0.crowd.borrow_mut().left(self.1);
+        self.0.tasks.borrow_mut().remove(&self.1);
         self.0.left.notify_one();
     }
 }
@@ -218,14 +172,13 @@
                 if let Err(e) = stream.set_nodelay(true) {
                     log::debug!("server: {peer}: {e}");
                 }
-                let number = connections.next.replace(connections.next.get() + 1);
+                let number = connections.crowd.borrow_mut().enter(connections.clock.now());
                 let entry = Entry(connections.clone(), number);
                 let codec = Codec::new(config.clone());
                 let (courier, buf, leave) = (courier.clone(), BytesMut::new(), Rc::new(Notify::new()));
                 let conversation = Conversation { stream, codec, buf, courier, entry, leave: leave.clone() };
                 let task = actix_rt::spawn(conversation.run(peer)).abort_handle();
-                let connection = Connection { state: State::Asking, since: Instant::now(), task, leave };
-                connections.all.borrow_mut().insert(number, connection);
+                connections.tasks.borrow_mut().insert(number, Task { task, leave });
             }
             Err(e) => {
                 log::warn!("server: accept: {e}");
@@ -252,54 +205,79 @@
         }
     }
 
+    /// Does what the connection's machine says, until it closes.
     async fn converse(&mut self) -> io::Result<()> {
         let (connections, number) = (self.entry.0.clone(), self.entry.1);
-        let mut leaves = false;
+        let mut machine = Consumer::default();
+        let mut todo = Output::Read;
+        let mut answer = None;
         loop {
-            let by = Instant::now() + REQUEST;
-            let asked = match timeout_at(by, self.request(&connections)).await {
-                Ok(asked) => asked?,
-                // Who says nothing is owed nothing.
-                Err(_) if self.buf.is_empty() && self.codec.message_type() == MessageType::None => {
-                    return Ok(());
+            let input = match todo {
+                Output::Read => {
+                    let (given, input) = self.asked(&connections).await?;
+                    answer = given;
+                    input
                 }
-                Err(_) => Asked::Malformed(Malformed::Slow),
-            };
-            let rests = if matches!(asked, Asked::Probed(_)) { State::Probed } else { State::Resting };
-            let (mut answer, closes) = match asked {
-                Asked::Nothing => return Ok(()),
-                Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
-                Asked::Malformed(why) => {
-                    self.courier.count(|c| c.malformed += 1);
-                    connections.tell(why);
-                    (invocation::refuse(why), why.ends_connection())
+                Output::Answer { closes } => {
+                    let Some(mut answer) = answer.take() else { return Ok(()) };
+                    if closes {
+                        answer.head_mut().set_connection_type(ConnectionType::Close);
+                    }
+                    let bytes = self.encode(answer)?;
+                    timeout(WRITE, self.stream.write_all(&bytes)).await??;
+                    Input::Answered
                 }
+                Output::Rest => {
+                    self.buf = BytesMut::new();
+                    tokio::select! {
+                        biased;
+                        _ = self.stream.readable() => Input::Readable,
+                        () = self.leave.notified() => Input::Leave,
+                        () = sleep(REST) => Input::Leave,
+                    }
+                }
+                Output::Look => match timeout(LAST_LOOK, self.stream.readable()).await {
+                    Ok(_) => Input::Readable,
+                    Err(_) => Input::Looked,
+                },
+                Output::Linger => {
+                    self.linger().await?;
+                    Input::Lingered
+                }
+                Output::Nothing | Output::Close => return Ok(()),
             };
-            if closes || leaves || connections.closing.get() {
-                answer.head_mut().set_connection_type(ConnectionType::Close);
-            }
-            let bytes = self.encode(answer)?;
-            timeout(WRITE, self.stream.write_all(&bytes)).await??;
-            if closes || !self.codec.keep_alive() {
-                connections.is(number, State::Closing);
-                return self.linger().await;
-            }
-            connections.is(number, rests);
-            self.buf = BytesMut::new();
-            leaves = tokio::select! {
-                biased;
-                _ = self.stream.readable() => false,
-                () = self.leave.notified() => true,
-                () = sleep(REST) => true,
-            };
-            // A request that is written as its connection closes would be lost.
-            if leaves && timeout(LAST_LOOK, self.stream.readable()).await.is_err() {
-                return Ok(());
+            todo = machine.step(input);
+            // Who is answered counts as asking still: the answer is small.
+            if matches!(todo, Output::Read | Output::Rest | Output::Look | Output::Linger) {
+                connections.is(number, machine.state());
             }
-            connections.is(number, State::AskingMore);
         }
     }
 
+    /// Waits for a request, and gives its answer.
+    async fn asked(&mut self, connections: &Connections) -> io::Result<(Option<Response<Bytes>>, Input)> {
+        let by = Instant::now() + REQUEST;
+        let asked = match timeout_at(by, self.request(connections)).await {
+            Ok(asked) => asked?,
+            // Who says nothing is owed nothing.
+            Err(_) if self.buf.is_empty() && self.codec.message_type() == MessageType::None => Asked::Nothing,
+            Err(_) => Asked::Malformed(Malformed::Slow),
+        };
+        let probe = matches!(asked, Asked::Probed(_));
+        let (answer, closes) = match asked {
+            Asked::Nothing => return Ok((None, Input::Silent)),
+            Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
+            Asked::Malformed(why) => {
+                self.courier.count(|c| c.malformed += 1);
+                connections.tell(why);
+                (invocation::refuse(why), why.ends_connection())
+            }
+        };
+        let told = answer.head().connection_type() == ConnectionType::Close;
+        let closes = closes || told || !self.codec.keep_alive() || connections.closing.get();
+        Ok((Some(answer), Input::Asked { probe, closes }))
+    }
+
     /// Reads one request whole, and acts on it; nothing of it holds before its last byte has come.
     async fn request(&mut self, connections: &Connections) -> io::Result<Asked> {
         while !invocation::is_whole_head(&self.buf) {
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -1,6 +1,7 @@
 //! Invoker calls: what a provider is sent, and what its answer means.
 
 use httparse::{EMPTY_HEADER, Header, Response, Status};
+use quillmount_core::machine::attempt::Answer;
 use quillmount_core::{CallEnd, InvokerCall};
 use spurshore::Micros;
 
@@ -27,17 +28,6 @@
     [head.as_bytes(), &parcel.body].concat()
 }
 
-/// What the bytes of an answer say so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The answer that counts has yet to begin.
-    Awaited,
-    /// More of it is to come.
-    Partial,
-    /// `reusable`: the connection stands where the next call may begin.
-    Whole { end: CallEnd, reusable: bool },
-}
-
 /// Reads an answer; `over` where no more of it will come.
 ///
 /// A first line with 200 says that the message is delivered, whatever follows. Anything else is believed
