Keep a call's connection and its pool's count beside its machine, in the core

Need: the exploration is to run the same wiring of attempt, connection and pool as the sockets do. Change: core/src/call.rs holds what transport/providers.rs did between its awaits; the transport moves bytes.

--- /dev/null
+++ b/core/src/call.rs
@@ -0,0 +1,93 @@
+//! One invoker call with its connection: the attempt's machine, and what the pool is to know of it.
+
+use crate::machine::attempt::{Attempt, Decode, Input, Link as Todo, State};
+use crate::machine::link::{self, Link};
+use crate::pool::Pool;
+use crate::{CallEnd, InvokerCall};
+use spurshore::Micros;
+
+/// A call that is out. `C` is a connection to a provider.
+#[derive(Clone, Debug)]
+pub struct Call<C> {
+    pub order: InvokerCall,
+    attempt: Attempt,
+    held: Option<(Link, C)>,
+    /// The pool counts the call, until its connection is closed or kept.
+    counts: bool,
+}
+
+/// What a step came to.
+#[derive(Debug)]
+pub struct Told<C> {
+    /// The call is over, and is to be reported.
+    pub end: Option<CallEnd>,
+    /// A connection to close: the call's own, or one that rested elsewhere and makes room.
+    pub gone: Option<C>,
+}
+
+impl<C> Call<C> {
+    /// `decode` reads answers, and never more than `most` bytes of one.
+    pub fn new(order: InvokerCall, decode: Decode, most: usize) -> Self {
+        Call { order, attempt: Attempt::new(decode, most), held: None, counts: false }
+    }
+
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+
+    /// The connection and the answer's buffer, for whoever moves the bytes.
+    pub fn parts(&mut self) -> Option<(&mut C, &mut Vec<u8>)> {
+        let (_, connection) = self.held.as_mut()?;
+        Some((connection, self.attempt.answer_mut()))
+    }
+
+    pub fn connection(&self) -> Option<&C> {
+        self.held.as_ref().map(|(_, connection)| connection)
+    }
+
+    pub fn state(&self) -> State {
+        self.attempt.state()
+    }
+
+    /// Begins: takes a connection that rests, or wants a new one ([`State::Connecting`]), or is held back.
+    pub fn start(&mut self, pool: &mut Pool<C>, now: Micros, quiet: impl Fn(&C) -> bool) -> Told<C> {
+        let (provider, addr) = (self.order.provider, self.order.addr);
+        let open = pool.lets_through(provider, now);
+        if open {
+            self.held = pool.begin(provider, addr, now, quiet);
+            self.counts = true;
+        }
+        let resting = self.held.is_some();
+        self.step(pool, Input::Start { open, resting }, now)
+    }
+
+    /// The connection that it waited for is up.
+    pub fn connected(&mut self, pool: &mut Pool<C>, connection: C, now: Micros) -> Told<C> {
+        let mut link = pool.open();
+        link.step(link::Input::Up, now);
+        self.held = Some((link, connection));
+        let open = pool.lets_through(self.order.provider, now);
+        self.step(pool, Input::Connected { open }, now)
+    }
+
+    /// Anything else that happened.
+    pub fn step(&mut self, pool: &mut Pool<C>, input: Input, now: Micros) -> Told<C> {
+        let output = self.attempt.step(input, now);
+        let gone = match output.link {
+            Todo::Nothing => None,
+            Todo::Open => pool.make_room(),
+            Todo::Close => self.held.take().map(|(mut link, connection)| {
+                link.step(link::Input::Dropped, now);
+                connection
+            }),
+            Todo::Keep => self.held.take().and_then(|(link, connection)| {
+                pool.keep(self.order.provider, self.order.addr, link, connection, now)
+            }),
+        };
+        if self.counts && (output.end.is_some() || output.link == Todo::Close) {
+            pool.end();
+            self.counts = false;
+        }
+        Told { end: output.end, gone }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the courier owes and how it gets there, without a word of HTTP: another front can hand the
 //! same values in and pass through the same decisions and rules.
 
+pub mod call;
 pub mod counters;
 pub mod crowd;
 pub mod hub;
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -171,10 +171,11 @@
         self.words.borrow_mut().insert(call.call, words.clone());
         let this = self.clone();
         actix_rt::spawn(async move {
-            let end = providers::call(&this, &call, &words).await;
-            this.words.borrow_mut().remove(&call.call);
-            let todo = this.hub.borrow_mut().call_ended(call.call, end, this.clock.now());
-            log::debug!("call ended: {:?} to {}: {end:?}", call.call, call.addr);
+            let (id, addr) = (call.call, call.addr);
+            let end = providers::call(&this, call, &words).await;
+            this.words.borrow_mut().remove(&id);
+            let todo = this.hub.borrow_mut().call_ended(id, end, this.clock.now());
+            log::debug!("call ended: {id:?} to {addr}: {end:?}");
             this.carry_out(todo);
         });
     }
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -7,8 +7,8 @@
 use super::courier::Courier;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
-use quillmount_core::machine::attempt::{Attempt, Input, Link, State};
-use quillmount_core::machine::link;
+use quillmount_core::call::Call;
+use quillmount_core::machine::attempt::{Input, State};
 use quillmount_core::{CallEnd, InvokerCall};
 use quillmount_protocol::invoker::{self, ANSWER_MAX};
 use std::cell::Cell;
@@ -66,59 +66,38 @@
 }
 
 /// Makes one call, once.
-pub async fn call(courier: &Courier, call: &InvokerCall, words: &Words) -> CallEnd {
-    let (clock, provider, addr) = (&courier.clock, call.provider, call.addr);
-    let mut attempt = Attempt::new(invoker::decode, ANSWER_MAX);
-    let open = |courier: &Courier| courier.pool(|pool| pool.lets_through(provider, clock.now()));
-    let start = open(courier);
-    let mut held =
-        start.then(|| courier.pool(|pool| pool.begin(provider, addr, clock.now(), is_quiet))).flatten();
-    // The pool counts the call until its connection is closed or kept.
-    let mut counts = start;
-    let mut request = Vec::new();
-    let deadline = sleep(Duration::from_micros(call.timeout));
+pub async fn call(courier: &Courier, order: InvokerCall, words: &Words) -> CallEnd {
+    let (clock, addr) = (&courier.clock, order.addr);
+    let deadline = sleep(Duration::from_micros(order.timeout));
     tokio::pin!(deadline);
-    let mut input = Input::Start { open: start, resting: held.is_some() };
+    let mut call = Call::new(order, invoker::decode, ANSWER_MAX);
+    let mut request = Vec::new();
+    let mut told = courier.pool(|pool| call.start(pool, clock.now(), is_quiet));
     loop {
-        let output = attempt.step(input, clock.now());
-        match output.link {
-            Link::Nothing => {}
-            Link::Open => drop(courier.pool(|pool| pool.make_room())),
-            Link::Close => held = None,
-            Link::Keep => {
-                if let Some((link, stream)) = held.take() {
-                    drop(courier.pool(|pool| pool.keep(provider, addr, link, stream, clock.now())));
-                }
-            }
-        }
-        if counts && (output.end.is_some() || output.link == Link::Close) {
-            courier.pool(|pool| pool.end());
-            counts = false;
-        }
-        if let Some(end) = output.end {
+        // What is to be closed is closed with it.
+        drop(told.gone);
+        if let Some(end) = told.end {
             return end;
         }
-        let state = attempt.state();
-        input = match (state, &mut held) {
+        let (state, rest) = (call.state(), call.attempt().wake_at());
+        if matches!(state, State::Writing { written: 0 }) {
+            words.hold.set(false);
+            request = invoker::encode(&call.order);
+        }
+        let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
                 biased;
                 stream = timeout(courier.connect, connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
-                        let mut link = courier.pool(|pool| pool.open());
-                        link.step(link::Input::Up, clock.now());
-                        held = Some((link, stream));
-                        Input::Connected { open: open(courier) }
+                        told = courier.pool(|pool| call.connected(pool, stream, clock.now()));
+                        continue;
                     }
                     None => Input::Refused,
                 },
                 word = words.heard(state) => word,
                 () = &mut deadline => Input::Deadline,
             },
-            (State::Writing { written }, Some((_, stream))) => {
-                if written == 0 {
-                    words.hold.set(false);
-                    request = invoker::encode(call);
-                }
+            (State::Writing { written }, Some((stream, _))) => {
                 tokio::select! {
                     biased;
                     wrote = stream.write(&request[written..]) => match wrote {
@@ -129,10 +108,8 @@
                     () = &mut deadline => Input::Deadline,
                 }
             }
-            (State::Awaiting | State::Reading { .. }, Some((_, stream))) => {
+            (State::Awaiting | State::Reading { .. }, Some((stream, answer))) => {
                 request = Vec::new();
-                let rest = attempt.wake_at();
-                let answer = attempt.answer_mut();
                 answer.reserve(READ);
                 tokio::select! {
                     biased;
@@ -150,8 +127,9 @@
                 sleep(clock.until(until)).await;
                 Input::Tick
             }
-            // No connection where there has to be one: it can't be, and proves nothing if it is.
-            _ => Input::Reset,
+            // No connection where there has to be one can't be; it would prove nothing.
+            _ => Input::GiveUp,
         };
+        told = courier.pool(|pool| call.step(pool, input, clock.now()));
     }
 }
