Explore the courier's own code, every order of events, in small cases

Change: explore/ drives the hub (router, module, pool, calls, notices) breadth first on several threads, with a monitor that shares no code with what it judges. The module and the router show an eye all their fields for the fingerprint; the patterns name every field, so that a new one that is not shown does not compile.

--- a/core/src/machine/notices.rs
+++ b/core/src/machine/notices.rs
@@ -20,6 +20,17 @@
     Resting { until: Micros },
 }
 
+impl State {
+    /// The state without its time.
+    pub fn kind(self) -> (u8, usize) {
+        match self {
+            State::Quiet => (0, 0),
+            State::Sent { count, .. } => (1, count),
+            State::Resting { .. } => (2, 0),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Input {
     /// So many are to be told.
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -15,6 +15,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+mod seen;
+
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
 /// Advice with a rejection by a courier that stops: by then the front deals to others only.
--- /dev/null
+++ b/explore/src/case.rs
@@ -0,0 +1,182 @@
+//! What is explored: the size of the world and the events that may happen in it.
+
+use serde::{Deserialize, Serialize};
+use spurshore::Micros;
+use spurshore_settings::Env;
+use std::collections::BTreeSet;
+
+/// One kind of event that the world may choose; what is kind always may.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, clap::ValueEnum,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// A connection to a provider is refused.
+    Refuse,
+    /// A connection to a provider never comes up.
+    Never,
+    /// A provider says nothing, and the call times out.
+    Timeout,
+    /// A request is written in two parts, with anything in between.
+    Part,
+    /// A connection breaks before the request's last byte.
+    Break,
+    /// 500: it may have run.
+    Error,
+    /// 503: turned away.
+    Full,
+    /// 429 with a wait.
+    Wait,
+    /// 503 with X-Over-Slots.
+    Slots,
+    /// 504: all attempts are used up.
+    Exhausted,
+    /// 410: the message is over.
+    Over,
+    /// An answer that breaks off, after a 200 or after something else.
+    Spoilt,
+    /// An interim answer first.
+    Interim,
+    /// A second copy of a 200 behind the first.
+    Copy,
+    /// A reset after the request's last byte.
+    Reset,
+    /// A provider closes a connection that rests.
+    Idle,
+    /// A provider drains.
+    Drain,
+    /// A provider is gone.
+    Gone,
+    /// A provider that drained or went is ready again, under the same id.
+    Ready,
+    /// A new provider, under a new id, stands at the address of one that is gone.
+    Replace,
+    /// The whole list is told.
+    Whole,
+    /// The watch on discovery breaks, and resumes.
+    Watch,
+    /// A notice or its confirmation is lost.
+    Lose,
+    /// A confirmation counts twice.
+    Twice,
+    /// A consumer hands the same id in again.
+    Again,
+    /// A consumer hands the same key in again under a fresh id.
+    Key,
+    /// The disk refuses writes for a while.
+    Disk,
+    /// SIGTERM: a planned stop.
+    Term,
+    /// SIGKILL, between any two writes.
+    Kill,
+    /// SIGKILL inside a record.
+    Tear,
+}
+
+/// The world's size and habits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Case {
+    pub endpoints: u8,
+    pub destinations: u8,
+    pub messages: u8,
+    pub lives: u8,
+    /// Attempts for a message at most.
+    pub attempts: u32,
+    /// Calls out at once at most.
+    pub slots: u32,
+    /// Messages held at most.
+    pub open_cap: u32,
+    pub events: BTreeSet<Event>,
+    /// Events that are not kind, on one path at most; `None`: as many as there are chances.
+    pub faults: Option<u32>,
+    /// Also stop the clock a microsecond before and after each moment that counts.
+    pub edges: bool,
+    /// Milliseconds that a message may take.
+    pub time_left: u32,
+    /// Milliseconds for which a repeat of a notice is dropped.
+    pub span: u32,
+    /// The module's draws come from this seed at each step.
+    pub seed: u64,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Case {
+            endpoints: 2,
+            destinations: 1,
+            messages: 2,
+            lives: 1,
+            attempts: 2,
+            slots: 4,
+            open_cap: 20,
+            events: BTreeSet::from([Event::Refuse, Event::Timeout, Event::Drain]),
+            faults: None,
+            edges: true,
+            time_left: 16_000,
+            span: 6_000,
+            seed: 1,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CaseError {
+    #[error("{0}: from {1} to {2} are possible, not {3}")]
+    Range(&'static str, u64, u64, u64),
+}
+
+impl Case {
+    /// # Errors
+    /// A size that no world can have, or that no search would end for.
+    pub fn check(&self) -> Result<(), CaseError> {
+        let within = |what, value: u64, from: u64, to: u64| match (from..=to).contains(&value) {
+            true => Ok(()),
+            false => Err(CaseError::Range(what, from, to, value)),
+        };
+        within("destinations", self.destinations.into(), 1, 4)?;
+        within("endpoints", self.endpoints.into(), self.destinations.into(), 8)?;
+        within("messages", self.messages.into(), 1, 8)?;
+        within("lives", self.lives.into(), 1, 4)?;
+        within("attempts", self.attempts.into(), 1, 8)?;
+        within("slots", self.slots.into(), 1, 64)?;
+        within("open-cap", self.open_cap.into(), 1, 64)?;
+        within("time-left", self.time_left.into(), 100, 60_000)?;
+        within("span", self.span.into(), 100, 60_000)
+    }
+
+    pub fn may(&self, event: Event) -> bool {
+        self.events.contains(&event)
+    }
+
+    pub fn time_left(&self) -> Micros {
+        Micros::from(self.time_left) * 1_000
+    }
+
+    pub fn span(&self) -> Micros {
+        Micros::from(self.span) * 1_000
+    }
+
+    /// The settings, as the platform tells them, decoded by the one decoder.
+    pub fn env(&self) -> Result<Env, serde_json::Error> {
+        serde_json::from_value(serde_json::json!({
+            "me": 0, "siblings": 1, "discovery": "automatic", "skus": ["bank"], "weight_source": "rough",
+            "failure_domains": ["a"], "zone": "a",
+            "family_info": {"call_slots": self.slots, "decay": "halving", "separate_routes": [false]},
+            "limits": {
+                "cancel": true, "retry_after": true, "max_attempts": self.attempts, "max_retry_after_ms": 3000,
+                "open_cap": self.open_cap, "keepalive_ms": 15000, "dial_timeout_ms": 1000, "streams_per_conn": 1
+            },
+            "rules": {"cold_from": 0.22, "cold_ms": 9200, "fall_ms": 3000, "fall_multiple": 2},
+            "categories": [
+                {"name": CLASSES[0], "effect": "fragile", "promise_ms": 3000, "deadline_ms": self.time_left,
+                 "worth": 1, "late_worth": 0.4},
+                {"name": CLASSES[1], "effect": "dedup", "dedup_scope": "all", "memory_span_ms": self.span,
+                 "promise_ms": 3000, "deadline_ms": self.time_left, "worth": 1, "late_worth": 0.4}
+            ]
+        }))
+    }
+}
+
+/// The classes by number: one may take effect once, the other is dropped by its key for a while.
+pub const CLASSES: [&str; 2] = ["fee-debit", "paid-notice"];
--- /dev/null
+++ b/explore/src/finger.rs
@@ -0,0 +1,104 @@
+//! Fingerprints of states: 128 bits over all that matters for what comes next.
+
+use spurshore::{EndpointId, Eye, Micros, MsgId};
+use std::hash::{Hash, Hasher};
+
+/// An eye that makes a number of what it sees: two independent 64-bit mixes (the finalizer of
+/// MurmurHash3 over a running sum, with other constants for each).
+pub struct Finger {
+    one: u64,
+    two: u64,
+    now: Micros,
+    /// Numbers that are in use, in order: with the reduction a name is its rank.
+    names: Option<(Vec<MsgId>, Vec<EndpointId>)>,
+}
+
+fn mix(mut z: u64) -> u64 {
+    z = (z ^ (z >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    z = (z ^ (z >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    z ^ (z >> 33)
+}
+
+impl Finger {
+    /// Names and times as they are.
+    pub fn plain() -> Self {
+        Finger { one: 0x9E37_79B9_7F4A_7C15, two: 0x2545_F491_4F6C_DD1D, now: 0, names: None }
+    }
+
+    /// Names by rank among these, which are in order, and times against the present.
+    pub fn reduced(messages: Vec<MsgId>, endpoints: Vec<EndpointId>) -> Self {
+        Finger { names: Some((messages, endpoints)), ..Finger::plain() }
+    }
+
+    pub fn begin(&mut self, now: Micros) {
+        if self.names.is_some() {
+            self.now = now;
+        } else {
+            self.word(now);
+        }
+    }
+
+    pub fn hash(&mut self, value: &impl Hash) {
+        value.hash(self);
+    }
+
+    pub fn done(&self) -> u128 {
+        u128::from(mix(self.one)) << 64 | u128::from(mix(self.two))
+    }
+}
+
+impl Eye for Finger {
+    fn word(&mut self, word: u64) {
+        self.one = mix(self.one ^ word).wrapping_add(0x9E37_79B9_7F4A_7C15);
+        self.two =
+            (self.two.rotate_left(23) ^ word).wrapping_mul(0x9FB2_1C65_1E98_DF25).rotate_left(31) ^ self.one;
+    }
+
+    fn time(&mut self, at: Micros) {
+        match at {
+            0 | Micros::MAX => self.word(at),
+            _ => self.word(at.wrapping_sub(self.now).wrapping_add(1 << 62)),
+        }
+    }
+
+    fn message(&mut self, id: MsgId) {
+        let rank = self.names.as_ref().and_then(|(m, _)| m.binary_search(&id).ok());
+        self.word(rank.map_or(id.wrapping_add(1 << 40), |n| n as u64));
+    }
+
+    fn endpoint(&mut self, id: EndpointId) {
+        let rank = self.names.as_ref().and_then(|(_, e)| e.binary_search(&id).ok());
+        self.word(rank.map_or(u64::from(id) + (1 << 40), |n| n as u64));
+    }
+}
+
+impl Hasher for Finger {
+    fn finish(&self) -> u64 {
+        mix(self.one)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for chunk in bytes.chunks(8) {
+            let mut word = [0; 8];
+            word[..chunk.len()].copy_from_slice(chunk);
+            self.word(u64::from_le_bytes(word));
+        }
+        self.word(bytes.len() as u64);
+    }
+
+    fn write_u8(&mut self, n: u8) {
+        self.word(n.into());
+    }
+    fn write_u32(&mut self, n: u32) {
+        self.word(n.into());
+    }
+    fn write_u64(&mut self, n: u64) {
+        self.word(n);
+    }
+    fn write_usize(&mut self, n: usize) {
+        self.word(n as u64);
+    }
+    fn write_isize(&mut self, n: isize) {
+        self.word(n as u64);
+    }
+}
--- /dev/null
+++ b/explore/src/main.rs
@@ -0,0 +1,348 @@
+//! The command: `check`, `replay`, `shrink`, `list`, `states`.
+
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use quillmount_explore::case::{Case, Event};
+use quillmount_explore::choice::Move;
+use quillmount_explore::monitor::{Property, Violation};
+use quillmount_explore::search::{Bounds, Found, Verdict, play, search};
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Files of another version mean other moves.
+const VERSION: u32 = 1;
+
+const HOLDS: u8 = 0;
+const BROKEN: u8 = 1;
+const USAGE: u8 = 2;
+const STOPPED: u8 = 3;
+
+/// Explores every order of events on the courier's own code, in small cases.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Search a case to its end: exit 0 it holds, 1 a counterexample, 3 stopped before the end.
+    Check(Check),
+    /// Play a counterexample: exit 1 where it breaks the same property, 0 where it breaks none.
+    Replay { file: PathBuf },
+    /// Leave out moves that a counterexample does not need.
+    Shrink { file: PathBuf },
+    /// The properties, the events and the deliberate breaks.
+    List,
+    /// The state machines' tables.
+    States {
+        /// As Graphviz graphs.
+        #[arg(long)]
+        dot: bool,
+    },
+}
+
+#[derive(Args)]
+struct Check {
+    #[arg(long, default_value_t = 2)]
+    endpoints: u8,
+    #[arg(long, default_value_t = 1)]
+    destinations: u8,
+    #[arg(long, default_value_t = 2)]
+    messages: u8,
+    /// Lives of the courier: kills and planned stops are one less.
+    #[arg(long, default_value_t = 1)]
+    lives: u8,
+    #[arg(long, default_value_t = 2)]
+    attempts: u32,
+    #[arg(long, default_value_t = 4)]
+    slots: u32,
+    #[arg(long, default_value_t = 20)]
+    open_cap: u32,
+    /// Events that may happen beside the kind ones; `list` names them.
+    #[arg(long, value_delimiter = ',', default_values_t = ["refuse".to_string(), "timeout".into(), "drain".into()])]
+    events: Vec<String>,
+    /// At most so many of them on one path.
+    #[arg(long)]
+    faults: Option<u32>,
+    /// Do not stop the clock just before and after each moment that counts.
+    #[arg(long)]
+    no_edges: bool,
+    #[arg(long, default_value_t = 16_000)]
+    time_left: u32,
+    #[arg(long, default_value_t = 6_000)]
+    span: u32,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
+    /// The longest that the search may take, as in 300s or 5m.
+    #[arg(long, default_value = "300s", value_parser = span)]
+    time: Duration,
+    /// Megabytes of memory at most.
+    #[arg(long, default_value_t = 4_096)]
+    memory: u64,
+    /// Tell apart what differs in names or in the clock's zero only.
+    #[arg(long)]
+    no_reduction: bool,
+    /// Where a counterexample is written.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// A deliberate break of the code, where the program was built with them.
+    #[arg(long = "break")]
+    broken: Option<String>,
+}
+
+fn span(text: &str) -> Result<Duration, String> {
+    let (number, unit) = text.split_at(text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len()));
+    let number: u64 = number.parse().map_err(|_| format!("{text:?} is no span"))?;
+    match unit {
+        "s" | "" => Ok(Duration::from_secs(number)),
+        "m" => Ok(Duration::from_secs(number * 60)),
+        "ms" => Ok(Duration::from_millis(number)),
+        _ => Err(format!("{text:?} has no unit of s, m or ms")),
+    }
+}
+
+/// A counterexample as it is kept.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    version: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    broken: Option<String>,
+    case: Case,
+    violation: Violation,
+    path: Vec<Move>,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Check(check) => run(check),
+        Command::Replay { file } => replay(&file),
+        Command::Shrink { file } => shrink(&file),
+        Command::List => {
+            list();
+            Ok(HOLDS)
+        }
+        Command::States { dot } => {
+            for table in quillmount_core::machine::tables() {
+                println!("{}", if dot { table.dot() } else { table.markdown() });
+            }
+            Ok(HOLDS)
+        }
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            eprintln!("quillmount-explore: {e}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn events(names: &[String]) -> Result<std::collections::BTreeSet<Event>, String> {
+    use clap::ValueEnum;
+    let named = names.iter().filter(|name| !name.is_empty() && *name != "none");
+    named
+        .map(|name| Event::from_str(name, false).map_err(|_| format!("--events: no event is named {name:?}")))
+        .collect()
+}
+
+fn run(check: Check) -> Result<u8, String> {
+    let case = Case {
+        endpoints: check.endpoints,
+        destinations: check.destinations,
+        messages: check.messages,
+        lives: check.lives,
+        attempts: check.attempts,
+        slots: check.slots,
+        open_cap: check.open_cap,
+        events: events(&check.events)?,
+        faults: check.faults,
+        edges: !check.no_edges,
+        time_left: check.time_left,
+        span: check.span,
+        seed: check.seed,
+    };
+    case.check().map_err(|e| format!("--{e}"))?;
+    let case = Arc::new(case);
+    set_break(check.broken.as_deref())?;
+    let bounds = Bounds {
+        threads: check.threads.clamp(1, 256),
+        time: check.time,
+        memory: check.memory * 1_000_000,
+        reduction: !check.no_reduction,
+    };
+    let bar = ProgressBar::new_spinner();
+    bar.set_style(
+        ProgressStyle::with_template("{spinner} {msg}").unwrap_or_else(|_| ProgressStyle::default_spinner()),
+    );
+    let found = search(&case, &bounds, |p| {
+        bar.set_message(format!(
+            "depth {}, {} states, {:.0} a second, {} in the queue, {} MB",
+            p.depth,
+            p.states,
+            p.states as f64 / p.seconds.max(1e-6),
+            p.queue,
+            p.memory / 1_000_000
+        ));
+        bar.tick();
+    })?;
+    bar.finish_and_clear();
+    println!("{}", figures(&found));
+    match found.verdict {
+        Verdict::Holds => {
+            println!("holds: every order of these events keeps every property");
+            Ok(HOLDS)
+        }
+        Verdict::Stopped(why) => {
+            println!("stopped: the {why} was up before the end; nothing is said of what was not reached");
+            Ok(STOPPED)
+        }
+        Verdict::Broken { path, violation } => {
+            story(&case, &path)?;
+            let file =
+                File { version: VERSION, broken: check.broken, case: (*case).clone(), violation, path };
+            if let Some(to) = check.json {
+                write(&to, &file)?;
+            }
+            Ok(BROKEN)
+        }
+    }
+}
+
+fn figures(found: &Found) -> String {
+    format!(
+        "{} states, {} moves, depth {}, {:.1} s, {:.0} states a second, {} MB at most",
+        found.states,
+        found.moves,
+        found.depth,
+        found.seconds,
+        found.states as f64 / found.seconds.max(1e-6),
+        found.memory / 1_000_000
+    )
+}
+
+/// Tells a path move by move, and the state around its break.
+fn story(case: &Arc<Case>, path: &[Move]) -> Result<Option<Violation>, String> {
+    let mut lines = Vec::new();
+    let broken = play(case, path, |n, m, world| {
+        println!("{:3}. {:>12.6} s  {m}", n + 1, world.now() as f64 / 1e6);
+        lines = world.describe();
+    })?;
+    lines.iter().for_each(|line| println!("     {line}"));
+    match broken {
+        Some((n, violation)) => {
+            println!("broken at move {}: {violation}", n + 1);
+            Ok(Some(violation))
+        }
+        None => {
+            println!("nothing is broken on this path");
+            Ok(None)
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<File, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let value: serde_json::Value =
+        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    match value.get("version").and_then(serde_json::Value::as_u64) {
+        Some(version) if version == u64::from(VERSION) => {}
+        Some(version) => {
+            return Err(format!(
+                "{}: version: {version}, where this program writes {VERSION}",
+                path.display()
+            ));
+        }
+        None => return Err(format!("{}: version: missing", path.display())),
+    }
+    let file: File = serde_json::from_value(value).map_err(|e| format!("{}: {e}", path.display()))?;
+    file.case.check().map_err(|e| format!("{}: case: {e}", path.display()))?;
+    Ok(file)
+}
+
+fn write(path: &Path, file: &File) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(file).map_err(|e| e.to_string())?;
+    std::fs::write(path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))?;
+    println!("written to {}", path.display());
+    Ok(())
+}
+
+fn replay(path: &Path) -> Result<u8, String> {
+    let file = read(path)?;
+    set_break(file.broken.as_deref())?;
+    let broken = story(&Arc::new(file.case), &file.path)?;
+    match broken {
+        Some(violation) if violation.property == file.violation.property => Ok(BROKEN),
+        Some(violation) => {
+            println!("the file has another one: {}", file.violation);
+            Ok(if violation.property == file.violation.property { BROKEN } else { USAGE })
+        }
+        None => Ok(HOLDS),
+    }
+}
+
+/// Tries to leave out each move, again and again, as long as the same property breaks.
+fn shrink(path: &Path) -> Result<u8, String> {
+    let mut file = read(path)?;
+    set_break(file.broken.as_deref())?;
+    let case = Arc::new(file.case.clone());
+    let breaks = |moves: &[Move]| match play(&case, moves, |_, _, _| {}) {
+        Ok(Some((n, violation))) if violation.property == file.violation.property => Some((n + 1, violation)),
+        _ => None,
+    };
+    let Some((length, violation)) = breaks(&file.path) else {
+        println!("nothing is broken on this path");
+        return Ok(HOLDS);
+    };
+    let before = file.path.len();
+    let mut moves = file.path[..length].to_vec();
+    let mut last = violation;
+    let mut n = moves.len();
+    while n > 0 {
+        n -= 1;
+        let mut shorter = moves.clone();
+        shorter.remove(n);
+        if let Some((length, violation)) = breaks(&shorter) {
+            shorter.truncate(length);
+            (moves, last) = (shorter, violation);
+            n = n.min(moves.len());
+        }
+    }
+    println!("{before} moves, {} of them needed", moves.len());
+    (file.path, file.violation) = (moves, last);
+    story(&case, &file.path)?;
+    write(path, &file)?;
+    Ok(BROKEN)
+}
+
+fn list() {
+    use clap::ValueEnum;
+    println!("properties:");
+    Property::ALL.iter().for_each(|(p, about)| println!("  {:14} {about}", p.name()));
+    println!("events:");
+    for event in Event::value_variants() {
+        if let Some(value) = event.to_possible_value() {
+            println!(
+                "  {:14} {}",
+                value.get_name(),
+                value.get_help().map(ToString::to_string).unwrap_or_default()
+            );
+        }
+    }
+    println!("breaks (built with --features breaks):");
+    spurshore::breaks::ALL.iter().for_each(|(name, about)| println!("  {name:24} {about}"));
+}
+
+fn set_break(name: Option<&str>) -> Result<(), String> {
+    match name {
+        None => Ok(()),
+        Some(name) => spurshore::breaks::set(name).map_err(|e| format!("--break: {e}")),
+    }
+}
--- /dev/null
+++ b/explore/src/monitor.rs
@@ -0,0 +1,279 @@
+//! What the outside sees of a courier, and the properties that it must keep. It shares no code with what
+//! it judges, and believes bytes and times only.
+
+use crate::case::{CLASSES, Case};
+use quillmount_core::Ending;
+use serde::{Deserialize, Serialize};
+use spurshore::Micros;
+use std::collections::BTreeMap;
+
+/// What must hold; `docs/exploration.md` words them at length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Property {
+    FinalAnswer,
+    NoRepeat,
+    Drain,
+    Wait,
+    Unchanged,
+    Kept,
+    Liveness,
+}
+
+impl Property {
+    pub const ALL: [(Property, &'static str); 7] = [
+        (
+            Property::FinalAnswer,
+            "one final answer for each message taken on, in time; none for one that was not",
+        ),
+        (
+            Property::NoRepeat,
+            "no debit sent while an earlier attempt may have run; no notice outside its key's span",
+        ),
+        (Property::Drain, "no first byte to an endpoint later than 1 s after its drain was told"),
+        (Property::Wait, "no call to a destination during a wait that it told"),
+        (Property::Unchanged, "id, key, body and destination as handed in; attempts, slots and holding kept"),
+        (Property::Kept, "what was answered 202 is in the store, and every prefix is read back"),
+        (Property::Liveness, "if the world turns kind, everything owed ends and every table empties"),
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Property::FinalAnswer => "final-answer",
+            Property::NoRepeat => "no-repeat",
+            Property::Drain => "drain",
+            Property::Wait => "wait",
+            Property::Unchanged => "unchanged",
+            Property::Kept => "kept",
+            Property::Liveness => "liveness",
+        }
+    }
+}
+
+/// A property that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{}: {what}", .property.name())]
+pub struct Violation {
+    pub property: Property,
+    pub what: String,
+}
+
+pub fn broken<T>(property: Property, what: String) -> Result<T, Violation> {
+    Err(Violation { property, what })
+}
+
+/// Time limits of the rules are longer on sockets by this.
+const SLACK: Micros = 50_000;
+/// The final answer may come so long after the message's time.
+const ANSWER_LATE: Micros = 300_000;
+/// Nothing new goes to an endpoint so long after its drain was told.
+const DRAIN_LATE: Micros = 1_000_000;
+/// Calls that come so soon after a wait was told are let through.
+const WAIT_LATE: Micros = 100_000;
+/// A restarted courier's notices are not overdue before this long after it is ready.
+const READY_LATE: Micros = 1_500_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Taken {
+    No,
+    /// Its record is whole, and the consumer never heard of it.
+    Unheard,
+    /// The consumer has its 202.
+    Heard,
+}
+
+/// One call as its provider sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Sent {
+    pub attempt: u32,
+    pub first: Micros,
+    /// When its last byte was written: from then on it may run.
+    pub last: Option<Micros>,
+    /// An answer proves that it did not.
+    pub never: bool,
+    /// Neither answered nor ended.
+    pub open: bool,
+}
+
+impl Sent {
+    fn may_have_run(&self) -> bool {
+        self.last.is_some() && !self.never
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Seen {
+    pub class: u8,
+    pub dest: u64,
+    pub key: u64,
+    pub deadline: Micros,
+    pub taken: Taken,
+    pub sent: Vec<Sent>,
+    /// What the platform was told of its end.
+    pub notice: Option<Ending>,
+    /// A provider has said 200.
+    pub delivered: bool,
+    /// A provider has said that it is over.
+    pub over: bool,
+    /// The courier has read one of these words, and lived to note it.
+    pub settled: bool,
+}
+
+impl Seen {
+    pub fn is_final(&self) -> bool {
+        self.notice.is_some() || self.delivered || self.over
+    }
+
+    /// The first send that may have run.
+    pub fn first_maybe(&self) -> Option<&Sent> {
+        self.sent.iter().find(|s| s.may_have_run())
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Monitor {
+    pub messages: Vec<Seen>,
+    /// When each provider's drain was told.
+    pub drains: BTreeMap<u8, Micros>,
+    /// The wait that each destination told last: from when, until when.
+    pub waits: BTreeMap<u64, (Micros, Micros)>,
+    /// No notice is overdue before.
+    pub excused: Micros,
+}
+
+impl Monitor {
+    pub fn first_byte(
+        &mut self,
+        case: &Case,
+        now: Micros,
+        message: usize,
+        attempt: u32,
+        provider: u8,
+    ) -> Result<(), Violation> {
+        if let Some(told) = self.drains.get(&provider).filter(|told| now > **told + DRAIN_LATE) {
+            return broken(
+                Property::Drain,
+                format!("m{message} goes to provider {provider} {} us after its drain was told", now - told),
+            );
+        }
+        let out = self.messages.iter().flat_map(|m| &m.sent).filter(|s| s.open).count();
+        if out >= case.slots as usize {
+            return broken(
+                Property::Unchanged,
+                format!("m{message} is sent with all {} slots taken", case.slots),
+            );
+        }
+        let m = &mut self.messages[message];
+        if m.sent.len() >= case.attempts as usize {
+            return broken(
+                Property::Unchanged,
+                format!("m{message} is sent more than {} times", case.attempts),
+            );
+        }
+        if m.sent.iter().any(|s| s.attempt == attempt) {
+            return broken(Property::Unchanged, format!("call {attempt} of m{message} is made twice"));
+        }
+        m.sent.push(Sent { attempt, first: now, last: None, never: false, open: true });
+        Ok(())
+    }
+
+    pub fn last_byte(
+        &mut self,
+        case: &Case,
+        now: Micros,
+        message: usize,
+        attempt: u32,
+    ) -> Result<(), Violation> {
+        let m = &mut self.messages[message];
+        let dest = m.dest;
+        if let Some((from, until)) =
+            self.waits.get(&dest).filter(|(from, until)| now > from + WAIT_LATE && now < *until)
+        {
+            return broken(
+                Property::Wait,
+                format!(
+                    "m{message} reaches destination {dest} {} us into its wait of {} us",
+                    now - from,
+                    until - from
+                ),
+            );
+        }
+        if let Some(first) = m.first_maybe() {
+            let (since, n) = (now - first.first, first.attempt);
+            if m.class == 0 {
+                return broken(
+                    Property::NoRepeat,
+                    format!("call {attempt} of m{message}, a debit, while call {n} may have run"),
+                );
+            }
+            if since > case.span() {
+                return broken(
+                    Property::NoRepeat,
+                    format!("call {attempt} of m{message} {since} us after call {n}, which may have run"),
+                );
+            }
+        }
+        let sent = m.sent.iter_mut().find(|s| s.attempt == attempt);
+        sent.into_iter().for_each(|s| s.last = Some(now));
+        Ok(())
+    }
+
+    /// A provider has answered, or the connection of a call has ended.
+    pub fn over(&mut self, message: usize, attempt: u32, never: bool) {
+        for s in self.messages[message].sent.iter_mut().filter(|s| s.attempt == attempt) {
+            (s.never, s.open) = (s.never || never, false);
+        }
+    }
+
+    /// The platform gets a notice.
+    pub fn notice(&mut self, message: usize, ending: Ending) -> Result<(), Violation> {
+        let m = &mut self.messages[message];
+        if m.taken == Taken::No {
+            return broken(Property::FinalAnswer, format!("a notice for m{message}, which was not taken on"));
+        }
+        if let Some(before) = m.notice.filter(|before| *before != ending) {
+            return broken(Property::FinalAnswer, format!("m{message} ends as {ending:?} after {before:?}"));
+        }
+        if matches!(ending, Ending::Deferred(_)) && m.class == 0 {
+            if let Some(maybe) = m.first_maybe() {
+                let n = maybe.attempt;
+                return broken(
+                    Property::NoRepeat,
+                    format!("m{message}, a debit, is deferred though call {n} may have run"),
+                );
+            }
+        }
+        m.notice = Some(ending);
+        Ok(())
+    }
+
+    /// All calls that were out have lost their connections.
+    pub fn died(&mut self) {
+        self.messages.iter_mut().flat_map(|m| &mut m.sent).for_each(|s| s.open = false);
+        self.waits.clear();
+    }
+
+    pub fn ready(&mut self, now: Micros) {
+        self.excused = self.excused.max(now + READY_LATE);
+    }
+
+    /// When the end of a message is overdue.
+    pub fn overdue(&self, m: &Seen) -> Micros {
+        (m.deadline + ANSWER_LATE + SLACK).max(self.excused)
+    }
+
+    /// What must hold at every moment.
+    pub fn check(&self, now: Micros) -> Result<(), Violation> {
+        for (n, m) in self.messages.iter().enumerate() {
+            if m.taken == Taken::Heard && !m.is_final() && now > self.overdue(m) {
+                let late = now.saturating_sub(m.deadline);
+                let class = CLASSES[m.class as usize];
+                return broken(
+                    Property::FinalAnswer,
+                    format!("m{n}, a {class}, has no end {late} us after its time"),
+                );
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -95,6 +95,22 @@
         self.wake
     }
 
+    /// Shows an eye all that decides.
+    pub fn see(&self, eye: &mut impl crate::Eye) {
+        let Facade { dispatcher, calls, wake } = self;
+        dispatcher.see(eye);
+        for (id, n) in calls {
+            eye.message(*id);
+            eye.word((*n).into());
+        }
+        eye.time(wake.unwrap_or(Micros::MAX));
+    }
+
+    /// From here on draws come from this seed.
+    pub fn reseed(&mut self, seed: u64) {
+        self.dispatcher.reseed(seed);
+    }
+
     fn step(&mut self, now: Micros, event: Event) -> Vec<Order> {
         let actions = self.dispatcher.step(now, &[event]);
         actions.into_iter().filter_map(|action| self.order(now, action)).collect()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,10 +27,13 @@
 //! number is in use or whose class or tenant the settings lack, and any event that came before.
 //! A clock that runs backwards counts as standing still.
 
+pub mod breaks;
 mod facade;
 mod interface;
 mod rules;
+mod seen;
 
 pub use facade::{Facade, Order, Report};
 pub use interface::*;
 pub use rules::Dispatcher;
+pub use seen::Eye;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,8 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod seen;
+
 const SEC: Micros = 1_000_000;
 const NEVER: Micros = Micros::MAX;
 
