Serve a due wake-up with any step, so that none is lost

Cause: the facade kept the earliest wake-up. Where another event happened at or after the time of one, before its tick, the dispatcher took that wake-up for served and asked for a later one; the facade kept the old time, and the tick there took both away. A message that was held then waited for the next event of any kind, past its time if none came. A loaded loop makes this likely, since its timers are late.

Change: every step of the facade drops a wake-up that is due.

Ruled out: the dispatcher's own timer, which was right in every step.

--- a/src/facade.rs
+++ b/src/facade.rs
@@ -74,9 +74,6 @@
 
     /// Time has passed; due at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Order> {
-        if self.wake.is_some_and(|at| at <= now) {
-            self.wake = None;
-        }
         self.step(now, Event::Timer { tag: 0 })
     }
 
@@ -112,6 +109,11 @@
     }
 
     fn step(&mut self, now: Micros, event: Event) -> Vec<Order> {
+        // Any step serves a wake-up that is due, and the dispatcher then asks for its next one: kept
+        // beside that, the old time would hide it, and the tick at the old time would take both away.
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+        }
         let actions = self.dispatcher.step(now, &[event]);
         actions.into_iter().filter_map(|action| self.order(now, action)).collect()
     }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -59,3 +59,27 @@
     assert!(matches!(f.pick(NOW + SEC, message(2, 2))[..], [Order::Call { .. }]));
     assert!(!f.pick(NOW + 3 * SEC, message(3, 2)).iter().any(|o| matches!(o, Order::Call { .. })));
 }
+
+/// Guards against a lost wake-up: something else happens at the very time for which a wake-up is set, and
+/// the module asks for its next one beside it. A message then waited past its time for the next event.
+#[test]
+fn a_step_at_the_time_of_a_wake_up_takes_no_later_one_away() {
+    let failed = |msg, attempt| Report {
+        msg,
+        attempt,
+        outcome: Outcome::ConnectFailed,
+        elapsed: 9,
+        finished: false,
+        wait: 0,
+    };
+    let mut f = facade();
+    f.pick(NOW, message(1, 2));
+    f.report(NOW, failed(1, 0));
+    assert!(f.report(NOW, failed(1, 1)).is_empty(), "a pause after two failures");
+    let wake = f.wake_at().unwrap();
+    let again = f.pick(wake, message(2, 2));
+    let Some(Order::Call { msg, attempt, .. }) = again.first() else { panic!("{again:?}") };
+    f.report(wake, failed(*msg, *attempt));
+    f.tick(wake);
+    assert!(f.wake_at().is_some_and(|at| at > wake), "two messages are held: {:?}", f.wake_at());
+}
