Break off a call that is being written when its destination tells to wait

Cause: a call counts once its last byte has come. One whose bytes went out slowly was written on while another call to the same destination was told to wait, so that it came within the wait.

Change: an attempt that is not wholly written is held back by a wait: its connection is closed before the last byte, which proves that it never ran, and the module sends it again after the wait. Nothing changes for a drain: there a send counts from its first byte.

--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -64,7 +64,7 @@
     GiveUp,
     /// The provider drains or is gone.
     Shut,
-    /// Its destination has told to wait.
+    /// Its destination has told another call to wait.
     Hold,
     Tick,
 }
@@ -154,6 +154,8 @@
             (Writing { written }, Input::Wrote { bytes, .. }) => {
                 self.goes(Writing { written: written + bytes }, Link::Nothing)
             }
+            // A call counts once its last byte has come: written on now, it would come within the wait.
+            (Writing { .. }, Input::Hold) => self.end(Link::Close, CallEnd::HeldBack),
             // Only a write that failed proves, from here on, that the call never ran.
             (Writing { .. }, Input::WriteFailed) => self.end(Link::Close, CallEnd::CouldNotConnect),
             (Awaiting | Reading { .. }, Input::Read) => self.read(now),
