Keep what has not left of a call from leaving once its message has ended

Cause: a message ends at its deadline while a call for it may still be connecting or half written. Where the connection came up in that very moment, the call went out after the end was noted and told.

Change: the end of a message is told to its calls; one that is not wholly written is held back. On sockets that word goes before a connect or a write that is ready, and behind an answer that is.

--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -15,7 +15,7 @@
 pub enum Do<C> {
     /// Begin an attempt, with a machine of its own.
     Begin(InvokerCall),
-    /// Tell an attempt that is out: `GiveUp`, `Shut` or `Hold`.
+    /// Tell an attempt that is out: `GiveUp`, `Ended`, `Shut` or `Hold`.
     Tell(CallId, Input),
     /// Close these connections, which rested.
     Close(Vec<C>),
@@ -100,6 +100,7 @@
                     steps.extend(self.router.call_ended(call, CallEnd::HeldBack, now));
                 }
                 Step::GiveUp(call) => todo.push(Do::Tell(call, Input::GiveUp)),
+                Step::Ended(call) => todo.push(Do::Tell(call, Input::Ended)),
                 Step::Forget(provider) => close(&mut todo, self.pool.forget(provider)),
                 Step::CloseIdle(provider) => close(&mut todo, self.pool.close_idle(provider)),
                 Step::Gate { provider, open } => {
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -62,6 +62,8 @@
     /// The time of the call is up.
     Deadline,
     GiveUp,
+    /// The message has its end, and what has not left of the call is to stay.
+    Ended,
     /// The provider drains or is gone.
     Shut,
     /// Its destination has told another call to wait.
@@ -146,6 +148,7 @@
             (New, Input::Start { open: false, .. }) => self.end(Link::Nothing, CallEnd::HeldBack),
             (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
             (New, Input::Start { .. }) => self.goes(Connecting, Link::Open),
+            (New | Connecting | Writing { .. }, Input::Ended) => self.end(Link::Close, CallEnd::HeldBack),
             (New, Input::GiveUp) => self.end(Link::Nothing, CallEnd::GivenUp),
             (New, _) => NOTHING,
             // Later its provider may not drop a repeat any more.
@@ -295,6 +298,7 @@
             ("reset", "the connection was reset", (Input::Reset, "")),
             ("deadline", "the time of the call is up", (Input::Deadline, "")),
             ("give up", "the module calls it off", (Input::GiveUp, "")),
+            ("ended", "its message has its end", (Input::Ended, "")),
             ("shut", "the provider drains or is gone", (Input::Shut, "")),
             ("hold", "its destination told another call to wait", (Input::Hold, "")),
             ("tick", "the time that the state waits for has come", (Input::Tick, "")),
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -46,6 +46,8 @@
     /// The call has no record and stays where it is; it is to be reported as held back.
     NotWritten(CallId),
     GiveUp(CallId),
+    /// The message of a call that is out has its end: what has not left of the call is to stay.
+    Ended(CallId),
     CloseIdle(u32),
     /// The provider is gone for good.
     Forget(u32),
@@ -484,6 +486,8 @@
         self.notices.push_back(msg);
         self.write(&Record::End { msg, end: ending.into() }, now);
         steps.push(Step::Notify);
+        let calls = CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX };
+        steps.extend(self.out.range(calls).map(|(call, _)| Step::Ended(*call)));
     }
 
     /// Delivered, or over by the provider's word: nothing more is owed.
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -25,6 +25,7 @@
 pub struct Words {
     give_up: Cell<bool>,
     hold: Cell<bool>,
+    ended: Cell<bool>,
     said: Notify,
 }
 
@@ -34,6 +35,7 @@
         match input {
             Input::GiveUp => self.give_up.set(true),
             Input::Hold => self.hold.set(true),
+            Input::Ended => self.ended.set(true),
             _ => return,
         }
         self.said.notify_one();
@@ -45,6 +47,10 @@
             if self.give_up.get() {
                 return Input::GiveUp;
             }
+            let unsent = matches!(state, State::Connecting | State::Writing { .. });
+            if unsent && self.ended.get() {
+                return Input::Ended;
+            }
             if matches!(state, State::Writing { .. }) && self.hold.take() {
                 return Input::Hold;
             }
@@ -87,6 +93,8 @@
         let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
                 biased;
+                // The word first: it may keep the call from leaving.
+                word = words.heard(state) => word,
                 stream = timeout(courier.connect, connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
                         told = courier.pool(|pool| call.connected(pool, stream, clock.now()));
@@ -94,18 +102,17 @@
                     }
                     None => Input::Refused,
                 },
-                word = words.heard(state) => word,
                 () = &mut deadline => Input::Deadline,
                 () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
             },
             (State::Writing { written }, Some((stream, _))) => {
                 tokio::select! {
                     biased;
+                    word = words.heard(state) => word,
                     wrote = stream.write(&request[written..]) => match wrote {
                         Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: request.len() - written - bytes },
                         _ => Input::WriteFailed,
                     },
-                    word = words.heard(state) => word,
                     () = &mut deadline => Input::Deadline,
                     () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
                 }
--- a/explore/src/monitor.rs
+++ b/explore/src/monitor.rs
@@ -234,14 +234,15 @@
         if let Some(before) = m.notice.filter(|before| *before != ending) {
             return broken(Property::FinalAnswer, format!("m{message} ends as {ending:?} after {before:?}"));
         }
-        if matches!(ending, Ending::Deferred(_)) && m.class == 0 {
-            if let Some(maybe) = m.first_maybe() {
-                let n = maybe.attempt;
-                return broken(
-                    Property::NoRepeat,
-                    format!("m{message}, a debit, is deferred though call {n} may have run"),
-                );
-            }
+        if matches!(ending, Ending::Deferred(_))
+            && m.class == 0
+            && let Some(maybe) = m.first_maybe()
+        {
+            let n = maybe.attempt;
+            return broken(
+                Property::NoRepeat,
+                format!("m{message}, a debit, is deferred though call {n} may have run"),
+            );
         }
         m.notice = Some(ending);
         Ok(())
--- a/explore/src/search.rs
+++ b/explore/src/search.rs
@@ -219,10 +219,8 @@
                         }
                         index += 1;
                     });
-                    if !any {
-                        if let Err(violation) = world.at_rest() {
-                            bad.lock().expect("as above").push((*id, u16::MAX, violation));
-                        }
+                    if !any && let Err(violation) = world.at_rest() {
+                        bad.lock().expect("as above").push((*id, u16::MAX, violation));
                     }
                 }
             }
@@ -319,10 +317,10 @@
             return Ok(Some((n, violation)));
         }
     }
-    if world.choices().is_empty() {
-        if let Err(violation) = world.at_rest() {
-            return Ok(Some((path.len().saturating_sub(1), violation)));
-        }
+    if world.choices().is_empty()
+        && let Err(violation) = world.at_rest()
+    {
+        return Ok(Some((path.len().saturating_sub(1), violation)));
     }
     Ok(None)
 }
