Tell an end only once its record is written

Cause: where the disk refused the record of an end, the notice went out all the same. A kill then forgot the end: the next life chose another one, or sent the message again, after the platform had been told that handing it in again is harmless.

Change: an end whose record is refused is written again every 50 ms, and told once it is. At the message's time it is told as undeliverable, with or without its record; a message that a start finds past its time ends so too, so that both lives say the same.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -26,6 +26,8 @@
 /// A provider that is gone is forgotten after this, if no call is out there: it may come back under its
 /// id, and its destination may have a new one by then.
 const GONE: Micros = 20_000_000;
+/// Between two tries to note an end that the store has refused: short against the 300 ms that an end has.
+const WRITE_AGAIN: Micros = 50_000;
 /// Ids of invocations that are over, remembered at most.
 const REMEMBERED: usize = 4_096;
 
@@ -130,6 +132,10 @@
     over_order: VecDeque<(String, Micros)>,
     out: BTreeMap<CallId, Out>,
     notices: VecDeque<MsgId>,
+    /// Ended, and the store has refused the record so far; told once it is written.
+    unwritten: VecDeque<MsgId>,
+    /// When the store is asked again.
+    write_at: Micros,
     next: MsgId,
     stopping: bool,
     /// The journal's words since the last steps.
@@ -169,6 +175,8 @@
             over_order: VecDeque::new(),
             out: BTreeMap::new(),
             notices: VecDeque::new(),
+            unwritten: VecDeque::new(),
+            write_at: Micros::MAX,
             next: book.next,
             stopping: false,
             notes,
@@ -200,6 +208,11 @@
                 router.end(msg, Ending::Undeliverable, now, &mut steps);
                 continue;
             };
+            if deadline <= now {
+                // Nothing can be delivered any more, and an end that the store refused may have been told.
+                router.end(msg, Ending::Undeliverable, now, &mut steps);
+                continue;
+            }
             let past = entry.calls.iter().map(|call| PastAttempt {
                 zone: call.zone,
                 sent: call.sent,
@@ -361,6 +374,7 @@
     /// Time has passed; wanted at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
+        self.write_again(now, &mut steps);
         let orders = self.facade.tick(now);
         self.carry_out(orders, now, &mut steps);
         self.say(&mut steps);
@@ -368,7 +382,32 @@
     }
 
     pub fn wake_at(&self) -> Option<Micros> {
-        self.facade.wake_at()
+        let again = (!self.unwritten.is_empty()).then_some(self.write_at);
+        self.facade.wake_at().into_iter().chain(again).min()
+    }
+
+    /// Notes the ends that the store has refused. Told without its record, an end would be forgotten by a
+    /// kill, and the next life would choose another, or send the message again.
+    fn write_again(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        if now < self.write_at {
+            return;
+        }
+        self.write_at = now.saturating_add(WRITE_AGAIN);
+        while let Some(msg) = self.unwritten.pop_front() {
+            let Some(owed) = self.owed.get_mut(&msg) else { continue };
+            let Some(ending) = owed.end else { continue };
+            // Its end is due. What is told now any next life tells too, since it finds the time up.
+            let due = now >= owed.deadline;
+            let ending = if due { Ending::Undeliverable } else { ending };
+            owed.end = Some(ending);
+            if !self.write(&Record::End { msg, end: ending.into() }, now) && !due {
+                self.unwritten.push_front(msg);
+                return;
+            }
+            self.notices.push_back(msg);
+            steps.push(Step::Notify);
+        }
+        self.write_at = Micros::MAX;
     }
 
     /// Takes nothing on any more; the process ends at `at`.
@@ -483,9 +522,13 @@
             Ending::Deferred(_) => self.counters.deferred += 1,
         }
         steps.push(Step::Note(Note::Ended { msg, ending }));
-        self.notices.push_back(msg);
-        self.write(&Record::End { msg, end: ending.into() }, now);
-        steps.push(Step::Notify);
+        if self.write(&Record::End { msg, end: ending.into() }, now) {
+            self.notices.push_back(msg);
+            steps.push(Step::Notify);
+        } else {
+            self.unwritten.push_back(msg);
+            self.write_at = self.write_at.min(now.saturating_add(WRITE_AGAIN));
+        }
         let calls = CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX };
         steps.extend(self.out.range(calls).map(|(call, _)| Step::Ended(*call)));
     }
@@ -495,6 +538,7 @@
         if self.owed.contains_key(&msg) {
             self.write(&Record::End { msg, end }, now);
             self.notices.retain(|n| *n != msg);
+            self.unwritten.retain(|n| *n != msg);
             self.over(msg, end);
         }
     }
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -9,7 +9,7 @@
         #[rustfmt::skip]
         let Router {
             facade, classes: _, kinds: _, zones: _, open_cap: _, provider_names, providers, version: _, heard,
-            journal: _, owed, ids: _, over, over_order, out, notices, next: _, stopping, notes: _, counters: _,
+            journal: _, owed, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
         [*heard, *stopping].into_iter().for_each(|f| eye.flag(f));
@@ -50,6 +50,9 @@
             eye.time(*sent);
         }
         notices.iter().for_each(|id| eye.message(*id));
+        eye.word(unwritten.len() as u64);
+        unwritten.iter().for_each(|id| eye.message(*id));
+        eye.time(*write_at);
     }
 
     /// From here on the module's draws come from this seed.
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -967,7 +967,7 @@
             eye.hash(&(m.class, m.dest, m.key, m.taken, m.notice, m.delivered, m.over, m.settled));
             eye.time(m.deadline);
             for s in &m.sent {
-                eye.hash(&(s.attempt, s.never, s.open, s.last.is_some()));
+                eye.hash(&(s.life, s.attempt, s.never, s.open, s.last.is_some()));
                 eye.time(s.first);
             }
         }
