Break the code on purpose in 26 ways, and find each by exploring it

Need: a check that can't fail proves nothing.

The search keeps six bytes a state and makes states again from their paths; the module's settings and the router's names are shared, not copied.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -5,6 +5,7 @@
 use crate::pool::Pool;
 use crate::{CallEnd, InvokerCall};
 use spurshore::Micros;
+use spurshore::breaks::{self, Break};
 
 /// A call that is out. `C` is a connection to a provider.
 #[derive(Clone, Debug)]
@@ -85,6 +86,8 @@
                 pool.keep(self.order.provider, self.order.addr, link, connection, now)
             }),
         };
+        let leaks = output.end.is_none() && breaks::on(Break::PoolLeak);
+        self.counts &= !(leaks && output.link == Todo::Close);
         if self.counts && (output.end.is_some() || output.link == Todo::Close) {
             pool.end();
             self.counts = false;
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -8,6 +8,7 @@
 use crate::store::Store;
 use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
 use spurshore::Micros;
+use spurshore::breaks::{self, Break};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What the driver is to do, in order.
@@ -96,6 +97,7 @@
                     self.calls.insert(call.call, call.provider);
                     todo.push(Do::Begin(call));
                 }
+                Step::NotWritten(_) if breaks::on(Break::HeldBackLost) => {}
                 Step::NotWritten(call) => {
                     steps.extend(self.router.call_ended(call, CallEnd::HeldBack, now));
                 }
@@ -104,11 +106,13 @@
                 Step::Forget(provider) => close(&mut todo, self.pool.forget(provider)),
                 Step::CloseIdle(provider) => close(&mut todo, self.pool.close_idle(provider)),
                 Step::Gate { provider, open } => {
+                    let open = open || breaks::on(Break::IgnoreDrain);
                     close(&mut todo, self.pool.gate(provider, open));
                     if !open {
                         self.tell_all(provider, Input::Shut, &mut todo);
                     }
                 }
+                Step::Hold { .. } if breaks::on(Break::IgnoreWait) => {}
                 Step::Hold { provider, until } => {
                     self.pool.hold(provider, until);
                     self.tell_all(provider, Input::Hold, &mut todo);
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use spurshore::breaks::{self, Break};
 use spurshore::{Micros, MsgId};
 use std::collections::BTreeMap;
 use std::io;
@@ -234,7 +235,7 @@
         let bytes = journal.store.read().map_err(io("read"))?;
         let mut book = Book::default();
         let sound = decode(&bytes, &mut book);
-        if sound < bytes.len() {
+        if sound < bytes.len() && !breaks::on(Break::TornKept) {
             notes.push(Note::Torn(bytes.len() - sound));
             // A record behind a torn one would never be read again.
             journal.compact(now, notes)?;
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -3,6 +3,7 @@
 use super::Machine;
 use crate::CallEnd;
 use spurshore::Micros;
+use spurshore::breaks::{self, Break};
 
 /// An answer that has begun comes whole within this; providers write it in one go.
 pub const REST: Micros = 100_000;
@@ -148,6 +149,7 @@
             (New, Input::Start { open: false, .. }) => self.end(Link::Nothing, CallEnd::HeldBack),
             (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
             (New, Input::Start { .. }) => self.goes(Connecting, Link::Open),
+            (_, Input::Ended) if breaks::on(Break::SendAfterEnd) => NOTHING,
             (New | Connecting | Writing { .. }, Input::Ended) => self.end(Link::Close, CallEnd::HeldBack),
             (New, Input::GiveUp) => self.end(Link::Nothing, CallEnd::GivenUp),
             (New, _) => NOTHING,
@@ -166,7 +168,9 @@
                 self.goes(Writing { written: written + bytes }, Link::Nothing)
             }
             // A call counts once its last byte has come: written on now, it would come within the wait.
-            (Writing { .. }, Input::Hold) => self.end(Link::Close, CallEnd::HeldBack),
+            (Writing { .. }, Input::Hold) if !breaks::on(Break::WriteOnInWait) => {
+                self.end(Link::Close, CallEnd::HeldBack)
+            }
             // Only a write that failed proves, from here on, that the call never ran.
             (Writing { .. }, Input::WriteFailed) => self.end(Link::Close, CallEnd::CouldNotConnect),
             (Awaiting | Reading { .. }, Input::Read) => self.read(now),
@@ -210,6 +214,7 @@
     /// No more of the answer will come.
     fn last_word(&mut self) -> Output {
         match (self.decode)(&self.answer, true) {
+            Answer::Whole { end, .. } if breaks::on(Break::KeepSpoilt) => self.end(Link::Keep, end),
             Answer::Whole { end, .. } => self.end(Link::Close, end),
             Answer::Awaited | Answer::Partial => self.end(Link::Close, CallEnd::Reset),
         }
--- a/core/src/machine/notices.rs
+++ b/core/src/machine/notices.rs
@@ -2,6 +2,7 @@
 
 use super::Machine;
 use spurshore::Micros;
+use spurshore::breaks::{self, Break};
 
 /// The platform takes notices at once; one try must leave time for another.
 pub const TRY: Micros = 250_000;
@@ -108,6 +109,9 @@
             }
             (State::Sent { .. }, Input::Unreadable) => (State::Quiet, Output::LetGo),
             (State::Sent { .. }, Input::Moved) => (State::Quiet, Output::Again),
+            (State::Sent { .. }, Input::Lost) if breaks::on(Break::NoticeOnce) => {
+                (State::Quiet, Output::LetGo)
+            }
             (State::Sent { .. }, Input::Lost) => {
                 (State::Resting { until: now.saturating_add(REST) }, Output::Nothing)
             }
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -6,6 +6,7 @@
 use crate::note::Note;
 use crate::store::Store;
 use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList};
+use spurshore::breaks::{self, Break};
 use spurshore::{
     Entry, Facade, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
     Settings, SettingsError,
@@ -115,11 +116,11 @@
 #[derive(Clone, Debug)]
 pub struct Router<S> {
     facade: Facade,
-    classes: Vec<String>,
-    kinds: Vec<String>,
-    zones: Names,
+    classes: Arc<[String]>,
+    kinds: Arc<[String]>,
+    zones: Arc<Names>,
     open_cap: usize,
-    provider_names: Names,
+    provider_names: Arc<Names>,
     providers: BTreeMap<u32, Known>,
     /// The version of the list that the providers come from.
     version: u64,
@@ -161,10 +162,10 @@
         let mut router = Router {
             facade: Facade::new(settings, seed)?,
             classes: env.categories.iter().map(|c| c.name.clone()).collect(),
-            kinds: env.skus.clone(),
-            zones,
+            kinds: env.skus.as_slice().into(),
+            zones: Arc::new(zones),
             open_cap,
-            provider_names: Names::default(),
+            provider_names: Arc::default(),
             providers: BTreeMap::new(),
             version: 0,
             heard: false,
@@ -189,7 +190,8 @@
         }
         for (msg, entry) in book.owed {
             let TakenOn { id, class, key, dest, deadline, body } = entry.taken;
-            let end = entry.end.map(|end| match end {
+            let noted = entry.end.filter(|_| !breaks::on(Break::ForgetEnd));
+            let end = noted.map(|end| match end {
                 End::Deferred { after } => Ending::Deferred(after),
                 End::Delivered | End::Undeliverable => Ending::Undeliverable,
             });
@@ -219,7 +221,8 @@
                 may_have_run: call.never_ran != Some(true),
             });
             let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
-            let orders = router.facade.restore(now, message, past.collect());
+            let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
+            let orders = router.facade.restore(now, message, past);
             router.carry_out(orders, now, &mut steps);
         }
         router.say(&mut steps);
@@ -249,7 +252,8 @@
             return Intake::UnknownClass;
         };
         // An id is fresh with every invocation, and the end that is told under it must be its own.
-        if let Some(msg) = self.ids.get(&id) {
+        let known = self.ids.get(&id).filter(|_| !breaks::on(Break::TakeOnTwice));
+        if let Some(msg) = known {
             return match self.owed[msg].end {
                 None => Intake::Open,
                 Some(Ending::Deferred(after)) => Intake::Rejected { after },
@@ -275,7 +279,8 @@
         let (msg, deadline) = (self.next, now.saturating_add(time_left));
         let (taken_id, taken_key, taken_body) = (id.clone(), key.clone(), body.clone());
         let taken = TakenOn { id: taken_id, class, key: taken_key, dest, deadline, body: taken_body };
-        if let Err(e) = self.journal.take_on(msg, taken, now, &mut self.notes) {
+        let written = self.journal.take_on(msg, taken, now, &mut self.notes);
+        if let Some(e) = written.err().filter(|_| !breaks::on(Break::TakeOnUnwritten)) {
             steps.push(Step::Note(Note::NoRoom(e)));
             return Intake::Rejected { after: NO_ROOM_WAIT };
         }
@@ -316,7 +321,8 @@
         if matches!(end, CallEnd::Delivered | CallEnd::Over) {
             self.settle(msg, End::Delivered, now);
         } else if self.owed.contains_key(&msg) {
-            let never_ran = matches!(outcome, Outcome::Full | Outcome::Moot | Outcome::ConnectFailed);
+            let never_ran = matches!(outcome, Outcome::Full | Outcome::Moot | Outcome::ConnectFailed)
+                || breaks::on(Break::OutcomeNever);
             self.write(&Record::Outcome { msg, attempt, never_ran }, now);
         }
         let finished = self.owed.get(&msg).is_none_or(|owed| owed.end.is_some());
@@ -339,8 +345,8 @@
         }
         let mut entries = Vec::with_capacity(list.providers.len());
         for p in list.providers {
-            let n = self.provider_names.number(&p.id) as u32;
-            let zone = self.zones.number(&p.zone) as u32;
+            let n = number(&mut self.provider_names, &p.id) as u32;
+            let zone = number(&mut self.zones, &p.zone) as u32;
             let kind = self.kinds.iter().position(|k| *k == p.kind).unwrap_or(usize::MAX);
             let addr = p.addr.or(self.providers.get(&n).and_then(|known| known.addr));
             let gone = (p.state == ListState::Gone).then_some(now);
@@ -364,7 +370,7 @@
             let used = out.values().any(|out| out.provider == *n);
             let keeps = used || p.gone.is_none_or(|gone| now < gone + GONE);
             if !keeps {
-                names.forget(u64::from(*n));
+                Arc::make_mut(names).forget(u64::from(*n));
                 steps.push(Step::Forget(*n));
             }
             keeps
@@ -507,7 +513,8 @@
         };
         self.out.insert(call, Out { sent: now, provider, dest });
         // Without its record a call must not leave: after a restart it would count as never made.
-        if !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
+        let late = breaks::on(Break::AttemptUnwritten);
+        if !late && !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
             return steps.push(Step::NotWritten(call));
         }
         self.counters.calls += 1;
@@ -522,7 +529,8 @@
             Ending::Deferred(_) => self.counters.deferred += 1,
         }
         steps.push(Step::Note(Note::Ended { msg, ending }));
-        if self.write(&Record::End { msg, end: ending.into() }, now) {
+        let written = self.write(&Record::End { msg, end: ending.into() }, now);
+        if written || breaks::on(Break::EndUnwritten) {
             self.notices.push_back(msg);
             steps.push(Step::Notify);
         } else {
@@ -553,6 +561,9 @@
     }
 
     fn remember(&mut self, id: String, end: End, until: Micros) {
+        if breaks::on(Break::ForgetOver) {
+            return;
+        }
         self.over.insert(id.clone(), end);
         self.over_order.push_back((id, until));
     }
@@ -574,6 +585,11 @@
     }
 }
 
+/// A name's number; a name that is known copies nothing.
+fn number(names: &mut Arc<Names>, name: &str) -> u64 {
+    names.known(name).unwrap_or_else(|| Arc::make_mut(names).number(name))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/explore/src/case.rs
+++ b/explore/src/case.rs
@@ -90,6 +90,8 @@
     pub events: BTreeSet<Event>,
     /// Events that are not kind, on one path at most; `None`: as many as there are chances.
     pub faults: Option<u32>,
+    /// All messages are handed in before the clock goes on.
+    pub at_once: bool,
     /// Also stop the clock a microsecond before and after each moment that counts.
     pub edges: bool,
     /// Milliseconds that a message may take.
@@ -112,6 +114,7 @@
             open_cap: 20,
             events: BTreeSet::from([Event::Refuse, Event::Timeout, Event::Drain]),
             faults: None,
+            at_once: false,
             edges: true,
             time_left: 16_000,
             span: 6_000,
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -1,5 +1,7 @@
 //! The command: `check`, `replay`, `shrink`, `list`, `states`.
 
+use mimalloc::MiMalloc;
+
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use quillmount_explore::case::{Case, Event};
@@ -12,6 +14,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A state is a hundred small pieces, and states are copied all the time: the system's allocator took a third
+/// of a search.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 /// Files of another version mean other moves.
 const VERSION: u32 = 1;
 
@@ -69,6 +76,9 @@
     /// At most so many of them on one path.
     #[arg(long)]
     faults: Option<u32>,
+    /// Hand in all messages before the clock goes on.
+    #[arg(long)]
+    at_once: bool,
     /// Do not stop the clock just before and after each moment that counts.
     #[arg(long)]
     no_edges: bool,
@@ -164,6 +174,7 @@
         open_cap: check.open_cap,
         events: events(&check.events)?,
         faults: check.faults,
+        at_once: check.at_once,
         edges: !check.no_edges,
         time_left: check.time_left,
         span: check.span,
--- a/explore/src/monitor.rs
+++ b/explore/src/monitor.rs
@@ -168,6 +168,12 @@
             );
         }
         let m = &mut self.messages[message];
+        if let Some(end) = m.notice {
+            return broken(
+                Property::FinalAnswer,
+                format!("m{message} is sent after the platform was told {end:?}"),
+            );
+        }
         if m.sent.len() >= case.attempts as usize {
             return broken(
                 Property::Unchanged,
--- a/explore/src/search.rs
+++ b/explore/src/search.rs
@@ -17,8 +17,9 @@
 const SHARDS: usize = 256;
 /// Nodes that a thread takes at a time.
 const CHUNK: usize = 32;
-/// Up to so many states of the next layer are kept whole; beyond, a parent and a move stand for each.
-const WHOLE_MAX: usize = 40_000;
+/// Up to so many states of the next layer are kept whole, some ten kilobytes each. The others are made
+/// again from the paths that lead there: neighbours in a layer share most of theirs.
+const WHOLE_MAX: usize = 50_000;
 
 /// What bounds a search beside its case.
 #[derive(Clone, Debug)]
@@ -94,35 +95,76 @@
     }
 }
 
-#[derive(Clone)]
-enum Held {
-    Whole(Arc<World>),
-    Step(Arc<World>, Move),
+/// How each state was first reached: its parent, and the move there, packed. Six bytes a state.
+#[derive(Default)]
+struct Paths {
+    parents: Vec<u32>,
+    moves: Vec<u16>,
+}
+
+/// A move as the number of its choice among all of a state, and the write that it dies in.
+fn pack(choice: usize, die: Option<Die>) -> u16 {
+    let die = die.map_or(0, |die| 1 + 2 * die.after as u16 + u16::from(die.torn));
+    debug_assert!(choice < 256 && die < 256, "a state has few choices, and a choice few writes");
+    (die << 8) | choice as u16
+}
+
+fn unpack(world: &World, packed: u16) -> Option<Move> {
+    let choice = *world.choices().get(usize::from(packed & 0xFF))?;
+    let die = (packed >> 8).checked_sub(1).map(|n| Die { after: u32::from(n / 2), torn: n % 2 == 1 });
+    Some(Move { choice, die })
+}
+
+impl Paths {
+    fn push(&mut self, parent: u32, packed: u16) -> u32 {
+        self.parents.push(parent);
+        self.moves.push(packed);
+        self.parents.len() as u32 - 1
+    }
+
+    /// The nodes from the root's first child to this one.
+    fn chain(&self, mut id: u32) -> Vec<u32> {
+        let mut chain = Vec::new();
+        while id != 0 {
+            chain.push(id);
+            id = self.parents[id as usize];
+        }
+        chain.reverse();
+        chain
+    }
+}
+
+/// Makes states again from their paths, on a stack of those on the way to the last one.
+struct Remade {
+    root: World,
+    stack: Vec<(u32, World)>,
 }
 
-impl Held {
-    fn world(self) -> Arc<World> {
-        match self {
-            Held::Whole(world) => world,
-            Held::Step(parent, m) => {
-                let mut world = (*parent).clone();
-                // It was found to hold when the node was made.
+impl Remade {
+    fn world(&mut self, paths: &Paths, id: u32) -> &World {
+        let chain = paths.chain(id);
+        let same = self.stack.iter().zip(&chain).take_while(|((a, _), b)| a == *b).count();
+        self.stack.truncate(same);
+        for id in &chain[same..] {
+            let mut world = self.stack.last().map_or(&self.root, |(_, world)| world).clone();
+            // It was found to hold when the node was made.
+            if let Some(m) = unpack(&world, paths.moves[*id as usize]) {
                 let _ = world.take(m);
-                Arc::new(world)
             }
+            self.stack.push((*id, world));
         }
+        self.stack.last().map_or(&self.root, |(_, world)| world)
     }
 }
 
 /// Every move out of a state, in a fixed order, with what it comes to.
-pub fn expand(world: &World, case: &Case, mut visit: impl FnMut(Move, World, Result<(), Violation>)) {
-    for choice in world.choices() {
+fn expand(world: &World, case: &Case, mut visit: impl FnMut(u16, World, Result<(), Violation>)) {
+    for (n, choice) in world.choices().into_iter().enumerate() {
         let mut go = |die| {
-            let m = Move { choice, die };
             let mut next = world.clone();
-            let judged = next.take(m);
+            let judged = next.take(Move { choice, die });
             let writes = next.writes();
-            visit(m, next, judged);
+            visit(pack(n, die), next, judged);
             writes
         };
         let writes = go(None);
@@ -158,11 +200,6 @@
     pages.unwrap_or(0) * 4_096
 }
 
-struct Step {
-    parent: u32,
-    index: u16,
-}
-
 /// Explores the case to its end, a counterexample or a bound.
 ///
 /// # Errors
@@ -172,8 +209,9 @@
     let root = World::new(case)?;
     let table = Table::new();
     table.insert(fingerprint(&root, bounds.reduction));
-    let mut steps: Vec<Step> = vec![Step { parent: u32::MAX, index: 0 }];
-    let mut layer: Vec<(Held, u32)> = vec![(Held::Whole(Arc::new(root)), 0)];
+    let mut paths = Paths::default();
+    let first = paths.push(0, 0);
+    let mut layer: Vec<(Option<Box<World>>, u32)> = vec![(Some(Box::new(root.clone())), first)];
     let (states, moves) = (AtomicU64::new(1), AtomicU64::new(0));
     let (mut depth, mut peak) = (0, resident());
     let stop = AtomicBool::new(false);
@@ -182,9 +220,10 @@
         let at = AtomicUsize::new(0);
         let made = AtomicUsize::new(0);
         let bad: Mutex<Vec<(u32, u16, Violation)>> = Mutex::new(Vec::new());
-        let nodes = &layer;
+        let (nodes, known) = (&layer, &paths);
         let work = || {
-            let mut next: Vec<(Held, u32, u16)> = Vec::new();
+            let mut next: Vec<(Option<Box<World>>, u32, u16)> = Vec::new();
+            let mut remade = Remade { root: root.clone(), stack: Vec::new() };
             loop {
                 let from = at.fetch_add(CHUNK, Relaxed);
                 if from >= nodes.len() || stop.load(Relaxed) {
@@ -197,27 +236,24 @@
                     return next;
                 }
                 for (held, id) in &nodes[from..nodes.len().min(from + CHUNK)] {
-                    let world = held.clone().world();
-                    let mut index = 0;
+                    let world = match held {
+                        Some(world) => world,
+                        None => remade.world(known, *id),
+                    };
                     let mut any = false;
-                    expand(&world, case, |m, child, judged| {
+                    expand(world, case, |packed, child, judged| {
                         any = true;
                         moves.fetch_add(1, Relaxed);
                         match judged {
-                            Err(violation) => bad.lock().expect("as above").push((*id, index, violation)),
+                            Err(violation) => bad.lock().expect("as above").push((*id, packed, violation)),
                             Ok(()) => {
                                 if table.insert(fingerprint(&child, bounds.reduction)) {
                                     states.fetch_add(1, Relaxed);
                                     let whole = made.fetch_add(1, Relaxed) < WHOLE_MAX;
-                                    let held = match whole {
-                                        true => Held::Whole(Arc::new(child)),
-                                        false => Held::Step(world.clone(), m),
-                                    };
-                                    next.push((held, *id, index));
+                                    next.push((whole.then(|| Box::new(child)), *id, packed));
                                 }
                             }
                         }
-                        index += 1;
                     });
                     if !any && let Err(violation) = world.at_rest() {
                         bad.lock().expect("as above").push((*id, u16::MAX, violation));
@@ -225,13 +261,13 @@
                 }
             }
         };
-        let found: Vec<Vec<(Held, u32, u16)>> = std::thread::scope(|scope| {
+        let found: Vec<Vec<(Option<Box<World>>, u32, u16)>> = std::thread::scope(|scope| {
             let threads: Vec<_> = (0..bounds.threads.max(1)).map(|_| scope.spawn(work)).collect();
             threads.into_iter().map(|t| t.join().expect("a worker does not panic")).collect()
         });
         peak = peak.max(resident());
         let bad = bad.into_inner().expect("as above");
-        let first = bad.into_iter().map(|(id, index, v)| (path(&steps, id, index, case), v));
+        let first = bad.into_iter().map(|(id, index, v)| (path(&paths, &root, id, index), v));
         let first = first.min_by(|a, b| (a.0.len(), &a.0).cmp(&(b.0.len(), &b.0)));
         if let Some((path, violation)) = first {
             break Verdict::Broken { path, violation };
@@ -239,13 +275,10 @@
         if stop.load(Relaxed) {
             break Verdict::Stopped(*why.lock().expect("as above"));
         }
-        let mut next = Vec::new();
-        for (held, parent, index) in found.into_iter().flatten() {
-            let id = steps.len() as u32;
-            steps.push(Step { parent, index });
-            next.push((held, id));
+        drop(std::mem::take(&mut layer));
+        for (held, parent, packed) in found.into_iter().flatten() {
+            layer.push((held, paths.push(parent, packed)));
         }
-        layer = next;
         if layer.is_empty() {
             break Verdict::Holds;
         }
@@ -269,32 +302,18 @@
 }
 
 /// The moves that lead to a node, and one more if there is one.
-fn path(steps: &[Step], id: u32, last: u16, case: &Arc<Case>) -> Vec<Move> {
-    let mut indices = Vec::new();
-    if last != u16::MAX {
-        indices.push(last);
-    }
-    let mut at = id;
-    while let Some(step) = steps.get(at as usize).filter(|step| step.parent != u32::MAX) {
-        indices.push(step.index);
-        at = step.parent;
-    }
-    let mut world = World::new(case).expect("it was made before");
-    let mut path = Vec::new();
-    for index in indices.into_iter().rev() {
-        let mut taken = None;
-        let mut n = 0;
-        expand(&world, case, |m, child, _| {
-            if n == index {
-                taken = Some((m, child));
-            }
-            n += 1;
-        });
-        let Some((m, child)) = taken else { break };
-        path.push(m);
-        world = child;
+fn path(paths: &Paths, root: &World, id: u32, last: u16) -> Vec<Move> {
+    let mut world = root.clone();
+    let mut moves = Vec::new();
+    let packed = paths.chain(id).into_iter().map(|id| paths.moves[id as usize]);
+    for packed in packed.chain((last != u16::MAX).then_some(last)) {
+        let Some(m) = unpack(&world, packed) else { break };
+        moves.push(m);
+        if world.take(m).is_err() {
+            break;
+        }
     }
-    path
+    moves
 }
 
 /// Plays a path; says at which move a property broke, if one did.
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -75,6 +75,8 @@
     connections: u32,
     /// Connections that their provider has closed.
     closed: BTreeSet<u32>,
+    /// Connections on which an answer broke off, or had something behind it.
+    spoilt: BTreeSet<u32>,
     notices: Notices,
     told: Vec<Notice>,
     last_told: Vec<Notice>,
@@ -108,6 +110,7 @@
             numbers: BTreeMap::new(),
             connections: 0,
             closed: BTreeSet::new(),
+            spoilt: BTreeSet::new(),
             notices: Notices::default(),
             told: Vec::new(),
             last_told: Vec::new(),
@@ -256,7 +259,8 @@
             _ => all.extend((again && may(Event::Term)).then_some(Choice::Term)),
         }
         all.extend((again && may(Event::Kill)).then_some(Choice::Kill));
-        if !urgent && !waits {
+        let first = self.case.at_once && self.monitor.messages.len() < self.case.messages as usize;
+        if !urgent && !waits && !first {
             all.extend(self.next_stop().map(|to| Choice::Pass { to: to - BEGIN }));
         }
         all
@@ -363,6 +367,7 @@
         let owed = self.hub.router.load().0 > 0;
         if owed || self.monitor.messages.len() < self.case.messages as usize {
             hard.extend(self.hub.pool.gates().into_iter().map(|(.., hold)| hold));
+            hard.extend(self.monitor.drains.values().map(|told| told + 1_000_000));
         }
         let edges = |at: Micros| [at - 1, at, at + 1];
         let stops = hard.into_iter().filter(|at| (BEGIN..BEGIN + (1 << 40)).contains(at));
@@ -458,8 +463,12 @@
                     self.platform_gets()?;
                 }
                 self.losses += 1;
-                self.notices.step(notices::Input::Lost, self.now);
-                self.told.clear();
+                let word = self.notices.step(notices::Input::Lost, self.now);
+                let told = std::mem::take(&mut self.told);
+                if word == notices::Output::LetGo {
+                    let todo = self.hub.told(&told, self.now);
+                    self.act(todo)?;
+                }
                 Ok(())
             }
             Choice::NoticeTick => {
@@ -590,6 +599,9 @@
         if how == Written::Broken {
             return self.input(w, Input::WriteFailed);
         }
+        if written == 0 && out.call.connection().is_some_and(|c| self.spoilt.contains(c)) {
+            return broken(Property::Unchanged, format!("{w} goes out behind an answer that broke off"));
+        }
         if written == 0 {
             self.is_unchanged(id, message, provider, &request)?;
             self.monitor.first_byte(&self.case, self.now, message, id.attempt, provider)?;
@@ -651,7 +663,10 @@
             // A wait that goes on is one that began with the first.
             *wait = if self.now < wait.1 { (wait.0, wait.1.max(until)) } else { (self.now, until) };
         }
-        if let Some((_, bytes)) = out.call.parts() {
+        if let Some((connection, bytes)) = out.call.parts() {
+            if matches!(answer, Answer::CutOk | Answer::CutFull | Answer::Copy) {
+                self.spoilt.insert(*connection);
+            }
             bytes.extend_from_slice(answer.bytes());
         }
         self.input(w, Input::Read)
@@ -859,6 +874,8 @@
     fn sweep_names(&mut self) {
         let resting: BTreeSet<u32> = self.hub.pool.resting().map(|(_, c)| *c).collect();
         self.closed.retain(|c| resting.contains(c));
+        self.spoilt
+            .retain(|c| resting.contains(c) || self.calls.values().any(|o| o.call.connection() == Some(c)));
     }
 
     /// What must hold in every state, beyond what the outside sees.
@@ -951,7 +968,7 @@
             eye.time(hold.max(self.now));
         }
         for (n, c) in self.hub.pool.resting() {
-            eye.hash(&(n, self.closed.contains(c)));
+            eye.hash(&(n, self.closed.contains(c), self.spoilt.contains(c)));
         }
         if self.case.lives > 1 {
             for (n, entry) in &self.book().owed {
--- a/src/breaks.rs
+++ b/src/breaks.rs
@@ -16,7 +16,31 @@
 
 breaks! {
     RetryAfterReset: "retry-after-reset", "a reset counts as a call that never ran";
-    RetryAfterTimeout: "retry-after-timeout", "a time-out counts as a call that never ran";
+    RetryAfterGiveUp: "retry-after-give-up", "a call that was given up counts as one that never ran";
+    RefuseDebit: "refuse-debit", "a debit that may have run is deferred";
+    SpanByOne: "span-by-one", "a repeat may go out a microsecond after its key's span";
+    RepeatLate: "repeat-late", "a repeat may connect and be written after its key's span";
+    AnswerLate: "answer-late", "a message is given up 400 ms after its time";
+    SlotTooMany: "slot-too-many", "one call more than there are slots";
+    AttemptTooMany: "attempt-too-many", "one attempt more than there may be";
+    IgnoreDrain: "ignore-drain", "a provider that drains counts as ready";
+    IgnoreWait: "ignore-wait", "a told wait holds nothing back";
+    WriteOnInWait: "write-on-in-wait", "a call that is being written goes on when a wait is told";
+    SendAfterEnd: "send-after-end", "a call that has not left goes on when its message has ended";
+    LostWake: "lost-wake", "a step at the time of a wake-up hides the next one";
+    KeepSpoilt: "keep-spoilt", "a connection is kept after an answer that broke off";
+    PoolLeak: "pool-leak", "a call that was given up counts in the pool for good";
+    TakeOnTwice: "take-on-twice", "an id that is owed is taken on once more";
+    ForgetOver: "forget-over", "an id that is over is not remembered";
+    TakeOnUnwritten: "take-on-unwritten", "202 without a record, where the disk refuses it";
+    AttemptUnwritten: "attempt-unwritten", "a call leaves before its record is written";
+    OutcomeNever: "outcome-never", "every outcome is noted as proof that the call never ran";
+    ForgetPast: "forget-past", "a restart forgets the attempts of an earlier life";
+    ForgetEnd: "forget-end", "a restart takes up what has ended";
+    EndUnwritten: "end-unwritten", "an end is told though its record was refused";
+    TornKept: "torn-kept", "a torn record stays, and hides what is written behind it";
+    NoticeOnce: "notice-once", "a notice is sent once, confirmed or not";
+    HeldBackLost: "held-back-lost", "a call without a record is never reported";
 }
 
 #[cfg(feature = "breaks")]
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -1,6 +1,7 @@
 //! The dispatcher in blocking style, for hosts that own sockets: hand something in, get back what to
 //! do, in order. Hosts see neither events nor actions, and number no attempts themselves.
 
+use crate::breaks::{self, Break};
 use crate::interface::*;
 use crate::rules::Dispatcher;
 use std::collections::BTreeMap;
@@ -112,7 +113,8 @@
     fn step(&mut self, now: Micros, event: Event) -> Vec<Order> {
         // Any step serves a wake-up that is due, and the dispatcher then asks for its next one: kept
         // beside that, the old time would hide it, and the tick at the old time would take both away.
-        if self.wake.is_some_and(|at| at <= now) {
+        let tick = matches!(event, Event::Timer { .. });
+        if self.wake.is_some_and(|at| at <= now) && (tick || !breaks::on(Break::LostWake)) {
             self.wake = None;
         }
         let actions = self.dispatcher.step(now, &[event]);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,8 +5,10 @@
 //! separate) a smoothed latency CAL and a window w of calls in flight, after Gulati and Ahmad.
 //! What departs from it is marked DEPARTURE here and listed in `docs/design.md`.
 
+use crate::breaks::{self, Break};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 mod seen;
 
@@ -212,7 +214,7 @@
 #[derive(Clone, Debug, Default)]
 #[rustfmt::skip]
 pub struct Dispatcher {
-    set: Settings, rng: u64, now: Micros,
+    set: Arc<Settings>, rng: u64, now: Micros,
     /// The least time-out.
     least: f64,
     msgs: BTreeMap<MsgId, Msg>, open: u32,
@@ -252,7 +254,7 @@
         let least = TIMEOUT_MIN * spans.min().unwrap_or(5 * SEC) as f64;
         let shares = set.tenants.iter().map(|_| (f64::MAX, 0)).collect();
         let ask_at = if set.must_ask { 0 } else { NEVER };
-        let fresh = Self::default();
+        let (set, fresh) = (Arc::new(set), Self::default());
         Ok(Dispatcher { set, rng: seed, least, shares, timer: NEVER, ask_at, ask_gap: ASK_FIRST, ..fresh })
     }
 
@@ -317,7 +319,8 @@
         self.ask_gap = ASK_FIRST;
         self.endpoints.values_mut().for_each(|e| e.listed &= kind != ListKind::Whole);
         for e in entries {
-            let ready = e.state == ListState::Ready;
+            let ready = e.state == ListState::Ready
+                || (breaks::on(Break::IgnoreDrain) && e.state == ListState::Draining);
             let rate = if self.set.weight_is_rate && e.weight.is_finite() { e.weight } else { 0.0 };
             if let Some(known) = self.endpoints.get_mut(&e.endpoint) {
                 known.listed = ready && known.dest == e.dest;
@@ -435,7 +438,7 @@
     fn may_refuse(&self, m: &Msg) -> bool {
         let effect = self.set.classes[m.class].effect;
         let free = matches!(effect, Effect::Safe | Effect::Keyed { by_zone: false, .. });
-        free || m.first_maybe().is_none()
+        free || m.first_maybe().is_none() || breaks::on(Break::RefuseDebit)
     }
 
     fn answer(&mut self, id: MsgId, after: Micros) {
@@ -449,12 +452,13 @@
 
     /// Whether the ledger allows another attempt at all; which endpoints: `bound_zone`.
     fn may_send(&self, m: &Msg) -> bool {
-        if m.attempts.len() as u32 >= self.set.max_attempts {
+        if m.attempts.len() as u32 >= self.set.max_attempts + breaks::on(Break::AttemptTooMany) as u32 {
             return false;
         }
         let Some(first) = m.first_maybe() else { return true };
         match self.set.classes[m.class].effect {
             Effect::Safe => true,
+            Effect::Keyed { span, .. } if breaks::on(Break::SpanByOne) => self.now <= first.sent + span + 1,
             Effect::Keyed { span, .. } => self.now + MEMORY_MARGIN <= first.sent + span,
             Effect::Unsafe => false,
         }
@@ -483,6 +487,7 @@
         }
         let early = (m.deadline.saturating_sub(m.came) / 50).clamp(ANSWER_EARLY_LEAST, ANSWER_EARLY);
         let last = m.deadline.saturating_sub(early);
+        let last = if breaks::on(Break::AnswerLate) { m.deadline + 400_000 } else { last };
         // A turn too late is none: the client may reach a sender that knows nothing. One missed, look again.
         let last = match self.hope(m) {
             0 => last,
@@ -491,6 +496,7 @@
         };
         match (self.set.classes[m.class].effect, m.first_maybe()) {
             _ if !self.may_send(m) => self.now,
+            _ if breaks::on(Break::SpanByOne) => last,
             (Effect::Keyed { span, .. }, Some(first)) => {
                 last.min((first.sent + span + 1).saturating_sub(MEMORY_MARGIN))
             }
@@ -550,7 +556,9 @@
         let now = self.now;
         let Some(m) = self.msgs.get_mut(&c.msg) else { return };
         let Some(a) = m.attempts.get_mut(c.attempt as usize).filter(|a| a.ran == Ran::Out) else { return };
-        let never = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot].contains(&c.outcome);
+        let never = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot].contains(&c.outcome)
+            || (breaks::on(Break::RetryAfterReset) && c.outcome == Outcome::Reset)
+            || (breaks::on(Break::RetryAfterGiveUp) && c.outcome == Outcome::Cancelled);
         a.ran = if never { Ran::Never } else { Ran::Maybe };
         let (endpoint, lane, sent, reused) = (a.endpoint, a.lane, a.sent, a.reused);
         if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (m.key, c.outcome) {
@@ -662,7 +670,8 @@
             let rest = first.max((now - l.bad_from) as f64 * REST) * spread;
             let rests = again && gap > 2.0 * self.set.fall as f64 && (limit || !crowd);
             let rest = if rests { rest.min(gap) as Micros } else { 0 };
-            l.wait_until = l.wait_until.max(now + pause.max(c.wait).max(rest));
+            let told = if breaks::on(Break::IgnoreWait) { 0 } else { c.wait };
+            l.wait_until = l.wait_until.max(now + pause.max(told).max(rest));
         }
         let most = l.recent.count_ones() >= 6 && l.fails > 0;
         let shut = !limit && l.fulls > 1 && now >= l.bad_from.saturating_add(OUT_FULL_SPAN);
@@ -777,7 +786,7 @@
 
     /// Fills free slots, the most to be won for the slot's time first. Returns when to look again.
     fn dispatch(&mut self) -> Micros {
-        let free = |d: &Self| (d.out.len() as u32) < d.set.slots;
+        let free = |d: &Self| (d.out.len() as u32) < d.set.slots + breaks::on(Break::SlotTooMany) as u32;
         let mut wake = NEVER;
         let waiting: Vec<DestId> = if free(self) { self.waiting.iter().copied().collect() } else { vec![] };
         let mut found: BTreeMap<DestId, Pick> = BTreeMap::new();
@@ -912,6 +921,7 @@
         let timeout = timeout.min(m.deadline.saturating_sub(now)).max(1);
         // A host that connects or writes for so long gives the call up; half the margin covers the trip.
         let by = match (self.set.classes[m.class].effect, m.first_maybe()) {
+            _ if breaks::on(Break::RepeatLate) || breaks::on(Break::SpanByOne) => NEVER,
             (Effect::Keyed { span, .. }, Some(first)) => first.sent + span - MEMORY_MARGIN / 2,
             _ => NEVER,
         };
