--- a/explore/src/case.rs
+++ b/explore/src/case.rs
@@ -41,6 +41,8 @@
     Copy,
     /// A reset after the request's last byte.
     Reset,
+    /// An answer stands in the socket, and something else happens before it is read.
+    Race,
     /// A provider closes a connection that rests.
     Idle,
     /// A provider drains.
--- a/explore/src/choice.rs
+++ b/explore/src/choice.rs
@@ -89,6 +89,10 @@
     Refused(Which),
     Write(Which, Written),
     Answer(Which, Answer),
+    /// The answer is in the courier's socket, and not read yet.
+    Arrives(Which, Answer),
+    /// What is in the socket is read.
+    Read(Which),
     /// The provider ends its side.
     End(Which),
     Reset(Which),
@@ -173,6 +177,8 @@
                 write!(f, "{w} is answered 429, with a wait of {} ms", Answer::WAIT_MS)
             }
             Choice::Answer(w, answer) => write!(f, "{w} is answered: {answer:?}"),
+            Choice::Arrives(w, answer) => write!(f, "{answer:?} for {w} stands in the socket"),
+            Choice::Read(w) => write!(f, "the answer to {w} is read"),
             Choice::End(w) => write!(f, "the provider ends the connection of {w}"),
             Choice::Reset(w) => write!(f, "the connection of {w} is reset"),
             Choice::Deadline(w) => write!(f, "the time of {w} is up"),
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod case;
 pub mod choice;
+pub mod export;
 pub mod finger;
 pub mod monitor;
+pub mod proof;
 pub mod search;
 pub mod world;
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -41,8 +41,12 @@
     Check(Check),
     /// Play a counterexample: exit 1 where it breaks the same property, 0 where it breaks none.
     Replay { file: PathBuf },
+    /// Write a counterexample as a recorded exchange for the program on sockets, where it can be played there.
+    Export { file: PathBuf },
     /// Leave out moves that a counterexample does not need.
     Shrink { file: PathBuf },
+    /// Find every deliberate break, and see the small cases hold: exit 0 only if all is as it should be.
+    Prove,
     /// The properties, the events and the deliberate breaks.
     List,
     /// The state machines' tables.
@@ -135,6 +139,12 @@
         Command::Check(check) => run(check),
         Command::Replay { file } => replay(&file),
         Command::Shrink { file } => shrink(&file),
+        Command::Prove => prove(),
+        Command::Export { file } => read(&file).and_then(|f| {
+            let text = quillmount_explore::export::exchange(&Arc::new(f.case), &f.path)?;
+            print!("{text}");
+            Ok(HOLDS)
+        }),
         Command::List => {
             list();
             Ok(HOLDS)
@@ -163,32 +173,41 @@
         .collect()
 }
 
+impl Check {
+    /// The case and the bounds of these arguments; puts its break on.
+    fn settle(&self) -> Result<(Arc<Case>, Bounds), String> {
+        let check = self;
+        let case = Case {
+            endpoints: check.endpoints,
+            destinations: check.destinations,
+            messages: check.messages,
+            lives: check.lives,
+            attempts: check.attempts,
+            slots: check.slots,
+            open_cap: check.open_cap,
+            events: events(&check.events)?,
+            faults: check.faults,
+            at_once: check.at_once,
+            edges: !check.no_edges,
+            time_left: check.time_left,
+            span: check.span,
+            seed: check.seed,
+        };
+        case.check().map_err(|e| format!("--{e}"))?;
+        let case = Arc::new(case);
+        set_break(check.broken.as_deref())?;
+        let bounds = Bounds {
+            threads: check.threads.clamp(1, 256),
+            time: check.time,
+            memory: check.memory * 1_000_000,
+            reduction: !check.no_reduction,
+        };
+        Ok((case, bounds))
+    }
+}
+
 fn run(check: Check) -> Result<u8, String> {
-    let case = Case {
-        endpoints: check.endpoints,
-        destinations: check.destinations,
-        messages: check.messages,
-        lives: check.lives,
-        attempts: check.attempts,
-        slots: check.slots,
-        open_cap: check.open_cap,
-        events: events(&check.events)?,
-        faults: check.faults,
-        at_once: check.at_once,
-        edges: !check.no_edges,
-        time_left: check.time_left,
-        span: check.span,
-        seed: check.seed,
-    };
-    case.check().map_err(|e| format!("--{e}"))?;
-    let case = Arc::new(case);
-    set_break(check.broken.as_deref())?;
-    let bounds = Bounds {
-        threads: check.threads.clamp(1, 256),
-        time: check.time,
-        memory: check.memory * 1_000_000,
-        reduction: !check.no_reduction,
-    };
+    let (case, bounds) = check.settle()?;
     let bar = ProgressBar::new_spinner();
     bar.set_style(
         ProgressStyle::with_template("{spinner} {msg}").unwrap_or_else(|_| ProgressStyle::default_spinner()),
@@ -227,6 +246,68 @@
     }
 }
 
+/// The arguments of a case in `proof`, as `check` would have them.
+fn arguments(text: &str) -> Result<Check, String> {
+    let words = ["quillmount-explore", "check"].into_iter().chain(text.split_whitespace());
+    match Cli::try_parse_from(words).map_err(|e| e.to_string())?.command {
+        Command::Check(check) => Ok(check),
+        _ => Err(format!("{text:?} is no case")),
+    }
+}
+
+fn prove() -> Result<u8, String> {
+    let mut code = HOLDS;
+    let mut wrong = |text: String| {
+        println!("WRONG: {text}");
+        code = BROKEN;
+    };
+    println!("| break | property | depth | states | seconds |\n| --- | --- | --- | --- | --- |");
+    for (name, about) in spurshore::breaks::ALL {
+        let mut proofs = quillmount_explore::proof::BREAKS.iter().filter(|(one, ..)| one == name);
+        let Some((_, case, property)) = proofs.next() else {
+            wrong(format!("no case is there to find {name} ({about})"));
+            continue;
+        };
+        let mut check = arguments(case)?;
+        (check.broken, check.time) = (Some(name.to_string()), Duration::from_secs(60));
+        let (case, bounds) = check.settle()?;
+        let found = search(&case, &bounds, |_| {})?;
+        match found.verdict {
+            Verdict::Broken { violation, path } if violation.property == *property => println!(
+                "| `{name}` | {} | {} | {} | {:.2} |",
+                property.name(),
+                path.len(),
+                found.states,
+                found.seconds
+            ),
+            other => wrong(format!("{name} is not found by {}: {other:?}", property.name())),
+        }
+    }
+    spurshore::breaks::clear();
+    println!("\n| case that holds | depth | states | seconds |\n| --- | --- | --- | --- |");
+    for text in quillmount_explore::proof::HOLDS {
+        let (case, bounds) = arguments(text)?.settle()?;
+        let found = search(&case, &bounds, |_| {})?;
+        match found.verdict {
+            Verdict::Holds => {
+                println!("| `{text}` | {} | {} | {:.2} |", found.depth, found.states, found.seconds)
+            }
+            other => wrong(format!("{text}: {other:?}")),
+        }
+    }
+    for text in quillmount_explore::proof::BOTH {
+        let (case, mut bounds) = arguments(text)?.settle()?;
+        let reduced = search(&case, &bounds, |_| {})?;
+        bounds.reduction = false;
+        let plain = search(&case, &bounds, |_| {})?;
+        println!("\n{text}: {} states, {} without the reduction", reduced.states, plain.states);
+        if !matches!((&reduced.verdict, &plain.verdict), (Verdict::Holds, Verdict::Holds)) {
+            wrong(format!("{text}: {:?} and {:?}", reduced.verdict, plain.verdict));
+        }
+    }
+    Ok(code)
+}
+
 fn figures(found: &Found) -> String {
     format!(
         "{} states, {} moves, depth {}, {:.1} s, {:.0} states a second, {} MB at most",
--- a/explore/src/search.rs
+++ b/explore/src/search.rs
@@ -95,6 +95,9 @@
     }
 }
 
+/// A state that is new: whole where there is room for it, its parent, and the move there, packed.
+type New = (Option<Box<World>>, u32, u16);
+
 /// How each state was first reached: its parent, and the move there, packed. Six bytes a state.
 #[derive(Default)]
 struct Paths {
@@ -222,7 +225,7 @@
         let bad: Mutex<Vec<(u32, u16, Violation)>> = Mutex::new(Vec::new());
         let (nodes, known) = (&layer, &paths);
         let work = || {
-            let mut next: Vec<(Option<Box<World>>, u32, u16)> = Vec::new();
+            let mut next: Vec<New> = Vec::new();
             let mut remade = Remade { root: root.clone(), stack: Vec::new() };
             loop {
                 let from = at.fetch_add(CHUNK, Relaxed);
@@ -261,7 +264,7 @@
                 }
             }
         };
-        let found: Vec<Vec<(Option<Box<World>>, u32, u16)>> = std::thread::scope(|scope| {
+        let found: Vec<Vec<New>> = std::thread::scope(|scope| {
             let threads: Vec<_> = (0..bounds.threads.max(1)).map(|_| scope.spawn(work)).collect();
             threads.into_iter().map(|t| t.join().expect("a worker does not panic")).collect()
         });
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -52,6 +52,8 @@
     deadline: Micros,
     dial: Micros,
     interim: bool,
+    /// In the socket, and not read yet.
+    arrived: Option<Answer>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -133,6 +135,21 @@
         self.now - BEGIN
     }
 
+    /// The provider of a call that is out.
+    pub fn provider_of(&self, w: Which) -> Option<u8> {
+        self.find(w).and_then(|id| self.calls.get(&id)).map(|out| out.provider)
+    }
+
+    /// Each provider's number, destination and state in the list.
+    pub fn providers(&self) -> impl Iterator<Item = (u8, u64, &'static str)> {
+        let lines = self.list.iter().enumerate().filter(|(_, line)| line.state != 0);
+        lines.map(|(n, line)| (n as u8, line.dest, if line.state == 1 { "ready" } else { "draining" }))
+    }
+
+    pub fn time_left_ms(&self) -> u32 {
+        self.case.time_left
+    }
+
     /// Writes to the store since the move began.
     pub fn writes(&self) -> u32 {
         self.hub.router.journal().store().writes()
@@ -202,6 +219,10 @@
                     all.push(Choice::Write(which, Written::Whole));
                     all.extend(may(Event::Break).then_some(Choice::Write(which, Written::Broken)));
                 }
+                State::Awaiting if out.arrived.is_some() => {
+                    all.push(Choice::Read(which));
+                    urgent = true;
+                }
                 State::Awaiting => {
                     let answers = [
                         (Some(Answer::Ok), None),
@@ -219,6 +240,11 @@
                     let open = answers.into_iter().filter(|(_, event)| event.is_none_or(may));
                     all.extend(open.filter_map(|(answer, _)| Some(Choice::Answer(which, answer?))));
                     all.extend(may(Event::Reset).then_some(Choice::Reset(which)));
+                    if may(Event::Race) {
+                        let waits = may(Event::Wait).then_some(Answer::Wait);
+                        let arrive = [Answer::Ok].into_iter().chain(waits);
+                        all.extend(arrive.map(|answer| Choice::Arrives(which, answer)));
+                    }
                     waits |= !may(Event::Timeout);
                 }
                 State::Reading { .. } => {
@@ -421,6 +447,11 @@
             Choice::Refused(w) => self.input(w, Input::Refused),
             Choice::Write(w, how) => self.write(w, how),
             Choice::Answer(w, answer) => self.answer(w, answer),
+            Choice::Arrives(w, answer) => {
+                self.arrives(w, answer);
+                Ok(())
+            }
+            Choice::Read(w) => self.read(w),
             Choice::End(w) => self.input(w, Input::End),
             Choice::Reset(w) => self.input(w, Input::Reset),
             Choice::Deadline(w) => self.input(w, Input::Deadline),
@@ -531,7 +562,10 @@
                     let (id, deadline) = (order.call, self.now + order.timeout);
                     let call = Call::new(order, invoker::decode, invoker::ANSWER_MAX);
                     let dial = self.now + DIAL;
-                    self.calls.insert(id, Out { call, message, provider, deadline, dial, interim: false });
+                    self.calls.insert(
+                        id,
+                        Out { call, message, provider, deadline, dial, interim: false, arrived: None },
+                    );
                     let closed = self.closed.clone();
                     let quiet = |c: &u32| !closed.contains(c);
                     self.step_id(id, |call, pool, now| call.start(pool, now, quiet))?;
@@ -646,9 +680,15 @@
     }
 
     fn answer(&mut self, w: Which, answer: Answer) -> Result<(), Violation> {
-        let Some(id) = self.find(w) else { return Ok(()) };
-        let out = self.calls.get_mut(&id).expect("found");
+        self.arrives(w, answer);
+        self.read(w)
+    }
+
+    /// A provider has written its answer.
+    fn arrives(&mut self, w: Which, answer: Answer) {
+        let Some(out) = self.find(w).and_then(|id| self.calls.get_mut(&id)) else { return };
         let message = out.message;
+        out.arrived = Some(answer);
         if answer == Answer::Interim {
             out.interim = true;
         } else {
@@ -663,6 +703,11 @@
             // A wait that goes on is one that began with the first.
             *wait = if self.now < wait.1 { (wait.0, wait.1.max(until)) } else { (self.now, until) };
         }
+    }
+
+    fn read(&mut self, w: Which) -> Result<(), Violation> {
+        let Some(out) = self.find(w).and_then(|id| self.calls.get_mut(&id)) else { return Ok(()) };
+        let Some(answer) = out.arrived.take() else { return Ok(()) };
         if let Some((connection, bytes)) = out.call.parts() {
             if matches!(answer, Answer::CutOk | Answer::CutFull | Answer::Copy) {
                 self.spoilt.insert(*connection);
@@ -945,7 +990,7 @@
             eye.hash(&(id, provider));
         }
         for (id, out) in &self.calls {
-            eye.hash(&(id, out.message, out.provider, out.interim, out.call.attempt().answer()));
+            eye.hash(&(id, out.message, out.provider, out.interim, out.arrived, out.call.attempt().answer()));
             match out.call.state() {
                 State::Reading { by } => eye.time(by),
                 State::Closing { end, until } => {
@@ -1064,25 +1109,26 @@
 
 /// What a kind world does.
 pub fn is_kind(choice: Choice) -> bool {
-    match choice {
+    matches!(
+        choice,
         Choice::HandIn { .. }
-        | Choice::Up(_)
-        | Choice::Write(_, Written::Whole)
-        | Choice::Answer(_, Answer::Ok)
-        | Choice::End(_)
-        | Choice::Deadline(_)
-        | Choice::CallTick(_)
-        | Choice::Tick
-        | Choice::WatchTick
-        | Choice::SendNotices
-        | Choice::Confirmed
-        | Choice::NoticeTick
-        | Choice::DiskFree
-        | Choice::Exit
-        | Choice::Start
-        | Choice::Pass { .. } => true,
-        _ => false,
-    }
+            | Choice::Up(_)
+            | Choice::Write(_, Written::Whole)
+            | Choice::Answer(_, Answer::Ok)
+            | Choice::Read(_)
+            | Choice::End(_)
+            | Choice::Deadline(_)
+            | Choice::CallTick(_)
+            | Choice::Tick
+            | Choice::WatchTick
+            | Choice::SendNotices
+            | Choice::Confirmed
+            | Choice::NoticeTick
+            | Choice::DiskFree
+            | Choice::Exit
+            | Choice::Start
+            | Choice::Pass { .. }
+    )
 }
 
 fn whole(list: &[Line], version: u64) -> ProviderList {
--- a/src/breaks.rs
+++ b/src/breaks.rs
@@ -74,3 +74,9 @@
     let _ = n;
     if cfg!(feature = "breaks") { Ok(()) } else { Err("this program was built without breaks".into()) }
 }
+
+/// Takes every break off.
+pub fn clear() {
+    #[cfg(feature = "breaks")]
+    CHOSEN.store(usize::MAX, std::sync::atomic::Ordering::Relaxed);
+}
