Read what a provider said before it saw that its call is given up

Cause: at a call's time-out, or when the module calls it off, the connection was closed at once. An answer that stood in the socket in that moment was never read: a wait in it was not heeded, and a 200 not believed.

Change: a call that is wholly written is given up by ending its sending, as the protocol allows, and read for the 5 ms for which its report waits anyway. What came whole by then counts in place of the time-out. A call that is not wholly written is closed as before.

Left out: an answer that a provider writes after it has seen the end, which the protocol does not have.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -22,6 +22,8 @@
 pub struct Told<C> {
     /// The call is over, and is to be reported.
     pub end: Option<CallEnd>,
+    /// The call's connection is to send nothing more, and is still read.
+    pub finish: bool,
     /// A connection to close: the call's own, or one that rested elsewhere and makes room.
     pub gone: Option<C>,
 }
@@ -76,7 +78,7 @@
     pub fn step(&mut self, pool: &mut Pool<C>, input: Input, now: Micros) -> Told<C> {
         let output = self.attempt.step(input, now);
         let gone = match output.link {
-            Todo::Nothing => None,
+            Todo::Nothing | Todo::Finish => None,
             Todo::Open => pool.make_room(),
             Todo::Close => self.held.take().map(|(mut link, connection)| {
                 link.step(link::Input::Dropped, now);
@@ -86,12 +88,12 @@
                 pool.keep(self.order.provider, self.order.addr, link, connection, now)
             }),
         };
-        let leaks = output.end.is_none() && breaks::on(Break::PoolLeak);
-        self.counts &= !(leaks && output.link == Todo::Close);
+        let leaks = matches!(output.end, Some(CallEnd::TimedOut | CallEnd::GivenUp));
+        self.counts &= !(leaks && breaks::on(Break::PoolLeak));
         if self.counts && (output.end.is_some() || output.link == Todo::Close) {
             pool.end();
             self.counts = false;
         }
-        Told { end: output.end, gone }
+        Told { end: output.end, finish: output.link == Todo::Finish, gone }
     }
 }
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -7,8 +7,9 @@
 
 /// An answer that has begun comes whole within this; providers write it in one go.
 pub const REST: Micros = 100_000;
-/// Between the close of a given-up call's connection and the report: the provider's side frees the
-/// slot when it sees the close, and a send that overtakes it is turned away for want of a slot.
+/// Between the word to give up a call and its report. The provider's side frees the slot when it sees that
+/// the sending has ended, and a send that overtakes it is turned away for want of a slot; and what the
+/// provider said before it saw that, a wait above all, can still be read.
 pub const CLOSING: Micros = 5_000;
 
 /// What the bytes of an answer say so far.
@@ -77,6 +78,8 @@
 pub enum Link {
     Nothing,
     Open,
+    /// End the sending side: the provider sees that the call is given up, and what it has said can be read.
+    Finish,
     Close,
     Keep,
 }
@@ -141,10 +144,14 @@
         use State::*;
         match (self.state, input) {
             (Over, _) => NOTHING,
-            (Closing { end, until }, Input::Tick) if now >= until => {
-                self.state = Over;
-                Output { link: Link::Nothing, end: Some(end) }
-            }
+            (Closing { end, until }, Input::Tick) if now >= until => self.given_up(end),
+            (Closing { end, .. }, Input::End | Input::Reset) => self.given_up(end),
+            // It crossed with the word to give up: what it tells holds all the same.
+            (Closing { .. }, Input::Read) => match (self.decode)(&self.answer, self.answer.len() > self.most)
+            {
+                Answer::Whole { end, .. } => self.end(Link::Close, end),
+                Answer::Awaited | Answer::Partial => NOTHING,
+            },
             (Closing { .. }, _) => NOTHING,
             (New, Input::Start { open: false, .. }) => self.end(Link::Nothing, CallEnd::HeldBack),
             (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
@@ -194,7 +201,15 @@
     }
 
     fn close(&mut self, end: CallEnd, now: Micros) -> Output {
-        self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, Link::Close)
+        let link = if self.is_unsent() { Link::Close } else { Link::Finish };
+        self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, link)
+    }
+
+    /// Nothing came that says otherwise, unless the first line of a 200 did.
+    fn given_up(&mut self, end: CallEnd) -> Output {
+        let answer = (!self.answer.is_empty()).then(|| (self.decode)(&self.answer, true));
+        let delivered = matches!(answer, Some(Answer::Whole { end: CallEnd::Delivered, .. }));
+        self.end(Link::Close, if delivered { CallEnd::Delivered } else { end })
     }
 
     fn read(&mut self, now: Micros) -> Output {
@@ -231,7 +246,7 @@
     type Input = (Input, &'static str);
     const NAME: &'static str = "An attempt";
     const ABOUT: &'static str = "`core/src/machine/attempt.rs`: one invoker call, from the router's order to its end. \
-        *open*, *close* and *keep* say what becomes of the connection.";
+        *open*, *end sending*, *close* and *keep* say what becomes of the connection.";
 
     fn states() -> Vec<(&'static str, &'static str, Self)> {
         // For the table an answer is whole with `.`, and does not count yet with `1`.
@@ -262,8 +277,8 @@
             ),
             (
                 "Closing",
-                "given up, and its connection closed; the end is told 5 ms later",
-                at(State::Closing { end: CallEnd::TimedOut, until: 1 }, b""),
+                "given up: its sending has ended, or its connection is closed if it was not wholly written; the end is told 5 ms later, or what was still read",
+                at(State::Closing { end: CallEnd::TimedOut, until: 2 }, b""),
             ),
             ("Over", "its end has been told", at(State::Over, b"")),
         ]
@@ -323,13 +338,14 @@
     }
 
     fn take(&mut self, (input, bytes): Self::Input) -> String {
-        if matches!(self.state, State::Awaiting | State::Reading { .. }) {
+        if matches!(self.state, State::Awaiting | State::Reading { .. } | State::Closing { .. }) {
             self.answer.extend_from_slice(bytes.as_bytes());
         }
         let output = self.step(input, if input == Input::Tick { 2 } else { 1 });
         let link = match output.link {
             Link::Nothing => "",
             Link::Open => "open",
+            Link::Finish => "end sending",
             Link::Close => "close",
             Link::Keep => "keep",
         };
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -85,6 +85,12 @@
         if let Some(end) = told.end {
             return end;
         }
+        if told.finish
+            && let Some((stream, _)) = call.parts()
+        {
+            // Where it can't be told, the connection is gone already.
+            let _ = stream.shutdown().await;
+        }
         let (state, rest) = (call.state(), call.attempt().wake_at());
         if matches!(state, State::Writing { written: 0 }) {
             words.hold.set(false);
@@ -132,7 +138,19 @@
                     () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
                 }
             }
-            (State::Closing { until, .. }, _) => {
+            (State::Closing { until, .. }, Some((stream, answer))) => {
+                answer.reserve(READ);
+                tokio::select! {
+                    biased;
+                    read = stream.read_buf(answer) => match read {
+                        Ok(0) => Input::End,
+                        Ok(_) => Input::Read,
+                        Err(_) => Input::Reset,
+                    },
+                    () = sleep(clock.until(until)) => Input::Tick,
+                }
+            }
+            (State::Closing { until, .. }, None) => {
                 sleep(clock.until(until)).await;
                 Input::Tick
             }
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -6,7 +6,7 @@
 use quillmount_core::call::{Call, Told};
 use quillmount_core::hub::{Do, Hub};
 use quillmount_core::journal::Book;
-use quillmount_core::machine::attempt::{Input, State};
+use quillmount_core::machine::attempt::{CLOSING, Input, State};
 use quillmount_core::machine::notices::{self, Notices};
 use quillmount_core::machine::watch::{self, Watch};
 use quillmount_core::pool::Pool;
@@ -219,7 +219,7 @@
                     all.push(Choice::Write(which, Written::Whole));
                     all.extend(may(Event::Break).then_some(Choice::Write(which, Written::Broken)));
                 }
-                State::Awaiting if out.arrived.is_some() => {
+                State::Awaiting | State::Closing { .. } if out.arrived.is_some() => {
                     all.push(Choice::Read(which));
                     urgent = true;
                 }
@@ -250,6 +250,15 @@
                 State::Reading { .. } => {
                     all.push(Choice::End(which));
                 }
+                // What the provider says crosses with the word that the call is given up; it says nothing more
+                // once it has seen that.
+                State::Closing { until, .. }
+                    if may(Event::Race) && self.now + CLOSING == until && out.call.connection().is_some() =>
+                {
+                    let waits = may(Event::Wait).then_some(Answer::Wait);
+                    let arrive = [Answer::Ok].into_iter().chain(waits);
+                    all.extend(arrive.map(|answer| Choice::Arrives(which, answer)));
+                }
                 State::New | State::Closing { .. } | State::Over => {}
             }
         }
@@ -609,8 +618,9 @@
         let Some(out) = self.calls.get_mut(&id) else { return Ok(()) };
         let told = step(&mut out.call, &mut self.hub.pool, self.now);
         let message = out.message;
-        if out.call.connection().is_none() && out.call.state() != State::Connecting {
-            // Its connection is closed, or rests: for its provider the call is over.
+        let gone = out.call.connection().is_none() && out.call.state() != State::Connecting;
+        if gone || told.finish {
+            // Its connection is closed, or rests, or sends nothing more: for its provider the call is over.
             self.monitor.over(message, id.attempt, false);
         }
         if let Some(end) = told.end {
@@ -933,8 +943,11 @@
             return broken(Property::Unchanged, format!("{held} messages are held"));
         }
         let (calls, _) = self.hub.pool.load();
-        let counted =
-            self.calls.values().filter(|o| !matches!(o.call.state(), State::Closing { .. })).count();
+        let counted = self
+            .calls
+            .values()
+            .filter(|o| o.call.connection().is_some() || o.call.state() == State::Connecting)
+            .count();
         if calls != counted {
             return broken(Property::Unchanged, format!("the pool counts {calls} calls of {counted}"));
         }
