--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -95,6 +95,8 @@
     deadline: Micros,
     /// Ended, and the platform has yet to confirm it.
     end: Option<Ending>,
+    /// Attempts of it that the journal has.
+    noted: u32,
 }
 
 /// A call that is out.
@@ -103,6 +105,8 @@
     sent: Micros,
     provider: u32,
     dest: u64,
+    /// Its number among the attempts that the journal has, if it has this one.
+    noted: Option<u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -197,7 +201,8 @@
             });
             router.ids.insert(id.clone(), msg);
             let parcel = Arc::new(Parcel { id, key, body });
-            router.owed.insert(msg, Owed { parcel, dest, deadline, end });
+            let noted = entry.calls.len() as u32;
+            router.owed.insert(msg, Owed { parcel, dest, deadline, end, noted });
             router.counters.restored += 1;
             if end.is_some() {
                 router.notices.push_back(msg);
@@ -287,7 +292,7 @@
         self.next += 1;
         self.ids.insert(id.clone(), msg);
         let parcel = Arc::new(Parcel { id, key, body });
-        self.owed.insert(msg, Owed { parcel, dest, deadline, end: None });
+        self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0 });
         let class = class_number;
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
         let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
@@ -299,7 +304,7 @@
     /// An invoker call ended.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        let Some(Out { sent, dest, .. }) = self.out.remove(&call) else { return steps };
+        let Some(Out { sent, dest, noted, .. }) = self.out.remove(&call) else { return steps };
         self.counters.count_call(end);
         let CallId { msg, attempt } = call;
         let (outcome, wait) = match end {
@@ -323,7 +328,9 @@
         } else if self.owed.contains_key(&msg) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::Moot | Outcome::ConnectFailed)
                 || breaks::on(Break::OutcomeNever);
-            self.write(&Record::Outcome { msg, attempt, never_ran }, now);
+            if let Some(attempt) = noted {
+                self.write(&Record::Outcome { msg, attempt, never_ran }, now);
+            }
         }
         let finished = self.owed.get(&msg).is_none_or(|owed| owed.end.is_some());
         let elapsed = now.saturating_sub(sent);
@@ -511,12 +518,19 @@
             let CallId { msg, attempt } = call;
             return steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider }));
         };
-        self.out.insert(call, Out { sent: now, provider, dest });
+        let noted = None;
+        self.out.insert(call, Out { sent: now, provider, dest, noted });
         // Without its record a call must not leave: after a restart it would count as never made.
         let late = breaks::on(Break::AttemptUnwritten);
         if !late && !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
             return steps.push(Step::NotWritten(call));
         }
+        // The journal counts what it has, and the module what it ordered: a record that the disk refused
+        // sets the two apart.
+        if let (Some(owed), Some(out)) = (self.owed.get_mut(&call.msg), self.out.get_mut(&call)) {
+            out.noted = Some(owed.noted);
+            owed.noted += 1;
+        }
         self.counters.calls += 1;
         steps.push(Step::Call(InvokerCall { call, provider, addr, invocation, timeout, by }));
     }
@@ -623,4 +637,53 @@
         assert!(most <= kept && forgotten >= 999 - kept, "{most} kept, {forgotten} forgotten");
         assert_eq!((router.provider_names.known("s-1"), router.provider_names.name(1)), (None, ""));
     }
+
+    /// The disk refuses the record of an attempt: its number is used up for the module and not for the
+    /// journal, and the next outcome must still be noted for the attempt that it belongs to.
+    #[test]
+    fn an_outcome_is_noted_for_its_own_attempt_after_one_that_was_refused() {
+        use crate::journal::Book;
+        use crate::store::Fault;
+        let category = spurshore_settings::Category {
+            name: "fee-debit".into(),
+            effect: Some("fragile".into()),
+            deadline_ms: 16_000.0,
+            promise_ms: 3_000.0,
+            ..Default::default()
+        };
+        let env = Env { categories: vec![category], ..Env::default() };
+        let line = Provider {
+            id: "s".into(),
+            addr: "127.0.0.1:1".parse().ok(),
+            dest: 1,
+            kind: String::new(),
+            zone: String::new(),
+            weight: 0.0,
+            state: ListState::Ready,
+        };
+        let known = ProviderList { version: 1, full: true, providers: vec![line] };
+        let now = 1_000_000_000;
+        let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
+        router.list(known, now);
+        let body = bytes::Bytes::new();
+        let (id, class, time_left) = ("m".to_string(), "fee-debit".to_string(), 16_000_000);
+        // The take-on is written, and the attempt behind it is not.
+        router.journal_mut().store_mut().fail(Fault::Full { after: 1 });
+        let (_, steps) = router.take_on(Invocation { id, class, key: None, dest: 1, time_left, body }, now);
+        let refused = steps.iter().find_map(|s| match s {
+            Step::NotWritten(call) => Some(*call),
+            _ => None,
+        });
+        router.journal_mut().store_mut().fail(Fault::None);
+        let steps = router.call_ended(refused.unwrap(), CallEnd::HeldBack, now);
+        let call = steps.iter().find_map(|s| match s {
+            Step::Call(call) => Some(call.call),
+            _ => None,
+        });
+        assert_eq!(call.unwrap().attempt, 1);
+        router.call_ended(call.unwrap(), CallEnd::Full(0), now);
+        let (book, _) = Book::read(router.journal().store().bytes());
+        let calls: Vec<_> = book.owed.values().flat_map(|e| &e.calls).map(|c| c.never_ran).collect();
+        assert_eq!(calls[0], Some(true), "{calls:?}");
+    }
 }
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -25,7 +25,8 @@
             eye.time(gone.unwrap_or(Micros::MAX));
         }
         for (id, o) in owed {
-            let Owed { parcel, dest, deadline, end } = o;
+            let Owed { parcel, dest, deadline, end, noted } = o;
+            eye.word(u64::from(*noted));
             eye.message(*id);
             see_text(&parcel.id, eye);
             eye.word(*dest);
@@ -43,7 +44,8 @@
             eye.word(end.unwrap_or(0));
         }
         for (call, o) in out {
-            let Out { sent, provider, dest } = o;
+            let Out { sent, provider, dest, noted } = o;
+            eye.word(noted.map_or(u64::MAX, u64::from));
             eye.message(call.msg);
             eye.endpoint(*provider);
             [u64::from(call.attempt), *dest].into_iter().for_each(|w| eye.word(w));
