--- /dev/null
+++ b/explore/tests/command.rs
@@ -0,0 +1,103 @@
+//! The command, as it is called: its verdicts, its files, and what it says of bad input.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn explore(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_quillmount-explore")).args(arguments).output().unwrap()
+}
+
+fn found(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/found").join(name)
+}
+
+fn scratch(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("quillmount-explore-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn a_case_that_holds_exits_0_and_one_that_was_cut_short_never_says_so() {
+    let holds = explore(&["check", "--messages", "1", "--events", "refuse,timeout"]);
+    assert_eq!(holds.status.code(), Some(0), "{holds:?}");
+    assert!(said(&holds).contains("holds"));
+    let stopped = explore(&["check", "--messages", "3", "--time", "1ms"]);
+    assert_eq!(stopped.status.code(), Some(3), "{stopped:?}");
+    assert!(!said(&stopped).contains("holds") && said(&stopped).contains("the time was up"));
+    let full = explore(&["check", "--messages", "3", "--memory", "1"]);
+    assert_eq!(full.status.code(), Some(3), "{full:?}");
+    assert!(!said(&full).contains("holds") && said(&full).contains("the memory was up"));
+}
+
+#[test]
+fn a_search_comes_to_the_same_figures_on_any_number_of_threads() {
+    let figures = |threads: &str| {
+        let output = explore(&["check", "--messages", "1", "--threads", threads]);
+        let text = said(&output);
+        let mut parts = text.split(", ").map(str::to_string);
+        (parts.next(), parts.next(), parts.next())
+    };
+    assert_eq!(figures("1"), figures("4"));
+}
+
+#[test]
+fn bad_input_is_told_on_one_line_with_exit_2() {
+    let wrong_version = std::fs::read_to_string(found("lost_wake.json")).unwrap();
+    let wrong_version = wrong_version.replacen("\"version\": 1", "\"version\": 7", 1);
+    let other = scratch("other.json", &wrong_version);
+    let half = scratch("half.json", "{\"version\": 1, \"case\"");
+    let none = scratch("none.json", "{}");
+    let field = scratch("field.json", "{\"version\": 1, \"way\": []}");
+    let text = |path: &PathBuf| path.display().to_string();
+    let cases: [(&[&str], &str); 9] = [
+        (&["check", "--events", "drain,fog"], "no event is named \"fog\""),
+        (&["check", "--messages", "0"], "messages: from 1 to 8 are possible, not 0"),
+        (&["check", "--endpoints", "1", "--destinations", "2"], "endpoints: from 2 to 8"),
+        (&["check", "--break", "no-such"], "no break is named \"no-such\""),
+        (&["replay", "no-such-file.json"], "no-such-file.json: "),
+        (&["replay", &text(&half)], "half.json: "),
+        (&["replay", &text(&none)], "version: missing"),
+        (&["replay", &text(&other)], "version: 7, where this program writes 1"),
+        (&["shrink", &text(&field)], "unknown field `way`"),
+    ];
+    for (arguments, words) in cases {
+        let output = explore(arguments);
+        let line = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {line}");
+        assert!(line.contains(words) && line.trim_end().lines().count() == 1, "{arguments:?}: {line}");
+    }
+    [other, half, none, field].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
+
+#[test]
+fn a_path_that_is_broken_no_more_exits_0_or_says_which_move_is_gone() {
+    let output = explore(&["replay", &found("lost_wake.json").display().to_string()]);
+    assert_eq!(output.status.code(), Some(2), "its ninth move is not open any more: {output:?}");
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("move 9: the module is woken: is not open there")
+    );
+}
+
+/// With a break in the code: a counterexample is told, kept, played again, and shrunk.
+#[cfg(feature = "breaks")]
+#[test]
+fn a_counterexample_is_kept_played_again_and_shrunk() {
+    let path = scratch("broken.json", "");
+    let name = path.display().to_string();
+    let case = ["--messages", "1", "--endpoints", "1", "--events", "reset", "--break", "retry-after-reset"];
+    let check = explore(&[&["check", "--json", &name][..], &case].concat());
+    assert_eq!(check.status.code(), Some(1), "{check:?}");
+    let story = said(&check);
+    assert!(story.contains("broken at move 6: no-repeat: call 1 of m0, a debit"), "{story}");
+    for command in ["replay", "shrink", "replay"] {
+        let output = explore(&[command, &name]);
+        assert_eq!(output.status.code(), Some(1), "{output:?}");
+        assert!(said(&output).contains("no-repeat"));
+    }
+    std::fs::remove_file(path).unwrap();
+}
