Let a slow second request arrive before its connection makes room

Cause: where room was short, a consumer that had begun a second request and not ended it within 300 ms was cut off at once. Where its last byte came in that moment, the request was lost with the connection: only a connection's first request may be. Found by exploring the consumers' machine and table in a world of their own (explore/src/consumers.rs, 9 events).

Change: such a connection is asked to leave, as one that rests is, and has 5 ms for what is on its way; then it is answered 408 and closed. Beside it, one move of the exploration goes alone where that is proved harmless.

--- a/core/src/crowd.rs
+++ b/core/src/crowd.rs
@@ -25,6 +25,12 @@
     fn rests(&self) -> bool {
         !self.asked && matches!(self.state, State::Resting { .. })
     }
+
+    /// Cut off with no last look, a request that has just come whole would be lost. That may happen to a
+    /// connection's first one alone, which its consumer sends again.
+    fn wants_a_look(&self) -> bool {
+        self.rests() || (!self.asked && matches!(self.state, State::Asking { first: false, .. }))
+    }
 }
 
 /// What is to be done before one more is let in.
@@ -73,12 +79,21 @@
         self.all.is_empty()
     }
 
+    /// Who was asked to leave and has not said yet that it does; for whoever explores it.
+    pub fn asked(&self) -> Vec<u64> {
+        let mut asked: Vec<u64> = self.all.iter().filter(|(_, e)| e.asked).map(|(n, _)| *n).collect();
+        asked.sort_unstable();
+        asked
+    }
+
     /// Those that rest are to leave; returns their numbers.
     pub fn all_leave(&mut self) -> Vec<u64> {
         let resting = self.all.iter_mut().filter(|(_, e)| e.rests());
         resting.map(|(n, e)| (e.asked = true, *n).1).collect()
     }
 
+    /// Who is asked to leave while it asks for one more is waited for no longer than for a last look.
+    ///
     /// First goes who was answered for the last time, then who was slow to ask, then who has rested
     /// longest, but not with a request that has just come: that would be lost.
     pub fn make_room(&mut self, now: Micros) -> Room {
@@ -98,9 +113,9 @@
         let first = self.all.iter().min_by_key(|(n, e)| (rank(e), e.since, **n)).map(|(n, e)| (*n, *e));
         match first {
             None => Room::Free,
-            Some((_, e)) if (e.leaves() || e.rests()) && leaving >= LEAVING_MAX => Room::Wait,
+            Some((_, e)) if (e.leaves() || e.wants_a_look()) && leaving >= LEAVING_MAX => Room::Wait,
             Some((_, e)) if e.leaves() => Room::Free,
-            Some((n, e)) if e.rests() => {
+            Some((n, e)) if e.wants_a_look() => {
                 self.all.entry(n).and_modify(|e| e.asked = true);
                 Room::Leave(n)
             }
--- a/core/src/machine/consumer.rs
+++ b/core/src/machine/consumer.rs
@@ -46,7 +46,7 @@
 }
 
 /// What is to be done next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Output {
     Nothing,
     /// Read a request.
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -256,12 +256,25 @@
 
     /// Waits for a request, and gives its answer.
     async fn asked(&mut self, connections: &Connections) -> io::Result<(Option<Response<Bytes>>, Input)> {
-        let by = Instant::now() + REQUEST;
-        let asked = match timeout_at(by, self.request(connections)).await {
-            Ok(asked) => asked?,
+        let (leave, mut by) = (self.leave.clone(), Instant::now() + REQUEST);
+        let asked = {
+            let request = self.request(connections);
+            tokio::pin!(request);
+            loop {
+                tokio::select! {
+                    biased;
+                    asked = &mut request => break Some(asked?),
+                    // Room is short: what is on its way has a moment left.
+                    () = leave.notified() => by = by.min(Instant::now() + LAST_LOOK),
+                    () = sleep_until(by) => break None,
+                }
+            }
+        };
+        let asked = match asked {
+            Some(asked) => asked,
             // Who says nothing is owed nothing.
-            Err(_) if self.buf.is_empty() && self.codec.message_type() == MessageType::None => Asked::Nothing,
-            Err(_) => Asked::Malformed(Malformed::Slow),
+            None if self.buf.is_empty() && self.codec.message_type() == MessageType::None => Asked::Nothing,
+            None => Asked::Malformed(Malformed::Slow),
         };
         let probe = matches!(asked, Asked::Probed(_));
         let (answer, closes) = match asked {
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod case;
 pub mod choice;
+pub mod consumers;
 pub mod export;
 pub mod finger;
 pub mod monitor;
--- a/explore/src/proof.rs
+++ b/explore/src/proof.rs
@@ -61,4 +61,5 @@
     "--messages 1 --events refuse,timeout,drain",
     "--messages 2 --endpoints 1 --events refuse --no-edges",
     "--messages 1 --endpoints 1 --lives 2 --events kill,timeout",
+    "--messages 2 --endpoints 1 --events reset,lose,again --no-edges",
 ];
--- a/explore/src/search.rs
+++ b/explore/src/search.rs
@@ -161,8 +161,19 @@
 }
 
 /// Every move out of a state, in a fixed order, with what it comes to.
-fn expand(world: &World, case: &Case, mut visit: impl FnMut(u16, World, Result<(), Violation>)) {
-    for (n, choice) in world.choices().into_iter().enumerate() {
+fn expand(
+    world: &World,
+    case: &Case,
+    reduction: bool,
+    mut visit: impl FnMut(u16, World, Result<(), Violation>),
+) {
+    let choices = world.choices();
+    // The one that goes first whatever else may happen, since nothing else tells whether it has.
+    let first = choices.iter().position(|c| reduction && world.is_apart(*c));
+    for (n, choice) in choices.into_iter().enumerate() {
+        if first.is_some_and(|first| first != n) {
+            continue;
+        }
         let mut go = |die| {
             let mut next = world.clone();
             let judged = next.take(Move { choice, die });
@@ -171,7 +182,7 @@
             writes
         };
         let writes = go(None);
-        if !world.may_die() {
+        if !world.may_die() || first.is_some() {
             continue;
         }
         for after in 0..=writes {
@@ -244,7 +255,7 @@
                         None => remade.world(known, *id),
                     };
                     let mut any = false;
-                    expand(world, case, |packed, child, judged| {
+                    expand(world, case, bounds.reduction, |packed, child, judged| {
                         any = true;
                         moves.fetch_add(1, Relaxed);
                         match judged {
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -301,6 +301,12 @@
         all
     }
 
+    /// A move that changes nothing but a value that no other move open here reads or writes, and that no
+    /// property sees: the end of the notices' rest. It commutes with all of them.
+    pub fn is_apart(&self, choice: Choice) -> bool {
+        choice == Choice::NoticeTick && matches!(self.notices.state(), notices::State::Resting { .. })
+    }
+
     /// Events that are not kind are open as long as there are any left.
     fn may(&self, event: Event) -> bool {
         self.case.may(event) && self.case.faults.is_none_or(|most| self.faults < most)
