Say once what the wiring, the sockets and the explored world said twice

Need: reading the whole change again showed state that can be derived and code that stands twice.

Change: the hub asks the router for the calls at a provider in place of a table of its own, one insertion and one removal less for each call; the sockets have one function that reads an answer and one that waits for an attempt's time; the world tells lists, answers that stand in the socket and the faults that are left in one place each, and takes the drain's limit from the monitor; 'replay' loses a condition that was always false. The fingerprint also sees since when a connection rests, which decides whether it is used again.

--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -9,7 +9,7 @@
 use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
 use spurshore::Micros;
 use spurshore::breaks::{self, Break};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 /// What the driver is to do, in order.
 #[derive(Debug)]
@@ -31,13 +31,11 @@
 pub struct Hub<S, C> {
     pub router: Router<S>,
     pub pool: Pool<C>,
-    /// Attempts that the driver has begun and that are not over, with their providers.
-    calls: BTreeMap<CallId, u32>,
 }
 
 impl<S: Store, C> Hub<S, C> {
     pub fn new(router: Router<S>, pool: Pool<C>) -> Self {
-        Hub { router, pool, calls: BTreeMap::new() }
+        Hub { router, pool }
     }
 
     /// A consumer hands in an invocation; see [`Router::take_on`].
@@ -72,19 +70,14 @@
 
     /// An attempt is over.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Do<C>> {
-        self.calls.remove(&call);
         let steps = self.router.call_ended(call, end, now);
         self.carry_out(steps, now)
     }
 
     /// Nothing is out and nothing waits to be told.
     pub fn is_quiet(&self) -> bool {
-        self.calls.is_empty() && self.router.notices(1).is_empty()
-    }
-
-    /// Calls that are out, with their providers.
-    pub fn calls(&self) -> &BTreeMap<CallId, u32> {
-        &self.calls
+        let (_, out) = self.router.load();
+        out == 0 && self.router.notices(1).is_empty()
     }
 
     /// What the router's steps come to.
@@ -93,10 +86,7 @@
         let mut steps = VecDeque::from(steps);
         while let Some(step) = steps.pop_front() {
             match step {
-                Step::Call(call) => {
-                    self.calls.insert(call.call, call.provider);
-                    todo.push(Do::Begin(call));
-                }
+                Step::Call(call) => todo.push(Do::Begin(call)),
                 Step::NotWritten(_) if breaks::on(Break::HeldBackLost) => {}
                 Step::NotWritten(call) => {
                     steps.extend(self.router.call_ended(call, CallEnd::HeldBack, now));
@@ -125,8 +115,7 @@
     }
 
     fn tell_all(&self, provider: u32, input: Input, todo: &mut Vec<Do<C>>) {
-        let there = self.calls.iter().filter(|(_, p)| **p == provider);
-        todo.extend(there.map(|(call, _)| Do::Tell(*call, input)));
+        todo.extend(self.router.calls_at(provider).map(|call| Do::Tell(call, input)));
     }
 }
 
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -163,11 +163,13 @@
         (self.calls, self.all.values().map(|p| p.resting.len()).sum())
     }
 
-    /// What rests, by provider; for whoever explores it.
-    pub fn resting(&self) -> impl Iterator<Item = (u32, &C)> {
+    /// What rests, by provider, with the time since when; for whoever explores it.
+    pub fn resting(&self) -> impl Iterator<Item = (u32, &C, Micros)> {
         let mut all: Vec<_> = self.all.iter().collect();
         all.sort_by_key(|(n, _)| **n);
-        all.into_iter().flat_map(|(n, p)| p.resting.iter().map(|r| (*n, &r.connection)))
+        all.into_iter().flat_map(|(n, p)| {
+            p.resting.iter().map(|r| (*n, &r.connection, r.link.since().unwrap_or_default()))
+        })
     }
 
     /// Gate and hold of each provider.
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -476,6 +476,11 @@
         (self.owed.len(), self.out.len())
     }
 
+    /// Invoker calls out at a provider.
+    pub fn calls_at(&self, provider: u32) -> impl Iterator<Item = CallId> {
+        self.out.iter().filter(move |(_, out)| out.provider == provider).map(|(call, _)| *call)
+    }
+
     pub fn disk(&self) -> u64 {
         self.journal.disk()
     }
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -4,6 +4,7 @@
 //! whose answer begins with 200 and can't be read to its end, lets go unseen what stands behind an
 //! answer, and can't bound the connections of all hosts together (README).
 
+use super::clock::Clock;
 use super::courier::Courier;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
@@ -11,6 +12,7 @@
 use quillmount_core::machine::attempt::{Input, State};
 use quillmount_core::{CallEnd, InvokerCall};
 use quillmount_protocol::invoker::{self, ANSWER_MAX};
+use spurshore::Micros;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -71,6 +73,25 @@
     Some(stream)
 }
 
+/// Adds to an answer what has come.
+async fn read(stream: &mut TcpStream, answer: &mut Vec<u8>) -> Input {
+    answer.reserve(READ);
+    match stream.read_buf(answer).await {
+        Ok(0) => Input::End,
+        Ok(_) => Input::Read,
+        Err(_) => Input::Reset,
+    }
+}
+
+/// Waits for the time that an attempt's state waits for; for ever where there is none.
+async fn tick(clock: &Clock, at: Option<Micros>) -> Input {
+    match at {
+        Some(at) => sleep(clock.until(at)).await,
+        None => std::future::pending().await,
+    }
+    Input::Tick
+}
+
 /// Makes one call, once.
 pub async fn call(courier: &Courier, order: InvokerCall, words: &Words) -> CallEnd {
     let (clock, addr) = (&courier.clock, order.addr);
@@ -109,7 +130,7 @@
                     None => Input::Refused,
                 },
                 () = &mut deadline => Input::Deadline,
-                () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
+                tick = tick(clock, rest) => tick,
             },
             (State::Writing { written }, Some((stream, _))) => {
                 tokio::select! {
@@ -120,40 +141,25 @@
                         _ => Input::WriteFailed,
                     },
                     () = &mut deadline => Input::Deadline,
-                    () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
+                    tick = tick(clock, rest) => tick,
                 }
             }
             (State::Awaiting | State::Reading { .. }, Some((stream, answer))) => {
                 request = Vec::new();
-                answer.reserve(READ);
                 tokio::select! {
                     biased;
-                    read = stream.read_buf(answer) => match read {
-                        Ok(0) => Input::End,
-                        Ok(_) => Input::Read,
-                        Err(_) => Input::Reset,
-                    },
+                    read = read(stream, answer) => read,
                     word = words.heard(state) => word,
                     () = &mut deadline => Input::Deadline,
-                    () = sleep(clock.until(rest.unwrap_or_default())), if rest.is_some() => Input::Tick,
+                    tick = tick(clock, rest) => tick,
                 }
             }
-            (State::Closing { until, .. }, Some((stream, answer))) => {
-                answer.reserve(READ);
-                tokio::select! {
-                    biased;
-                    read = stream.read_buf(answer) => match read {
-                        Ok(0) => Input::End,
-                        Ok(_) => Input::Read,
-                        Err(_) => Input::Reset,
-                    },
-                    () = sleep(clock.until(until)) => Input::Tick,
-                }
-            }
-            (State::Closing { until, .. }, None) => {
-                sleep(clock.until(until)).await;
-                Input::Tick
-            }
+            (State::Closing { .. }, Some((stream, answer))) => tokio::select! {
+                biased;
+                read = read(stream, answer) => read,
+                tick = tick(clock, rest) => tick,
+            },
+            (State::Closing { .. }, None) => tick(clock, rest).await,
             // No connection where there has to be one can't be; it would prove nothing.
             _ => Input::GiveUp,
         };
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -263,8 +263,8 @@
     };
     println!("| break | property | depth | states | seconds |\n| --- | --- | --- | --- | --- |");
     for (name, about) in spurshore::breaks::ALL {
-        let mut proofs = quillmount_explore::proof::BREAKS.iter().filter(|(one, ..)| one == name);
-        let Some((_, case, property)) = proofs.next() else {
+        let proof = quillmount_explore::proof::BREAKS.iter().find(|(one, ..)| one == name);
+        let Some((_, case, property)) = proof else {
             wrong(format!("no case is there to find {name} ({about})"));
             continue;
         };
@@ -372,9 +372,9 @@
     let broken = story(&Arc::new(file.case), &file.path)?;
     match broken {
         Some(violation) if violation.property == file.violation.property => Ok(BROKEN),
-        Some(violation) => {
+        Some(_) => {
             println!("the file has another one: {}", file.violation);
-            Ok(if violation.property == file.violation.property { BROKEN } else { USAGE })
+            Ok(USAGE)
         }
         None => Ok(HOLDS),
     }
--- a/explore/src/monitor.rs
+++ b/explore/src/monitor.rs
@@ -67,7 +67,7 @@
 /// The final answer may come so long after the message's time.
 const ANSWER_LATE: Micros = 300_000;
 /// Nothing new goes to an endpoint so long after its drain was told.
-const DRAIN_LATE: Micros = 1_000_000;
+pub const DRAIN_LATE: Micros = 1_000_000;
 /// Calls that come so soon after a wait was told are let through.
 const WAIT_LATE: Micros = 100_000;
 /// A restarted courier's notices are not overdue before this long after it is ready.
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::case::{CLASSES, Case, Event};
 use crate::choice::{Answer, Choice, Die, Move, Which, Written};
-use crate::monitor::{Monitor, Property, Seen, Taken, Violation, broken};
+use crate::monitor::{DRAIN_LATE, Monitor, Property, Seen, Taken, Violation, broken};
 use quillmount_core::call::{Call, Told};
 use quillmount_core::hub::{Do, Hub};
 use quillmount_core::journal::Book;
@@ -101,13 +101,16 @@
         let list: Vec<Line> = (0..case.endpoints)
             .map(|n| Line { port: port(n), dest: dest(n), state: 1, version: 1 })
             .collect();
+        let known = told_of(&list, 1, |_| true);
+        // It owes nothing yet, so that there is nothing to carry out.
+        let (hub, _) = restore(case, Memory::default(), known.clone(), BEGIN)?;
         let mut world = World {
             case: case.clone(),
             now: BEGIN,
             life: Life::Up,
             lives: 1,
             faults: 0,
-            hub: open(case, Memory::default(), whole(&list, 1), BEGIN)?,
+            hub,
             calls: BTreeMap::new(),
             numbers: BTreeMap::new(),
             connections: 0,
@@ -125,7 +128,6 @@
             monitor: Monitor::default(),
         };
         world.watch.step(watch::Input::Answered, BEGIN);
-        let known = whole(&world.list, 1);
         let todo = world.hub.list(known, BEGIN);
         world.act(todo).map_err(|e| e.to_string())?;
         Ok(world)
@@ -157,10 +159,7 @@
 
     /// The process may die in what comes next.
     pub fn may_die(&self) -> bool {
-        self.is_up()
-            && self.lives < self.case.lives
-            && !self.full
-            && self.case.faults.is_none_or(|most| self.faults < most)
+        self.is_up() && self.lives < self.case.lives && !self.full && self.has_faults_left()
     }
 
     /// Numbers of messages and providers that are in use, in order.
@@ -225,26 +224,24 @@
                 }
                 State::Awaiting => {
                     let answers = [
-                        (Some(Answer::Ok), None),
-                        (Some(Answer::Error), Some(Event::Error)),
-                        (Some(Answer::Full), Some(Event::Full)),
-                        (Some(Answer::Wait), Some(Event::Wait)),
-                        (Some(Answer::Slots), Some(Event::Slots)),
-                        (Some(Answer::Exhausted), Some(Event::Exhausted)),
-                        (Some(Answer::Over), Some(Event::Over)),
-                        (Some(Answer::CutOk), Some(Event::Spoilt)),
-                        (Some(Answer::CutFull), Some(Event::Spoilt)),
-                        (Some(Answer::Interim).filter(|_| !out.interim), Some(Event::Interim)),
-                        (Some(Answer::Copy), Some(Event::Copy)),
+                        (Answer::Ok, None),
+                        (Answer::Error, Some(Event::Error)),
+                        (Answer::Full, Some(Event::Full)),
+                        (Answer::Wait, Some(Event::Wait)),
+                        (Answer::Slots, Some(Event::Slots)),
+                        (Answer::Exhausted, Some(Event::Exhausted)),
+                        (Answer::Over, Some(Event::Over)),
+                        (Answer::CutOk, Some(Event::Spoilt)),
+                        (Answer::CutFull, Some(Event::Spoilt)),
+                        (Answer::Interim, Some(Event::Interim)),
+                        (Answer::Copy, Some(Event::Copy)),
                     ];
-                    let open = answers.into_iter().filter(|(_, event)| event.is_none_or(may));
-                    all.extend(open.filter_map(|(answer, _)| Some(Choice::Answer(which, answer?))));
+                    let open = answers.into_iter().filter(|(answer, event)| {
+                        event.is_none_or(may) && !(out.interim && *answer == Answer::Interim)
+                    });
+                    all.extend(open.map(|(answer, _)| Choice::Answer(which, answer)));
                     all.extend(may(Event::Reset).then_some(Choice::Reset(which)));
-                    if may(Event::Race) {
-                        let waits = may(Event::Wait).then_some(Answer::Wait);
-                        let arrive = [Answer::Ok].into_iter().chain(waits);
-                        all.extend(arrive.map(|answer| Choice::Arrives(which, answer)));
-                    }
+                    self.arrivals(which, &mut all);
                     waits |= !may(Event::Timeout);
                 }
                 State::Reading { .. } => {
@@ -253,11 +250,9 @@
                 // What the provider says crosses with the word that the call is given up; it says nothing more
                 // once it has seen that.
                 State::Closing { until, .. }
-                    if may(Event::Race) && self.now + CLOSING == until && out.call.connection().is_some() =>
+                    if self.now + CLOSING == until && out.call.connection().is_some() =>
                 {
-                    let waits = may(Event::Wait).then_some(Answer::Wait);
-                    let arrive = [Answer::Ok].into_iter().chain(waits);
-                    all.extend(arrive.map(|answer| Choice::Arrives(which, answer)));
+                    self.arrivals(which, &mut all);
                 }
                 State::New | State::Closing { .. } | State::Over => {}
             }
@@ -276,8 +271,13 @@
         all.extend((may(Event::Watch) && following).then_some(Choice::WatchBreak));
         self.lists(&mut all);
         if may(Event::Idle) {
-            let resting: BTreeSet<u32> =
-                self.hub.pool.resting().filter(|(_, c)| !self.closed.contains(c)).map(|(n, _)| n).collect();
+            let resting: BTreeSet<u32> = self
+                .hub
+                .pool
+                .resting()
+                .filter(|(_, c, _)| !self.closed.contains(c))
+                .map(|(n, ..)| n)
+                .collect();
             all.extend(resting.into_iter().map(Choice::Idle));
         }
         if self.full {
@@ -309,7 +309,19 @@
 
     /// Events that are not kind are open as long as there are any left.
     fn may(&self, event: Event) -> bool {
-        self.case.may(event) && self.case.faults.is_none_or(|most| self.faults < most)
+        self.case.may(event) && self.has_faults_left()
+    }
+
+    fn has_faults_left(&self) -> bool {
+        self.case.faults.is_none_or(|most| self.faults < most)
+    }
+
+    /// Answers that may stand in the socket unread.
+    fn arrivals(&self, which: Which, all: &mut Vec<Choice>) {
+        if self.may(Event::Race) {
+            all.push(Choice::Arrives(which, Answer::Ok));
+            all.extend(self.may(Event::Wait).then_some(Choice::Arrives(which, Answer::Wait)));
+        }
     }
 
     fn notice_choices(&self, all: &mut Vec<Choice>, urgent: &mut bool) {
@@ -395,7 +407,7 @@
             }
             if out.call.state() == State::Connecting {
                 hard.push(out.dial);
-                hard.extend(self.monitor.drains.get(&out.provider).map(|told| told + 1_000_000));
+                hard.extend(self.monitor.drains.get(&out.provider).map(|told| told + DRAIN_LATE));
             }
         }
         let pending = self.monitor.messages.iter().filter(|m| m.taken != Taken::No && !m.is_final());
@@ -408,7 +420,7 @@
         let owed = self.hub.router.load().0 > 0;
         if owed || self.monitor.messages.len() < self.case.messages as usize {
             hard.extend(self.hub.pool.gates().into_iter().map(|(.., hold)| hold));
-            hard.extend(self.monitor.drains.values().map(|told| told + 1_000_000));
+            hard.extend(self.monitor.drains.values().map(|told| told + DRAIN_LATE));
         }
         let edges = |at: Micros| [at - 1, at, at + 1];
         let stops = hard.into_iter().filter(|at| (BEGIN..BEGIN + (1 << 40)).contains(at));
@@ -530,8 +542,8 @@
                 self.act(todo)
             }
             Choice::Idle(n) => {
-                let first = self.hub.pool.resting().find(|(p, c)| *p == n && !self.closed.contains(c));
-                self.closed.extend(first.map(|(_, c)| *c));
+                let first = self.hub.pool.resting().find(|(p, c, _)| *p == n && !self.closed.contains(c));
+                self.closed.extend(first.map(|(_, c, _)| *c));
                 Ok(())
             }
             Choice::DiskFull => {
@@ -822,15 +834,8 @@
     /// Discovery tells what has changed since the version that the courier has, or all.
     fn tell(&mut self, full: bool) -> Result<(), Violation> {
         let heard = self.hub.router.version();
-        let mut list = whole(&self.list, self.version);
-        if full {
-            list.providers.retain(|p| p.state != ListState::Gone);
-        } else {
-            let changed: Vec<bool> = self.list.iter().map(|l| l.version > heard).collect();
-            let mut n = 0;
-            list.providers.retain(|_| (changed[n], n += 1).0);
-            list.full = false;
-        }
+        let told = |line: &Line| if full { line.state != 0 } else { line.version > heard };
+        let list = ProviderList { full, ..told_of(&self.list, self.version, told) };
         for (n, line) in self.list.iter().enumerate() {
             if line.state == 1 {
                 self.monitor.drains.remove(&(n as u8));
@@ -900,10 +905,7 @@
         let store = self.hub.router.journal().store().clone();
         // What the last life was told of the list is what the configuration knows.
         let heard = self.hub.router.version();
-        let mut known = whole(&self.list, heard);
-        let old: Vec<bool> = self.list.iter().map(|l| l.version <= heard).collect();
-        let mut n = 0;
-        known.providers.retain(|_| (old[n], n += 1).0);
+        let known = told_of(&self.list, heard, |line| line.version <= heard);
         let before = self.book();
         let (hub, steps) = match restore(&self.case, store, known, self.now) {
             Ok(restored) => restored,
@@ -933,7 +935,7 @@
     }
 
     fn sweep_names(&mut self) {
-        let resting: BTreeSet<u32> = self.hub.pool.resting().map(|(_, c)| *c).collect();
+        let resting: BTreeSet<u32> = self.hub.pool.resting().map(|(_, c, _)| *c).collect();
         self.closed.retain(|c| resting.contains(c));
         self.spoilt
             .retain(|c| resting.contains(c) || self.calls.values().any(|o| o.call.connection() == Some(c)));
@@ -1005,9 +1007,6 @@
         if let watch::State::Pausing { until } = self.watch.state() {
             eye.time(until);
         }
-        for (id, provider) in self.hub.calls() {
-            eye.hash(&(id, provider));
-        }
         for (id, out) in &self.calls {
             eye.hash(&(id, out.message, out.provider, out.interim, out.arrived, out.call.attempt().answer()));
             match out.call.state() {
@@ -1031,8 +1030,9 @@
             eye.hash(&(n, open));
             eye.time(hold.max(self.now));
         }
-        for (n, c) in self.hub.pool.resting() {
+        for (n, c, since) in self.hub.pool.resting() {
             eye.hash(&(n, self.closed.contains(c), self.spoilt.contains(c)));
+            eye.time(since);
         }
         if self.case.lives > 1 {
             for (n, entry) in &self.book().owed {
@@ -1055,7 +1055,7 @@
         for (n, told) in &self.monitor.drains {
             eye.hash(n);
             // Past the limit a drain is one that holds.
-            eye.time((*told).max(self.now.saturating_sub(1_000_001)));
+            eye.time((*told).max(self.now.saturating_sub(DRAIN_LATE + 1)));
         }
         for (dest, (from, until)) in self.monitor.waits.iter().filter(|(_, (_, until))| *until > self.now) {
             eye.hash(dest);
@@ -1150,8 +1150,10 @@
     )
 }
 
-fn whole(list: &[Line], version: u64) -> ProviderList {
-    let providers = list.iter().enumerate().map(|(n, line)| Provider {
+/// The list at a version, whole but for the lines that are left out.
+fn told_of(list: &[Line], version: u64, told: impl Fn(&Line) -> bool) -> ProviderList {
+    let lines = list.iter().enumerate().filter(|(_, line)| told(line));
+    let providers = lines.map(|(n, line)| Provider {
         id: format!("p{n}"),
         addr: Some(SocketAddr::from(([127, 0, 0, 1], line.port))),
         dest: line.dest,
@@ -1175,9 +1177,3 @@
         Router::open(&env, case.seed, known, store, DISK, now).map_err(|e| e.to_string())?;
     Ok((Hub::new(router, Pool::new(15_000_000, 100)), steps))
 }
-
-fn open(case: &Case, store: Memory, known: ProviderList, now: Micros) -> Result<Hub<Memory, u32>, String> {
-    let (mut hub, steps) = restore(case, store, known, now)?;
-    hub.carry_out(steps, now);
-    Ok(hub)
-}
