--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -146,6 +146,7 @@
             (Over, _) => NOTHING,
             (Closing { end, until }, Input::Tick) if now >= until => self.given_up(end),
             (Closing { end, .. }, Input::End | Input::Reset) => self.given_up(end),
+            (Closing { .. }, Input::Read) if breaks::on(Break::AnswerUnread) => NOTHING,
             // It crossed with the word to give up: what it tells holds all the same.
             (Closing { .. }, Input::Read) => match (self.decode)(&self.answer, self.answer.len() > self.most)
             {
@@ -201,7 +202,7 @@
     }
 
     fn close(&mut self, end: CallEnd, now: Micros) -> Output {
-        let link = if self.is_unsent() { Link::Close } else { Link::Finish };
+        let link = if self.is_unsent() || breaks::on(Break::AnswerUnread) { Link::Close } else { Link::Finish };
         self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, link)
     }
 
--- a/explore/src/proof.rs
+++ b/explore/src/proof.rs
@@ -7,6 +7,7 @@
 #[rustfmt::skip]
 pub const BREAKS: &[(&str, &str, Property)] = &[
     ("answer-late", "--messages 1 --endpoints 1 --events refuse,drain", Property::FinalAnswer),
+    ("answer-unread", "--messages 2 --endpoints 1 --events race,wait,timeout --faults 3 --no-edges", Property::Wait),
     ("attempt-too-many", "--messages 1 --endpoints 1 --events full", Property::Unchanged),
     ("attempt-unwritten", "--messages 1 --endpoints 1 --lives 2 --events kill", Property::NoRepeat),
     ("end-unwritten", "--messages 1 --endpoints 1 --lives 2 --events kill,disk,refuse --no-edges", Property::FinalAnswer),
--- a/explore/tests/found.rs
+++ b/explore/tests/found.rs
@@ -1,27 +1,44 @@
-//! Counterexamples that the exploration found in the program: their paths must lead to no break any more.
+//! Counterexamples that the exploration found in the program: their paths must lead to no break any more,
+//! and must lead to it again where the defect is put back.
 
 use quillmount_explore::case::Case;
 use quillmount_explore::choice::Move;
+use quillmount_explore::monitor::Violation;
 use quillmount_explore::search::play;
 use std::sync::Arc;
 
+/// Each path, and the break that puts its defect back.
+const FOUND: [(&str, &str); 6] = [
+    ("lost_wake", "lost-wake"),
+    ("repeat_past_its_span", "repeat-late"),
+    ("sent_after_its_end", "send-after-end"),
+    ("two_ends", "end-unwritten"),
+    ("wait_unread", "answer-unread"),
+    ("wait_while_written", "write-on-in-wait"),
+];
+
 #[derive(serde::Deserialize)]
 struct File {
     case: Case,
+    violation: Violation,
     path: Vec<Move>,
 }
 
 #[test]
 fn what_was_found_is_broken_no_more() {
-    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/found");
-    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
-    files.sort();
-    assert!(!files.is_empty());
-    for path in files {
+    for (name, defect) in FOUND {
+        let path = format!("{}/tests/found/{name}.json", env!("CARGO_MANIFEST_DIR"));
         let file: File = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        let case = Arc::new(file.case);
         // A move that is not open any more ends the path: the fix has taken it away.
-        if let Ok(Some((n, violation))) = play(&Arc::new(file.case), &file.path, |_, _, _| {}) {
-            panic!("{}: move {}: {violation}", path.display(), n + 1);
+        if let Ok(Some((n, violation))) = play(&case, &file.path, |_, _, _| {}) {
+            panic!("{path}: move {}: {violation}", n + 1);
+        }
+        if cfg!(feature = "breaks") {
+            spurshore::breaks::set(defect).unwrap();
+            let broken = play(&case, &file.path, |_, _, _| {}).unwrap().map(|(_, violation)| violation);
+            spurshore::breaks::clear();
+            assert_eq!(broken.as_ref(), Some(&file.violation), "{path} with {defect}");
         }
     }
 }
--- a/src/breaks.rs
+++ b/src/breaks.rs
@@ -27,6 +27,7 @@
     IgnoreWait: "ignore-wait", "a told wait holds nothing back";
     WriteOnInWait: "write-on-in-wait", "a call that is being written goes on when a wait is told";
     SendAfterEnd: "send-after-end", "a call that has not left goes on when its message has ended";
+    AnswerUnread: "answer-unread", "a call that is given up closes its connection at once";
     LostWake: "lost-wake", "a step at the time of a wake-up hides the next one";
     KeepSpoilt: "keep-spoilt", "a connection is kept after an answer that broke off";
     PoolLeak: "pool-leak", "a call that was given up counts in the pool for good";
