--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -202,7 +202,8 @@
     }
 
     fn close(&mut self, end: CallEnd, now: Micros) -> Output {
-        let link = if self.is_unsent() || breaks::on(Break::AnswerUnread) { Link::Close } else { Link::Finish };
+        let link =
+            if self.is_unsent() || breaks::on(Break::AnswerUnread) { Link::Close } else { Link::Finish };
         self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, link)
     }
 
