Give the courier a command line, an operator file, logs on tracing, and a demonstration

Need: streams and every later subsystem want to be switched on, checked and looked into, and a newcomer wants to see what the program does with one command.

Ruled out: a JSON Schema validator at run time, which brings a hundred crates for what serde says already; EnvFilter, which brings regular expressions for what Targets does.

--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -189,21 +189,41 @@
     Ok(frame)
 }
 
-/// Reads records up to the first that is torn; returns the length of the sound part.
-fn decode(bytes: &[u8], book: &mut Book) -> usize {
-    let mut at = 0;
-    loop {
-        let rest = &bytes[at..];
-        let Some((head, rest)) = rest.split_first_chunk::<8>() else { return at };
+/// The records in these bytes, each with the place where it begins, up to the first that is not sound.
+#[derive(Clone, Debug)]
+pub struct Records<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Records<'a> {
+    pub fn of(bytes: &'a [u8]) -> Self {
+        Records { bytes, at: 0 }
+    }
+}
+
+impl Iterator for Records<'_> {
+    type Item = (usize, Record);
+
+    fn next(&mut self) -> Option<Self::Item> {
+        let at = self.at;
+        let (head, rest) = self.bytes[at..].split_first_chunk::<8>()?;
         let len = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
         let sum = u32::from_le_bytes([head[4], head[5], head[6], head[7]]);
-        let Some(payload) = rest.get(..len).filter(|p| crc32fast::hash(p) == sum) else { return at };
-        let Ok(record) = postcard::from_bytes(payload) else { return at };
-        book.apply(record);
-        at += FRAME as usize + len;
+        let payload = rest.get(..len).filter(|p| crc32fast::hash(p) == sum)?;
+        let record = postcard::from_bytes(payload).ok()?;
+        self.at = at + FRAME as usize + len;
+        Some((at, record))
     }
 }
 
+/// Reads records up to the first that is torn; returns the length of the sound part.
+fn decode(bytes: &[u8], book: &mut Book) -> usize {
+    let mut records = Records::of(bytes);
+    records.by_ref().for_each(|(_, record)| book.apply(record));
+    records.at
+}
+
 #[derive(Clone, Debug)]
 pub struct Journal<S> {
     store: S,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -41,6 +41,7 @@
 pub struct InvokerCall {
     pub call: CallId,
     pub provider: u32,
+    pub dest: u64,
     pub addr: SocketAddr,
     pub invocation: Arc<Parcel>,
     pub timeout: Micros,
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -537,7 +537,7 @@
             owed.noted += 1;
         }
         self.counters.calls += 1;
-        steps.push(Step::Call(InvokerCall { call, provider, addr, invocation, timeout, by }));
+        steps.push(Step::Call(InvokerCall { call, provider, dest, addr, invocation, timeout, by }));
     }
 
     fn end(&mut self, msg: MsgId, ending: Ending, now: Micros, steps: &mut Vec<Step>) {
--- /dev/null
+++ b/courier/src/program/check.rs
@@ -0,0 +1,50 @@
+//! `quillmount check`: all that is wrong with a configuration and an operator file.
+
+use super::config::Config;
+use super::log;
+use quillmount_operator::problems::Problem;
+use quillmount_operator::{Operator, OperatorError};
+use std::path::Path;
+
+type Error = Box<dyn std::error::Error>;
+
+/// Prints what is sound; returns an error that counts the problems, which are printed one a line.
+///
+/// # Errors
+/// There is something wrong with a file, or no file was named.
+pub fn check(config: Option<&Path>, operator: Option<&Path>) -> Result<(), Error> {
+    if config.is_none() && operator.is_none() {
+        return Err("check: neither GW_CONFIG nor --config nor --operator names a file".into());
+    }
+    let mut wrong = 0;
+    let mut told = |path: &Path, problems: Vec<Problem>| {
+        wrong += problems.len();
+        match problems.is_empty() {
+            true => println!("{}: sound", path.display()),
+            false => problems.iter().for_each(|problem| eprintln!("{}: {problem}", path.display())),
+        }
+    };
+    if let Some(path) = config {
+        told(path, Config::problems(path, |name| std::env::var(name).ok()));
+    }
+    if let Some(path) = operator {
+        told(path, problems_of(path));
+    }
+    match wrong {
+        0 => Ok(()),
+        1 => Err("one problem".into()),
+        n => Err(format!("{n} problems").into()),
+    }
+}
+
+/// All that is wrong with an operator file.
+fn problems_of(path: &Path) -> Vec<Problem> {
+    match Operator::load(path) {
+        Ok(operator) => {
+            let levels = log::parse("$.log.filter", &operator.log.filter);
+            levels.err().map(|e| Problem::new("$.log.filter", e.to_string())).into_iter().collect()
+        }
+        Err(OperatorError::Problems { problems, .. }) => problems,
+        Err(OperatorError::Read { source, .. }) => vec![Problem::new("$", source.to_string())],
+    }
+}
--- /dev/null
+++ b/courier/src/program/cli.rs
@@ -0,0 +1,105 @@
+//! The command line.
+
+use super::{check, demo, inspect, log, run};
+use clap::{CommandFactory, Parser, Subcommand};
+use quillmount_operator::Operator;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A courier: takes messages on, delivers each to one of its partners, and owes each one final answer.
+///
+/// Without a command it runs as the platform starts it: GW_CONFIG names its configuration, GW_STATE its folder.
+#[derive(Parser)]
+#[command(name = "quillmount", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the courier, as without a command.
+    Run {
+        /// What is switched on beyond the platform's protocol; nothing without it.
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Read the configuration and the operator file, and tell all that is wrong with them: exit 0 nothing.
+    Check {
+        /// The configuration; GW_CONFIG names it where this does not.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Print the JSON schema of the operator file.
+    Schema,
+    /// Look into a journal, without changing it.
+    Journal {
+        #[command(subcommand)]
+        command: Journal,
+    },
+    /// Run a courier with stand-ins on loopback, and show what becomes of a few messages of each kind.
+    Demo,
+    /// Print the shell's completions.
+    Completions { shell: clap_complete::Shell },
+}
+
+#[derive(Subcommand)]
+enum Journal {
+    /// Print every record.
+    Show {
+        /// The folder that GW_STATE names.
+        folder: PathBuf,
+        /// One JSON object a line.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Read every record: exit 0 sound to its last byte, 1 otherwise.
+    Verify { folder: PathBuf },
+}
+
+/// Does what the command line says.
+pub fn main() -> ExitCode {
+    let done = match Cli::parse().command.unwrap_or(Command::Run { operator: None }) {
+        Command::Run { operator } => return serve(operator),
+        Command::Check { config, operator } => {
+            let config = config.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
+            check::check(config.as_deref(), operator.as_deref())
+        }
+        Command::Schema => {
+            print!("{}", Operator::schema_text());
+            Ok(())
+        }
+        Command::Journal { command: Journal::Show { folder, json } } => inspect::show(&folder, json),
+        Command::Journal { command: Journal::Verify { folder } } => inspect::verify(&folder),
+        Command::Demo => actix_rt::System::new().block_on(demo::demo()),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "quillmount", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("quillmount: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(path: Option<PathBuf>) -> ExitCode {
+    let operator = path.as_deref().map_or(Ok(Operator::default()), Operator::load);
+    let begun = log::begin(operator.as_ref().map_or(&Default::default(), |o| &o.log));
+    let done = operator.map_err(run::RunError::from).and_then(|_| {
+        let levels = begun.map_err(run::RunError::Log)?;
+        actix_rt::System::new().block_on(run::run(path, levels))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            tracing::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -1,11 +1,13 @@
 //! What the platform tells a courier at its start.
 
 use quillmount_core::ProviderList;
+use quillmount_operator::problems::{self, Problem};
 use quillmount_protocol::discovery::{DiscoveryError, List};
 use serde::Deserialize;
-use spurshore_settings::Env;
+use spurshore::Facade;
+use spurshore_settings::{Env, Names, settings};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 #[derive(Debug, thiserror::Error)]
@@ -103,6 +105,33 @@
         })
     }
 
+    /// All that is wrong with a file, each with its path; variables go before what it says, as at a start.
+    pub fn problems(path: &Path, var: impl Fn(&str) -> Option<String>) -> Vec<Problem> {
+        let text = match std::fs::read(path) {
+            Ok(text) => text,
+            Err(e) => return vec![Problem::new("$", e.to_string())],
+        };
+        let file: File = match problems::read(&text, false) {
+            Ok(file) => file,
+            Err(problems) => return problems,
+        };
+        let mut found = Vec::new();
+        for (name, field, told) in
+            [("GW_LISTEN", "listen", file.listen), ("GW_DISCOVERY", "discovery", file.discovery)]
+        {
+            if let Err(e) = address(name, var(name).or(told)) {
+                found.push(Problem::new(format!("$.{field}"), e.to_string()));
+            }
+        }
+        for (n, server) in file.known.into_iter().flat_map(List::entries).enumerate() {
+            found.extend(server.err().map(|e| Problem::new(format!("$.known.servers[{n}]"), e.to_string())));
+        }
+        let sound = settings(&file.settings, &mut Names::default());
+        let module = sound.and_then(|s| Facade::new(s, 0).map(drop).map_err(|e| e.to_string()));
+        found.extend(module.err().map(|e| Problem::new("$.settings", e)));
+        found
+    }
+
     /// Where discovery is by the file as it stands now. It has changed since the start, so that it goes
     /// before `GW_DISCOVERY`; a file that does not hold as a whole is not believed in part.
     pub fn discovery_now(path: &str) -> Result<SocketAddr, ConfigError> {
--- /dev/null
+++ b/courier/src/program/demo.rs
@@ -0,0 +1,142 @@
+//! `quillmount demo`: a courier of this very program between stand-ins on loopback, and what becomes of a few
+//! messages of each kind.
+
+use quillmount_standins::consumer::{self, Invocation};
+use quillmount_standins::courier::{Courier, Setup};
+use quillmount_standins::http::Head;
+use quillmount_standins::provider::{self, Script};
+use quillmount_standins::{Eyes, Seen, What, platform};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+
+type Error = Box<dyn std::error::Error>;
+
+/// A message that nothing comes of ends at its time; a demonstration should not last the usual 16 s.
+const TIME_LEFT: Duration = Duration::from_secs(4);
+/// An end comes within a message's time and some; without one the demonstration has failed.
+const PATIENCE: Duration = Duration::from_secs(10);
+const CLASSES: [&str; 2] = ["fee-debit", "paid-notice"];
+
+/// The kinds of message: their name, their destination, and what its partner does.
+const KINDS: [(&str, u64, &str); 4] = [
+    ("delivered", 1, "the partner answers 200"),
+    ("full", 2, "the partner turns the first call away, and tells to wait half a second"),
+    ("hung", 3, "the partner takes the call and never answers"),
+    ("failed", 4, "the partner answers 500"),
+];
+
+/// What the partner of a destination does; `first`: the message has not called there before.
+fn script(dest: u64, first: bool) -> Script {
+    let delay = Duration::from_millis(150);
+    match dest {
+        2 if first => Script::answers("429 Too Many Requests\r\nRetry-After: 0.5"),
+        3 => Script::silent(),
+        4 => Script { delay, ..Script::answers("500 Internal Server Error") },
+        _ => Script { delay, ..Script::default() },
+    }
+}
+
+/// Runs it all, and prints a timeline of each message.
+///
+/// # Errors
+/// A message had another number of final answers than one, or the courier did not start or stop as it should.
+pub async fn demo() -> Result<(), Error> {
+    let (eyes, mut seen) = Eyes::open();
+    let (_list, list) = watch::channel(String::new());
+    let platform = platform::open(eyes.clone(), list).await?;
+    let mut partners = Vec::new();
+    for (_, dest, _) in KINDS {
+        let known = RefCell::new(BTreeSet::new());
+        let script = move |head: &Head| {
+            let id = head.header("x-correlation-id").unwrap_or_default().to_string();
+            script(dest, known.borrow_mut().insert(id))
+        };
+        partners.push((dest, provider::open(eyes.clone(), script).await?));
+    }
+    let mut courier = Courier::start(Setup::new(std::env::current_exe()?, platform, partners))?;
+    let addr = courier.addr;
+    println!("a courier at {addr}, a partner for each destination, and the platform at {platform}\n");
+
+    let (begun, mut ids) = (Instant::now(), Vec::new());
+    let mut story: BTreeMap<String, Vec<(Instant, String)>> = BTreeMap::new();
+    for (kind, dest, _) in KINDS {
+        for class in CLASSES {
+            let id = format!("{kind}-{class}");
+            let invocation =
+                Invocation { key: Some(id.clone()), ..Invocation::new(class, &id, dest, TIME_LEFT) };
+            let answer = consumer::hand_in(addr, &invocation, kind.as_bytes()).await?;
+            story
+                .entry(id.clone())
+                .or_default()
+                .push((Instant::now(), format!("handed in: {}", answer.first)));
+            ids.push(id);
+        }
+    }
+    let ends = listen(&mut seen, &mut story, &ids, begun + TIME_LEFT + PATIENCE).await;
+    courier.term()?;
+    let clean = courier.ended().await?.success();
+
+    for (kind, _, about) in KINDS {
+        for class in CLASSES {
+            let id = format!("{kind}-{class}");
+            println!("{class}, {about}");
+            let lines = story.get_mut(&id).map(std::mem::take).unwrap_or_default();
+            // What one stand-in saw later may be heard sooner.
+            let mut lines: Vec<_> = lines.into_iter().collect();
+            lines.sort_by_key(|(at, _)| *at);
+            for (at, line) in lines {
+                println!("  {:7.3} s  {line}", at.saturating_duration_since(begun).as_secs_f64());
+            }
+        }
+    }
+    let wrong: Vec<String> = ids
+        .iter()
+        .map(|id| (id, ends.get(id).copied().unwrap_or(0)))
+        .filter(|(_, ends)| *ends != 1)
+        .map(|(id, ends)| format!("{id} has {ends} final answers"))
+        .collect();
+    match (wrong.is_empty(), clean) {
+        (true, true) => {
+            println!("\n{} messages, one final answer each; the courier has stopped", ids.len());
+            Ok(())
+        }
+        (true, false) => Err("the courier did not stop as it should".into()),
+        (false, _) => Err(wrong.join("; ").into()),
+    }
+}
+
+/// Hears what the stand-ins see until every message has its end, and a moment longer; returns the number of ends
+/// of each.
+async fn listen(
+    seen: &mut mpsc::Receiver<Seen>,
+    story: &mut BTreeMap<String, Vec<(Instant, String)>>,
+    ids: &[String],
+    by: Instant,
+) -> BTreeMap<String, usize> {
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    let mut until = by;
+    while let Ok(Some(Seen { at, id, what })) = tokio::time::timeout_at(until.into(), seen.recv()).await {
+        let line = match what {
+            What::CallBegan => "the courier calls the partner".to_string(),
+            What::Answered(answer) => {
+                let delivered = answer.starts_with("200");
+                *ends.entry(id.clone()).or_default() += usize::from(delivered);
+                format!("the partner answers {answer}{}", if delivered { ": delivered" } else { "" })
+            }
+            What::Abandoned => "the courier gives the call up".to_string(),
+            What::Notice(line) => {
+                *ends.entry(id.clone()).or_default() += 1;
+                format!("the courier tells the platform {line}")
+            }
+            What::Body { .. } | What::Watched => continue,
+        };
+        story.entry(id).or_default().push((at, line));
+        if ids.iter().all(|id| ends.contains_key(id)) {
+            // A second end would come soon after the first.
+            until = until.min(Instant::now() + Duration::from_millis(500));
+        }
+    }
+    ends
+}
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -1,6 +1,7 @@
 //! The life of the process: start, signals, planned stop.
 
 use super::config::{Config, ConfigError};
+use super::log::{Levels, LevelsError};
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
@@ -10,7 +11,9 @@
 use actix_rt::time::{Instant, sleep, sleep_until};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Router, RouterError};
+use quillmount_operator::{Operator, OperatorError};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -32,6 +35,10 @@
 pub enum RunError {
     #[error("configuration: {0}")]
     Config(#[from] ConfigError),
+    #[error("operator file: {0}")]
+    Operator(#[from] OperatorError),
+    #[error("log: {0}")]
+    Log(LevelsError),
     #[error(transparent)]
     Router(#[from] RouterError),
     #[error("listen on {addr}: {source}")]
@@ -42,7 +49,11 @@
     Signals(std::io::Error),
 }
 
-pub async fn run() -> Result<(), RunError> {
+/// Runs until a planned stop. `path` is the operator file, where there is one.
+///
+/// # Errors
+/// The courier can't start.
+pub async fn run(path: Option<PathBuf>, levels: Levels) -> Result<(), RunError> {
     let config = Config::load(|name| std::env::var(name).ok())?;
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
@@ -61,7 +72,7 @@
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
-    log::info!(
+    tracing::info!(
         "{}: serving on {bound}; discovery at {}; {}",
         config.name,
         config.discovery,
@@ -76,7 +87,8 @@
     actix_rt::spawn(platform::watch(courier.clone(), discovery.clone()));
     actix_rt::spawn(platform::notify(courier.clone(), discovery));
     // Through a planned stop too: the last notices go where the platform is by then.
-    actix_rt::spawn(reload(hangup, config.path.clone(), moves, courier.clone()));
+    let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
+    actix_rt::spawn(read_again.on(hangup, courier.clone()));
     let server = actix_rt::spawn(serve(listener, courier.clone(), connections.clone()));
     courier.set_serving(true);
 
@@ -84,11 +96,11 @@
         tokio::select! {
             _ = stop.recv() => break,
             _ = interrupt.recv() => break,
-            _ = ask.recv() => log::info!("{}: {}", config.name, courier.report()),
+            _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
     }
     let begun = Instant::now();
-    log::info!("{}: stopping; {}", config.name, courier.report());
+    tracing::info!("{}: stopping; {}", config.name, courier.report());
     courier.stop(clock.now() + CALLS_END.as_micros() as u64);
     connections.close_after_answers();
     sleep(ACCEPT_ON).await;
@@ -100,25 +112,36 @@
         }
         sleep_until((Instant::now() + LOOK).min(begun + STOP)).await;
     }
-    log::info!("{}: stopped; {}", config.name, courier.report());
+    tracing::info!("{}: stopped; {}", config.name, courier.report());
     Ok(())
 }
 
-/// Reads the configuration again on each SIGHUP; what can't be read changes nothing.
-async fn reload(
-    mut hangup: Signal,
+/// What a SIGHUP reads again.
+struct Reload {
     path: String,
+    operator: Option<PathBuf>,
+    levels: Levels,
     discovery: watch::Sender<SocketAddr>,
-    courier: Rc<Courier>,
-) {
-    while hangup.recv().await.is_some() {
-        courier.count(|c| c.reloads += 1);
-        match Config::discovery_now(&path) {
-            Ok(addr) => {
-                log::info!("configuration: read again; discovery at {addr}");
-                discovery.send_if_modified(|known| std::mem::replace(known, addr) != addr);
+}
+
+impl Reload {
+    /// Reads both files again on each SIGHUP; what can't be read changes nothing.
+    async fn on(self, mut hangup: Signal, courier: Rc<Courier>) {
+        while hangup.recv().await.is_some() {
+            courier.count(|c| c.reloads += 1);
+            match Config::discovery_now(&self.path) {
+                Ok(addr) => {
+                    tracing::info!("configuration: read again; discovery at {addr}");
+                    self.discovery.send_if_modified(|known| std::mem::replace(known, addr) != addr);
+                }
+                Err(e) => tracing::error!("configuration: not read again, the old values hold: {e}"),
+            }
+            let Some(path) = &self.operator else { continue };
+            let read = Operator::load(path).map_err(RunError::from);
+            match read.and_then(|operator| self.levels.set(&operator.log).map_err(RunError::Log)) {
+                Ok(()) => tracing::info!("operator file: read again"),
+                Err(e) => tracing::error!("operator file: not read again, the old values hold: {e}"),
             }
-            Err(e) => log::error!("configuration: not read again, the old values hold: {e}"),
         }
     }
 }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tracing::Instrument;
 
 /// Between two looks for connections that are dead or too old.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -74,7 +75,7 @@
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
         let todo = self.hub.borrow_mut().list(list, self.clock.now());
-        log::info!("discovery: version {version} with {lines} lines");
+        tracing::info!("discovery: version {version} with {lines} lines");
         self.carry_out(todo);
     }
 
@@ -166,27 +167,37 @@
     }
 
     fn call(self: &Rc<Self>, call: InvokerCall) {
-        log::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
+        tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
         let words = Rc::new(Words::default());
         self.words.borrow_mut().insert(call.call, words.clone());
         let this = self.clone();
-        actix_rt::spawn(async move {
+        let span = tracing::debug_span!(
+            "call",
+            id = call.invocation.id.as_str(),
+            dest = call.dest,
+            attempt = call.call.attempt
+        );
+        let made = async move {
             let (id, addr) = (call.call, call.addr);
             let end = providers::call(&this, call, &words).await;
             this.words.borrow_mut().remove(&id);
             let todo = this.hub.borrow_mut().call_ended(id, end, this.clock.now());
-            log::debug!("call ended: {id:?} to {addr}: {end:?}");
+            tracing::debug!("call ended: {id:?} to {addr}: {end:?}");
             this.carry_out(todo);
-        });
+        };
+        // A span that nobody hears costs a call still.
+        match span.is_disabled() {
+            true => drop(actix_rt::spawn(made)),
+            false => drop(actix_rt::spawn(made.instrument(span))),
+        }
     }
 }
 
 fn say(note: &Note) {
-    let level = match note.level() {
-        Level::Debug => log::Level::Debug,
-        Level::Info => log::Level::Info,
-        Level::Warn => log::Level::Warn,
-        Level::Error => log::Level::Error,
-    };
-    log::log!(level, "{note}");
+    match note.level() {
+        Level::Debug => tracing::debug!("{note}"),
+        Level::Info => tracing::info!("{note}"),
+        Level::Warn => tracing::warn!("{note}"),
+        Level::Error => tracing::error!("{note}"),
+    }
 }
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -66,9 +66,9 @@
                 let todo = machine.step(todo, courier.clock.now());
                 match todo {
                     Output::Pause(pause) => {
-                        log::warn!("discovery: watch: {e}; again in {:?}", Duration::from_micros(pause))
+                        tracing::warn!("discovery: watch: {e}; again in {:?}", Duration::from_micros(pause))
                     }
-                    _ => log::info!("discovery: the watch at {addr}, where it was before, is over: {e}"),
+                    _ => tracing::info!("discovery: the watch at {addr}, where it was before, is over: {e}"),
                 }
                 todo
             }
@@ -145,7 +145,7 @@
                 Ok(204) => notices::Input::Confirmed,
                 Ok(400) => notices::Input::Unreadable,
                 other => {
-                    log::warn!("notices: {} not confirmed: {other:?}", notices.len());
+                    tracing::warn!("notices: {} not confirmed: {other:?}", notices.len());
                     notices::Input::Lost
                 }
             },
@@ -154,7 +154,7 @@
         match machine.step(word, courier.clock.now()) {
             notices::Output::Told => courier.told(&notices),
             notices::Output::LetGo => {
-                log::error!("notices: the platform can't read the one for {:?}", notices[0].id);
+                tracing::error!("notices: the platform can't read the one for {:?}", notices[0].id);
                 courier.told(&notices);
             }
             _ => {}
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -135,7 +135,7 @@
         let (count, told) = self.malformed.get();
         let now = told.is_none_or(|told| told.elapsed() >= TELL);
         if now {
-            log::info!("malformed: {} requests, the last of them: {why}", count + 1);
+            tracing::info!("malformed: {} requests, the last of them: {why}", count + 1);
         }
         self.malformed.set(if now { (0, Some(Instant::now())) } else { (count + 1, told) });
     }
@@ -170,7 +170,7 @@
                 connections.make_room().await;
                 // An answer must not wait for the acknowledgement of the one before.
                 if let Err(e) = stream.set_nodelay(true) {
-                    log::debug!("server: {peer}: {e}");
+                    tracing::debug!("server: {peer}: {e}");
                 }
                 let number = connections.crowd.borrow_mut().enter(connections.clock.now());
                 let entry = Entry(connections.clone(), number);
@@ -181,7 +181,7 @@
                 connections.tasks.borrow_mut().insert(number, Task { task, leave });
             }
             Err(e) => {
-                log::warn!("server: accept: {e}");
+                tracing::warn!("server: accept: {e}");
                 sleep(ACCEPT_REST).await;
             }
         }
@@ -201,7 +201,7 @@
 impl Conversation {
     async fn run(mut self, peer: SocketAddr) {
         if let Err(e) = self.converse().await {
-            log::debug!("server: {peer}: {e}");
+            tracing::debug!("server: {peer}: {e}");
         }
     }
 
--- /dev/null
+++ b/operator/src/units.rs
@@ -0,0 +1,114 @@
+//! Sizes and spans as text with units, so that nobody has to count noughts.
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use std::borrow::Cow;
+use std::time::Duration;
+
+/// A size in bytes, written as `64 KiB`, `1.5 MB` or `300 B`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Size(pub u64);
+
+/// A span of time, written as `250ms`, `10s` or `1m 30s`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+impl std::fmt::Display for Size {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", bytesize::ByteSize(self.0).display().iec())
+    }
+}
+
+impl std::fmt::Display for Span {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0))
+    }
+}
+
+impl std::str::FromStr for Size {
+    type Err = String;
+
+    /// # Errors
+    /// No number, no unit, or one that is not known: a bare number could mean anything.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let wrong = || format!("{text:?} is no size: a number and a unit are wanted, as in \"64 KiB\"");
+        if !text.ends_with(|c: char| c.is_ascii_alphabetic()) {
+            return Err(wrong());
+        }
+        text.parse::<bytesize::ByteSize>().map(|size| Size(size.0)).map_err(|_| wrong())
+    }
+}
+
+impl std::str::FromStr for Span {
+    type Err = String;
+
+    /// # Errors
+    /// No number, no unit, or one that is not known.
+    fn from_str(text: &str) -> Result<Self, String> {
+        humantime::parse_duration(text)
+            .map(Span)
+            .map_err(|e| format!("{text:?} is no span, as in \"10s\" or \"250ms\": {e}"))
+    }
+}
+
+macro_rules! as_text {
+    ($name:ident, $pattern:literal, $about:literal) => {
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+                String::deserialize(from)?.parse().map_err(de::Error::custom)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+                to.collect_str(self)
+            }
+        }
+
+        impl JsonSchema for $name {
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($name).into()
+            }
+
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({"type": "string", "pattern": $pattern, "description": $about})
+            }
+        }
+    };
+}
+
+as_text!(Size, r"^[0-9]+(\.[0-9]+)? ?([kKmMgGtT]i?)?[bB]$", "A size: a number and a unit, as in \"64 KiB\".");
+as_text!(
+    Span,
+    r"^([0-9]+ ?(ns|us|ms|s|sec|m|min|h|hr|d|day|days) ?)+$",
+    "A span: numbers and units, as in \"250ms\" or \"1m 30s\"."
+);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn units_are_read_and_bare_numbers_refused() {
+        let size = |text: &str| text.parse::<Size>().map(|s| s.0);
+        assert_eq!(
+            [size("64 KiB"), size("64KiB"), size("2 kB"), size("0 B")],
+            [Ok(65_536), Ok(65_536), Ok(2_000), Ok(0)]
+        );
+        assert!(["64", "", "KiB", "-1 KiB", "64 parsecs"].into_iter().all(|text| size(text).is_err()));
+        let span = |text: &str| text.parse::<Span>().map(|s| s.0.as_millis());
+        assert_eq!([span("250ms"), span("1m 30s")], [Ok(250), Ok(90_000)]);
+        assert!(["10", "", "s", "-1s", "10 parsecs"].into_iter().all(|text| span(text).is_err()));
+    }
+
+    #[test]
+    fn what_is_written_is_read_back() {
+        for n in [0, 1, 1_023, 1_024, 65_536, 262_144, 4 << 30] {
+            assert_eq!(Size(n).to_string().parse(), Ok(Size(n)), "{}", Size(n));
+        }
+        for ms in [1, 250, 10_000, 90_000] {
+            let span = Span(Duration::from_millis(ms));
+            assert_eq!(span.to_string().parse(), Ok(span));
+        }
+    }
+}
--- a/protocol/src/discovery.rs
+++ b/protocol/src/discovery.rs
@@ -41,19 +41,25 @@
     weight: f64,
 }
 
-impl TryFrom<List> for ProviderList {
-    type Error = DiscoveryError;
-
-    fn try_from(list: List) -> Result<Self, DiscoveryError> {
-        let provider = |s: Server| {
+impl List {
+    /// Each line of it, in its order.
+    pub fn entries(self) -> impl Iterator<Item = Result<Provider, DiscoveryError>> {
+        self.servers.into_iter().map(|s| {
             let entry = |what: String| DiscoveryError::Entry { id: s.id.clone(), what };
             let state = state_of_name(&s.state).map_err(entry)?;
             let addr = s.addr.as_deref().filter(|a| !a.is_empty()).map(str::parse).transpose();
             let addr = addr.map_err(|e| entry(format!("addr {:?}: {e}", s.addr)))?;
             Ok(Provider { addr, state, id: s.id, dest: s.cell, kind: s.kind, zone: s.zone, weight: s.weight })
-        };
-        let providers = list.servers.into_iter().map(provider).collect::<Result<_, DiscoveryError>>()?;
-        Ok(ProviderList { version: list.version, full: list.full, providers })
+        })
+    }
+}
+
+impl TryFrom<List> for ProviderList {
+    type Error = DiscoveryError;
+
+    fn try_from(list: List) -> Result<Self, DiscoveryError> {
+        let (version, full) = (list.version, list.full);
+        Ok(ProviderList { version, full, providers: list.entries().collect::<Result<_, _>>()? })
     }
 }
 
--- /dev/null
+++ b/standins/src/courier.rs
@@ -0,0 +1,177 @@
+//! A courier's process between stand-ins, with a folder of its own that ends with it.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Error, Result};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, sync_channel};
+use std::time::{Duration, Instant};
+
+/// The example's configuration, with other addresses.
+const CONFIG: &str = include_str!("../../example/config.json");
+/// Lines of the log that are kept for whoever asks; what comes when they are full is let go.
+const LINES_MAX: usize = 4_096;
+/// A stopping courier ends within 3.4 s.
+const STOP: Duration = Duration::from_secs(6);
+
+/// What a courier is started with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub program: PathBuf,
+    pub platform: SocketAddr,
+    /// Each provider, by its destination.
+    pub providers: Vec<(u64, SocketAddr)>,
+    /// The operator file, if there is one.
+    pub operator: Option<Value>,
+    /// Put into the configuration as JSON merge does, one level deep in `limits` and `settings`.
+    pub slots: u32,
+    pub open_cap: u32,
+    /// What RUST_LOG says.
+    pub levels: String,
+}
+
+impl Setup {
+    pub fn new(program: impl Into<PathBuf>, platform: SocketAddr, providers: Vec<(u64, SocketAddr)>) -> Self {
+        let program = program.into();
+        let levels = "info".into();
+        Setup { program, platform, providers, operator: None, slots: 8, open_cap: 100, levels }
+    }
+}
+
+/// A running courier; dropped, it is killed, and its folder removed.
+pub struct Courier {
+    setup: Setup,
+    child: Child,
+    pub folder: PathBuf,
+    /// Where consumers reach it.
+    pub addr: SocketAddr,
+    pub log: Receiver<String>,
+}
+
+impl Drop for Courier {
+    fn drop(&mut self) {
+        // Where it has ended already there is nothing to kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Courier {
+    /// Starts one, and waits until it serves.
+    ///
+    /// # Errors
+    /// It did not start; the error has the last line of its log.
+    pub fn start(setup: Setup) -> Result<Courier> {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let name = format!("quillmount-{}-{}", std::process::id(), NUMBER.fetch_add(1, Relaxed));
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(folder.join("state"))?;
+        let mut config: Value = serde_json::from_str(CONFIG)?;
+        let servers = setup.providers.iter().map(|(dest, addr)| {
+            json!({"id": format!("partner-{dest}-{}", addr.port()), "addr": addr, "zone": "bkk-dc1", "kind": "bank",
+                   "cell": dest, "state": "ready", "weight": 1000.0, "started_ms": 0})
+        });
+        config["known"]["servers"] = servers.collect();
+        config["listen"] = "127.0.0.1:0".into();
+        config["discovery"] = setup.platform.to_string().into();
+        config["settings"]["family_info"]["call_slots"] = setup.slots.into();
+        config["settings"]["limits"]["open_cap"] = setup.open_cap.into();
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        if let Some(operator) = &setup.operator {
+            std::fs::write(folder.join("operator.json"), operator.to_string())?;
+        }
+        let (child, addr, log) = launch(&setup, &folder)?;
+        Ok(Courier { setup, child, folder, addr, log })
+    }
+
+    /// SIGKILL, and a start with the same folder.
+    ///
+    /// # Errors
+    /// It did not start again.
+    pub fn kill_and_restart(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        (self.child, self.addr, self.log) = launch(&self.setup, &self.folder)?;
+        Ok(())
+    }
+
+    /// SIGTERM.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn term(&self) -> Result<()> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).map_err(Error::from)
+    }
+
+    /// Waits for its end after SIGTERM.
+    ///
+    /// # Errors
+    /// It did not end in time.
+    pub async fn ended(&mut self) -> Result<ExitStatus> {
+        let by = Instant::now() + STOP;
+        while Instant::now() < by {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Err(Error::other("the courier did not stop"))
+    }
+
+    /// Its resident memory now and at most, in bytes; 0 where the system does not tell.
+    pub fn memory(&self) -> (u64, u64) {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let field = |name: &str| {
+            let line = text.lines().find(|line| line.starts_with(name))?;
+            line.split_whitespace().nth(1)?.parse::<u64>().ok()
+        };
+        (field("VmRSS:").unwrap_or(0) * 1_024, field("VmHWM:").unwrap_or(0) * 1_024)
+    }
+
+    /// CPU time that it has used.
+    pub fn cpu(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        // Behind the name: utime is the twelfth, stime the thirteenth, in hundredths of a second.
+        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+        Duration::from_millis((ticks(11) + ticks(12)) * 10)
+    }
+}
+
+fn launch(setup: &Setup, folder: &Path) -> Result<(Child, SocketAddr, Receiver<String>)> {
+    let mut command = Command::new(&setup.program);
+    command.arg("run");
+    if setup.operator.is_some() {
+        command.arg("--operator").arg(folder.join("operator.json"));
+    }
+    let mut child = command
+        .env("GW_CONFIG", folder.join("config.json"))
+        .env("GW_STATE", folder.join("state"))
+        .env("RUST_LOG", &setup.levels)
+        .env_remove("GW_NAME")
+        .env_remove("GW_LISTEN")
+        .env_remove("GW_DISCOVERY")
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let log = child.stderr.take().ok_or_else(|| Error::other("the courier has no log"))?;
+    let mut lines = BufReader::new(log).lines();
+    let mut last = String::new();
+    while let Some(line) = lines.next() {
+        last = line?;
+        let Some((_, rest)) = last.split_once("serving on ") else { continue };
+        let addr = rest.split(';').next().and_then(|addr| addr.parse().ok());
+        let addr = addr.ok_or_else(|| Error::other(last.clone()))?;
+        let (to, from) = sync_channel(LINES_MAX);
+        // Unread, its log would fill the pipe and hold the courier up.
+        std::thread::spawn(move || {
+            lines.map_while(std::result::Result::ok).for_each(|line| drop(to.try_send(line)));
+        });
+        return Ok((child, addr, from));
+    }
+    let _ = child.wait();
+    Err(Error::other(format!("the courier did not start: {last}")))
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,157 @@
+//! As much of HTTP/1.1 (RFC 9112) as a stand-in reads: a head, and a body with a length or in chunks.
+
+use bytes::{Buf, BytesMut};
+use std::io::{Error, ErrorKind, Result};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// A longer head is none of a courier's.
+const HEAD_MAX: usize = 64 * 1024;
+const READ: usize = 64 * 1024;
+const HEADERS_MAX: usize = 64;
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length(u64),
+    Chunked,
+}
+
+/// The head of a request or of an answer.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The first line.
+    pub first: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    pub fn framing(&self) -> Framing {
+        match self.header("transfer-encoding") {
+            Some(_) => Framing::Chunked,
+            None => Framing::Length(self.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0)),
+        }
+    }
+
+    /// The status of an answer; 0 for a request.
+    pub fn status(&self) -> u16 {
+        let status = self.first.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3));
+        status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// A side of a connection that is read, with what has come and not been used.
+pub struct Reader<R> {
+    from: R,
+    buf: BytesMut,
+}
+
+fn wrong(what: &str) -> Error {
+    Error::new(ErrorKind::InvalidData, what.to_string())
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    pub fn new(from: R) -> Self {
+        Reader { from, buf: BytesMut::new() }
+    }
+
+    async fn more(&mut self) -> Result<usize> {
+        self.buf.reserve(READ);
+        self.from.read_buf(&mut self.buf).await
+    }
+
+    /// The next head; `None` at the connection's end.
+    ///
+    /// # Errors
+    /// The connection broke, or what came is no head.
+    pub async fn head(&mut self) -> Result<Option<Head>> {
+        loop {
+            if let Some(end) = self.buf.windows(4).position(|four| four == b"\r\n\r\n") {
+                let bytes = self.buf.split_to(end + 4);
+                let line = bytes.iter().position(|b| *b == b'\r').unwrap_or(0);
+                let first = String::from_utf8_lossy(&bytes[..line]).into_owned();
+                let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+                let parsed = httparse::parse_headers(&bytes[line + 2..], &mut headers);
+                let Ok(httparse::Status::Complete((_, headers))) = parsed else {
+                    return Err(wrong("no headers"));
+                };
+                let pair = |h: &httparse::Header| {
+                    (h.name.to_string(), String::from_utf8_lossy(h.value).trim().to_string())
+                };
+                return Ok(Some(Head { first, headers: headers.iter().map(pair).collect() }));
+            }
+            if self.buf.len() > HEAD_MAX {
+                return Err(wrong("an endless head"));
+            }
+            if self.more().await? == 0 {
+                return if self.buf.is_empty() { Ok(None) } else { Err(ErrorKind::UnexpectedEof.into()) };
+            }
+        }
+    }
+
+    /// The next bytes of a body, `most` at most; `None` at its end. `left` is the reader's own count.
+    ///
+    /// # Errors
+    /// The connection broke or ended before the body did, or its chunks can't be read.
+    pub async fn body(&mut self, left: &mut Left, most: usize) -> Result<Option<BytesMut>> {
+        loop {
+            match left {
+                Left::Over => return Ok(None),
+                Left::Bytes(0) => *left = Left::Over,
+                Left::Bytes(n) | Left::Chunk(n) if *n > 0 => {
+                    if self.buf.is_empty() && self.more().await? == 0 {
+                        return Err(ErrorKind::UnexpectedEof.into());
+                    }
+                    let take = (self.buf.len() as u64).min(*n).min(most as u64);
+                    *n -= take;
+                    return Ok(Some(self.buf.split_to(take as usize)));
+                }
+                // Between two chunks: the last one's line end, the next one's size.
+                Left::Chunk(_) | Left::Bytes(_) | Left::Begin => {
+                    let skip = if matches!(left, Left::Begin) { 0 } else { 2 };
+                    match self.buf.get(skip..).map(httparse::parse_chunk_size) {
+                        Some(Ok(httparse::Status::Complete((used, size)))) => {
+                            self.buf.advance(skip + used);
+                            *left = if size == 0 { Left::End } else { Left::Chunk(size) };
+                        }
+                        Some(Err(_)) => return Err(wrong("no chunk")),
+                        _ if self.more().await? == 0 => return Err(ErrorKind::UnexpectedEof.into()),
+                        _ => {}
+                    }
+                }
+                Left::End => {
+                    if self.buf.len() >= 2 {
+                        self.buf.advance(2);
+                        *left = Left::Over;
+                    } else if self.more().await? == 0 {
+                        return Err(ErrorKind::UnexpectedEof.into());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What is still to come of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    Bytes(u64),
+    /// Before the first chunk's size.
+    Begin,
+    Chunk(u64),
+    /// Behind the last chunk's size.
+    End,
+    Over,
+}
+
+impl From<Framing> for Left {
+    fn from(framing: Framing) -> Self {
+        match framing {
+            Framing::Length(n) => Left::Bytes(n),
+            Framing::Chunked => Left::Begin,
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,56 @@
+//! Stand-ins for what a courier meets, written from the platform's protocol: providers with scripted habits, the
+//! platform's discovery and notices, and consumers. They listen on loopback alone, on ports that the system
+//! deals, and tell what they see as events, so that nobody has to wait for a time.
+
+pub mod consumer;
+pub mod courier;
+pub mod http;
+pub mod platform;
+pub mod provider;
+
+use std::time::Instant;
+use tokio::sync::mpsc;
+
+/// Events that may wait to be heard; a stand-in that is not listened to stops here.
+const EVENTS_MAX: usize = 4_096;
+
+/// Something that a stand-in saw.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Instant,
+    /// The message's id, where one is known.
+    pub id: String,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    /// A call's head has come.
+    CallBegan,
+    /// A call's body: its bytes, their CRC-32, and whether it came to its end as its head has it.
+    Body { bytes: u64, crc: u32, whole: bool },
+    /// The first line of an answer that was written, with the wait that it told.
+    Answered(String),
+    /// The courier closed the call's connection before it was answered.
+    Abandoned,
+    /// A notice to the platform, as it was written.
+    Notice(String),
+    /// Discovery is watched.
+    Watched,
+}
+
+/// Where events go.
+#[derive(Clone)]
+pub struct Eyes(mpsc::Sender<Seen>);
+
+impl Eyes {
+    pub fn open() -> (Eyes, mpsc::Receiver<Seen>) {
+        let (to, from) = mpsc::channel(EVENTS_MAX);
+        (Eyes(to), from)
+    }
+
+    /// Tells of it; a listener that has gone misses nothing.
+    pub async fn see(&self, id: &str, what: What) {
+        let _ = self.0.send(Seen { at: Instant::now(), id: id.to_string(), what }).await;
+    }
+}
