--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -35,6 +35,12 @@
         Call { order, attempt, held: None, counts: false }
     }
 
+    /// The same for a stream, whose body is passed on as it comes.
+    pub fn streamed(order: InvokerCall, decode: Decode, most: usize) -> Self {
+        let attempt = Attempt::streamed(decode, most, order.by);
+        Call { order, attempt, held: None, counts: false }
+    }
+
     pub fn attempt(&self) -> &Attempt {
         &self.attempt
     }
--- a/core/src/crowd.rs
+++ b/core/src/crowd.rs
@@ -15,6 +15,8 @@
     since: Micros,
     /// Asked to leave, and has not said yet that it does.
     asked: bool,
+    /// Its request's body is passed on as it comes, which may take long.
+    streams: bool,
 }
 
 impl Entry {
@@ -29,7 +31,8 @@
     /// Cut off with no last look, a request that has just come whole would be lost. That may happen to a
     /// connection's first one alone, which its consumer sends again.
     fn wants_a_look(&self) -> bool {
-        self.rests() || (!self.asked && matches!(self.state, State::Asking { first: false, .. }))
+        self.rests()
+            || (!self.asked && !self.streams && matches!(self.state, State::Asking { first: false, .. }))
     }
 }
 
@@ -68,7 +71,12 @@
     }
 
     pub fn is(&mut self, number: u64, state: State, now: Micros) {
-        self.all.insert(number, Entry { state, since: now, asked: false });
+        self.all.insert(number, Entry { state, since: now, asked: false, streams: false });
+    }
+
+    /// It streams from now on, until it is in another state: it does not make room, however long it takes.
+    pub fn streams(&mut self, number: u64) {
+        self.all.entry(number).and_modify(|entry| (entry.streams, entry.asked) = (true, false));
     }
 
     pub fn left(&mut self, number: u64) {
@@ -101,6 +109,7 @@
             return Room::Free;
         }
         let rank = |e: &Entry| match e.state {
+            _ if e.streams => 7,
             _ if e.leaves() => 6,
             State::Closing | State::Over | State::Answering { closes: true, .. } => 0,
             State::Asking { .. } | State::Answering { .. } if now.saturating_sub(e.since) >= GRACE => 1,
@@ -114,7 +123,7 @@
         match first {
             None => Room::Free,
             Some((_, e)) if (e.leaves() || e.wants_a_look()) && leaving >= LEAVING_MAX => Room::Wait,
-            Some((_, e)) if e.leaves() => Room::Free,
+            Some((_, e)) if e.leaves() || e.streams => Room::Free,
             Some((n, e)) if e.wants_a_look() => {
                 self.all.entry(n).and_modify(|e| e.asked = true);
                 Room::Leave(n)
@@ -152,6 +161,18 @@
         assert_eq!([crowd.make_room(20 + GRACE), crowd.make_room(20 + GRACE)], [Room::End(0), Room::Free]);
     }
 
+    #[test]
+    fn who_streams_does_not_make_room() {
+        let mut crowd = Crowd::new(2);
+        let asking = State::Asking { first: true, last: false };
+        (0..2).for_each(|n| crowd.is(n, asking, 10 + n));
+        crowd.streams(0);
+        assert_eq!(crowd.make_room(20 + 2 * GRACE), Room::End(1), "the slower to ask streams");
+        crowd.is(2, asking, 30);
+        crowd.streams(2);
+        assert_eq!(crowd.make_room(99 * GRACE), Room::Free, "their number is bounded elsewhere");
+    }
+
     #[test]
     fn only_so_many_leave_at_a_time() {
         let mut crowd = Crowd::new(LEAVING_MAX + 2);
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -4,11 +4,11 @@
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
-use crate::router::{Intake, Router, Step};
+use crate::router::{Intake, Router, Step, StreamEnd};
 use crate::store::Store;
 use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
-use spurshore::Micros;
 use spurshore::breaks::{self, Break};
+use spurshore::{Micros, MsgId};
 use std::collections::VecDeque;
 
 /// What the driver is to do, in order.
@@ -22,6 +22,8 @@
     Close(Vec<C>),
     /// There are notices to send.
     Notify,
+    /// A stream has its final answer.
+    Answer(MsgId, StreamEnd),
     /// A line for the log.
     Note(Note),
 }
@@ -44,6 +46,18 @@
         (intake, self.carry_out(steps, now))
     }
 
+    /// A consumer begins to hand in a stream; see [`Router::take_on_stream`].
+    pub fn take_on_stream(&mut self, invocation: Invocation, now: Micros) -> (Intake, MsgId, Vec<Do<C>>) {
+        let (intake, msg, steps) = self.router.take_on_stream(invocation, now);
+        (intake, msg, self.carry_out(steps, now))
+    }
+
+    /// Something happened to a stream.
+    pub fn stream(&mut self, act: impl FnOnce(&mut Router<S>) -> Vec<Step>, now: Micros) -> Vec<Do<C>> {
+        let steps = act(&mut self.router);
+        self.carry_out(steps, now)
+    }
+
     /// Discovery told of providers.
     pub fn list(&mut self, list: ProviderList, now: Micros) -> Vec<Do<C>> {
         let steps = self.router.list(list, now);
@@ -108,6 +122,7 @@
                     self.tell_all(provider, Input::Hold, &mut todo);
                 }
                 Step::Notify => todo.push(Do::Notify),
+                Step::Answer { msg, end } => todo.push(Do::Answer(msg, end)),
                 Step::Note(note) => todo.push(Do::Note(note)),
             }
         }
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -63,6 +63,11 @@
         end: End,
         until: Micros,
     },
+    /// Taken on as a stream: its body is never written here, and no other life can send it.
+    Stream {
+        msg: MsgId,
+        taken: TakenOn,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +110,7 @@
     pub taken: TakenOn,
     pub calls: Vec<PastCall>,
     pub end: Option<End>,
+    pub stream: bool,
 }
 
 /// What the journal holds: what is owed, and what is over but remembered.
@@ -128,7 +134,11 @@
         match record {
             Record::TakeOn { msg, taken } => {
                 self.next = self.next.max(msg + 1);
-                self.owed.insert(msg, Entry { taken, calls: Vec::new(), end: None });
+                self.owed.insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: false });
+            }
+            Record::Stream { msg, taken } => {
+                self.next = self.next.max(msg + 1);
+                self.owed.insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: true });
             }
             Record::Attempt { msg, zone, sent } => {
                 if let Some(entry) = self.owed.get_mut(&msg) {
@@ -174,7 +184,10 @@
                 std::iter::once(attempt).chain(outcome)
             });
             let end = entry.end.map(|end| Record::End { msg, end });
-            std::iter::once(Record::TakeOn { msg, taken: entry.taken }).chain(calls).chain(end)
+            let taken = entry.taken;
+            let first =
+                if entry.stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
+            std::iter::once(first).chain(calls).chain(end)
         });
         over.chain(owed)
     }
@@ -290,10 +303,12 @@
         &mut self,
         msg: MsgId,
         taken: TakenOn,
+        stream: bool,
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
-        let frame = encode(&Record::TakeOn { msg, taken })?;
+        let record = if stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
+        let frame = encode(&record)?;
         let len = frame.len() as u64;
         // The old file and its compacted copy stand side by side for a moment.
         if 2 * (self.live_sum + self.over + len + RESERVE) + 4 * BLOCK > self.budget {
@@ -403,7 +418,7 @@
             let store = Memory::of(bytes[..cut].to_vec());
             let (mut journal, read) = Journal::open(store, 1_000_000, 0, &mut notes).unwrap();
             assert_eq!((&read, notes.is_empty()), (book, *end == cut), "cut at {cut}");
-            journal.take_on(9, taken(9), 0, &mut notes).unwrap();
+            journal.take_on(9, taken(9), false, 0, &mut notes).unwrap();
             let (again, _) = Book::read(journal.store().bytes());
             assert!(again.owed.contains_key(&9), "cut at {cut}: hidden behind a torn record");
             let owed = book.owed.keys().all(|msg| again.owed.get(msg) == book.owed.get(msg));
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod counters;
 pub mod crowd;
+pub mod flow;
 pub mod hub;
 pub mod journal;
 pub mod machine;
@@ -11,6 +12,7 @@
 pub mod pool;
 pub mod router;
 pub mod store;
+pub mod turns;
 
 use bytes::Bytes;
 use spurshore::{ListState, Micros, MsgId};
@@ -29,6 +31,15 @@
     pub body: Bytes,
 }
 
+/// What the head of a streamed invocation says of its body, and providers are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamHead {
+    /// `None`: in chunks.
+    pub length: Option<u64>,
+    /// `Content-Digest`, as it was told.
+    pub digest: Option<String>,
+}
+
 /// Names one invoker call: the message and the call's number, from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId {
@@ -47,6 +58,8 @@
     pub timeout: Micros,
     /// No byte of it may leave from then on.
     pub by: Micros,
+    /// Its body is passed on as it comes, and is not in the invocation.
+    pub stream: bool,
 }
 
 /// The parts of an invocation that a provider gets to see, unchanged.
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -104,12 +104,25 @@
     /// No byte of the request may leave from then on.
     by: Micros,
     decode: Decode,
+    /// Its body is passed on as it comes. The receiver may act on a part of it, so that it may have run from
+    /// its first byte on; and it may be answered before its last.
+    streamed: bool,
 }
 
 impl Attempt {
     /// Reads `most` bytes of an answer at most, and writes nothing from the time `by` on.
     pub fn new(decode: Decode, most: usize, by: Micros) -> Self {
-        Attempt { state: State::New, answer: Vec::new(), most, by, decode }
+        Attempt { state: State::New, answer: Vec::new(), most, by, decode, streamed: false }
+    }
+
+    /// The same for a streamed body, of which [`State::Writing`] counts the bytes; its head is not counted.
+    pub fn streamed(decode: Decode, most: usize, by: Micros) -> Self {
+        Attempt { streamed: true, ..Attempt::new(decode, most, by) }
+    }
+
+    /// The provider has asked for the body, with an interim answer.
+    pub fn is_asked(&self) -> bool {
+        !self.answer.is_empty() && (self.decode)(&self.answer, false) == Answer::Awaited
     }
 
     pub fn state(&self) -> State {
@@ -137,7 +150,14 @@
 
     /// Nothing of the call has left yet, or not all of it: it has not run.
     pub fn is_unsent(&self) -> bool {
-        matches!(self.state, State::New | State::Connecting | State::Writing { .. })
+        matches!(self.state, State::New | State::Connecting | State::Writing { .. }) && !self.is_half()
+    }
+
+    /// A part of a streamed body has left, and not all of it: it may have run.
+    pub fn is_half(&self) -> bool {
+        self.streamed
+            && matches!(self.state, State::Writing { written: 1.. })
+            && !breaks::on(Break::HalfSentNeverRan)
     }
 
     pub fn step(&mut self, input: Input, now: Micros) -> Output {
@@ -158,9 +178,14 @@
             (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
             (New, Input::Start { .. }) => self.goes(Connecting, Link::Open),
             (_, Input::Ended) if breaks::on(Break::SendAfterEnd) => NOTHING,
+            (Writing { .. }, Input::Ended) if self.is_half() => self.close(CallEnd::GivenUp, now),
             (New | Connecting | Writing { .. }, Input::Ended) => self.end(Link::Close, CallEnd::HeldBack),
             (New, Input::GiveUp) => self.end(Link::Nothing, CallEnd::GivenUp),
             (New, _) => NOTHING,
+            // What has left of a body can't be taken back, and the rest stays here.
+            (Writing { .. }, Input::Tick) if now >= self.by && self.is_half() => {
+                self.close(CallEnd::GivenUp, now)
+            }
             // Later its provider may not drop a repeat any more.
             (Connecting | Writing { .. }, Input::Connected { .. } | Input::Tick) if now >= self.by => {
                 self.end(Link::Close, CallEnd::HeldBack)
@@ -175,11 +200,19 @@
             (Writing { written }, Input::Wrote { bytes, .. }) => {
                 self.goes(Writing { written: written + bytes }, Link::Nothing)
             }
+            // Its driver pauses: broken off, a body that may have had no effect would be one that may.
+            (Writing { .. }, Input::Hold) if self.is_half() => NOTHING,
             // A call counts once its last byte has come: written on now, it would come within the wait.
             (Writing { .. }, Input::Hold) if !breaks::on(Break::WriteOnInWait) => {
                 self.end(Link::Close, CallEnd::HeldBack)
             }
             // Only a write that failed proves, from here on, that the call never ran.
+            (Writing { .. }, Input::WriteFailed) if self.streamed => self.unwritable(now),
+            (Writing { .. }, Input::Read) if self.streamed => self.early(now),
+            (Writing { .. }, Input::End | Input::Reset) if self.streamed => {
+                let end = if self.is_half() { CallEnd::Reset } else { CallEnd::CouldNotConnect };
+                self.end(Link::Close, end)
+            }
             (Writing { .. }, Input::WriteFailed) => self.end(Link::Close, CallEnd::CouldNotConnect),
             (Awaiting | Reading { .. }, Input::Read) => self.read(now),
             (Awaiting | Reading { .. }, Input::End | Input::Reset) if self.answer.is_empty() => {
@@ -207,6 +240,21 @@
         self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, link)
     }
 
+    /// A provider that has answered before the last byte may have closed: its answer may still be read.
+    fn unwritable(&mut self, now: Micros) -> Output {
+        let end = if self.is_half() { CallEnd::Reset } else { CallEnd::CouldNotConnect };
+        self.goes(State::Closing { end, until: now.saturating_add(CLOSING) }, Link::Nothing)
+    }
+
+    /// An answer before the body's last byte: the rest of the body has no reader any more.
+    fn early(&mut self, now: Micros) -> Output {
+        match (self.decode)(&self.answer, self.answer.len() > self.most) {
+            Answer::Awaited => NOTHING,
+            Answer::Partial => self.goes(State::Reading { by: now.saturating_add(REST) }, Link::Nothing),
+            Answer::Whole { end, .. } => self.end(Link::Close, end),
+        }
+    }
+
     /// Nothing came that says otherwise, unless the first line of a 200 did.
     fn given_up(&mut self, end: CallEnd) -> Output {
         let answer = (!self.answer.is_empty()).then(|| (self.decode)(&self.answer, true));
@@ -258,7 +306,10 @@
             Some(b'1') => Answer::Awaited,
             _ => Answer::Partial,
         };
-        let at = |state, answer: &[u8]| Attempt { state, answer: answer.to_vec(), most: 9, by: 2, decode };
+        let at = |state, answer: &[u8]| {
+            let fresh = Attempt::new(decode, 9, 2);
+            Attempt { state, answer: answer.to_vec(), ..fresh }
+        };
         vec![
             ("New", "ordered, not begun", at(State::New, b"")),
             (
@@ -340,7 +391,8 @@
     }
 
     fn take(&mut self, (input, bytes): Self::Input) -> String {
-        if matches!(self.state, State::Awaiting | State::Reading { .. } | State::Closing { .. }) {
+        let early = self.streamed && matches!(self.state, State::Writing { .. });
+        if early || matches!(self.state, State::Awaiting | State::Reading { .. } | State::Closing { .. }) {
             self.answer.extend_from_slice(bytes.as_bytes());
         }
         let output = self.step(input, if input == Input::Tick { 2 } else { 1 });
@@ -355,3 +407,39 @@
         [link, &end].into_iter().filter(|t| !t.is_empty()).collect::<Vec<_>>().join(", ")
     }
 }
+
+/// An attempt whose body is passed on as it comes, for its table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Streamed(Attempt);
+
+impl Machine for Streamed {
+    type Input = <Attempt as Machine>::Input;
+    const NAME: &'static str = "An attempt of a stream";
+    const ABOUT: &'static str = "`core/src/machine/attempt.rs` again, where the body is passed on as it comes: it may \
+        have run from its first byte on, and may be answered before its last.";
+
+    fn states() -> Vec<(&'static str, &'static str, Self)> {
+        let mut states: Vec<_> = Attempt::states()
+            .into_iter()
+            .map(|(name, about, attempt)| (name, about, Streamed(Attempt { streamed: true, ..attempt })))
+            .collect();
+        let at = states.iter().position(|(name, ..)| *name == "Writing").unwrap_or(0);
+        let (_, _, Streamed(half)) = states[at].clone();
+        states[at] = ("Half", "a part of its body is written: it may have run", Streamed(half.clone()));
+        let head = Streamed(Attempt { state: State::Writing { written: 0 }, ..half });
+        states.insert(at, ("Writing", "no byte of its body is written: it has not run", head));
+        states
+    }
+
+    fn inputs() -> Vec<(&'static str, &'static str, Self::Input)> {
+        Attempt::inputs()
+    }
+
+    fn state(&self) -> &'static str {
+        if self.0.is_half() { "Half" } else { Machine::state(&self.0) }
+    }
+
+    fn take(&mut self, input: Self::Input) -> String {
+        self.0.take(input)
+    }
+}
--- a/core/src/machine/mod.rs
+++ b/core/src/machine/mod.rs
@@ -59,6 +59,8 @@
 pub fn tables() -> Vec<Table> {
     vec![
         attempt::Attempt::table(),
+        attempt::Streamed::table(),
+        crate::flow::Flow::table(),
         link::Link::table(),
         consumer::Consumer::table(),
         watch::Watch::table(),
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -61,6 +61,11 @@
         provider.hold = provider.hold.max(until);
     }
 
+    /// Until when none may; in the past, or 0, where nothing was told.
+    pub fn held_until(&self, provider: u32) -> Micros {
+        self.all.get(&provider).map_or(0, |p| p.hold)
+    }
+
     /// Whether a call may start there now.
     pub fn lets_through(&self, provider: u32, now: Micros) -> bool {
         self.all.get(&provider).is_none_or(|p| !p.shut && now >= p.hold)
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -2,6 +2,7 @@
 //! the journal along, and says what the transport is to do. It owns no socket and no clock.
 
 use crate::counters::Counters;
+use crate::flow::Cut;
 use crate::journal::{End, Journal, JournalError, Record, TakenOn};
 use crate::note::Note;
 use crate::store::Store;
@@ -66,10 +67,27 @@
     },
     /// There are notices to send.
     Notify,
+    /// A stream has its final answer, for its consumer's connection; [`Router::answered`] says what came of that.
+    Answer {
+        msg: MsgId,
+        end: StreamEnd,
+    },
     /// A line for the log.
     Note(Note),
 }
 
+/// The final answer to a streamed invocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StreamEnd {
+    Delivered,
+    /// Nothing has run; the consumer may come again, after so long.
+    Deferred(Micros),
+    /// With no promise about its effect.
+    Failed,
+    /// The consumer itself did not bring it whole.
+    Cut(Cut),
+}
+
 /// The answer to an invocation handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake {
@@ -97,6 +115,31 @@
     end: Option<Ending>,
     /// Attempts of it that the journal has.
     noted: u32,
+    stream: Option<Stream>,
+}
+
+/// What is known of a message whose body is passed on as it comes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stream {
+    /// A part of its body is gone: no attempt can have all of it any more.
+    committed: bool,
+    /// An attempt may have run, or may yet.
+    may_have_run: bool,
+    cut: Option<Cut>,
+    /// No other attempt is wanted: its body is lost, or the process ends.
+    over: bool,
+    /// Its consumer can't be answered any more: the platform is told.
+    deaf: bool,
+}
+
+/// What streams may take of a courier.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StreamLimits {
+    /// Streams at once.
+    pub most: usize,
+    /// Their part of the slots, and of each destination's window; one of each at least.
+    pub part_of_slots: f64,
+    pub part_of_window: f64,
 }
 
 /// A call that is out.
@@ -107,6 +150,8 @@
     dest: u64,
     /// Its number among the attempts that the journal has, if it has this one.
     noted: Option<u32>,
+    /// When a stream's last byte had left.
+    written: Option<Micros>,
 }
 
 #[derive(Clone, Debug)]
@@ -124,6 +169,8 @@
     kinds: Arc<[String]>,
     zones: Arc<Names>,
     open_cap: usize,
+    /// Streams at once.
+    streams_most: usize,
     provider_names: Arc<Names>,
     providers: BTreeMap<u32, Known>,
     /// The version of the list that the providers come from.
@@ -143,13 +190,18 @@
     write_at: Micros,
     next: MsgId,
     stopping: bool,
+    /// The journal is read: from here on consumers of streams wait on their connections.
+    ready: bool,
     /// The journal's words since the last steps.
     notes: Vec<Note>,
     pub counters: Counters,
 }
 
 impl<S: Store> Router<S> {
-    /// Reads the journal and takes up what it owes; the steps are the first to carry out.
+    /// Reads the journal and takes up what it owes; the steps are the first to carry out. No streams are taken on.
+    ///
+    /// # Errors
+    /// The settings make no courier, or the store can't be read.
     pub fn open(
         env: &Env,
         seed: u64,
@@ -157,9 +209,29 @@
         store: S,
         disk: u64,
         now: Micros,
+    ) -> Result<(Self, Vec<Step>), RouterError> {
+        Self::open_with(env, None, seed, known, store, disk, now)
+    }
+
+    /// The same, with streams within their limits, if there are any.
+    ///
+    /// # Errors
+    /// The settings make no courier, or the store can't be read.
+    pub fn open_with(
+        env: &Env,
+        streams: Option<StreamLimits>,
+        seed: u64,
+        known: ProviderList,
+        store: S,
+        disk: u64,
+        now: Micros,
     ) -> Result<(Self, Vec<Step>), RouterError> {
         let mut zones = Names::default();
-        let settings: Settings = settings(env, &mut zones).map_err(RouterError::Decode)?;
+        let mut settings: Settings = settings(env, &mut zones).map_err(RouterError::Decode)?;
+        if let Some(limits) = streams {
+            let slots = (limits.part_of_slots * f64::from(settings.slots)) as u32;
+            (settings.stream_slots, settings.stream_part) = (slots.max(1), limits.part_of_window);
+        }
         let open_cap = settings.open_cap as usize;
         let mut notes = Vec::new();
         let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
@@ -169,6 +241,7 @@
             kinds: env.skus.as_slice().into(),
             zones: Arc::new(zones),
             open_cap,
+            streams_most: streams.map_or(0, |limits| limits.most),
             provider_names: Arc::default(),
             providers: BTreeMap::new(),
             version: 0,
@@ -184,6 +257,7 @@
             write_at: Micros::MAX,
             next: book.next,
             stopping: false,
+            ready: false,
             notes,
             counters: Counters::default(),
         };
@@ -202,7 +276,12 @@
             router.ids.insert(id.clone(), msg);
             let parcel = Arc::new(Parcel { id, key, body });
             let noted = entry.calls.len() as u32;
-            router.owed.insert(msg, Owed { parcel, dest, deadline, end, noted });
+            let stream = entry.stream.then(|| Stream {
+                committed: true,
+                may_have_run: entry.calls.iter().any(|call| call.never_ran != Some(true)),
+                ..Stream::default()
+            });
+            router.owed.insert(msg, Owed { parcel, dest, deadline, end, noted, stream });
             router.counters.restored += 1;
             if end.is_some() {
                 router.notices.push_back(msg);
@@ -215,6 +294,11 @@
                 router.end(msg, Ending::Undeliverable, now, &mut steps);
                 continue;
             };
+            if let Some(stream) = stream {
+                // Its body went with the life before.
+                router.end(msg, stream.ending(), now, &mut steps);
+                continue;
+            }
             if deadline <= now {
                 // Nothing can be delivered any more, and an end that the store refused may have been told.
                 router.end(msg, Ending::Undeliverable, now, &mut steps);
@@ -225,19 +309,42 @@
                 sent: call.sent,
                 may_have_run: call.never_ran != Some(true),
             });
-            let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
+            let message = Message {
+                id: msg,
+                class,
+                tenant: None,
+                key: None,
+                deadline,
+                hint: None,
+                dest,
+                stream: false,
+            };
             let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
             let orders = router.facade.restore(now, message, past);
             router.carry_out(orders, now, &mut steps);
         }
         router.say(&mut steps);
+        router.ready = true;
         Ok((router, steps))
     }
 
     /// A consumer hands in an invocation.
     pub fn take_on(&mut self, invocation: Invocation, now: Micros) -> (Intake, Vec<Step>) {
+        self.take(invocation, false, now)
+    }
+
+    /// A consumer begins to hand in an invocation whose body is passed on as it comes. Its end comes as
+    /// [`Step::Answer`]; the number is the message's, where it is taken on.
+    pub fn take_on_stream(&mut self, invocation: Invocation, now: Micros) -> (Intake, MsgId, Vec<Step>) {
+        let msg = self.next;
+        let (intake, steps) = self.take(invocation, true, now);
+        self.counters.streams += u64::from(intake == Intake::TakenOn);
+        (intake, msg, steps)
+    }
+
+    fn take(&mut self, invocation: Invocation, stream: bool, now: Micros) -> (Intake, Vec<Step>) {
         let mut steps = Vec::new();
-        let intake = self.intake(invocation, now, &mut steps);
+        let intake = self.intake(invocation, stream, now, &mut steps);
         self.say(&mut steps);
         match intake {
             Intake::TakenOn => self.counters.taken_on += 1,
@@ -250,7 +357,7 @@
         (intake, steps)
     }
 
-    fn intake(&mut self, invocation: Invocation, now: Micros, steps: &mut Vec<Step>) -> Intake {
+    fn intake(&mut self, invocation: Invocation, stream: bool, now: Micros, steps: &mut Vec<Step>) -> Intake {
         self.forget(now);
         let Invocation { id, class, key, dest, time_left, body } = invocation;
         let Some(class_number) = self.classes.iter().position(|c| *c == class) else {
@@ -281,10 +388,14 @@
         if self.ids.len() - self.notices.len() >= self.open_cap {
             return Intake::Rejected { after: NO_ROOM_WAIT };
         }
+        let streams = || self.owed.values().filter(|o| o.stream.is_some()).count();
+        if stream && streams() >= self.streams_most {
+            return Intake::Rejected { after: NO_ROOM_WAIT };
+        }
         let (msg, deadline) = (self.next, now.saturating_add(time_left));
         let (taken_id, taken_key, taken_body) = (id.clone(), key.clone(), body.clone());
         let taken = TakenOn { id: taken_id, class, key: taken_key, dest, deadline, body: taken_body };
-        let written = self.journal.take_on(msg, taken, now, &mut self.notes);
+        let written = self.journal.take_on(msg, taken, stream, now, &mut self.notes);
         if let Some(e) = written.err().filter(|_| !breaks::on(Break::TakeOnUnwritten)) {
             steps.push(Step::Note(Note::NoRoom(e)));
             return Intake::Rejected { after: NO_ROOM_WAIT };
@@ -292,10 +403,11 @@
         self.next += 1;
         self.ids.insert(id.clone(), msg);
         let parcel = Arc::new(Parcel { id, key, body });
-        self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0 });
+        let of_stream = stream.then(Stream::default);
+        self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0, stream: of_stream });
         let class = class_number;
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
-        let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest };
+        let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest, stream };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
         Intake::TakenOn
@@ -304,7 +416,7 @@
     /// An invoker call ended.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        let Some(Out { sent, dest, noted, .. }) = self.out.remove(&call) else { return steps };
+        let Some(Out { sent, dest, noted, written, .. }) = self.out.remove(&call) else { return steps };
         self.counters.count_call(end);
         let CallId { msg, attempt } = call;
         let (outcome, wait) = match end {
@@ -323,7 +435,14 @@
             let same = self.providers.iter().filter(|(_, p)| p.dest == dest);
             steps.extend(same.map(|(n, _)| Step::Hold { provider: *n, until }));
         }
-        if matches!(end, CallEnd::Delivered | CallEnd::Over) {
+        let stream = self.owed.get(&msg).filter(|owed| owed.stream.is_some()).map(|owed| owed.end);
+        if stream.is_some() && end == CallEnd::Over {
+            // It was withdrawn, or is out of time: that is no delivery, and its consumer waits for a word.
+            self.end(msg, Ending::Undeliverable, now, &mut steps);
+        } else if matches!(end, CallEnd::Delivered | CallEnd::Over) {
+            if stream == Some(None) {
+                steps.push(Step::Answer { msg, end: StreamEnd::Delivered });
+            }
             self.settle(msg, End::Delivered, now);
         } else if self.owed.contains_key(&msg) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::Moot | Outcome::ConnectFailed)
@@ -331,15 +450,107 @@
             if let Some(attempt) = noted {
                 self.write(&Record::Outcome { msg, attempt, never_ran }, now);
             }
+            self.stream_call_ended(msg, never_ran, now, &mut steps);
         }
         let finished = self.owed.get(&msg).is_none_or(|owed| owed.end.is_some());
-        let elapsed = now.saturating_sub(sent);
+        let elapsed = now.saturating_sub(written.unwrap_or(sent));
         let orders = self.facade.report(now, Report { msg, attempt, outcome, elapsed, finished, wait });
         self.carry_out(orders, now, &mut steps);
         self.say(&mut steps);
         steps
     }
 
+    /// A call of a stream is over, and the message is not delivered: without its whole body, or with an end
+    /// that was only waiting for this call, the module has nothing to decide any more.
+    fn stream_call_ended(&mut self, msg: MsgId, never_ran: bool, now: Micros, steps: &mut Vec<Step>) {
+        let Some(stream) = self.owed.get_mut(&msg).and_then(|owed| owed.stream.as_mut()) else { return };
+        stream.may_have_run |= !never_ran;
+        if (stream.committed && !breaks::on(Break::CommittedAgain)) || stream.over {
+            let ending = stream.ending();
+            self.end(msg, ending, now, steps);
+        }
+    }
+
+    /// The last byte of a stream's call has left: its time at the destination begins.
+    pub fn stream_written(&mut self, call: CallId, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if let Some(out) = self.out.get_mut(&call) {
+            out.written = Some(now);
+            let orders = self.facade.written(now, call.msg, call.attempt);
+            self.carry_out(orders, now, &mut steps);
+        }
+        steps
+    }
+
+    /// A part of a stream's body is gone: it has no other attempt.
+    pub fn stream_committed(&mut self, msg: MsgId) {
+        if let Some(stream) = self.owed.get_mut(&msg).and_then(|owed| owed.stream.as_mut()) {
+            stream.committed = true;
+        }
+    }
+
+    /// No call of a stream has begun in time for its consumer: it is turned away, unless one is out.
+    pub fn stream_unbegun(&mut self, msg: MsgId, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let open = self.owed.get(&msg).is_some_and(|owed| owed.stream.is_some() && owed.end.is_none());
+        if open && !self.is_out(msg) {
+            let ending = self.owed[&msg].stream.unwrap_or_default().ending();
+            self.end(msg, ending, now, &mut steps);
+            let orders = self.facade.ended(now, msg);
+            self.carry_out(orders, now, &mut steps);
+        }
+        self.say(&mut steps);
+        steps
+    }
+
+    /// A stream's body will never be whole, or the process ends (`None`): its call is given up, and its end
+    /// follows.
+    pub fn stream_cut(&mut self, msg: MsgId, why: Option<Cut>, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let out = self.is_out(msg);
+        let Some(owed) = self.owed.get_mut(&msg).filter(|owed| owed.end.is_none()) else { return steps };
+        let Some(stream) = owed.stream.as_mut() else { return steps };
+        (stream.cut, stream.over) = (stream.cut.or(why), true);
+        self.counters.streams_cut += 1;
+        if out {
+            let calls = self.out.range(calls_of(msg));
+            steps.extend(calls.map(|(call, _)| Step::Ended(*call)));
+        } else {
+            let ending = stream.ending();
+            self.end(msg, ending, now, &mut steps);
+            let orders = self.facade.ended(now, msg);
+            self.carry_out(orders, now, &mut steps);
+        }
+        self.say(&mut steps);
+        steps
+    }
+
+    /// A stream's consumer was answered on its connection, or can't be: then the platform is told.
+    pub fn answered(&mut self, msg: MsgId, heard: bool, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let Some(owed) = self.owed.get_mut(&msg) else { return steps };
+        if let Some(stream) = &mut owed.stream {
+            stream.deaf |= !heard && !breaks::on(Break::DeafForgotten);
+        }
+        match owed.end {
+            Some(ending) if heard => {
+                self.write(&Record::Told { msg }, now);
+                self.over(msg, ending.into());
+            }
+            Some(_) if !self.notices.contains(&msg) && !self.unwritten.contains(&msg) => {
+                self.notices.push_back(msg);
+                steps.push(Step::Notify);
+            }
+            _ => {}
+        }
+        self.say(&mut steps);
+        steps
+    }
+
+    fn is_out(&self, msg: MsgId) -> bool {
+        self.out.range(calls_of(msg)).next().is_some()
+    }
+
     /// Discovery told of providers.
     pub fn list(&mut self, list: ProviderList, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -417,8 +628,7 @@
                 self.unwritten.push_front(msg);
                 return;
             }
-            self.notices.push_back(msg);
-            steps.push(Step::Notify);
+            self.tell(msg, ending, steps);
         }
         self.write_at = Micros::MAX;
     }
@@ -518,13 +728,14 @@
         steps: &mut Vec<Step>,
     ) {
         let owed = self.owed.get(&call.msg).map(|owed| (owed.parcel.clone(), owed.dest));
+        let stream = self.owed.get(&call.msg).is_some_and(|owed| owed.stream.is_some());
         let known = self.providers.get(&provider).and_then(|p| Some((p.addr?, p.zone)));
         let (Some((invocation, dest)), Some((addr, zone))) = (owed, known) else {
             let CallId { msg, attempt } = call;
             return steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider }));
         };
         let noted = None;
-        self.out.insert(call, Out { sent: now, provider, dest, noted });
+        self.out.insert(call, Out { sent: now, provider, dest, noted, written: None });
         // Without its record a call must not leave: after a restart it would count as never made.
         let late = breaks::on(Break::AttemptUnwritten);
         if !late && !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
@@ -537,7 +748,7 @@
             owed.noted += 1;
         }
         self.counters.calls += 1;
-        steps.push(Step::Call(InvokerCall { call, provider, dest, addr, invocation, timeout, by }));
+        steps.push(Step::Call(InvokerCall { call, provider, dest, addr, invocation, timeout, by, stream }));
     }
 
     fn end(&mut self, msg: MsgId, ending: Ending, now: Micros, steps: &mut Vec<Step>) {
@@ -550,14 +761,12 @@
         steps.push(Step::Note(Note::Ended { msg, ending }));
         let written = self.write(&Record::End { msg, end: ending.into() }, now);
         if written || breaks::on(Break::EndUnwritten) {
-            self.notices.push_back(msg);
-            steps.push(Step::Notify);
+            self.tell(msg, ending, steps);
         } else {
             self.unwritten.push_back(msg);
             self.write_at = self.write_at.min(now.saturating_add(WRITE_AGAIN));
         }
-        let calls = CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX };
-        steps.extend(self.out.range(calls).map(|(call, _)| Step::Ended(*call)));
+        steps.extend(self.out.range(calls_of(msg)).map(|(call, _)| Step::Ended(*call)));
     }
 
     /// Delivered, or over by the provider's word: nothing more is owed.
@@ -570,6 +779,25 @@
         }
     }
 
+    /// Whoever is owed the end hears it: a stream's consumer, who still waits, or else the platform.
+    fn tell(&mut self, msg: MsgId, ending: Ending, steps: &mut Vec<Step>) {
+        match self.owed.get(&msg).and_then(|owed| owed.stream) {
+            // One of an earlier life has no consumer any more.
+            Some(stream) if self.ready && !stream.deaf => {
+                let end = match (stream.cut, ending) {
+                    (Some(why), _) => StreamEnd::Cut(why),
+                    (None, Ending::Deferred(after)) => StreamEnd::Deferred(after),
+                    (None, Ending::Undeliverable) => StreamEnd::Failed,
+                };
+                steps.push(Step::Answer { msg, end });
+            }
+            _ => {
+                self.notices.push_back(msg);
+                steps.push(Step::Notify);
+            }
+        }
+    }
+
     fn over(&mut self, msg: MsgId, end: End) {
         if let Some(owed) = self.owed.remove(&msg) {
             let id = &owed.parcel.id;
@@ -604,6 +832,18 @@
     }
 }
 
+impl Stream {
+    /// How it ends if it is not delivered.
+    fn ending(&self) -> Ending {
+        if self.may_have_run { Ending::Undeliverable } else { Ending::Deferred(NO_ROOM_WAIT) }
+    }
+}
+
+/// The numbers of all calls of a message.
+fn calls_of(msg: MsgId) -> std::ops::RangeInclusive<CallId> {
+    CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX }
+}
+
 /// A name's number; a name that is known copies nothing.
 fn number(names: &mut Arc<Names>, name: &str) -> u64 {
     names.known(name).unwrap_or_else(|| Arc::make_mut(names).number(name))
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -8,7 +8,7 @@
     pub fn see(&self, eye: &mut impl Eye) {
         #[rustfmt::skip]
         let Router {
-            facade, classes: _, kinds: _, zones: _, open_cap: _, provider_names, providers, version: _, heard,
+            facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, ready: _, provider_names, providers, version: _, heard,
             journal: _, owed, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
@@ -25,7 +25,12 @@
             eye.time(gone.unwrap_or(Micros::MAX));
         }
         for (id, o) in owed {
-            let Owed { parcel, dest, deadline, end, noted } = o;
+            let Owed { parcel, dest, deadline, end, noted, stream } = o;
+            if let Some(Stream { committed, may_have_run, cut, over, deaf }) = stream {
+                [*committed, *may_have_run, cut.is_some(), *over, *deaf]
+                    .into_iter()
+                    .for_each(|f| eye.flag(f));
+            }
             eye.word(u64::from(*noted));
             eye.message(*id);
             see_text(&parcel.id, eye);
@@ -44,7 +49,8 @@
             eye.word(end.unwrap_or(0));
         }
         for (call, o) in out {
-            let Out { sent, provider, dest, noted } = o;
+            let Out { sent, provider, dest, noted, written } = o;
+            eye.time(written.unwrap_or(Micros::MAX));
             eye.word(noted.map_or(u64::MAX, u64::from));
             eye.message(call.msg);
             eye.endpoint(*provider);
--- a/courier/src/program/cli.rs
+++ b/courier/src/program/cli.rs
@@ -91,9 +91,9 @@
 fn serve(path: Option<PathBuf>) -> ExitCode {
     let operator = path.as_deref().map_or(Ok(Operator::default()), Operator::load);
     let begun = log::begin(operator.as_ref().map_or(&Default::default(), |o| &o.log));
-    let done = operator.map_err(run::RunError::from).and_then(|_| {
+    let done = operator.map_err(run::RunError::from).and_then(|operator| {
         let levels = begun.map_err(run::RunError::Log)?;
-        actix_rt::System::new().block_on(run::run(path, levels))
+        actix_rt::System::new().block_on(run::run(operator, path, levels))
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/courier/src/program/inspect.rs
+++ b/courier/src/program/inspect.rs
@@ -64,8 +64,8 @@
             time: None,
         };
         match record {
-            Record::TakeOn { msg, taken } => Line {
-                record: "take-on",
+            Record::TakeOn { msg, taken } | Record::Stream { msg, taken } => Line {
+                record: if matches!(record, Record::Stream { .. }) { "stream" } else { "take-on" },
                 msg: Some(*msg),
                 id: Some(&taken.id),
                 class: Some(&taken.class),
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -7,10 +7,12 @@
 use crate::transport::folder::Folder;
 use crate::transport::platform;
 use crate::transport::server::{Connections, serve};
+use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
 use actix_rt::time::{Instant, sleep, sleep_until};
+use quillmount_core::flow;
 use quillmount_core::pool::Pool;
-use quillmount_core::router::{Router, RouterError};
+use quillmount_core::router::{Router, RouterError, StreamLimits};
 use quillmount_operator::{Operator, OperatorError};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -49,11 +51,11 @@
     Signals(std::io::Error),
 }
 
-/// Runs until a planned stop. `path` is the operator file, where there is one.
+/// Runs until a planned stop. `operator` came from `path`, where there is such a file.
 ///
 /// # Errors
 /// The courier can't start.
-pub async fn run(path: Option<PathBuf>, levels: Levels) -> Result<(), RunError> {
+pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<(), RunError> {
     let config = Config::load(|name| std::env::var(name).ok())?;
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
@@ -67,8 +69,10 @@
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let known = config.known.clone();
     let store = Folder::open(&config.state).map_err(RunError::Folder)?;
-    let (router, steps) = Router::open(&config.env, config.seed, known, store, config.disk, clock.now())?;
-    let courier = Courier::new(clock.clone(), config.connect(), router, pool);
+    let (limits, rules) = streams(&operator.streams).unzip();
+    let (router, steps) =
+        Router::open_with(&config.env, limits, config.seed, known, store, config.disk, clock.now())?;
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
@@ -106,6 +110,9 @@
     sleep(ACCEPT_ON).await;
     server.abort();
     while begun.elapsed() < STOP {
+        if begun.elapsed() >= CALLS_END {
+            courier.end_streams();
+        }
         let open = connections.close_idle();
         if !open && courier.is_quiet() {
             break;
@@ -116,6 +123,32 @@
     Ok(())
 }
 
+/// What the operator file lets be streamed.
+fn streams(told: &quillmount_operator::Streams) -> Option<(StreamLimits, Rules)> {
+    let micros =
+        |span: quillmount_operator::units::Span| u64::try_from(span.0.as_micros()).unwrap_or(u64::MAX);
+    let pace = |pace: &quillmount_operator::Pace| flow::Pace {
+        stall: micros(pace.stall),
+        span: micros(pace.over),
+        least: pace.least.0,
+    };
+    let limits = StreamLimits {
+        most: told.most(),
+        part_of_slots: told.share_of_slots,
+        part_of_window: told.share_of_window,
+    };
+    let rules = Rules {
+        classes: told.classes.clone(),
+        largest: told.largest.0,
+        longest: micros(told.longest),
+        window: told.window.0,
+        turn: told.turn.0,
+        consumer: pace(&told.consumer),
+        provider: pace(&told.provider),
+    };
+    told.on.then_some((limits, rules))
+}
+
 /// What a SIGHUP reads again.
 struct Reload {
     path: String,
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -3,14 +3,16 @@
 use super::clock::Clock;
 use super::folder::Folder;
 use super::providers::{self, Words};
+use super::streams::{self, Pipe, Rules, Streams};
 use actix_rt::net::TcpStream;
 use quillmount_core::counters::Counters;
+use quillmount_core::flow::{Cut, Flow};
 use quillmount_core::hub::{Do, Hub};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
-use quillmount_core::{CallId, Invocation, InvokerCall, Notice, ProviderList};
-use spurshore::Micros;
+use quillmount_core::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList, StreamHead};
+use spurshore::{Micros, MsgId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -28,6 +30,10 @@
     hub: RefCell<Hub<Folder, TcpStream>>,
     /// What calls that are out are told.
     words: RefCell<HashMap<CallId, Rc<Words>>>,
+    /// What may be streamed, where anything may, and what is.
+    pub rules: Option<Rules>,
+    pub streams: Streams,
+    pipes: RefCell<HashMap<MsgId, Rc<Pipe>>>,
     serving: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
@@ -35,8 +41,17 @@
 }
 
 impl Courier {
-    pub fn new(clock: Clock, connect: Duration, router: Router<Folder>, pool: Pool<TcpStream>) -> Rc<Self> {
+    pub fn new(
+        clock: Clock,
+        connect: Duration,
+        router: Router<Folder>,
+        pool: Pool<TcpStream>,
+        rules: Option<Rules>,
+    ) -> Rc<Self> {
         Rc::new(Courier {
+            streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
+            rules,
+            pipes: RefCell::default(),
             clock,
             connect,
             hub: RefCell::new(Hub::new(router, pool)),
@@ -71,6 +86,82 @@
         intake
     }
 
+    /// A stream's head has come; its body is read once a call has begun.
+    ///
+    /// # Errors
+    /// It is not taken on.
+    pub fn take_on_stream(
+        self: &Rc<Self>,
+        invocation: Invocation,
+        head: StreamHead,
+        rules: &Rules,
+    ) -> Result<Rc<Pipe>, Intake> {
+        let now = self.clock.now();
+        let (intake, msg, todo) = self.hub.borrow_mut().take_on_stream(invocation, now);
+        let flow = Flow::new(rules.window, head.length, rules.consumer, rules.provider, now);
+        let pipe = Pipe::new(msg, head, flow);
+        if intake == Intake::TakenOn {
+            self.pipes.borrow_mut().insert(msg, pipe.clone());
+        }
+        self.carry_out(todo);
+        if intake == Intake::TakenOn { Ok(pipe) } else { Err(intake) }
+    }
+
+    /// A stream's body will never be whole.
+    pub fn stream_cut(self: &Rc<Self>, pipe: &Pipe, why: Cut) {
+        let now = self.clock.now();
+        pipe.cut(why, now);
+        self.stream(|router| router.stream_cut(pipe.msg, Some(why), now));
+    }
+
+    /// The process ends: streams that are on their way get the end that is true of them by now.
+    pub fn end_streams(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let pipes: Vec<_> = self.pipes.borrow().values().cloned().collect();
+        for pipe in pipes {
+            pipe.cut(Cut::Gone, now);
+            self.stream(|router| router.stream_cut(pipe.msg, None, now));
+        }
+    }
+
+    /// No call of it has begun in time.
+    pub fn stream_unbegun(self: &Rc<Self>, pipe: &Pipe) {
+        let now = self.clock.now();
+        self.stream(|router| router.stream_unbegun(pipe.msg, now));
+    }
+
+    /// A part of its body is gone.
+    pub fn stream_committed(&self, msg: MsgId) {
+        self.hub.borrow_mut().router.stream_committed(msg);
+    }
+
+    /// The last byte of its call has left.
+    pub fn stream_written(self: &Rc<Self>, call: CallId) {
+        let now = self.clock.now();
+        self.stream(|router| router.stream_written(call, now));
+    }
+
+    /// Its consumer was answered, or can't be.
+    pub fn stream_answered(self: &Rc<Self>, msg: MsgId, heard: bool) {
+        let now = self.clock.now();
+        self.pipes.borrow_mut().remove(&msg);
+        self.stream(|router| router.answered(msg, heard, now));
+    }
+
+    /// Its connection has ended before its answer.
+    pub fn stream_lost(self: &Rc<Self>, msg: MsgId) {
+        let pipe = self.pipes.borrow().get(&msg).cloned();
+        if let Some(pipe) = pipe {
+            self.stream_cut(&pipe, Cut::Gone);
+        }
+        self.stream_answered(msg, false);
+    }
+
+    fn stream(self: &Rc<Self>, act: impl FnOnce(&mut Router<Folder>) -> Vec<quillmount_core::router::Step>) {
+        let todo = self.hub.borrow_mut().stream(act, self.clock.now());
+        self.carry_out(todo);
+    }
+
     pub fn list(self: &Rc<Self>, list: ProviderList) {
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
@@ -160,6 +251,12 @@
                 }
                 Do::Close(gone) => drop(gone),
                 Do::Notify => self.notices.notify_one(),
+                Do::Answer(msg, end) => {
+                    // A consumer that has gone was told of already.
+                    if let Some(pipe) = self.pipes.borrow().get(&msg) {
+                        pipe.ends(end);
+                    }
+                }
                 Do::Note(note) => say(&note),
             }
         }
@@ -179,7 +276,13 @@
         );
         let made = async move {
             let (id, addr) = (call.call, call.addr);
-            let end = providers::call(&this, call, &words).await;
+            let pipe = this.pipes.borrow().get(&id.msg).cloned();
+            let end = match pipe {
+                Some(pipe) => streams::call(&this, call, &words, &pipe).await,
+                // Its consumer has gone: its body with it.
+                None if call.stream => CallEnd::HeldBack,
+                None => providers::call(&this, call, &words).await,
+            };
             this.words.borrow_mut().remove(&id);
             let todo = this.hub.borrow_mut().call_ended(id, end, this.clock.now());
             tracing::debug!("call ended: {id:?} to {addr}: {end:?}");
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod platform;
 pub mod providers;
 pub mod server;
+pub mod streams;
 
 use std::time::Duration;
 
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -16,7 +16,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
 /// Most answers fit into one read of this.
@@ -43,8 +43,13 @@
         self.said.notify_one();
     }
 
+    /// What was told to wait for is told to a call that has begun only.
+    pub fn forget_hold(&self) {
+        self.hold.set(false);
+    }
+
     /// The next word that matters to an attempt in this state.
-    async fn heard(&self, state: State) -> Input {
+    pub async fn heard(&self, state: State) -> Input {
         loop {
             if self.give_up.get() {
                 return Input::GiveUp;
@@ -66,7 +71,7 @@
     stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-async fn connect(addr: SocketAddr) -> Option<TcpStream> {
+pub async fn connect(addr: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(addr).await.ok()?;
     // Else the last part of a larger call waits for the provider's acknowledgement.
     stream.set_nodelay(true).ok()?;
@@ -74,7 +79,7 @@
 }
 
 /// Adds to an answer what has come.
-async fn read(stream: &mut TcpStream, answer: &mut Vec<u8>) -> Input {
+pub async fn read(stream: &mut (impl AsyncRead + Unpin), answer: &mut Vec<u8>) -> Input {
     answer.reserve(READ);
     match stream.read_buf(answer).await {
         Ok(0) => Input::End,
@@ -84,7 +89,7 @@
 }
 
 /// Waits for the time that an attempt's state waits for; for ever where there is none.
-async fn tick(clock: &Clock, at: Option<Micros>) -> Input {
+pub async fn tick(clock: &Clock, at: Option<Micros>) -> Input {
     match at {
         Some(at) => sleep(clock.until(at)).await,
         None => std::future::pending().await,
@@ -114,7 +119,7 @@
         }
         let (state, rest) = (call.state(), call.attempt().wake_at());
         if matches!(state, State::Writing { written: 0 }) {
-            words.hold.set(false);
+            words.forget_hold();
             request = invoker::encode(&call.order);
         }
         let input = match (state, call.parts()) {
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -5,16 +5,21 @@
 
 use super::clock::Clock;
 use super::courier::Courier;
+use super::streams;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, ServiceConfig, StatusCode};
+use actix_http::{ConnectionType, HttpMessage, Method, Request, Response, ServiceConfig, StatusCode, header};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use bytes::{Bytes, BytesMut};
+use quillmount_core::StreamHead;
 use quillmount_core::crowd::{Crowd, Room};
+use quillmount_core::flow::Cut;
 use quillmount_core::machine::consumer::{Consumer, Input, Output, State};
-use quillmount_core::router::{Intake, NO_ROOM_WAIT};
+use quillmount_core::router::{Intake, NO_ROOM_WAIT, StreamEnd};
 use quillmount_protocol::invocation::{self, Head, Malformed};
+use quillmount_protocol::stream::{self, Body, Digest, Framing};
+use spurshore::MsgId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -219,12 +224,16 @@
                     input
                 }
                 Output::Answer { closes } => {
-                    let Some(mut answer) = answer.take() else { return Ok(()) };
+                    let Some((mut answer, msg)) = answer.take() else { return Ok(()) };
                     if closes {
                         answer.head_mut().set_connection_type(ConnectionType::Close);
                     }
                     let bytes = self.encode(answer)?;
-                    timeout(WRITE, self.stream.write_all(&bytes)).await??;
+                    let told = timeout(WRITE, self.stream.write_all(&bytes)).await;
+                    if let Some(msg) = msg {
+                        self.courier.stream_answered(msg, matches!(told, Ok(Ok(()))));
+                    }
+                    told??;
                     Input::Answered
                 }
                 Output::Rest => {
@@ -255,7 +264,7 @@
     }
 
     /// Waits for a request, and gives its answer.
-    async fn asked(&mut self, connections: &Connections) -> io::Result<(Option<Response<Bytes>>, Input)> {
+    async fn asked(&mut self, connections: &Connections) -> io::Result<(Option<Answer>, Input)> {
         let (leave, mut by) = (self.leave.clone(), Instant::now() + REQUEST);
         let asked = {
             let request = self.request(connections);
@@ -277,7 +286,13 @@
             None => Asked::Malformed(Malformed::Slow),
         };
         let probe = matches!(asked, Asked::Probed(_));
+        let mut streamed = None;
         let (answer, closes) = match asked {
+            Asked::Stream(request) => {
+                let (answer, msg) = self.stream(&request, connections).await;
+                streamed = msg;
+                (answer, true)
+            }
             Asked::Nothing => return Ok((None, Input::Silent)),
             Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
             Asked::Malformed(why) => {
@@ -288,7 +303,58 @@
         };
         let told = answer.head().connection_type() == ConnectionType::Close;
         let closes = closes || told || !self.codec.keep_alive() || connections.closing.get();
-        Ok((Some(answer), Input::Asked { probe, closes }))
+        Ok((Some((answer, streamed)), Input::Asked { probe, closes }))
+    }
+
+    /// Passes a request's body on as it comes; gives the final answer, and the number of the message that it ends.
+    async fn stream(&mut self, request: &Request, connections: &Connections) -> Answer {
+        let refused = |why: Malformed, courier: &Courier| {
+            courier.count(|c| c.malformed += 1);
+            connections.tell(why);
+            (invocation::refuse(why), None)
+        };
+        let courier = self.courier.clone();
+        let Some(rules) = &courier.rules else { return refused(Malformed::Length, &courier) };
+        let headers = request.headers();
+        let parts = || {
+            let framing = stream::framing(headers)?;
+            let head = Head::decode_stream(request.method(), request.path(), headers, rules.longest)?;
+            let expects = match headers.get(header::EXPECT) {
+                None => false,
+                Some(value) if value.as_bytes().eq_ignore_ascii_case(b"100-continue") => true,
+                Some(_) => return Err(Malformed::Expect),
+            };
+            match framing {
+                Framing::Length(length) if length > rules.largest => Err(Malformed::OverLimit),
+                _ if !rules.allow(head.class()) => Err(Malformed::OverLimit),
+                framing => Ok((framing, head, Digest::of(headers)?, expects)),
+            }
+        };
+        let (framing, head, digest, expects) = match parts() {
+            Ok(parts) => parts,
+            Err(why) => return refused(why, &courier),
+        };
+        let length = match framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked => None,
+        };
+        let told = StreamHead { length, digest: stream::digest_text(headers) };
+        let taken = courier.take_on_stream(head.with_body(Bytes::new()), told, rules);
+        let pipe = match taken {
+            Ok(pipe) => pipe,
+            Err(intake) => return (invocation::answer(intake), None),
+        };
+        connections.crowd.borrow_mut().streams(self.entry.1);
+        let mut gone = Gone { courier: courier.clone(), msg: Some(pipe.msg) };
+        let body = (Body::new(framing, rules.largest), digest);
+        let end = streams::take(&mut self.stream, &mut self.buf, &courier, &pipe, body, expects).await;
+        if end == StreamEnd::Cut(Cut::Gone) {
+            // What is written to it now goes nowhere, though the socket may take it: the platform is told.
+            return (stream::answer(end), None);
+        }
+        // From here on whoever writes the answer says what came of it.
+        gone.msg = None;
+        (stream::answer(end), Some(pipe.msg))
     }
 
     /// Reads one request whole, and acts on it; nothing of it holds before its last byte has come.
@@ -312,6 +378,9 @@
         let Ok(Some(Message::Item(request))) = self.codec.decode(&mut self.buf) else {
             return Ok(Malformed::Unreadable.into());
         };
+        if self.streams(&request) {
+            return Ok(Asked::Stream(request));
+        }
         let head = match Head::decode(request.method(), request.path(), request.headers()) {
             Err(why) if why.ends_connection() => return Ok(why.into()),
             head => head,
@@ -359,6 +428,17 @@
         })
     }
 
+    /// Whether this request's body is passed on as it comes: where streams are on, one in chunks or of more than a
+    /// small body may have.
+    fn streams(&self, request: &Request) -> bool {
+        let large = || match stream::framing(request.headers()) {
+            Ok(Framing::Chunked) => true,
+            Ok(Framing::Length(length)) => length > invocation::BODY_MAX as u64,
+            Err(_) => false,
+        };
+        self.courier.rules.is_some() && large()
+    }
+
     async fn read(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ);
         self.stream.read_buf(&mut self.buf).await
@@ -393,8 +473,27 @@
     }
 }
 
+/// An answer, and the number of the streamed message that it ends.
+type Answer = (Response<Bytes>, Option<MsgId>);
+
+/// A stream whose connection ends before its answer: the platform is told its end instead.
+struct Gone {
+    courier: Rc<Courier>,
+    msg: Option<MsgId>,
+}
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        if let Some(msg) = self.msg {
+            self.courier.stream_lost(msg);
+        }
+    }
+}
+
 /// What came of one wait for a request.
 enum Asked {
+    /// Its body is to be passed on.
+    Stream(Request),
     /// The connection ended between requests.
     Nothing,
     Answered(Response<Bytes>),
--- a/courier/tests/command.rs
+++ b/courier/tests/command.rs
@@ -132,7 +132,7 @@
         deadline: 1_000_000,
         body: b"fee".to_vec().into(),
     };
-    journal.take_on(1, taken, 0, &mut Vec::new()).unwrap();
+    journal.take_on(1, taken, false, 0, &mut Vec::new()).unwrap();
     journal.note(&Record::Attempt { msg: 1, zone: 0, sent: 5 }, 0, &mut Vec::new()).unwrap();
     journal.store().bytes().to_vec()
 }
--- a/examples/held.rs
+++ b/examples/held.rs
@@ -54,7 +54,16 @@
     let (mut now, mut id, mut out) = (SEC, 0, Vec::new());
     let submit = |id: u64, now: Micros| {
         let deadline = now + 12 * SEC;
-        Event::Submit(Message { id, class: 0, tenant: None, key: None, deadline, hint: None, dest: 0 })
+        Event::Submit(Message {
+            id,
+            class: 0,
+            tenant: None,
+            key: None,
+            deadline,
+            hint: None,
+            dest: 0,
+            stream: false,
+        })
     };
     let mut step = |dispatcher: &mut Dispatcher, now: Micros, events: &[Event]| {
         for action in dispatcher.step(now, events) {
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod monitor;
 pub mod proof;
 pub mod search;
+pub mod streams;
 pub mod world;
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -4,15 +4,16 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use quillmount_explore::case::{Case, Event};
+use quillmount_explore::case::{CLASSES, Case, Event};
 use quillmount_explore::choice::Move;
 use quillmount_explore::monitor::{Property, Violation};
 use quillmount_explore::search::{Bounds, Found, Verdict, play, search};
+use quillmount_explore::streams::{BREAKS as STREAM_BREAKS, HOLDS as STREAM_HOLDS, Size, explore};
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A state is a hundred small pieces, and states are copied all the time: the system's allocator took a third
 /// of a search.
@@ -45,6 +46,23 @@
     Export { file: PathBuf },
     /// Leave out moves that a counterexample does not need.
     Shrink { file: PathBuf },
+    /// Explore streamed bodies: every order of what consumer, provider, platform and a kill do to one.
+    Streams {
+        /// `fee-debit` or `paid-notice`.
+        #[arg(long, default_value = "fee-debit")]
+        class: String,
+        /// In chunks, and not with a length.
+        #[arg(long)]
+        chunked: bool,
+        #[arg(long, default_value_t = 2)]
+        attempts: u32,
+        /// The process may be killed once.
+        #[arg(long)]
+        kills: bool,
+        /// A deliberate break of the code, where the program was built with them.
+        #[arg(long = "break")]
+        broken: Option<String>,
+    },
     /// Find every deliberate break, and see the small cases hold: exit 0 only if all is as it should be.
     Prove,
     /// The properties, the events and the deliberate breaks.
@@ -140,6 +158,9 @@
         Command::Replay { file } => replay(&file),
         Command::Shrink { file } => shrink(&file),
         Command::Prove => prove(),
+        Command::Streams { class, chunked, attempts, kills, broken } => {
+            streams(&class, chunked, attempts, kills, broken.as_deref())
+        }
         Command::Export { file } => read(&file).and_then(|f| {
             let text = quillmount_explore::export::exchange(&Arc::new(f.case), &f.path)?;
             print!("{text}");
@@ -255,6 +276,36 @@
     }
 }
 
+/// Explores streamed bodies, and tells what came of it.
+fn streams(
+    class: &str,
+    chunked: bool,
+    attempts: u32,
+    kills: bool,
+    broken: Option<&str>,
+) -> Result<u8, String> {
+    let class =
+        CLASSES.iter().position(|c| *c == class).ok_or(format!("--class: no class is named {class:?}"))?;
+    if !(1..=3).contains(&attempts) {
+        return Err(format!("--attempts: from 1 to 3 are possible, not {attempts}"));
+    }
+    set_break(broken)?;
+    let begun = Instant::now();
+    let found = explore(Size { class: class as u8, chunked, attempts, kills })?;
+    println!("{} states, depth {}, {:.1} s", found.states, found.depth, begun.elapsed().as_secs_f64());
+    match found.broken {
+        None => {
+            println!("holds: every order of these events keeps every property");
+            Ok(HOLDS)
+        }
+        Some((path, violation)) => {
+            path.iter().enumerate().for_each(|(n, event)| println!("{:3}. {event:?}", n + 1));
+            println!("broken: {violation}");
+            Ok(BROKEN)
+        }
+    }
+}
+
 fn prove() -> Result<u8, String> {
     let mut code = HOLDS;
     let mut wrong = |text: String| {
@@ -263,6 +314,24 @@
     };
     println!("| break | property | depth | states | seconds |\n| --- | --- | --- | --- | --- |");
     for (name, about) in spurshore::breaks::ALL {
+        if let Some((_, property)) = STREAM_BREAKS.iter().find(|(one, _)| one == name) {
+            set_break(Some(name))?;
+            let begun = Instant::now();
+            // Each of them shows with a debit of a stated length, or with one in chunks.
+            let found = [STREAM_HOLDS[0], STREAM_HOLDS[1]].into_iter().find_map(|size| {
+                let found = explore(size).ok()?;
+                found.broken.map(|(path, violation)| (path.len(), found.states, violation))
+            });
+            match found {
+                Some((depth, states, violation)) if violation.property == *property => println!(
+                    "| `{name}` | {} | {depth} | {states} | {:.2} |",
+                    property.name(),
+                    begun.elapsed().as_secs_f64()
+                ),
+                other => wrong(format!("{name} is not found by {}: {other:?}", property.name())),
+            }
+            continue;
+        }
         let proof = quillmount_explore::proof::BREAKS.iter().find(|(one, ..)| one == name);
         let Some((_, case, property)) = proof else {
             wrong(format!("no case is there to find {name} ({about})"));
@@ -295,6 +364,18 @@
             other => wrong(format!("{text}: {other:?}")),
         }
     }
+    let explored: Vec<_> = std::thread::scope(|scope| {
+        let begin = |size| scope.spawn(move || (size, explore(size)));
+        let threads: Vec<_> = STREAM_HOLDS.iter().copied().map(begin).collect();
+        threads.into_iter().map(|t| t.join().expect("a search does not panic")).collect()
+    });
+    for (size, found) in explored {
+        let found = found?;
+        match found.broken {
+            None => println!("| streams: {size:?} | {} | {} | |", found.depth, found.states),
+            other => wrong(format!("streams: {size:?}: {other:?}")),
+        }
+    }
     for text in quillmount_explore::proof::BOTH {
         let (case, mut bounds) = arguments(text)?.settle()?;
         let reduced = search(&case, &bounds, |_| {})?;
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -602,7 +602,8 @@
                         self.step_id(id, |call, pool, now| call.step(pool, input, now))?;
                     }
                 }
-                Do::Close(_) | Do::Notify | Do::Note(_) => {}
+                // No stream is handed in here; `streams.rs` is their world.
+                Do::Close(_) | Do::Notify | Do::Note(_) | Do::Answer(..) => {}
             }
         }
         Ok(())
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -11,6 +11,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
+use units::{Size, Span};
 
 /// The version that this program reads.
 pub const VERSION: u32 = 1;
@@ -18,7 +19,7 @@
 const FILE_MAX: u64 = 1 << 20;
 
 /// What an operator switches on beyond the platform's protocol. Sizes and spans are texts with units.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[schemars(deny_unknown_fields)]
 pub struct Operator {
     /// Where editors find the schema; the courier does not read it.
@@ -29,11 +30,13 @@
     pub version: u32,
     #[serde(default)]
     pub log: Log,
+    #[serde(default)]
+    pub streams: Streams,
 }
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { schema: None, version: VERSION, log: Log::default() }
+        Operator { schema: None, version: VERSION, log: Log::default(), streams: Streams::default() }
     }
 }
 
@@ -66,6 +69,124 @@
     Json,
 }
 
+/// Bodies that are passed on as they arrive: those of more than 64 KiB, and those in chunks. Off by default; on the
+/// platform, where no body is larger, it stays off. Read at the start only.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
+pub struct Streams {
+    pub on: bool,
+    /// The classes that may stream; none: all of them.
+    pub classes: Vec<String>,
+    /// The largest body.
+    pub largest: Size,
+    /// The longest `X-Time-Left`: a stream ends by then, however it ends.
+    pub longest: Span,
+    /// Bytes kept of each body between its consumer and its provider, and for another attempt.
+    pub window: Size,
+    /// Bytes kept of all bodies together: each stream sets its whole window aside.
+    pub memory: Size,
+    /// The streams' part of the slots; one slot at least.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub share_of_slots: f64,
+    /// The streams' part of each destination's window; one call at least.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub share_of_window: f64,
+    /// Bytes that all streams together move in one turn of the loop.
+    pub turn: Size,
+    /// What a consumer has to keep to while there is room for its bytes.
+    pub consumer: Pace,
+    /// What a provider has to keep to while there are bytes for it.
+    pub provider: Pace,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        let pace = Pace { stall: seconds(30), least: Size(1 << 10), over: seconds(60) };
+        Streams {
+            on: false,
+            classes: Vec::new(),
+            largest: Size(4 << 30),
+            longest: seconds(3_600),
+            window: Size(256 << 10),
+            memory: Size(16 << 20),
+            share_of_slots: 0.5,
+            share_of_window: 0.5,
+            turn: Size(1 << 20),
+            consumer: pace.clone(),
+            provider: pace,
+        }
+    }
+}
+
+const fn seconds(n: u64) -> Span {
+    Span(std::time::Duration::from_secs(n))
+}
+
+/// How slow one side of a stream may be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+#[schemars(deny_unknown_fields)]
+pub struct Pace {
+    /// It is given up after so long without a byte.
+    pub stall: Span,
+    /// It moves so much at least in each span of `over`.
+    pub least: Size,
+    pub over: Span,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { stall: seconds(30), least: Size(1 << 10), over: seconds(60) }
+    }
+}
+
+impl Streams {
+    /// Streams at once: as many windows as the memory has room for.
+    pub fn most(&self) -> usize {
+        usize::try_from(self.memory.0 / self.window.0.max(1)).unwrap_or(usize::MAX)
+    }
+
+    /// What no type can say.
+    fn problems(&self) -> Vec<Problem> {
+        let mut found = Vec::new();
+        let mut must = |holds: bool, path: &str, what: String| {
+            if !holds {
+                found.push(Problem::new(format!("$.streams.{path}"), what));
+            }
+        };
+        let within = |name: &str, value: f64| format!("{name}: from 0 to 1 is possible, not {value}");
+        for (name, value) in
+            [("share_of_slots", self.share_of_slots), ("share_of_window", self.share_of_window)]
+        {
+            must((0.0..=1.0).contains(&value), name, within(name, value));
+        }
+        must(
+            (4 << 10..=64 << 20).contains(&self.window.0),
+            "window",
+            format!("from 4 KiB to 64 MiB is possible, not {}", self.window),
+        );
+        must(
+            self.memory >= self.window,
+            "memory",
+            format!("{} has no room for one window of {}", self.memory, self.window),
+        );
+        must(self.largest.0 > 0, "largest", "nothing could be streamed".into());
+        must(self.turn.0 >= 16 << 10, "turn", format!("16 KiB at least, not {}", self.turn));
+        let day = std::time::Duration::from_secs(86_400);
+        must(
+            !self.longest.0.is_zero() && self.longest.0 <= day,
+            "longest",
+            format!("up to a day is possible, not {}", self.longest),
+        );
+        for (side, pace) in [("consumer", &self.consumer), ("provider", &self.provider)] {
+            must(!pace.stall.0.is_zero(), &format!("{side}.stall"), "nothing moves in no time".into());
+            must(!pace.over.0.is_zero(), &format!("{side}.over"), "nothing moves in no time".into());
+        }
+        found
+    }
+}
+
 /// Why there is no operator file to go by.
 #[derive(Debug, thiserror::Error)]
 pub enum OperatorError {
@@ -105,6 +226,10 @@
             let what = format!("{}, where this program reads {VERSION}", operator.version);
             return Err(vec![Problem::new("$.version", what)]);
         }
+        let found = operator.streams.problems();
+        if !found.is_empty() {
+            return Err(found);
+        }
         Ok(operator)
     }
 
@@ -139,6 +264,18 @@
         assert_eq!(problems(r#"{"version": 2}"#), ["$.version: 2, where this program reads 1"]);
     }
 
+    #[test]
+    fn limits_that_can_not_be_are_told_all_at_once() {
+        let text = r#"{"version": 1, "streams": {"window": "1 KiB", "memory": "0 B", "share_of_slots": 2,
+            "provider": {"stall": "0s"}, "longest": "9 days"}}"#;
+        let told = problems(text);
+        let wanted = ["share_of_slots", "window", "memory", "longest", "provider.stall"];
+        assert_eq!(told.len(), wanted.len(), "{told:?}");
+        for (told, wanted) in told.iter().zip(wanted) {
+            assert!(told.starts_with(&format!("$.streams.{wanted}: ")), "{told}");
+        }
+    }
+
     /// `docs/schema/operator.json` is what `quillmount schema` prints; the example holds to it.
     #[test]
     fn the_schema_on_the_page_is_fresh_and_the_example_has_everything_off() {
--- a/protocol/src/invocation.rs
+++ b/protocol/src/invocation.rs
@@ -37,6 +37,12 @@
     Length,
     #[error("the body is over 64 KiB")]
     TooLarge,
+    #[error("the body is over the limit of its class")]
+    OverLimit,
+    #[error("Content-Digest is malformed")]
+    Digest,
+    #[error("Expect knows 100-continue alone")]
+    Expect,
     #[error("more than one request at a time")]
     Behind,
     #[error("the request did not arrive in time")]
@@ -50,8 +56,9 @@
             Malformed::Method => StatusCode::METHOD_NOT_ALLOWED,
             Malformed::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Malformed::Length => StatusCode::LENGTH_REQUIRED,
-            Malformed::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Malformed::TooLarge | Malformed::OverLimit => StatusCode::PAYLOAD_TOO_LARGE,
             Malformed::Slow => StatusCode::REQUEST_TIMEOUT,
+            Malformed::Expect => StatusCode::EXPECTATION_FAILED,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -59,7 +66,10 @@
     /// Where this request ends, and the next would begin, is not known or not to be trusted.
     pub fn ends_connection(self) -> bool {
         use Malformed::*;
-        matches!(self, Unreadable | HeadTooLarge | Length | TooLarge | Behind | Slow)
+        matches!(
+            self,
+            Unreadable | HeadTooLarge | Length | TooLarge | OverLimit | Behind | Slow | Digest | Expect
+        )
     }
 }
 
@@ -104,8 +114,44 @@
 }
 
 impl Head {
+    /// An invocation with a small body.
+    ///
+    /// # Errors
+    /// It is none.
     pub fn decode(method: &Method, path: &str, headers: &HeaderMap) -> Result<Head, Malformed> {
         let length = length(headers)?;
+        let head = Head::decode_parts(method, path, headers, length, TIME_MAX)?;
+        // Without one the body is empty, and whatever else comes no part of it.
+        if !headers.contains_key(header::CONTENT_LENGTH) {
+            return Err(Malformed::Length);
+        }
+        Ok(head)
+    }
+
+    /// An invocation whose body is passed on as it comes, and may take `longest`; its framing is read apart.
+    ///
+    /// # Errors
+    /// It is none.
+    pub fn decode_stream(
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        longest: Micros,
+    ) -> Result<Head, Malformed> {
+        Head::decode_parts(method, path, headers, 0, longest)
+    }
+
+    pub fn class(&self) -> &str {
+        &self.class
+    }
+
+    fn decode_parts(
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        length: usize,
+        longest: Micros,
+    ) -> Result<Head, Malformed> {
         let class = path.strip_prefix('/').and_then(|p| p.split('/').next()).filter(|c| !c.is_empty());
         let class = class.filter(|c| *c != "-").ok_or(Malformed::Path)?.to_string();
         if method != Method::POST {
@@ -116,13 +162,9 @@
             true => Some(name(headers, "idempotency-key").ok_or(Malformed::Key)?),
             false => None,
         };
-        let time_left = text(headers, "x-time-left").and_then(super::span).filter(|t| *t <= TIME_MAX);
+        let time_left = text(headers, "x-time-left").and_then(super::span).filter(|t| *t <= longest);
         let time_left = time_left.ok_or(Malformed::TimeLeft)?;
         let dest = text(headers, "x-addressing").and_then(dest).ok_or(Malformed::Dest)?;
-        // Without one the body is empty, and whatever else comes no part of it.
-        if !headers.contains_key(header::CONTENT_LENGTH) {
-            return Err(Malformed::Length);
-        }
         Ok(Head { id, class, key, dest, time_left, length })
     }
 
@@ -163,15 +205,19 @@
     };
     let mut response = plain(status, text);
     if let Intake::Rejected { after } = intake {
-        // Whole milliseconds, never less than told.
-        let seconds = after.div_ceil(1_000) as f64 / 1_000.0;
-        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
+        come_again(&mut response, after);
     }
     response
 }
 
+/// Says when to come again: whole milliseconds, never less than told.
+pub(crate) fn come_again(response: &mut Response<Bytes>, after: Micros) {
+    let seconds = after.div_ceil(1_000) as f64 / 1_000.0;
+    if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
 /// The answer to what is no invocation.
 pub fn refuse(malformed: Malformed) -> Response<Bytes> {
     plain(malformed.status(), &format!("{malformed}\n"))
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -8,7 +8,7 @@
 use super::invocation::BODY_MAX;
 
 /// Where every provider takes its calls.
-const PATH: &str = "/events";
+pub(crate) const PATH: &str = "/events";
 /// The platform's answers take some 200 bytes.
 const HEAD_MAX: usize = 8 * 1024;
 const HEADERS_MAX: usize = 64;
--- /dev/null
+++ b/protocol/src/stream.rs
@@ -0,0 +1,354 @@
+//! Streamed invocations on HTTP/1.1: how their bodies are framed and checked, what a provider is sent, and
+//! what the consumer is answered at the end.
+
+use super::invocation::{Malformed, plain};
+use actix_http::header::{self, HeaderMap};
+use actix_http::{Response, StatusCode};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, Bytes, BytesMut};
+use quillmount_core::flow::Cut;
+use quillmount_core::router::StreamEnd;
+use quillmount_core::{InvokerCall, StreamHead};
+use sha2::{Digest as _, Sha256};
+
+/// The line before a chunk: sixteen digits are the largest size there is, the rest is for extensions.
+const CHUNK_LINE_MAX: usize = 256;
+/// What chunks may cost beside what they carry: so many bytes, and so many times the body's. A body of single
+/// bytes in chunks takes five times its own.
+const OVERHEAD_FREE: u64 = 64 * 1024;
+const OVERHEAD_TIMES: u64 = 7;
+
+/// How a body's end is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Framing {
+    Length(u64),
+    Chunked,
+}
+
+/// How a body ends, by the one header that may say so.
+///
+/// # Errors
+/// None, more than one, or both of `Content-Length` and `Transfer-Encoding` (RFC 9112, 6.3): some readers would
+/// not agree on where the body ends, and another request could hide in it.
+pub fn framing(headers: &HeaderMap) -> Result<Framing, Malformed> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH);
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING);
+    match (lengths.next(), codings.next(), lengths.next(), codings.next()) {
+        (Some(length), None, None, None) => {
+            let text = length.to_str().map_err(|_| Malformed::Length)?.trim();
+            let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+            text.parse().ok().filter(|_| digits).map(Framing::Length).ok_or(Malformed::Length)
+        }
+        (None, Some(coding), None, None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Framing::Chunked)
+        }
+        _ => Err(Malformed::Length),
+    }
+}
+
+/// What stands next in a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// So many bytes at the front belong to the body; 0: more has to come first.
+    Body(usize),
+    /// The body is over.
+    End,
+    Bad(Cut),
+}
+
+/// Reads the framing of a body out of the bytes in which it comes.
+#[derive(Clone, Debug)]
+pub struct Body {
+    at: At,
+    /// The most that the body may have.
+    most: u64,
+    body: u64,
+    overhead: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    /// So many bytes are left, of a body with a length.
+    Length(u64),
+    /// Before a chunk's size; `first` has no line end before it.
+    Size {
+        first: bool,
+    },
+    /// So many bytes are left of a chunk.
+    Chunk(u64),
+    /// Behind the last chunk's size.
+    Last,
+    Over,
+}
+
+impl Body {
+    /// A body of `most` bytes at most.
+    pub fn new(framing: Framing, most: u64) -> Self {
+        let at = match framing {
+            Framing::Length(0) => At::Over,
+            Framing::Length(n) => At::Length(n),
+            Framing::Chunked => At::Size { first: true },
+        };
+        Body { at, most, body: 0, overhead: 0 }
+    }
+
+    /// Takes framing off the front, and says what stands there.
+    pub fn next(&mut self, buf: &mut BytesMut) -> Next {
+        loop {
+            match self.at {
+                At::Over => return Next::End,
+                At::Length(n) | At::Chunk(n) if n > 0 => {
+                    return Next::Body((buf.len() as u64).min(n) as usize);
+                }
+                At::Length(_) => self.at = At::Over,
+                At::Chunk(_) => self.at = At::Size { first: false },
+                At::Size { first } => {
+                    let before = if first { 0 } else { 2 };
+                    if buf.len() < before {
+                        return Next::Body(0);
+                    }
+                    if !first && !buf.starts_with(b"\r\n") {
+                        return Next::Bad(Cut::Malformed);
+                    }
+                    let line = &buf[before..];
+                    let Some(end) = line.iter().take(CHUNK_LINE_MAX).position(|b| *b == b'\n') else {
+                        return if line.len() >= CHUNK_LINE_MAX {
+                            Next::Bad(Cut::Malformed)
+                        } else {
+                            Next::Body(0)
+                        };
+                    };
+                    let Some(size) = line[..end].strip_suffix(b"\r").and_then(size) else {
+                        return Next::Bad(Cut::Malformed);
+                    };
+                    self.overhead += (before + end + 1) as u64;
+                    buf.advance(before + end + 1);
+                    if self.overhead > OVERHEAD_FREE + OVERHEAD_TIMES * self.body {
+                        return Next::Bad(Cut::Malformed);
+                    }
+                    if size > self.most - self.body {
+                        return Next::Bad(Cut::TooLarge);
+                    }
+                    self.at = if size == 0 { At::Last } else { At::Chunk(size) };
+                }
+                // Trailers could say of the body what its head did not; none is passed on, so none is taken.
+                At::Last if buf.len() < 2 && b"\r\n".starts_with(buf) => return Next::Body(0),
+                At::Last if buf.starts_with(b"\r\n") => {
+                    buf.advance(2);
+                    self.at = At::Over;
+                }
+                At::Last => return Next::Bad(Cut::Malformed),
+            }
+        }
+    }
+
+    /// So many bytes of the body were taken off the front.
+    pub fn took(&mut self, bytes: u64) {
+        self.body += bytes;
+        if let At::Length(n) | At::Chunk(n) = &mut self.at {
+            *n -= bytes.min(*n);
+        }
+    }
+
+    /// How many more bytes could be read before framing stands there again; 0 where it stands there now.
+    pub fn ahead(&self) -> u64 {
+        match self.at {
+            At::Length(n) | At::Chunk(n) => n,
+            _ => 0,
+        }
+    }
+}
+
+/// A chunk's size; what stands behind a semicolon is an extension, and let go.
+fn size(line: &[u8]) -> Option<u64> {
+    let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+    let (size, rest) = line.split_at(digits);
+    let sound = (1..=16).contains(&digits)
+        && (rest.is_empty() || rest[0] == b';')
+        && !rest.iter().any(|b| b.is_ascii_control() && *b != b'\t');
+    u64::from_str_radix(std::str::from_utf8(size).ok()?, 16).ok().filter(|_| sound)
+}
+
+/// The digest that a body is to have (RFC 9530).
+#[derive(Clone)]
+pub struct Digest {
+    wanted: [u8; 32],
+    so_far: Sha256,
+}
+
+impl Digest {
+    /// The one in `Content-Digest`, if there is one of `sha-256`; others pass unread.
+    ///
+    /// # Errors
+    /// It has no form of a digest.
+    pub fn of(headers: &HeaderMap) -> Result<Option<Digest>, Malformed> {
+        let mut found = None;
+        for value in headers.get_all("content-digest") {
+            let text = value.to_str().map_err(|_| Malformed::Digest)?;
+            for member in text.split(',') {
+                let (name, value) = member.trim().split_once('=').ok_or(Malformed::Digest)?;
+                let value = value.strip_prefix(':').and_then(|v| v.strip_suffix(':'));
+                let bytes =
+                    STANDARD.decode(value.ok_or(Malformed::Digest)?).map_err(|_| Malformed::Digest)?;
+                if name == "sha-256" {
+                    let wanted = bytes.try_into().map_err(|_| Malformed::Digest)?;
+                    let twice = found.replace(Digest { wanted, so_far: Sha256::new() }).is_some();
+                    if twice {
+                        return Err(Malformed::Digest);
+                    }
+                }
+            }
+        }
+        Ok(found)
+    }
+
+    pub fn update(&mut self, bytes: &[u8]) {
+        self.so_far.update(bytes);
+    }
+
+    /// Whether the whole body is the one that it was said to be.
+    pub fn holds(self) -> bool {
+        self.so_far.finalize().as_slice() == self.wanted
+    }
+}
+
+/// `Content-Digest` as it was told, to be passed on.
+pub fn digest_text(headers: &HeaderMap) -> Option<String> {
+    let all: Vec<&str> = headers.get_all("content-digest").filter_map(|v| v.to_str().ok()).collect();
+    (!all.is_empty()).then(|| all.join(", "))
+}
+
+/// The head of a call; its body follows in the same framing. The provider is asked whether it will have it, so that
+/// one that won't can say so before a byte of the body has left.
+pub fn encode_head(call: &InvokerCall, head: &StreamHead) -> String {
+    let parcel = &call.invocation;
+    let key = parcel.key.as_ref().map(|key| format!("Idempotency-Key: {key}\r\n")).unwrap_or_default();
+    let digest = head.digest.as_ref().map(|d| format!("Content-Digest: {d}\r\n")).unwrap_or_default();
+    let framing = match head.length {
+        Some(length) => format!("Content-Length: {length}"),
+        None => "Transfer-Encoding: chunked".to_string(),
+    };
+    let (addr, id, left) = (call.addr, &parcel.id, call.timeout.div_ceil(1_000));
+    format!(
+        "POST {} HTTP/1.1\r\nHost: {addr}\r\nX-Correlation-Id: {id}\r\n{key}X-Time-Left: {left}m\r\n{digest}\
+         Expect: 100-continue\r\n{framing}\r\n\r\n",
+        super::invoker::PATH
+    )
+}
+
+/// The line before a chunk of so many bytes.
+pub fn chunk_line(bytes: u64) -> Bytes {
+    Bytes::from(format!("{bytes:x}\r\n"))
+}
+
+pub const CHUNK_END: Bytes = Bytes::from_static(b"\r\n");
+pub const LAST_CHUNK: Bytes = Bytes::from_static(b"0\r\n\r\n");
+
+/// The final answer to a streamed invocation.
+pub fn answer(end: StreamEnd) -> Response<Bytes> {
+    let mut response = match end {
+        StreamEnd::Delivered => plain(StatusCode::OK, "delivered\n"),
+        StreamEnd::Deferred(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "come again\n"),
+        StreamEnd::Failed => plain(StatusCode::BAD_GATEWAY, "ended, perhaps with an effect\n"),
+        StreamEnd::Cut(why) => {
+            let (status, text) = match why {
+                Cut::Gone => (StatusCode::BAD_REQUEST, "the body ended before its end\n"),
+                Cut::Malformed => (StatusCode::BAD_REQUEST, "no body as RFC 9112 has it\n"),
+                Cut::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over its limit\n"),
+                Cut::Digest => (StatusCode::BAD_REQUEST, "the body has another digest\n"),
+                Cut::Late(_) => (StatusCode::REQUEST_TIMEOUT, "the body comes too slowly\n"),
+            };
+            plain(status, text)
+        }
+    };
+    if let StreamEnd::Deferred(after) = end {
+        super::invocation::come_again(&mut response, after);
+    }
+    response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What a body in these bytes comes to, however they are cut into pieces: its length, or why it is none.
+    fn read(text: &[u8], most: u64) -> Result<Option<u64>, Cut> {
+        let mut outcomes = Vec::new();
+        for size in 1..=text.len() {
+            let (mut body, mut buf, mut sum, mut end) =
+                (Body::new(Framing::Chunked, most), BytesMut::new(), 0, None);
+            'pieces: for piece in text.chunks(size) {
+                buf.extend_from_slice(piece);
+                loop {
+                    match body.next(&mut buf) {
+                        Next::Body(0) => break,
+                        Next::Body(n) => {
+                            buf.advance(n);
+                            body.took(n as u64);
+                            sum += n as u64;
+                        }
+                        Next::End => {
+                            end = Some(Ok(Some(sum)));
+                            break 'pieces;
+                        }
+                        Next::Bad(why) => {
+                            end = Some(Err(why));
+                            break 'pieces;
+                        }
+                    }
+                }
+            }
+            outcomes.push(end.unwrap_or(Ok(None)));
+        }
+        assert!(outcomes.iter().all(|o| *o == outcomes[0]), "{outcomes:?}");
+        outcomes[0]
+    }
+
+    #[test]
+    fn chunks_are_read_however_they_come() {
+        assert_eq!(read(b"3\r\nabc\r\n0A;x=\"y\"\r\n0123456789\r\n0\r\n\r\n", 99), Ok(Some(13)));
+        assert_eq!(read(b"3\r\nabc\r\n0\r\n", 99), Ok(None), "cut short before its end");
+        assert_eq!(read(b"0\r\n\r\n", 99), Ok(Some(0)));
+    }
+
+    #[test]
+    fn what_readers_might_not_agree_on_is_refused() {
+        let bad = [
+            &b"3\nabc\r\n0\r\n\r\n"[..],
+            b"3\r\nabcd\r\n0\r\n\r\n",
+            b"+3\r\nabc\r\n0\r\n\r\n",
+            b"0x3\r\nabc\r\n0\r\n\r\n",
+            b" 3\r\nabc\r\n0\r\n\r\n",
+            b"3 \r\nabc\r\n0\r\n\r\n",
+            b"\r\n",
+            b"3;a\rb\r\nabc\r\n0\r\n\r\n",
+            b"00000000000000003\r\nabc\r\n0\r\n\r\n",
+            b"3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n",
+        ];
+        for text in bad {
+            assert_eq!(read(text, 99), Err(Cut::Malformed), "{}", String::from_utf8_lossy(text));
+        }
+        assert_eq!(read(b"3\r\nabc\r\n", 2), Err(Cut::TooLarge));
+        assert_eq!(read(b"ffffffffffffffff\r\n", 99), Err(Cut::TooLarge));
+    }
+
+    #[test]
+    fn a_bomb_of_extensions_is_refused() {
+        let mut text = format!("1;{}\r\nx\r\n", "e".repeat(200)).repeat(400).into_bytes();
+        text.extend_from_slice(b"0\r\n\r\n");
+        let (mut body, mut buf) = (Body::new(Framing::Chunked, u64::MAX), BytesMut::from(&text[..]));
+        let end = loop {
+            match body.next(&mut buf) {
+                Next::Body(n) if n > 0 => {
+                    buf.advance(n);
+                    body.took(n as u64);
+                }
+                other => break other,
+            }
+        };
+        assert_eq!(end, Next::Bad(Cut::Malformed));
+        assert_eq!(read(format!("1;{}\r\nx\r\n", "e".repeat(300)).as_bytes(), 99), Err(Cut::Malformed));
+    }
+}
--- a/src/breaks.rs
+++ b/src/breaks.rs
@@ -28,6 +28,10 @@
     WriteOnInWait: "write-on-in-wait", "a call that is being written goes on when a wait is told";
     SendAfterEnd: "send-after-end", "a call that has not left goes on when its message has ended";
     AnswerUnread: "answer-unread", "a call that is given up closes its connection at once";
+    LastByteEarly: "last-byte-early", "the last byte of a streamed body leaves before its digest is known";
+    DeafForgotten: "deaf-forgotten", "the end of a stream whose consumer has gone is told to nobody";
+    HalfSentNeverRan: "half-sent-never-ran", "a half-sent stream counts as a call that never ran";
+    CommittedAgain: "committed-again", "a stream of which a part is gone has another attempt";
     LostWake: "lost-wake", "a step at the time of a wake-up hides the next one";
     KeepSpoilt: "keep-spoilt", "a connection is kept after an answer that broke off";
     PoolLeak: "pool-leak", "a call that was given up counts in the pool for good";
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -74,6 +74,17 @@
         self.step(now, Event::Completed(Completed { msg, attempt, outcome, elapsed, finished, wait, report }))
     }
 
+    /// The last byte of a stream's call was written: its time at the destination begins.
+    pub fn written(&mut self, now: Micros, msg: MsgId, attempt: u32) -> Vec<Order> {
+        self.step(now, Event::Written { msg, attempt })
+    }
+
+    /// The message has its end by other means; calls of it that are out are still to be reported.
+    pub fn ended(&mut self, now: Micros, msg: MsgId) -> Vec<Order> {
+        self.calls.remove(&msg);
+        self.step(now, Event::Hangup { msg })
+    }
+
     /// Time has passed; due at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Order> {
         self.step(now, Event::Timer { tag: 0 })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,6 +80,9 @@
     pub over_share_worth: f64,
     pub cross_zone_price: f64,
     pub classes: Vec<Class>,
+    /// Slots for streams that are on their way to their last byte, and their part of a destination's window.
+    pub stream_slots: u32,
+    pub stream_part: f64,
     /// Messages a second inside each tenant's share, over all senders; 0 for no such limit.
     pub tenants: Vec<f64>,
     pub kinds: Vec<Kind>,
@@ -133,6 +136,8 @@
     /// A guess of the message's own work, if given.
     pub hint: Option<Micros>,
     pub dest: DestId,
+    /// Its body is passed on as it comes: a call's time counts from [`Event::Written`] on.
+    pub stream: bool,
 }
 
 /// An attempt that an earlier life of the sender made.
@@ -173,6 +178,11 @@
         at: Micros,
     },
     Completed(Completed),
+    /// The last byte of a stream's call was written.
+    Written {
+        msg: MsgId,
+        attempt: u32,
+    },
     /// The result of a probe; none is ever sent, so it is ignored.
     Checked {
         endpoint: EndpointId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -114,7 +114,7 @@
             me: 0, siblings: 1, slots: 16, open_cap: 1000, max_attempts: 3,
             cancel: false, must_ask: false, retry_after: true, max_retry_after: 3 * SEC,
             weight_is_rate: false, weight_is_rough: true, limit_report: None,
-            zone: 0, cross_zone_price: 0.0, keepalive: 5 * SEC, streams_per_conn: 1,
+            zone: 0, cross_zone_price: 0.0, keepalive: 5 * SEC, streams_per_conn: 1, stream_slots: 0, stream_part: 0.0,
             cold_from: 0.2, cold: 10 * SEC, fall: 2 * SEC, fall_multiple: 1.5, key_quiet: 0,
             decay: Decay::Linear, over_share_worth: 1.0,
             classes: Vec::new(), tenants: Vec::new(), kinds: Vec::new(),
@@ -130,8 +130,10 @@
 #[derive(Clone, Debug)]
 struct Attempt {
     endpoint: EndpointId, zone: u32, lane: usize, sent: Micros, ran: Ran,
-    /// It went over a connection that had been idle; it was called off.
-    reused: bool, withdrawn: bool,
+    /// It went over a connection that had been idle; it was called off; its body is on its way.
+    reused: bool, withdrawn: bool, flows: bool,
+    /// From when its latency counts: a stream's from its last byte on.
+    from: Micros,
 }
 
 #[rustfmt::skip]
@@ -140,15 +142,25 @@
     class: usize, worth: f64, key: Option<u64>, dest: DestId,
     born: Micros, came: Micros, aim: Micros, deadline: Micros,
     /// Owed an answer still; an ended message stays until its attempts are over.
-    open: bool, attempts: Vec<Attempt>,
+    open: bool, stream: bool, attempts: Vec<Attempt>,
 }
 
 impl Attempt {
     /// One of an earlier life: it holds no slot and its lane is not known any more.
     fn of_past(p: &PastAttempt) -> Self {
         let ran = if p.may_have_run { Ran::Maybe } else { Ran::Never };
-        let (endpoint, lane, reused, withdrawn) = (EndpointId::MAX, usize::MAX, false, false);
-        Attempt { endpoint, zone: p.zone, lane, sent: p.sent, ran, reused, withdrawn }
+        let (endpoint, lane, (sent, from)) = (EndpointId::MAX, usize::MAX, (p.sent, p.sent));
+        Attempt {
+            endpoint,
+            zone: p.zone,
+            lane,
+            sent,
+            from,
+            ran,
+            reused: false,
+            withdrawn: false,
+            flows: false,
+        }
     }
 }
 
@@ -191,6 +203,8 @@
     endpoints: Vec<EndpointId>,
     /// Messages out, oldest first, with the time each was sent.
     live: VecDeque<(MsgId, Micros)>,
+    /// Streams on their way to their last byte; they are in `live` from there on.
+    flows: u32,
     w: f64, cal: Option<f64>, samples: VecDeque<(Micros, f64)>, baseline: f64,
     /// Average latency of answered calls, and time-outs in a row: patience comes from these.
     answered: f64, timeouts: u32,
@@ -269,6 +283,7 @@
                 Event::Restore { message, past } => self.on_submit(message, past),
                 Event::Stop { at } => self.stop_at = Some(*at),
                 Event::Completed(c) => self.on_completed(c),
+                Event::Written { msg, attempt } => self.on_written(*msg, *attempt),
                 Event::Hangup { msg } => self.end(*msg),
                 // Timers only wake; no probe or note is ever asked for, and no class streams.
                 _ => {}
@@ -392,7 +407,8 @@
         let born = m.deadline.saturating_sub(class.deadline);
         let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
         let attempts = past.iter().map(Attempt::of_past).collect();
-        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, attempts };
+        let stream = m.stream;
+        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, stream, attempts };
         self.open += 1;
         self.msgs.insert(m.id, msg);
         self.hold(m.id);
@@ -556,6 +572,16 @@
 
     // ---- Outcomes. ----
 
+    /// DEPARTURE: a stream's latency counts from its last byte, and until then it holds a slot but no part of
+    /// the window. Counted from the first, a slow consumer's line would be learnt as the destination's latency.
+    fn on_written(&mut self, id: MsgId, attempt: u32) {
+        let a = self.msgs.get_mut(&id).and_then(|m| m.attempts.get_mut(attempt as usize));
+        let Some(a) = a.filter(|a| a.flows && a.ran == Ran::Out) else { return };
+        (a.flows, a.from) = (false, self.now);
+        self.lanes[a.lane].flows -= 1;
+        self.lanes[a.lane].live.push_back((id, self.now));
+    }
+
     fn on_completed(&mut self, c: &Completed) {
         let now = self.now;
         let Some(m) = self.msgs.get_mut(&c.msg) else { return };
@@ -564,13 +590,14 @@
             || (breaks::on(Break::RetryAfterReset) && c.outcome == Outcome::Reset)
             || (breaks::on(Break::RetryAfterGiveUp) && c.outcome == Outcome::Cancelled);
         a.ran = if never { Ran::Never } else { Ran::Maybe };
-        let (endpoint, lane, sent, reused) = (a.endpoint, a.lane, a.sent, a.reused);
+        let (endpoint, lane, sent, reused, flows) = (a.endpoint, a.lane, a.from, a.reused, a.flows);
         if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (m.key, c.outcome) {
             let rest = &mut self.keys.entry(k).or_default().1;
             *rest = (*rest).max(now + self.set.key_quiet);
         }
         self.out.remove(&c.msg);
         self.lanes[lane].live.retain(|(id, _)| *id != c.msg);
+        self.lanes[lane].flows -= flows as u32;
         self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
         self.links(endpoint, c, reused);
         // What was sent before a call that succeeded tells of that call, or of nothing.
@@ -579,11 +606,13 @@
             let l = &mut self.lanes[lane];
             l.trial = l.trial.filter(|n| *n != c.msg);
             l.wait_until = l.wait_until.max(now + c.wait);
+        } else if flows && c.outcome == Outcome::Cancelled {
+            // Its consumer broke it off, or its time was up on the way: that tells nothing of the destination.
         } else if reused && c.outcome == Outcome::Reset {
             // It tells nothing of the destination's health; but the rule counts it as a failure seen.
             self.knows(lane, false);
         } else {
-            self.learn(endpoint, c, sent);
+            self.learn(endpoint, c, sent, flows);
         }
         if c.finished || !self.msgs[&c.msg].open {
             self.end(c.msg);
@@ -620,7 +649,7 @@
     }
 
     /// Updates a lane's window and health, and the endpoint's, by one call's fate.
-    fn learn(&mut self, id: EndpointId, c: &Completed, sent: Micros) {
+    fn learn(&mut self, id: EndpointId, c: &Completed, sent: Micros, flows: bool) {
         let (now, jitter, elapsed) = (self.now, self.jitter(), c.elapsed as f64);
         let lane = self.endpoints[&id].lane;
         let (crowd, gap) = (self.crowd(lane), self.cycle(lane) as f64);
@@ -634,13 +663,14 @@
         if o == Outcome::Moot {
             return;
         }
-        if o == Outcome::Ok || o == Outcome::Timeout {
+        if (o == Outcome::Ok || o == Outcome::Timeout) && !flows {
             l.sample(now, elapsed);
         }
         l.recent = (l.recent << 1) | (o != Outcome::Ok) as u8;
         l.timeouts = if o == Outcome::Timeout { l.timeouts + 1 } else { 0 };
         match o {
             Outcome::Ok => {
+                let elapsed = if flows && l.answered > 0.0 { l.answered } else { elapsed };
                 let old = if l.answered > 0.0 { l.answered } else { elapsed };
                 l.answered = old + (1.0 - ALPHA) * (elapsed - old);
                 l.ok_sent = l.ok_sent.max(sent);
@@ -813,11 +843,12 @@
         let due = |(m, a): (&Msg, &Attempt)| {
             let spare = (TIMEOUT_CALS * self.lanes[a.lane].answered).clamp(RECLAIM_MIN, RECLAIM_MAX);
             let once = self.set.classes[m.class].effect == Effect::Unsafe;
-            a.sent + (if once { spare * UNSAFE_PATIENCE } else { spare }) as Micros
+            a.from + (if once { spare * UNSAFE_PATIENCE } else { spare }) as Micros
         };
         let calls =
             self.out.iter().filter_map(|id| Some((*id, &self.msgs[id], self.msgs[id].attempts.last()?)));
-        let worst = calls.filter(|(.., a)| !a.withdrawn).map(|(id, m, a)| (due((m, a)), id)).min();
+        let worst =
+            calls.filter(|(.., a)| !a.withdrawn && !a.flows).map(|(id, m, a)| (due((m, a)), id)).min();
         let Some((due, msg)) = worst.filter(|_| self.set.cancel) else { return NEVER };
         if due > self.now {
             return due;
@@ -837,7 +868,8 @@
     /// The best message for a destination that may send now, with its endpoint.
     fn best_of(&mut self, dest: DestId, wake: &mut Micros) -> Option<Pick> {
         let d = &self.dests[&dest];
-        if d.lanes.iter().map(|l| self.lanes[*l].live.len()).sum::<usize>() >= cap(self.set.slots) as usize {
+        let at = |l: &usize| self.lanes[*l].live.len() + self.lanes[*l].flows as usize;
+        if d.lanes.iter().map(at).sum::<usize>() >= cap(self.set.slots) as usize {
             return None;
         }
         let mut best: Option<Pick> = None;
@@ -874,7 +906,7 @@
             let zone = self.bound_zone(m);
             let to = if zone.is_some() { self.choose(lane, zone) } else { Some(usual) };
             let Some((rank, to)) = to else { continue };
-            if !self.may_send(m) || !self.has_turn(*id, m, wake) {
+            if !self.may_send(m) || !self.has_turn(*id, m, wake) || (m.stream && !self.may_flow(lane)) {
                 continue;
             }
             let here = self.worth_at(m, eta);
@@ -886,6 +918,14 @@
         best
     }
 
+    /// Whether one more stream may begin: streams share the slots, and a destination's window, by a stated part.
+    /// None is a trial: the end of an outage would show only with its last byte.
+    fn may_flow(&self, lane: usize) -> bool {
+        let (l, all) = (&self.lanes[lane], self.lanes.iter().map(|l| l.flows).sum::<u32>());
+        let most = (l.w * self.set.stream_part) as u32;
+        !l.out && all < self.set.stream_slots && l.flows < most.max(1)
+    }
+
     /// The endpoint of a lane: fewest in flight, not failing, a connection idle.
     fn choose(&self, lane: usize, zone: Option<u32>) -> Option<(f64, EndpointId)> {
         let ready = |e: &Endpoint| e.listed && zone.is_none_or(|z| z == e.zone);
@@ -911,7 +951,11 @@
         let (zone, lane, reused) = (e.zone, e.lane, e.idle.pop().is_some());
         e.calls += 1;
         e.lot = (jitter - 1.0).abs();
-        l.live.push_back((id, now));
+        if m.stream {
+            l.flows += 1;
+        } else {
+            l.live.push_back((id, now));
+        }
         l.last_sent = now;
         l.sent.push_back(now);
         l.sent.retain(|t| t + self.set.fall >= now);
@@ -929,7 +973,19 @@
             (Effect::Keyed { span, .. }, Some(first)) => first.sent + span - MEMORY_MARGIN / 2,
             _ => NEVER,
         };
-        m.attempts.push(Attempt { endpoint, zone, lane, sent: now, ran: Ran::Out, reused, withdrawn: false });
+        let (sent, from, flows) = (now, now, m.stream);
+        let withdrawn = false;
+        m.attempts.push(Attempt {
+            endpoint,
+            zone,
+            lane,
+            sent,
+            from,
+            ran: Ran::Out,
+            reused,
+            withdrawn,
+            flows,
+        });
         self.unhold(id);
         self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
     }
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -62,7 +62,8 @@
 }
 
 fn see_message(m: &Msg, eye: &mut impl Eye) {
-    let Msg { class, worth, key, dest, born, came, aim, deadline, open, attempts } = m;
+    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, attempts } = m;
+    eye.flag(*stream);
     [*class as u64, *dest, *aim, u64::from(*open), attempts.len() as u64]
         .into_iter()
         .for_each(|w| eye.word(w));
@@ -70,7 +71,9 @@
     [*born, *came, *deadline].into_iter().for_each(|t| eye.time(t));
     eye.real(*worth);
     for a in attempts {
-        let Attempt { endpoint, zone, lane, sent, ran, reused, withdrawn } = a;
+        let Attempt { endpoint, zone, lane, sent, ran, reused, withdrawn, flows, from } = a;
+        eye.flag(*flows);
+        eye.time(*from);
         eye.endpoint(*endpoint);
         eye.time(*sent);
         [u64::from(*zone), *lane as u64, *ran as u64, (*reused).into(), (*withdrawn).into()]
@@ -82,7 +85,7 @@
 fn see_lane(l: &Lane, eye: &mut impl Eye) {
     #[rustfmt::skip]
     let Lane {
-        endpoints, live, w, cal, samples, baseline, answered, timeouts, ok_sent, pressed, shrunk, wait_until,
+        endpoints, live, flows, w, cal, samples, baseline, answered, timeouts, ok_sent, pressed, shrunk, wait_until,
         recent, fails, fulls, bad_from, out, trial, guard, bad_at, keep, sent, last_sent,
     } = l;
     [endpoints.len(), live.len(), samples.len(), sent.len()].into_iter().for_each(|n| eye.word(n as u64));
@@ -95,6 +98,7 @@
         eye.time(*at);
         eye.real(*latency);
     }
+    eye.word((*flows).into());
     [*w, cal.unwrap_or(-1.0), *baseline, *answered].into_iter().for_each(|x| eye.real(x));
     [u64::from(*timeouts), (*recent).into(), (*fails).into(), (*fulls).into()]
         .into_iter()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,7 +95,7 @@
         let id = self.next;
         self.next += 1;
         let deadline = self.now + 20 * SEC;
-        let m = Message { id, class, tenant: None, key, deadline, hint: None, dest };
+        let m = Message { id, class, tenant: None, key, deadline, hint: None, dest, stream: false };
         self.step(&[Event::Submit(m)]);
         id
     }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -13,7 +13,16 @@
 }
 
 fn message(id: MsgId, class: usize) -> Message {
-    Message { id, class, tenant: None, key: None, deadline: NOW + 20 * SEC, hint: None, dest: 5 }
+    Message {
+        id,
+        class,
+        tenant: None,
+        key: None,
+        deadline: NOW + 20 * SEC,
+        hint: None,
+        dest: 5,
+        stream: false,
+    }
 }
 
 fn past(sent: Micros, may_have_run: bool) -> PastAttempt {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -226,7 +226,16 @@
                 let sent = Vec::new();
                 c.msgs.insert(id, Tracked { class, key, dest, deadline, over: false, sent });
                 let hint = None;
-                events.push(Event::Submit(Message { id, class, tenant: None, key, deadline, hint, dest }));
+                events.push(Event::Submit(Message {
+                    id,
+                    class,
+                    tenant: None,
+                    key,
+                    deadline,
+                    hint,
+                    dest,
+                    stream: false,
+                }));
             }
             3..=5 => {
                 let open: Vec<(MsgId, usize)> = c
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -247,7 +247,16 @@
         report: vec![],
     };
     let odd = Completed { msg: m, attempt: 9, ..lost.clone() };
-    let bad = Message { id: 50, class: 9, tenant: Some(3), key: None, deadline: 0, hint: None, dest: 5 };
+    let bad = Message {
+        id: 50,
+        class: 9,
+        tenant: Some(3),
+        key: None,
+        deadline: 0,
+        hint: None,
+        dest: 5,
+        stream: false,
+    };
     w.step(&[
         Event::Completed(lost),
         Event::Completed(odd),
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -223,6 +223,7 @@
                     deadline: micros("client_deadline_ms", client_deadline_ms)?,
                     hint,
                     dest: far_end,
+                    stream: false,
                 };
                 (i, Some(Event::Submit(message)))
             }
