--- a/courier/tests/streams.rs
+++ b/courier/tests/streams.rs
@@ -469,3 +469,50 @@
         assert_eq!(held.await.unwrap().status(), 502);
     });
 }
+
+/// Lines of the log, as JSON, until one says this.
+fn lines_until(stage: &Stage, words: &str) -> Vec<Value> {
+    let mut lines = Vec::new();
+    loop {
+        let line = stage.courier.log.recv_timeout(PATIENCE).expect(words);
+        lines.push(serde_json::from_str(&line).unwrap());
+        if line.contains(words) {
+            return lines;
+        }
+    }
+}
+
+#[test]
+fn a_log_of_json_names_the_call_and_a_sighup_changes_its_levels() {
+    play(|| async {
+        let file = |filter: &str| json!({"version": 1, "log": {"format": "json", "filter": filter}});
+        let scripts = [(1, vec![Script::default()])];
+        let mut stage = stage_with(Some(file("debug")), &scripts, |setup| setup.levels.clear()).await;
+        let answer = consumer::hand_in(stage.courier.addr, &debit("told"), b"fee").await.unwrap();
+        assert_eq!(answer.status(), 202);
+        stage.sees("told", |what| matches!(what, What::Answered(_)).then_some(())).await;
+        let line = lines_until(&stage, "call ended").pop().unwrap();
+        let named = |line: &Value, name: &str| line[name].as_str().map(str::to_string);
+        assert!(named(&line, "timestamp").is_some(), "{line}");
+        assert_eq!(named(&line, "level").as_deref(), Some("DEBUG"));
+        assert_eq!(named(&line, "target").as_deref(), Some("quillmount::transport::courier"));
+        assert_eq!(line["span"], json!({"name": "call", "id": "told", "dest": 1, "attempt": 0}));
+
+        let path = stage.courier.folder.join("operator.json");
+        std::fs::write(&path, file("info").to_string()).unwrap();
+        stage.courier.hang_up().unwrap();
+        lines_until(&stage, "operator file: read again");
+        // What can't be read changes nothing, and is told with its path.
+        std::fs::write(&path, r#"{"version": 1, "log": {"filter": "loud=very"}}"#).unwrap();
+        stage.courier.hang_up().unwrap();
+        let told = lines_until(&stage, "operator file: not read again");
+        let told = named(told.last().unwrap(), "message").unwrap();
+        assert!(told.contains("$.log.filter") && told.contains("loud=very"), "{told}");
+        let answer = consumer::hand_in(stage.courier.addr, &debit("untold"), b"fee").await.unwrap();
+        assert_eq!(answer.status(), 202);
+        stage.sees("untold", |what| matches!(what, What::Answered(_)).then_some(())).await;
+        stage.courier.term().unwrap();
+        let lines = lines_until(&stage, "stopped; ");
+        assert!(lines.iter().all(|line| named(line, "level").as_deref() != Some("DEBUG")), "{lines:?}");
+    });
+}
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -28,7 +28,7 @@
     /// Put into the configuration as JSON merge does, one level deep in `limits` and `settings`.
     pub slots: u32,
     pub open_cap: u32,
-    /// What RUST_LOG says.
+    /// What RUST_LOG says; empty: it is not set, and the operator file holds.
     pub levels: String,
 }
 
@@ -98,6 +98,15 @@
         Ok(())
     }
 
+    /// SIGHUP.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn hang_up(&self) -> Result<()> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::HUP).map_err(Error::from)
+    }
+
     /// SIGTERM.
     ///
     /// # Errors
@@ -132,26 +141,35 @@
         (field("VmRSS:").unwrap_or(0) * 1_024, field("VmHWM:").unwrap_or(0) * 1_024)
     }
 
-    /// CPU time that it has used.
-    pub fn cpu(&self) -> Duration {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
-        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        // Behind the name: utime is the twelfth, stime the thirteenth, in hundredths of a second.
-        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
-        Duration::from_millis((ticks(11) + ticks(12)) * 10)
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 }
 
+/// CPU time that a process has used; 0 where the system does not tell.
+pub fn cpu_of(pid: u32) -> Duration {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    // Behind the name: utime is the twelfth, stime the thirteenth, in hundredths of a second.
+    let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+    Duration::from_millis((ticks(11) + ticks(12)) * 10)
+}
+
 fn launch(setup: &Setup, folder: &Path) -> Result<(Child, SocketAddr, Receiver<String>)> {
     let mut command = Command::new(&setup.program);
     command.arg("run");
     if setup.operator.is_some() {
         command.arg("--operator").arg(folder.join("operator.json"));
     }
+    if setup.levels.is_empty() {
+        command.env_remove("RUST_LOG");
+    } else {
+        command.env("RUST_LOG", &setup.levels);
+    }
     let mut child = command
         .env("GW_CONFIG", folder.join("config.json"))
         .env("GW_STATE", folder.join("state"))
-        .env("RUST_LOG", &setup.levels)
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
