Give a stream's call up at its message's time, however late its last byte left

Cause: a stream's call has its time for an answer from its last byte on. Where the body took long, that went on past the message's own time, and the call held its slot although its consumer had the final answer.

Change: the word that the message has its end, which a small message's call in that state does not need, ends it.

--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -48,22 +48,39 @@
         self.hold.set(false);
     }
 
-    /// The next word that matters to an attempt in this state.
-    pub async fn heard(&self, state: State) -> Input {
+    /// The next word that matters to a stream's attempt. Its time counts from its last byte, which may be later
+    /// than its message's time allows: it ends with its message.
+    pub async fn heard_by_stream(&self, state: State) -> Input {
         loop {
-            if self.give_up.get() {
-                return Input::GiveUp;
+            if self.ended.get() && !matches!(state, State::Connecting | State::Writing { .. }) {
+                return Input::Deadline;
             }
-            let unsent = matches!(state, State::Connecting | State::Writing { .. });
-            if unsent && self.ended.get() {
-                return Input::Ended;
+            if let Some(word) = self.word(state) {
+                return word;
             }
-            if matches!(state, State::Writing { .. }) && self.hold.take() {
-                return Input::Hold;
+            self.said.notified().await;
+        }
+    }
+
+    /// The next word that matters to an attempt in this state.
+    pub async fn heard(&self, state: State) -> Input {
+        loop {
+            if let Some(word) = self.word(state) {
+                return word;
             }
             self.said.notified().await;
         }
     }
+
+    fn word(&self, state: State) -> Option<Input> {
+        let unsent = matches!(state, State::Connecting | State::Writing { .. });
+        match state {
+            _ if self.give_up.get() => Some(Input::GiveUp),
+            _ if unsent && self.ended.get() => Some(Input::Ended),
+            State::Writing { .. } if self.hold.take() => Some(Input::Hold),
+            _ => None,
+        }
+    }
 }
 
 /// Nothing has come on it, no end and no bytes either, which would be taken for an answer.
--- a/courier/src/transport/streams.rs
+++ b/courier/src/transport/streams.rs
@@ -349,7 +349,7 @@
         let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
                 biased;
-                word = words.heard(state) => word,
+                word = words.heard_by_stream(state) => word,
                 stream = timeout(courier.connect, providers::connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
                         told = courier.pool(|pool| call.connected(pool, stream, clock.now()));
@@ -390,7 +390,7 @@
                     let (mut from, mut to) = stream.split();
                     tokio::select! {
                         biased;
-                        word = words.heard(state) => word,
+                        word = words.heard_by_stream(state) => word,
                         read = read(&mut from, answer) => read,
                         wrote = write(&mut to, &mut p.out), if writes => match wrote {
                             Ok(bytes) => {
@@ -410,7 +410,7 @@
                 tokio::select! {
                     biased;
                     read = read(stream, answer) => read,
-                    word = words.heard(state) => word,
+                    word = words.heard_by_stream(state) => word,
                     _ = tick(clock, by) => Input::Deadline,
                     tick = tick(clock, rest) => tick,
                 }
--- a/courier/tests/streams.rs
+++ b/courier/tests/streams.rs
@@ -470,6 +470,21 @@
     });
 }
 
+#[test]
+fn a_provider_that_never_answers_is_given_up_at_the_messages_time() {
+    play(|| async {
+        let mut stage = stage(streams(json!({})), &[(1, vec![Script::silent()])]).await;
+        let invocation = Invocation { time_left: Duration::from_millis(2_500), ..debit("silent") };
+        // Most of its time goes into the body: counted from there, the call would go on for as long again.
+        let body = Body { rate: 50 * KIB, ..Body::of(100_000) };
+        let begun = std::time::Instant::now();
+        assert_eq!(stage.sends(invocation, body).await.unwrap().status(), 502);
+        stage.sees("silent", |what| (*what == What::Abandoned).then_some(())).await;
+        let took = begun.elapsed();
+        assert!(took < Duration::from_millis(3_800), "{took:?}, where it would be 4.4 s");
+    });
+}
+
 /// Lines of the log, as JSON, until one says this.
 fn lines_until(stage: &Stage, words: &str) -> Vec<Value> {
     let mut lines = Vec::new();
