--- a/src/rules.rs
+++ b/src/rules.rs
@@ -114,7 +114,8 @@
             me: 0, siblings: 1, slots: 16, open_cap: 1000, max_attempts: 3,
             cancel: false, must_ask: false, retry_after: true, max_retry_after: 3 * SEC,
             weight_is_rate: false, weight_is_rough: true, limit_report: None,
-            zone: 0, cross_zone_price: 0.0, keepalive: 5 * SEC, streams_per_conn: 1, stream_slots: 0, stream_part: 0.0,
+            zone: 0, cross_zone_price: 0.0, keepalive: 5 * SEC, streams_per_conn: 1,
+            stream_slots: 0, stream_part: 0.0,
             cold_from: 0.2, cold: 10 * SEC, fall: 2 * SEC, fall_multiple: 1.5, key_quiet: 0,
             decay: Decay::Linear, over_share_worth: 1.0,
             classes: Vec::new(), tenants: Vec::new(), kinds: Vec::new(),
@@ -150,17 +151,8 @@
     fn of_past(p: &PastAttempt) -> Self {
         let ran = if p.may_have_run { Ran::Maybe } else { Ran::Never };
         let (endpoint, lane, (sent, from)) = (EndpointId::MAX, usize::MAX, (p.sent, p.sent));
-        Attempt {
-            endpoint,
-            zone: p.zone,
-            lane,
-            sent,
-            from,
-            ran,
-            reused: false,
-            withdrawn: false,
-            flows: false,
-        }
+        let (zone, reused, withdrawn, flows) = (p.zone, false, false, false);
+        Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows }
     }
 }
 
@@ -573,7 +565,7 @@
     // ---- Outcomes. ----
 
     /// DEPARTURE: a stream's latency counts from its last byte, and until then it holds a slot but no part of
-    /// the window. Counted from the first, a slow consumer's line would be learnt as the destination's latency.
+    /// the window. Counted from the first, a slow consumer's line would be learnt as its latency.
     fn on_written(&mut self, id: MsgId, attempt: u32) {
         let a = self.msgs.get_mut(&id).and_then(|m| m.attempts.get_mut(attempt as usize));
         let Some(a) = a.filter(|a| a.flows && a.ran == Ran::Out) else { return };
@@ -607,7 +599,7 @@
             l.trial = l.trial.filter(|n| *n != c.msg);
             l.wait_until = l.wait_until.max(now + c.wait);
         } else if flows && c.outcome == Outcome::Cancelled {
-            // Its consumer broke it off, or its time was up on the way: that tells nothing of the destination.
+            // Its consumer broke it off, or its time was up: that tells nothing of the destination.
         } else if reused && c.outcome == Outcome::Reset {
             // It tells nothing of the destination's health; but the rule counts it as a failure seen.
             self.knows(lane, false);
@@ -918,7 +910,7 @@
         best
     }
 
-    /// Whether one more stream may begin: streams share the slots, and a destination's window, by a stated part.
+    /// Whether one more stream may begin: they share slots and a destination's window by a stated part.
     /// None is a trial: the end of an outage would show only with its last byte.
     fn may_flow(&self, lane: usize) -> bool {
         let (l, all) = (&self.lanes[lane], self.lanes.iter().map(|l| l.flows).sum::<u32>());
@@ -974,18 +966,8 @@
             _ => NEVER,
         };
         let (sent, from, flows) = (now, now, m.stream);
-        let withdrawn = false;
-        m.attempts.push(Attempt {
-            endpoint,
-            zone,
-            lane,
-            sent,
-            from,
-            ran: Ran::Out,
-            reused,
-            withdrawn,
-            flows,
-        });
+        let (ran, withdrawn) = (Ran::Out, false);
+        m.attempts.push(Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows });
         self.unhold(id);
         self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
     }
