Say once what two calls and two ends of a stream said twice

Cause: reading the whole change again. The small call and the stream's call read a given-up provider's last words with the same lines; a stream that was not begun and one that was cut ended by the same four steps; a method of the body's reader was called by nobody; the file's usual pace stood twice.

Change: one function for each; the method is gone. Behaviour is the same.

Result: lints and all tests pass, none of them changed. Left: the stand-in heads that two measurements and the toy provider read each for itself, with other needs, on blocking sockets.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -494,15 +494,20 @@
         let mut steps = Vec::new();
         let open = self.owed.get(&msg).is_some_and(|owed| owed.stream.is_some() && owed.end.is_none());
         if open && !self.is_out(msg) {
-            let ending = self.owed[&msg].stream.unwrap_or_default().ending();
-            self.end(msg, ending, now, &mut steps);
-            let orders = self.facade.ended(now, msg);
-            self.carry_out(orders, now, &mut steps);
+            self.end_stream(msg, now, &mut steps);
         }
         self.say(&mut steps);
         steps
     }
 
+    /// A stream without a call that is out gets the end that is true of it, and the module forgets it.
+    fn end_stream(&mut self, msg: MsgId, now: Micros, steps: &mut Vec<Step>) {
+        let Some(stream) = self.owed.get(&msg).and_then(|owed| owed.stream) else { return };
+        self.end(msg, stream.ending(), now, steps);
+        let orders = self.facade.ended(now, msg);
+        self.carry_out(orders, now, steps);
+    }
+
     /// A stream's body will never be whole, or the process ends (`None`): its call is given up, and its end
     /// follows.
     pub fn stream_cut(&mut self, msg: MsgId, why: Option<Cut>, now: Micros) -> Vec<Step> {
@@ -516,10 +521,7 @@
             let calls = self.out.range(calls_of(msg));
             steps.extend(calls.map(|(call, _)| Step::Ended(*call)));
         } else {
-            let ending = stream.ending();
-            self.end(msg, ending, now, &mut steps);
-            let orders = self.facade.ended(now, msg);
-            self.carry_out(orders, now, &mut steps);
+            self.end_stream(msg, now, &mut steps);
         }
         self.say(&mut steps);
         steps
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -114,6 +114,20 @@
     Input::Tick
 }
 
+/// Reads what the provider of a call that is given up still says, if its connection stands.
+pub async fn last_words(
+    parts: Option<(&mut TcpStream, &mut Vec<u8>)>,
+    clock: &Clock,
+    rest: Option<Micros>,
+) -> Input {
+    let Some((stream, answer)) = parts else { return tick(clock, rest).await };
+    tokio::select! {
+        biased;
+        read = read(stream, answer) => read,
+        tick = tick(clock, rest) => tick,
+    }
+}
+
 /// Makes one call, once.
 pub async fn call(courier: &Courier, order: InvokerCall, words: &Words) -> CallEnd {
     let (clock, addr) = (&courier.clock, order.addr);
@@ -176,12 +190,7 @@
                     tick = tick(clock, rest) => tick,
                 }
             }
-            (State::Closing { .. }, Some((stream, answer))) => tokio::select! {
-                biased;
-                read = read(stream, answer) => read,
-                tick = tick(clock, rest) => tick,
-            },
-            (State::Closing { .. }, None) => tick(clock, rest).await,
+            (State::Closing { .. }, parts) => last_words(parts, clock, rest).await,
             // No connection where there has to be one can't be; it would prove nothing.
             _ => Input::GiveUp,
         };
--- a/courier/src/transport/streams.rs
+++ b/courier/src/transport/streams.rs
@@ -2,7 +2,7 @@
 //! both go by the same [`Flow`].
 
 use super::courier::Courier;
-use super::providers::{self, Words, read, tick};
+use super::providers::{self, Words, last_words, read, tick};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -415,12 +415,7 @@
                     tick = tick(clock, rest) => tick,
                 }
             }
-            (State::Closing { .. }, Some((stream, answer))) => tokio::select! {
-                biased;
-                read = read(stream, answer) => read,
-                tick = tick(clock, rest) => tick,
-            },
-            (State::Closing { .. }, None) => tick(clock, rest).await,
+            (State::Closing { .. }, parts) => last_words(parts, clock, rest).await,
             _ => Input::GiveUp,
         };
         if !pipe.flow.borrow().is_replayable() {
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -102,7 +102,6 @@
 
 impl Default for Streams {
     fn default() -> Self {
-        let pace = Pace { stall: seconds(30), least: Size(1 << 10), over: seconds(60) };
         Streams {
             on: false,
             classes: Vec::new(),
@@ -113,8 +112,8 @@
             share_of_slots: 0.5,
             share_of_window: 0.5,
             turn: Size(1 << 20),
-            consumer: pace.clone(),
-            provider: pace,
+            consumer: Pace::default(),
+            provider: Pace::default(),
         }
     }
 }
--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -150,14 +150,6 @@
             *n -= bytes.min(*n);
         }
     }
-
-    /// How many more bytes could be read before framing stands there again; 0 where it stands there now.
-    pub fn ahead(&self) -> u64 {
-        match self.at {
-            At::Length(n) | At::Chunk(n) => n,
-            _ => 0,
-        }
-    }
 }
 
 /// A chunk's size; what stands behind a semicolon is an extension, and let go.
