--- a/examples/held.rs
+++ b/examples/held.rs
@@ -1,5 +1,6 @@
 //! What a step of the decisions costs by the number of messages that are held for a destination in an outage:
-//! microseconds a step, in one run, so that the rows can be set against each other.
+//! microseconds a step, in one run, so that the rows can be set against each other; beside it the module before its
+//! tables were indexed, as far as that can be waited for.
 //!
 //!     cargo run --release --example held
 
@@ -11,17 +12,19 @@
 const STEPS: u64 = 400;
 
 fn main() {
-    println!("| held | us a step | times the first |\n| --- | --- | --- |");
+    println!("| held | us a step | times the first | before |\n| --- | --- | --- | --- |");
     let mut first = None;
-    for held in [50, 150, 300, 600] {
-        let cost = cost(held);
-        let base = *first.get_or_insert(cost);
-        println!("| {held} | {cost:.1} | {:.1} |", cost / base);
+    for held in [100, 1_000, 10_000, 100_000] {
+        let Ok(mut new) = Dispatcher::new(settings(held), 7) else { return };
+        let now = cost(held, |now, events| new.step(now, events));
+        let base = *first.get_or_insert(now);
+        let before = spurshore_reference::Dispatcher::new(settings(held), 7).ok().filter(|_| held <= 10_000);
+        let before = before.map(|mut old| cost(held, |now, events| old.step(now, events)));
+        println!("| {held} | {now:.1} | {:.1} | {:.0} |", now / base, before.unwrap_or(f64::NAN));
     }
 }
 
-/// Messages come to a destination whose calls all time out, and as many are ended.
-fn cost(held: u64) -> f64 {
+fn settings(held: u64) -> Settings {
     let class = Class {
         effect: Effect::Unsafe,
         aim: 3 * SEC,
@@ -31,17 +34,20 @@
         late_worth: 0.4,
         keep_order: false,
     };
-    let settings = Settings {
+    Settings {
         slots: 24,
-        open_cap: 2_000,
+        open_cap: 2 * held as u32,
         cancel: true,
         siblings: 2,
         weight_is_rate: true,
         classes: vec![class],
         kinds: vec![Kind { separate_routes: false }],
         ..Settings::default()
-    };
-    let Ok(mut dispatcher) = Dispatcher::new(settings, 7) else { return 0.0 };
+    }
+}
+
+/// Messages come to a destination whose calls all time out, and as many are ended.
+fn cost(held: u64, mut decide: impl FnMut(Micros, &[Event]) -> Vec<Action>) -> f64 {
     let entries = (0..20).map(|n| Entry {
         endpoint: n,
         dest: n.into(),
@@ -65,19 +71,19 @@
             stream: false,
         })
     };
-    let mut step = |dispatcher: &mut Dispatcher, now: Micros, events: &[Event]| {
-        for action in dispatcher.step(now, events) {
+    let mut step = |now: Micros, events: &[Event]| {
+        for action in decide(now, events) {
             if let Action::Send { msg, .. } = action {
                 out.push(msg);
             }
         }
         std::mem::take(&mut out)
     };
-    step(&mut dispatcher, now, &[list]);
+    step(now, &[list]);
     let mut calls = Vec::new();
     for _ in 0..held {
         id += 1;
-        calls.extend(step(&mut dispatcher, now, &[submit(id, now)]));
+        calls.extend(step(now, &[submit(id, now)]));
     }
     let begun = Instant::now();
     for _ in 0..STEPS {
@@ -95,7 +101,7 @@
                 report: Vec::new(),
             }));
         }
-        calls.extend(step(&mut dispatcher, now, &events));
+        calls.extend(step(now, &events));
     }
     begun.elapsed().as_secs_f64() * 1e6 / STEPS as f64
 }
--- /dev/null
+++ b/reference/src/rules.rs
@@ -0,0 +1,1012 @@
+//! Every decision of the dispatcher. The module's interface (settings, events, actions, ids) is
+//! `src/interface.rs`; nothing is decided, tabled or tuned anywhere but here.
+//!
+//! One mechanism decides the ordinary call: per lane (a destination, or a route where routes are
+//! separate) a smoothed latency CAL and a window w of calls in flight, after Gulati and Ahmad.
+//! What departs from it is marked DEPARTURE here and listed in `docs/design.md`.
+
+use crate::breaks::{self, Break};
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+const SEC: Micros = 1_000_000;
+const NEVER: Micros = Micros::MAX;
+
+// ---- The window (unitless unless said). ----
+/// Weight of the past in CAL: the design's value, smooths over about three calls.
+const ALPHA: f64 = 0.7;
+/// Step of one window update: small, since the threshold lies far above the usual latency.
+const GAMMA: f64 = 0.02;
+/// Constant growth, calls: small, since one call in flight may already be over a limit.
+const BETA: f64 = 0.1;
+/// Threshold over the baseline. Service times spread widely even without a queue.
+const THRESHOLD: f64 = 10.0;
+/// Floor of CAL and of a baseline, microseconds: the design's millisecond.
+const FLOOR: f64 = 1_000.0;
+/// The baseline looks back this far, microseconds: the design's minute.
+const BASELINE_SPAN: Micros = 60 * SEC;
+/// What a refusal as full, or a repeated failure, leaves of the window: the design's half.
+const SHRINK: f64 = 0.5;
+/// Refusals this soon after a shrink tell of the same used-up span, microseconds.
+const SHRINK_REST: Micros = SEC;
+/// First and longest pause after refusals or failures in a row, microseconds, and its growth.
+const PAUSE_FIRST: f64 = 0.4 * 1e6;
+const PAUSE_MAX: f64 = 1.5 * 1e6;
+const PAUSE_GROWTH: f64 = 1.5;
+/// Longest pause of a lane with a window below one, microseconds: about a limit's fixed span.
+const PACE_MAX: f64 = 2.0 * 1e6;
+
+// ---- Outages. ----
+/// Failures in a row that make an outage: background errors seldom come in pairs.
+const OUT_FAILS: u32 = 3;
+/// Refusals for so long (microseconds) make one too (shut): a limit's span is two seconds at most.
+const OUT_FULL_SPAN: Micros = 5 * SEC / 2;
+/// A rest over the time for which the lane has failed, the time that the call took to fail (slow ones
+/// tell of an outage), and at first the sender's gap. Its spread: a clump's messages fail together.
+const REST: f64 = 2.0;
+const REST_SLOW: f64 = 6.0;
+const REST_FIRST: f64 = 0.1;
+const REST_SPREAD: f64 = 0.8;
+/// The guard's part of what brings a destination down, and how much too high a rough weight may be.
+const KNOWING_PART: f64 = 2.0 / 3.0;
+const ROUGH: f64 = 1.5;
+/// Turns leave this part of a span between spans; each begins within half of that.
+const TURN_PARTS: Micros = 16;
+/// The least rate, calls a second, that all senders may count on: shuts nobody out for good.
+const LEAST_RATE: f64 = 0.01;
+/// Less than this of an allowance left, as reported late: calls were taken a moment ago.
+const USED_UP: f64 = 0.75;
+/// Spread of pauses, so that senders do not fall into step.
+const JITTER: f64 = 0.2;
+
+// ---- Time-outs, microseconds or multiples of CAL. ----
+const TIMEOUT_CALS: f64 = 8.0;
+/// The least, as a part of the shortest time for which a key is remembered: leaves time to call again.
+const TIMEOUT_MIN: f64 = 2.0 / 3.0;
+/// The same for a trial in an outage: it is to find the end of it.
+const TRIAL_MIN: f64 = 1.0 * 1e6;
+/// Time-outs in a row double the next one's patience, this many times at most.
+const TIMEOUT_DOUBLINGS: u32 = 2;
+/// An unsafe message's time-out is its end: it has this many times the patience of others.
+const UNSAFE_PATIENCE: f64 = 2.0;
+/// Bounds on how old a call grows before it gives up its slot when they are short, microseconds. Where a
+/// third of the calls hang at a high rate, these fill all slots within a second.
+const RECLAIM_MIN: f64 = 0.3 * 1e6;
+const RECLAIM_MAX: f64 = 4.0 * 1e6;
+/// Kept clear of the end of a key's memory, microseconds: covers the trip there.
+const MEMORY_MARGIN: Micros = 100_000;
+
+// ---- Which endpoint: costs in calls in flight. ----
+/// A new connection, a zone crossed.
+const NEW_LINK: f64 = 0.5;
+const CROSSING: f64 = 0.75;
+/// A connect that fails within this met a full table, not a place that is down, microseconds.
+const DIALLED: Micros = SEC / 2;
+/// Two such connects within this, with an answer between them, tell of a table that is full, microseconds.
+const REFUSED: Micros = 10 * SEC;
+/// How long after that connections are taken to be scarce there, microseconds.
+const CROWDED: Micros = 10 * SEC;
+
+// ---- Which message next. ----
+/// How far ahead the loss by waiting is looked for, microseconds.
+const HORIZON: Micros = 2 * SEC;
+/// Weight of a message's present worth against what waiting would lose.
+const PRESENT: f64 = 0.25;
+/// Seconds of a tenant's share that may come at once and still be inside it.
+const SHARE_BURST: f64 = 2.0;
+/// Part of the holding limit at which shedding starts.
+const SHED_AT: f64 = 0.9;
+/// Answer this long before the time is up, microseconds, but a fiftieth of it at most, and no later than the
+/// least: a notice that is not confirmed is sent again after 0.3 s, and would come too late by then.
+const ANSWER_EARLY: Micros = 150_000;
+const ANSWER_EARLY_LEAST: Micros = 10_000;
+/// Pauses between calls to a list service that failed, microseconds.
+const ASK_FIRST: Micros = SEC / 2;
+const ASK_MAX: Micros = 4 * SEC;
+
+#[rustfmt::skip]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ran { Out, Never, Maybe }
+
+#[rustfmt::skip]
+#[derive(Clone, Debug)]
+struct Attempt {
+    endpoint: EndpointId, zone: u32, lane: usize, sent: Micros, ran: Ran,
+    /// It went over a connection that had been idle; it was called off; its body is on its way.
+    reused: bool, withdrawn: bool, flows: bool,
+    /// From when its latency counts: a stream's from its last byte on.
+    from: Micros,
+}
+
+#[rustfmt::skip]
+#[derive(Clone, Debug)]
+struct Msg {
+    class: usize, worth: f64, key: Option<u64>, dest: DestId,
+    born: Micros, came: Micros, aim: Micros, deadline: Micros,
+    /// Owed an answer still; an ended message stays until its attempts are over.
+    open: bool, stream: bool, attempts: Vec<Attempt>,
+}
+
+impl Attempt {
+    /// One of an earlier life: it holds no slot and its lane is not known any more.
+    fn of_past(p: &PastAttempt) -> Self {
+        let ran = if p.may_have_run { Ran::Maybe } else { Ran::Never };
+        let (endpoint, lane, (sent, from)) = (EndpointId::MAX, usize::MAX, (p.sent, p.sent));
+        let (zone, reused, withdrawn, flows) = (p.zone, false, false, false);
+        Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows }
+    }
+}
+
+impl Msg {
+    fn is_out(&self) -> bool {
+        self.attempts.iter().any(|a| a.ran == Ran::Out)
+    }
+    /// The first attempt that ran, may have run or still may.
+    fn first_maybe(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.ran != Ran::Never)
+    }
+}
+
+#[rustfmt::skip]
+#[derive(Clone, Debug, Default)]
+struct Endpoint {
+    dest: DestId, lane: usize, zone: u32, rate: f64, listed: bool, calls: u32,
+    /// When each idle connection was last used.
+    idle: Vec<Micros>,
+    /// When it last answered and refused a connection, and until when its table is taken to be full.
+    answered: Micros, refused: Micros, crowded: Micros,
+    /// Drawn anew with each call: decides between equals.
+    lot: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Dest {
+    kind: usize,
+    lanes: Vec<usize>,
+    /// Messages without an attempt out, in the order of arrival.
+    held: Vec<MsgId>,
+}
+
+/// A message with its merit, and where it goes with that endpoint's rank.
+type Pick = (f64, MsgId, EndpointId, f64);
+
+#[rustfmt::skip]
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    endpoints: Vec<EndpointId>,
+    /// Messages out, oldest first, with the time each was sent.
+    live: VecDeque<(MsgId, Micros)>,
+    /// Streams on their way to their last byte; they are in `live` from there on.
+    flows: u32,
+    w: f64, cal: Option<f64>, samples: VecDeque<(Micros, f64)>, baseline: f64,
+    /// Average latency of answered calls, and time-outs in a row: patience comes from these.
+    answered: f64, timeouts: u32,
+    /// When the latest of the calls that succeeded was sent.
+    ok_sent: Micros,
+    /// Someone was held back by the window since the last update.
+    pressed: bool,
+    shrunk: Micros, wait_until: Micros,
+    /// The last eight outcomes, a bit for each failure; failures and refusals in a row.
+    recent: u8, fails: u32, fulls: u32,
+    /// When the first call since the last success was sent that failed or was refused.
+    bad_from: Micros,
+    out: bool, trial: Option<MsgId>,
+    /// Until when the guard binds; when the latest failure was seen, and until when the lane is kept for it.
+    guard: Micros, bad_at: Micros, keep: Micros,
+    /// Times of calls within the last `fall` span, and of the last one.
+    sent: VecDeque<Micros>, last_sent: Micros,
+}
+
+/// One sender's decisions.
+#[derive(Clone, Debug, Default)]
+#[rustfmt::skip]
+pub struct Dispatcher {
+    set: Arc<Settings>, rng: u64, now: Micros,
+    /// The least time-out.
+    least: f64,
+    msgs: BTreeMap<MsgId, Msg>, open: u32,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    dests: BTreeMap<DestId, Dest>,
+    /// Destinations with messages held.
+    waiting: BTreeSet<DestId>,
+    /// Lanes, with the numbers of those forgotten.
+    lanes: Vec<Lane>, spare: Vec<usize>,
+    /// Messages with an attempt out; each holds a slot.
+    out: BTreeSet<MsgId>,
+    /// The turn of each key, and until when the key rests.
+    keys: BTreeMap<u64, (VecDeque<MsgId>, Micros)>,
+    /// Messages left inside each tenant's share, and when that was counted.
+    shares: Vec<(f64, Micros)>,
+    /// No message is due before.
+    look_at: Micros,
+    timer: Micros, ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
+    acts: Vec<Action>,
+}
+
+impl Dispatcher {
+    /// A fresh instance. It knows nothing of an earlier life.
+    pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let sound = |x: f64| x.is_finite() && x >= 0.0;
+        let shares = [set.cold_from, set.fall_multiple, set.over_share_worth];
+        let worths = set.classes.iter().flat_map(|c| [c.worth, c.late_worth, c.aim_stretch]);
+        if set.slots == 0 || set.max_attempts == 0 || !shares.into_iter().chain(worths).all(sound) {
+            return Err(SettingsError(
+                "no slot, no attempt, or a share or worth that is no number of zero or more",
+            ));
+        }
+        let spans = set.classes.iter().filter_map(|c| match c.effect {
+            Effect::Keyed { span, .. } => Some(span),
+            _ => None,
+        });
+        let least = TIMEOUT_MIN * spans.min().unwrap_or(5 * SEC) as f64;
+        let shares = set.tenants.iter().map(|_| (f64::MAX, 0)).collect();
+        let ask_at = if set.must_ask { 0 } else { NEVER };
+        let (set, fresh) = (Arc::new(set), Self::default());
+        Ok(Dispatcher { set, rng: seed, least, shares, timer: NEVER, ask_at, ask_gap: ASK_FIRST, ..fresh })
+    }
+
+    /// Takes one batch of events that happened by `clock` and returns what to do, in order.
+    pub fn step(&mut self, clock: Micros, events: &[Event]) -> Vec<Action> {
+        self.now = self.now.max(clock);
+        self.timer = if self.timer <= self.now { NEVER } else { self.timer };
+        for e in events {
+            match e {
+                Event::List { kind, entries } => self.on_list(*kind, entries),
+                Event::Submit(m) => self.on_submit(m, &[]),
+                Event::Restore { message, past } => self.on_submit(message, past),
+                Event::Stop { at } => self.stop_at = Some(*at),
+                Event::Completed(c) => self.on_completed(c),
+                Event::Written { msg, attempt } => self.on_written(*msg, *attempt),
+                Event::Hangup { msg } => self.end(*msg),
+                // Timers only wake; no probe or note is ever asked for, and no class streams.
+                _ => {}
+            }
+        }
+        if self.ask_at <= self.now {
+            self.acts.push(Action::Watch);
+            self.ask_at = NEVER;
+        }
+        let due = self.ask_at.min(self.give_up());
+        let wake = due.min(self.dispatch());
+        self.shed();
+        if wake < self.timer {
+            self.timer = wake.max(self.now + 1);
+            self.acts.push(Action::Timer { after: self.timer - self.now, tag: 0 });
+        }
+        std::mem::take(&mut self.acts)
+    }
+
+    /// What the sender knows of the lane that serves `endpoint`.
+    pub fn lane(&self, endpoint: EndpointId) -> Option<LaneView> {
+        let l = &self.lanes[self.endpoints.get(&endpoint)?.lane];
+        let (threshold, in_flight) = (THRESHOLD * l.baseline, l.live.len() as u32);
+        Some(LaneView { cal: l.cal, window: l.w, threshold, in_flight, in_outage: l.out })
+    }
+
+    /// A factor near one (splitmix64).
+    fn jitter(&mut self) -> f64 {
+        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.rng;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        let unit = ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64;
+        1.0 + JITTER * (2.0 * unit - 1.0)
+    }
+
+    // ---- The list. ----
+
+    fn on_list(&mut self, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Failed {
+            // A failed call marks nothing: ask again after a growing pause.
+            if self.ask_at == NEVER {
+                self.ask_at = self.now + (self.ask_gap as f64 * self.jitter()) as Micros;
+                self.ask_gap = (self.ask_gap * 2).min(ASK_MAX);
+            }
+            return;
+        }
+        self.ask_gap = ASK_FIRST;
+        self.endpoints.values_mut().for_each(|e| e.listed &= kind != ListKind::Whole);
+        for e in entries {
+            let ready = e.state == ListState::Ready
+                || (breaks::on(Break::IgnoreDrain) && e.state == ListState::Draining);
+            let rate = if self.set.weight_is_rate && e.weight.is_finite() { e.weight } else { 0.0 };
+            if let Some(known) = self.endpoints.get_mut(&e.endpoint) {
+                known.listed = ready && known.dest == e.dest;
+                known.rate = rate;
+                continue;
+            }
+            if !ready {
+                continue;
+            }
+            let lot = (self.jitter() - 1.0).abs();
+            let dest = self.dests.entry(e.dest).or_default();
+            dest.kind = e.kind;
+            let apart = self.set.kinds.get(e.kind).is_some_and(|k| k.separate_routes);
+            if apart || dest.lanes.is_empty() {
+                let n = self.spare.pop().unwrap_or(self.lanes.len());
+                self.lanes.resize_with(self.lanes.len().max(n + 1), Lane::default);
+                self.lanes[n] = Lane::new(self.set.slots);
+                dest.lanes.push(n);
+            }
+            let lane = dest.lanes[dest.lanes.len() - 1];
+            let (dest, zone, listed) = (e.dest, e.zone, ready);
+            let fresh = Endpoint { dest, lane, zone, rate, listed, lot, ..Endpoint::default() };
+            self.endpoints.insert(e.endpoint, fresh);
+            self.lanes[lane].endpoints.push(e.endpoint);
+        }
+        self.forget();
+    }
+
+    /// Forgets endpoints gone with no call out, and their lanes a minute after the last call.
+    fn forget(&mut self) {
+        // A wait told binds a route that comes back too, and so does the guard, for a turn.
+        let (now, lanes, spare) = (self.now, &mut self.lanes, &mut self.spare);
+        self.endpoints
+            .retain(|_, e| e.listed || e.calls > 0 || lanes[e.lane].keep.max(lanes[e.lane].wait_until) > now);
+        self.dests.retain(|_, d| {
+            d.lanes.retain(|n| {
+                let l = &mut lanes[*n];
+                l.endpoints.retain(|e| self.endpoints.contains_key(e));
+                let used = l.wait_until.max(l.keep).max(l.last_sent + BASELINE_SPAN) > now
+                    || !l.endpoints.is_empty();
+                spare.extend((!used).then_some(*n));
+                used
+            });
+            !d.lanes.is_empty() || !d.held.is_empty()
+        });
+    }
+
+    // ---- The ledger. ----
+
+    fn on_submit(&mut self, m: &Message, past: &[PastAttempt]) {
+        let known = self.msgs.contains_key(&m.id);
+        let Some(class) = self.set.classes.get(m.class).filter(|_| !known) else { return };
+        let mut worth = class.worth;
+        let rate = m.tenant.and_then(|t| self.set.tenants.get(t).map(|r| (t, *r)));
+        if let Some((t, rate)) = rate.filter(|(_, r)| *r > 0.0) {
+            // A message beyond its tenant's share is worth little: count this sender's part.
+            let part = rate / self.set.siblings.max(1) as f64;
+            let (left, at) = self.shares[t];
+            let left = (left + part * (self.now - at) as f64 / 1e6).min((part * SHARE_BURST).max(1.0));
+            worth *= if left < 1.0 { self.set.over_share_worth } else { 1.0 };
+            self.shares[t] = (if left < 1.0 { left } else { left - 1.0 }, self.now);
+        }
+        let stretch = class.aim_stretch * m.hint.unwrap_or(0) as f64;
+        let aim = (class.aim + stretch as Micros).min(class.deadline);
+        let key = if class.keep_order { m.key } else { None };
+        if let Some(k) = key {
+            self.keys.entry(k).or_default().0.push_back(m.id);
+        }
+        let born = m.deadline.saturating_sub(class.deadline);
+        let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
+        let attempts = past.iter().map(Attempt::of_past).collect();
+        let stream = m.stream;
+        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, stream, attempts };
+        self.open += 1;
+        self.msgs.insert(m.id, msg);
+        self.hold(m.id);
+    }
+
+    /// The message waits for its destination.
+    fn hold(&mut self, id: MsgId) {
+        let m = &self.msgs[&id];
+        self.look_at = self.look_at.min(self.due(m));
+        self.waiting.insert(m.dest);
+        self.dests.entry(m.dest).or_default().held.push(id);
+    }
+
+    fn unhold(&mut self, id: MsgId) {
+        let Some(d) = self.dests.get_mut(&self.msgs[&id].dest) else { return };
+        d.held.retain(|x| *x != id);
+        if d.held.is_empty() {
+            self.waiting.remove(&self.msgs[&id].dest);
+        }
+    }
+
+    /// The message has its final answer, or needs none.
+    fn end(&mut self, id: MsgId) {
+        let Some(m) = self.msgs.get_mut(&id) else { return };
+        if m.open {
+            m.open = false;
+            self.open -= 1;
+            self.unhold(id);
+        }
+        let m = &self.msgs[&id];
+        if m.is_out() {
+            return;
+        }
+        if let Some((turn, _)) = m.key.and_then(|k| self.keys.get_mut(&k)) {
+            turn.retain(|x| *x != id);
+            let now = self.now;
+            self.keys.retain(|_, (turn, rest)| !turn.is_empty() || *rest > now);
+        }
+        self.msgs.remove(&id);
+    }
+
+    /// A refusal promises that trying again is harmless; only then may it be given.
+    fn may_refuse(&self, m: &Msg) -> bool {
+        let effect = self.set.classes[m.class].effect;
+        let free = matches!(effect, Effect::Safe | Effect::Keyed { by_zone: false, .. });
+        free || m.first_maybe().is_none() || breaks::on(Break::RefuseDebit)
+    }
+
+    fn answer(&mut self, id: MsgId, after: Micros) {
+        let m = &self.msgs[&id];
+        let after = if self.set.retry_after { after.min(self.set.max_retry_after) } else { 0 };
+        let act =
+            if self.may_refuse(m) { Action::Refuse { msg: id, after } } else { Action::Fail { msg: id } };
+        self.acts.push(act);
+        self.end(id);
+    }
+
+    /// Whether the ledger allows another attempt at all; which endpoints: `bound_zone`.
+    fn may_send(&self, m: &Msg) -> bool {
+        if m.attempts.len() as u32 >= self.set.max_attempts + breaks::on(Break::AttemptTooMany) as u32 {
+            return false;
+        }
+        let Some(first) = m.first_maybe() else { return true };
+        match self.set.classes[m.class].effect {
+            Effect::Safe => true,
+            Effect::Keyed { span, .. } if breaks::on(Break::SpanByOne) => self.now <= first.sent + span + 1,
+            Effect::Keyed { span, .. } => self.now + MEMORY_MARGIN <= first.sent + span,
+            Effect::Unsafe => false,
+        }
+    }
+
+    /// The zone that remembers the key: an endpoint elsewhere would not drop the repeat.
+    fn bound_zone(&self, m: &Msg) -> Option<u32> {
+        let by_zone = matches!(self.set.classes[m.class].effect, Effect::Keyed { by_zone: true, .. });
+        m.first_maybe().filter(|_| by_zone).map(|first| first.zone)
+    }
+
+    /// Order by key: only the head goes, and a rest binds whoever has not been sent yet.
+    fn has_turn(&self, id: MsgId, m: &Msg, wake: &mut Micros) -> bool {
+        let Some((turn, rest)) = m.key.and_then(|k| self.keys.get(&k)) else { return true };
+        let rests = m.attempts.is_empty() && *rest > self.now;
+        if rests {
+            *wake = (*wake).min(*rest);
+        }
+        turn.front() == Some(&id) && !rests
+    }
+
+    /// When a message is to be ended if nothing changes.
+    fn due(&self, m: &Msg) -> Micros {
+        if m.is_out() {
+            return m.deadline;
+        }
+        let early = (m.deadline.saturating_sub(m.came) / 50).clamp(ANSWER_EARLY_LEAST, ANSWER_EARLY);
+        let last = m.deadline.saturating_sub(early);
+        let last = if breaks::on(Break::AnswerLate) { m.deadline + 400_000 } else { last };
+        // A turn too late is none: the client may reach a sender that knows nothing. One missed, look again.
+        let last = match self.hope(m) {
+            0 => last,
+            turn if turn < last => last.min(turn + self.set.fall / TURN_PARTS),
+            _ => self.now,
+        };
+        match (self.set.classes[m.class].effect, m.first_maybe()) {
+            _ if !self.may_send(m) => self.now,
+            _ if breaks::on(Break::SpanByOne) => last,
+            (Effect::Keyed { span, .. }, Some(first)) => {
+                last.min((first.sent + span + 1).saturating_sub(MEMORY_MARGIN))
+            }
+            _ => last,
+        }
+    }
+
+    /// When a held message may go if it has to wait for the sender's turn on every lane, else 0.
+    fn hope(&self, m: &Msg) -> Micros {
+        let Some(d) = self.dests.get(&m.dest) else { return 0 };
+        // Most have no turn to wait for, and where they stand is not counted for nothing.
+        if d.lanes.iter().any(|n| self.turn(*n, self.lanes[*n].wait_until).is_none()) {
+            return 0;
+        }
+        let before = d.held.iter().take_while(|id| !std::ptr::eq(&self.msgs[*id], m)).count() as u64;
+        let after = |n: usize, t: Micros| t.saturating_add(self.cycle(n).saturating_mul(before));
+        let hope =
+            |n: usize| Some(after(n, self.turn(n, self.lanes[n].wait_until)?).min(self.lanes[n].guard));
+        d.lanes.iter().map(|n| hope(*n).unwrap_or(0)).min().unwrap_or(0)
+    }
+
+    /// Ends messages whose time is up or that may not be sent again.
+    fn give_up(&mut self) -> Micros {
+        if self.look_at <= self.now {
+            let open = self.msgs.iter().filter(|(_, m)| m.open);
+            let over: Vec<_> = open.filter(|(_, m)| self.due(m) <= self.now).map(|(id, _)| *id).collect();
+            over.into_iter().for_each(|id| self.answer(id, NEVER));
+            let open = self.msgs.values().filter(|m| m.open);
+            self.look_at = open.map(|m| self.due(m)).min().unwrap_or(NEVER);
+        }
+        self.look_at
+    }
+
+    /// Turns away the least valuable before a full buffer does what is new; harmful if it never fills.
+    fn shed(&mut self) {
+        let limit = (self.set.open_cap as f64 * SHED_AT) as u32;
+        while self.open > limit.max(1) {
+            let may = self.msgs.iter().filter(|(_, m)| m.open && !m.is_out() && self.may_refuse(m));
+            let worst = may.map(|(id, m)| (self.worth_at(m, self.now + HORIZON), *id));
+            let worst = worst.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+            let Some((_, id)) = worst else { return };
+            self.answer(id, 2 * SEC);
+        }
+    }
+
+    fn worth_at(&self, m: &Msg, at: Micros) -> f64 {
+        let c = &self.set.classes[m.class];
+        let late = at.saturating_sub(m.born + m.aim) as f64;
+        let span = (m.deadline.saturating_sub(m.born + m.aim)).max(1) as f64;
+        match self.set.decay {
+            _ if late <= 0.0 => m.worth,
+            _ if at >= m.deadline => 0.0,
+            Decay::Linear => m.worth * (1.0 - (1.0 - c.late_worth) * late / span),
+            Decay::Halving => m.worth * 0.5f64.powf(late / m.aim.max(1) as f64).max(c.late_worth),
+        }
+    }
+
+    // ---- Outcomes. ----
+
+    /// DEPARTURE: a stream's latency counts from its last byte, and until then it holds a slot but no part of
+    /// the window. Counted from the first, a slow consumer's line would be learnt as its latency.
+    fn on_written(&mut self, id: MsgId, attempt: u32) {
+        let a = self.msgs.get_mut(&id).and_then(|m| m.attempts.get_mut(attempt as usize));
+        let Some(a) = a.filter(|a| a.flows && a.ran == Ran::Out) else { return };
+        (a.flows, a.from) = (false, self.now);
+        self.lanes[a.lane].flows -= 1;
+        self.lanes[a.lane].live.push_back((id, self.now));
+    }
+
+    fn on_completed(&mut self, c: &Completed) {
+        let now = self.now;
+        let Some(m) = self.msgs.get_mut(&c.msg) else { return };
+        let Some(a) = m.attempts.get_mut(c.attempt as usize).filter(|a| a.ran == Ran::Out) else { return };
+        let never = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot].contains(&c.outcome)
+            || (breaks::on(Break::RetryAfterReset) && c.outcome == Outcome::Reset)
+            || (breaks::on(Break::RetryAfterGiveUp) && c.outcome == Outcome::Cancelled);
+        a.ran = if never { Ran::Never } else { Ran::Maybe };
+        let (endpoint, lane, sent, reused, flows) = (a.endpoint, a.lane, a.from, a.reused, a.flows);
+        if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (m.key, c.outcome) {
+            let rest = &mut self.keys.entry(k).or_default().1;
+            *rest = (*rest).max(now + self.set.key_quiet);
+        }
+        self.out.remove(&c.msg);
+        self.lanes[lane].live.retain(|(id, _)| *id != c.msg);
+        self.lanes[lane].flows -= flows as u32;
+        self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
+        self.links(endpoint, c, reused);
+        // What was sent before a call that succeeded tells of that call, or of nothing.
+        let past = sent < self.lanes[lane].ok_sent && !matches!(c.outcome, Outcome::Ok | Outcome::Full);
+        if past {
+            let l = &mut self.lanes[lane];
+            l.trial = l.trial.filter(|n| *n != c.msg);
+            l.wait_until = l.wait_until.max(now + c.wait);
+        } else if flows && c.outcome == Outcome::Cancelled {
+            // Its consumer broke it off, or its time was up: that tells nothing of the destination.
+        } else if reused && c.outcome == Outcome::Reset {
+            // It tells nothing of the destination's health; but the rule counts it as a failure seen.
+            self.knows(lane, false);
+        } else {
+            self.learn(endpoint, c, sent, flows);
+        }
+        if c.finished || !self.msgs[&c.msg].open {
+            self.end(c.msg);
+        } else {
+            self.hold(c.msg);
+        }
+    }
+
+    /// Closes what is idle where a connect failed quickly or an idle connection was reset: a place that went
+    /// down took all of them along. One that refuses connections, yet answers on those it has, holds as many
+    /// as it can: there each is closed after its call for a while. It costs handshakes.
+    fn links(&mut self, id: EndpointId, c: &Completed, reused: bool) {
+        let (now, o) = (self.now, c.outcome);
+        let e = self.endpoints.get_mut(&id).expect("the caller knows the endpoint");
+        if matches!(o, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            e.idle.push(now);
+            e.answered = now;
+            let wanted = self.dests.get(&e.dest).is_some_and(|d| !d.held.is_empty());
+            if wanted || now >= e.crowded {
+                return;
+            }
+        } else if o == Outcome::ConnectFailed && c.elapsed < DIALLED {
+            if e.answered > e.refused && now < e.refused + REFUSED {
+                e.crowded = now + CROWDED;
+            }
+            e.refused = now;
+        } else if o != Outcome::Reset || !reused {
+            return;
+        }
+        if !e.idle.is_empty() {
+            e.idle.clear();
+            self.acts.push(Action::CloseIdle { endpoint: id });
+        }
+    }
+
+    /// Updates a lane's window and health, and the endpoint's, by one call's fate.
+    fn learn(&mut self, id: EndpointId, c: &Completed, sent: Micros, flows: bool) {
+        let (now, jitter, elapsed) = (self.now, self.jitter(), c.elapsed as f64);
+        let lane = self.endpoints[&id].lane;
+        let (crowd, gap) = (self.crowd(lane), self.cycle(lane) as f64);
+        let told = |n: usize| c.report.get(n).copied().unwrap_or(1.0);
+        let limit = |(left, rate)| c.outcome == Outcome::Full && told(rate) > 0.0 && told(left) < USED_UP;
+        let limit = self.set.limit_report.is_some_and(limit);
+        let l = &mut self.lanes[lane];
+        // Only calls long overdue are called off, so that is what it tells.
+        let o = if c.outcome == Outcome::Cancelled { Outcome::Timeout } else { c.outcome };
+        l.trial = l.trial.filter(|n| *n != c.msg);
+        if o == Outcome::Moot {
+            return;
+        }
+        if (o == Outcome::Ok || o == Outcome::Timeout) && !flows {
+            l.sample(now, elapsed);
+        }
+        l.recent = (l.recent << 1) | (o != Outcome::Ok) as u8;
+        l.timeouts = if o == Outcome::Timeout { l.timeouts + 1 } else { 0 };
+        match o {
+            Outcome::Ok => {
+                let elapsed = if flows && l.answered > 0.0 { l.answered } else { elapsed };
+                let old = if l.answered > 0.0 { l.answered } else { elapsed };
+                l.answered = old + (1.0 - ALPHA) * (elapsed - old);
+                l.ok_sent = l.ok_sent.max(sent);
+                (l.fails, l.fulls, l.bad_from) = (0, 0, NEVER);
+                if sent > l.bad_at {
+                    if l.out {
+                        (l.out, l.w) = (false, l.w.max(1.0));
+                        self.acts.push(Action::Log(format!("endpoint {id}: answers again")));
+                    }
+                    l.guard = l.guard.min(now + self.set.cold);
+                }
+            }
+            Outcome::Full => l.fulls += 1,
+            _ => l.fails += 1,
+        }
+        if o != Outcome::Ok {
+            // DEPARTURE: a used-up span, a shut or a dead place is asked again after a growing pause; one
+            // failure among successes is not. Harmful where one call in many is refused at random.
+            let n = l.fails + l.fulls;
+            let again = l.fulls > 0 || n > 1;
+            let pause = if again { backoff(n - 1, jitter) } else { 0 };
+            // Once a span, and once for calls that were out together: what they tell is one thing.
+            if again && sent >= l.shrunk && now >= l.shrunk + SHRINK_REST {
+                (l.w, l.shrunk) = (l.w * SHRINK, now);
+            }
+            l.bad_from = l.bad_from.min(sent);
+            // DEPARTURE: where each call tells little and many hold messages, rest in step with the time it
+            // has failed. Guards also a limit that refused calls use up; it makes late what was held.
+            let spread = 1.0 + REST_SPREAD * (jitter - 1.0) / JITTER;
+            let first = (gap * REST_FIRST).min(self.set.cold as f64 / 2.0).max(elapsed * REST_SLOW);
+            let rest = first.max((now - l.bad_from) as f64 * REST) * spread;
+            let rests = again && gap > 2.0 * self.set.fall as f64 && (limit || !crowd);
+            let rest = if rests { rest.min(gap) as Micros } else { 0 };
+            let told = if breaks::on(Break::IgnoreWait) { 0 } else { c.wait };
+            l.wait_until = l.wait_until.max(now + pause.max(told).max(rest));
+        }
+        let most = l.recent.count_ones() >= 6 && l.fails > 0;
+        let shut = !limit && l.fulls > 1 && now >= l.bad_from.saturating_add(OUT_FULL_SPAN);
+        let out = !l.out && (l.fails >= OUT_FAILS || shut || most);
+        if out {
+            l.out = true;
+            self.acts.push(Action::Log(format!("endpoint {id}: outage, last outcome {o:?}")));
+        }
+        // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
+        let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
+        l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
+        // A refusal between successes is the limit's, which is no outage.
+        let limit = limit || (o == Outcome::Full && !l.out && !crowd);
+        if out || (o != Outcome::Ok && !limit) {
+            self.knows(lane, out);
+        }
+    }
+
+    // ---- When a lane may take a call. ----
+
+    // DEPARTURE, the guard of a returning destination. It falls when sent more than B = fall multiple x
+    // present capacity x fall span, two thirds of it by senders that saw a failure. Nobody knows when it
+    // returns, how warm it is or who else saw one: assume that all N siblings did and hold messages, at
+    // `cold_from` of the listed rate, over 1.5 where that is rough. Together they keep to S = 2/3 B for any
+    // N, refused calls counted: what others send on top cannot make it a break. (Three or fewer may spend
+    // B: two of them are not above two thirds of it.) Where a part, S / N, is rare, senders take turns by
+    // their number among the siblings, S whole calls in a span and a sixteenth (for transit): with like
+    // clocks they never meet, with others they are spread as if drawn. There it binds from the first failure,
+    // or reset of a reused connection, else from the outage on (what goes before is not bounded), until a
+    // success of a call sent after the last failure is `cold` old.
+    // It answers silence and errors alike; a stray failure mutes a sender: what cannot wait is answered.
+
+    /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
+    fn knows(&mut self, lane: usize, out: bool) {
+        let binds = out || self.crowd(lane) || self.now < self.lanes[lane].guard;
+        let (keep, l) = (self.now.saturating_add(self.cycle(lane)), &mut self.lanes[lane]);
+        (l.guard, l.keep) = if binds { (NEVER, keep) } else { (0, 0) };
+        (l.bad_at, self.look_at) = (self.now, self.now);
+    }
+
+    /// S of the guard, at this share of the capacity.
+    fn knowing(&self, lane: usize, share: f64) -> f64 {
+        let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate).filter(|r| *r > 0.0);
+        let rate = rates.reduce(f64::min).unwrap_or(1.0) / if self.set.weight_is_rough { ROUGH } else { 1.0 };
+        let part = if self.set.siblings > 3 { KNOWING_PART } else { 1.0 };
+        (part * self.set.fall_multiple * share * rate).max(LEAST_RATE) * self.set.fall as f64 / 1e6
+    }
+
+    /// Time between two turns of this sender.
+    fn cycle(&self, lane: usize) -> Micros {
+        let calls = self.knowing(lane, self.set.cold_from);
+        let span = (self.set.fall + self.set.fall / TURN_PARTS) as f64;
+        let slot = (span / if calls > 1.0 { calls.floor() } else { calls }) as Micros;
+        slot.saturating_mul(u64::from(self.set.siblings.max(1)))
+    }
+
+    /// A call is rarer than one in twice the cold time: the sender would hardly see three failures.
+    fn crowd(&self, lane: usize) -> bool {
+        self.cycle(lane) > 2 * self.set.cold
+    }
+
+    /// This sender's turn in a guarded crowd: now, or the next one, or when the guard lifts.
+    fn turn(&self, lane: usize, from: Micros) -> Option<Micros> {
+        let (l, from) = (&self.lanes[lane], from.max(self.now));
+        let dest = l.endpoints.first().map_or(0, |e| self.endpoints[e].dest);
+        let (cycle, n) = (self.cycle(lane).max(1), u64::from(self.set.siblings.max(1)));
+        let own = (dest % n + u64::from(self.set.me)) % n * (cycle / n);
+        let since = (from % cycle + cycle - own) % cycle;
+        let on = since <= self.set.fall / (2 * TURN_PARTS) && l.last_sent + since < from;
+        let turn = if on { from } else { from + cycle - since };
+        (self.now < l.guard && self.crowd(lane)).then_some(turn.min(l.guard.max(from)))
+    }
+
+    /// When the lane may take its next call, as far as can be told; at or before the present: now.
+    fn free_at(&self, lane: usize) -> Micros {
+        let l = &self.lanes[lane];
+        let mut at = l.wait_until;
+        if l.out {
+            if l.trial.is_some() {
+                at = at.max(l.last_sent + l.patience(self.least));
+            }
+        } else {
+            // Calls past all patience hold slots, but no longer the window.
+            let patience = l.patience(self.least);
+            let mut live = l.live.iter().map(|(_, sent)| *sent).filter(|t| t + patience > self.now);
+            let eff = l.effective(self.now);
+            let most = if eff >= 1.0 { eff as usize } else { 2 - (eff < l.w) as usize };
+            if let Some(first) = live.next().filter(|_| live.count() + 1 >= most) {
+                at = at.max(first + patience);
+            }
+            if eff < 1.0 {
+                // DEPARTURE: a window below one is a pace, a call every CAL / w.
+                at = at.max(l.last_sent + (l.cal.unwrap_or(FLOOR) / eff).min(PACE_MAX) as Micros);
+            }
+        }
+        let turn = self.turn(lane, at);
+        if self.now < l.guard {
+            // Slow start: this sender's part of S in any span, growing as the destination warms.
+            let cold = (l.guard - self.now) as f64 / self.set.cold.max(1) as f64;
+            let share = self.set.cold_from + (1.0 - self.set.cold_from) * (1.0 - cold).max(0.0);
+            let own = self.knowing(lane, share) / self.set.siblings.max(1) as f64;
+            let (budget, fall) = (own.max(1.0) as usize, self.set.fall);
+            let rest = if l.out { fall } else { (fall as f64 / own.min(1.0)) as Micros };
+            if l.sent.len() >= budget || rest > fall {
+                at = at.max(l.sent.len().checked_sub(budget).map_or(l.last_sent, |n| l.sent[n]) + rest);
+            }
+        }
+        turn.unwrap_or(at)
+    }
+
+    // ---- Sending. ----
+
+    /// Fills free slots, the most to be won for the slot's time first. Returns when to look again.
+    fn dispatch(&mut self) -> Micros {
+        let free = |d: &Self| (d.out.len() as u32) < d.set.slots + breaks::on(Break::SlotTooMany) as u32;
+        let mut wake = NEVER;
+        let waiting: Vec<DestId> = if free(self) { self.waiting.iter().copied().collect() } else { vec![] };
+        let mut found: BTreeMap<DestId, Pick> = BTreeMap::new();
+        for dest in waiting {
+            found.extend(self.best_of(dest, &mut wake).map(|pick| (dest, pick)));
+        }
+        while free(self) {
+            let best = found.iter().reduce(|a, b| if b.1.0 > a.1.0 { b } else { a });
+            let Some((&dest, &(_, id, endpoint, _))) = best else { break };
+            self.send(id, endpoint);
+            found.remove(&dest);
+            found.extend(self.best_of(dest, &mut wake).map(|pick| (dest, pick)));
+        }
+        if free(self) { wake } else { self.reclaim() }
+    }
+
+    /// DEPARTURE: all slots taken while others could send: the call longest overdue is called off.
+    /// Guards against silent destinations that hold unsafe calls; it may end one that only was slow.
+    fn reclaim(&mut self) -> Micros {
+        let due = |(m, a): (&Msg, &Attempt)| {
+            let spare = (TIMEOUT_CALS * self.lanes[a.lane].answered).clamp(RECLAIM_MIN, RECLAIM_MAX);
+            let once = self.set.classes[m.class].effect == Effect::Unsafe;
+            a.from + (if once { spare * UNSAFE_PATIENCE } else { spare }) as Micros
+        };
+        let calls =
+            self.out.iter().filter_map(|id| Some((*id, &self.msgs[id], self.msgs[id].attempts.last()?)));
+        let worst =
+            calls.filter(|(.., a)| !a.withdrawn && !a.flows).map(|(id, m, a)| (due((m, a)), id)).min();
+        let Some((due, msg)) = worst.filter(|_| self.set.cancel) else { return NEVER };
+        if due > self.now {
+            return due;
+        }
+        let mut wake = NEVER;
+        let waiting: Vec<DestId> = self.waiting.iter().copied().collect();
+        if !waiting.into_iter().any(|d| self.best_of(d, &mut wake).is_some()) {
+            return wake;
+        }
+        let attempts = &mut self.msgs.get_mut(&msg).expect("found above").attempts;
+        let attempt = attempts.len() as u32 - 1;
+        attempts[attempt as usize].withdrawn = true;
+        self.acts.push(Action::Cancel { msg, attempt });
+        NEVER
+    }
+
+    /// The best message for a destination that may send now, with its endpoint.
+    fn best_of(&mut self, dest: DestId, wake: &mut Micros) -> Option<Pick> {
+        let d = &self.dests[&dest];
+        let at = |l: &usize| self.lanes[*l].live.len() + self.lanes[*l].flows as usize;
+        if d.lanes.iter().map(at).sum::<usize>() >= cap(self.set.slots) as usize {
+            return None;
+        }
+        let mut best: Option<Pick> = None;
+        for lane in d.lanes.clone() {
+            let at = self.free_at(lane);
+            if at > self.now {
+                self.lanes[lane].pressed = true;
+                *wake = (*wake).min(at);
+                continue;
+            }
+            let Some(pick) = self.best_message(lane, wake) else { continue };
+            // Between routes: the least laden, then the better message.
+            if best.is_none_or(|b| (pick.3, -pick.0) < (b.3, -b.0)) {
+                best = Some(pick);
+            }
+        }
+        best
+    }
+
+    /// The message of a lane with the most to be won now, and where it goes. One that is bound to
+    /// a zone, waits for its turn or is held back never blocks the others.
+    fn best_message(&self, lane: usize, wake: &mut Micros) -> Option<Pick> {
+        let l = &self.lanes[lane];
+        let eta = self.now + l.cal.unwrap_or(FLOOR) as Micros;
+        // Before a planned stop a call starts only where twice the usual time is left for it.
+        let ends = self.stop_at.is_none_or(|stop| eta + (eta - self.now) <= stop);
+        let usual = self.choose(lane, None).filter(|_| ends)?;
+        // How long a call there is likely to hold its slot (a quarter of a second where nothing is known).
+        let slot =
+            if l.timeouts > 0 { l.patience(self.least) as f64 } else { l.cal.unwrap_or(SEC as f64 / 4.0) };
+        let mut best: Option<Pick> = None;
+        for id in &self.dests[&self.endpoints[&usual.1].dest].held {
+            let m = &self.msgs[id];
+            let zone = self.bound_zone(m);
+            let to = if zone.is_some() { self.choose(lane, zone) } else { Some(usual) };
+            let Some((rank, to)) = to else { continue };
+            if !self.may_send(m) || !self.has_turn(*id, m, wake) || (m.stream && !self.may_flow(lane)) {
+                continue;
+            }
+            let here = self.worth_at(m, eta);
+            let v = (PRESENT * here + here - self.worth_at(m, eta + HORIZON)) / slot;
+            if best.is_none_or(|b| v > b.0) {
+                best = Some((v, *id, to, rank));
+            }
+        }
+        best
+    }
+
+    /// Whether one more stream may begin: they share slots and a destination's window by a stated part.
+    /// None is a trial: the end of an outage would show only with its last byte.
+    fn may_flow(&self, lane: usize) -> bool {
+        let (l, all) = (&self.lanes[lane], self.lanes.iter().map(|l| l.flows).sum::<u32>());
+        let most = (l.w * self.set.stream_part) as u32;
+        let room = all < self.set.stream_slots && l.flows < most.max(1);
+        !l.out && (room || breaks::on(Break::ShareIgnored))
+    }
+
+    /// The endpoint of a lane: fewest in flight, not failing, a connection idle.
+    fn choose(&self, lane: usize, zone: Option<u32>) -> Option<(f64, EndpointId)> {
+        let ready = |e: &Endpoint| e.listed && zone.is_none_or(|z| z == e.zone);
+        let rank = |e: &Endpoint| {
+            let warm = e.idle.iter().any(|t| t + self.set.keepalive > self.now);
+            let room = !e.calls.is_multiple_of(self.set.streams_per_conn.max(1));
+            let link = if warm || room { 0.0 } else { NEW_LINK };
+            let cross = e.zone != self.set.zone && self.set.cross_zone_price > 0.0;
+            e.calls as f64 + e.lot + link + if cross { CROSSING } else { 0.0 }
+        };
+        let own = self.lanes[lane].endpoints.iter().map(|id| (*id, &self.endpoints[id]));
+        let ranked = own.filter(|(_, e)| ready(e)).map(|(id, e)| (rank(e), id));
+        ranked.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    fn send(&mut self, id: MsgId, endpoint: EndpointId) {
+        let (now, jitter) = (self.now, self.jitter());
+        let e = self.endpoints.get_mut(&endpoint).expect("chosen from the list");
+        let l = &mut self.lanes[e.lane];
+        let m = self.msgs.get_mut(&id).expect("chosen from those held");
+        self.out.insert(id);
+        e.idle.retain(|t| t + self.set.keepalive > now);
+        let (zone, lane, reused) = (e.zone, e.lane, e.idle.pop().is_some());
+        e.calls += 1;
+        e.lot = (jitter - 1.0).abs();
+        if m.stream {
+            l.flows += 1;
+        } else {
+            l.live.push_back((id, now));
+        }
+        l.last_sent = now;
+        l.sent.push_back(now);
+        l.sent.retain(|t| t + self.set.fall >= now);
+        l.pressed |= l.live.len() >= (l.w as usize).max(1);
+        l.trial = l.out.then_some(id);
+        let timeout = match self.set.classes[m.class].effect {
+            Effect::Unsafe if self.set.cancel => m.deadline,
+            Effect::Unsafe => (l.patience(self.least) as f64 * UNSAFE_PATIENCE) as Micros,
+            _ => l.patience(self.least),
+        };
+        let timeout = timeout.min(m.deadline.saturating_sub(now)).max(1);
+        // A host that connects or writes for so long gives the call up; half the margin covers the trip.
+        let by = match (self.set.classes[m.class].effect, m.first_maybe()) {
+            _ if breaks::on(Break::RepeatLate) || breaks::on(Break::SpanByOne) => NEVER,
+            (Effect::Keyed { span, .. }, Some(first)) => first.sent + span - MEMORY_MARGIN / 2,
+            _ => NEVER,
+        };
+        let (sent, from, flows) = (now, now, m.stream);
+        let (ran, withdrawn) = (Ran::Out, false);
+        m.attempts.push(Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows });
+        self.unhold(id);
+        self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
+    }
+}
+
+/// A pause that grows by half with each of `n` failures before it.
+fn backoff(n: u32, jitter: f64) -> Micros {
+    ((PAUSE_FIRST * PAUSE_GROWTH.powi(n.min(20) as i32)).min(PAUSE_MAX) * jitter) as Micros
+}
+
+/// Three quarters of the slots, rounded down, one at least: the design's cap.
+fn cap(slots: u32) -> u32 {
+    (slots * 3 / 4).max(1)
+}
+
+impl Lane {
+    fn new(slots: u32) -> Self {
+        let w = (cap(slots) as f64 / 2.0).max(1.0);
+        Lane { w, baseline: FLOOR, bad_from: NEVER, ..Lane::default() }
+    }
+
+    /// The design's update after a call: CAL, the baseline of the last minute, the window.
+    fn sample(&mut self, now: Micros, latency: f64) {
+        let latency = latency.max(FLOOR);
+        let cal = self.cal.map_or(latency, |c| (1.0 - ALPHA) * latency + ALPHA * c).max(FLOOR);
+        self.cal = Some(cal);
+        self.samples.push_back((now, latency));
+        self.samples.retain(|(t, _)| t + BASELINE_SPAN >= now);
+        let mut sorted: Vec<f64> = self.samples.iter().map(|(_, l)| *l).collect();
+        sorted.sort_by(f64::total_cmp);
+        self.baseline = sorted[sorted.len() / 10];
+        let ratio = THRESHOLD * self.baseline / cal;
+        // DEPARTURE: an idle window does not grow. It answers a clump that finds a window far
+        // above what was ever tried; it could hold a lane back whose demand jumps.
+        if ratio < 1.0 || self.pressed {
+            self.w = (1.0 - GAMMA) * self.w + GAMMA * (ratio * self.w + BETA);
+        }
+        self.pressed = false;
+    }
+
+    /// DEPARTURE: the window as it stands while calls are overdue. A call out for longer than the
+    /// threshold counts as a latency sample in the making, so that a destination that hangs holds
+    /// few slots. It could starve a lane on one freak call; pacing still lets calls through.
+    fn effective(&self, now: Micros) -> f64 {
+        let oldest = self.live.iter().map(|(_, sent)| *sent).find(|t| *t > self.ok_sent);
+        let (Some(sent), Some(_)) = (oldest, self.cal) else { return self.w };
+        let age = (now - sent) as f64;
+        let limit = THRESHOLD * self.baseline;
+        if age > limit { self.w * limit / age } else { self.w }
+    }
+
+    /// How long a call that may be repeated is waited for: from answers only, since time-outs
+    /// would feed on themselves; they double it instead, to tell slow from silent.
+    fn patience(&self, least: f64) -> Micros {
+        let doubled = (1u32 << self.timeouts.min(TIMEOUT_DOUBLINGS)) as f64;
+        let least = if self.out { TRIAL_MIN } else { least };
+        ((TIMEOUT_CALS * self.answered).max(least) * doubled) as Micros
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,6 +88,22 @@
     pub kinds: Vec<Kind>,
 }
 
+impl Default for Settings {
+    #[rustfmt::skip]
+    fn default() -> Self {
+        Settings {
+            me: 0, siblings: 1, slots: 16, open_cap: 1000, max_attempts: 3,
+            cancel: false, must_ask: false, retry_after: true, max_retry_after: 3_000_000,
+            weight_is_rate: false, weight_is_rough: true, limit_report: None,
+            zone: 0, cross_zone_price: 0.0, keepalive: 5_000_000, streams_per_conn: 1,
+            stream_slots: 0, stream_part: 0.0,
+            cold_from: 0.2, cold: 10_000_000, fall: 2_000_000, fall_multiple: 1.5, key_quiet: 0,
+            decay: Decay::Linear, over_share_worth: 1.0,
+            classes: Vec::new(), tenants: Vec::new(), kinds: Vec::new(),
+        }
+    }
+}
+
 /// Settings that no instance can run under.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub &'static str);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,7 @@
 
 use crate::breaks::{self, Break};
 use crate::interface::*;
+use spurshore_tables::{Dues, Held, Recent, draw, take_sent};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -107,22 +108,6 @@
 const ASK_FIRST: Micros = SEC / 2;
 const ASK_MAX: Micros = 4 * SEC;
 
-impl Default for Settings {
-    #[rustfmt::skip]
-    fn default() -> Self {
-        Settings {
-            me: 0, siblings: 1, slots: 16, open_cap: 1000, max_attempts: 3,
-            cancel: false, must_ask: false, retry_after: true, max_retry_after: 3 * SEC,
-            weight_is_rate: false, weight_is_rough: true, limit_report: None,
-            zone: 0, cross_zone_price: 0.0, keepalive: 5 * SEC, streams_per_conn: 1,
-            stream_slots: 0, stream_part: 0.0,
-            cold_from: 0.2, cold: 10 * SEC, fall: 2 * SEC, fall_multiple: 1.5, key_quiet: 0,
-            decay: Decay::Linear, over_share_worth: 1.0,
-            classes: Vec::new(), tenants: Vec::new(), kinds: Vec::new(),
-        }
-    }
-}
-
 #[rustfmt::skip]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ran { Out, Never, Maybe }
@@ -144,6 +129,8 @@
     born: Micros, came: Micros, aim: Micros, deadline: Micros,
     /// Owed an answer still; an ended message stays until its attempts are over.
     open: bool, stream: bool, attempts: Vec<Attempt>,
+    /// Its place among those held.
+    place: u64,
 }
 
 impl Attempt {
@@ -182,8 +169,15 @@
 struct Dest {
     kind: usize,
     lanes: Vec<usize>,
-    /// Messages without an attempt out, in the order of arrival.
-    held: Vec<MsgId>,
+    /// Messages without an attempt out.
+    held: Held<Alike>,
+}
+
+/// What messages have in common whose worth goes by their age alone, and that may go to the same places.
+#[rustfmt::skip]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Alike {
+    class: usize, worth: u64, aim: Micros, life: Micros, zone: Option<u32>, stream: bool, ordered: bool,
 }
 
 /// A message with its merit, and where it goes with that endpoint's rank.
@@ -192,12 +186,12 @@
 #[rustfmt::skip]
 #[derive(Clone, Debug, Default)]
 struct Lane {
-    endpoints: Vec<EndpointId>,
+    dest: DestId, endpoints: Vec<EndpointId>,
     /// Messages out, oldest first, with the time each was sent.
     live: VecDeque<(MsgId, Micros)>,
     /// Streams on their way to their last byte; they are in `live` from there on.
     flows: u32,
-    w: f64, cal: Option<f64>, samples: VecDeque<(Micros, f64)>, baseline: f64,
+    w: f64, cal: Option<f64>, samples: Recent, baseline: f64,
     /// Average latency of answered calls, and time-outs in a row: patience comes from these.
     answered: f64, timeouts: u32,
     /// When the latest of the calls that succeeded was sent.
@@ -236,6 +230,8 @@
     keys: BTreeMap<u64, (VecDeque<MsgId>, Micros)>,
     /// Messages left inside each tenant's share, and when that was counted.
     shares: Vec<(f64, Micros)>,
+    /// When each open message is due if it has no turn to wait for, and the lanes where it may have one.
+    dues: Dues, guarded: BTreeSet<usize>, places: u64,
     /// No message is due before.
     look_at: Micros,
     timer: Micros, ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
@@ -302,14 +298,9 @@
         Some(LaneView { cal: l.cal, window: l.w, threshold, in_flight, in_outage: l.out })
     }
 
-    /// A factor near one (splitmix64).
+    /// A factor near one.
     fn jitter(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.rng;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        let unit = ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64;
-        1.0 + JITTER * (2.0 * unit - 1.0)
+        1.0 + JITTER * (2.0 * draw(&mut self.rng) - 1.0)
     }
 
     // ---- The list. ----
@@ -344,7 +335,7 @@
             if apart || dest.lanes.is_empty() {
                 let n = self.spare.pop().unwrap_or(self.lanes.len());
                 self.lanes.resize_with(self.lanes.len().max(n + 1), Lane::default);
-                self.lanes[n] = Lane::new(self.set.slots);
+                self.lanes[n] = Lane { dest: e.dest, ..Lane::new(self.set.slots) };
                 dest.lanes.push(n);
             }
             let lane = dest.lanes[dest.lanes.len() - 1];
@@ -400,7 +391,8 @@
         let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
         let attempts = past.iter().map(Attempt::of_past).collect();
         let stream = m.stream;
-        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, stream, attempts };
+        let (open, place) = (true, 0);
+        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open, stream, attempts, place };
         self.open += 1;
         self.msgs.insert(m.id, msg);
         self.hold(m.id);
@@ -408,26 +400,39 @@
 
     /// The message waits for its destination.
     fn hold(&mut self, id: MsgId) {
-        let m = &self.msgs[&id];
-        self.look_at = self.look_at.min(self.due(m));
+        self.places += 1;
+        self.msgs.get_mut(&id).expect("the caller knows it").place = self.places;
+        self.dues.set(id, self.due(&self.msgs[&id], 0));
+        let (m, alike) = (&self.msgs[&id], self.alike(&self.msgs[&id]));
+        let held = &mut self.dests.entry(m.dest).or_default().held;
+        let before = held.len() as u64;
+        held.insert(alike, (m.born, m.place, id));
         self.waiting.insert(m.dest);
-        self.dests.entry(m.dest).or_default().held.push(id);
+        self.look_at = self.look_at.min(self.due(m, self.hope(m, before)));
     }
 
     fn unhold(&mut self, id: MsgId) {
-        let Some(d) = self.dests.get_mut(&self.msgs[&id].dest) else { return };
-        d.held.retain(|x| *x != id);
+        let (m, alike) = (&self.msgs[&id], self.alike(&self.msgs[&id]));
+        let Some(d) = self.dests.get_mut(&m.dest) else { return };
+        d.held.remove(&alike, (m.born, m.place, id));
         if d.held.is_empty() {
-            self.waiting.remove(&self.msgs[&id].dest);
+            self.waiting.remove(&m.dest);
         }
     }
 
+    fn alike(&self, m: &Msg) -> Alike {
+        let (class, worth, aim, stream) = (m.class, m.worth.to_bits(), m.aim, m.stream);
+        let (life, zone, ordered) = (m.deadline - m.born, self.bound_zone(m), m.key.is_some());
+        Alike { class, worth, aim, life, zone, stream, ordered }
+    }
+
     /// The message has its final answer, or needs none.
     fn end(&mut self, id: MsgId) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
         if m.open {
             m.open = false;
             self.open -= 1;
+            self.dues.remove(id);
             self.unhold(id);
         }
         let m = &self.msgs[&id];
@@ -488,8 +493,8 @@
         turn.front() == Some(&id) && !rests
     }
 
-    /// When a message is to be ended if nothing changes.
-    fn due(&self, m: &Msg) -> Micros {
+    /// When a message is to be ended if nothing changes; it may go at `hope`, or without a turn (0).
+    fn due(&self, m: &Msg, hope: Micros) -> Micros {
         if m.is_out() {
             return m.deadline;
         }
@@ -497,14 +502,16 @@
         let last = m.deadline.saturating_sub(early);
         let last = if breaks::on(Break::AnswerLate) { m.deadline + 400_000 } else { last };
         // A turn too late is none: the client may reach a sender that knows nothing. One missed, look again.
-        let last = match self.hope(m) {
+        let last = match hope {
             0 => last,
             turn if turn < last => last.min(turn + self.set.fall / TURN_PARTS),
             _ => self.now,
         };
         match (self.set.classes[m.class].effect, m.first_maybe()) {
             _ if !self.may_send(m) => self.now,
-            _ if breaks::on(Break::SpanByOne) => last,
+            (Effect::Keyed { span, .. }, Some(first)) if breaks::on(Break::SpanByOne) => {
+                last.min(first.sent + span + 2)
+            }
             (Effect::Keyed { span, .. }, Some(first)) => {
                 last.min((first.sent + span + 1).saturating_sub(MEMORY_MARGIN))
             }
@@ -512,14 +519,9 @@
         }
     }
 
-    /// When a held message may go if it has to wait for the sender's turn on every lane, else 0.
-    fn hope(&self, m: &Msg) -> Micros {
+    /// When a held message may go, behind so many, if it waits for the sender's turn on every lane, else 0.
+    fn hope(&self, m: &Msg, before: u64) -> Micros {
         let Some(d) = self.dests.get(&m.dest) else { return 0 };
-        // Most have no turn to wait for, and where they stand is not counted for nothing.
-        if d.lanes.iter().any(|n| self.turn(*n, self.lanes[*n].wait_until).is_none()) {
-            return 0;
-        }
-        let before = d.held.iter().take_while(|id| !std::ptr::eq(&self.msgs[*id], m)).count() as u64;
         let after = |n: usize, t: Micros| t.saturating_add(self.cycle(n).saturating_mul(before));
         let hope =
             |n: usize| Some(after(n, self.turn(n, self.lanes[n].wait_until)?).min(self.lanes[n].guard));
@@ -529,21 +531,34 @@
     /// Ends messages whose time is up or that may not be sent again.
     fn give_up(&mut self) -> Micros {
         if self.look_at <= self.now {
-            let open = self.msgs.iter().filter(|(_, m)| m.open);
-            let over: Vec<_> = open.filter(|(_, m)| self.due(m) <= self.now).map(|(id, _)| *id).collect();
+            let now = self.now;
+            let mut over: BTreeSet<_> = self.dues.by(now).collect();
+            over.extend(self.turning().filter(|(due, _)| *due <= now).map(|(_, id)| id));
             over.into_iter().for_each(|id| self.answer(id, NEVER));
-            let open = self.msgs.values().filter(|m| m.open);
-            self.look_at = open.map(|m| self.due(m)).min().unwrap_or(NEVER);
+            self.guarded.retain(|n| now < self.lanes[*n].guard);
+            let first = self.dues.first().unwrap_or(NEVER);
+            self.look_at = self.turning().map(|(due, _)| due).fold(first, Micros::min);
         }
         self.look_at
     }
 
+    /// When those are due that may have to wait for a turn.
+    fn turning(&self) -> impl Iterator<Item = (Micros, MsgId)> {
+        let lanes = self.guarded.iter().filter(|n| self.turn(**n, 0).is_some());
+        let dests: BTreeSet<DestId> = lanes.map(|n| self.lanes[*n].dest).collect();
+        let held = dests.into_iter().filter_map(|d| self.dests.get(&d)).flat_map(|d| d.held.iter().zip(0..));
+        held.map(|(id, before)| (self.due(&self.msgs[&id], self.hope(&self.msgs[&id], before)), id))
+    }
+
     /// Turns away the least valuable before a full buffer does what is new; harmful if it never fills.
     fn shed(&mut self) {
         let limit = (self.set.open_cap as f64 * SHED_AT) as u32;
         while self.open > limit.max(1) {
-            let may = self.msgs.iter().filter(|(_, m)| m.open && !m.is_out() && self.may_refuse(m));
-            let worst = may.map(|(id, m)| (self.worth_at(m, self.now + HORIZON), *id));
+            let then = self.now + HORIZON;
+            let alike = self.waiting.iter().flat_map(|d| self.dests[d].held.alike());
+            let ends = alike.flat_map(|(alike, aged)| aged.ends(then, &self.cuts(alike, 0)));
+            let may = ends.filter(|id| self.may_refuse(&self.msgs[id]));
+            let worst = may.map(|id| (self.worth_at(&self.msgs[&id], then), id));
             let worst = worst.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
             let Some((_, id)) = worst else { return };
             self.answer(id, 2 * SEC);
@@ -562,6 +577,16 @@
         }
     }
 
+    /// The ages between which the worth of such messages, and their loss by waiting, change steadily.
+    fn cuts(&self, alike: &Alike, ahead: Micros) -> Vec<Micros> {
+        let c = &self.set.classes[alike.class];
+        let floor = alike.aim as f64 * (1.0 - c.late_worth.max(f64::MIN_POSITIVE).log2());
+        let ages = [alike.aim, floor as Micros, alike.life];
+        let mut cuts: Vec<_> = ages.iter().flat_map(|age| [age.saturating_sub(ahead), *age]).collect();
+        cuts.sort_unstable();
+        cuts
+    }
+
     // ---- Outcomes. ----
 
     /// DEPARTURE: a stream's latency counts from its last byte, and until then it holds a slot but no part of
@@ -588,7 +613,7 @@
             *rest = (*rest).max(now + self.set.key_quiet);
         }
         self.out.remove(&c.msg);
-        self.lanes[lane].live.retain(|(id, _)| *id != c.msg);
+        take_sent(&mut self.lanes[lane].live, c.msg, sent);
         self.lanes[lane].flows -= flows as u32;
         self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
         self.links(endpoint, c, reused);
@@ -718,17 +743,10 @@
 
     // ---- When a lane may take a call. ----
 
-    // DEPARTURE, the guard of a returning destination. It falls when sent more than B = fall multiple x
-    // present capacity x fall span, two thirds of it by senders that saw a failure. Nobody knows when it
-    // returns, how warm it is or who else saw one: assume that all N siblings did and hold messages, at
-    // `cold_from` of the listed rate, over 1.5 where that is rough. Together they keep to S = 2/3 B for any
-    // N, refused calls counted: what others send on top cannot make it a break. (Three or fewer may spend
-    // B: two of them are not above two thirds of it.) Where a part, S / N, is rare, senders take turns by
-    // their number among the siblings, S whole calls in a span and a sixteenth (for transit): with like
-    // clocks they never meet, with others they are spread as if drawn. There it binds from the first failure,
-    // or reset of a reused connection, else from the outage on (what goes before is not bounded), until a
-    // success of a call sent after the last failure is `cold` old.
-    // It answers silence and errors alike; a stray failure mutes a sender: what cannot wait is answered.
+    // DEPARTURE, the guard of a returning destination: together all siblings keep to S = 2/3 of what brings
+    // it down while it is cold; where a sender's part of that is rare, they take turns. It binds from the
+    // first failure seen in a crowd, else from the outage on, until a success of a call sent after the last failure
+    // is `cold` old. Its reckoning and its costs are in `docs/design.md`.
 
     /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
     fn knows(&mut self, lane: usize, out: bool) {
@@ -736,6 +754,7 @@
         let (keep, l) = (self.now.saturating_add(self.cycle(lane)), &mut self.lanes[lane]);
         (l.guard, l.keep) = if binds { (NEVER, keep) } else { (0, 0) };
         (l.bad_at, self.look_at) = (self.now, self.now);
+        self.guarded.extend(binds.then_some(lane));
     }
 
     /// S of the guard, at this share of the capacity.
@@ -892,19 +911,21 @@
         // How long a call there is likely to hold its slot (a quarter of a second where nothing is known).
         let slot =
             if l.timeouts > 0 { l.patience(self.least) as f64 } else { l.cal.unwrap_or(SEC as f64 / 4.0) };
-        let mut best: Option<Pick> = None;
-        for id in &self.dests[&self.endpoints[&usual.1].dest].held {
-            let m = &self.msgs[id];
-            let zone = self.bound_zone(m);
-            let to = if zone.is_some() { self.choose(lane, zone) } else { Some(usual) };
-            let Some((rank, to)) = to else { continue };
-            if !self.may_send(m) || !self.has_turn(*id, m, wake) || (m.stream && !self.may_flow(lane)) {
-                continue;
-            }
-            let here = self.worth_at(m, eta);
-            let v = (PRESENT * here + here - self.worth_at(m, eta + HORIZON)) / slot;
-            if best.is_none_or(|b| v > b.0) {
-                best = Some((v, *id, to, rank));
+        let (mut best, mut place): (Option<Pick>, u64) = (None, 0);
+        for (alike, aged) in self.dests[&self.endpoints[&usual.1].dest].held.alike() {
+            let to = if alike.zone.is_some() { self.choose(lane, alike.zone) } else { Some(usual) };
+            let Some((rank, to)) = to.filter(|_| !alike.stream || self.may_flow(lane)) else { continue };
+            let ends = || aged.ends(eta, &self.cuts(alike, HORIZON));
+            for id in if alike.ordered { aged.iter().collect() } else { ends() } {
+                let m = &self.msgs[&id];
+                if !self.may_send(m) || !self.has_turn(id, m, wake) {
+                    continue;
+                }
+                let here = self.worth_at(m, eta);
+                let v = (PRESENT * here + here - self.worth_at(m, eta + HORIZON)) / slot;
+                if best.is_none_or(|b| v > b.0 || (v == b.0 && m.place < place)) {
+                    (best, place) = (Some((v, id, to, rank)), m.place);
+                }
             }
         }
         best
@@ -935,6 +956,7 @@
     }
 
     fn send(&mut self, id: MsgId, endpoint: EndpointId) {
+        self.unhold(id);
         let (now, jitter) = (self.now, self.jitter());
         let e = self.endpoints.get_mut(&endpoint).expect("chosen from the list");
         let l = &mut self.lanes[e.lane];
@@ -951,7 +973,9 @@
         }
         l.last_sent = now;
         l.sent.push_back(now);
-        l.sent.retain(|t| t + self.set.fall >= now);
+        while l.sent.front().is_some_and(|t| t + self.set.fall < now) {
+            l.sent.pop_front();
+        }
         l.pressed |= l.live.len() >= (l.w as usize).max(1);
         l.trial = l.out.then_some(id);
         let timeout = match self.set.classes[m.class].effect {
@@ -969,7 +993,7 @@
         let (sent, from, flows) = (now, now, m.stream);
         let (ran, withdrawn) = (Ran::Out, false);
         m.attempts.push(Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows });
-        self.unhold(id);
+        self.dues.set(id, self.due(&self.msgs[&id], 0));
         self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
     }
 }
@@ -995,11 +1019,8 @@
         let latency = latency.max(FLOOR);
         let cal = self.cal.map_or(latency, |c| (1.0 - ALPHA) * latency + ALPHA * c).max(FLOOR);
         self.cal = Some(cal);
-        self.samples.push_back((now, latency));
-        self.samples.retain(|(t, _)| t + BASELINE_SPAN >= now);
-        let mut sorted: Vec<f64> = self.samples.iter().map(|(_, l)| *l).collect();
-        sorted.sort_by(f64::total_cmp);
-        self.baseline = sorted[sorted.len() / 10];
+        self.samples.add(now, latency, now.saturating_sub(BASELINE_SPAN));
+        self.baseline = self.samples.tenth().unwrap_or(FLOOR);
         let ratio = THRESHOLD * self.baseline / cal;
         // DEPARTURE: an idle window does not grow. It answers a clump that finds a window far
         // above what was ever tried; it could hold a lane back whose demand jumps.
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -10,7 +10,8 @@
         #[rustfmt::skip]
         let Dispatcher {
             set: _, rng, now, least, msgs, open, endpoints, dests, waiting, lanes, spare, out, keys, shares,
-            look_at, timer, ask_at, ask_gap, stop_at, acts: _,
+            // The first two follow from the rest; a place only orders those held.
+            dues: _, guarded: _, places: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
         } = self;
         [*now, *look_at, *timer, *ask_at, stop_at.unwrap_or(NEVER)].into_iter().for_each(|t| eye.time(t));
         [*rng, *ask_gap, u64::from(*open)].into_iter().for_each(|w| eye.word(w));
@@ -35,7 +36,7 @@
             let Dest { kind, lanes, held } = d;
             [*id, *kind as u64, lanes.len() as u64, held.len() as u64].into_iter().for_each(|w| eye.word(w));
             lanes.iter().for_each(|l| eye.word(*l as u64));
-            held.iter().for_each(|m| eye.message(*m));
+            held.iter().for_each(|m| eye.message(m));
         }
         [waiting.len(), lanes.len(), spare.len(), out.len(), keys.len()]
             .into_iter()
@@ -62,7 +63,7 @@
 }
 
 fn see_message(m: &Msg, eye: &mut impl Eye) {
-    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, attempts } = m;
+    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, attempts, place: _ } = m;
     eye.flag(*stream);
     [*class as u64, *dest, *aim, u64::from(*open), attempts.len() as u64]
         .into_iter()
@@ -85,18 +86,20 @@
 fn see_lane(l: &Lane, eye: &mut impl Eye) {
     #[rustfmt::skip]
     let Lane {
-        endpoints, live, flows, w, cal, samples, baseline, answered, timeouts, ok_sent, pressed, shrunk, wait_until,
+        dest: _, endpoints, live, flows, w, cal, samples, baseline, answered, timeouts, ok_sent, pressed, shrunk, wait_until,
         recent, fails, fulls, bad_from, out, trial, guard, bad_at, keep, sent, last_sent,
     } = l;
-    [endpoints.len(), live.len(), samples.len(), sent.len()].into_iter().for_each(|n| eye.word(n as u64));
+    [endpoints.len(), live.len(), samples.iter().len(), sent.len()]
+        .into_iter()
+        .for_each(|n| eye.word(n as u64));
     endpoints.iter().for_each(|e| eye.endpoint(*e));
     for (id, at) in live {
         eye.message(*id);
         eye.time(*at);
     }
-    for (at, latency) in samples {
-        eye.time(*at);
-        eye.real(*latency);
+    for (at, latency) in samples.iter() {
+        eye.time(at);
+        eye.real(latency);
     }
     eye.word((*flows).into());
     [*w, cal.unwrap_or(-1.0), *baseline, *answered].into_iter().for_each(|x| eye.real(x));
--- /dev/null
+++ b/tables/src/recent.rs
@@ -0,0 +1,131 @@
+//! The tenth lowest of what was measured lately.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Values kept at most, a thousand a second for a minute: beyond that the oldest go before their time, and the span is
+/// shorter for a place that is called that often.
+pub const MOST: usize = 60_000;
+
+/// Values of the last span of time, in two halves by size: a tenth of them is low, and the least of the others is asked
+/// for. Adding costs O(log n), asking O(log n).
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recent {
+    all: VecDeque<(u64, f64)>,
+    /// How often each value is there, by its place in the total order.
+    low: BTreeMap<i64, u32>,
+    high: BTreeMap<i64, u32>,
+    lows: usize,
+}
+
+/// A number that sorts as [`f64::total_cmp`] does.
+fn place(value: f64) -> i64 {
+    let bits = value.to_bits() as i64;
+    bits ^ (((bits >> 63) as u64) >> 1) as i64
+}
+
+fn value(place: i64) -> f64 {
+    f64::from_bits((place ^ (((place >> 63) as u64) >> 1) as i64) as u64)
+}
+
+fn add(to: &mut BTreeMap<i64, u32>, place: i64) {
+    *to.entry(place).or_default() += 1;
+}
+
+/// Takes one away; whether it was there.
+fn take(from: &mut BTreeMap<i64, u32>, place: i64) -> bool {
+    let Some(n) = from.get_mut(&place) else { return false };
+    *n -= 1;
+    if *n == 0 {
+        from.remove(&place);
+    }
+    true
+}
+
+impl Recent {
+    /// Adds what was measured at `now`, and forgets what was measured before `from`. Times never go back.
+    pub fn add(&mut self, now: u64, value: f64, from: u64) {
+        let new = place(value);
+        self.all.push_back((now, value));
+        // Equal values may stand on both sides: they are the same.
+        if self.high.first_key_value().is_none_or(|(least, _)| new >= *least) {
+            add(&mut self.high, new);
+        } else {
+            add(&mut self.low, new);
+            self.lows += 1;
+        }
+        while let Some((at, old)) = self.all.front().copied()
+            && (at < from || self.all.len() > MOST)
+        {
+            self.all.pop_front();
+            if take(&mut self.low, place(old)) {
+                self.lows -= 1;
+            } else {
+                take(&mut self.high, place(old));
+            }
+        }
+        self.balance();
+    }
+
+    fn balance(&mut self) {
+        let wanted = self.all.len() / 10;
+        while self.lows < wanted {
+            let Some((least, _)) = self.high.first_key_value() else { break };
+            let least = *least;
+            take(&mut self.high, least);
+            add(&mut self.low, least);
+            self.lows += 1;
+        }
+        while self.lows > wanted {
+            let Some((most, _)) = self.low.last_key_value() else { break };
+            let most = *most;
+            take(&mut self.low, most);
+            add(&mut self.high, most);
+            self.lows -= 1;
+        }
+    }
+
+    /// The value that a tenth of the others lie below, or equal; none where there are none.
+    pub fn tenth(&self) -> Option<f64> {
+        self.high.first_key_value().map(|(place, _)| value(*place))
+    }
+
+    /// What is kept, oldest first, with when it was measured.
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = (u64, f64)> {
+        self.all.iter().copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn it_tells_what_sorting_tells(steps in prop::collection::vec((0u64..30, 0u32..40), 1..400)) {
+            let (mut recent, mut plain, mut now) = (Recent::default(), Vec::new(), 0);
+            for (gap, value) in steps {
+                now += gap;
+                let value = f64::from(value) * 0.5 - 3.0;
+                let from = now.saturating_sub(200);
+                recent.add(now, value, from);
+                plain.push((now, value));
+                plain.retain(|(at, _)| *at >= from);
+                let mut sorted: Vec<f64> = plain.iter().map(|(_, v)| *v).collect();
+                sorted.sort_by(f64::total_cmp);
+                prop_assert_eq!(recent.tenth(), Some(sorted[sorted.len() / 10]));
+                prop_assert_eq!(recent.iter().collect::<Vec<_>>(), plain.clone());
+            }
+        }
+    }
+
+    #[test]
+    fn more_than_it_may_keep_makes_the_span_shorter() {
+        let mut recent = Recent::default();
+        for n in 0..MOST as u64 + 10 {
+            recent.add(n, n as f64, 0);
+        }
+        assert_eq!(recent.iter().len(), MOST);
+        assert_eq!(recent.tenth(), Some(10.0 + (MOST / 10) as f64));
+    }
+}
