Index the router by destination, provider and time, and let notices leave from any place

A message looked over all providers, a told wait and each change of the list too, with all calls that are out for each provider; a confirmed notice looked over all that wait, so that a mass expiry cost the square of it; each new connection added up what rests at all providers.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -37,6 +37,8 @@
     /// Connections at once, those of calls included.
     most: usize,
     calls: usize,
+    /// Connections that rest, of all providers.
+    rests: usize,
     all: HashMap<u32, Provider<C>>,
 }
 
@@ -46,7 +48,7 @@
     pub fn new(idle: Micros, most: usize) -> Self {
         // A request that is written as the provider closes is reset: stay clear of that moment.
         let rest = idle.saturating_sub(1_000_000).max(idle / 2);
-        Pool { rest, most, calls: 0, all: HashMap::new() }
+        Pool { rest, most, calls: 0, rests: 0, all: HashMap::new() }
     }
 
     /// Calls to the provider may start, or not any more.
@@ -74,6 +76,7 @@
     /// Closes what rests there; a call that is out closes its own when it ends.
     pub fn close_idle(&mut self, provider: u32) -> Vec<C> {
         let Some(provider) = self.all.get_mut(&provider) else { return Vec::new() };
+        self.rests -= provider.resting.len();
         let all = provider.resting.drain(..);
         all.map(|mut r| (r.link.step(Input::Close, 0), r.connection).1).collect()
     }
@@ -97,6 +100,7 @@
         self.calls += 1;
         let resting = &mut self.all.get_mut(&provider)?.resting;
         while let Some(mut last) = resting.pop() {
+            self.rests -= 1;
             let quiet = last.addr == addr && quiet(&last.connection);
             if !last.link.step(Input::Taken { quiet }, now) {
                 return Some((last.link, last.connection));
@@ -124,6 +128,7 @@
             return Some(connection);
         }
         held.resting.push(Resting { link, addr, connection });
+        self.rests += 1;
         None
     }
 
@@ -146,13 +151,13 @@
                 }
             }
         }
+        self.rests -= gone.len();
         gone
     }
 
     /// Before a connection is opened: of all that rest the longest resting goes, where room is short.
     pub fn make_room(&mut self) -> Option<C> {
-        let resting: usize = self.all.values().map(|p| p.resting.len()).sum();
-        if self.calls + resting <= self.most {
+        if self.calls + self.rests <= self.most {
             return None;
         }
         // The oldest of a pool is its first.
@@ -160,12 +165,14 @@
         let oldest = self.all.iter().filter_map(|(n, p)| Some((since(p)?, *n))).min()?.1;
         let mut oldest = self.all.get_mut(&oldest)?.resting.remove(0);
         oldest.link.step(Input::Close, 0);
+        self.rests -= 1;
         Some(oldest.connection)
     }
 
     /// Calls that count, and connections that rest.
     pub fn load(&self) -> (usize, usize) {
-        (self.calls, self.all.values().map(|p| p.resting.len()).sum())
+        debug_assert_eq!(self.rests, self.all.values().map(|p| p.resting.len()).sum());
+        (self.calls, self.rests)
     }
 
     /// What rests, by provider, with the time since when; for whoever explores it.
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -13,7 +13,8 @@
     Settings, SettingsError,
 };
 use spurshore_settings::{Env, Names, settings};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use spurshore_tables::Line;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -173,6 +174,9 @@
     streams_most: usize,
     provider_names: Arc<Names>,
     providers: BTreeMap<u32, Known>,
+    /// Those of each destination, and those that are gone by when they went.
+    by_dest: BTreeMap<u64, BTreeSet<u32>>,
+    went: BTreeSet<(Micros, u32)>,
     /// The version of the list that the providers come from.
     version: u64,
     /// Discovery has told of its list in this life.
@@ -183,9 +187,11 @@
     over: HashMap<String, End>,
     over_order: VecDeque<(String, Micros)>,
     out: BTreeMap<CallId, Out>,
-    notices: VecDeque<MsgId>,
+    /// The same by provider.
+    out_at: BTreeSet<(u32, CallId)>,
+    notices: Line,
     /// Ended, and the store has refused the record so far; told once it is written.
-    unwritten: VecDeque<MsgId>,
+    unwritten: Line,
     /// When the store is asked again.
     write_at: Micros,
     next: MsgId,
@@ -244,6 +250,8 @@
             streams_most: streams.map_or(0, |limits| limits.most),
             provider_names: Arc::default(),
             providers: BTreeMap::new(),
+            by_dest: BTreeMap::new(),
+            went: BTreeSet::new(),
             version: 0,
             heard: false,
             journal,
@@ -252,8 +260,9 @@
             over: HashMap::new(),
             over_order: VecDeque::new(),
             out: BTreeMap::new(),
-            notices: VecDeque::new(),
-            unwritten: VecDeque::new(),
+            out_at: BTreeSet::new(),
+            notices: Line::default(),
+            unwritten: Line::default(),
             write_at: Micros::MAX,
             next: book.next,
             stopping: false,
@@ -381,7 +390,7 @@
         if self.stopping {
             return Intake::Rejected { after: STOPPING_WAIT };
         }
-        if !self.providers.values().any(|p| p.dest == dest) {
+        if !self.by_dest.contains_key(&dest) {
             // Until discovery has been heard the list is an old one, and lacks what is new.
             return if self.heard { Intake::UnknownDest } else { Intake::Rejected { after: UNHEARD_WAIT } };
         }
@@ -416,7 +425,8 @@
     /// An invoker call ended.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        let Some(Out { sent, dest, noted, written, .. }) = self.out.remove(&call) else { return steps };
+        let Some(Out { sent, provider, dest, noted, written }) = self.out.remove(&call) else { return steps };
+        self.out_at.remove(&(provider, call));
         self.counters.count_call(end);
         let CallId { msg, attempt } = call;
         let (outcome, wait) = match end {
@@ -432,8 +442,8 @@
         };
         if wait > 0 {
             let until = now.saturating_add(wait);
-            let same = self.providers.iter().filter(|(_, p)| p.dest == dest);
-            steps.extend(same.map(|(n, _)| Step::Hold { provider: *n, until }));
+            let same = self.by_dest.get(&dest).into_iter().flatten();
+            steps.extend(same.map(|n| Step::Hold { provider: *n, until }));
         }
         let stream = self.owed.get(&msg).filter(|owed| owed.stream.is_some()).map(|owed| owed.end);
         if stream.is_some() && end == CallEnd::Over {
@@ -539,7 +549,7 @@
                 self.write(&Record::Told { msg }, now);
                 self.over(msg, ending.into());
             }
-            Some(_) if !self.notices.contains(&msg) && !self.unwritten.contains(&msg) => {
+            Some(_) if !self.notices.contains(msg) && !self.unwritten.contains(msg) => {
                 self.notices.push_back(msg);
                 steps.push(Step::Notify);
             }
@@ -559,7 +569,10 @@
         (self.version, self.heard) = (list.version, true);
         if list.full {
             for (n, p) in &mut self.providers {
-                p.gone = p.gone.or(Some(now));
+                if p.gone.is_none() {
+                    p.gone = Some(now);
+                    self.went.insert((now, *n));
+                }
                 steps.push(Step::Gate { provider: *n, open: false });
             }
         }
@@ -570,7 +583,7 @@
             let kind = self.kinds.iter().position(|k| *k == p.kind).unwrap_or(usize::MAX);
             let addr = p.addr.or(self.providers.get(&n).and_then(|known| known.addr));
             let gone = (p.state == ListState::Gone).then_some(now);
-            self.providers.insert(n, Known { addr, dest: p.dest, zone, gone });
+            self.know(n, Known { addr, dest: p.dest, zone, gone });
             steps.push(Step::Gate { provider: n, open: p.state == ListState::Ready });
             let (dest, weight, state) = (p.dest, p.weight, p.state);
             entries.push(Entry { endpoint: n, dest, kind, zone, weight, state });
@@ -583,18 +596,37 @@
         steps
     }
 
+    /// A provider is as the list says now.
+    fn know(&mut self, n: u32, known: Known) {
+        self.unknow(n);
+        self.by_dest.entry(known.dest).or_default().insert(n);
+        self.went.extend(known.gone.map(|gone| (gone, n)));
+        self.providers.insert(n, known);
+    }
+
+    fn unknow(&mut self, n: u32) {
+        let Some(old) = self.providers.remove(&n) else { return };
+        if let Some(same) = self.by_dest.get_mut(&old.dest) {
+            same.remove(&n);
+            if same.is_empty() {
+                self.by_dest.remove(&old.dest);
+            }
+        }
+        if let Some(gone) = old.gone {
+            self.went.remove(&(gone, n));
+        }
+    }
+
     /// Without this the tables would grow with every provider that ever was.
     fn forget_providers(&mut self, now: Micros, steps: &mut Vec<Step>) {
-        let (names, out) = (&mut self.provider_names, &self.out);
-        self.providers.retain(|n, p| {
-            let used = out.values().any(|out| out.provider == *n);
-            let keeps = used || p.gone.is_none_or(|gone| now < gone + GONE);
-            if !keeps {
-                Arc::make_mut(names).forget(u64::from(*n));
-                steps.push(Step::Forget(*n));
-            }
-            keeps
-        });
+        let long = self.went.iter().take_while(|(gone, _)| now >= gone + GONE).map(|(_, n)| *n);
+        let mut over: Vec<u32> = long.filter(|n| self.calls_at(*n).next().is_none()).collect();
+        over.sort_unstable();
+        for n in over {
+            self.unknow(n);
+            Arc::make_mut(&mut self.provider_names).forget(u64::from(n));
+            steps.push(Step::Forget(n));
+        }
     }
 
     /// Time has passed; wanted at `wake_at` at the latest.
@@ -647,7 +679,7 @@
 
     /// Notices that the platform has yet to confirm, the oldest first.
     pub fn notices(&self, most: usize) -> Vec<Notice> {
-        let owed = self.notices.iter().take(most).filter_map(|msg| Some((*msg, self.owed.get(msg)?)));
+        let owed = self.notices.iter().take(most).filter_map(|msg| Some((msg, self.owed.get(&msg)?)));
         owed.filter_map(|(msg, owed)| Some(Notice { msg, id: owed.parcel.id.clone(), ending: owed.end? }))
             .collect()
     }
@@ -657,7 +689,7 @@
         let mut steps = Vec::new();
         for notice in notices {
             self.write(&Record::Told { msg: notice.msg }, now);
-            self.notices.retain(|msg| *msg != notice.msg);
+            self.notices.remove(notice.msg);
             self.over(notice.msg, notice.ending.into());
         }
         self.counters.notices += notices.len() as u64;
@@ -690,7 +722,8 @@
 
     /// Invoker calls out at a provider.
     pub fn calls_at(&self, provider: u32) -> impl Iterator<Item = CallId> {
-        self.out.iter().filter(move |(_, out)| out.provider == provider).map(|(call, _)| *call)
+        let (first, last) = (CallId { msg: 0, attempt: 0 }, CallId { msg: MsgId::MAX, attempt: u32::MAX });
+        self.out_at.range((provider, first)..=(provider, last)).map(|(_, call)| *call)
     }
 
     pub fn disk(&self) -> u64 {
@@ -739,6 +772,7 @@
         };
         let noted = None;
         self.out.insert(call, Out { sent: now, provider, dest, noted, written: None });
+        self.out_at.insert((provider, call));
         // Without its record a call must not leave: after a restart it would count as never made.
         let late = breaks::on(Break::AttemptUnwritten);
         if !late && !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
@@ -776,8 +810,8 @@
     fn settle(&mut self, msg: MsgId, end: End, now: Micros) {
         if self.owed.contains_key(&msg) {
             self.write(&Record::End { msg, end }, now);
-            self.notices.retain(|n| *n != msg);
-            self.unwritten.retain(|n| *n != msg);
+            self.notices.remove(msg);
+            self.unwritten.remove(msg);
             self.over(msg, end);
         }
     }
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -9,6 +9,8 @@
         #[rustfmt::skip]
         let Router {
             facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, ready: _, provider_names, providers, version: _, heard,
+            // These three follow from the others.
+            by_dest: _, went: _, out_at: _,
             journal: _, owed, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
@@ -57,9 +59,9 @@
             [u64::from(call.attempt), *dest].into_iter().for_each(|w| eye.word(w));
             eye.time(*sent);
         }
-        notices.iter().for_each(|id| eye.message(*id));
+        notices.iter().for_each(|id| eye.message(id));
         eye.word(unwritten.len() as u64);
-        unwritten.iter().for_each(|id| eye.message(*id));
+        unwritten.iter().for_each(|id| eye.message(id));
         eye.time(*write_at);
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -745,8 +745,8 @@
 
     // DEPARTURE, the guard of a returning destination: together all siblings keep to S = 2/3 of what brings
     // it down while it is cold; where a sender's part of that is rare, they take turns. It binds from the
-    // first failure seen in a crowd, else from the outage on, until a success of a call sent after the last failure
-    // is `cold` old. Its reckoning and its costs are in `docs/design.md`.
+    // first failure seen in a crowd, else from the outage on, until a success of a call sent after the last
+    // failure is `cold` old. Its reckoning and its costs are in `docs/design.md`.
 
     /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
     fn knows(&mut self, lane: usize, out: bool) {
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod aged;
 mod dues;
+mod line;
 mod recent;
 
 pub use aged::{Aged, FEW, Held};
 pub use dues::{Dues, take_sent};
+pub use line::Line;
 pub use recent::{MOST, Recent};
 
 /// The next number of a seed's, from 0 up to 1: splitmix64, after Steele, Lea and Flood (2014).
--- /dev/null
+++ b/tables/src/line.rs
@@ -0,0 +1,83 @@
+//! A line in which anyone may leave from its place.
+
+use std::collections::BTreeMap;
+
+/// Numbers in the order in which they came, each of them once. Coming, leaving and looking for one cost O(log n).
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Line {
+    order: BTreeMap<i64, u64>,
+    places: BTreeMap<u64, i64>,
+}
+
+impl Line {
+    /// It comes last, unless it is there already.
+    pub fn push_back(&mut self, id: u64) {
+        let place = self.order.last_key_value().map_or(0, |(last, _)| last + 1);
+        self.stands(id, place);
+    }
+
+    /// It comes first, unless it is there already.
+    pub fn push_front(&mut self, id: u64) {
+        let place = self.order.first_key_value().map_or(0, |(first, _)| first - 1);
+        self.stands(id, place);
+    }
+
+    fn stands(&mut self, id: u64, place: i64) {
+        if !self.contains(id) {
+            self.places.insert(id, place);
+            self.order.insert(place, id);
+        }
+    }
+
+    pub fn pop_front(&mut self) -> Option<u64> {
+        let (_, id) = self.order.pop_first()?;
+        self.places.remove(&id);
+        Some(id)
+    }
+
+    pub fn remove(&mut self, id: u64) {
+        if let Some(place) = self.places.remove(&id) {
+            self.order.remove(&place);
+        }
+    }
+
+    pub fn contains(&self, id: u64) -> bool {
+        self.places.contains_key(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = u64> {
+        self.order.values().copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::VecDeque;
+
+    proptest! {
+        #[test]
+        fn it_is_a_queue_that_can_be_left(steps in prop::collection::vec((0u8..4, 0u64..12), 1..200)) {
+            let (mut line, mut plain) = (Line::default(), VecDeque::new());
+            for (what, id) in steps {
+                match what {
+                    0 if !plain.contains(&id) => (line.push_back(id), plain.push_back(id)).0,
+                    1 if !plain.contains(&id) => (line.push_front(id), plain.push_front(id)).0,
+                    2 => prop_assert_eq!(line.pop_front(), plain.pop_front()),
+                    _ => (line.remove(id), plain.retain(|one| *one != id)).0,
+                }
+                prop_assert_eq!(line.iter().collect::<VecDeque<_>>(), plain.clone());
+                prop_assert_eq!((line.len(), line.contains(id)), (plain.len(), plain.contains(&id)));
+            }
+        }
+    }
+}
