Look only at destinations that something happened to, or whose time has come

Every step weighed each waiting destination anew. Those that can't send now stand aside until a message, a call's end or a list concerns them, or until the time that their lanes were reckoned to be free; under a guard they are looked at as before. The check of settings stands with their type, a lane's view with the eye.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -104,6 +104,19 @@
     }
 }
 
+impl Settings {
+    /// # Errors
+    /// No instance can run under them.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let sound = |x: f64| x.is_finite() && x >= 0.0;
+        let shares = [self.cold_from, self.fall_multiple, self.over_share_worth];
+        let worths = self.classes.iter().flat_map(|c| [c.worth, c.late_worth, c.aim_stretch]);
+        let all = shares.into_iter().chain(worths).all(sound);
+        let wrong = "no slot, no attempt, or a share or worth that is no number of zero or more";
+        if self.slots > 0 && self.max_attempts > 0 && all { Ok(()) } else { Err(SettingsError(wrong)) }
+    }
+}
+
 /// Settings that no instance can run under.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub &'static str);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 
 use crate::breaks::{self, Break};
 use crate::interface::*;
-use spurshore_tables::{Dues, Held, Recent, draw, take_sent};
+use spurshore_tables::{Dues, Held, Recent, cuts, draw, take_sent};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -220,8 +220,8 @@
     msgs: BTreeMap<MsgId, Msg>, open: u32,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     dests: BTreeMap<DestId, Dest>,
-    /// Destinations with messages held.
-    waiting: BTreeSet<DestId>,
+    /// Destinations with messages held; those to be looked at, and when time alone may let the others send.
+    waiting: BTreeSet<DestId>, ready: BTreeSet<DestId>, blocked: Dues,
     /// Lanes, with the numbers of those forgotten.
     lanes: Vec<Lane>, spare: Vec<usize>,
     /// Messages with an attempt out; each holds a slot.
@@ -241,14 +241,7 @@
 impl Dispatcher {
     /// A fresh instance. It knows nothing of an earlier life.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
-        let sound = |x: f64| x.is_finite() && x >= 0.0;
-        let shares = [set.cold_from, set.fall_multiple, set.over_share_worth];
-        let worths = set.classes.iter().flat_map(|c| [c.worth, c.late_worth, c.aim_stretch]);
-        if set.slots == 0 || set.max_attempts == 0 || !shares.into_iter().chain(worths).all(sound) {
-            return Err(SettingsError(
-                "no slot, no attempt, or a share or worth that is no number of zero or more",
-            ));
-        }
+        set.check()?;
         let spans = set.classes.iter().filter_map(|c| match c.effect {
             Effect::Keyed { span, .. } => Some(span),
             _ => None,
@@ -291,13 +284,6 @@
         std::mem::take(&mut self.acts)
     }
 
-    /// What the sender knows of the lane that serves `endpoint`.
-    pub fn lane(&self, endpoint: EndpointId) -> Option<LaneView> {
-        let l = &self.lanes[self.endpoints.get(&endpoint)?.lane];
-        let (threshold, in_flight) = (THRESHOLD * l.baseline, l.live.len() as u32);
-        Some(LaneView { cal: l.cal, window: l.w, threshold, in_flight, in_outage: l.out })
-    }
-
     /// A factor near one.
     fn jitter(&mut self) -> f64 {
         1.0 + JITTER * (2.0 * draw(&mut self.rng) - 1.0)
@@ -345,6 +331,7 @@
             self.lanes[lane].endpoints.push(e.endpoint);
         }
         self.forget();
+        self.ready.extend(&self.waiting);
     }
 
     /// Forgets endpoints gone with no call out, and their lanes a minute after the last call.
@@ -390,8 +377,7 @@
         let born = m.deadline.saturating_sub(class.deadline);
         let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
         let attempts = past.iter().map(Attempt::of_past).collect();
-        let stream = m.stream;
-        let (open, place) = (true, 0);
+        let (stream, open, place) = (m.stream, true, 0);
         let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open, stream, attempts, place };
         self.open += 1;
         self.msgs.insert(m.id, msg);
@@ -408,6 +394,7 @@
         let before = held.len() as u64;
         held.insert(alike, (m.born, m.place, id));
         self.waiting.insert(m.dest);
+        self.ready.insert(m.dest);
         self.look_at = self.look_at.min(self.due(m, self.hope(m, before)));
     }
 
@@ -417,6 +404,7 @@
         d.held.remove(&alike, (m.born, m.place, id));
         if d.held.is_empty() {
             self.waiting.remove(&m.dest);
+            self.blocked.remove(m.dest);
         }
     }
 
@@ -435,13 +423,13 @@
             self.dues.remove(id);
             self.unhold(id);
         }
-        let m = &self.msgs[&id];
+        let (m, now) = (&self.msgs[&id], self.now);
         if m.is_out() {
             return;
         }
         if let Some((turn, _)) = m.key.and_then(|k| self.keys.get_mut(&k)) {
             turn.retain(|x| *x != id);
-            let now = self.now;
+            self.ready.extend(turn.front().and_then(|id| Some(self.msgs.get(id)?.dest)));
             self.keys.retain(|_, (turn, rest)| !turn.is_empty() || *rest > now);
         }
         self.msgs.remove(&id);
@@ -531,11 +519,10 @@
     /// Ends messages whose time is up or that may not be sent again.
     fn give_up(&mut self) -> Micros {
         if self.look_at <= self.now {
-            let now = self.now;
-            let mut over: BTreeSet<_> = self.dues.by(now).collect();
-            over.extend(self.turning().filter(|(due, _)| *due <= now).map(|(_, id)| id));
+            let mut over: BTreeSet<_> = self.dues.by(self.now).collect();
+            over.extend(self.turning().filter(|(due, _)| *due <= self.now).map(|(_, id)| id));
             over.into_iter().for_each(|id| self.answer(id, NEVER));
-            self.guarded.retain(|n| now < self.lanes[*n].guard);
+            self.guarded.retain(|n| self.now < self.lanes[*n].guard);
             let first = self.dues.first().unwrap_or(NEVER);
             self.look_at = self.turning().map(|(due, _)| due).fold(first, Micros::min);
         }
@@ -581,10 +568,7 @@
     fn cuts(&self, alike: &Alike, ahead: Micros) -> Vec<Micros> {
         let c = &self.set.classes[alike.class];
         let floor = alike.aim as f64 * (1.0 - c.late_worth.max(f64::MIN_POSITIVE).log2());
-        let ages = [alike.aim, floor as Micros, alike.life];
-        let mut cuts: Vec<_> = ages.iter().flat_map(|age| [age.saturating_sub(ahead), *age]).collect();
-        cuts.sort_unstable();
-        cuts
+        cuts(&[alike.aim, floor as Micros, alike.life], ahead)
     }
 
     // ---- Outcomes. ----
@@ -597,6 +581,7 @@
         (a.flows, a.from) = (false, self.now);
         self.lanes[a.lane].flows -= 1;
         self.lanes[a.lane].live.push_back((id, self.now));
+        self.ready.extend(&self.waiting);
     }
 
     fn on_completed(&mut self, c: &Completed) {
@@ -615,6 +600,8 @@
         self.out.remove(&c.msg);
         take_sent(&mut self.lanes[lane].live, c.msg, sent);
         self.lanes[lane].flows -= flows as u32;
+        self.ready.insert(self.lanes[lane].dest);
+        self.ready.extend(self.waiting.iter().filter(|_| flows));
         self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
         self.links(endpoint, c, reused);
         // What was sent before a call that succeeded tells of that call, or of nothing.
@@ -832,20 +819,34 @@
     /// Fills free slots, the most to be won for the slot's time first. Returns when to look again.
     fn dispatch(&mut self) -> Micros {
         let free = |d: &Self| (d.out.len() as u32) < d.set.slots + breaks::on(Break::SlotTooMany) as u32;
-        let mut wake = NEVER;
-        let waiting: Vec<DestId> = if free(self) { self.waiting.iter().copied().collect() } else { vec![] };
-        let mut found: BTreeMap<DestId, Pick> = BTreeMap::new();
-        for dest in waiting {
-            found.extend(self.best_of(dest, &mut wake).map(|pick| (dest, pick)));
+        let (mut wake, mut found): (_, BTreeMap<DestId, Pick>) = (NEVER, BTreeMap::new());
+        self.ready.extend(self.blocked.by(self.now));
+        let ready = if free(self) { std::mem::take(&mut self.ready) } else { BTreeSet::new() };
+        for dest in ready.into_iter().filter(|d| self.waiting.contains(d)).collect::<Vec<_>>() {
+            found.extend(self.look(dest, &mut wake).map(|pick| (dest, pick)));
         }
         while free(self) {
             let best = found.iter().reduce(|a, b| if b.1.0 > a.1.0 { b } else { a });
             let Some((&dest, &(_, id, endpoint, _))) = best else { break };
             self.send(id, endpoint);
             found.remove(&dest);
-            found.extend(self.best_of(dest, &mut wake).map(|pick| (dest, pick)));
+            found.extend(self.look(dest, &mut wake).map(|pick| (dest, pick)));
         }
-        if free(self) { wake } else { self.reclaim() }
+        self.ready.extend(found.keys());
+        if free(self) { wake.min(self.blocked.first().unwrap_or(NEVER)) } else { self.reclaim() }
+    }
+
+    /// The best of a destination, or when time may change that there is none: under a guard at any moment.
+    fn look(&mut self, dest: DestId, wake: &mut Micros) -> Option<Pick> {
+        let mut own = NEVER;
+        let best = self.best_of(dest, &mut own);
+        *wake = own.min(*wake);
+        if self.waiting.contains(&dest) {
+            self.blocked.set(dest, own);
+            let guarded = self.dests[&dest].lanes.iter().any(|n| self.now < self.lanes[*n].guard);
+            self.ready.extend(guarded.then_some(dest));
+        }
+        best
     }
 
     /// DEPARTURE: all slots taken while others could send: the call longest overdue is called off.
@@ -990,8 +991,7 @@
             (Effect::Keyed { span, .. }, Some(first)) => first.sent + span - MEMORY_MARGIN / 2,
             _ => NEVER,
         };
-        let (sent, from, flows) = (now, now, m.stream);
-        let (ran, withdrawn) = (Ran::Out, false);
+        let (sent, from, flows, ran, withdrawn) = (now, now, m.stream, Ran::Out, false);
         m.attempts.push(Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows });
         self.dues.set(id, self.due(&self.msgs[&id], 0));
         self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -11,7 +11,7 @@
         let Dispatcher {
             set: _, rng, now, least, msgs, open, endpoints, dests, waiting, lanes, spare, out, keys, shares,
             // The first two follow from the rest; a place only orders those held.
-            dues: _, guarded: _, places: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
+            dues: _, guarded: _, places: _, ready: _, blocked: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
         } = self;
         [*now, *look_at, *timer, *ask_at, stop_at.unwrap_or(NEVER)].into_iter().for_each(|t| eye.time(t));
         [*rng, *ask_gap, u64::from(*open)].into_iter().for_each(|w| eye.word(w));
@@ -56,6 +56,13 @@
         }
     }
 
+    /// What the sender knows of the lane that serves `endpoint`.
+    pub fn lane(&self, endpoint: EndpointId) -> Option<LaneView> {
+        let l = &self.lanes[self.endpoints.get(&endpoint)?.lane];
+        let (threshold, in_flight) = (THRESHOLD * l.baseline, l.live.len() as u32);
+        Some(LaneView { cal: l.cal, window: l.w, threshold, in_flight, in_outage: l.out })
+    }
+
     /// From here on draws come from this seed.
     pub fn reseed(&mut self, seed: u64) {
         self.rng = seed;
--- a/tables/src/aged.rs
+++ b/tables/src/aged.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// These ages, and each less `ahead`, in ascending order: between two of them both what a thing is worth and what it will be
+/// worth by then are steady, where the first is steady between the ages.
+pub fn cuts(ages: &[u64], ahead: u64) -> Vec<u64> {
+    let mut cuts: Vec<u64> = ages.iter().flat_map(|age| [age.saturating_sub(ahead), *age]).collect();
+    cuts.sort_unstable();
+    cuts
+}
+
 /// Things that wait, in the order of their places, and those of each kind by age. Adding and taking away costs O(log n).
 #[derive(Clone, Debug, PartialEq)]
 pub struct Held<K> {
--- a/tables/src/lib.rs
+++ b/tables/src/lib.rs
@@ -5,7 +5,7 @@
 mod line;
 mod recent;
 
-pub use aged::{Aged, FEW, Held};
+pub use aged::{Aged, FEW, Held, cuts};
 pub use dues::{Dues, take_sent};
 pub use line::Line;
 pub use recent::{MOST, Recent};
