--- a/explore/src/streams.rs
+++ b/explore/src/streams.rs
@@ -235,7 +235,7 @@
         let mut eye = Finger::plain();
         eye.begin(self.now);
         self.hub.router.see(&mut eye);
-        eye.hash(&(&self.bodies, &self.by, self.told > self.now, self.killed));
+        eye.hash(&(&self.bodies, &self.by, self.told.max(self.now), self.killed));
         for (id, call) in &self.out {
             eye.hash(&(id, format!("{:?}", call.state()), call.attempt().answer(), call.connection()));
         }
