Reckon the ages between which worth changes only where many are held

They were reckoned, with a logarithm, for each class of each destination that is looked at, and not used where eight or fewer are held, which is nearly always.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -543,7 +543,7 @@
         while self.open > limit.max(1) {
             let then = self.now + HORIZON;
             let alike = self.waiting.iter().flat_map(|d| self.dests[d].held.alike());
-            let ends = alike.flat_map(|(alike, aged)| aged.ends(then, &self.cuts(alike, 0)));
+            let ends = alike.flat_map(|(alike, aged)| aged.ends(then, || self.cuts(alike, 0)));
             let may = ends.filter(|id| self.may_refuse(&self.msgs[id]));
             let worst = may.map(|id| (self.worth_at(&self.msgs[&id], then), id));
             let worst = worst.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
@@ -916,7 +916,7 @@
         for (alike, aged) in self.dests[&self.endpoints[&usual.1].dest].held.alike() {
             let to = if alike.zone.is_some() { self.choose(lane, alike.zone) } else { Some(usual) };
             let Some((rank, to)) = to.filter(|_| !alike.stream || self.may_flow(lane)) else { continue };
-            let ends = || aged.ends(eta, &self.cuts(alike, HORIZON));
+            let ends = || aged.ends(eta, || self.cuts(alike, HORIZON));
             for id in if alike.ordered { aged.iter().collect() } else { ends() } {
                 let m = &self.msgs[&id];
                 if !self.may_send(m) || !self.has_turn(id, m, wake) {
--- a/tables/src/aged.rs
+++ b/tables/src/aged.rs
@@ -35,15 +35,16 @@
     }
 
     /// Those of which one is best at `now`, where worth is steady between each two of these ages, which ascend: all if
-    /// they are few, else the oldest and the youngest of each stretch. An age that is a cut belongs to the stretch
+    /// they are few, and then no cuts are asked for, else the oldest and the youngest of each stretch. An age that is a cut belongs to the stretch
     /// before it and to the one behind it. O(cuts x log n).
     ///
     /// # Panics
     /// The cuts do not ascend.
-    pub fn ends(&self, now: u64, cuts: &[u64]) -> Vec<u64> {
+    pub fn ends(&self, now: u64, cuts: impl FnOnce() -> Vec<u64>) -> Vec<u64> {
         if self.all.len() <= FEW {
             return self.iter().collect();
         }
+        let cuts = cuts();
         let mut ends = Vec::with_capacity(4 * (cuts.len() + 1));
         let mut younger = Included((u64::MAX, u64::MAX, u64::MAX));
         let mut tell = |from, to| {
@@ -145,7 +146,7 @@
             births.iter().enumerate().for_each(|(n, born)| aged.insert((*born, n as u64, n as u64)));
             let of = |id: u64| worth(now as i64 - births[id as usize] as i64, &cuts, &slopes);
             let best = aged.iter().map(of).max();
-            prop_assert_eq!(aged.ends(now, &cuts).into_iter().map(of).max(), best);
+            prop_assert_eq!(aged.ends(now, || cuts.clone()).into_iter().map(of).max(), best);
             births.iter().enumerate().for_each(|(n, born)| aged.remove((*born, n as u64, n as u64)));
             prop_assert!(aged.is_empty());
         }
