Answer operators' calls, and drain a courier without ending it

Change: a line codec (protocol/operator), a listener with a bounded number of callers (transport/operators) and a drain machine (core/machine/drain): /-/ready says no at once, answers end their connections, those at rest leave after 0.5 s. The tests end 100 silent callers in favour of a READY, and drain with one connection at rest and one that asks.

--- a/core/src/machine/mod.rs
+++ b/core/src/machine/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod consumer;
+pub mod drain;
 pub mod link;
 pub mod notices;
 pub mod watch;
@@ -65,6 +66,7 @@
         consumer::Consumer::table(),
         watch::Watch::table(),
         notices::Notices::table(),
+        drain::Drain::table(),
     ]
 }
 
--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -30,6 +30,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -50,6 +51,10 @@
     value.parse().map_err(|_| ConfigError::Address { what, value })
 }
 
+fn operator(what: &'static str, told: Option<String>) -> Result<Option<SocketAddr>, ConfigError> {
+    told.map(|told| address(what, Some(told))).transpose()
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -69,6 +74,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere if neither the file nor `GW_OPERATOR` says.
+    pub operator: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
@@ -94,6 +101,7 @@
             name: var("GW_NAME").unwrap_or(file.name),
             listen: address("GW_LISTEN", file.listen)?,
             discovery: address("GW_DISCOVERY", file.discovery)?,
+            operator: operator("GW_OPERATOR", var("GW_OPERATOR").or(file.operator))?,
             state: var("GW_STATE").ok_or(ConfigError::Missing("GW_STATE"))?.into(),
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
@@ -123,6 +131,9 @@
                 found.push(Problem::new(format!("$.{field}"), e.to_string()));
             }
         }
+        if let Err(e) = operator("GW_OPERATOR", var("GW_OPERATOR").or(file.operator)) {
+            found.push(Problem::new("$.operator", e.to_string()));
+        }
         for (n, server) in file.known.into_iter().flat_map(List::entries).enumerate() {
             found.extend(server.err().map(|e| Problem::new(format!("$.known.servers[{n}]"), e.to_string())));
         }
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -5,6 +5,7 @@
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
+use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
 use crate::transport::server::{Connections, serve};
 use crate::transport::streams::Rules;
@@ -45,6 +46,8 @@
     Router(#[from] RouterError),
     #[error("listen on {addr}: {source}")]
     Listen { addr: SocketAddr, source: std::io::Error },
+    #[error("listen for operators on {addr}: {source}")]
+    Operators { addr: SocketAddr, source: std::io::Error },
     #[error("journal: {0}")]
     Folder(std::io::Error),
     #[error("signals: {0}")]
@@ -65,7 +68,8 @@
     let clock = Clock::start();
     // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
     // not ask.
-    let most = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
+    let callers = if config.operator.is_some() { operators::CALLERS } else { 0 };
+    let most = config.sockets.saturating_sub(OWN_SOCKETS + callers) / 2;
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let known = config.known.clone();
     let store = Folder::open(&config.state).map_err(RunError::Folder)?;
@@ -75,6 +79,15 @@
     let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
+    let operators = match config.operator {
+        None => None,
+        Some(addr) => {
+            let bound = TcpListener::bind(addr).await;
+            let listener = bound.map_err(|source| RunError::Operators { addr, source })?;
+            tracing::info!("operators: listening on {}", listener.local_addr().unwrap_or(addr));
+            Some(listener)
+        }
+    };
     let bound = listener.local_addr().unwrap_or(addr);
     tracing::info!(
         "{}: serving on {bound}; discovery at {}; {}",
@@ -93,6 +106,11 @@
     // Through a planned stop too: the last notices go where the platform is by then.
     let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
+    if let Some(operators) = operators {
+        let desk = Desk::new(courier.clone(), connections.clone());
+        actix_rt::spawn(desk.clone().keep_time());
+        actix_rt::spawn(operators::serve(operators, desk));
+    }
     let server = actix_rt::spawn(serve(listener, courier.clone(), connections.clone()));
     courier.set_serving(true);
 
@@ -106,7 +124,7 @@
     let begun = Instant::now();
     tracing::info!("{}: stopping; {}", config.name, courier.report());
     courier.stop(clock.now() + CALLS_END.as_micros() as u64);
-    connections.close_after_answers();
+    connections.close_after_answers(true);
     sleep(ACCEPT_ON).await;
     server.abort();
     while begun.elapsed() < STOP {
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -37,6 +37,10 @@
     /// The process is at its end: what is dropped now is taken up by the next life.
     ended: Cell<bool>,
     serving: Cell<bool>,
+    /// A planned stop has begun.
+    stopping: Cell<bool>,
+    /// Operators have emptied it: the front is told no.
+    drained: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
@@ -60,6 +64,8 @@
             hub: RefCell::new(Hub::new(router, pool)),
             words: RefCell::default(),
             serving: Cell::new(false),
+            stopping: Cell::new(false),
+            drained: Cell::new(false),
             moved: Notify::new(),
             notices: Notify::new(),
         })
@@ -78,6 +84,19 @@
         self.serving.set(serving);
     }
 
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Whether the front may send consumers here.
+    pub fn wants_consumers(&self) -> bool {
+        self.serving.get() && !self.drained.get()
+    }
+
+    pub fn set_drained(&self, drained: bool) {
+        self.drained.set(drained);
+    }
+
     /// The connections to the providers.
     pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
         act(&mut self.hub.borrow_mut().pool)
@@ -187,6 +206,7 @@
 
     pub fn stop(self: &Rc<Self>, at: Micros) {
         self.serving.set(false);
+        self.stopping.set(true);
         let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
         self.carry_out(todo);
     }
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod courier;
 pub mod folder;
+pub mod operators;
 pub mod platform;
 pub mod providers;
 pub mod server;
--- /dev/null
+++ b/courier/src/transport/operators.rs
@@ -0,0 +1,163 @@
+//! The listener that operators call, and what their calls come to.
+
+use super::courier::Courier;
+use super::server::Connections;
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::time::{sleep, timeout};
+use quillmount_core::machine::drain::{Drain, Input, Output};
+use quillmount_protocol::operator::{self, Call, LINE_MAX, Line};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+
+/// Callers at once. Some connect and say nothing for seconds; one more ends whoever has waited longest. Their
+/// descriptors are set aside beside those of consumers and providers.
+pub const CALLERS: usize = 32;
+/// A caller has called by then.
+const CALL: Duration = Duration::from_secs(5);
+/// What is read behind an answer, so that it is not lost to a reset.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_MAX: usize = 64 * 1024;
+/// After an accept that failed, for want of descriptors mostly.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+
+/// Where operators' calls are carried out.
+pub struct Desk {
+    courier: Rc<Courier>,
+    connections: Rc<Connections>,
+    drain: RefCell<Drain>,
+    moved: Notify,
+}
+
+impl Desk {
+    pub fn new(courier: Rc<Courier>, connections: Rc<Connections>) -> Rc<Self> {
+        Rc::new(Desk { courier, connections, drain: RefCell::default(), moved: Notify::new() })
+    }
+
+    /// Looks for connections at rest while the courier is drained.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let wake = self.drain.borrow().wake_at();
+            match wake {
+                None => self.moved.notified().await,
+                Some(at) => {
+                    tokio::select! {
+                        () = sleep(self.courier.clock.until(at)) => {}
+                        () = self.moved.notified() => {}
+                    }
+                    self.step(Input::Tick);
+                }
+            }
+        }
+    }
+
+    fn step(&self, input: Input) {
+        let output = self.drain.borrow_mut().step(input, self.courier.clock.now());
+        let drained = self.drain.borrow().is_drained();
+        match output {
+            Output::Nothing => {}
+            Output::LastAnswers | Output::Keep => {
+                tracing::info!(
+                    "operators: {}",
+                    if drained { "drained" } else { "consumers are wanted again" }
+                );
+                self.courier.set_drained(drained);
+                self.connections.close_after_answers(drained || self.courier.is_stopping());
+                self.moved.notify_one();
+            }
+            Output::Empty => drop(self.connections.close_idle()),
+        }
+    }
+
+    /// Carries a call out; what is to be said of it, or why nothing was done.
+    fn call(&self, call: &Call) -> Result<String, String> {
+        match call {
+            Call::Ready if self.courier.is_stopping() => Err("this process is stopping".into()),
+            Call::Ready if self.courier.is_serving() => Ok("ready".into()),
+            Call::Ready => Err("this process does not serve yet".into()),
+            Call::Drain => {
+                self.step(Input::Drain);
+                Ok("drained: the front is told no".into())
+            }
+            Call::Undrain => {
+                self.step(Input::Undrain);
+                Ok("consumers are wanted".into())
+            }
+            Call::Disable(_) | Call::Enable(_) => Err("endpoints can't be taken out here".into()),
+        }
+    }
+}
+
+/// Accepts callers until it is dropped.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
+    let mut callers: VecDeque<tokio::task::JoinHandle<()>> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|caller| !caller.is_finished());
+                // Who has waited longest has had most time to call.
+                while callers.len() >= CALLERS
+                    && let Some(silent) = callers.pop_front()
+                {
+                    silent.abort();
+                }
+                callers.push_back(actix_rt::spawn(attend(stream, desk.clone())));
+            }
+            Err(e) => {
+                tracing::warn!("operators: accept: {e}");
+                sleep(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+/// One caller: a line, its answer, the end.
+async fn attend(mut stream: TcpStream, desk: Rc<Desk>) {
+    let Ok(Some(call)) = timeout(CALL, heard(&mut stream)).await else { return };
+    let said = match &call {
+        Ok(call) => desk.call(call),
+        Err(why) => Err(why.to_string()),
+    };
+    match (&call, &said) {
+        (Ok(Call::Ready), _) => {}
+        (Ok(call), said) => tracing::info!("operators: {call:?}: {said:?}"),
+        (Err(why), _) => tracing::info!("operators: no call: {why}"),
+    }
+    let answer = operator::answer(said.as_deref().map_err(String::as_str));
+    let told = async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    if timeout(LINGER, told).await.is_ok_and(|told| told.is_ok()) {
+        // What the caller still sends would reset the connection, and the answer with it.
+        let (mut rest, mut left) = ([0; 1_024], LINGER_MAX);
+        let drained = async {
+            while left > 0 {
+                match stream.read(&mut rest).await {
+                    Ok(n) if n > 0 => left = left.saturating_sub(n),
+                    _ => return,
+                }
+            }
+        };
+        let _ = timeout(LINGER, drained).await;
+    }
+}
+
+/// Reads one line, in whatever pieces it comes; `None`: the caller has gone without a word.
+async fn heard(stream: &mut TcpStream) -> Option<Result<Call, operator::BadCall>> {
+    let mut bytes = Vec::with_capacity(64);
+    let mut piece = [0; LINE_MAX];
+    loop {
+        let n = stream.read(&mut piece).await.ok()?;
+        bytes.extend_from_slice(&piece[..n]);
+        if n == 0 && bytes.is_empty() {
+            return None;
+        }
+        if let Line::Whole(call) = operator::read(&bytes, n == 0) {
+            return Some(call);
+        }
+    }
+}
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -88,9 +88,9 @@
         }
     }
 
-    /// From now on every answer ends its connection, and no connection rests.
-    pub fn close_after_answers(&self) {
-        self.closing.set(true);
+    /// From now on every answer ends its connection, and no connection rests; or they do as ever again.
+    pub fn close_after_answers(&self, closing: bool) {
+        self.closing.set(closing);
     }
 
     /// Asks the connections that rest to leave; true if any remains.
@@ -509,7 +509,7 @@
 }
 
 fn probe(courier: &Courier, request: &Request) -> Response<Bytes> {
-    let serving = courier.is_serving() || request.path() == "/-/healthy";
+    let serving = courier.wants_consumers() || request.path() == "/-/healthy";
     match (request.method(), serving) {
         (&Method::GET | &Method::HEAD, true) => invocation::plain(StatusCode::OK, "ready\n"),
         (&Method::GET | &Method::HEAD, false) => {
--- /dev/null
+++ b/courier/tests/operators.rs
@@ -0,0 +1,137 @@
+//! What operators call, on sockets: each test causes one thing that they meet.
+
+use quillmount_standins::consumer::{self, Invocation};
+use quillmount_standins::courier::{Courier, Setup};
+use quillmount_standins::http::Reader;
+use quillmount_standins::provider::{self, Script};
+use quillmount_standins::{Eyes, Seen, What, operator, platform};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+
+/// Only a broken program waits for so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+const LONG: Duration = Duration::from_secs(12);
+
+/// One courier, and a provider for destination 7.
+struct Stage {
+    courier: Courier,
+    seen: mpsc::Receiver<Seen>,
+    /// What discovery tells from here on.
+    #[allow(dead_code)]
+    list: watch::Sender<String>,
+}
+
+/// Plays a test on one thread.
+fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let played = async { tokio::time::timeout(Duration::from_secs(60), test()).await };
+    tokio::task::LocalSet::new().block_on(&runtime, played).expect("the test has come to its end");
+}
+
+async fn stage(script: Script) -> Stage {
+    let (eyes, seen) = Eyes::open();
+    let (list, told) = watch::channel(String::new());
+    let platform = platform::open(eyes.clone(), told).await.unwrap();
+    let provider = provider::open(eyes, move |_| script.clone()).await.unwrap();
+    let mut setup = Setup::new(env!("CARGO_BIN_EXE_quillmount"), platform, vec![(7, provider)]);
+    setup.operators = true;
+    Stage { courier: Courier::start(setup).unwrap(), seen, list }
+}
+
+impl Stage {
+    fn operators(&self) -> SocketAddr {
+        self.courier.operators.unwrap()
+    }
+
+    async fn call(&self, line: &str) -> String {
+        operator::call(self.operators(), &[line.as_bytes(), b"\n"]).await.unwrap()
+    }
+
+    async fn hand_in(&self, id: &str) -> u16 {
+        let invocation = Invocation::new("paid-notice", id, 7, LONG);
+        consumer::hand_in(self.courier.addr, &invocation, b"body").await.unwrap().status()
+    }
+
+    /// Waits until this was seen of the message.
+    async fn sees(&mut self, id: &str, wanted: impl Fn(&What) -> bool) {
+        loop {
+            let seen = tokio::time::timeout(PATIENCE, self.seen.recv()).await;
+            let Seen { id: of, what, .. } = seen.unwrap_or_else(|_| panic!("{id}: not seen")).unwrap();
+            if of == id && wanted(&what) {
+                return;
+            }
+        }
+    }
+}
+
+/// Asks on a connection that stays open whether the courier is ready; the status, and whether it closes.
+async fn ready(on: &mut TcpStream) -> (u16, bool) {
+    on.write_all(b"GET /-/ready HTTP/1.1\r\nHost: backend.local\r\n\r\n").await.unwrap();
+    let mut reader = Reader::new(&mut *on);
+    let head = reader.head().await.unwrap().expect("an answer");
+    let closes = head.header("connection").is_some_and(|word| word.eq_ignore_ascii_case("close"));
+    (head.status(), closes)
+}
+
+#[test]
+fn silent_callers_and_bad_lines_keep_no_call_out() {
+    play(|| async {
+        let stage = stage(Script::default()).await;
+        let mut silent = Vec::new();
+        for n in 0..100 {
+            let mut caller = TcpStream::connect(stage.operators()).await.unwrap();
+            if n % 2 == 0 {
+                // Room is made for others meanwhile.
+                let _ = caller.write_all(b"DISABLE par").await;
+            }
+            silent.push(caller);
+        }
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+        // The longest silent has made room, and the latest has time left.
+        assert!(silent[0].read(&mut [0; 9]).await.is_ok_and(|n| n == 0));
+        assert!(tokio::time::timeout(Duration::ZERO, silent[99].read(&mut [0; 9])).await.is_err());
+        let pieces: Vec<&[u8]> = b"READY\r\n".chunks(1).collect();
+        assert_eq!(operator::call(stage.operators(), &pieces).await.unwrap(), "SUCCESS ready\n");
+        for bad in ["ready", "", "READY 1", "DRAIN now", "DISABLE", "ENABLE a b", "\u{7f}"] {
+            let said = stage.call(bad).await;
+            assert!(said.starts_with("FAILURE ") && said.ends_with('\n'), "{bad:?}: {said:?}");
+        }
+        let endless = vec![b'A'; 300_000];
+        let said = operator::call(stage.operators(), &[&endless]).await;
+        assert!(said.is_err() || said.is_ok_and(|said| said.starts_with("FAILURE ")));
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+    });
+}
+
+#[test]
+fn a_drained_courier_says_no_and_answers_and_empties_and_serves_again() {
+    play(|| async {
+        let mut stage = stage(Script::default()).await;
+        let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
+        let mut asks = TcpStream::connect(stage.courier.addr).await.unwrap();
+        assert_eq!(ready(&mut rests).await, (200, false));
+        assert_eq!(ready(&mut asks).await, (200, false));
+        assert!(stage.call("UNDRAIN").await.starts_with("SUCCESS"));
+        assert!(stage.call("DRAIN").await.starts_with("SUCCESS"));
+        assert!(stage.call("DRAIN").await.starts_with("SUCCESS"));
+        // The no is its last answer on that connection; the one that rests is closed with no word.
+        assert_eq!(ready(&mut asks).await, (503, true));
+        assert_eq!(rests.read(&mut [0; 9]).await.unwrap(), 0);
+        // What the front still deals out is taken on and delivered.
+        assert_eq!(stage.hand_in("late").await, 202);
+        stage.sees("late", |what| *what == What::Answered("200 OK".into())).await;
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+        assert!(stage.call("UNDRAIN").await.starts_with("SUCCESS"));
+        let mut again = TcpStream::connect(stage.courier.addr).await.unwrap();
+        assert_eq!(ready(&mut again).await, (200, false));
+        assert_eq!(ready(&mut again).await, (200, false));
+        // A drain is no stop, and a stop is one while drained.
+        assert!(stage.call("DRAIN").await.starts_with("SUCCESS"));
+        stage.courier.term().unwrap();
+        assert!(stage.courier.ended().await.unwrap().success());
+    });
+}
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod invocation;
 pub mod invoker;
 pub mod notice;
+pub mod operator;
 pub mod stream;
 
 use spurshore::Micros;
--- /dev/null
+++ b/protocol/src/operator.rs
@@ -0,0 +1,123 @@
+//! What operators call: one line to a connection, and one line back.
+
+/// The longest line that is read: an id takes 128 bytes at most in discovery's list, a word eight.
+pub const LINE_MAX: usize = 256;
+
+/// One call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Can this process serve?
+    Ready,
+    /// Nothing more to this provider, until it is put back.
+    Disable(String),
+    /// Put the provider back.
+    Enable(String),
+    /// Empty the courier.
+    Drain,
+    /// Take consumers again.
+    Undrain,
+}
+
+/// Why a line is no call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadCall {
+    #[error("the line is longer than {LINE_MAX} bytes")]
+    TooLong,
+    #[error("the line is not UTF-8")]
+    NotText,
+    #[error("the line is empty")]
+    Empty,
+    #[error("no such call; there are READY, DISABLE ID, ENABLE ID, DRAIN and UNDRAIN")]
+    Unknown,
+    #[error("this call takes one id")]
+    NoId,
+    #[error("something stands behind the call")]
+    Surplus,
+    #[error("the line has no end")]
+    Unended,
+}
+
+/// What has come on a connection so far.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Line {
+    /// Its end is still to come.
+    Partial,
+    Whole(Result<Call, BadCall>),
+}
+
+/// Reads what has come; `ended`: the caller sends nothing more. One line counts, and what stands behind it is let go,
+/// whatever the pieces in which it came.
+pub fn read(bytes: &[u8], ended: bool) -> Line {
+    let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
+        return match bytes.len() {
+            0 if ended => Line::Whole(Err(BadCall::Empty)),
+            n if n > LINE_MAX => Line::Whole(Err(BadCall::TooLong)),
+            _ if ended => Line::Whole(Err(BadCall::Unended)),
+            _ => Line::Partial,
+        };
+    };
+    Line::Whole(if end > LINE_MAX { Err(BadCall::TooLong) } else { decode(&bytes[..end]) })
+}
+
+fn decode(line: &[u8]) -> Result<Call, BadCall> {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let line = std::str::from_utf8(line).map_err(|_| BadCall::NotText)?;
+    let mut words = line.split(' ').filter(|word| !word.is_empty());
+    let (word, id) = (words.next().ok_or(BadCall::Empty)?, words.next());
+    if words.next().is_some() {
+        return Err(BadCall::Surplus);
+    }
+    let alone = |call| if id.is_none() { Ok(call) } else { Err(BadCall::Surplus) };
+    match word {
+        "READY" => alone(Call::Ready),
+        "DRAIN" => alone(Call::Drain),
+        "UNDRAIN" => alone(Call::Undrain),
+        "DISABLE" => id.map(|id| Call::Disable(id.into())).ok_or(BadCall::NoId),
+        "ENABLE" => id.map(|id| Call::Enable(id.into())).ok_or(BadCall::NoId),
+        _ => Err(BadCall::Unknown),
+    }
+}
+
+/// The line that answers a call.
+pub fn answer(result: Result<&str, &str>) -> String {
+    match result {
+        Ok(said) => format!("SUCCESS {said}\n"),
+        // A reason stays on its line, whatever it quotes.
+        Err(why) => format!("FAILURE {}\n", why.replace(['\r', '\n'], " ")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_that_are_calls_and_lines_that_are_not() {
+        let call = |bytes: &[u8]| match read(bytes, false) {
+            Line::Whole(call) => Some(call),
+            Line::Partial => None,
+        };
+        assert_eq!(call(b"READY\n"), Some(Ok(Call::Ready)));
+        assert_eq!(call(b"DISABLE  s-1\r\n"), Some(Ok(Call::Disable("s-1".into()))));
+        assert_eq!(call(b"ENABLE s-1\n"), Some(Ok(Call::Enable("s-1".into()))));
+        assert_eq!(call(b"UNDRAIN \n"), Some(Ok(Call::Undrain)));
+        assert_eq!(call(b"DRAIN\nREADY\n"), Some(Ok(Call::Drain)));
+        let bad: [(&[u8], BadCall); 7] = [
+            (b"\r\n", BadCall::Empty),
+            (b"ready\n", BadCall::Unknown),
+            (b"DISABLE\n", BadCall::NoId),
+            (b"DISABLE a b\n", BadCall::Surplus),
+            (b"DRAIN now\n", BadCall::Surplus),
+            (b"DISABLE \xff\n", BadCall::NotText),
+            (&[b'A'; LINE_MAX + 1], BadCall::TooLong),
+        ];
+        for (line, why) in bad {
+            assert_eq!(call(line), Some(Err(why)), "{line:?}");
+        }
+        for cut in 0..5 {
+            assert_eq!(call(&b"READY\n"[..cut]), None);
+        }
+        assert_eq!(read(b"READY", true), Line::Whole(Err(BadCall::Unended)));
+        assert_eq!(read(b"", true), Line::Whole(Err(BadCall::Empty)));
+    }
+}
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -28,6 +28,8 @@
     /// Put into the configuration as JSON merge does, one level deep in `limits` and `settings`.
     pub slots: u32,
     pub open_cap: u32,
+    /// Operators may call.
+    pub operators: bool,
     /// What RUST_LOG says; empty: it is not set, and the operator file holds.
     pub levels: String,
 }
@@ -36,7 +38,16 @@
     pub fn new(program: impl Into<PathBuf>, platform: SocketAddr, providers: Vec<(u64, SocketAddr)>) -> Self {
         let program = program.into();
         let levels = "info".into();
-        Setup { program, platform, providers, operator: None, slots: 8, open_cap: 100, levels }
+        Setup {
+            program,
+            platform,
+            providers,
+            operator: None,
+            slots: 8,
+            open_cap: 100,
+            operators: false,
+            levels,
+        }
     }
 }
 
@@ -47,6 +58,8 @@
     pub folder: PathBuf,
     /// Where consumers reach it.
     pub addr: SocketAddr,
+    /// Where operators call it, if they may.
+    pub operators: Option<SocketAddr>,
     pub log: Receiver<String>,
 }
 
@@ -76,6 +89,9 @@
         });
         config["known"]["servers"] = servers.collect();
         config["listen"] = "127.0.0.1:0".into();
+        if setup.operators {
+            config["operator"] = "127.0.0.1:0".into();
+        }
         config["discovery"] = setup.platform.to_string().into();
         config["settings"]["family_info"]["call_slots"] = setup.slots.into();
         config["settings"]["limits"]["open_cap"] = setup.open_cap.into();
@@ -83,8 +99,8 @@
         if let Some(operator) = &setup.operator {
             std::fs::write(folder.join("operator.json"), operator.to_string())?;
         }
-        let (child, addr, log) = launch(&setup, &folder)?;
-        Ok(Courier { setup, child, folder, addr, log })
+        let Launched { child, addr, operators, log } = launch(&setup, &folder)?;
+        Ok(Courier { setup, child, folder, addr, operators, log })
     }
 
     /// SIGKILL, and a start with the same folder.
@@ -94,7 +110,8 @@
     pub fn kill_and_restart(&mut self) -> Result<()> {
         self.child.kill()?;
         self.child.wait()?;
-        (self.child, self.addr, self.log) = launch(&self.setup, &self.folder)?;
+        let Launched { child, addr, operators, log } = launch(&self.setup, &self.folder)?;
+        (self.child, self.addr, self.operators, self.log) = (child, addr, operators, log);
         Ok(())
     }
 
@@ -156,7 +173,14 @@
     Duration::from_millis((ticks(11) + ticks(12)) * 10)
 }
 
-fn launch(setup: &Setup, folder: &Path) -> Result<(Child, SocketAddr, Receiver<String>)> {
+struct Launched {
+    child: Child,
+    addr: SocketAddr,
+    operators: Option<SocketAddr>,
+    log: Receiver<String>,
+}
+
+fn launch(setup: &Setup, folder: &Path) -> Result<Launched> {
     let mut command = Command::new(&setup.program);
     command.arg("run");
     if setup.operator.is_some() {
@@ -173,13 +197,17 @@
         .env_remove("GW_NAME")
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
+        .env_remove("GW_OPERATOR")
         .stderr(Stdio::piped())
         .spawn()?;
     let log = child.stderr.take().ok_or_else(|| Error::other("the courier has no log"))?;
     let mut lines = BufReader::new(log).lines();
-    let mut last = String::new();
+    let (mut last, mut operators) = (String::new(), None);
     while let Some(line) = lines.next() {
         last = line?;
+        if let Some((_, addr)) = last.split_once("operators: listening on ") {
+            operators = addr.parse().ok();
+        }
         let Some((_, rest)) = last.split_once("serving on ") else { continue };
         let addr = rest.split(';').next().and_then(|addr| addr.parse().ok());
         let addr = addr.ok_or_else(|| Error::other(last.clone()))?;
@@ -188,7 +216,7 @@
         std::thread::spawn(move || {
             lines.map_while(std::result::Result::ok).for_each(|line| drop(to.try_send(line)));
         });
-        return Ok((child, addr, from));
+        return Ok(Launched { child, addr, operators, log: from });
     }
     let _ = child.wait();
     Err(Error::other(format!("the courier did not start: {last}")))
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod consumer;
 pub mod courier;
 pub mod http;
+pub mod operator;
 pub mod platform;
 pub mod provider;
 
