--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -4,6 +4,7 @@
 use crate::machine::link::{self, Link};
 use crate::pool::Pool;
 use crate::{CallEnd, InvokerCall};
+use serde::{Deserialize, Serialize};
 use spurshore::Micros;
 use spurshore::breaks::{self, Break};
 
@@ -28,7 +29,46 @@
     pub gone: Option<C>,
 }
 
+/// A call as another process goes on with it, beside its connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Part {
+    pub order: InvokerCall,
+    attempt: crate::machine::attempt::Part,
+    /// When its time is up.
+    pub until: Micros,
+}
+
 impl<C> Call<C> {
+    /// Gives the call up to another process, with its connection; the pool does not count it any more.
+    pub fn part(self, pool: &mut Pool<C>, until: Micros) -> (Part, Option<C>) {
+        if self.counts {
+            pool.end();
+        }
+        let Call { order, attempt, held, .. } = self;
+        (Part { order, attempt: attempt.part(), until }, held.map(|(_, connection)| connection))
+    }
+
+    /// Goes on with another process's call. One that had not left yet is to be started.
+    pub fn resumed(
+        part: Part,
+        decode: Decode,
+        most: usize,
+        connection: Option<C>,
+        pool: &mut Pool<C>,
+    ) -> Self {
+        let attempt = Attempt::resumed(part.attempt, decode, most);
+        let held = connection.map(|connection| {
+            let mut link = pool.open();
+            link.step(link::Input::Up, 0);
+            (link, connection)
+        });
+        let counts = held.is_some();
+        if counts {
+            pool.goes_on();
+        }
+        Call { order: part.order, attempt, held, counts }
+    }
+
     /// `decode` reads answers, and never more than `most` bytes of one.
     pub fn new(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::new(decode, most, order.by);
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -4,7 +4,7 @@
 
 macro_rules! counters {
     ($($name:ident),* $(,)?) => {
-        #[derive(Clone, Debug, Default)]
+        #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
         pub struct Counters { $(pub $name: u64),* }
 
         impl std::fmt::Display for Counters {
--- a/core/src/crowd.rs
+++ b/core/src/crowd.rs
@@ -83,6 +83,13 @@
         self.all.remove(&number);
     }
 
+    /// Connections that may still ask: another process would go on with them.
+    pub fn to_give(&self) -> usize {
+        let gives =
+            |e: &&Entry| matches!(e.state, State::Asking { .. } | State::Resting { .. } | State::Leaving);
+        self.all.values().filter(gives).count()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.all.is_empty()
     }
--- a/core/src/flow.rs
+++ b/core/src/flow.rs
@@ -16,7 +16,7 @@
 }
 
 /// Why a side is given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
 pub enum Late {
     /// Not a byte.
     Stalled,
@@ -73,7 +73,7 @@
 }
 
 /// Why a body will never be whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum Cut {
     /// The consumer's connection ended or broke.
     Gone,
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -4,9 +4,10 @@
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
-use crate::router::{Intake, Router, Step, StreamEnd};
+use crate::router::{self, Intake, Router, Step, StreamEnd};
 use crate::store::Store;
 use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
+use serde::{Deserialize, Serialize};
 use spurshore::breaks::{self, Break};
 use spurshore::{Micros, MsgId};
 use std::collections::VecDeque;
@@ -35,6 +36,14 @@
     pub pool: Pool<C>,
 }
 
+/// What one process hands to the next, but for its sockets and what goes with them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct State {
+    pub router: router::State,
+    /// Until when providers take no call, by number.
+    pub holds: Vec<(u32, Micros)>,
+}
+
 impl<S: Store, C> Hub<S, C> {
     pub fn new(router: Router<S>, pool: Pool<C>) -> Self {
         Hub { router, pool }
@@ -88,6 +97,17 @@
         self.carry_out(steps, now)
     }
 
+    /// All that is decided from; `settings`: their mark.
+    pub fn state(&self, settings: u32) -> State {
+        State { router: self.router.state(settings), holds: self.pool.holds() }
+    }
+
+    /// Goes on from another process's state: what of it is not the router's, and its first steps.
+    pub fn resume(&mut self, holds: &[(u32, Micros)], steps: Vec<Step>, now: Micros) -> Vec<Do<C>> {
+        holds.iter().for_each(|(provider, until)| self.pool.hold(*provider, *until));
+        self.carry_out(steps, now)
+    }
+
     /// Nothing is out and nothing waits to be told.
     pub fn is_quiet(&self) -> bool {
         let (_, out) = self.router.load();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod turns;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use spurshore::{ListState, Micros, MsgId};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,14 +42,14 @@
 }
 
 /// Names one invoker call: the message and the call's number, from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId {
     pub msg: MsgId,
     pub attempt: u32,
 }
 
 /// One invoker call to make.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct InvokerCall {
     pub call: CallId,
     pub provider: u32,
@@ -63,7 +64,7 @@
 }
 
 /// The parts of an invocation that a provider gets to see, unchanged.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Parcel {
     pub id: String,
     pub key: Option<String>,
@@ -71,7 +72,7 @@
 }
 
 /// How an invoker call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CallEnd {
     Delivered,
     Error,
@@ -94,7 +95,7 @@
 }
 
 /// How an invocation that was not delivered ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Ending {
     Undeliverable,
     /// The consumer may come again, after so long (0: no advice).
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::Machine;
 use crate::CallEnd;
+use serde::{Deserialize, Serialize};
 use spurshore::Micros;
 use spurshore::breaks::{self, Break};
 
@@ -26,7 +27,7 @@
 /// Reads an answer's bytes; the flag says that no more of it will come, and then it is `Whole`.
 pub type Decode = fn(&[u8], bool) -> Answer;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
     New,
     Connecting,
@@ -109,7 +110,27 @@
     streamed: bool,
 }
 
+/// An attempt as another process goes on with it: all but its reader of answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Part {
+    state: State,
+    answer: Vec<u8>,
+    by: Micros,
+}
+
 impl Attempt {
+    /// As it stands, for another process. One whose first byte has not left begins anew there.
+    pub fn part(self) -> Part {
+        let unsent = matches!(self.state, State::New | State::Connecting);
+        Part { state: if unsent { State::New } else { self.state }, answer: self.answer, by: self.by }
+    }
+
+    /// Goes on with another process's attempt.
+    pub fn resumed(part: Part, decode: Decode, most: usize) -> Self {
+        let Part { state, answer, by } = part;
+        Attempt { state, answer, ..Attempt::new(decode, most, by) }
+    }
+
     /// Reads `most` bytes of an answer at most, and writes nothing from the time `by` on.
     pub fn new(decode: Decode, most: usize, by: Micros) -> Self {
         Attempt { state: State::New, answer: Vec::new(), most, by, decode, streamed: false }
--- a/core/src/machine/consumer.rs
+++ b/core/src/machine/consumer.rs
@@ -2,7 +2,7 @@
 
 use super::Machine;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum State {
     /// Has yet to send a whole request: its `first`, or one more; `last`: its answer ends the connection.
     Asking {
@@ -77,6 +77,12 @@
 }
 
 impl Consumer {
+    /// Goes on with a connection that another process had in this state; says what is to be done next.
+    pub fn resumed(state: State) -> (Self, Output) {
+        let rests = matches!(state, State::Resting { .. });
+        (Consumer { state }, if rests { Output::Rest } else { Output::Read })
+    }
+
     pub fn state(&self) -> State {
         self.state
     }
--- a/core/src/machine/link.rs
+++ b/core/src/machine/link.rs
@@ -46,6 +46,11 @@
         Link { state: State::Opening, rest }
     }
 
+    /// One that rests since then, at another process until now.
+    pub fn resting(rest: Micros, since: Micros) -> Self {
+        Link { state: State::Resting { since }, rest }
+    }
+
     pub fn state(&self) -> State {
         self.state
     }
--- a/core/src/machine/mod.rs
+++ b/core/src/machine/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod consumer;
 pub mod drain;
+pub mod handover;
 pub mod link;
 pub mod notices;
 pub mod watch;
@@ -67,6 +68,8 @@
         watch::Watch::table(),
         notices::Notices::table(),
         drain::Drain::table(),
+        handover::Giver::table(),
+        handover::Taker::table(),
     ]
 }
 
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -109,6 +109,34 @@
         None
     }
 
+    /// Takes out all that rests: the provider, its address, since when, and the connection.
+    pub fn take_resting(&mut self) -> Vec<(u32, SocketAddr, Micros, C)> {
+        self.rests = 0;
+        let all = self.all.iter_mut().flat_map(|(n, p)| p.resting.drain(..).map(|r| (*n, r)));
+        all.filter_map(|(n, r)| Some((n, r.addr, r.link.since()?, r.connection))).collect()
+    }
+
+    /// One that rested in another process; given back where none may rest there.
+    pub fn rest(&mut self, provider: u32, addr: SocketAddr, since: Micros, connection: C) -> Option<C> {
+        let held = self.all.entry(provider).or_default();
+        if held.shut {
+            return Some(connection);
+        }
+        held.resting.push(Resting { link: Link::resting(self.rest, since), addr, connection });
+        self.rests += 1;
+        None
+    }
+
+    /// A call of another process goes on here.
+    pub fn goes_on(&mut self) {
+        self.calls += 1;
+    }
+
+    /// Until when which providers take no call: what they have told to wait.
+    pub fn holds(&self) -> Vec<(u32, Micros)> {
+        self.all.iter().filter(|(_, p)| p.hold > 0).map(|(n, p)| (*n, p.hold)).collect()
+    }
+
     /// A connection for a call that found none.
     pub fn open(&self) -> Link {
         Link::opening(self.rest)
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -7,6 +7,7 @@
 use crate::note::Note;
 use crate::store::Store;
 use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList};
+use serde::{Deserialize, Serialize};
 use spurshore::breaks::{self, Break};
 use spurshore::{
     Entry, Facade, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
@@ -19,6 +20,9 @@
 use std::sync::Arc;
 
 mod seen;
+mod state;
+
+pub use state::{ResumeError, State, mark};
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
@@ -107,7 +111,7 @@
     UnknownDest,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Owed {
     parcel: Arc<Parcel>,
     dest: u64,
@@ -120,7 +124,7 @@
 }
 
 /// What is known of a message whose body is passed on as it comes.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 struct Stream {
     /// A part of its body is gone: no attempt can have all of it any more.
     committed: bool,
@@ -144,7 +148,7 @@
 }
 
 /// A call that is out.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Out {
     sent: Micros,
     provider: u32,
@@ -155,11 +159,16 @@
     written: Option<Micros>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Known {
     addr: Option<SocketAddr>,
     dest: u64,
     zone: u32,
+    /// `usize::MAX`: of none that the settings know.
+    kind: usize,
+    weight: f64,
+    /// As discovery lists it.
+    state: ListState,
     gone: Option<Micros>,
 }
 
@@ -232,44 +241,11 @@
         disk: u64,
         now: Micros,
     ) -> Result<(Self, Vec<Step>), RouterError> {
-        let mut zones = Names::default();
-        let mut settings: Settings = settings(env, &mut zones).map_err(RouterError::Decode)?;
-        if let Some(limits) = streams {
-            let slots = (limits.part_of_slots * f64::from(settings.slots)) as u32;
-            (settings.stream_slots, settings.stream_part) = (slots.max(1), limits.part_of_window);
-        }
-        let open_cap = settings.open_cap as usize;
+        let (settings, _) = settings_of(env, streams)?;
         let mut notes = Vec::new();
         let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
-        let mut router = Router {
-            facade: Facade::new(settings, seed)?,
-            classes: env.categories.iter().map(|c| c.name.clone()).collect(),
-            kinds: env.skus.as_slice().into(),
-            zones: Arc::new(zones),
-            open_cap,
-            streams_most: streams.map_or(0, |limits| limits.most),
-            provider_names: Arc::default(),
-            providers: BTreeMap::new(),
-            by_dest: BTreeMap::new(),
-            went: BTreeSet::new(),
-            version: 0,
-            heard: false,
-            journal,
-            owed: BTreeMap::new(),
-            ids: HashMap::new(),
-            over: HashMap::new(),
-            over_order: VecDeque::new(),
-            out: BTreeMap::new(),
-            out_at: BTreeSet::new(),
-            notices: Line::default(),
-            unwritten: Line::default(),
-            write_at: Micros::MAX,
-            next: book.next,
-            stopping: false,
-            ready: false,
-            notes,
-            counters: Counters::default(),
-        };
+        let facade = Facade::new(settings, seed)?;
+        let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
         let mut steps = router.list(known, now);
         router.heard = false;
         for (id, end, until) in book.over {
@@ -337,6 +313,47 @@
         Ok((router, steps))
     }
 
+    /// One that owes nothing and knows nobody.
+    fn fresh(
+        env: &Env,
+        streams: Option<StreamLimits>,
+        facade: Facade,
+        journal: Journal<S>,
+        next: MsgId,
+        notes: Vec<Note>,
+    ) -> Result<Self, RouterError> {
+        let (settings, zones) = settings_of(env, streams)?;
+        Ok(Router {
+            facade,
+            classes: env.categories.iter().map(|c| c.name.clone()).collect(),
+            kinds: env.skus.as_slice().into(),
+            zones: Arc::new(zones),
+            open_cap: settings.open_cap as usize,
+            streams_most: streams.map_or(0, |limits| limits.most),
+            provider_names: Arc::default(),
+            providers: BTreeMap::new(),
+            by_dest: BTreeMap::new(),
+            went: BTreeSet::new(),
+            version: 0,
+            heard: false,
+            journal,
+            owed: BTreeMap::new(),
+            ids: HashMap::new(),
+            over: HashMap::new(),
+            over_order: VecDeque::new(),
+            out: BTreeMap::new(),
+            out_at: BTreeSet::new(),
+            notices: Line::default(),
+            unwritten: Line::default(),
+            write_at: Micros::MAX,
+            next,
+            stopping: false,
+            ready: false,
+            notes,
+            counters: Counters::default(),
+        })
+    }
+
     /// A consumer hands in an invocation.
     pub fn take_on(&mut self, invocation: Invocation, now: Micros) -> (Intake, Vec<Step>) {
         self.take(invocation, false, now)
@@ -583,9 +600,9 @@
             let kind = self.kinds.iter().position(|k| *k == p.kind).unwrap_or(usize::MAX);
             let addr = p.addr.or(self.providers.get(&n).and_then(|known| known.addr));
             let gone = (p.state == ListState::Gone).then_some(now);
-            self.know(n, Known { addr, dest: p.dest, zone, gone });
-            steps.push(Step::Gate { provider: n, open: p.state == ListState::Ready });
             let (dest, weight, state) = (p.dest, p.weight, p.state);
+            self.know(n, Known { addr, dest, zone, kind, weight, state, gone });
+            steps.push(Step::Gate { provider: n, open: p.state == ListState::Ready });
             entries.push(Entry { endpoint: n, dest, kind, zone, weight, state });
         }
         let kind = if list.full { ListKind::Whole } else { ListKind::Delta };
@@ -869,6 +886,17 @@
     }
 }
 
+/// What the module is told, and the zones' numbers.
+fn settings_of(env: &Env, streams: Option<StreamLimits>) -> Result<(Settings, Names), RouterError> {
+    let mut zones = Names::default();
+    let mut settings: Settings = settings(env, &mut zones).map_err(RouterError::Decode)?;
+    if let Some(limits) = streams {
+        let slots = (limits.part_of_slots * f64::from(settings.slots)) as u32;
+        (settings.stream_slots, settings.stream_part) = (slots.max(1), limits.part_of_window);
+    }
+    Ok((settings, zones))
+}
+
 impl Stream {
     /// How it ends if it is not delivered.
     fn ending(&self) -> Ending {
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -18,8 +18,10 @@
         let lens = [providers.len(), owed.len(), over_order.len(), out.len(), notices.len()];
         lens.into_iter().for_each(|n| eye.word(n as u64));
         for (n, p) in providers {
-            let Known { addr, dest, zone, gone } = p;
+            let Known { addr, dest, zone, kind: _, weight, state, gone } = p;
             eye.endpoint(*n);
+            eye.word(*state as u64);
+            eye.real(*weight);
             see_text(provider_names.name(u64::from(*n)), eye);
             [*dest, u64::from(*zone), addr.map_or(0, |a| a.port().into())]
                 .into_iter()
--- /dev/null
+++ b/core/src/router/state.rs
@@ -0,0 +1,122 @@
+//! The router's state from one process to the next.
+
+use super::*;
+
+/// All that a router decides from, but for its settings and its journal's file.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct State {
+    /// Of the settings that the state was made under.
+    settings: u32,
+    facade: Facade,
+    zones: Names,
+    provider_names: Names,
+    providers: BTreeMap<u32, Known>,
+    version: u64,
+    heard: bool,
+    owed: BTreeMap<MsgId, Owed>,
+    over: Vec<(String, End, Micros)>,
+    out: BTreeMap<CallId, Out>,
+    notices: Vec<MsgId>,
+    unwritten: Vec<MsgId>,
+    write_at: Micros,
+    next: MsgId,
+    counters: Counters,
+}
+
+/// Why a state can't be gone on from; the journal still can.
+#[derive(Debug, thiserror::Error)]
+pub enum ResumeError {
+    #[error("the other process runs under other settings")]
+    OtherSettings,
+    #[error("the journal does not tell of the same messages")]
+    OtherJournal,
+    #[error(transparent)]
+    Router(#[from] RouterError),
+}
+
+/// Tells settings apart: a state's numbers stand for other names under others.
+pub fn mark(env: &Env, streams: Option<StreamLimits>) -> Result<u32, RouterError> {
+    let (settings, _) = settings_of(env, streams)?;
+    let classes: Vec<_> = env.categories.iter().map(|c| &c.name).collect();
+    Ok(crc32fast::hash(format!("{settings:?} {classes:?} {:?} {streams:?}", env.skus).as_bytes()))
+}
+
+impl<S: Store> Router<S> {
+    /// All that it decides from; `settings`: their [`mark`].
+    pub fn state(&self, settings: u32) -> State {
+        let over = self.over_order.iter();
+        let over = over.filter_map(|(id, until)| Some((id.clone(), *self.over.get(id)?, *until)));
+        State {
+            settings,
+            facade: self.facade.clone(),
+            zones: Names::clone(&self.zones),
+            provider_names: Names::clone(&self.provider_names),
+            providers: self.providers.clone(),
+            version: self.version,
+            heard: self.heard,
+            owed: self.owed.clone(),
+            over: over.collect(),
+            out: self.out.clone(),
+            notices: self.notices.iter().collect(),
+            unwritten: self.unwritten.iter().collect(),
+            write_at: self.write_at,
+            next: self.next,
+            counters: self.counters.clone(),
+        }
+    }
+
+    /// Goes on from another process's state, whose journal the store holds; the steps are the first to carry out.
+    ///
+    /// # Errors
+    /// The state is none for these settings or this journal, or the store can't be read.
+    pub fn resume(
+        env: &Env,
+        streams: Option<StreamLimits>,
+        state: State,
+        store: S,
+        disk: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Step>), ResumeError> {
+        if state.settings != mark(env, streams)? {
+            return Err(ResumeError::OtherSettings);
+        }
+        let mut notes = Vec::new();
+        let (journal, book) = Journal::open(store, disk, now, &mut notes).map_err(RouterError::from)?;
+        if !book.owed.keys().eq(state.owed.keys()) || book.next > state.next {
+            return Err(ResumeError::OtherJournal);
+        }
+        let (settings, _) = settings_of(env, streams)?;
+        let facade = state.facade.resume(settings).map_err(RouterError::from)?;
+        let mut router = Self::fresh(env, streams, facade, journal, state.next, notes)?;
+        (router.zones, router.provider_names) = (Arc::new(state.zones), Arc::new(state.provider_names));
+        let mut steps = Vec::new();
+        for (n, known) in state.providers {
+            steps.push(Step::Gate {
+                provider: n,
+                open: known.state == ListState::Ready && known.gone.is_none(),
+            });
+            router.know(n, known);
+        }
+        (router.version, router.heard) = (state.version, state.heard);
+        for (id, end, until) in state.over {
+            router.remember(id, end, until);
+        }
+        router.ids = state.owed.iter().map(|(msg, owed)| (owed.parcel.id.clone(), *msg)).collect();
+        router.owed = state.owed;
+        router.out_at = state.out.iter().map(|(call, out)| (out.provider, *call)).collect();
+        router.out = state.out;
+        state.notices.into_iter().for_each(|msg| router.notices.push_back(msg));
+        state.unwritten.into_iter().for_each(|msg| router.unwritten.push_back(msg));
+        (router.write_at, router.counters, router.ready) = (state.write_at, state.counters, true);
+        if !router.notices.is_empty() {
+            steps.push(Step::Notify);
+        }
+        router.say(&mut steps);
+        Ok((router, steps))
+    }
+
+    /// The calls that are out.
+    pub fn calls_out(&self) -> Vec<CallId> {
+        self.out.keys().copied().collect()
+    }
+}
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -5,28 +5,33 @@
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
+use crate::transport::handover::{self, Handed, Life};
+use crate::transport::inherited::{self, InheritedError};
 use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
 use crate::transport::server::{Connections, serve};
 use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
-use actix_rt::time::{Instant, sleep, sleep_until};
-use quillmount_core::flow;
+use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use quillmount_core::pool::Pool;
-use quillmount_core::router::{Router, RouterError, StreamLimits};
+use quillmount_core::router::{self, Router, RouterError, StreamLimits};
+use quillmount_core::{flow, hub};
 use quillmount_operator::{Operator, OperatorError};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// After SIGTERM the front goes on dealing out connections for up to 0.4 s.
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest: calls end before this, and the process.
 const CALLS_END: Duration = Duration::from_millis(3_200);
 const STOP: Duration = Duration::from_millis(3_400);
+/// Operators may still call a process that has handed over: they learn late where the next one listens.
+const PASS_ON: Duration = Duration::from_secs(10);
 const LOOK: Duration = Duration::from_millis(20);
 /// Descriptors for what is neither a consumer's connection nor a provider's: some twenty, and as many
 /// that a closed connection still holds for a moment.
@@ -50,6 +55,8 @@
     Operators { addr: SocketAddr, source: std::io::Error },
     #[error("journal: {0}")]
     Folder(std::io::Error),
+    #[error("GW_INHERITED_FD: {0}")]
+    Inherited(#[from] InheritedError),
     #[error("signals: {0}")]
     Signals(std::io::Error),
 }
@@ -70,16 +77,11 @@
     // not ask.
     let callers = if config.operator.is_some() { operators::CALLERS } else { 0 };
     let most = config.sockets.saturating_sub(OWN_SOCKETS + callers) / 2;
-    let pool = Pool::new(config.idle().as_micros() as u64, most);
-    let known = config.known.clone();
-    let store = Folder::open(&config.state).map_err(RunError::Folder)?;
-    let (limits, rules) = streams(&operator.streams).unzip();
-    let (router, steps) =
-        Router::open_with(&config.env, limits, config.seed, known, store, config.disk, clock.now())?;
-    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
-    let addr = config.listen;
-    let listener = TcpListener::bind(addr).await.map_err(|source| RunError::Listen { addr, source })?;
-    let operators = match config.operator {
+    let inherited = match std::env::var("GW_INHERITED_FD") {
+        Ok(number) => Some(inherited::listener(&number, config.listen)?),
+        Err(_) => None,
+    };
+    let early = match config.operator {
         None => None,
         Some(addr) => {
             let bound = TcpListener::bind(addr).await;
@@ -88,6 +90,41 @@
             Some(listener)
         }
     };
+    let (lock, handed) = handover::take(&config.state, &clock).await.map_err(RunError::Folder)?;
+    let pool = Pool::new(config.idle().as_micros() as u64, most);
+    let (limits, rules) = streams(&operator.streams).unzip();
+    let mark = router::mark(&config.env, limits)?;
+    let store = || Folder::open(&config.state).map_err(RunError::Folder);
+    // What was handed over, but for the state, and the first steps.
+    let (mut came, mut first) = (None, None);
+    if let Some(Handed { state: hub::State { router: state, holds }, drained, parts }) = handed {
+        match Router::resume(&config.env, limits, state, store()?, config.disk, clock.now()) {
+            Ok((router, steps)) => {
+                came = Some((holds, drained, parts));
+                first = Some((router, steps));
+            }
+            Err(e) => tracing::error!("upgrade: what was handed over is of no use, the journal is read: {e}"),
+        }
+    }
+    let (router, steps) = match first {
+        Some(first) => first,
+        None => {
+            let (seed, known) = (config.seed, config.known.clone());
+            Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?
+        }
+    };
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
+    let listener = match (inherited, came.as_mut()) {
+        (Some(listener), _) => TcpListener::from_std(listener),
+        // Bound by the process before, which has handed it over too.
+        (None, Some((.., parts))) => match handover::listener(parts) {
+            Some(listener) => TcpListener::from_std(listener),
+            None => TcpListener::bind(config.listen).await,
+        },
+        (None, None) => TcpListener::bind(config.listen).await,
+    };
+    let addr = config.listen;
+    let listener = listener.map_err(|source| RunError::Listen { addr, source })?;
     let bound = listener.local_addr().unwrap_or(addr);
     tracing::info!(
         "{}: serving on {bound}; discovery at {}; {}",
@@ -97,27 +134,63 @@
     );
 
     let connections = Rc::new(Connections::new(clock.clone(), most, config.memory / BODIES));
-    courier.begin(steps);
-    actix_rt::spawn(courier.clone().keep_time());
-    actix_rt::spawn(courier.clone().sweep());
     let (moves, discovery) = watch::channel(config.discovery);
-    actix_rt::spawn(platform::watch(courier.clone(), discovery.clone()));
-    actix_rt::spawn(platform::notify(courier.clone(), discovery));
+    let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
+    let listener = Rc::new(listener);
+    let begin = {
+        let (courier, connections, listener) = (courier.clone(), connections.clone(), listener.clone());
+        move || {
+            vec![
+                actix_rt::spawn(serve(listener.clone(), courier.clone(), connections.clone())),
+                actix_rt::spawn(courier.clone().keep_time()),
+                actix_rt::spawn(courier.clone().sweep()),
+                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone())),
+                actix_rt::spawn(platform::notify(courier.clone(), discovery.clone())),
+            ]
+        }
+    };
+    let life = Rc::new(Life {
+        courier: courier.clone(),
+        connections: connections.clone(),
+        desk: desk.clone(),
+        folder: config.state.clone(),
+        mark,
+        listener,
+        giver: RefCell::default(),
+        lock: Cell::new(Some(lock)),
+        begin: Box::new(begin),
+        tasks: RefCell::default(),
+        gone: Notify::new(),
+    });
+    match came {
+        None => courier.begin(steps),
+        Some((holds, drained, parts)) => {
+            tracing::info!("upgrade: {} parts came over", parts.len());
+            courier.resume(&holds, steps);
+            life.adopt(parts);
+            if drained {
+                desk.drained();
+            }
+        }
+    }
     // Through a planned stop too: the last notices go where the platform is by then.
     let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
-    if let Some(operators) = operators {
-        let desk = Desk::new(courier.clone(), connections.clone());
-        actix_rt::spawn(desk.clone().keep_time());
+    life.begin();
+    courier.set_serving(true);
+    if let Err(e) = life.listen() {
+        tracing::error!("upgrade: the next process will not be heard: {e}");
+    }
+    actix_rt::spawn(desk.clone().keep_time());
+    if let Some(operators) = early {
         actix_rt::spawn(operators::serve(operators, desk));
     }
-    let server = actix_rt::spawn(serve(listener, courier.clone(), connections.clone()));
-    courier.set_serving(true);
 
     loop {
         tokio::select! {
             _ = stop.recv() => break,
             _ = interrupt.recv() => break,
+            () = life.gone.notified() => return gone(&config, &mut stop).await,
             _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
     }
@@ -126,7 +199,9 @@
     courier.stop(clock.now() + CALLS_END.as_micros() as u64);
     connections.close_after_answers(true);
     sleep(ACCEPT_ON).await;
-    server.abort();
+    if let Some(server) = life.tasks.borrow().first() {
+        server.abort();
+    }
     while begun.elapsed() < STOP {
         if begun.elapsed() >= CALLS_END {
             courier.end_streams();
@@ -142,6 +217,15 @@
     Ok(())
 }
 
+/// Another process decides: operators' calls are passed on to it, until this one is told to end.
+async fn gone(config: &Config, stop: &mut Signal) -> Result<(), RunError> {
+    if config.operator.is_some() {
+        let _ = timeout(PASS_ON, stop.recv()).await;
+    }
+    tracing::info!("{}: stopped; another process has taken over", config.name);
+    Ok(())
+}
+
 /// What the operator file lets be streamed.
 fn streams(told: &quillmount_operator::Streams) -> Option<(StreamLimits, Rules)> {
     let micros =
--- /dev/null
+++ b/courier/src/transport/channel.rs
@@ -0,0 +1,163 @@
+//! Frames and descriptors over the Unix socket between a courier's processes.
+
+use actix_rt::net::TcpStream;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use tokio::io::Interest;
+use tokio::net::UnixStream;
+
+/// What both sides say first: another version is not read, and its process restores from the journal instead.
+const HELLO: [u8; 6] = *b"qmh\x00\x00\x01";
+/// A frame holds the whole state at most: what is owed, which fits into the share of the disk, and what is known of
+/// some thousands of destinations.
+const FRAME_MAX: usize = 16 * 1024 * 1024;
+const READ: usize = 64 * 1024;
+/// Descriptors in one message, sent and read: one to a frame, and the kernel never joins two such messages.
+const FDS: usize = 4;
+
+/// Where the process that holds the folder listens for the next one.
+pub fn path(folder: &Path) -> PathBuf {
+    folder.join("handover")
+}
+
+/// One connection between two processes.
+pub struct Channel {
+    stream: UnixStream,
+    inbox: Vec<u8>,
+    fds: VecDeque<OwnedFd>,
+}
+
+impl Channel {
+    /// Greets the other side.
+    ///
+    /// # Errors
+    /// It is gone, or of another version.
+    pub async fn open(stream: UnixStream) -> io::Result<Channel> {
+        let mut channel = Channel { stream, inbox: Vec::new(), fds: VecDeque::new() };
+        channel.write(&HELLO, None).await?;
+        while channel.inbox.len() < HELLO.len() {
+            channel.read().await?;
+        }
+        if !channel.inbox.starts_with(&HELLO) {
+            return Err(io::Error::new(ErrorKind::InvalidData, "another version"));
+        }
+        channel.inbox.drain(..HELLO.len());
+        Ok(channel)
+    }
+
+    /// The other side's process.
+    pub fn peer(stream: &UnixStream) -> Option<i32> {
+        stream.peer_cred().ok()?.pid()
+    }
+
+    /// Sends a frame, and a descriptor with it.
+    ///
+    /// # Errors
+    /// The other side is gone.
+    pub async fn send<T: Serialize>(&mut self, frame: &T, fd: Option<BorrowedFd<'_>>) -> io::Result<()> {
+        let payload = postcard::to_allocvec(frame).map_err(io::Error::other)?;
+        let len = u32::try_from(payload.len()).ok().filter(|len| *len as usize <= FRAME_MAX);
+        let len = len.ok_or_else(|| io::Error::other("a frame over its limit"))?;
+        let mut bytes = len.to_le_bytes().to_vec();
+        bytes.extend_from_slice(&payload);
+        self.write(&bytes, fd).await
+    }
+
+    /// The next frame; its descriptor is the next of [`Channel::fd`].
+    ///
+    /// # Errors
+    /// The other side is gone, or says what can't be read.
+    pub async fn recv<T: DeserializeOwned>(&mut self) -> io::Result<T> {
+        let wrong = |what: String| io::Error::new(ErrorKind::InvalidData, what);
+        loop {
+            if let Some((len, rest)) = self.inbox.split_first_chunk::<4>() {
+                let len = u32::from_le_bytes(*len) as usize;
+                if len > FRAME_MAX {
+                    return Err(wrong(format!("a frame of {len} bytes")));
+                }
+                if rest.len() >= len {
+                    let frame = postcard::from_bytes(&rest[..len]).map_err(|e| wrong(e.to_string()))?;
+                    self.inbox.drain(..4 + len);
+                    return Ok(frame);
+                }
+            }
+            self.read().await?;
+        }
+    }
+
+    /// The next descriptor that came.
+    pub fn fd(&mut self) -> Option<OwnedFd> {
+        self.fds.pop_front()
+    }
+
+    async fn write(&mut self, mut bytes: &[u8], mut fd: Option<BorrowedFd<'_>>) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let sent = self.stream.async_io(Interest::WRITABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut control = SendAncillaryBuffer::new(&mut space);
+                let fds = fd.as_slice();
+                if !fds.is_empty() {
+                    control.push(SendAncillaryMessage::ScmRights(fds));
+                }
+                let sent = rustix::net::sendmsg(
+                    self.stream.as_fd(),
+                    &[IoSlice::new(bytes)],
+                    &mut control,
+                    SendFlags::NOSIGNAL,
+                );
+                sent.map_err(io::Error::from)
+            });
+            bytes = &bytes[sent.await?..];
+            fd = None;
+        }
+        Ok(())
+    }
+
+    async fn read(&mut self) -> io::Result<()> {
+        let mut piece = vec![0; READ];
+        let (stream, fds) = (&self.stream, &mut self.fds);
+        let read = stream.async_io(Interest::READABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(FDS))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let got = rustix::net::recvmsg(
+                stream.as_fd(),
+                &mut [IoSliceMut::new(&mut piece)],
+                &mut control,
+                RecvFlags::CMSG_CLOEXEC,
+            )
+            .map_err(io::Error::from)?;
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(came) = message {
+                    fds.extend(came);
+                }
+            }
+            Ok(got.bytes)
+        });
+        match read.await? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            n => {
+                self.inbox.extend_from_slice(&piece[..n]);
+                Ok(())
+            }
+        }
+    }
+}
+
+/// A connection that came from another process.
+///
+/// # Errors
+/// The descriptor is no socket.
+pub fn adopt(fd: OwnedFd) -> io::Result<TcpStream> {
+    let stream = std::net::TcpStream::from(fd);
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -2,12 +2,14 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
-use super::providers::{self, Words};
+use super::handover::Part;
+use super::providers::{self, Came, Words};
 use super::streams::{self, Pipe, Rules, Streams};
 use actix_rt::net::TcpStream;
+use quillmount_core::call::{self, Call};
 use quillmount_core::counters::Counters;
 use quillmount_core::flow::{Cut, Flow};
-use quillmount_core::hub::{Do, Hub};
+use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
@@ -15,6 +17,7 @@
 use spurshore::{Micros, MsgId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -39,6 +42,11 @@
     serving: Cell<bool>,
     /// A planned stop has begun.
     stopping: Cell<bool>,
+    /// Another process goes on: tasks give their parts up.
+    hands_over: Cell<bool>,
+    /// Nothing is decided here any more, or not now.
+    frozen: Cell<bool>,
+    parts: RefCell<Vec<(Part, Option<TcpStream>)>>,
     /// Operators have emptied it: the front is told no.
     drained: Cell<bool>,
     /// The router's next wake-up may have moved.
@@ -66,6 +74,9 @@
             serving: Cell::new(false),
             stopping: Cell::new(false),
             drained: Cell::new(false),
+            hands_over: Cell::new(false),
+            frozen: Cell::new(false),
+            parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
         })
@@ -93,6 +104,90 @@
         self.serving.get() && !self.drained.get()
     }
 
+    pub fn is_drained(&self) -> bool {
+        self.drained.get()
+    }
+
+    /// Tasks are to give their parts up to another process.
+    pub fn hands_over(&self) -> bool {
+        self.hands_over.get()
+    }
+
+    /// A task gives its part up.
+    pub fn give(&self, part: Part, stream: Option<TcpStream>) {
+        self.parts.borrow_mut().push((part, stream));
+    }
+
+    /// Asks all calls to give their parts up; streams end as at a planned stop.
+    pub fn hand_over(self: &Rc<Self>) {
+        self.end_streams();
+        self.hands_over.set(true);
+        self.words.borrow().values().for_each(|words| words.give());
+    }
+
+    /// Calls whose parts are still to be given up.
+    pub fn to_give(&self) -> usize {
+        self.words.borrow().len()
+    }
+
+    /// The parts that were given up so far.
+    pub fn given(&self) -> Vec<(Part, Option<TcpStream>)> {
+        self.parts.take()
+    }
+
+    /// Another process has taken over, or the planned stop is done.
+    pub fn has_ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// From here on nothing is decided: all state, and all parts.
+    pub fn freeze(&self, settings: u32) -> (hub::State, Vec<(Part, Option<TcpStream>)>) {
+        self.frozen.set(true);
+        let mut parts = self.parts.take();
+        let resting = self.pool(Pool::take_resting);
+        parts.extend(
+            resting.into_iter().map(|(provider, addr, since, stream)| {
+                (Part::Resting { provider, addr, since }, Some(stream))
+            }),
+        );
+        (self.hub.borrow().state(settings), parts)
+    }
+
+    /// Decides again, as if nothing had been asked.
+    pub fn thaw(&self) {
+        self.frozen.set(false);
+        self.hands_over.set(false);
+    }
+
+    /// Takes up a call of another process, or of this one before it froze.
+    pub fn go_on(self: &Rc<Self>, part: call::Part, stream: Option<TcpStream>) {
+        let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
+        let call = providers::go_on(self, part, stream);
+        tracing::debug!("call: {id:?} to {addr}, destination {dest}, goes on");
+        self.make(id, addr, call, tracing::Span::none());
+    }
+
+    /// Takes up a connection that rests.
+    pub fn rest(&self, provider: u32, addr: SocketAddr, since: Micros, stream: TcpStream) {
+        drop(self.pool(|pool| pool.rest(provider, addr, since, stream)));
+    }
+
+    /// Calls that are out by the state of another process, and came without their parts: they may have run.
+    pub fn calls_lost(self: &Rc<Self>) {
+        let out = self.hub.borrow().router.calls_out();
+        for call in out.into_iter().filter(|call| !self.words.borrow().contains_key(call)) {
+            tracing::warn!("upgrade: call {call:?} did not come over");
+            let todo = self.hub.borrow_mut().call_ended(call, CallEnd::Reset, self.clock.now());
+            self.carry_out(todo);
+        }
+    }
+
+    /// The first steps of a state that another process had.
+    pub fn resume(self: &Rc<Self>, holds: &[(u32, Micros)], steps: Vec<quillmount_core::router::Step>) {
+        let todo = self.hub.borrow_mut().resume(holds, steps, self.clock.now());
+        self.carry_out(todo);
+    }
+
     pub fn set_drained(&self, drained: bool) {
         self.drained.set(drained);
     }
@@ -193,6 +288,10 @@
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
+        if self.frozen.get() {
+            // Whoever decides next watches from the version that is known.
+            return;
+        }
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
         let todo = self.hub.borrow_mut().list(list, self.clock.now());
@@ -220,6 +319,10 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
+        if self.frozen.get() {
+            // Told twice does no harm.
+            return;
+        }
         let todo = self.hub.borrow_mut().told(notices, self.clock.now());
         self.carry_out(todo);
     }
@@ -255,6 +358,9 @@
                     }
                 }
             }
+            if self.frozen.get() {
+                return;
+            }
             if wake.is_some_and(|at| at <= self.clock.now()) {
                 let todo = self.hub.borrow_mut().tick(self.clock.now());
                 self.carry_out(todo);
@@ -296,29 +402,45 @@
 
     fn call(self: &Rc<Self>, call: InvokerCall) {
         tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
-        let words = Rc::new(Words::default());
-        self.words.borrow_mut().insert(call.call, words.clone());
-        let this = self.clone();
         let span = tracing::debug_span!(
             "call",
             id = call.invocation.id.as_str(),
             dest = call.dest,
             attempt = call.call.attempt
         );
+        let (id, addr) = (call.call, call.addr);
+        let call = providers::begin(call, self.clock.now());
+        self.make(id, addr, call, span);
+    }
+
+    /// Makes a call, from where it stands.
+    fn make(
+        self: &Rc<Self>,
+        id: CallId,
+        addr: SocketAddr,
+        call: (Call<TcpStream>, Micros),
+        span: tracing::Span,
+    ) {
+        let words = Rc::new(Words::default());
+        self.words.borrow_mut().insert(id, words.clone());
+        let this = self.clone();
         let made = async move {
-            let (id, addr) = (call.call, call.addr);
-            let end = if call.stream {
+            let came = if call.0.order.stream {
                 let pipe = this.pipes.borrow().get(&id.msg).cloned();
-                match pipe {
+                Came::Ended(match pipe {
                     // On the heap: every other call would carry the room for it along.
-                    Some(pipe) => Box::pin(streams::call(&this, call, &words, &pipe)).await,
+                    Some(pipe) => Box::pin(streams::call(&this, call.0.order, &words, &pipe)).await,
                     // Its consumer has gone: its body with it.
                     None => CallEnd::HeldBack,
-                }
+                })
             } else {
                 providers::call(&this, call, &words).await
             };
             this.words.borrow_mut().remove(&id);
+            let end = match came {
+                Came::Ended(end) => end,
+                Came::Given(part, stream) => return this.give(Part::Call(part), stream),
+            };
             let todo = this.hub.borrow_mut().call_ended(id, end, this.clock.now());
             tracing::debug!("call ended: {id:?} to {addr}: {end:?}");
             this.carry_out(todo);
--- /dev/null
+++ b/courier/src/transport/handover.rs
@@ -0,0 +1,431 @@
+//! An upgrade on sockets: what moves from one process to the next, and the two sides' drivers.
+//!
+//! `core/src/machine/handover.rs` decides; `docs/operators-design.md` says why all sockets move.
+
+use super::channel::{self, Channel};
+use super::clock::Clock;
+use super::courier::Courier;
+use super::operators::Desk;
+use super::server::Connections;
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::time::{sleep, timeout};
+use quillmount_core::call;
+use quillmount_core::hub;
+use quillmount_core::machine::consumer;
+use quillmount_core::machine::handover::{Giver, GiverInput, GiverOutput, Taker, TakerInput, TakerOutput};
+use serde::{Deserialize, Serialize};
+use spurshore::Micros;
+use std::cell::{Cell, RefCell};
+use std::fs::{File, Permissions, TryLockError};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Notify;
+
+/// Connections of other processes at once: one takes over, and one passes operators' calls on; more are turned away.
+const PEERS: usize = 4;
+/// Between two looks whether the tasks have given their parts up.
+const LOOK: Duration = Duration::from_millis(1);
+/// An operator's call that is passed on is answered within this: it is owed an answer within 1 s.
+const PASS_ON: Duration = Duration::from_millis(800);
+
+/// What moves with a descriptor, or without where none is held.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Part {
+    /// The listening socket of the consumers.
+    Listener,
+    /// A consumer's connection, and what has been read of its request.
+    Consumer { state: consumer::State, bytes: Vec<u8> },
+    /// A connection to a provider, at rest.
+    Resting { provider: u32, addr: SocketAddr, since: Micros },
+    /// A call that is out.
+    Call(Box<call::Part>),
+}
+
+#[derive(Serialize, Deserialize)]
+enum Frame {
+    /// The first word of a process that starts.
+    Ask,
+    /// The first word of one that has handed over: an operator's line.
+    Line(String),
+    /// The answer to that.
+    Said(String),
+    Busy,
+    /// So many parts follow, each with a word whether a descriptor comes with it.
+    State {
+        state: Box<hub::State>,
+        drained: bool,
+        parts: usize,
+    },
+    Got,
+    LetGo,
+}
+
+/// The folder's lock; it ends with the process or its drop.
+#[derive(Debug)]
+pub struct Lock {
+    _file: File,
+}
+
+impl Lock {
+    /// `None`: another process holds it.
+    fn take(folder: &Path) -> io::Result<Option<Lock>> {
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join("lock");
+        let file = File::options().create(true).append(true).open(&path)?;
+        match file.try_lock() {
+            Ok(()) => Ok(Some(Lock { _file: file })),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(e)) => Err(e),
+        }
+    }
+}
+
+/// All that another process handed over.
+pub struct Handed {
+    pub state: hub::State,
+    pub drained: bool,
+    pub parts: Vec<(Part, Option<OwnedFd>)>,
+}
+
+/// Takes the folder: at once where nobody holds it, else from its holder.
+///
+/// # Errors
+/// The lock's file can't be had.
+pub async fn take(folder: &Path, clock: &Clock) -> io::Result<(Lock, Option<Handed>)> {
+    let mut machine = Taker::new(clock.now());
+    let (mut channel, mut handed, mut holder) = (None, None, None);
+    let mut todo = TakerOutput::Lock;
+    loop {
+        let input = match todo {
+            TakerOutput::Lock => match Lock::take(folder)? {
+                None => TakerInput::Held,
+                Some(lock) => match machine.step(TakerInput::Locked, clock.now()) {
+                    TakerOutput::Resume => return Ok((lock, handed)),
+                    _ => return Ok((lock, None)),
+                },
+            },
+            TakerOutput::Ask => {
+                handed = None;
+                // A holder that starts does not listen yet, and one that stops does not any more.
+                match UnixStream::connect(channel::path(folder)).await {
+                    Err(_) => TakerInput::Busy,
+                    Ok(stream) => {
+                        holder = Channel::peer(&stream);
+                        tracing::info!("upgrade: asking process {}", holder.unwrap_or_default());
+                        let asked = receive(stream, &mut machine, clock).await;
+                        asked.map_or_else(
+                            |input| input,
+                            |(came, from)| {
+                                (handed, channel) = (Some(came), Some(from));
+                                TakerInput::All
+                            },
+                        )
+                    }
+                }
+            }
+            TakerOutput::Confirm => match &mut channel {
+                Some(from) => confirm(from, &machine, clock).await,
+                None => TakerInput::Lost,
+            },
+            TakerOutput::End => {
+                match holder.and_then(rustix::process::Pid::from_raw) {
+                    Some(pid) => {
+                        tracing::warn!("upgrade: process {pid:?} does not hand over: it is ended");
+                        // Where it is gone already, so is its lock.
+                        let _ = rustix::process::kill_process(pid, rustix::process::Signal::KILL);
+                    }
+                    None => tracing::error!("upgrade: another process holds {}", folder.display()),
+                }
+                TakerInput::Tick
+            }
+            _ => {
+                sleep(clock.until(machine.wake_at().unwrap_or_default())).await;
+                TakerInput::Tick
+            }
+        };
+        if input == TakerInput::Lost {
+            (channel, handed) = (None, None);
+        }
+        todo = machine.step(input, clock.now());
+    }
+}
+
+async fn in_time<T>(
+    machine: &Taker,
+    clock: &Clock,
+    what: impl Future<Output = io::Result<T>>,
+) -> Result<T, TakerInput> {
+    match timeout(clock.until(machine.wake_at().unwrap_or_default()), what).await {
+        Ok(Ok(came)) => Ok(came),
+        Ok(Err(e)) => {
+            tracing::warn!("upgrade: the holder's word: {e}");
+            Err(TakerInput::Lost)
+        }
+        Err(_) => Err(TakerInput::Tick),
+    }
+}
+
+/// Asks, and reads all that comes.
+async fn receive(
+    stream: UnixStream,
+    machine: &mut Taker,
+    clock: &Clock,
+) -> Result<(Handed, Channel), TakerInput> {
+    let mut channel = in_time(machine, clock, Channel::open(stream)).await?;
+    in_time(machine, clock, channel.send(&Frame::Ask, None)).await?;
+    let Frame::State { state, drained, parts: count } = in_time(machine, clock, channel.recv()).await? else {
+        return Err(TakerInput::Busy);
+    };
+    let mut parts = Vec::new();
+    for _ in 0..count {
+        machine.step(TakerInput::Part, clock.now());
+        let (part, held): (Part, bool) = in_time(machine, clock, channel.recv()).await?;
+        let fd = if held { Some(channel.fd().ok_or(TakerInput::Lost)?) } else { None };
+        parts.push((part, fd));
+    }
+    Ok((Handed { state: *state, drained, parts }, channel))
+}
+
+async fn confirm(channel: &mut Channel, machine: &Taker, clock: &Clock) -> TakerInput {
+    let word = async {
+        channel.send(&Frame::Got, None).await?;
+        channel.recv().await
+    };
+    match in_time(machine, clock, word).await {
+        Ok(Frame::LetGo) => TakerInput::LetGo,
+        Ok(_) => TakerInput::Lost,
+        Err(input) => input,
+    }
+}
+
+/// Passes an operator's line on to the process that has taken over.
+pub async fn pass_on(folder: &Path, line: String) -> io::Result<String> {
+    let passed = async {
+        let mut channel = Channel::open(UnixStream::connect(channel::path(folder)).await?).await?;
+        channel.send(&Frame::Line(line), None).await?;
+        match channel.recv().await? {
+            Frame::Said(said) => Ok(said),
+            _ => Err(io::Error::other("no answer")),
+        }
+    };
+    timeout(PASS_ON, passed).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// The consumers' listening socket among what came.
+pub fn listener(parts: &mut Vec<(Part, Option<OwnedFd>)>) -> Option<std::net::TcpListener> {
+    let place = parts.iter().position(|(part, _)| matches!(part, Part::Listener))?;
+    let listener = std::net::TcpListener::from(parts.swap_remove(place).1?);
+    listener.set_nonblocking(true).ok()?;
+    Some(listener)
+}
+
+/// What the deciding process needs to hand over, and to take back.
+pub struct Life {
+    pub courier: Rc<Courier>,
+    pub connections: Rc<Connections>,
+    pub desk: Rc<Desk>,
+    pub folder: PathBuf,
+    /// Of the settings it decides under.
+    pub mark: u32,
+    /// The consumers' listening socket.
+    pub listener: Rc<TcpListener>,
+    pub giver: RefCell<Giver>,
+    pub lock: Cell<Option<Lock>>,
+    /// Begins its tasks: the server, the clock, the watch and the notices.
+    pub begin: Box<dyn Fn() -> Vec<tokio::task::JoinHandle<()>>>,
+    pub tasks: RefCell<Vec<tokio::task::JoinHandle<()>>>,
+    pub gone: Notify,
+}
+
+impl Life {
+    /// Puts a part to work.
+    fn put(&self, part: Part, stream: Option<TcpStream>) {
+        match (part, stream) {
+            (Part::Consumer { state, bytes }, Some(stream)) => {
+                self.connections.admit(&self.courier, stream, Some((state, bytes[..].into())));
+            }
+            (Part::Resting { provider, addr, since }, Some(stream)) => {
+                self.courier.rest(provider, addr, since, stream);
+            }
+            (Part::Call(part), stream) => self.courier.go_on(*part, stream),
+            // The listener has its place already; what came without its socket is gone.
+            _ => {}
+        }
+    }
+
+    /// Goes on with what another process handed over.
+    pub fn adopt(&self, parts: Vec<(Part, Option<OwnedFd>)>) {
+        for (part, fd) in parts {
+            let stream = match (&part, fd) {
+                (Part::Listener, _) => continue,
+                (_, fd) => fd.and_then(|fd| channel::adopt(fd).ok()),
+            };
+            self.put(part, stream);
+        }
+        self.courier.calls_lost();
+    }
+
+    /// Begins to serve.
+    pub fn begin(&self) {
+        *self.tasks.borrow_mut() = (self.begin)();
+    }
+
+    /// Listens for the next process until this one has handed over.
+    ///
+    /// # Errors
+    /// The socket can't be had.
+    pub fn listen(self: &Rc<Self>) -> io::Result<()> {
+        let path = channel::path(&self.folder);
+        // Of a process that is gone: the lock is ours.
+        match std::fs::remove_file(&path) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let listener = UnixListener::bind(&path)?;
+        std::fs::set_permissions(&path, Permissions::from_mode(0o600))?;
+        let life = self.clone();
+        actix_rt::spawn(async move {
+            let peers = Rc::new(Cell::new(0));
+            loop {
+                tokio::select! {
+                    biased;
+                    () = life.gone.notified() => break,
+                    Ok((stream, _)) = listener.accept() => {
+                        if peers.get() < PEERS {
+                            peers.set(peers.get() + 1);
+                            let (life, peers) = (life.clone(), peers.clone());
+                            actix_rt::spawn(async move {
+                                if let Err(e) = life.attend(stream).await {
+                                    tracing::debug!("upgrade: another process: {e}");
+                                }
+                                peers.set(peers.get() - 1);
+                            });
+                        }
+                    }
+                }
+            }
+            life.gone.notify_one();
+        });
+        Ok(())
+    }
+
+    async fn attend(&self, stream: UnixStream) -> io::Result<()> {
+        let opened = timeout(PASS_ON, async {
+            let mut channel = Channel::open(stream).await?;
+            let frame = channel.recv().await?;
+            Ok::<_, io::Error>((channel, frame))
+        });
+        let (mut channel, frame) = opened.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        match frame {
+            Frame::Line(line) => channel.send(&Frame::Said(self.desk.answer(&line).await), None).await,
+            Frame::Ask if self.courier.is_stopping() => channel.send(&Frame::Busy, None).await,
+            Frame::Ask => {
+                let output = self.giver.borrow_mut().step(GiverInput::Asked, self.courier.clock.now());
+                match output {
+                    GiverOutput::Collect => self.hand_over(&mut channel).await,
+                    _ => channel.send(&Frame::Busy, None).await,
+                }
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn step(&self, input: GiverInput) -> GiverOutput {
+        self.giver.borrow_mut().step(input, self.courier.clock.now())
+    }
+
+    /// Hands all over, or takes all back.
+    async fn hand_over(&self, channel: &mut Channel) -> io::Result<()> {
+        let clock = &self.courier.clock;
+        let begun = clock.now();
+        tracing::info!("upgrade: another process asks; {}", self.courier.report());
+        self.courier.hand_over();
+        self.connections.give();
+        let server_runs = || self.tasks.borrow().first().is_some_and(|server| !server.is_finished());
+        while self.courier.to_give() + self.connections.to_give() > 0 || server_runs() {
+            sleep(LOOK).await;
+            if self.step(GiverInput::Tick) == GiverOutput::TakeBack {
+                tracing::warn!(
+                    "upgrade: {} calls and {} connections did not give way",
+                    self.courier.to_give(),
+                    self.connections.to_give()
+                );
+                self.take_back(Vec::new());
+                return Ok(());
+            }
+        }
+        let frozen = clock.now();
+        let (state, parts) = self.courier.freeze(self.mark);
+        self.step(GiverInput::Collected);
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        let until = self.giver.borrow().wake_at().unwrap_or_default();
+        let sent = timeout(clock.until(until), self.send(channel, state, &parts)).await;
+        let word = match sent {
+            Ok(Ok(())) => GiverInput::Got,
+            Ok(Err(e)) => {
+                tracing::warn!("upgrade: the other process: {e}");
+                GiverInput::Lost
+            }
+            Err(_) => GiverInput::Tick,
+        };
+        match self.step(word) {
+            GiverOutput::LetGo => {
+                let count = parts.len();
+                drop(parts);
+                drop(self.lock.take());
+                self.courier.end();
+                tracing::info!(
+                    "upgrade: handed over {count} parts in {} us, of which {} us without a decision",
+                    clock.now() - begun,
+                    clock.now() - frozen
+                );
+                let said = channel.send(&Frame::LetGo, None).await;
+                self.gone.notify_one();
+                said
+            }
+            _ => {
+                self.take_back(parts);
+                Ok(())
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        channel: &mut Channel,
+        state: hub::State,
+        parts: &[(Part, Option<TcpStream>)],
+    ) -> io::Result<()> {
+        let drained = self.courier.is_drained();
+        let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1 };
+        channel.send(&first, None).await?;
+        drop(first);
+        channel.send(&(Part::Listener, true), Some(self.listener.as_fd())).await?;
+        for (part, stream) in parts {
+            let fd = stream.as_ref().map(AsFd::as_fd);
+            channel.send(&(part, fd.is_some()), fd).await?;
+        }
+        match channel.recv().await? {
+            Frame::Got => Ok(()),
+            _ => Err(io::Error::other("not confirmed")),
+        }
+    }
+
+    /// Goes on as if nothing had been asked.
+    fn take_back(&self, parts: Vec<(Part, Option<TcpStream>)>) {
+        tracing::warn!("upgrade: not handed over; this process goes on");
+        self.courier.thaw();
+        let (given, rest) = (self.courier.given(), parts);
+        for (part, stream) in rest.into_iter().chain(given) {
+            self.put(part, stream);
+        }
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        self.begin();
+    }
+}
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -1,8 +1,11 @@
 //! Sockets: the server that consumers reach, and the clients of providers and of the platform.
 
+pub mod channel;
 pub mod clock;
 pub mod courier;
 pub mod folder;
+pub mod handover;
+pub mod inherited;
 pub mod operators;
 pub mod platform;
 pub mod providers;
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -1,13 +1,15 @@
 //! The listener that operators call, and what their calls come to.
 
 use super::courier::Courier;
+use super::handover;
 use super::server::Connections;
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
 use quillmount_core::machine::drain::{Drain, Input, Output};
-use quillmount_protocol::operator::{self, Call, LINE_MAX, Line};
+use quillmount_protocol::operator::{self, BadCall, Call, LINE_MAX, Line};
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,6 +23,8 @@
 /// What is read behind an answer, so that it is not lost to a reset.
 const LINGER: Duration = Duration::from_millis(200);
 const LINGER_MAX: usize = 64 * 1024;
+/// Between two looks who decides, while this process hands over.
+const LOOK: Duration = Duration::from_millis(2);
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 
@@ -30,11 +34,44 @@
     connections: Rc<Connections>,
     drain: RefCell<Drain>,
     moved: Notify,
+    /// Where the process listens that takes over.
+    folder: PathBuf,
 }
 
 impl Desk {
-    pub fn new(courier: Rc<Courier>, connections: Rc<Connections>) -> Rc<Self> {
-        Rc::new(Desk { courier, connections, drain: RefCell::default(), moved: Notify::new() })
+    pub fn new(courier: Rc<Courier>, connections: Rc<Connections>, folder: PathBuf) -> Rc<Self> {
+        Rc::new(Desk { courier, connections, drain: RefCell::default(), moved: Notify::new(), folder })
+    }
+
+    /// Goes on with the drain of another process.
+    pub fn drained(&self) {
+        self.step(Input::Drain);
+    }
+
+    /// The answer to a line, from this process or from the one that has taken over.
+    pub async fn answer(&self, line: &str) -> String {
+        let call = match operator::read(line.as_bytes(), true) {
+            Line::Whole(call) => call,
+            Line::Partial => Err(BadCall::Unended),
+        };
+        // What changes now would not be among what is handed over; it is not known yet who decides.
+        while self.courier.hands_over() && !self.courier.has_ended() {
+            sleep(LOOK).await;
+        }
+        let said = match &call {
+            Ok(_) if self.courier.has_ended() => match handover::pass_on(&self.folder, line.into()).await {
+                Ok(said) => return said,
+                Err(e) => Err(format!("another process has taken over, and can't be asked: {e}")),
+            },
+            Ok(call) => self.call(call),
+            Err(why) => Err(why.to_string()),
+        };
+        match (&call, &said) {
+            (Ok(Call::Ready), _) => {}
+            (Ok(call), said) => tracing::info!("operators: {call:?}: {said:?}"),
+            (Err(why), _) => tracing::info!("operators: no call: {why}"),
+        }
+        operator::answer(said.as_deref().map_err(String::as_str))
     }
 
     /// Looks for connections at rest while the courier is drained.
@@ -116,17 +153,11 @@
 
 /// One caller: a line, its answer, the end.
 async fn attend(mut stream: TcpStream, desk: Rc<Desk>) {
-    let Ok(Some(call)) = timeout(CALL, heard(&mut stream)).await else { return };
-    let said = match &call {
-        Ok(call) => desk.call(call),
-        Err(why) => Err(why.to_string()),
+    let Ok(Some(line)) = timeout(CALL, heard(&mut stream)).await else { return };
+    let answer = match line {
+        Ok(line) => desk.answer(&line).await,
+        Err(why) => operator::answer(Err(&why.to_string())),
     };
-    match (&call, &said) {
-        (Ok(Call::Ready), _) => {}
-        (Ok(call), said) => tracing::info!("operators: {call:?}: {said:?}"),
-        (Err(why), _) => tracing::info!("operators: no call: {why}"),
-    }
-    let answer = operator::answer(said.as_deref().map_err(String::as_str));
     let told = async {
         stream.write_all(answer.as_bytes()).await?;
         stream.shutdown().await
@@ -147,7 +178,7 @@
 }
 
 /// Reads one line, in whatever pieces it comes; `None`: the caller has gone without a word.
-async fn heard(stream: &mut TcpStream) -> Option<Result<Call, operator::BadCall>> {
+async fn heard(stream: &mut TcpStream) -> Option<Result<String, BadCall>> {
     let mut bytes = Vec::with_capacity(64);
     let mut piece = [0; LINE_MAX];
     loop {
@@ -156,8 +187,13 @@
         if n == 0 && bytes.is_empty() {
             return None;
         }
-        if let Line::Whole(call) = operator::read(&bytes, n == 0) {
-            return Some(call);
+        match operator::read(&bytes, n == 0) {
+            Line::Partial => {}
+            Line::Whole(Err(why)) => return Some(Err(why)),
+            Line::Whole(Ok(_)) => {
+                let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |end| end + 1);
+                return Some(String::from_utf8(bytes[..end].into()).map_err(|_| BadCall::NotText));
+            }
         }
     }
 }
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -34,8 +34,9 @@
 /// Watches discovery for as long as the courier runs, whatever discovery does. When it moves, the old
 /// watch goes on until the new one has answered, so that no change is missed in between.
 pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery) {
-    let mut older: Vec<AbortHandle> = Vec::new();
+    let mut tasks = Tasks::default();
     loop {
+        let older = &mut tasks.0;
         let addr = *discovery.borrow_and_update();
         let task = actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone()));
         older.retain(|task| !task.is_finished());
@@ -46,6 +47,16 @@
     }
 }
 
+/// The watches, which end with their keeper.
+#[derive(Default)]
+struct Tasks(Vec<AbortHandle>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        self.0.iter().for_each(AbortHandle::abort);
+    }
+}
+
 /// Watches at one address, until discovery has moved from there.
 async fn follow(courier: Rc<Courier>, addr: SocketAddr, discovery: Discovery, mut older: Vec<AbortHandle>) {
     let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(RETRY_MAX)));
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -8,14 +8,13 @@
 use super::courier::Courier;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
-use quillmount_core::call::Call;
+use quillmount_core::call::{self, Call, Told};
 use quillmount_core::machine::attempt::{Input, State};
 use quillmount_core::{CallEnd, InvokerCall};
 use quillmount_protocol::invoker::{self, ANSWER_MAX};
 use spurshore::Micros;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
@@ -29,6 +28,8 @@
     hold: Cell<bool>,
     ended: Cell<bool>,
     said: Notify,
+    /// Another process goes on with the call.
+    give: Notify,
 }
 
 impl Words {
@@ -43,6 +44,11 @@
         self.said.notify_one();
     }
 
+    /// The call is to be given up to another process.
+    pub fn give(&self) {
+        self.give.notify_one();
+    }
+
     /// What was told to wait for is told to a call that has begun only.
     pub fn forget_hold(&self) {
         self.hold.set(false);
@@ -128,21 +134,54 @@
     }
 }
 
-/// Makes one call, once.
-pub async fn call(courier: &Courier, order: InvokerCall, words: &Words) -> CallEnd {
-    let (clock, addr) = (&courier.clock, order.addr);
-    let deadline = sleep(Duration::from_micros(order.timeout));
+/// A call at its beginning, or in the middle where another process had it until now.
+pub fn begin(order: InvokerCall, now: Micros) -> (Call<TcpStream>, Micros) {
+    let until = now.saturating_add(order.timeout);
+    (Call::new(order, invoker::decode, ANSWER_MAX), until)
+}
+
+/// Goes on with a call of another process.
+pub fn go_on(
+    courier: &Courier,
+    part: call::Part,
+    connection: Option<TcpStream>,
+) -> (Call<TcpStream>, Micros) {
+    let until = part.until;
+    let call = courier.pool(|pool| Call::resumed(part, invoker::decode, ANSWER_MAX, connection, pool));
+    (call, until)
+}
+
+/// What a call came to in this process.
+pub enum Came {
+    Ended(CallEnd),
+    /// Another process goes on with it.
+    Given(Box<call::Part>, Option<TcpStream>),
+}
+
+/// Makes one call, once; `until`: when its time is up.
+pub async fn call(courier: &Courier, (mut call, until): (Call<TcpStream>, Micros), words: &Words) -> Came {
+    let (clock, addr) = (&courier.clock, call.order.addr);
+    let deadline = sleep(clock.until(until));
     tokio::pin!(deadline);
-    let mut call = Call::new(order, invoker::decode, ANSWER_MAX);
     let mut request = Vec::new();
-    let mut told = courier.pool(|pool| call.start(pool, clock.now(), is_quiet));
+    if courier.hands_over() {
+        return given(courier, call, until);
+    }
+    let mut told = match call.state() {
+        State::New => courier.pool(|pool| call.start(pool, clock.now(), is_quiet)),
+        State::Writing { written: 1.. } => {
+            request = invoker::encode(&call.order);
+            Told { end: None, finish: false, gone: None }
+        }
+        _ => Told { end: None, finish: false, gone: None },
+    };
     loop {
         // What is to be closed is closed with it.
-        drop(told.gone);
+        drop(told.gone.take());
         if let Some(end) = told.end {
-            return end;
+            return Came::Ended(end);
         }
-        if told.finish
+        if std::mem::take(&mut told.finish)
             && let Some((stream, _)) = call.parts()
         {
             // Where it can't be told, the connection is gone already.
@@ -153,10 +192,14 @@
             words.forget_hold();
             request = invoker::encode(&call.order);
         }
+        if courier.hands_over() {
+            return given(courier, call, until);
+        }
         let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
                 biased;
                 // The word first: it may keep the call from leaving.
+                () = words.give.notified() => continue,
                 word = words.heard(state) => word,
                 stream = timeout(courier.connect, connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
@@ -171,6 +214,7 @@
             (State::Writing { written }, Some((stream, _))) => {
                 tokio::select! {
                     biased;
+                    () = words.give.notified() => continue,
                     word = words.heard(state) => word,
                     wrote = stream.write(&request[written..]) => match wrote {
                         Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: request.len() - written - bytes },
@@ -185,6 +229,7 @@
                 tokio::select! {
                     biased;
                     read = read(stream, answer) => read,
+                    () = words.give.notified() => continue,
                     word = words.heard(state) => word,
                     () = &mut deadline => Input::Deadline,
                     tick = tick(clock, rest) => tick,
@@ -197,3 +242,8 @@
         told = courier.pool(|pool| call.step(pool, input, clock.now()));
     }
 }
+
+fn given(courier: &Courier, call: Call<TcpStream>, until: Micros) -> Came {
+    let (part, connection) = courier.pool(|pool| call.part(pool, until));
+    Came::Given(Box::new(part), connection)
+}
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -5,6 +5,7 @@
 
 use super::clock::Clock;
 use super::courier::Courier;
+use super::handover::Part;
 use super::streams;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{Codec, Message, MessageType};
@@ -23,7 +24,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -68,6 +68,8 @@
     room: u64,
     under_way: Cell<u64>,
     closing: Cell<bool>,
+    /// No connection is accepted any more: another process does it from here on.
+    accepts: Notify,
     malformed: Cell<(u64, Option<Instant>)>,
     /// One of them has ended.
     left: Notify,
@@ -83,6 +85,7 @@
             room,
             under_way: Cell::new(0),
             closing: Cell::new(false),
+            accepts: Notify::new(),
             malformed: Cell::default(),
             left: Notify::new(),
         }
@@ -100,6 +103,33 @@
         !self.crowd.borrow().is_empty()
     }
 
+    /// Asks all connections, and whoever accepts them, to give their parts up to another process.
+    pub fn give(&self) {
+        self.accepts.notify_one();
+        self.tasks.borrow().values().for_each(|task| task.leave.notify_one());
+    }
+
+    /// Connections whose parts are still to be given up; those that are closing are not.
+    pub fn to_give(&self) -> usize {
+        self.crowd.borrow().to_give()
+    }
+
+    /// Lets a connection in: a new one, or one of another process with what it had read of it.
+    pub fn admit(self: &Rc<Self>, courier: &Rc<Courier>, stream: TcpStream, had: Option<(State, BytesMut)>) {
+        // An answer must not wait for the acknowledgement of the one before; where it can't be said, it waits.
+        let _ = stream.set_nodelay(true);
+        let number = self.crowd.borrow_mut().enter(self.clock.now());
+        let (state, buf) = had.unwrap_or_else(|| (Consumer::default().state(), BytesMut::new()));
+        self.is(number, state);
+        let entry = Entry(self.clone(), number);
+        let codec = Codec::new(ServiceConfig::default());
+        let (courier, leave) = (courier.clone(), Rc::new(Notify::new()));
+        let head = Bytes::new();
+        let conversation = Conversation { stream, codec, head, buf, courier, entry, leave: leave.clone() };
+        let task = actix_rt::spawn(conversation.run(state)).abort_handle();
+        self.tasks.borrow_mut().insert(number, Task { task, leave });
+    }
+
     fn ask_to_leave(&self, number: u64) {
         if let Some(task) = self.tasks.borrow().get(&number) {
             task.leave.notify_one();
@@ -165,25 +195,23 @@
     }
 }
 
-/// Accepts and serves until it is dropped.
-pub async fn serve(listener: TcpListener, courier: Rc<Courier>, connections: Rc<Connections>) {
-    let config = ServiceConfig::default();
+/// Accepts and serves until it is dropped, or another process accepts.
+pub async fn serve(listener: Rc<TcpListener>, courier: Rc<Courier>, connections: Rc<Connections>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
+        // What is accepted is served: a connection dropped in between would be one turned back unheard.
+        let accepted = tokio::select! {
+            biased;
+            () = connections.accepts.notified() => match courier.hands_over() {
+                true => return,
+                false => continue,
+            },
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
                 courier.count(|c| c.connections += 1);
                 connections.make_room().await;
-                // An answer must not wait for the acknowledgement of the one before.
-                if let Err(e) = stream.set_nodelay(true) {
-                    tracing::debug!("server: {peer}: {e}");
-                }
-                let number = connections.crowd.borrow_mut().enter(connections.clock.now());
-                let entry = Entry(connections.clone(), number);
-                let codec = Codec::new(config.clone());
-                let (courier, buf, leave) = (courier.clone(), BytesMut::new(), Rc::new(Notify::new()));
-                let conversation = Conversation { stream, codec, buf, courier, entry, leave: leave.clone() };
-                let task = actix_rt::spawn(conversation.run(peer)).abort_handle();
-                connections.tasks.borrow_mut().insert(number, Task { task, leave });
+                connections.admit(&courier, stream, None);
             }
             Err(e) => {
                 tracing::warn!("server: accept: {e}");
@@ -197,6 +225,8 @@
 struct Conversation {
     stream: TcpStream,
     codec: Codec,
+    /// The head of the request whose body is still to come whole, as it was read.
+    head: Bytes,
     buf: BytesMut,
     courier: Rc<Courier>,
     entry: Entry,
@@ -204,27 +234,37 @@
 }
 
 impl Conversation {
-    async fn run(mut self, peer: SocketAddr) {
-        if let Err(e) = self.converse().await {
-            tracing::debug!("server: {peer}: {e}");
+    async fn run(mut self, state: State) {
+        match self.converse(state).await {
+            Err(e) => tracing::debug!("server: a consumer's connection: {e}"),
+            // It leaves the table with its part given.
+            Ok(Some(state)) => {
+                let mut bytes = BytesMut::from(&self.head[..]);
+                bytes.extend_from_slice(&self.buf);
+                let Conversation { stream, courier, .. } = self;
+                courier.give(Part::Consumer { state, bytes: bytes.into() }, Some(stream));
+            }
+            Ok(None) => {}
         }
     }
 
-    /// Does what the connection's machine says, until it closes.
-    async fn converse(&mut self) -> io::Result<()> {
+    /// Does what the connection's machine says, until it closes; gives its state where another process goes on.
+    async fn converse(&mut self, state: State) -> io::Result<Option<State>> {
         let (connections, number) = (self.entry.0.clone(), self.entry.1);
-        let mut machine = Consumer::default();
-        let mut todo = Output::Read;
+        let (mut machine, mut todo) = Consumer::resumed(state);
         let mut answer = None;
         loop {
+            if self.courier.hands_over() && matches!(todo, Output::Read | Output::Rest) {
+                return Ok(Some(machine.state()));
+            }
             let input = match todo {
                 Output::Read => {
-                    let (given, input) = self.asked(&connections).await?;
+                    let Some((given, input)) = self.asked(&connections).await? else { continue };
                     answer = given;
                     input
                 }
                 Output::Answer { closes } => {
-                    let Some((mut answer, msg)) = answer.take() else { return Ok(()) };
+                    let Some((mut answer, msg)) = answer.take() else { return Ok(None) };
                     if closes {
                         answer.head_mut().set_connection_type(ConnectionType::Close);
                     }
@@ -241,7 +281,10 @@
                     tokio::select! {
                         biased;
                         _ = self.stream.readable() => Input::Readable,
-                        () = self.leave.notified() => Input::Leave,
+                        () = self.leave.notified() => match self.courier.hands_over() {
+                            true => continue,
+                            false => Input::Leave,
+                        },
                         () = sleep(REST) => Input::Leave,
                     }
                 }
@@ -253,7 +296,7 @@
                     self.linger().await?;
                     Input::Lingered
                 }
-                Output::Nothing | Output::Close => return Ok(()),
+                Output::Nothing | Output::Close => return Ok(None),
             };
             todo = machine.step(input);
             // Who is answered counts as asking still: the answer is small.
@@ -263,9 +306,10 @@
         }
     }
 
-    /// Waits for a request, and gives its answer.
-    async fn asked(&mut self, connections: &Connections) -> io::Result<(Option<Answer>, Input)> {
+    /// Waits for a request, and gives its answer; nothing where another process goes on waiting.
+    async fn asked(&mut self, connections: &Connections) -> io::Result<Option<(Option<Answer>, Input)>> {
         let (leave, mut by) = (self.leave.clone(), Instant::now() + REQUEST);
+        let courier = self.courier.clone();
         let asked = {
             let request = self.request(connections);
             tokio::pin!(request);
@@ -273,8 +317,13 @@
                 tokio::select! {
                     biased;
                     asked = &mut request => break Some(asked?),
-                    // Room is short: what is on its way has a moment left.
-                    () = leave.notified() => by = by.min(Instant::now() + LAST_LOOK),
+                    () = leave.notified() => {
+                        if courier.hands_over() {
+                            return Ok(None);
+                        }
+                        // Room is short: what is on its way has a moment left.
+                        by = by.min(Instant::now() + LAST_LOOK);
+                    }
                     () = sleep_until(by) => break None,
                 }
             }
@@ -294,7 +343,7 @@
                 streamed = msg;
                 (answer, true)
             }
-            Asked::Nothing => return Ok((None, Input::Silent)),
+            Asked::Nothing => return Ok(Some((None, Input::Silent))),
             Asked::Answered(answer) | Asked::Probed(answer) => (answer, false),
             Asked::Malformed(why) => {
                 self.courier.count(|c| c.malformed += 1);
@@ -304,7 +353,7 @@
         };
         let told = answer.head().connection_type() == ConnectionType::Close;
         let closes = closes || told || !self.codec.keep_alive() || connections.closing.get();
-        Ok((Some((answer, streamed)), Input::Asked { probe, closes }))
+        Ok(Some((Some((answer, streamed)), Input::Asked { probe, closes })))
     }
 
     /// Passes a request's body on as it comes; gives the final answer, and the number of the message that it ends.
@@ -376,9 +425,11 @@
         if invocation::has_bare_line_end(&self.buf) {
             return Ok(Malformed::Unreadable.into());
         }
+        let before = self.buf.clone().freeze();
         let Ok(Some(Message::Item(request))) = self.codec.decode(&mut self.buf) else {
             return Ok(Malformed::Unreadable.into());
         };
+        self.head = before.slice(..before.len().saturating_sub(self.buf.len()));
         if self.streams(&request) {
             return Ok(Asked::Stream(request));
         }
@@ -413,6 +464,7 @@
                 _ => return Ok(Malformed::Unreadable.into()),
             }
         }
+        self.head = Bytes::new();
         // A consumer sends one request at a time: what stands behind this one has no good reason.
         if !self.buf.is_empty() || self.stream.try_read_buf(&mut self.buf).is_ok_and(|n| n > 0) {
             return Ok(Malformed::Behind.into());
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -5,6 +5,7 @@
 use quillmount_standins::http::Reader;
 use quillmount_standins::provider::{self, Script};
 use quillmount_standins::{Eyes, Seen, What, operator, platform};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -68,6 +69,22 @@
     }
 }
 
+impl Stage {
+    /// The calls that begin from here on, by message, until each of these has been answered.
+    async fn calls_until_answered(&mut self, ids: &[&str]) -> BTreeMap<String, u32> {
+        let (mut calls, mut left) = (BTreeMap::new(), ids.to_vec());
+        while !left.is_empty() {
+            let Seen { id, what, .. } = self.seen.recv().await.unwrap();
+            match what {
+                What::CallBegan => *calls.entry(id).or_default() += 1,
+                What::Answered(_) => left.retain(|one| *one != id),
+                _ => {}
+            }
+        }
+        calls
+    }
+}
+
 /// Asks on a connection that stays open whether the courier is ready; the status, and whether it closes.
 async fn ready(on: &mut TcpStream) -> (u16, bool) {
     on.write_all(b"GET /-/ready HTTP/1.1\r\nHost: backend.local\r\n\r\n").await.unwrap();
@@ -135,3 +152,83 @@
         assert!(stage.courier.ended().await.unwrap().success());
     });
 }
+
+/// A consumer's connection that stays open: hands in one message, and reads the answer.
+async fn hand_in_on(on: &mut TcpStream, id: &str) -> u16 {
+    let invocation = Invocation::new("paid-notice", id, 7, LONG);
+    let mut with = invocation.clone();
+    with.headers += "Content-Length: 4\r\n";
+    on.write_all(&[with.head().as_bytes(), b"body"].concat()).await.unwrap();
+    Reader::new(&mut *on).head().await.unwrap().expect("an answer").status()
+}
+
+#[test]
+fn an_upgrade_goes_on_in_the_middle_of_calls_and_requests() {
+    play(|| async {
+        let delay = Duration::from_millis(700);
+        let mut stage = stage(Script { delay, ..Script::default() }).await;
+        let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
+        assert_eq!(hand_in_on(&mut rests, "before").await, 202);
+        stage.sees("before", |what| matches!(what, What::Body { .. })).await;
+        // Two requests that have come in part: within the head, and within the body.
+        let mut with = Invocation::new("paid-notice", "in-head", 7, LONG);
+        with.headers += "Content-Length: 4\r\n";
+        let (head, mut in_head) = (with.head(), TcpStream::connect(stage.courier.addr).await.unwrap());
+        in_head.write_all(&head.as_bytes()[..40]).await.unwrap();
+        with.id = "in-body".into();
+        let mut in_body = TcpStream::connect(stage.courier.addr).await.unwrap();
+        in_body.write_all(&[with.head().as_bytes(), b"bo"].concat()).await.unwrap();
+        // The courier has read as far as that.
+        assert_eq!(ready(&mut rests).await.0, 200);
+        let mut old = stage.courier.upgrade().unwrap();
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+        assert_eq!(hand_in_on(&mut rests, "after").await, 202, "its connection is still open");
+        in_head.write_all(&[&head.as_bytes()[40..], b"body"].concat()).await.unwrap();
+        assert_eq!(Reader::new(&mut in_head).head().await.unwrap().unwrap().status(), 202);
+        in_body.write_all(b"dy").await.unwrap();
+        assert_eq!(Reader::new(&mut in_body).head().await.unwrap().unwrap().status(), 202);
+        // The old process passes on what operators still tell it, and ends when it is told to.
+        let said = operator::call(old.operators.unwrap(), &[b"DRAIN\n"]).await.unwrap();
+        assert!(said.starts_with("SUCCESS"), "{said}");
+        assert_eq!(ready(&mut rests).await, (503, true));
+        old.term().unwrap();
+        assert!(old.ended().await.unwrap().success());
+        // The call that was out when the process changed was not made again: its one answer counts.
+        let calls = stage.calls_until_answered(&["before", "after", "in-head", "in-body"]).await;
+        assert_eq!(calls, [("after".into(), 1), ("in-body".into(), 1), ("in-head".into(), 1)].into());
+        stage.courier.kill_and_restart().unwrap();
+        assert_eq!(stage.hand_in("before").await, 200, "the journal has its delivery");
+    });
+}
+
+#[test]
+fn a_second_upgrade_follows_the_first() {
+    play(|| async {
+        let mut stage = stage(Script::silent()).await;
+        let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
+        assert_eq!(hand_in_on(&mut rests, "out").await, 202);
+        stage.sees("out", |what| matches!(what, What::Body { .. })).await;
+        let first = stage.courier.upgrade().unwrap();
+        let second = stage.courier.upgrade().unwrap();
+        drop((first, second));
+        assert_eq!(ready(&mut rests).await, (200, false));
+        // Killed in the middle of the call, the next one takes up the journal as ever.
+        stage.courier.kill_and_restart().unwrap();
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+    });
+}
+
+#[test]
+fn a_process_that_hangs_is_ended_and_its_journal_taken_up() {
+    play(|| async {
+        let mut stage = stage(Script::silent()).await;
+        assert_eq!(stage.hand_in("owed").await, 202);
+        stage.sees("owed", |what| matches!(what, What::Body { .. })).await;
+        stage.courier.hang().unwrap();
+        let mut old = stage.courier.upgrade().unwrap();
+        assert!(!old.ended().await.unwrap().success());
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+        // It is owed still, and its call is one that may have run: within its key's span it is made again.
+        stage.sees("owed", |what| *what == What::CallBegan).await;
+    });
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! What a sender is told at its start, decoded once for both programs: the simulator's adapter and
 //! the courier on sockets read the same settings object, with the same names and units.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use spurshore::*;
 use std::collections::BTreeMap;
 
@@ -92,7 +92,7 @@
 }
 
 /// Names of one instance on the wire against the numbers that the library sees.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Names {
     to_number: BTreeMap<String, u64>,
     to_name: BTreeMap<u64, String>,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -4,6 +4,7 @@
 use crate::breaks::{self, Break};
 use crate::interface::*;
 use crate::rules::Dispatcher;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// One thing that the host is to do.
@@ -39,7 +40,7 @@
 
 /// A sender's decisions behind plain calls. The clock is any that an earlier life shared: whole
 /// microseconds, such as Unix time.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Facade {
     dispatcher: Dispatcher,
     /// Calls ordered so far for each message that is not over.
@@ -52,6 +53,15 @@
         Ok(Facade { dispatcher: Dispatcher::new(settings, seed)?, calls: BTreeMap::new(), wake: None })
     }
 
+    /// Goes on from another process's state (this value, read back), under settings that say the same.
+    ///
+    /// # Errors
+    /// No instance can run under them.
+    pub fn resume(mut self, settings: Settings) -> Result<Self, SettingsError> {
+        self.dispatcher = self.dispatcher.resume(settings)?;
+        Ok(self)
+    }
+
     /// A message was handed in: which calls go out now?
     pub fn pick(&mut self, now: Micros, message: Message) -> Vec<Order> {
         self.calls.insert(message.id, 0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,7 +129,7 @@
 
 impl std::error::Error for SettingsError {}
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 pub enum ListState {
     Gone,
     Ready,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,4 @@
-//! Every decision of the dispatcher. The module's interface (settings, events, actions, ids) is
-//! `src/interface.rs`; nothing is decided, tabled or tuned anywhere but here.
-//!
+//! Every decision of the dispatcher (its interface: `src/interface.rs`); nothing is decided elsewhere.
 //! One mechanism decides the ordinary call: per lane (a destination, or a route where routes are
 //! separate) a smoothed latency CAL and a window w of calls in flight, after Gulati and Ahmad.
 //! What departs from it is marked DEPARTURE here and listed in `docs/design.md`.
@@ -12,6 +10,7 @@
 use std::sync::Arc;
 
 mod seen;
+mod state;
 
 const SEC: Micros = 1_000_000;
 const NEVER: Micros = Micros::MAX;
@@ -109,11 +108,11 @@
 const ASK_MAX: Micros = 4 * SEC;
 
 #[rustfmt::skip]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 enum Ran { Out, Never, Maybe }
 
 #[rustfmt::skip]
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 struct Attempt {
     endpoint: EndpointId, zone: u32, lane: usize, sent: Micros, ran: Ran,
     /// It went over a connection that had been idle; it was called off; its body is on its way.
@@ -123,7 +122,7 @@
 }
 
 #[rustfmt::skip]
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 struct Msg {
     class: usize, worth: f64, key: Option<u64>, dest: DestId,
     born: Micros, came: Micros, aim: Micros, deadline: Micros,
@@ -154,7 +153,7 @@
 }
 
 #[rustfmt::skip]
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 struct Endpoint {
     dest: DestId, lane: usize, zone: u32, rate: f64, listed: bool, calls: u32,
     /// When each idle connection was last used.
@@ -165,7 +164,7 @@
     lot: f64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 struct Dest {
     kind: usize,
     lanes: Vec<usize>,
@@ -175,7 +174,7 @@
 
 /// What messages have in common whose worth goes by their age alone, and that may go to the same places.
 #[rustfmt::skip]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Deserialize, serde::Serialize)]
 struct Alike {
     class: usize, worth: u64, aim: Micros, life: Micros, zone: Option<u32>, stream: bool, ordered: bool,
 }
@@ -184,7 +183,7 @@
 type Pick = (f64, MsgId, EndpointId, f64);
 
 #[rustfmt::skip]
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 struct Lane {
     dest: DestId, endpoints: Vec<EndpointId>,
     /// Messages out, oldest first, with the time each was sent.
@@ -211,10 +210,10 @@
 }
 
 /// One sender's decisions.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 #[rustfmt::skip]
 pub struct Dispatcher {
-    set: Arc<Settings>, rng: u64, now: Micros,
+    #[serde(skip)] set: Arc<Settings>, rng: u64, now: Micros,
     /// The least time-out.
     least: f64,
     msgs: BTreeMap<MsgId, Msg>, open: u32,
@@ -235,7 +234,7 @@
     /// No message is due before.
     look_at: Micros,
     timer: Micros, ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
-    acts: Vec<Action>,
+    #[serde(skip)] acts: Vec<Action>,
 }
 
 impl Dispatcher {
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -63,6 +63,50 @@
     pub log: Receiver<String>,
 }
 
+/// A courier's process that another has followed; dropped, it is killed.
+pub struct Former {
+    child: Child,
+    pub operators: Option<SocketAddr>,
+    pub log: Receiver<String>,
+}
+
+impl Drop for Former {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Former {
+    /// SIGTERM.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn term(&self) -> Result<()> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).map_err(Error::from)
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// It did not end in time.
+    pub async fn ended(&mut self) -> Result<ExitStatus> {
+        ended(&mut self.child).await
+    }
+}
+
+async fn ended(child: &mut Child) -> Result<ExitStatus> {
+    let by = Instant::now() + STOP;
+    while Instant::now() < by {
+        if let Some(status) = child.try_wait()? {
+            return Ok(status);
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Err(Error::other("the courier did not stop"))
+}
+
 impl Drop for Courier {
     fn drop(&mut self) {
         // Where it has ended already there is nothing to kill.
@@ -115,6 +159,27 @@
         Ok(())
     }
 
+    /// Another process with the same folder and configuration, which takes over; the one before is returned.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn upgrade(&mut self) -> Result<Former> {
+        let next = launch(&self.setup, &self.folder)?;
+        self.addr = next.addr;
+        let child = std::mem::replace(&mut self.child, next.child);
+        let operators = std::mem::replace(&mut self.operators, next.operators);
+        Ok(Former { child, operators, log: std::mem::replace(&mut self.log, next.log) })
+    }
+
+    /// SIGSTOP: it hangs from here on.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn hang(&self) -> Result<()> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::STOP).map_err(Error::from)
+    }
+
     /// SIGHUP.
     ///
     /// # Errors
@@ -138,14 +203,7 @@
     /// # Errors
     /// It did not end in time.
     pub async fn ended(&mut self) -> Result<ExitStatus> {
-        let by = Instant::now() + STOP;
-        while Instant::now() < by {
-            if let Some(status) = self.child.try_wait()? {
-                return Ok(status);
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        Err(Error::other("the courier did not stop"))
+        ended(&mut self.child).await
     }
 
     /// Its resident memory now and at most, in bytes; 0 where the system does not tell.
@@ -198,6 +256,7 @@
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
         .env_remove("GW_OPERATOR")
+        .env_remove("GW_INHERITED_FD")
         .stderr(Stdio::piped())
         .spawn()?;
     let log = child.stderr.take().ok_or_else(|| Error::other("the courier has no log"))?;
--- a/tables/src/aged.rs
+++ b/tables/src/aged.rs
@@ -1,5 +1,6 @@
 //! Things that are alike but for their age, of which the one that is worth most now is wanted.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{Excluded, Included};
 
@@ -12,7 +13,7 @@
 /// Things of one kind, by birth. What one is worth goes by its age alone, and rises or falls steadily between a few
 /// ages: then the best is the oldest or the youngest of those between two such ages, at any time, and no order has to be
 /// kept up as time passes.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Aged {
     all: BTreeSet<Item>,
 }
@@ -76,7 +77,8 @@
 }
 
 /// Things that wait, in the order of their places, and those of each kind by age. Adding and taking away costs O(log n).
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(bound(deserialize = "K: Ord + Deserialize<'de>"))]
 pub struct Held<K> {
     places: BTreeMap<u64, u64>,
     kinds: BTreeMap<K, Aged>,
--- a/tables/src/dues.rs
+++ b/tables/src/dues.rs
@@ -1,9 +1,10 @@
 //! When each of many things is due, and calls by the time they were sent.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A time for each number, and the first of all: O(log n) a change.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Dues {
     at: BTreeMap<u64, u64>,
     order: BTreeSet<(u64, u64)>,
--- a/tables/src/line.rs
+++ b/tables/src/line.rs
@@ -1,9 +1,10 @@
 //! A line in which anyone may leave from its place.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Numbers in the order in which they came, each of them once. Coming, leaving and looking for one cost O(log n).
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Line {
     order: BTreeMap<i64, u64>,
     places: BTreeMap<u64, i64>,
--- a/tables/src/recent.rs
+++ b/tables/src/recent.rs
@@ -1,5 +1,6 @@
 //! The tenth lowest of what was measured lately.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Values kept at most, a thousand a second for a minute: beyond that the oldest go before their time, and the span is
@@ -8,7 +9,7 @@
 
 /// Values of the last span of time, in two halves by size: a tenth of them is low, and the least of the others is asked
 /// for. Adding costs O(log n), asking O(log n).
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Recent {
     all: VecDeque<(u64, f64)>,
     /// How often each value is there, by its place in the total order.
