Take endpoints out at the operators' word, and put them back cold

Need: DISABLE and ENABLE failed; from the yes an endpoint counts as draining, over restarts and upgrades. Ruled out: a filter in the transport, a file of its own (docs/operators-design.md).

--- /dev/null
+++ b/core/src/holds.rs
@@ -0,0 +1,55 @@
+//! Endpoints that operators have taken out: a set of ids, laid over whatever discovery lists.
+
+use serde::{Deserialize, Serialize};
+use spurshore::ListState;
+use std::collections::BTreeSet;
+
+/// Ids that may be held at once: more than a courier's list has, and 90 KB of the journal at most.
+pub const HOLDS_MAX: usize = 512;
+/// The longest id that is held; discovery's take some ten bytes.
+pub const ID_MAX: usize = 128;
+
+/// Why a call for an endpoint is turned down; nothing has changed.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum HoldError {
+    #[error("no endpoint has the id {0:?}")]
+    Unknown(String),
+    #[error("{HOLDS_MAX} endpoints are out already")]
+    TooMany,
+    #[error("not written: {0}")]
+    NotWritten(#[from] crate::journal::JournalError),
+}
+
+/// The set.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holds {
+    ids: BTreeSet<String>,
+}
+
+impl Holds {
+    pub fn contains(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.ids.len() >= HOLDS_MAX
+    }
+
+    pub fn insert(&mut self, id: &str) {
+        self.ids.insert(id.to_string());
+    }
+
+    pub fn remove(&mut self, id: &str) {
+        self.ids.remove(id);
+    }
+
+    /// The ids, in their order.
+    pub fn iter(&self) -> impl Iterator<Item = &str> {
+        self.ids.iter().map(String::as_str)
+    }
+
+    /// What the module is shown of an endpoint that discovery lists so.
+    pub fn shown(&self, id: &str, listed: ListState) -> ListState {
+        if listed == ListState::Ready && self.contains(id) { ListState::Draining } else { listed }
+    }
+}
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -1,6 +1,7 @@
 //! The courier without its sockets: the router, the pool and the calls that are out, wired together. What
 //! is left to the driver is to move bytes, keep time and write the log.
 
+use crate::holds::HoldError;
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
@@ -73,6 +74,15 @@
         self.carry_out(steps, now)
     }
 
+    /// Operators take an endpoint out or put it back; see [`Router::disable`].
+    ///
+    /// # Errors
+    /// Nobody has the id, or its record could not be written: nothing has changed.
+    pub fn hold(&mut self, id: &str, held: bool, now: Micros) -> Result<Vec<Do<C>>, HoldError> {
+        let steps = if held { self.router.disable(id, now) } else { self.router.enable(id, now) };
+        Ok(self.carry_out(steps?, now))
+    }
+
     /// Time has passed; wanted at the router's `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Do<C>> {
         let steps = self.router.tick(now);
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use crate::Ending;
+use crate::holds::Holds;
 use crate::note::Note;
 use crate::store::Store;
 
@@ -68,6 +69,14 @@
         msg: MsgId,
         taken: TakenOn,
     },
+    /// Operators have taken this endpoint out.
+    Hold {
+        id: String,
+    },
+    /// They have put it back.
+    Release {
+        id: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,6 +127,8 @@
 pub struct Book {
     pub owed: BTreeMap<MsgId, Entry>,
     pub over: Vec<(String, End, Micros)>,
+    /// Endpoints that are out.
+    pub holds: Holds,
     /// Greater than every number ever used.
     pub next: MsgId,
 }
@@ -163,6 +174,8 @@
                 }
             }
             Record::Over { id, end, until } => self.over.push((id, end, until)),
+            Record::Hold { id } => self.holds.insert(&id),
+            Record::Release { id } => self.holds.remove(&id),
         }
     }
 
@@ -189,7 +202,8 @@
                 if entry.stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
             std::iter::once(first).chain(calls).chain(end)
         });
-        over.chain(owed)
+        let holds: Vec<_> = self.holds.iter().map(|id| Record::Hold { id: id.into() }).collect();
+        holds.into_iter().chain(over).chain(owed)
     }
 }
 
@@ -247,6 +261,8 @@
     live_sum: u64,
     /// Bytes of records that tell of what is over.
     over: u64,
+    /// Bytes of records that tell of endpoints that are out.
+    holds: u64,
 }
 
 fn io(what: &'static str) -> impl Fn(io::Error) -> JournalError {
@@ -264,7 +280,7 @@
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(Self, Book), JournalError> {
-        let mut journal = Journal { store, budget, live: BTreeMap::new(), live_sum: 0, over: 0 };
+        let mut journal = Journal { store, budget, live: BTreeMap::new(), live_sum: 0, over: 0, holds: 0 };
         let bytes = journal.store.read().map_err(io("read"))?;
         let mut book = Book::default();
         let sound = decode(&bytes, &mut book);
@@ -277,6 +293,7 @@
         for (msg, entry) in &book.owed {
             journal.count(*msg, encoded_len(&Record::TakeOn { msg: *msg, taken: entry.taken.clone() })?);
         }
+        journal.holds = book.holds.iter().map(over_len).sum();
         journal.over = book.over.iter().map(|(id, ..)| over_len(id)).sum();
         Ok((journal, book))
     }
@@ -310,8 +327,7 @@
         let record = if stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
         let frame = encode(&record)?;
         let len = frame.len() as u64;
-        // The old file and its compacted copy stand side by side for a moment.
-        if 2 * (self.live_sum + self.over + len + RESERVE) + 4 * BLOCK > self.budget {
+        if self.is_full(len + RESERVE) {
             return Err(JournalError::Full);
         }
         self.append(&frame, now, notes)?;
@@ -319,6 +335,34 @@
         Ok(())
     }
 
+    /// Records that an endpoint is out, or back.
+    ///
+    /// # Errors
+    /// Its share is full, or the store refused the record: then nothing of it is there.
+    pub fn hold(
+        &mut self,
+        id: &str,
+        held: bool,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
+        if held && self.is_full(over_len(id)) {
+            return Err(JournalError::Full);
+        }
+        let id = id.to_string();
+        let len = over_len(&id);
+        let frame = encode(&if held { Record::Hold { id } } else { Record::Release { id } })?;
+        self.append(&frame, now, notes)?;
+        self.holds = if held { self.holds + len } else { self.holds.saturating_sub(len) };
+        Ok(())
+    }
+
+    /// No room for so many more bytes that are to stay: the old file and its compacted copy stand side by side for a
+    /// moment.
+    fn is_full(&self, more: u64) -> bool {
+        2 * (self.live_sum + self.over + self.holds + more) + 4 * BLOCK > self.budget
+    }
+
     /// Records a step of an invocation that is owed.
     ///
     /// # Errors
@@ -346,7 +390,7 @@
 
     fn append(&mut self, frame: &[u8], now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
         let len = frame.len() as u64;
-        let copy = self.live_sum + self.over + len + RESERVE;
+        let copy = self.live_sum + self.over + self.holds + len + RESERVE;
         if self.store.len() + len + copy + 4 * BLOCK > self.budget {
             self.compact(now, notes)?;
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod counters;
 pub mod crowd;
 pub mod flow;
+pub mod holds;
 pub mod hub;
 pub mod journal;
 pub mod machine;
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -3,6 +3,7 @@
 
 use crate::counters::Counters;
 use crate::flow::Cut;
+use crate::holds::{HoldError, Holds, ID_MAX};
 use crate::journal::{End, Journal, JournalError, Record, TakenOn};
 use crate::note::Note;
 use crate::store::Store;
@@ -186,6 +187,8 @@
     /// Those of each destination, and those that are gone by when they went.
     by_dest: BTreeMap<u64, BTreeSet<u32>>,
     went: BTreeSet<(Micros, u32)>,
+    /// Endpoints that operators have taken out.
+    holds: Holds,
     /// The version of the list that the providers come from.
     version: u64,
     /// Discovery has told of its list in this life.
@@ -246,6 +249,7 @@
         let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
         let facade = Facade::new(settings, seed)?;
         let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
+        router.holds = book.holds;
         let mut steps = router.list(known, now);
         router.heard = false;
         for (id, end, until) in book.over {
@@ -334,6 +338,7 @@
             providers: BTreeMap::new(),
             by_dest: BTreeMap::new(),
             went: BTreeSet::new(),
+            holds: Holds::default(),
             version: 0,
             heard: false,
             journal,
@@ -602,8 +607,9 @@
             let gone = (p.state == ListState::Gone).then_some(now);
             let (dest, weight, state) = (p.dest, p.weight, p.state);
             self.know(n, Known { addr, dest, zone, kind, weight, state, gone });
-            steps.push(Step::Gate { provider: n, open: p.state == ListState::Ready });
-            entries.push(Entry { endpoint: n, dest, kind, zone, weight, state });
+            let state = self.holds.shown(&p.id, state);
+            steps.push(Step::Gate { provider: n, open: state == ListState::Ready });
+            entries.push(Entry { endpoint: n, dest, kind, zone, weight, state, cold: false });
         }
         let kind = if list.full { ListKind::Whole } else { ListKind::Delta };
         let orders = self.facade.list(now, kind, entries);
@@ -613,6 +619,60 @@
         steps
     }
 
+    /// Operators take an endpoint out: nothing more goes there, whatever discovery lists, until they put it back.
+    ///
+    /// # Errors
+    /// Nobody has the id, or its record could not be written: nothing has changed.
+    pub fn disable(&mut self, id: &str, now: Micros) -> Result<Vec<Step>, HoldError> {
+        if self.holds.contains(id) {
+            return Ok(Vec::new());
+        }
+        if self.provider_names.known(id).is_none() || id.len() > ID_MAX {
+            return Err(HoldError::Unknown(id.into()));
+        }
+        if self.holds.is_full() {
+            return Err(HoldError::TooMany);
+        }
+        self.journal.hold(id, true, now, &mut self.notes)?;
+        self.holds.insert(id);
+        Ok(self.show(id, false, now))
+    }
+
+    /// Operators put an endpoint back, cold, however often it was taken out.
+    ///
+    /// # Errors
+    /// Nobody has the id, or its record could not be written: nothing has changed.
+    pub fn enable(&mut self, id: &str, now: Micros) -> Result<Vec<Step>, HoldError> {
+        if !self.holds.contains(id) {
+            let known = self.provider_names.known(id).is_some();
+            return if known { Ok(Vec::new()) } else { Err(HoldError::Unknown(id.into())) };
+        }
+        self.journal.hold(id, false, now, &mut self.notes)?;
+        self.holds.remove(id);
+        Ok(self.show(id, true, now))
+    }
+
+    /// Endpoints that are out.
+    pub fn holds(&self) -> &Holds {
+        &self.holds
+    }
+
+    /// Shows the module and the pool an endpoint as it stands now; `cold`: it may have been restarted.
+    fn show(&mut self, id: &str, cold: bool, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let n = self.provider_names.known(id).and_then(|n| u32::try_from(n).ok());
+        if let Some((n, known)) = n.and_then(|n| Some((n, self.providers.get(&n)?))) {
+            let &Known { dest, zone, kind, weight, state, .. } = known;
+            let state = self.holds.shown(id, state);
+            steps.push(Step::Gate { provider: n, open: state == ListState::Ready });
+            let entry = Entry { endpoint: n, dest, kind, zone, weight, state, cold };
+            let orders = self.facade.list(now, ListKind::Delta, vec![entry]);
+            self.carry_out(orders, now, &mut steps);
+        }
+        self.say(&mut steps);
+        steps
+    }
+
     /// A provider is as the list says now.
     fn know(&mut self, n: u32, known: Known) {
         self.unknow(n);
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -8,12 +8,14 @@
     pub fn see(&self, eye: &mut impl Eye) {
         #[rustfmt::skip]
         let Router {
-            facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, ready: _, provider_names, providers, version: _, heard,
+            facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, ready: _, provider_names, providers, holds, version: _, heard,
             // These three follow from the others.
             by_dest: _, went: _, out_at: _,
             journal: _, owed, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
+        eye.word(holds.iter().count() as u64);
+        holds.iter().for_each(|id| see_text(id, eye));
         [*heard, *stopping].into_iter().for_each(|f| eye.flag(f));
         let lens = [providers.len(), owed.len(), over_order.len(), out.len(), notices.len()];
         lens.into_iter().for_each(|n| eye.word(n as u64));
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -11,6 +11,7 @@
     zones: Names,
     provider_names: Names,
     providers: BTreeMap<u32, Known>,
+    holds: Holds,
     version: u64,
     heard: bool,
     owed: BTreeMap<MsgId, Owed>,
@@ -52,6 +53,7 @@
             zones: Names::clone(&self.zones),
             provider_names: Names::clone(&self.provider_names),
             providers: self.providers.clone(),
+            holds: self.holds.clone(),
             version: self.version,
             heard: self.heard,
             owed: self.owed.clone(),
@@ -82,19 +84,19 @@
         }
         let mut notes = Vec::new();
         let (journal, book) = Journal::open(store, disk, now, &mut notes).map_err(RouterError::from)?;
-        if !book.owed.keys().eq(state.owed.keys()) || book.next > state.next {
+        if !book.owed.keys().eq(state.owed.keys()) || book.holds != state.holds || book.next > state.next {
             return Err(ResumeError::OtherJournal);
         }
         let (settings, _) = settings_of(env, streams)?;
         let facade = state.facade.resume(settings).map_err(RouterError::from)?;
         let mut router = Self::fresh(env, streams, facade, journal, state.next, notes)?;
         (router.zones, router.provider_names) = (Arc::new(state.zones), Arc::new(state.provider_names));
+        router.holds = state.holds;
         let mut steps = Vec::new();
         for (n, known) in state.providers {
-            steps.push(Step::Gate {
-                provider: n,
-                open: known.state == ListState::Ready && known.gone.is_none(),
-            });
+            let shown = router.holds.shown(router.provider_names.name(n.into()), known.state);
+            let open = shown == ListState::Ready && known.gone.is_none();
+            steps.push(Step::Gate { provider: n, open });
             router.know(n, known);
         }
         (router.version, router.heard) = (state.version, state.heard);
--- /dev/null
+++ b/core/tests/holds.rs
@@ -0,0 +1,141 @@
+//! Endpoints that operators take out, in the core: what is listed, refused, killed and called meanwhile.
+
+use quillmount_core::call::Call;
+use quillmount_core::holds::{HOLDS_MAX, HoldError};
+use quillmount_core::hub::{Do, Hub};
+use quillmount_core::machine::attempt::{Answer, State};
+use quillmount_core::pool::Pool;
+use quillmount_core::router::Router;
+use quillmount_core::store::{Fault, Memory};
+use quillmount_core::{CallEnd, Invocation, InvokerCall, Provider, ProviderList};
+use spurshore::{ListState, Micros};
+use spurshore_settings::{Category, Env};
+
+const DISK: u64 = 99_999;
+const NOW: Micros = 1_000_000_000;
+
+fn env() -> Env {
+    let category = Category {
+        name: "paid-notice".into(),
+        effect: None,
+        deadline_ms: 16_000.0,
+        promise_ms: 3_000.0,
+        ..Category::default()
+    };
+    Env { categories: vec![category], ..Env::default() }
+}
+
+fn line(id: &str, state: ListState) -> Provider {
+    let addr = "127.0.0.1:1".parse().ok();
+    Provider { id: id.into(), addr, dest: 1, kind: String::new(), zone: String::new(), weight: 9.0, state }
+}
+
+fn list(full: bool, providers: &[(&str, ListState)]) -> ProviderList {
+    let providers = providers.iter().map(|(id, state)| line(id, *state)).collect();
+    ProviderList { version: 1, full, providers }
+}
+
+fn open(store: Memory) -> Hub<Memory, u32> {
+    let known = list(true, &[("a", ListState::Ready)]);
+    let (router, steps) = Router::open(&env(), 7, known, store, DISK, NOW).unwrap();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
+    hub.carry_out(steps, NOW);
+    hub
+}
+
+fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
+    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
+}
+
+fn hand_in(hub: &mut Hub<Memory, u32>, id: &str, now: Micros) -> Vec<InvokerCall> {
+    let (class, time_left) = ("paid-notice".to_string(), 16_000_000);
+    let body = bytes::Bytes::new();
+    calls(hub.take_on(Invocation { id: id.into(), class, key: None, dest: 1, time_left, body }, now).1)
+}
+
+/// What a kill has left.
+fn killed(hub: &Hub<Memory, u32>) -> Memory {
+    Memory::of(hub.router.journal().store().bytes().to_vec())
+}
+
+#[test]
+fn nothing_goes_to_a_held_endpoint_whatever_is_listed_until_one_call_puts_it_back() {
+    let mut hub = open(Memory::default());
+    assert!(matches!(hub.hold("x", true, NOW), Err(HoldError::Unknown(_))));
+    assert!(matches!(hub.hold("x", false, NOW), Err(HoldError::Unknown(_))));
+    for _ in 0..2 {
+        hub.hold("a", true, NOW).unwrap();
+    }
+    let wholes = [(true, ListState::Ready), (false, ListState::Draining), (false, ListState::Ready)];
+    for (n, (full, state)) in wholes.into_iter().enumerate() {
+        assert_eq!(calls(hub.list(list(full, &[("a", state)]), NOW)).len(), 0);
+        assert_eq!(hand_in(&mut hub, &format!("m{n}"), NOW).len(), 0, "{state:?}");
+    }
+    // Gone long enough to be forgotten, and listed again.
+    hub.list(list(true, &[("b", ListState::Draining)]), NOW);
+    hub.list(list(false, &[("c", ListState::Draining)]), NOW + 30_000_000);
+    let later = NOW + 30_000_000;
+    assert_eq!(calls(hub.list(list(false, &[("a", ListState::Ready)]), later)).len(), 0);
+    assert_eq!(hand_in(&mut hub, "later", later).len(), 0);
+    assert!(!calls(hub.hold("a", false, later).unwrap()).is_empty(), "one call ends the hold");
+    assert!(hub.hold("a", false, later).unwrap().is_empty(), "once more changes nothing");
+}
+
+#[test]
+fn a_call_that_is_connecting_when_its_endpoint_is_taken_out_is_held_back() {
+    let mut hub = open(Memory::default());
+    let order = hand_in(&mut hub, "m", NOW).remove(0);
+    let mut call = Call::new(order, |_, _| Answer::Awaited, 9);
+    call.start(&mut hub.pool, NOW, |_| true);
+    assert_eq!(call.state(), State::Connecting);
+    hub.hold("a", true, NOW).unwrap();
+    assert_eq!(call.connected(&mut hub.pool, 1, NOW).end, Some(CallEnd::HeldBack));
+    assert_eq!(calls(hub.call_ended(call.order.call, CallEnd::HeldBack, NOW)).len(), 0);
+}
+
+#[test]
+fn a_hold_is_there_after_a_kill_and_a_compaction_and_not_where_its_record_was_refused() {
+    let mut hub = open(Memory::default());
+    hub.router.journal_mut().store_mut().fail(Fault::Full { after: 0 });
+    assert!(matches!(hub.hold("a", true, NOW), Err(HoldError::NotWritten(_))));
+    assert!(!hub.router.holds().contains("a"));
+    hub.router.journal_mut().store_mut().fail(Fault::None);
+    hub.hold("a", true, NOW).unwrap();
+    // A torn record at the end makes the next start write a copy.
+    let mut bytes = killed(&hub).bytes().to_vec();
+    bytes.extend([9, 0, 0, 0, 1]);
+    let mut next = open(Memory::of(bytes));
+    assert!(next.router.holds().contains("a"));
+    assert_eq!(hand_in(&mut next, "m", NOW).len(), 0);
+    next.router.journal_mut().store_mut().fail(Fault::Full { after: 0 });
+    assert!(next.hold("a", false, NOW).is_err());
+    assert!(next.router.holds().contains("a"), "refused, it is out still");
+    next.router.journal_mut().store_mut().fail(Fault::None);
+    assert_eq!(calls(next.hold("a", false, NOW).unwrap()).len(), 1);
+    assert!(!open(killed(&next)).router.holds().contains("a"));
+}
+
+#[test]
+fn a_kill_at_any_byte_of_a_hold_leaves_it_whole_or_not_at_all() {
+    for bytes in 0..40 {
+        let mut hub = open(Memory::default());
+        hub.router.journal_mut().store_mut().fail(Fault::Die { after: 0, bytes });
+        hub.hold("a", true, NOW).unwrap();
+        let mut next = open(killed(&hub));
+        let held = next.router.holds().contains("a");
+        assert_eq!(hand_in(&mut next, "m", NOW).is_empty(), held, "{bytes} bytes");
+        next.hold("a", true, NOW).unwrap();
+        assert!(open(killed(&next)).router.holds().contains("a"), "{bytes} bytes");
+    }
+}
+
+#[test]
+fn holds_are_bounded_by_their_number_and_by_the_share_of_the_disk() {
+    let mut hub = open(Memory::default());
+    let ids: Vec<String> = (0..=HOLDS_MAX).map(|n| format!("endpoint-{n}-{}", "x".repeat(90))).collect();
+    let providers: Vec<_> = ids.iter().map(|id| (id.as_str(), ListState::Ready)).collect();
+    hub.list(list(true, &providers), NOW);
+    let held = ids.iter().filter(|id| hub.hold(id, true, NOW).is_ok()).count();
+    assert!((1..HOLDS_MAX).contains(&held), "{held}: here the disk is the narrower limit");
+    assert!(2 * killed(&hub).bytes().len() as u64 <= DISK);
+}
--- a/courier/src/program/inspect.rs
+++ b/courier/src/program/inspect.rs
@@ -96,6 +96,8 @@
                 time: time(*until),
                 ..empty
             },
+            Record::Hold { id } => Line { record: "hold", id: Some(id), ..empty },
+            Record::Release { id } => Line { record: "release", id: Some(id), ..empty },
         }
     }
 }
@@ -137,7 +139,8 @@
     }
     let (book, sound) = Book::read(&bytes);
     if !json {
-        println!("{} owed, {} over and remembered", book.owed.len(), book.over.len());
+        let out = book.holds.iter().count();
+        println!("{} owed, {} over and remembered, {out} endpoints out", book.owed.len(), book.over.len());
     }
     whole(&path, sound, bytes.len())
 }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -9,6 +9,7 @@
 use quillmount_core::call::{self, Call};
 use quillmount_core::counters::Counters;
 use quillmount_core::flow::{Cut, Flow};
+use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
@@ -299,6 +300,16 @@
         self.carry_out(todo);
     }
 
+    /// Operators take an endpoint out or put it back.
+    ///
+    /// # Errors
+    /// Nobody has the id, or its record could not be written: nothing has changed.
+    pub fn hold(self: &Rc<Self>, id: &str, held: bool) -> Result<(), HoldError> {
+        let todo = self.hub.borrow_mut().hold(id, held, self.clock.now())?;
+        self.carry_out(todo);
+        Ok(())
+    }
+
     pub fn list_version(&self) -> u64 {
         self.hub.borrow().router.version()
     }
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -109,6 +109,10 @@
         }
     }
 
+    fn hold(&self, id: &str, held: bool) -> Result<(), String> {
+        self.courier.hold(id, held).map_err(|e| e.to_string())
+    }
+
     /// Carries a call out; what is to be said of it, or why nothing was done.
     fn call(&self, call: &Call) -> Result<String, String> {
         match call {
@@ -123,7 +127,8 @@
                 self.step(Input::Undrain);
                 Ok("consumers are wanted".into())
             }
-            Call::Disable(_) | Call::Enable(_) => Err("endpoints can't be taken out here".into()),
+            Call::Disable(id) => self.hold(id, true).map(|()| format!("{id} is out")),
+            Call::Enable(id) => self.hold(id, false).map(|()| format!("{id} is back")),
         }
     }
 }
--- a/examples/held.rs
+++ b/examples/held.rs
@@ -55,6 +55,7 @@
         zone: 0,
         weight: 20.0,
         state: ListState::Ready,
+        cold: false,
     });
     let list = Event::List { kind: ListKind::Whole, entries: entries.collect() };
     let (mut now, mut id, mut out) = (SEC, 0, Vec::new());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,6 +145,8 @@
     pub zone: u32,
     pub weight: f64,
     pub state: ListState,
+    /// It was out by the operators' word and may have been restarted: the destination counts as returning.
+    pub cold: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //!     worth: 1.0, late_worth: 0.0, keep_order: false,
 //! });
 //! let mut d = Dispatcher::new(settings, 7).unwrap();
-//! let entry = Entry { endpoint: 0, dest: 5, kind: 0, zone: 0, weight: 4.0, state: ListState::Ready };
+//! let entry = Entry { endpoint: 0, dest: 5, kind: 0, zone: 0, weight: 4.0, state: ListState::Ready, cold: false };
 //! let msg = Message { id: 1, class: 0, tenant: None, key: None, deadline: 8_000_000, hint: None, dest: 5, stream: false };
 //! let actions = d.step(0, &[
 //!     Event::List { kind: ListKind::Whole, entries: vec![entry] },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,6 @@
 //! Every decision of the dispatcher (its interface: `src/interface.rs`); nothing is decided elsewhere.
-//! One mechanism decides the ordinary call: per lane (a destination, or a route where routes are
-//! separate) a smoothed latency CAL and a window w of calls in flight, after Gulati and Ahmad.
-//! What departs from it is marked DEPARTURE here and listed in `docs/design.md`.
+//! One mechanism decides the ordinary call: per lane (a destination, or a route where routes are separate) a
+//! smoothed latency CAL and a window w, after Gulati and Ahmad. DEPARTURE marks what departs (docs/design.md).
 
 use crate::breaks::{self, Break};
 use crate::interface::*;
@@ -72,8 +71,7 @@
 const TIMEOUT_DOUBLINGS: u32 = 2;
 /// An unsafe message's time-out is its end: it has this many times the patience of others.
 const UNSAFE_PATIENCE: f64 = 2.0;
-/// Bounds on how old a call grows before it gives up its slot when they are short, microseconds. Where a
-/// third of the calls hang at a high rate, these fill all slots within a second.
+/// Bounds on a call's age when it gives up its slot, slots being short, microseconds: hung calls fill all.
 const RECLAIM_MIN: f64 = 0.3 * 1e6;
 const RECLAIM_MAX: f64 = 4.0 * 1e6;
 /// Kept clear of the end of a key's memory, microseconds: covers the trip there.
@@ -329,6 +327,9 @@
             self.endpoints.insert(e.endpoint, fresh);
             self.lanes[lane].endpoints.push(e.endpoint);
         }
+        // DEPARTURE: one that operators put back counts as back from an outage, though no failure was seen.
+        let back = entries.iter().filter(|e| e.cold && e.state == ListState::Ready);
+        back.for_each(|e| self.knows(self.endpoints[&e.endpoint].lane, true));
         self.forget();
         self.ready.extend(&self.waiting);
     }
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -128,7 +128,7 @@
         std::fs::create_dir_all(folder.join("state"))?;
         let mut config: Value = serde_json::from_str(CONFIG)?;
         let servers = setup.providers.iter().map(|(dest, addr)| {
-            json!({"id": format!("partner-{dest}-{}", addr.port()), "addr": addr, "zone": "bkk-dc1", "kind": "bank",
+            json!({"id": provider_id(*dest, *addr), "addr": addr, "zone": "bkk-dc1", "kind": "bank",
                    "cell": dest, "state": "ready", "weight": 1000.0, "started_ms": 0})
         });
         config["known"]["servers"] = servers.collect();
@@ -206,6 +206,11 @@
         ended(&mut self.child).await
     }
 
+    /// The ids of its providers.
+    pub fn provider_ids(&self) -> Vec<String> {
+        self.setup.providers.iter().map(|(dest, addr)| provider_id(*dest, *addr)).collect()
+    }
+
     /// Its resident memory now and at most, in bytes; 0 where the system does not tell.
     pub fn memory(&self) -> (u64, u64) {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
@@ -222,6 +227,10 @@
     }
 }
 
+fn provider_id(dest: u64, addr: SocketAddr) -> String {
+    format!("partner-{dest}-{}", addr.port())
+}
+
 /// CPU time that a process has used; 0 where the system does not tell.
 pub fn cpu_of(pid: u32) -> Duration {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -430,3 +430,20 @@
         assert_eq!(sends_in(&mut w, 25 * SEC) == 0, none, "{left} of the allowance left");
     }
 }
+
+/// Operators have put an endpoint back: nobody saw a failure, and it is cold all the same.
+#[test]
+fn an_endpoint_put_back_counts_as_back_from_an_outage() {
+    let calls = |cold| {
+        let mut w = World::new(Settings { slots: 64, ..set(3, 0) }, 0);
+        w.list(ListKind::Whole, &[Entry { weight: 30.0, ..entry(0, 5) }]);
+        w.list(ListKind::Delta, &[Entry { state: ListState::Draining, weight: 30.0, ..entry(0, 5) }]);
+        w.list(ListKind::Delta, &[Entry { cold, weight: 30.0, ..entry(0, 5) }]);
+        for _ in 0..20 {
+            w.one(0, 5);
+        }
+        w.out.len()
+    };
+    // A third of what three senders may send within a span: 2 x 0.2 x (30 / 1.5) a second x 1.5 s.
+    assert_eq!((calls(true), calls(false)), (4, 20));
+}
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -318,6 +318,7 @@
                 zone: r.locality.as_ref().map_or(0, |z| inst.zones.number(z) as u32),
                 weight: r.size.unwrap_or(0.0),
                 state: state_of_code(r.state)?,
+                cold: false,
             });
         }
         Ok(Some(Event::List { kind, entries }))
