Read the trailer of a chunked answer, and keep its connection

Change: the trailer is read as header fields; a debug line tells why a call's connection is closed; a call's span has no parent any more (each carried all spans before it along). The test fails without the change.

--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -413,7 +413,9 @@
 
     fn call(self: &Rc<Self>, call: InvokerCall) {
         tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
+        // Of no other span: a call that another's end began would carry that one's along, and so on all day.
         let span = tracing::debug_span!(
+            parent: None,
             "call",
             id = call.invocation.id.as_str(),
             dest = call.dest,
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -240,6 +240,10 @@
             _ => Input::GiveUp,
         };
         told = courier.pool(|pool| call.step(pool, input, clock.now()));
+        if told.gone.is_some() {
+            let bytes = call.attempt().answer().len();
+            tracing::debug!("connection closed: {input:?} while {state:?}, {bytes} bytes of an answer");
+        }
     }
 }
 
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -102,23 +102,29 @@
     Answer::Whole { end: if ok { CallEnd::Delivered } else { CallEnd::Spoilt(told) }, reusable: false }
 }
 
-/// Bytes up to the end of a chunked body, if that has come.
+/// Bytes up to the end of a chunked body, its trailer included, if that has come.
 fn chunked(bytes: &[u8]) -> Result<Option<usize>, httparse::InvalidChunkSize> {
     let mut at = 0;
     loop {
         let Status::Complete((head, size)) = httparse::parse_chunk_size(&bytes[at..])? else {
             return Ok(None);
         };
-        // Each chunk, the last and empty one too, has a line end behind it.
+        if size == 0 {
+            // Fields may stand behind the last chunk, and an empty line does behind them.
+            let mut trailer = [EMPTY_HEADER; HEADERS_MAX];
+            return match httparse::parse_headers(&bytes[at + head..], &mut trailer) {
+                Ok(Status::Complete((length, _))) => Ok(Some(at + head + length)),
+                Ok(Status::Partial) => Ok(None),
+                Err(_) => Err(httparse::InvalidChunkSize),
+            };
+        }
+        // Each chunk has a line end behind it.
         let end = at as u64 + head as u64 + size.min(BODY_MAX as u64 + 1);
         let Some(line_end) = bytes.get(end as usize..end as usize + 2) else { return Ok(None) };
         if line_end != b"\r\n" {
             return Err(httparse::InvalidChunkSize);
         }
         at = end as usize + 2;
-        if size == 0 {
-            return Ok(Some(at));
-        }
     }
 }
 
@@ -146,3 +152,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Whatever the pieces in which an answer comes, it says one thing, and only with its last byte where it is no 200.
+    #[test]
+    fn a_chunked_answer_with_a_trailer_is_whole_at_its_last_byte_and_no_sooner() {
+        let answer = |code: &str| {
+            format!(
+                "HTTP/1.1 {code} \r\nTRANSFER-ENCODING:chunked\r\n\r\n007\r\nbf52041\r\n2;part=2\r\n4d\r\n0\r\n\
+                 X-Sum: 5f3a\r\nX-Done: 1\r\n\r\n"
+            )
+        };
+        for (code, end) in [("200", CallEnd::Delivered), ("503", CallEnd::Full(0))] {
+            let text = answer(code);
+            for cut in 1..text.len() {
+                assert_eq!(decode(&text.as_bytes()[..cut], false), Answer::Partial, "{code}, {cut} bytes");
+            }
+            assert_eq!(decode(text.as_bytes(), false), Answer::Whole { end, reusable: true });
+        }
+        let odd = answer("503").replace("X-Done: 1", "no field");
+        let spoilt = Answer::Whole { end: CallEnd::Spoilt(0), reusable: false };
+        assert_eq!(decode(odd.as_bytes(), false), spoilt);
+        assert_eq!(decode(&answer("503").as_bytes()[..90], true), spoilt);
+    }
+}
