Spread a fleet's questions to discovery by its size, and explore the hand-over

Change: pauses grow with the fleet and are spread by draws from the seed; a start waits up to 25 ms a courier. Ruled out: refusals by the couriers themselves; before the first loss the share refused was the same.

--- a/core/src/machine/watch.rs
+++ b/core/src/machine/watch.rs
@@ -2,12 +2,17 @@
 
 use super::Machine;
 use spurshore::Micros;
+use spurshore_tables::draw;
 
 /// A watch says something every two seconds; one silent for so long may be dead.
 pub const SILENCE: Micros = 10_000_000;
 const RETRY_FIRST: Micros = 100_000;
-/// The longest pause between two tries.
+/// The longest pause between two tries, in a small fleet.
 pub const RETRY_MAX: Micros = 2_000_000;
+/// What each courier of a fleet adds to the first pause, and to the longest: all of them lose discovery at one moment,
+/// and ask it again. Forty-eight that asked every 2 s kept it from answering anybody.
+const EACH_FIRST: Micros = 25_000;
+const EACH_MAX: Micros = 300_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -57,12 +62,31 @@
 pub struct Watch {
     state: State,
     pause: Micros,
+    /// The first pause and the longest.
+    first: Micros,
+    most: Micros,
+    /// Of the pauses' draws; 0: none is drawn.
+    seed: u64,
 }
 
 impl Watch {
     /// A watch that asks at once.
     pub fn new(now: Micros) -> Self {
-        Watch { state: State::Asking { until: now.saturating_add(SILENCE) }, pause: RETRY_FIRST }
+        let state = State::Asking { until: now.saturating_add(SILENCE) };
+        Watch { state, pause: RETRY_FIRST, first: RETRY_FIRST, most: RETRY_MAX, seed: 0 }
+    }
+
+    /// One of so many couriers, whose pauses are spread by draws from `seed`. At a start (`starts`) it waits a moment
+    /// too, since others may start with it: [`Input::Tick`] first.
+    pub fn of_fleet(now: Micros, couriers: u32, seed: u64, starts: bool) -> Self {
+        let each = Micros::from(couriers);
+        let (first, most) = (RETRY_FIRST.max(each * EACH_FIRST), RETRY_MAX.max(each * EACH_MAX));
+        let mut watch = Watch { pause: first, first, most, seed: seed | 1, ..Watch::new(now) };
+        if starts {
+            let wait = (draw(&mut watch.seed) * (each * EACH_FIRST) as f64) as Micros;
+            watch.state = State::Pausing { until: now.saturating_add(wait) };
+        }
+        watch
     }
 
     pub fn state(&self) -> State {
@@ -88,7 +112,7 @@
             }
             (State::Following { .. }, Input::Heard) => {
                 self.state = State::Following { until: now.saturating_add(SILENCE), heard: true };
-                self.pause = RETRY_FIRST;
+                self.pause = self.first;
                 Output::Nothing
             }
             (State::Pausing { until }, Input::Tick { moved }) if now >= until => {
@@ -116,8 +140,9 @@
             self.state = State::Over;
             return Output::Stop;
         }
-        let pause = self.pause;
-        self.pause = (pause * 2).min(RETRY_MAX);
+        let spread = if self.seed == 0 { 1.0 } else { 0.5 + draw(&mut self.seed) };
+        let pause = (self.pause as f64 * spread) as Micros;
+        self.pause = (self.pause * 2).min(self.most);
         self.state = State::Pausing { until: now.saturating_add(pause) };
         Output::Pause(pause)
     }
@@ -127,10 +152,11 @@
     type Input = (Input, Micros);
     const NAME: &'static str = "The watch on discovery";
     const ABOUT: &'static str = "`core/src/machine/watch.rs`: one address's watch. A pause is 0.1 s at first, and doubles up to \
-        2 s until something is heard again. Whatever it does, the last list goes on to hold.";
+        2 s until something is heard again; in a fleet each courier adds 25 ms to the first and 0.3 s to the longest, and \
+        pauses are spread by half. Whatever it does, the last list goes on to hold.";
 
     fn states() -> Vec<(&'static str, &'static str, Self)> {
-        let at = |state| Watch { state, pause: RETRY_FIRST };
+        let at = |state| Watch { state, ..Watch::new(0) };
         vec![
             ("Asking", "the request is out, for 10 s at most", at(State::Asking { until: 10 })),
             (
@@ -178,3 +204,30 @@
         .to_string()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A fleet that loses discovery at one moment: how many ask again within any second, from the tenth second on.
+    #[test]
+    fn a_fleet_that_lost_discovery_does_not_ask_it_all_at_once() {
+        let most = |fleet: u32| {
+            let mut asked = vec![0u32; 60];
+            for me in 0..fleet {
+                let mut watch = Watch::of_fleet(0, fleet, u64::from(me) * 77, true);
+                while let Some(at) = watch.wake_at().filter(|at| *at < 60_000_000) {
+                    if watch.step(Input::Tick { moved: false }, at) == Output::Ask {
+                        asked[(at / 1_000_000) as usize] += 1;
+                        watch.step(Input::Broken { moved: false }, at);
+                    }
+                }
+            }
+            (asked[0], asked[10..].iter().copied().max().unwrap_or(0))
+        };
+        let (first, later) = most(48);
+        assert!(first <= 48 && later <= 12, "{first} in the first second, {later} later");
+        // A small fleet asks as often as before.
+        assert!(most(3).1 >= 2);
+    }
+}
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -7,6 +7,8 @@
 pub struct State {
     /// Of the settings that the state was made under.
     settings: u32,
+    /// Bytes of the journal then. Where it is longer a third process had the lock in between, and decided.
+    journal: u64,
     facade: Facade,
     zones: Names,
     provider_names: Names,
@@ -49,6 +51,7 @@
         let over = over.filter_map(|(id, until)| Some((id.clone(), *self.over.get(id)?, *until)));
         State {
             settings,
+            journal: self.journal.len(),
             facade: self.facade.clone(),
             zones: Names::clone(&self.zones),
             provider_names: Names::clone(&self.provider_names),
@@ -82,6 +85,9 @@
         if state.settings != mark(env, streams)? {
             return Err(ResumeError::OtherSettings);
         }
+        if store.len() != state.journal {
+            return Err(ResumeError::OtherJournal);
+        }
         let mut notes = Vec::new();
         let (journal, book) = Journal::open(store, disk, now, &mut notes).map_err(RouterError::from)?;
         if !book.owed.keys().eq(state.owed.keys()) || book.holds != state.holds || book.next > state.next {
--- /dev/null
+++ b/core/tests/handover.rs
@@ -0,0 +1,357 @@
+//! Every order of steps in which two processes may follow one another, with a kill of each between any two of them.
+//!
+//! The machines are the courier's own; what stands around them here is the lock, the socket and the journal, as counts.
+
+use quillmount_core::machine::handover::*;
+use std::collections::{BTreeSet, HashSet};
+
+/// Decisions that are written in one run of the world.
+const WRITES: u8 = 2;
+
+/// A deliberate departure, which the search has to find.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Broken {
+    Nothing,
+    /// The taker goes on from what came though the journal has grown since: a third process may have had the lock.
+    JournalUnread,
+    /// It takes its parts back although the taker's word has come.
+    TakesBackLate,
+    /// The taker goes on from what came, though the giver has not let go.
+    ResumesUnasked,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Word {
+    Ask,
+    /// All that is known, as a count of decisions.
+    All(u8),
+    Got,
+    LetGo,
+    Busy,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Process {
+    Unborn,
+    /// `has`: what came over.
+    Taking {
+        machine: Taker,
+        has: Option<u8>,
+    },
+    /// `knows`: the decisions that it knows of.
+    Deciding {
+        machine: Giver,
+        knows: u8,
+    },
+    Dead,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    all: [Process; 3],
+    lock: Option<usize>,
+    written: u8,
+    /// Who asked whom, and the words on their way.
+    talk: Option<(usize, usize)>,
+    to_giver: Vec<Word>,
+    to_taker: Vec<Word>,
+}
+
+impl World {
+    fn new() -> World {
+        let first = Process::Deciding { machine: Giver::default(), knows: 0 };
+        let all = [first, Process::Unborn, Process::Unborn];
+        World { all, lock: Some(0), written: 0, talk: None, to_giver: Vec::new(), to_taker: Vec::new() }
+    }
+
+    fn wrong(&self) -> Option<String> {
+        let deciders: Vec<usize> = (0..3).filter(|n| self.decides(*n)).collect();
+        for n in &deciders {
+            if self.lock != Some(*n) {
+                return Some(format!("process {n} decides without the lock"));
+            }
+            if let Process::Deciding { knows, .. } = self.all[*n]
+                && knows != self.written
+            {
+                return Some(format!("process {n} decides and knows {knows} of {} decisions", self.written));
+            }
+        }
+        None
+    }
+
+    fn decides(&self, n: usize) -> bool {
+        let Process::Deciding { machine, .. } = self.all[n] else { return false };
+        matches!(machine.state(), GiverState::Deciding | GiverState::Collecting { .. })
+    }
+
+    /// All that may happen next.
+    fn next(&self, broken: Broken) -> Vec<World> {
+        let mut all = Vec::new();
+        for n in 0..3 {
+            match self.all[n] {
+                // The second starts at any time, and the third too: an upgrade during another.
+                Process::Unborn if n > 0 => {
+                    let mut w = self.clone();
+                    w.all[n] = Process::Taking { machine: Taker::new(0), has: None };
+                    all.push(w);
+                }
+                Process::Unborn | Process::Dead => {}
+                Process::Taking { machine, has } => {
+                    all.push(self.killed(n));
+                    all.extend(self.take_ticks(n, machine, has, broken));
+                }
+                Process::Deciding { machine, knows } => {
+                    all.push(self.killed(n));
+                    if self.decides(n) && self.written < WRITES {
+                        let mut w = self.clone();
+                        w.written += 1;
+                        w.all[n] = Process::Deciding { machine, knows: knows + 1 };
+                        all.push(w);
+                    }
+                    if matches!(machine.state(), GiverState::Collecting { .. }) {
+                        all.push(self.given(n, machine, knows, GiverInput::Collected, 0, broken));
+                    }
+                    if let Some(until) = machine.wake_at() {
+                        all.push(self.given(n, machine, knows, GiverInput::Tick, until, broken));
+                    }
+                }
+            }
+        }
+        all.extend(self.hears(broken));
+        all
+    }
+
+    fn killed(&self, n: usize) -> World {
+        let mut w = self.clone();
+        w.all[n] = Process::Dead;
+        if w.lock == Some(n) {
+            w.lock = None;
+        }
+        w.breaks(n);
+        w
+    }
+
+    /// The connection of a process ends; the other side hears what was on its way, then the end.
+    fn breaks(&mut self, n: usize) {
+        let Some((taker, giver)) = self.talk.filter(|(t, g)| n == *t || n == *g) else { return };
+        self.talk = None;
+        self.to_giver.clear();
+        let words = std::mem::take(&mut self.to_taker);
+        if n == taker {
+            if let Process::Deciding { machine, knows } = self.all[giver] {
+                *self = self.given(giver, machine, knows, GiverInput::Lost, 0, Broken::Nothing);
+            }
+        } else if let Process::Taking { .. } = self.all[taker] {
+            for word in words {
+                self.taker_hears(taker, word, Broken::Nothing);
+            }
+            if let Process::Taking { machine, .. } = self.all[taker] {
+                self.took(taker, machine, None, TakerInput::Lost, 0, Broken::Nothing);
+            }
+        }
+    }
+
+    /// The giver takes a step.
+    fn given(
+        &self,
+        n: usize,
+        mut machine: Giver,
+        knows: u8,
+        input: GiverInput,
+        now: u64,
+        broken: Broken,
+    ) -> World {
+        let mut w = self.clone();
+        if broken == Broken::TakesBackLate && input == GiverInput::Got {
+            // Its answer is lost on the way, and it goes on as before.
+            w.lock = None;
+            w.to_taker.push(Word::LetGo);
+            w.all[n] = Process::Deciding { machine: Giver::default(), knows };
+            return w;
+        }
+        let output = machine.step(input, now);
+        w.all[n] = Process::Deciding { machine, knows };
+        match output {
+            GiverOutput::Send => w.to_taker.push(Word::All(knows)),
+            GiverOutput::LetGo => {
+                w.lock = None;
+                w.to_taker.push(Word::LetGo);
+            }
+            GiverOutput::TakeBack => {
+                if let Some((taker, _)) = w.talk.filter(|(_, g)| *g == n) {
+                    w.talk = None;
+                    w.to_giver.clear();
+                    w.to_taker.clear();
+                    if let Process::Taking { machine, .. } = w.all[taker] {
+                        w.took(taker, machine, None, TakerInput::Lost, 0, broken);
+                    }
+                }
+            }
+            GiverOutput::Busy => w.to_taker.push(Word::Busy),
+            GiverOutput::Nothing | GiverOutput::Collect => {}
+        }
+        w
+    }
+
+    fn take_ticks(&self, n: usize, machine: Taker, has: Option<u8>, broken: Broken) -> Vec<World> {
+        let Some(until) = machine.wake_at() else { return Vec::new() };
+        let mut w = self.clone();
+        w.took(n, machine, has, TakerInput::Tick, until, broken);
+        vec![w]
+    }
+
+    /// The taker takes a step, and does what it comes to.
+    fn took(
+        &mut self,
+        n: usize,
+        mut machine: Taker,
+        has: Option<u8>,
+        input: TakerInput,
+        now: u64,
+        broken: Broken,
+    ) {
+        if broken == Broken::ResumesUnasked && input == TakerInput::All {
+            self.all[n] = Process::Deciding { machine: Giver::default(), knows: has.unwrap_or(0) };
+            return;
+        }
+        let mut todo = machine.step(input, now);
+        let mut has = has;
+        if matches!(machine.state(), TakerState::Locking { .. }) && input == TakerInput::Tick {
+            // Whatever it was saying is over.
+            self.hangs_up(n);
+        }
+        loop {
+            self.all[n] = Process::Taking { machine, has };
+            todo = match todo {
+                TakerOutput::Nothing => return,
+                TakerOutput::Lock if self.lock.is_none() => {
+                    self.lock = Some(n);
+                    machine.step(TakerInput::Locked, 0)
+                }
+                TakerOutput::Lock => machine.step(TakerInput::Held, 0),
+                TakerOutput::Ask => match self.lock {
+                    Some(holder)
+                        if self.talk.is_none() && matches!(self.all[holder], Process::Deciding { .. }) =>
+                    {
+                        has = None;
+                        self.talk = Some((n, holder));
+                        self.to_giver.push(Word::Ask);
+                        TakerOutput::Nothing
+                    }
+                    // It serves another, starts, or is gone meanwhile.
+                    _ => machine.step(TakerInput::Busy, 0),
+                },
+                TakerOutput::Confirm => {
+                    self.to_giver.push(Word::Got);
+                    TakerOutput::Nothing
+                }
+                TakerOutput::End => {
+                    if let Some(holder) = self.lock {
+                        *self = self.killed(holder);
+                    }
+                    TakerOutput::Nothing
+                }
+                TakerOutput::Resume => {
+                    // The journal tells whether anything was decided since.
+                    let stale = has != Some(self.written) && broken != Broken::JournalUnread;
+                    let knows = if stale { self.written } else { has.expect("it came over") };
+                    self.all[n] = Process::Deciding { machine: Giver::default(), knows };
+                    return;
+                }
+                TakerOutput::Restore => {
+                    self.all[n] = Process::Deciding { machine: Giver::default(), knows: self.written };
+                    return;
+                }
+            };
+        }
+    }
+
+    fn hangs_up(&mut self, n: usize) {
+        if let Some((_, giver)) = self.talk.filter(|(taker, _)| *taker == n) {
+            self.talk = None;
+            self.to_giver.clear();
+            self.to_taker.clear();
+            if let Process::Deciding { machine, knows } = self.all[giver] {
+                *self = self.given(giver, machine, knows, GiverInput::Lost, 0, Broken::Nothing);
+            }
+        }
+    }
+
+    fn taker_hears(&mut self, n: usize, word: Word, broken: Broken) {
+        let Process::Taking { machine, has } = self.all[n] else { return };
+        match word {
+            Word::All(knows) => self.took(n, machine, Some(knows), TakerInput::All, 0, broken),
+            Word::LetGo => {
+                self.talk = None;
+                self.to_giver.clear();
+                self.took(n, machine, has, TakerInput::LetGo, 0, broken);
+            }
+            Word::Busy => self.took(n, machine, has, TakerInput::Busy, 0, broken),
+            Word::Ask | Word::Got => {}
+        }
+    }
+
+    /// One word arrives, on either side.
+    fn hears(&self, broken: Broken) -> Vec<World> {
+        let (mut all, Some((taker, giver))) = (Vec::new(), self.talk) else { return Vec::new() };
+        if let (Some(word), Process::Deciding { machine, knows }) = (self.to_giver.first(), self.all[giver]) {
+            let mut w = self.clone();
+            w.to_giver.remove(0);
+            let input = if *word == Word::Ask { GiverInput::Asked } else { GiverInput::Got };
+            all.push(w.given(giver, machine, knows, input, 0, broken));
+        }
+        if let Some(word) = self.to_taker.first() {
+            let mut w = self.clone();
+            w.to_taker.remove(0);
+            w.taker_hears(taker, *word, broken);
+            all.push(w);
+        }
+        all
+    }
+}
+
+/// The states that can be reached, and what is wrong in one of them.
+fn search(broken: Broken) -> (HashSet<World>, Option<String>) {
+    let (mut seen, mut todo) = (HashSet::from([World::new()]), vec![World::new()]);
+    while let Some(world) = todo.pop() {
+        if let Some(wrong) = world.wrong() {
+            return (seen, Some(wrong));
+        }
+        for next in world.next(broken) {
+            if seen.insert(next.clone()) {
+                todo.push(next);
+            }
+        }
+    }
+    (seen, None)
+}
+
+#[test]
+fn one_process_decides_at_any_moment_and_knows_all_that_was_decided() {
+    let (seen, wrong) = search(Broken::Nothing);
+    assert_eq!(wrong, None);
+    // All ways of going on were met, and more than a handful of states.
+    let met: BTreeSet<&str> = seen
+        .iter()
+        .flat_map(|w| w.all)
+        .filter_map(|process| match process {
+            Process::Deciding { machine, .. } if machine.state() == GiverState::Gone => Some("gone"),
+            Process::Taking { machine, .. } => match machine.state() {
+                TakerState::Asking { .. } => Some("asking"),
+                TakerState::Confirming { .. } => Some("confirming"),
+                _ => None,
+            },
+            _ => None,
+        })
+        .collect();
+    assert_eq!(met.into_iter().collect::<Vec<_>>(), ["asking", "confirming", "gone"]);
+    assert!(seen.len() > 1_000, "{} states", seen.len());
+    println!("{} states", seen.len());
+}
+
+#[test]
+fn each_departure_is_found() {
+    for broken in [Broken::JournalUnread, Broken::TakesBackLate, Broken::ResumesUnasked] {
+        assert!(search(broken).1.is_some(), "{broken:?} is not found");
+    }
+}
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -17,6 +17,7 @@
 use quillmount_core::router::{self, Router, RouterError, StreamLimits};
 use quillmount_core::{flow, hub};
 use quillmount_operator::{Operator, OperatorError};
+use spurshore_settings::{Names, settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -90,7 +91,12 @@
             Some(listener)
         }
     };
-    let (lock, handed) = handover::take(&config.state, &clock).await.map_err(RunError::Folder)?;
+    let taken = tokio::select! {
+        taken = handover::take(&config.state, &clock) => taken,
+        // A holder that hangs is waited for; operators are answered meanwhile.
+        never = early_calls(early.as_ref()) => match never {},
+    };
+    let (lock, handed) = taken.map_err(RunError::Folder)?;
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let (limits, rules) = streams(&operator.streams).unzip();
     let mark = router::mark(&config.env, limits)?;
@@ -137,6 +143,8 @@
     let (moves, discovery) = watch::channel(config.discovery);
     let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
     let listener = Rc::new(listener);
+    let told = settings(&config.env, &mut Names::default()).map_err(RouterError::Decode)?;
+    let fleet = platform::Fleet { couriers: told.siblings, seed: config.seed, starts: came.is_none() };
     let begin = {
         let (courier, connections, listener) = (courier.clone(), connections.clone(), listener.clone());
         move || {
@@ -144,7 +152,7 @@
                 actix_rt::spawn(serve(listener.clone(), courier.clone(), connections.clone())),
                 actix_rt::spawn(courier.clone().keep_time()),
                 actix_rt::spawn(courier.clone().sweep()),
-                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone())),
+                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), fleet)),
                 actix_rt::spawn(platform::notify(courier.clone(), discovery.clone())),
             ]
         }
@@ -183,7 +191,7 @@
     }
     actix_rt::spawn(desk.clone().keep_time());
     if let Some(operators) = early {
-        actix_rt::spawn(operators::serve(operators, desk));
+        actix_rt::spawn(async move { operators::serve(&operators, Some(desk)).await });
     }
 
     loop {
@@ -217,6 +225,14 @@
     Ok(())
 }
 
+/// Answers operators before there is anything to ask; for ever, as listeners do.
+async fn early_calls(operators: Option<&TcpListener>) -> std::convert::Infallible {
+    if let Some(operators) = operators {
+        operators::serve(operators, None).await;
+    }
+    std::future::pending().await
+}
+
 /// Another process decides: operators' calls are passed on to it, until this one is told to end.
 async fn gone(config: &Config, stop: &mut Signal) -> Result<(), RunError> {
     if config.operator.is_some() {
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -133,8 +133,9 @@
     }
 }
 
-/// Accepts callers until it is dropped.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
+/// Accepts callers until it is dropped. Without a desk each is told that this process does not serve yet: it may be
+/// waiting for another to hand over.
+pub async fn serve(listener: &TcpListener, desk: Option<Rc<Desk>>) {
     let mut callers: VecDeque<tokio::task::JoinHandle<()>> = VecDeque::new();
     loop {
         match listener.accept().await {
@@ -157,11 +158,12 @@
 }
 
 /// One caller: a line, its answer, the end.
-async fn attend(mut stream: TcpStream, desk: Rc<Desk>) {
+async fn attend(mut stream: TcpStream, desk: Option<Rc<Desk>>) {
     let Ok(Some(line)) = timeout(CALL, heard(&mut stream)).await else { return };
-    let answer = match line {
-        Ok(line) => desk.answer(&line).await,
-        Err(why) => operator::answer(Err(&why.to_string())),
+    let answer = match (line, desk) {
+        (Ok(line), Some(desk)) => desk.answer(&line).await,
+        (Ok(_), None) => operator::answer(Err("this process does not serve yet")),
+        (Err(why), _) => operator::answer(Err(&why.to_string())),
     };
     let told = async {
         stream.write_all(answer.as_bytes()).await?;
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -15,6 +15,15 @@
 /// Where the platform is; it may move while the courier runs.
 pub type Discovery = watch::Receiver<SocketAddr>;
 
+/// What a courier knows of the others that ask the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    pub couriers: u32,
+    pub seed: u64,
+    /// Others may start in this moment: the first question waits for a part of a moment.
+    pub starts: bool,
+}
+
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("no answer: {0}")]
@@ -33,12 +42,18 @@
 
 /// Watches discovery for as long as the courier runs, whatever discovery does. When it moves, the old
 /// watch goes on until the new one has answered, so that no change is missed in between.
-pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery) {
+pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery, fleet: Fleet) {
     let mut tasks = Tasks::default();
+    let mut starts = true;
     loop {
         let older = &mut tasks.0;
         let addr = *discovery.borrow_and_update();
-        let task = actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone()));
+        let task = {
+            let mut fleet = fleet;
+            // A new place is asked at once: the old one closes its watches.
+            fleet.starts &= std::mem::take(&mut starts);
+            actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone(), fleet))
+        };
         older.retain(|task| !task.is_finished());
         older.push(task.abort_handle());
         if discovery.changed().await.is_err() {
@@ -58,11 +73,18 @@
 }
 
 /// Watches at one address, until discovery has moved from there.
-async fn follow(courier: Rc<Courier>, addr: SocketAddr, discovery: Discovery, mut older: Vec<AbortHandle>) {
+async fn follow(
+    courier: Rc<Courier>,
+    addr: SocketAddr,
+    discovery: Discovery,
+    mut older: Vec<AbortHandle>,
+    fleet: Fleet,
+) {
     let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(RETRY_MAX)));
     let moved = || *discovery.borrow() != addr;
-    let mut machine = Watch::new(courier.clock.now());
-    let mut todo = Output::Ask;
+    let Fleet { couriers, seed, starts } = fleet;
+    let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts);
+    let mut todo = if starts { Output::Nothing } else { Output::Ask };
     loop {
         todo = match todo {
             Output::Ask => {
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -218,6 +218,60 @@
     });
 }
 
+#[test]
+fn a_socket_without_a_process_and_a_folder_of_before_are_no_hindrance() {
+    play(|| async {
+        let mut stage = stage(Script::default()).await;
+        assert_eq!(stage.hand_in("a").await, 202);
+        // Until the courier has read its answer too.
+        while stage.hand_in("a").await != 200 {}
+        // The kill leaves the socket's file; the version before had neither file.
+        stage.courier.kill_and_restart().unwrap();
+        assert!(stage.courier.folder.join("state/handover").exists());
+        assert_eq!(stage.hand_in("a").await, 200);
+        stage.courier.term().unwrap();
+        assert!(stage.courier.ended().await.unwrap().success());
+        for file in ["handover", "lock"] {
+            std::fs::remove_file(stage.courier.folder.join("state").join(file)).unwrap();
+        }
+        stage.courier.kill_and_restart().unwrap();
+        assert_eq!(stage.hand_in("a").await, 200);
+    });
+}
+
+/// A taker that says nothing once all has come: the holder goes on with every connection and call.
+#[test]
+fn a_hand_over_that_is_not_confirmed_is_taken_back() {
+    use std::io::{Read, Write};
+    play(|| async {
+        let mut stage = stage(Script { delay: Duration::from_millis(900), ..Script::default() }).await;
+        let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
+        assert_eq!(hand_in_on(&mut rests, "out").await, 202);
+        stage.sees("out", |what| matches!(what, What::Body { .. })).await;
+        for says in [0, 1] {
+            let path = stage.courier.folder.join("state/handover");
+            let mut taker = std::os::unix::net::UnixStream::connect(path).unwrap();
+            taker.write_all(b"qmh\x00\x00\x01").unwrap();
+            taker.write_all(&[1, 0, 0, 0, 0]).unwrap();
+            let mut hello = [0; 6];
+            taker.read_exact(&mut hello).unwrap();
+            assert_eq!(&hello, b"qmh\x00\x00\x01");
+            if says == 0 {
+                // It dies at the first bytes of what comes; the other time it is silent.
+                taker.read_exact(&mut hello[..1]).unwrap();
+                drop(taker);
+            } else {
+                taker.read_to_end(&mut Vec::new()).unwrap();
+            }
+            assert_eq!(ready(&mut rests).await, (200, false), "the connection goes on");
+        }
+        assert_eq!(hand_in_on(&mut rests, "after").await, 202);
+        let calls = stage.calls_until_answered(&["out", "after"]).await;
+        assert_eq!(calls, [("after".into(), 1)].into(), "the call that was out is not made again");
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+    });
+}
+
 #[test]
 fn a_process_that_hangs_is_ended_and_its_journal_taken_up() {
     play(|| async {
