--- /dev/null
+++ b/core/tests/resume.rs
@@ -0,0 +1,176 @@
+//! An upgrade in the core: what one process hands over, the next decides from, as if nothing had happened.
+
+use quillmount_core::hub::{self, Do, Hub};
+use quillmount_core::journal::Journal;
+use quillmount_core::pool::Pool;
+use quillmount_core::router::{Intake, ResumeError, Router, mark};
+use quillmount_core::store::Memory;
+use quillmount_core::{CallEnd, Invocation, InvokerCall, Provider, ProviderList};
+use spurshore::{Eye, ListState, Micros};
+use spurshore_settings::{Category, Env};
+
+const DISK: u64 = 99_999;
+const NOW: Micros = 1_000_000_000;
+
+/// All that an eye is shown, in order.
+#[derive(Default, PartialEq, Debug)]
+struct Words(Vec<u64>);
+
+impl Eye for Words {
+    fn word(&mut self, word: u64) {
+        self.0.push(word);
+    }
+    fn time(&mut self, at: Micros) {
+        self.0.push(at);
+    }
+    fn message(&mut self, id: u64) {
+        self.0.push(id);
+    }
+    fn endpoint(&mut self, id: u32) {
+        self.0.push(id.into());
+    }
+}
+
+fn env() -> Env {
+    let class = |name: &str, effect: &str| Category {
+        name: name.into(),
+        effect: Some(effect.into()),
+        deadline_ms: 16_000.0,
+        promise_ms: 3_000.0,
+        memory_span_ms: 6_000.0,
+        ..Category::default()
+    };
+    Env { categories: vec![class("fee-debit", "fragile"), class("paid-notice", "dedup")], ..Env::default() }
+}
+
+fn list() -> ProviderList {
+    let line = |n: u64, state| Provider {
+        id: format!("s-{n}"),
+        addr: "127.0.0.1:1".parse().ok(),
+        dest: n / 2,
+        kind: String::new(),
+        zone: "z".into(),
+        weight: 9.0,
+        state,
+    };
+    let states =
+        [ListState::Ready, ListState::Ready, ListState::Ready, ListState::Draining, ListState::Ready];
+    let providers = states.into_iter().zip(0..).map(|(state, n)| line(n, state)).collect();
+    ProviderList { version: 41, full: true, providers }
+}
+
+type World = Hub<Memory, u32>;
+
+fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
+    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
+}
+
+fn hand_in(hub: &mut World, n: u64, now: Micros) -> (Intake, Vec<InvokerCall>) {
+    let class = if n.is_multiple_of(2) { "fee-debit" } else { "paid-notice" };
+    let (id, key, body) = (format!("m{n}"), Some(format!("k{n}")), bytes::Bytes::from_static(b"body"));
+    let time_left = 16_000_000;
+    let invocation = Invocation { id, class: class.into(), key, dest: n % 3, time_left, body };
+    let (intake, todo) = hub.take_on(invocation, now);
+    (intake, calls(todo))
+}
+
+/// One in the middle of much: calls out, one told to wait, failures that make an outage, ends that wait for the
+/// platform, an endpoint that is out, messages held.
+fn busy() -> World {
+    let (router, steps) = Router::open(&env(), 7, list(), Memory::default(), DISK, NOW).unwrap();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 99));
+    hub.carry_out(steps, NOW);
+    hub.list(list(), NOW);
+    hub.hold("s-1", true, NOW).unwrap();
+    let ends = [
+        CallEnd::Delivered,
+        CallEnd::Full(2_000_000),
+        CallEnd::Reset,
+        CallEnd::Reset,
+        CallEnd::TimedOut,
+        CallEnd::Error,
+    ];
+    let mut out = Vec::new();
+    for n in 0..40 {
+        let now = NOW + n * 30_000;
+        out.extend(hand_in(&mut hub, n, now).1);
+        // The last destination answers nobody.
+        if let Some(first) = out.iter().position(|call| call.dest != 2) {
+            let call = out.remove(first);
+            out.extend(calls(hub.call_ended(call.call, ends[n as usize % ends.len()], now + 9_000)));
+        }
+    }
+    let (load, notices) = (hub.router.load(), hub.router.notices(9).len());
+    assert!(load.1 > 0 && notices > 0, "{load:?}, {notices}");
+    hub
+}
+
+fn words(hub: &World) -> Words {
+    let mut words = Words::default();
+    hub.router.see(&mut words);
+    words
+}
+
+fn resumed(state: hub::State, store: Memory) -> Result<(World, Vec<Do<u32>>), ResumeError> {
+    let now = NOW + 2_000_000;
+    let (router, steps) = Router::resume(&env(), None, state.router, store, DISK, now)?;
+    let mut next = Hub::new(router, Pool::new(15_000_000, 99));
+    let todo = next.resume(&state.holds, steps, now);
+    Ok((next, todo))
+}
+
+/// As it crosses from one process to the other.
+fn state(hub: &World) -> hub::State {
+    let bytes = postcard::to_allocvec(&hub.state(mark(&env(), None).unwrap())).unwrap();
+    postcard::from_bytes(&bytes).unwrap()
+}
+
+fn store(hub: &World) -> Memory {
+    Memory::of(hub.router.journal().store().bytes().to_vec())
+}
+
+#[test]
+fn the_next_process_knows_all_that_the_one_before_knew_and_begins_nothing_twice() {
+    let mut hub = busy();
+    let (mut next, todo) = resumed(state(&hub), store(&hub)).unwrap();
+    assert_eq!(words(&next), words(&hub));
+    assert!(calls(todo).is_empty(), "what is out is out still");
+    assert_eq!(next.router.notices(99), hub.router.notices(99));
+    // A told wait binds each provider of its destination, and the gates stand as they did.
+    let now = NOW + 1_250_000;
+    let gates = |hub: &World| (0..5).map(|n| hub.pool.lets_through(n, now)).collect::<Vec<_>>();
+    assert_eq!(gates(&next), gates(&hub));
+    assert!(!gates(&next)[1] && !gates(&next)[3], "one is out, and one drains");
+    // From here on both decide alike: what is handed in, what ends, and as time passes.
+    let out: Vec<_> = next.router.calls_out();
+    for (n, call) in (100..).zip(out) {
+        let now = NOW + 2_000_000 + n * 10_000;
+        let (a, b) = (hand_in(&mut hub, n, now), hand_in(&mut next, n, now));
+        assert_eq!((a.0, a.1.len()), (b.0, b.1.len()));
+        let (a, b) =
+            (hub.call_ended(call, CallEnd::Delivered, now), next.call_ended(call, CallEnd::Delivered, now));
+        assert_eq!(calls(a).len(), calls(b).len());
+        hub.tick(now);
+        next.tick(now);
+        assert_eq!(words(&next), words(&hub), "after message {n}");
+    }
+    // The ids of before are known: open, or over.
+    assert!((0..40).all(|n| hand_in(&mut next, n, NOW + 2_500_000).0 != Intake::TakenOn));
+}
+
+#[test]
+fn a_state_of_other_settings_or_beside_another_journal_is_not_gone_on_from() {
+    let hub = busy();
+    let other = Env { categories: env().categories.into_iter().rev().collect(), ..Env::default() };
+    let refused = Router::resume(&other, None, state(&hub).router, store(&hub), DISK, NOW);
+    assert!(matches!(refused.err(), Some(ResumeError::OtherSettings)));
+    // A third process had the lock in between and wrote; or its journal is gone.
+    let mut grown = busy();
+    hand_in(&mut grown, 1_001, NOW + 3_000_000);
+    for store in [store(&grown), Memory::default()] {
+        assert!(matches!(resumed(state(&hub), store).err(), Some(ResumeError::OtherJournal)));
+    }
+    // The journal that is there serves as after a kill.
+    let mut notes = Vec::new();
+    assert!(!Journal::open(store(&hub), DISK, NOW, &mut notes).unwrap().1.owed.is_empty());
+}
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -310,3 +310,18 @@
         assert_eq!(calls.len(), 3);
     });
 }
+
+/// SIGTERM came before anybody asked: the next process waits for the lock, and reads the journal.
+#[test]
+fn a_process_that_is_stopping_hands_nothing_over_and_the_next_restores() {
+    play(|| async {
+        let mut stage = stage(Script::silent()).await;
+        assert_eq!(stage.hand_in("owed").await, 202);
+        stage.sees("owed", |what| matches!(what, What::Body { .. })).await;
+        stage.courier.term().unwrap();
+        let mut old = stage.courier.upgrade().unwrap();
+        assert!(old.ended().await.unwrap().success());
+        assert_eq!(stage.call("READY").await, "SUCCESS ready\n");
+        stage.sees("owed", |what| *what == What::CallBegan).await;
+    });
+}
