--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -118,10 +118,9 @@
         self.carry_out(steps, now)
     }
 
-    /// Nothing is out and nothing waits to be told.
+    /// Nothing is owed, and no call is out.
     pub fn is_quiet(&self) -> bool {
-        let (_, out) = self.router.load();
-        out == 0 && self.router.notices(1).is_empty()
+        self.router.load() == (0, 0)
     }
 
     /// What the router's steps come to.
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -27,7 +27,7 @@
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
-/// Advice with a rejection by a courier that stops: by then the front deals to others only.
+/// Advice with a rejection by a courier that has stopped taking on: by then the front deals to others only.
 const STOPPING_WAIT: Micros = 500_000;
 /// Advice with a rejection for a destination that the list of an earlier life lacks.
 const UNHEARD_WAIT: Micros = 500_000;
@@ -207,7 +207,8 @@
     /// When the store is asked again.
     write_at: Micros,
     next: MsgId,
-    stopping: bool,
+    /// A planned stop has begun: nothing is taken on from then on.
+    stopping: Option<Micros>,
     /// The journal is read: from here on consumers of streams wait on their connections.
     ready: bool,
     /// The journal's words since the last steps.
@@ -352,7 +353,7 @@
             unwritten: Line::default(),
             write_at: Micros::MAX,
             next,
-            stopping: false,
+            stopping: None,
             ready: false,
             notes,
             counters: Counters::default(),
@@ -409,7 +410,8 @@
             Some(End::Undeliverable) => return Intake::Failed,
             None => {}
         }
-        if self.stopping {
+        // No other life can send a stream's body.
+        if self.stopping.is_some_and(|until| now >= until || stream) {
             return Intake::Rejected { after: STOPPING_WAIT };
         }
         if !self.by_dest.contains_key(&dest) {
@@ -744,10 +746,12 @@
         self.write_at = Micros::MAX;
     }
 
-    /// Takes nothing on any more; the process ends at `at`.
+    /// The process ends at `at`. Half of the time until then it takes on what consumers still bring on the connections
+    /// that they have: most is delivered by the end, the rest is in the journal. Turned away it would be lost where they
+    /// do not come again.
     pub fn stop(&mut self, now: Micros, at: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
-        self.stopping = true;
+        self.stopping = Some(now.saturating_add(at.saturating_sub(now) / 2));
         let orders = self.facade.stop(now, at);
         self.carry_out(orders, now, &mut steps);
         self.say(&mut steps);
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -16,7 +16,8 @@
         facade.see(eye);
         eye.word(holds.iter().count() as u64);
         holds.iter().for_each(|id| see_text(id, eye));
-        [*heard, *stopping].into_iter().for_each(|f| eye.flag(f));
+        eye.flag(*heard);
+        eye.time(stopping.unwrap_or(Micros::MAX));
         let lens = [providers.len(), owed.len(), over_order.len(), out.len(), notices.len()];
         lens.into_iter().for_each(|n| eye.word(n as u64));
         for (n, p) in providers {
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -338,7 +338,7 @@
         self.carry_out(todo);
     }
 
-    /// Nothing is out and nothing waits to be told.
+    /// Nothing is owed, and no call is out.
     pub fn is_quiet(&self) -> bool {
         self.hub.borrow().is_quiet()
     }
