Reach the next process where the folder's name is longer than a socket's

Cause: a Unix socket's name holds 107 bytes; in a deeper folder no process could ask for the hand-over, and the new one would have waited for the lock for good, with an error line twenty times a second. Change: a long name goes by way of the folder's descriptor; the line is written once. Measured: two upgrades in a row in a folder of 130 and more bytes, a connection kept through both (the test). Ruled out: an abstract socket, which any user may take; the temporary folder, which another start may not share.

--- a/courier/src/transport/channel.rs
+++ b/courier/src/transport/channel.rs
@@ -8,9 +8,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::VecDeque;
+use std::fs::File;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use tokio::io::Interest;
 use tokio::net::UnixStream;
@@ -24,9 +25,30 @@
 /// Descriptors in one message, sent and read: one to a frame, and the kernel never joins two such messages.
 const FDS: usize = 4;
 
-/// Where the process that holds the folder listens for the next one.
-pub fn path(folder: &Path) -> PathBuf {
-    folder.join("handover")
+/// A socket's name holds 108 bytes with its end.
+const NAME_MAX: usize = 107;
+
+/// Where the process that holds the folder listens for the next one. A long name goes by way of the folder's
+/// descriptor, which is to be kept until the name has served.
+///
+/// # Errors
+/// The folder can't be opened.
+pub fn path(folder: &Path) -> io::Result<(PathBuf, Option<File>)> {
+    let name = folder.join("handover");
+    if name.as_os_str().len() <= NAME_MAX {
+        return Ok((name, None));
+    }
+    let folder = File::open(folder)?;
+    Ok((format!("/proc/self/fd/{}/handover", folder.as_raw_fd()).into(), Some(folder)))
+}
+
+/// Reaches the process that holds the folder.
+///
+/// # Errors
+/// None listens there.
+pub async fn reach(folder: &Path) -> io::Result<UnixStream> {
+    let (path, _kept) = path(folder)?;
+    UnixStream::connect(path).await
 }
 
 /// One connection between two processes.
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -100,7 +100,7 @@
 pub async fn take(folder: &Path, clock: &Clock) -> io::Result<(Lock, Option<Handed>)> {
     let mut machine = Taker::new(clock.now());
     let (mut channel, mut handed, mut holder) = (None, None, None);
-    let mut todo = TakerOutput::Lock;
+    let (mut todo, mut told) = (TakerOutput::Lock, false);
     loop {
         let input = match todo {
             TakerOutput::Lock => match Lock::take(folder)? {
@@ -113,7 +113,7 @@
             TakerOutput::Ask => {
                 handed = None;
                 // A holder that starts does not listen yet, and one that stops does not any more.
-                match UnixStream::connect(channel::path(folder)).await {
+                match channel::reach(folder).await {
                     Err(_) => TakerInput::Busy,
                     Ok(stream) => {
                         holder = Channel::peer(&stream);
@@ -140,7 +140,13 @@
                         // Where it is gone already, so is its lock.
                         let _ = rustix::process::kill_process(pid, rustix::process::Signal::KILL);
                     }
-                    None => tracing::error!("upgrade: another process holds {}", folder.display()),
+                    None if !std::mem::replace(&mut told, true) => {
+                        tracing::error!(
+                            "upgrade: another process holds {} and does not listen",
+                            folder.display()
+                        );
+                    }
+                    None => {}
                 }
                 TakerInput::Tick
             }
@@ -207,7 +213,7 @@
 /// Passes an operator's line on to the process that has taken over.
 pub async fn pass_on(folder: &Path, line: String) -> io::Result<String> {
     let passed = async {
-        let mut channel = Channel::open(UnixStream::connect(channel::path(folder)).await?).await?;
+        let mut channel = Channel::open(channel::reach(folder).await?).await?;
         channel.send(&Frame::Line(line), None).await?;
         match channel.recv().await? {
             Frame::Said(said) => Ok(said),
@@ -281,7 +287,7 @@
     /// # Errors
     /// The socket can't be had.
     pub fn listen(self: &Rc<Self>) -> io::Result<()> {
-        let path = channel::path(&self.folder);
+        let (path, _kept) = channel::path(&self.folder)?;
         // Of a process that is gone: the lock is ours.
         match std::fs::remove_file(&path) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -34,13 +34,18 @@
 }
 
 async fn stage(script: Script) -> Stage {
+    stage_in(script, "").await
+}
+
+/// The same, in a folder whose name ends so.
+async fn stage_in(script: Script, suffix: &str) -> Stage {
     let (eyes, seen) = Eyes::open();
     let (list, told) = watch::channel(String::new());
     let platform = platform::open(eyes.clone(), told).await.unwrap();
     let provider = provider::open(eyes, move |_| script.clone()).await.unwrap();
     let mut setup = Setup::new(env!("CARGO_BIN_EXE_quillmount"), platform, vec![(7, provider)]);
     setup.operators = true;
-    Stage { courier: Courier::start(setup).unwrap(), seen, list }
+    Stage { courier: Courier::start_in(setup, suffix).unwrap(), seen, list }
 }
 
 impl Stage {
@@ -204,7 +209,8 @@
 #[test]
 fn a_second_upgrade_follows_the_first() {
     play(|| async {
-        let mut stage = stage(Script::silent()).await;
+        // Its folder's name is longer than a socket's may be.
+        let mut stage = stage_in(Script::silent(), &"-long".repeat(24)).await;
         let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
         assert_eq!(hand_in_on(&mut rests, "out").await, 202);
         stage.sees("out", |what| matches!(what, What::Body { .. })).await;
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -122,8 +122,16 @@
     /// # Errors
     /// It did not start; the error has the last line of its log.
     pub fn start(setup: Setup) -> Result<Courier> {
+        Courier::start_in(setup, "")
+    }
+
+    /// The same, in a folder whose name ends so.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn start_in(setup: Setup, suffix: &str) -> Result<Courier> {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let name = format!("quillmount-{}-{}", std::process::id(), NUMBER.fetch_add(1, Relaxed));
+        let name = format!("quillmount-{}-{}{suffix}", std::process::id(), NUMBER.fetch_add(1, Relaxed));
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(folder.join("state"))?;
         let mut config: Value = serde_json::from_str(CONFIG)?;
