--- a/core/tests/resume.rs
+++ b/core/tests/resume.rs
@@ -167,7 +167,11 @@
     // A third process had the lock in between and wrote; or its journal is gone.
     let mut grown = busy();
     hand_in(&mut grown, 1_001, NOW + 3_000_000);
-    for store in [store(&grown), Memory::default()] {
+    // The same messages are owed, and one of them has come further.
+    let mut further = busy();
+    let call = further.router.calls_out()[0];
+    further.call_ended(call, CallEnd::Full(0), NOW + 3_000_000);
+    for store in [store(&grown), store(&further), Memory::default()] {
         assert!(matches!(resumed(state(&hub), store).err(), Some(ResumeError::OtherJournal)));
     }
     // The journal that is there serves as after a kill.
