--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,6 @@
 //! Every decision of the dispatcher (its interface: `src/interface.rs`); nothing is decided elsewhere.
 //! One mechanism decides the ordinary call: per lane (a destination, or a route where routes are separate) a
-//! smoothed latency CAL and a window w, after Gulati and Ahmad. DEPARTURE marks what departs (docs/design.md).
+//! smoothed latency CAL and a window w, after Gulati and Ahmad; DEPARTURE marks what departs (docs/design.md)
 
 use crate::breaks::{self, Break};
 use crate::interface::*;
