Read an operator's call once, and step the giver in one place

Need: a re-reading of the change. Change: the call itself goes to the desk and to the next process, the others call one piece. No behaviour changes, but that a bad line is logged before a process serves, too.

--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -383,15 +383,6 @@
         self.over = self.over.saturating_sub(over_len(id));
     }
 
-    /// Bytes that were written and stand.
-    pub fn len(&self) -> u64 {
-        self.store.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.store.is_empty()
-    }
-
     /// Bytes on disk, as the platform counts them.
     pub fn disk(&self) -> u64 {
         self.store.len().next_multiple_of(BLOCK)
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -51,7 +51,7 @@
         let over = over.filter_map(|(id, until)| Some((id.clone(), *self.over.get(id)?, *until)));
         State {
             settings,
-            journal: self.journal.len(),
+            journal: self.journal.store().len(),
             facade: self.facade.clone(),
             zones: Names::clone(&self.zones),
             provider_names: Names::clone(&self.provider_names),
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -13,6 +13,7 @@
 use quillmount_core::hub;
 use quillmount_core::machine::consumer;
 use quillmount_core::machine::handover::{Giver, GiverInput, GiverOutput, Taker, TakerInput, TakerOutput};
+use quillmount_protocol::operator::Call;
 use serde::{Deserialize, Serialize};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
@@ -51,8 +52,8 @@
 enum Frame {
     /// The first word of a process that starts.
     Ask,
-    /// The first word of one that has handed over: an operator's line.
-    Line(String),
+    /// The first word of one that has handed over: an operator's call.
+    Call(Call),
     /// The answer to that.
     Said(String),
     Busy,
@@ -210,11 +211,11 @@
     }
 }
 
-/// Passes an operator's line on to the process that has taken over.
-pub async fn pass_on(folder: &Path, line: String) -> io::Result<String> {
+/// Passes an operator's call on to the process that has taken over.
+pub async fn pass_on(folder: &Path, call: &Call) -> io::Result<String> {
     let passed = async {
         let mut channel = Channel::open(channel::reach(folder).await?).await?;
-        channel.send(&Frame::Line(line), None).await?;
+        channel.send(&Frame::Call(call.clone()), None).await?;
         match channel.recv().await? {
             Frame::Said(said) => Ok(said),
             _ => Err(io::Error::other("no answer")),
@@ -329,15 +330,12 @@
         });
         let (mut channel, frame) = opened.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         match frame {
-            Frame::Line(line) => channel.send(&Frame::Said(self.desk.answer(&line).await), None).await,
+            Frame::Call(call) => channel.send(&Frame::Said(self.desk.answer(call).await), None).await,
             Frame::Ask if self.courier.is_stopping() => channel.send(&Frame::Busy, None).await,
-            Frame::Ask => {
-                let output = self.giver.borrow_mut().step(GiverInput::Asked, self.courier.clock.now());
-                match output {
-                    GiverOutput::Collect => self.hand_over(&mut channel).await,
-                    _ => channel.send(&Frame::Busy, None).await,
-                }
-            }
+            Frame::Ask => match self.step(GiverInput::Asked) {
+                GiverOutput::Collect => self.hand_over(&mut channel).await,
+                _ => channel.send(&Frame::Busy, None).await,
+            },
             _ => Ok(()),
         }
     }
@@ -427,8 +425,7 @@
     fn take_back(&self, parts: Vec<(Part, Option<TcpStream>)>) {
         tracing::warn!("upgrade: not handed over; this process goes on");
         self.courier.thaw();
-        let (given, rest) = (self.courier.given(), parts);
-        for (part, stream) in rest.into_iter().chain(given) {
+        for (part, stream) in parts.into_iter().chain(self.courier.given()) {
             self.put(part, stream);
         }
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -48,28 +48,22 @@
         self.step(Input::Drain);
     }
 
-    /// The answer to a line, from this process or from the one that has taken over.
-    pub async fn answer(&self, line: &str) -> String {
-        let call = match operator::read(line.as_bytes(), true) {
-            Line::Whole(call) => call,
-            Line::Partial => Err(BadCall::Unended),
-        };
+    /// The answer to a call, from this process or from the one that has taken over.
+    pub async fn answer(&self, call: Call) -> String {
         // What changes now would not be among what is handed over; it is not known yet who decides.
         while self.courier.hands_over() && !self.courier.has_ended() {
             sleep(LOOK).await;
         }
-        let said = match &call {
-            Ok(_) if self.courier.has_ended() => match handover::pass_on(&self.folder, line.into()).await {
+        let said = if self.courier.has_ended() {
+            match handover::pass_on(&self.folder, &call).await {
                 Ok(said) => return said,
                 Err(e) => Err(format!("another process has taken over, and can't be asked: {e}")),
-            },
-            Ok(call) => self.call(call),
-            Err(why) => Err(why.to_string()),
+            }
+        } else {
+            self.call(&call)
         };
-        match (&call, &said) {
-            (Ok(Call::Ready), _) => {}
-            (Ok(call), said) => tracing::info!("operators: {call:?}: {said:?}"),
-            (Err(why), _) => tracing::info!("operators: no call: {why}"),
+        if call != Call::Ready {
+            tracing::info!("operators: {call:?}: {said:?}");
         }
         operator::answer(said.as_deref().map_err(String::as_str))
     }
@@ -159,11 +153,14 @@
 
 /// One caller: a line, its answer, the end.
 async fn attend(mut stream: TcpStream, desk: Option<Rc<Desk>>) {
-    let Ok(Some(line)) = timeout(CALL, heard(&mut stream)).await else { return };
-    let answer = match (line, desk) {
-        (Ok(line), Some(desk)) => desk.answer(&line).await,
+    let Ok(Some(call)) = timeout(CALL, heard(&mut stream)).await else { return };
+    let answer = match (call, desk) {
+        (Ok(call), Some(desk)) => desk.answer(call).await,
         (Ok(_), None) => operator::answer(Err("this process does not serve yet")),
-        (Err(why), _) => operator::answer(Err(&why.to_string())),
+        (Err(why), _) => {
+            tracing::info!("operators: no call: {why}");
+            operator::answer(Err(&why.to_string()))
+        }
     };
     let told = async {
         stream.write_all(answer.as_bytes()).await?;
@@ -185,7 +182,7 @@
 }
 
 /// Reads one line, in whatever pieces it comes; `None`: the caller has gone without a word.
-async fn heard(stream: &mut TcpStream) -> Option<Result<String, BadCall>> {
+async fn heard(stream: &mut TcpStream) -> Option<Result<Call, BadCall>> {
     let mut bytes = Vec::with_capacity(64);
     let mut piece = [0; LINE_MAX];
     loop {
@@ -194,13 +191,8 @@
         if n == 0 && bytes.is_empty() {
             return None;
         }
-        match operator::read(&bytes, n == 0) {
-            Line::Partial => {}
-            Line::Whole(Err(why)) => return Some(Err(why)),
-            Line::Whole(Ok(_)) => {
-                let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |end| end + 1);
-                return Some(String::from_utf8(bytes[..end].into()).map_err(|_| BadCall::NotText));
-            }
+        if let Line::Whole(call) = operator::read(&bytes, n == 0) {
+            return Some(call);
         }
     }
 }
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -233,8 +233,9 @@
         while stage.hand_in("a").await != 200 {}
         // The kill leaves the socket's file; the version before had neither file.
         stage.courier.kill_and_restart().unwrap();
-        assert!(stage.courier.folder.join("state/handover").exists());
         assert_eq!(stage.hand_in("a").await, 200);
+        // Who serves listens for the next process too.
+        assert!(stage.courier.folder.join("state/handover").exists());
         stage.courier.term().unwrap();
         assert!(stage.courier.ended().await.unwrap().success());
         for file in ["handover", "lock"] {
--- a/protocol/src/operator.rs
+++ b/protocol/src/operator.rs
@@ -4,7 +4,7 @@
 pub const LINE_MAX: usize = 256;
 
 /// One call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Call {
     /// Can this process serve?
     Ready,
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -1,5 +1,6 @@
 //! A courier's process between stand-ins, with a folder of its own that ends with it.
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Error, Result};
 use std::net::SocketAddr;
@@ -83,8 +84,7 @@
     /// # Errors
     /// It is gone.
     pub fn term(&self) -> Result<()> {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).map_err(Error::from)
+        signal(&self.child, Signal::TERM)
     }
 
     /// Waits for its end.
@@ -96,6 +96,10 @@
     }
 }
 
+fn signal(child: &Child, signal: Signal) -> Result<()> {
+    kill_process(Pid::from_child(child), signal).map_err(Error::from)
+}
+
 async fn ended(child: &mut Child) -> Result<ExitStatus> {
     let by = Instant::now() + STOP;
     while Instant::now() < by {
@@ -184,8 +188,7 @@
     /// # Errors
     /// It is gone.
     pub fn hang(&self) -> Result<()> {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::STOP).map_err(Error::from)
+        signal(&self.child, Signal::STOP)
     }
 
     /// SIGHUP.
@@ -193,8 +196,7 @@
     /// # Errors
     /// It is gone.
     pub fn hang_up(&self) -> Result<()> {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::HUP).map_err(Error::from)
+        signal(&self.child, Signal::HUP)
     }
 
     /// SIGTERM.
@@ -202,8 +204,7 @@
     /// # Errors
     /// It is gone.
     pub fn term(&self) -> Result<()> {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).map_err(Error::from)
+        signal(&self.child, Signal::TERM)
     }
 
     /// Waits for its end after SIGTERM.
