Do not show an endpoint that went while it was out as ready when it is put back

Cause: a whole list that omits an endpoint marked it gone and left its listed state at ready; ENABLE shows the module and the pool that state, so that calls would have gone to an endpoint that is no more. The hand-over had a check of its own against the same gap. Change: what a whole list omits is gone in its state too, and that check goes. Measured: the new test fails without the line (one call where none may be) and passes with it; core's tests pass. Ruled out: a second check in ENABLE, beside the one in the hand-over.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -593,6 +593,8 @@
         (self.version, self.heard) = (list.version, true);
         if list.full {
             for (n, p) in &mut self.providers {
+                // What a whole list omits is gone, as if it said so.
+                p.state = ListState::Gone;
                 if p.gone.is_none() {
                     p.gone = Some(now);
                     self.went.insert((now, *n));
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -101,8 +101,7 @@
         let mut steps = Vec::new();
         for (n, known) in state.providers {
             let shown = router.holds.shown(router.provider_names.name(n.into()), known.state);
-            let open = shown == ListState::Ready && known.gone.is_none();
-            steps.push(Step::Gate { provider: n, open });
+            steps.push(Step::Gate { provider: n, open: shown == ListState::Ready });
             router.know(n, known);
         }
         (router.version, router.heard) = (state.version, state.heard);
--- a/core/tests/holds.rs
+++ b/core/tests/holds.rs
@@ -81,6 +81,18 @@
     assert!(hub.hold("a", false, later).unwrap().is_empty(), "once more changes nothing");
 }
 
+/// A whole list that omits an endpoint says that it is gone: put back, it is gone still.
+#[test]
+fn an_endpoint_that_went_while_it_was_out_is_not_called_when_it_is_put_back() {
+    let mut hub = open(Memory::default());
+    hub.list(list(true, &[("a", ListState::Ready)]), NOW);
+    hub.hold("a", true, NOW).unwrap();
+    assert_eq!(hand_in(&mut hub, "m", NOW).len(), 0);
+    hub.list(list(true, &[("b", ListState::Draining)]), NOW);
+    assert_eq!(calls(hub.hold("a", false, NOW).unwrap()).len(), 0);
+    assert_eq!(calls(hub.list(list(false, &[("a", ListState::Ready)]), NOW)).len(), 1);
+}
+
 #[test]
 fn a_call_that_is_connecting_when_its_endpoint_is_taken_out_is_held_back() {
     let mut hub = open(Memory::default());
