Decode the settings once for a router, and keep what came over in one piece

A start decoded the settings twice to make one router, two options in run() were always set together, the watch kept a flag beside the one it was handed, and one long type stood in six places. Change: the router's maker decodes once and makes the facade from that; one option holds the first steps and what came over; the watch changes its own copy; the parts' type has a name. Behaviour is the same. Ruled out: sharing the decoding with run() too, which wants a figure that the router does not show.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -245,10 +245,9 @@
         disk: u64,
         now: Micros,
     ) -> Result<(Self, Vec<Step>), RouterError> {
-        let (settings, _) = settings_of(env, streams)?;
         let mut notes = Vec::new();
         let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
-        let facade = Facade::new(settings, seed)?;
+        let facade = |settings| Facade::new(settings, seed);
         let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
         router.holds = book.holds;
         let mut steps = router.list(known, now);
@@ -322,18 +321,19 @@
     fn fresh(
         env: &Env,
         streams: Option<StreamLimits>,
-        facade: Facade,
+        facade: impl FnOnce(Settings) -> Result<Facade, SettingsError>,
         journal: Journal<S>,
         next: MsgId,
         notes: Vec<Note>,
     ) -> Result<Self, RouterError> {
         let (settings, zones) = settings_of(env, streams)?;
+        let open_cap = settings.open_cap as usize;
         Ok(Router {
-            facade,
+            facade: facade(settings)?,
             classes: env.categories.iter().map(|c| c.name.clone()).collect(),
             kinds: env.skus.as_slice().into(),
             zones: Arc::new(zones),
-            open_cap: settings.open_cap as usize,
+            open_cap,
             streams_most: streams.map_or(0, |limits| limits.most),
             provider_names: Arc::default(),
             providers: BTreeMap::new(),
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -93,8 +93,7 @@
         if !book.owed.keys().eq(state.owed.keys()) || book.holds != state.holds || book.next > state.next {
             return Err(ResumeError::OtherJournal);
         }
-        let (settings, _) = settings_of(env, streams)?;
-        let facade = state.facade.resume(settings).map_err(RouterError::from)?;
+        let facade = |settings| state.facade.resume(settings);
         let mut router = Self::fresh(env, streams, facade, journal, state.next, notes)?;
         (router.zones, router.provider_names) = (Arc::new(state.zones), Arc::new(state.provider_names));
         router.holds = state.holds;
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -101,22 +101,24 @@
     let (limits, rules) = streams(&operator.streams).unzip();
     let mark = router::mark(&config.env, limits)?;
     let store = || Folder::open(&config.state).map_err(RunError::Folder);
-    // What was handed over, but for the state, and the first steps.
-    let (mut came, mut first) = (None, None);
-    if let Some(Handed { state: hub::State { router: state, holds }, drained, parts }) = handed {
-        match Router::resume(&config.env, limits, state, store()?, config.disk, clock.now()) {
-            Ok((router, steps)) => {
-                came = Some((holds, drained, parts));
-                first = Some((router, steps));
+    let resumed = match handed {
+        None => None,
+        Some(Handed { state: hub::State { router: state, holds }, drained, parts }) => {
+            match Router::resume(&config.env, limits, state, store()?, config.disk, clock.now()) {
+                Ok(first) => Some((first, (holds, drained, parts))),
+                Err(e) => {
+                    tracing::error!("upgrade: what was handed over is of no use, the journal is read: {e}");
+                    None
+                }
             }
-            Err(e) => tracing::error!("upgrade: what was handed over is of no use, the journal is read: {e}"),
         }
-    }
-    let (router, steps) = match first {
-        Some(first) => first,
+    };
+    // What was handed over, but for the state.
+    let ((router, steps), mut came) = match resumed {
+        Some((first, came)) => (first, Some(came)),
         None => {
             let (seed, known) = (config.seed, config.known.clone());
-            Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?
+            (Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?, None)
         }
     };
     let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -2,7 +2,7 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
-use super::handover::Part;
+use super::handover::{Part, Parts};
 use super::providers::{self, Came, Words};
 use super::streams::{self, Pipe, Rules, Streams};
 use actix_rt::net::TcpStream;
@@ -47,7 +47,7 @@
     hands_over: Cell<bool>,
     /// Nothing is decided here any more, or not now.
     frozen: Cell<bool>,
-    parts: RefCell<Vec<(Part, Option<TcpStream>)>>,
+    parts: RefCell<Parts<TcpStream>>,
     /// Operators have emptied it: the front is told no.
     drained: Cell<bool>,
     /// The router's next wake-up may have moved.
@@ -132,7 +132,7 @@
     }
 
     /// The parts that were given up so far.
-    pub fn given(&self) -> Vec<(Part, Option<TcpStream>)> {
+    pub fn given(&self) -> Parts<TcpStream> {
         self.parts.take()
     }
 
@@ -142,7 +142,7 @@
     }
 
     /// From here on nothing is decided: all state, and all parts.
-    pub fn freeze(&self, settings: u32) -> (hub::State, Vec<(Part, Option<TcpStream>)>) {
+    pub fn freeze(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
         self.frozen.set(true);
         let mut parts = self.parts.take();
         let resting = self.pool(Pool::take_resting);
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -48,6 +48,9 @@
     Call(Box<call::Part>),
 }
 
+/// Parts with the sockets that they have: as this process holds them, or as they come from another.
+pub type Parts<S> = Vec<(Part, Option<S>)>;
+
 #[derive(Serialize, Deserialize)]
 enum Frame {
     /// The first word of a process that starts.
@@ -91,7 +94,7 @@
 pub struct Handed {
     pub state: hub::State,
     pub drained: bool,
-    pub parts: Vec<(Part, Option<OwnedFd>)>,
+    pub parts: Parts<OwnedFd>,
 }
 
 /// Takes the folder: at once where nobody holds it, else from its holder.
@@ -225,7 +228,7 @@
 }
 
 /// The consumers' listening socket among what came.
-pub fn listener(parts: &mut Vec<(Part, Option<OwnedFd>)>) -> Option<std::net::TcpListener> {
+pub fn listener(parts: &mut Parts<OwnedFd>) -> Option<std::net::TcpListener> {
     let place = parts.iter().position(|(part, _)| matches!(part, Part::Listener))?;
     let listener = std::net::TcpListener::from(parts.swap_remove(place).1?);
     listener.set_nonblocking(true).ok()?;
@@ -267,7 +270,7 @@
     }
 
     /// Goes on with what another process handed over.
-    pub fn adopt(&self, parts: Vec<(Part, Option<OwnedFd>)>) {
+    pub fn adopt(&self, parts: Parts<OwnedFd>) {
         for (part, fd) in parts {
             let stream = match (&part, fd) {
                 (Part::Listener, _) => continue,
@@ -422,7 +425,7 @@
     }
 
     /// Goes on as if nothing had been asked.
-    fn take_back(&self, parts: Vec<(Part, Option<TcpStream>)>) {
+    fn take_back(&self, parts: Parts<TcpStream>) {
         tracing::warn!("upgrade: not handed over; this process goes on");
         self.courier.thaw();
         for (part, stream) in parts.into_iter().chain(self.courier.given()) {
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -42,18 +42,14 @@
 
 /// Watches discovery for as long as the courier runs, whatever discovery does. When it moves, the old
 /// watch goes on until the new one has answered, so that no change is missed in between.
-pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery, fleet: Fleet) {
+pub async fn watch(courier: Rc<Courier>, mut discovery: Discovery, mut fleet: Fleet) {
     let mut tasks = Tasks::default();
-    let mut starts = true;
     loop {
         let older = &mut tasks.0;
         let addr = *discovery.borrow_and_update();
-        let task = {
-            let mut fleet = fleet;
-            // A new place is asked at once: the old one closes its watches.
-            fleet.starts &= std::mem::take(&mut starts);
-            actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone(), fleet))
-        };
+        let task = actix_rt::spawn(follow(courier.clone(), addr, discovery.clone(), older.clone(), fleet));
+        // A new place is asked at once: the old one closes its watches.
+        fleet.starts = false;
         older.retain(|task| !task.is_finished());
         older.push(task.abort_handle());
         if discovery.changed().await.is_err() {
