Ask discovery in time to heed a drain, however large the fleet

Checked: logs of 276 couriers; a courier that started at 12.1 s had its first list at 18.7 s, and what it was to heed had changed at 12.4 s. Watches that had an answer told of each change within 0.4 s, and none sent on a list that it had: ruled out lost changes and calls that connect late. At fault: Watch::of_fleet, where a start waits up to 25 ms a courier (7.5 s at 300) and pauses grow to 92 s, while the protocol takes a change as told at once where the agent holds it, and after 6 s in any case.

--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -146,7 +146,12 @@
     let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
     let listener = Rc::new(listener);
     let told = settings(&config.env, &mut Names::default()).map_err(RouterError::Decode)?;
-    let fleet = platform::Fleet { couriers: told.siblings, seed: config.seed, starts: came.is_none() };
+    let fleet = platform::Fleet {
+        couriers: told.siblings,
+        seed: config.seed,
+        starts: came.is_none(),
+        heed: told.heed,
+    };
     let begin = {
         let (courier, connections, listener) = (courier.clone(), connections.clone(), listener.clone());
         move || {
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -6,6 +6,7 @@
 use quillmount_core::machine::notices::{self, Notices};
 use quillmount_core::machine::watch::{Input, Output, RETRY_MAX, SILENCE, State, Watch};
 use quillmount_protocol::{discovery, notice};
+use spurshore::Micros;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     pub seed: u64,
     /// Others may start in this moment: the first question waits for a part of a moment.
     pub starts: bool,
+    /// Within which a drain has to be heeded.
+    pub heed: Micros,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -78,8 +81,8 @@
 ) {
     let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(RETRY_MAX)));
     let moved = || *discovery.borrow() != addr;
-    let Fleet { couriers, seed, starts } = fleet;
-    let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts);
+    let Fleet { couriers, seed, starts, heed } = fleet;
+    let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
     let mut todo = if starts { Output::Nothing } else { Output::Ask };
     loop {
         todo = match todo {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -82,6 +82,7 @@
     pub fall_ms: Option<f64>,
     pub fall_multiple: Option<f64>,
     pub key_quiet_ms: Option<f64>,
+    pub stop_sending_within_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -185,6 +186,7 @@
     time(&mut s.keepalive, "keepalive_ms", env.limits.keepalive_ms)?;
     time(&mut s.cold, "cold_ms", env.rules.cold_ms)?;
     time(&mut s.fall, "fall_ms", env.rules.fall_ms)?;
+    time(&mut s.heed, "stop_sending_within_ms", env.rules.stop_sending_within_ms)?;
     time(&mut s.key_quiet, "key_quiet_ms", env.rules.key_quiet_ms)?;
     s.must_ask = env.discovery.as_deref() == Some("subscribe");
     let weights = env.weight_source.as_deref();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,6 +76,8 @@
     pub fall: Micros,
     pub fall_multiple: f64,
     pub key_quiet: Micros,
+    /// Nothing new goes to an endpoint later than this after its drain was told.
+    pub heed: Micros,
     pub decay: Decay,
     pub over_share_worth: f64,
     pub cross_zone_price: f64,
@@ -97,7 +99,7 @@
             weight_is_rate: false, weight_is_rough: true, limit_report: None,
             zone: 0, cross_zone_price: 0.0, keepalive: 5_000_000, streams_per_conn: 1,
             stream_slots: 0, stream_part: 0.0,
-            cold_from: 0.2, cold: 10_000_000, fall: 2_000_000, fall_multiple: 1.5, key_quiet: 0,
+            cold_from: 0.2, cold: 10_000_000, fall: 2_000_000, fall_multiple: 1.5, key_quiet: 0, heed: 500_000,
             decay: Decay::Linear, over_share_worth: 1.0,
             classes: Vec::new(), tenants: Vec::new(), kinds: Vec::new(),
         }
