--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -18,7 +18,7 @@
 }
 
 counters! {
-    connections, taken_on, rejected, malformed, repeated, restored, calls, delivered, errors, spoilt, full,
+    connections, taken_on, rejected, malformed, repeated, restored, calls, bundles, bundled, delivered, errors, spoilt, full,
     told_to_wait, no_slot, not_sent, held_back, could_not_connect, resets, timed_out, given_up, deferred,
     undeliverable, notices, notice_tries, list_changes, watches, reloads, streams, streams_cut, stream_bytes,
 }
@@ -27,7 +27,8 @@
     pub fn count_call(&mut self, end: CallEnd) {
         let counter = match end {
             CallEnd::Delivered => &mut self.delivered,
-            CallEnd::Error => &mut self.errors,
+            // An answer that tells of each message is counted by what it tells.
+            CallEnd::Each | CallEnd::Error => &mut self.errors,
             CallEnd::Spoilt(_) => &mut self.spoilt,
             CallEnd::Full(0) => &mut self.full,
             CallEnd::Full(_) => &mut self.told_to_wait,
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -107,6 +107,18 @@
         self.carry_out(steps, now)
     }
 
+    /// An attempt is over, with a word for each of its messages; see [`Router::call_ended_each`].
+    pub fn call_ended_each(
+        &mut self,
+        call: CallId,
+        ends: &[CallEnd],
+        wait: Micros,
+        now: Micros,
+    ) -> Vec<Do<C>> {
+        let steps = self.router.call_ended_each(call, ends, wait, now);
+        self.carry_out(steps, now)
+    }
+
     /// All that is decided from; `settings`: their mark.
     pub fn state(&self, settings: u32) -> State {
         State { router: self.router.state(settings), holds: self.pool.holds() }
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -363,13 +363,21 @@
         2 * (self.live_sum + self.over + self.holds + more) + 4 * BLOCK > self.budget
     }
 
-    /// Records a step of an invocation that is owed.
+    /// Records steps of invocations that are owed, together.
     ///
     /// # Errors
-    /// The store refused the record: then nothing of it is there.
-    pub fn note(&mut self, record: &Record, now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
-        let frame = encode(record)?;
-        self.append(&frame, now, notes)
+    /// The store refused them: then nothing of them is there.
+    pub fn note_all(
+        &mut self,
+        records: &[Record],
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
+        let mut frames = Vec::new();
+        for record in records {
+            frames.extend(encode(record)?);
+        }
+        self.append(&frames, now, notes)
     }
 
     /// The invocation is over and needs no room any more, save the memory of its id.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,8 @@
     pub class: String,
     pub key: Option<String>,
     pub dest: u64,
+    /// Whose message it is, if that was said.
+    pub tenant: Option<String>,
     /// How long it may still be delivered.
     pub time_left: Micros,
     pub body: Bytes,
@@ -57,11 +59,30 @@
     pub dest: u64,
     pub addr: SocketAddr,
     pub invocation: Arc<Parcel>,
+    /// It is waited for as long as any of its messages is.
     pub timeout: Micros,
     /// No byte of it may leave from then on.
     pub by: Micros,
     /// Its body is passed on as it comes, and is not in the invocation.
     pub stream: bool,
+    /// Further messages that travel with it; without any it is a plain call.
+    pub more: Vec<Rider>,
+    /// The time that the provider is told: that of the message with the least.
+    pub told: Micros,
+}
+
+/// A further message of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rider {
+    pub call: CallId,
+    pub invocation: Arc<Parcel>,
+}
+
+impl InvokerCall {
+    /// Its messages, in the order in which they are sent.
+    pub fn parcels(&self) -> impl Iterator<Item = &Parcel> {
+        std::iter::once(&*self.invocation).chain(self.more.iter().map(|rider| &*rider.invocation))
+    }
 }
 
 /// The parts of an invocation that a provider gets to see, unchanged.
@@ -76,6 +97,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CallEnd {
     Delivered,
+    /// A whole answer that tells of each of the call's messages how it fared. No message ends so.
+    Each,
     Error,
     /// The answer can't be trusted beyond this: it may have run, and it asks to wait so long (0: it
     /// does not).
--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -279,8 +279,11 @@
     /// Nothing came that says otherwise, unless the first line of a 200 did.
     fn given_up(&mut self, end: CallEnd) -> Output {
         let answer = (!self.answer.is_empty()).then(|| (self.decode)(&self.answer, true));
-        let delivered = matches!(answer, Some(Answer::Whole { end: CallEnd::Delivered, .. }));
-        self.end(Link::Close, if delivered { CallEnd::Delivered } else { end })
+        let told = answer.and_then(|answer| match answer {
+            Answer::Whole { end: end @ (CallEnd::Delivered | CallEnd::Each), .. } => Some(end),
+            _ => None,
+        });
+        self.end(Link::Close, told.unwrap_or(end))
     }
 
     fn read(&mut self, now: Micros) -> Output {
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -7,11 +7,11 @@
 use crate::journal::{End, Journal, JournalError, Record, TakenOn};
 use crate::note::Note;
 use crate::store::Store;
-use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList};
+use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList, Rider};
 use serde::{Deserialize, Serialize};
 use spurshore::breaks::{self, Break};
 use spurshore::{
-    Entry, Facade, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
+    Entry, Facade, Item, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
     Settings, SettingsError,
 };
 use spurshore_settings::{Env, Names, settings};
@@ -36,6 +36,8 @@
 const GONE: Micros = 20_000_000;
 /// Between two tries to note an end that the store has refused: short against the 300 ms that an end has.
 const WRITE_AGAIN: Micros = 50_000;
+/// What stands around a message in a call with others: names of the fields, quotes and commas.
+const FRAME: usize = 32;
 /// Ids of invocations that are over, remembered at most.
 const REMEMBERED: usize = 4_096;
 
@@ -148,9 +150,11 @@
     pub part_of_window: f64,
 }
 
-/// A call that is out.
+/// A message that is out in a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Out {
+    /// The call, by its first message.
+    lead: CallId,
     sent: Micros,
     provider: u32,
     dest: u64,
@@ -158,6 +162,8 @@
     noted: Option<u32>,
     /// When a stream's last byte had left.
     written: Option<Micros>,
+    /// Until when it is waited for.
+    until: Micros,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -199,8 +205,14 @@
     over: HashMap<String, End>,
     over_order: VecDeque<(String, Micros)>,
     out: BTreeMap<CallId, Out>,
-    /// The same by provider.
+    /// Calls by provider.
     out_at: BTreeSet<(u32, CallId)>,
+    /// The messages of each call with several, and until when each of these is waited for.
+    bundles: BTreeMap<CallId, Vec<CallId>>,
+    waits: BTreeSet<(Micros, CallId)>,
+    /// A message that is not waited for any longer may be sent again while its call goes on for the others.
+    second_copies: bool,
+    tenants: Arc<[String]>,
     notices: Line,
     /// Ended, and the store has refused the record so far; told once it is written.
     unwritten: Line,
@@ -263,6 +275,7 @@
                 End::Delivered | End::Undeliverable => Ending::Undeliverable,
             });
             router.ids.insert(id.clone(), msg);
+            let size = size(&id, key.as_deref(), &body);
             let parcel = Arc::new(Parcel { id, key, body });
             let noted = entry.calls.len() as u32;
             let stream = entry.stream.then(|| Stream {
@@ -307,6 +320,7 @@
                 hint: None,
                 dest,
                 stream: false,
+                size,
             };
             let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
             let orders = router.facade.restore(now, message, past);
@@ -349,6 +363,10 @@
             over_order: VecDeque::new(),
             out: BTreeMap::new(),
             out_at: BTreeSet::new(),
+            bundles: BTreeMap::new(),
+            waits: BTreeSet::new(),
+            second_copies: env.limits.second_copies.unwrap_or(true),
+            tenants: env.tenants.iter().map(|t| t.name.clone()).collect(),
             notices: Line::default(),
             unwritten: Line::default(),
             write_at: Micros::MAX,
@@ -391,7 +409,7 @@
 
     fn intake(&mut self, invocation: Invocation, stream: bool, now: Micros, steps: &mut Vec<Step>) -> Intake {
         self.forget(now);
-        let Invocation { id, class, key, dest, time_left, body } = invocation;
+        let Invocation { id, class, key, dest, tenant, time_left, body } = invocation;
         let Some(class_number) = self.classes.iter().position(|c| *c == class) else {
             return Intake::UnknownClass;
         };
@@ -435,27 +453,79 @@
         }
         self.next += 1;
         self.ids.insert(id.clone(), msg);
+        let size = size(&id, key.as_deref(), &body);
         let parcel = Arc::new(Parcel { id, key, body });
         let of_stream = stream.then(Stream::default);
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0, stream: of_stream });
         let class = class_number;
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
-        let message = Message { id: msg, class, tenant: None, key: None, deadline, hint: None, dest, stream };
+        let tenant = tenant.and_then(|name| self.tenants.iter().position(|t| *t == name));
+        let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
         Intake::TakenOn
     }
 
-    /// An invoker call ended.
+    /// An invoker call ended, for all of its messages alike.
     pub fn call_ended(&mut self, call: CallId, end: CallEnd, now: Micros) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let Some(Out { sent, provider, dest, noted, written }) = self.out.remove(&call) else { return steps };
+        let ends = vec![end; self.bundles.get(&call).map_or(1, Vec::len)];
+        self.call_ended_each(call, &ends, 0, now)
+    }
+
+    /// An invoker call ended with a word for each of its messages, in the order in which they were sent, and a wait (0:
+    /// none) that binds beside those of the words.
+    pub fn call_ended_each(
+        &mut self,
+        call: CallId,
+        ends: &[CallEnd],
+        told: Micros,
+        now: Micros,
+    ) -> Vec<Step> {
+        let (mut steps, mut reports) = (Vec::new(), Vec::new());
+        let items = self.bundles.remove(&call).unwrap_or_else(|| vec![call]);
+        // One at least is waited for as long as the call is out.
+        let out = items.iter().find_map(|item| self.out.get(item)).map(|out| (out.provider, out.dest));
+        let Some((provider, dest)) = out else { return steps };
         self.out_at.remove(&(provider, call));
+        let waits = ends
+            .iter()
+            .map(|end| if let CallEnd::Full(wait) | CallEnd::Spoilt(wait) = end { *wait } else { 0 });
+        let wait = waits.max().unwrap_or(0).max(told);
+        if wait > 0 {
+            let until = now.saturating_add(wait);
+            let same = self.by_dest.get(&dest).into_iter().flatten();
+            steps.extend(same.map(|n| Step::Hold { provider: *n, until }));
+        }
+        for (item, end) in items.iter().zip(ends) {
+            reports.extend(self.message_ended(*item, *end, told, now, &mut steps));
+        }
+        // The module learns of a call with its last message: one that succeeded says most of the destination.
+        reports.sort_by_key(|r: &Report| r.outcome == Outcome::Ok);
+        let orders = self.facade.report_all(now, &reports);
+        self.carry_out(orders, now, &mut steps);
+        self.say(&mut steps);
+        steps
+    }
+
+    /// A message of a call has this end; what the module is to learn of it.
+    fn message_ended(
+        &mut self,
+        item: CallId,
+        end: CallEnd,
+        told: Micros,
+        now: Micros,
+        steps: &mut Vec<Step>,
+    ) -> Option<Report> {
+        let CallId { msg, attempt } = item;
+        let Some(Out { sent, noted, written, until, .. }) = self.out.remove(&item) else {
+            self.delivered_late(msg, end, now, steps);
+            return None;
+        };
+        self.waits.remove(&(until, item));
         self.counters.count_call(end);
-        let CallId { msg, attempt } = call;
         let (outcome, wait) = match end {
             CallEnd::Delivered => (Outcome::Ok, 0),
-            CallEnd::Error => (Outcome::Error, 0),
+            CallEnd::Error | CallEnd::Each => (Outcome::Error, 0),
             CallEnd::Spoilt(wait) => (Outcome::Error, wait),
             CallEnd::Full(wait) => (Outcome::Full, wait),
             CallEnd::NoSlot | CallEnd::Exhausted | CallEnd::Over | CallEnd::HeldBack => (Outcome::Moot, 0),
@@ -464,15 +534,11 @@
             CallEnd::TimedOut => (Outcome::Timeout, 0),
             CallEnd::GivenUp => (Outcome::Cancelled, 0),
         };
-        if wait > 0 {
-            let until = now.saturating_add(wait);
-            let same = self.by_dest.get(&dest).into_iter().flatten();
-            steps.extend(same.map(|n| Step::Hold { provider: *n, until }));
-        }
+        let wait = wait.max(told);
         let stream = self.owed.get(&msg).filter(|owed| owed.stream.is_some()).map(|owed| owed.end);
         if stream.is_some() && end == CallEnd::Over {
             // It was withdrawn, or is out of time: that is no delivery, and its consumer waits for a word.
-            self.end(msg, Ending::Undeliverable, now, &mut steps);
+            self.end(msg, Ending::Undeliverable, now, steps);
         } else if matches!(end, CallEnd::Delivered | CallEnd::Over) {
             if stream == Some(None) {
                 steps.push(Step::Answer { msg, end: StreamEnd::Delivered });
@@ -484,14 +550,51 @@
             if let Some(attempt) = noted {
                 self.write(&Record::Outcome { msg, attempt, never_ran }, now);
             }
-            self.stream_call_ended(msg, never_ran, now, &mut steps);
+            self.stream_call_ended(msg, never_ran, now, steps);
         }
         let finished = self.owed.get(&msg).is_none_or(|owed| owed.end.is_some());
         let elapsed = now.saturating_sub(written.unwrap_or(sent));
-        let orders = self.facade.report(now, Report { msg, attempt, outcome, elapsed, finished, wait });
-        self.carry_out(orders, now, &mut steps);
-        self.say(&mut steps);
-        steps
+        Some(Report { msg, attempt, outcome, elapsed, finished, wait })
+    }
+
+    /// A call delivered a message that was not waited for any longer: nothing more is owed, and nothing more is to leave.
+    fn delivered_late(&mut self, msg: MsgId, end: CallEnd, now: Micros, steps: &mut Vec<Step>) {
+        let open = self.owed.get(&msg).is_some_and(|owed| owed.end.is_none());
+        if open && matches!(end, CallEnd::Delivered | CallEnd::Over) {
+            self.settle(msg, End::Delivered, now);
+            let again = self.out.range(calls_of(msg)).map(|(_, out)| Step::Ended(out.lead));
+            steps.extend(again);
+            let orders = self.facade.ended(now, msg);
+            self.carry_out(orders, now, steps);
+        }
+    }
+
+    /// A message of a call that goes on for others is not waited for any longer; false: it is the call's last.
+    fn leave(&mut self, item: CallId, end: CallEnd, now: Micros, steps: &mut Vec<Step>) -> bool {
+        let lead = self.out.get(&item).map(|out| out.lead);
+        let others = lead.and_then(|lead| self.bundles.get(&lead)).into_iter().flatten();
+        if !others.into_iter().any(|other| *other != item && self.out.contains_key(other)) {
+            return false;
+        }
+        let report = self.message_ended(item, end, 0, now, steps);
+        let orders = self.facade.report_all(now, report.as_slice());
+        self.carry_out(orders, now, steps);
+        true
+    }
+
+    /// Those whose own time is up leave calls that go on for others.
+    fn leave_late(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        while let Some((until, item)) = self.waits.first().copied().filter(|(until, _)| *until <= now) {
+            self.waits.remove(&(until, item));
+            let lead = self.out.get(&item).map(|out| out.lead);
+            if !self.second_copies {
+                // Sent again it would be a second copy while the call is out.
+                steps.extend(lead.map(Step::GiveUp));
+            } else {
+                // The last one's time is the call's own.
+                self.leave(item, CallEnd::TimedOut, now, steps);
+            }
+        }
     }
 
     /// A call of a stream is over, and the message is not delivered: without its whole body, or with an end
@@ -553,7 +656,7 @@
         self.counters.streams_cut += 1;
         if out {
             let calls = self.out.range(calls_of(msg));
-            steps.extend(calls.map(|(call, _)| Step::Ended(*call)));
+            steps.extend(calls.map(|(_, out)| Step::Ended(out.lead)));
         } else {
             self.end_stream(msg, now, &mut steps);
         }
@@ -714,6 +817,7 @@
     pub fn tick(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
         self.write_again(now, &mut steps);
+        self.leave_late(now, &mut steps);
         let orders = self.facade.tick(now);
         self.carry_out(orders, now, &mut steps);
         self.say(&mut steps);
@@ -722,7 +826,8 @@
 
     pub fn wake_at(&self) -> Option<Micros> {
         let again = (!self.unwritten.is_empty()).then_some(self.write_at);
-        self.facade.wake_at().into_iter().chain(again).min()
+        let late = self.waits.first().map(|(until, _)| *until);
+        self.facade.wake_at().into_iter().chain(again).chain(late).min()
     }
 
     /// Notes the ends that the store has refused. Told without its record, an end would be forgotten by a
@@ -816,10 +921,16 @@
     fn carry_out(&mut self, orders: Vec<Order>, now: Micros, steps: &mut Vec<Step>) {
         for order in orders {
             match order {
-                Order::Call { msg, attempt, endpoint, timeout, by } => {
-                    self.call(CallId { msg, attempt }, endpoint, (timeout, by), now, steps);
+                Order::Call { endpoint, items } => {
+                    self.call(endpoint, &items, now, steps);
+                }
+                Order::GiveUp { msg, attempt } => {
+                    let item = CallId { msg, attempt };
+                    let lead = self.out.get(&item).map_or(item, |out| out.lead);
+                    if !self.leave(item, CallEnd::GivenUp, now, steps) {
+                        steps.push(Step::GiveUp(lead));
+                    }
                 }
-                Order::GiveUp { msg, attempt } => steps.push(Step::GiveUp(CallId { msg, attempt })),
                 Order::Reject { msg, after } => self.end(msg, Ending::Deferred(after), now, steps),
                 Order::Fail { msg } => self.end(msg, Ending::Undeliverable, now, steps),
                 Order::CloseIdle { endpoint } => steps.push(Step::CloseIdle(endpoint)),
@@ -837,38 +948,72 @@
         }
     }
 
-    fn call(
-        &mut self,
-        call: CallId,
-        provider: u32,
-        (timeout, by): (Micros, Micros),
-        now: Micros,
-        steps: &mut Vec<Step>,
-    ) {
-        let owed = self.owed.get(&call.msg);
-        let stream = owed.is_some_and(|owed| owed.stream.is_some());
-        let owed = owed.map(|owed| (owed.parcel.clone(), owed.dest));
-        let known = self.providers.get(&provider).and_then(|p| Some((p.addr?, p.zone)));
-        let (Some((invocation, dest)), Some((addr, zone))) = (owed, known) else {
-            let CallId { msg, attempt } = call;
-            return steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider }));
+    fn call(&mut self, provider: u32, items: &[Item], now: Micros, steps: &mut Vec<Step>) {
+        let known = self.providers.get(&provider).and_then(|p| Some((p.addr?, p.zone, p.dest)));
+        let mut parcels = Vec::with_capacity(items.len());
+        for &Item { msg, attempt, timeout, by } in items {
+            match self.owed.get(&msg).filter(|_| known.is_some()) {
+                Some(owed) => {
+                    let (call, parcel, stream) =
+                        (CallId { msg, attempt }, owed.parcel.clone(), owed.stream.is_some());
+                    parcels.push((call, parcel, stream, timeout, by));
+                }
+                None => steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider })),
+            }
+        }
+        let (Some((addr, zone, dest)), Some((lead, invocation, stream, ..))) =
+            (known, parcels.first().cloned())
+        else {
+            return;
         };
-        let noted = None;
-        self.out.insert(call, Out { sent: now, provider, dest, noted, written: None });
-        self.out_at.insert((provider, call));
-        // Without its record a call must not leave: after a restart it would count as never made.
-        let late = breaks::on(Break::AttemptUnwritten);
-        if !late && !self.write(&Record::Attempt { msg: call.msg, zone, sent: now }, now) {
-            return steps.push(Step::NotWritten(call));
+        let times = || parcels.iter().map(|(.., timeout, _)| *timeout);
+        let (timeout, told) = (times().max().unwrap_or(0), times().min().unwrap_or(0));
+        let by = parcels.iter().map(|(.., by)| *by).min().unwrap_or(Micros::MAX);
+        let several = parcels.len() > 1;
+        for (item, _, _, timeout, _) in &parcels {
+            let until = now.saturating_add(*timeout);
+            self.out
+                .insert(*item, Out { lead, sent: now, provider, dest, noted: None, written: None, until });
+            self.waits.extend(several.then_some((until, *item)));
+        }
+        self.out_at.insert((provider, lead));
+        if several {
+            self.bundles.insert(lead, parcels.iter().map(|(item, ..)| *item).collect());
+        }
+        // Without their records the messages must not leave: after a restart the call would count as never made.
+        let record = |(item, ..): &(CallId, _, _, _, _)| Record::Attempt { msg: item.msg, zone, sent: now };
+        let records: Vec<Record> = parcels.iter().map(record).collect();
+        if !breaks::on(Break::AttemptUnwritten) && !self.write_all(&records, now) {
+            return steps.push(Step::NotWritten(lead));
         }
         // The journal counts what it has, and the module what it ordered: a record that the disk refused
         // sets the two apart.
-        if let (Some(owed), Some(out)) = (self.owed.get_mut(&call.msg), self.out.get_mut(&call)) {
-            out.noted = Some(owed.noted);
-            owed.noted += 1;
+        for (item, ..) in &parcels {
+            if let (Some(owed), Some(out)) = (self.owed.get_mut(&item.msg), self.out.get_mut(item)) {
+                out.noted = Some(owed.noted);
+                owed.noted += 1;
+            }
         }
         self.counters.calls += 1;
-        steps.push(Step::Call(InvokerCall { call, provider, dest, addr, invocation, timeout, by, stream }));
+        if several {
+            self.counters.bundles += 1;
+            self.counters.bundled += parcels.len() as u64;
+        }
+        let riders = parcels.into_iter().skip(1);
+        let more = riders.map(|(call, invocation, ..)| Rider { call, invocation }).collect();
+        let call = lead;
+        steps.push(Step::Call(InvokerCall {
+            call,
+            provider,
+            dest,
+            addr,
+            invocation,
+            timeout,
+            by,
+            stream,
+            more,
+            told,
+        }));
     }
 
     fn end(&mut self, msg: MsgId, ending: Ending, now: Micros, steps: &mut Vec<Step>) {
@@ -886,7 +1031,7 @@
             self.unwritten.push_back(msg);
             self.write_at = self.write_at.min(now.saturating_add(WRITE_AGAIN));
         }
-        steps.extend(self.out.range(calls_of(msg)).map(|(call, _)| Step::Ended(*call)));
+        steps.extend(self.out.range(calls_of(msg)).map(|(_, out)| Step::Ended(out.lead)));
     }
 
     /// Delivered, or over by the provider's word: nothing more is owed.
@@ -947,7 +1092,12 @@
 
     /// A step of what is owed; its room was set aside at the take-on.
     fn write(&mut self, record: &Record, now: Micros) -> bool {
-        let written = self.journal.note(record, now, &mut self.notes);
+        self.write_all(std::slice::from_ref(record), now)
+    }
+
+    /// The same for several, in one append.
+    fn write_all(&mut self, records: &[Record], now: Micros) -> bool {
+        let written = self.journal.note_all(records, now, &mut self.notes);
         written.map_err(|e| self.notes.push(Note::NotWritten(e))).is_ok()
     }
 }
@@ -970,6 +1120,13 @@
     }
 }
 
+/// Bytes that a message takes in a call with others, at most: its body in Base64, its names escaped, its frame.
+fn size(id: &str, key: Option<&str>, body: &[u8]) -> u64 {
+    let escaped =
+        |text: &str| text.len() + 5 * text.bytes().filter(|b| matches!(b, b'"' | b'\\' | ..0x20)).count();
+    (4 * body.len().div_ceil(3) + escaped(id) + key.map_or(0, escaped) + FRAME) as u64
+}
+
 /// The numbers of all calls of a message.
 fn calls_of(msg: MsgId) -> std::ops::RangeInclusive<CallId> {
     CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX }
@@ -1045,7 +1202,8 @@
         let (id, class, time_left) = ("m".to_string(), "fee-debit".to_string(), 16_000_000);
         // The take-on is written, and the attempt behind it is not.
         router.journal_mut().store_mut().fail(Fault::Full { after: 1 });
-        let (_, steps) = router.take_on(Invocation { id, class, key: None, dest: 1, time_left, body }, now);
+        let (_, steps) =
+            router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now);
         let refused = steps.iter().find_map(|s| match s {
             Step::NotWritten(call) => Some(*call),
             _ => None,
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -10,8 +10,8 @@
         let Router {
             facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, ready: _, provider_names, providers, holds, version: _, heard,
             // These three follow from the others.
-            by_dest: _, went: _, out_at: _,
-            journal: _, owed, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
+            by_dest: _, went: _, out_at: _, waits: _, second_copies: _, tenants: _,
+            journal: _, owed, bundles, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
         eye.word(holds.iter().count() as u64);
@@ -56,7 +56,9 @@
             eye.word(end.unwrap_or(0));
         }
         for (call, o) in out {
-            let Out { sent, provider, dest, noted, written } = o;
+            let Out { lead, sent, provider, dest, noted, written, until } = o;
+            eye.message(lead.msg);
+            eye.time(*until);
             eye.time(written.unwrap_or(Micros::MAX));
             eye.word(noted.map_or(u64::MAX, u64::from));
             eye.message(call.msg);
@@ -64,6 +66,10 @@
             [u64::from(call.attempt), *dest].into_iter().for_each(|w| eye.word(w));
             eye.time(*sent);
         }
+        for items in bundles.values() {
+            eye.word(items.len() as u64);
+            items.iter().for_each(|item| eye.message(item.msg));
+        }
         notices.iter().for_each(|id| eye.message(id));
         eye.word(unwritten.len() as u64);
         unwritten.iter().for_each(|id| eye.message(id));
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -19,6 +19,7 @@
     owed: BTreeMap<MsgId, Owed>,
     over: Vec<(String, End, Micros)>,
     out: BTreeMap<CallId, Out>,
+    bundles: BTreeMap<CallId, Vec<CallId>>,
     notices: Vec<MsgId>,
     unwritten: Vec<MsgId>,
     write_at: Micros,
@@ -62,6 +63,7 @@
             owed: self.owed.clone(),
             over: over.collect(),
             out: self.out.clone(),
+            bundles: self.bundles.clone(),
             notices: self.notices.iter().collect(),
             unwritten: self.unwritten.iter().collect(),
             write_at: self.write_at,
@@ -109,8 +111,10 @@
         }
         router.ids = state.owed.iter().map(|(msg, owed)| (owed.parcel.id.clone(), *msg)).collect();
         router.owed = state.owed;
-        router.out_at = state.out.iter().map(|(call, out)| (out.provider, *call)).collect();
-        router.out = state.out;
+        router.out_at = state.out.values().map(|out| (out.provider, out.lead)).collect();
+        let several = state.out.iter().filter(|(_, out)| state.bundles.contains_key(&out.lead));
+        router.waits = several.map(|(item, out)| (out.until, *item)).collect();
+        (router.out, router.bundles) = (state.out, state.bundles);
         state.notices.into_iter().for_each(|msg| router.notices.push_back(msg));
         state.unwritten.into_iter().for_each(|msg| router.unwritten.push_back(msg));
         (router.write_at, router.counters, router.ready) = (state.write_at, state.counters, true);
@@ -123,6 +127,6 @@
 
     /// The calls that are out.
     pub fn calls_out(&self) -> Vec<CallId> {
-        self.out.keys().copied().collect()
+        self.out_at.iter().map(|(_, call)| *call).collect()
     }
 }
--- a/core/tests/holds.rs
+++ b/core/tests/holds.rs
@@ -50,7 +50,13 @@
 fn hand_in(hub: &mut Hub<Memory, u32>, id: &str, now: Micros) -> Vec<InvokerCall> {
     let (class, time_left) = ("paid-notice".to_string(), 16_000_000);
     let body = bytes::Bytes::new();
-    calls(hub.take_on(Invocation { id: id.into(), class, key: None, dest: 1, time_left, body }, now).1)
+    calls(
+        hub.take_on(
+            Invocation { id: id.into(), class, key: None, dest: 1, tenant: None, time_left, body },
+            now,
+        )
+        .1,
+    )
 }
 
 /// What a kill has left.
--- a/core/tests/resume.rs
+++ b/core/tests/resume.rs
@@ -69,7 +69,7 @@
     let class = if n.is_multiple_of(2) { "fee-debit" } else { "paid-notice" };
     let (id, key, body) = (format!("m{n}"), Some(format!("k{n}")), bytes::Bytes::from_static(b"body"));
     let time_left = 16_000_000;
-    let invocation = Invocation { id, class: class.into(), key, dest: n % 3, time_left, body };
+    let invocation = Invocation { id, class: class.into(), key, dest: n % 3, tenant: None, time_left, body };
     let (intake, todo) = hub.take_on(invocation, now);
     (intake, calls(todo))
 }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -450,12 +450,17 @@
                 providers::call(&this, call, &words).await
             };
             this.words.borrow_mut().remove(&id);
-            let end = match came {
-                Came::Ended(end) => end,
+            let (end, each) = match came {
+                Came::Ended(end) => (end, None),
+                Came::Each(ends, wait) => (CallEnd::Each, Some((ends, wait))),
                 Came::Given(part, stream) => return this.give(Part::Call(part), stream),
             };
-            let todo = this.hub.borrow_mut().call_ended(id, end, this.clock.now());
-            tracing::debug!("call ended: {id:?} to {addr}: {end:?}");
+            let now = this.clock.now();
+            let todo = match &each {
+                None => this.hub.borrow_mut().call_ended(id, end, now),
+                Some((ends, wait)) => this.hub.borrow_mut().call_ended_each(id, ends, *wait, now),
+            };
+            tracing::debug!("call ended: {id:?} to {addr}: {end:?} {:?}", each.unwrap_or_default());
             this.carry_out(todo);
         };
         // A span that nobody hears costs a call still.
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -137,7 +137,8 @@
 /// A call at its beginning, or in the middle where another process had it until now.
 pub fn begin(order: InvokerCall, now: Micros) -> (Call<TcpStream>, Micros) {
     let until = now.saturating_add(order.timeout);
-    (Call::new(order, invoker::decode, ANSWER_MAX), until)
+    let decode = invoker::decoder(&order);
+    (Call::new(order, decode, ANSWER_MAX), until)
 }
 
 /// Goes on with a call of another process.
@@ -146,14 +147,16 @@
     part: call::Part,
     connection: Option<TcpStream>,
 ) -> (Call<TcpStream>, Micros) {
-    let until = part.until;
-    let call = courier.pool(|pool| Call::resumed(part, invoker::decode, ANSWER_MAX, connection, pool));
+    let (until, decode) = (part.until, invoker::decoder(&part.order));
+    let call = courier.pool(|pool| Call::resumed(part, decode, ANSWER_MAX, connection, pool));
     (call, until)
 }
 
 /// What a call came to in this process.
 pub enum Came {
     Ended(CallEnd),
+    /// The answer tells of each message, and of a wait.
+    Each(Vec<CallEnd>, Micros),
     /// Another process goes on with it.
     Given(Box<call::Part>, Option<TcpStream>),
 }
@@ -178,8 +181,13 @@
     loop {
         // What is to be closed is closed with it.
         drop(told.gone.take());
-        if let Some(end) = told.end {
-            return Came::Ended(end);
+        match told.end {
+            Some(CallEnd::Each) => {
+                let (ends, wait) = invoker::each(call.attempt().answer(), &call.order);
+                return Came::Each(ends, wait);
+            }
+            Some(end) => return Came::Ended(end),
+            None => {}
         }
         if std::mem::take(&mut told.finish)
             && let Some((stream, _)) = call.parts()
--- a/courier/tests/command.rs
+++ b/courier/tests/command.rs
@@ -133,7 +133,7 @@
         body: b"fee".to_vec().into(),
     };
     journal.take_on(1, taken, false, 0, &mut Vec::new()).unwrap();
-    journal.note(&Record::Attempt { msg: 1, zone: 0, sent: 5 }, 0, &mut Vec::new()).unwrap();
+    journal.note_all(&[Record::Attempt { msg: 1, zone: 0, sent: 5 }], 0, &mut Vec::new()).unwrap();
     journal.store().bytes().to_vec()
 }
 
--- a/examples/held.rs
+++ b/examples/held.rs
@@ -38,7 +38,7 @@
         siblings: 2,
         weight_is_rate: true,
         classes: vec![class],
-        kinds: vec![Kind { separate_routes: false }],
+        kinds: vec![Kind { separate_routes: false, batch: 1 }],
         ..Settings::default()
     }
 }
@@ -67,6 +67,7 @@
             hint: None,
             dest: 0,
             stream: false,
+            size: 0,
         })
     };
     let mut step = |now: Micros, events: &[Event]| {
--- a/explore/src/streams.rs
+++ b/explore/src/streams.rs
@@ -448,7 +448,7 @@
         let class = CLASSES[usize::from(self.size.class)].to_string();
         let key = (self.size.class == 1).then(|| format!("k{n}"));
         let (id, body) = (format!("m{n}"), Default::default());
-        let invocation = Invocation { id, class, key, dest: 0, time_left: TIME_LEFT, body };
+        let invocation = Invocation { id, class, key, dest: 0, tenant: None, time_left: TIME_LEFT, body };
         let (intake, msg, todo) = self.hub.take_on_stream(invocation, self.now);
         if intake != Intake::TakenOn {
             return broken(Property::FinalAnswer, format!("it is not taken on: {intake:?}"));
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -787,6 +787,7 @@
             class: CLASSES[m.class as usize].into(),
             key: (m.class == 1).then(|| format!("k{}", m.key)),
             dest: m.dest,
+            tenant: None,
             time_left: m.deadline.saturating_sub(self.now),
             body: format!("body of m{message}").into_bytes().into(),
         }
--- a/protocol/src/invocation.rs
+++ b/protocol/src/invocation.rs
@@ -109,6 +109,7 @@
     class: String,
     key: Option<String>,
     dest: u64,
+    tenant: Option<String>,
     time_left: Micros,
     pub length: usize,
 }
@@ -165,12 +166,14 @@
         let time_left = text(headers, "x-time-left").and_then(super::span).filter(|t| *t <= longest);
         let time_left = time_left.ok_or(Malformed::TimeLeft)?;
         let dest = text(headers, "x-addressing").and_then(dest).ok_or(Malformed::Dest)?;
-        Ok(Head { id, class, key, dest, time_left, length })
+        // Who is not named, or by no name, is nobody that the settings know.
+        let tenant = name(headers, "x-account");
+        Ok(Head { id, class, key, dest, tenant, time_left, length })
     }
 
     pub fn with_body(self, body: Bytes) -> Invocation {
-        let Head { id, class, key, dest, time_left, .. } = self;
-        Invocation { id, class, key, dest, time_left, body }
+        let Head { id, class, key, dest, tenant, time_left, .. } = self;
+        Invocation { id, class, key, dest, tenant, time_left, body }
     }
 }
 
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -1,22 +1,63 @@
 //! Invoker calls: what a provider is sent, and what its answer means.
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use httparse::{EMPTY_HEADER, Header, Response, Status};
-use quillmount_core::machine::attempt::Answer;
-use quillmount_core::{CallEnd, InvokerCall};
+use quillmount_core::machine::attempt::{Answer, Decode};
+use quillmount_core::{CallEnd, InvokerCall, Parcel};
+use serde::{Deserialize, Serialize};
 use spurshore::Micros;
+use std::collections::HashMap;
 
 use super::invocation::BODY_MAX;
 
 /// Where every provider takes its calls.
 pub(crate) const PATH: &str = "/events";
+/// Where those of the kinds that the settings name take calls with several messages.
+pub(crate) const BUNDLE_PATH: &str = "/events/bundle";
 /// The platform's answers take some 200 bytes.
 const HEAD_MAX: usize = 8 * 1024;
 const HEADERS_MAX: usize = 64;
 /// More of an answer than this is never read.
 pub const ANSWER_MAX: usize = HEAD_MAX + BODY_MAX;
 
-/// A call as it is written; id, key and body pass on unchanged.
+/// A message of a call with several.
+#[derive(Serialize)]
+struct Carried<'a> {
+    id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+    /// In Base64.
+    body: String,
+}
+
+impl<'a> Carried<'a> {
+    fn of(parcel: &'a Parcel) -> Self {
+        Carried { id: &parcel.id, key: parcel.key.as_deref(), body: STANDARD.encode(&parcel.body) }
+    }
+}
+
+/// How one message of a call with several fared.
+#[derive(Deserialize)]
+struct Fared {
+    id: String,
+    state: String,
+}
+
+/// A call as it is written; id, key and body pass on unchanged, in Base64 where there are several.
 pub fn encode(call: &InvokerCall) -> Vec<u8> {
+    if !call.more.is_empty() {
+        let (addr, left) = (call.addr, call.told.div_ceil(1_000));
+        // Strings alone: nothing in them can fail to be written.
+        let body =
+            serde_json::to_vec(&call.parcels().map(Carried::of).collect::<Vec<_>>()).unwrap_or_default();
+        let head = format!(
+            "POST {BUNDLE_PATH} HTTP/1.1\r\nHost: {addr}\r\nX-Time-Left: {left}m\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        return [head.as_bytes(), &body].concat();
+    }
     let parcel = &call.invocation;
     let key = parcel.key.as_ref().map(|key| format!("Idempotency-Key: {key}\r\n"));
     let (id, key, left) = (&parcel.id, key.unwrap_or_default(), call.timeout.div_ceil(1_000));
@@ -34,6 +75,20 @@
 /// only if it is sound to its last byte: a refusal in a spoilt answer may be the remains of something else,
 /// and the call may have run.
 pub fn decode(bytes: &[u8], over: bool) -> Answer {
+    decoded(bytes, over, false)
+}
+
+/// The same for a call with several messages, of which a 200 says nothing before its last byte.
+pub fn decode_each(bytes: &[u8], over: bool) -> Answer {
+    decoded(bytes, over, true)
+}
+
+/// How a call's answers are read.
+pub fn decoder(call: &InvokerCall) -> Decode {
+    if call.more.is_empty() { decode } else { decode_each }
+}
+
+fn decoded(bytes: &[u8], over: bool, each: bool) -> Answer {
     let mut rest = bytes;
     loop {
         let mut headers = [EMPTY_HEADER; HEADERS_MAX];
@@ -41,15 +96,74 @@
         match head.parse(rest) {
             // An interim answer stands before the one that counts.
             Ok(Status::Complete(end)) if matches!(head.code, Some(100 | 102..=199)) => rest = &rest[end..],
-            Ok(Status::Complete(end)) => return whole(&head, rest, end, over),
+            Ok(Status::Complete(end)) => return whole(&head, rest, end, over, each),
             Ok(Status::Partial) if !over && rest.is_empty() => return Answer::Awaited,
             Ok(Status::Partial) if !over && rest.len() <= HEAD_MAX => return Answer::Partial,
-            _ => return spoilt(rest, 0),
+            _ => return spoilt(rest, 0, each),
+        }
+    }
+}
+
+/// What a whole answer to a call with several messages tells of each, and the wait that it tells (0: none). Of one that it
+/// leaves out, names twice in two ways or in words that are not known, it says no more than that it may have run.
+pub fn each(answer: &[u8], call: &InvokerCall) -> (Vec<CallEnd>, Micros) {
+    let mut rest = answer;
+    let (told, body) = loop {
+        let mut headers = [EMPTY_HEADER; HEADERS_MAX];
+        let mut head = Response::new(&mut headers);
+        let Ok(Status::Complete(end)) = head.parse(rest) else { break (0, Vec::new()) };
+        if matches!(head.code, Some(100 | 102..=199)) {
+            rest = &rest[end..];
+            continue;
         }
+        let header = |name| Lookup::of(head.headers, name);
+        let told = header("retry-after").text().and_then(super::seconds).unwrap_or(0);
+        let body = &rest[end..];
+        break (
+            told,
+            match header("content-length").text().and_then(|length| length.parse::<usize>().ok()) {
+                Some(length) => body.get(..length).unwrap_or(body).to_vec(),
+                None if header("transfer-encoding").text().is_some() => unchunked(body),
+                None => body.to_vec(),
+            },
+        );
+    };
+    let fared: Vec<Fared> = serde_json::from_slice(&body).unwrap_or_default();
+    let mut ends: HashMap<&str, CallEnd> = HashMap::new();
+    for one in &fared {
+        let end = match one.state.as_str() {
+            "ok" => CallEnd::Delivered,
+            "error" => CallEnd::Error,
+            "later" => CallEnd::Full(0),
+            "gone" => CallEnd::Over,
+            "exhausted" => CallEnd::Exhausted,
+            _ => CallEnd::Spoilt(0),
+        };
+        ends.entry(&one.id)
+            .and_modify(|known| {
+                if *known != end {
+                    *known = CallEnd::Spoilt(0)
+                }
+            })
+            .or_insert(end);
+    }
+    (call.parcels().map(|p| ends.get(p.id.as_str()).copied().unwrap_or(CallEnd::Spoilt(0))).collect(), told)
+}
+
+/// What a chunked body carries, as far as it can be read.
+fn unchunked(bytes: &[u8]) -> Vec<u8> {
+    let (mut at, mut all) = (0, Vec::new());
+    while let Ok(Status::Complete((head, size @ 1..))) = httparse::parse_chunk_size(&bytes[at..]) {
+        let begin = at + head;
+        let end = begin.saturating_add(usize::try_from(size).unwrap_or(usize::MAX));
+        let Some(part) = bytes.get(begin..end) else { break };
+        all.extend_from_slice(part);
+        at = (end + 2).min(bytes.len());
     }
+    all
 }
 
-fn whole(head: &Response, bytes: &[u8], end: usize, over: bool) -> Answer {
+fn whole(head: &Response, bytes: &[u8], end: usize, over: bool, each: bool) -> Answer {
     let header = |name| Lookup::of(head.headers, name);
     let (code, wait) = (head.code.unwrap_or_default(), header("retry-after"));
     let told = wait.text().and_then(super::seconds).unwrap_or(0);
@@ -71,18 +185,21 @@
         }
         _ => None,
     };
-    let Some(length) = length else { return spoilt(bytes, told) };
+    let Some(length) = length else { return spoilt(bytes, told, each) };
     if body.len() < length {
-        return if over { spoilt(bytes, told) } else { Answer::Partial };
+        return if over { spoilt(bytes, told, each) } else { Answer::Partial };
     }
     // A second copy of the same answer takes nothing from the first; other bytes may mean that the
     // length is wrong, and with it the rest.
     let behind = &body[length..];
     if !behind.is_empty() && !bytes[..end + length].starts_with(behind) {
-        return spoilt(bytes, told);
+        return spoilt(bytes, told, each);
     }
     let one = |name, value| header(name).text() == Some(value);
     let end = match code {
+        200 if each => CallEnd::Each,
+        // Too many, or unreadable: none of them has run.
+        400 | 413 if each => CallEnd::NoSlot,
         200 => CallEnd::Delivered,
         429 if told > 0 || wait.text().is_some_and(|v| super::seconds(v).is_some()) => CallEnd::Full(told),
         503 if one("x-over-slots", "1") => CallEnd::NoSlot,
@@ -96,9 +213,9 @@
 }
 
 /// All that an answer still says that can't be read to its end.
-fn spoilt(bytes: &[u8], told: Micros) -> Answer {
+fn spoilt(bytes: &[u8], told: Micros, each: bool) -> Answer {
     let ok = [&b"HTTP/1.1 200"[..], b"HTTP/1.0 200"].iter().any(|ok| bytes.starts_with(ok));
-    let ok = ok && !bytes.get(12).is_some_and(u8::is_ascii_digit);
+    let ok = ok && !each && !bytes.get(12).is_some_and(u8::is_ascii_digit);
     Answer::Whole { end: if ok { CallEnd::Delivered } else { CallEnd::Spoilt(told) }, reusable: false }
 }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -49,6 +49,7 @@
 #[derive(Deserialize, Default)]
 #[serde(default)]
 pub struct FamilyInfo {
+    pub batch_by_kind: Vec<u32>,
     pub call_slots: Option<u32>,
     pub decay: Option<String>,
     pub separate_routes: Vec<bool>,
@@ -71,6 +72,7 @@
     pub max_retry_after_ms: Option<f64>,
     pub open_cap: Option<u32>,
     pub retry_after: Option<bool>,
+    pub second_copies: Option<bool>,
     pub streams_per_conn: Option<u32>,
 }
 
@@ -203,8 +205,9 @@
     s.cross_zone_price = env.deductions.cross_zone;
     s.tenants = env.tenants.iter().map(|t| t.allowance_per_s).collect();
     for (n, _) in env.skus.iter().enumerate() {
-        s.kinds
-            .push(Kind { separate_routes: env.family_info.separate_routes.get(n).copied().unwrap_or(false) });
+        let separate_routes = env.family_info.separate_routes.get(n).copied().unwrap_or(false);
+        let batch = env.family_info.batch_by_kind.get(n).copied().unwrap_or(1);
+        s.kinds.push(Kind { separate_routes, batch });
     }
     for c in &env.categories {
         let effect = match c.effect.as_deref() {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -10,9 +10,8 @@
 /// One thing that the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    /// Make call number `attempt` of the message and wait for `timeout` at most; no byte of it may leave at
-    /// `by` or later.
-    Call { msg: MsgId, attempt: u32, endpoint: EndpointId, timeout: Micros, by: Micros },
+    /// Make one call with these messages, one at least.
+    Call { endpoint: EndpointId, items: Vec<Item> },
     /// Stop waiting for a call; report it as cancelled.
     GiveUp { msg: MsgId, attempt: u32 },
     /// End the message: handing it in again is harmless, `after` this long (0: no advice).
@@ -25,6 +24,16 @@
     Note(String),
 }
 
+/// A message of a call: its attempt's number. It is waited for `timeout` at most, and no byte of the call may leave
+/// at `by` or later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Item {
+    pub msg: MsgId,
+    pub attempt: u32,
+    pub timeout: Micros,
+    pub by: Micros,
+}
+
 /// How one call ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
@@ -74,14 +83,21 @@
         self.step(now, Event::Restore { message, past })
     }
 
-    /// A call ended.
+    /// A call ended, for its only message.
     pub fn report(&mut self, now: Micros, r: Report) -> Vec<Order> {
-        let Report { msg, attempt, outcome, elapsed, finished, wait } = r;
-        if finished {
-            self.calls.remove(&msg);
+        self.report_all(now, &[r])
+    }
+
+    /// A call ended, for all of its messages that it still had: they are learnt together, before anything is decided.
+    pub fn report_all(&mut self, now: Micros, ends: &[Report]) -> Vec<Order> {
+        let completed = |r: &Report| {
+            let &Report { msg, attempt, outcome, elapsed, finished, wait } = r;
+            Event::Completed(Completed { msg, attempt, outcome, elapsed, finished, wait, report: Vec::new() })
+        };
+        for r in ends.iter().filter(|r| r.finished) {
+            self.calls.remove(&r.msg);
         }
-        let report = Vec::new();
-        self.step(now, Event::Completed(Completed { msg, attempt, outcome, elapsed, finished, wait, report }))
+        self.step_all(now, &ends.iter().map(completed).collect::<Vec<_>>())
     }
 
     /// The last byte of a stream's call was written: its time at the destination begins.
@@ -132,22 +148,36 @@
     }
 
     fn step(&mut self, now: Micros, event: Event) -> Vec<Order> {
+        self.step_all(now, &[event])
+    }
+
+    fn step_all(&mut self, now: Micros, events: &[Event]) -> Vec<Order> {
         // Any step serves a wake-up that is due, and the dispatcher then asks for its next one: kept
         // beside that, the old time would hide it, and the tick at the old time would take both away.
-        let tick = matches!(event, Event::Timer { .. });
+        let tick = matches!(events, [Event::Timer { .. }]);
         if self.wake.is_some_and(|at| at <= now) && (tick || !breaks::on(Break::LostWake)) {
             self.wake = None;
         }
-        let actions = self.dispatcher.step(now, &[event]);
-        actions.into_iter().filter_map(|action| self.order(now, action)).collect()
+        let actions = self.dispatcher.step(now, events);
+        let mut orders = Vec::with_capacity(actions.len());
+        for action in actions {
+            let joins = matches!(action, Action::Send { joins: true, .. });
+            match (self.order(now, action), orders.last_mut()) {
+                (Some(Order::Call { items, .. }), Some(Order::Call { items: call, .. })) if joins => {
+                    call.extend(items)
+                }
+                (order, _) => orders.extend(order),
+            }
+        }
+        orders
     }
 
     fn order(&mut self, now: Micros, action: Action) -> Option<Order> {
         Some(match action {
-            Action::Send { msg, endpoint, timeout, by } => {
+            Action::Send { msg, endpoint, timeout, by, .. } => {
                 let calls = self.calls.entry(msg).or_default();
                 *calls += 1;
-                Order::Call { msg, attempt: *calls - 1, endpoint, timeout, by }
+                Order::Call { endpoint, items: vec![Item { msg, attempt: *calls - 1, timeout, by }] }
             }
             Action::Refuse { msg, after } => {
                 self.calls.remove(&msg);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,10 +41,15 @@
     pub keep_order: bool,
 }
 
+/// Bytes that the messages of one call take together at most: no body on the wire may be larger than 64 KiB.
+pub const CALL_MOST: u64 = 64 * 1024 - 2;
+
 /// A kind of destination.
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
     pub separate_routes: bool,
+    /// Messages that one call may carry; 0 counts as 1.
+    pub batch: u32,
 }
 
 /// What an instance is told at its start. `Settings::default()` serves for what is absent.
@@ -171,6 +176,8 @@
     pub dest: DestId,
     /// Its body is passed on as it comes: a call's time counts from [`Event::Written`] on.
     pub stream: bool,
+    /// Bytes that it takes in a call with others; 0 where that does not matter.
+    pub size: u64,
 }
 
 /// An attempt that an earlier life of the sender made.
@@ -264,6 +271,8 @@
         /// No byte of it may leave from then on: a repeat would not be dropped any more. The clock's end
         /// where nothing sets such a time.
         by: Micros,
+        /// It travels in the call of the `Send` before it, to the same endpoint.
+        joins: bool,
     },
     /// End the message; the client may come again after `after` (0: no advice).
     Refuse {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 //! });
 //! let mut d = Dispatcher::new(settings, 7).unwrap();
 //! let entry = Entry { endpoint: 0, dest: 5, kind: 0, zone: 0, weight: 4.0, state: ListState::Ready, cold: false };
-//! let msg = Message { id: 1, class: 0, tenant: None, key: None, deadline: 8_000_000, hint: None, dest: 5, stream: false };
+//! let msg = Message { id: 1, class: 0, tenant: None, key: None, deadline: 8_000_000, hint: None, dest: 5, stream: false, size: 0 };
 //! let actions = d.step(0, &[
 //!     Event::List { kind: ListKind::Whole, entries: vec![entry] },
 //!     Event::Submit(msg),
@@ -33,7 +33,7 @@
 mod rules;
 mod seen;
 
-pub use facade::{Facade, Order, Report};
+pub use facade::{Facade, Item, Order, Report};
 pub use interface::*;
 pub use rules::Dispatcher;
 pub use seen::Eye;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,13 +4,15 @@
 
 use crate::breaks::{self, Break};
 use crate::interface::*;
-use spurshore_tables::{Dues, Held, Recent, cuts, draw, take_sent};
+use spurshore_tables::{Dues, Held, cuts, draw, take_sent};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 mod seen;
 mod state;
 
+use state::*;
+
 const SEC: Micros = 1_000_000;
 const NEVER: Micros = Micros::MAX;
 
@@ -21,8 +23,9 @@
 const GAMMA: f64 = 0.02;
 /// Constant growth, calls: small, since one call in flight may already be over a limit.
 const BETA: f64 = 0.1;
-/// Threshold over the baseline. Service times spread widely even without a queue.
-const THRESHOLD: f64 = 10.0;
+/// Threshold over the baseline. Service times spread widely even without a queue: where they are exponential,
+/// the fastest tenth beat a tenth of the mean, and CAL, over three calls, is at times four times the mean.
+const THRESHOLD: f64 = 40.0;
 /// Floor of CAL and of a baseline, microseconds: the design's millisecond.
 const FLOOR: f64 = 1_000.0;
 /// The baseline looks back this far, microseconds: the design's minute.
@@ -41,7 +44,11 @@
 // ---- Outages. ----
 /// Failures in a row that make an outage: background errors seldom come in pairs.
 const OUT_FAILS: u32 = 3;
-/// Refusals for so long (microseconds) make one too (shut): a limit's span is two seconds at most.
+/// Errors among the last eight calls that tell of a place that fails a part of them: only the guard binds then.
+/// In the background one call in a hundred fails.
+const OUT_ERRORS: u32 = 3;
+/// Refusals for so long (microseconds), or a longer wait told, make one too (shut): a limit's span is two
+/// seconds at most.
 const OUT_FULL_SPAN: Micros = 5 * SEC / 2;
 /// A rest over the time for which the lane has failed, the time that the call took to fail (slow ones
 /// tell of an outage), and at first the sender's gap. Its spread: a clump's messages fail together.
@@ -58,6 +65,10 @@
 const LEAST_RATE: f64 = 0.01;
 /// Less than this of an allowance left, as reported late: calls were taken a moment ago.
 const USED_UP: f64 = 0.75;
+/// Calls that may go out ahead of their gap.
+const AHEAD: f64 = 1.0;
+/// What each further message adds to a call's weight under the guard.
+const ITEM: f64 = 0.25;
 /// Spread of pauses, so that senders do not fall into step.
 const JITTER: f64 = 0.2;
 
@@ -105,108 +116,9 @@
 const ASK_FIRST: Micros = SEC / 2;
 const ASK_MAX: Micros = 4 * SEC;
 
-#[rustfmt::skip]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
-enum Ran { Out, Never, Maybe }
-
-#[rustfmt::skip]
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-struct Attempt {
-    endpoint: EndpointId, zone: u32, lane: usize, sent: Micros, ran: Ran,
-    /// It went over a connection that had been idle; it was called off; its body is on its way.
-    reused: bool, withdrawn: bool, flows: bool,
-    /// From when its latency counts: a stream's from its last byte on.
-    from: Micros,
-}
-
-#[rustfmt::skip]
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-struct Msg {
-    class: usize, worth: f64, key: Option<u64>, dest: DestId,
-    born: Micros, came: Micros, aim: Micros, deadline: Micros,
-    /// Owed an answer still; an ended message stays until its attempts are over.
-    open: bool, stream: bool, attempts: Vec<Attempt>,
-    /// Its place among those held.
-    place: u64,
-}
-
-impl Attempt {
-    /// One of an earlier life: it holds no slot and its lane is not known any more.
-    fn of_past(p: &PastAttempt) -> Self {
-        let ran = if p.may_have_run { Ran::Maybe } else { Ran::Never };
-        let (endpoint, lane, (sent, from)) = (EndpointId::MAX, usize::MAX, (p.sent, p.sent));
-        let (zone, reused, withdrawn, flows) = (p.zone, false, false, false);
-        Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows }
-    }
-}
-
-impl Msg {
-    fn is_out(&self) -> bool {
-        self.attempts.iter().any(|a| a.ran == Ran::Out)
-    }
-    /// The first attempt that ran, may have run or still may.
-    fn first_maybe(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| a.ran != Ran::Never)
-    }
-}
-
-#[rustfmt::skip]
-#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
-struct Endpoint {
-    dest: DestId, lane: usize, zone: u32, rate: f64, listed: bool, calls: u32,
-    /// When each idle connection was last used.
-    idle: Vec<Micros>,
-    /// When it last answered and refused a connection, and until when its table is taken to be full.
-    answered: Micros, refused: Micros, crowded: Micros,
-    /// Drawn anew with each call: decides between equals.
-    lot: f64,
-}
-
-#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
-struct Dest {
-    kind: usize,
-    lanes: Vec<usize>,
-    /// Messages without an attempt out.
-    held: Held<Alike>,
-}
-
-/// What messages have in common whose worth goes by their age alone, and that may go to the same places.
-#[rustfmt::skip]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Deserialize, serde::Serialize)]
-struct Alike {
-    class: usize, worth: u64, aim: Micros, life: Micros, zone: Option<u32>, stream: bool, ordered: bool,
-}
-
 /// A message with its merit, and where it goes with that endpoint's rank.
 type Pick = (f64, MsgId, EndpointId, f64);
 
-#[rustfmt::skip]
-#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
-struct Lane {
-    dest: DestId, endpoints: Vec<EndpointId>,
-    /// Messages out, oldest first, with the time each was sent.
-    live: VecDeque<(MsgId, Micros)>,
-    /// Streams on their way to their last byte; they are in `live` from there on.
-    flows: u32,
-    w: f64, cal: Option<f64>, samples: Recent, baseline: f64,
-    /// Average latency of answered calls, and time-outs in a row: patience comes from these.
-    answered: f64, timeouts: u32,
-    /// When the latest of the calls that succeeded was sent.
-    ok_sent: Micros,
-    /// Someone was held back by the window since the last update.
-    pressed: bool,
-    shrunk: Micros, wait_until: Micros,
-    /// The last eight outcomes, a bit for each failure; failures and refusals in a row.
-    recent: u8, fails: u32, fulls: u32,
-    /// When the first call since the last success was sent that failed or was refused.
-    bad_from: Micros,
-    out: bool, trial: Option<MsgId>,
-    /// Until when the guard binds; when the latest failure was seen, and until when the lane is kept for it.
-    guard: Micros, bad_at: Micros, keep: Micros,
-    /// Times of calls within the last `fall` span, and of the last one.
-    sent: VecDeque<Micros>, last_sent: Micros,
-}
-
 /// One sender's decisions.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 #[rustfmt::skip]
@@ -221,8 +133,8 @@
     waiting: BTreeSet<DestId>, ready: BTreeSet<DestId>, blocked: Dues,
     /// Lanes, with the numbers of those forgotten.
     lanes: Vec<Lane>, spare: Vec<usize>,
-    /// Messages with an attempt out; each holds a slot.
-    out: BTreeSet<MsgId>,
+    /// Calls out; each holds a slot.
+    out: BTreeMap<CallNo, Out>, calls: CallNo,
     /// The turn of each key, and until when the key rests.
     keys: BTreeMap<u64, (VecDeque<MsgId>, Micros)>,
     /// Messages left inside each tenant's share, and when that was counted.
@@ -377,8 +289,9 @@
         let born = m.deadline.saturating_sub(class.deadline);
         let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
         let attempts = past.iter().map(Attempt::of_past).collect();
-        let (stream, open, place) = (m.stream, true, 0);
-        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open, stream, attempts, place };
+        let (stream, size, open, place) = (m.stream, m.size, true, 0);
+        let msg =
+            Msg { class, worth, key, born, came, aim, deadline, dest, open, stream, size, attempts, place };
         self.open += 1;
         self.msgs.insert(m.id, msg);
         self.hold(m.id);
@@ -580,7 +493,7 @@
         let Some(a) = a.filter(|a| a.flows && a.ran == Ran::Out) else { return };
         (a.flows, a.from) = (false, self.now);
         self.lanes[a.lane].flows -= 1;
-        self.lanes[a.lane].live.push_back((id, self.now));
+        self.lanes[a.lane].live.push_back((a.call, self.now));
         self.ready.extend(&self.waiting);
     }
 
@@ -592,24 +505,33 @@
             || (breaks::on(Break::RetryAfterReset) && c.outcome == Outcome::Reset)
             || (breaks::on(Break::RetryAfterGiveUp) && c.outcome == Outcome::Cancelled);
         a.ran = if never { Ran::Never } else { Ran::Maybe };
-        let (endpoint, lane, sent, reused, flows) = (a.endpoint, a.lane, a.from, a.reused, a.flows);
+        let (endpoint, lane, call, sent, reused, flows) =
+            (a.endpoint, a.lane, a.call, a.from, a.reused, a.flows);
         if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (m.key, c.outcome) {
             let rest = &mut self.keys.entry(k).or_default().1;
             *rest = (*rest).max(now + self.set.key_quiet);
         }
-        self.out.remove(&c.msg);
-        take_sent(&mut self.lanes[lane].live, c.msg, sent);
-        self.lanes[lane].flows -= flows as u32;
-        self.ready.insert(self.lanes[lane].dest);
-        self.ready.extend(self.waiting.iter().filter(|_| flows));
-        self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
-        self.links(endpoint, c, reused);
-        // What was sent before a call that succeeded tells of that call, or of nothing.
+        // Messages of one call share its fate, learnt with the last one's; that one timed out, at once.
+        let out = self.out.get_mut(&call).expect("an attempt that is out has its call");
+        out.left.retain(|m| *m != c.msg);
+        let (last, late) = (out.left.is_empty(), c.outcome == Outcome::Timeout);
+        let news = if late { !std::mem::replace(&mut out.late, true) } else { last };
         let past = sent < self.lanes[lane].ok_sent && !matches!(c.outcome, Outcome::Ok | Outcome::Full);
-        if past {
+        let told = if breaks::on(Break::IgnoreWait) { 0 } else { c.wait };
+        self.lanes[lane].wait_until = self.lanes[lane].wait_until.max(now + told);
+        if last {
+            self.out.remove(&call);
             let l = &mut self.lanes[lane];
-            l.trial = l.trial.filter(|n| *n != c.msg);
-            l.wait_until = l.wait_until.max(now + c.wait);
+            l.trial = l.trial.filter(|n| *n != call);
+            take_sent(&mut l.live, call, sent);
+            l.flows -= flows as u32;
+            self.ready.insert(l.dest);
+            self.ready.extend(self.waiting.iter().filter(|_| flows));
+            self.endpoints.get_mut(&endpoint).expect("an attempt's endpoint is known").calls -= 1;
+            self.links(endpoint, c, reused);
+        }
+        // What was sent before a call that succeeded tells of that call, or of nothing.
+        if past || !news {
         } else if flows && c.outcome == Outcome::Cancelled {
             // Its consumer broke it off, or its time was up: that tells nothing of the destination.
         } else if reused && c.outcome == Outcome::Reset {
@@ -663,7 +585,6 @@
         let l = &mut self.lanes[lane];
         // Only calls long overdue are called off, so that is what it tells.
         let o = if c.outcome == Outcome::Cancelled { Outcome::Timeout } else { c.outcome };
-        l.trial = l.trial.filter(|n| *n != c.msg);
         if o == Outcome::Moot {
             return;
         }
@@ -671,6 +592,7 @@
             l.sample(now, elapsed);
         }
         l.recent = (l.recent << 1) | (o != Outcome::Ok) as u8;
+        l.errors = (l.errors << 1) | (o == Outcome::Error) as u8;
         l.timeouts = if o == Outcome::Timeout { l.timeouts + 1 } else { 0 };
         match o {
             Outcome::Ok => {
@@ -708,11 +630,11 @@
             let rest = first.max((now - l.bad_from) as f64 * REST) * spread;
             let rests = again && gap > 2.0 * self.set.fall as f64 && (limit || !crowd);
             let rest = if rests { rest.min(gap) as Micros } else { 0 };
-            let told = if breaks::on(Break::IgnoreWait) { 0 } else { c.wait };
-            l.wait_until = l.wait_until.max(now + pause.max(told).max(rest));
+            l.wait_until = l.wait_until.max(now + pause.max(rest));
         }
         let most = l.recent.count_ones() >= 6 && l.fails > 0;
-        let shut = !limit && l.fulls > 1 && now >= l.bad_from.saturating_add(OUT_FULL_SPAN);
+        let long = l.fulls > 1 && now >= l.bad_from.saturating_add(OUT_FULL_SPAN);
+        let shut = !limit && (long || o == Outcome::Full && c.wait > OUT_FULL_SPAN);
         let out = !l.out && (l.fails >= OUT_FAILS || shut || most);
         if out {
             l.out = true;
@@ -723,8 +645,9 @@
         l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
         // A refusal between successes is the limit's, which is no outage.
         let limit = limit || (o == Outcome::Full && !l.out && !crowd);
+        let most = o == Outcome::Error && l.errors.count_ones() >= OUT_ERRORS;
         if out || (o != Outcome::Ok && !limit) {
-            self.knows(lane, out);
+            self.knows(lane, out || most);
         }
     }
 
@@ -799,6 +722,7 @@
                 at = at.max(l.last_sent + (l.cal.unwrap_or(FLOOR) / eff).min(PACE_MAX) as Micros);
             }
         }
+        at = at.max(l.paced.saturating_sub((self.gap(lane) as f64 * AHEAD) as Micros));
         let turn = self.turn(lane, at);
         if self.now < l.guard {
             // Slow start: this sender's part of S in any span, growing as the destination warms.
@@ -852,16 +776,16 @@
     /// DEPARTURE: all slots taken while others could send: the call longest overdue is called off.
     /// Guards against silent destinations that hold unsafe calls; it may end one that only was slow.
     fn reclaim(&mut self) -> Micros {
-        let due = |(m, a): (&Msg, &Attempt)| {
+        let due = |a: &Attempt, left: &[MsgId]| {
             let spare = (TIMEOUT_CALS * self.lanes[a.lane].answered).clamp(RECLAIM_MIN, RECLAIM_MAX);
-            let once = self.set.classes[m.class].effect == Effect::Unsafe;
-            a.from + (if once { spare * UNSAFE_PATIENCE } else { spare }) as Micros
+            let once = |id: &MsgId| self.set.classes[self.msgs[id].class].effect == Effect::Unsafe;
+            a.from + (if left.iter().any(once) { spare * UNSAFE_PATIENCE } else { spare }) as Micros
         };
         let calls =
-            self.out.iter().filter_map(|id| Some((*id, &self.msgs[id], self.msgs[id].attempts.last()?)));
+            self.out.iter().filter_map(|(n, o)| Some((*n, o, self.msgs[o.left.first()?].attempts.last()?)));
         let worst =
-            calls.filter(|(.., a)| !a.withdrawn && !a.flows).map(|(id, m, a)| (due((m, a)), id)).min();
-        let Some((due, msg)) = worst.filter(|_| self.set.cancel) else { return NEVER };
+            calls.filter(|(.., a)| !a.withdrawn && !a.flows).map(|(n, o, a)| (due(a, &o.left), n)).min();
+        let Some((due, call)) = worst.filter(|_| self.set.cancel) else { return NEVER };
         if due > self.now {
             return due;
         }
@@ -870,10 +794,12 @@
         if !waiting.into_iter().any(|d| self.best_of(d, &mut wake).is_some()) {
             return wake;
         }
-        let attempts = &mut self.msgs.get_mut(&msg).expect("found above").attempts;
-        let attempt = attempts.len() as u32 - 1;
-        attempts[attempt as usize].withdrawn = true;
-        self.acts.push(Action::Cancel { msg, attempt });
+        for msg in self.out[&call].left.clone() {
+            let attempts = &mut self.msgs.get_mut(&msg).expect("its call is out").attempts;
+            let attempt = attempts.len() as u32 - 1;
+            attempts[attempt as usize].withdrawn = true;
+            self.acts.push(Action::Cancel { msg, attempt });
+        }
         NEVER
     }
 
@@ -892,7 +818,7 @@
                 *wake = (*wake).min(at);
                 continue;
             }
-            let Some(pick) = self.best_message(lane, wake) else { continue };
+            let Some(pick) = self.best_message(lane, None, wake) else { continue };
             // Between routes: the least laden, then the better message.
             if best.is_none_or(|b| (pick.3, -pick.0) < (b.3, -b.0)) {
                 best = Some(pick);
@@ -902,24 +828,29 @@
     }
 
     /// The message of a lane with the most to be won now, and where it goes. One that is bound to
-    /// a zone, waits for its turn or is held back never blocks the others.
-    fn best_message(&self, lane: usize, wake: &mut Micros) -> Option<Pick> {
+    /// a zone, waits for its turn or is held back never blocks the others. `call`: it joins one to there.
+    fn best_message(&self, lane: usize, call: Option<EndpointId>, wake: &mut Micros) -> Option<Pick> {
         let l = &self.lanes[lane];
         let eta = self.now + l.cal.unwrap_or(FLOOR) as Micros;
         // Before a planned stop a call starts only where twice the usual time is left for it.
         let ends = self.stop_at.is_none_or(|stop| eta + (eta - self.now) <= stop);
-        let usual = self.choose(lane, None).filter(|_| ends)?;
+        let usual = call.map_or_else(|| self.choose(lane, None), |to| Some((0.0, to))).filter(|_| ends)?;
+        // One with less time left than calls there may take would cut the others' short, and goes alone.
+        let least = if call.is_some() { self.now + l.patience(self.least) } else { 0 };
         // How long a call there is likely to hold its slot (a quarter of a second where nothing is known).
         let slot =
             if l.timeouts > 0 { l.patience(self.least) as f64 } else { l.cal.unwrap_or(SEC as f64 / 4.0) };
         let (mut best, mut place): (Option<Pick>, u64) = (None, 0);
         for (alike, aged) in self.dests[&self.endpoints[&usual.1].dest].held.alike() {
             let to = if alike.zone.is_some() { self.choose(lane, alike.zone) } else { Some(usual) };
-            let Some((rank, to)) = to.filter(|_| !alike.stream || self.may_flow(lane)) else { continue };
+            let fits = |to: &(f64, EndpointId)| {
+                call.map_or(!alike.stream || self.may_flow(lane), |c| c == to.1 && !alike.stream)
+            };
+            let Some((rank, to)) = to.filter(fits) else { continue };
             let ends = || aged.ends(eta, || self.cuts(alike, HORIZON));
             for id in if alike.ordered { aged.iter().collect() } else { ends() } {
                 let m = &self.msgs[&id];
-                if !self.may_send(m) || !self.has_turn(id, m, wake) {
+                if m.deadline < least || !self.may_send(m) || !self.has_turn(id, m, wake) {
                     continue;
                 }
                 let here = self.worth_at(m, eta);
@@ -956,33 +887,61 @@
         ranked.min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
+    /// Makes a call with this message, and with as much of what else the lane holds as one call may carry.
     fn send(&mut self, id: MsgId, endpoint: EndpointId) {
-        self.unhold(id);
-        let (now, jitter) = (self.now, self.jitter());
+        let (now, jitter, call) = (self.now, self.jitter(), self.calls);
+        self.calls += 1;
         let e = self.endpoints.get_mut(&endpoint).expect("chosen from the list");
-        let l = &mut self.lanes[e.lane];
-        let m = self.msgs.get_mut(&id).expect("chosen from those held");
-        self.out.insert(id);
+        let (lane, stream) = (e.lane, self.msgs[&id].stream);
         e.idle.retain(|t| t + self.set.keepalive > now);
-        let (zone, lane, reused) = (e.zone, e.lane, e.idle.pop().is_some());
+        let reused = e.idle.pop().is_some();
         e.calls += 1;
         e.lot = (jitter - 1.0).abs();
-        if m.stream {
+        self.out.insert(call, Out::default());
+        self.join(id, endpoint, call, reused);
+        // DEPARTURE: a call is one in the window, for a slot and under the guard, whatever it carries.
+        let (gap, most) = (self.gap(lane), self.batch(lane));
+        let alone = stream
+            || self.lanes[lane].out
+            || self.msgs[&id].deadline < now + self.lanes[lane].patience(self.least);
+        let (mut size, mut bytes) = (1, self.msgs[&id].size);
+        while size < most && !alone {
+            let more = self.best_message(lane, Some(endpoint), &mut NEVER.clone());
+            let Some((_, id, ..)) = more.filter(|m| bytes + self.msgs[&m.1].size <= CALL_MOST) else { break };
+            bytes += self.msgs[&id].size;
+            self.join(id, endpoint, call, reused);
+            size += 1;
+        }
+        let l = &mut self.lanes[lane];
+        if stream {
             l.flows += 1;
         } else {
-            l.live.push_back((id, now));
+            l.live.push_back((call, now));
         }
+        l.paced = l.paced.max(now) + gap;
         l.last_sent = now;
-        l.sent.push_back(now);
+        // Each further message makes a call a little heavier.
+        l.sent.extend(std::iter::repeat_n(now, 1 + (size as f64 * ITEM) as usize));
         while l.sent.front().is_some_and(|t| t + self.set.fall < now) {
             l.sent.pop_front();
         }
         l.pressed |= l.live.len() >= (l.w as usize).max(1);
-        l.trial = l.out.then_some(id);
+        l.trial = l.out.then_some(call);
+    }
+
+    /// The message goes with the call.
+    fn join(&mut self, id: MsgId, endpoint: EndpointId, call: CallNo, reused: bool) {
+        self.unhold(id);
+        let (now, zone, lane) = (self.now, self.endpoints[&endpoint].zone, self.endpoints[&endpoint].lane);
+        let patience = self.lanes[lane].patience(self.least);
+        let m = self.msgs.get_mut(&id).expect("chosen from those held");
+        let left = &mut self.out.get_mut(&call).expect("the caller makes it").left;
+        let joins = !left.is_empty();
+        left.push(id);
         let timeout = match self.set.classes[m.class].effect {
             Effect::Unsafe if self.set.cancel => m.deadline,
-            Effect::Unsafe => (l.patience(self.least) as f64 * UNSAFE_PATIENCE) as Micros,
-            _ => l.patience(self.least),
+            Effect::Unsafe => (patience as f64 * UNSAFE_PATIENCE) as Micros,
+            _ => patience,
         };
         let timeout = timeout.min(m.deadline.saturating_sub(now)).max(1);
         // A host that connects or writes for so long gives the call up; half the margin covers the trip.
@@ -992,9 +951,23 @@
             _ => NEVER,
         };
         let (sent, from, flows, ran, withdrawn) = (now, now, m.stream, Ran::Out, false);
-        m.attempts.push(Attempt { endpoint, zone, lane, sent, from, ran, reused, withdrawn, flows });
+        m.attempts.push(Attempt { endpoint, zone, lane, call, sent, from, ran, reused, withdrawn, flows });
         self.dues.set(id, self.due(&self.msgs[&id], 0));
-        self.acts.push(Action::Send { msg: id, endpoint, timeout, by });
+        self.acts.push(Action::Send { msg: id, endpoint, timeout, by, joins });
+    }
+
+    /// Messages that one call of a lane may carry.
+    fn batch(&self, lane: usize) -> u32 {
+        let kind = self.dests.get(&self.lanes[lane].dest).and_then(|d| self.set.kinds.get(d.kind));
+        kind.map_or(1, |k| k.batch.max(1))
+    }
+
+    /// Time between two calls of this sender, if all senders have their part of a limit that is told: messages
+    /// that one call may carry together gather meanwhile, instead of each using up a part of the limit.
+    fn gap(&self, lane: usize) -> Micros {
+        let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate).filter(|r| *r > 0.0);
+        let rate = rates.reduce(f64::min).filter(|_| self.batch(lane) > 1);
+        rate.map_or(0, |rate| (1e6 * self.set.siblings.max(1) as f64 / rate) as Micros)
     }
 }
 
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -11,9 +11,10 @@
         let Dispatcher {
             set: _, rng, now, least, msgs, open, endpoints, dests, waiting, lanes, spare, out, keys, shares,
             // The first two follow from the rest; a place only orders those held.
-            dues: _, guarded: _, places: _, ready: _, blocked: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
+            dues: _, guarded: _, calls: _, places: _, ready: _, blocked: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
         } = self;
         [*now, *look_at, *timer, *ask_at, stop_at.unwrap_or(NEVER)].into_iter().for_each(|t| eye.time(t));
+        let first = |call: &CallNo| out.get(call).and_then(|o| o.left.first()).copied().unwrap_or(MsgId::MAX);
         [*rng, *ask_gap, u64::from(*open)].into_iter().for_each(|w| eye.word(w));
         eye.real(*least);
         eye.word(msgs.len() as u64);
@@ -42,9 +43,13 @@
             .into_iter()
             .for_each(|n| eye.word(n as u64));
         waiting.iter().for_each(|d| eye.word(*d));
-        lanes.iter().for_each(|l| see_lane(l, eye));
+        lanes.iter().for_each(|l| see_lane(l, first, eye));
         spare.iter().for_each(|n| eye.word(*n as u64));
-        out.iter().for_each(|m| eye.message(*m));
+        // Calls are known by their messages: their numbers tell only how many there were before.
+        for Out { left, late } in out.values() {
+            eye.flag(*late);
+            left.iter().for_each(|m| eye.message(*m));
+        }
         for (key, (turn, rest)) in keys {
             [*key, turn.len() as u64].into_iter().for_each(|w| eye.word(w));
             turn.iter().for_each(|m| eye.message(*m));
@@ -70,8 +75,10 @@
 }
 
 fn see_message(m: &Msg, eye: &mut impl Eye) {
-    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, attempts, place: _ } = m;
+    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, size, attempts, place: _ } =
+        m;
     eye.flag(*stream);
+    eye.word(*size);
     [*class as u64, *dest, *aim, u64::from(*open), attempts.len() as u64]
         .into_iter()
         .for_each(|w| eye.word(w));
@@ -79,7 +86,7 @@
     [*born, *came, *deadline].into_iter().for_each(|t| eye.time(t));
     eye.real(*worth);
     for a in attempts {
-        let Attempt { endpoint, zone, lane, sent, ran, reused, withdrawn, flows, from } = a;
+        let Attempt { endpoint, zone, lane, call: _, sent, ran, reused, withdrawn, flows, from } = a;
         eye.flag(*flows);
         eye.time(*from);
         eye.endpoint(*endpoint);
@@ -90,18 +97,18 @@
     }
 }
 
-fn see_lane(l: &Lane, eye: &mut impl Eye) {
+fn see_lane(l: &Lane, first: impl Fn(&CallNo) -> MsgId, eye: &mut impl Eye) {
     #[rustfmt::skip]
     let Lane {
         dest: _, endpoints, live, flows, w, cal, samples, baseline, answered, timeouts, ok_sent, pressed, shrunk, wait_until,
-        recent, fails, fulls, bad_from, out, trial, guard, bad_at, keep, sent, last_sent,
+        recent, errors, fails, fulls, bad_from, out, trial, guard, bad_at, keep, sent, last_sent, paced,
     } = l;
     [endpoints.len(), live.len(), samples.iter().len(), sent.len()]
         .into_iter()
         .for_each(|n| eye.word(n as u64));
     endpoints.iter().for_each(|e| eye.endpoint(*e));
-    for (id, at) in live {
-        eye.message(*id);
+    for (call, at) in live {
+        eye.message(first(call));
         eye.time(*at);
     }
     for (at, latency) in samples.iter() {
@@ -110,12 +117,12 @@
     }
     eye.word((*flows).into());
     [*w, cal.unwrap_or(-1.0), *baseline, *answered].into_iter().for_each(|x| eye.real(x));
-    [u64::from(*timeouts), (*recent).into(), (*fails).into(), (*fulls).into()]
+    [u64::from(*timeouts), (*recent).into(), (*errors).into(), (*fails).into(), (*fulls).into()]
         .into_iter()
         .for_each(|n| eye.word(n));
     [*pressed, *out, trial.is_some()].into_iter().for_each(|f| eye.flag(f));
-    eye.message(trial.unwrap_or(MsgId::MAX));
-    [*ok_sent, *shrunk, *wait_until, *bad_from, *guard, *bad_at, *keep, *last_sent]
+    eye.message(trial.as_ref().map_or(MsgId::MAX, first));
+    [*ok_sent, *shrunk, *wait_until, *bad_from, *guard, *bad_at, *keep, *last_sent, *paced]
         .into_iter()
         .chain(sent.iter().copied())
         .for_each(|t| eye.time(t));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,7 +28,7 @@
             class(Effect::Unsafe, false),
             class(Effect::Unsafe, true),
         ],
-        kinds: vec![Kind { separate_routes: false }],
+        kinds: vec![Kind { separate_routes: false, batch: 1 }],
         key_quiet: 300_000,
         ..Settings::default()
     }
@@ -95,7 +95,7 @@
         let id = self.next;
         self.next += 1;
         let deadline = self.now + 20 * SEC;
-        let m = Message { id, class, tenant: None, key, deadline, hint: None, dest, stream: false };
+        let m = Message { id, class, tenant: None, key, deadline, hint: None, dest, stream: false, size: 0 };
         self.step(&[Event::Submit(m)]);
         id
     }
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -22,6 +22,7 @@
         hint: None,
         dest: 5,
         stream: false,
+        size: 0,
     }
 }
 
@@ -29,14 +30,20 @@
     PastAttempt { zone: 0, sent, may_have_run }
 }
 
+/// The messages of the first order, which is a call.
+fn items(orders: &[Order]) -> Vec<Item> {
+    let Some(Order::Call { items, .. }) = orders.first() else { panic!("{orders:?}") };
+    items.clone()
+}
+
 #[test]
 fn a_report_leads_to_the_next_call_with_the_next_number() {
     let mut f = facade();
     let first = f.pick(NOW, message(1, 0));
-    assert!(matches!(first[..], [Order::Call { msg: 1, attempt: 0, endpoint: 0, .. }]), "{first:?}");
+    assert!(matches!(first[..], [Order::Call { endpoint: 0, .. }]) && items(&first)[0].msg == 1, "{first:?}");
     let error = Report { msg: 1, attempt: 0, outcome: Outcome::Error, elapsed: 9, finished: false, wait: 0 };
     let second = f.report(NOW + 9, error);
-    assert!(matches!(second[..], [Order::Call { msg: 1, attempt: 1, .. }]), "{second:?}");
+    assert!(matches!(second[..], [Order::Call { .. }]) && items(&second)[0].attempt == 1, "{second:?}");
 }
 
 /// Guards against a second effect after a restart: the record of an attempt that was out is all that
@@ -46,9 +53,9 @@
     let unsafe_and_maybe = facade().restore(NOW, message(1, 2), vec![past(NOW - SEC, true)]);
     assert_eq!(unsafe_and_maybe, [Order::Fail { msg: 1 }]);
     let unsafe_and_never = facade().restore(NOW, message(1, 2), vec![past(NOW - SEC, false)]);
-    assert!(matches!(unsafe_and_never[..], [Order::Call { attempt: 1, .. }]), "{unsafe_and_never:?}");
+    assert!(items(&unsafe_and_never)[0].attempt == 1, "{unsafe_and_never:?}");
     let in_span = facade().restore(NOW, message(1, 1), vec![past(NOW - 4 * SEC, true)]);
-    assert!(matches!(in_span[..], [Order::Call { attempt: 1, .. }]), "{in_span:?}");
+    assert!(items(&in_span)[0].attempt == 1, "{in_span:?}");
     let past_span = facade().restore(NOW, message(1, 1), vec![past(NOW - 6 * SEC, true)]);
     assert!(matches!(past_span[..], [Order::Reject { msg: 1, .. }]), "{past_span:?}");
     let used_up = facade().restore(NOW, message(1, 0), vec![past(NOW - SEC, false); 6]);
@@ -87,8 +94,8 @@
     assert!(f.report(NOW, failed(1, 1)).is_empty(), "a pause after two failures");
     let wake = f.wake_at().unwrap();
     let again = f.pick(wake, message(2, 2));
-    let Some(Order::Call { msg, attempt, .. }) = again.first() else { panic!("{again:?}") };
-    f.report(wake, failed(*msg, *attempt));
+    let [Item { msg, attempt, .. }] = items(&again)[..] else { panic!("{again:?}") };
+    f.report(wake, failed(msg, attempt));
     f.tick(wake);
     assert!(f.wake_at().is_some_and(|at| at > wake), "two messages are held: {:?}", f.wake_at());
 }
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -283,7 +283,7 @@
 
 struct Routes;
 impl Routes {
-    const APART: spurshore::Kind = spurshore::Kind { separate_routes: true };
+    const APART: spurshore::Kind = spurshore::Kind { separate_routes: true, batch: 1 };
 }
 
 #[test]
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -177,7 +177,7 @@
 /// Plays one sequence; each step lets time pass and makes one thing happen.
 fn play(seed: u64, steps: &[(u8, u8, u8)]) -> Result<Vec<Vec<Action>>, TestCaseError> {
     let mut set = settings(SLOTS as u32);
-    set.kinds.push(Kind { separate_routes: true });
+    set.kinds.push(Kind { separate_routes: true, batch: 1 });
     set.open_cap = 30;
     // Alone, among few and in a crowd, where the guard of a returning destination acts.
     set.siblings = [1, 3, 40, 300][seed as usize % 4];
@@ -235,6 +235,7 @@
                     hint,
                     dest,
                     stream: false,
+                    size: 0,
                 }));
             }
             3..=5 => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -256,6 +256,7 @@
         hint: None,
         dest: 5,
         stream: false,
+        size: 0,
     };
     w.step(&[
         Event::Completed(lost),
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -224,6 +224,7 @@
                     hint,
                     dest: far_end,
                     stream: false,
+                    size: 0,
                 };
                 (i, Some(Event::Submit(message)))
             }
