--- /dev/null
+++ b/core/tests/bundles.rs
@@ -0,0 +1,214 @@
+//! Calls that carry several messages, in the router: each message keeps its own end, whatever the others' are.
+
+use quillmount_core::hub::{Do, Hub};
+use quillmount_core::journal::{Book, End};
+use quillmount_core::machine::attempt::Input;
+use quillmount_core::pool::Pool;
+use quillmount_core::router::Router;
+use quillmount_core::store::{Fault, Memory};
+use quillmount_core::{CallEnd, Ending, Invocation, InvokerCall, Provider, ProviderList};
+use spurshore::{ListState, Micros};
+use spurshore_settings::{Category, Env, FamilyInfo};
+
+const NOW: Micros = 1_000_000_000;
+
+/// Classes `debit`, which may run once, and `quote`, which may be repeated.
+fn env() -> Env {
+    let class = |name: &str, effect: &str| Category {
+        name: name.into(),
+        effect: Some(effect.into()),
+        deadline_ms: 16_000.0,
+        promise_ms: 3_000.0,
+        worth: Some(1.0),
+        ..Category::default()
+    };
+    Env {
+        categories: vec![class("debit", "fragile"), class("quote", "retryable")],
+        skus: vec!["k".into()],
+        weight_source: Some("nominal".into()),
+        family_info: FamilyInfo { batch_by_kind: vec![20], call_slots: Some(16), ..FamilyInfo::default() },
+        limits: spurshore_settings::Limits { cancel: Some(true), max_attempts: Some(6), ..Default::default() },
+        ..Env::default()
+    }
+}
+
+fn list() -> ProviderList {
+    let line = Provider {
+        id: "a".into(),
+        addr: "127.0.0.1:1".parse().ok(),
+        dest: 1,
+        kind: "k".into(),
+        zone: String::new(),
+        weight: 2.0,
+        state: ListState::Ready,
+    };
+    ProviderList { version: 1, full: true, providers: vec![line] }
+}
+
+fn open(store: Memory, now: Micros) -> (Hub<Memory, u32>, Vec<Do<u32>>) {
+    let (router, steps) = Router::open(&env(), 7, list(), store, 999_999, now).unwrap();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
+    let todo = hub.carry_out(steps, now);
+    (hub, todo)
+}
+
+fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
+    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
+}
+
+fn hand_in(hub: &mut Hub<Memory, u32>, id: &str, now: Micros) -> Vec<InvokerCall> {
+    let class = if id.starts_with('d') { "debit" } else { "quote" };
+    let body = bytes::Bytes::from_static(b"body");
+    let (id, class, time_left) = (id.into(), class.into(), 16_000_000);
+    calls(hub.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now).1)
+}
+
+/// A debit and two quotes in one call, which leaves a moment after two that had to go alone.
+fn bundle(hub: &mut Hub<Memory, u32>) -> (InvokerCall, Micros) {
+    let mut out: Vec<InvokerCall> = ["q0", "q1", "d2", "q3", "q4"].iter().flat_map(|id| hand_in(hub, id, NOW)).collect();
+    assert_eq!(out.len(), 2, "the listed rate lets two go: {out:?}");
+    let now = NOW + 900_000;
+    for call in &out {
+        hub.call_ended(call.call, CallEnd::Delivered, NOW + 300_000);
+    }
+    out = calls(hub.tick(now));
+    let call = out.remove(0);
+    let mut ids: Vec<&str> = call.parcels().map(|p| p.id.as_str()).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["d2", "q3", "q4"]);
+    (call, now)
+}
+
+/// The place of a message in the call.
+fn place(call: &InvokerCall, id: &str) -> usize {
+    call.parcels().position(|p| p.id == id).unwrap()
+}
+
+/// How the journal says that a message ended.
+fn end_of(hub: &Hub<Memory, u32>, id: &str) -> Option<End> {
+    let (book, _) = Book::read(hub.router.journal().store().bytes());
+    let over = book.over.iter().find(|(over, ..)| over == id).map(|(_, end, _)| *end);
+    over.or_else(|| book.owed.values().find(|e| e.taken.id == id).and_then(|e| e.end))
+}
+
+/// Each row of the outcome table, for the debit and for one of the quotes; the other one is delivered.
+#[test]
+fn each_message_of_a_call_gets_the_end_that_is_true_of_it() {
+    let rows = [
+        (CallEnd::Delivered, Some(End::Delivered), false),
+        (CallEnd::Over, Some(End::Delivered), false),
+        (CallEnd::Error, Some(End::Undeliverable), true),
+        (CallEnd::Spoilt(0), Some(End::Undeliverable), true),
+        (CallEnd::Full(0), None, true),
+        (CallEnd::Exhausted, None, true),
+    ];
+    for (end, debit, again) in rows {
+        let (mut hub, _) = open(Memory::default(), NOW);
+        let (call, now) = bundle(&mut hub);
+        let mut ends = vec![CallEnd::Delivered; 3];
+        (ends[place(&call, "d2")], ends[place(&call, "q3")]) = (end, end);
+        let mut later = calls(hub.call_ended_each(call.call, &ends, 0, now + 300_000));
+        later.extend((1..20).flat_map(|n| calls(hub.tick(now + 300_000 + n * 200_000))));
+        let sent = |id: &str| later.iter().flat_map(InvokerCall::parcels).filter(|p| p.id == id).count();
+        assert_eq!(end_of(&hub, "q4"), Some(End::Delivered), "{end:?}");
+        assert_eq!(end_of(&hub, "d2"), debit, "{end:?}");
+        assert_eq!(sent("q4"), 0, "{end:?}");
+        assert_eq!(sent("d2") > 0, debit.is_none(), "{end:?}: only what never ran is sent again");
+        assert_eq!(sent("q3") > 0, again, "{end:?}");
+    }
+}
+
+/// A wait on an answer that delivers binds as any other.
+#[test]
+fn a_wait_told_beside_deliveries_holds_the_destination() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let (call, now) = bundle(&mut hub);
+    hub.call_ended_each(call.call, &[CallEnd::Delivered; 3], 2_000_000, now);
+    assert!(hand_in(&mut hub, "q9", now + 10_000).is_empty());
+    assert!(calls(hub.tick(now + 1_900_000)).is_empty());
+    assert_eq!(calls(hub.tick(now + 2_100_000)).len(), 1);
+}
+
+/// What may be repeated is not waited for as long as a debit: it leaves the call, which goes on.
+#[test]
+fn a_message_whose_time_is_up_leaves_a_call_that_goes_on_and_is_settled_if_it_was_delivered() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let (call, now) = bundle(&mut hub);
+    let at = now + 7_000_000;
+    let todo = hub.tick(at);
+    let given_up = todo.iter().any(|one| matches!(one, Do::Tell(id, Input::GiveUp) if *id == call.call));
+    assert!(!given_up, "the debit is waited for still");
+    let again = calls(todo);
+    let ids: Vec<&str> = again.iter().flat_map(InvokerCall::parcels).map(|p| p.id.as_str()).collect();
+    assert!(!ids.contains(&"d2"), "{ids:?}");
+    hub.call_ended_each(call.call, &[CallEnd::Delivered; 3], 0, at + 100_000);
+    for id in ["d2", "q3", "q4"] {
+        assert_eq!(end_of(&hub, id), Some(End::Delivered), "{id}");
+    }
+    again.iter().for_each(|c| drop(hub.call_ended(c.call, CallEnd::HeldBack, at + 200_000)));
+    assert!(hub.is_quiet(), "{:?}", hub.router.load());
+}
+
+/// Killed at every byte of what the call's beginning and its end write: a debit that may have left is never sent again.
+#[test]
+fn a_kill_at_any_byte_of_a_call_repeats_no_debit_and_loses_no_message() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let before = {
+        let mut early = open(Memory::default(), NOW).0;
+        ["q0", "q1", "d2", "q3", "q4"].iter().for_each(|id| drop(hand_in(&mut early, id, NOW)));
+        early.router.journal().store().bytes().len()
+    };
+    let (call, now) = bundle(&mut hub);
+    let begun = hub.router.journal().store().bytes().len();
+    let ends = [CallEnd::Error, CallEnd::Full(0), CallEnd::Delivered];
+    hub.call_ended_each(call.call, &ends, 0, now + 300_000);
+    let bytes = hub.router.journal().store().bytes().to_vec();
+    for cut in before..=bytes.len() {
+        let (mut next, todo) = open(Memory::of(bytes[..cut].to_vec()), now + 500_000);
+        let mut again = calls(todo);
+        again.extend(calls(next.list(list(), now + 500_000)));
+        again.extend((1..20).flat_map(|n| calls(next.tick(now + 500_000 + n * 100_000))));
+        let sent = |id: &str| again.iter().flat_map(InvokerCall::parcels).any(|p| p.id == id);
+        if cut >= begun {
+            let never_ran = ends[place(&call, "d2")] == CallEnd::Full(0) && end_of(&next, "d2").is_none();
+            assert!(!sent("d2") || never_ran, "cut at {cut}: a debit that may have run was sent again");
+        }
+        for id in ["d2", "q3", "q4"] {
+            assert!(sent(id) || end_of(&next, id).is_some(), "cut at {cut}: {id} is lost");
+        }
+    }
+}
+
+/// The records of a call are there together or not at all, and without them nothing leaves.
+#[test]
+fn a_call_without_its_records_stays_here() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    for id in ["q0", "q1", "d2", "q3", "q4"] {
+        hand_in(&mut hub, id, NOW);
+    }
+    let before = hub.router.journal().store().bytes().len();
+    hub.router.journal_mut().store_mut().fail(Fault::Full { after: 0 });
+    assert!(calls(hub.tick(NOW + 900_000)).is_empty());
+    assert_eq!(hub.router.journal().store().bytes().len(), before);
+    hub.router.journal_mut().store_mut().fail(Fault::None);
+    let later: Vec<InvokerCall> = (1..20).flat_map(|n| calls(hub.tick(NOW + 900_000 + n * 300_000))).collect();
+    let ids: Vec<&str> = later.iter().flat_map(InvokerCall::parcels).map(|p| p.id.as_str()).collect();
+    assert!(["d2", "q3", "q4"].iter().all(|id| ids.contains(id)), "{ids:?}");
+}
+
+/// Another process goes on with a call and all of its messages.
+#[test]
+fn a_call_with_several_messages_moves_to_the_next_process_whole() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let (call, now) = bundle(&mut hub);
+    let mark = quillmount_core::router::mark(&env(), None).unwrap();
+    let state = hub.state(mark).router;
+    let store = Memory::of(hub.router.journal().store().bytes().to_vec());
+    let (router, steps) = Router::resume(&env(), None, state, store, 999_999, now).unwrap();
+    let mut next: Hub<Memory, u32> = Hub::new(router, Pool::new(15_000_000, 9));
+    next.carry_out(steps, now);
+    assert_eq!(next.router.calls_out(), [call.call]);
+    next.call_ended_each(call.call, &[CallEnd::Delivered; 3], 0, now + 300_000);
+    assert!(next.is_quiet());
+    assert_eq!(next.router.notices(9).iter().filter(|n| n.ending == Ending::Undeliverable).count(), 0);
+}
