--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,8 +24,8 @@
 /// Constant growth, calls: small, since one call in flight may already be over a limit.
 const BETA: f64 = 0.1;
 /// Threshold over the baseline. Service times spread widely even without a queue: where they are exponential,
-/// the fastest tenth beat a tenth of the mean, and CAL, over three calls, is at times four times the mean.
-const THRESHOLD: f64 = 40.0;
+/// the fastest tenth beat a tenth of the mean, and CAL, over three calls, spreads by two fifths of it.
+const THRESHOLD: f64 = 16.0;
 /// Floor of CAL and of a baseline, microseconds: the design's millisecond.
 const FLOOR: f64 = 1_000.0;
 /// The baseline looks back this far, microseconds: the design's minute.
