--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,7 @@
 // ---- Outages. ----
 /// Failures in a row that make an outage: background errors seldom come in pairs.
 const OUT_FAILS: u32 = 3;
-/// Errors among the last eight calls that tell of a place that fails a part of them: only the guard binds then.
+/// Errors among the last eight calls that tell of a place that fails a part of them: only the guard binds.
 /// In the background one call in a hundred fails.
 const OUT_ERRORS: u32 = 3;
 /// Refusals for so long (microseconds), or a longer wait told, make one too (shut): a limit's span is two
@@ -962,7 +962,7 @@
         kind.map_or(1, |k| k.batch.max(1))
     }
 
-    /// Time between two calls of this sender, if all senders have their part of a limit that is told: messages
+    /// Time between two calls of this sender, if all senders have their part of a told limit: messages
     /// that one call may carry together gather meanwhile, instead of each using up a part of the limit.
     fn gap(&self, lane: usize) -> Micros {
         let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate).filter(|r| *r > 0.0);
