Say a lane's rate, a chunked body and the core's tests' courier once

Read again: the guard and the gap between calls each looked up the least listed rate of a lane, the gap even where a call carries one message, in every look at a lane; unchunked() read what chunked() had read; three tests of the core each had their own classes, endpoints and list of begun calls, and two tests of the module built their own message.

Change: Dispatcher::rate, asked for only where calls carry several; chunked() shows each chunk to who wants it; core/tests/common and World::with.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -1001,9 +1001,8 @@
         }
         let riders = parcels.into_iter().skip(1);
         let more = riders.map(|(call, invocation, ..)| Rider { call, invocation }).collect();
-        let call = lead;
         steps.push(Step::Call(InvokerCall {
-            call,
+            call: lead,
             provider,
             dest,
             addr,
--- a/core/tests/bundles.rs
+++ b/core/tests/bundles.rs
@@ -1,5 +1,7 @@
 //! Calls that carry several messages, in the router: each message keeps its own end, whatever the others' are.
 
+mod common;
+use common::{NOW, World, calls, class, killed, provider};
 use quillmount_core::hub::{Do, Hub};
 use quillmount_core::journal::{Book, End};
 use quillmount_core::machine::attempt::Input;
@@ -10,20 +12,14 @@
 use spurshore::{ListState, Micros};
 use spurshore_settings::{Category, Env, FamilyInfo};
 
-const NOW: Micros = 1_000_000_000;
+fn worth((effect, name): (&str, &str)) -> Category {
+    Category { worth: Some(1.0), ..class(name, effect) }
+}
 
 /// Classes `debit`, which may run once, and `quote`, which may be repeated.
 fn env() -> Env {
-    let class = |name: &str, effect: &str| Category {
-        name: name.into(),
-        effect: Some(effect.into()),
-        deadline_ms: 16_000.0,
-        promise_ms: 3_000.0,
-        worth: Some(1.0),
-        ..Category::default()
-    };
     Env {
-        categories: vec![class("debit", "fragile"), class("quote", "retryable")],
+        categories: ["fragile", "retryable"].into_iter().zip(["debit", "quote"]).map(worth).collect(),
         skus: vec!["k".into()],
         weight_source: Some("nominal".into()),
         family_info: FamilyInfo { batch_by_kind: vec![20], call_slots: Some(16), ..FamilyInfo::default() },
@@ -37,30 +33,18 @@
 }
 
 fn list() -> ProviderList {
-    let line = Provider {
-        id: "a".into(),
-        addr: "127.0.0.1:1".parse().ok(),
-        dest: 1,
-        kind: "k".into(),
-        zone: String::new(),
-        weight: 2.0,
-        state: ListState::Ready,
-    };
+    let line = Provider { kind: "k".into(), weight: 2.0, ..provider("a", 1, ListState::Ready) };
     ProviderList { version: 1, full: true, providers: vec![line] }
 }
 
-fn open(store: Memory, now: Micros) -> (Hub<Memory, u32>, Vec<Do<u32>>) {
+fn open(store: Memory, now: Micros) -> (World, Vec<Do<u32>>) {
     let (router, steps) = Router::open(&env(), 7, list(), store, 999_999, now).unwrap();
     let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
     let todo = hub.carry_out(steps, now);
     (hub, todo)
 }
 
-fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
-    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
-}
-
-fn hand_in(hub: &mut Hub<Memory, u32>, id: &str, now: Micros) -> Vec<InvokerCall> {
+fn hand_in(hub: &mut World, id: &str, now: Micros) -> Vec<InvokerCall> {
     let class = if id.starts_with('d') { "debit" } else { "quote" };
     let body = bytes::Bytes::from_static(b"body");
     let (id, class, time_left) = (id.into(), class.into(), 16_000_000);
@@ -68,7 +52,7 @@
 }
 
 /// A debit and two quotes in one call, which leaves a moment after two that had to go alone.
-fn bundle(hub: &mut Hub<Memory, u32>) -> (InvokerCall, Micros) {
+fn bundle(hub: &mut World) -> (InvokerCall, Micros) {
     let mut out: Vec<InvokerCall> =
         ["q0", "q1", "d2", "q3", "q4"].iter().flat_map(|id| hand_in(hub, id, NOW)).collect();
     assert_eq!(out.len(), 2, "the listed rate lets two go: {out:?}");
@@ -90,7 +74,7 @@
 }
 
 /// How the journal says that a message ended.
-fn end_of(hub: &Hub<Memory, u32>, id: &str) -> Option<End> {
+fn end_of(hub: &World, id: &str) -> Option<End> {
     let (book, _) = Book::read(hub.router.journal().store().bytes());
     let over = book.over.iter().find(|(over, ..)| over == id).map(|(_, end, _)| *end);
     over.or_else(|| book.owed.values().find(|e| e.taken.id == id).and_then(|e| e.end))
@@ -209,9 +193,8 @@
     let (call, now) = bundle(&mut hub);
     let mark = quillmount_core::router::mark(&env(), None).unwrap();
     let state = hub.state(mark).router;
-    let store = Memory::of(hub.router.journal().store().bytes().to_vec());
-    let (router, steps) = Router::resume(&env(), None, state, store, 999_999, now).unwrap();
-    let mut next: Hub<Memory, u32> = Hub::new(router, Pool::new(15_000_000, 9));
+    let (router, steps) = Router::resume(&env(), None, state, killed(&hub), 999_999, now).unwrap();
+    let mut next: World = Hub::new(router, Pool::new(15_000_000, 9));
     next.carry_out(steps, now);
     assert_eq!(next.router.calls_out(), [call.call]);
     next.call_ended_each(call.call, &[CallEnd::Delivered; 3], 0, now + 300_000);
--- /dev/null
+++ b/core/tests/common/mod.rs
@@ -0,0 +1,38 @@
+//! A courier without sockets, for tests of the core: its table of classes, its endpoints, and what is to be begun.
+#![allow(dead_code)]
+
+use quillmount_core::hub::{Do, Hub};
+use quillmount_core::store::Memory;
+use quillmount_core::{InvokerCall, Provider};
+use spurshore::{ListState, Micros};
+use spurshore_settings::Category;
+
+pub const NOW: Micros = 1_000_000_000;
+
+pub type World = Hub<Memory, u32>;
+
+/// A class of messages that live for 16 s.
+pub fn class(name: &str, effect: &str) -> Category {
+    Category {
+        name: name.into(),
+        effect: Some(effect.into()),
+        deadline_ms: 16_000.0,
+        promise_ms: 3_000.0,
+        ..Category::default()
+    }
+}
+
+/// An endpoint of a destination, of no kind that the settings know.
+pub fn provider(id: &str, dest: u64, state: ListState) -> Provider {
+    let (addr, zone) = ("127.0.0.1:1".parse().ok(), String::new());
+    Provider { id: id.into(), addr, dest, kind: String::new(), zone, weight: 9.0, state }
+}
+
+pub fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
+    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
+}
+
+/// What a kill leaves, and the next process reads.
+pub fn killed(hub: &World) -> Memory {
+    Memory::of(hub.router.journal().store().bytes().to_vec())
+}
--- a/core/tests/holds.rs
+++ b/core/tests/holds.rs
@@ -1,18 +1,19 @@
 //! Endpoints that operators take out, in the core: what is listed, refused, killed and called meanwhile.
 
+mod common;
+use common::{NOW, World, calls, killed, provider};
 use quillmount_core::call::Call;
 use quillmount_core::holds::{HOLDS_MAX, HoldError};
-use quillmount_core::hub::{Do, Hub};
+use quillmount_core::hub::Hub;
 use quillmount_core::machine::attempt::{Answer, State};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::Router;
 use quillmount_core::store::{Fault, Memory};
-use quillmount_core::{CallEnd, Invocation, InvokerCall, Provider, ProviderList};
+use quillmount_core::{CallEnd, Invocation, InvokerCall, ProviderList};
 use spurshore::{ListState, Micros};
 use spurshore_settings::{Category, Env};
 
 const DISK: u64 = 99_999;
-const NOW: Micros = 1_000_000_000;
 
 fn env() -> Env {
     let category = Category {
@@ -25,17 +26,12 @@
     Env { categories: vec![category], ..Env::default() }
 }
 
-fn line(id: &str, state: ListState) -> Provider {
-    let addr = "127.0.0.1:1".parse().ok();
-    Provider { id: id.into(), addr, dest: 1, kind: String::new(), zone: String::new(), weight: 9.0, state }
-}
-
 fn list(full: bool, providers: &[(&str, ListState)]) -> ProviderList {
-    let providers = providers.iter().map(|(id, state)| line(id, *state)).collect();
+    let providers = providers.iter().map(|(id, state)| provider(id, 1, *state)).collect();
     ProviderList { version: 1, full, providers }
 }
 
-fn open(store: Memory) -> Hub<Memory, u32> {
+fn open(store: Memory) -> World {
     let known = list(true, &[("a", ListState::Ready)]);
     let (router, steps) = Router::open(&env(), 7, known, store, DISK, NOW).unwrap();
     let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
@@ -43,11 +39,7 @@
     hub
 }
 
-fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
-    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
-}
-
-fn hand_in(hub: &mut Hub<Memory, u32>, id: &str, now: Micros) -> Vec<InvokerCall> {
+fn hand_in(hub: &mut World, id: &str, now: Micros) -> Vec<InvokerCall> {
     let (class, time_left) = ("paid-notice".to_string(), 16_000_000);
     let body = bytes::Bytes::new();
     calls(
@@ -59,11 +51,6 @@
     )
 }
 
-/// What a kill has left.
-fn killed(hub: &Hub<Memory, u32>) -> Memory {
-    Memory::of(hub.router.journal().store().bytes().to_vec())
-}
-
 #[test]
 fn nothing_goes_to_a_held_endpoint_whatever_is_listed_until_one_call_puts_it_back() {
     let mut hub = open(Memory::default());
--- a/core/tests/resume.rs
+++ b/core/tests/resume.rs
@@ -1,5 +1,7 @@
 //! An upgrade in the core: what one process hands over, the next decides from, as if nothing had happened.
 
+mod common;
+use common::{NOW, World, calls, class, killed, provider};
 use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::journal::Journal;
 use quillmount_core::pool::Pool;
@@ -10,7 +12,6 @@
 use spurshore_settings::{Category, Env};
 
 const DISK: u64 = 99_999;
-const NOW: Micros = 1_000_000_000;
 
 /// All that an eye is shown, in order.
 #[derive(Default, PartialEq, Debug)]
@@ -32,39 +33,18 @@
 }
 
 fn env() -> Env {
-    let class = |name: &str, effect: &str| Category {
-        name: name.into(),
-        effect: Some(effect.into()),
-        deadline_ms: 16_000.0,
-        promise_ms: 3_000.0,
-        memory_span_ms: 6_000.0,
-        ..Category::default()
-    };
-    Env { categories: vec![class("fee-debit", "fragile"), class("paid-notice", "dedup")], ..Env::default() }
+    let dedup = Category { memory_span_ms: 6_000.0, ..class("paid-notice", "dedup") };
+    Env { categories: vec![class("fee-debit", "fragile"), dedup], ..Env::default() }
 }
 
 fn list() -> ProviderList {
-    let line = |n: u64, state| Provider {
-        id: format!("s-{n}"),
-        addr: "127.0.0.1:1".parse().ok(),
-        dest: n / 2,
-        kind: String::new(),
-        zone: "z".into(),
-        weight: 9.0,
-        state,
-    };
+    let line = |n: u64, state| Provider { zone: "z".into(), ..provider(&format!("s-{n}"), n / 2, state) };
     let states =
         [ListState::Ready, ListState::Ready, ListState::Ready, ListState::Draining, ListState::Ready];
     let providers = states.into_iter().zip(0..).map(|(state, n)| line(n, state)).collect();
     ProviderList { version: 41, full: true, providers }
 }
 
-type World = Hub<Memory, u32>;
-
-fn calls(todo: Vec<Do<u32>>) -> Vec<InvokerCall> {
-    todo.into_iter().filter_map(|one| if let Do::Begin(call) = one { Some(call) } else { None }).collect()
-}
-
 fn hand_in(hub: &mut World, n: u64, now: Micros) -> (Intake, Vec<InvokerCall>) {
     let class = if n.is_multiple_of(2) { "fee-debit" } else { "paid-notice" };
     let (id, key, body) = (format!("m{n}"), Some(format!("k{n}")), bytes::Bytes::from_static(b"body"));
@@ -125,14 +105,10 @@
     postcard::from_bytes(&bytes).unwrap()
 }
 
-fn store(hub: &World) -> Memory {
-    Memory::of(hub.router.journal().store().bytes().to_vec())
-}
-
 #[test]
 fn the_next_process_knows_all_that_the_one_before_knew_and_begins_nothing_twice() {
     let mut hub = busy();
-    let (mut next, todo) = resumed(state(&hub), store(&hub)).unwrap();
+    let (mut next, todo) = resumed(state(&hub), killed(&hub)).unwrap();
     assert_eq!(words(&next), words(&hub));
     assert!(calls(todo).is_empty(), "what is out is out still");
     assert_eq!(next.router.notices(99), hub.router.notices(99));
@@ -162,7 +138,7 @@
 fn a_state_of_other_settings_or_beside_another_journal_is_not_gone_on_from() {
     let hub = busy();
     let other = Env { categories: env().categories.into_iter().rev().collect(), ..Env::default() };
-    let refused = Router::resume(&other, None, state(&hub).router, store(&hub), DISK, NOW);
+    let refused = Router::resume(&other, None, state(&hub).router, killed(&hub), DISK, NOW);
     assert!(matches!(refused.err(), Some(ResumeError::OtherSettings)));
     // A third process had the lock in between and wrote; or its journal is gone.
     let mut grown = busy();
@@ -171,10 +147,10 @@
     let mut further = busy();
     let call = further.router.calls_out()[0];
     further.call_ended(call, CallEnd::Full(0), NOW + 3_000_000);
-    for store in [store(&grown), store(&further), Memory::default()] {
+    for store in [killed(&grown), killed(&further), Memory::default()] {
         assert!(matches!(resumed(state(&hub), store).err(), Some(ResumeError::OtherJournal)));
     }
     // The journal that is there serves as after a kill.
     let mut notes = Vec::new();
-    assert!(!Journal::open(store(&hub), DISK, NOW, &mut notes).unwrap().1.owed.is_empty());
+    assert!(!Journal::open(killed(&hub), DISK, NOW, &mut notes).unwrap().1.owed.is_empty());
 }
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -123,7 +123,12 @@
             told,
             match header("content-length").text().and_then(|length| length.parse::<usize>().ok()) {
                 Some(length) => body.get(..length).unwrap_or(body).to_vec(),
-                None if header("transfer-encoding").text().is_some() => unchunked(body),
+                None if header("transfer-encoding").text().is_some() => {
+                    let mut all = Vec::new();
+                    // Read before, it is whole: what could not be read is not told of here.
+                    let _ = chunked(body, |part| all.extend_from_slice(part));
+                    all
+                }
                 None => body.to_vec(),
             },
         );
@@ -150,19 +155,6 @@
     (call.parcels().map(|p| ends.get(p.id.as_str()).copied().unwrap_or(CallEnd::Spoilt(0))).collect(), told)
 }
 
-/// What a chunked body carries, as far as it can be read.
-fn unchunked(bytes: &[u8]) -> Vec<u8> {
-    let (mut at, mut all) = (0, Vec::new());
-    while let Ok(Status::Complete((head, size @ 1..))) = httparse::parse_chunk_size(&bytes[at..]) {
-        let begin = at + head;
-        let end = begin.saturating_add(usize::try_from(size).unwrap_or(usize::MAX));
-        let Some(part) = bytes.get(begin..end) else { break };
-        all.extend_from_slice(part);
-        at = (end + 2).min(bytes.len());
-    }
-    all
-}
-
 fn whole(head: &Response, bytes: &[u8], end: usize, over: bool, each: bool) -> Answer {
     let header = |name| Lookup::of(head.headers, name);
     let (code, wait) = (head.code.unwrap_or_default(), header("retry-after"));
@@ -177,7 +169,7 @@
             length.parse().ok().filter(|length| *length <= BODY_MAX)
         }
         (Lookup::None, Lookup::One(coding)) if coding.eq_ignore_ascii_case("chunked") => {
-            match chunked(body) {
+            match chunked(body, |_| {}) {
                 Ok(Some(length)) => Some(length),
                 Ok(None) if body.len() <= BODY_MAX => Some(body.len() + 1),
                 _ => None,
@@ -219,8 +211,8 @@
     Answer::Whole { end: if ok { CallEnd::Delivered } else { CallEnd::Spoilt(told) }, reusable: false }
 }
 
-/// Bytes up to the end of a chunked body, its trailer included, if that has come.
-fn chunked(bytes: &[u8]) -> Result<Option<usize>, httparse::InvalidChunkSize> {
+/// Bytes up to the end of a chunked body, its trailer included, if that has come; `part` is shown what each chunk carries.
+fn chunked(bytes: &[u8], mut part: impl FnMut(&[u8])) -> Result<Option<usize>, httparse::InvalidChunkSize> {
     let mut at = 0;
     loop {
         let Status::Complete((head, size)) = httparse::parse_chunk_size(&bytes[at..])? else {
@@ -241,6 +233,7 @@
         if line_end != b"\r\n" {
             return Err(httparse::InvalidChunkSize);
         }
+        part(&bytes[at + head..end as usize]);
         at = end as usize + 2;
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -669,8 +669,7 @@
 
     /// S of the guard, at this share of the capacity.
     fn knowing(&self, lane: usize, share: f64) -> f64 {
-        let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate).filter(|r| *r > 0.0);
-        let rate = rates.reduce(f64::min).unwrap_or(1.0) / if self.set.weight_is_rough { ROUGH } else { 1.0 };
+        let rate = self.rate(lane).unwrap_or(1.0) / if self.set.weight_is_rough { ROUGH } else { 1.0 };
         let part = if self.set.siblings > 3 { KNOWING_PART } else { 1.0 };
         (part * self.set.fall_multiple * share * rate).max(LEAST_RATE) * self.set.fall as f64 / 1e6
     }
@@ -956,6 +955,12 @@
         self.acts.push(Action::Send { msg: id, endpoint, timeout, by, joins });
     }
 
+    /// The listed rate of a lane, the least of its endpoints', if any tells one.
+    fn rate(&self, lane: usize) -> Option<f64> {
+        let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate);
+        rates.filter(|r| *r > 0.0).reduce(f64::min)
+    }
+
     /// Messages that one call of a lane may carry.
     fn batch(&self, lane: usize) -> u32 {
         let kind = self.dests.get(&self.lanes[lane].dest).and_then(|d| self.set.kinds.get(d.kind));
@@ -965,8 +970,7 @@
     /// Time between two calls of this sender, if all senders have their part of a told limit: messages
     /// that one call may carry together gather meanwhile, instead of each using up a part of the limit.
     fn gap(&self, lane: usize) -> Micros {
-        let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate).filter(|r| *r > 0.0);
-        let rate = rates.reduce(f64::min).filter(|_| self.batch(lane) > 1);
+        let rate = if self.batch(lane) > 1 { self.rate(lane) } else { None };
         rate.map_or(0, |rate| (1e6 * self.set.siblings.max(1) as f64 / rate) as Micros)
     }
 }
--- a/tests/bundles.rs
+++ b/tests/bundles.rs
@@ -14,6 +14,13 @@
     w
 }
 
+/// Hands in so many that may be repeated.
+fn many(w: &mut World, n: u32) {
+    for _ in 0..n {
+        w.one(0, 0);
+    }
+}
+
 /// Sends so far, a call each with its messages.
 fn calls(w: &World) -> Vec<Vec<MsgId>> {
     let mut calls: Vec<Vec<MsgId>> = Vec::new();
@@ -61,9 +68,7 @@
 #[test]
 fn a_call_is_one_for_a_slot_and_in_the_window_whatever_it_carries() {
     let mut w = known(8, 20);
-    for _ in 0..40 {
-        w.one(0, 0);
-    }
+    many(&mut w, 40);
     w.pass(300_000);
     let seen = calls(&w);
     assert!(seen.iter().map(Vec::len).sum::<usize>() > 8, "eight slots carried {seen:?}");
@@ -86,9 +91,7 @@
 #[test]
 fn a_call_ends_with_its_last_message() {
     let mut w = known(8, 20);
-    for _ in 0..6 {
-        w.one(0, 0);
-    }
+    many(&mut w, 6);
     w.pass(400_000);
     let call = calls(&w).into_iter().find(|c| c.len() > 1).unwrap();
     let before = w.d.lane(0).unwrap().in_flight;
@@ -140,24 +143,9 @@
 fn a_message_with_little_time_left_goes_alone() {
     let mut w = known(8, 20);
     w.one(0, 0);
-    let late = w.next;
-    w.next += 1;
-    let deadline = w.now + 500_000;
-    let m = Message {
-        id: late,
-        class: 0,
-        tenant: None,
-        key: None,
-        deadline,
-        hint: None,
-        dest: 0,
-        stream: false,
-        size: 0,
-    };
-    w.step(&[Event::Submit(m)]);
-    for _ in 0..19 {
-        w.one(0, 0);
-    }
+    let soon = w.now + 500_000;
+    let late = w.with(0, 0, |m| m.deadline = soon);
+    many(&mut w, 19);
     w.pass(480_000);
     assert!(calls(&w).iter().all(|c| !c.contains(&late) || c.len() == 1), "{:?}", calls(&w));
     assert!(w.out.iter().filter(|((m, _), _)| *m != late).all(|(_, (.., timeout))| *timeout > SEC));
@@ -168,21 +156,7 @@
     let mut w = known(8, 20);
     w.one(0, 0);
     for _ in 0..12 {
-        let id = w.next;
-        w.next += 1;
-        let deadline = w.now + 20 * SEC;
-        let size = CALL_MOST / 3;
-        w.step(&[Event::Submit(Message {
-            id,
-            class: 0,
-            tenant: None,
-            key: None,
-            deadline,
-            hint: None,
-            dest: 0,
-            stream: false,
-            size,
-        })]);
+        w.with(0, 0, |m| m.size = CALL_MOST / 3);
     }
     w.pass(900_000);
     let seen = calls(&w);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -92,10 +92,16 @@
     }
 
     pub fn keyed(&mut self, class: usize, dest: DestId, key: Option<u64>) -> MsgId {
-        let id = self.next;
+        self.with(class, dest, |m| m.key = key)
+    }
+
+    /// The same for one that is out of the ordinary.
+    pub fn with(&mut self, class: usize, dest: DestId, change: impl FnOnce(&mut Message)) -> MsgId {
+        let (id, deadline, stream) = (self.next, self.now + 20 * SEC, false);
         self.next += 1;
-        let deadline = self.now + 20 * SEC;
-        let m = Message { id, class, tenant: None, key, deadline, hint: None, dest, stream: false, size: 0 };
+        let mut m =
+            Message { id, class, tenant: None, key: None, deadline, hint: None, dest, stream, size: 0 };
+        change(&mut m);
         self.step(&[Event::Submit(m)]);
         id
     }
