--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,6 +40,8 @@
 const PAUSE_GROWTH: f64 = 1.5;
 /// Longest pause of a lane with a window below one, microseconds: about a limit's fixed span.
 const PACE_MAX: f64 = 2.0 * 1e6;
+/// The same for one that keeps to its part: a rate told half too high, of a limit cut to a fifth.
+const PART_LEAST: f64 = 0.125;
 
 // ---- Outages. ----
 /// Failures in a row that make an outage: background errors seldom come in pairs.
@@ -578,7 +580,7 @@
     fn learn(&mut self, id: EndpointId, c: &Completed, sent: Micros, flows: bool) {
         let (now, jitter, elapsed) = (self.now, self.jitter(), c.elapsed as f64);
         let lane = self.endpoints[&id].lane;
-        let (crowd, gap) = (self.crowd(lane), self.cycle(lane) as f64);
+        let (crowd, gap, part) = (self.crowd(lane), self.cycle(lane) as f64, self.part(lane, true));
         let told = |n: usize| c.report.get(n).copied().unwrap_or(1.0);
         let limit = |(left, rate)| c.outcome == Outcome::Full && told(rate) > 0.0 && told(left) < USED_UP;
         let limit = self.set.limit_report.is_some_and(limit);
@@ -628,9 +630,14 @@
             let spread = 1.0 + REST_SPREAD * (jitter - 1.0) / JITTER;
             let first = (gap * REST_FIRST).min(self.set.cold as f64 / 2.0).max(elapsed * REST_SLOW);
             let rest = first.max((now - l.bad_from) as f64 * REST) * spread;
-            let rests = again && gap > 2.0 * self.set.fall as f64 && (limit || !crowd);
+            let part = part.filter(|_| o == Outcome::Full);
+            let rests = again && gap > 2.0 * self.set.fall as f64 && (limit || !crowd) && part.is_none();
             let rest = if rests { rest.min(gap) as Micros } else { 0 };
             l.wait_until = l.wait_until.max(now + pause.max(rest));
+            if let Some(part) = part {
+                // Nothing is saved up any more: the next goes a whole gap later, each sender at its own time.
+                l.paced = l.paced.max(now + (part / l.w.max(PART_LEAST) * (AHEAD + spread)) as Micros);
+            }
         }
         let most = l.recent.count_ones() >= 6 && l.fails > 0;
         let long = l.fulls > 1 && now >= l.bad_from.saturating_add(OUT_FULL_SPAN);
@@ -642,7 +649,8 @@
         }
         // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
         let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
-        l.w = l.w.clamp((l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0), top.max(1) as f64);
+        let least = if part.is_some() { PART_LEAST } else { (l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0) };
+        l.w = l.w.clamp(least, top.max(1) as f64);
         // A refusal between successes is the limit's, which is no outage.
         let limit = limit || (o == Outcome::Full && !l.out && !crowd);
         let most = o == Outcome::Error && l.errors.count_ones() >= OUT_ERRORS;
@@ -716,7 +724,7 @@
             if let Some(first) = live.next().filter(|_| live.count() + 1 >= most) {
                 at = at.max(first + patience);
             }
-            if eff < 1.0 {
+            if eff < 1.0 && self.part(lane, false).is_none() {
                 // DEPARTURE: a window below one is a pace, a call every CAL / w.
                 at = at.max(l.last_sent + (l.cal.unwrap_or(FLOOR) / eff).min(PACE_MAX) as Micros);
             }
@@ -899,7 +907,7 @@
         self.out.insert(call, Out::default());
         self.join(id, endpoint, call, reused);
         // DEPARTURE: a call is one in the window, for a slot and under the guard, whatever it carries.
-        let (gap, most) = (self.gap(lane), self.batch(lane));
+        let (gap, most) = (self.gap(lane), self.kind(lane).0);
         let alone = stream
             || self.lanes[lane].out
             || self.msgs[&id].deadline < now + self.lanes[lane].patience(self.least);
@@ -958,20 +966,32 @@
     /// The listed rate of a lane, the least of its endpoints', if any tells one.
     fn rate(&self, lane: usize) -> Option<f64> {
         let rates = self.lanes[lane].endpoints.iter().map(|e| self.endpoints[e].rate);
-        rates.filter(|r| *r > 0.0).reduce(f64::min)
+        rates.filter(|r| *r > 0.0).reduce(f64::min).map(|r| r.max(LEAST_RATE))
     }
 
-    /// Messages that one call of a lane may carry.
-    fn batch(&self, lane: usize) -> u32 {
+    /// Messages that one call of a lane may carry, and whether it is one of several routes.
+    fn kind(&self, lane: usize) -> (u32, bool) {
         let kind = self.dests.get(&self.lanes[lane].dest).and_then(|d| self.set.kinds.get(d.kind));
-        kind.map_or(1, |k| k.batch.max(1))
+        kind.map_or((1, false), |k| (k.batch.max(1), k.separate_routes))
     }
 
     /// Time between two calls of this sender, if all senders have their part of a told limit: messages
     /// that one call may carry together gather meanwhile, instead of each using up a part of the limit.
     fn gap(&self, lane: usize) -> Micros {
-        let rate = if self.batch(lane) > 1 { self.rate(lane) } else { None };
-        rate.map_or(0, |rate| (1e6 * self.set.siblings.max(1) as f64 / rate) as Micros)
+        let rate = if self.kind(lane).0 > 1 { self.rate(lane) } else { None };
+        let told = rate.map(|rate| 1e6 * self.set.siblings.max(1) as f64 / rate);
+        told.or(self.part(lane, false).map(|p| p / self.lanes[lane].w)).unwrap_or(0.0) as Micros
+    }
+
+    /// DEPARTURE: no window of whole calls keeps to a part of a told rate that is under a call in CAL. A lane
+    /// whose window was shrunk within a minute sends w calls in its part's time for one, as all others go on
+    /// too. It makes late what comes to one sender in a clump. Between routes a sender has a choice instead.
+    fn part(&self, lane: usize, shrinks: bool) -> Option<f64> {
+        let (l, siblings) = (&self.lanes[lane], self.set.siblings.max(1) as f64);
+        let shrunk = shrinks || l.shrunk > 0 && self.now < l.shrunk + BASELINE_SPAN;
+        let part = 1e6 * siblings / self.rate(lane).filter(|_| shrunk && self.kind(lane) == (1, false))?;
+        // In a guarded crowd turns decide.
+        (part > l.cal.unwrap_or(FLOOR) && !self.crowd(lane)).then_some(part)
     }
 }
 
