--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,7 +40,7 @@
 const PAUSE_GROWTH: f64 = 1.5;
 /// Longest pause of a lane with a window below one, microseconds: about a limit's fixed span.
 const PACE_MAX: f64 = 2.0 * 1e6;
-/// The same for one that keeps to its part: a rate told half too high, of a limit cut to a fifth.
+/// Least window of a lane that keeps to its part: a rate told half too high, of a limit cut to a fifth.
 const PART_LEAST: f64 = 0.125;
 
 // ---- Outages. ----
@@ -985,12 +985,12 @@
 
     /// DEPARTURE: no window of whole calls keeps to a part of a told rate that is under a call in CAL. A lane
     /// whose window was shrunk within a minute sends w calls in its part's time for one, as all others go on
-    /// too. It makes late what comes to one sender in a clump. Between routes a sender has a choice instead.
+    /// too. It makes late what comes to one sender in a clump. Routes leave a choice, crowds have turns.
     fn part(&self, lane: usize, shrinks: bool) -> Option<f64> {
         let (l, siblings) = (&self.lanes[lane], self.set.siblings.max(1) as f64);
         let shrunk = shrinks || l.shrunk > 0 && self.now < l.shrunk + BASELINE_SPAN;
-        let part = 1e6 * siblings / self.rate(lane).filter(|_| shrunk && self.kind(lane) == (1, false))?;
-        // In a guarded crowd turns decide.
+        let rate = if shrunk && self.kind(lane) == (1, false) { self.rate(lane) } else { None };
+        let part = 1e6 * siblings / rate?;
         (part > l.cal.unwrap_or(FLOOR) && !self.crowd(lane)).then_some(part)
     }
 }
