Start a fleet of real couriers with scripted links, doors and one record

The proof of the fleet needs several processes of the program and faults between them, with the same verdict each time. The stand-ins had one courier, a log that only one could read, and no way between two.

There: fleet.rs (N couriers on ports that the harness keeps reserved over all restarts, kill, restart, folder lost, pause, go on, term, hang up, files changed while they run), fleet/link.rs (a relay for each ordered pair: pass, cut in two ways, either direction lost, delay, slow; for one request: cut at a byte, twice, kept, answer lost, held), door.rs and partner.rs (partners with a door for each courier, every call and connection on record, answers held until told), platform.rs (the same for notices), record.rs (all that was seen in one order, and the wait for it).

--- a/standins/src/consumer.rs
+++ b/standins/src/consumer.rs
@@ -1,6 +1,6 @@
 //! A consumer: hands in one invocation on a connection of its own, and reads the answer.
 
-use crate::http::{Head, Reader};
+use crate::http::{Head, Left, Reader};
 use bytes::Bytes;
 use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
@@ -53,6 +53,23 @@
     Reader::new(stream).head().await?.ok_or(ErrorKind::UnexpectedEof.into())
 }
 
+/// The status and the body of the answer to a GET.
+///
+/// # Errors
+/// The connection broke, or no whole answer came.
+pub async fn get(courier: SocketAddr, path: &str) -> Result<(u16, String)> {
+    let mut stream = TcpStream::connect(courier).await?;
+    let head = format!("GET {path} HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let mut reader = Reader::new(stream);
+    let head = reader.head().await?.ok_or(ErrorKind::UnexpectedEof)?;
+    let (mut left, mut body) = (Left::from(head.framing()), Vec::new());
+    while let Some(part) = reader.body(&mut left, BLOCK).await? {
+        body.extend_from_slice(&part);
+    }
+    Ok((head.status(), String::from_utf8_lossy(&body).into_owned()))
+}
+
 /// A body as a consumer sends it.
 #[derive(Clone, Debug)]
 pub struct Script {
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,628 @@
+//! A fleet of real couriers between stand-ins, and the faults between them.
+//!
+//! Each courier is a process of the program with a folder of its own. Its way to each other one is a
+//! [`Link`] of the harness, whose script changes at a call; so are its doors to each partner and to the
+//! platform. All that is seen is in one [`Record`], in one order. A test waits for what it needs there
+//! ([`Fleet::until`]) and never for a time; at its end [`Fleet::history`] goes to the auditor
+//! ([`crate::audit`]).
+//!
+//! Couriers, and the ports at which they listen for consumers and for each other, are known before the
+//! start and stay over all restarts: the harness keeps each port bound, without listening, until the fleet
+//! is dropped ([`crate::gate::Port`]). The system deals such a port to nobody else, in this process or
+//! another, so that no two runs can collide.
+//!
+//! Couriers are numbered from 0 and named `a`, `b`, ... Where a courier is dead, a link to it accepts and
+//! resets at once, in the place of a refusal.
+//!
+//! ```ignore
+//! use quillmount_standins::audit::{Terms, audit};
+//! use quillmount_standins::consumer::Invocation;
+//! use quillmount_standins::fleet::link::{Once, Way};
+//! use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE, play};
+//! use quillmount_standins::partner::Answer;
+//! use serde_json::json;
+//! use std::time::Duration;
+//!
+//! play(async || {
+//!     let mut setup = FleetSetup::new("target/debug/quillmount", 3);
+//!     setup.fleet = Some(json!({"lease": "2s", "copies": 1}));
+//!     // The partner of destination 1 holds each call until it is told to answer.
+//!     setup.partner(1, |_| Answer::Held);
+//!     let mut fleet = Fleet::start(setup).await.unwrap();
+//!
+//!     let debit = Invocation::new("fee-debit", "m1", 1, Duration::from_secs(16));
+//!     assert_eq!(fleet.hand_in(0, &debit, b"12.50").await, 202);
+//!     fleet.until("the call", PATIENCE, |record| record.calls_of("m1").next().map(|_| ())).await.unwrap();
+//!
+//!     // The copy's next record is cut in its middle, then the owner is cut off, paused, and taken over.
+//!     fleet.link(0, 1).once(Once::CutInBody(20));
+//!     fleet.link(0, 2).set(Way::Cut);
+//!     fleet.pause(0).unwrap();
+//!     fleet.until("the taker's word", PATIENCE, |r| r.notices_of("m1").next().map(|_| ())).await.unwrap();
+//!     fleet.partner(0).release("m1", Answer::ok());
+//!     fleet.mend().await.unwrap();
+//!     assert_eq!(audit(&fleet.history(Terms::default())), []);
+//! });
+//! ```
+
+pub mod fault;
+pub mod link;
+mod process;
+
+use crate::consumer::{self, Invocation};
+use crate::door;
+use crate::gate::Port;
+use crate::partner::{Answer, Partner};
+use crate::platform::Platform;
+use crate::record::{Body, Call, Late, Record, Told, Witness};
+use fault::{Strike, Struck};
+use link::{Link, Way};
+use process::Process;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::{Error, Result};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::time::timeout;
+
+/// The example's configuration, with other addresses.
+const CONFIG: &str = include_str!("../../example/config.json");
+/// Only a broken program waits for so long.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// A whole test.
+const TEST: Duration = Duration::from_secs(240);
+/// Voters where the setup does not say.
+const VOTERS: usize = 3;
+
+/// Plays a test on one thread, as the harness needs it.
+///
+/// # Panics
+/// The test did not come to its end within four minutes, or panicked itself.
+pub fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let played = async { timeout(TEST, test()).await };
+    let Ok(runtime) = runtime else { panic!("no runtime could be had") };
+    let over = tokio::task::LocalSet::new().block_on(&runtime, played);
+    assert!(over.is_ok(), "the test did not come to its end within {TEST:?}");
+}
+
+type Answers = Box<dyn Fn(&Call) -> Answer>;
+
+/// What a fleet is started with.
+pub struct FleetSetup {
+    pub program: PathBuf,
+    /// Other programs, by courier: a version before beside this one.
+    pub programs: BTreeMap<usize, PathBuf>,
+    pub couriers: usize,
+    /// Of the couriers' own generators, and of [`FleetSetup::generator`].
+    pub seed: u64,
+    /// What goes into the section `fleet` beside `on`, `me`, `listen`, `members` and `voters` (the first
+    /// three, or one); it goes before them too. `None`: there is no such section.
+    pub fleet: Option<Value>,
+    /// Goes into each operator file.
+    pub operator: Value,
+    /// Goes into each configuration, as in `{"limits": {"disk_mb": 0.1}}`.
+    pub config: Value,
+    /// Goes into one courier's configuration, after the other.
+    pub configs: BTreeMap<usize, Value>,
+    /// What RUST_LOG says; empty: it is not set, and the operator file holds.
+    pub levels: String,
+    partners: Vec<(u64, Answers)>,
+}
+
+impl FleetSetup {
+    pub fn new(program: impl Into<PathBuf>, couriers: usize) -> FleetSetup {
+        FleetSetup {
+            program: program.into(),
+            programs: BTreeMap::new(),
+            couriers,
+            seed: 1,
+            fleet: None,
+            operator: json!({"version": 1}),
+            config: json!({}),
+            configs: BTreeMap::new(),
+            levels: "info".into(),
+            partners: Vec::new(),
+        }
+    }
+
+    /// A further partner, at this destination; `answers` says what becomes of each call when its body has
+    /// come. Its number is that of the partners before it.
+    pub fn partner(&mut self, dest: u64, answers: impl Fn(&Call) -> Answer + 'static) {
+        self.partners.push((dest, Box::new(answers)));
+    }
+
+    /// The generator for whatever the test chooses.
+    pub fn generator(&self) -> fastrand::Rng {
+        fastrand::Rng::with_seed(self.seed)
+    }
+}
+
+struct Member {
+    name: String,
+    folder: PathBuf,
+    program: PathBuf,
+    process: Option<Process>,
+    lives: u32,
+    /// For consumers, for operators, and for the others.
+    ports: [Port; 3],
+    config: Value,
+    operator: Value,
+}
+
+/// A running fleet; dropped, its processes are killed and its folders removed.
+pub struct Fleet {
+    pub witness: Witness,
+    pub platform: Platform,
+    partners: Vec<Partner>,
+    members: Vec<Member>,
+    links: BTreeMap<(usize, usize), Link>,
+    levels: String,
+    _root: TempDir,
+}
+
+/// `a` to `z`, then `m26` and so on.
+fn name(n: usize) -> String {
+    match u8::try_from(n) {
+        Ok(n @ 0..26) => char::from(b'a' + n).to_string(),
+        _ => format!("m{n}"),
+    }
+}
+
+/// Puts one value over another, field by field.
+fn merge(into: &mut Value, over: &Value) {
+    match (into, over) {
+        (Value::Object(into), Value::Object(over)) => {
+            for (name, value) in over {
+                merge(into.entry(name.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (into, over) => *into = over.clone(),
+    }
+}
+
+impl Fleet {
+    /// Starts all, and waits until all serve; must run in a `LocalSet` on one thread ([`play`]).
+    ///
+    /// # Errors
+    /// One did not start or serve; the error tells the last lines of each.
+    pub async fn start(setup: FleetSetup) -> Result<Fleet> {
+        let mut fleet = Fleet::prepare(setup)?;
+        (0..fleet.members.len()).try_for_each(|n| fleet.spawn(n))?;
+        for n in 0..fleet.members.len() {
+            fleet.serves(n).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// The same without a start of any courier: [`Fleet::spawn`] does that.
+    ///
+    /// # Errors
+    /// The system has no port or folder.
+    pub fn prepare(setup: FleetSetup) -> Result<Fleet> {
+        let (witness, couriers) = (Witness::default(), setup.couriers);
+        witness.write(|record, _| {
+            record.names = (0..couriers).map(name).collect();
+            record.ended = vec![0; couriers];
+        });
+        let platform = Platform::open(couriers, witness.clone())?;
+        let mut partners = Vec::new();
+        for (n, (dest, answers)) in setup.partners.into_iter().enumerate() {
+            partners.push(Partner::open(n, dest, couriers, witness.clone(), answers)?);
+        }
+        let root = tempfile::Builder::new().prefix("quillmount-fleet-").tempdir()?;
+        let mut members = Vec::new();
+        for n in 0..couriers {
+            members.push(Member {
+                name: name(n),
+                folder: root.path().join(name(n)),
+                program: setup.programs.get(&n).unwrap_or(&setup.program).clone(),
+                process: None,
+                lives: 0,
+                ports: [Port::reserve()?, Port::reserve()?, Port::reserve()?],
+                config: Value::Null,
+                operator: setup.operator.clone(),
+            });
+        }
+        let mut links = BTreeMap::new();
+        for (from, to) in (0..couriers).flat_map(|from| (0..couriers).map(move |to| (from, to))) {
+            if from != to {
+                let link = Link::open(from, to, members[to].ports[2].addr, witness.clone())?;
+                links.insert((from, to), link);
+            }
+        }
+        let names: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        for (n, member) in members.iter_mut().enumerate() {
+            let servers = partners.iter().enumerate().map(|(p, partner)| {
+                json!({"id": format!("partner-{p}"), "addr": partner.addr(n), "zone": "bkk-dc1", "kind": "bank",
+                       "cell": partner.dest, "state": "ready", "weight": 1000.0, "started_ms": 0})
+            });
+            let mut config: Value = serde_json::from_str(CONFIG)?;
+            let mut seed = fastrand::Rng::with_seed(setup.seed.wrapping_add(n as u64));
+            let [listen, operators, fleet] = member.ports.each_ref().map(|port| port.addr);
+            let own = json!({"name": member.name, "listen": listen, "operator": operators,
+                "discovery": platform.addr(n), "seed": format!("{:016x}", seed.u64(..)),
+                "known": {"servers": servers.collect::<Vec<_>>()},
+                "settings": {"me": n, "siblings": couriers}});
+            merge(&mut config, &own);
+            merge(&mut config, &setup.config);
+            setup.configs.get(&n).into_iter().for_each(|own| merge(&mut config, own));
+            member.config = config;
+            if let Some(more) = &setup.fleet {
+                let others = names.iter().enumerate().map(|(to, name)| {
+                    let addr = links.get(&(n, to)).map_or(fleet, Link::addr);
+                    json!({"name": name, "addr": addr, "host": format!("h{to}")})
+                });
+                let voters = &names[..if couriers < VOTERS { 1 } else { VOTERS }];
+                let mut section = json!({"on": true, "me": member.name, "listen": fleet,
+                    "members": others.collect::<Vec<_>>(), "voters": voters});
+                merge(&mut section, more);
+                member.operator["fleet"] = section;
+            }
+            std::fs::create_dir_all(member.folder.join("state"))?;
+            member.write()?;
+        }
+        Ok(Fleet { witness, platform, partners, members, links, levels: setup.levels, _root: root })
+    }
+
+    /// How many couriers there are, running or not.
+    pub fn couriers(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn name(&self, courier: usize) -> &str {
+        &self.members[courier].name
+    }
+
+    /// Where consumers reach it, in all its lives.
+    pub fn addr(&self, courier: usize) -> SocketAddr {
+        self.members[courier].ports[0].addr
+    }
+
+    /// Where operators call it, in all its lives.
+    pub fn operators(&self, courier: usize) -> SocketAddr {
+        self.members[courier].ports[1].addr
+    }
+
+    /// Where it listens for the others, without a link between.
+    pub fn listen(&self, courier: usize) -> SocketAddr {
+        self.members[courier].ports[2].addr
+    }
+
+    /// The folder that lasts.
+    pub fn folder(&self, courier: usize) -> PathBuf {
+        self.members[courier].folder.join("state")
+    }
+
+    /// Its journal's bytes as they are now; none where there is none.
+    pub fn journal(&self, courier: usize) -> Vec<u8> {
+        std::fs::read(self.folder(courier).join("journal")).unwrap_or_default()
+    }
+
+    /// Its process, while it runs.
+    pub fn id(&self, courier: usize) -> Option<u32> {
+        self.members[courier].process.as_ref().map(Process::id)
+    }
+
+    /// How often it has been started: the latest of its lives.
+    pub fn life(&self, courier: usize) -> u32 {
+        self.members[courier].lives
+    }
+
+    /// The way from one courier to another.
+    pub fn link(&self, from: usize, to: usize) -> &Link {
+        &self.links[&(from, to)]
+    }
+
+    pub fn partner(&self, number: usize) -> &Partner {
+        &self.partners[number]
+    }
+
+    /// Waits until something is found in the record.
+    ///
+    /// # Errors
+    /// It was not found in time; the error tells the last lines of each courier.
+    pub async fn until<T>(
+        &self,
+        what: &str,
+        within: Duration,
+        found: impl FnMut(&Record) -> Option<T>,
+    ) -> std::result::Result<T, Late> {
+        self.witness.until(what, within, found).await
+    }
+
+    /// Waits until the latest life of a courier has said these words, and returns the line.
+    ///
+    /// # Errors
+    /// It did not in time.
+    pub async fn says(&self, courier: usize, words: &str) -> std::result::Result<String, Late> {
+        let (life, name) = (self.life(courier), self.name(courier));
+        let what = format!("{name}, life {life}, says {words:?}");
+        self.until(&what, PATIENCE, |record| Some(record.said(courier, life, words).next()?.text.clone()))
+            .await
+    }
+
+    /// Waits until its latest life serves.
+    ///
+    /// # Errors
+    /// It ended, or did not serve in time.
+    pub async fn serves(&self, courier: usize) -> Result<()> {
+        let (life, name) = (self.life(courier), self.name(courier));
+        let what = format!("{name}, life {life}, serves");
+        let serving = |record: &Record| {
+            let serves = record.said(courier, life, "serving on ").next().is_some();
+            (serves || record.ended[courier] >= life).then_some(serves)
+        };
+        if self.until(&what, PATIENCE, serving).await? {
+            return Ok(());
+        }
+        let last = |record: &Record| {
+            record.lines.iter().rfind(|line| line.courier == courier).map(|line| line.text.clone())
+        };
+        let last = self.witness.read(last).unwrap_or_default();
+        Err(Error::other(format!("{name}, life {life}, did not start: {last}")))
+    }
+
+    /// Starts it with its folder as it is, and does not wait.
+    ///
+    /// # Errors
+    /// It runs already, or can't be started.
+    pub fn spawn(&mut self, courier: usize) -> Result<()> {
+        let member = &mut self.members[courier];
+        if member.process.is_some() {
+            return Err(Error::other(format!("{} runs already", member.name)));
+        }
+        member.lives += 1;
+        Struck::note(&self.witness, Strike::Start(courier));
+        let (program, folder) = (&member.program, &member.folder);
+        let process = Process::start(program, folder, &self.levels, courier, member.lives, &self.witness)?;
+        member.process = Some(process);
+        Ok(())
+    }
+
+    /// SIGKILL; returns when it is gone and its log is on record. Nothing where it does not run.
+    ///
+    /// # Errors
+    /// Its end was not told.
+    pub async fn kill(&mut self, courier: usize) -> Result<()> {
+        let Some(mut process) = self.members[courier].process.take() else { return Ok(()) };
+        Struck::note(&self.witness, Strike::Kill(courier));
+        process.kill()?;
+        Ok(self.log_ends(courier).await?)
+    }
+
+    /// Kills it where it runs, starts it with its folder, and waits until it serves.
+    ///
+    /// # Errors
+    /// It did not serve in time.
+    pub async fn restart(&mut self, courier: usize) -> Result<()> {
+        self.kill(courier).await?;
+        self.spawn(courier)?;
+        self.serves(courier).await
+    }
+
+    /// The same without its folder, and does not wait: a courier that lost it may have to ask before it
+    /// serves.
+    ///
+    /// # Errors
+    /// The folder can't be emptied, or it can't be started.
+    pub async fn lose_folder(&mut self, courier: usize) -> Result<()> {
+        self.kill(courier).await?;
+        let folder = self.folder(courier);
+        std::fs::remove_dir_all(&folder)?;
+        std::fs::create_dir_all(&folder)?;
+        Struck::note(&self.witness, Strike::LoseFolder(courier));
+        self.spawn(courier)
+    }
+
+    fn running(&mut self, courier: usize) -> Result<&mut Process> {
+        let member = &mut self.members[courier];
+        member.process.as_mut().ok_or_else(|| Error::other(format!("{} does not run", member.name)))
+    }
+
+    /// SIGSTOP; returns when it has stopped.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn pause(&mut self, courier: usize) -> Result<()> {
+        self.running(courier)?.pause()?;
+        Struck::note(&self.witness, Strike::Pause(courier));
+        Ok(())
+    }
+
+    /// SIGCONT.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn go_on(&mut self, courier: usize) -> Result<()> {
+        Struck::note(&self.witness, Strike::GoOn(courier));
+        self.running(courier)?.go_on()
+    }
+
+    /// SIGTERM.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn term(&mut self, courier: usize) -> Result<()> {
+        Struck::note(&self.witness, Strike::Term(courier));
+        self.running(courier)?.signal(Signal::TERM)
+    }
+
+    /// SIGHUP.
+    ///
+    /// # Errors
+    /// It does not run.
+    pub fn hang_up(&mut self, courier: usize) -> Result<()> {
+        Struck::note(&self.witness, Strike::HangUp(courier));
+        self.running(courier)?.signal(Signal::HUP)
+    }
+
+    /// Waits for its end, after SIGTERM or of its own accord.
+    ///
+    /// # Errors
+    /// It does not run, or did not end in time.
+    pub async fn ended(&mut self, courier: usize) -> Result<ExitStatus> {
+        self.running(courier)?;
+        self.log_ends(courier).await?;
+        let mut process = self.members[courier].process.take();
+        process.as_mut().ok_or_else(|| Error::other("it does not run"))?.wait()
+    }
+
+    async fn log_ends(&self, courier: usize) -> std::result::Result<(), Late> {
+        let life = self.life(courier);
+        let what = format!("the end of {}, life {life}", self.name(courier));
+        self.until(&what, PATIENCE, |record| (record.ended[courier] >= life).then_some(())).await
+    }
+
+    /// Changes its configuration file, field by field; a restart or SIGHUP reads it.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn configure(&mut self, courier: usize, change: &Value) -> Result<()> {
+        let member = &mut self.members[courier];
+        merge(&mut member.config, change);
+        member.write()
+    }
+
+    /// The same with its operator file.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn operate(&mut self, courier: usize, change: &Value) -> Result<()> {
+        let member = &mut self.members[courier];
+        merge(&mut member.operator, change);
+        member.write()
+    }
+
+    /// Another program from its next start on.
+    pub fn set_program(&mut self, courier: usize, program: &Path) {
+        self.members[courier].program = program.into();
+    }
+
+    /// Sets all its links, both directions.
+    pub fn set_links(&self, courier: usize, way: Way) {
+        let of = |(from, to): &(usize, usize)| *from == courier || *to == courier;
+        self.links.iter().filter(|(ends, _)| of(ends)).for_each(|(_, link)| link.set(way));
+    }
+
+    /// Nothing that `from` sends gets to `to`, requests or answers; what `to` sends gets to `from`.
+    pub fn cut_one_way(&self, from: usize, to: usize) {
+        self.link(from, to).set(Way::RequestsLost);
+        self.link(to, from).set(Way::AnswersLost);
+    }
+
+    /// Sets all links between couriers of one half and of the other.
+    pub fn part(&self, half: &[usize], way: Way) {
+        let between = |(from, to): &(usize, usize)| half.contains(from) != half.contains(to);
+        self.links.iter().filter(|(ends, _)| between(ends)).for_each(|(_, link)| link.set(way));
+    }
+
+    /// Does what a strike says, and does not wait for what comes of it. One at a courier that does not run
+    /// does nothing.
+    ///
+    /// # Errors
+    /// It could not be done.
+    pub async fn strike(&mut self, strike: Strike) -> Result<()> {
+        let runs = |n: usize| self.members[n].process.is_some();
+        match strike {
+            Strike::Kill(n) => self.kill(n).await?,
+            Strike::Start(n) if !runs(n) => self.spawn(n)?,
+            Strike::LoseFolder(n) => self.lose_folder(n).await?,
+            Strike::Pause(n) if runs(n) => self.pause(n)?,
+            Strike::GoOn(n) if runs(n) => self.go_on(n)?,
+            Strike::Term(n) if runs(n) => self.term(n)?,
+            Strike::HangUp(n) if runs(n) => self.hang_up(n)?,
+            Strike::Link { from, to, way } => self.link(from, to).set(way),
+            Strike::Once { from, to, once } => self.link(from, to).once(once),
+            Strike::Close { from, to } => self.link(from, to).close(),
+            Strike::Partner { courier, partner, way } => self.partner(partner).set(courier, way),
+            Strike::Platform { courier, way } => self.platform.set(courier, way),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Ends all faults: links pass, doors are open, who was paused goes on, who is dead starts with its
+    /// folder; then all serve.
+    ///
+    /// # Errors
+    /// One did not serve in time.
+    pub async fn mend(&mut self) -> Result<()> {
+        for link in self.links.values().filter(|link| link.way() != Way::Pass) {
+            link.set(Way::Pass);
+        }
+        for n in 0..self.members.len() {
+            if !self.platform.is_open(n) {
+                self.platform.set(n, door::Way::Open);
+            }
+            for partner in self.partners.iter().filter(|partner| !partner.is_open(n)) {
+                partner.set(n, door::Way::Open);
+            }
+            match &self.members[n].process {
+                Some(process) if process.paused => self.go_on(n)?,
+                Some(_) => {}
+                None => self.spawn(n)?,
+            }
+        }
+        for n in 0..self.members.len() {
+            self.serves(n).await?;
+        }
+        Ok(())
+    }
+
+    /// Hands a message in at a courier, and returns the answer's status, 0 where the connection broke. To
+    /// do so beside other things, see [`Fleet::consumer`].
+    pub async fn hand_in(&self, courier: usize, invocation: &Invocation, body: &[u8]) -> u16 {
+        self.consumer(courier).hand_in(invocation, body).await
+    }
+
+    /// A consumer at a courier, for a task of its own.
+    pub fn consumer(&self, courier: usize) -> Consumer {
+        Consumer { courier, addr: self.addr(courier), witness: self.witness.clone() }
+    }
+
+    /// The answer's status and body to a GET, as of `/-/ready`.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn get(&self, courier: usize, path: &str) -> Result<(u16, String)> {
+        consumer::get(self.addr(courier), path).await
+    }
+}
+
+impl Member {
+    fn write(&self) -> Result<()> {
+        std::fs::write(self.folder.join("config.json"), self.config.to_string())?;
+        std::fs::write(self.folder.join("operator.json"), self.operator.to_string())
+    }
+}
+
+/// Hands in messages at one courier, and records what it is told.
+#[derive(Clone, Debug)]
+pub struct Consumer {
+    pub courier: usize,
+    addr: SocketAddr,
+    witness: Witness,
+}
+
+impl Consumer {
+    /// Hands a message in, and returns the answer's status, 0 where the connection broke.
+    pub async fn hand_in(&self, invocation: &Invocation, body: &[u8]) -> u16 {
+        let Invocation { class, id, key, dest, time_left, .. } = invocation.clone();
+        let (courier, time_left, body_of) = (self.courier, time_left.as_micros() as u64, Body::of(body));
+        let n = self.witness.write(|record, asked| {
+            let told = Told { asked, courier, id, class, key, dest, time_left, body: body_of, answer: None };
+            record.told.push(told);
+            record.told.len() - 1
+        });
+        let answer = consumer::hand_in(self.addr, invocation, body).await;
+        let status = answer.map_or(0, |head| head.status());
+        self.witness.write(|record, when| record.told[n].answer = Some((when, status)));
+        status
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/fault.rs
@@ -0,0 +1,90 @@
+//! What a harness does to couriers, links and doors, as values: each is noted in the record when it is done.
+
+use super::link;
+use crate::door;
+use crate::record::{Stamp, Witness};
+use std::fmt;
+
+/// Something that is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strike {
+    /// SIGKILL.
+    Kill(usize),
+    /// A start with the folder as it is.
+    Start(usize),
+    /// SIGKILL where it runs, and a start with an empty folder.
+    LoseFolder(usize),
+    /// SIGSTOP.
+    Pause(usize),
+    /// SIGCONT.
+    GoOn(usize),
+    /// SIGTERM.
+    Term(usize),
+    /// SIGHUP.
+    HangUp(usize),
+    Link {
+        from: usize,
+        to: usize,
+        way: link::Way,
+    },
+    Once {
+        from: usize,
+        to: usize,
+        once: link::Once,
+    },
+    Close {
+        from: usize,
+        to: usize,
+    },
+    /// A partner's door for this courier.
+    Partner {
+        courier: usize,
+        partner: usize,
+        way: door::Way,
+    },
+    /// The platform's door for this courier.
+    Platform {
+        courier: usize,
+        way: door::Way,
+    },
+}
+
+impl Strike {
+    /// One of all that do harm, by the seed of the generator, among so many couriers (two at least) and
+    /// partners.
+    pub fn pick(seed: &mut fastrand::Rng, couriers: usize, partners: usize) -> Strike {
+        let courier = seed.usize(0..couriers);
+        let to = (courier + seed.usize(1..couriers)) % couriers;
+        match seed.u8(0..9) {
+            0 | 1 => Strike::Kill(courier),
+            2 => Strike::LoseFolder(courier),
+            3 => Strike::Pause(courier),
+            4 => Strike::Link { from: courier, to, way: link::Way::pick(seed) },
+            5 => Strike::Once { from: courier, to, once: link::Once::pick(seed) },
+            6 => Strike::Close { from: courier, to },
+            7 if partners > 0 => {
+                Strike::Partner { courier, partner: seed.usize(0..partners), way: door::Way::pick(seed) }
+            }
+            _ => Strike::Platform { courier, way: door::Way::pick(seed) },
+        }
+    }
+}
+
+/// A strike, and when it was done.
+#[derive(Clone, Copy, Debug)]
+pub struct Struck {
+    pub when: Stamp,
+    pub what: Strike,
+}
+
+impl Struck {
+    pub(crate) fn note(witness: &Witness, what: Strike) {
+        witness.write(|record, when| record.struck.push(Struck { when, what }));
+    }
+}
+
+impl fmt::Display for Struck {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{:?} (event {})", self.what, self.when.n)
+    }
+}
--- /dev/null
+++ b/standins/src/gate.rs
@@ -0,0 +1,127 @@
+//! A listening address that is a harness's for as long as it wants, whoever listens there: open, silent or
+//! refusing.
+
+use std::collections::BTreeSet;
+use std::io::Result;
+use std::net::{SocketAddr, TcpStream as Plain};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// A queue with room takes a connection at once; one that has none takes none for good.
+const FILL: Duration = Duration::from_millis(20);
+/// Connections that fill a queue of length 0; one does on Linux, the second shows that it is full.
+const FILLERS: usize = 2;
+
+/// A port on 127.0.0.1 that nobody else is dealt: a socket that is bound and never listens keeps it. The
+/// system's search for a free port, for a listener as for a connection, passes it by; whoever binds it by
+/// its number with SO_REUSEADDR, as std and tokio do, may listen there, and again after its end.
+#[derive(Debug)]
+pub struct Port {
+    pub addr: SocketAddr,
+    _held: TcpSocket,
+}
+
+impl Port {
+    /// # Errors
+    /// No port could be had.
+    pub fn reserve() -> Result<Port> {
+        let held = TcpSocket::new_v4()?;
+        held.set_reuseaddr(true)?;
+        held.bind(([127, 0, 0, 1], 0).into())?;
+        Ok(Port { addr: held.local_addr()?, _held: held })
+    }
+
+    fn listen(&self) -> Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.addr)?;
+        socket.listen(BACKLOG)
+    }
+}
+
+/// How a gate meets those who come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    Open,
+    /// A connection does not come up: the system drops its first packet.
+    Silent,
+    /// A connection is refused.
+    Refused,
+}
+
+/// A listener on a port of its own.
+#[derive(Debug)]
+pub struct Gate {
+    port: Port,
+    listener: Option<TcpListener>,
+    /// Connections of its own that fill the queue.
+    fillers: Vec<Plain>,
+    /// Those that are still in the queue.
+    queued: BTreeSet<SocketAddr>,
+}
+
+impl Gate {
+    /// # Errors
+    /// No port could be had.
+    pub fn open() -> Result<Gate> {
+        let port = Port::reserve()?;
+        let listener = Some(port.listen()?);
+        Ok(Gate { port, listener, fillers: Vec::new(), queued: BTreeSet::new() })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.port.addr
+    }
+
+    /// # Errors
+    /// The system does not let it listen.
+    pub fn set(&mut self, entry: Entry) -> Result<()> {
+        match entry {
+            Entry::Refused => {
+                self.listener = None;
+                self.fillers.clear();
+                self.queued.clear();
+            }
+            Entry::Open | Entry::Silent => {
+                let listener = match self.listener.take() {
+                    Some(listener) => listener,
+                    None => self.port.listen()?,
+                };
+                let listener = self.listener.insert(listener);
+                if entry == Entry::Open {
+                    rustix::net::listen(&*listener, BACKLOG as i32)?;
+                    self.fillers.clear();
+                } else if self.fillers.is_empty() {
+                    // A queue of length 0 still takes one; who waits in it already is met when it opens
+                    // again.
+                    rustix::net::listen(&*listener, 0)?;
+                    for _ in 0..FILLERS {
+                        let Ok(filler) = Plain::connect_timeout(&self.port.addr, FILL) else { break };
+                        self.queued.insert(filler.local_addr()?);
+                        self.fillers.push(filler);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The next connection; waits for ever unless it is open.
+    ///
+    /// # Errors
+    /// The system has no descriptor for it.
+    pub async fn accept(&mut self) -> Result<TcpStream> {
+        loop {
+            let Some(listener) = self.listener.as_ref().filter(|_| self.fillers.is_empty()) else {
+                return std::future::pending().await;
+            };
+            let (stream, from) = listener.accept().await?;
+            if !self.queued.remove(&from) {
+                stream.set_nodelay(true)?;
+                return Ok(stream);
+            }
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,10 +4,15 @@
 
 pub mod consumer;
 pub mod courier;
+pub mod door;
+pub mod fleet;
+pub mod gate;
 pub mod http;
 pub mod operator;
+pub mod partner;
 pub mod platform;
 pub mod provider;
+pub mod record;
 
 use std::time::Instant;
 use tokio::sync::mpsc;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,9 +1,14 @@
 //! The platform's agent: the watch on discovery, which stays open, and the notices, which it confirms.
 
+use crate::door::{Door, Way};
+use crate::fleet::fault::{Strike, Struck};
 use crate::http::{Left, Reader};
+use crate::record::{Notice, Witness};
 use crate::{Eyes, What};
+use std::cell::Cell;
 use std::io::Result;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -23,13 +28,23 @@
     let addr = listener.local_addr()?;
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(serve(stream, eyes.clone(), list.clone()));
+            let eyes = eyes.clone();
+            let tell = async move |id: &str, what| {
+                eyes.see(id, what).await;
+                true
+            };
+            tokio::task::spawn_local(serve(stream, tell, list.clone()));
         }
     });
     Ok(addr)
 }
 
-async fn serve(stream: TcpStream, eyes: Eyes, mut list: watch::Receiver<String>) -> Result<()> {
+/// `tell` says whether a notice is confirmed.
+async fn serve(
+    stream: TcpStream,
+    tell: impl AsyncFn(&str, What) -> bool,
+    mut list: watch::Receiver<String>,
+) -> Result<()> {
     let (from, mut to) = stream.into_split();
     let mut reader = Reader::new(from);
     while let Some(head) = reader.head().await? {
@@ -38,13 +53,18 @@
             while let Some(part) = reader.body(&mut left, usize::MAX).await? {
                 text.extend_from_slice(&part);
             }
+            let mut confirmed = true;
             for line in String::from_utf8_lossy(&text).lines() {
-                eyes.see(id_of(line), What::Notice(line.to_string())).await;
+                confirmed &= tell(id_of(line), What::Notice(line.to_string())).await;
             }
-            to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
+            to.write_all(match confirmed {
+                true => b"HTTP/1.1 204 No Content\r\n\r\n",
+                false => b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+            })
+            .await?;
             continue;
         }
-        eyes.see("", What::Watched).await;
+        tell("", What::Watched).await;
         to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         loop {
             let line = list.borrow_and_update().clone() + "\n";
@@ -58,6 +78,75 @@
     Ok(())
 }
 
+/// The platform of a whole fleet: a door for each courier, and a record of every notice in the order in
+/// which they came.
+pub struct Platform {
+    doors: Vec<Door>,
+    lists: Vec<watch::Sender<String>>,
+    confirms: Rc<Cell<bool>>,
+    witness: Witness,
+}
+
+impl Platform {
+    /// Must run in a `LocalSet`.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn open(couriers: usize, witness: Witness) -> Result<Platform> {
+        let confirms = Rc::new(Cell::new(true));
+        let lists: Vec<watch::Sender<String>> = (0..couriers).map(|_| watch::Sender::default()).collect();
+        let door = |(courier, list): (usize, &watch::Sender<String>)| {
+            let (witness, confirms, list) = (witness.clone(), confirms.clone(), list.subscribe());
+            Door::open(move |stream, way| {
+                let (witness, confirms, list) = (witness.clone(), confirms.clone(), list.clone());
+                async move {
+                    let tell = async |id: &str, what| {
+                        if let What::Notice(line) = what {
+                            let id = id.to_string();
+                            witness.write(|record, when| {
+                                record.notices.push(Notice { when, courier, id, line });
+                            });
+                            if *way.borrow() == Way::AnswersLost {
+                                std::future::pending::<()>().await;
+                            }
+                        }
+                        confirms.get()
+                    };
+                    // A connection that breaks is the courier's to open again.
+                    let _ = serve(stream, tell, list).await;
+                }
+            })
+        };
+        let doors = lists.iter().enumerate().map(door).collect::<Result<_>>()?;
+        Ok(Platform { doors, lists, confirms, witness })
+    }
+
+    /// Where this courier reaches it.
+    pub fn addr(&self, courier: usize) -> SocketAddr {
+        self.doors[courier].addr()
+    }
+
+    /// From now on, for this courier.
+    pub fn set(&self, courier: usize, way: Way) {
+        self.doors[courier].set(way);
+        Struck::note(&self.witness, Strike::Platform { courier, way });
+    }
+
+    pub(crate) fn is_open(&self, courier: usize) -> bool {
+        self.doors[courier].way() == Way::Open
+    }
+
+    /// Tells this courier a line of discovery: one JSON object, as PROTOCOL has it.
+    pub fn list(&self, courier: usize, line: &str) {
+        self.lists[courier].send_replace(line.into());
+    }
+
+    /// From now on notices are confirmed, or answered 500; they are recorded either way.
+    pub fn confirm(&self, confirms: bool) {
+        self.confirms.set(confirms);
+    }
+}
+
 /// The id in a notice's line.
 fn id_of(line: &str) -> &str {
     let rest = line.split_once("\"id\":\"").map(|(_, rest)| rest);
