Audit what consumers, partners, platform and journals say of a fleet

Whether a fleet keeps its rules has to be read off what it did, by something that is shown to find each breach.

There: audit.rs and its parts, without I/O (one end for each message, none lost or forgotten, nothing run twice, a key only within its span, body, key and destination as handed in, nothing after an end, a seal or its time, the partner's own count of connections against its budget, what journals say, settlements in order and whole), each finding typed with its evidence; Fleet::history gathers its input; 32 deliberate breaks, one finding each, and any of them together.

--- a/courier/tests/harness.rs
+++ b/courier/tests/harness.rs
@@ -1,10 +1,14 @@
 //! The harness for a fleet, on three processes of the program without the section `fleet`: what it does to
 //! a courier is done, and the auditor finds nothing wrong with what comes of it.
 
+use quillmount_standins::audit::{Budget, Finding, Terms, audit};
 use quillmount_standins::consumer::Invocation;
+use quillmount_standins::door::Way;
+use quillmount_standins::fleet::fault::Strike;
 use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE, play};
 use quillmount_standins::partner::Answer;
 use quillmount_standins::record::{Call, Record};
+use serde_json::json;
 use std::time::Duration;
 
 const LONG: Duration = Duration::from_secs(16);
@@ -31,6 +35,11 @@
     fleet.until(&format!("call {n} of {id}"), PATIENCE, found).await.unwrap()
 }
 
+/// What the auditor finds wrong.
+fn findings(fleet: &Fleet) -> Vec<Finding> {
+    audit(&fleet.history(Terms::default()))
+}
+
 #[test]
 fn three_couriers_deliver_and_their_calls_are_known_for_their_own() {
     play(async || {
@@ -43,6 +52,11 @@
             assert_eq!(fleet.get(courier, "/-/ready").await.unwrap().0, 200);
         }
         assert_eq!(fleet.witness.read(|record| record.open_at(0)), (3, 3));
+        let mut history = fleet.history(Terms::default());
+        assert_eq!(audit(&history), []);
+        // The partner's own count is what a budget is held against.
+        history.budgets.push(Budget { partner: 0, from: 0, most: 2 });
+        assert!(matches!(audit(&history)[..], [Finding::OverBudget { open: 3, most: 2, .. }]));
     });
 }
 
@@ -71,6 +85,7 @@
         assert_eq!(fleet.life(1), 3);
         assert_eq!(fleet.hand_in(1, &message("fee-debit", "new", 1), b"body").await, 202);
         ends(&fleet, "new").await;
+        assert_eq!(findings(&fleet), []);
     });
 }
 
@@ -97,5 +112,102 @@
         assert!(fleet.ended(2).await.unwrap().success());
         fleet.mend().await.unwrap();
         assert_eq!(fleet.life(2), 2);
+        assert_eq!(findings(&fleet), []);
+    });
+}
+
+/// The auditor can fail: a courier that owes a message and loses its folder has forgotten it.
+#[test]
+fn a_message_that_went_with_its_folder_is_found() {
+    play(async || {
+        let mut fleet = Fleet::start(setup()).await.unwrap();
+        assert_eq!(fleet.hand_in(0, &message("fee-debit", "gone", 2), b"body").await, 202);
+        call(&fleet, "gone", 1).await;
+        assert_eq!(findings(&fleet), []);
+        fleet.lose_folder(0).await.unwrap();
+        fleet.serves(0).await.unwrap();
+        let found = findings(&fleet);
+        let [Finding::Forgotten { id, courier: 0, .. }] = &found[..] else { panic!("{found:?}") };
+        assert_eq!(id, "gone");
+    });
+}
+
+#[test]
+fn a_courier_is_cut_off_from_one_partner_alone() {
+    play(async || {
+        let fleet = Fleet::start(setup()).await.unwrap();
+        for courier in 0..2 {
+            let first = format!("first-{courier}");
+            assert_eq!(fleet.hand_in(courier, &message("fee-debit", &first, 1), b"body").await, 202);
+            ends(&fleet, &first).await;
+        }
+        fleet.partner(0).set(0, Way::Cut);
+        assert_eq!(fleet.hand_in(0, &message("fee-debit", "cut", 1), b"body").await, 202);
+        for (courier, dest, id) in [(0, 2, "other-partner"), (1, 1, "other-courier")] {
+            assert_eq!(fleet.hand_in(courier, &message("fee-debit", id, dest), b"body").await, 202);
+            call(&fleet, id, 1).await;
+        }
+        assert_eq!(fleet.witness.read(|record| record.calls_of("cut").count()), 0);
+        fleet.partner(0).set(0, Way::Open);
+        call(&fleet, "cut", 1).await;
+        fleet.partner(1).release("other-partner", Answer::ok());
+        for id in ["cut", "other-partner", "other-courier"] {
+            ends(&fleet, id).await;
+        }
+        assert_eq!(findings(&fleet), []);
+    });
+}
+
+#[test]
+fn a_courier_whose_disk_is_full_refuses_and_the_others_do_not() {
+    play(async || {
+        let mut setup = setup();
+        setup.configs.insert(0, json!({"limits": {"disk_mb": 0.01}}));
+        let fleet = Fleet::start(setup).await.unwrap();
+        let body = [b'x'; 2_000];
+        let mut full = 0;
+        for n in 0..4 {
+            let id = format!("m{n}");
+            full = fleet.hand_in(0, &message("fee-debit", &id, 2), &body).await;
+            if full != 202 {
+                break;
+            }
+            call(&fleet, &id, 1).await;
+        }
+        assert_eq!(full, 503);
+        assert_eq!(fleet.hand_in(1, &message("fee-debit", "room", 2), &body).await, 202);
+        fleet.partner(1).release_where(Answer::ok(), |_| true);
+        assert_eq!(findings(&fleet), []);
+    });
+}
+
+/// A seed chooses the strikes; whatever they are, each message has one end.
+#[test]
+fn strikes_by_a_seed_leave_each_message_with_one_end() {
+    play(async || {
+        let setup = setup();
+        let (mut seed, mut same) = (setup.generator(), setup.generator());
+        let chosen: Vec<Strike> = (0..16).map(|_| Strike::pick(&mut seed, 3, 2)).collect();
+        assert!(chosen.iter().all(|strike| *strike == Strike::pick(&mut same, 3, 2)));
+        let mut fleet = Fleet::start(setup).await.unwrap();
+        let mut ids = Vec::new();
+        // What a folder held is lost with it where nobody has a copy.
+        let kept = |strike: &Strike| !matches!(strike, Strike::LoseFolder(_));
+        for (n, strike) in chosen.into_iter().filter(kept).enumerate() {
+            for courier in 0..3 {
+                let id = format!("m{n}-{courier}");
+                let class = if n % 2 == 0 { "fee-debit" } else { "paid-notice" };
+                if fleet.hand_in(courier, &message(class, &id, 1), b"body").await == 202 {
+                    ids.push(id);
+                }
+            }
+            fleet.strike(strike).await.unwrap();
+            fleet.mend().await.unwrap();
+        }
+        assert!(ids.len() > 30, "{}", ids.len());
+        for id in &ids {
+            ends(&fleet, id).await;
+        }
+        assert_eq!(findings(&fleet), []);
     });
 }
--- /dev/null
+++ b/standins/src/audit.rs
@@ -0,0 +1,486 @@
+//! The auditor: from what consumers were told, what partners and the platform saw, and each courier's
+//! journal, it finds every rule that was broken. Values in, findings out: no I/O, no clock; the order of
+//! the lists does not matter.
+//!
+//! What it knows nothing of it does not judge: a message whose answer never came to its consumer owes no
+//! end, a call that a courier in trouble may not have heard the answer of may end otherwise, and a takeover
+//! is told by [`Seal`]s.
+
+mod finding;
+mod settlements;
+#[cfg(test)]
+mod tests;
+
+pub use finding::{Finding, SeenCall, SettlementFault};
+pub use settlements::{Outcome, Position, SettlementEnd};
+
+use crate::record::Body;
+use quillmount_core::journal::{Book, End, Record, Records};
+use spurshore::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What may be done with a class's messages a second time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Nothing once a call may have run.
+    Once,
+    /// With their key, and within so long of the first call that may have run.
+    Keyed { span: Micros },
+    /// Anything.
+    Safe,
+}
+
+/// What the auditor goes by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// One that is not here may not be repeated.
+    pub classes: BTreeMap<String, Class>,
+    /// A notice may come so long after its message's time.
+    pub grace: Micros,
+    /// A call may be seen so long after it was sent, and an answer heard so long after it was written.
+    pub transit: Micros,
+    /// Before a courier is lost, or after it is back, answers of so long may not have been heard or written
+    /// down.
+    pub slack: Micros,
+    /// A partner's connections may stay above a budget that was lowered for so long.
+    pub attrition: Micros,
+}
+
+impl Default for Terms {
+    /// The example's classes, and times for a loaded machine.
+    fn default() -> Self {
+        let keyed = Class::Keyed { span: 6_000_000 };
+        Terms {
+            classes: [("fee-debit".into(), Class::Once), ("paid-notice".into(), keyed)].into(),
+            grace: 3_000_000,
+            transit: 1_000_000,
+            slack: 2_000_000,
+            attrition: 3_000_000,
+        }
+    }
+}
+
+/// A message as a consumer handed it in; one may do so several times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handed {
+    pub id: String,
+    pub class: String,
+    pub key: Option<String>,
+    pub dest: u64,
+    pub body: Body,
+    pub courier: usize,
+    pub asked: Micros,
+    pub time_left: Micros,
+    /// When it was answered, and with which status; 0: the connection broke.
+    pub answered: Option<(Micros, u16)>,
+}
+
+impl Handed {
+    /// It was told that the message is taken on, now or before.
+    fn taken_on(&self) -> Option<Micros> {
+        self.answered.filter(|(_, status)| matches!(status, 200 | 202)).map(|(at, _)| at)
+    }
+
+    /// It was told that the message is none of the courier's. 409 tells of one that it has, or had.
+    fn refused(&self) -> bool {
+        self.answered.is_some_and(|(_, status)| !matches!(status, 0 | 200 | 202 | 409))
+    }
+}
+
+/// A call as its partner saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub id: String,
+    pub key: Option<String>,
+    pub dest: u64,
+    pub body: Body,
+    pub courier: usize,
+    pub connection: u64,
+    /// Its head came.
+    pub began: Micros,
+    /// All of it came.
+    pub whole: bool,
+    /// It was run, or nothing says that it was not.
+    pub ran: bool,
+    pub answered: Option<(Micros, u16)>,
+    /// The answer is known not to have left.
+    pub unheard: bool,
+}
+
+impl Seen {
+    fn delivered(&self) -> Option<Micros> {
+        self.answered.filter(|(_, status)| *status == 200).map(|(at, _)| at)
+    }
+}
+
+/// A notice to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    pub id: String,
+    /// `undeliverable` or `deferred`; a notice that tells the same again is harmless.
+    pub status: String,
+    pub courier: usize,
+    pub at: Micros,
+}
+
+/// What a partner has open from a moment on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connections {
+    pub partner: usize,
+    pub at: Micros,
+    pub open: usize,
+}
+
+/// What a partner allows from a moment on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    pub partner: usize,
+    pub from: Micros,
+    pub most: usize,
+}
+
+/// A journal's bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Journal {
+    /// Whose messages they are.
+    pub courier: usize,
+    /// A copy at another courier: it proves that a message is known, and no more.
+    pub copy: bool,
+    pub bytes: Vec<u8>,
+}
+
+/// A courier's book was closed, and others have taken over what was in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seal {
+    pub courier: usize,
+    pub at: Micros,
+    /// Each message that was taken over, and how many attempts of it the copies knew: those may still be
+    /// seen.
+    pub messages: BTreeMap<String, usize>,
+}
+
+impl Seal {
+    /// The seal of a book whose copy had these bytes.
+    pub fn of(courier: usize, at: Micros, copy: &[u8]) -> Seal {
+        let owed = Book::read(copy).0.owed;
+        let messages = owed.into_values().map(|entry| (entry.taken.id, entry.calls.len())).collect();
+        Seal { courier, at, messages }
+    }
+}
+
+/// For this time a courier may not have heard or written down what it should: it was lost, paused or cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trouble {
+    pub courier: usize,
+    pub from: Micros,
+    /// `None`: it lasts.
+    pub to: Option<Micros>,
+}
+
+/// All that is known of a run.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub terms: Terms,
+    /// When it was written: what was not due by then is not missed.
+    pub at: Micros,
+    pub handed: Vec<Handed>,
+    pub seen: Vec<Seen>,
+    pub notices: Vec<Notice>,
+    pub connections: Vec<Connections>,
+    /// A partner without one may be called over any number.
+    pub budgets: Vec<Budget>,
+    /// All couriers', or none: then what is not due is not looked for.
+    pub journals: Vec<Journal>,
+    pub seals: Vec<Seal>,
+    pub troubles: Vec<Trouble>,
+    pub positions: Vec<Position>,
+    pub ends: Vec<SettlementEnd>,
+}
+
+impl History {
+    /// The courier may have missed an answer that was written then, or may write late what it began then.
+    fn troubled(&self, courier: usize, from: Micros, to: Micros) -> bool {
+        let slack = self.terms.slack;
+        self.troubles.iter().any(|trouble| {
+            let end = trouble.to.map_or(Micros::MAX, |end| end.saturating_add(slack));
+            trouble.courier == courier && trouble.from.saturating_sub(slack) <= to && from <= end
+        })
+    }
+}
+
+/// What is known of one message.
+#[derive(Default)]
+struct Story<'a> {
+    handed: Vec<&'a Handed>,
+    seen: Vec<&'a Seen>,
+    notices: Vec<&'a Notice>,
+}
+
+/// Every rule that was broken, in the order of messages, then partners, journals and settlements.
+pub fn audit(history: &History) -> Vec<Finding> {
+    let mut stories: BTreeMap<&str, Story> = BTreeMap::new();
+    for handed in &history.handed {
+        stories.entry(&handed.id).or_default().handed.push(handed);
+    }
+    for seen in &history.seen {
+        stories.entry(&seen.id).or_default().seen.push(seen);
+    }
+    for notice in &history.notices {
+        stories.entry(&notice.id).or_default().notices.push(notice);
+    }
+    let books = Books::read(&history.journals);
+    let mut found = Vec::new();
+    for (id, story) in &mut stories {
+        story.handed.sort_by_key(|handed| handed.asked);
+        story.seen.sort_by_key(|seen| (seen.began, seen.connection));
+        story.notices.sort_by_key(|notice| notice.at);
+        ends(id, story, history, &books, &mut found);
+        calls(id, story, history, &mut found);
+        seals(id, story, history, &mut found);
+    }
+    budgets(history, &mut found);
+    books.check(history, &stories, &mut found);
+    settlements::check(&history.positions, &history.ends, &mut found);
+    found
+}
+
+/// One end for each message that was taken on, and none for another.
+fn ends(id: &str, story: &Story, history: &History, books: &Books, found: &mut Vec<Finding>) {
+    let (id, terms) = (id.to_string(), &history.terms);
+    let Some(first) = story.handed.first() else {
+        let (calls, notices) = (story.seen.len(), story.notices.len());
+        found.push(Finding::Unknown { id, calls, notices });
+        return;
+    };
+    let delivered = story.seen.iter().any(|seen| seen.delivered().is_some());
+    if story.handed.iter().all(|handed| handed.refused()) && (story.seen.len() + story.notices.len()) > 0 {
+        let (calls, notices) = (story.seen.len(), story.notices.len());
+        let status = first.answered.map_or(0, |(_, status)| status);
+        found.push(Finding::RefusedButEnded { id: id.clone(), status, calls, notices });
+    }
+    let told_delivered = story.handed.iter().find(|handed| handed.answered.is_some_and(|a| a.1 == 200));
+    if let Some(told) = told_delivered.filter(|_| !delivered) {
+        found.push(Finding::NotDelivered { id: id.clone(), courier: told.courier });
+    }
+    for pair in story.notices.windows(2) {
+        if pair[0].status != pair[1].status {
+            let (first, second) = (pair[0].status.clone(), pair[1].status.clone());
+            let couriers = (pair[0].courier, pair[1].courier);
+            found.push(Finding::ToldTwice { id: id.clone(), first, second, couriers });
+        }
+    }
+    let heard = |seen: &&&Seen| {
+        let at = seen.delivered().filter(|_| !seen.unheard);
+        at.is_some_and(|at| !history.troubled(seen.courier, seen.began, at))
+    };
+    if let (Some(notice), Some(call)) = (story.notices.first(), story.seen.iter().find(heard)) {
+        let (call, status, told) = (SeenCall::of(call), notice.status.clone(), notice.at);
+        found.push(Finding::EndedTwice { id: id.clone(), call, status, told });
+    }
+    let taken =
+        story.handed.iter().filter_map(|handed| Some((handed.taken_on()?, handed))).min_by_key(|t| t.0);
+    let Some((at, taken)) = taken else { return };
+    if delivered || !story.notices.is_empty() {
+        return;
+    }
+    let deadline = at + taken.time_left;
+    let courier = taken.courier;
+    if history.at > deadline + terms.grace {
+        found.push(Finding::Lost { id, courier, taken: at, deadline });
+    } else if !history.journals.is_empty() && !books.known.contains(&id) {
+        found.push(Finding::Forgotten { id, courier, taken: at });
+    }
+}
+
+/// No call that is not allowed, and each with what was handed in.
+fn calls(id: &str, story: &Story, history: &History, found: &mut Vec<Finding>) {
+    let Some(handed) = story.handed.first() else { return };
+    let (id, terms) = (id.to_string(), &history.terms);
+    for seen in &story.seen {
+        let call = SeenCall::of(seen);
+        if !story.handed.iter().any(|handed| handed.dest == seen.dest) {
+            found.push(Finding::WrongPartner { id: id.clone(), call: call.clone(), dest: handed.dest });
+        }
+        if !story.handed.iter().any(|handed| handed.key == seen.key) {
+            let key = handed.key.clone();
+            found.push(Finding::KeyChanged {
+                id: id.clone(),
+                call: call.clone(),
+                key,
+                was: seen.key.clone(),
+            });
+        }
+        if seen.whole && !story.handed.iter().any(|handed| handed.body == seen.body) {
+            found.push(Finding::BodyChanged { id: id.clone(), call: call.clone() });
+        }
+        // Its time began when the courier had read it: before it answered, or nobody knows when.
+        let ends = |handed: &&Handed| Some(handed.answered?.0 + handed.time_left);
+        let ends: Option<Vec<Micros>> = story.handed.iter().map(ends).collect();
+        let last = ends.and_then(|ends| ends.into_iter().max());
+        if let Some(deadline) = last.filter(|last| seen.began > last + terms.transit) {
+            found.push(Finding::CalledLate { id: id.clone(), call: call.clone(), deadline });
+        }
+        let told = story.notices.first().filter(|notice| seen.began > notice.at + terms.transit);
+        if let Some(notice) = told
+            && !history.troubled(seen.courier, notice.at, seen.began)
+        {
+            let (status, told) = (notice.status.clone(), notice.at);
+            found.push(Finding::CalledAfterEnd { id: id.clone(), call, status, told });
+        }
+    }
+    let runs: Vec<&Seen> = story.seen.iter().copied().filter(|seen| seen.ran).collect();
+    let Some((first, again)) = runs.split_first() else { return };
+    let class = terms.classes.get(&handed.class).copied().unwrap_or(Class::Once);
+    for call in again {
+        let id = id.clone();
+        let (first, again, after) = (SeenCall::of(first), SeenCall::of(call), call.began - first.began);
+        match class {
+            Class::Safe => {}
+            Class::Keyed { span } if call.key.is_some() && after <= span => {}
+            Class::Keyed { span } if call.key.is_some() => {
+                found.push(Finding::RepeatedLate { id, first, again, after, span });
+            }
+            Class::Keyed { .. } | Class::Once => found.push(Finding::RanTwice { id, first, again }),
+        }
+    }
+}
+
+/// Nothing is sent by a courier whose book was sealed, but what the copies knew of.
+fn seals(id: &str, story: &Story, history: &History, found: &mut Vec<Finding>) {
+    for seal in &history.seals {
+        let Some(known) = seal.messages.get(id) else { continue };
+        let of = story.seen.iter().filter(|seen| seen.courier == seal.courier);
+        for (n, seen) in of.enumerate() {
+            if seen.began > seal.at && n >= *known {
+                let (id, call) = (id.to_string(), SeenCall::of(seen));
+                found.push(Finding::SentAfterSeal { id, call, sealed: seal.at, known: *known });
+            }
+        }
+    }
+}
+
+/// At no moment more connections than a partner allows.
+fn budgets(history: &History, found: &mut Vec<Finding>) {
+    let partners: BTreeSet<usize> = history.budgets.iter().map(|budget| budget.partner).collect();
+    for partner in partners {
+        let mut budgets: Vec<&Budget> = history.budgets.iter().filter(|b| b.partner == partner).collect();
+        budgets.sort_by_key(|budget| budget.from);
+        // The most that held at any moment of the attrition before.
+        let allowed = |at: Micros| {
+            let since = at.saturating_sub(history.terms.attrition);
+            let until = |n: usize| budgets.get(n + 1).map_or(Micros::MAX, |next| next.from);
+            let held = budgets.iter().enumerate().filter(|(n, b)| b.from <= at && until(*n) > since);
+            held.map(|(_, b)| b.most).max()
+        };
+        let mut events: Vec<Connections> =
+            history.connections.iter().filter(|event| event.partner == partner).copied().collect();
+        // Stable: what happened in one microsecond stays in its order.
+        events.sort_by_key(|event| event.at);
+        let met = budgets.iter().map(|budget| budget.from + history.terms.attrition);
+        let looks = met.filter(|at| *at <= history.at).map(|at| {
+            let open = events.iter().rfind(|event| event.at <= at).map_or(0, |event| event.open);
+            Connections { partner, at, open }
+        });
+        let mut moments: Vec<Connections> = events.iter().copied().chain(looks).collect();
+        moments.sort_by_key(|event| event.at);
+        // One finding for each time that it goes over.
+        let mut over = false;
+        for Connections { at, open, .. } in moments {
+            let most = allowed(at);
+            let goes = most.is_some_and(|most| open > most);
+            if goes && !over {
+                found.push(Finding::OverBudget { partner, at, open, most: most.unwrap_or(0) });
+            }
+            over = goes;
+        }
+    }
+}
+
+/// The journals, read.
+struct Books<'a> {
+    /// Ids that any of them still tells of.
+    known: BTreeSet<String>,
+    own: Vec<(&'a Journal, Book, usize)>,
+}
+
+impl<'a> Books<'a> {
+    fn read(journals: &'a [Journal]) -> Books<'a> {
+        let (mut known, mut own) = (BTreeSet::new(), Vec::new());
+        for journal in journals {
+            let (book, sound) = Book::read(&journal.bytes);
+            known.extend(book.owed.values().map(|entry| entry.taken.id.clone()));
+            known.extend(book.over.iter().map(|(id, ..)| id.clone()));
+            if !journal.copy {
+                own.push((journal, book, sound));
+            }
+        }
+        Books { known, own }
+    }
+
+    fn check(&self, history: &History, stories: &BTreeMap<&str, Story>, found: &mut Vec<Finding>) {
+        let mut owners: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
+        for (journal, book, sound) in &self.own {
+            let courier = journal.courier;
+            // Of one that was killed the last record may be half there, until it starts again.
+            let lost = history.troubles.iter().any(|t| t.courier == courier && t.to.is_none());
+            if *sound < journal.bytes.len() && !lost {
+                let len = journal.bytes.len();
+                found.push(Finding::TornRecord { courier, sound: *sound, len });
+            }
+            let sealed =
+                |id: &str| history.seals.iter().any(|s| s.courier == courier && s.messages.contains_key(id));
+            for entry in book.owed.values() {
+                let id = entry.taken.id.as_str();
+                if entry.end.is_none() && !sealed(id) {
+                    owners.entry(id).or_default().insert(courier);
+                }
+                let seen = stories.get(id).map_or(&[][..], |story| &story.seen);
+                let calls = seen.iter().filter(|seen| seen.courier == courier).count();
+                if calls > entry.calls.len() {
+                    let (id, written) = (id.to_string(), entry.calls.len());
+                    found.push(Finding::NotWritten { id, courier, calls, written });
+                }
+            }
+            Books::steps(journal, &history.terms, found);
+        }
+        for (id, couriers) in owners.into_iter().filter(|(_, couriers)| couriers.len() > 1) {
+            found.push(Finding::OwedTwice { id: id.into(), couriers: couriers.into_iter().collect() });
+        }
+    }
+
+    /// What a journal itself says was done.
+    fn steps(journal: &Journal, terms: &Terms, found: &mut Vec<Finding>) {
+        /// A message on the way: its id and class, its calls by whether they are known not to have run, its
+        /// end.
+        type Way = (String, Class, Vec<bool>, Option<End>);
+        let mut owed: BTreeMap<_, Way> = BTreeMap::new();
+        let courier = journal.courier;
+        for (at, record) in Records::of(&journal.bytes) {
+            match record {
+                Record::TakeOn { msg, taken } | Record::Stream { msg, taken } => {
+                    let class = terms.classes.get(&taken.class).copied().unwrap_or(Class::Once);
+                    owed.insert(msg, (taken.id, class, Vec::new(), None));
+                }
+                Record::Attempt { msg, .. } => {
+                    let Some((id, class, calls, end)) = owed.get_mut(&msg) else { continue };
+                    if end.is_some() {
+                        found.push(Finding::WrittenAfterEnd { id: id.clone(), courier, byte: at });
+                    } else if *class == Class::Once && calls.contains(&false) {
+                        found.push(Finding::WrittenTwice { id: id.clone(), courier, byte: at });
+                    }
+                    calls.push(false);
+                }
+                Record::Outcome { msg, attempt, never_ran } => {
+                    let call = owed.get_mut(&msg).and_then(|way| way.2.get_mut(attempt as usize));
+                    call.into_iter().for_each(|call| *call = never_ran);
+                }
+                Record::End { msg, end } => {
+                    if let Some((.., told)) = owed.get_mut(&msg) {
+                        *told = Some(end);
+                    }
+                }
+                Record::Told { .. } | Record::Over { .. } | Record::Hold { .. } | Record::Release { .. } => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/audit/tests.rs
@@ -0,0 +1,409 @@
+//! Histories that are broken on purpose, one rule each: the auditor finds that and nothing else.
+
+use super::*;
+use bytes::Bytes;
+use proptest::prelude::*;
+use quillmount_core::journal;
+use quillmount_core::store::Memory;
+
+const SEC: Micros = 1_000_000;
+/// When it all begins.
+const T0: Micros = 1_000 * SEC;
+
+fn handed(id: &str, class: &str) -> Handed {
+    Handed {
+        id: id.into(),
+        class: class.into(),
+        key: Some(format!("key-{id}")),
+        dest: 1,
+        body: Body::of(id.as_bytes()),
+        courier: 0,
+        asked: T0,
+        time_left: 16 * SEC,
+        answered: Some((T0 + 10, 202)),
+    }
+}
+
+fn seen(id: &str, courier: usize, began: Micros, status: Option<u16>) -> Seen {
+    Seen {
+        id: id.into(),
+        key: Some(format!("key-{id}")),
+        dest: 1,
+        body: Body::of(id.as_bytes()),
+        courier,
+        connection: courier as u64,
+        began,
+        whole: true,
+        ran: !matches!(status, Some(429 | 503)),
+        answered: status.map(|status| (began + 50, status)),
+        unheard: false,
+    }
+}
+
+fn notice(id: &str, status: &str, at: Micros) -> Notice {
+    Notice { id: id.into(), status: status.into(), courier: 0, at }
+}
+
+fn position(settlement: &str, position: u32, at: Micros) -> Position {
+    let session = Some((u64::from(position), Some(at + 5)));
+    Position { settlement: settlement.into(), position, of: None, at, ran: true, session }
+}
+
+/// A journal's bytes with these records.
+fn journal(records: &[Record]) -> Journal {
+    let mut notes = Vec::new();
+    let opened = journal::Journal::open(Memory::default(), 1 << 20, T0, &mut notes);
+    let (mut journal, _) = opened.unwrap();
+    journal.note_all(records, T0, &mut notes).unwrap();
+    let bytes = quillmount_core::store::Store::read(journal.store_mut()).unwrap();
+    Journal { courier: 0, copy: false, bytes }
+}
+
+fn taken(msg: u64, id: &str) -> Record {
+    let (class, key, body) = ("fee-debit".into(), Some(format!("key-{id}")), Bytes::from(id.to_string()));
+    let taken = journal::TakenOn { id: id.into(), class, key, dest: 1, deadline: T0 + 16 * SEC, body };
+    Record::TakeOn { msg, taken }
+}
+
+/// What goes well, with all that is allowed: a refusal that is tried again, a notice that is told again, a
+/// repeat within its span, an answer that a killed courier did not hear, a call that the copies knew of, a
+/// message still owed, a budget lowered and met, settlements closed, broken, and in sessions one after the
+/// other.
+fn clean() -> History {
+    let late = T0 + 12 * SEC;
+    let refused = Handed { answered: Some((T0, 503)), ..handed("debit", "fee-debit") };
+    let open = Handed { asked: late, answered: Some((late, 202)), ..handed("open", "fee-debit") };
+    let mut again = notice("told", "undeliverable", T0 + 3 * SEC);
+    again.courier = 1;
+    let lost = Trouble { courier: 2, from: T0 + 3 * SEC, to: None };
+    let mut settled: Vec<Position> =
+        (1..=3).map(|n| position("s-closed", n, T0 + Micros::from(n) * 10)).collect();
+    settled[2].of = Some(3);
+    settled.extend((1..=2).map(|n| position("s-broken", n, T0 + Micros::from(n) * 10)));
+    let connections = [(1, 1), (2, 2), (3, 3), (4, 4), (5, 3), (6, 3), (7, 2), (8, 1)];
+    History {
+        at: T0 + 20 * SEC,
+        handed: vec![
+            refused,
+            handed("debit", "fee-debit"),
+            handed("told", "fee-debit"),
+            handed("paid", "paid-notice"),
+            handed("unheard", "fee-debit"),
+            handed("known", "fee-debit"),
+            open,
+            Handed { answered: Some((T0, 503)), ..handed("refused", "fee-debit") },
+            Handed { answered: None, ..handed("unanswered", "fee-debit") },
+        ],
+        seen: vec![
+            seen("debit", 0, T0 + SEC, Some(503)),
+            seen("debit", 0, T0 + 2 * SEC, Some(200)),
+            seen("told", 0, T0 + SEC, Some(500)),
+            seen("paid", 0, T0 + SEC, None),
+            seen("paid", 1, T0 + 6 * SEC, Some(200)),
+            seen("unheard", 2, T0 + 2 * SEC, Some(200)),
+            seen("known", 2, T0 + 5 * SEC, None),
+        ],
+        notices: vec![
+            notice("told", "undeliverable", T0 + 2 * SEC),
+            again,
+            notice("unheard", "undeliverable", T0 + 6 * SEC),
+            notice("known", "undeliverable", T0 + 4 * SEC),
+        ],
+        connections: connections
+            .map(|(at, open)| Connections { partner: 0, at: T0 + at * SEC, open })
+            .to_vec(),
+        budgets: vec![
+            Budget { partner: 0, from: T0, most: 4 },
+            Budget { partner: 0, from: T0 + 4 * SEC, most: 2 },
+        ],
+        journals: vec![journal(&[taken(1, "open"), Record::Attempt { msg: 1, zone: 0, sent: late }])],
+        seals: vec![Seal { courier: 2, at: T0 + 4 * SEC, messages: [("known".into(), 1)].into() }],
+        troubles: vec![lost],
+        positions: settled,
+        ends: vec![
+            SettlementEnd { settlement: "s-closed".into(), outcome: Outcome::Closed(3), at: T0 + SEC },
+            SettlementEnd { settlement: "s-broken".into(), outcome: Outcome::Broken(2), at: T0 + SEC },
+        ],
+        ..History::default()
+    }
+}
+
+/// A break, done to a history, and what its finding's text says.
+type Break = (fn(&mut History), &'static str);
+
+fn call<'a>(history: &'a mut History, id: &str) -> &'a mut Seen {
+    history.seen.iter_mut().rfind(|seen| seen.id == id).unwrap()
+}
+
+fn handing<'a>(history: &'a mut History, id: &str) -> &'a mut Handed {
+    history.handed.iter_mut().rfind(|handed| handed.id == id).unwrap()
+}
+
+/// Each of them leaves the others' messages alone, so that any of them may be done together.
+const BREAKS: &[Break] = &[
+    // Ends.
+    (
+        |h| h.handed.push(handed("b-lost", "fee-debit")),
+        "b-lost: courier 0 took it on at 1000000010; its time was up at 1016000010, and it has no end",
+    ),
+    (
+        |h| {
+            let asked = T0 + 15 * SEC;
+            let late = Handed { asked, answered: Some((asked, 202)), ..handed("b-forgotten", "fee-debit") };
+            h.handed.push(late);
+        },
+        "b-forgotten: courier 0 took it on at 1015000000; it has no end, and no journal tells of it",
+    ),
+    (
+        |h| h.seen.push(seen("b-unknown", 0, T0, Some(200))),
+        "b-unknown: nobody handed it in, and there were 1 calls and 0 notices of it",
+    ),
+    (
+        |h| h.notices.push(notice("refused", "deferred", T0 + SEC)),
+        "refused: refused with 503, and there were 0 calls and 1 notices of it",
+    ),
+    (
+        |h| {
+            h.handed.push(Handed { answered: Some((T0, 200)), ..handed("b-said", "fee-debit") });
+            h.notices.push(notice("b-said", "undeliverable", T0 + SEC));
+        },
+        "b-said: courier 0 told its consumer that it is delivered, and no partner answered 200",
+    ),
+    (
+        |h| h.notices.push(notice("told", "deferred", T0 + 4 * SEC)),
+        "told: the platform was told \"undeliverable\" and then \"deferred\", by couriers (1, 0)",
+    ),
+    (
+        |h| h.notices.push(notice("debit", "undeliverable", T0 + 3 * SEC)),
+        "debit: delivered by a call of courier 0 on connection 0 at 1002000000, answered 200 at 1002000050, \
+         and the platform was told \"undeliverable\" at 1003000000",
+    ),
+    // Calls.
+    (
+        |h| {
+            h.handed.push(handed("b-debited", "fee-debit"));
+            h.seen.push(seen("b-debited", 0, T0 + SEC, None));
+            h.seen.push(seen("b-debited", 1, T0 + 2 * SEC, Some(200)));
+        },
+        "b-debited: run again, which it must not be: first a call of courier 0 on connection 0 \
+         at 1001000000, not answered, then a call of courier 1 on connection 1 at 1002000000, answered 200 at 1002000050",
+    ),
+    (
+        |h| {
+            h.handed.push(Handed { key: None, ..handed("b-no-key", "paid-notice") });
+            h.seen.push(Seen { key: None, ..seen("b-no-key", 0, T0 + SEC, None) });
+            h.seen.push(Seen { key: None, ..seen("b-no-key", 0, T0 + 2 * SEC, Some(200)) });
+        },
+        "b-no-key: run again, which it must not be: ",
+    ),
+    (
+        |h| {
+            h.handed.push(handed("b-span", "paid-notice"));
+            h.seen.push(seen("b-span", 0, T0 + SEC, None));
+            h.seen.push(seen("b-span", 1, T0 + 7 * SEC + 1, Some(200)));
+        },
+        "b-span: repeated after 6000001 us, beyond its span of 6000000 us: ",
+    ),
+    (
+        |h| call(h, "paid").key = Some("other".into()),
+        "paid: a call of courier 1 on connection 1 at 1006000000, answered 200 at 1006000050 \
+         had the key Some(\"other\") in the place of Some(\"key-paid\")",
+    ),
+    (
+        |h| call(h, "debit").body.crc ^= 1,
+        "debit: a call of courier 0 on connection 0 at 1002000000, answered 200 at 1002000050 \
+         had another body than was handed in",
+    ),
+    (
+        |h| call(h, "unheard").dest = 2,
+        "unheard: a call of courier 2 on connection 2 at 1002000000, answered 200 at 1002000050, \
+         for destination 1, went to another's partner",
+    ),
+    (
+        |h| {
+            h.handed.push(handed("b-late", "fee-debit"));
+            h.seen.push(seen("b-late", 0, T0 + 18 * SEC, Some(200)));
+        },
+        "b-late: a call of courier 0 on connection 0 at 1018000000, answered 200 at 1018000050 \
+         came after its time was up at 1016000010",
+    ),
+    (
+        |h| {
+            h.handed.push(handed("b-after", "fee-debit"));
+            h.notices.push(notice("b-after", "deferred", T0 + SEC));
+            h.seen.push(seen("b-after", 1, T0 + 4 * SEC, None));
+        },
+        "b-after: a call of courier 1 on connection 1 at 1004000000, not answered \
+         came after the platform was told \"deferred\" at 1001000000",
+    ),
+    (
+        |h| {
+            h.seals[0].messages.insert("known".into(), 0);
+        },
+        "known: a call of courier 2 on connection 2 at 1005000000, not answered \
+         came after its book was sealed at 1004000000; the copies knew of 0",
+    ),
+    // Budgets.
+    (|h| h.connections[3].open = 5, "partner 0: 5 connections at 1004000000, where 4 are allowed"),
+    (|h| h.connections[7].open = 3, "partner 0: 3 connections at 1008000000, where 2 are allowed"),
+    // Journals.
+    (
+        |h| {
+            h.journals.push(Journal { courier: 3, copy: false, bytes: vec![40, 0, 0, 0, 1, 2, 3, 4, 5] });
+        },
+        "journal of courier 3: sound for 0 of 9 bytes",
+    ),
+    (
+        |h| {
+            let (asked, courier) = (T0 + 12 * SEC, 1);
+            h.handed.push(Handed {
+                asked,
+                answered: Some((asked, 202)),
+                ..handed("b-unwritten", "fee-debit")
+            });
+            h.seen.push(seen("b-unwritten", courier, asked, None));
+            h.journals.push(Journal { courier, ..journal(&[taken(7, "b-unwritten")]) });
+        },
+        "b-unwritten: courier 1 made 1 calls and wrote 0 of them down",
+    ),
+    (
+        |h| {
+            let owed = journal(&[taken(9, "open")]);
+            h.journals.push(Journal { courier: 4, ..owed });
+        },
+        "open: owed by couriers [0, 4] at once",
+    ),
+    (
+        |h| {
+            let end = Record::End { msg: 1, end: End::Undeliverable };
+            let after = Record::Attempt { msg: 1, zone: 0, sent: T0 };
+            h.handed.push(handed("b-ended", "fee-debit"));
+            h.notices.push(notice("b-ended", "undeliverable", T0 + SEC));
+            h.journals.push(Journal { courier: 5, ..journal(&[taken(1, "b-ended"), end, after]) });
+        },
+        "b-ended: courier 5 wrote down an attempt after its end, at byte ",
+    ),
+    (
+        |h| {
+            let attempt = Record::Attempt { msg: 1, zone: 0, sent: T0 };
+            h.handed.push(handed("b-twice", "fee-debit"));
+            h.notices.push(notice("b-twice", "undeliverable", T0 + SEC));
+            h.journals
+                .push(Journal { courier: 6, ..journal(&[taken(1, "b-twice"), attempt.clone(), attempt]) });
+        },
+        "b-twice: courier 6 wrote down another attempt after one that may have run, at byte ",
+    ),
+    // Settlements.
+    (
+        |h| h.positions.extend([(1, 1), (3, 20), (2, 30)].map(|(n, at)| position("b-order", n, T0 + at))),
+        "settlement b-order: position 2 came at 1000000030, after position 3",
+    ),
+    (
+        |h| h.positions.extend([1, 3, 4].map(|n| position("b-hole", n, T0 + Micros::from(n) * 10))),
+        "settlement b-hole: position 3 came at 1000000030, and position 2 never came before it",
+    ),
+    (
+        |h| h.positions.extend([1, 1].map(|n| position("b-again", n, T0))),
+        "settlement b-again: position 1 was run twice, at 1000000000 and at 1000000000",
+    ),
+    (
+        |h| h.positions.push(position("s-broken", 3, T0 + 2 * SEC)),
+        "settlement s-broken: broken at 2, and position 3 came at 1002000000",
+    ),
+    (
+        |h| {
+            let (settlement, outcome) = ("b-early".into(), Outcome::Broken(2));
+            h.ends.push(SettlementEnd { settlement, outcome, at: T0 });
+        },
+        "settlement b-early: broken at 2, and position 1 before it was not run",
+    ),
+    (
+        |h| {
+            let (settlement, outcome) = ("b-short".into(), Outcome::Closed(2));
+            h.positions.push(position("b-short", 1, T0));
+            h.ends.push(SettlementEnd { settlement, outcome, at: T0 });
+        },
+        "settlement b-short: closed with 2, of which 1 were run",
+    ),
+    (
+        |h| {
+            let (settlement, outcome) = ("b-beyond".into(), Outcome::Closed(1));
+            h.positions.extend([1, 2].map(|n| position("b-beyond", n, T0 + Micros::from(n) * 10)));
+            h.ends.push(SettlementEnd { settlement, outcome, at: T0 });
+        },
+        "settlement b-beyond: position 2 is beyond the 1 that its closing tells of",
+    ),
+    (
+        |h| {
+            let (settlement, outcome) = ("s-closed".into(), Outcome::Broken(3));
+            h.ends.push(SettlementEnd { settlement, outcome, at: T0 + 2 * SEC });
+        },
+        "settlement s-closed: it ended as closed with 3 and as broken at 3",
+    ),
+    (
+        |h| h.positions.extend([1, 2].map(|n| position("b-sessions", n, T0 + Micros::from(n)))),
+        "settlement b-sessions: on connections 1 and 2 at once, from 1000000002 on",
+    ),
+];
+
+fn texts(history: &History) -> Vec<String> {
+    audit(history).iter().map(Finding::to_string).collect()
+}
+
+#[test]
+fn a_clean_history_has_no_findings() {
+    assert_eq!(audit(&History::default()), []);
+    assert_eq!(texts(&clean()), [""; 0]);
+}
+
+#[test]
+fn each_break_is_found_and_nothing_else() {
+    for (spoil, text) in BREAKS {
+        let mut history = clean();
+        spoil(&mut history);
+        let found = texts(&history);
+        assert!(found.len() == 1 && found[0].starts_with(text), "{text}: {found:#?}");
+    }
+}
+
+/// What is excused is excused for its reason alone.
+#[test]
+fn without_the_trouble_or_the_seal_the_same_is_a_finding() {
+    let mut history = clean();
+    history.troubles.clear();
+    let found = texts(&history);
+    assert!(found[0].starts_with("unheard: delivered by a call of courier 2"), "{found:#?}");
+    let mut history = clean();
+    history.connections[6].open = 3;
+    assert_eq!(texts(&history).len(), 1);
+    let mut history = clean();
+    handing(&mut history, "unanswered").answered = Some((T0, 202));
+    assert_eq!(texts(&history).len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is broken together is found together, in whatever order the lists are.
+    #[test]
+    fn any_breaks_are_found_together(
+        chosen in proptest::sample::subsequence((0..BREAKS.len()).collect::<Vec<_>>(), 0..=BREAKS.len()),
+        seed in any::<u64>(),
+    ) {
+        let mut history = clean();
+        chosen.iter().for_each(|n| BREAKS[*n].0(&mut history));
+        let mut order = fastrand::Rng::with_seed(seed);
+        let before = audit(&history);
+        order.shuffle(&mut history.handed);
+        order.shuffle(&mut history.seen);
+        order.shuffle(&mut history.notices);
+        order.shuffle(&mut history.connections);
+        order.shuffle(&mut history.ends);
+        prop_assert_eq!(audit(&history).len(), before.len());
+        for n in chosen {
+            let found = texts(&history);
+            let text = BREAKS[n].1;
+            prop_assert!(found.iter().any(|found| found.starts_with(text)), "{text}: {found:#?}");
+        }
+    }
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -14,7 +14,7 @@
 //! Couriers are numbered from 0 and named `a`, `b`, ... Where a courier is dead, a link to it accepts and
 //! resets at once, in the place of a refusal.
 //!
-//! ```ignore
+//! ```no_run
 //! use quillmount_standins::audit::{Terms, audit};
 //! use quillmount_standins::consumer::Invocation;
 //! use quillmount_standins::fleet::link::{Once, Way};
@@ -49,6 +49,7 @@
 pub mod link;
 mod process;
 
+use crate::audit::{self, History, Terms};
 use crate::consumer::{self, Invocation};
 use crate::door;
 use crate::gate::Port;
@@ -522,6 +523,15 @@
         self.links.iter().filter(|(ends, _)| between(ends)).for_each(|(_, link)| link.set(way));
     }
 
+    /// All that the auditor needs, but budgets, seals and settlements, which the test knows: it puts them in.
+    pub fn history(&self, terms: Terms) -> History {
+        let journal = |courier| audit::Journal { courier, copy: false, bytes: self.journal(courier) };
+        let journals = (0..self.members.len()).map(journal).collect();
+        let dests: Vec<u64> = self.partners.iter().map(|partner| partner.dest).collect();
+        let at = self.witness.now();
+        self.witness.read(|record| History { journals, ..record.history(terms, at, &dests) })
+    }
+
     /// Does what a strike says, and does not wait for what comes of it. One at a courier that does not run
     /// does nothing.
     ///
--- a/standins/src/fleet/fault.rs
+++ b/standins/src/fleet/fault.rs
@@ -68,6 +68,49 @@
             _ => Strike::Platform { courier, way: door::Way::pick(seed) },
         }
     }
+
+    /// Where it harms this courier or mends it: that may miss an answer, or be taken for lost.
+    pub(crate) fn harms(&self, courier: usize) -> Option<(Place, Harm)> {
+        let lasts = |mends: bool| if mends { Harm::Ends } else { Harm::Begins };
+        let (is, place, harm) = match *self {
+            Strike::Kill(n) | Strike::Term(n) => (n == courier, Place::Process, Harm::Begins),
+            Strike::Start(n) => (n == courier, Place::Process, Harm::Ends),
+            Strike::LoseFolder(n) => (n == courier, Place::Process, Harm::Moment),
+            Strike::Pause(n) => (n == courier, Place::Process, Harm::Begins),
+            Strike::GoOn(n) => (n == courier, Place::Process, Harm::Ends),
+            Strike::HangUp(_) => return None,
+            Strike::Link { from, to, way } => {
+                (from == courier || to == courier, Place::Link(from, to), lasts(way == link::Way::Pass))
+            }
+            Strike::Once { from, to, .. } | Strike::Close { from, to } => {
+                (from == courier || to == courier, Place::Link(from, to), Harm::Moment)
+            }
+            Strike::Partner { courier: n, partner, way } => {
+                (n == courier, Place::Partner(partner), lasts(way == door::Way::Open))
+            }
+            Strike::Platform { courier: n, way } => {
+                (n == courier, Place::Platform, lasts(way == door::Way::Open))
+            }
+        };
+        is.then_some((place, harm))
+    }
+}
+
+/// Where a courier is harmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Place {
+    Process,
+    Link(usize, usize),
+    Partner(usize),
+    Platform,
+}
+
+/// How long it lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Harm {
+    Begins,
+    Ends,
+    Moment,
 }
 
 /// A strike, and when it was done.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform's discovery and notices, and consumers. They listen on loopback alone, on ports that the system
 //! deals, and tell what they see as events, so that nobody has to wait for a time.
 
+pub mod audit;
 pub mod consumer;
 pub mod courier;
 pub mod door;
--- a/standins/src/partner.rs
+++ b/standins/src/partner.rs
@@ -56,7 +56,7 @@
 
     /// What the call does has been done, or may have been: a refusal alone says that it was not.
     fn ran(&self) -> bool {
-        !matches!(self.status(), 429 | 503 | 410)
+        !matches!(self.status(), 429 | 503 | 504 | 410)
     }
 }
 
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -1,11 +1,13 @@
 //! What a harness saw, in one order: log lines, calls, connections, notices, consumers' answers, links.
 //! Whoever waits for something waits here, for an event and never for a time.
 
-use crate::fleet::fault::Struck;
+use crate::audit::{self, Connections, Handed, History, Seen, Terms, Trouble};
+use crate::fleet::fault::{Harm, Place, Struck};
 use crate::fleet::link::Passed;
 use crate::http::Head;
 use spurshore::Micros;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -161,6 +163,72 @@
     }
 }
 
+impl Record {
+    /// What was seen, as the auditor takes it; `dests` are the partners' destinations. What was done to a
+    /// courier troubles it until all is well with it again: it runs, its links pass, its doors are open.
+    pub fn history(&self, terms: Terms, at: Micros, dests: &[u64]) -> History {
+        let handed = self.told.iter().map(|told| Handed {
+            id: told.id.clone(),
+            class: told.class.clone(),
+            key: told.key.clone(),
+            dest: told.dest,
+            body: told.body,
+            courier: told.courier,
+            asked: told.asked.at,
+            time_left: told.time_left,
+            answered: told.answer.map(|(when, status)| (when.at, status)),
+        });
+        let seen = self.calls.iter().map(|call| Seen {
+            id: call.id.clone(),
+            key: call.key.clone(),
+            dest: dests.get(call.partner).copied().unwrap_or_default(),
+            body: call.body,
+            courier: call.courier,
+            connection: call.connection,
+            began: call.began.at,
+            whole: call.whole.is_some(),
+            ran: call.ran,
+            answered: call.answered.map(|(when, status)| (when.at, status)),
+            unheard: call.unheard,
+        });
+        let notices = self.notices.iter().map(|notice| {
+            let line: serde_json::Value = serde_json::from_str(&notice.line).unwrap_or_default();
+            let status = line["status"].as_str().unwrap_or_default().to_string();
+            audit::Notice { id: notice.id.clone(), status, courier: notice.courier, at: notice.when.at }
+        });
+        let connections =
+            self.opens.iter().map(|o| Connections { partner: o.partner, at: o.when.at, open: o.open });
+        History {
+            terms,
+            at,
+            handed: handed.collect(),
+            seen: seen.collect(),
+            notices: notices.collect(),
+            connections: connections.collect(),
+            troubles: (0..self.names.len()).flat_map(|courier| self.troubles(courier)).collect(),
+            ..History::default()
+        }
+    }
+
+    fn troubles(&self, courier: usize) -> Vec<Trouble> {
+        let (mut troubles, mut open): (Vec<Trouble>, BTreeMap<Place, Stamp>) = (Vec::new(), BTreeMap::new());
+        for Struck { when, what } in &self.struck {
+            let Some((place, harmed)) = what.harms(courier) else { continue };
+            match harmed {
+                Harm::Begins => drop(open.entry(place).or_insert(*when)),
+                Harm::Moment => troubles.push(Trouble { courier, from: when.at, to: Some(when.at) }),
+                Harm::Ends => troubles.extend(open.remove(&place).map(|from| Trouble {
+                    courier,
+                    from: from.at,
+                    to: Some(when.at),
+                })),
+            }
+        }
+        troubles.extend(open.into_values().map(|from| Trouble { courier, from: from.at, to: None }));
+        troubles
+    }
+}
+
 /// Something did not happen in time.
 #[derive(Clone, thiserror::Error)]
 pub struct Late {
