Show that a partner's count leaves out connections whose end it has not heard

The count that a budget is held against would be one too high where a closed connection is still to be read to its end when the next one comes.

--- a/standins/tests/links.rs
+++ b/standins/tests/links.rs
@@ -1,6 +1,7 @@
 //! Each script of a link does what it says, between a plain client and a partner: what happens is told by
 //! the order of events. Where nothing is to happen, another link's exchanges show that it had its time.
 
+use quillmount_standins::door;
 use quillmount_standins::fleet::link::{Link, Once, Passed, Saw, Way};
 use quillmount_standins::fleet::{PATIENCE, play};
 use quillmount_standins::gate::Port;
@@ -342,3 +343,21 @@
         assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
     });
 }
+
+#[test]
+fn a_partner_counts_what_is_open_and_not_what_it_has_not_heard_the_end_of() {
+    play(async || {
+        let witness = Witness::default();
+        let partner = Partner::open(0, 1, 2, witness.clone(), |_| Answer::ok()).unwrap();
+        let came = |n: usize| witness.until("a connection", PATIENCE, move |r| r.opens.get(n).copied());
+        let first = TcpStream::connect(partner.addr(0)).await.unwrap();
+        assert_eq!(came(0).await.unwrap().open, 1);
+        // Behind a door that is cut, nobody reads the end of what is closed.
+        partner.set(0, door::Way::Cut);
+        drop(first);
+        let _second = TcpStream::connect(partner.addr(1)).await.unwrap();
+        let (went, came) = (came(1).await.unwrap(), came(2).await.unwrap());
+        assert_eq!((went.came, went.open, came.came, came.open), (false, 0, true, 1));
+        assert_eq!(witness.read(|record| record.open_at(0)), (1, 1));
+    });
+}
