--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -77,6 +77,33 @@
     Release {
         id: String,
     },
+    /// A copy of another courier's journal ends here: its owner writes no more of it.
+    Sealed,
+    /// The message was in another courier's journal; whether it is this one's is for the fleet to say.
+    From {
+        msg: MsgId,
+        source: Source,
+    },
+    /// The fleet has said so: what came from there is this courier's (`kept`), or not.
+    Settled {
+        source: Source,
+        kept: bool,
+    },
+}
+
+/// Where a message was before: a part of a journal whose courier is lost.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Source {
+    pub owner: String,
+    /// Of the owner's registration in its fleet.
+    pub epoch: u64,
+    pub part: u32,
+}
+
+impl std::fmt::Display for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{} part {}", self.owner, self.epoch, self.part)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,6 +147,8 @@
     pub calls: Vec<PastCall>,
     pub end: Option<End>,
     pub stream: bool,
+    /// It came from there, and the fleet has yet to say whose it is.
+    pub source: Option<Source>,
 }
 
 /// What the journal holds: what is owed, and what is over but remembered.
@@ -145,11 +174,13 @@
         match record {
             Record::TakeOn { msg, taken } => {
                 self.next = self.next.max(msg + 1);
-                self.owed.insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: false });
+                self.owed
+                    .insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: false, source: None });
             }
             Record::Stream { msg, taken } => {
                 self.next = self.next.max(msg + 1);
-                self.owed.insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: true });
+                self.owed
+                    .insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: true, source: None });
             }
             Record::Attempt { msg, zone, sent } => {
                 if let Some(entry) = self.owed.get_mut(&msg) {
@@ -176,6 +207,20 @@
             Record::Over { id, end, until } => self.over.push((id, end, until)),
             Record::Hold { id } => self.holds.insert(&id),
             Record::Release { id } => self.holds.remove(&id),
+            Record::Sealed => {}
+            Record::From { msg, source } => {
+                if let Some(entry) = self.owed.get_mut(&msg) {
+                    entry.source = Some(source);
+                }
+            }
+            Record::Settled { source, kept } => {
+                let from = |entry: &Entry| entry.source.as_ref() == Some(&source);
+                if kept {
+                    self.owed.values_mut().filter(|entry| from(entry)).for_each(|entry| entry.source = None);
+                } else {
+                    self.owed.retain(|_, entry| !from(entry));
+                }
+            }
         }
     }
 
@@ -200,13 +245,22 @@
             let taken = entry.taken;
             let first =
                 if entry.stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
-            std::iter::once(first).chain(calls).chain(end)
+            let source = entry.source.map(|source| Record::From { msg, source });
+            std::iter::once(first).chain(source).chain(calls).chain(end)
         });
         let holds: Vec<_> = self.holds.iter().map(|id| Record::Hold { id: id.into() }).collect();
         holds.into_iter().chain(over).chain(owed)
     }
 }
 
+/// A record as it stands in a journal.
+///
+/// # Errors
+/// It can't be encoded.
+pub fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
+    encode(record)
+}
+
 fn encode(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_allocvec(record)?;
     let mut frame = Vec::with_capacity(payload.len() + FRAME as usize);
--- a/courier/src/program/inspect.rs
+++ b/courier/src/program/inspect.rs
@@ -98,6 +98,15 @@
             },
             Record::Hold { id } => Line { record: "hold", id: Some(id), ..empty },
             Record::Release { id } => Line { record: "release", id: Some(id), ..empty },
+            Record::Sealed => Line { record: "sealed", ..empty },
+            Record::From { msg, source } => {
+                Line { record: "from", msg: Some(*msg), end: Some(source.to_string()), ..empty }
+            }
+            Record::Settled { source, kept } => Line {
+                record: "settled",
+                end: Some(format!("{source} {}", if *kept { "kept" } else { "dropped" })),
+                ..empty
+            },
         }
     }
 }
