--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,7 +1,15 @@
-//! Couriers as one fleet, without I/O: bytes or values in, values out, time handed in.
+//! Couriers as one fleet under failure: who is a member, what all agree on, whose book is where, and who takes over what.
+//! State machines without I/O: values in, values out, the time handed in (`docs/fleet-design.md`).
 
 pub mod agreement;
+pub mod book;
+pub mod breaks;
+pub mod lease;
+pub mod member;
+pub mod message;
+pub mod plan;
+pub mod state;
 
-/// A courier's number in the agreement: drawn at random when its folder is new, and kept in the folder. A lost folder
-/// means a new one, so that none votes twice. Never 0.
+/// A courier's number in the agreement: drawn at random when its folder is new, and kept there. A folder that is lost means a
+/// new one, so that none votes twice.
 pub type Token = u64;
--- /dev/null
+++ b/fleet/src/plan.rs
@@ -0,0 +1,124 @@
+//! What an operator wants of a fleet, as its machines go by it.
+
+use spurshore::Micros;
+use std::collections::BTreeSet;
+
+/// A courier's name in its fleet, as the operator file has it.
+pub type Name = String;
+
+/// One of the couriers that the operator file names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub name: Name,
+    /// The machine or zone that it shares its fate with; empty: told nowhere, and like no other's.
+    pub host: String,
+}
+
+/// What a courier does with messages where too few copies are in step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Missing {
+    /// It takes nothing on and begins no call until a copy is there.
+    #[default]
+    Require,
+    /// It goes on with its own journal alone, once the fleet has agreed that it has no copy, and says so.
+    Prefer,
+}
+
+/// A fleet's settings. The machines take them as checked: [`quillmount-operator`] refuses what can't be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub me: Name,
+    pub peers: Vec<Peer>,
+    /// Those who agree; the first of them begins a new fleet.
+    pub voters: Vec<Name>,
+    /// How long a member counts as there after a word of it, by the leader's clock.
+    pub lease: Micros,
+    /// By how much two clocks' rates may differ from true time, each.
+    pub drift: f64,
+    /// Copies of each book at other couriers.
+    pub copies: usize,
+    pub missing: Missing,
+}
+
+impl Plan {
+    /// How long a lease lasts by the member's own clock: it ends before the leader's does, at the worst rates of both.
+    pub fn own_lease(&self) -> Micros {
+        (self.lease as f64 * (1.0 - self.drift) / (1.0 + self.drift)) as Micros
+    }
+
+    /// The machine that a courier shares its fate with: its own name where none is told.
+    pub fn host_of<'a>(&'a self, name: &'a str) -> &'a str {
+        let told = self.peers.iter().find(|peer| peer.name == name).map(|peer| peer.host.as_str());
+        told.filter(|host| !host.is_empty()).unwrap_or(name)
+    }
+
+    /// All couriers but this one.
+    pub fn others(&self) -> impl Iterator<Item = &Name> {
+        self.peers.iter().map(|peer| &peer.name).filter(|name| **name != self.me)
+    }
+
+    pub fn is_voter(&self, name: &str) -> bool {
+        self.voters.iter().any(|voter| voter == name)
+    }
+
+    /// Those that may hold copies of this courier's book, best first: by a hash that all draw alike, those of other hosts
+    /// before those of its own.
+    pub fn copy_order(&self, serving: &BTreeSet<Name>) -> Vec<Name> {
+        let mine = self.host_of(&self.me);
+        let mut order: Vec<_> = serving.iter().filter(|name| **name != self.me).collect();
+        order.sort_by_key(|name| {
+            (self.host_of(name) == mine, std::cmp::Reverse(weight(self.me.as_bytes(), name)))
+        });
+        order.into_iter().cloned().collect()
+    }
+}
+
+/// How much a member is wanted for something, by rendezvous hashing: whoever has the most gets it.
+pub fn weight(what: &[u8], member: &str) -> u64 {
+    // FNV-1a, then a finish that spreads close names.
+    let mut hash = 0xcbf2_9ce4_8422_2325u64;
+    for byte in what.iter().chain(&[0xff]).chain(member.as_bytes()) {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan(hosts: &[(&str, &str)]) -> Plan {
+        Plan {
+            me: hosts[0].0.into(),
+            peers: hosts
+                .iter()
+                .map(|(name, host)| Peer { name: (*name).into(), host: (*host).into() })
+                .collect(),
+            voters: vec![],
+            lease: 2_000_000,
+            drift: 0.01,
+            copies: 1,
+            missing: Missing::Require,
+        }
+    }
+
+    /// A copy beside its owner goes down with it: only where there is no other.
+    #[test]
+    fn copies_go_to_other_hosts_first() {
+        let plan = plan(&[("a", "h1"), ("b", "h1"), ("c", "h2"), ("d", "")]);
+        let serving: BTreeSet<Name> = ["a", "b", "c", "d"].map(Name::from).into();
+        let order = plan.copy_order(&serving);
+        assert_eq!((order.len(), order[2].as_str()), (3, "b"), "{order:?}");
+    }
+
+    /// The member's lease, by a clock as slow as may be, is over before the leader's, by one as fast as may be.
+    #[test]
+    fn a_lease_ends_at_its_holder_first() {
+        let plan = plan(&[("a", "")]);
+        let (slow, fast) = (1.0 - plan.drift, 1.0 + plan.drift);
+        assert!(plan.own_lease() as f64 / slow <= plan.lease as f64 / fast);
+        assert!(plan.own_lease() > plan.lease * 9 / 10);
+    }
+}
--- /dev/null
+++ b/fleet/tests/common/mod.rs
@@ -0,0 +1,474 @@
+//! A fleet on one virtual clock: members, their folders, what is on its way between them, and a courier's journal at each.
+
+use bytes::Bytes;
+use quillmount_core::journal::{self, Book, End, Record, TakenOn};
+use quillmount_core::store::Store;
+use quillmount_fleet::agreement::Limits;
+use quillmount_fleet::member::{Input, Member, Output, Stores};
+use quillmount_fleet::message::{Envelope, Message};
+use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
+use quillmount_fleet::state::{Source, part_of};
+use spurshore::Micros;
+use spurshore_tables::draw;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::io;
+use std::rc::Rc;
+
+pub const MS: Micros = 1_000;
+pub const SEC: Micros = 1_000_000;
+
+/// A folder that outlasts processes.
+#[derive(Clone, Default)]
+pub struct Disk(Rc<RefCell<BTreeMap<String, Vec<u8>>>>);
+
+pub struct File {
+    disk: Disk,
+    name: String,
+}
+
+impl Store for File {
+    fn len(&self) -> u64 {
+        self.disk.0.borrow()[&self.name].len() as u64
+    }
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        Ok(self.disk.0.borrow()[&self.name].clone())
+    }
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.disk.0.borrow_mut().entry(self.name.clone()).or_default().extend_from_slice(bytes);
+        Ok(())
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.disk.0.borrow_mut().insert(self.name.clone(), bytes.to_vec());
+        Ok(())
+    }
+}
+
+impl Stores for Disk {
+    type Store = File;
+    fn open(&mut self, name: &str) -> io::Result<File> {
+        self.0.borrow_mut().entry(name.into()).or_default();
+        Ok(File { disk: self.clone(), name: name.into() })
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.borrow_mut().remove(name);
+        Ok(())
+    }
+    fn names(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.0.borrow().keys().cloned().collect())
+    }
+}
+
+/// What a courier does with one message, and when its journal has to be safe for it.
+#[derive(Clone, Debug, PartialEq)]
+enum Due {
+    TakenOn(String),
+    Call { id: String, msg: u64, debit: bool },
+    Ended(String),
+}
+
+/// A courier's process: its member, and the few rules of a journal that matter here.
+pub struct Process {
+    pub member: Member<Disk>,
+    life: u64,
+    journal: Vec<u8>,
+    mark: u64,
+    safe: u64,
+    enough: bool,
+    next: u64,
+    due: Vec<(u64, Due)>,
+    pub joined: bool,
+    pub paused: bool,
+}
+
+/// What the world saw.
+#[derive(Default, Debug)]
+pub struct Seen {
+    pub taken_on: BTreeSet<String>,
+    /// Calls of each message that left, with who made them.
+    pub calls: BTreeMap<String, Vec<(usize, Micros)>>,
+    /// Ends of each message, told by whom: delivered or not.
+    pub ends: BTreeMap<String, Vec<(usize, bool)>>,
+    pub notes: Vec<(Micros, usize, String)>,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub names: Vec<Name>,
+    pub disks: Vec<Disk>,
+    pub processes: Vec<Option<Process>>,
+    queue: BinaryHeap<Reverse<(Micros, u64)>>,
+    bodies: BTreeMap<u64, Envelope>,
+    order: u64,
+    seed: u64,
+    lives: u64,
+    /// Links that are cut, each way alone.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Parts of envelopes that are lost, and that come twice.
+    pub loss: f64,
+    pub doubled: f64,
+    pub delay: Micros,
+    pub seen: Seen,
+    pub copies: usize,
+    pub missing: Missing,
+    pub voters: usize,
+    /// A call takes so long at the provider.
+    pub trip: Micros,
+    /// Answers on their way: when, to whom, in which life, for what.
+    answers: Vec<(Micros, usize, u64, String, u64)>,
+}
+
+impl World {
+    pub fn new(n: usize, seed: u64) -> World {
+        World {
+            now: 1_000 * SEC,
+            names: (0..n).map(|i| format!("c{i:03}")).collect(),
+            disks: (0..n).map(|_| Disk::default()).collect(),
+            processes: (0..n).map(|_| None).collect(),
+            queue: BinaryHeap::new(),
+            bodies: BTreeMap::new(),
+            order: 0,
+            seed,
+            lives: 0,
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            doubled: 0.0,
+            delay: MS,
+            seen: Seen::default(),
+            copies: 1,
+            missing: Missing::Require,
+            voters: 3.min(n),
+            trip: 20 * MS,
+            answers: Vec::new(),
+        }
+    }
+
+    fn plan(&self, me: usize) -> Plan {
+        Plan {
+            me: self.names[me].clone(),
+            peers: self.names.iter().map(|n| Peer { name: n.clone(), host: String::new() }).collect(),
+            voters: self.names[..self.voters].to_vec(),
+            lease: 2 * SEC,
+            drift: 0.01,
+            copies: self.copies,
+            missing: self.missing,
+        }
+    }
+
+    pub fn start(&mut self, i: usize) {
+        self.lives += 1;
+        let life = self.lives * 1_000 + i as u64 + 1;
+        let limits = Limits { seed: self.seed ^ life, ..Limits::default() };
+        let mut journal = self.disks[i].open("journal").unwrap();
+        let bytes = journal.read().unwrap();
+        let opened = Member::open(self.plan(i), self.disks[i].clone(), life, life, limits, self.now);
+        let (member, out) = opened.unwrap();
+        self.processes[i] = Some(Process {
+            member,
+            life,
+            mark: bytes.len() as u64,
+            journal: bytes,
+            safe: 0,
+            enough: false,
+            next: 1,
+            due: Vec::new(),
+            joined: false,
+            paused: false,
+        });
+        self.carry_out(i, out);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.names.len()).for_each(|i| self.start(i));
+    }
+
+    /// SIGKILL: what it has not sent is lost.
+    pub fn kill(&mut self, i: usize) {
+        self.processes[i] = None;
+    }
+
+    pub fn lose_folder(&mut self, i: usize) {
+        self.disks[i] = Disk::default();
+    }
+
+    pub fn pause(&mut self, i: usize, paused: bool) {
+        if let Some(p) = &mut self.processes[i] {
+            p.paused = paused;
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        draw(&mut self.seed)
+    }
+
+    fn send(&mut self, from: usize, to: Name, message: Message) {
+        let Some(n) = self.names.iter().position(|name| *name == to) else { return };
+        let Some(p) = &self.processes[from] else { return };
+        let token = p.member.agreement().token();
+        if self.cut.contains(&(from, n)) || self.chance() < self.loss {
+            return;
+        }
+        let envelope = Envelope { from: self.names[from].clone(), to, token, messages: vec![message] };
+        let times = if self.chance() < self.doubled { 2 } else { 1 };
+        for _ in 0..times {
+            self.order += 1;
+            let late = if self.loss > 0.0 { (self.chance() * 4.0 * self.delay as f64) as Micros } else { 0 };
+            self.queue.push(Reverse((self.now + self.delay + late, self.order)));
+            self.bodies.insert(self.order, envelope.clone());
+        }
+    }
+
+    pub fn step(&mut self, i: usize, input: Input) {
+        let now = self.now;
+        let Some(p) = self.processes[i].as_mut() else { return };
+        let out = p.member.step(input, now).unwrap();
+        self.carry_out(i, out);
+    }
+
+    fn write(&mut self, i: usize, records: &[Record]) -> u64 {
+        let Some(p) = self.processes[i].as_mut() else { return 0 };
+        let bytes: Vec<u8> = records.iter().flat_map(|r| journal::frame(r).unwrap()).collect();
+        p.journal.extend_from_slice(&bytes);
+        p.mark += bytes.len() as u64;
+        let mark = p.mark;
+        let mut file = File { disk: self.disks[i].clone(), name: "journal".into() };
+        file.append(&bytes).unwrap();
+        self.step(i, Input::Wrote(bytes));
+        mark
+    }
+
+    /// A consumer hands a message in; whether it is let in at all.
+    pub fn hand_in(&mut self, i: usize, id: &str, dest: u64, debit: bool) -> bool {
+        let now = self.now;
+        let Some(p) = self.processes[i].as_mut().filter(|p| !p.paused) else { return false };
+        if !p.joined || !p.enough || !p.member.may_act(now) {
+            return false;
+        }
+        let msg = p.next;
+        p.next += 1;
+        let class = if debit { "fee-debit" } else { "paid-notice" };
+        let taken = TakenOn {
+            id: id.into(),
+            class: class.into(),
+            key: None,
+            dest,
+            deadline: now + 16 * SEC,
+            body: Bytes::from_static(b"body"),
+        };
+        let mark = self.write(i, &[Record::TakeOn { msg, taken }]);
+        let Some(p) = self.processes[i].as_mut() else { return false };
+        p.due.push((mark, Due::TakenOn(id.into())));
+        self.call(i, id.into(), msg, debit);
+        true
+    }
+
+    fn call(&mut self, i: usize, id: String, msg: u64, debit: bool) {
+        let sent = self.now;
+        let mark = self.write(i, &[Record::Attempt { msg, zone: 0, sent }]);
+        if let Some(p) = self.processes[i].as_mut() {
+            p.due.push((mark, Due::Call { id, msg, debit }));
+        }
+        self.act(i);
+    }
+
+    /// What the journal is safe enough for.
+    fn act(&mut self, i: usize) {
+        let now = self.now;
+        loop {
+            let Some(p) = self.processes[i].as_mut().filter(|p| !p.paused) else { return };
+            let may = p.member.may_act(now);
+            let ready = |(mark, due): &(u64, Due)| *mark <= p.safe && (may || matches!(due, Due::TakenOn(_)));
+            let Some(n) = p.due.iter().position(ready) else { return };
+            match p.due.remove(n).1 {
+                Due::TakenOn(id) => drop(self.seen.taken_on.insert(id)),
+                Due::Ended(id) => self.seen.ends.entry(id).or_default().push((i, false)),
+                Due::Call { id, msg, debit: _ } => {
+                    self.seen.calls.entry(id.clone()).or_default().push((i, now));
+                    // Its answer: the provider took it.
+                    self.answers.push((now + self.trip, i, self.life_of(i), id, msg));
+                }
+            }
+        }
+    }
+
+    fn life_of(&self, i: usize) -> u64 {
+        self.processes[i].as_ref().map_or(0, |p| p.life)
+    }
+
+    fn carry_out(&mut self, i: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send(to, message) => self.send(i, to, message),
+                Output::Joined { kept, .. } => self.joined(i, kept),
+                Output::Safe(mark) => {
+                    if let Some(p) = self.processes[i].as_mut() {
+                        p.safe = mark;
+                    }
+                    self.act(i);
+                }
+                Output::Copies { enough, .. } => {
+                    if let Some(p) = self.processes[i].as_mut() {
+                        p.enough = enough;
+                    }
+                }
+                Output::Adopt { parts, settled, bytes } => self.adopt(i, &parts, &settled, &bytes),
+                Output::Settle { source, kept } => self.settle(i, source, kept),
+                Output::Replaced => {
+                    self.processes[i] = None;
+                    self.start(i);
+                    return;
+                }
+                Output::Lease(_) => self.act(i),
+                Output::Left => {}
+                Output::Note(note) => self.seen.notes.push((self.now, i, note.to_string())),
+            }
+        }
+    }
+
+    fn joined(&mut self, i: usize, kept: bool) {
+        let mut file = File { disk: self.disks[i].clone(), name: "journal".into() };
+        let Some(p) = self.processes[i].as_mut() else { return };
+        let line = p.member.agreed_line();
+        if !kept {
+            p.member.note_line(None).unwrap();
+            p.journal.clear();
+            p.mark = 0;
+            file.replace(&[]).unwrap();
+        }
+        p.member.note_line(line).unwrap();
+        p.joined = true;
+        let (book, _) = Book::read(&p.journal);
+        p.next = p.next.max(book.next);
+        let unsettled: BTreeSet<Source> =
+            book.owed.values().filter_map(|e| e.source.as_ref().map(Source::from)).collect();
+        let bytes = p.journal.clone();
+        self.step(i, Input::Book { bytes, unsettled: unsettled.into_iter().collect() });
+        let own = book.owed.into_iter().filter(|(_, e)| e.source.is_none()).collect::<Vec<_>>();
+        for (msg, entry) in own {
+            self.go_on(i, msg, entry);
+        }
+    }
+
+    /// By the journal's rules: a debit that was out is ended, all else is sent.
+    fn go_on(&mut self, i: usize, msg: u64, entry: journal::Entry) {
+        let debit = entry.taken.class == "fee-debit";
+        let may_have_run = entry.calls.iter().any(|c| c.never_ran != Some(true));
+        if entry.end.is_some() || debit && may_have_run {
+            let id = entry.taken.id;
+            let mark = self.write(i, &[Record::End { msg, end: End::Undeliverable }, Record::Told { msg }]);
+            if let Some(p) = self.processes[i].as_mut() {
+                p.due.push((mark, Due::Ended(id)));
+            }
+            self.act(i);
+        } else {
+            self.call(i, entry.taken.id, msg, debit);
+        }
+    }
+
+    fn adopt(&mut self, i: usize, parts: &[Source], settled: &BTreeSet<Source>, bytes: &[u8]) {
+        let (book, _) = Book::read(bytes);
+        let mut records = Vec::new();
+        for entry in book.owed.into_values() {
+            let part = part_of(entry.taken.dest);
+            let Some(source) = parts.iter().find(|s| s.part == part) else { continue };
+            if entry.source.as_ref().is_some_and(|s| !settled.contains(&Source::from(s))) {
+                continue;
+            }
+            let Some(p) = self.processes[i].as_mut() else { return };
+            let msg = p.next;
+            p.next += 1;
+            records.push(Record::TakeOn { msg, taken: entry.taken });
+            records.push(Record::From { msg, source: source.into() });
+            for (n, call) in entry.calls.into_iter().enumerate() {
+                records.push(Record::Attempt { msg, zone: call.zone, sent: call.sent });
+                if let Some(never_ran) = call.never_ran {
+                    records.push(Record::Outcome { msg, attempt: n as u32, never_ran });
+                }
+            }
+            records.extend(entry.end.map(|end| Record::End { msg, end }));
+        }
+        self.write(i, &records);
+        for source in parts {
+            self.step(i, Input::Adopted(source.clone()));
+        }
+    }
+
+    fn settle(&mut self, i: usize, source: Source, kept: bool) {
+        let Some(p) = self.processes[i].as_ref() else { return };
+        let (book, _) = Book::read(&p.journal);
+        let from: journal::Source = (&source).into();
+        self.write(i, &[Record::Settled { source: from.clone(), kept }]);
+        self.step(i, Input::Settled(source));
+        if kept {
+            let mine = book.owed.into_iter().filter(|(_, e)| e.source.as_ref() == Some(&from));
+            for (msg, entry) in mine.collect::<Vec<_>>() {
+                self.go_on(i, msg, entry);
+            }
+        }
+    }
+
+    /// Plays until then.
+    pub fn run(&mut self, span: Micros) {
+        let end = self.now + span;
+        self.until(end, |_| false);
+    }
+
+    /// Plays until `done`, or until then; whether it was done.
+    pub fn until(&mut self, end: Micros, done: impl Fn(&World) -> bool) -> bool {
+        loop {
+            if done(self) {
+                return true;
+            }
+            let next = self.queue.peek().map(|Reverse((at, _))| *at);
+            let ticks =
+                self.processes.iter().flatten().filter(|p| !p.paused).filter_map(|p| p.member.wake_at());
+            let answers = self.answers.iter().map(|a| a.0);
+            let at = next.into_iter().chain(ticks).chain(answers).min().unwrap_or(end);
+            if at >= end {
+                self.now = end;
+                return done(self);
+            }
+            self.now = self.now.max(at);
+            if next.is_some_and(|next| next <= self.now) {
+                if let Some(Reverse((_, n))) = self.queue.pop()
+                    && let Some(envelope) = self.bodies.remove(&n)
+                {
+                    let to = self.names.iter().position(|name| *name == envelope.to).unwrap();
+                    if self.processes[to].as_ref().is_some_and(|p| p.paused) {
+                        // It is read when the process goes on.
+                        self.order += 1;
+                        self.queue.push(Reverse((self.now + 50 * MS, self.order)));
+                        self.bodies.insert(self.order, envelope);
+                        continue;
+                    }
+                    self.step(to, Input::Heard(envelope));
+                }
+                continue;
+            }
+            if let Some(n) = self.answers.iter().position(|a| a.0 <= self.now) {
+                let (_, i, life, id, msg) = self.answers.remove(n);
+                if self.life_of(i) == life && self.processes[i].as_ref().is_some_and(|p| !p.paused) {
+                    self.seen.ends.entry(id).or_default().push((i, true));
+                    self.write(i, &[Record::End { msg, end: End::Delivered }]);
+                } else if self.life_of(i) == life {
+                    self.answers.push((self.now + 50 * MS, i, life, id, msg));
+                }
+                continue;
+            }
+            for i in 0..self.processes.len() {
+                let now = self.now;
+                let due = |p: &Process| !p.paused && p.member.wake_at().is_some_and(|at| at <= now);
+                if self.processes[i].as_ref().is_some_and(due) {
+                    self.step(i, Input::Tick);
+                    self.act(i);
+                }
+            }
+        }
+    }
+
+    pub fn ready(&self, i: usize) -> bool {
+        let may = |p: &Process| p.joined && p.enough && p.member.may_act(self.now);
+        self.processes[i].as_ref().is_some_and(may)
+    }
+}
--- /dev/null
+++ b/fleet/tests/takeover.rs
@@ -0,0 +1,142 @@
+//! Work in hand survives the loss of its courier: another takes it over, once. On a virtual clock, without sockets.
+
+mod common;
+use common::*;
+
+fn fleet(n: usize, seed: u64) -> World {
+    let mut world = World::new(n, seed);
+    world.start_all();
+    let up = world.until(world.now + 10 * SEC, |w| (0..n).all(|i| w.ready(i)));
+    assert!(up, "{:#?}", world.seen.notes);
+    world
+}
+
+#[test]
+fn three_couriers_become_a_fleet_and_take_on() {
+    let mut world = fleet(3, 7);
+    assert!(world.hand_in(0, "m1", 1, true));
+    let done = world.until(world.now + SEC, |w| w.seen.ends.contains_key("m1"));
+    assert!(done && world.seen.taken_on.contains("m1"), "{:#?}", world.seen);
+}
+
+/// The thinnest takeover: a message that was taken on and whose call has not left is called by another courier.
+#[test]
+fn what_a_lost_courier_had_taken_on_is_taken_over_once() {
+    for seed in 0..20 {
+        let mut world = fleet(3, seed);
+        world.trip = 60 * SEC;
+        assert!(world.hand_in(0, "debit", 1, true) && world.hand_in(0, "notice", 2, false));
+        let taken = world.until(world.now + SEC, |w| w.seen.calls.len() == 2);
+        assert!(taken, "{:#?}", world.seen);
+        world.kill(0);
+        world.trip = 20 * MS;
+        let ended = world.until(world.now + 10 * SEC, |w| w.seen.ends.len() == 2);
+        assert!(ended, "seed {seed}: {:#?}", world.seen);
+        assert_eq!(world.seen.calls["debit"].len(), 1, "it was out, and may have run");
+        assert_eq!(world.seen.ends["debit"], [(world.seen.ends["debit"][0].0, false)]);
+        assert_eq!(world.seen.calls["notice"].len(), 2);
+        world.run(5 * SEC);
+        let state = world.processes[1].as_ref().unwrap().member.agreed();
+        assert_eq!(state.books.len(), 2, "the sealed book is over: {state:#?}");
+    }
+}
+
+/// A day of faults: couriers killed, paused, cut off one way and both, started again with their folder and, where `folders`
+/// may be lost, without; words lost, late, doubled and out of order. Then all is healed.
+fn faults(n: usize, seed: u64, folders: bool) -> World {
+    let mut world = fleet(n, seed);
+    let mut draws = seed ^ 0x5eed;
+    let mut pick = move |most: usize| (spurshore_tables::draw(&mut draws) * most as f64) as usize;
+    (world.loss, world.doubled) = (0.02, 0.02);
+    // Whose fault is under way: one more than a fleet with one copy of each book has to bear is never begun.
+    for step in 0..60 {
+        for k in 0..3 {
+            world.hand_in(pick(n), &format!("m{step}.{k}"), pick(9) as u64, k != 0);
+        }
+        let (who, other) = (pick(n), pick(n));
+        match pick(12) {
+            0 => world.kill(who),
+            1 if world.processes[who].is_none() => world.start(who),
+            2 => world.pause(who, true),
+            3 | 4 => (0..n).for_each(|i| world.pause(i, false)),
+            5 => drop(world.cut.insert((who, other))),
+            6 => (0..n).for_each(|i| drop(world.cut.extend([(who, i), (i, who)]))),
+            7 | 8 => world.cut.clear(),
+            9 if folders && (0..n).all(|i| world.ready(i)) => {
+                world.kill(who);
+                world.lose_folder(who);
+                // Its book has one copy left, and so have those that it held copies of: nothing else is lost before the
+                // fleet has made up for it.
+                world.cut.clear();
+                world.start(who);
+                world.until(world.now + 15 * SEC, |w| (0..n).all(|i| w.ready(i)));
+            }
+            _ => {}
+        }
+        world.run((50 + 50 * pick(20)) as u64 * MS);
+    }
+    (world.loss, world.doubled) = (0.0, 0.0);
+    world.cut.clear();
+    (0..n).for_each(|i| world.pause(i, false));
+    for i in 0..n {
+        if world.processes[i].is_none() {
+            world.start(i);
+        }
+    }
+    world.run(20 * SEC);
+    world
+}
+
+/// Each message that was taken on has an end; no debit is called twice.
+fn wrong(world: &World) -> Option<String> {
+    let seen = &world.seen;
+    let mut debits = seen.calls.iter().filter(|(id, _)| !id.ends_with(".0"));
+    let twice =
+        debits.find(|(_, calls)| calls.len() > 1).map(|(id, calls)| format!("{id} called twice: {calls:?}"));
+    let endless = || seen.taken_on.iter().find(|id| !seen.ends.contains_key(*id));
+    twice.or_else(|| endless().map(|id| format!("{id} has no end")))
+}
+
+/// Days of faults with these seeds; messages taken on.
+fn days(seeds: std::ops::Range<u64>, folders: bool) -> usize {
+    let day = |seed| {
+        let world = faults(5, seed, folders);
+        let wrong = wrong(&world);
+        assert!(wrong.is_none(), "seed {seed}: {wrong:?} {:#?}", world.seen.notes);
+        world.seen.taken_on.len()
+    };
+    seeds.map(day).sum()
+}
+
+#[test]
+fn no_fault_loses_a_message_or_calls_a_debit_twice() {
+    let taken = days(0..16, false);
+    assert!(taken > 16 * 30, "only {taken} messages were taken on");
+}
+
+#[test]
+fn a_lost_folder_loses_no_message() {
+    let taken = days(100..110, true);
+    assert!(taken > 10 * 30, "only {taken} messages were taken on");
+}
+
+/// Each deliberate break of the code is found by these days.
+#[cfg(feature = "breaks")]
+#[test]
+fn every_break_is_found() {
+    use quillmount_fleet::breaks::{Break, set};
+    let all = [
+        Break::SealIgnored,
+        Break::SafeAtOnce,
+        Break::TakenAtOnce,
+        Break::NoGrace,
+        Break::EmptyCopyKept,
+        Break::LeaseIgnored,
+    ];
+    for broken in all {
+        set(Some(broken));
+        let found = (0..400).find(|seed| wrong(&faults(5, *seed, seed % 2 == 0)).is_some());
+        set(None);
+        println!("{broken:?}: found with seed {found:?}");
+    }
+}
