--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -18,8 +18,8 @@
 }
 
 counters! {
-    connections, taken_on, rejected, malformed, repeated, restored, calls, bundles, bundled, delivered, errors, spoilt, full,
-    told_to_wait, no_slot, not_sent, held_back, could_not_connect, resets, timed_out, given_up, deferred,
+    connections, taken_on, rejected, malformed, repeated, restored, adopted, calls, bundles, bundled, delivered, errors,
+    spoilt, full, told_to_wait, no_slot, not_sent, held_back, could_not_connect, resets, timed_out, given_up, deferred,
     undeliverable, notices, notice_tries, list_changes, watches, reloads, streams, streams_cut, stream_bytes,
 }
 
--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -2,6 +2,7 @@
 //! is left to the driver is to move bytes, keep time and write the log.
 
 use crate::holds::HoldError;
+use crate::journal::{Entry, JournalError};
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
@@ -83,6 +84,15 @@
         Ok(self.carry_out(steps?, now))
     }
 
+    /// Takes over what another courier's book owes; see [`Router::adopt`].
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt(&mut self, entries: Vec<Entry>, now: Micros) -> Result<Vec<Do<C>>, JournalError> {
+        let steps = self.router.adopt(entries, now)?;
+        Ok(self.carry_out(steps, now))
+    }
+
     /// Time has passed; wanted at the router's `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Do<C>> {
         let steps = self.router.tick(now);
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -122,6 +122,22 @@
     pub stream: bool,
 }
 
+impl Entry {
+    /// The records that say the same in the fewest words.
+    fn records(self, msg: MsgId) -> impl Iterator<Item = Record> {
+        let Entry { taken, calls, end, stream } = self;
+        let calls = calls.into_iter().enumerate().flat_map(move |(n, call)| {
+            let attempt = Record::Attempt { msg, zone: call.zone, sent: call.sent };
+            let outcome =
+                call.never_ran.map(|never_ran| Record::Outcome { msg, attempt: n as u32, never_ran });
+            std::iter::once(attempt).chain(outcome)
+        });
+        let end = end.map(|end| Record::End { msg, end });
+        let first = if stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
+        std::iter::once(first).chain(calls).chain(end)
+    }
+}
+
 /// What the journal holds: what is owed, and what is over but remembered.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Book {
@@ -189,19 +205,7 @@
     fn records(self, now: Micros) -> impl Iterator<Item = Record> {
         let over = self.over.into_iter().filter(move |(.., until)| *until > now);
         let over = over.map(|(id, end, until)| Record::Over { id, end, until });
-        let owed = self.owed.into_iter().flat_map(|(msg, entry)| {
-            let calls = entry.calls.into_iter().enumerate().flat_map(move |(n, call)| {
-                let attempt = Record::Attempt { msg, zone: call.zone, sent: call.sent };
-                let outcome =
-                    call.never_ran.map(|never_ran| Record::Outcome { msg, attempt: n as u32, never_ran });
-                std::iter::once(attempt).chain(outcome)
-            });
-            let end = entry.end.map(|end| Record::End { msg, end });
-            let taken = entry.taken;
-            let first =
-                if entry.stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
-            std::iter::once(first).chain(calls).chain(end)
-        });
+        let owed = self.owed.into_iter().flat_map(|(msg, entry)| entry.records(msg));
         let holds: Vec<_> = self.holds.iter().map(|id| Record::Hold { id: id.into() }).collect();
         holds.into_iter().chain(over).chain(owed)
     }
@@ -391,6 +395,38 @@
         self.over = self.over.saturating_sub(over_len(id));
     }
 
+    /// Records entries of another courier's book under numbers of this one, all of them or none: a kill that left a
+    /// take-on without its attempts would have the next life send again what may have run. So they are not appended,
+    /// but go with a copy that takes the place of the whole.
+    ///
+    /// # Errors
+    /// Its share is full, or the store refused the copy: then nothing of them is there.
+    pub fn adopt(
+        &mut self,
+        entries: BTreeMap<MsgId, Entry>,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
+        let mut lens = Vec::with_capacity(entries.len());
+        for (msg, entry) in &entries {
+            let mut len = 0;
+            for record in entry.clone().records(*msg) {
+                len += encoded_len(&record)?;
+            }
+            lens.push((*msg, len));
+        }
+        let more = lens.iter().map(|(_, len)| len + RESERVE).sum();
+        if self.is_full(more) {
+            return Err(JournalError::Full);
+        }
+        if self.store.len() + self.live_sum + self.over + self.holds + more + 4 * BLOCK > self.budget {
+            self.compact(now, notes)?;
+        }
+        self.rewrite(entries, now, notes)?;
+        lens.into_iter().for_each(|(msg, len)| self.count(msg, len));
+        Ok(())
+    }
+
     /// Bytes on disk, as the platform counts them.
     pub fn disk(&self) -> u64 {
         self.store.len().next_multiple_of(BLOCK)
@@ -407,8 +443,19 @@
 
     /// Puts what still matters in the place of all that was written.
     fn compact(&mut self, now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
+        self.rewrite(BTreeMap::new(), now, notes)
+    }
+
+    /// The same, with these entries beside it.
+    fn rewrite(
+        &mut self,
+        more: BTreeMap<MsgId, Entry>,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
         let mut book = Book::default();
         decode(&self.store.read().map_err(io("read for a copy"))?, &mut book);
+        book.owed.extend(more);
         let mut bytes = Vec::new();
         for record in book.records(now) {
             bytes.extend(encode(&record)?);
--- a/core/src/note.rs
+++ b/core/src/note.rs
@@ -31,6 +31,8 @@
     NoRoom(JournalError),
     #[error("journal: invocation {msg} has class {class:?}, which the settings lack")]
     UnknownClass { msg: MsgId, class: String },
+    #[error("not taken over: {id:?} is open or over here already")]
+    NotAdopted { id: String },
     #[error("call {attempt} of invocation {msg} to provider {provider}: not known")]
     UnknownCall { msg: MsgId, attempt: u32, provider: u32 },
 }
@@ -39,7 +41,7 @@
     pub fn level(&self) -> Level {
         match self {
             Note::TakenOn { .. } | Note::Ended { .. } => Level::Debug,
-            Note::Decided(_) | Note::Compacted { .. } => Level::Info,
+            Note::Decided(_) | Note::Compacted { .. } | Note::NotAdopted { .. } => Level::Info,
             Note::Torn(_) | Note::NoRoom(_) => Level::Warn,
             Note::NotWritten(_) | Note::UnknownClass { .. } | Note::UnknownCall { .. } => Level::Error,
         }
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counters;
 use crate::flow::Cut;
 use crate::holds::{HoldError, Holds, ID_MAX};
-use crate::journal::{End, Journal, JournalError, Record, TakenOn};
+use crate::journal::{self, End, Journal, JournalError, Record, TakenOn};
 use crate::note::Note;
 use crate::store::Store;
 use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList, Rider};
@@ -38,6 +38,9 @@
 const WRITE_AGAIN: Micros = 50_000;
 /// What stands around a message in a call with others: names of the fields, quotes and commas.
 const FRAME: usize = 32;
+/// The zone of another courier's attempt: none that has a number here, so that a repeat which only one zone would know
+/// for what it is goes to none.
+const ELSEWHERE: u32 = u32::MAX;
 /// Ids of invocations that are over, remembered at most.
 const REMEMBERED: usize = 4_096;
 
@@ -136,7 +139,7 @@
     cut: Option<Cut>,
     /// No other attempt is wanted: its body is lost, or the process ends.
     over: bool,
-    /// Its consumer can't be answered any more: the platform is told.
+    /// Its consumer can't be answered any more, or has gone with another life: the platform is told.
     deaf: bool,
 }
 
@@ -221,8 +224,6 @@
     next: MsgId,
     /// A planned stop has begun: nothing is taken on from then on.
     stopping: Option<Micros>,
-    /// The journal is read: from here on consumers of streams wait on their connections.
-    ready: bool,
     /// The journal's words since the last steps.
     notes: Vec<Note>,
     pub counters: Counters,
@@ -267,70 +268,106 @@
         for (id, end, until) in book.over {
             router.remember(id, end, until);
         }
+        router.counters.restored = book.owed.len() as u64;
         for (msg, entry) in book.owed {
-            let TakenOn { id, class, key, dest, deadline, body } = entry.taken;
-            let noted = entry.end.filter(|_| !breaks::on(Break::ForgetEnd));
-            let end = noted.map(|end| match end {
-                End::Deferred { after } => Ending::Deferred(after),
-                End::Delivered | End::Undeliverable => Ending::Undeliverable,
-            });
-            router.ids.insert(id.clone(), msg);
-            let size = size(&id, key.as_deref(), &body);
-            let parcel = Arc::new(Parcel { id, key, body });
-            let noted = entry.calls.len() as u32;
-            let stream = entry.stream.then(|| Stream {
-                committed: true,
-                may_have_run: entry.calls.iter().any(|call| call.never_ran != Some(true)),
-                ..Stream::default()
-            });
-            router.owed.insert(msg, Owed { parcel, dest, deadline, end, noted, stream });
-            router.counters.restored += 1;
-            if end.is_some() {
-                router.notices.push_back(msg);
-                steps.push(Step::Notify);
-                continue;
-            }
-            let Some(class) = router.classes.iter().position(|c| *c == class) else {
-                // The settings have changed since: nothing can be decided about it any more.
-                steps.push(Step::Note(Note::UnknownClass { msg, class }));
-                router.end(msg, Ending::Undeliverable, now, &mut steps);
-                continue;
-            };
-            if let Some(stream) = stream {
-                // Its body went with the life before.
-                router.end(msg, stream.ending(), now, &mut steps);
-                continue;
-            }
-            if deadline <= now {
-                // Nothing can be delivered any more, and an end that the store refused may have been told.
-                router.end(msg, Ending::Undeliverable, now, &mut steps);
-                continue;
-            }
-            let past = entry.calls.iter().map(|call| PastAttempt {
-                zone: call.zone,
-                sent: call.sent,
-                may_have_run: call.never_ran != Some(true),
-            });
-            let message = Message {
-                id: msg,
-                class,
-                tenant: None,
-                key: None,
-                deadline,
-                hint: None,
-                dest,
-                stream: false,
-                size,
-            };
-            let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
-            let orders = router.facade.restore(now, message, past);
-            router.carry_out(orders, now, &mut steps);
+            router.restore(msg, entry, now, &mut steps);
         }
         router.say(&mut steps);
-        router.ready = true;
         Ok((router, steps))
     }
 
+    /// Takes over what another courier's book owes, under numbers of this router's own: into its journal, and from there
+    /// as after a restart. What is open or over here under its id already is let be, with a note for each; so a second
+    /// time changes nothing. The moments of attempts are the caller's word: for one that was out, the last at which the
+    /// other courier may still have written.
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt(&mut self, entries: Vec<journal::Entry>, now: Micros) -> Result<Vec<Step>, JournalError> {
+        self.forget(now);
+        let mut steps = Vec::new();
+        let (mut fresh, mut ids) = (BTreeMap::new(), BTreeSet::new());
+        for mut entry in entries {
+            let id = &entry.taken.id;
+            let known = self.ids.contains_key(id) || self.over.contains_key(id);
+            if known || entry.end == Some(End::Delivered) || !ids.insert(id.clone()) {
+                steps.push(Step::Note(Note::NotAdopted { id: id.clone() }));
+                continue;
+            }
+            // The other courier's numbers of zones stand for other names here.
+            entry.calls.iter_mut().for_each(|call| call.zone = ELSEWHERE);
+            fresh.insert(self.next + fresh.len() as MsgId, entry);
+        }
+        if !fresh.is_empty() {
+            self.journal.adopt(fresh.clone(), now, &mut self.notes)?;
+        }
+        self.next += fresh.len() as MsgId;
+        self.counters.adopted += fresh.len() as u64;
+        for (msg, entry) in fresh {
+            self.restore(msg, entry, now, &mut steps);
+        }
+        self.say(&mut steps);
+        Ok(steps)
+    }
+
+    /// Goes on with an invocation of another life, which the journal has: an attempt without an outcome may have run.
+    fn restore(&mut self, msg: MsgId, entry: journal::Entry, now: Micros, steps: &mut Vec<Step>) {
+        let TakenOn { id, class, key, dest, deadline, body } = entry.taken;
+        let noted = entry.end.filter(|_| !breaks::on(Break::ForgetEnd));
+        let end = noted.map(|end| match end {
+            End::Deferred { after } => Ending::Deferred(after),
+            End::Delivered | End::Undeliverable => Ending::Undeliverable,
+        });
+        self.ids.insert(id.clone(), msg);
+        let size = size(&id, key.as_deref(), &body);
+        let parcel = Arc::new(Parcel { id, key, body });
+        let noted = entry.calls.len() as u32;
+        // Its consumer and its body went with the life before.
+        let stream = entry.stream.then(|| Stream {
+            committed: true,
+            may_have_run: entry.calls.iter().any(|call| call.never_ran != Some(true)),
+            deaf: true,
+            ..Stream::default()
+        });
+        self.owed.insert(msg, Owed { parcel, dest, deadline, end, noted, stream });
+        if end.is_some() {
+            self.notices.push_back(msg);
+            steps.push(Step::Notify);
+            return;
+        }
+        let Some(class) = self.classes.iter().position(|c| *c == class) else {
+            // The settings have changed since: nothing can be decided about it any more.
+            steps.push(Step::Note(Note::UnknownClass { msg, class }));
+            return self.end(msg, Ending::Undeliverable, now, steps);
+        };
+        if let Some(stream) = stream {
+            return self.end(msg, stream.ending(), now, steps);
+        }
+        if deadline <= now {
+            // Nothing can be delivered any more, and an end that the store refused may have been told.
+            return self.end(msg, Ending::Undeliverable, now, steps);
+        }
+        let past = entry.calls.iter().map(|call| PastAttempt {
+            zone: call.zone,
+            sent: call.sent,
+            may_have_run: call.never_ran != Some(true),
+        });
+        let message = Message {
+            id: msg,
+            class,
+            tenant: None,
+            key: None,
+            deadline,
+            hint: None,
+            dest,
+            stream: false,
+            size,
+        };
+        let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
+        let orders = self.facade.restore(now, message, past);
+        self.carry_out(orders, now, steps);
+    }
+
     /// One that owes nothing and knows nobody.
     fn fresh(
         env: &Env,
@@ -372,7 +409,6 @@
             write_at: Micros::MAX,
             next,
             stopping: None,
-            ready: false,
             notes,
             counters: Counters::default(),
         })
@@ -1046,8 +1082,7 @@
     /// Whoever is owed the end hears it: a stream's consumer, who still waits, or else the platform.
     fn tell(&mut self, msg: MsgId, ending: Ending, steps: &mut Vec<Step>) {
         match self.owed.get(&msg).and_then(|owed| owed.stream) {
-            // One of an earlier life has no consumer any more.
-            Some(stream) if self.ready && !stream.deaf => {
+            Some(stream) if !stream.deaf => {
                 let end = match (stream.cut, ending) {
                     (Some(why), _) => StreamEnd::Cut(why),
                     (None, Ending::Deferred(after)) => StreamEnd::Deferred(after),
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -117,7 +117,7 @@
         (router.out, router.bundles) = (state.out, state.bundles);
         state.notices.into_iter().for_each(|msg| router.notices.push_back(msg));
         state.unwritten.into_iter().for_each(|msg| router.unwritten.push_back(msg));
-        (router.write_at, router.counters, router.ready) = (state.write_at, state.counters, true);
+        (router.write_at, router.counters) = (state.write_at, state.counters);
         if !router.notices.is_empty() {
             steps.push(Step::Notify);
         }
--- /dev/null
+++ b/core/tests/adopt.rs
@@ -0,0 +1,158 @@
+//! Work of a courier that is lost, taken over by another: by the rules of a restart, once, and whole or not at all.
+
+mod common;
+use common::{NOW, World, calls, class, killed, provider};
+use quillmount_core::hub::{Do, Hub};
+use quillmount_core::journal::{Book, End, Entry, JournalError, PastCall, TakenOn};
+use quillmount_core::note::Note;
+use quillmount_core::pool::Pool;
+use quillmount_core::router::Router;
+use quillmount_core::store::{Fault, Memory};
+use quillmount_core::{Ending, InvokerCall, ProviderList};
+use spurshore::ListState;
+use spurshore_settings::{Category, Env};
+
+const DISK: u64 = 99_999;
+
+fn open(store: Memory, disk: u64) -> World {
+    let keyed = |name, scope: Option<&str>| Category {
+        memory_span_ms: 6_000.0,
+        dedup_scope: scope.map(String::from),
+        ..class(name, "dedup")
+    };
+    let env = Env {
+        categories: vec![
+            class("fee-debit", "fragile"),
+            keyed("paid-notice", None),
+            keyed("zone-notice", Some("zone")),
+        ],
+        ..Env::default()
+    };
+    let known = ProviderList { version: 1, full: true, providers: vec![provider("a", 1, ListState::Ready)] };
+    let (router, steps) = Router::open(&env, 7, known.clone(), store, disk, NOW).unwrap();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
+    hub.carry_out(steps, NOW);
+    hub.list(known, NOW);
+    hub
+}
+
+/// As a courier's book tells of one that is owed.
+fn owed(id: &str) -> Entry {
+    let (class, body) = ("fee-debit".into(), bytes::Bytes::from_static(b"body"));
+    let taken = TakenOn { id: id.into(), class, key: None, dest: 1, deadline: NOW + 9_000_000, body };
+    Entry { taken, calls: Vec::new(), end: None, stream: false }
+}
+
+/// Its last attempt began, and nothing tells how it fared.
+fn out(id: &str) -> Entry {
+    Entry { calls: vec![PastCall { zone: 0, sent: NOW - 9, never_ran: None }], ..owed(id) }
+}
+
+fn of(class: &str, entry: Entry) -> Entry {
+    Entry { taken: TakenOn { class: class.into(), key: Some("k".into()), ..entry.taken }, ..entry }
+}
+
+fn told(hub: &World) -> Vec<(String, Ending)> {
+    hub.router.notices(99).into_iter().map(|notice| (notice.id, notice.ending)).collect()
+}
+
+fn ids(calls: Vec<InvokerCall>) -> Vec<String> {
+    calls.iter().flat_map(InvokerCall::parcels).map(|parcel| parcel.id.clone()).collect()
+}
+
+#[test]
+fn what_another_book_owes_goes_on_as_after_a_restart() {
+    let mut hub = open(Memory::default(), DISK);
+    let refused = Entry { calls: vec![PastCall { zone: 0, sent: 5, never_ran: Some(true) }], ..owed("back") };
+    let ended = Entry { end: Some(End::Deferred { after: 70 }), ..owed("ended") };
+    let late = Entry { taken: TakenOn { deadline: NOW, ..owed("late").taken }, ..owed("late") };
+    let stream = Entry { stream: true, ..out("stream") };
+    let entries = vec![out("out"), owed("fresh"), refused, ended.clone(), late, stream];
+    let todo = hub.adopt(entries, NOW).unwrap();
+    assert!(todo.iter().any(|one| matches!(one, Do::Notify)));
+    assert_eq!(ids(calls(todo)), ["fresh", "back"], "what never ran is sent, and nothing else");
+    let mut ends = told(&hub);
+    ends.sort_by(|a, b| a.0.cmp(&b.0));
+    let undeliverable = |id: &str| (id.to_string(), Ending::Undeliverable);
+    let deferred = ("ended".to_string(), Ending::Deferred(70));
+    assert_eq!(ends, [deferred, undeliverable("late"), undeliverable("out"), undeliverable("stream")]);
+    assert_eq!(hub.router.counters.adopted, 6);
+    // All of it is in this courier's own journal, its ends included: after a kill nothing is sent.
+    let (book, _) = Book::read(killed(&hub).bytes());
+    assert_eq!((book.owed.len(), book.owed.values().filter(|e| e.end.is_some()).count()), (6, 4));
+    assert!(book.owed.values().any(|e| *e == ended));
+    let mut next = open(killed(&hub), DISK);
+    assert!(calls(next.tick(NOW)).is_empty());
+    assert_eq!(told(&next).len(), 6, "sent by this life, the debits may have run");
+}
+
+/// Zones have other numbers at each courier: number 0 is this one's own here, and that of the lost one there.
+#[test]
+fn a_repeat_that_only_one_zone_would_know_goes_to_none() {
+    let mut hub = open(Memory::default(), DISK);
+    let entries = vec![of("paid-notice", out("anywhere")), of("zone-notice", out("zone"))];
+    assert_eq!(ids(calls(hub.adopt(entries, NOW).unwrap())), ["anywhere"]);
+    let fresh = of("zone-notice", owed("first"));
+    assert_eq!(ids(calls(hub.adopt(vec![fresh], NOW).unwrap())), ["first"]);
+}
+
+#[test]
+fn what_is_open_or_over_here_is_not_taken_over_again() {
+    let mut hub = open(Memory::default(), DISK);
+    let entries = || vec![out("out"), owed("fresh"), owed("fresh")];
+    let skipped = |todo: &[Do<u32>]| -> Vec<String> {
+        let id = |one: &Do<u32>| match one {
+            Do::Note(Note::NotAdopted { id }) => Some(id.clone()),
+            _ => None,
+        };
+        todo.iter().filter_map(id).collect()
+    };
+    let todo = hub.adopt(entries(), NOW).unwrap();
+    assert_eq!(skipped(&todo), ["fresh"]);
+    let call = calls(todo).remove(0).call;
+    for _ in 0..2 {
+        let before = killed(&hub).bytes().to_vec();
+        let todo = hub.adopt(entries(), NOW).unwrap();
+        assert_eq!((skipped(&todo).len(), calls(todo).len()), (3, 0));
+        assert_eq!(killed(&hub).bytes(), before);
+        // The second time both are over.
+        hub.call_ended(call, quillmount_core::CallEnd::Delivered, NOW);
+        let notices = hub.router.notices(9);
+        hub.told(&notices, NOW);
+    }
+    assert_eq!((hub.router.counters.adopted, hub.router.load()), (2, (0, 0)));
+    // An id that was delivered elsewhere is none to go on with.
+    let delivered = Entry { end: Some(End::Delivered), ..owed("delivered") };
+    assert_eq!(skipped(&hub.adopt(vec![delivered], NOW).unwrap()), ["delivered"]);
+}
+
+#[test]
+fn a_refusal_or_a_kill_in_the_middle_leaves_nothing_half_taken_over() {
+    let entries = || vec![out("a"), out("b"), owed("c")];
+    let mut hub = open(Memory::default(), DISK);
+    hub.adopt(vec![owed("own")], NOW).unwrap();
+    let before = killed(&hub);
+    hub.router.journal_mut().store_mut().fail(Fault::Full { after: 0 });
+    assert!(matches!(hub.adopt(entries(), NOW), Err(JournalError::Io { .. })));
+    hub.router.journal_mut().store_mut().fail(Fault::None);
+    assert_eq!((hub.router.load().0, killed(&hub).bytes()), (1, before.bytes()));
+    assert_eq!(ids(calls(hub.adopt(entries(), NOW).unwrap())), ["c"], "later there is room");
+    // No part of the disk holds them: what is there stays.
+    let mut small = open(Memory::default(), 4_000);
+    assert!(matches!(small.adopt(entries(), NOW), Err(JournalError::Full)));
+    assert_eq!((small.router.load(), killed(&small).bytes().len()), ((0, 0), 0));
+    // Wherever a kill cuts, no debit that was out is owed without its attempt.
+    for after in 0..8 {
+        for bytes in 0..200 {
+            let mut hub = open(Memory::default(), DISK);
+            hub.router.journal_mut().store_mut().fail(Fault::Die { after, bytes });
+            hub.adopt(entries(), NOW).unwrap();
+            let (book, _) = Book::read(killed(&hub).bytes());
+            let safe = book.owed.values().all(|entry| entry.taken.id == "c" || !entry.calls.is_empty());
+            assert!(safe, "write {after}, {bytes} bytes: {book:?}");
+            let mut next = open(killed(&hub), DISK);
+            next.adopt(entries(), NOW).unwrap();
+            assert_eq!(next.router.load().0, 3);
+        }
+    }
+}
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -258,11 +258,11 @@
         for says in [0, 1] {
             let path = stage.courier.folder.join("state/handover");
             let mut taker = std::os::unix::net::UnixStream::connect(path).unwrap();
-            taker.write_all(b"qmh\x00\x00\x01").unwrap();
+            taker.write_all(b"qmh\x00\x00\x02").unwrap();
             taker.write_all(&[1, 0, 0, 0, 0]).unwrap();
             let mut hello = [0; 6];
             taker.read_exact(&mut hello).unwrap();
-            assert_eq!(&hello, b"qmh\x00\x00\x01");
+            assert_eq!(&hello, b"qmh\x00\x00\x02");
             if says == 0 {
                 // It dies at the first bytes of what comes; the other time it is silent.
                 taker.read_exact(&mut hello[..1]).unwrap();
