--- a/core/tests/adopt.rs
+++ b/core/tests/adopt.rs
@@ -40,7 +40,7 @@
 fn owed(id: &str) -> Entry {
     let (class, body) = ("fee-debit".into(), bytes::Bytes::from_static(b"body"));
     let taken = TakenOn { id: id.into(), class, key: None, dest: 1, deadline: NOW + 9_000_000, body };
-    Entry { taken, calls: Vec::new(), end: None, stream: false }
+    Entry { taken, calls: Vec::new(), end: None, stream: false, source: None }
 }
 
 /// Its last attempt began, and nothing tells how it fared.
