--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -2,7 +2,7 @@
 //! is left to the driver is to move bytes, keep time and write the log.
 
 use crate::holds::HoldError;
-use crate::journal::{Entry, JournalError};
+use crate::journal::{Entry, JournalError, Source};
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
@@ -93,6 +93,15 @@
         Ok(self.carry_out(steps, now))
     }
 
+    /// The fleet has said whose the messages of a source are; see [`Router::settle_from`].
+    ///
+    /// # Errors
+    /// The store refused the record: they go on to wait.
+    pub fn settle(&mut self, source: &Source, kept: bool, now: Micros) -> Result<Vec<Do<C>>, JournalError> {
+        let steps = self.router.settle_from(source, kept, now)?;
+        Ok(self.carry_out(steps, now))
+    }
+
     /// Time has passed; wanted at the router's `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Do<C>> {
         let steps = self.router.tick(now);
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -21,6 +21,7 @@
 use std::sync::Arc;
 
 mod seen;
+mod settle;
 mod state;
 
 pub use state::{ResumeError, State, mark};
@@ -203,6 +204,8 @@
     /// Discovery has told of its list in this life.
     heard: bool,
     journal: Journal<S>,
+    /// In the journal, from another courier's: whether they are owed here is for the fleet to say.
+    unsettled: BTreeMap<journal::Source, Vec<(MsgId, journal::Entry)>>,
     owed: BTreeMap<MsgId, Owed>,
     ids: HashMap<String, MsgId>,
     over: HashMap<String, End>,
@@ -270,7 +273,7 @@
         }
         router.counters.restored = book.owed.len() as u64;
         for (msg, entry) in book.owed {
-            router.restore(msg, entry, now, &mut steps);
+            router.adopted(msg, entry, now, &mut steps);
         }
         router.say(&mut steps);
         Ok((router, steps))
@@ -304,7 +307,7 @@
         self.next += fresh.len() as MsgId;
         self.counters.adopted += fresh.len() as u64;
         for (msg, entry) in fresh {
-            self.restore(msg, entry, now, &mut steps);
+            self.adopted(msg, entry, now, &mut steps);
         }
         self.say(&mut steps);
         Ok(steps)
@@ -394,6 +397,7 @@
             version: 0,
             heard: false,
             journal,
+            unsettled: BTreeMap::new(),
             owed: BTreeMap::new(),
             ids: HashMap::new(),
             over: HashMap::new(),
--- a/core/tests/adopt.rs
+++ b/core/tests/adopt.rs
@@ -156,3 +156,28 @@
         }
     }
 }
+
+/// Between the writing and the fleet's word nothing is done; a kill in between leaves it to be settled, and what another
+/// courier has got leaves the journal.
+#[test]
+fn messages_with_a_source_wait_for_the_fleets_word() {
+    use quillmount_core::journal::Source;
+    let source = |part| Source { owner: "a".into(), epoch: 3, part };
+    let from = |part, entry| Entry { source: Some(source(part)), ..entry };
+    let mut hub = open(Memory::default(), DISK);
+    let todo = hub.adopt(vec![from(1, owed("m1")), from(2, owed("m2"))], NOW).unwrap();
+    assert!(ids(calls(todo)).is_empty() && hub.router.load().0 == 0);
+    let store = Memory::of(hub.router.journal().store().bytes().to_vec());
+    let mut hub = open(store, DISK);
+    assert_eq!(hub.router.unsettled().cloned().collect::<Vec<_>>(), [source(1), source(2)]);
+    let todo = hub.settle(&source(1), true, NOW).unwrap();
+    assert_eq!(ids(calls(todo)), ["m1"]);
+    assert!(hub.settle(&source(2), false, NOW).unwrap().is_empty());
+    let (book, _) = Book::read(hub.router.journal().store().bytes());
+    let left: Vec<_> = book.owed.values().map(|e| (e.taken.id.as_str(), e.source.clone())).collect();
+    assert_eq!(left, [("m1", None)]);
+    let again = owed("m2");
+    // The other one's id may come again.
+    let todo = hub.adopt(vec![again], NOW).unwrap();
+    assert_eq!(ids(calls(todo)), ["m2"]);
+}
