Let a courier be one of a fleet on sockets, off by default

The operator file's section fleet names couriers, voters, lease and copies; what can't be is refused with its path. One whose work is others' by now begins anew. Without the section there is no gate, listener or task.

--- /dev/null
+++ b/courier/src/fleet/listener.rs
@@ -0,0 +1,76 @@
+//! Where the other couriers of the fleet are heard: actix-http's own HTTP/1.1 service, on an address from the operator file.
+
+use super::Fleet;
+use super::links::PATH;
+use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_rt::net::TcpListener;
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use quillmount_fleet::message::{ENVELOPE_MOST, Envelope};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A courier that says nothing for so long has no need of its connection.
+const REST: Duration = Duration::from_secs(60);
+/// After an accept that failed, for want of descriptors mostly.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+
+/// Accepts other couriers until it is dropped.
+pub async fn serve(listener: TcpListener, fleet: Rc<Fleet>) {
+    let answering = {
+        let fleet = fleet.clone();
+        fn_service(move |request: Request| {
+            let fleet = fleet.clone();
+            async move { Ok::<_, Infallible>(answer(&fleet, request).await) }
+        })
+    };
+    let service = HttpService::build().keep_alive(KeepAlive::Timeout(REST)).h1(answering);
+    let Ok(service) = service.new_service(()).await else { return };
+    let service = Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                // Where it can't be said, an answer waits a moment.
+                let _ = stream.set_nodelay(true);
+                let service = service.clone();
+                actix_rt::spawn(async move {
+                    if let Err(e) = service.call((stream, Some(peer))).await {
+                        tracing::debug!("fleet: a connection from {peer}: {e}");
+                    }
+                });
+            }
+            Err(e) => {
+                tracing::warn!("fleet: accept: {e}");
+                actix_rt::time::sleep(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+async fn answer(fleet: &Rc<Fleet>, request: Request) -> Response<Bytes> {
+    if request.method() != Method::POST || request.path() != PATH {
+        return refuse(StatusCode::NOT_FOUND, format!("POST {PATH} is what couriers of this version say"));
+    }
+    let mut payload = request.into_parts().1;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        match chunk {
+            Ok(chunk) if body.len() + chunk.len() <= ENVELOPE_MOST => body.extend_from_slice(&chunk),
+            Ok(_) => return refuse(StatusCode::PAYLOAD_TOO_LARGE, format!("{ENVELOPE_MOST} bytes at most")),
+            Err(e) => return refuse(StatusCode::BAD_REQUEST, e.to_string()),
+        }
+    }
+    match Envelope::decode(&body) {
+        Err(e) => refuse(StatusCode::BAD_REQUEST, e.to_string()),
+        Ok(envelope) => match fleet.heard(envelope) {
+            None => Response::with_body(StatusCode::NO_CONTENT, Bytes::new()),
+            Some(said) => Response::with_body(StatusCode::OK, Bytes::from(said.encode())),
+        },
+    }
+}
+
+fn refuse(status: StatusCode, why: String) -> Response<Bytes> {
+    Response::with_body(status, Bytes::from(why))
+}
--- /dev/null
+++ b/courier/src/fleet/mod.rs
@@ -0,0 +1,382 @@
+//! A courier as one of a fleet, on sockets: its member machine, the ways to the others, and what the machine's words come to
+//! for the courier. All of it is there only where the operator file's section `fleet` is on.
+
+mod links;
+mod listener;
+mod stores;
+
+use crate::transport::clock::Clock;
+use crate::transport::courier::Courier;
+use crate::transport::gate::{Gate, Wrote};
+use actix_rt::net::TcpListener;
+use links::Link;
+use quillmount_core::journal::{self, Book};
+use quillmount_fleet::agreement;
+use quillmount_fleet::member::{Input, Member, MemberError, Note, Output};
+use quillmount_fleet::message::Envelope;
+use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
+use quillmount_fleet::state::{Epoch, Source, part_of};
+use quillmount_operator::fleet::OnMissing;
+use spurshore::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use stores::Files;
+use tokio::sync::Notify;
+
+/// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Why a courier is not one of its fleet.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    #[error("fleet: listen on {addr}: {source}; is another courier's `listen` the same?")]
+    Listen { addr: String, source: std::io::Error },
+    #[error("fleet: {what} {value:?} is no address; mend the operator file's section `fleet`")]
+    Address { what: &'static str, value: String },
+    #[error(transparent)]
+    Member(#[from] MemberError),
+    #[error("fleet: the folder for what its members keep: {0}; check the lasting folder's disk and rights")]
+    Folder(#[from] std::io::Error),
+    #[error(
+        "fleet: the journal of before can't be put aside: {0}; check the lasting folder's disk and rights"
+    )]
+    Aside(std::io::Error),
+}
+
+/// What the member wants of the courier, in order.
+enum Task {
+    Adopt { parts: Vec<Source>, settled: BTreeSet<Source>, bytes: Vec<u8> },
+    Settle { source: Source, kept: bool },
+}
+
+/// The courier's part of its fleet.
+pub struct Fleet {
+    clock: Clock,
+    member: RefCell<Member<Files>>,
+    links: BTreeMap<Name, Rc<Link>>,
+    pub gate: Rc<Gate>,
+    tasks: RefCell<VecDeque<Task>>,
+    more: Notify,
+    joined: Cell<Option<(Epoch, bool)>>,
+    joins: Notify,
+    replaced: Cell<bool>,
+    /// Its book is others' by now: the process has to begin anew.
+    pub gone: Notify,
+    left: Notify,
+    moved: Notify,
+}
+
+fn plan_of(told: &quillmount_operator::fleet::Fleet) -> Plan {
+    Plan {
+        me: told.me.clone(),
+        peers: told
+            .members
+            .iter()
+            .map(|member| Peer { name: member.name.clone(), host: member.host.clone() })
+            .collect(),
+        voters: told.voters.clone(),
+        lease: told.lease.0.as_micros() as Micros,
+        drift: told.drift,
+        copies: told.copies,
+        missing: match told.on_missing {
+            OnMissing::Require => Missing::Require,
+            OnMissing::Prefer => Missing::Prefer,
+        },
+    }
+}
+
+fn address(what: &'static str, value: &str) -> Result<SocketAddr, FleetError> {
+    value.parse().map_err(|_| FleetError::Address { what, value: value.into() })
+}
+
+impl Fleet {
+    /// Opens what the folder has, listens, and speaks to the others from now on.
+    ///
+    /// # Errors
+    /// The folder or the address can't be had.
+    pub async fn start(
+        told: &quillmount_operator::fleet::Fleet,
+        folder: &Path,
+        seed: u64,
+        clock: Clock,
+    ) -> Result<Rc<Fleet>, FleetError> {
+        let listen = |source| FleetError::Listen { addr: told.listen.clone(), source };
+        let listener = TcpListener::bind(address("listen", &told.listen)?).await.map_err(listen)?;
+        let files = Files::open(folder.join("fleet"))?;
+        let (life, token) = (draw(seed), draw(seed).max(1));
+        let limits = agreement::Limits { seed: life, ..Default::default() };
+        let (member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        let mut links = BTreeMap::new();
+        let mut ways = Vec::new();
+        for peer in told.members.iter().filter(|peer| peer.name != told.me) {
+            let link = Link::new(peer.name.clone());
+            ways.push((link.clone(), address("members", &peer.addr)?));
+            links.insert(peer.name.clone(), link);
+        }
+        let token = member.agreement().token();
+        let fleet = Rc::new(Fleet {
+            gate: Rc::new(Gate::new(clock.clone())),
+            clock,
+            member: RefCell::new(member),
+            links,
+            tasks: RefCell::default(),
+            more: Notify::new(),
+            joined: Cell::new(None),
+            joins: Notify::new(),
+            replaced: Cell::new(false),
+            gone: Notify::new(),
+            left: Notify::new(),
+            moved: Notify::new(),
+        });
+        tracing::info!("fleet: {} listens on {}", told.me, listener.local_addr().map_err(listen)?);
+        for (link, addr) in ways {
+            let heard = fleet.clone();
+            actix_rt::spawn(link.carry(addr, told.me.clone(), token, move |envelope| {
+                heard.step(Input::Heard(envelope));
+            }));
+        }
+        actix_rt::spawn(listener::serve(listener, fleet.clone()));
+        actix_rt::spawn(fleet.clone().keep_time());
+        actix_rt::spawn(fleet.clone().copy());
+        fleet.carry_out(out, None);
+        Ok(fleet)
+    }
+
+    /// Waits until it is a member: under which epoch, and whether the journal in the folder is still its own.
+    pub async fn joined(&self) -> (Epoch, bool) {
+        loop {
+            let joins = self.joins.notified();
+            if let Some(joined) = self.joined.get() {
+                return joined;
+            }
+            joins.await;
+        }
+    }
+
+    /// Puts a journal aside that is others' by now; what the folder has from here on is of the line under which it joined.
+    ///
+    /// # Errors
+    /// The folder refuses it.
+    pub fn begin_book(&self, folder: &Path, kept: bool) -> Result<(), FleetError> {
+        let mut member = self.member.borrow_mut();
+        if !kept {
+            // A kill in between must not leave a journal that counts as the own one.
+            member.note_line(None)?;
+            match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
+                Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(FleetError::Aside(e)),
+                _ => {}
+            }
+        }
+        let line = member.agreed_line();
+        member.note_line(line)?;
+        Ok(())
+    }
+
+    /// The courier is there, with its journal open: what it has is copied from here on, and what is taken over comes to it.
+    ///
+    /// # Errors
+    /// The journal can't be read.
+    pub fn attach(self: &Rc<Self>, courier: &Rc<Courier>, folder: &Path) -> Result<(), FleetError> {
+        let bytes = std::fs::read(folder.join("journal"))?;
+        let unsettled = courier.unsettled().iter().map(Source::from).collect();
+        self.gate.begin(bytes.len() as u64);
+        self.step(Input::Book { bytes, unsettled });
+        actix_rt::spawn(self.clone().take_over(courier.clone()));
+        Ok(())
+    }
+
+    /// A planned stop: the book is for others, at once.
+    pub async fn leave(&self) {
+        let left = self.left.notified();
+        self.flush();
+        self.step(Input::Leave);
+        left.await;
+    }
+
+    /// Another courier's words; what is said to it at once.
+    pub fn heard(&self, envelope: Envelope) -> Option<Envelope> {
+        let from = envelope.from.clone();
+        let out = self.member.borrow_mut().step(Input::Heard(envelope), self.clock.now());
+        let messages = self.carried(out, Some(&from));
+        if messages.is_empty() {
+            return None;
+        }
+        let member = self.member.borrow();
+        let token = member.agreement().token();
+        Some(Envelope { from: member.plan.me.clone(), to: from, token, messages })
+    }
+
+    fn step(&self, input: Input) {
+        let out = self.member.borrow_mut().step(input, self.clock.now());
+        self.carried(out, None);
+    }
+
+    fn carried(
+        &self,
+        out: Result<Vec<Output>, MemberError>,
+        to: Option<&str>,
+    ) -> Vec<quillmount_fleet::message::Message> {
+        match out {
+            Ok(out) => self.carry_out(out, to),
+            Err(e) => {
+                // Its lease runs out, and others take over: nothing that it says could be relied on.
+                tracing::error!("{e}");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Carries outputs out; those for `to` are returned.
+    fn carry_out(&self, out: Vec<Output>, to: Option<&str>) -> Vec<quillmount_fleet::message::Message> {
+        let mut said = Vec::new();
+        for output in out {
+            match output {
+                Output::Send(name, message) if to == Some(name.as_str()) => said.push(message),
+                Output::Send(name, message) => {
+                    if let Some(link) = self.links.get(&name) {
+                        link.send(message);
+                    }
+                }
+                Output::Joined { epoch, kept } => {
+                    self.joined.set(Some((epoch, kept)));
+                    self.joins.notify_waiters();
+                }
+                Output::Lease(until) => self.gate.set_until(until),
+                Output::Safe(mark) => self.gate.set_safe(mark),
+                Output::Copies { in_step, enough } => {
+                    tracing::info!(
+                        "fleet: {in_step} copies of the journal{}",
+                        if enough { "" } else { ": too few" }
+                    );
+                    self.gate.set_enough(enough);
+                }
+                Output::Adopt { parts, settled, bytes } => {
+                    self.tasks.borrow_mut().push_back(Task::Adopt { parts, settled, bytes });
+                    self.more.notify_one();
+                }
+                Output::Settle { source, kept } => {
+                    self.tasks.borrow_mut().push_back(Task::Settle { source, kept });
+                    self.more.notify_one();
+                }
+                Output::Replaced => {
+                    self.gate.set_until(0);
+                    self.replaced.set(true);
+                    self.gone.notify_one();
+                }
+                Output::Left => self.left.notify_waiters(),
+                Output::Note(note) => say(&note),
+            }
+        }
+        self.moved.notify_one();
+        said
+    }
+
+    /// Wakes the member whenever it wants to.
+    async fn keep_time(self: Rc<Self>) {
+        loop {
+            let wake = self.member.borrow().wake_at();
+            let moved = self.moved.notified();
+            match wake {
+                None => moved.await,
+                Some(at) if at > self.clock.now() => {
+                    tokio::select! {
+                        () = actix_rt::time::sleep(self.clock.until(at)) => {}
+                        () = moved => {}
+                    }
+                }
+                Some(_) => self.step(Input::Tick),
+            }
+        }
+    }
+
+    /// Hands on what was written: all of one turn of the loop together.
+    async fn copy(self: Rc<Self>) {
+        loop {
+            self.gate.wrote.notified().await;
+            self.flush();
+        }
+    }
+
+    fn flush(&self) {
+        let mut bytes = Vec::new();
+        for wrote in self.gate.news() {
+            match wrote {
+                Wrote::Bytes(more) => bytes.extend(more),
+                Wrote::Whole(whole) => {
+                    if !bytes.is_empty() {
+                        self.step(Input::Wrote(std::mem::take(&mut bytes)));
+                    }
+                    self.step(Input::Replaced(whole));
+                }
+            }
+        }
+        if !bytes.is_empty() {
+            self.step(Input::Wrote(bytes));
+        }
+    }
+
+    /// What the member wants of the courier's journal and router.
+    async fn take_over(self: Rc<Self>, courier: Rc<Courier>) {
+        loop {
+            let task = self.tasks.borrow_mut().pop_front();
+            let Some(task) = task else {
+                self.more.notified().await;
+                continue;
+            };
+            if self.replaced.get() {
+                return;
+            }
+            let done = match &task {
+                Task::Adopt { parts, settled, bytes } => courier.adopt(entries(parts, settled, bytes)),
+                Task::Settle { source, kept } => courier.settle_from(&source.into(), *kept),
+            };
+            if let Err(e) = done {
+                tracing::error!("fleet: what is taken over can't be written: {e}; again in {AGAIN:?}");
+                self.tasks.borrow_mut().push_front(task);
+                actix_rt::time::sleep(AGAIN).await;
+                continue;
+            }
+            self.flush();
+            match task {
+                Task::Adopt { parts, .. } => {
+                    parts.into_iter().for_each(|part| self.step(Input::Adopted(part)))
+                }
+                Task::Settle { source, .. } => self.step(Input::Settled(source)),
+            }
+        }
+    }
+}
+
+/// The messages of these parts of a sealed book, each with where it comes from.
+fn entries(parts: &[Source], settled: &BTreeSet<Source>, bytes: &[u8]) -> Vec<journal::Entry> {
+    let (book, _) = Book::read(bytes);
+    let owed = book.owed.into_values().filter_map(|entry| {
+        let part = part_of(entry.taken.dest);
+        let source = parts.iter().find(|source| source.part == part)?;
+        // What had come to that book from others, and was not agreed to be its own, is somebody else's.
+        let own = entry.source.as_ref().is_none_or(|from| settled.contains(&Source::from(from)));
+        own.then(|| journal::Entry { source: Some(source.into()), ..entry })
+    });
+    owed.collect()
+}
+
+fn say(note: &Note) {
+    match note {
+        Note::NoCopy { .. } | Note::CopyRefused { .. } | Note::Alone(true) | Note::CopyLate { .. } => {
+            tracing::warn!("{note}");
+        }
+        _ => tracing::info!("{note}"),
+    }
+}
+
+/// A number that no other process draws: of the seed, the time and the process.
+fn draw(seed: u64) -> u64 {
+    use std::hash::{BuildHasher, Hasher, RandomState};
+    let mut hasher = RandomState::new().build_hasher();
+    hasher.write_u64(seed);
+    hasher.finish()
+}
--- a/courier/src/program/cli.rs
+++ b/courier/src/program/cli.rs
@@ -3,6 +3,7 @@
 use super::{check, demo, inspect, log, run};
 use clap::{CommandFactory, Parser, Subcommand};
 use quillmount_operator::Operator;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -100,7 +101,14 @@
         actix_rt::System::new().block_on(run::run(operator, path, levels))
     });
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(run::Ended::Stopped) => ExitCode::SUCCESS,
+        Ok(run::Ended::Anew) => {
+            // The same process: whoever watches it, or signals it by its number, sees no other.
+            let program = std::env::current_exe().unwrap_or_else(|_| "quillmount".into());
+            let e = std::process::Command::new(program).args(std::env::args_os().skip(1)).exec();
+            tracing::error!("the process can't begin anew: {e}; start it again");
+            ExitCode::FAILURE
+        }
         Err(e) => {
             tracing::error!("{e}");
             ExitCode::FAILURE
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -2,6 +2,7 @@
 
 use super::config::{Config, ConfigError};
 use super::log::{Levels, LevelsError};
+use crate::fleet::{Fleet, FleetError};
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
@@ -60,13 +61,26 @@
     Inherited(#[from] InheritedError),
     #[error("signals: {0}")]
     Signals(std::io::Error),
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+}
+
+/// How a courier's life ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Stopped,
+    /// Its fleet has given its work to others: the process begins anew, with nothing of it.
+    Anew,
 }
 
+/// A planned stop waits so long for its fleet's word: SIGKILL comes 0.3 s after the last call's end at the soonest.
+const LEAVE: Duration = Duration::from_millis(200);
+
 /// Runs until a planned stop. `operator` came from `path`, where there is such a file.
 ///
 /// # Errors
 /// The courier can't start.
-pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<(), RunError> {
+pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<Ended, RunError> {
     let config = Config::load(|name| std::env::var(name).ok())?;
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
@@ -97,10 +111,31 @@
         never = early_calls(early.as_ref()) => match never {},
     };
     let (lock, handed) = taken.map_err(RunError::Folder)?;
+    let fleet = match operator.fleet.on {
+        false => None,
+        true => {
+            let fleet = Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone()).await?;
+            let joined = tokio::select! {
+                joined = fleet.joined() => joined,
+                never = early_calls(early.as_ref()) => match never {},
+                _ = stop.recv() => return Ok(Ended::Stopped),
+                _ = interrupt.recv() => return Ok(Ended::Stopped),
+            };
+            fleet.begin_book(&config.state, joined.1)?;
+            Some(fleet)
+        }
+    };
+    let gate = fleet.as_ref().map(|fleet| fleet.gate.clone());
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let (limits, rules) = streams(&operator.streams).unzip();
     let mark = router::mark(&config.env, limits)?;
-    let store = || Folder::open(&config.state).map_err(RunError::Folder);
+    let store = || {
+        let folder = Folder::open(&config.state).map_err(RunError::Folder)?;
+        Ok::<_, RunError>(match &gate {
+            Some(gate) => folder.with_gate(gate.clone()),
+            None => folder,
+        })
+    };
     let resumed = match handed {
         None => None,
         Some(Handed { state: hub::State { router: state, holds }, drained, parts }) => {
@@ -121,7 +156,10 @@
             (Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?, None)
         }
     };
-    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules, gate.clone());
+    if let Some(fleet) = &fleet {
+        fleet.attach(&courier, &config.state)?;
+    }
     let listener = match (inherited, came.as_mut()) {
         (Some(listener), _) => TcpListener::from_std(listener),
         // Bound by the process before, which has handed it over too.
@@ -146,7 +184,7 @@
     let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
     let listener = Rc::new(listener);
     let told = settings(&config.env, &mut Names::default()).map_err(RouterError::Decode)?;
-    let fleet = platform::Fleet {
+    let others = platform::Fleet {
         couriers: told.siblings,
         seed: config.seed,
         starts: came.is_none(),
@@ -159,7 +197,7 @@
                 actix_rt::spawn(serve(listener.clone(), courier.clone(), connections.clone())),
                 actix_rt::spawn(courier.clone().keep_time()),
                 actix_rt::spawn(courier.clone().sweep()),
-                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), fleet)),
+                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), others)),
                 actix_rt::spawn(platform::notify(courier.clone(), discovery.clone())),
             ]
         }
@@ -193,7 +231,10 @@
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
     life.begin();
     courier.set_serving(true);
-    if let Err(e) = life.listen() {
+    // In a fleet the next process joins with the same folder: it is a member of its own.
+    if fleet.is_none()
+        && let Err(e) = life.listen()
+    {
         tracing::error!("upgrade: the next process will not be heard: {e}");
     }
     actix_rt::spawn(desk.clone().keep_time());
@@ -206,6 +247,11 @@
             _ = stop.recv() => break,
             _ = interrupt.recv() => break,
             () = life.gone.notified() => return gone(&config, &mut stop).await,
+            () = replaced(fleet.as_deref()) => {
+                tracing::error!("fleet: others have its work by now: the process begins anew; {}", courier.report());
+                courier.end();
+                return Ok(Ended::Anew);
+            }
             _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
     }
@@ -227,9 +273,24 @@
         }
         sleep_until((Instant::now() + LOOK).min(begun + STOP)).await;
     }
+    if let Some(fleet) = &fleet
+        && timeout(LEAVE, fleet.leave()).await.is_err()
+    {
+        tracing::warn!(
+            "fleet: it did not confirm the leave in time: its book is taken over when the lease lapses"
+        );
+    }
     tracing::info!("{}: stopped; {}", config.name, courier.report());
     courier.end();
-    Ok(())
+    Ok(Ended::Stopped)
+}
+
+/// Waits until others have its work, if it is one of a fleet.
+async fn replaced(fleet: Option<&Fleet>) {
+    match fleet {
+        Some(fleet) => fleet.gone.notified().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Answers operators before there is anything to ask; for ever, as listeners do.
@@ -241,12 +302,12 @@
 }
 
 /// Another process decides: operators' calls are passed on to it, until this one is told to end.
-async fn gone(config: &Config, stop: &mut Signal) -> Result<(), RunError> {
+async fn gone(config: &Config, stop: &mut Signal) -> Result<Ended, RunError> {
     if config.operator.is_some() {
         let _ = timeout(PASS_ON, stop.recv()).await;
     }
     tracing::info!("{}: stopped; another process has taken over", config.name);
-    Ok(())
+    Ok(Ended::Stopped)
 }
 
 /// What the operator file lets be streamed.
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -2,6 +2,7 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
+use super::gate::Gate;
 use super::handover::{Part, Parts};
 use super::providers::{self, Came, Words};
 use super::streams::{self, Pipe, Rules, Streams};
@@ -11,6 +12,7 @@
 use quillmount_core::flow::{Cut, Flow};
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
+use quillmount_core::journal::{Entry, JournalError, Source};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
@@ -53,6 +55,8 @@
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
+    /// Where the courier is one of a fleet: what is written counts once others have it too.
+    pub gate: Option<Rc<Gate>>,
 }
 
 impl Courier {
@@ -62,6 +66,7 @@
         router: Router<Folder>,
         pool: Pool<TcpStream>,
         rules: Option<Rules>,
+        gate: Option<Rc<Gate>>,
     ) -> Rc<Self> {
         Rc::new(Courier {
             streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
@@ -80,6 +85,7 @@
             parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
+            gate,
         })
     }
 
@@ -102,7 +108,7 @@
 
     /// Whether the front may send consumers here.
     pub fn wants_consumers(&self) -> bool {
-        self.serving.get() && !self.drained.get()
+        self.serving.get() && !self.drained.get() && self.gate.as_ref().is_none_or(|g| g.takes_on().is_ok())
     }
 
     pub fn is_drained(&self) -> bool {
@@ -165,7 +171,7 @@
         let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
         let call = providers::go_on(self, part, stream);
         tracing::debug!("call: {id:?} to {addr}, destination {dest}, goes on");
-        self.make(id, addr, call, tracing::Span::none());
+        self.make(id, addr, call, None, tracing::Span::none());
     }
 
     /// Takes up a connection that rests.
@@ -199,11 +205,54 @@
     }
 
     pub fn take_on(self: &Rc<Self>, invocation: Invocation) -> Intake {
+        if let Some(Err(after)) = self.gate.as_ref().map(|gate| gate.takes_on()) {
+            self.count(|c| c.rejected += 1);
+            return Intake::Rejected { after };
+        }
         let (intake, todo) = self.hub.borrow_mut().take_on(invocation, self.clock.now());
         self.carry_out(todo);
         intake
     }
 
+    /// What is written by now is where it has to be: at once, but in a fleet.
+    pub async fn copied(&self) {
+        if let Some(gate) = &self.gate {
+            gate.copied().await;
+        }
+    }
+
+    /// The courier may act on what is written by now: at once, but in a fleet.
+    pub async fn may_act(&self) {
+        if let Some(gate) = &self.gate {
+            gate.pass(gate.written(), Micros::MAX).await;
+        }
+    }
+
+    /// Takes over what another courier's book owes; see [`Router::adopt`].
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt(self: &Rc<Self>, entries: Vec<Entry>) -> Result<(), JournalError> {
+        let todo = self.hub.borrow_mut().adopt(entries, self.clock.now())?;
+        self.carry_out(todo);
+        Ok(())
+    }
+
+    /// Sources whose messages wait for the fleet's word.
+    pub fn unsettled(&self) -> Vec<Source> {
+        self.hub.borrow().router.unsettled().cloned().collect()
+    }
+
+    /// The fleet has said whose the messages of a source are; see [`Router::settle_from`].
+    ///
+    /// # Errors
+    /// The store refused the record: they go on to wait.
+    pub fn settle_from(self: &Rc<Self>, source: &Source, kept: bool) -> Result<(), JournalError> {
+        let todo = self.hub.borrow_mut().settle(source, kept, self.clock.now())?;
+        self.carry_out(todo);
+        Ok(())
+    }
+
     /// A stream's head has come; its body is read once a call has begun.
     ///
     /// # Errors
@@ -422,23 +471,32 @@
             attempt = call.call.attempt
         );
         let (id, addr) = (call.call, call.addr);
+        let passes = self.gate.as_ref().map(|gate| (gate.clone(), gate.written(), call.by));
         let call = providers::begin(call, self.clock.now());
-        self.make(id, addr, call, span);
+        self.make(id, addr, call, passes, span);
     }
 
-    /// Makes a call, from where it stands.
+    /// Makes a call, from where it stands; one that is to pass the gate does so before its first byte.
     fn make(
         self: &Rc<Self>,
         id: CallId,
         addr: SocketAddr,
         call: (Call<TcpStream>, Micros),
+        passes: Option<(Rc<Gate>, u64, Micros)>,
         span: tracing::Span,
     ) {
         let words = Rc::new(Words::default());
         self.words.borrow_mut().insert(id, words.clone());
         let this = self.clone();
         let made = async move {
-            let came = if call.0.order.stream {
+            // On the heap: without a fleet no call would have to carry the room for it.
+            let passed = match passes {
+                None => true,
+                Some((gate, mark, by)) => Box::pin(async move { gate.pass(mark, by).await }).await,
+            };
+            let came = if !passed {
+                Came::Ended(CallEnd::HeldBack)
+            } else if call.0.order.stream {
                 let pipe = this.pipes.borrow().get(&id.msg).cloned();
                 Came::Ended(match pipe {
                     // On the heap: every other call would carry the room for it along.
--- a/courier/src/transport/folder.rs
+++ b/courier/src/transport/folder.rs
@@ -1,9 +1,18 @@
 //! The journal's file in the folder that lasts.
 
+use super::gate::{Gate, Wrote};
 use quillmount_core::store::Store;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// Where a replacement stands until it is whole.
+fn half(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    name.into()
+}
 
 /// An append-only file, and its whole replacement by a copy beside it.
 pub struct Folder {
@@ -12,6 +21,8 @@
     len: u64,
     /// A write failed and what it left could not be cut off yet: it would hide every later record.
     torn: bool,
+    /// Whoever waits for what is written to be copied elsewhere, too.
+    gate: Option<Rc<Gate>>,
 }
 
 impl Folder {
@@ -20,17 +31,30 @@
     /// # Errors
     /// The folder or its file can't be made, opened or rid of a half copy; the text names the path.
     pub fn open(folder: &Path) -> io::Result<Folder> {
-        let path = folder.join("journal");
+        Self::open_file(folder, "journal")
+    }
+
+    /// The same, with a file of another name.
+    ///
+    /// # Errors
+    /// The folder or its file can't be made, opened or rid of a half copy; the text names the path.
+    pub fn open_file(folder: &Path, name: &str) -> io::Result<Folder> {
+        let path = folder.join(name);
         let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
         fs::create_dir_all(folder).map_err(named)?;
         // A replacement that a kill cut short: the old file still tells all.
-        match fs::remove_file(path.with_extension("new")) {
+        match fs::remove_file(half(&path)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(named(e)),
             _ => {}
         }
         let file = OpenOptions::new().create(true).append(true).open(&path).map_err(named)?;
         let len = file.metadata().map_err(named)?.len();
-        Ok(Folder { path, file, len, torn: false })
+        Ok(Folder { path, file, len, torn: false, gate: None })
+    }
+
+    /// Tells of each write from here on.
+    pub fn with_gate(self, gate: Rc<Gate>) -> Folder {
+        Folder { gate: Some(gate), ..self }
     }
 
     fn named(&self, e: io::Error) -> io::Error {
@@ -64,15 +88,21 @@
             return Err(self.named(e));
         }
         self.len += bytes.len() as u64;
+        if let Some(gate) = &self.gate {
+            gate.note(Wrote::Bytes(bytes.to_vec()));
+        }
         Ok(())
     }
 
     fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let copy = self.path.with_extension("new");
+        let copy = half(&self.path);
         fs::write(&copy, bytes).map_err(|e| self.named(e))?;
         let file = OpenOptions::new().append(true).open(&copy).map_err(|e| self.named(e))?;
         fs::rename(&copy, &self.path).map_err(|e| self.named(e))?;
         (self.file, self.len, self.torn) = (file, bytes.len() as u64, false);
+        if let Some(gate) = &self.gate {
+            gate.note(Wrote::Whole(bytes.to_vec()));
+        }
         Ok(())
     }
 }
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod courier;
 pub mod folder;
+pub mod gate;
 pub mod handover;
 pub mod inherited;
 pub mod operators;
@@ -16,7 +17,7 @@
 
 /// A client that does what it is told once: awc's own answer to redirects, its five seconds for any
 /// answer and its default headers all act behind the caller's back.
-fn plain_client<S, Io>(connector: awc::Connector<S>) -> awc::Client
+pub(crate) fn plain_client<S, Io>(connector: awc::Connector<S>) -> awc::Client
 where
     S: actix_service::Service<
             actix_tls::connect::ConnectInfo<awc::http::Uri>,
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -162,6 +162,8 @@
             courier.notices_wanted().await;
             continue;
         };
+        // In a fleet: an end is told once others know it too, and by whoever may.
+        courier.may_act().await;
         courier.count(|c| c.notice_tries += 1);
         let addr = *discovery.borrow_and_update();
         let post = client.post(format!("http://{addr}{}", notice::PATH)).send_body(notice::encode(&notices));
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -475,6 +475,9 @@
                 Err(why) => why.into(),
                 Ok(head) => {
                     let intake = self.courier.take_on(head.with_body(body));
+                    if intake == Intake::TakenOn {
+                        self.courier.copied().await;
+                    }
                     Asked::Answered(invocation::answer(intake))
                 }
             },
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -601,9 +601,8 @@
                 let mine = name == self.plan.me && self.epoch == Some(epoch);
                 match self.pending.get_mut(&source) {
                     Some(pending) if mine => {
-                        if !std::mem::replace(&mut pending.kept, true) {
-                            out.push(Output::Settle { source, kept: true });
-                        }
+                        let before = std::mem::replace(&mut pending.kept, true);
+                        out.extend((!before).then_some(Output::Settle { source, kept: true }));
                     }
                     Some(_) => {
                         self.pending.remove(&source);
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -4,9 +4,11 @@
 //! It is JSON with a version and a schema (`docs/schema/operator.json`), one section for each subsystem. Fields
 //! that no section has are refused: a misspelt limit would else be one that is not kept.
 
+pub mod fleet;
 pub mod problems;
 pub mod units;
 
+use fleet::Fleet;
 use problems::Problem;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -32,11 +34,19 @@
     pub log: Log,
     #[serde(default)]
     pub streams: Streams,
+    #[serde(default)]
+    pub fleet: Fleet,
 }
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { schema: None, version: VERSION, log: Log::default(), streams: Streams::default() }
+        Operator {
+            schema: None,
+            version: VERSION,
+            log: Log::default(),
+            streams: Streams::default(),
+            fleet: Fleet::default(),
+        }
     }
 }
 
@@ -225,7 +235,12 @@
             let what = format!("{}, where this program reads {VERSION}", operator.version);
             return Err(vec![Problem::new("$.version", what)]);
         }
-        let found = operator.streams.problems();
+        let mut found = operator.streams.problems();
+        found.extend(operator.fleet.problems());
+        if operator.fleet.on && operator.streams.on {
+            let what = "bodies that are passed on have no copy: switch one of the two off";
+            found.push(Problem::new("$.streams.on", what));
+        }
         if !found.is_empty() {
             return Err(found);
         }
@@ -275,6 +290,34 @@
         }
     }
 
+    #[test]
+    fn a_fleet_that_can_not_be_is_told_all_at_once() {
+        let text = r#"{"version": 1, "streams": {"on": true}, "fleet": {"on": true, "me": "x", "listen": "192.0.2.1:1",
+            "members": [{"name": "a", "addr": "127.0.0.1:1"}, {"name": "a", "addr": "127.0.0.1:1"},
+            {"name": "b/", "addr": "here"}], "voters": ["a", "c"], "lease": "1s", "drift": 0.2, "copies": 3}}"#;
+        let told = problems(text);
+        let wanted = [
+            "members[1].name: \"a\" is there twice",
+            "members[1].addr: 127.0.0.1:1 is another member's",
+            "members[2].name: \"b/\"",
+            "members[2].addr: \"here\" is no address",
+            "me: \"x\" is not among the members",
+            "listen: 192.0.2.1:1 is off this machine",
+            "voters: 2 of them",
+            "voters[1]: \"c\" is not among the members",
+            "drift: from 0 to 0.05",
+            "lease: from 1.5s",
+            "copies: 3 copies need 4 members",
+        ];
+        assert_eq!(told.len(), wanted.len() + 1, "{told:#?}");
+        for (told, wanted) in told.iter().zip(wanted) {
+            assert!(told.starts_with(&format!("$.fleet.{wanted}")), "{told}, not {wanted}");
+        }
+        assert!(told.last().is_some_and(|told| told.starts_with("$.streams.on: ")), "{told:#?}");
+        // What is off is not looked at.
+        assert!(Operator::parse(br#"{"version": 1, "fleet": {"me": "x"}}"#).is_ok());
+    }
+
     /// `docs/schema/operator.json` is what `quillmount schema` prints; the example holds to it.
     #[test]
     fn the_schema_on_the_page_is_fresh_and_the_example_has_everything_off() {
