--- a/standins/src/audit.rs
+++ b/standins/src/audit.rs
@@ -480,6 +480,7 @@
                     }
                 }
                 Record::Told { .. } | Record::Over { .. } | Record::Hold { .. } | Record::Release { .. } => {}
+                Record::Sealed | Record::From { .. } | Record::Settled { .. } => {}
             }
         }
     }
