--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -456,7 +456,8 @@
         // An id is fresh with every invocation, and the end that is told under it must be its own.
         let known = self.ids.get(&id).filter(|_| !breaks::on(Break::TakeOnTwice));
         if let Some(msg) = known {
-            return match self.owed[msg].end {
+            // One that waits for the fleet's word is not owed yet.
+            return match self.owed.get(msg).and_then(|owed| owed.end) {
                 None => Intake::Open,
                 Some(Ending::Deferred(after)) => Intake::Rejected { after },
                 Some(Ending::Undeliverable) => Intake::Failed,
--- a/core/tests/adopt.rs
+++ b/core/tests/adopt.rs
@@ -6,9 +6,9 @@
 use quillmount_core::journal::{Book, End, Entry, JournalError, PastCall, TakenOn};
 use quillmount_core::note::Note;
 use quillmount_core::pool::Pool;
-use quillmount_core::router::Router;
+use quillmount_core::router::{Intake, Router};
 use quillmount_core::store::{Fault, Memory};
-use quillmount_core::{Ending, InvokerCall, ProviderList};
+use quillmount_core::{Ending, Invocation, InvokerCall, ProviderList};
 use spurshore::ListState;
 use spurshore_settings::{Category, Env};
 
@@ -170,6 +170,9 @@
     let store = Memory::of(hub.router.journal().store().bytes().to_vec());
     let mut hub = open(store, DISK);
     assert_eq!(hub.router.unsettled().cloned().collect::<Vec<_>>(), [source(1), source(2)]);
+    let (id, class, time_left) = ("m2".into(), "fee-debit".into(), 9_000_000);
+    let again = Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body: [][..].into() };
+    assert_eq!(hub.take_on(again, NOW).0, Intake::Open, "its id is taken meanwhile");
     let todo = hub.settle(&source(1), true, NOW).unwrap();
     assert_eq!(ids(calls(todo)), ["m1"]);
     assert!(hub.settle(&source(2), false, NOW).unwrap().is_empty());
