Make a courier's life one machine, and a stop during a hand-over decided

Cause: six flags held it (serving, stopping, hands_over, frozen, drained, ended), beside the desk's drain and the hand-over's giver, which say the same again.

Change: core/src/machine/life.rs holds the state, the drain and the giver; each stands once. A stop that comes during a hand-over waits for its end: who holds the lock then stops as planned, its times counted from the signal; who has let go ends at once, and does not wait for operators' calls to pass on. The driver of hand-overs is Holder, since a life is the machine's now. Otherwise nothing changes.

On processes: SIGTERM between the asking and the taker's word, which then is silence or a yes.

--- a/core/src/machine/mod.rs
+++ b/core/src/machine/mod.rs
@@ -1,4 +1,4 @@
-//! The state machines of one attempt, one connection on either side, the watch and the notices.
+//! The state machines of one attempt, one connection on either side, the watch, the notices and the courier's life.
 //!
 //! Each is told what happened and when, and says what is to be done; whoever drives it only moves bytes.
 //! `docs/states.md` holds their tables, printed from the code here by [`tables`].
@@ -7,6 +7,7 @@
 pub mod consumer;
 pub mod drain;
 pub mod handover;
+pub mod life;
 pub mod link;
 pub mod notices;
 pub mod watch;
@@ -67,6 +68,7 @@
         consumer::Consumer::table(),
         watch::Watch::table(),
         notices::Notices::table(),
+        life::Life::table(),
         drain::Drain::table(),
         handover::Giver::table(),
         handover::Taker::table(),
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -5,14 +5,15 @@
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
-use crate::transport::handover::{self, Handed, Life};
+use crate::transport::handover::{self, Handed, Holder};
 use crate::transport::inherited::{self, InheritedError};
 use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
 use crate::transport::server::{Connections, serve};
 use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
-use actix_rt::time::{Instant, sleep, sleep_until, timeout};
+use actix_rt::time::{sleep, timeout};
+use quillmount_core::machine::life::Input;
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{self, Router, RouterError, StreamLimits};
 use quillmount_core::{flow, hub};
@@ -164,14 +165,13 @@
             ]
         }
     };
-    let life = Rc::new(Life {
+    let holder = Rc::new(Holder {
         courier: courier.clone(),
         connections: connections.clone(),
         desk: desk.clone(),
         folder: config.state.clone(),
         mark,
         listener,
-        giver: RefCell::default(),
         lock: Cell::new(Some(lock)),
         begin: Box::new(begin),
         tasks: RefCell::default(),
@@ -182,7 +182,7 @@
         Some((holds, drained, parts)) => {
             tracing::info!("upgrade: {} parts came over", parts.len());
             courier.resume(&holds, steps);
-            life.adopt(parts);
+            holder.adopt(parts);
             if drained {
                 desk.drained();
             }
@@ -191,9 +191,9 @@
     // Through a planned stop too: the last notices go where the platform is by then.
     let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
-    life.begin();
-    courier.set_serving(true);
-    if let Err(e) = life.listen() {
+    holder.begin();
+    courier.live(Input::Serve);
+    if let Err(e) = holder.listen() {
         tracing::error!("upgrade: the next process will not be heard: {e}");
     }
     actix_rt::spawn(desk.clone().keep_time());
@@ -201,34 +201,36 @@
         actix_rt::spawn(async move { operators::serve(&operators, Some(desk)).await });
     }
 
-    loop {
+    let asked = loop {
         tokio::select! {
-            _ = stop.recv() => break,
-            _ = interrupt.recv() => break,
-            () = life.gone.notified() => return gone(&config, &mut stop).await,
+            _ = stop.recv() => ask_to_stop(&courier),
+            _ = interrupt.recv() => ask_to_stop(&courier),
+            asked = courier.stops() => break asked,
+            () = holder.gone.notified() => return gone(&config, &courier, &mut stop).await,
             _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
-    }
-    let begun = Instant::now();
+    };
+    // A hand-over that was under way when it was asked for has taken a part of its time.
+    let left = |of: Duration| clock.until(asked + of.as_micros() as u64);
     tracing::info!("{}: stopping; {}", config.name, courier.report());
-    courier.stop(clock.now() + CALLS_END.as_micros() as u64);
+    courier.stop(asked + CALLS_END.as_micros() as u64);
     connections.close_after_answers(true);
-    sleep(ACCEPT_ON).await;
-    if let Some(server) = life.tasks.borrow().first() {
+    sleep(left(ACCEPT_ON)).await;
+    if let Some(server) = holder.tasks.borrow().first() {
         server.abort();
     }
-    while begun.elapsed() < STOP {
-        if begun.elapsed() >= CALLS_END {
+    while left(STOP) > Duration::ZERO {
+        if left(CALLS_END) == Duration::ZERO {
             courier.end_streams();
         }
         let open = connections.close_idle();
         if !open && courier.is_quiet() {
             break;
         }
-        sleep_until((Instant::now() + LOOK).min(begun + STOP)).await;
+        sleep(LOOK.min(left(STOP))).await;
     }
     tracing::info!("{}: stopped; {}", config.name, courier.report());
-    courier.end();
+    courier.live(Input::End);
     Ok(())
 }
 
@@ -240,9 +242,16 @@
     std::future::pending().await
 }
 
+fn ask_to_stop(courier: &Courier) {
+    courier.live(Input::Stop);
+    if courier.life().stopping().is_none() {
+        tracing::info!("upgrade: told to stop while all is being handed over: its end is waited for");
+    }
+}
+
 /// Another process decides: operators' calls are passed on to it, until this one is told to end.
-async fn gone(config: &Config, stop: &mut Signal) -> Result<(), RunError> {
-    if config.operator.is_some() {
+async fn gone(config: &Config, courier: &Courier, stop: &mut Signal) -> Result<(), RunError> {
+    if config.operator.is_some() && !courier.life().is_told_to_stop() {
         let _ = timeout(PASS_ON, stop.recv()).await;
     }
     tracing::info!("{}: stopped; another process has taken over", config.name);
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -11,6 +11,7 @@
 use quillmount_core::flow::{Cut, Flow};
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
+use quillmount_core::machine::life::{self, Life};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
@@ -38,18 +39,10 @@
     pub rules: Option<Rules>,
     pub streams: Streams,
     pipes: RefCell<HashMap<MsgId, Rc<Pipe>>>,
-    /// The process is at its end: what is dropped now is taken up by the next life.
-    ended: Cell<bool>,
-    serving: Cell<bool>,
-    /// A planned stop has begun.
-    stopping: Cell<bool>,
-    /// Another process goes on: tasks give their parts up.
-    hands_over: Cell<bool>,
-    /// Nothing is decided here any more, or not now.
-    frozen: Cell<bool>,
+    life: Cell<Life>,
+    /// A planned stop begins.
+    stops: Notify,
     parts: RefCell<Parts<TcpStream>>,
-    /// Operators have emptied it: the front is told no.
-    drained: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
@@ -67,16 +60,12 @@
             streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
             rules,
             pipes: RefCell::default(),
-            ended: Cell::new(false),
             clock,
             connect,
             hub: RefCell::new(Hub::new(router, pool)),
             words: RefCell::default(),
-            serving: Cell::new(false),
-            stopping: Cell::new(false),
-            drained: Cell::new(false),
-            hands_over: Cell::new(false),
-            frozen: Cell::new(false),
+            life: Cell::default(),
+            stops: Notify::new(),
             parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
@@ -88,30 +77,30 @@
         one(&mut self.hub.borrow_mut().router.counters);
     }
 
-    pub fn is_serving(&self) -> bool {
-        self.serving.get()
+    /// Where it is in its life.
+    pub fn life(&self) -> Life {
+        self.life.get()
     }
 
-    pub fn set_serving(&self, serving: bool) {
-        self.serving.set(serving);
-    }
-
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
-    }
-
-    /// Whether the front may send consumers here.
-    pub fn wants_consumers(&self) -> bool {
-        self.serving.get() && !self.drained.get()
-    }
-
-    pub fn is_drained(&self) -> bool {
-        self.drained.get()
+    /// Something happened to its life; what is to be done.
+    pub fn live(&self, input: life::Input) -> life::Output {
+        let mut life = self.life.get();
+        let output = life.step(input, self.clock.now());
+        self.life.set(life);
+        if life.stopping().is_some() {
+            self.stops.notify_one();
+        }
+        output
     }
 
-    /// Tasks are to give their parts up to another process.
-    pub fn hands_over(&self) -> bool {
-        self.hands_over.get()
+    /// Waits for a planned stop; when it was asked for.
+    pub async fn stops(&self) -> Micros {
+        loop {
+            match self.life().stopping() {
+                Some(asked) => return asked,
+                None => self.stops.notified().await,
+            }
+        }
     }
 
     /// A task gives its part up.
@@ -122,7 +111,6 @@
     /// Asks all calls to give their parts up; streams end as at a planned stop.
     pub fn hand_over(self: &Rc<Self>) {
         self.end_streams();
-        self.hands_over.set(true);
         self.words.borrow().values().for_each(|words| words.give());
     }
 
@@ -136,14 +124,8 @@
         self.parts.take()
     }
 
-    /// Another process has taken over, or the planned stop is done.
-    pub fn has_ended(&self) -> bool {
-        self.ended.get()
-    }
-
-    /// From here on nothing is decided: all state, and all parts.
-    pub fn freeze(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
-        self.frozen.set(true);
+    /// All state, and all parts, once nothing is decided any more.
+    pub fn frozen(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
         let mut parts = self.parts.take();
         let resting = self.pool(Pool::take_resting);
         parts.extend(
@@ -154,12 +136,6 @@
         (self.hub.borrow().state(settings), parts)
     }
 
-    /// Decides again, as if nothing had been asked.
-    pub fn thaw(&self) {
-        self.frozen.set(false);
-        self.hands_over.set(false);
-    }
-
     /// Takes up a call of another process, or of this one before it froze.
     pub fn go_on(self: &Rc<Self>, part: call::Part, stream: Option<TcpStream>) {
         let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
@@ -189,10 +165,6 @@
         self.carry_out(todo);
     }
 
-    pub fn set_drained(&self, drained: bool) {
-        self.drained.set(drained);
-    }
-
     /// The connections to the providers.
     pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
         act(&mut self.hub.borrow_mut().pool)
@@ -266,14 +238,9 @@
         self.stream(|router| router.answered(msg, heard, now));
     }
 
-    /// From here on nothing is begun any more.
-    pub fn end(&self) {
-        self.ended.set(true);
-    }
-
     /// Its connection has ended before its answer.
     pub fn stream_lost(self: &Rc<Self>, msg: MsgId) {
-        if self.ended.get() {
+        if self.life().has_ended() {
             return;
         }
         let pipe = self.pipes.borrow().get(&msg).cloned();
@@ -289,7 +256,7 @@
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
-        if self.frozen.get() {
+        if self.life().is_frozen() {
             // Whoever decides next watches from the version that is known.
             return;
         }
@@ -314,9 +281,8 @@
         self.hub.borrow().router.version()
     }
 
+    /// The process ends at `at`.
     pub fn stop(self: &Rc<Self>, at: Micros) {
-        self.serving.set(false);
-        self.stopping.set(true);
         let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
         self.carry_out(todo);
     }
@@ -330,7 +296,7 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
-        if self.frozen.get() {
+        if self.life().is_frozen() {
             // Told twice does no harm.
             return;
         }
@@ -369,7 +335,7 @@
                     }
                 }
             }
-            if self.frozen.get() {
+            if self.life().is_frozen() {
                 return;
             }
             if wake.is_some_and(|at| at <= self.clock.now()) {
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -12,7 +12,8 @@
 use quillmount_core::call;
 use quillmount_core::hub;
 use quillmount_core::machine::consumer;
-use quillmount_core::machine::handover::{Giver, GiverInput, GiverOutput, Taker, TakerInput, TakerOutput};
+use quillmount_core::machine::handover::{GiverInput, GiverOutput, Taker, TakerInput, TakerOutput};
+use quillmount_core::machine::life;
 use quillmount_protocol::operator::Call;
 use serde::{Deserialize, Serialize};
 use spurshore::Micros;
@@ -236,7 +237,7 @@
 }
 
 /// What the deciding process needs to hand over, and to take back.
-pub struct Life {
+pub struct Holder {
     pub courier: Rc<Courier>,
     pub connections: Rc<Connections>,
     pub desk: Rc<Desk>,
@@ -245,7 +246,6 @@
     pub mark: u32,
     /// The consumers' listening socket.
     pub listener: Rc<TcpListener>,
-    pub giver: RefCell<Giver>,
     pub lock: Cell<Option<Lock>>,
     /// Begins its tasks: the server, the clock, the watch and the notices.
     pub begin: Box<dyn Fn() -> Vec<tokio::task::JoinHandle<()>>>,
@@ -253,7 +253,7 @@
     pub gone: Notify,
 }
 
-impl Life {
+impl Holder {
     /// Puts a part to work.
     fn put(&self, part: Part, stream: Option<TcpStream>) {
         match (part, stream) {
@@ -299,19 +299,19 @@
         }
         let listener = UnixListener::bind(&path)?;
         std::fs::set_permissions(&path, Permissions::from_mode(0o600))?;
-        let life = self.clone();
+        let holder = self.clone();
         actix_rt::spawn(async move {
             let peers = Rc::new(Cell::new(0));
             loop {
                 tokio::select! {
                     biased;
-                    () = life.gone.notified() => break,
+                    () = holder.gone.notified() => break,
                     Ok((stream, _)) = listener.accept() => {
                         if peers.get() < PEERS {
                             peers.set(peers.get() + 1);
-                            let (life, peers) = (life.clone(), peers.clone());
+                            let (holder, peers) = (holder.clone(), peers.clone());
                             actix_rt::spawn(async move {
-                                if let Err(e) = life.attend(stream).await {
+                                if let Err(e) = holder.attend(stream).await {
                                     tracing::debug!("upgrade: another process: {e}");
                                 }
                                 peers.set(peers.get() - 1);
@@ -320,7 +320,7 @@
                     }
                 }
             }
-            life.gone.notify_one();
+            holder.gone.notify_one();
         });
         Ok(())
     }
@@ -334,7 +334,6 @@
         let (mut channel, frame) = opened.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
         match frame {
             Frame::Call(call) => channel.send(&Frame::Said(self.desk.answer(call).await), None).await,
-            Frame::Ask if self.courier.is_stopping() => channel.send(&Frame::Busy, None).await,
             Frame::Ask => match self.step(GiverInput::Asked) {
                 GiverOutput::Collect => self.hand_over(&mut channel).await,
                 _ => channel.send(&Frame::Busy, None).await,
@@ -344,7 +343,10 @@
     }
 
     fn step(&self, input: GiverInput) -> GiverOutput {
-        self.giver.borrow_mut().step(input, self.courier.clock.now())
+        match self.courier.live(life::Input::Give(input)) {
+            life::Output::Give(output) => output,
+            _ => GiverOutput::Nothing,
+        }
     }
 
     /// Hands all over, or takes all back.
@@ -368,10 +370,10 @@
             }
         }
         let frozen = clock.now();
-        let (state, parts) = self.courier.freeze(self.mark);
         self.step(GiverInput::Collected);
+        let (state, parts) = self.courier.frozen(self.mark);
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
-        let until = self.giver.borrow().wake_at().unwrap_or_default();
+        let until = self.courier.life().give_by().unwrap_or_default();
         let sent = timeout(clock.until(until), self.send(channel, state, &parts)).await;
         let word = match sent {
             Ok(Ok(())) => GiverInput::Got,
@@ -386,7 +388,6 @@
                 let count = parts.len();
                 drop(parts);
                 drop(self.lock.take());
-                self.courier.end();
                 tracing::info!(
                     "upgrade: handed over {count} parts in {} us, of which {} us without a decision",
                     clock.now() - begun,
@@ -409,7 +410,7 @@
         state: hub::State,
         parts: &[(Part, Option<TcpStream>)],
     ) -> io::Result<()> {
-        let drained = self.courier.is_drained();
+        let drained = self.courier.life().is_drained();
         let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1 };
         channel.send(&first, None).await?;
         drop(first);
@@ -427,7 +428,6 @@
     /// Goes on as if nothing had been asked.
     fn take_back(&self, parts: Parts<TcpStream>) {
         tracing::warn!("upgrade: not handed over; this process goes on");
-        self.courier.thaw();
         for (part, stream) in parts.into_iter().chain(self.courier.given()) {
             self.put(part, stream);
         }
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -5,9 +5,9 @@
 use super::server::Connections;
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
-use quillmount_core::machine::drain::{Drain, Input, Output};
+use quillmount_core::machine::drain::{Input, Output};
+use quillmount_core::machine::life;
 use quillmount_protocol::operator::{self, BadCall, Call, LINE_MAX, Line};
-use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -32,7 +32,6 @@
 pub struct Desk {
     courier: Rc<Courier>,
     connections: Rc<Connections>,
-    drain: RefCell<Drain>,
     moved: Notify,
     /// Where the process listens that takes over.
     folder: PathBuf,
@@ -40,7 +39,7 @@
 
 impl Desk {
     pub fn new(courier: Rc<Courier>, connections: Rc<Connections>, folder: PathBuf) -> Rc<Self> {
-        Rc::new(Desk { courier, connections, drain: RefCell::default(), moved: Notify::new(), folder })
+        Rc::new(Desk { courier, connections, moved: Notify::new(), folder })
     }
 
     /// Goes on with the drain of another process.
@@ -51,10 +50,10 @@
     /// The answer to a call, from this process or from the one that has taken over.
     pub async fn answer(&self, call: Call) -> String {
         // What changes now would not be among what is handed over; it is not known yet who decides.
-        while self.courier.hands_over() && !self.courier.has_ended() {
+        while self.courier.life().hands_over() && !self.courier.life().has_ended() {
             sleep(LOOK).await;
         }
-        let said = if self.courier.has_ended() {
+        let said = if self.courier.life().has_ended() {
             match handover::pass_on(&self.folder, &call).await {
                 Ok(said) => return said,
                 Err(e) => Err(format!("another process has taken over, and can't be asked: {e}")),
@@ -71,7 +70,7 @@
     /// Looks for connections at rest while the courier is drained.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let wake = self.drain.borrow().wake_at();
+            let wake = self.courier.life().look_at();
             match wake {
                 None => self.moved.notified().await,
                 Some(at) => {
@@ -86,8 +85,8 @@
     }
 
     fn step(&self, input: Input) {
-        let output = self.drain.borrow_mut().step(input, self.courier.clock.now());
-        let drained = self.drain.borrow().is_drained();
+        let life::Output::Drain(output) = self.courier.live(life::Input::Drain(input)) else { return };
+        let drained = self.courier.life().is_drained();
         match output {
             Output::Nothing => {}
             Output::LastAnswers | Output::Keep => {
@@ -95,8 +94,8 @@
                     "operators: {}",
                     if drained { "drained" } else { "consumers are wanted again" }
                 );
-                self.courier.set_drained(drained);
-                self.connections.close_after_answers(drained || self.courier.is_stopping());
+                let stops = self.courier.life().stopping().is_some();
+                self.connections.close_after_answers(drained || stops);
                 self.moved.notify_one();
             }
             Output::Empty => drop(self.connections.close_idle()),
@@ -109,9 +108,10 @@
 
     /// Carries a call out; what is to be said of it, or why nothing was done.
     fn call(&self, call: &Call) -> Result<String, String> {
+        let life = self.courier.life();
         match call {
-            Call::Ready if self.courier.is_stopping() => Err("this process is stopping".into()),
-            Call::Ready if self.courier.is_serving() => Ok("ready".into()),
+            Call::Ready if life.stopping().is_some() => Err("this process is stopping".into()),
+            Call::Ready if life.is_serving() => Ok("ready".into()),
             Call::Ready => Err("this process does not serve yet".into()),
             Call::Drain => {
                 self.step(Input::Drain);
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -167,7 +167,7 @@
     let deadline = sleep(clock.until(until));
     tokio::pin!(deadline);
     let mut request = Vec::new();
-    if courier.hands_over() {
+    if courier.life().hands_over() {
         return given(courier, call, until);
     }
     let mut told = match call.state() {
@@ -200,7 +200,7 @@
             words.forget_hold();
             request = invoker::encode(&call.order);
         }
-        if courier.hands_over() {
+        if courier.life().hands_over() {
             return given(courier, call, until);
         }
         let input = match (state, call.parts()) {
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -201,7 +201,7 @@
         // What is accepted is served: a connection dropped in between would be one turned back unheard.
         let accepted = tokio::select! {
             biased;
-            () = connections.accepts.notified() => match courier.hands_over() {
+            () = connections.accepts.notified() => match courier.life().hands_over() {
                 true => return,
                 false => continue,
             },
@@ -254,7 +254,7 @@
         let (mut machine, mut todo) = Consumer::resumed(state);
         let mut answer = None;
         loop {
-            if self.courier.hands_over() && matches!(todo, Output::Read | Output::Rest) {
+            if self.courier.life().hands_over() && matches!(todo, Output::Read | Output::Rest) {
                 return Ok(Some(machine.state()));
             }
             let input = match todo {
@@ -281,7 +281,7 @@
                     tokio::select! {
                         biased;
                         _ = self.stream.readable() => Input::Readable,
-                        () = self.leave.notified() => match self.courier.hands_over() {
+                        () = self.leave.notified() => match self.courier.life().hands_over() {
                             true => continue,
                             false => Input::Leave,
                         },
@@ -318,7 +318,7 @@
                     biased;
                     asked = &mut request => break Some(asked?),
                     () = leave.notified() => {
-                        if courier.hands_over() {
+                        if courier.life().hands_over() {
                             return Ok(None);
                         }
                         // Room is short: what is on its way has a moment left.
@@ -561,7 +561,7 @@
 }
 
 fn probe(courier: &Courier, request: &Request) -> Response<Bytes> {
-    let serving = courier.wants_consumers() || request.path() == "/-/healthy";
+    let serving = courier.life().wants_consumers() || request.path() == "/-/healthy";
     match (request.method(), serving) {
         (&Method::GET | &Method::HEAD, true) => invocation::plain(StatusCode::OK, "ready\n"),
         (&Method::GET | &Method::HEAD, false) => {
--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -246,26 +246,33 @@
     });
 }
 
+/// A process that wants to take over, and has asked.
+fn asks(stage: &Stage) -> std::os::unix::net::UnixStream {
+    use std::io::{Read, Write};
+    let path = stage.courier.folder.join("state/handover");
+    let mut taker = std::os::unix::net::UnixStream::connect(path).unwrap();
+    taker.write_all(b"qmh\x00\x00\x02").unwrap();
+    taker.write_all(&[1, 0, 0, 0, 0]).unwrap();
+    let mut hello = [0; 6];
+    taker.read_exact(&mut hello).unwrap();
+    assert_eq!(&hello, b"qmh\x00\x00\x02");
+    taker
+}
+
 /// A taker that says nothing once all has come: the holder goes on with every connection and call.
 #[test]
 fn a_hand_over_that_is_not_confirmed_is_taken_back() {
-    use std::io::{Read, Write};
+    use std::io::Read;
     play(|| async {
         let mut stage = stage(Script { delay: Duration::from_millis(900), ..Script::default() }).await;
         let mut rests = TcpStream::connect(stage.courier.addr).await.unwrap();
         assert_eq!(hand_in_on(&mut rests, "out").await, 202);
         stage.sees("out", |what| matches!(what, What::Body { .. })).await;
         for says in [0, 1] {
-            let path = stage.courier.folder.join("state/handover");
-            let mut taker = std::os::unix::net::UnixStream::connect(path).unwrap();
-            taker.write_all(b"qmh\x00\x00\x02").unwrap();
-            taker.write_all(&[1, 0, 0, 0, 0]).unwrap();
-            let mut hello = [0; 6];
-            taker.read_exact(&mut hello).unwrap();
-            assert_eq!(&hello, b"qmh\x00\x00\x02");
+            let mut taker = asks(&stage);
             if says == 0 {
                 // It dies at the first bytes of what comes; the other time it is silent.
-                taker.read_exact(&mut hello[..1]).unwrap();
+                taker.read_exact(&mut [0]).unwrap();
                 drop(taker);
             } else {
                 taker.read_to_end(&mut Vec::new()).unwrap();
@@ -332,3 +339,43 @@
         stage.sees("owed", |what| *what == What::CallBegan).await;
     });
 }
+
+/// SIGTERM comes while another process takes all over: who holds the lock in the end stops as planned, and who has let
+/// go ends at once. Without an answer of the taker in time it is the first of the two, so that case is tried until the
+/// signal has come in between.
+#[test]
+fn a_stop_in_the_middle_of_a_hand_over_waits_for_who_decides_then() {
+    use std::io::{Read, Write};
+    for confirms in [false, true] {
+        play(|| async {
+            let (mut stage, mut taker) = loop {
+                let stage = stage(Script::silent()).await;
+                assert_eq!(stage.hand_in("owed").await, 202);
+                let taker = asks(&stage);
+                stage.courier.term().unwrap();
+                let mut lines = std::iter::from_fn(|| stage.courier.log.recv_timeout(PATIENCE).ok());
+                let decides = |line: &String| line.contains("told to stop") || line.contains("stopping");
+                if lines.find(decides).unwrap().contains("told to stop") {
+                    break (stage, taker);
+                }
+            };
+            if confirms {
+                taker.write_all(&[1, 0, 0, 0, 5]).unwrap();
+                taker.read_to_end(&mut Vec::new()).unwrap();
+            }
+            drop(taker);
+            assert!(stage.courier.ended().await.unwrap().success());
+            let lines: Vec<String> = stage.courier.log.iter().collect();
+            let at = |word: &str| lines.iter().position(|line| line.contains(word));
+            let (back, stops) = (at("not handed over"), at("stopping; "));
+            let ends = at("stopped; another process has taken over");
+            match confirms {
+                true => assert!(back.is_none() && stops.is_none() && ends.is_some(), "{lines:?}"),
+                false => assert!(back.is_some() && back < stops && ends.is_none(), "{lines:?}"),
+            }
+            // Either way the journal has what is owed.
+            stage.courier.kill_and_restart().unwrap();
+            stage.sees("owed", |what| *what == What::CallBegan).await;
+        });
+    }
+}
