--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -13,6 +13,7 @@
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::journal::{Entry, JournalError, Source};
+use quillmount_core::machine::life::{self, Life};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
@@ -40,18 +41,10 @@
     pub rules: Option<Rules>,
     pub streams: Streams,
     pipes: RefCell<HashMap<MsgId, Rc<Pipe>>>,
-    /// The process is at its end: what is dropped now is taken up by the next life.
-    ended: Cell<bool>,
-    serving: Cell<bool>,
-    /// A planned stop has begun.
-    stopping: Cell<bool>,
-    /// Another process goes on: tasks give their parts up.
-    hands_over: Cell<bool>,
-    /// Nothing is decided here any more, or not now.
-    frozen: Cell<bool>,
+    life: Cell<Life>,
+    /// A planned stop begins.
+    stops: Notify,
     parts: RefCell<Parts<TcpStream>>,
-    /// Operators have emptied it: the front is told no.
-    drained: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
@@ -72,16 +65,12 @@
             streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
             rules,
             pipes: RefCell::default(),
-            ended: Cell::new(false),
             clock,
             connect,
             hub: RefCell::new(Hub::new(router, pool)),
             words: RefCell::default(),
-            serving: Cell::new(false),
-            stopping: Cell::new(false),
-            drained: Cell::new(false),
-            hands_over: Cell::new(false),
-            frozen: Cell::new(false),
+            life: Cell::default(),
+            stops: Notify::new(),
             parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
@@ -94,30 +83,35 @@
         one(&mut self.hub.borrow_mut().router.counters);
     }
 
-    pub fn is_serving(&self) -> bool {
-        self.serving.get()
+    /// Where it is in its life.
+    pub fn life(&self) -> Life {
+        self.life.get()
     }
 
-    pub fn set_serving(&self, serving: bool) {
-        self.serving.set(serving);
+    /// Something happened to its life; what is to be done.
+    pub fn live(&self, input: life::Input) -> life::Output {
+        let mut life = self.life.get();
+        let output = life.step(input, self.clock.now());
+        self.life.set(life);
+        if life.stopping().is_some() {
+            self.stops.notify_one();
+        }
+        output
     }
 
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+    /// Waits for a planned stop; when it was asked for.
+    pub async fn stops(&self) -> Micros {
+        loop {
+            match self.life().stopping() {
+                Some(asked) => return asked,
+                None => self.stops.notified().await,
+            }
+        }
     }
 
     /// Whether the front may send consumers here.
     pub fn wants_consumers(&self) -> bool {
-        self.serving.get() && !self.drained.get() && self.gate.as_ref().is_none_or(|g| g.takes_on().is_ok())
-    }
-
-    pub fn is_drained(&self) -> bool {
-        self.drained.get()
-    }
-
-    /// Tasks are to give their parts up to another process.
-    pub fn hands_over(&self) -> bool {
-        self.hands_over.get()
+        self.life().wants_consumers() && self.gate.as_ref().is_none_or(|gate| gate.takes_on().is_ok())
     }
 
     /// A task gives its part up.
@@ -128,7 +122,6 @@
     /// Asks all calls to give their parts up; streams end as at a planned stop.
     pub fn hand_over(self: &Rc<Self>) {
         self.end_streams();
-        self.hands_over.set(true);
         self.words.borrow().values().for_each(|words| words.give());
     }
 
@@ -142,14 +135,8 @@
         self.parts.take()
     }
 
-    /// Another process has taken over, or the planned stop is done.
-    pub fn has_ended(&self) -> bool {
-        self.ended.get()
-    }
-
-    /// From here on nothing is decided: all state, and all parts.
-    pub fn freeze(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
-        self.frozen.set(true);
+    /// All state, and all parts, once nothing is decided any more.
+    pub fn frozen(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
         let mut parts = self.parts.take();
         let resting = self.pool(Pool::take_resting);
         parts.extend(
@@ -160,12 +147,6 @@
         (self.hub.borrow().state(settings), parts)
     }
 
-    /// Decides again, as if nothing had been asked.
-    pub fn thaw(&self) {
-        self.frozen.set(false);
-        self.hands_over.set(false);
-    }
-
     /// Takes up a call of another process, or of this one before it froze.
     pub fn go_on(self: &Rc<Self>, part: call::Part, stream: Option<TcpStream>) {
         let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
@@ -195,10 +176,6 @@
         self.carry_out(todo);
     }
 
-    pub fn set_drained(&self, drained: bool) {
-        self.drained.set(drained);
-    }
-
     /// The connections to the providers.
     pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
         act(&mut self.hub.borrow_mut().pool)
@@ -315,14 +292,9 @@
         self.stream(|router| router.answered(msg, heard, now));
     }
 
-    /// From here on nothing is begun any more.
-    pub fn end(&self) {
-        self.ended.set(true);
-    }
-
     /// Its connection has ended before its answer.
     pub fn stream_lost(self: &Rc<Self>, msg: MsgId) {
-        if self.ended.get() {
+        if self.life().has_ended() {
             return;
         }
         let pipe = self.pipes.borrow().get(&msg).cloned();
@@ -338,7 +310,7 @@
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
-        if self.frozen.get() {
+        if self.life().is_frozen() {
             // Whoever decides next watches from the version that is known.
             return;
         }
@@ -363,9 +335,8 @@
         self.hub.borrow().router.version()
     }
 
+    /// The process ends at `at`.
     pub fn stop(self: &Rc<Self>, at: Micros) {
-        self.serving.set(false);
-        self.stopping.set(true);
         let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
         self.carry_out(todo);
     }
@@ -379,7 +350,7 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
-        if self.frozen.get() {
+        if self.life().is_frozen() {
             // Told twice does no harm.
             return;
         }
@@ -418,7 +389,7 @@
                     }
                 }
             }
-            if self.frozen.get() {
+            if self.life().is_frozen() {
                 return;
             }
             if wake.is_some_and(|at| at <= self.clock.now()) {
@@ -460,7 +431,7 @@
         self.moved.notify_one();
     }
 
-    fn call(self: &Rc<Self>, call: InvokerCall) {
+    fn call(self: &Rc<Self>, mut call: InvokerCall) {
         tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
         // Of no other span: a call that another's end began would carry that one's along, and so on all day.
         let span = tracing::debug_span!(
@@ -471,7 +442,10 @@
             attempt = call.call.attempt
         );
         let (id, addr) = (call.call, call.addr);
-        let passes = self.gate.as_ref().map(|gate| (gate.clone(), gate.written(), call.by));
+        let passes = self.gate.as_ref().map(|gate| {
+            call.by = call.by.min(gate.latest(self.clock.now()));
+            (gate.clone(), gate.written(), call.by)
+        });
         let call = providers::begin(call, self.clock.now());
         self.make(id, addr, call, passes, span);
     }
--- a/fleet/tests/takeover.rs
+++ b/fleet/tests/takeover.rs
@@ -60,7 +60,7 @@
             2 => world.pause(who, true),
             3 | 4 => (0..n).for_each(|i| world.pause(i, false)),
             5 => drop(world.cut.insert((who, other))),
-            6 => (0..n).for_each(|i| drop(world.cut.extend([(who, i), (i, who)]))),
+            6 => (0..n).for_each(|i| world.cut.extend([(who, i), (i, who)])),
             7 | 8 => world.cut.clear(),
             9 if folders && (0..n).all(|i| world.ready(i)) => {
                 world.kill(who);
