Kill, part, fill and replace couriers in the agreement's tests; mend what they showed

Cause: a state handed in under a wrong index was asked for no more; a log put back from an old copy went on voting. Change: a refused state is asked for again, such a log falls silent; tests of kills at every write, every prefix and damaged byte of a log, full disks, lost folders, late learners, cut-off and paused leaders, made-up bytes, copies.

--- a/fleet/src/agreement.rs
+++ b/fleet/src/agreement.rs
@@ -1,8 +1,10 @@
-//! What the couriers agree on: one log of commands, the same at each of them, kept by an existing engine (`raft`).
+//! What the couriers agree on: one log of commands, the same at each of them, kept by an existing engine
+//! (`raft`).
 //!
 //! The machine has no clock, disk loop or socket of its own: it is handed inputs with the time, writes to its
-//! [`Store`] before it returns anything that depends on what it wrote, and says what is to be sent and what has
-//! been agreed. Its draws come from a seed, so that a run repeats; it can be cloned and compared, and so explored.
+//! [`Store`] before it returns anything that depends on what it wrote, and says what is to be sent and what
+//! has been agreed. Its draws come from a seed, so that a run repeats; it can be cloned and compared, and so
+//! explored.
 
 mod log;
 mod wire;
@@ -27,8 +29,8 @@
     pub tick: Micros,
     /// Ticks between a leader's beats: two may be lost or late before a follower doubts it.
     pub heartbeat_ticks: usize,
-    /// Without a word from the leader for so many, and up to twice as many by the draw, a voter calls an election;
-    /// without a word from a majority for so many, a leader steps down.
+    /// Without a word from the leader for so many, and up to twice as many by the draw, a voter calls an
+    /// election; without a word from a majority for so many, a leader steps down.
     pub election_ticks: usize,
     /// Bytes that the file may grow by before a snapshot is asked for; past twice that no command is taken.
     pub log_bytes: u64,
@@ -94,13 +96,13 @@
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum AgreementError {
     #[error(
-        "agreement: {what} its log in the lasting folder failed: {source}; this courier keeps silent in the agreement \
-         until it is started again; see to the disk and start it"
+        "agreement: {what} its log in the lasting folder failed: {source}; this courier keeps silent in the \
+         agreement until it is started again; see to the disk and start it"
     )]
     Store { what: &'static str, source: Arc<io::Error> },
     #[error(
-        "agreement: its log in the lasting folder is damaged at byte {at}, and not by a kill; what was promised is \
-         not known, so this courier does not take part; remove the log, and the courier comes back as a new learner"
+        "agreement: its log in the lasting folder is damaged at byte {at}, and not by a kill; what was \
+         promised is not known, so this courier does not take part; remove the log, and it comes back as a new learner"
     )]
     Damaged { at: u64 },
     #[error("agreement: a record is too large to be written; report it")]
@@ -108,7 +110,7 @@
     #[error("agreement: the log is new and no token was drawn for it; report it")]
     NoToken,
     #[error(
-        "agreement: already begun, or heard of from others; only an empty log can begin one; remove nothing"
+        "agreement: there is one already, and only an empty log can begin one; start it without beginning"
     )]
     Begun,
     #[error("agreement: its limits do not fit together ({what}); mend the section `fleet`")]
@@ -116,13 +118,13 @@
     #[error("agreement: message from courier {from:016x} dropped: {what}")]
     Garbled { from: Token, what: Garbled },
     #[error(
-        "agreement: courier {from:016x} speaks of entry {index}, and this one has none beyond {last}: it belongs to \
-         another fleet, or this log was put back from a copy; remove the log here, and the courier comes back as a \
-         new learner"
+        "agreement: courier {from:016x} says that entry {index} was confirmed here, and there is none beyond \
+         {last}: this log was put back from a copy, or that courier belongs to another fleet; this one keeps \
+         silent; remove the log here, and it comes back as a new learner"
     )]
     Ahead { from: Token, index: u64, last: u64 },
     #[error(
-        "agreement: the state handed in is of entry {through}, and {applied} is what was handed out; report it"
+        "agreement: the state handed in is of entry {through}, and not of {applied}, handed out last; report it"
     )]
     Stale { through: u64, applied: u64 },
     #[error("agreement: a state of {bytes} bytes is beyond its limit of {limit}; the log can't be shortened")]
@@ -175,7 +177,8 @@
     Read { ticket: u64 },
     /// Only a leader takes it; its end is `Changed`, `Refused` or `Unsure`.
     Change { ticket: u64, change: Change },
-    /// The state after the command `through`, the last one that was handed out; the log is shortened by it.
+    /// The state after `through`: the index of the last command or state that was handed out. The log is
+    /// shortened by it.
     Snapshot { through: u64, state: Vec<u8> },
     /// The leader hands its office to a voter, without the wait for an election.
     HandOver { to: Token },
@@ -186,7 +189,8 @@
 pub enum Why {
     /// Ask the leader, if there is one.
     NotLeader,
-    /// A new leader has yet to agree on its first entry, hands over, or another change is under way: ask again.
+    /// A new leader has yet to agree on its first entry, hands over, or another change is under way: ask
+    /// again.
     Busy,
     /// More wait than the limits allow, or the log waits for a snapshot.
     Full,
@@ -206,7 +210,8 @@
 pub enum Output {
     /// May be lost, doubled or late.
     Send { to: Token, bytes: Vec<u8> },
-    /// Agreed: the same commands in the same order at every courier. `ticket`: proposed here, and still waited for.
+    /// Agreed: the same commands in the same order at every courier. `ticket`: proposed here, and still
+    /// waited for.
     Committed { index: u64, ticket: Option<u64>, command: Vec<u8> },
     /// Put this in the place of the whole state. Empty bytes are the state before the first command.
     Restored { index: u64, state: Vec<u8> },
@@ -224,7 +229,8 @@
     Leader { leader: Option<Token>, term: u64 },
     /// An input was not taken, or the log could not be shortened; all goes on.
     Failed(AgreementError),
-    /// Nothing can be written: nothing is sent any more, until it is opened again.
+    /// Nothing is sent any more, until it is opened again: it can't write, or its log is not what it
+    /// promised.
     Silent(AgreementError),
 }
 
@@ -235,6 +241,8 @@
     pub new: bool,
     /// The state to begin with; empty: the state before the first command.
     pub state: Vec<u8>,
+    /// The state is the one after this entry.
+    pub index: u64,
     /// Commands known to be agreed after it, in order. More may be; the leader will tell.
     pub committed: Vec<(u64, Vec<u8>)>,
 }
@@ -246,7 +254,8 @@
     file: File<S>,
     node: RawNode<Mem>,
     next_tick: Micros,
-    /// Ticks beyond `election_ticks` before the next election is called, drawn anew for each term and each call.
+    /// Ticks beyond `election_ticks` before the next election is called, drawn anew for each term and each
+    /// call.
     extra: usize,
     draws: u64,
     /// What the last step has told: leader, term, and whether it is this courier.
@@ -283,7 +292,8 @@
             return Err(AgreementError::Limits { what: "no time between ticks".into() });
         }
         let (file, told, new) = File::open(store, fresh_token)?;
-        let mut opened = Opened { new, state: told.image.state.clone(), committed: Vec::new() };
+        let mut opened =
+            Opened { new, state: told.image.state.clone(), index: told.image.index, committed: Vec::new() };
         let (token, handed) = (told.token, told.image.index);
         let mut mem = Mem::of(&told);
         let node = engine(&limits, token, mem::take(&mut mem), handed)?;
@@ -336,7 +346,6 @@
         let told = Told { token: self.token, vow, image, entries: Vec::new() };
         self.file.anew(&told)?;
         self.node = engine(&self.limits, self.token, Mem::of(&told), 1)?;
-        self.handed = 1;
         self.next_tick = now + self.limits.tick;
         let mut out = Vec::new();
         self.node.campaign().map_err(|e| AgreementError::Engine(e.to_string()))?;
@@ -369,6 +378,7 @@
             Input::Snapshot { through, state } => {
                 if let Err(error) = self.shorten(through, state) {
                     // Not at once again.
+                    self.asked = false;
                     self.ask_at = self.file.store.len() + self.limits.log_bytes / 8;
                     out.push(Output::Failed(error));
                 }
@@ -444,7 +454,8 @@
         self.file.store
     }
 
-    /// Everything that decides what it does next, times as they lie from `now`: equal for two that will do the same.
+    /// Everything that decides what it does next, times as they lie from `now`: equal for two that will do
+    /// the same.
     pub fn digest(&self, now: Micros) -> Vec<u8> {
         let raft = &self.node.raft;
         let mut progress: Vec<_> = raft.prs().iter().map(|(id, p)| (*id, format!("{p:?}"))).collect();
@@ -482,8 +493,8 @@
         postcard::to_stdvec(&parts).unwrap_or_default()
     }
 
-    /// Ticks that are due. After a pause a leader does all of those at once that make it doubt that it leads; a
-    /// follower does one, and gives the leader's words that wait for it a chance.
+    /// Ticks that are due. After a pause a leader does all of those at once that make it doubt that it leads;
+    /// a follower does one, and gives the leader's words that wait for it a chance.
     fn due(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.silent {
             return;
@@ -562,6 +573,8 @@
                 // What it does not take is old, or of one that it does not know: as if it were lost.
                 let _ = self.node.step(message);
             }
+            // Whoever has said that it holds what it does not hold might vote twice as well.
+            Err(error @ AgreementError::Ahead { .. }) => self.fall_silent(error, out),
             Err(error) => out.push(Output::Failed(error)),
         }
     }
@@ -690,7 +703,6 @@
         if state.len() > self.limits.state_bytes {
             return Err(AgreementError::State { bytes: state.len(), limit: self.limits.state_bytes });
         }
-        self.asked = false;
         let index = self.node.raft.raft_log.applied;
         let mem = self.node.store();
         let term = raft::Storage::term(mem, index).map_err(|e| AgreementError::Engine(e.to_string()))?;
@@ -706,6 +718,7 @@
         let told = Told { token: self.token, vow, image, entries: later };
         self.file.anew(&told)?;
         self.node.mut_store().compact(told.image);
+        self.asked = false;
         self.ask_at = self.file.base + self.limits.log_bytes;
         Ok(())
     }
@@ -736,16 +749,7 @@
             let mut ready = self.node.ready();
             // Written before anything of this is said.
             if let Err(error) = self.write(&ready) {
-                self.silent = true;
-                let leader = None;
-                for (_, (_, ticket)) in mem::take(&mut self.pending) {
-                    out.push(Output::Unsure { ticket });
-                }
-                for (_, ticket) in mem::take(&mut self.reads) {
-                    out.push(Output::Refused { ticket, why: Why::Silent, leader });
-                }
-                out.push(Output::Silent(error));
-                return;
+                return self.fall_silent(error, out);
             }
             if !ready.snapshot().is_empty() {
                 let index = ready.snapshot().get_metadata().index;
@@ -770,6 +774,18 @@
         }
     }
 
+    /// The engine is not touched again: it may believe to have written what is not there.
+    fn fall_silent(&mut self, error: AgreementError, out: &mut Vec<Output>) {
+        self.silent = true;
+        for (_, (_, ticket)) in mem::take(&mut self.pending) {
+            out.push(Output::Unsure { ticket });
+        }
+        for (_, ticket) in mem::take(&mut self.reads) {
+            out.push(Output::Refused { ticket, why: Why::Silent, leader: None });
+        }
+        out.push(Output::Silent(error));
+    }
+
     /// Who leads, if that is news; what was waited for as the leader of an earlier term has its end.
     fn tell(&mut self, out: &mut Vec<Output>) {
         let now = (self.leader(), self.term());
@@ -805,7 +821,8 @@
             self.ask_at = self.file.base + self.limits.log_bytes;
             self.asked = false;
         } else if !entries.is_empty() || ready.must_sync() {
-            // A commit alone is not written: what follows it carries it, and a restart learns it from the leader.
+            // A commit alone is not written: what follows it carries it, and a restart learns it from the
+            // leader.
             self.file.append(vow, &entries)?;
             self.node.mut_store().add(ready.entries());
         }
@@ -868,8 +885,8 @@
 }
 
 impl<S: Store + Clone> Clone for Agreement<S> {
-    /// The engine has no copy of itself: one is built on the same log and given what it does not read from there.
-    /// Between two steps the engine has nothing ready, and everything else of it is open.
+    /// The engine has no copy of itself: one is built on the same log and given what it does not read from
+    /// there. Between two steps the engine has nothing ready, and everything else of it is open.
     fn clone(&self) -> Self {
         let was = &self.node.raft;
         let mut mem = self.node.store().clone();
--- a/fleet/src/agreement/log.rs
+++ b/fleet/src/agreement/log.rs
@@ -1,5 +1,5 @@
-//! The agreement's part of the lasting folder: append-only records, each with its length and checksums, and the
-//! same in memory, as the engine reads it.
+//! The agreement's part of the lasting folder: append-only records, each with its length and checksums, and
+//! the same in memory, as the engine reads it.
 
 use quillmount_core::store::Store;
 use raft::prelude::{ConfState, Entry as RaftEntry, EntryType, Snapshot};
@@ -13,8 +13,8 @@
 use super::{AgreementError, Change};
 use crate::Token;
 
-/// Before each record: its length, the checksum of that, and the checksum of the record. The length has its own,
-/// so that a damaged one is told from a record that a kill has cut short.
+/// Before each record: its length, the checksum of that, and the checksum of the record. The length has its
+/// own, so that a damaged one is told from a record that a kill has cut short.
 const HEAD: usize = 12;
 /// The file's form; another one is refused.
 const FORM: u16 = 1;
--- a/fleet/src/agreement/wire.rs
+++ b/fleet/src/agreement/wire.rs
@@ -80,8 +80,8 @@
     Some(bytes)
 }
 
-/// Reads what `from` has sent to `to`, and sees to it that no value in it is one that the engine would end the
-/// process for.
+/// Reads what `from` has sent to `to`, and sees to it that no value in it is one that the engine would end
+/// the process for.
 pub(super) fn decode(bytes: &[u8], from: Token, to: Token) -> Result<Message, AgreementError> {
     let garbled = |what| AgreementError::Garbled { from, what };
     let [form, a, b, c, d, body @ ..] = bytes else { return Err(garbled(Garbled::Short)) };
--- a/fleet/tests/agreement.rs
+++ b/fleet/tests/agreement.rs
@@ -1,6 +1,6 @@
 //! The agreement on a virtual clock, over links that lose, double, delay and part, from seeds.
 
-use quillmount_core::store::Memory;
+use quillmount_core::store::{Fault, Memory};
 use quillmount_fleet::Token;
 use quillmount_fleet::agreement::{Agreement, AgreementError, Change, Input, Limits, Output, Why};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +24,8 @@
     life: Option<Agreement<Memory>>,
     disk: Memory,
     state: State,
+    /// Up to here it has been told.
+    through: u64,
     back: u64,
 }
 
@@ -104,13 +106,15 @@
     fn start(&mut self, token: Token, disk: Memory) {
         let (life, opened) = Agreement::open(disk, token, self.limits.clone(), self.now).unwrap();
         assert_eq!(life.token(), token);
-        let mut state = unpack(&opened.state);
+        let (mut state, mut through) = (unpack(&opened.state), opened.index);
         for (index, command) in opened.committed {
             let command = u64::from_le_bytes(command.try_into().unwrap());
             assert_eq!(self.agreed.get(&index), Some(&command), "courier {token} has made up {index}");
             state.push((index, command));
+            through = index;
         }
-        self.nodes.insert(token, Node { life: Some(life), disk: Memory::default(), state, back: 0 });
+        let disk = Memory::default();
+        self.nodes.insert(token, Node { life: Some(life), disk, state, through, back: 0 });
         self.died(token);
     }
 
@@ -163,12 +167,10 @@
                     let command = u64::from_le_bytes(command.try_into().unwrap());
                     let agreed = *self.agreed.entry(index).or_insert(command);
                     assert_eq!(agreed, command, "courier {token} differs at {index}");
-                    let state = &mut self.nodes.get_mut(&token).unwrap().state;
-                    assert!(
-                        state.last().is_none_or(|(last, _)| *last < index),
-                        "courier {token}: {index} again"
-                    );
-                    state.push((index, command));
+                    let node = self.nodes.get_mut(&token).unwrap();
+                    assert!(node.through < index, "courier {token}: {index} again");
+                    node.state.push((index, command));
+                    node.through = index;
                     if let Some(ticket) = ticket {
                         assert_eq!(ticket, command);
                         self.acked.insert(command);
@@ -178,7 +180,8 @@
                 Output::Restored { index, state } => {
                     let state = unpack(&state);
                     assert!(state.iter().all(|(i, c)| *i <= index && self.agreed.get(i) == Some(c)));
-                    self.nodes.get_mut(&token).unwrap().state = state;
+                    let node = self.nodes.get_mut(&token).unwrap();
+                    (node.state, node.through) = (state, index);
                     *self.restored.entry(token).or_default() += 1;
                 }
                 Output::Changed { ticket: Some(ticket), .. } => self.ends.push((ticket, "changed")),
@@ -208,10 +211,8 @@
             }
         }
         if wanted {
-            let state = &self.nodes[&token].state;
-            // The state that the agreement was last told of, or the one before the first command.
-            let through = state.last().map_or(1, |(index, _)| *index);
-            let input = Input::Snapshot { through, state: pack(state) };
+            let node = &self.nodes[&token];
+            let input = Input::Snapshot { through: node.through, state: pack(&node.state) };
             self.step(token, input);
         }
     }
@@ -301,7 +302,7 @@
         let truth: State = self.agreed.iter().map(|(i, c)| (*i, *c)).collect();
         for (token, node) in &self.nodes {
             assert!(node.life.is_some(), "courier {token} is down");
-            assert_eq!(node.state, truth, "courier {token}");
+            assert_eq!(node.state, truth, "courier {token} {:?}", self.errors);
         }
         let held: BTreeSet<u64> = truth.iter().map(|(_, c)| *c).collect();
         assert!(self.acked.is_subset(&held));
@@ -362,3 +363,337 @@
         assert!(fleet.acked.len() > 20, "seed {seed}: only {}", fleet.acked.len());
     }
 }
+
+/// One courier dies in each of its writes in turn, at the begin, in the middle and at the end of it, and
+/// starts again.
+#[test]
+fn a_kill_at_every_write_loses_nothing_that_was_promised() {
+    let limits = || Limits { log_bytes: 600, ..Limits::default() };
+    let tell = |fleet: &mut Fleet, victim: Token| {
+        for c in 1..12 {
+            fleet.commit(c);
+        }
+        if victim != 1 && fleet.nodes[&1].life.is_some() {
+            fleet.kill(1);
+            (12..20).for_each(|c| fleet.commit(c));
+            let disk = fleet.nodes[&1].disk.clone();
+            fleet.start(1, disk);
+        }
+        (20..30).for_each(|c| fleet.commit(c));
+        fleet.same();
+    };
+    for victim in 1..=4 {
+        let mut fleet = Fleet::whole(victim, limits(), 3, 1);
+        fleet.life(victim).store_mut().fail(Fault::None);
+        tell(&mut fleet, victim);
+        let writes = fleet.life(victim).store().writes();
+        assert!(writes > 20, "{writes}");
+        let mut died = 0;
+        for after in 0..writes {
+            for bytes in [0, 5, 20, usize::MAX] {
+                let mut fleet = Fleet::whole(victim, limits(), 3, 1);
+                fleet.life(victim).store_mut().fail(Fault::Die { after, bytes });
+                tell(&mut fleet, victim);
+                died += u32::from(fleet.life(victim).store().writes() < writes);
+            }
+        }
+        assert!(died >= writes * 3, "{died} of {writes}");
+    }
+}
+
+/// Each prefix opens to what its whole records say: never more than was there, and never a vow forgotten that
+/// a shorter one knows. A damaged byte is not taken for a kill.
+#[test]
+fn every_prefix_of_the_log_opens_and_no_damaged_one() {
+    let mut fleet = Fleet::whole(3, Limits { log_bytes: 600, ..Limits::default() }, 3, 1);
+    for c in 1..30 {
+        fleet.commit(c);
+        if c == 22 {
+            fleet.kill(1);
+            fleet.run(2 * SECOND);
+        }
+    }
+    let bytes = fleet.life(2).store().bytes().to_vec();
+    let open = |bytes: &[u8]| Agreement::open(Memory::of(bytes.to_vec()), 99, Limits::default(), SECOND);
+    let (whole, all) = open(&bytes).unwrap();
+    let whole_state = [unpack(&all.state), numbers(&all.committed)].concat();
+    assert!(
+        !all.state.is_empty() && !all.committed.is_empty() && whole.term() > 2,
+        "{all:?} {}",
+        whole.term()
+    );
+    let mut before = (0, 0);
+    for cut in 0..=bytes.len() {
+        let (life, opened) = open(&bytes[..cut]).unwrap();
+        assert_eq!(opened.new, life.token() == 99, "at {cut}");
+        let state = [unpack(&opened.state), numbers(&opened.committed)].concat();
+        assert!(whole_state.starts_with(&state), "at {cut}");
+        let now = (life.term(), state.len());
+        assert!(before <= now, "at {cut}: {before:?} {now:?}");
+        before = now;
+        // What is cut off is gone from the file, and it opens again to the same.
+        let (again, told) = open(life.store().bytes()).unwrap();
+        let same = (again.token(), again.term(), told.committed == opened.committed, told.new);
+        assert_eq!(same, (life.token(), life.term(), true, false), "at {cut}");
+    }
+    for at in 0..bytes.len() {
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 0x40;
+        assert!(matches!(open(&damaged), Err(AgreementError::Damaged { .. })), "damaged at {at}");
+    }
+}
+
+fn numbers(committed: &[(u64, Vec<u8>)]) -> State {
+    committed.iter().map(|(i, c)| (*i, u64::from_le_bytes(c.as_slice().try_into().unwrap()))).collect()
+}
+
+/// A courier whose disk is full says nothing more; the others go on, and it comes back when there is room.
+#[test]
+fn a_courier_that_cannot_write_keeps_silent() {
+    for victim in [1, 2] {
+        let mut fleet = Fleet::whole(7, Limits::default(), 3, 0);
+        (1..5).for_each(|c| fleet.commit(c));
+        fleet.life(victim).store_mut().fail(Fault::Full { after: 0 });
+        let sent = fleet.sends.clone();
+        fleet.step(1, Input::Propose { ticket: 5, command: 5u64.to_le_bytes().to_vec() });
+        if victim == 1 {
+            assert_eq!(fleet.ends.last(), Some(&(5, "unsure")));
+            assert_eq!(fleet.sends, sent, "said what it has not written");
+        }
+        fleet.run(3 * SECOND);
+        assert!(fleet.life(victim).is_silent());
+        assert!(matches!(fleet.errors[..], [AgreementError::Store { .. }]), "{:?}", fleet.errors);
+        fleet.step(victim, Input::Propose { ticket: 6, command: vec![1] });
+        assert_eq!(fleet.ends.last(), Some(&(6, "silent")));
+        let sent = fleet.sends[&victim];
+        (10..15).for_each(|c| fleet.commit(c));
+        assert_eq!(fleet.sends[&victim], sent);
+        fleet.kill(victim);
+        let disk = fleet.nodes[&victim].disk.clone();
+        fleet.start(victim, disk);
+        fleet.same();
+    }
+}
+
+/// Under a new token it is a new learner; the old one goes, and commands are agreed at each step of it.
+#[test]
+fn a_voter_with_a_lost_folder_is_replaced_while_serving() {
+    for lost in [1, 3] {
+        let mut fleet = Fleet::whole(11, Limits::default(), 3, 0);
+        (1..10).for_each(|c| fleet.commit(c));
+        fleet.kill(lost);
+        fleet.nodes.remove(&lost);
+        fleet.start(9, Memory::default());
+        fleet.commit(10);
+        assert!(fleet.life(9).voters().is_empty(), "knows nothing of anyone");
+        assert_eq!(fleet.life(9).wake_at(), None);
+        fleet.change(Change::AddLearner(9));
+        fleet.commit(11);
+        fleet.change(Change::Promote(9));
+        fleet.commit(12);
+        fleet.change(Change::Remove(lost));
+        fleet.commit(13);
+        fleet.same();
+        let mut voters = vec![2, 9, if lost == 1 { 3 } else { 1 }];
+        voters.sort_unstable();
+        assert_eq!(fleet.life(9).voters(), voters);
+        // A vote of the one that was lost would count for nothing: the three bear the loss of another one.
+        let leader = fleet.leader().unwrap();
+        fleet.kill(leader);
+        fleet.commit(14);
+    }
+}
+
+/// Neither the leader nor a majority can be taken away, nor a vote given to one who is not there.
+#[test]
+fn changes_that_would_stop_the_fleet_are_refused() {
+    let mut fleet = Fleet::whole(5, Limits::default(), 3, 1);
+    let end = |fleet: &mut Fleet, ticket, change| {
+        fleet.step(1, Input::Change { ticket, change });
+        fleet.run(SECOND / 4);
+        fleet.ends.iter().rfind(|(t, _)| *t == ticket).map(|(_, end)| *end)
+    };
+    assert_eq!(end(&mut fleet, 1, Change::AddLearner(2)), Some("refused"));
+    assert_eq!(end(&mut fleet, 2, Change::Promote(77)), Some("refused"));
+    assert_eq!(end(&mut fleet, 3, Change::Remove(1)), Some("majority"));
+    fleet.kill(4);
+    fleet.run(SECOND);
+    assert_eq!(end(&mut fleet, 4, Change::Promote(4)), Some("behind"));
+    fleet.kill(3);
+    fleet.run(SECOND);
+    assert_eq!(end(&mut fleet, 5, Change::Remove(2)), Some("majority"));
+    assert_eq!(end(&mut fleet, 6, Change::Remove(3)), Some("changed"));
+    fleet.step(1, Input::Change { ticket: 7, change: Change::AddLearner(50) });
+    fleet.step(1, Input::Change { ticket: 8, change: Change::AddLearner(51) });
+    assert_eq!(fleet.ends.last(), Some(&(8, "busy")), "one at a time");
+}
+
+/// The log is shortened as it grows, and who comes late gets the state in place of it, over links that lose
+/// much.
+#[test]
+fn the_log_stays_short_and_a_late_learner_gets_the_state() {
+    let limits = Limits { log_bytes: 4_000, ..Limits::default() };
+    let mut fleet = Fleet::whole(13, limits, 3, 0);
+    fleet.start(8, Memory::default());
+    let mut most = 0;
+    for c in 1..400 {
+        fleet.commit(c);
+        let state = pack(&fleet.nodes[&1].state).len();
+        most = most.max(fleet.life(1).store().bytes().len().saturating_sub(state));
+        if c == 200 {
+            fleet.kill(3);
+        }
+    }
+    assert!(most < 6_000, "{most} bytes beyond the state");
+    fleet.lose = 200;
+    fleet.change(Change::AddLearner(8));
+    let disk = fleet.nodes[&3].disk.clone();
+    fleet.start(3, disk);
+    fleet.run(10 * SECOND);
+    fleet.lose = 0;
+    fleet.same();
+    assert!(fleet.restored[&8] > 0 && fleet.restored[&3] > 0, "{:?}", fleet.restored);
+}
+
+/// A leader that is cut off can't say that it leads; it stops of its own accord, and its questions are
+/// refused.
+#[test]
+fn a_leader_that_is_cut_off_confirms_nothing() {
+    let mut fleet = Fleet::whole(17, Limits::default(), 3, 1);
+    fleet.commit(1);
+    fleet.step(1, Input::Read { ticket: 90 });
+    fleet.run(SECOND / 4);
+    assert_eq!(fleet.ends.last(), Some(&(90, "readable")));
+    for other in 2..=3 {
+        fleet.cut.extend([(1, other), (other, 1)]);
+    }
+    fleet.step(1, Input::Read { ticket: 91 });
+    fleet.step(1, Input::Propose { ticket: 92, command: 92u64.to_le_bytes().to_vec() });
+    // The learner still hears it, and has no say.
+    fleet.run(SECOND / 4);
+    assert!(fleet.life(1).leads() && !fleet.ends.iter().any(|(t, _)| (91..94).contains(t)));
+    fleet.run_until("another leader", |f| f.leader() != Some(1) && f.leader().is_some());
+    fleet.commit(2);
+    let other = fleet.leader().unwrap();
+    fleet.step(other, Input::Read { ticket: 93 });
+    fleet.run(2 * SECOND);
+    assert!(!fleet.life(1).leads());
+    let end = |t| fleet.ends.iter().filter(|(ticket, _)| *ticket == t).map(|(_, e)| *e).collect::<Vec<_>>();
+    assert_eq!((end(91), end(92), end(93)), (vec!["not leader"], vec!["unsure"], vec!["readable"]));
+    fleet.cut.clear();
+    fleet.same();
+    assert!(!fleet.agreed.values().any(|c| *c == 92));
+}
+
+/// Paused for longer than an election takes, and resumed: it doubts before it does anything else.
+#[test]
+fn a_leader_that_was_paused_steps_down_first() {
+    let mut fleet = Fleet::whole(19, Limits::default(), 3, 0);
+    fleet.commit(1);
+    let (life, now) = (fleet.life(1).clone(), fleet.now);
+    let mut life = life;
+    assert!(life.leads());
+    let out = life.step(Input::Propose { ticket: 5, command: vec![1] }, now + 5 * SECOND);
+    assert!(matches!(out.last(), Some(Output::Refused { ticket: 5, why: Why::NotLeader, .. })), "{out:?}");
+}
+
+/// Cut short, damaged or made up: an error each time, and the courier goes on.
+#[test]
+fn bytes_that_are_no_message_are_an_error() {
+    let mut fleet = Fleet::whole(23, Limits::default(), 3, 0);
+    fleet.commit(1);
+    fleet.step(1, Input::Propose { ticket: 2, command: 2u64.to_le_bytes().to_vec() });
+    let message = |f: &Fleet| f.wire.values().find(|(from, to, _)| (*from, *to) == (1, 2)).cloned();
+    let (_, _, bytes) = message(&fleet).unwrap();
+    let now = fleet.now;
+    let before = fleet.life(2).digest(now);
+    let mut hear = |from, bytes: &[u8]| {
+        let out = fleet.life(2).step(Input::Heard { from, bytes: bytes.to_vec() }, now);
+        assert!(matches!(out[..], [Output::Failed(AgreementError::Garbled { .. })]), "{out:?}");
+    };
+    for cut in 0..bytes.len() {
+        hear(1, &bytes[..cut]);
+        let mut damaged = bytes.clone();
+        damaged[cut] ^= 0x10;
+        hear(1, &damaged);
+    }
+    hear(3, &bytes);
+    hear(1, &[bytes.clone(), vec![0]].concat());
+    // Right in form: a checksum over any bytes.
+    for n in 0..2000u64 {
+        let body: Vec<u8> =
+            (0..n % 60).map(|i| (n.wrapping_mul(i + 7).wrapping_mul(0x9e37_79b9) >> 13) as u8).collect();
+        let head = crc32fast::hash(&body).to_le_bytes();
+        hear(1, &[&[1][..], &head, &body].concat());
+    }
+    assert_eq!(fleet.life(2).digest(now), before);
+    fleet.commit(3);
+    fleet.same();
+}
+
+/// A log put back from an old copy has forgotten what it promised: its leader's word shows it, and it is an
+/// error.
+#[test]
+fn a_log_put_back_from_a_copy_is_seen() {
+    let mut fleet = Fleet::whole(29, Limits::default(), 3, 0);
+    let old = Memory::of(fleet.life(2).store().bytes().to_vec());
+    (1..10).for_each(|c| fleet.commit(c));
+    fleet.run(SECOND);
+    fleet.kill(2);
+    fleet.start(2, old);
+    fleet.run(SECOND);
+    assert!(
+        matches!(fleet.errors.first(), Some(AgreementError::Ahead { from: 1, .. })),
+        "{:?}",
+        fleet.errors
+    );
+}
+
+/// The office goes to another voter at once.
+#[test]
+fn a_leader_hands_over_without_an_election() {
+    let mut fleet = Fleet::whole(31, Limits::default(), 3, 0);
+    fleet.commit(1);
+    fleet.step(1, Input::HandOver { to: 3 });
+    fleet.run(SECOND / 20);
+    assert_eq!(fleet.leader(), Some(3));
+    fleet.commit(2);
+    fleet.same();
+}
+
+/// The same seed, the same run; and a copy of a courier taken at any moment goes on as the original does.
+#[test]
+fn runs_repeat_and_copies_go_on_as_the_original() {
+    let run = |copies: bool| {
+        let mut fleet = Fleet::whole(37, Limits { log_bytes: 1_500, ..Limits::default() }, 3, 1);
+        (fleet.lose, fleet.double, fleet.delay) = (100, 50, 60_000);
+        for c in 1..60 {
+            let token = fleet.leader().unwrap_or(1);
+            fleet.step(token, Input::Propose { ticket: c, command: c.to_le_bytes().to_vec() });
+            fleet.step(token, Input::Read { ticket: 1000 + c });
+            if c % 20 == 0 {
+                fleet.cut = [(token, 2), (token, 3), (token, 1)].into();
+            } else if c % 20 == 10 {
+                fleet.cut.clear();
+            }
+            for _ in 0..40 {
+                let until = fleet.now + SECOND / 20;
+                fleet.next(until);
+                let now = fleet.now;
+                for node in fleet.nodes.values_mut().filter(|_| copies) {
+                    let life = node.life.as_mut().unwrap();
+                    let copy = life.clone();
+                    assert_eq!(copy.digest(now), life.digest(now));
+                    *life = copy;
+                }
+            }
+        }
+        let now = fleet.now;
+        let digests: Vec<_> = (1..=4).map(|t| fleet.life(t).digest(now)).collect();
+        (digests, fleet.ends, fleet.agreed, fleet.led)
+    };
+    let first = run(false);
+    assert!(first.3.len() > 2 && first.2.len() > 20, "{:?}", first.3);
+    assert_eq!(run(false), first);
+    assert_eq!(run(true), first);
+}
