Ask a silent watch anew in time to heed what it missed, and read indented lists

Cause, read from the code against the platform's figures: core/src/machine/watch.rs took a watch for dead after 10 s of silence (SILENCE), a question too, and a fleet of 300 then waited 1 to 3 s more (of_fleet: first pause 2 s, spread half), while what a silent watch misses counts as told 6 s after the silence began, and what an agent has counts at once. A list that comes indented broke the watch each time (protocol/src/discovery.rs, Lines: one object a line). Ruled out: polls; the courier asks for nothing but watches. `known` is read whole, and could be indented before.

Lists are read with serde_json's stream reader, up to the last brace that came: a number that is cut reads as a wrong one. Empty lines inside of a list are no sign of life.

--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -3,12 +3,15 @@
 use super::courier::Courier;
 use actix_rt::time::{sleep, timeout};
 use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
 use quillmount_core::machine::notices::{self, Notices};
-use quillmount_core::machine::watch::{Input, Output, RETRY_MAX, SILENCE, State, Watch};
+use quillmount_core::machine::watch::{Input, Output, SILENCE, State, TOLD, Watch};
 use quillmount_protocol::{discovery, notice};
 use spurshore::Micros;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -79,62 +82,93 @@
     mut older: Vec<AbortHandle>,
     fleet: Fleet,
 ) {
-    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(RETRY_MAX)));
+    // Questions are given up before.
+    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(2 * TOLD)));
     let moved = || *discovery.borrow() != addr;
     let Fleet { couriers, seed, starts, heed } = fleet;
     let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
     let mut todo = if starts { Output::Nothing } else { Output::Ask };
+    let mut out = Questions::default();
     loop {
-        todo = match todo {
-            Output::Ask => {
-                courier.count(|c| c.watches += 1);
-                let over = watch_once(&client, &courier, addr, &mut machine, &mut older).await;
-                let Err(e) = over;
-                // Silence is the machine's own finding.
-                let todo = match e {
-                    WatchError::Silent => Input::Tick { moved: moved() },
-                    _ => Input::Broken { moved: moved() },
-                };
-                let todo = machine.step(todo, courier.clock.now());
-                match todo {
-                    Output::Pause(pause) => {
-                        tracing::warn!("discovery: watch: {e}; again in {:?}", Duration::from_micros(pause))
-                    }
-                    _ => tracing::info!("discovery: the watch at {addr}, where it was before, is over: {e}"),
+        let over = match todo {
+            Output::Stop => return,
+            Output::Ask | Output::AskBeside => {
+                if todo == Output::Ask && !out.0.is_empty() {
+                    tracing::warn!(
+                        "discovery: watch: no answer for {:?}; asked anew",
+                        Duration::from_micros(TOLD)
+                    );
                 }
-                todo
+                out.0.truncate(usize::from(todo == Output::AskBeside));
+                courier.count(|c| c.watches += 1);
+                let path = discovery::watch_path(courier.list_version());
+                out.0.push(Box::pin(client.get(format!("http://{addr}{path}")).send()));
+                watch_once(&courier, &mut machine, &mut out, &mut older).await
             }
-            Output::Stop => return,
             _ => {
                 sleep(courier.clock.until(machine.wake_at().unwrap_or_default())).await;
-                machine.step(Input::Tick { moved: moved() }, courier.clock.now())
+                Err(WatchError::Silent)
             }
         };
+        let Err(e) = over;
+        // Silence, and the end of a pause, are the machine's own findings.
+        let input = match e {
+            WatchError::Silent => Input::Tick { moved: moved() },
+            _ => Input::Broken { moved: moved() },
+        };
+        let waited = matches!(machine.state(), State::Pausing { .. });
+        todo = machine.step(input, courier.clock.now());
+        match todo {
+            Output::Pause(pause) => {
+                out.0.clear();
+                tracing::warn!("discovery: watch: {e}; again in {:?}", Duration::from_micros(pause));
+            }
+            Output::Stop if !waited => {
+                tracing::info!("discovery: the watch at {addr}, where it was before, is over: {e}");
+            }
+            _ => {}
+        }
     }
 }
 
+type Answered = Result<awc::ClientResponse, awc::error::SendRequestError>;
+
+/// The questions that are out, the first of them and at most one more; it waits for the first answer.
+#[derive(Default)]
+struct Questions(Vec<LocalBoxFuture<'static, Answered>>);
+
+impl Future for Questions {
+    type Output = Answered;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let mut answers = self.0.iter_mut().map(|question| question.as_mut().poll(cx));
+        answers.find(Poll::is_ready).unwrap_or(Poll::Pending)
+    }
+}
+
+/// Waits for an answer to what is out, and follows it to its end.
 async fn watch_once(
-    client: &awc::Client,
     courier: &Rc<Courier>,
-    addr: SocketAddr,
     machine: &mut Watch,
+    out: &mut Questions,
     older: &mut Vec<AbortHandle>,
 ) -> Result<std::convert::Infallible, WatchError> {
-    let path = discovery::watch_path(courier.list_version());
-    let request = client.get(format!("http://{addr}{path}")).send();
-    let mut answer = in_time(courier, machine, request).await??;
+    let mut answer = in_time(courier, machine, &mut *out).await??;
+    out.0.clear();
     if !answer.status().is_success() {
         return Err(WatchError::Status(answer.status()));
     }
     if machine.step(Input::Answered, courier.clock.now()) == Output::TakeOver {
         older.drain(..).for_each(|task| task.abort());
     }
-    let mut lines = discovery::Lines::default();
+    let mut lists = discovery::Lists::default();
     loop {
         let chunk = in_time(courier, machine, answer.next()).await?;
-        let chunk = chunk.ok_or(WatchError::Ended)??;
-        machine.step(Input::Heard, courier.clock.now());
-        for list in lines.feed(&chunk)? {
+        let said = lists.feed(&chunk.ok_or(WatchError::Ended)??)?;
+        if said.lives {
+            machine.step(Input::Heard, courier.clock.now());
+        }
+        for list in said.lists {
             courier.list(list);
         }
     }
--- a/courier/tests/common/mod.rs
+++ b/courier/tests/common/mod.rs
@@ -17,14 +17,17 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Only a broken program waits for so long.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// A watch that is silent for longer than 2 s counts as broken.
+const BEAT: Duration = Duration::from_secs(1);
+
 /// A whole request on a connection to one of our listeners; none: the connection ended.
 /// Last: how often the program had been started when the connection came.
 type Heard = (String, TcpStream, Option<String>, u32);
@@ -42,8 +45,10 @@
     ears: Sender<Heard>,
     waiting: VecDeque<Heard>,
     consumers: BTreeMap<String, TcpStream>,
-    /// The connection of the latest call to each provider, of the watch and of the notices.
+    /// The connection of the latest call to each provider and of the notices.
     peers: BTreeMap<String, TcpStream>,
+    /// The latest watch, which is told an empty line from time to time.
+    watch: Option<Arc<Mutex<TcpStream>>>,
 }
 
 /// Plays `tests/exchanges/NAME.txt`.
@@ -67,6 +72,7 @@
         waiting: VecDeque::new(),
         consumers: BTreeMap::new(),
         peers: BTreeMap::new(),
+        watch: None,
     };
     stage.open("platform");
     let mut said = String::new();
@@ -180,13 +186,14 @@
                 return self.show(&heard);
             }
             "list" => {
-                let watch = self.peers.get_mut("watch").unwrap();
+                let mut watch = self.watch.as_ref().unwrap().lock().unwrap();
                 // Cut in the middle, and with the empty line of a quiet watch between.
                 let body = format!("\n{}\n", bytes.trim());
                 let (a, b) = body.split_at(body.len() / 2);
                 for part in [a, b] {
                     watch.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes()).unwrap();
                 }
+                drop(watch);
                 self.logged("discovery: version ");
             }
             _ => panic!("no such step: {step}"),
@@ -265,7 +272,16 @@
         self.hear(&platform, |r| r.as_ref().is_some_and(|r| r.starts_with("GET"))).unwrap();
         let mut watch = self.peers.remove(&platform).unwrap();
         watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        self.peers.insert("watch".into(), watch);
+        let watch = Arc::new(Mutex::new(watch));
+        self.watch = Some(watch.clone());
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(BEAT);
+                if watch.lock().unwrap().write_all(b"1\r\n\n\r\n").is_err() {
+                    return;
+                }
+            }
+        });
     }
 
     fn start(&mut self) -> String {
--- a/protocol/src/discovery.rs
+++ b/protocol/src/discovery.rs
@@ -1,19 +1,22 @@
-//! Discovery's lists: whole in the configuration, and line by line on a watch.
+//! Discovery's lists: whole in the configuration, and one after the other on a watch.
 
 use quillmount_core::{Provider, ProviderList};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use spurshore_settings::state_of_name;
 
-/// A line longer than this is no list of this platform.
-const LINE_MAX: usize = 4 * 1024 * 1024;
+/// What is longer than this, with its indents, is no list of this platform.
+const LIST_MAX: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
     #[error("a list that can't be read: {0}")]
     Json(#[from] serde_json::Error),
+    #[error("a list that begins with {0:?}, where an object should")]
+    Start(char),
     #[error("provider {id}: {what}")]
     Entry { id: String, what: String },
-    #[error("a line of more than {LINE_MAX} bytes")]
+    #[error("a list of more than {LIST_MAX} bytes")]
     TooLong,
 }
 
@@ -68,27 +71,136 @@
     format!("/api/targets?watch=1&after={after}")
 }
 
-/// Puts a watch's chunks together into lines; empty lines only say that the watch lives.
+/// Puts a watch's chunks together into lists, each one JSON object, on one line or indented over many. An
+/// empty line between two lists only says that the watch lives.
 #[derive(Default)]
-pub struct Lines {
+pub struct Lists {
+    /// A list that has begun.
     rest: Vec<u8>,
 }
 
-impl Lines {
-    /// The lists that end in this chunk.
-    pub fn feed(&mut self, chunk: &[u8]) -> Result<Vec<ProviderList>, DiscoveryError> {
+/// What a chunk said.
+#[derive(Debug, Default)]
+pub struct Said {
+    /// The lists that ended in it.
+    pub lists: Vec<ProviderList>,
+    /// The watch lives: a part of a list came, or an empty line where none had begun. Empty lines inside of a
+    /// list are no part of it: the rest is missing.
+    pub lives: bool,
+}
+
+impl Lists {
+    /// # Errors
+    /// What came is no list; nothing that follows can be read.
+    pub fn feed(&mut self, chunk: &[u8]) -> Result<Said, DiscoveryError> {
+        let empty = chunk.trim_ascii().is_empty();
+        let mut said =
+            Said { lists: Vec::new(), lives: !chunk.is_empty() && (!empty || self.rest.is_empty()) };
         self.rest.extend_from_slice(chunk);
-        let mut lists = Vec::new();
-        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = self.rest.drain(..=end).collect();
-            if !line.trim_ascii().is_empty() {
-                let list: List = serde_json::from_slice(&line)?;
-                lists.push(list.try_into()?);
+        // Only a brace ends a list; what is read ends in one, since a number that is cut reads as a wrong
+        // one.
+        if let Some(last) = chunk.iter().rposition(|byte| *byte == b'}') {
+            let known = &self.rest[..=self.rest.len() - chunk.len() + last];
+            let mut values = serde_json::Deserializer::from_slice(known).into_iter::<IgnoredAny>();
+            let mut read = 0;
+            loop {
+                match values.next() {
+                    Some(Ok(IgnoredAny)) => {
+                        let end = values.byte_offset();
+                        let list: List = serde_json::from_slice(&known[read..end])?;
+                        said.lists.push(list.try_into()?);
+                        read = end;
+                    }
+                    Some(Err(e)) if !e.is_eof() => return Err(e.into()),
+                    _ => break,
+                }
             }
+            self.rest.drain(..read);
+        }
+        match self.rest.trim_ascii_start().first() {
+            None => self.rest.clear(),
+            Some(b'{') => {}
+            Some(other) => return Err(DiscoveryError::Start(char::from(*other))),
         }
-        if self.rest.len() > LINE_MAX {
+        if self.rest.len() > LIST_MAX {
             return Err(DiscoveryError::TooLong);
         }
-        Ok(lists)
+        Ok(said)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LINE: &str = concat!(
+        r#"{"version":42,"full":true,"servers":[{"id":"s-\"{1}\"","addr":"10.1.0.18:7070","zone":"ü","kind":"m2","#,
+        r#""cell":3,"state":"ready","weight":1.0,"started_ms":0},{"id":"s-2","cell":4,"state":"gone"}]}"#
+    );
+
+    /// The same over many lines, with empty ones among them.
+    fn indented() -> String {
+        let value: serde_json::Value = serde_json::from_str(LINE).unwrap();
+        serde_json::to_string_pretty(&value).unwrap().replace("[\n", "[\n\n").replace('\n', "\r\n")
+    }
+
+    fn read(text: &str, cuts: &[usize]) -> Vec<(u64, usize)> {
+        let mut lists = Lists::default();
+        let (mut all, mut from) = (Vec::new(), 0);
+        for to in cuts.iter().copied().chain([text.len()]) {
+            all.extend(lists.feed(&text.as_bytes()[from..to]).unwrap().lists);
+            from = to;
+        }
+        assert!(lists.rest.is_empty(), "{:?}", String::from_utf8_lossy(&lists.rest));
+        all.iter().map(|list| (list.version, list.providers.len())).collect()
+    }
+
+    #[test]
+    fn a_list_is_read_on_one_line_and_indented_wherever_it_is_cut() {
+        let next = r#"{"version":43,"servers":[]}"#;
+        let said = [(42, 2), (43, 0), (42, 2)];
+        let text = format!("\n\n{}\n\n{next}{LINE}\n \n", indented());
+        assert_eq!(read(&text, &[]), said);
+        assert_eq!(read(&text, &(1..text.len()).collect::<Vec<_>>()), said, "byte by byte");
+        for cut in 1..text.len() {
+            assert_eq!(read(&text, &[cut]), said, "cut at {cut}");
+            let second = cut + (text.len() - cut) / 2;
+            assert_eq!(read(&text, &[cut, second]), said, "cut at {cut} and {second}");
+        }
+    }
+
+    /// It needs no line end behind it either.
+    #[test]
+    fn a_list_holds_as_soon_as_its_last_byte_is_there() {
+        let mut lists = Lists::default();
+        let text = indented();
+        assert!(lists.feed(&text.as_bytes()[..text.len() - 1]).unwrap().lists.is_empty());
+        assert_eq!(lists.feed(b"}").unwrap().lists.len(), 1);
+    }
+
+    #[test]
+    fn empty_lines_say_that_a_watch_lives_but_inside_of_a_list_that_goes_on() {
+        let mut lists = Lists::default();
+        let mut lives = |chunk: &str| lists.feed(chunk.as_bytes()).unwrap().lives;
+        assert!(lives("\n") && lives("\r\n") && lives(&indented()) && lives("\n"));
+        assert!(lives(r#"{"version":"#));
+        assert!(!lives("\n") && !lives("\n"), "the rest of the list never comes");
+        assert!(lives("44}") && lives("\n"));
+    }
+
+    #[test]
+    fn what_is_no_list_is_an_error_at_once_and_what_never_ends_at_the_limit() {
+        let fed = |text: &str| Lists::default().feed(text.as_bytes()).unwrap_err();
+        for text in ["x", "]", "12\n", "\n[]", r#"{"version":1}]"#] {
+            assert!(matches!(fed(text), DiscoveryError::Start(_)), "{text}");
+        }
+        for text in ["{]}", r#"{"version":1 "full":true}"#, r#"{"version":"1"}"#, "[1,true,[{}]]"] {
+            assert!(matches!(fed(text), DiscoveryError::Json(_) | DiscoveryError::Start(_)), "{text}");
+        }
+        let mut lists = Lists::default();
+        lists.feed(br#"{"version":1,"servers":[""#).unwrap();
+        let piece = vec![b'x'; LIST_MAX / 4];
+        let fed: Vec<bool> = (0..4).map(|_| lists.feed(&piece).is_ok()).collect();
+        assert_eq!(fed, [true, true, true, false]);
     }
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -19,17 +19,36 @@
 /// # Errors
 /// No port could be had.
 pub async fn open(eyes: Eyes, list: watch::Receiver<String>) -> Result<SocketAddr> {
+    // Its sender is gone: it stays as it is.
+    open_with(eyes, list, watch::channel(false).1).await
+}
+
+/// The same; while `down` says so, discovery is down: watches that are open fall silent, and what is asked
+/// gets no answer, both for good.
+///
+/// # Errors
+/// No port could be had.
+pub async fn open_with(
+    eyes: Eyes,
+    list: watch::Receiver<String>,
+    down: watch::Receiver<bool>,
+) -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(serve(stream, eyes.clone(), list.clone()));
+            tokio::task::spawn_local(serve(stream, eyes.clone(), list.clone(), down.clone()));
         }
     });
     Ok(addr)
 }
 
-async fn serve(stream: TcpStream, eyes: Eyes, mut list: watch::Receiver<String>) -> Result<()> {
+async fn serve(
+    stream: TcpStream,
+    eyes: Eyes,
+    mut list: watch::Receiver<String>,
+    mut down: watch::Receiver<bool>,
+) -> Result<()> {
     let (from, mut to) = stream.into_split();
     let mut reader = Reader::new(from);
     while let Some(head) = reader.head().await? {
@@ -45,6 +64,9 @@
             continue;
         }
         eyes.see("", What::Watched).await;
+        if *down.borrow() {
+            break;
+        }
         to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         loop {
             let line = list.borrow_and_update().clone() + "\n";
@@ -52,9 +74,14 @@
             tokio::select! {
                 changed = list.changed() => if changed.is_err() { return Ok(()) },
                 () = sleep(BEAT) => {}
+                Ok(_) = down.wait_for(|down| *down) => break,
             }
         }
+        break;
     }
+    // Silent until the courier has closed it.
+    while reader.head().await?.is_some() {}
+    drop(to);
     Ok(())
 }
 
