--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -94,7 +94,8 @@
 }
 
 impl Fleet {
-    /// Opens what the folder has, listens, and speaks to the others from now on.
+    /// Opens what the folder has, listens, and speaks to the others from now on. `span`: the shortest time that a partner
+    /// remembers a key.
     ///
     /// # Errors
     /// The folder or the address can't be had.
@@ -103,6 +104,7 @@
         folder: &Path,
         seed: u64,
         clock: Clock,
+        span: Option<Micros>,
     ) -> Result<Rc<Fleet>, FleetError> {
         let listen = |source| FleetError::Listen { addr: told.listen.clone(), source };
         let listener = TcpListener::bind(address("listen", &told.listen)?).await.map_err(listen)?;
@@ -119,7 +121,7 @@
         }
         let token = member.agreement().token();
         let fleet = Rc::new(Fleet {
-            gate: Rc::new(Gate::new(clock.clone())),
+            gate: Rc::new(Gate::new(clock.clone(), span)),
             clock,
             member: RefCell::new(member),
             links,
