--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -475,6 +475,9 @@
                 Err(why) => why.into(),
                 Ok(head) => {
                     let intake = self.courier.take_on(head.with_body(body));
+                    if intake == Intake::TakenOn {
+                        self.courier.copied().await;
+                    }
                     Asked::Answered(invocation::answer(intake))
                 }
             },
@@ -561,7 +564,7 @@
 }
 
 fn probe(courier: &Courier, request: &Request) -> Response<Bytes> {
-    let serving = courier.life().wants_consumers() || request.path() == "/-/healthy";
+    let serving = courier.wants_consumers() || request.path() == "/-/healthy";
     match (request.method(), serving) {
         (&Method::GET | &Method::HEAD, true) => invocation::plain(StatusCode::OK, "ready\n"),
         (&Method::GET | &Method::HEAD, false) => {
