--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -115,7 +115,10 @@
     let fleet = match operator.fleet.on {
         false => None,
         true => {
-            let fleet = Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone()).await?;
+            let keyed = config.env.categories.iter().filter(|c| c.effect.as_deref() == Some("dedup"));
+            let span = keyed.map(|c| (c.memory_span_ms * 1e3) as u64).min();
+            let fleet =
+                Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone(), span).await?;
             let joined = tokio::select! {
                 joined = fleet.joined() => joined,
                 never = early_calls(early.as_ref()) => match never {},
@@ -247,12 +250,12 @@
             _ = stop.recv() => ask_to_stop(&courier),
             _ = interrupt.recv() => ask_to_stop(&courier),
             asked = courier.stops() => break asked,
-            () = holder.gone.notified() => return gone(&config, &courier, &mut stop).await,
             () = replaced(fleet.as_deref()) => {
                 tracing::error!("fleet: others have its work by now: the process begins anew; {}", courier.report());
                 courier.live(Input::End);
                 return Ok(Ended::Anew);
             }
+            () = holder.gone.notified() => return gone(&config, &courier, &mut stop).await,
             _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
     };
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -111,7 +111,7 @@
 
     /// Whether the front may send consumers here.
     pub fn wants_consumers(&self) -> bool {
-        self.life().wants_consumers() && self.gate.as_ref().is_none_or(|g| g.takes_on().is_ok())
+        self.life().wants_consumers() && self.gate.as_ref().is_none_or(|gate| gate.takes_on().is_ok())
     }
 
     /// A task gives its part up.
@@ -431,7 +431,7 @@
         self.moved.notify_one();
     }
 
-    fn call(self: &Rc<Self>, call: InvokerCall) {
+    fn call(self: &Rc<Self>, mut call: InvokerCall) {
         tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
         // Of no other span: a call that another's end began would carry that one's along, and so on all day.
         let span = tracing::debug_span!(
@@ -442,7 +442,10 @@
             attempt = call.call.attempt
         );
         let (id, addr) = (call.call, call.addr);
-        let passes = self.gate.as_ref().map(|gate| (gate.clone(), gate.written(), call.by));
+        let passes = self.gate.as_ref().map(|gate| {
+            call.by = call.by.min(gate.latest(self.clock.now()));
+            (gate.clone(), gate.written(), call.by)
+        });
         let call = providers::begin(call, self.clock.now());
         self.make(id, addr, call, passes, span);
     }
--- a/courier/src/transport/gate.rs
+++ b/courier/src/transport/gate.rs
@@ -13,6 +13,9 @@
 /// Records that have waited so long for a copy: consumers wait 0.4 s for a word, and one that would come too late is refused.
 const LATE: Micros = 200_000;
 
+/// A call's last byte leaves so long before its key's span ends, as a repeat's does.
+const KEY_MARGIN: Micros = 50_000;
+
 /// What a write did to the journal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wrote {
@@ -24,6 +27,8 @@
 /// The gate, and what was written since the fleet's part was last told.
 pub struct Gate {
     clock: Clock,
+    /// The shortest time that a partner remembers a key, if any does.
+    span: Option<Micros>,
     written: Cell<u64>,
     safe: Cell<u64>,
     /// The oldest mark that is not safe, and since when.
@@ -39,9 +44,10 @@
 }
 
 impl Gate {
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, span: Option<Micros>) -> Self {
         Gate {
             clock,
+            span,
             written: Cell::new(0),
             safe: Cell::new(0),
             waits: Cell::new(None),
@@ -72,6 +78,12 @@
         self.wrote.notify_one();
     }
 
+    /// No byte of a call that is recorded now may leave from then on: a courier that was paused behind the record, and has been
+    /// taken over meanwhile, would else write after the partner has forgotten the key that the taker's repeat had.
+    pub fn latest(&self, now: Micros) -> Micros {
+        self.span.map_or(Micros::MAX, |span| now.saturating_add(span.saturating_sub(KEY_MARGIN)))
+    }
+
     /// What was written since the last call, in order.
     pub fn news(&self) -> Vec<Wrote> {
         self.news.take()
