Let each file of the transport know only those before it

Cause: six files stood in one circle: calls and streams knew the whole wiring to ask its clock, its life and the pool, and the wiring knew them to begin a call; operators passed calls on by a word of the hand-over, which knew the operators' desk.

--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -233,7 +233,7 @@
     let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
     holder.begin();
-    courier.live(Input::Serve);
+    courier.handle.live(Input::Serve);
     // In a fleet the next process joins with the same folder: it is a member of its own.
     if fleet.is_none()
         && let Err(e) = holder.listen()
@@ -249,10 +249,10 @@
         tokio::select! {
             _ = stop.recv() => ask_to_stop(&courier),
             _ = interrupt.recv() => ask_to_stop(&courier),
-            asked = courier.stops() => break asked,
+            asked = courier.handle.stops() => break asked,
             () = replaced(fleet.as_deref()) => {
                 tracing::error!("fleet: others have its work by now: the process begins anew; {}", courier.report());
-                courier.live(Input::End);
+                courier.handle.live(Input::End);
                 return Ok(Ended::Anew);
             }
             () = holder.gone.notified() => return gone(&config, &courier, &mut stop).await,
@@ -286,7 +286,7 @@
         );
     }
     tracing::info!("{}: stopped; {}", config.name, courier.report());
-    courier.live(Input::End);
+    courier.handle.live(Input::End);
     Ok(Ended::Stopped)
 }
 
@@ -307,15 +307,15 @@
 }
 
 fn ask_to_stop(courier: &Courier) {
-    courier.live(Input::Stop);
-    if courier.life().stopping().is_none() {
+    courier.handle.live(Input::Stop);
+    if courier.handle.life().stopping().is_none() {
         tracing::info!("upgrade: told to stop while all is being handed over: its end is waited for");
     }
 }
 
 /// Another process decides: operators' calls are passed on to it, until this one is told to end.
 async fn gone(config: &Config, courier: &Courier, stop: &mut Signal) -> Result<Ended, RunError> {
-    if config.operator.is_some() && !courier.life().is_told_to_stop() {
+    if config.operator.is_some() && !courier.handle.life().is_told_to_stop() {
         let _ = timeout(PASS_ON, stop.recv()).await;
     }
     tracing::info!("{}: stopped; another process has taken over", config.name);
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -3,9 +3,9 @@
 use super::clock::Clock;
 use super::folder::Folder;
 use super::gate::Gate;
-use super::handover::{Part, Parts};
+use super::handle::{Handle, Part, Parts};
 use super::providers::{self, Came, Words};
-use super::streams::{self, Pipe, Rules, Streams};
+use super::streams::{self, Fails, Pipe, Rules, Streams};
 use actix_rt::net::TcpStream;
 use quillmount_core::call::{self, Call};
 use quillmount_core::counters::Counters;
@@ -13,13 +13,12 @@
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::journal::{Entry, JournalError, Source};
-use quillmount_core::machine::life::{self, Life};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
 use quillmount_core::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList, StreamHead};
 use spurshore::{Micros, MsgId};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,19 +31,14 @@
 
 pub struct Courier {
     pub clock: Clock,
-    /// How long a connection to a provider may take to come up.
-    pub connect: Duration,
-    hub: RefCell<Hub<Folder, TcpStream>>,
+    /// What its tasks know of it.
+    pub handle: Rc<Handle>,
     /// What calls that are out are told.
     words: RefCell<HashMap<CallId, Rc<Words>>>,
     /// What may be streamed, where anything may, and what is.
     pub rules: Option<Rules>,
-    pub streams: Streams,
+    streams: Rc<Streams>,
     pipes: RefCell<HashMap<MsgId, Rc<Pipe>>>,
-    life: Cell<Life>,
-    /// A planned stop begins.
-    stops: Notify,
-    parts: RefCell<Parts<TcpStream>>,
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
@@ -62,16 +56,12 @@
         gate: Option<Rc<Gate>>,
     ) -> Rc<Self> {
         Rc::new(Courier {
-            streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
+            streams: Rc::new(Streams::new(rules.as_ref().map_or(0, |rules| rules.turn))),
             rules,
             pipes: RefCell::default(),
+            handle: Rc::new(Handle::new(clock.clone(), connect, Hub::new(router, pool))),
             clock,
-            connect,
-            hub: RefCell::new(Hub::new(router, pool)),
             words: RefCell::default(),
-            life: Cell::default(),
-            stops: Notify::new(),
-            parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
             gate,
@@ -80,43 +70,12 @@
 
     /// Counts what the router does not see.
     pub fn count(&self, one: impl FnOnce(&mut Counters)) {
-        one(&mut self.hub.borrow_mut().router.counters);
-    }
-
-    /// Where it is in its life.
-    pub fn life(&self) -> Life {
-        self.life.get()
-    }
-
-    /// Something happened to its life; what is to be done.
-    pub fn live(&self, input: life::Input) -> life::Output {
-        let mut life = self.life.get();
-        let output = life.step(input, self.clock.now());
-        self.life.set(life);
-        if life.stopping().is_some() {
-            self.stops.notify_one();
-        }
-        output
-    }
-
-    /// Waits for a planned stop; when it was asked for.
-    pub async fn stops(&self) -> Micros {
-        loop {
-            match self.life().stopping() {
-                Some(asked) => return asked,
-                None => self.stops.notified().await,
-            }
-        }
+        self.handle.count(one);
     }
 
     /// Whether the front may send consumers here.
     pub fn wants_consumers(&self) -> bool {
-        self.life().wants_consumers() && self.gate.as_ref().is_none_or(|gate| gate.takes_on().is_ok())
-    }
-
-    /// A task gives its part up.
-    pub fn give(&self, part: Part, stream: Option<TcpStream>) {
-        self.parts.borrow_mut().push((part, stream));
+        self.handle.life().wants_consumers() && self.gate.as_ref().is_none_or(|gate| gate.takes_on().is_ok())
     }
 
     /// Asks all calls to give their parts up; streams end as at a planned stop.
@@ -130,63 +89,53 @@
         self.words.borrow().len()
     }
 
-    /// The parts that were given up so far.
-    pub fn given(&self) -> Parts<TcpStream> {
-        self.parts.take()
-    }
-
     /// All state, and all parts, once nothing is decided any more.
     pub fn frozen(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
-        let mut parts = self.parts.take();
-        let resting = self.pool(Pool::take_resting);
+        let mut parts = self.handle.given();
+        let resting = self.handle.pool(Pool::take_resting);
         parts.extend(
             resting.into_iter().map(|(provider, addr, since, stream)| {
                 (Part::Resting { provider, addr, since }, Some(stream))
             }),
         );
-        (self.hub.borrow().state(settings), parts)
+        (self.handle.hub.borrow().state(settings), parts)
     }
 
     /// Takes up a call of another process, or of this one before it froze.
     pub fn go_on(self: &Rc<Self>, part: call::Part, stream: Option<TcpStream>) {
         let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
-        let call = providers::go_on(self, part, stream);
+        let call = providers::go_on(&self.handle, part, stream);
         tracing::debug!("call: {id:?} to {addr}, destination {dest}, goes on");
         self.make(id, addr, call, None, tracing::Span::none());
     }
 
     /// Takes up a connection that rests.
     pub fn rest(&self, provider: u32, addr: SocketAddr, since: Micros, stream: TcpStream) {
-        drop(self.pool(|pool| pool.rest(provider, addr, since, stream)));
+        drop(self.handle.pool(|pool| pool.rest(provider, addr, since, stream)));
     }
 
     /// Calls that are out by the state of another process, and came without their parts: they may have run.
     pub fn calls_lost(self: &Rc<Self>) {
-        let out = self.hub.borrow().router.calls_out();
+        let out = self.handle.hub.borrow().router.calls_out();
         for call in out.into_iter().filter(|call| !self.words.borrow().contains_key(call)) {
             tracing::warn!("upgrade: call {call:?} did not come over");
-            let todo = self.hub.borrow_mut().call_ended(call, CallEnd::Reset, self.clock.now());
+            let todo = self.handle.hub.borrow_mut().call_ended(call, CallEnd::Reset, self.clock.now());
             self.carry_out(todo);
         }
     }
 
     /// The first steps of a state that another process had.
     pub fn resume(self: &Rc<Self>, holds: &[(u32, Micros)], steps: Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().resume(holds, steps, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().resume(holds, steps, self.clock.now());
         self.carry_out(todo);
     }
 
-    /// The connections to the providers.
-    pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
-        act(&mut self.hub.borrow_mut().pool)
-    }
-
     pub fn take_on(self: &Rc<Self>, invocation: Invocation) -> Intake {
         if let Some(Err(after)) = self.gate.as_ref().map(|gate| gate.takes_on()) {
             self.count(|c| c.rejected += 1);
             return Intake::Rejected { after };
         }
-        let (intake, todo) = self.hub.borrow_mut().take_on(invocation, self.clock.now());
+        let (intake, todo) = self.handle.hub.borrow_mut().take_on(invocation, self.clock.now());
         self.carry_out(todo);
         intake
     }
@@ -210,14 +159,14 @@
     /// # Errors
     /// The journal has no room, or its store refused the records: then nothing is taken over.
     pub fn adopt(self: &Rc<Self>, entries: Vec<Entry>) -> Result<(), JournalError> {
-        let todo = self.hub.borrow_mut().adopt(entries, self.clock.now())?;
+        let todo = self.handle.hub.borrow_mut().adopt(entries, self.clock.now())?;
         self.carry_out(todo);
         Ok(())
     }
 
     /// Sources whose messages wait for the fleet's word.
     pub fn unsettled(&self) -> Vec<Source> {
-        self.hub.borrow().router.unsettled().cloned().collect()
+        self.handle.hub.borrow().router.unsettled().cloned().collect()
     }
 
     /// The fleet has said whose the messages of a source are; see [`Router::settle_from`].
@@ -225,7 +174,7 @@
     /// # Errors
     /// The store refused the record: they go on to wait.
     pub fn settle_from(self: &Rc<Self>, source: &Source, kept: bool) -> Result<(), JournalError> {
-        let todo = self.hub.borrow_mut().settle(source, kept, self.clock.now())?;
+        let todo = self.handle.hub.borrow_mut().settle(source, kept, self.clock.now())?;
         self.carry_out(todo);
         Ok(())
     }
@@ -241,9 +190,9 @@
         rules: &Rules,
     ) -> Result<Rc<Pipe>, Intake> {
         let now = self.clock.now();
-        let (intake, msg, todo) = self.hub.borrow_mut().take_on_stream(invocation, now);
+        let (intake, msg, todo) = self.handle.hub.borrow_mut().take_on_stream(invocation, now);
         let flow = Flow::new(rules.window, head.length, rules.consumer, rules.provider, now);
-        let pipe = Pipe::new(msg, head, flow);
+        let pipe = Pipe::new(msg, head, flow, self.streams.clone());
         if intake == Intake::TakenOn {
             self.pipes.borrow_mut().insert(msg, pipe.clone());
         }
@@ -251,8 +200,16 @@
         if intake == Intake::TakenOn { Ok(pipe) } else { Err(intake) }
     }
 
+    /// A stream does not go on.
+    pub fn stream_fails(self: &Rc<Self>, pipe: &Pipe, why: Fails) {
+        match why {
+            Fails::Cut(why) => self.stream_cut(pipe, why),
+            Fails::Unbegun => self.stream(|router| router.stream_unbegun(pipe.msg, self.clock.now())),
+        }
+    }
+
     /// A stream's body will never be whole.
-    pub fn stream_cut(self: &Rc<Self>, pipe: &Pipe, why: Cut) {
+    fn stream_cut(self: &Rc<Self>, pipe: &Pipe, why: Cut) {
         let now = self.clock.now();
         pipe.cut(why, now);
         self.stream(|router| router.stream_cut(pipe.msg, Some(why), now));
@@ -268,19 +225,8 @@
         }
     }
 
-    /// No call of it has begun in time.
-    pub fn stream_unbegun(self: &Rc<Self>, pipe: &Pipe) {
-        let now = self.clock.now();
-        self.stream(|router| router.stream_unbegun(pipe.msg, now));
-    }
-
-    /// A part of its body is gone.
-    pub fn stream_committed(&self, msg: MsgId) {
-        self.hub.borrow_mut().router.stream_committed(msg);
-    }
-
     /// The last byte of its call has left.
-    pub fn stream_written(self: &Rc<Self>, call: CallId) {
+    fn stream_written(self: &Rc<Self>, call: CallId) {
         let now = self.clock.now();
         self.stream(|router| router.stream_written(call, now));
     }
@@ -294,7 +240,7 @@
 
     /// Its connection has ended before its answer.
     pub fn stream_lost(self: &Rc<Self>, msg: MsgId) {
-        if self.life().has_ended() {
+        if self.handle.life().has_ended() {
             return;
         }
         let pipe = self.pipes.borrow().get(&msg).cloned();
@@ -305,18 +251,18 @@
     }
 
     fn stream(self: &Rc<Self>, act: impl FnOnce(&mut Router<Folder>) -> Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().stream(act, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().stream(act, self.clock.now());
         self.carry_out(todo);
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
-        if self.life().is_frozen() {
+        if self.handle.life().is_frozen() {
             // Whoever decides next watches from the version that is known.
             return;
         }
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
-        let todo = self.hub.borrow_mut().list(list, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().list(list, self.clock.now());
         tracing::info!("discovery: version {version} with {lines} lines");
         self.carry_out(todo);
     }
@@ -326,23 +272,23 @@
     /// # Errors
     /// Nobody has the id, or its record could not be written: nothing has changed.
     pub fn hold(self: &Rc<Self>, id: &str, held: bool) -> Result<(), HoldError> {
-        let todo = self.hub.borrow_mut().hold(id, held, self.clock.now())?;
+        let todo = self.handle.hub.borrow_mut().hold(id, held, self.clock.now())?;
         self.carry_out(todo);
         Ok(())
     }
 
     pub fn list_version(&self) -> u64 {
-        self.hub.borrow().router.version()
+        self.handle.hub.borrow().router.version()
     }
 
     /// The process ends at `at`.
     pub fn stop(self: &Rc<Self>, at: Micros) {
-        let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
+        let todo = self.handle.hub.borrow_mut().stop(self.clock.now(), at);
         self.carry_out(todo);
     }
 
     pub fn notices(&self, most: usize) -> Vec<Notice> {
-        self.hub.borrow().router.notices(most)
+        self.handle.hub.borrow().router.notices(most)
     }
 
     pub async fn notices_wanted(&self) {
@@ -350,35 +296,35 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
-        if self.life().is_frozen() {
+        if self.handle.life().is_frozen() {
             // Told twice does no harm.
             return;
         }
-        let todo = self.hub.borrow_mut().told(notices, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().told(notices, self.clock.now());
         self.carry_out(todo);
     }
 
     /// Nothing is owed, and no call is out.
     pub fn is_quiet(&self) -> bool {
-        self.hub.borrow().is_quiet()
+        self.handle.hub.borrow().is_quiet()
     }
 
     pub fn report(&self) -> String {
-        let router = &self.hub.borrow().router;
+        let router = &self.handle.hub.borrow().router;
         let (owed, out) = router.load();
         format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk())
     }
 
     /// The first steps of a router that has read its journal.
     pub fn begin(self: &Rc<Self>, steps: Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().carry_out(steps, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().carry_out(steps, self.clock.now());
         self.carry_out(todo);
     }
 
     /// Wakes the router whenever it wants to.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let wake = self.hub.borrow().router.wake_at();
+            let wake = self.handle.hub.borrow().router.wake_at();
             let moved = self.moved.notified();
             match wake {
                 None => moved.await,
@@ -389,11 +335,11 @@
                     }
                 }
             }
-            if self.life().is_frozen() {
+            if self.handle.life().is_frozen() {
                 return;
             }
             if wake.is_some_and(|at| at <= self.clock.now()) {
-                let todo = self.hub.borrow_mut().tick(self.clock.now());
+                let todo = self.handle.hub.borrow_mut().tick(self.clock.now());
                 self.carry_out(todo);
             }
         }
@@ -403,7 +349,7 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(SWEEP).await;
-            drop(self.pool(|pool| pool.sweep(self.clock.now(), providers::is_quiet)));
+            drop(self.handle.pool(|pool| pool.sweep(self.clock.now(), providers::is_quiet)));
         }
     }
 
@@ -474,23 +420,26 @@
                 let pipe = this.pipes.borrow().get(&id.msg).cloned();
                 Came::Ended(match pipe {
                     // On the heap: every other call would carry the room for it along.
-                    Some(pipe) => Box::pin(streams::call(&this, call.0.order, &words, &pipe)).await,
+                    Some(pipe) => {
+                        let written = || this.stream_written(id);
+                        Box::pin(streams::call(&this.handle, call.0.order, &words, &pipe, written)).await
+                    }
                     // Its consumer has gone: its body with it.
                     None => CallEnd::HeldBack,
                 })
             } else {
-                providers::call(&this, call, &words).await
+                providers::call(&this.handle, call, &words).await
             };
             this.words.borrow_mut().remove(&id);
             let (end, each) = match came {
                 Came::Ended(end) => (end, None),
                 Came::Each(ends, wait) => (CallEnd::Each, Some((ends, wait))),
-                Came::Given(part, stream) => return this.give(Part::Call(part), stream),
+                Came::Given(part, stream) => return this.handle.give(Part::Call(part), stream),
             };
             let now = this.clock.now();
             let todo = match &each {
-                None => this.hub.borrow_mut().call_ended(id, end, now),
-                Some((ends, wait)) => this.hub.borrow_mut().call_ended_each(id, ends, *wait, now),
+                None => this.handle.hub.borrow_mut().call_ended(id, end, now),
+                Some((ends, wait)) => this.handle.hub.borrow_mut().call_ended_each(id, ends, *wait, now),
             };
             tracing::debug!("call ended: {id:?} to {addr}: {end:?} {:?}", each.unwrap_or_default());
             this.carry_out(todo);
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -5,22 +5,18 @@
 use super::channel::{self, Channel};
 use super::clock::Clock;
 use super::courier::Courier;
+use super::frames::{Frame, PASS_ON};
+use super::handle::{Part, Parts};
 use super::operators::Desk;
 use super::server::Connections;
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
-use quillmount_core::call;
 use quillmount_core::hub;
-use quillmount_core::machine::consumer;
 use quillmount_core::machine::handover::{GiverInput, GiverOutput, Taker, TakerInput, TakerOutput};
 use quillmount_core::machine::life;
-use quillmount_protocol::operator::Call;
-use serde::{Deserialize, Serialize};
-use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::fs::{File, Permissions, TryLockError};
 use std::io;
-use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
@@ -33,43 +29,6 @@
 const PEERS: usize = 4;
 /// Between two looks whether the tasks have given their parts up.
 const LOOK: Duration = Duration::from_millis(1);
-/// An operator's call that is passed on is answered within this: it is owed an answer within 1 s.
-const PASS_ON: Duration = Duration::from_millis(800);
-
-/// What moves with a descriptor, or without where none is held.
-#[derive(Debug, Serialize, Deserialize)]
-pub enum Part {
-    /// The listening socket of the consumers.
-    Listener,
-    /// A consumer's connection, and what has been read of its request.
-    Consumer { state: consumer::State, bytes: Vec<u8> },
-    /// A connection to a provider, at rest.
-    Resting { provider: u32, addr: SocketAddr, since: Micros },
-    /// A call that is out.
-    Call(Box<call::Part>),
-}
-
-/// Parts with the sockets that they have: as this process holds them, or as they come from another.
-pub type Parts<S> = Vec<(Part, Option<S>)>;
-
-#[derive(Serialize, Deserialize)]
-enum Frame {
-    /// The first word of a process that starts.
-    Ask,
-    /// The first word of one that has handed over: an operator's call.
-    Call(Call),
-    /// The answer to that.
-    Said(String),
-    Busy,
-    /// So many parts follow, each with a word whether a descriptor comes with it.
-    State {
-        state: Box<hub::State>,
-        drained: bool,
-        parts: usize,
-    },
-    Got,
-    LetGo,
-}
 
 /// The folder's lock; it ends with the process or its drop.
 #[derive(Debug)]
@@ -215,19 +174,6 @@
     }
 }
 
-/// Passes an operator's call on to the process that has taken over.
-pub async fn pass_on(folder: &Path, call: &Call) -> io::Result<String> {
-    let passed = async {
-        let mut channel = Channel::open(channel::reach(folder).await?).await?;
-        channel.send(&Frame::Call(call.clone()), None).await?;
-        match channel.recv().await? {
-            Frame::Said(said) => Ok(said),
-            _ => Err(io::Error::other("no answer")),
-        }
-    };
-    timeout(PASS_ON, passed).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-}
-
 /// The consumers' listening socket among what came.
 pub fn listener(parts: &mut Parts<OwnedFd>) -> Option<std::net::TcpListener> {
     let place = parts.iter().position(|(part, _)| matches!(part, Part::Listener))?;
@@ -343,7 +289,7 @@
     }
 
     fn step(&self, input: GiverInput) -> GiverOutput {
-        match self.courier.live(life::Input::Give(input)) {
+        match self.courier.handle.live(life::Input::Give(input)) {
             life::Output::Give(output) => output,
             _ => GiverOutput::Nothing,
         }
@@ -373,7 +319,7 @@
         self.step(GiverInput::Collected);
         let (state, parts) = self.courier.frozen(self.mark);
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
-        let until = self.courier.life().give_by().unwrap_or_default();
+        let until = self.courier.handle.life().give_by().unwrap_or_default();
         let sent = timeout(clock.until(until), self.send(channel, state, &parts)).await;
         let word = match sent {
             Ok(Ok(())) => GiverInput::Got,
@@ -410,7 +356,7 @@
         state: hub::State,
         parts: &[(Part, Option<TcpStream>)],
     ) -> io::Result<()> {
-        let drained = self.courier.life().is_drained();
+        let drained = self.courier.handle.life().is_drained();
         let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1 };
         channel.send(&first, None).await?;
         drop(first);
@@ -428,7 +374,7 @@
     /// Goes on as if nothing had been asked.
     fn take_back(&self, parts: Parts<TcpStream>) {
         tracing::warn!("upgrade: not handed over; this process goes on");
-        for (part, stream) in parts.into_iter().chain(self.courier.given()) {
+        for (part, stream) in parts.into_iter().chain(self.courier.handle.given()) {
             self.put(part, stream);
         }
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -1,10 +1,16 @@
 //! Sockets: the server that consumers reach, and the clients of providers and of the platform.
+//!
+//! Each file knows only those before it: `clock`, `channel`, `gate`, `folder`; `frames`, and `handle`, which is what
+//! tasks know of their courier; `providers` and `streams`, which move the bytes of calls and bodies; `courier`, which
+//! wires them to the decisions; `platform` and `server`, whose tasks hand in what happens; `operators`; `handover`.
 
 pub mod channel;
 pub mod clock;
 pub mod courier;
 pub mod folder;
+pub mod frames;
 pub mod gate;
+pub mod handle;
 pub mod handover;
 pub mod inherited;
 pub mod operators;
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -1,7 +1,7 @@
 //! The listener that operators call, and what their calls come to.
 
 use super::courier::Courier;
-use super::handover;
+use super::frames;
 use super::server::Connections;
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
@@ -50,11 +50,11 @@
     /// The answer to a call, from this process or from the one that has taken over.
     pub async fn answer(&self, call: Call) -> String {
         // What changes now would not be among what is handed over; it is not known yet who decides.
-        while self.courier.life().hands_over() && !self.courier.life().has_ended() {
+        while self.courier.handle.life().hands_over() && !self.courier.handle.life().has_ended() {
             sleep(LOOK).await;
         }
-        let said = if self.courier.life().has_ended() {
-            match handover::pass_on(&self.folder, &call).await {
+        let said = if self.courier.handle.life().has_ended() {
+            match frames::pass_on(&self.folder, &call).await {
                 Ok(said) => return said,
                 Err(e) => Err(format!("another process has taken over, and can't be asked: {e}")),
             }
@@ -70,7 +70,7 @@
     /// Looks for connections at rest while the courier is drained.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let wake = self.courier.life().look_at();
+            let wake = self.courier.handle.life().look_at();
             match wake {
                 None => self.moved.notified().await,
                 Some(at) => {
@@ -85,8 +85,8 @@
     }
 
     fn step(&self, input: Input) {
-        let life::Output::Drain(output) = self.courier.live(life::Input::Drain(input)) else { return };
-        let drained = self.courier.life().is_drained();
+        let life::Output::Drain(output) = self.courier.handle.live(life::Input::Drain(input)) else { return };
+        let drained = self.courier.handle.life().is_drained();
         match output {
             Output::Nothing => {}
             Output::LastAnswers | Output::Keep => {
@@ -94,7 +94,7 @@
                     "operators: {}",
                     if drained { "drained" } else { "consumers are wanted again" }
                 );
-                let stops = self.courier.life().stopping().is_some();
+                let stops = self.courier.handle.life().stopping().is_some();
                 self.connections.close_after_answers(drained || stops);
                 self.moved.notify_one();
             }
@@ -108,7 +108,7 @@
 
     /// Carries a call out; what is to be said of it, or why nothing was done.
     fn call(&self, call: &Call) -> Result<String, String> {
-        let life = self.courier.life();
+        let life = self.courier.handle.life();
         match call {
             Call::Ready if life.stopping().is_some() => Err("this process is stopping".into()),
             Call::Ready if life.is_serving() => Ok("ready".into()),
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -5,7 +5,7 @@
 //! answer, and can't bound the connections of all hosts together (README).
 
 use super::clock::Clock;
-use super::courier::Courier;
+use super::handle::Handle;
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use quillmount_core::call::{self, Call, Told};
@@ -142,13 +142,9 @@
 }
 
 /// Goes on with a call of another process.
-pub fn go_on(
-    courier: &Courier,
-    part: call::Part,
-    connection: Option<TcpStream>,
-) -> (Call<TcpStream>, Micros) {
+pub fn go_on(handle: &Handle, part: call::Part, connection: Option<TcpStream>) -> (Call<TcpStream>, Micros) {
     let (until, decode) = (part.until, invoker::decoder(&part.order));
-    let call = courier.pool(|pool| Call::resumed(part, decode, ANSWER_MAX, connection, pool));
+    let call = handle.pool(|pool| Call::resumed(part, decode, ANSWER_MAX, connection, pool));
     (call, until)
 }
 
@@ -162,16 +158,16 @@
 }
 
 /// Makes one call, once; `until`: when its time is up.
-pub async fn call(courier: &Courier, (mut call, until): (Call<TcpStream>, Micros), words: &Words) -> Came {
-    let (clock, addr) = (&courier.clock, call.order.addr);
+pub async fn call(handle: &Handle, (mut call, until): (Call<TcpStream>, Micros), words: &Words) -> Came {
+    let (clock, addr) = (&handle.clock, call.order.addr);
     let deadline = sleep(clock.until(until));
     tokio::pin!(deadline);
     let mut request = Vec::new();
-    if courier.life().hands_over() {
-        return given(courier, call, until);
+    if handle.life().hands_over() {
+        return given(handle, call, until);
     }
     let mut told = match call.state() {
-        State::New => courier.pool(|pool| call.start(pool, clock.now(), is_quiet)),
+        State::New => handle.pool(|pool| call.start(pool, clock.now(), is_quiet)),
         State::Writing { written: 1.. } => {
             request = invoker::encode(&call.order);
             Told { end: None, finish: false, gone: None }
@@ -200,8 +196,8 @@
             words.forget_hold();
             request = invoker::encode(&call.order);
         }
-        if courier.life().hands_over() {
-            return given(courier, call, until);
+        if handle.life().hands_over() {
+            return given(handle, call, until);
         }
         let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
@@ -209,9 +205,9 @@
                 // The word first: it may keep the call from leaving.
                 () = words.give.notified() => continue,
                 word = words.heard(state) => word,
-                stream = timeout(courier.connect, connect(addr)) => match stream.ok().flatten() {
+                stream = timeout(handle.connect, connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
-                        told = courier.pool(|pool| call.connected(pool, stream, clock.now()));
+                        told = handle.pool(|pool| call.connected(pool, stream, clock.now()));
                         continue;
                     }
                     None => Input::Refused,
@@ -247,7 +243,7 @@
             // No connection where there has to be one can't be; it would prove nothing.
             _ => Input::GiveUp,
         };
-        told = courier.pool(|pool| call.step(pool, input, clock.now()));
+        told = handle.pool(|pool| call.step(pool, input, clock.now()));
         if told.gone.is_some() {
             let bytes = call.attempt().answer().len();
             tracing::debug!("connection closed: {input:?} while {state:?}, {bytes} bytes of an answer");
@@ -255,7 +251,7 @@
     }
 }
 
-fn given(courier: &Courier, call: Call<TcpStream>, until: Micros) -> Came {
-    let (part, connection) = courier.pool(|pool| call.part(pool, until));
+fn given(handle: &Handle, call: Call<TcpStream>, until: Micros) -> Came {
+    let (part, connection) = handle.pool(|pool| call.part(pool, until));
     Came::Given(Box::new(part), connection)
 }
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -5,7 +5,7 @@
 
 use super::clock::Clock;
 use super::courier::Courier;
-use super::handover::Part;
+use super::handle::Part;
 use super::streams;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::{Codec, Message, MessageType};
@@ -201,7 +201,7 @@
         // What is accepted is served: a connection dropped in between would be one turned back unheard.
         let accepted = tokio::select! {
             biased;
-            () = connections.accepts.notified() => match courier.life().hands_over() {
+            () = connections.accepts.notified() => match courier.handle.life().hands_over() {
                 true => return,
                 false => continue,
             },
@@ -242,7 +242,7 @@
                 let mut bytes = BytesMut::from(&self.head[..]);
                 bytes.extend_from_slice(&self.buf);
                 let Conversation { stream, courier, .. } = self;
-                courier.give(Part::Consumer { state, bytes: bytes.into() }, Some(stream));
+                courier.handle.give(Part::Consumer { state, bytes: bytes.into() }, Some(stream));
             }
             Ok(None) => {}
         }
@@ -254,7 +254,7 @@
         let (mut machine, mut todo) = Consumer::resumed(state);
         let mut answer = None;
         loop {
-            if self.courier.life().hands_over() && matches!(todo, Output::Read | Output::Rest) {
+            if self.courier.handle.life().hands_over() && matches!(todo, Output::Read | Output::Rest) {
                 return Ok(Some(machine.state()));
             }
             let input = match todo {
@@ -281,7 +281,7 @@
                     tokio::select! {
                         biased;
                         _ = self.stream.readable() => Input::Readable,
-                        () = self.leave.notified() => match self.courier.life().hands_over() {
+                        () = self.leave.notified() => match self.courier.handle.life().hands_over() {
                             true => continue,
                             false => Input::Leave,
                         },
@@ -318,7 +318,7 @@
                     biased;
                     asked = &mut request => break Some(asked?),
                     () = leave.notified() => {
-                        if courier.life().hands_over() {
+                        if courier.handle.life().hands_over() {
                             return Ok(None);
                         }
                         // Room is short: what is on its way has a moment left.
@@ -397,7 +397,11 @@
         connections.crowd.borrow_mut().streams(self.entry.1);
         let mut gone = Gone { courier: courier.clone(), msg: Some(pipe.msg) };
         let body = (Body::new(framing, rules.largest), digest);
-        let end = streams::take(&mut self.stream, &mut self.buf, &courier, &pipe, body, expects).await;
+        let end =
+            streams::take(&mut self.stream, &mut self.buf, &courier.handle, &pipe, body, expects, |why| {
+                courier.stream_fails(&pipe, why)
+            })
+            .await;
         if end == StreamEnd::Cut(Cut::Gone) {
             // What is written to it now goes nowhere, though the socket may take it: the platform is told.
             return (stream::answer(end), None);
--- a/courier/src/transport/streams.rs
+++ b/courier/src/transport/streams.rs
@@ -1,7 +1,7 @@
 //! The sockets of a streamed invocation: one task reads the consumer's body, another writes it to a provider, and
 //! both go by the same [`Flow`].
 
-use super::courier::Courier;
+use super::handle::Handle;
 use super::providers::{self, Words, last_words, read, tick};
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
@@ -99,6 +99,7 @@
 pub struct Pipe {
     pub msg: MsgId,
     pub head: StreamHead,
+    streams: Rc<Streams>,
     flow: RefCell<Flow>,
     /// The bytes from the flow's base on.
     parts: RefCell<VecDeque<Bytes>>,
@@ -110,10 +111,11 @@
 }
 
 impl Pipe {
-    pub fn new(msg: MsgId, head: StreamHead, flow: Flow) -> Rc<Self> {
+    pub fn new(msg: MsgId, head: StreamHead, flow: Flow, streams: Rc<Streams>) -> Rc<Self> {
         Rc::new(Pipe {
             msg,
             head,
+            streams,
             flow: RefCell::new(flow),
             parts: RefCell::default(),
             begun: Cell::new(false),
@@ -183,16 +185,26 @@
     }
 }
 
+/// Why a stream does not go on.
+#[derive(Clone, Copy, Debug)]
+pub enum Fails {
+    /// Its body will never be whole.
+    Cut(Cut),
+    /// No call of it has begun in time.
+    Unbegun,
+}
+
 /// Reads a consumer's body into the pipe, and returns the final answer once there is one.
 pub async fn take(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
-    courier: &Rc<Courier>,
+    handle: &Handle,
     pipe: &Pipe,
     (mut body, mut digest): (Body, Option<Digest>),
     expects: bool,
+    fails: impl Fn(Fails),
 ) -> StreamEnd {
-    let clock = &courier.clock;
+    let clock = &handle.clock;
     let (mut asked, admit) = (!expects, actix_rt::time::Instant::now() + ADMIT);
     // Whether a call is out, or one is still hoped for, is asked at that time, and after each that fails.
     let mut admits = true;
@@ -216,8 +228,8 @@
                     pipe.change(|flow| flow.is_whole(clock.now()));
                     pipe.bytes.notify_one();
                 }
-                Next::End => courier.stream_cut(pipe, Cut::Digest),
-                Next::Bad(why) => courier.stream_cut(pipe, why),
+                Next::End => fails(Fails::Cut(Cut::Digest)),
+                Next::Bad(why) => fails(Fails::Cut(why)),
             }
         }
         if let Some(end) = pipe.end.get() {
@@ -235,7 +247,7 @@
         };
         let reads = begun && room > 0 && source == Source::Coming;
         if reads {
-            courier.streams.turn().await;
+            pipe.streams.turn().await;
             buf.reserve(READ);
         }
         let most = READ.min(buf.capacity() - buf.len());
@@ -244,19 +256,19 @@
             () = pipe.room.notified() => admits = true,
             () = tokio::time::sleep_until(admit), if !begun && admits => {
                 admits = false;
-                courier.stream_unbegun(pipe);
+                fails(Fails::Unbegun);
             }
             n = async { stream.read_buf(&mut (&mut *buf).limit(most)).await }, if reads => match n {
                 Ok(n) if n > 0 => {
-                    courier.count(|c| c.stream_bytes += n as u64);
-                    courier.streams.spend(n);
+                    handle.count(|c| c.stream_bytes += n as u64);
+                    pipe.streams.spend(n);
                 }
-                _ => courier.stream_cut(pipe, Cut::Gone),
+                _ => fails(Fails::Cut(Cut::Gone)),
             },
             _ = tick(clock, late) => {
                 let late = pipe.flow.borrow().late(Who::Consumer, clock.now());
                 if let Some(late) = late {
-                    courier.stream_cut(pipe, Cut::Late(late));
+                    fails(Fails::Cut(Cut::Late(late)));
                 }
             }
         }
@@ -302,21 +314,33 @@
     hold: Option<Micros>,
 }
 
-/// Makes one call of a stream, once.
-pub async fn call(courier: &Rc<Courier>, order: InvokerCall, words: &Words, pipe: &Pipe) -> CallEnd {
-    let end = make(courier, order, words, pipe).await;
-    pipe.change(|flow| flow.end(courier.clock.now()));
+/// Makes one call of a stream, once; `written` is told when its last byte has left.
+pub async fn call(
+    handle: &Handle,
+    order: InvokerCall,
+    words: &Words,
+    pipe: &Pipe,
+    written: impl Fn(),
+) -> CallEnd {
+    let end = make(handle, order, words, pipe, written).await;
+    pipe.change(|flow| flow.end(handle.clock.now()));
     pipe.room.notify_one();
     end
 }
 
-async fn make(courier: &Rc<Courier>, order: InvokerCall, words: &Words, pipe: &Pipe) -> CallEnd {
-    let (clock, addr, id, provider) = (&courier.clock, order.addr, order.call, order.provider);
+async fn make(
+    handle: &Handle,
+    order: InvokerCall,
+    words: &Words,
+    pipe: &Pipe,
+    written: impl Fn(),
+) -> CallEnd {
+    let (clock, addr, provider) = (&handle.clock, order.addr, order.provider);
     let answer_within = order.timeout;
     let mut by = None;
     let mut call = Call::streamed(order, invoker::decode, ANSWER_MAX);
     let mut p = Progress::default();
-    let mut told = courier.pool(|pool| call.start(pool, clock.now(), providers::is_quiet));
+    let mut told = handle.pool(|pool| call.start(pool, clock.now(), providers::is_quiet));
     loop {
         drop(told.gone);
         if let Some(end) = told.end {
@@ -331,7 +355,7 @@
         if matches!(state, State::Writing { .. }) && !p.headed {
             words.forget_hold();
             if !pipe.change(|flow| flow.begin(clock.now())) {
-                told = courier.pool(|pool| call.step(pool, Input::GiveUp, clock.now()));
+                told = handle.pool(|pool| call.step(pool, Input::GiveUp, clock.now()));
                 continue;
             }
             let head = stream::encode_head(&call.order, &pipe.head);
@@ -343,16 +367,16 @@
         if state == State::Awaiting && by.is_none() {
             // From here on it is the destination's time.
             by = Some(clock.now() + answer_within);
-            courier.stream_written(id);
+            written();
         }
         let asked = call.attempt().is_asked();
         let input = match (state, call.parts()) {
             (State::Connecting, _) => tokio::select! {
                 biased;
                 word = words.heard_by_stream(state) => word,
-                stream = timeout(courier.connect, providers::connect(addr)) => match stream.ok().flatten() {
+                stream = timeout(handle.connect, providers::connect(addr)) => match stream.ok().flatten() {
                     Some(stream) => {
-                        told = courier.pool(|pool| call.connected(pool, stream, clock.now()));
+                        told = handle.pool(|pool| call.connected(pool, stream, clock.now()));
                         continue;
                     }
                     None => Input::Refused,
@@ -362,7 +386,7 @@
             (State::Writing { .. }, Some((stream, answer))) => {
                 // Before it is looked at what may be written: time passes here.
                 if !p.out.is_empty() {
-                    courier.streams.turn().await;
+                    pipe.streams.turn().await;
                 }
                 let now = clock.now();
                 if p.hold.is_some_and(|hold| hold <= now) {
@@ -394,7 +418,7 @@
                         read = read(&mut from, answer) => read,
                         wrote = write(&mut to, &mut p.out), if writes => match wrote {
                             Ok(bytes) => {
-                                courier.streams.spend(bytes as usize);
+                                pipe.streams.spend(bytes as usize);
                                 pipe.change(|flow| flow.send(bytes, clock.now()));
                                 pipe.room.notify_one();
                                 Input::Wrote { bytes: bytes as usize, left: 1 }
@@ -419,11 +443,11 @@
             _ => Input::GiveUp,
         };
         if !pipe.flow.borrow().is_replayable() {
-            courier.stream_committed(pipe.msg);
+            handle.stream_committed(pipe.msg);
         }
-        told = courier.pool(|pool| call.step(pool, input, clock.now()));
+        told = handle.pool(|pool| call.step(pool, input, clock.now()));
         if input == Input::Hold && matches!(call.state(), State::Writing { .. }) {
-            let until = courier.pool(|pool| pool.held_until(provider));
+            let until = handle.pool(|pool| pool.held_until(provider));
             p.hold = Some(until);
             pipe.change(|flow| flow.pause(true, clock.now()));
         }
