--- /dev/null
+++ b/core/src/router/restore.rs
@@ -0,0 +1,147 @@
+//! What an earlier life owes, or another courier's book: from the journal back to work.
+
+use super::*;
+
+/// The zone of another courier's attempt: none that has a number here, so that a repeat which only one zone would know
+/// for what it is goes to none.
+const ELSEWHERE: u32 = u32::MAX;
+
+impl<S: Store> Router<S> {
+    /// Reads the journal and takes up what it owes; the steps are the first to carry out. No streams are taken on.
+    ///
+    /// # Errors
+    /// The settings make no courier, or the store can't be read.
+    pub fn open(
+        env: &Env,
+        seed: u64,
+        known: ProviderList,
+        store: S,
+        disk: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Step>), RouterError> {
+        Self::open_with(env, None, seed, known, store, disk, now)
+    }
+
+    /// The same, with streams within their limits, if there are any.
+    ///
+    /// # Errors
+    /// The settings make no courier, or the store can't be read.
+    pub fn open_with(
+        env: &Env,
+        streams: Option<StreamLimits>,
+        seed: u64,
+        known: ProviderList,
+        store: S,
+        disk: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Step>), RouterError> {
+        let mut notes = Vec::new();
+        let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
+        let facade = |settings| Facade::new(settings, seed);
+        let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
+        router.holds = book.holds;
+        let mut steps = router.list(known, now);
+        router.heard = false;
+        for (id, end, until) in book.over {
+            router.remember(id, end, until);
+        }
+        router.counters.restored = book.owed.len() as u64;
+        for (msg, entry) in book.owed {
+            router.adopted(msg, entry, now, &mut steps);
+        }
+        router.say(&mut steps);
+        Ok((router, steps))
+    }
+
+    /// Takes over what another courier's book owes, under numbers of this router's own: into its journal, and from there
+    /// as after a restart. What is open or over here under its id already is let be, with a note for each; so a second
+    /// time changes nothing. The moments of attempts are the caller's word: for one that was out, the last at which the
+    /// other courier may still have written.
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt(&mut self, entries: Vec<journal::Entry>, now: Micros) -> Result<Vec<Step>, JournalError> {
+        self.forget(now);
+        let mut steps = Vec::new();
+        let (mut fresh, mut ids) = (BTreeMap::new(), BTreeSet::new());
+        for mut entry in entries {
+            let id = &entry.taken.id;
+            let known = self.ids.contains_key(id) || self.over.contains_key(id);
+            if known || entry.end == Some(End::Delivered) || !ids.insert(id.clone()) {
+                steps.push(Step::Note(Note::NotAdopted { id: id.clone() }));
+                continue;
+            }
+            // The other courier's numbers of zones stand for other names here.
+            entry.calls.iter_mut().for_each(|call| call.zone = ELSEWHERE);
+            fresh.insert(self.next + fresh.len() as MsgId, entry);
+        }
+        if !fresh.is_empty() {
+            self.journal.adopt(fresh.clone(), now, &mut self.notes)?;
+        }
+        self.next += fresh.len() as MsgId;
+        self.counters.adopted += fresh.len() as u64;
+        for (msg, entry) in fresh {
+            self.adopted(msg, entry, now, &mut steps);
+        }
+        self.say(&mut steps);
+        Ok(steps)
+    }
+
+    /// Goes on with an invocation of another life, which the journal has: an attempt without an outcome may have run.
+    pub(super) fn restore(&mut self, msg: MsgId, entry: journal::Entry, now: Micros, steps: &mut Vec<Step>) {
+        let TakenOn { id, class, key, dest, deadline, body } = entry.taken;
+        let noted = entry.end.filter(|_| !breaks::on(Break::ForgetEnd));
+        let end = noted.map(|end| match end {
+            End::Deferred { after } => Ending::Deferred(after),
+            End::Delivered | End::Undeliverable => Ending::Undeliverable,
+        });
+        self.ids.insert(id.clone(), msg);
+        let size = size(&id, key.as_deref(), &body);
+        let parcel = Arc::new(Parcel { id, key, body });
+        let noted = entry.calls.len() as u32;
+        // Its consumer and its body went with the life before.
+        let stream = entry.stream.then(|| Stream {
+            committed: true,
+            may_have_run: entry.calls.iter().any(|call| call.never_ran != Some(true)),
+            deaf: true,
+            ..Stream::default()
+        });
+        self.owed.insert(msg, Owed { parcel, dest, deadline, end, noted, stream });
+        if end.is_some() {
+            self.notices.push_back(msg);
+            steps.push(Step::Notify);
+            return;
+        }
+        let Some(class) = self.classes.iter().position(|c| *c == class) else {
+            // The settings have changed since: nothing can be decided about it any more.
+            steps.push(Step::Note(Note::UnknownClass { msg, class }));
+            return self.end(msg, Ending::Undeliverable, now, steps);
+        };
+        if let Some(stream) = stream {
+            return self.end(msg, stream.ending(), now, steps);
+        }
+        if deadline <= now {
+            // Nothing can be delivered any more, and an end that the store refused may have been told.
+            return self.end(msg, Ending::Undeliverable, now, steps);
+        }
+        let past = entry.calls.iter().map(|call| PastAttempt {
+            zone: call.zone,
+            sent: call.sent,
+            may_have_run: call.never_ran != Some(true),
+        });
+        let message = Message {
+            id: msg,
+            class,
+            tenant: None,
+            key: None,
+            deadline,
+            hint: None,
+            dest,
+            stream: false,
+            size,
+        };
+        let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
+        let orders = self.facade.restore(now, message, past);
+        self.carry_out(orders, now, steps);
+    }
+}
