--- a/core/src/machine/life.rs
+++ b/core/src/machine/life.rs
@@ -29,7 +29,7 @@
     Drain(drain::Input),
     /// A signal asks for the planned stop.
     Stop,
-    /// The planned stop is done.
+    /// The planned stop is done, or a fleet has given all to others.
     End,
 }
 
@@ -122,7 +122,7 @@
                 self.stop = self.stop.or(Some(now));
                 Output::Leave
             }
-            (State::Stopping, Input::End) => {
+            (State::Starting | State::Serving | State::Stopping, Input::End) => {
                 self.state = State::Ended;
                 Output::Nothing
             }
@@ -228,7 +228,7 @@
             ("got", "the other process has all of it", (Input::Give(GiverInput::Got), 0)),
             ("lost", "the other process's connection broke", (Input::Give(GiverInput::Lost), 0)),
             ("tick", "the hand-over's time is up", (Input::Give(GiverInput::Tick), PATIENCE)),
-            ("end", "the planned stop is done", (Input::End, 0)),
+            ("end", "the planned stop is done, or its fleet has given all to others", (Input::End, 0)),
         ]
     }
 
