--- /dev/null
+++ b/courier/tests/fleet/copies.rs
@@ -0,0 +1,103 @@
+//! What a courier does where a copy of its journal is gone, or where there is no room for what it takes over.
+
+use super::*;
+use quillmount_standins::consumer;
+
+/// Two couriers, of which the first agrees with itself alone: the second is its only copy.
+async fn pair(missing: &str) -> Fleet {
+    let mut setup = setup(2);
+    setup.fleet = Some(json!({"lease": "2s", "copies": 1, "on_missing": missing}));
+    start(setup).await
+}
+
+/// `require`: a 202 always means two journals.
+#[test]
+fn without_its_only_copy_a_courier_that_requires_one_refuses() {
+    play(async || {
+        let mut fleet = pair("require").await;
+        fleet.kill(1).await.unwrap();
+        unready(&fleet, 0).await;
+        let answer =
+            consumer::hand_in(fleet.addr(0), &message("fee-debit", "refused", 1), BODY).await.unwrap();
+        assert_eq!(answer.status(), 503);
+        let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+        assert!(wait > 0.0, "{wait}");
+        heals(&mut fleet).await;
+    });
+}
+
+/// `prefer`: it goes on alone once that is agreed, and says so.
+#[test]
+fn without_its_only_copy_a_courier_that_prefers_one_goes_on_alone_and_says_so() {
+    play(async || {
+        let mut fleet = pair("prefer").await;
+        let lost = now(&fleet);
+        fleet.kill(1).await.unwrap();
+        anybody_says(&fleet, lost, "0 copies of the journal").await;
+        ready(&fleet, 0).await;
+        assert_eq!(fleet.hand_in(0, &message("fee-debit", "alone", 1), BODY).await, 202);
+        ends(&fleet, "alone").await;
+        let alone = now(&fleet);
+        fleet.spawn(1).unwrap();
+        anybody_says(&fleet, alone, "1 copies of the journal").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// A message that waits for the only copy when it is lost is not answered before there is one again.
+#[test]
+fn a_copy_lost_under_a_message_delays_its_answer() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        let copy = copies_of(&fleet, 1)[0];
+        fleet.kill(copy).await.unwrap();
+        // Of the other copy, once it is one.
+        until("it takes on", async || fleet.hand_in(1, &message("fee-debit", "late", 1), BODY).await == 202)
+            .await;
+        ends(&fleet, "late").await;
+        assert_eq!(calls(&fleet, "late"), 1);
+        heals(&mut fleet).await;
+    });
+}
+
+/// The taker's journal is full, by its own limit, of what its partner holds: it takes over when there is room.
+#[test]
+fn a_taker_without_room_takes_over_when_it_has_some() {
+    play(async || {
+        let mut setup = setup(3);
+        setup.partner(4, |_| Answer::Held);
+        let mut fleet = Fleet::prepare(setup).unwrap();
+        let takes = taker(&fleet, &[0, 2], HOLDS);
+        fleet.configure(takes, &json!({"limits": {"disk_mb": 0.2}})).unwrap();
+        for n in 0..3 {
+            fleet.spawn(n).unwrap();
+        }
+        for n in 0..3 {
+            ready(&fleet, n).await;
+        }
+        let large = [b'x'; 20_000];
+        for id in ["debit", "paid"] {
+            let class = if id == "debit" { "fee-debit" } else { "paid-notice" };
+            assert_eq!(fleet.hand_in(1, &message(class, id, HOLDS), &large).await, 202);
+            call(&fleet, id, 1).await;
+        }
+        let mut full = Vec::new();
+        loop {
+            let id = format!("full-{}", full.len());
+            if fleet.hand_in(takes, &message("fee-debit", &id, 4), &large).await != 202 {
+                break;
+            }
+            full.push(id);
+        }
+        assert!(full.len() > 1, "{full:?}");
+        fleet.kill(1).await.unwrap();
+        fleet.says(takes, "what is taken over can't be written").await.unwrap();
+        assert_eq!((calls(&fleet, "paid"), status(&fleet, takes).await), (1, 200));
+        for id in full {
+            call(&fleet, &id, 1).await;
+            fleet.partner(2).release(&id, Answer::ok());
+        }
+        taken_over(&fleet, 1, "debit", "paid").await;
+        heals(&mut fleet).await;
+    });
+}
--- /dev/null
+++ b/courier/tests/fleet/cut.rs
@@ -0,0 +1,136 @@
+//! Couriers that run and can't be reached: by the fleet, by a partner, by half of the fleet, in the middle of a record.
+
+use super::*;
+use quillmount_standins::door;
+use quillmount_standins::fleet::link::{Once, Way};
+
+/// It says that it may not act, takes nothing on, begins nothing, and its work is taken over once.
+#[test]
+fn an_owner_cut_off_from_the_fleet_stops_of_its_own_accord() {
+    play(async || {
+        let mut setup = setup(3);
+        // Turned away, to come again in a second: begun again and again while it may.
+        setup.partner(3, |_| Answer::full("1"));
+        let mut fleet = start(setup).await;
+        in_hand(&fleet, 1, "debit", "paid").await;
+        assert_eq!(fleet.hand_in(1, &message("fee-debit", "waits", 3), BODY).await, 202);
+        call(&fleet, "waits", 1).await;
+        let lost = now(&fleet);
+        fleet.set_links(1, Way::Cut);
+        let (_, alone) = anybody_says(&fleet, lost, "its lease is over").await;
+        assert_eq!(status(&fleet, 1).await, 503);
+        assert_eq!(fleet.hand_in(1, &message("fee-debit", "refused", 1), BODY).await, 503);
+        let (_, sealed) = anybody_says(&fleet, lost, "book b/").await;
+        assert!(alone < sealed, "its own lease ends first");
+        taken_over(&fleet, 1, "debit", "paid").await;
+        ends(&fleet, "waits").await;
+        let late = |call: &&Call| call.courier == 1 && call.began > sealed;
+        assert_eq!(fleet.witness.read(|r| r.calls.iter().filter(late).count()), 0);
+        fleet.set_links(1, Way::Pass);
+        anybody_says(&fleet, sealed, "the process begins anew").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// Nothing that the owner says is heard, and it hears all: its lease is over all the same.
+#[test]
+fn an_owner_whose_words_are_lost_one_way_is_taken_over() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        in_hand(&fleet, 1, "debit", "paid").await;
+        fleet.cut_one_way(1, 0);
+        fleet.cut_one_way(1, 2);
+        taken_over(&fleet, 1, "debit", "paid").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// Its work stays its own: nobody takes it over for a partner that it can't reach.
+#[test]
+fn an_owner_cut_off_from_the_partner_keeps_its_work() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        fleet.partner(0).set(1, door::Way::CutRefusing);
+        for id in ["one", "two"] {
+            assert_eq!(fleet.hand_in(1, &message("fee-debit", id, 1), BODY).await, 202);
+        }
+        assert_eq!(status(&fleet, 1).await, 200);
+        fleet.says(1, "outage").await.unwrap();
+        assert_eq!((status(&fleet, 1).await, calls(&fleet, "one"), calls(&fleet, "two")), (200, 0, 0));
+        fleet.partner(0).set(1, door::Way::Open);
+        for id in ["one", "two"] {
+            ends(&fleet, id).await;
+        }
+        assert_eq!(said(&fleet, "is sealed"), 0);
+        heals(&mut fleet).await;
+    });
+}
+
+/// The half with one of three voters may do nothing and says so, the other goes on with its work; then both are one again.
+#[test]
+fn a_fleet_in_two_halves_goes_on_in_the_larger() {
+    play(async || {
+        let mut fleet = five().await;
+        in_hand(&fleet, 0, "debit", "paid").await;
+        assert_eq!(fleet.hand_in(2, &message("fee-debit", "own", HOLDS), BODY).await, 202);
+        call(&fleet, "own", 1).await;
+        let (small, large) = ([0, 4], [1, 2, 3]);
+        fleet.part(&small, Way::Cut);
+        for n in small {
+            unready(&fleet, n).await;
+        }
+        taken_over(&fleet, 0, "debit", "paid").await;
+        for n in large {
+            ready(&fleet, n).await;
+            let id = format!("large-{n}");
+            assert_eq!(fleet.hand_in(n, &message("fee-debit", &id, 1), BODY).await, 202);
+            ends(&fleet, &id).await;
+        }
+        for n in small {
+            assert_eq!(fleet.hand_in(n, &message("fee-debit", &format!("small-{n}"), 1), BODY).await, 503);
+        }
+        fleet.partner(1).release("own", Answer::ok());
+        ends(&fleet, "own").await;
+        fleet.part(&small, Way::Pass);
+        heals(&mut fleet).await;
+    });
+}
+
+/// The rest of the record comes with the next request, and the copy has it once.
+#[test]
+fn a_link_cut_in_the_middle_of_a_record_loses_nothing() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        let copy = copies_of(&fleet, 1)[0];
+        for (n, at) in [20, 300, 3_000].into_iter().enumerate() {
+            fleet.link(1, copy).once(Once::CutInBody(at));
+            let id = format!("cut-{n}");
+            assert_eq!(fleet.hand_in(1, &message("fee-debit", &id, 1), &[b'x'; 4_000]).await, 202);
+            ends(&fleet, &id).await;
+        }
+        in_hand(&fleet, 1, "debit", "paid").await;
+        fleet.kill(1).await.unwrap();
+        taken_over(&fleet, 1, "debit", "paid").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// Every word between couriers comes twice, through a takeover and a return.
+#[test]
+fn each_request_delivered_twice_changes_nothing() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        for (from, to) in (0..9).map(|n| (n / 3, n % 3)).filter(|(from, to)| from != to) {
+            (0..3_000).for_each(|_| fleet.link(from, to).once(Once::Twice));
+        }
+        in_hand(&fleet, 1, "debit", "paid").await;
+        for n in 0..20 {
+            let id = format!("more-{n}");
+            assert_eq!(fleet.hand_in(n % 3, &message("fee-debit", &id, 1), BODY).await, 202);
+            ends(&fleet, &id).await;
+        }
+        fleet.kill(1).await.unwrap();
+        taken_over(&fleet, 1, "debit", "paid").await;
+        heals(&mut fleet).await;
+    });
+}
--- /dev/null
+++ b/courier/tests/fleet/main.rs
@@ -0,0 +1,175 @@
+//! Couriers as one fleet: real processes between stand-ins, with faults between them. Work in hand survives the loss of its
+//! courier, and another takes it over, once.
+
+mod copies;
+mod cut;
+mod lost;
+mod paused;
+mod restarts;
+
+use quillmount_fleet::plan::weight;
+use quillmount_fleet::state::part_of;
+use quillmount_standins::audit::{Terms, audit};
+use quillmount_standins::consumer::Invocation;
+use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE, play};
+use quillmount_standins::partner::Answer;
+use quillmount_standins::record::{Call, Record, Stamp};
+use serde_json::json;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(16);
+/// The partner that holds each call until it is told to answer; the other, 1, answers at once.
+const HOLDS: u64 = 2;
+const BODY: &[u8] = b"body";
+
+fn setup(couriers: usize) -> FleetSetup {
+    let mut setup = FleetSetup::new(env!("CARGO_BIN_EXE_quillmount"), couriers);
+    setup.fleet = Some(json!({"lease": "2s", "copies": 1}));
+    setup.partner(1, |_| Answer::ok());
+    setup.partner(HOLDS, |_| Answer::Held);
+    setup
+}
+
+async fn start(setup: FleetSetup) -> Fleet {
+    let fleet = Fleet::start(setup).await.unwrap();
+    for courier in 0..fleet.couriers() {
+        ready(&fleet, courier).await;
+    }
+    fleet
+}
+
+async fn fleet(couriers: usize) -> Fleet {
+    start(setup(couriers)).await
+}
+
+/// Five couriers with two copies of each book: any two may be lost.
+async fn five() -> Fleet {
+    let mut setup = setup(5);
+    setup.fleet = Some(json!({"lease": "2s", "copies": 2}));
+    start(setup).await
+}
+
+/// Waits until something that is no event of the record holds.
+async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let waits = async {
+        while !holds().await {
+            yield_now().await;
+        }
+    };
+    assert!(timeout(PATIENCE, waits).await.is_ok(), "not seen within {PATIENCE:?}: {what}");
+}
+
+async fn status(fleet: &Fleet, courier: usize) -> u16 {
+    fleet.get(courier, "/-/ready").await.map_or(0, |told| told.0)
+}
+
+/// Waits until a courier may take on: copies of its journal are in step.
+async fn ready(fleet: &Fleet, courier: usize) {
+    until(&format!("{courier} is ready"), async || status(fleet, courier).await == 200).await;
+}
+
+async fn unready(fleet: &Fleet, courier: usize) {
+    until(&format!("{courier} is not ready"), async || status(fleet, courier).await == 503).await;
+}
+
+fn message(class: &str, id: &str, dest: u64) -> Invocation {
+    Invocation { key: Some(id.into()), ..Invocation::new(class, id, dest, LONG) }
+}
+
+/// Hands in a debit and a notice, named so, and waits until both calls are out at the partner that holds them.
+async fn in_hand(fleet: &Fleet, courier: usize, debit: &str, paid: &str) {
+    for (class, id) in [("fee-debit", debit), ("paid-notice", paid)] {
+        assert_eq!(fleet.hand_in(courier, &message(class, id, HOLDS), BODY).await, 202, "{id}");
+        call(fleet, id, 1).await;
+    }
+}
+
+/// The debit that was out was ended, not sent again; the notice was sent again by another, which is told that it has come.
+async fn taken_over(fleet: &Fleet, owner: usize, debit: &str, paid: &str) {
+    ends(fleet, debit).await;
+    let again = call(fleet, paid, 2).await;
+    assert_ne!(again.courier, owner);
+    fleet.partner(1).release(paid, Answer::ok());
+    ends(fleet, paid).await;
+    assert_eq!((calls(fleet, debit), calls(fleet, paid)), (1, 2));
+}
+
+async fn ends(fleet: &Fleet, id: &str) {
+    fleet.until(id, PATIENCE, |record: &Record| record.has_ended(id).then_some(())).await.unwrap();
+}
+
+async fn call(fleet: &Fleet, id: &str, n: usize) -> Call {
+    let found = |record: &Record| record.calls_of(id).filter(|call| call.whole.is_some()).nth(n - 1).cloned();
+    fleet.until(&format!("call {n} of {id}"), PATIENCE, found).await.unwrap()
+}
+
+fn calls(fleet: &Fleet, id: &str) -> usize {
+    fleet.witness.read(|record| record.calls_of(id).count())
+}
+
+/// What any courier says, with these words, behind a moment: who, and when.
+async fn anybody_says(fleet: &Fleet, after: Stamp, words: &str) -> (usize, Stamp) {
+    let found = |record: &Record| {
+        let line = record.lines.iter().find(|line| line.when > after && line.text.contains(words));
+        line.map(|line| (line.courier, line.when))
+    };
+    fleet.until(words, PATIENCE, found).await.unwrap()
+}
+
+/// How often anybody has said these words.
+fn said(fleet: &Fleet, words: &str) -> usize {
+    fleet.witness.read(|record| record.lines.iter().filter(|line| line.text.contains(words)).count())
+}
+
+fn now(fleet: &Fleet) -> Stamp {
+    fleet.witness.write(|_, stamp| stamp)
+}
+
+/// Who has a copy of this courier's book.
+fn copies_of(fleet: &Fleet, owner: usize) -> Vec<usize> {
+    let ends = format!(".{}", fleet.name(owner));
+    let holds = |n: &usize| {
+        let names = std::fs::read_dir(fleet.folder(*n).join("fleet")).unwrap();
+        let mut names = names.map(|entry| entry.unwrap().file_name().into_string().unwrap());
+        names.any(|name| name.starts_with("copy.") && name.ends_with(&ends))
+    };
+    (0..fleet.couriers()).filter(|n| *n != owner && holds(n)).collect()
+}
+
+/// Whoever of these takes over what is owed to a destination.
+fn taker(fleet: &Fleet, of: &[usize], dest: u64) -> usize {
+    let part = part_of(dest).to_le_bytes();
+    of.iter().copied().max_by_key(|n| weight(&part, fleet.name(*n))).unwrap()
+}
+
+/// Whoever was the last to say that it leads.
+fn leader(fleet: &Fleet) -> usize {
+    let leads = |record: &Record| {
+        record.lines.iter().rev().find(|line| line.text.ends_with("fleet: leads")).map(|line| line.courier)
+    };
+    fleet.witness.read(leads).unwrap()
+}
+
+fn others(fleet: &Fleet, but: &[usize]) -> Vec<usize> {
+    (0..fleet.couriers()).filter(|n| !but.contains(n)).collect()
+}
+
+fn clean(fleet: &Fleet) {
+    assert_eq!(audit(&fleet.history(Terms::default())), []);
+}
+
+/// Heals all, waits until all may take on and have a message's end each, and audits.
+async fn heals(fleet: &mut Fleet) {
+    fleet.mend().await.unwrap();
+    for courier in 0..fleet.couriers() {
+        ready(fleet, courier).await;
+    }
+    for courier in 0..fleet.couriers() {
+        let id = format!("after-{courier}");
+        assert_eq!(fleet.hand_in(courier, &message("fee-debit", &id, 1), BODY).await, 202, "{id}");
+        ends(fleet, &id).await;
+    }
+    clean(fleet);
+}
