Divide a partner's connections among tenants and agree on who holds them

Cause: no part of the program counts a partner's connections over more than one process. Change: package fleet, module budget: exact weighted max-min in whole connections, the agreed state with raises only within the budget and decreases only as confirmed, the holder's and the leader's side, the check of the operator's section.

--- /dev/null
+++ b/fleet/src/budget/breaks.rs
@@ -0,0 +1,60 @@
+//! Deliberate breaks of this module's code, behind the feature `breaks`: the simulation proves with them that it can
+//! fail. One at most is on, for the thread that put it on, so that tests side by side don't meet.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Break {
+    /// A raise is agreed on without room for it.
+    RoomIgnored,
+    /// A recall counts as met when it is told.
+    RecallUnconfirmed,
+    /// A connection that closes no longer counts.
+    ClosingUncounted,
+    /// A courier goes on with all that it held when its lease is over.
+    LeaseIgnored,
+    /// What a lapsed courier held is free at once.
+    LapseFreesAtOnce,
+    /// A process uses its floor at once, though its earlier life's connections may be open.
+    FloorTooSoon,
+    /// A confirmation of an earlier recall counts for the present one.
+    NumberIgnored,
+    /// A tenant's floor is divided like anything else.
+    FloorForgotten,
+    /// Who goes without is never overdue and gathers no credit.
+    TurnsForgotten,
+}
+
+pub const ALL: &[Break] = &[
+    Break::RoomIgnored,
+    Break::RecallUnconfirmed,
+    Break::ClosingUncounted,
+    Break::LeaseIgnored,
+    Break::LapseFreesAtOnce,
+    Break::FloorTooSoon,
+    Break::NumberIgnored,
+    Break::FloorForgotten,
+    Break::TurnsForgotten,
+];
+
+#[cfg(feature = "breaks")]
+thread_local! {
+    static CHOSEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
+}
+
+/// Whether this break is on.
+#[cfg(feature = "breaks")]
+pub fn on(one: Break) -> bool {
+    CHOSEN.get() == Some(one)
+}
+
+/// Never: this build has no breaks.
+#[cfg(not(feature = "breaks"))]
+#[inline(always)]
+pub const fn on(_: Break) -> bool {
+    false
+}
+
+/// Puts a break on, or all off, for this thread.
+#[cfg(feature = "breaks")]
+pub fn set(one: Option<Break>) {
+    CHOSEN.set(one);
+}
--- /dev/null
+++ b/fleet/src/budget/divide/tests.rs
@@ -0,0 +1,140 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+
+fn fixed(cases: u32) -> Config {
+    Config { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(28), ..Config::default() }
+}
+
+fn claim(n: usize, (weight, floor, room, asks, credit): (u64, u32, u32, u32, i64)) -> Claim<'static> {
+    Claim { name: NAMES[n], weight, floor, ceiling: floor + room, asks, held: 0, credit, overdue: 0 }
+}
+
+fn claims(most: usize) -> impl Strategy<Value = Vec<Claim<'static>>> {
+    let one = (1..6u64, 0..4u32, 1..12u32, 0..14u32, -ONE..ONE);
+    prop::collection::vec(one, 0..=most)
+        .prop_map(|all| all.into_iter().enumerate().map(|(n, one)| claim(n, one)).collect())
+}
+
+/// The exact parts as (numerators, denominator), found by trying for each claim whether it is at its low, at its high
+/// or grows with the level.
+fn by_brute_force(pool: u32, bounds: &[(u32, u32)], weights: &[u64]) -> (Vec<i128>, i128) {
+    let n = bounds.len() as u32;
+    for mut code in 0..3u32.pow(n) {
+        let kinds: Vec<u32> = (0..n).map(|_| (code % 3, code /= 3).0).collect();
+        let set = |of: u32| kinds.iter().enumerate().filter(move |(_, k)| **k == of).map(|(n, _)| n);
+        let fixed: i128 =
+            set(0).map(|n| i128::from(bounds[n].0)).chain(set(1).map(|n| i128::from(bounds[n].1))).sum();
+        let by: i128 = set(2).map(|n| i128::from(weights[n])).sum();
+        let level = i128::from(pool) - fixed;
+        if level < 0 || by == 0 {
+            continue;
+        }
+        // level / by is the level; the others' bounds must be on their side of it.
+        let grown = |n: usize| level * i128::from(weights[n]);
+        let low = |n: usize| i128::from(bounds[n].0) * by;
+        let high = |n: usize| i128::from(bounds[n].1) * by;
+        if set(0).all(|n| grown(n) <= low(n))
+            && set(1).all(|n| grown(n) >= high(n))
+            && set(2).all(|n| grown(n) >= low(n) && grown(n) <= high(n))
+        {
+            let part = |n: usize| [low(n), high(n), grown(n)][kinds[n] as usize];
+            return ((0..bounds.len()).map(part).collect(), by);
+        }
+    }
+    (bounds.iter().map(|(low, _)| i128::from(*low)).collect(), 1)
+}
+
+proptest! {
+    #![proptest_config(fixed(1500))]
+
+    #[test]
+    fn parts_are_the_exact_ones_made_whole_by_the_largest_remainder(pool in 0..24u32, all in claims(5)) {
+        let parts = divide(pool, &all);
+        let high = |c: &Claim| c.asks.min(c.ceiling);
+        let low = |c: &Claim| c.floor.min(high(c));
+        let (lows, highs): (u32, u32) = (all.iter().map(low).sum(), all.iter().map(high).sum());
+        let whole: u32 = parts.iter().map(|p| p.whole).sum();
+        prop_assert_eq!(whole, pool.min(highs));
+        for (part, claim) in parts.iter().zip(&all) {
+            prop_assert!(part.whole <= high(claim));
+            prop_assert!(part.whole >= low(claim) || lows > pool, "{claim:?} has {part:?}");
+        }
+        if highs > pool {
+            let bounds: Vec<(u32, u32)> =
+                all.iter().map(|c| if lows > pool { (0, low(c)) } else { (low(c), high(c)) }).collect();
+            let weights: Vec<u64> = all.iter().map(|c| c.weight).collect();
+            let (exact, by) = by_brute_force(pool, &bounds, &weights);
+            let key = |n: usize| (exact[n] % by) * i128::from(ONE) + i128::from(all[n].credit) * by;
+            for (n, part) in parts.iter().enumerate() {
+                prop_assert_eq!(i128::from(part.fair), exact[n] * i128::from(ONE) / by);
+                let more = i128::from(part.whole) - exact[n] / by;
+                prop_assert!(more == 0 || (more == 1 && exact[n] % by > 0));
+                let passed_over = |m: usize| exact[m] % by > 0 && i128::from(parts[m].whole) == exact[m] / by;
+                let larger = (0..all.len()).find(|m| more == 1 && passed_over(*m) && key(*m) > key(n));
+                prop_assert!(larger.is_none(), "{n} before {larger:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn the_order_of_the_claims_changes_nothing(pool in 0..24u32, all in claims(8).prop_shuffle()) {
+        let by_name = |claims: &[Claim<'static>]| {
+            let mut named: Vec<(&str, Part)> =
+                claims.iter().map(|c| c.name).zip(divide(pool, claims)).collect();
+            named.sort_by_key(|(name, _)| *name);
+            named
+        };
+        let mut sorted = all.clone();
+        sorted.sort_by_key(|c| c.name);
+        prop_assert_eq!(by_name(&all), by_name(&sorted));
+    }
+}
+
+#[test]
+fn a_thousand_tenants_with_one_message_each_take_turns_at_a_hundred_connections() {
+    let names: Vec<String> = (0..1000).map(|n| format!("t{n:04}")).collect();
+    let mut served = vec![0; 1000];
+    for _ in 0..10 {
+        let all = names.iter().zip(&served).map(|(name, served)| {
+            let credit = -ONE * i64::from(*served);
+            Claim { name, weight: 1, floor: 0, ceiling: 100, asks: 1, held: 0, credit, overdue: 0 }
+        });
+        let all: Vec<Claim> = all.collect();
+        let parts = divide(100, &all);
+        assert_eq!(parts.iter().map(|p| p.whole).sum::<u32>(), 100);
+        parts.iter().zip(&mut served).for_each(|(part, served)| *served += part.whole);
+    }
+    assert!(served.iter().all(|n| *n == 1), "each once in ten turns");
+}
+
+#[test]
+fn who_is_overdue_comes_first_and_who_holds_keeps_it_against_a_little_more() {
+    let all =
+        |held, overdue| [claim(0, (50, 0, 9, 9, 0)), Claim { held, overdue, ..claim(1, (50, 0, 9, 9, 0)) }];
+    let whole = |claims: &[Claim]| divide(3, claims).iter().map(|p| p.whole).collect::<Vec<_>>();
+    assert_eq!(whole(&all(0, 0)), [2, 1], "a tie goes by name");
+    assert_eq!(whole(&all(2, 0)), [1, 2], "what is held stays");
+    assert_eq!(whole(&all(0, 1)), [1, 2]);
+    let mut credited = all(2, 0);
+    credited[0].credit = STICK + 1;
+    assert_eq!(whole(&credited), [2, 1]);
+}
+
+#[test]
+fn large_numbers_don_t_overflow() {
+    let huge = |name| Claim {
+        name,
+        weight: 1_000_000_000_000,
+        floor: 0,
+        ceiling: u32::MAX,
+        asks: u32::MAX,
+        held: 0,
+        credit: i64::MIN,
+        overdue: 0,
+    };
+    let parts = divide(u32::MAX, &[huge("a"), huge("b"), Claim { weight: 1, ..huge("c") }]);
+    assert_eq!(parts.iter().map(|p| p.whole).collect::<Vec<_>>(), [2_147_483_648, 2_147_483_647, 0]);
+}
--- /dev/null
+++ b/fleet/src/budget/leader.rs
@@ -0,0 +1,559 @@
+//! The leader's side: hears what couriers ask for, and moves connections between them by commands.
+//!
+//! It keeps nothing that a new leader could not do without: until it has heard a courier, it takes what that holds for
+//! what it asks for.
+//!
+//! **Bounds.** With `G = REPORT + ROUND + an entry of the log`, one move of a connection from its holder to another
+//! takes at most `R = 2 G + Terms::attrition()`, and none of it but `2 G` where the connection is idle.
+//! - A raised budget is granted in the round after it is agreed on; a lowered one is met within `R`.
+//! - Idle budget that was lent is back within `R` of its owner's report.
+//! - A tenant whose exact part is 1 connection or more always has it, within `R`. One with a smaller part `s` (and
+//!   asks for more than none) takes turns: it is overdue after `2 / s` turns without a connection, and then comes
+//!   before all that are not, first come first served, so with `n` overdue and `r` connections that go by turns it is
+//!   served within `(2 / s + n / r) * (TURN + R)`, each quotient rounded up ([`starvation`]). If more than
+//!   [`MOVES`] leases would change in that, `n / MOVES` seconds more.
+//! - At most [`MOVES`] leases of a partner change in any second, whatever the demand does; only a lowered budget's
+//!   recalls come beside.
+
+use super::agreed::{Agreed, Command, Partner};
+use super::breaks::{Break, on};
+use super::divide::{CREDIT_MAX, Claim, ONE, divide};
+use super::{Budget, Terms};
+use serde::{Deserialize, Serialize};
+use spurshore::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The leader looks at the division once in this: moves come in batches, and an entry of the log takes about as long.
+pub const ROUND: Micros = 50_000;
+/// What was asked for counts for so long after it was: demand that comes and goes faster moves nothing.
+pub const WINDOW: Micros = 250_000;
+/// Credits of those that take turns count from one turn to the next: each seat is kept for about so long, some calls'
+/// time, so that moving it costs little of its use.
+pub const TURN: Micros = 2_000_000;
+/// Leases of one partner that change in any second, at most: each is an entry of some 100 bytes in the log of every
+/// courier, which has other work.
+pub const MOVES: u32 = 256;
+/// So many of them at once; the rest comes evenly over the second.
+pub const MOVES_AT_ONCE: u32 = 64;
+/// Lines of one report; what is beyond them counts as not asked for.
+pub const LINES_MAX: usize = 16_384;
+
+/// What a courier asks for and confirms, for one tenant at one partner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    pub dest: u64,
+    pub tenant: String,
+    /// Calls that are out or would go out now.
+    pub asks: u32,
+    pub open: u32,
+    /// The number of the recall and what it has come down to.
+    pub released: Option<(u64, u32)>,
+}
+
+/// All that a courier asks for now; a later one replaces it, so lost and repeated ones do no harm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub courier: String,
+    pub epoch: u64,
+    /// Counts up; an older report than the last is passed over.
+    pub turn: u64,
+    /// All that it has open is within what it holds under this epoch, and earlier processes have nothing open.
+    pub clear: bool,
+    pub lines: Vec<Line>,
+}
+
+/// What couriers say to each other about budgets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// To the leader.
+    Report(Report),
+}
+
+/// A courier's asking, as the highest of the last [`WINDOW`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Asks {
+    now: u32,
+    peak: u32,
+    until: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Heard {
+    epoch: u64,
+    turn: u64,
+    clear: bool,
+    asks: BTreeMap<(u64, String), Asks>,
+    released: BTreeMap<(u64, String), (u64, u32)>,
+}
+
+/// What a tenant, or a courier inside one, was short of.
+#[derive(Clone, Copy, Debug, Default)]
+struct Short {
+    /// Connections, in millionths.
+    credit: i64,
+    /// The credit as it was at the turn's start: what counts.
+    counts: i64,
+    /// Without a connection since then, though it asks.
+    since: Option<Micros>,
+    /// Its exact part in the last round.
+    fair: i64,
+    seen: Micros,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Site {
+    tenants: BTreeMap<String, (u64, u32, Option<u32>)>,
+    /// By tenant, and by tenant and courier.
+    short: BTreeMap<(String, Option<String>), Short>,
+    turned: Micros,
+    looked: Micros,
+    /// Leases that may change now, in millionths.
+    moves: u64,
+}
+
+/// The leader's decisions on budgets. Made anew at each start of a leadership.
+#[derive(Clone, Debug)]
+pub struct Leader {
+    terms: Terms,
+    sites: BTreeMap<u64, Site>,
+    heard: BTreeMap<String, Heard>,
+    /// Whose lease is over, with its epoch, until that is agreed on.
+    lapsed: BTreeMap<String, u64>,
+    /// Since when the member's present state is known here: its epoch, lapsed, aged.
+    seen: BTreeMap<String, (u64, bool, bool, Micros)>,
+    last: Option<Micros>,
+}
+
+impl Leader {
+    pub fn new(terms: Terms) -> Leader {
+        let (sites, heard, lapsed, seen) = Default::default();
+        Leader { terms, sites, heard, lapsed, seen, last: None }
+    }
+
+    /// A partner's budget as the operator file has it.
+    pub fn budget(&mut self, budget: &Budget) {
+        let site = self.sites.entry(budget.dest).or_default();
+        site.tenants =
+            budget.tenants.iter().map(|t| (t.name.clone(), (t.parts(), t.floor, t.ceiling))).collect();
+    }
+
+    /// The member's lease under this epoch is over, by the leader's clock and with the margin for others.
+    pub fn lapsed(&mut self, courier: &str, epoch: u64) {
+        self.lapsed.insert(courier.to_string(), epoch);
+    }
+
+    pub fn hears(&mut self, message: &Message, now: Micros) {
+        let Message::Report(report) = message;
+        let heard = self.heard.entry(report.courier.clone()).or_default();
+        if (report.epoch, report.turn) <= (heard.epoch, heard.turn) {
+            return;
+        }
+        let mut old = match heard.epoch == report.epoch {
+            true => std::mem::take(&mut heard.asks),
+            false => BTreeMap::new(),
+        };
+        heard.asks.clear();
+        heard.released.clear();
+        (heard.epoch, heard.turn, heard.clear) = (report.epoch, report.turn, report.clear);
+        for line in report.lines.iter().take(LINES_MAX) {
+            let key = (line.dest, line.tenant.clone());
+            let mut asks = old.remove(&key).unwrap_or_default();
+            asks.takes(line.asks, now);
+            heard.asks.insert(key.clone(), asks);
+            if let Some(released) = line.released {
+                heard.released.insert(key, released);
+            }
+        }
+        // What is no longer told is no longer asked for, after its window.
+        for (key, mut asks) in old {
+            asks.takes(0, now);
+            if asks.peak > 0 {
+                heard.asks.insert(key, asks);
+            }
+        }
+    }
+
+    /// When [`Leader::tick`] is wanted next.
+    pub fn wake_at(&self, now: Micros) -> Micros {
+        self.last.map_or(now, |last| last.saturating_add(ROUND))
+    }
+
+    /// What is to be proposed now; nothing before a round has passed. What is lost is proposed again.
+    pub fn tick(&mut self, agreed: &Agreed, now: Micros) -> Vec<Command> {
+        if self.last.is_some_and(|last| now < last.saturating_add(ROUND)) {
+            return Vec::new();
+        }
+        self.last = Some(now);
+        let mut commands = Vec::new();
+        self.lives(agreed, now, &mut commands);
+        self.confirmed(agreed, &mut commands);
+        let mut sites = std::mem::take(&mut self.sites);
+        for (dest, partner) in agreed.partners() {
+            let site = sites.entry(dest).or_default();
+            site.look(dest, partner, agreed, &self.heard, now, &mut commands);
+        }
+        self.sites = sites;
+        commands
+    }
+
+    /// Leases that are over, and what has expired since.
+    fn lives(&mut self, agreed: &Agreed, now: Micros, commands: &mut Vec<Command>) {
+        let hold = self.terms.hold();
+        self.lapsed.retain(|c, e| agreed.member(c).is_some_and(|m| m.epoch == *e && !m.lapsed));
+        for (courier, epoch) in &self.lapsed {
+            commands.push(Command::Lapsed { courier: courier.clone(), epoch: *epoch });
+        }
+        for (courier, member) in agreed.members() {
+            let state = (member.epoch, member.lapsed, member.aged);
+            let seen = self.seen.entry(courier.clone()).or_insert((state.0, state.1, state.2, now));
+            if (seen.0, seen.1, seen.2) != state {
+                *seen = (state.0, state.1, state.2, now);
+            }
+            let over = now.saturating_sub(seen.3) >= hold;
+            let heard = self.heard.get(courier).filter(|h| h.epoch == member.epoch);
+            let epoch = member.epoch;
+            if member.lapsed {
+                if over && agreed.partners().any(|(_, p)| p.held(courier, epoch).next().is_some()) {
+                    commands.push(Command::Expired { courier: courier.clone(), epoch });
+                }
+            } else if !member.aged && (over || heard.is_some_and(|h| h.clear)) {
+                commands.push(Command::Aged { courier: courier.clone(), epoch });
+            }
+        }
+    }
+
+    /// Couriers' confirmations that aren't agreed on yet.
+    fn confirmed(&self, agreed: &Agreed, commands: &mut Vec<Command>) {
+        for (courier, heard) in &self.heard {
+            for ((dest, tenant), (number, to)) in &heard.released {
+                let Some(partner) = agreed.partner(*dest) else { continue };
+                let holding = partner.holding(courier, heard.epoch, tenant);
+                if holding.number == *number && holding.recalled.is_some() && *to < holding.granted {
+                    commands.push(Command::Released {
+                        dest: *dest,
+                        tenant: tenant.clone(),
+                        courier: courier.clone(),
+                        epoch: heard.epoch,
+                        number: *number,
+                        to: *to,
+                    });
+                }
+            }
+        }
+    }
+}
+
+impl Asks {
+    fn takes(&mut self, asks: u32, now: Micros) {
+        self.now = asks;
+        if asks >= self.peak || now >= self.until {
+            (self.peak, self.until) = (asks, now.saturating_add(WINDOW));
+        }
+    }
+
+    fn at(&self, now: Micros) -> u32 {
+        if now >= self.until { self.now } else { self.peak.max(self.now) }
+    }
+}
+
+/// What one tenant has at one courier, and is to have.
+struct Seat<'a> {
+    tenant: &'a str,
+    courier: &'a str,
+    epoch: u64,
+    asks: u32,
+    /// What it may use now, and what counts for it.
+    usable: u32,
+    granted: u32,
+    to: u32,
+}
+
+impl Site {
+    fn look(
+        &mut self,
+        dest: u64,
+        partner: &Partner,
+        agreed: &Agreed,
+        heard: &BTreeMap<String, Heard>,
+        now: Micros,
+        commands: &mut Vec<Command>,
+    ) {
+        let since = if self.looked == 0 { ROUND } else { now.saturating_sub(self.looked) };
+        self.looked = now;
+        let most = u64::from(MOVES_AT_ONCE) * ONE as u64;
+        let more = since.saturating_mul(u64::from(MOVES - MOVES_AT_ONCE));
+        self.moves = self.moves.saturating_add(more).min(most);
+        let mut seats = seats(dest, partner, agreed, heard, now);
+        self.aim(partner, agreed, &mut seats, since, now);
+        self.moves(dest, partner, agreed, &seats, commands);
+    }
+
+    /// Where each connection should be.
+    fn aim(&mut self, partner: &Partner, agreed: &Agreed, seats: &mut [Seat], since: Micros, now: Micros) {
+        let turn = now >= self.turned.saturating_add(TURN);
+        if turn {
+            self.turned = now;
+        }
+        // What can't be moved: floors that are not used up by grants, older lives, lapsed couriers.
+        let mut floors: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut fixed: u64 = 0;
+        for courier in partner.couriers() {
+            let member = agreed.member(courier);
+            match member {
+                Some(m) if !m.lapsed && m.aged => {
+                    floors.insert(courier, u64::from(partner.floor_to_be(courier)));
+                }
+                Some(m) if !m.lapsed => {
+                    fixed += partner.beside(courier, member).max(u64::from(partner.floor_to_be(courier)));
+                }
+                Some(m) => {
+                    let now: u64 = partner.held(courier, m.epoch).map(|(_, h)| u64::from(h.granted)).sum();
+                    let all = partner.beside(courier, member) + now;
+                    fixed += all.max(u64::from(partner.floor_to_be(courier)));
+                }
+                None => fixed += u64::from(partner.floor_to_be(courier)),
+            }
+        }
+        let all = u64::from(partner.connections).saturating_sub(fixed);
+        let mut pool = u32::try_from(all).unwrap_or(u32::MAX);
+        // A floor that isn't asked for is idle: the pool is what remains beside it.
+        loop {
+            self.share(pool, partner.connections, seats, now);
+            let mut at: BTreeMap<&str, u64> = BTreeMap::new();
+            seats.iter().for_each(|s| *at.entry(s.courier).or_default() += u64::from(s.to));
+            let beside = floors.iter().map(|(c, f)| f.saturating_sub(at.get(c).copied().unwrap_or(0)));
+            let sum: u64 = at.values().sum::<u64>() + beside.sum::<u64>();
+            let over = u32::try_from(sum.saturating_sub(all)).unwrap_or(u32::MAX);
+            if over == 0 || pool == 0 {
+                break;
+            }
+            pool = pool.saturating_sub(over);
+        }
+        for (courier, floor) in floors {
+            let mut here: Vec<&mut Seat> = seats.iter_mut().filter(|s| s.courier == courier).collect();
+            let used: u32 = here.iter().map(|s| s.to).sum();
+            let rest = u32::try_from(floor).unwrap_or(u32::MAX).saturating_sub(used);
+            let claims = here.iter().map(|s| {
+                let (weight, _, ceiling) = self.terms(s.tenant);
+                Claim {
+                    name: s.tenant,
+                    weight,
+                    floor: 0,
+                    ceiling: ceiling.unwrap_or(u32::MAX).saturating_sub(s.to),
+                    asks: s.asks.saturating_sub(s.to),
+                    held: 0,
+                    credit: 0,
+                    overdue: 0,
+                }
+            });
+            let parts = divide(rest, &claims.collect::<Vec<_>>());
+            here.iter_mut().zip(parts).for_each(|(s, p)| s.to += p.whole);
+        }
+        self.turns(seats, since, now, turn);
+    }
+
+    fn terms(&self, tenant: &str) -> (u64, u32, Option<u32>) {
+        self.tenants.get(tenant).copied().unwrap_or((ONE as u64, 0, None))
+    }
+
+    /// The division over tenants, and inside each over its couriers.
+    fn share(&mut self, pool: u32, connections: u32, seats: &mut [Seat], now: Micros) {
+        let mut tenants: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        seats.iter().enumerate().for_each(|(n, s)| tenants.entry(s.tenant).or_default().push(n));
+        let claims: Vec<Claim> = tenants
+            .iter()
+            .map(|(tenant, at)| {
+                let (weight, floor, ceiling) = self.terms(tenant);
+                let sum =
+                    |of: fn(&Seat) -> u32| at.iter().map(|n| of(&seats[*n])).fold(0, u32::saturating_add);
+                let (credit, overdue) = self.short(tenant, None, now);
+                let ceiling = ceiling.unwrap_or(connections);
+                Claim {
+                    name: tenant,
+                    weight,
+                    floor,
+                    ceiling,
+                    asks: sum(|s| s.asks),
+                    held: sum(|s| s.usable),
+                    credit,
+                    overdue,
+                }
+            })
+            .collect();
+        let parts = divide(pool, &claims);
+        for ((tenant, at), part) in tenants.into_iter().zip(parts) {
+            self.fair(tenant, None, part.fair);
+            let claims: Vec<Claim> = at
+                .iter()
+                .map(|n| {
+                    let seat = &seats[*n];
+                    let (credit, overdue) = self.short(tenant, Some(seat.courier), now);
+                    let (asks, held) = (seat.asks, seat.usable);
+                    Claim {
+                        name: seat.courier,
+                        weight: 1,
+                        floor: 0,
+                        ceiling: asks,
+                        asks,
+                        held,
+                        credit,
+                        overdue,
+                    }
+                })
+                .collect();
+            for (n, inner) in at.into_iter().zip(divide(part.whole, &claims)) {
+                seats[n].to = inner.whole;
+                self.fair(tenant, Some(seats[n].courier), inner.fair);
+            }
+        }
+    }
+
+    /// Credit, and how long it is overdue.
+    fn short(&self, tenant: &str, courier: Option<&str>, now: Micros) -> (i64, u64) {
+        let key = (tenant.to_string(), courier.map(str::to_string));
+        let Some(short) = self.short.get(&key).filter(|_| !on(Break::TurnsForgotten)) else { return (0, 0) };
+        let waited = short.since.map_or(0, |at| now.saturating_sub(at));
+        // Two turns of its own, by its part.
+        let due = (2 * ONE as u64).div_ceil(short.fair.max(1) as u64).saturating_mul(TURN);
+        (short.counts, if waited > due { waited } else { 0 })
+    }
+
+    fn fair(&mut self, tenant: &str, courier: Option<&str>, fair: i64) {
+        let key = (tenant.to_string(), courier.map(str::to_string));
+        self.short.entry(key).or_default().fair = fair;
+    }
+
+    /// Credit grows by what is fair, and falls by what is held.
+    fn turns(&mut self, seats: &[Seat], since: Micros, now: Micros, turn: bool) {
+        let mut held: BTreeMap<(String, Option<String>), u32> = BTreeMap::new();
+        for seat in seats.iter().filter(|s| s.asks > 0) {
+            let here = held.entry((seat.tenant.to_string(), Some(seat.courier.to_string()))).or_default();
+            *here = here.saturating_add(seat.granted);
+            let all = held.entry((seat.tenant.to_string(), None)).or_default();
+            *all = all.saturating_add(seat.granted);
+        }
+        for (key, held) in held {
+            let short = self.short.entry(key).or_default();
+            let gain = (short.fair - i64::from(held).saturating_mul(ONE)).clamp(-CREDIT_MAX, CREDIT_MAX);
+            let gain = i128::from(gain) * i128::from(since.min(TURN)) / i128::from(TURN);
+            short.credit = (short.credit + gain as i64).clamp(-CREDIT_MAX, CREDIT_MAX);
+            short.since = if held > 0 { None } else { short.since.or(Some(now)) };
+            short.seen = now;
+            if turn {
+                short.counts = short.credit;
+            }
+        }
+        // Who asks for nothing gathers nothing.
+        self.short.retain(|_, s| s.seen == now);
+    }
+
+    /// Moves what has to be, as far as others need it and the limit of moves lets it.
+    fn moves(
+        &mut self,
+        dest: u64,
+        partner: &Partner,
+        agreed: &Agreed,
+        seats: &[Seat],
+        commands: &mut Vec<Command>,
+    ) {
+        let committed = agreed.committed(dest);
+        let connections = u64::from(partner.connections);
+        let set = |s: &Seat, to: u32| Command::Set {
+            dest,
+            tenant: s.tenant.to_string(),
+            courier: s.courier.to_string(),
+            epoch: s.epoch,
+            to,
+        };
+        // A recall that is no longer wanted is taken back first: that costs nothing.
+        let mut raises: Vec<&Seat> = seats.iter().filter(|s| s.to > s.usable).collect();
+        raises.sort_by_key(|s| (s.usable > 0, s.usable, s.tenant, s.courier));
+        let wanted: u64 = raises.iter().map(|s| u64::from(s.to - s.granted.min(s.to))).sum();
+        let pending: u64 = seats.iter().map(|s| u64::from(s.granted - s.usable)).sum();
+        let raised: u64 =
+            partner.couriers().iter().map(|c| u64::from(partner.floor_to_be(c) - partner.floor(c))).sum();
+        let over = committed.saturating_sub(connections);
+        let mut need = (committed + wanted + raised).saturating_sub(connections).saturating_sub(pending);
+        let mut surplus: Vec<&Seat> = seats.iter().filter(|s| s.to < s.usable).collect();
+        surplus.sort_by_key(|s| (s.to >= s.asks, std::cmp::Reverse(s.usable - s.to), s.tenant, s.courier));
+        // First what its holder has no use for.
+        surplus.sort_by_key(|s| s.asks >= s.usable);
+        let mut forced = over.saturating_sub(pending);
+        for seat in surplus {
+            if need == 0 {
+                break;
+            }
+            let by = u64::from(seat.usable - seat.to).min(need);
+            // A lowered budget waits for nothing.
+            if forced > 0 {
+                forced = forced.saturating_sub(by);
+            } else if !self.may_move() {
+                break;
+            }
+            need -= by;
+            commands.push(set(seat, seat.usable - by as u32));
+        }
+        let mut room = connections.saturating_sub(committed);
+        let floors: BTreeSet<&str> = partner.couriers().into_iter().collect();
+        for seat in raises {
+            let more = seat.to.saturating_sub(seat.granted);
+            // Within its courier's floor a raise may cost nothing: let the agreed state see.
+            let free = if floors.contains(seat.courier) { u64::from(partner.floor(seat.courier)) } else { 0 };
+            if more > 0 && room == 0 && free == 0 {
+                continue;
+            }
+            let take = u64::from(more).min(room.max(free)) as u32;
+            if !self.may_move() {
+                break;
+            }
+            room = room.saturating_sub(u64::from(take));
+            let to = if more == 0 { seat.to } else { seat.granted + take };
+            commands.push(set(seat, to));
+        }
+    }
+
+    fn may_move(&mut self) -> bool {
+        let may = self.moves >= ONE as u64;
+        if may {
+            self.moves -= ONE as u64;
+        }
+        may
+    }
+}
+
+/// All that live couriers ask for or hold, in the order of tenants and couriers.
+fn seats<'a>(
+    dest: u64,
+    partner: &'a Partner,
+    agreed: &'a Agreed,
+    heard: &'a BTreeMap<String, Heard>,
+    now: Micros,
+) -> Vec<Seat<'a>> {
+    let mut seats: BTreeMap<(&str, &str), Seat> = BTreeMap::new();
+    for (courier, member) in agreed.members().iter().filter(|(_, m)| !m.lapsed) {
+        let heard = heard.get(courier).filter(|h| h.epoch == member.epoch);
+        let seat =
+            |tenant| Seat { tenant, courier, epoch: member.epoch, asks: 0, usable: 0, granted: 0, to: 0 };
+        for (tenant, holding) in partner.held(courier, member.epoch) {
+            let one = seats.entry((tenant, courier)).or_insert_with(|| seat(tenant));
+            (one.usable, one.granted) = (holding.usable(), holding.granted);
+            if heard.is_none() {
+                one.asks = holding.usable();
+            }
+        }
+        for ((_, tenant), asks) in heard.into_iter().flat_map(|h| &h.asks).filter(|((d, _), _)| *d == dest) {
+            seats.entry((tenant, courier)).or_insert_with(|| seat(tenant)).asks = asks.at(now);
+        }
+    }
+    seats.into_values().collect()
+}
+
+/// The longest that a tenant with so many millionths of a connection as its part goes without one, while `overdue`
+/// others are overdue and `by_turns` connections go by turns.
+pub fn starvation(terms: &Terms, fair: i64, overdue: u64, by_turns: u64) -> Micros {
+    let own = (2 * ONE as u64).div_ceil(fair.clamp(1, ONE) as u64);
+    let others = overdue.div_ceil(by_turns.max(1));
+    let step = 2 * (super::holder::REPORT + ROUND) + terms.attrition();
+    let moves = overdue.saturating_mul(1_000_000) / u64::from(MOVES);
+    (own + others).saturating_mul(TURN + step).saturating_add(moves)
+}
--- /dev/null
+++ b/fleet/src/budget/tests.rs
@@ -0,0 +1,152 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn tenant(name: &str, weight: f64, floor: u32, ceiling: Option<u32>) -> Tenant {
+    Tenant { name: name.into(), weight, floor, ceiling }
+}
+
+fn budget(dest: u64, connections: u32, courier_floor: u32, tenants: Vec<Tenant>) -> Budget {
+    Budget { dest, connections, calls: None, span_ms: None, courier_floor, tenants }
+}
+
+#[test]
+fn each_thing_that_is_wrong_is_told_with_its_path() {
+    let good = budget(1, 10, 1, vec![tenant("a", 1.0, 3, Some(3)), tenant("b", 0.5, 4, None)]);
+    assert_eq!(check(std::slice::from_ref(&good), 3), []);
+    let told = |budgets: &[Budget], couriers| {
+        check(budgets, couriers).iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(
+        told(std::slice::from_ref(&good), 4),
+        [
+            "$.fleet.budgets[0].tenants: the floors of 1 add up to 11 of its 10 connections (7 of tenants, and 1 for \
+          each of 4 couriers); lower floors or raise connections"
+        ]
+    );
+    let wrong = |tenants| told(&[budget(1, 10, 0, tenants)], 3);
+    for weight in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e7] {
+        let told = wrong(vec![tenant("a", weight, 0, None)]);
+        assert_eq!(told.len(), 1, "{weight}");
+        assert!(told[0].starts_with("$.fleet.budgets[0].tenants[0].weight: "), "{}", told[0]);
+        assert!(told[0].contains("tenant \"a\"") && told[0].contains("say a number"), "{}", told[0]);
+    }
+    let path =
+        |told: Vec<String>| told.into_iter().map(|t| t.split(": ").next().unwrap().to_string()).collect();
+    let paths: Vec<String> = path(wrong(vec![
+        tenant("a", 1.0, 3, Some(2)),
+        tenant("a", 1.0, 0, Some(0)),
+        tenant("", 1.0, 0, None),
+    ]));
+    let at = "$.fleet.budgets[0].tenants";
+    let wanted = ["[0].ceiling", "[1].name", "[1].ceiling", "[2].name"].map(|m| format!("{at}{m}"));
+    assert_eq!(paths, wanted);
+    let calls = Budget { calls: Some(5), ..budget(2, 0, 0, vec![]) };
+    let paths: Vec<String> = path(told(&[good.clone(), good, calls], 3));
+    assert_eq!(
+        paths,
+        ["$.fleet.budgets[1].dest", "$.fleet.budgets[2].connections", "$.fleet.budgets[2].span_ms"]
+    );
+}
+
+fn command() -> impl Strategy<Value = Command> {
+    let courier = prop::sample::select(vec!["a".to_string(), "b".into(), "c".into()]);
+    let tenant = prop::sample::select(vec!["t".to_string(), "u".into()]);
+    let set = (tenant, courier.clone(), 1..4u64, 0..9u32, 0..12u64);
+    prop_oneof![
+        1 => (6..12u32, 0..3u32).prop_map(|(connections, floor)| {
+            let couriers = vec!["a".into(), "b".into()];
+            Command::Budget { dest: 1, connections, floor, couriers }
+        }),
+        2 => (courier.clone(), 1..4u64).prop_map(|(courier, epoch)| Command::Joined { courier, epoch }),
+        1 => (courier.clone(), 1..4u64).prop_map(|(courier, epoch)| Command::Lapsed { courier, epoch }),
+        1 => (courier.clone(), 1..4u64).prop_map(|(courier, epoch)| Command::Expired { courier, epoch }),
+        1 => (courier, 1..4u64).prop_map(|(courier, epoch)| Command::Aged { courier, epoch }),
+        8 => set.clone().prop_map(|(tenant, courier, epoch, to, _)| Command::Set { dest: 1, tenant, courier, epoch, to }),
+        4 => set.prop_map(|(tenant, courier, epoch, to, number)| {
+            Command::Released { dest: 1, tenant, courier, epoch, number, to }
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 2000, failure_persistence: None, rng_seed: RngSeed::Fixed(28), ..Config::default() })]
+
+    /// Any commands in any order: the sum grows only within the budget, and what a courier holds is taken from it by
+    /// nothing but its own confirmation or its end.
+    #[test]
+    fn no_command_grants_what_the_budget_lacks(commands in prop::collection::vec(command(), 1..60)) {
+        let mut agreed = Agreed::default();
+        for command in &commands {
+            let before = agreed.committed(1);
+            let old = agreed.clone();
+            let events = agreed.apply(command);
+            let (after, budget) = (agreed.committed(1), agreed.partner(1).map_or(0, |p| p.connections));
+            prop_assert!(after <= before.max(u64::from(budget)), "{before} to {after} of {budget} by {command:?}");
+            if events.iter().any(|e| matches!(e, Event::Refused { .. })) {
+                prop_assert_eq!(before, after);
+            }
+            for (_, partner) in old.partners() {
+                for courier in ["a", "b", "c"] {
+                    let Some(epoch) = old.member(courier).map(|m| m.epoch) else { continue };
+                    for (tenant, held) in partner.held(courier, epoch) {
+                        let now = agreed.partner(1).map(|p| p.holding(courier, epoch, tenant)).unwrap_or_default();
+                        let ended = matches!(command, Command::Expired { .. } | Command::Aged { .. });
+                        let told = matches!(command, Command::Released { number, to, .. }
+                            if *number == held.number && held.recalled.is_some() && now.granted >= *to);
+                        prop_assert!(now.granted >= held.granted || ended || told, "{held:?} {now:?} by {command:?}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_confirmation_of_an_earlier_recall_says_nothing_of_the_next() {
+    let mut agreed = Agreed::default();
+    let set = |to| Command::Set { dest: 1, tenant: "t".into(), courier: "a".into(), epoch: 1, to };
+    let released = |number, to| Command::Released {
+        dest: 1,
+        tenant: "t".into(),
+        courier: "a".into(),
+        epoch: 1,
+        number,
+        to,
+    };
+    agreed.apply(&Command::Budget { dest: 1, connections: 5, floor: 0, couriers: vec![] });
+    agreed.apply(&Command::Joined { courier: "a".into(), epoch: 1 });
+    assert_eq!(agreed.apply(&set(5)).len(), 1);
+    let [Event::Recalled { number, .. }] = agreed.apply(&set(2))[..] else { panic!("a recall is wanted") };
+    assert_eq!(agreed.committed(1), 5, "told is not met");
+    agreed.apply(&released(number, 4));
+    assert_eq!(agreed.committed(1), 4, "it may be met in parts");
+    agreed.apply(&released(number, 2));
+    agreed.apply(&set(5));
+    agreed.apply(&set(2));
+    let events = agreed.apply(&released(number, 2));
+    assert_eq!(events, [Event::Refused { why: agreed::Refused::Number }]);
+    assert_eq!(agreed.committed(1), 5);
+}
+
+#[test]
+fn an_earlier_life_counts_beside_the_present_one_until_its_time_is_over() {
+    let mut agreed = Agreed::default();
+    let joined = |epoch| Command::Joined { courier: "a".into(), epoch };
+    let set = |epoch, to| Command::Set { dest: 1, tenant: "t".into(), courier: "a".into(), epoch, to };
+    agreed.apply(&Command::Budget { dest: 1, connections: 9, floor: 2, couriers: vec!["a".into()] });
+    agreed.apply(&joined(1));
+    agreed.apply(&set(1, 4));
+    assert_eq!(agreed.committed(1), 6, "a floor that an earlier life may use counts beside");
+    agreed.apply(&Command::Aged { courier: "a".into(), epoch: 1 });
+    assert_eq!(agreed.committed(1), 4, "the floor is part of what is granted");
+    agreed.apply(&joined(2));
+    agreed.apply(&set(2, 9));
+    assert_eq!(agreed.committed(1), 9);
+    assert_eq!(agreed.partner(1).unwrap().holding("a", 2, "t").granted, 5);
+    agreed.apply(&Command::Lapsed { courier: "a".into(), epoch: 2 });
+    assert_eq!(agreed.apply(&set(2, 6)), [Event::Refused { why: agreed::Refused::Epoch }]);
+    assert_eq!(agreed.committed(1), 9, "a lapsed courier's connections may be open yet");
+    agreed.apply(&Command::Expired { courier: "a".into(), epoch: 2 });
+    assert_eq!(agreed.committed(1), 2, "its floor is kept");
+}
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,3 @@
+//! What several couriers agree on and decide together, without I/O.
+
+pub mod budget;
