Prove that the budgets' simulation can fail: nine deliberate breaks, each found

Cause: a simulation that finds nothing proves nothing. Change: nine breaks of the code behind the feature breaks, one a thread; entries of the log that are late or there twice; demand that flaps while calls are long; a tenant's floor beside a flood.

--- a/fleet/tests/budget.rs
+++ b/fleet/tests/budget.rs
@@ -108,6 +108,8 @@
     loss: u64,
     /// Messages take up to so long.
     slow: u64,
+    /// A late entry takes so many times as long as others.
+    late: u64,
     /// Calls take from, to; so many in a hundred take up to twice the longest that a call may.
     calls: (u64, u64),
     hang: u64,
@@ -150,6 +152,7 @@
             rng: Rng(seed),
             loss: 0,
             slow: 10 * MS,
+            late: 80,
             calls: (20 * MS, 200 * MS),
             hang: 0,
             limit: u64::from(budget.connections),
@@ -227,11 +230,16 @@
         }
     }
 
+    /// An entry of the log: now and then lost, late, or there twice, as one is that was handed on to the leader.
     fn propose(&mut self, command: Command) {
         self.proposed.push(command);
-        let span = self.rng.within(2 * MS, 15 * MS);
-        if !self.rng.chance(self.loss / 2) || self.log.is_empty() {
-            self.after(span, Event::Commit(self.term, self.proposed.len() - 1));
+        let (term, at) = (self.term, self.proposed.len() - 1);
+        for _ in 0..1 + u64::from(self.rng.chance(self.loss)) {
+            let late = if self.rng.chance(self.loss) { self.late } else { 1 };
+            let span = self.rng.within(2 * MS, 15 * MS * late);
+            if !self.rng.chance(self.loss / 2) {
+                self.after(span, Event::Commit(term, at));
+            }
         }
     }
 
@@ -876,3 +884,78 @@
     assert!(most.unwrap() <= MOVES as usize * 105 / 100);
     assert!(most.unwrap() > MOVES as usize / 2, "no trial of the limit");
 }
+
+#[test]
+fn a_tenants_floor_is_kept_beside_a_flood() {
+    let mut sim = Sim::new(18, 4, budget(20, 0, vec![tenant("kept", 0.1, 5, None)]));
+    for n in 0..4 {
+        sim.load(n, "flood", 100);
+        sim.load(n, "kept", 2);
+    }
+    sim.run(8 * S);
+    let kept = sim.mean(4 * S, &["kept"]);
+    println!("floor 5: {kept:.2} in use");
+    assert!(kept > 4.5, "{kept}");
+    sim.sound();
+}
+
+/// Demand that comes and goes while calls are long and the log is late: recalls are taken back and told again.
+fn under_flapping(seed: u64) -> Result<Sim, String> {
+    let mut sim = Sim::new(seed, 3, budget(12, 0, vec![]));
+    (sim.loss, sim.late, sim.calls) = (20, 300, (20 * MS, 900 * MS));
+    for turn in 0..60 {
+        for n in 0..3 {
+            sim.load(n, "a", if turn % 3 == n { 12 } else { 1 });
+            sim.load(n, "b", if turn % 2 == 0 { 3 } else { 0 });
+        }
+        sim.run(sim.now + 700 * MS);
+    }
+    sim.over.take().map_or(Ok(sim), Err)
+}
+
+#[test]
+fn no_late_or_repeated_entry_lets_more_be_open() {
+    for seed in 1..=6 {
+        let sim = under_flapping(seed).unwrap_or_else(|over| panic!("seed {seed}: {over}"));
+        assert_eq!(sim.most, 12, "seed {seed} is no trial of 12");
+    }
+}
+
+/// The simulation finds each deliberate break of what keeps the sum within the budget.
+#[cfg(feature = "breaks")]
+#[test]
+fn each_deliberate_break_is_found() {
+    use quillmount_fleet::budget::breaks::{ALL, Break, set};
+    let mut kept = Vec::new();
+    for one in ALL.iter().filter(|b| !matches!(b, Break::FloorForgotten | Break::TurnsForgotten)) {
+        set(Some(*one));
+        let found = (1..=40).find_map(|seed| {
+            let over = match one {
+                Break::NumberIgnored => under_flapping(seed),
+                _ => under_faults(seed, 3 + seed as usize % 6, 60 * S),
+            };
+            over.err().map(|over| (seed, over))
+        });
+        match found {
+            Some((seed, over)) => println!("{one:?}: seed {seed}: {over}"),
+            None => kept.push(*one),
+        }
+    }
+    set(None);
+    assert_eq!(kept, [], "not found");
+}
+
+#[cfg(feature = "breaks")]
+fn broken(one: breaks::Break, scenario: fn()) {
+    breaks::set(Some(one));
+    let verdict = std::panic::catch_unwind(scenario);
+    breaks::set(None);
+    assert!(verdict.is_err(), "{one:?} was not found");
+}
+
+#[cfg(feature = "breaks")]
+#[test]
+fn a_floor_and_turns_that_are_forgotten_are_found() {
+    broken(breaks::Break::FloorForgotten, a_tenants_floor_is_kept_beside_a_flood);
+    broken(breaks::Break::TurnsForgotten, a_tenant_under_its_part_is_served_within_the_bound);
+}
