Give a partner's connections back at a planned stop, and look idle ones up by tenant

Cause: a restart kept a courier's part of a budget for the whole of its time, and each call looked through all connections. Change: a courier that stops as planned says so once nothing is open, and its name starts anew at once; a partner's budget can be ended; idle connections have an index; while cut off, tenants take turns at the floor. Unit tests of the holder. Measured: seen failing without the change: the floor's turns (a kept its connection while b waited).

--- a/fleet/src/budget/agreed.rs
+++ b/fleet/src/budget/agreed.rs
@@ -22,6 +22,11 @@
     /// even of the floor. Or sooner by the word of a courier that has gone on as the same process: all that it has
     /// open is within what it holds under this epoch.
     Aged { courier: String, epoch: u64 },
+    /// The courier's word that it has nothing open and begins nothing more: a planned stop. The next process of its
+    /// name need not wait for its time to be over.
+    Left { courier: String, epoch: u64 },
+    /// A partner has no budget any more; nobody counts.
+    Ended { dest: u64 },
     /// The operator's word that a courier which has lapsed and expired is no more: its floor is free.
     Removed { courier: String },
     /// A courier may hold so many connections for a tenant: more from now on, as far as there is room, or fewer once
@@ -117,6 +122,8 @@
     pub lapsed: bool,
     /// Nothing is open of epochs before this one.
     pub aged: bool,
+    /// It has ended as planned, with nothing open.
+    pub left: bool,
 }
 
 type Held = BTreeMap<String, Holding>;
@@ -233,11 +240,7 @@
             events.push(Event::Refused { why });
         }
         // What may have made room lets raised floors in, in the order of names.
-        let frees = matches!(
-            command,
-            Command::Budget { .. } | Command::Expired { .. } | Command::Aged { .. } | Command::Removed { .. }
-        );
-        if frees || matches!(command, Command::Released { .. }) {
+        if !matches!(command, Command::Set { .. }) {
             self.partners.values_mut().filter(|p| !p.raised.is_empty()).for_each(|p| p.raise(&self.members));
         }
         events
@@ -253,7 +256,8 @@
                 if self.members.get(courier).is_some_and(|m| *epoch <= m.epoch) {
                     return Err(Refused::Epoch);
                 }
-                let member = Member { epoch: *epoch, lapsed: false, aged: false };
+                let aged = self.members.get(courier).is_some_and(|m| m.left);
+                let member = Member { epoch: *epoch, lapsed: false, aged, left: false };
                 self.members.insert(courier.clone(), member);
                 events.push(Event::Joined { courier: courier.clone(), epoch: *epoch });
             }
@@ -278,6 +282,16 @@
                 member.ok_or(Refused::Epoch)?.aged = true;
                 self.free(courier, *epoch, events);
             }
+            Command::Left { courier, epoch } => {
+                let member = self.members.get_mut(courier).filter(|m| m.epoch == *epoch && m.aged);
+                let member = member.ok_or(Refused::Epoch)?;
+                (member.lapsed, member.left) = (true, true);
+                self.free(courier, epoch.saturating_add(1), events);
+                events.push(Event::Lapsed { courier: courier.clone(), epoch: *epoch });
+            }
+            Command::Ended { dest } => {
+                self.partners.remove(dest).ok_or(Refused::NoBudget { dest: *dest })?;
+            }
             Command::Removed { courier } => {
                 let holds = self.partners.values().any(|p| p.holds.contains_key(courier));
                 if holds || self.members.get(courier).is_some_and(|m| !m.lapsed) {
--- a/fleet/src/budget/holder.rs
+++ b/fleet/src/budget/holder.rs
@@ -10,7 +10,7 @@
 use super::{TENANTS_MAX, Terms};
 use serde::{Deserialize, Serialize};
 use spurshore::Micros;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A refused call counts as one that waits for so long; it comes back within that, or wants it no more.
 pub const WAIT_KEPT: Micros = 1_000_000;
@@ -70,7 +70,10 @@
     configured: u32,
     agreed: Option<u32>,
     grants: BTreeMap<String, Grant>,
+    /// What the grants allow together.
+    usable: u32,
     conns: BTreeMap<u64, Conn>,
+    idle: BTreeMap<String, BTreeSet<u64>>,
     /// All of a tenant's connections, in any state.
     open: BTreeMap<String, u32>,
     wants: BTreeMap<String, Wants>,
@@ -137,6 +140,8 @@
     /// From then on no earlier process's connections are open.
     floor_from: Micros,
     partners: BTreeMap<u64, Partner>,
+    /// It begins nothing more.
+    leaving: bool,
     conns: u64,
     turn: u64,
     changed: bool,
@@ -171,12 +176,24 @@
         self.grants.values().map(of).fold(0, u32::saturating_add)
     }
 
-    fn own(&mut self, conn: u64, tenant: &str) {
+    /// A connection's next state; its tenant is the one that has it now.
+    fn put(&mut self, conn: u64, tenant: Option<&str>, state: State, now: Micros) {
         let Some(one) = self.conns.get_mut(&conn) else { return };
-        if one.tenant != tenant {
+        if one.state == State::Idle
+            && let Some(idle) = self.idle.get_mut(&one.tenant)
+        {
+            idle.remove(&conn);
+            if idle.is_empty() {
+                self.idle.remove(&one.tenant);
+            }
+        }
+        (one.state, one.since) = (state, now);
+        if let Some(tenant) = tenant.filter(|t| *t != one.tenant) {
             let old = std::mem::replace(&mut one.tenant, tenant.to_string());
             self.less(&old);
             *self.open.entry(tenant.to_string()).or_insert(0) += 1;
+        } else if state == State::Idle {
+            self.idle.entry(one.tenant.clone()).or_default().insert(conn);
         }
     }
 
@@ -189,10 +206,11 @@
         }
     }
 
-    fn gone(&mut self, conn: u64) -> Option<Conn> {
-        let one = self.conns.remove(&conn)?;
-        self.less(&one.tenant);
-        Some(one)
+    fn gone(&mut self, conn: u64, now: Micros) -> bool {
+        self.put(conn, None, State::Closing, now);
+        let one = self.conns.remove(&conn);
+        one.iter().for_each(|c| self.less(&c.tenant));
+        one.is_some()
     }
 
     /// Of the connections beyond tenants' grants, each tenant has its part by weight: while another waits that would
@@ -206,10 +224,11 @@
 
     /// An idle connection: the tenant's own, or of whoever has most beyond its grant.
     fn idle(&self, tenant: &str) -> Option<u64> {
-        let idle = self.conns.iter().filter(|(_, c)| c.state == State::Idle);
-        let over = |t: &str| i64::from(self.open(t)) - i64::from(self.usable(t));
-        idle.max_by_key(|(n, c)| (c.tenant == tenant, over(&c.tenant), std::cmp::Reverse(**n)))
-            .map(|(n, _)| *n)
+        let over = |t: &String| i64::from(self.open(t)) - i64::from(self.usable(t));
+        let other = || self.idle.iter().max_by_key(|(t, _)| over(t)).map(|(_, idle)| idle);
+        let idle = self.idle.get(tenant).or_else(other)?;
+        // The last that was used: the others may be closed soon.
+        idle.last().copied()
     }
 }
 
@@ -231,6 +250,7 @@
             lease: 0,
             floor_from,
             partners: BTreeMap::new(),
+            leaving: false,
             conns: 0,
             turn: 0,
             changed: true,
@@ -255,7 +275,7 @@
     pub fn joined(&mut self, epoch: u64) {
         if epoch > self.epoch {
             self.epoch = epoch;
-            self.partners.values_mut().for_each(|p| p.grants.clear());
+            self.partners.values_mut().for_each(|p| (p.usable, p.grants) = Default::default());
             self.changed = true;
         }
     }
@@ -270,9 +290,34 @@
         self.lease = 0;
     }
 
+    /// A partner's budget is out of the file: calls to it need no permit from now on. Connections that are there are
+    /// forgotten.
+    pub fn forget(&mut self, dest: u64) {
+        self.changed |= self.partners.remove(&dest).is_some();
+    }
+
+    /// A planned stop: nothing more is begun, and idle connections are closed at the next [`Holder::tick`].
+    pub fn leave(&mut self) {
+        (self.leaving, self.changed) = (true, true);
+    }
+
+    /// It is leaving, and nothing is open any more. What it says in its next reports is agreed on before its process
+    /// ends; else its end is as that of a crash.
+    pub fn left(&self) -> bool {
+        self.leaving && self.partners.values().all(|p| p.conns.is_empty())
+    }
+
     /// The agreed state as far as it is known here; called after each entry that was applied, or once for many.
     pub fn agreed(&mut self, agreed: &Agreed, now: Micros) -> Vec<Order> {
-        let mine = agreed.member(&self.me).filter(|m| m.epoch == self.epoch && !m.lapsed).is_some();
+        let member = agreed.member(&self.me).filter(|m| m.epoch == self.epoch && !m.lapsed);
+        let mine = member.is_some();
+        if member.is_some_and(|m| m.aged) {
+            self.floor_from = self.floor_from.min(now);
+        }
+        for (_, here) in self.partners.iter_mut().filter(|(d, _)| agreed.partner(**d).is_none()) {
+            here.grants.clear();
+            here.usable = 0;
+        }
         for (dest, partner) in agreed.partners() {
             let here = self.partners.entry(dest).or_default();
             here.agreed = Some(partner.floor(&self.me));
@@ -295,6 +340,7 @@
             }
             self.changed |= grants != here.grants;
             here.grants = grants;
+            here.usable = here.sum(|g| g.usable);
         }
         self.tick(now)
     }
@@ -304,13 +350,13 @@
     }
 
     fn floor(&self, partner: &Partner, now: Micros) -> u32 {
-        if now < self.floor_from { 0 } else { partner.floor() }
+        if now < self.floor_from || self.leaving { 0 } else { partner.floor() }
     }
 
     /// At most so many connections may be there when one more is begun.
     fn cap(&self, partner: &Partner, now: Micros) -> u32 {
         let floor = self.floor(partner, now);
-        if self.cut_off(now) { floor } else { floor.max(partner.sum(|g| g.usable)) }
+        if self.cut_off(now) || self.leaving { floor } else { floor.max(partner.usable) }
     }
 
     /// May a call of the tenant go out now? A partner without a budget isn't asked about.
@@ -330,7 +376,7 @@
         // With its own idle connection it has no more than before; with another's or a new one, one more.
         let granted = if own { open <= usable } else { open < usable };
         let in_floor = if idle.is_some() { total <= floor } else { total < floor };
-        let allowed = granted || (in_floor && (own || partner.first_in_floor(tenant, now)));
+        let allowed = granted || (in_floor && partner.first_in_floor(tenant, now));
         let begin = match idle {
             Some(conn) if allowed && total <= cap => Some((conn, Begin::Reuse)),
             None if allowed && total < cap => Some((self.conns + 1, Begin::Open)),
@@ -343,10 +389,7 @@
             return Err(Refusal { after: GRANT_FIRST, why: Why::NotHeld, usable, open });
         };
         if begin == Begin::Reuse {
-            partner.own(conn, tenant);
-            if let Some(one) = partner.conns.get_mut(&conn) {
-                (one.state, one.since) = (State::Busy, now);
-            }
+            partner.put(conn, Some(tenant), State::Busy, now);
         } else {
             let one = Conn { tenant: tenant.to_string(), state: State::Permitted, since: now, epoch };
             partner.conns.insert(conn, one);
@@ -423,12 +466,10 @@
         let fresh = now < one.since.saturating_add(OPEN_MAX) && !cut_off && one.epoch == self.epoch;
         let opens = fresh || partner.total() <= self.cap(partner, now);
         let Some(partner) = self.partners.get_mut(&dest) else { return false };
-        match (opens, partner.conns.get_mut(&conn)) {
-            (true, Some(one)) => (one.state, one.since) = (State::Busy, now),
-            _ => {
-                partner.gone(conn);
-                self.changed = true;
-            }
+        if opens {
+            partner.put(conn, None, State::Busy, now);
+        } else {
+            self.changed |= partner.gone(conn, now);
         }
         opens
     }
@@ -436,11 +477,11 @@
     /// The connection's call has ended, and it can be used again. It is to be closed if the order says so.
     pub fn released(&mut self, permit: &Permit, now: Micros) -> Vec<Order> {
         if let Some(partner) = self.partners.get_mut(&permit.dest)
-            && let Some(one) = partner.conns.get_mut(&permit.conn)
+            && let Some(one) = partner.conns.get(&permit.conn)
             && matches!(one.state, State::Busy | State::Permitted)
         {
             let took = now.saturating_sub(one.since);
-            (one.state, one.since) = (State::Idle, now);
+            partner.put(permit.conn, None, State::Idle, now);
             partner.call = smooth(partner.call, took);
             self.changed = true;
         }
@@ -451,20 +492,20 @@
     /// counts until [`Holder::closed`], or until the partner must have ended it.
     pub fn closing(&mut self, dest: u64, conn: u64, now: Micros) {
         if let Some(partner) = self.partners.get_mut(&dest)
-            && let Some(one) = partner.conns.get_mut(&conn)
+            && let Some(one) = partner.conns.get(&conn)
             && one.state != State::Closing
         {
             if one.state == State::Busy {
                 partner.call = smooth(partner.call, now.saturating_sub(one.since));
             }
-            (one.state, one.since) = (State::Closing, now);
+            partner.put(conn, None, State::Closing, now);
         }
     }
 
     /// The partner has closed the connection: its end was read, or it never came to be.
-    pub fn closed(&mut self, dest: u64, conn: u64) {
+    pub fn closed(&mut self, dest: u64, conn: u64, now: Micros) {
         if let Some(partner) = self.partners.get_mut(&dest) {
-            self.changed |= partner.gone(conn).is_some();
+            self.changed |= partner.gone(conn, now);
         }
     }
 
@@ -491,9 +532,7 @@
             let Some(here) = live.get_mut(&tenant) else { continue };
             if total > cap || (*here > usable && total > floor) {
                 (*here, total) = (*here - 1, total - 1);
-                if let Some(one) = partner.conns.get_mut(&conn) {
-                    (one.state, one.since) = (State::Closing, now);
-                }
+                partner.put(conn, None, State::Closing, now);
                 orders.push(Order::Close { dest, conn });
                 self.changed = true;
             }
@@ -520,8 +559,7 @@
                 .map(|(n, _)| *n)
                 .collect();
             for conn in ended {
-                partner.gone(conn);
-                self.changed = true;
+                self.changed |= partner.gone(conn, now);
             }
             for (conn, one) in
                 partner.conns.iter_mut().filter(|(_, c)| c.state == State::Busy && past(c, call))
@@ -551,7 +589,7 @@
             clear &= closed(partner);
             let floor = if now < self.floor_from { 0 } else { partner.floor() };
             let names = partner.grants.keys().chain(partner.wants.keys()).chain(partner.open.keys());
-            let names: std::collections::BTreeSet<String> = names.cloned().collect();
+            let names: BTreeSet<String> = names.cloned().collect();
             let mut busy = BTreeMap::<&str, u32>::new();
             for one in partner.conns.values().filter(|c| matches!(c.state, State::Busy | State::Permitted)) {
                 *busy.entry(&one.tenant).or_default() += 1;
@@ -567,7 +605,8 @@
                 lines.push(Line { dest: *dest, tenant, asks, open, released });
             }
         }
-        Some(Report { courier: self.me.clone(), epoch: self.epoch, turn: self.turn, clear, lines })
+        let left = self.left();
+        Some(Report { courier: self.me.clone(), epoch: self.epoch, turn: self.turn, clear, left, lines })
     }
 
     /// When [`Holder::tick`] and [`Holder::report`] are wanted next.
@@ -611,3 +650,6 @@
         Some((grant.number, grant.told))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/fleet/src/budget/leader.rs
+++ b/fleet/src/budget/leader.rs
@@ -59,6 +59,8 @@
     pub turn: u64,
     /// All that it has open is within what it holds under this epoch, and earlier processes have nothing open.
     pub clear: bool,
+    /// It is stopping, has nothing open, and begins nothing more.
+    pub left: bool,
     pub lines: Vec<Line>,
 }
 
@@ -82,6 +84,7 @@
     epoch: u64,
     turn: u64,
     clear: bool,
+    left: bool,
     asks: BTreeMap<(u64, String), Asks>,
     released: BTreeMap<(u64, String), (u64, u32)>,
 }
@@ -154,7 +157,8 @@
         };
         heard.asks.clear();
         heard.released.clear();
-        (heard.epoch, heard.turn, heard.clear) = (report.epoch, report.turn, report.clear);
+        (heard.epoch, heard.turn) = (report.epoch, report.turn);
+        (heard.clear, heard.left) = (report.clear, report.left);
         for line in report.lines.iter().take(LINES_MAX) {
             let key = (line.dest, line.tenant.clone());
             let mut asks = old.remove(&key).unwrap_or_default();
@@ -216,6 +220,8 @@
                 if over && agreed.partners().any(|(_, p)| p.held(courier, epoch).next().is_some()) {
                     commands.push(Command::Expired { courier: courier.clone(), epoch });
                 }
+            } else if member.aged && heard.is_some_and(|h| h.left) {
+                commands.push(Command::Left { courier: courier.clone(), epoch });
             } else if !member.aged && (over || heard.is_some_and(|h| h.clear)) {
                 commands.push(Command::Aged { courier: courier.clone(), epoch });
             }
