Look at each tenant's seats once, and call back only for raises that can be made

Change: shortfalls are kept by tenant and courier and looked up once; a look comes less often the more seats there are; recalls serve the raises of this look alone.

--- a/fleet/src/budget/leader.rs
+++ b/fleet/src/budget/leader.rs
@@ -25,6 +25,9 @@
 
 /// The leader looks at the division once in this: moves come in batches, and an entry of the log takes about as long.
 pub const ROUND: Micros = 50_000;
+/// A look at a partner costs about a tenth of this for each pair of tenant and courier: with many of them it is done
+/// less often, so that looking takes no more than a tenth of the leader's time.
+pub const LOOK_EACH: Micros = 10;
 /// What was asked for counts for so long after it was: demand that comes and goes faster moves nothing.
 pub const WINDOW: Micros = 250_000;
 /// Credits of those that take turns count from one turn to the next: each seat is kept for about so long, some calls'
@@ -106,10 +109,12 @@
 #[derive(Clone, Debug, Default)]
 struct Site {
     tenants: BTreeMap<String, (u64, u32, Option<u32>)>,
-    /// By tenant, and by tenant and courier.
-    short: BTreeMap<(String, Option<String>), Short>,
+    /// By tenant, and inside it by courier.
+    short: BTreeMap<String, (Short, BTreeMap<String, Short>)>,
     turned: Micros,
     looked: Micros,
+    /// Seats at the last look.
+    size: u64,
     /// Leases that may change now, in millionths.
     moves: u64,
 }
@@ -249,6 +254,27 @@
     }
 }
 
+impl Short {
+    /// Credit, and how long it is overdue.
+    fn counts(&self, now: Micros) -> (i64, u64) {
+        if on(Break::TurnsForgotten) {
+            return (0, 0);
+        }
+        let waited = self.since.map_or(0, |at| now.saturating_sub(at));
+        // Two turns of its own, by its part.
+        let due = (2 * ONE as u64).div_ceil(self.fair.max(1) as u64).saturating_mul(TURN);
+        (self.counts, if waited > due { waited } else { 0 })
+    }
+
+    fn after(&self, held: u32, since: Micros, now: Micros, turn: bool) -> Short {
+        let gain = (self.fair - i64::from(held).saturating_mul(ONE)).clamp(-CREDIT_MAX, CREDIT_MAX);
+        let gain = i128::from(gain) * i128::from(since.min(TURN)) / i128::from(TURN);
+        let credit = (self.credit + gain as i64).clamp(-CREDIT_MAX, CREDIT_MAX);
+        let since = if held > 0 { None } else { self.since.or(Some(now)) };
+        Short { credit, counts: if turn { credit } else { self.counts }, since, fair: self.fair, seen: now }
+    }
+}
+
 impl Asks {
     fn takes(&mut self, asks: u32, now: Micros) {
         self.now = asks;
@@ -272,6 +298,13 @@
     usable: u32,
     granted: u32,
     to: u32,
+    short: Short,
+}
+
+/// One tenant's seats, which are side by side.
+struct Group {
+    seats: std::ops::Range<usize>,
+    short: Short,
 }
 
 impl Site {
@@ -284,12 +317,16 @@
         now: Micros,
         commands: &mut Vec<Command>,
     ) {
+        if now < self.looked.saturating_add(self.size.saturating_mul(LOOK_EACH)) {
+            return;
+        }
         let since = if self.looked == 0 { ROUND } else { now.saturating_sub(self.looked) };
         self.looked = now;
         let most = u64::from(MOVES_AT_ONCE) * ONE as u64;
         let more = since.saturating_mul(u64::from(MOVES - MOVES_AT_ONCE));
         self.moves = self.moves.saturating_add(more).min(most);
         let mut seats = seats(dest, partner, agreed, heard, now);
+        self.size = seats.len() as u64;
         self.aim(partner, agreed, &mut seats, since, now);
         self.moves(dest, partner, agreed, &seats, commands);
     }
@@ -322,9 +359,10 @@
         }
         let all = u64::from(partner.connections).saturating_sub(fixed);
         let mut pool = u32::try_from(all).unwrap_or(u32::MAX);
+        let mut groups = self.groups(seats);
         // A floor that isn't asked for is idle: the pool is what remains beside it.
         loop {
-            self.share(pool, partner.connections, seats, now);
+            self.share(pool, partner.connections, seats, &mut groups, now);
             let mut at: BTreeMap<&str, u64> = BTreeMap::new();
             seats.iter().for_each(|s| *at.entry(s.courier).or_default() += u64::from(s.to));
             let beside = floors.iter().map(|(c, f)| f.saturating_sub(at.get(c).copied().unwrap_or(0)));
@@ -355,7 +393,7 @@
             let parts = divide(rest, &claims.collect::<Vec<_>>());
             here.iter_mut().zip(parts).for_each(|(s, p)| s.to += p.whole);
         }
-        self.turns(seats, since, now, turn);
+        self.turns(seats, &groups, since, now, turn);
     }
 
     fn terms(&self, tenant: &str) -> (u64, u32, Option<u32>) {
@@ -363,94 +401,71 @@
     }
 
     /// The division over tenants, and inside each over its couriers.
-    fn share(&mut self, pool: u32, connections: u32, seats: &mut [Seat], now: Micros) {
-        let mut tenants: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
-        seats.iter().enumerate().for_each(|(n, s)| tenants.entry(s.tenant).or_default().push(n));
-        let claims: Vec<Claim> = tenants
-            .iter()
-            .map(|(tenant, at)| {
-                let (weight, floor, ceiling) = self.terms(tenant);
-                let sum =
-                    |of: fn(&Seat) -> u32| at.iter().map(|n| of(&seats[*n])).fold(0, u32::saturating_add);
-                let (credit, overdue) = self.short(tenant, None, now);
-                let ceiling = ceiling.unwrap_or(connections);
-                Claim {
-                    name: tenant,
-                    weight,
-                    floor,
-                    ceiling,
-                    asks: sum(|s| s.asks),
-                    held: sum(|s| s.usable),
-                    credit,
-                    overdue,
-                }
-            })
-            .collect();
-        let parts = divide(pool, &claims);
-        for ((tenant, at), part) in tenants.into_iter().zip(parts) {
-            self.fair(tenant, None, part.fair);
-            let claims: Vec<Claim> = at
-                .iter()
-                .map(|n| {
-                    let seat = &seats[*n];
-                    let (credit, overdue) = self.short(tenant, Some(seat.courier), now);
-                    let (asks, held) = (seat.asks, seat.usable);
-                    Claim {
-                        name: seat.courier,
-                        weight: 1,
-                        floor: 0,
-                        ceiling: asks,
-                        asks,
-                        held,
-                        credit,
-                        overdue,
-                    }
-                })
-                .collect();
-            for (n, inner) in at.into_iter().zip(divide(part.whole, &claims)) {
-                seats[n].to = inner.whole;
-                self.fair(tenant, Some(seats[n].courier), inner.fair);
+    fn share(&self, pool: u32, connections: u32, seats: &mut [Seat], groups: &mut [Group], now: Micros) {
+        let tenants = groups.iter().map(|group| {
+            let here = &seats[group.seats.clone()];
+            let tenant = here.first().map_or("", |s| s.tenant);
+            let (weight, floor, ceiling) = self.terms(tenant);
+            let sum = |of: fn(&Seat) -> u32| here.iter().map(of).fold(0, u32::saturating_add);
+            let (credit, overdue) = group.short.counts(now);
+            let (asks, held) = (sum(|s| s.asks), sum(|s| s.usable));
+            let ceiling = ceiling.unwrap_or(connections);
+            Claim { name: tenant, weight, floor, ceiling, asks, held, credit, overdue }
+        });
+        let parts = divide(pool, &tenants.collect::<Vec<_>>());
+        for (group, part) in groups.iter_mut().zip(parts) {
+            group.short.fair = part.fair;
+            let here = &mut seats[group.seats.clone()];
+            let couriers = here.iter().map(|seat| {
+                let (credit, overdue) = seat.short.counts(now);
+                let (name, asks, held) = (seat.courier, seat.asks, seat.usable);
+                Claim { name, weight: 1, floor: 0, ceiling: asks, asks, held, credit, overdue }
+            });
+            let inner = divide(part.whole, &couriers.collect::<Vec<_>>());
+            for (seat, inner) in here.iter_mut().zip(inner) {
+                (seat.to, seat.short.fair) = (inner.whole, inner.fair);
             }
         }
     }
 
-    /// Credit, and how long it is overdue.
-    fn short(&self, tenant: &str, courier: Option<&str>, now: Micros) -> (i64, u64) {
-        let key = (tenant.to_string(), courier.map(str::to_string));
-        let Some(short) = self.short.get(&key).filter(|_| !on(Break::TurnsForgotten)) else { return (0, 0) };
-        let waited = short.since.map_or(0, |at| now.saturating_sub(at));
-        // Two turns of its own, by its part.
-        let due = (2 * ONE as u64).div_ceil(short.fair.max(1) as u64).saturating_mul(TURN);
-        (short.counts, if waited > due { waited } else { 0 })
-    }
-
-    fn fair(&mut self, tenant: &str, courier: Option<&str>, fair: i64) {
-        let key = (tenant.to_string(), courier.map(str::to_string));
-        self.short.entry(key).or_default().fair = fair;
+    /// What seats and tenants were short of until now.
+    fn groups(&self, seats: &mut [Seat]) -> Vec<Group> {
+        let mut groups = Vec::new();
+        let mut from = 0;
+        for here in seats.chunk_by_mut(|a, b| a.tenant == b.tenant) {
+            let known = here.first().and_then(|s| self.short.get(s.tenant));
+            for seat in here.iter_mut() {
+                seat.short = known.and_then(|k| k.1.get(seat.courier)).copied().unwrap_or_default();
+            }
+            let short = known.map(|k| k.0).unwrap_or_default();
+            groups.push(Group { seats: from..from + here.len(), short });
+            from += here.len();
+        }
+        groups
     }
 
     /// Credit grows by what is fair, and falls by what is held.
-    fn turns(&mut self, seats: &[Seat], since: Micros, now: Micros, turn: bool) {
-        let mut held: BTreeMap<(String, Option<String>), u32> = BTreeMap::new();
-        for seat in seats.iter().filter(|s| s.asks > 0) {
-            let here = held.entry((seat.tenant.to_string(), Some(seat.courier.to_string()))).or_default();
-            *here = here.saturating_add(seat.granted);
-            let all = held.entry((seat.tenant.to_string(), None)).or_default();
-            *all = all.saturating_add(seat.granted);
-        }
-        for (key, held) in held {
-            let short = self.short.entry(key).or_default();
-            let gain = (short.fair - i64::from(held).saturating_mul(ONE)).clamp(-CREDIT_MAX, CREDIT_MAX);
-            let gain = i128::from(gain) * i128::from(since.min(TURN)) / i128::from(TURN);
-            short.credit = (short.credit + gain as i64).clamp(-CREDIT_MAX, CREDIT_MAX);
-            short.since = if held > 0 { None } else { short.since.or(Some(now)) };
-            short.seen = now;
-            if turn {
-                short.counts = short.credit;
+    fn turns(&mut self, seats: &[Seat], groups: &[Group], since: Micros, now: Micros, turn: bool) {
+        for group in groups {
+            let here = seats[group.seats.clone()].iter().filter(|s| s.asks > 0);
+            let held = here.clone().map(|s| s.granted).fold(0, u32::saturating_add);
+            let Some(first) = here.clone().next() else { continue };
+            if !self.short.contains_key(first.tenant) {
+                self.short.insert(first.tenant.to_string(), Default::default());
             }
+            let Some((all, couriers)) = self.short.get_mut(first.tenant) else { continue };
+            *all = group.short.after(held, since, now, turn);
+            for seat in here {
+                let next = seat.short.after(seat.granted, since, now, turn);
+                match couriers.get_mut(seat.courier) {
+                    Some(short) => *short = next,
+                    None => drop(couriers.insert(seat.courier.to_string(), next)),
+                }
+            }
+            couriers.retain(|_, s| s.seen == now);
         }
         // Who asks for nothing gathers nothing.
-        self.short.retain(|_, s| s.seen == now);
+        self.short.retain(|_, (s, _)| s.seen == now);
     }
 
     /// Moves what has to be, as far as others need it and the limit of moves lets it.
@@ -478,12 +493,18 @@
         };
         let mut floors: BTreeMap<&str, u64> = BTreeMap::new();
         let (mut usable, mut granted) = (BTreeMap::<&str, u64>::new(), BTreeMap::<&str, u64>::new());
-        let mut wanted = BTreeMap::<&str, u64>::new();
         for seat in seats {
             floors.insert(seat.courier, floor(seat.courier));
             *usable.entry(seat.courier).or_default() += u64::from(seat.usable);
             *granted.entry(seat.courier).or_default() += u64::from(seat.granted);
-            *wanted.entry(seat.courier).or_default() += u64::from(seat.usable.max(seat.to));
+        }
+        // Connections are called back only for raises that can be made soon.
+        let mut raises: Vec<&Seat> = seats.iter().filter(|s| s.to > s.usable).collect();
+        raises.sort_by_key(|s| (s.usable, s.tenant, s.courier));
+        raises.truncate((self.moves / ONE as u64) as usize);
+        let mut wanted = usable.clone();
+        for seat in &raises {
+            *wanted.entry(seat.courier).or_default() += u64::from(seat.to - seat.usable);
         }
         let cost = |of: &BTreeMap<&str, u64>| of.iter().map(|(c, n)| (*n).max(floors[c])).sum::<u64>();
         let raised = |c: &&str| u64::from(partner.floor_to_be(c) - partner.floor(c));
@@ -512,8 +533,6 @@
             commands.push(set(seat, seat.usable - by as u32));
         }
         let mut room = connections.saturating_sub(committed);
-        let mut raises: Vec<&Seat> = seats.iter().filter(|s| s.to > s.usable).collect();
-        raises.sort_by_key(|s| (s.usable, s.tenant, s.courier));
         for seat in raises {
             // A recall that is no longer wanted is taken back, at no cost; so is what is below the courier's floor.
             let Some(here) = granted.get_mut(seat.courier) else { continue };
@@ -549,8 +568,8 @@
     let mut seats: BTreeMap<(&str, &str), Seat> = BTreeMap::new();
     for (courier, member) in agreed.members().iter().filter(|(_, m)| !m.lapsed) {
         let heard = heard.get(courier).filter(|h| h.epoch == member.epoch);
-        let seat =
-            |tenant| Seat { tenant, courier, epoch: member.epoch, asks: 0, usable: 0, granted: 0, to: 0 };
+        let (epoch, short) = (member.epoch, Short::default());
+        let seat = |tenant| Seat { tenant, courier, epoch, asks: 0, usable: 0, granted: 0, to: 0, short };
         for (tenant, holding) in partner.held(courier, member.epoch) {
             let one = seats.entry((tenant, courier)).or_insert_with(|| seat(tenant));
             (one.usable, one.granted) = (holding.usable(), holding.granted);
