--- a/courier/examples/fleet_losses.rs
+++ b/courier/examples/fleet_losses.rs
@@ -68,7 +68,7 @@
         let held = held.clone();
         setup.partner(dest, move |_| {
             held.set(held.get() + 1);
-            if held.get() % HELD == 0 { Answer::Held } else { Answer::ok() }
+            if held.get().is_multiple_of(HELD) { Answer::Held } else { Answer::ok() }
         });
     }
     let mut draws = setup.generator();
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod agreement;
 pub mod book;
 pub mod breaks;
+pub mod budget;
 pub mod lease;
 pub mod member;
 pub mod message;
