--- a/courier/examples/fleet_losses.rs
+++ b/courier/examples/fleet_losses.rs
@@ -63,7 +63,7 @@
     setup.seed = seed;
     setup.levels = "info".into();
     setup.fleet = Some(json!({"lease": LEASE, "copies": COPIES, "voters": ["a", "b", "c", "d", "e"]}));
-    let held = Rc::new(Cell::new(0));
+    let held = Rc::new(Cell::new(0u64));
     for dest in 1..=4 {
         let held = held.clone();
         setup.partner(dest, move |_| {
