Count calls a span by the same machines as connections

Cause: a partner also limits the calls of the whole fleet in a span. Change: a call is a connection that counts for a span from its first byte; Gate holds both of a courier's sides. What is refused for want of calls is told when the oldest is a span old. The stated times of a lent, a lowered and a raised budget have a test.

--- a/fleet/src/budget/holder.rs
+++ b/fleet/src/budget/holder.rs
@@ -68,6 +68,8 @@
 struct Partner {
     /// As this courier's file has it, and no more than is agreed on.
     configured: u32,
+    /// A closing connection counts no longer than this.
+    closed: Micros,
     agreed: Option<u32>,
     grants: BTreeMap<String, Grant>,
     /// What the grants allow together.
@@ -109,6 +111,8 @@
     NotHeld,
     /// The courier is cut off, and the connections of its floor are in use or it has none.
     CutOff,
+    /// All calls of the span that the tenant may begin here are begun.
+    Rate,
     /// More tenants at once than are kept.
     Crowd,
 }
@@ -140,6 +144,8 @@
     /// From then on no earlier process's connections are open.
     floor_from: Micros,
     partners: BTreeMap<u64, Partner>,
+    /// It counts calls of a span in place of connections: see [`super::calls`].
+    tokens: bool,
     /// It begins nothing more.
     leaving: bool,
     conns: u64,
@@ -250,6 +256,7 @@
             lease: 0,
             floor_from,
             partners: BTreeMap::new(),
+            tokens: false,
             leaving: false,
             conns: 0,
             turn: 0,
@@ -258,14 +265,39 @@
         }
     }
 
+    /// The same for calls of a span: see [`super::calls`].
+    pub(super) fn of_tokens(me: &str, terms: Terms, now: Micros) -> Holder {
+        Holder { tokens: true, ..Holder::new(me, terms, now) }
+    }
+
     /// A partner with a budget; the weights share this courier's floor while it is cut off.
     pub fn budget(&mut self, budget: &super::Budget) {
         let partner = self.partners.entry(budget.dest).or_default();
         partner.configured = budget.courier_floor;
+        partner.closed = self.terms.closed();
         partner.weights = budget.tenants.iter().map(|t| (t.name.clone(), t.parts())).collect();
         self.changed = true;
     }
 
+    /// Closing connections of this partner count for so long.
+    pub(super) fn count_for(&mut self, dest: u64, span: Micros) {
+        if let Some(partner) = self.partners.get_mut(&dest) {
+            partner.closed = span;
+        }
+    }
+
+    /// Lets go of the connections at the front that have closed; they were begun in this order, and closed at once.
+    pub(super) fn expire(&mut self, dest: u64, now: Micros) {
+        let Some(partner) = self.partners.get_mut(&dest) else { return };
+        while let Some((conn, one)) = partner.conns.first_key_value()
+            && one.state == State::Closing
+            && now >= one.since.saturating_add(partner.closed)
+        {
+            let conn = *conn;
+            self.changed |= partner.gone(conn, now);
+        }
+    }
+
     /// Whether the partner has a budget: calls to others need no permit.
     pub fn has(&self, dest: u64) -> bool {
         self.partners.contains_key(&dest)
@@ -319,7 +351,8 @@
             here.usable = 0;
         }
         for (dest, partner) in agreed.partners() {
-            let here = self.partners.entry(dest).or_default();
+            let new = || Partner { closed: self.terms.closed(), ..Partner::default() };
+            let here = self.partners.entry(dest).or_insert_with(new);
             here.agreed = Some(partner.floor(&self.me));
             let mut grants = BTreeMap::new();
             for (tenant, holding) in partner.held(&self.me, self.epoch).filter(|_| mine) {
@@ -424,6 +457,14 @@
         wants.refused = Some(now);
         wants.since = wants.since.or((open == 0).then_some(now));
         let before = u64::from(wants.count.max(1));
+        if self.tokens && open > 0 {
+            // When so many of its calls are a span old is known.
+            let mut mine = partner.conns.values().filter(|c| c.tenant == tenant);
+            let last = mine.nth((before.min(u64::from(open)) - 1) as usize).map_or(now, |c| c.since);
+            let after = last.saturating_add(partner.closed).saturating_sub(now).max(AFTER_LEAST);
+            let why = if cut_off { Why::CutOff } else { Why::Rate };
+            return Refusal { after, why, usable, open };
+        }
         let (why, after) = match (cut_off, usable) {
             // Each of those that are in use comes free once in a call's time.
             (false, 1..) => (Why::InUse, call.saturating_mul(before) / u64::from(usable)),
@@ -543,7 +584,7 @@
     /// Time has gone on: what is overdue is closed, and so is what is idle beyond what may be had.
     pub fn tick(&mut self, now: Micros) -> Vec<Order> {
         let mut orders = Vec::new();
-        let (call, closed) = (self.terms.call, self.terms.closed());
+        let call = self.terms.call;
         let dests: Vec<u64> = self.partners.keys().copied().collect();
         for dest in dests {
             let Some(partner) = self.partners.get_mut(&dest) else { continue };
@@ -552,7 +593,7 @@
                 .conns
                 .iter()
                 .filter(|(_, c)| match c.state {
-                    State::Closing => past(c, closed),
+                    State::Closing => past(c, partner.closed),
                     State::Permitted => past(c, OPEN_MAX.saturating_mul(2)),
                     State::Busy | State::Idle => false,
                 })
@@ -596,7 +637,11 @@
             }
             let mut told = Vec::new();
             for tenant in names {
-                let out = busy.get(tenant.as_str()).copied().unwrap_or(0);
+                // Calls of the last span are asked for: the tenant goes on at its rate.
+                let out = match self.tokens {
+                    true => partner.open(&tenant),
+                    false => busy.get(tenant.as_str()).copied().unwrap_or(0),
+                };
                 let asks = out.saturating_add(partner.wants.get(&tenant).map_or(0, |w| w.now(now)));
                 told.push((asks, partner.open(&tenant), tenant));
             }
@@ -615,10 +660,10 @@
         if now < self.lease {
             at = at.min(self.lease);
         }
-        for one in self.partners.values().flat_map(|p| p.conns.values()) {
+        for (partner, one) in self.partners.values().flat_map(|p| p.conns.values().map(move |c| (p, c))) {
             let span = match one.state {
                 State::Busy => self.terms.call,
-                State::Closing => self.terms.closed(),
+                State::Closing => partner.closed,
                 State::Permitted => OPEN_MAX * 2,
                 State::Idle => continue,
             };
--- a/fleet/src/budget/mod.rs
+++ b/fleet/src/budget/mod.rs
@@ -22,12 +22,14 @@
 
 pub mod agreed;
 pub mod breaks;
+pub mod calls;
 pub mod divide;
 pub mod error;
 pub mod holder;
 pub mod leader;
 
 pub use agreed::{Agreed, Command, Event};
+pub use calls::Gate;
 pub use divide::{Claim, Part, divide};
 pub use error::Problem;
 pub use holder::{Begin, Holder, Order, Permit, Refusal, Why};
--- a/fleet/tests/budget.rs
+++ b/fleet/tests/budget.rs
@@ -768,6 +768,36 @@
     sim.sound();
 }
 
+#[test]
+fn lent_budget_is_back_and_a_lowered_one_met_within_the_stated_time() {
+    let mut sim = Sim::new(19, 5, budget(40, 0, vec![]));
+    sim.calls = (600 * MS, 990 * MS);
+    (0..5).for_each(|n| sim.load(n, "lent", 40));
+    sim.run(6 * S);
+    assert!(sim.busy("lent") >= 38, "{}", sim.busy("lent"));
+    // A report, a round and an entry of the log there and back, and the calls' own time.
+    let moved = 2 * (holder::REPORT + leader::ROUND + 50 * MS) + TERMS.attrition();
+    sim.load(2, "owner", 40);
+    let from = sim.now;
+    while sim.busy("owner") < 20 && sim.now < from + 20 * S {
+        sim.run(sim.now + 10 * MS);
+    }
+    println!("lent budget is back after {} ms of {}", (sim.now - from) / MS, moved / MS);
+    assert!(sim.now - from <= moved);
+    sim.lower(12);
+    sim.lowered = Some((sim.now + moved, 12));
+    sim.run(sim.now + moved + S);
+    assert_eq!(sim.limit, 12);
+    sim.lower(36);
+    let from = sim.now;
+    while sim.busy("lent") + sim.busy("owner") < 36 && sim.now < from + 20 * S {
+        sim.run(sim.now + 10 * MS);
+    }
+    println!("a raised budget is used after {} ms", (sim.now - from) / MS);
+    assert!(sim.now - from <= leader::ROUND + 100 * MS);
+    sim.sound();
+}
+
 #[test]
 fn a_flooding_tenant_takes_nothing_from_the_others() {
     let served = |flood: bool| {
