--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -184,7 +184,8 @@
     /// The journal can't be read.
     pub fn attach(self: &Rc<Self>, courier: &Rc<Courier>, folder: &Path) -> Result<(), FleetError> {
         let bytes = std::fs::read(folder.join("journal"))?;
-        let unsettled = courier.unsettled().iter().map(Source::from).collect();
+        let unsettled: Vec<_> = courier.unsettled().iter().map(Source::from).collect();
+        self.gate.add_taking(unsettled.len() as isize);
         self.gate.begin(bytes.len() as u64);
         self.step(Input::Book { bytes, unsettled });
         actix_rt::spawn(self.clone().take_over(courier.clone()));
@@ -245,22 +246,31 @@
                 }
                 Output::Joined { epoch, kept } => {
                     self.joined.set(Some((epoch, kept)));
+                    self.gate.set_epoch(epoch);
                     self.joins.notify_waiters();
                 }
                 Output::Lease(until) => self.gate.set_until(until),
                 Output::Safe(mark) => self.gate.set_safe(mark),
-                Output::Copies { in_step, enough } => {
-                    tracing::info!(
-                        "fleet: {in_step} copies of the journal{}",
-                        if enough { "" } else { ": too few" }
-                    );
-                    self.gate.set_enough(enough);
+                Output::Copies { at, enough } => {
+                    let at: Vec<&str> = at.iter().map(Name::as_str).collect();
+                    match (at.is_empty(), enough) {
+                        (false, _) => tracing::info!("fleet: the journal is copied to {}", at.join(", ")),
+                        (true, true) => {
+                            tracing::warn!("fleet: no copy of the journal is left: it goes on alone")
+                        }
+                        (true, false) => {
+                            tracing::warn!("fleet: no copy of the journal yet: nothing is taken on")
+                        }
+                    }
+                    self.gate.set_copies(at.len(), enough);
                 }
                 Output::Adopt { parts, settled, bytes } => {
+                    self.gate.add_taking(parts.len() as isize);
                     self.tasks.borrow_mut().push_back(Task::Adopt { parts, settled, bytes });
                     self.more.notify_one();
                 }
                 Output::Settle { source, kept } => {
+                    self.gate.add_taking(-1);
                     self.tasks.borrow_mut().push_back(Task::Settle { source, kept });
                     self.more.notify_one();
                 }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -312,7 +312,11 @@
     pub fn report(&self) -> String {
         let router = &self.handle.hub.borrow().router;
         let (owed, out) = router.load();
-        format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk())
+        let own = format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk());
+        match &self.gate {
+            Some(gate) => format!("{own} {}", gate.report()),
+            None => own,
+        }
     }
 
     /// The first steps of a router that has read its journal.
--- a/courier/src/transport/gate.rs
+++ b/courier/src/transport/gate.rs
@@ -35,8 +35,10 @@
     waits: Cell<Option<(u64, Micros)>>,
     /// It may act until then.
     until: Cell<Micros>,
-    /// Copies are enough to take on.
-    enough: Cell<bool>,
+    /// Copies of the journal, and whether they are enough to take on.
+    copies: Cell<(usize, bool)>,
+    /// The epoch under which the courier serves, and parts of others' books that are on their way into its own.
+    member: Cell<(u64, usize)>,
     news: RefCell<Vec<Wrote>>,
     /// Something was written.
     pub wrote: Notify,
@@ -52,7 +54,8 @@
             safe: Cell::new(0),
             waits: Cell::new(None),
             until: Cell::new(0),
-            enough: Cell::new(false),
+            copies: Cell::new((0, false)),
+            member: Cell::new((0, 0)),
             news: RefCell::default(),
             wrote: Notify::new(),
             moved: Notify::new(),
@@ -104,8 +107,39 @@
         self.moved.notify_waiters();
     }
 
-    pub fn set_enough(&self, enough: bool) {
-        self.enough.set(enough);
+    pub fn set_copies(&self, copies: usize, enough: bool) {
+        self.copies.set((copies, enough));
+    }
+
+    pub fn set_epoch(&self, epoch: u64) {
+        self.member.set((epoch, self.member.get().1));
+    }
+
+    /// So many parts more, or fewer, of others' books are on their way into the own one.
+    pub fn add_taking(&self, parts: isize) {
+        let (epoch, taking) = self.member.get();
+        self.member.set((epoch, taking.saturating_add_signed(parts)));
+    }
+
+    /// Why the courier may not take on, if it may not.
+    pub fn closed(&self) -> Option<&'static str> {
+        match self.takes_on() {
+            Ok(()) => None,
+            Err(_) if !self.may_act() => Some("not ready: no lease of its fleet\n"),
+            Err(_) if !self.copies.get().1 => Some("not ready: no copy of its journal\n"),
+            Err(_) => Some("not ready: the copies of its journal are late\n"),
+        }
+    }
+
+    /// The fleet's part of what an operator is told: the epoch, 0 for none; milliseconds left of the lease; copies of the
+    /// journal; bytes that are not at all of them; parts of others' books that are being taken over.
+    pub fn report(&self) -> String {
+        let ((copies, enough), (epoch, taking)) = (self.copies.get(), self.member.get());
+        let left = self.until.get().saturating_sub(self.clock.now()) / 1_000;
+        let behind = self.written.get().saturating_sub(self.safe.get());
+        format!(
+            "epoch={epoch} lease_ms={left} copies={copies} copies_enough={enough} not_copied={behind} parts_taking={taking}"
+        )
     }
 
     fn may_act(&self) -> bool {
@@ -118,7 +152,7 @@
     /// It may not: this long is advised.
     pub fn takes_on(&self) -> Result<(), Micros> {
         let late = self.waits.get().is_some_and(|(_, since)| self.clock.now() > since.saturating_add(LATE));
-        if self.may_act() && self.enough.get() && !late { Ok(()) } else { Err(CLOSED_WAIT) }
+        if self.may_act() && self.copies.get().1 && !late { Ok(()) } else { Err(CLOSED_WAIT) }
     }
 
     /// A mark of all that is written by now.
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -572,7 +572,8 @@
     match (request.method(), serving) {
         (&Method::GET | &Method::HEAD, true) => invocation::plain(StatusCode::OK, "ready\n"),
         (&Method::GET | &Method::HEAD, false) => {
-            invocation::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+            let fleet = courier.gate.as_ref().and_then(|gate| gate.closed());
+            invocation::plain(StatusCode::SERVICE_UNAVAILABLE, fleet.unwrap_or("not ready\n"))
         }
         _ => invocation::refuse(Malformed::Method),
     }
--- a/courier/tests/fleet/copies.rs
+++ b/courier/tests/fleet/copies.rs
@@ -17,6 +17,8 @@
         let mut fleet = pair("require").await;
         fleet.kill(1).await.unwrap();
         unready(&fleet, 0).await;
+        let told = fleet.get(0, "/-/ready").await.unwrap().1;
+        assert!(told.contains("cop"), "{told:?}");
         let answer =
             consumer::hand_in(fleet.addr(0), &message("fee-debit", "refused", 1), BODY).await.unwrap();
         assert_eq!(answer.status(), 503);
@@ -33,13 +35,13 @@
         let mut fleet = pair("prefer").await;
         let lost = now(&fleet);
         fleet.kill(1).await.unwrap();
-        anybody_says(&fleet, lost, "0 copies of the journal").await;
+        anybody_says(&fleet, lost, "it goes on alone").await;
         ready(&fleet, 0).await;
         assert_eq!(fleet.hand_in(0, &message("fee-debit", "alone", 1), BODY).await, 202);
         ends(&fleet, "alone").await;
         let alone = now(&fleet);
         fleet.spawn(1).unwrap();
-        anybody_says(&fleet, alone, "1 copies of the journal").await;
+        anybody_says(&fleet, alone, "the journal is copied to b").await;
         heals(&mut fleet).await;
     });
 }
@@ -49,7 +51,7 @@
 fn a_copy_lost_under_a_message_delays_its_answer() {
     play(async || {
         let mut fleet = fleet(3).await;
-        let copy = copies_of(&fleet, 1)[0];
+        let copy = copies_of(&fleet, 1, 1)[0];
         fleet.kill(copy).await.unwrap();
         // Of the other copy, once it is one.
         until("it takes on", async || fleet.hand_in(1, &message("fee-debit", "late", 1), BODY).await == 202)
@@ -72,6 +74,7 @@
         for n in 0..3 {
             fleet.spawn(n).unwrap();
         }
+        settled(&fleet, 1).await;
         for n in 0..3 {
             ready(&fleet, n).await;
         }
--- a/courier/tests/fleet/cut.rs
+++ b/courier/tests/fleet/cut.rs
@@ -101,7 +101,7 @@
 fn a_link_cut_in_the_middle_of_a_record_loses_nothing() {
     play(async || {
         let mut fleet = fleet(3).await;
-        let copy = copies_of(&fleet, 1)[0];
+        let copy = copies_of(&fleet, 1, 1)[0];
         for (n, at) in [20, 300, 3_000].into_iter().enumerate() {
             fleet.link(1, copy).once(Once::CutInBody(at));
             let id = format!("cut-{n}");
--- a/courier/tests/fleet/lost.rs
+++ b/courier/tests/fleet/lost.rs
@@ -20,7 +20,7 @@
     play(async || {
         let mut fleet = five().await;
         in_hand(&fleet, 4, "debit", "paid").await;
-        let copy = copies_of(&fleet, 4)[0];
+        let copy = copies_of(&fleet, 4, 2)[0];
         fleet.kill(4).await.unwrap();
         fleet.kill(copy).await.unwrap();
         taken_over(&fleet, 4, "debit", "paid").await;
--- a/courier/tests/fleet/main.rs
+++ b/courier/tests/fleet/main.rs
@@ -33,7 +33,9 @@
 }
 
 async fn start(setup: FleetSetup) -> Fleet {
+    let copies = setup.fleet.as_ref().and_then(|fleet| fleet["copies"].as_u64()).unwrap();
     let fleet = Fleet::start(setup).await.unwrap();
+    settled(&fleet, copies as usize).await;
     for courier in 0..fleet.couriers() {
         ready(&fleet, courier).await;
     }
@@ -127,15 +129,26 @@
     fleet.witness.write(|_, stamp| stamp)
 }
 
-/// Who has a copy of this courier's book.
-fn copies_of(fleet: &Fleet, owner: usize) -> Vec<usize> {
-    let ends = format!(".{}", fleet.name(owner));
-    let holds = |n: &usize| {
-        let names = std::fs::read_dir(fleet.folder(*n).join("fleet")).unwrap();
-        let mut names = names.map(|entry| entry.unwrap().file_name().into_string().unwrap());
-        names.any(|name| name.starts_with("copy.") && name.ends_with(&ends))
-    };
-    (0..fleet.couriers()).filter(|n| *n != owner && holds(n)).collect()
+/// Who is to have the copies of this courier's book while all serve, each on a host of its own; best first.
+fn copies_of(fleet: &Fleet, owner: usize, copies: usize) -> Vec<usize> {
+    let mut best = others(fleet, &[owner]);
+    best.sort_by_key(|n| std::cmp::Reverse(weight(fleet.name(owner).as_bytes(), fleet.name(*n))));
+    best.truncate(copies);
+    best
+}
+
+/// Waits until all couriers' books have come to where they are to be copied.
+async fn settled(fleet: &Fleet, copies: usize) {
+    for owner in 0..fleet.couriers() {
+        let mut at: Vec<&str> = copies_of(fleet, owner, copies).iter().map(|n| fleet.name(*n)).collect();
+        at.sort_unstable();
+        let words = format!("the journal is copied to {}", at.join(", "));
+        let last = |record: &Record| {
+            let said = record.said(owner, fleet.life(owner), "the journal is copied to");
+            said.last().filter(|line| line.text.ends_with(&words)).map(|_| ())
+        };
+        fleet.until(&words, PATIENCE, last).await.unwrap();
+    }
 }
 
 /// Whoever of these takes over what is owed to a destination.
--- a/courier/tests/fleet/paused.rs
+++ b/courier/tests/fleet/paused.rs
@@ -9,7 +9,7 @@
 /// Hands a message in at an owner, pauses it when the record of its attempt is on its way to the copy, and lets the copy have
 /// it and answer: the answer lies there for the owner to read when it goes on.
 async fn paused_behind_the_record(fleet: &mut Fleet, owner: usize, handed: &Invocation) {
-    let copy = copies_of(fleet, owner)[0];
+    let copy = copies_of(fleet, owner, 1)[0];
     let begun = now(fleet);
     fleet.link(owner, copy).once(Once::Hold);
     let (consumer, invocation) = (fleet.consumer(owner), handed.clone());
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -96,9 +96,9 @@
     Lease(Micros),
     /// All that was written up to this mark is where it has to be.
     Safe(u64),
-    /// Records can be made safe at this many copies; too few: it may not take on (see [`Missing`]).
+    /// Records are safe once they are at all of these; not enough: it may not take on (see [`Missing`]).
     Copies {
-        in_step: usize,
+        at: BTreeSet<Name>,
         enough: bool,
     },
     /// These parts of this sealed book are to be written into the journal, in one piece; of what came to that book from
@@ -245,7 +245,7 @@
     proposed: BTreeSet<Name>,
     late: BTreeMap<Name, Micros>,
     safe: u64,
-    told_copies: Option<(usize, bool)>,
+    told_copies: Option<(BTreeSet<Name>, bool)>,
     copies: BTreeMap<BookId, Copy<D::Store>>,
     fetching: BTreeMap<BookId, Fetching>,
     pending: BTreeMap<Source, Pending>,
@@ -956,10 +956,10 @@
             self.safe = safe;
             out.push(Output::Safe(safe));
         }
-        let told = (agreed.len(), counts);
-        if self.told_copies != Some(told) {
-            self.told_copies = Some(told);
-            out.push(Output::Copies { in_step: told.0, enough: told.1 });
+        let told = Some((agreed, counts));
+        if self.told_copies != told {
+            self.told_copies = told;
+            out.extend(self.told_copies.clone().map(|(at, enough)| Output::Copies { at, enough }));
         }
     }
 
