Agree on partners' budgets among a fleet's members

Shares joins the budgets' holder, leader and agreed state to the member machine: registrations and losses move there with the same log entry, reports go to whoever leads, and the operator file's fleet.budgets is checked with its paths. The courier does not ask it yet.

--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -12,11 +12,12 @@
 use links::Link;
 use quillmount_core::journal::{self, Book};
 use quillmount_fleet::agreement;
+use quillmount_fleet::budget::{self, Budget, Tenant};
 use quillmount_fleet::member::{Input, Member, MemberError, Note, Output};
 use quillmount_fleet::message::Envelope;
 use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
 use quillmount_fleet::state::{Epoch, Source, part_of};
-use quillmount_operator::fleet::OnMissing;
+use quillmount_operator::fleet::{FleetBudget, FleetTenant, OnMissing};
 use spurshore::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -27,6 +28,8 @@
 use stores::Files;
 use tokio::sync::Notify;
 
+/// No invoker call writes for longer: the longest time of a message, by the newest pages.
+const CALL: Micros = 30_000_000;
 /// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -37,6 +40,8 @@
     Listen { addr: String, source: std::io::Error },
     #[error("fleet: {what} {value:?} is no address; mend the operator file's section `fleet`")]
     Address { what: &'static str, value: String },
+    #[error("operator file: {}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
+    Budgets(Vec<budget::Problem>),
     #[error(transparent)]
     Member(#[from] MemberError),
     #[error("fleet: the folder for what its members keep: {0}; check the lasting folder's disk and rights")]
@@ -86,9 +91,35 @@
             OnMissing::Require => Missing::Require,
             OnMissing::Prefer => Missing::Prefer,
         },
+        budgets: budgets_of(told),
+        call: CALL,
+        quiet: told.partner_idle.0.as_micros() as Micros,
     }
 }
 
+fn budgets_of(told: &quillmount_operator::fleet::Fleet) -> Vec<Budget> {
+    let tenant = |told: &FleetTenant| Tenant {
+        name: told.name.clone(),
+        weight: told.weight,
+        floor: told.floor,
+        ceiling: told.ceiling,
+    };
+    let budget = |told: &FleetBudget| Budget {
+        dest: told.dest,
+        connections: told.connections,
+        calls: told.calls,
+        span_ms: told.span.map(|span| span.0.as_millis() as u64),
+        courier_floor: told.courier_floor,
+        tenants: told.tenants.iter().map(tenant).collect(),
+    };
+    told.budgets.iter().map(budget).collect()
+}
+
+/// What the section's types can't say, and its own checks do not know, each with its path.
+pub fn problems(told: &quillmount_operator::fleet::Fleet) -> Vec<budget::Problem> {
+    if told.on { budget::check(&budgets_of(told), told.members.len()) } else { Vec::new() }
+}
+
 fn address(what: &'static str, value: &str) -> Result<SocketAddr, FleetError> {
     value.parse().map_err(|_| FleetError::Address { what, value: value.into() })
 }
@@ -106,6 +137,10 @@
         clock: Clock,
         span: Option<Micros>,
     ) -> Result<Rc<Fleet>, FleetError> {
+        let problems = problems(told);
+        if !problems.is_empty() {
+            return Err(FleetError::Budgets(problems));
+        }
         let listen = |source| FleetError::Listen { addr: told.listen.clone(), source };
         let listener = TcpListener::bind(address("listen", &told.listen)?).await.map_err(listen)?;
         let files = Files::open(folder.join("fleet"))?;
@@ -280,6 +315,7 @@
                     self.gone.notify_one();
                 }
                 Output::Left => self.left.notify_waiters(),
+                Output::Orders(_) => {}
                 Output::Note(note) => say(&note),
             }
         }
--- a/courier/src/program/check.rs
+++ b/courier/src/program/check.rs
@@ -42,7 +42,14 @@
     match Operator::load(path) {
         Ok(operator) => {
             let levels = log::parse("$.log.filter", &operator.log.filter);
-            levels.err().map(|e| Problem::new("$.log.filter", e.to_string())).into_iter().collect()
+            let levels = levels.err().map(|e| Problem::new("$.log.filter", e.to_string()));
+            let budgets = crate::fleet::problems(&operator.fleet);
+            // Each says its path first.
+            let budgets = budgets.into_iter().map(|problem| match problem.to_string().split_once(": ") {
+                Some((path, what)) => Problem::new(path, what),
+                None => Problem::new("$.fleet.budgets", problem.to_string()),
+            });
+            levels.into_iter().chain(budgets).collect()
         }
         Err(OperatorError::Problems { problems, .. }) => problems,
         Err(OperatorError::Read { source, .. }) => vec![Problem::new("$", source.to_string())],
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod message;
 pub mod plan;
+pub mod shares;
 pub mod state;
 
 /// A courier's number in the agreement: drawn at random when its folder is new, and kept there. A folder that is lost means a
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -5,9 +5,11 @@
 use crate::agreement::{self, Agreement, AgreementError, Change};
 use crate::book::{Copy, Owner};
 use crate::breaks::{self, Break};
+use crate::budget::Order;
 use crate::lease::{Granted, Held};
 use crate::message::{Envelope, Message, Place};
 use crate::plan::{Missing, Name, Plan};
+use crate::shares::Shares;
 use crate::state::{Agreed, BookId, Command, Epoch, Event, Part, Source};
 use bytes::Bytes;
 use quillmount_core::journal;
@@ -117,6 +119,8 @@
     Replaced,
     /// The fleet knows that it has left.
     Left,
+    /// Connections to partners that are to be closed.
+    Orders(Vec<Order>),
     Note(Note),
 }
 
@@ -252,6 +256,7 @@
     asked: Vec<(Command, Micros)>,
     leaving: bool,
     left: bool,
+    shares: Shares,
     look_at: Micros,
     hello_at: Micros,
     lapse_at: Micros,
@@ -294,7 +299,9 @@
                 copies.insert(book, Copy::open(stores.open(&name)?)?);
             }
         }
+        let shares = Shares::new(&plan.me, plan.terms(), plan.budgets.clone(), plan.couriers(), now);
         let mut member = Member {
+            shares,
             plan,
             stores,
             agreement,
@@ -419,7 +426,10 @@
                     (pending.mark, pending.done) = (mark, true);
                 }
             }
-            Input::Leave => self.leaving = true,
+            Input::Leave => {
+                self.leaving = true;
+                self.shares.gate.leave();
+            }
         }
         self.look(now, &mut out)?;
         Ok(out)
@@ -472,6 +482,7 @@
                 agreement::Output::Leader { .. } => {
                     let leads = self.agreement.leads();
                     if leads && !self.leads {
+                        self.shares.lead_anew(self.plan.terms());
                         self.granted.begin(if breaks::on(Break::NoGrace) { 0 } else { now });
                     }
                     if leads != self.leads {
@@ -548,8 +559,10 @@
         match event {
             Event::Joined { name, epoch, life, kept } => {
                 self.granted.joined(&name, epoch, now);
+                self.shares_agreed(now, out);
                 if name == self.plan.me && life == self.life {
                     self.epoch = Some(epoch);
+                    self.shares.gate.joined(epoch);
                     self.drop_unknown()?;
                     out.push(Output::Note(Note::Joined { epoch, kept }));
                     out.push(Output::Joined { epoch, kept });
@@ -557,7 +570,9 @@
                     self.is_replaced(out);
                 }
             }
+            Event::Shares => self.shares_agreed(now, out),
             Event::Gone { name, epoch } => {
+                self.shares_agreed(now, out);
                 out.push(Output::Note(Note::Gone { name: name.clone(), epoch }));
                 if name == self.plan.me && self.epoch == Some(epoch) {
                     if self.leaving {
@@ -625,9 +640,42 @@
         Ok(())
     }
 
+    /// What this courier may use of partners' budgets.
+    pub fn shares(&mut self) -> &mut Shares {
+        &mut self.shares
+    }
+
+    fn shares_agreed(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.shares.any() {
+            let orders = self.shares.agreed(&self.agreed.shared, now);
+            out.extend((!orders.is_empty()).then_some(Output::Orders(orders)));
+        }
+    }
+
+    /// Tells the leader what is used and wanted; whoever leads moves what is to be moved.
+    fn keep_shares(&mut self, now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
+        if !self.shares.any() {
+            return Ok(());
+        }
+        let orders = self.shares.gate.tick(now);
+        out.extend((!orders.is_empty()).then_some(Output::Orders(orders)));
+        if let Some(leader) = self.leader().filter(|_| self.epoch.is_some()) {
+            for (count, report) in self.shares.reports(now) {
+                self.tell(leader.clone(), Message::Shares(count, report), now, out)?;
+            }
+        }
+        if self.leads {
+            for (count, command) in self.shares.lead(&self.agreed.shared, now) {
+                self.propose(Command::Share(count, command), now, out)?;
+            }
+        }
+        Ok(())
+    }
+
     fn is_replaced(&mut self, out: &mut Vec<Output>) {
         if !self.replaced {
             self.replaced = true;
+            self.shares.lease_over();
             self.held.drop_all();
             out.push(Output::Replaced);
         }
@@ -745,6 +793,7 @@
             Message::Granted { epoch, ticket } => {
                 if self.epoch == Some(epoch) && !self.replaced {
                     self.held.granted(ticket, &self.plan);
+                    self.shares.gate.leased(self.held.until());
                     out.push(Output::Lease(self.held.until()));
                 }
             }
@@ -796,6 +845,11 @@
                     self.fetched(book, out);
                 }
             }
+            Message::Shares(count, report) => {
+                if self.leads && report.courier == from {
+                    self.shares.hears(count, report, now);
+                }
+            }
             Message::NoBook { book } => {
                 if let Some(fetching) = self.fetching.get_mut(&book) {
                     fetching.none += 1;
@@ -855,6 +909,7 @@
         }
         self.keep_lease(now, out)?;
         self.keep_copies(now, out);
+        self.keep_shares(now, out)?;
         self.fetch(now, out)?;
         self.say_wants(now, out)?;
         if self.leads {
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -1,7 +1,9 @@
 //! What couriers of a fleet say to each other. Any of it may be lost, come twice, late or in another order.
 
 use crate::Token;
+use crate::budget::Report;
 use crate::plan::Name;
+use crate::shares::Count;
 use crate::state::{BookId, Command, Epoch};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -106,4 +108,6 @@
     NoBook {
         book: BookId,
     },
+    /// For the leader: what the sender uses and wants of partners' budgets.
+    Shares(Count, Report),
 }
--- a/fleet/src/plan.rs
+++ b/fleet/src/plan.rs
@@ -1,5 +1,6 @@
 //! What an operator wants of a fleet, as its machines go by it.
 
+use crate::budget::{Budget, Terms};
 use spurshore::Micros;
 use std::collections::BTreeSet;
 
@@ -38,9 +39,23 @@
     /// Copies of each book at other couriers.
     pub copies: usize,
     pub missing: Missing,
+    /// Partners' budgets.
+    pub budgets: Vec<Budget>,
+    /// The longest that a call writes, and that a connection stays open after that.
+    pub call: Micros,
+    pub quiet: Micros,
 }
 
 impl Plan {
+    /// The bounds on time that budgets are held to.
+    pub fn terms(&self) -> Terms {
+        Terms { call: self.call, quiet: self.quiet, lease: self.lease }
+    }
+
+    pub fn couriers(&self) -> Vec<Name> {
+        self.peers.iter().map(|peer| peer.name.clone()).collect()
+    }
+
     /// How long a lease lasts by the member's own clock: it ends before the leader's does, at the worst rates of both.
     pub fn own_lease(&self) -> Micros {
         (self.lease as f64 * (1.0 - self.drift) / (1.0 + self.drift)) as Micros
@@ -101,6 +116,9 @@
             drift: 0.01,
             copies: 1,
             missing: Missing::Require,
+            budgets: vec![],
+            call: 16_000_000,
+            quiet: 15_000_000,
         }
     }
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -2,7 +2,9 @@
 //! over what of it. Every courier applies the same commands in the same order; nothing here knows the time.
 
 use crate::Token;
+use crate::budget;
 use crate::plan::{Name, weight};
+use crate::shares::{Count, Shared};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -86,6 +88,8 @@
     pub epoch: Epoch,
     pub members: BTreeMap<Name, Member>,
     pub books: BTreeMap<BookId, Book>,
+    /// Partners' budgets, and who holds what of them.
+    pub shared: Shared,
 }
 
 /// One change of it. Each says under which circumstances it holds, so that a late or repeated one changes nothing.
@@ -101,6 +105,8 @@
     Taken { source: Source, by: Name, epoch: Epoch },
     /// The taker's book says so.
     Done { source: Source, by: Name, epoch: Epoch },
+    /// Of a partner's budget.
+    Share(Count, budget::Command),
 }
 
 /// What a command has changed.
@@ -130,6 +136,8 @@
     Taken(Source, Name, Epoch),
     /// All of a book is in others.
     Over(BookId),
+    /// What couriers may use of partners' budgets is another.
+    Shares,
 }
 
 impl Agreed {
@@ -200,6 +208,11 @@
                     self.clear(&mut events);
                 }
             }
+            Command::Share(count, command) => {
+                if self.shared.apply(count, &command) {
+                    events.push(Event::Shares);
+                }
+            }
         }
         events
     }
@@ -253,6 +266,7 @@
             }
         }
         self.members.insert(name.clone(), Member { token, life, epoch, serving: true });
+        self.shared.joined(&name, epoch);
         events.push(Event::Joined { name, epoch, life, kept: kept.is_some() });
         self.give(events);
     }
@@ -284,6 +298,7 @@
         if let Some(m) = self.members.get_mut(name) {
             m.serving = false;
         }
+        self.shared.gone(name, epoch);
         events.push(Event::Gone { name: name.into(), epoch });
         self.no_copies_at(name, false, events);
         let id = BookId { owner: name.into(), epoch };
--- a/operator/src/fleet.rs
+++ b/operator/src/fleet.rs
@@ -45,6 +45,10 @@
     pub copies: usize,
     /// What a courier does where no copy of its journal is in step.
     pub on_missing: OnMissing,
+    /// Partners that allow the whole fleet so many connections, and how tenants share them.
+    pub budgets: Vec<FleetBudget>,
+    /// A partner ends a connection within so long after the last that was written on it.
+    pub partner_idle: Span,
     /// Addresses off this machine are let through. What couriers say to each other is neither secret nor signed.
     pub beyond_loopback: bool,
 }
@@ -61,6 +65,45 @@
     pub host: String,
 }
 
+/// What a partner allows the whole fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct FleetBudget {
+    /// The partner's destination.
+    pub dest: u64,
+    /// Connections at once.
+    pub connections: u32,
+    /// Calls in each span.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub calls: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub span: Option<Span>,
+    /// Connections that each courier may use even when it is cut off.
+    #[serde(default)]
+    pub courier_floor: u32,
+    /// Tenants that are not named have weight 1, no floor and no ceiling.
+    #[serde(default)]
+    pub tenants: Vec<FleetTenant>,
+}
+
+/// One tenant's part of a partner's budget.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct FleetTenant {
+    pub name: String,
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Kept for it when it asks for it.
+    #[serde(default)]
+    pub floor: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ceiling: Option<u32>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 pub enum OnMissing {
@@ -83,6 +126,8 @@
             drift: 0.01,
             copies: 1,
             on_missing: OnMissing::default(),
+            budgets: Vec::new(),
+            partner_idle: Span(Duration::from_secs(15)),
             beyond_loopback: false,
         }
     }
