--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -25,9 +25,12 @@
 mod seen;
 mod settle;
 mod state;
+mod streams;
 
 use list::Known;
 pub use state::{ResumeError, State, mark};
+use streams::Stream;
+pub use streams::{StreamEnd, StreamLimits};
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
@@ -85,18 +88,6 @@
     Note(Note),
 }
 
-/// The final answer to a streamed invocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum StreamEnd {
-    Delivered,
-    /// Nothing has run; the consumer may come again, after so long.
-    Deferred(Micros),
-    /// With no promise about its effect.
-    Failed,
-    /// The consumer itself did not bring it whole.
-    Cut(Cut),
-}
-
 /// The answer to an invocation handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake {
@@ -127,30 +118,6 @@
     stream: Option<Stream>,
 }
 
-/// What is known of a message whose body is passed on as it comes.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-struct Stream {
-    /// A part of its body is gone: no attempt can have all of it any more.
-    committed: bool,
-    /// An attempt may have run, or may yet.
-    may_have_run: bool,
-    cut: Option<Cut>,
-    /// No other attempt is wanted: its body is lost, or the process ends.
-    over: bool,
-    /// Its consumer can't be answered any more, or has gone with another life: the platform is told.
-    deaf: bool,
-}
-
-/// What streams may take of a courier.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StreamLimits {
-    /// Streams at once.
-    pub most: usize,
-    /// Their part of the slots, and of each destination's window; one of each at least.
-    pub part_of_slots: f64,
-    pub part_of_window: f64,
-}
-
 /// A message that is out in a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Out {
@@ -269,15 +236,6 @@
         self.take(invocation, false, now)
     }
 
-    /// A consumer begins to hand in an invocation whose body is passed on as it comes. Its end comes as
-    /// [`Step::Answer`]; the number is the message's, where it is taken on.
-    pub fn take_on_stream(&mut self, invocation: Invocation, now: Micros) -> (Intake, MsgId, Vec<Step>) {
-        let msg = self.next;
-        let (intake, steps) = self.take(invocation, true, now);
-        self.counters.streams += u64::from(intake == Intake::TakenOn);
-        (intake, msg, steps)
-    }
-
     fn take(&mut self, invocation: Invocation, stream: bool, now: Micros) -> (Intake, Vec<Step>) {
         let mut steps = Vec::new();
         let intake = self.intake(invocation, stream, now, &mut steps);
@@ -484,95 +442,6 @@
         }
     }
 
-    /// A call of a stream is over, and the message is not delivered: without its whole body, or with an end
-    /// that was only waiting for this call, the module has nothing to decide any more.
-    fn stream_call_ended(&mut self, msg: MsgId, never_ran: bool, now: Micros, steps: &mut Vec<Step>) {
-        let Some(stream) = self.owed.get_mut(&msg).and_then(|owed| owed.stream.as_mut()) else { return };
-        stream.may_have_run |= !never_ran;
-        if (stream.committed && !breaks::on(Break::CommittedAgain)) || stream.over {
-            let ending = stream.ending();
-            self.end(msg, ending, now, steps);
-        }
-    }
-
-    /// The last byte of a stream's call has left: its time at the destination begins.
-    pub fn stream_written(&mut self, call: CallId, now: Micros) -> Vec<Step> {
-        let mut steps = Vec::new();
-        if let Some(out) = self.out.get_mut(&call) {
-            out.written = Some(now);
-            let orders = self.facade.written(now, call.msg, call.attempt);
-            self.carry_out(orders, now, &mut steps);
-        }
-        steps
-    }
-
-    /// A part of a stream's body is gone: it has no other attempt.
-    pub fn stream_committed(&mut self, msg: MsgId) {
-        if let Some(stream) = self.owed.get_mut(&msg).and_then(|owed| owed.stream.as_mut()) {
-            stream.committed = true;
-        }
-    }
-
-    /// No call of a stream has begun in time for its consumer: it is turned away, unless one is out.
-    pub fn stream_unbegun(&mut self, msg: MsgId, now: Micros) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let open = self.owed.get(&msg).is_some_and(|owed| owed.stream.is_some() && owed.end.is_none());
-        if open && !self.is_out(msg) {
-            self.end_stream(msg, now, &mut steps);
-        }
-        self.say(&mut steps);
-        steps
-    }
-
-    /// A stream without a call that is out gets the end that is true of it, and the module forgets it.
-    fn end_stream(&mut self, msg: MsgId, now: Micros, steps: &mut Vec<Step>) {
-        let Some(stream) = self.owed.get(&msg).and_then(|owed| owed.stream) else { return };
-        self.end(msg, stream.ending(), now, steps);
-        let orders = self.facade.ended(now, msg);
-        self.carry_out(orders, now, steps);
-    }
-
-    /// A stream's body will never be whole, or the process ends (`None`): its call is given up, and its end
-    /// follows.
-    pub fn stream_cut(&mut self, msg: MsgId, why: Option<Cut>, now: Micros) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let out = self.is_out(msg);
-        let Some(owed) = self.owed.get_mut(&msg).filter(|owed| owed.end.is_none()) else { return steps };
-        let Some(stream) = owed.stream.as_mut() else { return steps };
-        (stream.cut, stream.over) = (stream.cut.or(why), true);
-        self.counters.streams_cut += 1;
-        if out {
-            let calls = self.out.range(calls_of(msg));
-            steps.extend(calls.map(|(_, out)| Step::Ended(out.lead)));
-        } else {
-            self.end_stream(msg, now, &mut steps);
-        }
-        self.say(&mut steps);
-        steps
-    }
-
-    /// A stream's consumer was answered on its connection, or can't be: then the platform is told.
-    pub fn answered(&mut self, msg: MsgId, heard: bool, now: Micros) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let Some(owed) = self.owed.get_mut(&msg) else { return steps };
-        if let Some(stream) = &mut owed.stream {
-            stream.deaf |= !heard && !breaks::on(Break::DeafForgotten);
-        }
-        match owed.end {
-            Some(ending) if heard => {
-                self.write(&Record::Told { msg }, now);
-                self.over(msg, ending.into());
-            }
-            Some(_) if !self.notices.contains(msg) && !self.unwritten.contains(msg) => {
-                self.notices.push_back(msg);
-                steps.push(Step::Notify);
-            }
-            _ => {}
-        }
-        self.say(&mut steps);
-        steps
-    }
-
     fn is_out(&self, msg: MsgId) -> bool {
         self.out.range(calls_of(msg)).next().is_some()
     }
@@ -862,13 +731,6 @@
     Ok((settings, zones))
 }
 
-impl Stream {
-    /// How it ends if it is not delivered.
-    fn ending(&self) -> Ending {
-        if self.may_have_run { Ending::Undeliverable } else { Ending::Deferred(NO_ROOM_WAIT) }
-    }
-}
-
 /// Bytes that a message takes in a call with others, at most: its body in Base64, its names escaped, its frame.
 fn size(id: &str, key: Option<&str>, body: &[u8]) -> u64 {
     let escaped =
