Give the memory of what is over a type of its own

The ids with their ends and the order in which they are forgotten stood as two tables in the router, kept in step by hand. core/src/over.rs keeps them; what is remembered, shown and handed over is the same.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod machine;
 pub mod note;
+pub mod over;
 pub mod pool;
 pub mod router;
 pub mod store;
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -6,6 +6,7 @@
 use crate::holds::{HoldError, Holds, ID_MAX};
 use crate::journal::{self, End, Journal, JournalError, Record, TakenOn};
 use crate::note::Note;
+use crate::over::Over;
 use crate::store::Store;
 use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, Parcel, ProviderList, Rider};
 use serde::{Deserialize, Serialize};
@@ -16,7 +17,7 @@
 };
 use spurshore_settings::{Env, Names, settings};
 use spurshore_tables::Line;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -44,8 +45,6 @@
 const WRITE_AGAIN: Micros = 50_000;
 /// What stands around a message in a call with others: names of the fields, quotes and commas.
 const FRAME: usize = 32;
-/// Ids of invocations that are over, remembered at most.
-const REMEMBERED: usize = 4_096;
 
 #[derive(Debug, thiserror::Error)]
 pub enum RouterError {
@@ -145,8 +144,7 @@
     unsettled: BTreeMap<journal::Source, Vec<(MsgId, journal::Entry)>>,
     owed: BTreeMap<MsgId, Owed>,
     ids: HashMap<String, MsgId>,
-    over: HashMap<String, End>,
-    over_order: VecDeque<(String, Micros)>,
+    over: Over,
     out: BTreeMap<CallId, Out>,
     /// Calls by provider.
     out_at: BTreeSet<(u32, CallId)>,
@@ -199,8 +197,7 @@
             unsettled: BTreeMap::new(),
             owed: BTreeMap::new(),
             ids: HashMap::new(),
-            over: HashMap::new(),
-            over_order: VecDeque::new(),
+            over: Over::default(),
             out: BTreeMap::new(),
             out_at: BTreeSet::new(),
             bundles: BTreeMap::new(),
@@ -255,7 +252,7 @@
         }
         match self.over.get(&id) {
             Some(End::Delivered) => return Intake::Delivered,
-            Some(End::Deferred { after }) => return Intake::Rejected { after: *after },
+            Some(End::Deferred { after }) => return Intake::Rejected { after },
             Some(End::Undeliverable) => return Intake::Failed,
             None => {}
         }
@@ -469,19 +466,13 @@
     }
 
     fn remember(&mut self, id: String, end: End, until: Micros) {
-        if breaks::on(Break::ForgetOver) {
-            return;
+        if !breaks::on(Break::ForgetOver) {
+            self.over.remember(id, end, until);
         }
-        self.over.insert(id.clone(), end);
-        self.over_order.push_back((id, until));
     }
 
     fn forget(&mut self, now: Micros) {
-        while self.over_order.front().is_some_and(|(_, until)| *until <= now)
-            || self.over_order.len() > REMEMBERED
-        {
-            let Some((id, _)) = self.over_order.pop_front() else { return };
-            self.over.remove(&id);
+        while let Some(id) = self.over.forget(now) {
             self.journal.forgotten(&id);
         }
     }
--- a/core/src/router/restore.rs
+++ b/core/src/router/restore.rs
@@ -66,7 +66,7 @@
         let (mut fresh, mut ids) = (BTreeMap::new(), BTreeSet::new());
         for mut entry in entries {
             let id = &entry.taken.id;
-            let known = self.ids.contains_key(id) || self.over.contains_key(id);
+            let known = self.ids.contains_key(id) || self.over.contains(id);
             if known || entry.end == Some(End::Delivered) || !ids.insert(id.clone()) {
                 steps.push(Step::Note(Note::NotAdopted { id: id.clone() }));
                 continue;
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -11,14 +11,14 @@
             facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, provider_names, providers, holds, version: _, heard,
             // These three follow from the others.
             by_dest: _, went: _, out_at: _, waits: _, second_copies: _, tenants: _,
-            journal: _, unsettled: _, owed, bundles, ids: _, over, over_order, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
+            journal: _, unsettled: _, owed, bundles, ids: _, over, out, notices, unwritten, write_at, next: _, stopping, notes: _, counters: _,
         } = self;
         facade.see(eye);
         eye.word(holds.iter().count() as u64);
         holds.iter().for_each(|id| see_text(id, eye));
         eye.flag(*heard);
         eye.time(stopping.unwrap_or(Micros::MAX));
-        let lens = [providers.len(), owed.len(), over_order.len(), out.len(), notices.len()];
+        let lens = [providers.len(), owed.len(), over.iter().len(), out.len(), notices.len()];
         lens.into_iter().for_each(|n| eye.word(n as u64));
         for (n, p) in providers {
             let Known { addr, dest, zone, kind: _, weight, state, gone } = p;
@@ -45,10 +45,10 @@
             eye.time(*deadline);
             see_ending(*end, eye);
         }
-        for (id, until) in over_order {
+        for (id, end, until) in over.iter() {
             see_text(id, eye);
-            eye.time(*until);
-            let end = over.get(id).map(|end| match end {
+            eye.time(until);
+            let end = end.map(|end| match end {
                 End::Delivered => 1,
                 End::Undeliverable => 2,
                 End::Deferred { after } => after.wrapping_add(3),
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -48,8 +48,8 @@
 impl<S: Store> Router<S> {
     /// All that it decides from; `settings`: their [`mark`].
     pub fn state(&self, settings: u32) -> State {
-        let over = self.over_order.iter();
-        let over = over.filter_map(|(id, until)| Some((id.clone(), *self.over.get(id)?, *until)));
+        let over = self.over.iter();
+        let over = over.filter_map(|(id, end, until)| Some((id.to_string(), end?, until)));
         State {
             settings,
             journal: self.journal.store().len(),
