Let a replaced courier sleep, which spun for a page it copies no more

Seen with drawn faults: a courier stopped by SIGTERM just as others had its work never ended. Its member is done with copying once replaced, but a page that was due was still asked for at once, and the loop that keeps its time turned without an end. It now asks to be woken for its looks alone. The new test fails without the line.

--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -360,8 +360,9 @@
     }
 
     pub fn wake_at(&self) -> Option<Micros> {
-        let times =
-            [Some(self.look_at), self.agreement.wake_at(), self.owner.as_ref().and_then(Owner::wake_at)];
+        // One that is replaced or has left copies nothing more: a page that is due would be so for ever.
+        let owner = self.owner.as_ref().filter(|_| !self.replaced && !self.left);
+        let times = [Some(self.look_at), self.agreement.wake_at(), owner.and_then(Owner::wake_at)];
         times.into_iter().flatten().min()
     }
 
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -4,7 +4,8 @@
 use quillmount_core::journal::{self, Book, End, Record, TakenOn};
 use quillmount_core::store::Store;
 use quillmount_fleet::agreement::Limits;
-use quillmount_fleet::member::{Input, Member, Output, Stores};
+pub use quillmount_fleet::member::Input;
+use quillmount_fleet::member::{Member, Output, Stores};
 use quillmount_fleet::message::{Envelope, Message};
 use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
 use quillmount_fleet::state::{Source, part_of};
@@ -117,6 +118,9 @@
     pub trip: Micros,
     /// Answers on their way: when, to whom, in which life, for what.
     answers: Vec<(Micros, usize, u64, String, u64)>,
+    /// Couriers that were replaced, and whether such a process goes on instead of beginning anew at once.
+    pub replaced: BTreeSet<usize>,
+    pub stays: bool,
 }
 
 impl World {
@@ -141,6 +145,8 @@
             voters: 3.min(n),
             trip: 20 * MS,
             answers: Vec::new(),
+            replaced: BTreeSet::new(),
+            stays: false,
         }
     }
 
@@ -315,6 +321,10 @@
                 Output::Adopt { parts, settled, bytes } => self.adopt(i, &parts, &settled, &bytes),
                 Output::Settle { source, kept } => self.settle(i, source, kept),
                 Output::Replaced => {
+                    self.replaced.insert(i);
+                    if self.stays {
+                        continue;
+                    }
                     self.processes[i] = None;
                     self.start(i);
                     return;
--- a/fleet/tests/takeover.rs
+++ b/fleet/tests/takeover.rs
@@ -41,6 +41,37 @@
     }
 }
 
+/// A courier that is replaced with a page on its way, and goes on for a while, as at a planned stop, sleeps between its looks.
+#[test]
+fn a_replaced_courier_is_not_woken_for_what_it_copies_no_more() {
+    let mut world = fleet(3, 3);
+    world.stays = true;
+    (1..3).for_each(|i| world.cut.extend([(0, i), (i, 0)]));
+    assert!(world.hand_in(0, "m", 1, false));
+    world.run(5 * SEC);
+    world.cut.clear();
+    assert!(world.until(world.now + 5 * SEC, |w| w.replaced.contains(&0)));
+    for _ in 0..100 {
+        let wakes = world.processes[0].as_ref().unwrap().member.wake_at().unwrap();
+        world.now = world.now.max(wakes);
+        world.step(0, Input::Tick);
+        let next = world.processes[0].as_ref().unwrap().member.wake_at().unwrap();
+        assert!(next > world.now, "it is to be woken at once, again and again");
+    }
+}
+
+/// A copy that has all is not late when the next record comes, however long there was none.
+#[test]
+fn a_copy_is_not_late_for_a_time_without_records() {
+    let mut world = fleet(3, 4);
+    for n in 0..3 {
+        assert!(world.hand_in(0, &format!("m{n}"), 1, false));
+        world.run(30 * SEC);
+    }
+    let late = world.seen.notes.iter().find(|(_, _, note)| note.contains("late"));
+    assert_eq!(late, None);
+}
+
 /// A day of faults: couriers killed, paused, cut off one way and both, started again with their folder and, where `folders`
 /// may be lost, without; words lost, late, doubled and out of order. Then all is healed.
 fn faults(n: usize, seed: u64, folders: bool) -> World {
