Reckon a copy's lateness from the record it lacks, not from the last it confirmed

Seen with drawn faults: after some quiet seconds the first record made a healthy copy late at once, and it was replaced, with all of the book sent anew. A copy that has all is now as good as one that has just confirmed. The new test fails without the line.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -35,7 +35,7 @@
     /// A page is out, and sent again then.
     again: Option<Micros>,
     pause: Micros,
-    /// It last confirmed anything new then, or was chosen then.
+    /// It last confirmed anything new then, had all, or was chosen.
     moved: Micros,
 }
 
@@ -148,6 +148,10 @@
             }
             let at = copy.have.len as usize;
             let done = copy.based && at == self.bytes.len();
+            if done {
+                // It is behind from the next record on, however long there has been none.
+                copy.moved = now;
+            }
             if done || copy.again.is_some_and(|again| now < again) {
                 continue;
             }
