--- a/courier/tests/fleet/main.rs
+++ b/courier/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod copies;
 mod cut;
+mod faults;
 mod lost;
 mod paused;
 mod restarts;
