Let voters be exchanged while the fleet serves, and say who they are

A voter that the operators no longer name was to become a learner, and the agreement refused that for every voter, so that none ever went; a leader that is not named any more kept its office. A voter may now be made a learner, and such a leader hands over first. Without these lines the new test never sees the named voters alone.

--- a/fleet/src/agreement.rs
+++ b/fleet/src/agreement.rs
@@ -136,7 +136,7 @@
 /// A change of those who take part, one at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
-    /// A new courier: it is told all, and has no vote.
+    /// A new courier, or one that has voted: it is told all, and has no vote.
     AddLearner(Token),
     /// A learner that has caught up votes from now on.
     Promote(Token),
@@ -632,9 +632,14 @@
         let (mut voters, learners) = log::parts(&self.node.store().conf);
         match change {
             Change::AddLearner(token) => {
-                if token == INVALID_ID || voters.contains(&token) || learners.contains(&token) {
+                if token == INVALID_ID || learners.contains(&token) {
                     return Err(Why::Nothing);
                 }
+                if token == self.token {
+                    return Err(Why::Majority);
+                }
+                // A voter that is to learn only from now on.
+                voters.retain(|v| *v != token);
             }
             Change::Promote(token) => {
                 if !learners.contains(&token) {
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -150,6 +150,8 @@
     Leads(bool),
     Alone(bool),
     Begins,
+    /// Those who agree are these from now on.
+    Voters(Vec<Name>),
     /// The agreement's own word.
     Agreement(String),
 }
@@ -188,6 +190,7 @@
             }
             Note::Alone(false) => write!(f, "fleet: has a lease"),
             Note::Agreement(what) => write!(f, "fleet: {what}"),
+            Note::Voters(voters) => write!(f, "fleet: voters are {}", voters.join(", ")),
             Note::Begins => write!(f, "fleet: begins a new one, as its first voter"),
         }
     }
@@ -252,6 +255,8 @@
     asked: Vec<(Command, Micros)>,
     leaving: bool,
     left: bool,
+    /// Those that were last told to agree.
+    voters: Vec<Name>,
     look_at: Micros,
     hello_at: Micros,
     lapse_at: Micros,
@@ -326,6 +331,7 @@
             asked: Vec::new(),
             leaving: false,
             left: false,
+            voters: Vec::new(),
             look_at: now,
             hello_at: now,
             lapse_at: now,
@@ -469,7 +475,7 @@
                     self.reads.remove(&ticket);
                 }
                 agreement::Output::SnapshotWanted => shorten = true,
-                agreement::Output::Changed { .. } => {}
+                agreement::Output::Changed { .. } => self.voters_changed(out),
                 agreement::Output::Leader { .. } => {
                     let leads = self.agreement.leads();
                     if leads && !self.leads {
@@ -492,6 +498,16 @@
         Ok(())
     }
 
+    fn voters_changed(&mut self, out: &mut Vec<Output>) {
+        let name = |token: &Token| self.names.get(token).cloned().unwrap_or_else(|| format!("{token:x}"));
+        let mut voters: Vec<Name> = self.agreement.voters().iter().map(name).collect();
+        voters.sort_unstable();
+        if voters != self.voters {
+            self.voters.clone_from(&voters);
+            out.push(Output::Note(Note::Voters(voters)));
+        }
+    }
+
     fn restore(&mut self, bytes: &[u8]) -> Result<(), MemberError> {
         self.agreed = if bytes.is_empty() { Agreed::default() } else { postcard::from_bytes(bytes)? };
         self.names_known();
@@ -1111,6 +1127,13 @@
         let named = |token: &Token| self.names.get(token).is_some_and(|name| self.plan.is_voter(name));
         let serves = |token: &Token| self.agreed.members.values().any(|m| m.token == *token && m.serving);
         let learners = self.agreement.learners();
+        if !named(&self.agreement.token())
+            && let Some(to) = voters.iter().copied().find(|t| named(t) && serves(t))
+            && !learners.iter().any(|t| named(t) && serves(t))
+        {
+            // Nobody takes its own vote away: the next leader does.
+            return self.agree(agreement::Input::HandOver { to }, now, out);
+        }
         let promote = learners.iter().find(|t| named(t) && serves(t)).copied().map(Change::Promote);
         let demote = || voters.iter().find(|t| !named(t) && self.names.contains_key(t)).copied();
         match promote.or_else(|| demote().map(Change::AddLearner)) {
--- a/fleet/tests/takeover.rs
+++ b/fleet/tests/takeover.rs
@@ -72,6 +72,37 @@
     assert_eq!(late, None);
 }
 
+/// The operators name other voters while the fleet serves, the leader not among them: those agree from then on, and the loss
+/// of one that does not vote any more, and of one that does, is borne.
+#[test]
+fn voters_are_exchanged_while_serving() {
+    for seed in 0..5 {
+        let mut world = fleet(5, seed);
+        let named: Vec<_> = world.names[2..5].to_vec();
+        for p in world.processes.iter_mut().flatten() {
+            p.member.plan.voters.clone_from(&named);
+        }
+        let tokens = |w: &World| {
+            let of = |i: usize| w.processes[i].as_ref().unwrap().member.agreement().token();
+            let mut tokens = vec![of(2), of(3), of(4)];
+            tokens.sort_unstable();
+            tokens
+        };
+        let wanted = tokens(&world);
+        let exchanged = |w: &World| {
+            let mut voters = w.processes[2].as_ref().unwrap().member.agreement().voters();
+            voters.sort_unstable();
+            voters == wanted
+        };
+        assert!(world.until(world.now + 10 * SEC, exchanged), "seed {seed}: {:#?}", world.seen.notes);
+        world.kill(0);
+        world.kill(3);
+        let serves = |w: &World| w.ready(2) && w.ready(4) && w.ready(1);
+        world.run(5 * SEC);
+        assert!(world.until(world.now + 10 * SEC, serves), "seed {seed}: {:#?}", world.seen.notes);
+    }
+}
+
 /// A day of faults: couriers killed, paused, cut off one way and both, started again with their folder and, where `folders`
 /// may be lost, without; words lost, late, doubled and out of order. Then all is healed.
 fn faults(n: usize, seed: u64, folders: bool) -> World {
