Give the guard the calls that the rule counts for chance, and turns until a first success

Changed: S = 2/3 (B + 3 root B + 3); whoever is behind a turn may still hope for a cold time after it; before a success turns bind outside crowds too: all came to a told wait's end at once, 1.7 times what brings a cold destination of 120 a second down.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -121,7 +121,6 @@
 /// A message with its merit, and where it goes with that endpoint's rank.
 type Pick = (f64, MsgId, EndpointId, f64);
 
-/// One sender's decisions.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 #[rustfmt::skip]
 pub struct Dispatcher {
@@ -204,7 +203,6 @@
 
     fn on_list(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            // A failed call marks nothing: ask again after a growing pause.
             if self.ask_at == NEVER {
                 self.ask_at = self.now + (self.ask_gap as f64 * self.jitter()) as Micros;
                 self.ask_gap = (self.ask_gap * 2).min(ASK_MAX);
@@ -299,7 +297,6 @@
         self.hold(m.id);
     }
 
-    /// The message waits for its destination.
     fn hold(&mut self, id: MsgId) {
         self.places += 1;
         self.msgs.get_mut(&id).expect("the caller knows it").place = self.places;
@@ -404,7 +401,7 @@
         let early = (m.deadline.saturating_sub(m.came) / 50).clamp(ANSWER_EARLY_LEAST, ANSWER_EARLY);
         let last = m.deadline.saturating_sub(early);
         let last = if breaks::on(Break::AnswerLate) { m.deadline + 400_000 } else { last };
-        // A turn too late is none: the client may reach a sender that knows nothing. One missed, look again.
+        // A turn too late is none: others may know nothing. One missed, look again.
         let last = match hope {
             0 => last,
             turn if turn < last => last.min(turn + self.set.fall / TURN_PARTS),
@@ -422,13 +419,13 @@
         }
     }
 
-    /// When a held message may go, behind so many, if it waits for the sender's turn on every lane, else 0.
+    /// When a held message may go, behind so many, in crowds (a turn may lift the guard); else 0.
     fn hope(&self, m: &Msg, before: u64) -> Micros {
         let Some(d) = self.dests.get(&m.dest) else { return 0 };
-        let after = |n: usize, t: Micros| t.saturating_add(self.cycle(n).saturating_mul(before));
-        let hope =
-            |n: usize| Some(after(n, self.turn(n, self.lanes[n].wait_until)?).min(self.lanes[n].guard));
-        d.lanes.iter().map(|n| hope(*n).unwrap_or(0)).min().unwrap_or(0)
+        let after = |n: usize| self.cycle(n).saturating_mul(before).min(self.set.cold);
+        let turn = |n: usize| self.turn(n, self.lanes[n].wait_until).filter(|_| self.crowd(n));
+        let hope = |n: &usize| turn(*n).map_or(0, |t| t.saturating_add(after(*n)).min(self.lanes[*n].guard));
+        d.lanes.iter().map(hope).min().unwrap_or(0)
     }
 
     /// Ends messages whose time is up or that may not be sent again.
@@ -647,11 +644,10 @@
             l.out = true;
             self.acts.push(Action::Log(format!("endpoint {id}: outage, last outcome {o:?}")));
         }
-        // The cap, halved while most recent calls fail; below, the longest pause sets the floor.
+        // The cap, half while most recent calls fail; the longest pause sets the floor.
         let top = if l.recent.count_ones() > 4 { cap(self.set.slots) / 2 } else { cap(self.set.slots) };
         let least = if part.is_some() { PART_LEAST } else { (l.cal.unwrap_or(FLOOR) / PACE_MAX).min(1.0) };
         l.w = l.w.clamp(least, top.max(1) as f64);
-        // A refusal between successes is the limit's, which is no outage.
         let limit = limit || (o == Outcome::Full && !l.out && !crowd);
         let most = o == Outcome::Error && l.errors.count_ones() >= OUT_ERRORS;
         if out || (o != Outcome::Ok && !limit) {
@@ -661,10 +657,9 @@
 
     // ---- When a lane may take a call. ----
 
-    // DEPARTURE, the guard of a returning destination: together all siblings keep to S = 2/3 of what brings
-    // it down while it is cold; where a sender's part of that is rare, they take turns. It binds from the
-    // first failure seen in a crowd, else from the outage on, until a success of a call sent after the last
-    // failure is `cold` old. Its reckoning and its costs are in `docs/design.md`.
+    // DEPARTURE, the guard of a returning destination: all siblings keep to S = 2/3 of what brings it down,
+    // by turns where a part of that is rare. It binds from the first failure in a crowd, else from the outage
+    // on, until a success of a call sent after the last failure is `cold` old (docs/design.md).
 
     /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
     fn knows(&mut self, lane: usize, out: bool) {
@@ -675,11 +670,16 @@
         self.guarded.extend(binds.then_some(lane));
     }
 
-    /// S of the guard, at this share of the capacity.
-    fn knowing(&self, lane: usize, share: f64) -> f64 {
+    /// What the settings allow in a span, B, at this share of the capacity.
+    fn allowed(&self, lane: usize, share: f64) -> f64 {
         let rate = self.rate(lane).unwrap_or(1.0) / if self.set.weight_is_rough { ROUGH } else { 1.0 };
-        let part = if self.set.siblings > 3 { KNOWING_PART } else { 1.0 };
-        (part * self.set.fall_multiple * share * rate).max(LEAST_RATE) * self.set.fall as f64 / 1e6
+        (self.set.fall_multiple * share * rate).max(LEAST_RATE) * self.set.fall as f64 / 1e6
+    }
+
+    /// S of the guard: more than B + 3 root B + 3 calls bring it down.
+    fn knowing(&self, lane: usize, share: f64) -> f64 {
+        let b = self.allowed(lane, share);
+        if self.set.siblings > 3 { KNOWING_PART * (b + 3.0 * b.sqrt() + 3.0) } else { b }
     }
 
     /// Time between two turns of this sender.
@@ -690,12 +690,13 @@
         slot.saturating_mul(u64::from(self.set.siblings.max(1)))
     }
 
-    /// A call is rarer than one in twice the cold time: the sender would hardly see three failures.
+    /// A part of two thirds of B is rarer than a call in twice the cold time: hardly three failures are seen.
     fn crowd(&self, lane: usize) -> bool {
-        self.cycle(lane) > 2 * self.set.cold
+        let b = KNOWING_PART * self.allowed(lane, self.set.cold_from);
+        self.set.siblings as f64 * self.set.fall as f64 > b * 2.0 * self.set.cold as f64
     }
 
-    /// This sender's turn in a guarded crowd: now, or the next one, or when the guard lifts.
+    /// This sender's turn under the guard, in crowds or until a success: now, the next, or when it lifts.
     fn turn(&self, lane: usize, from: Micros) -> Option<Micros> {
         let (l, from) = (&self.lanes[lane], from.max(self.now));
         let dest = l.endpoints.first().map_or(0, |e| self.endpoints[e].dest);
@@ -704,7 +705,8 @@
         let since = (from % cycle + cycle - own) % cycle;
         let on = since <= self.set.fall / (2 * TURN_PARTS) && l.last_sent + since < from;
         let turn = if on { from } else { from + cycle - since };
-        (self.now < l.guard && self.crowd(lane)).then_some(turn.min(l.guard.max(from)))
+        let rare = self.crowd(lane) || l.guard == NEVER && n > 3 && cycle > self.set.fall;
+        (self.now < l.guard && rare).then_some(turn.min(l.guard.max(from)))
     }
 
     /// When the lane may take its next call, as far as can be told; at or before the present: now.
@@ -826,7 +828,6 @@
                 continue;
             }
             let Some(pick) = self.best_message(lane, None, wake) else { continue };
-            // Between routes: the least laden, then the better message.
             if best.is_none_or(|b| (pick.3, -pick.0) < (b.3, -b.0)) {
                 best = Some(pick);
             }
@@ -936,7 +937,6 @@
         l.trial = l.out.then_some(call);
     }
 
-    /// The message goes with the call.
     fn join(&mut self, id: MsgId, endpoint: EndpointId, call: CallNo, reused: bool) {
         self.unhold(id);
         let (now, zone, lane) = (self.now, self.endpoints[&endpoint].zone, self.endpoints[&endpoint].lane);
@@ -1000,7 +1000,7 @@
     ((PAUSE_FIRST * PAUSE_GROWTH.powi(n.min(20) as i32)).min(PAUSE_MAX) * jitter) as Micros
 }
 
-/// Three quarters of the slots, rounded down, one at least: the design's cap.
+/// Three quarters of the slots, one at least: the design's cap.
 fn cap(slots: u32) -> u32 {
     (slots * 3 / 4).max(1)
 }
