--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -463,7 +463,23 @@
         let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
-        Intake::TakenOn
+        self.turned_away(msg, now).map_or(Intake::TakenOn, |after| Intake::Rejected { after })
+    }
+
+    /// Whether the module gave a message up in the step that brought it, with no attempt: its consumer, who still
+    /// waits, hears that it is not taken on, instead of a notice later. Streams are answered on their own way.
+    fn turned_away(&mut self, msg: MsgId, now: Micros) -> Option<Micros> {
+        let owed = self.owed.get(&msg).filter(|o| o.stream.is_none() && o.noted == 0)?;
+        let Some(Ending::Deferred(after)) = owed.end else { return None };
+        if self.out.range(calls_of(msg)).next().is_some() {
+            return None;
+        }
+        self.write(&Record::Told { msg }, now);
+        self.notices.remove(msg);
+        self.unwritten.remove(msg);
+        self.over(msg, End::Deferred { after });
+        self.counters.deferred -= 1;
+        Some(after)
     }
 
     /// An invoker call ended, for all of its messages alike.
