--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -24,6 +24,20 @@
 /// # Errors
 /// No port could be had.
 pub async fn open(eyes: Eyes, list: watch::Receiver<String>) -> Result<SocketAddr> {
+    // Its sender is gone: it stays as it is.
+    open_with(eyes, list, watch::channel(false).1).await
+}
+
+/// The same; while `down` says so, discovery is down: watches that are open fall silent, and what is asked
+/// gets no answer, both for good.
+///
+/// # Errors
+/// No port could be had.
+pub async fn open_with(
+    eyes: Eyes,
+    list: watch::Receiver<String>,
+    down: watch::Receiver<bool>,
+) -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     tokio::task::spawn_local(async move {
@@ -33,7 +47,7 @@
                 eyes.see(id, what).await;
                 true
             };
-            tokio::task::spawn_local(serve(stream, tell, list.clone()));
+            tokio::task::spawn_local(serve(stream, tell, list.clone(), down.clone()));
         }
     });
     Ok(addr)
@@ -44,6 +58,7 @@
     stream: TcpStream,
     tell: impl AsyncFn(&str, What) -> bool,
     mut list: watch::Receiver<String>,
+    mut down: watch::Receiver<bool>,
 ) -> Result<()> {
     let (from, mut to) = stream.into_split();
     let mut reader = Reader::new(from);
@@ -65,6 +80,9 @@
             continue;
         }
         tell("", What::Watched).await;
+        if *down.borrow() {
+            break;
+        }
         to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         loop {
             let line = list.borrow_and_update().clone() + "\n";
@@ -72,9 +90,14 @@
             tokio::select! {
                 changed = list.changed() => if changed.is_err() { return Ok(()) },
                 () = sleep(BEAT) => {}
+                Ok(_) = down.wait_for(|down| *down) => break,
             }
         }
+        break;
     }
+    // Silent until the courier has closed it.
+    while reader.head().await?.is_some() {}
+    drop(to);
     Ok(())
 }
 
@@ -113,7 +136,7 @@
                         confirms.get()
                     };
                     // A connection that breaks is the courier's to open again.
-                    let _ = serve(stream, tell, list).await;
+                    let _ = serve(stream, tell, list, watch::channel(false).1).await;
                 }
             })
         };
