--- /dev/null
+++ b/fleet/src/settlement/agreed.rs
@@ -0,0 +1,326 @@
+//! The part of the agreed state that is about settlements: their homes, and the verdicts of those that are
+//! over.
+//!
+//! [`Agreed::apply`] knows no clock: times come in as values. Each home has a term, which no other home ever
+//! had, so that a command that comes late or twice changes nothing.
+
+use super::breaks::{self, Break};
+use super::{SettlementId, Verdict};
+use serde::{Deserialize, Serialize};
+use spurshore::Micros;
+use std::collections::BTreeMap;
+
+/// Settlements open at once in the fleet: some 200 bytes each, so 13 MB of state and snapshot at most.
+pub const OPEN_MAX: usize = 65_536;
+/// Of one tenant: no tenant takes more than a quarter of the table.
+pub const OPEN_TENANT_MAX: u32 = 16_384;
+/// Verdicts remembered at once. When so many are, nothing new is opened: forgetting one early would let a
+/// late message open its settlement anew, after a break.
+pub const VERDICTS_MAX: usize = 262_144;
+
+/// One courier's book in one registration.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Book {
+    pub courier: String,
+    pub epoch: u64,
+}
+
+/// Where a settlement lives.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Home {
+    pub courier: String,
+    pub epoch: u64,
+    /// Greater with each home of any settlement.
+    pub term: u64,
+    /// Books of earlier homes whose records the present one has not written into its own yet, oldest first.
+    /// One more with each home that was lost before it had.
+    pub books: Vec<Book>,
+}
+
+impl Home {
+    pub fn is(&self, courier: &str, epoch: u64) -> bool {
+        self.courier == courier && self.epoch == epoch
+    }
+}
+
+/// A settlement that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Over {
+    pub verdict: Verdict,
+    /// No message of it can come later than this.
+    pub until: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// The first of them makes the home.
+    Open { id: SettlementId, home: String, home_epoch: u64 },
+    /// The home of this term gives it away; `boundary`: with nothing out and no session open.
+    Move { id: SettlementId, term: u64, to: String, to_epoch: u64, boundary: bool },
+    /// The home of this term has all that was in earlier books in its own.
+    Up { id: SettlementId, term: u64 },
+    /// The home of this term has decided; the verdict is kept until then.
+    Close { id: SettlementId, term: u64, verdict: Verdict, until: Micros },
+    /// By the leader's clock, less the drift that is allowed for, this time is over.
+    Forget { before: Micros },
+}
+
+/// What a command changed, or why it did not.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Event {
+    Opened {
+        id: SettlementId,
+        home: Book,
+        term: u64,
+    },
+    /// There are too many; so many are open.
+    NotOpened {
+        id: SettlementId,
+        open: u64,
+    },
+    Moved {
+        id: SettlementId,
+        from: Book,
+        to: Book,
+        term: u64,
+        boundary: bool,
+    },
+    /// The courier that was to have it is no member any more; this home goes on.
+    NotMoved {
+        id: SettlementId,
+        term: u64,
+    },
+    /// Nobody needs the records in these books any more.
+    Up {
+        id: SettlementId,
+        books: Vec<Book>,
+    },
+    Closed {
+        id: SettlementId,
+        home: Book,
+        verdict: Verdict,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Agreed {
+    open: BTreeMap<SettlementId, Home>,
+    tenants: BTreeMap<String, u32>,
+    over: BTreeMap<SettlementId, Over>,
+    /// By courier: the last epoch that is gone. As many as the fleet ever had names.
+    gone: BTreeMap<String, u64>,
+    terms: u64,
+}
+
+impl Agreed {
+    pub fn home(&self, id: &SettlementId) -> Option<&Home> {
+        self.open.get(id)
+    }
+
+    pub fn verdict(&self, id: &SettlementId) -> Option<Verdict> {
+        self.over.get(id).map(|over| over.verdict)
+    }
+
+    /// Settlements that are open, with their homes.
+    pub fn homes(&self) -> impl Iterator<Item = (&SettlementId, &Home)> {
+        self.open.iter()
+    }
+
+    /// How many are open, and how many verdicts are remembered.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.open.len(), self.over.len())
+    }
+
+    fn is_gone(&self, courier: &str, epoch: u64) -> bool {
+        self.gone.get(courier).is_some_and(|gone| epoch <= *gone)
+    }
+
+    fn term(&mut self) -> u64 {
+        self.terms += 1;
+        self.terms
+    }
+
+    /// The home of this term, or any where that break is on.
+    fn of_term(&mut self, id: &SettlementId, term: u64) -> Option<&mut Home> {
+        self.open.get_mut(id).filter(|home| home.term == term || breaks::on(Break::AnyTerm))
+    }
+
+    pub fn apply(&mut self, command: &Command) -> Vec<Event> {
+        match command {
+            Command::Open { id, home, home_epoch } => self.open(id, home, *home_epoch),
+            Command::Move { id, term, to, to_epoch, boundary } => {
+                let is_gone = self.is_gone(to, *to_epoch);
+                if self.of_term(id, *term).is_none() {
+                    return Vec::new();
+                }
+                if is_gone {
+                    return vec![Event::NotMoved { id: id.clone(), term: *term }];
+                }
+                self.move_to(id, Book { courier: to.clone(), epoch: *to_epoch }, *boundary)
+                    .into_iter()
+                    .collect()
+            }
+            Command::Up { id, term } => {
+                let books = self.of_term(id, *term).map(|home| std::mem::take(&mut home.books));
+                let books = books.filter(|books| !books.is_empty());
+                books.map(|books| Event::Up { id: id.clone(), books }).into_iter().collect()
+            }
+            Command::Close { id, term, verdict, until } => {
+                if self.of_term(id, *term).is_none() {
+                    return Vec::new();
+                }
+                let Some(home) = self.open.remove(id) else { return Vec::new() };
+                if let Some(open) = self.tenants.get_mut(&id.tenant) {
+                    *open -= 1;
+                    if *open == 0 {
+                        self.tenants.remove(&id.tenant);
+                    }
+                }
+                self.over.insert(id.clone(), Over { verdict: *verdict, until: *until });
+                let books = (!home.books.is_empty()).then(|| Event::Up { id: id.clone(), books: home.books });
+                let home = Book { courier: home.courier, epoch: home.epoch };
+                let closed = Event::Closed { id: id.clone(), home, verdict: *verdict };
+                std::iter::once(closed).chain(books).collect()
+            }
+            Command::Forget { before } => {
+                self.over.retain(|_, over| over.until >= *before);
+                Vec::new()
+            }
+        }
+    }
+
+    fn open(&mut self, id: &SettlementId, home: &str, epoch: u64) -> Vec<Event> {
+        let is_known = self.open.contains_key(id) || self.over.contains_key(id);
+        if is_known || self.is_gone(home, epoch) {
+            return Vec::new();
+        }
+        let tenant = self.tenants.get(&id.tenant).copied().unwrap_or(0);
+        let is_full = self.open.len() >= OPEN_MAX || self.open.len() + self.over.len() >= VERDICTS_MAX;
+        if is_full || tenant >= OPEN_TENANT_MAX {
+            return vec![Event::NotOpened { id: id.clone(), open: self.open.len() as u64 }];
+        }
+        let term = self.term();
+        self.tenants.insert(id.tenant.clone(), tenant + 1);
+        let made = Home { courier: home.to_string(), epoch, term, books: Vec::new() };
+        self.open.insert(id.clone(), made);
+        vec![Event::Opened { id: id.clone(), home: Book { courier: home.to_string(), epoch }, term }]
+    }
+
+    fn move_to(&mut self, id: &SettlementId, to: Book, boundary: bool) -> Option<Event> {
+        let term = self.term();
+        let home = self.open.get_mut(id)?;
+        let from = Book { courier: home.courier.clone(), epoch: home.epoch };
+        home.books.push(from.clone());
+        (home.courier, home.epoch, home.term) = (to.courier.clone(), to.epoch, term);
+        Some(Event::Moved { id: id.clone(), from, to, term, boundary })
+    }
+
+    /// A courier's registration is over and its book sealed: each of its settlements goes to one of the
+    /// takers, by rendezvous hashing. Without a taker they stay where they are until there is one.
+    pub fn gone(&mut self, courier: &str, epoch: u64, takers: &[Book]) -> Vec<Event> {
+        let last = self.gone.entry(courier.to_string()).or_insert(epoch);
+        *last = (*last).max(epoch);
+        let theirs = self.open.iter().filter(|(_, home)| home.courier == courier && home.epoch <= epoch);
+        let theirs: Vec<SettlementId> = theirs.map(|(id, _)| id.clone()).collect();
+        let takers: Vec<Book> =
+            takers.iter().filter(|taker| !self.is_gone(&taker.courier, taker.epoch)).cloned().collect();
+        let moved = theirs.into_iter().filter_map(|id| {
+            let to = taker(&id, &takers)?.clone();
+            self.move_to(&id, to, false)
+        });
+        moved.collect()
+    }
+}
+
+/// Whom this settlement goes to: the same for everybody, and spread over all of them.
+pub fn taker<'a>(id: &SettlementId, takers: &'a [Book]) -> Option<&'a Book> {
+    takers.iter().max_by_key(|taker| (weight(id, &taker.courier), *taker))
+}
+
+/// FNV-1a, written out: couriers of different builds have to agree on it.
+fn weight(id: &SettlementId, courier: &str) -> u64 {
+    let fields = [id.tenant.as_bytes(), id.name.as_bytes(), &id.dest.to_le_bytes(), courier.as_bytes()];
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash =
+        fields.iter().fold(0xcbf2_9ce4_8422_2325, |hash, field| step(field.iter().fold(hash, step), &0xff));
+    // The last bytes alone would decide: names often differ there only.
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::Cause;
+    use super::*;
+
+    fn id(name: &str) -> SettlementId {
+        SettlementId { tenant: "north".into(), name: name.into(), dest: 7 }
+    }
+
+    fn open(name: &str, home: &str, home_epoch: u64) -> Command {
+        Command::Open { id: id(name), home: home.into(), home_epoch }
+    }
+
+    fn book(courier: &str, epoch: u64) -> Book {
+        Book { courier: courier.into(), epoch }
+    }
+
+    #[test]
+    fn the_first_opening_makes_the_home_and_a_late_command_changes_nothing() {
+        let mut agreed = Agreed::default();
+        assert!(matches!(&agreed.apply(&open("a", "x", 1))[..], [Event::Opened { term: 1, .. }]));
+        assert_eq!(agreed.apply(&open("a", "y", 1)), [], "it has a home");
+        let step = Command::Move { id: id("a"), term: 1, to: "y".into(), to_epoch: 1, boundary: true };
+        assert!(matches!(&agreed.apply(&step)[..], [Event::Moved { term: 2, .. }]));
+        let before = agreed.clone();
+        let close = |term| Command::Close {
+            id: id("a"),
+            term,
+            verdict: Verdict::Broken { at: 2, cause: Cause::Idle },
+            until: 100,
+        };
+        for late in [step, close(1), Command::Up { id: id("a"), term: 1 }, open("a", "x", 1)] {
+            assert_eq!((agreed.apply(&late), &agreed), (vec![], &before), "{late:?}");
+        }
+        assert_eq!(agreed.home(&id("a")).unwrap().books, [book("x", 1)]);
+        assert!(matches!(&agreed.apply(&close(2))[..], [Event::Closed { .. }, Event::Up { .. }]));
+        assert_eq!(agreed.apply(&open("a", "x", 1)), [], "its verdict is remembered");
+        agreed.apply(&Command::Forget { before: 100 });
+        assert!(agreed.verdict(&id("a")).is_some(), "until then, not to then");
+        agreed.apply(&Command::Forget { before: 101 });
+        assert!(matches!(&agreed.apply(&open("a", "x", 1))[..], [Event::Opened { term: 3, .. }]));
+        assert_eq!(agreed.apply(&close(2)), [], "the verdict of an earlier one of the name");
+    }
+
+    #[test]
+    fn a_lost_courier_s_settlements_are_spread_and_it_is_home_to_nothing_again() {
+        let mut agreed = Agreed::default();
+        for n in 0..300 {
+            agreed.apply(&open(&format!("s{n}"), "x", 4));
+        }
+        assert_eq!(agreed.gone("x", 4, &[]), [], "nobody to take them yet");
+        let takers = [book("x", 4), book("y", 2), book("z", 9), book("w", 1)];
+        let moved = agreed.gone("x", 4, &takers);
+        assert_eq!(moved.len(), 300);
+        for taker in &takers[1..] {
+            let part = agreed.homes().filter(|(_, home)| home.is(&taker.courier, taker.epoch)).count();
+            assert!((60..=140).contains(&part), "{taker:?} has {part} of 300");
+        }
+        assert_eq!(agreed.apply(&open("late", "x", 4)), [], "an opening that was under way");
+        assert_eq!(agreed.apply(&open("new", "x", 5)).len(), 1, "it is back under a new epoch");
+        let (lost, term) = (id("s0"), agreed.home(&id("s0")).unwrap().term);
+        let step = Command::Move { id: lost.clone(), term, to: "x".into(), to_epoch: 4, boundary: true };
+        assert_eq!(agreed.apply(&step), [Event::NotMoved { id: lost, term }]);
+    }
+
+    #[test]
+    fn a_tenant_has_its_part_of_the_table() {
+        let mut agreed = Agreed::default();
+        for n in 0..OPEN_TENANT_MAX {
+            assert_eq!(agreed.apply(&open(&n.to_string(), "x", 1)).len(), 1);
+        }
+        assert!(matches!(&agreed.apply(&open("more", "x", 1))[..], [Event::NotOpened { .. }]));
+        let other = SettlementId { tenant: "south".into(), ..id("more") };
+        let opened = agreed.apply(&Command::Open { id: other, home: "x".into(), home_epoch: 1 });
+        assert!(matches!(&opened[..], [Event::Opened { .. }]));
+    }
+}
--- /dev/null
+++ b/fleet/src/settlement/breaks.rs
@@ -0,0 +1,64 @@
+//! Deliberate breaks of the settlements' code, behind the feature `breaks`: its tests prove with them that
+//! they can fail. Without the feature every one is off at compile time.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Break {
+    /// A debit that may have run is sent again.
+    DebitAgain,
+    /// A position is released though the one before it has no end.
+    Overtake,
+    /// A position that is missing is passed over.
+    SkipHole,
+    /// What was handed in goes on after a break.
+    AfterBreak,
+    /// A position is sent before its record is in the book.
+    SendUnwritten,
+    /// A taker opens its session at once.
+    NoLinger,
+    /// A taker takes an attempt that was out for one that never ran.
+    OutNeverRan,
+    /// A home that was asked to move goes on while the move is being agreed.
+    ReleaseInMove,
+    /// A hand-in is answered before its record is in the book.
+    WordUnwritten,
+    /// A move is applied whatever term it names.
+    AnyTerm,
+}
+
+/// Each break.
+pub const ALL: &[Break] = &[
+    Break::DebitAgain,
+    Break::Overtake,
+    Break::SkipHole,
+    Break::AfterBreak,
+    Break::SendUnwritten,
+    Break::NoLinger,
+    Break::OutNeverRan,
+    Break::ReleaseInMove,
+    Break::WordUnwritten,
+    Break::AnyTerm,
+];
+
+#[cfg(feature = "breaks")]
+thread_local! {
+    static CHOSEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
+}
+
+/// Whether this break is on; a thread has one at most.
+#[cfg(feature = "breaks")]
+pub fn on(one: Break) -> bool {
+    CHOSEN.get() == Some(one)
+}
+
+/// Never: this build has no breaks.
+#[cfg(not(feature = "breaks"))]
+#[inline(always)]
+pub const fn on(_: Break) -> bool {
+    false
+}
+
+/// Puts a break on, or all off, for this thread.
+#[cfg(feature = "breaks")]
+pub fn set(one: Option<Break>) {
+    CHOSEN.set(one);
+}
