--- a/fleet/src/settlement/home.rs
+++ b/fleet/src/settlement/home.rs
@@ -498,6 +498,10 @@
             Then::Tell => self.decided(cx),
             Then::Up => {
                 self.up = Some(cx.now.saturating_add(AGAIN));
+                // The lost home may have written them and told nobody.
+                let over = self.kept.hands.iter().filter(|(_, held)| held.end == Some(End::Delivered));
+                let over: Vec<u64> = over.map(|(position, _)| *position).collect();
+                over.into_iter().for_each(|position| self.tell(position, cx));
                 cx.outputs.push(Output::Agree(Command::Up { id: self.id.clone(), term: self.term }));
                 self.go(Vec::new(), cx);
             }
--- /dev/null
+++ b/fleet/tests/settlement.rs
@@ -0,0 +1,935 @@
+//! Settlements among couriers that lose messages, calls and each other: explored in small cases, simulated in large.
+//!
+//! The machines are the ones that run. The world around them is small: a log that every courier applies at its own
+//! pace, books that can be sealed, a partner that notes what ran, and consumers that ask again.
+
+use quillmount_fleet::settlement::session::linger;
+use quillmount_fleet::settlement::{
+    Agreed, Ask, Book, Command, Desk, End, Error, Event, Hand, Homes, Input, Limits, Message, Mode, Outcome,
+    Output, Record, Repeat, Resume, SettlementId, Verdict, Word, forward,
+};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::hash::{Hash, Hasher};
+
+type Micros = u64;
+
+/// The partner closes a session that is idle for so long.
+const PARTNER_IDLE: Micros = 3_000_000;
+/// How often a consumer asks.
+const TRIES: u64 = 6;
+const NEVER: Mode = Mode::Session { resume: Resume::Never, linger: 0 };
+const AFTER: Mode = Mode::Session { resume: Resume::AfterAnswer, linger: 0 };
+
+fn mode(mode: Mode) -> Mode {
+    match mode {
+        Mode::Session { resume, .. } => Mode::Session { resume, linger: linger(PARTNER_IDLE, 0) },
+        mode => mode,
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Entry {
+    Command(Command),
+    Gone { book: Book, takers: Vec<Book> },
+}
+
+/// Something on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Flight {
+    Hand { to: usize, ticket: u64, id: SettlementId, ask: Ask },
+    Net { to: usize, message: Message, from: usize },
+    Propose(Command),
+    Write { c: usize, epoch: u64, seq: u64, records: Vec<Record> },
+    Written { c: usize, epoch: u64, seq: u64, is_there: bool },
+    Fetch { c: usize, epoch: u64, id: SettlementId, term: u64, books: Vec<Book> },
+    Call { c: usize, epoch: u64, call: Call },
+    Answer { c: usize, epoch: u64, id: SettlementId, attempt: u64, outcome: Outcome, lost: bool },
+    Close { c: usize, epoch: u64, id: SettlementId, session: u32, opens: bool },
+    Confirmed { c: usize, epoch: u64, id: SettlementId, session: u32 },
+    Drop { c: usize, epoch: u64, id: SettlementId, session: u32 },
+    Lost { c: usize, epoch: u64, id: SettlementId, session: u32 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Call {
+    id: SettlementId,
+    position: u64,
+    attempt: u64,
+    by: Micros,
+    session: Option<u32>,
+    opens: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Life {
+    Up,
+    /// It does nothing, and its connections stay.
+    Paused,
+    Dead,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Courier {
+    life: Life,
+    epoch: u64,
+    agreed: Agreed,
+    applied: usize,
+    homes: Homes,
+    desk: Desk,
+    is_taken_over: bool,
+}
+
+/// What the partner and the consumers saw of one settlement.
+#[derive(Clone, Default, PartialEq, Eq, Hash)]
+struct Seen {
+    /// By position: how often it ran.
+    ran: BTreeMap<u64, u32>,
+    /// By courier, epoch and number: the last byte.
+    sessions: BTreeMap<(usize, u64, u32), Micros>,
+    in_session: Option<bool>,
+    is_confirmed: bool,
+    taken: BTreeSet<u64>,
+    ends: BTreeMap<u64, End>,
+    verdict: Option<Verdict>,
+}
+
+/// What is known of a settlement beforehand.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Plan {
+    of: u64,
+    repeat: Repeat,
+    deadline: Micros,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct World {
+    now: Micros,
+    log: Vec<Entry>,
+    /// What the log says, for the test itself.
+    truth: Agreed,
+    couriers: Vec<Courier>,
+    flights: Vec<(Micros, Flight)>,
+    books: BTreeMap<Book, (Vec<Record>, bool)>,
+    plans: BTreeMap<SettlementId, Plan>,
+    seen: BTreeMap<SettlementId, Seen>,
+    asked: BTreeMap<u64, (usize, SettlementId, Ask)>,
+    modes: BTreeMap<u64, Mode>,
+    budget: u32,
+    pinned: BTreeMap<(usize, u64), BTreeSet<(SettlementId, u32)>>,
+    wrong: Option<String>,
+}
+
+fn name(c: usize) -> String {
+    format!("c{c}")
+}
+
+fn number(name: &str) -> usize {
+    name[1..].parse().unwrap()
+}
+
+impl World {
+    fn new(couriers: usize, modes: BTreeMap<u64, Mode>, budget: u32) -> World {
+        let mut world = World {
+            now: 1_000,
+            log: Vec::new(),
+            truth: Agreed::default(),
+            couriers: Vec::new(),
+            flights: Vec::new(),
+            books: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            modes,
+            budget,
+            pinned: BTreeMap::new(),
+            wrong: None,
+        };
+        for c in 0..couriers {
+            let courier = world.courier(c, 1);
+            world.couriers.push(courier);
+        }
+        world
+    }
+
+    /// One that has just registered, with the agreed state as it is.
+    fn courier(&mut self, c: usize, epoch: u64) -> Courier {
+        let limits = Limits { idle: 8_000_000, ..Limits::default() };
+        let mut homes = Homes::new(&name(c), epoch, limits);
+        self.modes.iter().for_each(|(dest, one)| homes.set_mode(*dest, mode(*one)));
+        for dest in self.modes.keys() {
+            homes.set_budget("north", *dest, self.budget);
+        }
+        self.books.insert(Book { courier: name(c), epoch }, (Vec::new(), false));
+        Courier {
+            life: Life::Up,
+            epoch,
+            agreed: self.truth.clone(),
+            applied: self.log.len(),
+            homes,
+            desk: Desk::new(&name(c), epoch),
+            is_taken_over: false,
+        }
+    }
+
+    fn wrong(&mut self, what: String) {
+        self.wrong.get_or_insert(what);
+    }
+
+    fn fly(&mut self, flight: Flight) {
+        self.flights.push((0, flight));
+    }
+
+    fn book(&self, c: usize) -> Book {
+        Book { courier: name(c), epoch: self.couriers[c].epoch }
+    }
+
+    /// Plans a settlement, without handing it in.
+    fn plan(&mut self, id: &SettlementId, of: u64, repeat: Repeat, deadline: Micros) {
+        self.plans.insert(id.clone(), Plan { of, repeat, deadline });
+        self.seen.insert(id.clone(), Seen::default());
+    }
+
+    fn hand(&self, id: &SettlementId, position: u64) -> Ask {
+        let plan = &self.plans[id];
+        let of = (position == plan.of).then_some(plan.of);
+        let msg = format!("{}-{position}", id.name);
+        let deadline = plan.deadline;
+        Ask::Hand(Hand { position, of, msg, repeat: plan.repeat, deadline, size: 100, print: position })
+    }
+
+    fn homes(&mut self, c: usize, input: Input) {
+        let courier = &mut self.couriers[c];
+        let outputs = courier.homes.step(&courier.agreed, input, self.now);
+        outputs.into_iter().for_each(|output| self.home_output(c, output));
+    }
+
+    fn desk(&mut self, c: usize, input: forward::Input) {
+        let courier = &mut self.couriers[c];
+        let outputs = courier.desk.step(&courier.agreed, input, self.now);
+        for output in outputs {
+            match output {
+                forward::Output::Send { to, message } => {
+                    self.fly(Flight::Net { to: number(&to), message, from: c });
+                }
+                forward::Output::Agree(command) => self.fly(Flight::Propose(command)),
+                forward::Output::Answer { ticket, word } => self.answer(ticket, word),
+            }
+        }
+    }
+
+    fn home_output(&mut self, c: usize, output: Output) {
+        let epoch = self.couriers[c].epoch;
+        match output {
+            Output::Write { seq, records } => self.fly(Flight::Write { c, epoch, seq, records }),
+            Output::Fetch { id, term, books } => self.fly(Flight::Fetch { c, epoch, id, term, books }),
+            Output::Agree(command) => self.fly(Flight::Propose(command)),
+            Output::Word { to, id, ask, word } => {
+                self.fly(Flight::Net { to: number(&to), message: Message::Word { id, ask, word }, from: c });
+            }
+            Output::Send { id, position, attempt, by, session, opens, .. } => {
+                let call = Call { id, position, attempt, by, session, opens };
+                self.fly(Flight::Call { c, epoch, call });
+            }
+            Output::Close { id, session, opens } => self.fly(Flight::Close { c, epoch, id, session, opens }),
+            Output::Drop { id, session } => self.fly(Flight::Drop { c, epoch, id, session }),
+            Output::Pin { id, session } => {
+                let held = self.pinned.entry((c, id.dest)).or_default();
+                held.insert((id.clone(), session));
+                // A budget that was lowered is met as sessions end.
+                if held.len() > (self.budget.max(4) / 2) as usize {
+                    self.wrong(format!(
+                        "{} sessions pinned at {}",
+                        self.pinned[&(c, id.dest)].len(),
+                        name(c)
+                    ));
+                }
+                self.homes(c, Input::Pinned { id, session });
+            }
+            Output::Unpin { id, session } => {
+                let held = self.pinned.entry((c, id.dest)).or_default();
+                held.remove(&(id, session));
+            }
+            Output::End { id, position, end, .. } => {
+                let seen = self.seen.get_mut(&id).unwrap();
+                let first = *seen.ends.entry(position).or_insert(end);
+                let (ran, verdict) = (seen.ran.get(&position).copied().unwrap_or(0), seen.verdict);
+                if first != end {
+                    self.wrong(format!("{}: position {position} ended {first:?}, then {end:?}", id.name));
+                }
+                match end {
+                    End::Delivered if ran == 0 => {
+                        self.wrong(format!("{}: {position} delivered, and never ran", id.name));
+                    }
+                    End::NeverRan { .. } | End::OutOfTime if ran > 0 => {
+                        self.wrong(format!("{}: {position} ran, and ended {end:?} ({verdict:?})", id.name));
+                    }
+                    _ => {}
+                }
+            }
+            Output::Forget { id } => {
+                let book = Book { courier: name(c), epoch };
+                self.books.get_mut(&book).unwrap().0.retain(|record| *record.id() != id);
+            }
+        }
+    }
+
+    /// A consumer hears the word, and asks elsewhere where that helps.
+    fn answer(&mut self, ticket: u64, word: Word) {
+        let Some((c, id, ask)) = self.asked.remove(&ticket) else { return };
+        match word {
+            Word::TakenOn => {
+                ask.hand().into_iter().for_each(|hand| {
+                    self.seen.get_mut(&id).unwrap().taken.insert(hand.position);
+                });
+            }
+            Word::Ended(_) => {}
+            Word::Refused(Error::NoWord(_) | Error::NoRoom(_) | Error::Busy { .. }) => {
+                self.ask_elsewhere(c, ticket, id, ask);
+            }
+            Word::Refused(Error::Over { .. } | Error::Late(_)) => {}
+            Word::Refused(error) => self.wrong(format!("a hand-in was refused: {error}")),
+        }
+    }
+
+    fn ask_elsewhere(&mut self, c: usize, ticket: u64, id: SettlementId, ask: Ask) {
+        let others = (1..=self.couriers.len()).map(|step| (c + step) % self.couriers.len());
+        let to = others.into_iter().find(|to| self.couriers[*to].life == Life::Up);
+        if let (Some(to), true) = (to, ticket % 10 < TRIES) {
+            self.fly(Flight::Hand { to, ticket: ticket + 1, id, ask });
+        }
+    }
+
+    fn is_current(&self, c: usize, epoch: u64) -> bool {
+        self.couriers[c].life == Life::Up && self.couriers[c].epoch == epoch
+    }
+
+    /// The courier that has to be there for this, in which registration.
+    fn needs(flight: &Flight) -> Option<(usize, Option<u64>)> {
+        match flight {
+            Flight::Hand { to, .. } | Flight::Net { to, .. } => Some((*to, None)),
+            Flight::Propose(_) => None,
+            Flight::Write { c, epoch, .. }
+            | Flight::Written { c, epoch, .. }
+            | Flight::Fetch { c, epoch, .. }
+            | Flight::Call { c, epoch, .. }
+            | Flight::Answer { c, epoch, .. }
+            | Flight::Close { c, epoch, .. }
+            | Flight::Confirmed { c, epoch, .. }
+            | Flight::Drop { c, epoch, .. }
+            | Flight::Lost { c, epoch, .. } => Some((*c, Some(*epoch))),
+        }
+    }
+
+    /// Whether it can arrive now: a paused courier neither takes nor sends, and a book is written in order.
+    fn is_deliverable(&self, flight: &Flight) -> bool {
+        let is_paused = Self::needs(flight).is_some_and(|(c, epoch)| {
+            self.couriers[c].life == Life::Paused && epoch.is_none_or(|epoch| epoch == self.couriers[c].epoch)
+        });
+        let is_in_turn = match flight {
+            Flight::Write { c, epoch, seq, .. } => !self.flights.iter().any(|(_, other)| {
+                matches!(other, Flight::Write { c: c2, epoch: e2, seq: s2, .. } if (c2, e2) == (c, epoch) && s2 < seq)
+            }),
+            _ => true,
+        };
+        !is_paused && is_in_turn
+    }
+
+    /// `fault`: the partner's answer to a call.
+    fn deliver(&mut self, flight: Flight, fault: Option<Fault>) {
+        match flight {
+            Flight::Hand { to, ticket, id, ask } => match self.couriers[to].life {
+                Life::Up => {
+                    self.asked.insert(ticket, (to, id.clone(), ask.clone()));
+                    self.desk(to, forward::Input::Ask { ticket, id, ask });
+                }
+                _ => self.ask_elsewhere(to, ticket, id, ask),
+            },
+            Flight::Net { to, message, from } if self.couriers[to].life == Life::Up => match message {
+                Message::Ask { id, ask } => self.homes(to, Input::Ask { from: name(from), id, ask }),
+                Message::Word { id, ask, word } => self.desk(to, forward::Input::Word { id, ask, word }),
+            },
+            Flight::Propose(command) => self.append(Entry::Command(command)),
+            Flight::Write { c, epoch, seq, records } => {
+                let (book, is_sealed) =
+                    self.books.get_mut(&Book { courier: name(c), epoch }).expect("each courier has one");
+                let is_there = !*is_sealed;
+                if is_there {
+                    book.extend(records);
+                }
+                self.fly(Flight::Written { c, epoch, seq, is_there });
+            }
+            Flight::Written { c, epoch, seq, is_there } if self.is_current(c, epoch) => {
+                self.homes(c, if is_there { Input::Written { seq } } else { Input::Sealed });
+            }
+            Flight::Fetch { c, epoch, id, term, books } if self.is_current(c, epoch) => {
+                let read = |book: &Book| self.books[book].0.clone();
+                let books = books.iter().map(read).collect();
+                self.homes(c, Input::Fetched { id, term, books });
+            }
+            Flight::Call { c, epoch, call } if self.is_current(c, epoch) => self.call(c, epoch, call, fault),
+            Flight::Answer { c, epoch, id, attempt, outcome, lost } if self.is_current(c, epoch) => {
+                self.homes(c, Input::Outcome { id, attempt, outcome, lost });
+            }
+            Flight::Close { c, epoch, id, session, opens } if self.is_current(c, epoch) => {
+                self.closing(c, epoch, id, session, opens, fault);
+            }
+            Flight::Confirmed { c, epoch, id, session } if self.is_current(c, epoch) => {
+                self.homes(c, Input::Confirmed { id, session });
+            }
+            Flight::Drop { c, epoch, id, session } => {
+                self.seen.get_mut(&id).unwrap().sessions.remove(&(c, epoch, session));
+                self.fly(Flight::Lost { c, epoch, id, session });
+            }
+            Flight::Lost { c, epoch, id, session } if self.is_current(c, epoch) => {
+                self.homes(c, Input::SessionLost { id, session });
+            }
+            _ => {}
+        }
+    }
+
+    /// A call's first byte leaves, or does not any more; the partner runs it, or does not.
+    fn call(&mut self, c: usize, epoch: u64, call: Call, fault: Option<Fault>) {
+        let Call { id, position, attempt, by, session, opens } = call;
+        let answer = |outcome, lost| {
+            let id = id.clone();
+            Flight::Answer { c, epoch, id, attempt, outcome, lost }
+        };
+        let never = Outcome::NeverRan { after: 0 };
+        if self.now >= by {
+            let is_late = self.now >= self.plans[&id].deadline;
+            return self.fly(answer(if is_late { Outcome::OutOfTime } else { never }, opens));
+        }
+        if fault == Some(Fault::NotReached) && (opens || session.is_none()) {
+            return self.fly(answer(never, session.is_some()));
+        }
+        if let Some(n) = session
+            && !self.touch(&id, (c, epoch, n), opens)
+        {
+            return self.fly(answer(Outcome::MayHaveRun, true));
+        }
+        if fault == Some(Fault::NotReached) {
+            return self.fly(answer(never, false));
+        }
+        let (now, plan, verdict) = (self.now, self.plans[&id].clone(), self.truth.verdict(&id));
+        let seen = self.seen.get_mut(&id).unwrap();
+        if seen.in_session.replace(session.is_some()).is_some_and(|before| before != session.is_some()) {
+            self.wrong(format!("{}: its mode changed on the way", id.name));
+        }
+        let seen = self.seen.get_mut(&id).unwrap();
+        let ran = seen.ran.entry(position).or_insert(0);
+        *ran += 1;
+        let (ran, before) = (*ran, (1..position).all(|p| seen.ends.get(&p) == Some(&End::Delivered)));
+        if ran == 1 && !before {
+            self.wrong(format!("{}: position {position} ran before those in front of it were over", id.name));
+        }
+        if ran > 1 && plan.repeat == Repeat::Never {
+            self.wrong(format!("{}: debit {position} ran twice", id.name));
+        }
+        if let Some(Verdict::Broken { at, .. }) = verdict
+            && at > 0
+            && position > at
+        {
+            self.wrong(format!("{}: position {position} ran after a break at {at} ({now})", id.name));
+        }
+        let lost = fault == Some(Fault::Reset) && session.is_some();
+        if lost {
+            let seen = self.seen.get_mut(&id).unwrap();
+            seen.sessions.remove(&(c, epoch, session.unwrap()));
+        }
+        let outcome = match fault {
+            None | Some(Fault::NotReached) => Outcome::Delivered,
+            Some(Fault::Reset | Fault::Error) => Outcome::MayHaveRun,
+            Some(Fault::Refused) => Outcome::Failed,
+        };
+        self.fly(answer(outcome, lost));
+    }
+
+    /// Bytes on a session; false: the partner has closed it.
+    fn touch(&mut self, id: &SettlementId, key: (usize, u64, u32), opens: bool) -> bool {
+        let now = self.now;
+        let seen = self.seen.get_mut(id).unwrap();
+        if opens {
+            let others: Vec<_> = seen.sessions.keys().filter(|other| **other != key).copied().collect();
+            seen.sessions.insert(key, now);
+            if !others.is_empty() {
+                self.wrong(format!("{}: session {key:?} opened beside {others:?}", id.name));
+            }
+            return true;
+        }
+        seen.sessions.get_mut(&key).map(|at| *at = now).is_some()
+    }
+
+    fn closing(&mut self, c: usize, epoch: u64, id: SettlementId, n: u32, opens: bool, fault: Option<Fault>) {
+        let is_there = self.touch(&id, (c, epoch, n), opens);
+        let of = self.plans[&id].of;
+        let seen = self.seen.get_mut(&id).unwrap();
+        seen.sessions.remove(&(c, epoch, n));
+        if !is_there || fault.is_some() {
+            return self.fly(Flight::Lost { c, epoch, id, session: n });
+        }
+        seen.is_confirmed = true;
+        if !(1..=of).all(|position| seen.ran.contains_key(&position)) {
+            self.wrong(format!("{}: closed before all of it had run", id.name));
+        }
+        self.fly(Flight::Confirmed { c, epoch, id, session: n });
+    }
+
+    fn append(&mut self, entry: Entry) {
+        let events = match &entry {
+            Entry::Command(command) => self.truth.apply(command),
+            Entry::Gone { book, takers } => self.truth.gone(&book.courier, book.epoch, takers),
+        };
+        self.log.push(entry);
+        for event in events {
+            if let Event::Closed { id, verdict, .. } = event {
+                self.decided(&id, verdict);
+            }
+        }
+    }
+
+    fn decided(&mut self, id: &SettlementId, verdict: Verdict) {
+        let of = self.plans[id].of;
+        let seen = self.seen.get_mut(id).unwrap();
+        let first = *seen.verdict.get_or_insert(verdict);
+        let last = match verdict {
+            Verdict::Closed { of } => of,
+            Verdict::Broken { at, .. } => at - 1,
+        };
+        let is_whole = (1..=last).all(|p| seen.ends.get(&p) == Some(&End::Delivered));
+        let greatest = seen.ran.keys().next_back().copied().unwrap_or(0);
+        let is_confirmed = seen.is_confirmed || seen.in_session == Some(false);
+        match verdict {
+            _ if first != verdict => self.wrong(format!("{}: {first:?}, then {verdict:?}", id.name)),
+            Verdict::Closed { of: told } if told != of || !is_whole || !is_confirmed => {
+                self.wrong(format!("{}: closed, and is not", id.name));
+            }
+            Verdict::Broken { at, .. } if !is_whole || greatest > at => {
+                self.wrong(format!("{}: broken at {at}, with {greatest} run", id.name));
+            }
+            _ => {}
+        }
+    }
+
+    /// A courier applies the next entry of the log.
+    fn apply(&mut self, c: usize) {
+        let courier = &mut self.couriers[c];
+        let entry = self.log[courier.applied].clone();
+        courier.applied += 1;
+        let events = match &entry {
+            Entry::Command(command) => courier.agreed.apply(command),
+            Entry::Gone { book, takers } => courier.agreed.gone(&book.courier, book.epoch, takers),
+        };
+        if let Entry::Gone { book, .. } = &entry
+            && *book == self.book(c)
+        {
+            return self.homes(c, Input::Sealed);
+        }
+        for event in events {
+            self.homes(c, Input::Agreed(event.clone()));
+            self.desk(c, forward::Input::Agreed(event));
+        }
+    }
+
+    fn lose(&mut self, c: usize, life: Life) {
+        self.couriers[c].life = life;
+        if life == Life::Dead {
+            self.seen.values_mut().for_each(|seen| seen.sessions.retain(|(of, ..), _| *of != c));
+            self.flights.retain(|(_, f)| {
+                Self::needs(f).is_none_or(|(of, epoch)| of != c || epoch.is_none())
+                    || matches!(f, Flight::Drop { .. })
+            });
+        }
+        // Consumers that hear nothing ask elsewhere.
+        let asked: Vec<u64> =
+            self.asked.iter().filter(|(_, (of, ..))| *of == c).map(|(ticket, _)| *ticket).collect();
+        for ticket in asked {
+            let (c, id, ask) = self.asked.remove(&ticket).unwrap();
+            self.ask_elsewhere(c, ticket, id, ask);
+        }
+    }
+
+    /// The lease has lapsed: the book is sealed, and the others take what was there.
+    fn take_over(&mut self, c: usize) {
+        let book = self.book(c);
+        self.books.get_mut(&book).unwrap().1 = true;
+        self.couriers[c].is_taken_over = true;
+        // Calls to a courier that has not answered for so long are given up.
+        self.flights.retain(|(_, flight)| !matches!(flight, Flight::Net { to, .. } if *to == c));
+        let up = (0..self.couriers.len()).filter(|o| *o != c && !self.couriers[*o].is_taken_over);
+        let takers = up.map(|other| self.book(other)).collect();
+        self.append(Entry::Gone { book, takers });
+    }
+
+    /// Back with an empty memory, as a registration of its own.
+    fn restart(&mut self, c: usize) {
+        self.lose(c, Life::Dead);
+        if !self.couriers[c].is_taken_over {
+            self.take_over(c);
+        }
+        let epoch = self.couriers[c].epoch + 1;
+        self.couriers[c] = self.courier(c, epoch);
+        self.pinned.retain(|(of, _), _| *of != c);
+    }
+
+    fn drain(&mut self, c: usize, by: Micros) {
+        let others = (0..self.couriers.len()).filter(|o| *o != c && self.couriers[*o].life == Life::Up);
+        let takers: Vec<Book> = others.map(|other| self.book(other)).collect();
+        self.homes(c, Input::Drain { takers, by });
+    }
+
+    fn wake_at(&self) -> Option<Micros> {
+        let up = self.couriers.iter().filter(|courier| courier.life == Life::Up);
+        let wakes = up.flat_map(|courier| [courier.homes.wake_at(), courier.desk.wake_at()]).flatten();
+        wakes.chain(self.partner_wake()).min()
+    }
+
+    fn partner_wake(&self) -> Option<Micros> {
+        let last = self.seen.values().flat_map(|seen| seen.sessions.values()).min();
+        last.map(|at| at + PARTNER_IDLE)
+    }
+
+    /// The clock stands at `now`: whoever waits for it acts.
+    fn tick(&mut self) {
+        let now = self.now;
+        let mut closed = Vec::new();
+        for (id, seen) in &mut self.seen {
+            seen.sessions.retain(|key, at| {
+                let stays = *at + PARTNER_IDLE > now;
+                if !stays {
+                    closed.push((id.clone(), *key));
+                }
+                stays
+            });
+        }
+        for (id, (c, epoch, session)) in closed {
+            self.fly(Flight::Lost { c, epoch, id, session });
+        }
+        for c in 0..self.couriers.len() {
+            let courier = &self.couriers[c];
+            let is_due = |at: Option<Micros>| courier.life == Life::Up && at.is_some_and(|at| at <= now);
+            let (homes, desk) = (is_due(courier.homes.wake_at()), is_due(courier.desk.wake_at()));
+            if homes {
+                self.homes(c, Input::Tick);
+            }
+            if desk {
+                self.desk(c, forward::Input::Tick);
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.seen.values().all(|seen| seen.verdict.is_some())
+    }
+
+    /// Once nothing is on its way: each message that was taken on has had its end, and nothing is left in a table.
+    fn check_end(&mut self) {
+        for (id, seen) in self.seen.clone() {
+            if let Some(position) = seen.taken.iter().find(|position| !seen.ends.contains_key(position)) {
+                self.wrong(format!("{}: position {position} was taken on, and has no end", id.name));
+            }
+        }
+        for courier in self.couriers.clone() {
+            let is_up = courier.life == Life::Up && courier.applied == self.log.len();
+            if is_up && (courier.homes.sizes(), courier.desk.len()) != ((0, 0, 0), 0) {
+                self.wrong(format!("a courier still holds {:?}", courier.homes.sizes()));
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Fault {
+    /// It ran, and the connection broke.
+    Reset,
+    /// It ran, and 500 came back.
+    Error,
+    /// The partner will never have it.
+    Refused,
+    NotReached,
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Exploration.
+
+/// What may happen in a case, beside what is on its way.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Left {
+    /// Losses by SIGKILL, and pauses.
+    kills: u32,
+    pauses: u32,
+    faults: u32,
+    drains: u32,
+    /// Hand-ins that are made: the order in which consumers come.
+    hands: VecDeque<(usize, u64)>,
+}
+
+#[derive(Clone, Debug)]
+enum Move {
+    Deliver(Flight),
+    Fault(Flight, Fault),
+    Apply(usize),
+    Hand,
+    /// So many of its writes are in the book, and a call or closing of its reached the partner: it knows of neither.
+    Lose(usize, Life, usize, bool),
+    TakeOver(usize),
+    Resume(usize),
+    Drain(usize),
+    Advance,
+}
+
+fn moves(world: &World, left: &Left) -> Vec<Move> {
+    let mut moves = Vec::new();
+    let mut seen: HashSet<&Flight> = HashSet::new();
+    let is_back = |c: usize| world.couriers[c].life == Life::Up && world.couriers[c].is_taken_over;
+    for (_, flight) in &world.flights {
+        if !world.is_deliverable(flight) || !seen.insert(flight) {
+            continue;
+        }
+        // What only tells a consumer, or comes to nobody, changes nothing by waiting.
+        let is_plain = match flight {
+            Flight::Net { message: Message::Word { .. }, .. } | Flight::Drop { .. } => true,
+            Flight::Net { to, from, .. } if to == from => true,
+            Flight::Propose(Command::Open { .. } | Command::Up { .. }) => true,
+            // One that is back from a pause goes on with what it has, and the later it learns of its seal the worse.
+            Flight::Written { c, .. } | Flight::Write { c, .. } if is_back(*c) => true,
+            _ => World::needs(flight).is_some_and(|(c, _)| world.couriers[c].life == Life::Dead),
+        };
+        if is_plain {
+            return vec![Move::Deliver(flight.clone())];
+        }
+        if left.faults > 0 && matches!(flight, Flight::Call { .. } | Flight::Close { .. }) {
+            let faults = [Fault::Reset, Fault::NotReached];
+            moves.extend(faults.map(|fault| Move::Fault(flight.clone(), fault)));
+        }
+        moves.push(Move::Deliver(flight.clone()));
+    }
+    let up = |c: &usize| world.couriers[*c].life == Life::Up;
+    let all = 0..world.couriers.len();
+    let behind = |c: &usize| world.couriers[*c].applied < world.log.len();
+    if let Some(c) = all.clone().find(|c| is_back(*c) && behind(c)) {
+        return vec![Move::Apply(c)];
+    }
+    moves.extend(all.clone().filter(up).filter(behind).map(Move::Apply));
+    if !left.hands.is_empty() {
+        moves.push(Move::Hand);
+    }
+    let is_quiet = moves.is_empty();
+    // Only a home's loss is worth a look.
+    let is_home = |c: &usize| {
+        let courier = &world.couriers[*c];
+        courier.homes.sizes().0 > 0 || world.truth.homes().any(|(_, home)| home.is(&name(*c), courier.epoch))
+    };
+    for c in all.clone().filter(up).filter(is_home) {
+        let lives = [(left.kills, Life::Dead), (left.pauses, Life::Paused)];
+        let theirs = |f: &Flight| World::needs(f).is_some_and(|(of, epoch)| of == c && epoch.is_some());
+        let flights = || world.flights.iter().map(|(_, flight)| flight).filter(|f| theirs(f));
+        let writes = flights().filter(|f| matches!(f, Flight::Write { .. })).count();
+        let has_call = flights().any(|f| matches!(f, Flight::Call { .. } | Flight::Close { .. }));
+        for (_, life) in lives.into_iter().filter(|(n, _)| *n > 0) {
+            for written in 0..=writes {
+                moves.push(Move::Lose(c, life, written, false));
+                moves.extend(has_call.then_some(Move::Lose(c, life, written, true)));
+            }
+        }
+        if left.drains > 0 {
+            moves.push(Move::Drain(c));
+        }
+    }
+    let mut is_waiting = false;
+    for c in all {
+        let courier = &world.couriers[c];
+        is_waiting |= courier.life != Life::Up && !courier.is_taken_over;
+        if courier.life != Life::Up && !courier.is_taken_over {
+            moves.push(Move::TakeOver(c));
+        }
+        if courier.life == Life::Paused && courier.is_taken_over {
+            moves.push(Move::Resume(c));
+        }
+    }
+    // Between a loss and the takeover no time passes: what the clock brings about then, it does as well after.
+    if is_quiet && !is_waiting && world.wake_at().is_some() {
+        moves.push(Move::Advance);
+    }
+    moves
+}
+
+fn step(world: &mut World, left: &mut Left, id: &SettlementId, one: &Move) {
+    let take = |world: &mut World, flight: &Flight| {
+        let at = world.flights.iter().position(|(_, other)| other == flight).unwrap();
+        world.flights.swap_remove(at).1
+    };
+    match one {
+        Move::Deliver(flight) => {
+            let flight = take(world, flight);
+            at_once(world, flight, None);
+        }
+        Move::Fault(flight, fault) => {
+            left.faults -= 1;
+            let flight = take(world, flight);
+            at_once(world, flight, Some(*fault));
+        }
+        Move::Apply(c) => world.apply(*c),
+        Move::Hand => {
+            let (to, position) = left.hands.pop_front().unwrap();
+            let ask = world.hand(id, position);
+            world.deliver(Flight::Hand { to, ticket: position * 10, id: id.clone(), ask }, None);
+        }
+        Move::Lose(c, life, writes, has_call) => {
+            let n = if *life == Life::Dead { &mut left.kills } else { &mut left.pauses };
+            *n -= 1;
+            let is_theirs =
+                |f: &Flight| World::needs(f).is_some_and(|(of, epoch)| of == *c && epoch.is_some());
+            for _ in 0..*writes {
+                let is_next = |f: &Flight| matches!(f, Flight::Write { .. }) && is_theirs(f);
+                let next =
+                    world.flights.iter().map(|(_, f)| f).find(|f| is_next(f) && world.is_deliverable(f));
+                let flight = take(world, &next.unwrap().clone());
+                world.deliver(flight, None);
+            }
+            let is_call =
+                |f: &Flight| matches!(f, Flight::Call { .. } | Flight::Close { .. }) && is_theirs(f);
+            let call = world.flights.iter().map(|(_, f)| f).find(|f| *has_call && is_call(f)).cloned();
+            if let Some(call) = call {
+                let flight = take(world, &call);
+                world.deliver(flight, None);
+            }
+            world.lose(*c, *life);
+            // Its consumers have left it; what it would ask for them is asked twice in the simulation.
+            world.couriers[*c].desk = Desk::new(&name(*c), world.couriers[*c].epoch);
+        }
+        Move::TakeOver(c) => world.take_over(*c),
+        Move::Resume(c) => world.couriers[*c].life = Life::Up,
+        Move::Drain(c) => {
+            left.drains -= 1;
+            world.drain(*c, world.now + 4_000_000);
+        }
+        Move::Advance => {
+            world.now = world.wake_at().unwrap().max(world.now);
+            world.tick();
+        }
+    }
+    world.flights.sort_by_cached_key(|(_, flight)| print(flight));
+}
+
+/// What arrives, and the word that comes back of it: a loss in between is a case of [`Move::Lose`].
+fn at_once(world: &mut World, flight: Flight, fault: Option<Fault>) {
+    let is_asked = matches!(
+        flight,
+        Flight::Write { .. } | Flight::Call { .. } | Flight::Close { .. } | Flight::Drop { .. }
+    );
+    world.deliver(flight, fault);
+    let is_word = |f: &Flight| {
+        matches!(
+            f,
+            Flight::Written { .. } | Flight::Answer { .. } | Flight::Confirmed { .. } | Flight::Lost { .. }
+        )
+    };
+    if is_asked && world.flights.last().is_some_and(|(_, f)| is_word(f) && world.is_deliverable(f)) {
+        let (_, word) = world.flights.pop().unwrap();
+        world.deliver(word, None);
+    }
+}
+
+fn print(what: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    what.hash(&mut hasher);
+    hasher.finish()
+}
+
+struct Explored {
+    states: usize,
+    ends: BTreeMap<Verdict, usize>,
+    wrong: Option<(String, Vec<String>)>,
+}
+
+/// Breadth first over all that can happen.
+fn explore(world: World, left: Left, id: &SettlementId, most: usize) -> Explored {
+    let mut known: HashSet<(u64, u64)> = HashSet::new();
+    let mut paths: Vec<(usize, String)> = vec![(0, String::new())];
+    let mut queue = VecDeque::from([(world, left, 0)]);
+    let mut ends: BTreeMap<Verdict, usize> = BTreeMap::new();
+    while let Some((world, left, at)) = queue.pop_front() {
+        let all = moves(&world, &left);
+        if all.is_empty() || (world.is_over() && world.flights.is_empty()) {
+            if let Some(verdict) = world.seen[id].verdict {
+                *ends.entry(verdict).or_default() += 1;
+            }
+        }
+        for one in all {
+            let (mut next, mut left) = (world.clone(), left.clone());
+            step(&mut next, &mut left, id, &one);
+            let is_quiet = next.flights.is_empty() && left.hands.is_empty();
+            if is_quiet && moves(&next, &left).is_empty() {
+                if !next.is_over() {
+                    next.wrong(format!("{}: nothing can happen, and it is not over", id.name));
+                }
+                next.check_end();
+            }
+            let path = |at: usize| {
+                let mut path = vec![format!("{one:?}")];
+                let mut at = at;
+                while at > 0 {
+                    path.push(paths[at].1.clone());
+                    at = paths[at].0;
+                }
+                path.reverse();
+                path
+            };
+            if let Some(wrong) = next.wrong.clone() {
+                return Explored { states: known.len(), ends, wrong: Some((wrong, path(at))) };
+            }
+            // Two independent prints: none of some million states is taken for another.
+            if known.insert((print(&(&next, &left)), print(&(1u8, &left, &next)))) {
+                assert!(known.len() <= most, "more than {most} states");
+                paths.push((at, format!("{one:?}")));
+                queue.push_back((next, left, paths.len() - 1));
+            }
+        }
+    }
+    Explored { states: known.len(), ends, wrong: None }
+}
+
+fn settlement(name: &str, dest: u64) -> SettlementId {
+    SettlementId { tenant: "north".into(), name: name.into(), dest }
+}
+
+const LATE: Micros = 60_000_000;
+
+fn case(one: Mode, repeat: Repeat, hands: &[(usize, u64)], of: u64) -> (World, Left, SettlementId) {
+    let mut world = World::new(2, BTreeMap::from([(7, one)]), 4);
+    let id = settlement("s", 7);
+    world.plan(&id, of, repeat, LATE);
+    let left = Left { kills: 0, pauses: 0, faults: 0, drains: 0, hands: hands.iter().copied().collect() };
+    (world, left, id)
+}
+
+fn run_case(name: &str, world: World, left: Left, id: &SettlementId) -> Explored {
+    let from = std::time::Instant::now();
+    let found = explore(world, left, id, 2_000_000);
+    println!("{name}: {} states, {:.1} s, ends {:?}", found.states, from.elapsed().as_secs_f64(), found.ends);
+    if let Some((wrong, path)) = &found.wrong {
+        println!("  {wrong}\n  {}", path.join("\n  "));
+    }
+    found
+}
+
+const REVERSED: &[(usize, u64)] = &[(1, 3), (0, 2), (1, 1)];
+
+#[test]
+fn a_takeover_at_each_point_of_a_settlement_of_three() {
+    let mut states = 0;
+    for (name, one) in [("message", Mode::Message), ("never", NEVER), ("after answer", AFTER)] {
+        for (what, repeat) in [("debits", Repeat::Never), ("keyed", Repeat::Within(30_000_000))] {
+            for life in [Life::Dead, Life::Paused] {
+                let (world, mut left, id) = case(one, repeat, REVERSED, 3);
+                *(if life == Life::Dead { &mut left.kills } else { &mut left.pauses }) = 1;
+                let found = run_case(&format!("{name}, {what}, {life:?}"), world, left, &id);
+                assert!(found.wrong.is_none());
+                assert!(found.ends.contains_key(&Verdict::Closed { of: 3 }));
+                states += found.states;
+            }
+        }
+    }
+    println!("{states} states");
+}
