--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod message;
 pub mod plan;
+pub mod settlement;
 pub mod shares;
 pub mod state;
 
