--- a/courier/examples/fleet.rs
+++ b/courier/examples/fleet.rs
@@ -2,7 +2,7 @@
 //!
 //!     cargo build --release -p quillmount && cargo run --release -p quillmount --example fleet
 //!
-//! It waits for you to kill one (it prints the command), and after ten seconds does so itself.
+//! It waits for you to kill one (it prints the command), and after three seconds does so itself.
 
 use quillmount_standins::consumer::Invocation;
 use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE};
@@ -11,7 +11,8 @@
 use std::io::{Error, Result};
 use std::time::Duration;
 
-const YOURS: Duration = Duration::from_secs(10);
+/// Short of the six seconds for which the partner knows the key: later, the notice could not be repeated either.
+const YOURS: Duration = Duration::from_secs(3);
 
 fn main() {
     let program =
