Keep a vote, a change of voters and a late learner's state where a kill or a wait lost them

Cause: after a change of voters a killed courier came back with those of before; a late learner waited for a beat. Change: an applied change is written at once; a fresh state is offered at once; tests of pre-vote, of one vote in a term across a kill, of a new leader's silence before its first entry, of records that can't follow each other.

--- a/fleet/src/agreement.rs
+++ b/fleet/src/agreement.rs
@@ -102,7 +102,7 @@
     Store { what: &'static str, source: Arc<io::Error> },
     #[error(
         "agreement: its log in the lasting folder is damaged at byte {at}, and not by a kill; what was \
-         promised is not known, so this courier does not take part; remove the log, and it comes back as a new learner"
+         promised is not known, so it takes no part; remove the log, and it comes back as a new learner"
     )]
     Damaged { at: u64 },
     #[error("agreement: a record is too large to be written; report it")]
@@ -124,7 +124,7 @@
     )]
     Ahead { from: Token, index: u64, last: u64 },
     #[error(
-        "agreement: the state handed in is of entry {through}, and not of {applied}, handed out last; report it"
+        "agreement: the state handed in is of entry {through}, and {applied} was handed out last; report it"
     )]
     Stale { through: u64, applied: u64 },
     #[error("agreement: a state of {bytes} bytes is beyond its limit of {limit}; the log can't be shortened")]
@@ -272,6 +272,8 @@
     /// Length of the file from which a snapshot is asked for.
     ask_at: u64,
     asked: bool,
+    /// A change of those who take part was applied, and the file does not say yet that it is agreed.
+    changed: bool,
     silent: bool,
 }
 
@@ -315,6 +317,7 @@
             handed,
             ask_at,
             asked: false,
+            changed: false,
             silent: false,
         };
         agreement.draw();
@@ -718,6 +721,8 @@
         let told = Told { token: self.token, vow, image, entries: later };
         self.file.anew(&told)?;
         self.node.mut_store().compact(told.image);
+        // Those who wait for it are asked at once where they stand.
+        self.node.ping();
         self.asked = false;
         self.ask_at = self.file.base + self.limits.log_bytes;
         Ok(())
@@ -764,6 +769,14 @@
             self.send(light.take_messages(), out);
             self.apply(light.take_committed_entries(), out);
             self.node.advance_apply();
+            // So that a restart knows who takes part as this life does.
+            let vow = Vow::of(&self.node.raft.hard_state());
+            if mem::take(&mut self.changed) && vow != self.node.store().vow {
+                if let Err(error) = self.file.append(vow, &[]) {
+                    return self.fall_silent(error, out);
+                }
+                self.node.mut_store().vow = vow;
+            }
         }
         self.tell(out);
         for state in readable {
@@ -825,6 +838,8 @@
             // leader.
             self.file.append(vow, &entries)?;
             self.node.mut_store().add(ready.entries());
+        } else {
+            return Ok(());
         }
         self.node.mut_store().vow = vow;
         Ok(())
@@ -858,6 +873,7 @@
                     }
                     let conf = &self.node.store().conf;
                     self.heard.retain(|t, _| conf.voters.contains(t) || conf.learners.contains(t));
+                    self.changed = true;
                     out.push(Output::Changed { index, ticket, change });
                 }
             }
@@ -940,6 +956,7 @@
             handed: self.handed,
             ask_at: self.ask_at,
             asked: self.asked,
+            changed: self.changed,
             silent: self.silent,
         }
     }
--- a/fleet/src/agreement/log.rs
+++ b/fleet/src/agreement/log.rs
@@ -129,7 +129,10 @@
         told.add(record).ok_or_else(damaged)?;
         at += HEAD + body.len();
     }
-    told.vow.commit = told.vow.commit.clamp(told.image.index, told.last());
+    // Entries and the commit that they came with are one record.
+    if told.vow.commit > told.last() {
+        return Err(AgreementError::Damaged { at: at as u64 });
+    }
     Ok((told, at))
 }
 
@@ -376,3 +379,53 @@
         Entry { term: entry.term, index: entry.index, payload }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quillmount_core::store::Memory;
+
+    fn entry(index: u64, term: u64) -> Entry {
+        Entry { term, index, payload: Payload::Command(vec![index as u8, term as u8]) }
+    }
+
+    fn vow(term: u64, commit: u64) -> Vow {
+        Vow { term, vote: 7, commit }
+    }
+
+    /// Entries of a new leader take the place of those that were never agreed, in the file as in memory.
+    #[test]
+    fn later_entries_take_the_place_of_earlier_ones() {
+        let (mut file, told, new) = File::open(Memory::default(), 5).unwrap();
+        let mut mem = Mem::of(&told);
+        assert!(new);
+        for (vow, entries) in [
+            (vow(1, 1), vec![entry(1, 1), entry(2, 1), entry(3, 1)]),
+            (vow(2, 1), vec![]),
+            (vow(2, 1), vec![entry(2, 2)]),
+        ] {
+            file.append(vow, &entries).unwrap();
+            mem.add(&entries.iter().map(Entry::to_raft).collect::<Vec<_>>());
+        }
+        let (told, _) = read(file.store.bytes()).unwrap();
+        assert_eq!(
+            (told.token, told.vow, &told.entries[..]),
+            (5, vow(2, 1), &[entry(1, 1), entry(2, 2)][..])
+        );
+        assert_eq!(mem.entries, Mem::of(&told).entries);
+    }
+
+    /// Sound records that can't follow each other are as bad as damaged ones.
+    #[test]
+    fn records_that_do_not_fit_are_damage() {
+        let open = |vow, entries: &[Entry]| {
+            let (mut file, ..) = File::open(Memory::default(), 5).unwrap();
+            file.append(vow, entries).unwrap();
+            read(file.store.bytes()).map(|(told, _)| told.entries.len())
+        };
+        assert!(matches!(open(vow(1, 1), &[entry(1, 1)]), Ok(1)));
+        assert!(matches!(open(vow(1, 2), &[entry(1, 1)]), Err(AgreementError::Damaged { .. })));
+        assert!(matches!(open(vow(1, 0), &[entry(2, 1)]), Err(AgreementError::Damaged { .. })));
+        assert!(matches!(open(vow(1, 0), &[entry(0, 1)]), Err(AgreementError::Damaged { .. })));
+    }
+}
--- a/fleet/tests/agreement.rs
+++ b/fleet/tests/agreement.rs
@@ -422,6 +422,11 @@
         "{all:?} {}",
         whole.term()
     );
+    // Each record begins with its length.
+    let mut ends = vec![0];
+    while let Some(head) = bytes.get(*ends.last().unwrap()..).filter(|rest| !rest.is_empty()) {
+        ends.push(ends.last().unwrap() + 12 + u32::from_le_bytes(head[..4].try_into().unwrap()) as usize);
+    }
     let mut before = (0, 0);
     for cut in 0..=bytes.len() {
         let (life, opened) = open(&bytes[..cut]).unwrap();
@@ -431,7 +436,9 @@
         let now = (life.term(), state.len());
         assert!(before <= now, "at {cut}: {before:?} {now:?}");
         before = now;
-        // What is cut off is gone from the file, and it opens again to the same.
+        // What is cut short is gone from the file, or what is written next would be hidden behind it.
+        let sound = ends.iter().rfind(|end| **end <= cut).unwrap();
+        assert!(opened.new || life.store().bytes() == &bytes[..*sound], "at {cut}");
         let (again, told) = open(life.store().bytes()).unwrap();
         let same = (again.token(), again.term(), told.committed == opened.committed, told.new);
         assert_eq!(same, (life.token(), life.term(), true, false), "at {cut}");
@@ -618,7 +625,8 @@
         hear(1, &damaged);
     }
     hear(3, &bytes);
-    hear(1, &[bytes.clone(), vec![0]].concat());
+    let long = [&bytes[5..], &[0]].concat();
+    hear(1, &[&bytes[..1], &crc32fast::hash(&long).to_le_bytes(), &long].concat());
     // Right in form: a checksum over any bytes.
     for n in 0..2000u64 {
         let body: Vec<u8> =
@@ -642,11 +650,8 @@
     fleet.kill(2);
     fleet.start(2, old);
     fleet.run(SECOND);
-    assert!(
-        matches!(fleet.errors.first(), Some(AgreementError::Ahead { from: 1, .. })),
-        "{:?}",
-        fleet.errors
-    );
+    assert!(matches!(fleet.errors[..], [AgreementError::Ahead { from: 1, .. }]), "{:?}", fleet.errors);
+    assert!(fleet.life(2).is_silent());
 }
 
 /// The office goes to another voter at once.
@@ -697,3 +702,60 @@
     assert_eq!(run(false), first);
     assert_eq!(run(true), first);
 }
+
+/// A voter that was cut off from the others unseats nobody when it is back.
+#[test]
+fn a_voter_that_comes_back_does_not_call_an_election() {
+    let mut fleet = Fleet::whole(41, Limits::default(), 3, 0);
+    let term = fleet.life(1).term();
+    fleet.cut = [(2, 1), (2, 3), (1, 2), (3, 2)].into();
+    fleet.run(5 * SECOND);
+    assert_eq!((fleet.life(2).leader(), fleet.life(2).term()), (None, term));
+    fleet.cut.clear();
+    fleet.commit(1);
+    fleet.same();
+    assert_eq!((fleet.leader(), fleet.life(2).term()), (Some(1), term));
+}
+
+/// Two want the same term's vote of a third, which is killed between them: it has not forgotten the first.
+#[test]
+fn a_vote_outlasts_a_kill_and_a_new_leader_answers_nothing_before_its_first_entry() {
+    let mut fleet = Fleet::whole(43, Limits::default(), 3, 0);
+    fleet.run(SECOND);
+    let mut lives: Vec<_> = [1, 2, 3].map(|t| Memory::of(fleet.life(t).store().bytes().to_vec())).into();
+    let open = |disk: &Memory| Agreement::open(disk.clone(), 9, Limits::default(), SECOND).unwrap().0;
+    let sends = |out: Vec<Output>, whom: Token| {
+        let mut bytes = out.into_iter().filter_map(|o| match o {
+            Output::Send { to, bytes } if to == whom => Some(bytes),
+            _ => None,
+        });
+        bytes.next()
+    };
+    // Each of two candidates gets the third's word that it would be heard, and asks for the vote itself.
+    let asks = |token: Token| {
+        let mut candidate = open(&lives[token as usize - 1]);
+        let (mut now, mut word) = (SECOND, None);
+        while word.is_none() {
+            assert!(now < 10 * SECOND, "courier {token} calls no election");
+            now += 50_000;
+            word = sends(candidate.step(Input::Tick, now), 3);
+        }
+        let mut third = open(&lives[2]);
+        let reply = sends(third.step(Input::Heard { from: token, bytes: word.unwrap() }, SECOND), token);
+        let vote = sends(candidate.step(Input::Heard { from: 3, bytes: reply.unwrap() }, now), 3);
+        (candidate, vote.unwrap(), now)
+    };
+    let ((mut one, ask_one, at_one), (mut two, ask_two, at_two)) = (asks(1), asks(2));
+    assert_eq!(one.term(), two.term());
+    let mut third = open(&lives[2]);
+    let yes = sends(third.step(Input::Heard { from: 1, bytes: ask_one }, SECOND), 1).unwrap();
+    lives[2] = third.into_store();
+    let mut third = open(&lives[2]);
+    if let Some(no) = sends(third.step(Input::Heard { from: 2, bytes: ask_two }, SECOND), 2) {
+        two.step(Input::Heard { from: 3, bytes: no }, at_two);
+    }
+    one.step(Input::Heard { from: 3, bytes: yes }, at_one);
+    assert!(one.leads() && !two.leads());
+    let out = one.step(Input::Read { ticket: 1 }, at_one);
+    assert!(matches!(out[..], [Output::Refused { ticket: 1, why: Why::Busy, .. }]), "{out:?}");
+}
