--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -2,17 +2,19 @@
 
 use super::config::{Config, ConfigError};
 use super::log::{Levels, LevelsError};
+use crate::fleet::{Fleet, FleetError};
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
-use crate::transport::handover::{self, Handed, Life};
+use crate::transport::handover::{self, Handed, Holder};
 use crate::transport::inherited::{self, InheritedError};
 use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
 use crate::transport::server::{Connections, serve};
 use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
-use actix_rt::time::{Instant, sleep, sleep_until, timeout};
+use actix_rt::time::{sleep, timeout};
+use quillmount_core::machine::life::Input;
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{self, Router, RouterError, StreamLimits};
 use quillmount_core::{flow, hub};
@@ -60,13 +62,26 @@
     Inherited(#[from] InheritedError),
     #[error("signals: {0}")]
     Signals(std::io::Error),
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+}
+
+/// How a courier's life ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Stopped,
+    /// Its fleet has given its work to others: the process begins anew, with nothing of it.
+    Anew,
 }
 
+/// A planned stop waits so long for its fleet's word: SIGKILL comes 0.3 s after the last call's end at the soonest.
+const LEAVE: Duration = Duration::from_millis(200);
+
 /// Runs until a planned stop. `operator` came from `path`, where there is such a file.
 ///
 /// # Errors
 /// The courier can't start.
-pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<(), RunError> {
+pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<Ended, RunError> {
     let config = Config::load(|name| std::env::var(name).ok())?;
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
@@ -97,10 +112,34 @@
         never = early_calls(early.as_ref()) => match never {},
     };
     let (lock, handed) = taken.map_err(RunError::Folder)?;
+    let fleet = match operator.fleet.on {
+        false => None,
+        true => {
+            let keyed = config.env.categories.iter().filter(|c| c.effect.as_deref() == Some("dedup"));
+            let span = keyed.map(|c| (c.memory_span_ms * 1e3) as u64).min();
+            let fleet =
+                Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone(), span).await?;
+            let joined = tokio::select! {
+                joined = fleet.joined() => joined,
+                never = early_calls(early.as_ref()) => match never {},
+                _ = stop.recv() => return Ok(Ended::Stopped),
+                _ = interrupt.recv() => return Ok(Ended::Stopped),
+            };
+            fleet.begin_book(&config.state, joined.1)?;
+            Some(fleet)
+        }
+    };
+    let gate = fleet.as_ref().map(|fleet| fleet.gate.clone());
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let (limits, rules) = streams(&operator.streams).unzip();
     let mark = router::mark(&config.env, limits)?;
-    let store = || Folder::open(&config.state).map_err(RunError::Folder);
+    let store = || {
+        let folder = Folder::open(&config.state).map_err(RunError::Folder)?;
+        Ok::<_, RunError>(match &gate {
+            Some(gate) => folder.with_gate(gate.clone()),
+            None => folder,
+        })
+    };
     let resumed = match handed {
         None => None,
         Some(Handed { state: hub::State { router: state, holds }, drained, parts }) => {
@@ -121,7 +160,10 @@
             (Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?, None)
         }
     };
-    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules);
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules, gate.clone());
+    if let Some(fleet) = &fleet {
+        fleet.attach(&courier, &config.state)?;
+    }
     let listener = match (inherited, came.as_mut()) {
         (Some(listener), _) => TcpListener::from_std(listener),
         // Bound by the process before, which has handed it over too.
@@ -146,7 +188,7 @@
     let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
     let listener = Rc::new(listener);
     let told = settings(&config.env, &mut Names::default()).map_err(RouterError::Decode)?;
-    let fleet = platform::Fleet {
+    let others = platform::Fleet {
         couriers: told.siblings,
         seed: config.seed,
         starts: came.is_none(),
@@ -159,19 +201,18 @@
                 actix_rt::spawn(serve(listener.clone(), courier.clone(), connections.clone())),
                 actix_rt::spawn(courier.clone().keep_time()),
                 actix_rt::spawn(courier.clone().sweep()),
-                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), fleet)),
+                actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), others)),
                 actix_rt::spawn(platform::notify(courier.clone(), discovery.clone())),
             ]
         }
     };
-    let life = Rc::new(Life {
+    let holder = Rc::new(Holder {
         courier: courier.clone(),
         connections: connections.clone(),
         desk: desk.clone(),
         folder: config.state.clone(),
         mark,
         listener,
-        giver: RefCell::default(),
         lock: Cell::new(Some(lock)),
         begin: Box::new(begin),
         tasks: RefCell::default(),
@@ -182,7 +223,7 @@
         Some((holds, drained, parts)) => {
             tracing::info!("upgrade: {} parts came over", parts.len());
             courier.resume(&holds, steps);
-            life.adopt(parts);
+            holder.adopt(parts);
             if drained {
                 desk.drained();
             }
@@ -191,9 +232,12 @@
     // Through a planned stop too: the last notices go where the platform is by then.
     let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
-    life.begin();
-    courier.set_serving(true);
-    if let Err(e) = life.listen() {
+    holder.begin();
+    courier.handle.live(Input::Serve);
+    // In a fleet the next process joins with the same folder: it is a member of its own.
+    if fleet.is_none()
+        && let Err(e) = holder.listen()
+    {
         tracing::error!("upgrade: the next process will not be heard: {e}");
     }
     actix_rt::spawn(desk.clone().keep_time());
@@ -201,35 +245,57 @@
         actix_rt::spawn(async move { operators::serve(&operators, Some(desk)).await });
     }
 
-    loop {
+    let asked = loop {
         tokio::select! {
-            _ = stop.recv() => break,
-            _ = interrupt.recv() => break,
-            () = life.gone.notified() => return gone(&config, &mut stop).await,
+            _ = stop.recv() => ask_to_stop(&courier),
+            _ = interrupt.recv() => ask_to_stop(&courier),
+            asked = courier.handle.stops() => break asked,
+            () = replaced(fleet.as_deref()) => {
+                tracing::error!("fleet: others have its work by now: the process begins anew; {}", courier.report());
+                courier.handle.live(Input::End);
+                return Ok(Ended::Anew);
+            }
+            () = holder.gone.notified() => return gone(&config, &courier, &mut stop).await,
             _ = ask.recv() => tracing::info!("{}: {}", config.name, courier.report()),
         }
-    }
-    let begun = Instant::now();
+    };
+    // A hand-over that was under way when it was asked for has taken a part of its time.
+    let left = |of: Duration| clock.until(asked + of.as_micros() as u64);
     tracing::info!("{}: stopping; {}", config.name, courier.report());
-    courier.stop(clock.now() + CALLS_END.as_micros() as u64);
+    courier.stop(asked + CALLS_END.as_micros() as u64);
     connections.close_after_answers(true);
-    sleep(ACCEPT_ON).await;
-    if let Some(server) = life.tasks.borrow().first() {
+    sleep(left(ACCEPT_ON)).await;
+    if let Some(server) = holder.tasks.borrow().first() {
         server.abort();
     }
-    while begun.elapsed() < STOP {
-        if begun.elapsed() >= CALLS_END {
+    while left(STOP) > Duration::ZERO {
+        if left(CALLS_END) == Duration::ZERO {
             courier.end_streams();
         }
         let open = connections.close_idle();
         if !open && courier.is_quiet() {
             break;
         }
-        sleep_until((Instant::now() + LOOK).min(begun + STOP)).await;
+        sleep(LOOK.min(left(STOP))).await;
+    }
+    if let Some(fleet) = &fleet
+        && timeout(LEAVE, fleet.leave()).await.is_err()
+    {
+        tracing::warn!(
+            "fleet: it did not confirm the leave in time: its book is taken over when the lease lapses"
+        );
     }
     tracing::info!("{}: stopped; {}", config.name, courier.report());
-    courier.end();
-    Ok(())
+    courier.handle.live(Input::End);
+    Ok(Ended::Stopped)
+}
+
+/// Waits until others have its work, if it is one of a fleet.
+async fn replaced(fleet: Option<&Fleet>) {
+    match fleet {
+        Some(fleet) => fleet.gone.notified().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Answers operators before there is anything to ask; for ever, as listeners do.
@@ -240,13 +306,20 @@
     std::future::pending().await
 }
 
+fn ask_to_stop(courier: &Courier) {
+    courier.handle.live(Input::Stop);
+    if courier.handle.life().stopping().is_none() {
+        tracing::info!("upgrade: told to stop while all is being handed over: its end is waited for");
+    }
+}
+
 /// Another process decides: operators' calls are passed on to it, until this one is told to end.
-async fn gone(config: &Config, stop: &mut Signal) -> Result<(), RunError> {
-    if config.operator.is_some() {
+async fn gone(config: &Config, courier: &Courier, stop: &mut Signal) -> Result<Ended, RunError> {
+    if config.operator.is_some() && !courier.handle.life().is_told_to_stop() {
         let _ = timeout(PASS_ON, stop.recv()).await;
     }
     tracing::info!("{}: stopped; another process has taken over", config.name);
-    Ok(())
+    Ok(Ended::Stopped)
 }
 
 /// What the operator file lets be streamed.
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -2,21 +2,23 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
-use super::handover::{Part, Parts};
+use super::gate::Gate;
+use super::handle::{Handle, Part, Parts};
 use super::providers::{self, Came, Words};
-use super::streams::{self, Pipe, Rules, Streams};
+use super::streams::{self, Fails, Pipe, Rules, Streams};
 use actix_rt::net::TcpStream;
 use quillmount_core::call::{self, Call};
 use quillmount_core::counters::Counters;
 use quillmount_core::flow::{Cut, Flow};
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
+use quillmount_core::journal::{Entry, JournalError, Source};
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router};
 use quillmount_core::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList, StreamHead};
 use spurshore::{Micros, MsgId};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,30 +31,19 @@
 
 pub struct Courier {
     pub clock: Clock,
-    /// How long a connection to a provider may take to come up.
-    pub connect: Duration,
-    hub: RefCell<Hub<Folder, TcpStream>>,
+    /// What its tasks know of it.
+    pub handle: Rc<Handle>,
     /// What calls that are out are told.
     words: RefCell<HashMap<CallId, Rc<Words>>>,
     /// What may be streamed, where anything may, and what is.
     pub rules: Option<Rules>,
-    pub streams: Streams,
+    streams: Rc<Streams>,
     pipes: RefCell<HashMap<MsgId, Rc<Pipe>>>,
-    /// The process is at its end: what is dropped now is taken up by the next life.
-    ended: Cell<bool>,
-    serving: Cell<bool>,
-    /// A planned stop has begun.
-    stopping: Cell<bool>,
-    /// Another process goes on: tasks give their parts up.
-    hands_over: Cell<bool>,
-    /// Nothing is decided here any more, or not now.
-    frozen: Cell<bool>,
-    parts: RefCell<Parts<TcpStream>>,
-    /// Operators have emptied it: the front is told no.
-    drained: Cell<bool>,
     /// The router's next wake-up may have moved.
     moved: Notify,
     notices: Notify,
+    /// Where the courier is one of a fleet: what is written counts once others have it too.
+    pub gate: Option<Rc<Gate>>,
 }
 
 impl Courier {
@@ -62,67 +53,34 @@
         router: Router<Folder>,
         pool: Pool<TcpStream>,
         rules: Option<Rules>,
+        gate: Option<Rc<Gate>>,
     ) -> Rc<Self> {
         Rc::new(Courier {
-            streams: Streams::new(rules.as_ref().map_or(0, |rules| rules.turn)),
+            streams: Rc::new(Streams::new(rules.as_ref().map_or(0, |rules| rules.turn))),
             rules,
             pipes: RefCell::default(),
-            ended: Cell::new(false),
+            handle: Rc::new(Handle::new(clock.clone(), connect, Hub::new(router, pool))),
             clock,
-            connect,
-            hub: RefCell::new(Hub::new(router, pool)),
             words: RefCell::default(),
-            serving: Cell::new(false),
-            stopping: Cell::new(false),
-            drained: Cell::new(false),
-            hands_over: Cell::new(false),
-            frozen: Cell::new(false),
-            parts: RefCell::default(),
             moved: Notify::new(),
             notices: Notify::new(),
+            gate,
         })
     }
 
     /// Counts what the router does not see.
     pub fn count(&self, one: impl FnOnce(&mut Counters)) {
-        one(&mut self.hub.borrow_mut().router.counters);
-    }
-
-    pub fn is_serving(&self) -> bool {
-        self.serving.get()
-    }
-
-    pub fn set_serving(&self, serving: bool) {
-        self.serving.set(serving);
-    }
-
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.handle.count(one);
     }
 
     /// Whether the front may send consumers here.
     pub fn wants_consumers(&self) -> bool {
-        self.serving.get() && !self.drained.get()
-    }
-
-    pub fn is_drained(&self) -> bool {
-        self.drained.get()
-    }
-
-    /// Tasks are to give their parts up to another process.
-    pub fn hands_over(&self) -> bool {
-        self.hands_over.get()
-    }
-
-    /// A task gives its part up.
-    pub fn give(&self, part: Part, stream: Option<TcpStream>) {
-        self.parts.borrow_mut().push((part, stream));
+        self.handle.life().wants_consumers() && self.gate.as_ref().is_none_or(|gate| gate.takes_on().is_ok())
     }
 
     /// Asks all calls to give their parts up; streams end as at a planned stop.
     pub fn hand_over(self: &Rc<Self>) {
         self.end_streams();
-        self.hands_over.set(true);
         self.words.borrow().values().for_each(|words| words.give());
     }
 
@@ -131,77 +89,94 @@
         self.words.borrow().len()
     }
 
-    /// The parts that were given up so far.
-    pub fn given(&self) -> Parts<TcpStream> {
-        self.parts.take()
-    }
-
-    /// Another process has taken over, or the planned stop is done.
-    pub fn has_ended(&self) -> bool {
-        self.ended.get()
-    }
-
-    /// From here on nothing is decided: all state, and all parts.
-    pub fn freeze(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
-        self.frozen.set(true);
-        let mut parts = self.parts.take();
-        let resting = self.pool(Pool::take_resting);
+    /// All state, and all parts, once nothing is decided any more.
+    pub fn frozen(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
+        let mut parts = self.handle.given();
+        let resting = self.handle.pool(Pool::take_resting);
         parts.extend(
             resting.into_iter().map(|(provider, addr, since, stream)| {
                 (Part::Resting { provider, addr, since }, Some(stream))
             }),
         );
-        (self.hub.borrow().state(settings), parts)
-    }
-
-    /// Decides again, as if nothing had been asked.
-    pub fn thaw(&self) {
-        self.frozen.set(false);
-        self.hands_over.set(false);
+        (self.handle.hub.borrow().state(settings), parts)
     }
 
     /// Takes up a call of another process, or of this one before it froze.
     pub fn go_on(self: &Rc<Self>, part: call::Part, stream: Option<TcpStream>) {
         let (dest, id, addr) = (part.order.dest, part.order.call, part.order.addr);
-        let call = providers::go_on(self, part, stream);
+        let call = providers::go_on(&self.handle, part, stream);
         tracing::debug!("call: {id:?} to {addr}, destination {dest}, goes on");
-        self.make(id, addr, call, tracing::Span::none());
+        self.make(id, addr, call, None, tracing::Span::none());
     }
 
     /// Takes up a connection that rests.
     pub fn rest(&self, provider: u32, addr: SocketAddr, since: Micros, stream: TcpStream) {
-        drop(self.pool(|pool| pool.rest(provider, addr, since, stream)));
+        drop(self.handle.pool(|pool| pool.rest(provider, addr, since, stream)));
     }
 
     /// Calls that are out by the state of another process, and came without their parts: they may have run.
     pub fn calls_lost(self: &Rc<Self>) {
-        let out = self.hub.borrow().router.calls_out();
+        let out = self.handle.hub.borrow().router.calls_out();
         for call in out.into_iter().filter(|call| !self.words.borrow().contains_key(call)) {
             tracing::warn!("upgrade: call {call:?} did not come over");
-            let todo = self.hub.borrow_mut().call_ended(call, CallEnd::Reset, self.clock.now());
+            let todo = self.handle.hub.borrow_mut().call_ended(call, CallEnd::Reset, self.clock.now());
             self.carry_out(todo);
         }
     }
 
     /// The first steps of a state that another process had.
     pub fn resume(self: &Rc<Self>, holds: &[(u32, Micros)], steps: Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().resume(holds, steps, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().resume(holds, steps, self.clock.now());
         self.carry_out(todo);
     }
 
-    pub fn set_drained(&self, drained: bool) {
-        self.drained.set(drained);
+    pub fn take_on(self: &Rc<Self>, invocation: Invocation) -> Intake {
+        if let Some(Err(after)) = self.gate.as_ref().map(|gate| gate.takes_on()) {
+            self.count(|c| c.rejected += 1);
+            return Intake::Rejected { after };
+        }
+        let (intake, todo) = self.handle.hub.borrow_mut().take_on(invocation, self.clock.now());
+        self.carry_out(todo);
+        intake
     }
 
-    /// The connections to the providers.
-    pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
-        act(&mut self.hub.borrow_mut().pool)
+    /// What is written by now is where it has to be: at once, but in a fleet.
+    pub async fn copied(&self) {
+        if let Some(gate) = &self.gate {
+            gate.copied().await;
+        }
     }
 
-    pub fn take_on(self: &Rc<Self>, invocation: Invocation) -> Intake {
-        let (intake, todo) = self.hub.borrow_mut().take_on(invocation, self.clock.now());
+    /// The courier may act on what is written by now: at once, but in a fleet.
+    pub async fn may_act(&self) {
+        if let Some(gate) = &self.gate {
+            gate.pass(gate.written(), Micros::MAX).await;
+        }
+    }
+
+    /// Takes over what another courier's book owes; see [`Router::adopt`].
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt(self: &Rc<Self>, entries: Vec<Entry>) -> Result<(), JournalError> {
+        let todo = self.handle.hub.borrow_mut().adopt(entries, self.clock.now())?;
         self.carry_out(todo);
-        intake
+        Ok(())
+    }
+
+    /// Sources whose messages wait for the fleet's word.
+    pub fn unsettled(&self) -> Vec<Source> {
+        self.handle.hub.borrow().router.unsettled().cloned().collect()
+    }
+
+    /// The fleet has said whose the messages of a source are; see [`Router::settle_from`].
+    ///
+    /// # Errors
+    /// The store refused the record: they go on to wait.
+    pub fn settle_from(self: &Rc<Self>, source: &Source, kept: bool) -> Result<(), JournalError> {
+        let todo = self.handle.hub.borrow_mut().settle(source, kept, self.clock.now())?;
+        self.carry_out(todo);
+        Ok(())
     }
 
     /// A stream's head has come; its body is read once a call has begun.
@@ -215,9 +190,9 @@
         rules: &Rules,
     ) -> Result<Rc<Pipe>, Intake> {
         let now = self.clock.now();
-        let (intake, msg, todo) = self.hub.borrow_mut().take_on_stream(invocation, now);
+        let (intake, msg, todo) = self.handle.hub.borrow_mut().take_on_stream(invocation, now);
         let flow = Flow::new(rules.window, head.length, rules.consumer, rules.provider, now);
-        let pipe = Pipe::new(msg, head, flow);
+        let pipe = Pipe::new(msg, head, flow, self.streams.clone());
         if intake == Intake::TakenOn {
             self.pipes.borrow_mut().insert(msg, pipe.clone());
         }
@@ -225,8 +200,16 @@
         if intake == Intake::TakenOn { Ok(pipe) } else { Err(intake) }
     }
 
+    /// A stream does not go on.
+    pub fn stream_fails(self: &Rc<Self>, pipe: &Pipe, why: Fails) {
+        match why {
+            Fails::Cut(why) => self.stream_cut(pipe, why),
+            Fails::Unbegun => self.stream(|router| router.stream_unbegun(pipe.msg, self.clock.now())),
+        }
+    }
+
     /// A stream's body will never be whole.
-    pub fn stream_cut(self: &Rc<Self>, pipe: &Pipe, why: Cut) {
+    fn stream_cut(self: &Rc<Self>, pipe: &Pipe, why: Cut) {
         let now = self.clock.now();
         pipe.cut(why, now);
         self.stream(|router| router.stream_cut(pipe.msg, Some(why), now));
@@ -242,19 +225,8 @@
         }
     }
 
-    /// No call of it has begun in time.
-    pub fn stream_unbegun(self: &Rc<Self>, pipe: &Pipe) {
-        let now = self.clock.now();
-        self.stream(|router| router.stream_unbegun(pipe.msg, now));
-    }
-
-    /// A part of its body is gone.
-    pub fn stream_committed(&self, msg: MsgId) {
-        self.hub.borrow_mut().router.stream_committed(msg);
-    }
-
     /// The last byte of its call has left.
-    pub fn stream_written(self: &Rc<Self>, call: CallId) {
+    fn stream_written(self: &Rc<Self>, call: CallId) {
         let now = self.clock.now();
         self.stream(|router| router.stream_written(call, now));
     }
@@ -266,14 +238,9 @@
         self.stream(|router| router.answered(msg, heard, now));
     }
 
-    /// From here on nothing is begun any more.
-    pub fn end(&self) {
-        self.ended.set(true);
-    }
-
     /// Its connection has ended before its answer.
     pub fn stream_lost(self: &Rc<Self>, msg: MsgId) {
-        if self.ended.get() {
+        if self.handle.life().has_ended() {
             return;
         }
         let pipe = self.pipes.borrow().get(&msg).cloned();
@@ -284,18 +251,18 @@
     }
 
     fn stream(self: &Rc<Self>, act: impl FnOnce(&mut Router<Folder>) -> Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().stream(act, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().stream(act, self.clock.now());
         self.carry_out(todo);
     }
 
     pub fn list(self: &Rc<Self>, list: ProviderList) {
-        if self.frozen.get() {
+        if self.handle.life().is_frozen() {
             // Whoever decides next watches from the version that is known.
             return;
         }
         self.count(|c| c.list_changes += 1);
         let (version, lines) = (list.version, list.providers.len());
-        let todo = self.hub.borrow_mut().list(list, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().list(list, self.clock.now());
         tracing::info!("discovery: version {version} with {lines} lines");
         self.carry_out(todo);
     }
@@ -305,24 +272,23 @@
     /// # Errors
     /// Nobody has the id, or its record could not be written: nothing has changed.
     pub fn hold(self: &Rc<Self>, id: &str, held: bool) -> Result<(), HoldError> {
-        let todo = self.hub.borrow_mut().hold(id, held, self.clock.now())?;
+        let todo = self.handle.hub.borrow_mut().hold(id, held, self.clock.now())?;
         self.carry_out(todo);
         Ok(())
     }
 
     pub fn list_version(&self) -> u64 {
-        self.hub.borrow().router.version()
+        self.handle.hub.borrow().router.version()
     }
 
+    /// The process ends at `at`.
     pub fn stop(self: &Rc<Self>, at: Micros) {
-        self.serving.set(false);
-        self.stopping.set(true);
-        let todo = self.hub.borrow_mut().stop(self.clock.now(), at);
+        let todo = self.handle.hub.borrow_mut().stop(self.clock.now(), at);
         self.carry_out(todo);
     }
 
     pub fn notices(&self, most: usize) -> Vec<Notice> {
-        self.hub.borrow().router.notices(most)
+        self.handle.hub.borrow().router.notices(most)
     }
 
     pub async fn notices_wanted(&self) {
@@ -330,35 +296,39 @@
     }
 
     pub fn told(self: &Rc<Self>, notices: &[Notice]) {
-        if self.frozen.get() {
+        if self.handle.life().is_frozen() {
             // Told twice does no harm.
             return;
         }
-        let todo = self.hub.borrow_mut().told(notices, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().told(notices, self.clock.now());
         self.carry_out(todo);
     }
 
     /// Nothing is owed, and no call is out.
     pub fn is_quiet(&self) -> bool {
-        self.hub.borrow().is_quiet()
+        self.handle.hub.borrow().is_quiet()
     }
 
     pub fn report(&self) -> String {
-        let router = &self.hub.borrow().router;
+        let router = &self.handle.hub.borrow().router;
         let (owed, out) = router.load();
-        format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk())
+        let own = format!("{} owed={owed} calls_out={out} journal_bytes={}", router.counters, router.disk());
+        match &self.gate {
+            Some(gate) => format!("{own} {}", gate.report()),
+            None => own,
+        }
     }
 
     /// The first steps of a router that has read its journal.
     pub fn begin(self: &Rc<Self>, steps: Vec<quillmount_core::router::Step>) {
-        let todo = self.hub.borrow_mut().carry_out(steps, self.clock.now());
+        let todo = self.handle.hub.borrow_mut().carry_out(steps, self.clock.now());
         self.carry_out(todo);
     }
 
     /// Wakes the router whenever it wants to.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let wake = self.hub.borrow().router.wake_at();
+            let wake = self.handle.hub.borrow().router.wake_at();
             let moved = self.moved.notified();
             match wake {
                 None => moved.await,
@@ -369,11 +339,11 @@
                     }
                 }
             }
-            if self.frozen.get() {
+            if self.handle.life().is_frozen() {
                 return;
             }
             if wake.is_some_and(|at| at <= self.clock.now()) {
-                let todo = self.hub.borrow_mut().tick(self.clock.now());
+                let todo = self.handle.hub.borrow_mut().tick(self.clock.now());
                 self.carry_out(todo);
             }
         }
@@ -383,7 +353,7 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             actix_rt::time::sleep(SWEEP).await;
-            drop(self.pool(|pool| pool.sweep(self.clock.now(), providers::is_quiet)));
+            drop(self.handle.pool(|pool| pool.sweep(self.clock.now(), providers::is_quiet)));
         }
     }
 
@@ -411,7 +381,7 @@
         self.moved.notify_one();
     }
 
-    fn call(self: &Rc<Self>, call: InvokerCall) {
+    fn call(self: &Rc<Self>, mut call: InvokerCall) {
         tracing::debug!("call: {:?} to {}, {} us", call.call, call.addr, call.timeout);
         // Of no other span: a call that another's end began would carry that one's along, and so on all day.
         let span = tracing::debug_span!(
@@ -422,43 +392,58 @@
             attempt = call.call.attempt
         );
         let (id, addr) = (call.call, call.addr);
+        let passes = self.gate.as_ref().map(|gate| {
+            call.by = call.by.min(gate.latest(self.clock.now()));
+            (gate.clone(), gate.written(), call.by)
+        });
         let call = providers::begin(call, self.clock.now());
-        self.make(id, addr, call, span);
+        self.make(id, addr, call, passes, span);
     }
 
-    /// Makes a call, from where it stands.
+    /// Makes a call, from where it stands; one that is to pass the gate does so before its first byte.
     fn make(
         self: &Rc<Self>,
         id: CallId,
         addr: SocketAddr,
         call: (Call<TcpStream>, Micros),
+        passes: Option<(Rc<Gate>, u64, Micros)>,
         span: tracing::Span,
     ) {
         let words = Rc::new(Words::default());
         self.words.borrow_mut().insert(id, words.clone());
         let this = self.clone();
         let made = async move {
-            let came = if call.0.order.stream {
+            // On the heap: without a fleet no call would have to carry the room for it.
+            let passed = match passes {
+                None => true,
+                Some((gate, mark, by)) => Box::pin(async move { gate.pass(mark, by).await }).await,
+            };
+            let came = if !passed {
+                Came::Ended(CallEnd::HeldBack)
+            } else if call.0.order.stream {
                 let pipe = this.pipes.borrow().get(&id.msg).cloned();
                 Came::Ended(match pipe {
                     // On the heap: every other call would carry the room for it along.
-                    Some(pipe) => Box::pin(streams::call(&this, call.0.order, &words, &pipe)).await,
+                    Some(pipe) => {
+                        let written = || this.stream_written(id);
+                        Box::pin(streams::call(&this.handle, call.0.order, &words, &pipe, written)).await
+                    }
                     // Its consumer has gone: its body with it.
                     None => CallEnd::HeldBack,
                 })
             } else {
-                providers::call(&this, call, &words).await
+                providers::call(&this.handle, call, &words).await
             };
             this.words.borrow_mut().remove(&id);
             let (end, each) = match came {
                 Came::Ended(end) => (end, None),
                 Came::Each(ends, wait) => (CallEnd::Each, Some((ends, wait))),
-                Came::Given(part, stream) => return this.give(Part::Call(part), stream),
+                Came::Given(part, stream) => return this.handle.give(Part::Call(part), stream),
             };
             let now = this.clock.now();
             let todo = match &each {
-                None => this.hub.borrow_mut().call_ended(id, end, now),
-                Some((ends, wait)) => this.hub.borrow_mut().call_ended_each(id, ends, *wait, now),
+                None => this.handle.hub.borrow_mut().call_ended(id, end, now),
+                Some((ends, wait)) => this.handle.hub.borrow_mut().call_ended_each(id, ends, *wait, now),
             };
             tracing::debug!("call ended: {id:?} to {addr}: {end:?} {:?}", each.unwrap_or_default());
             this.carry_out(todo);
