--- a/fleet/tests/settlement.rs
+++ b/fleet/tests/settlement.rs
@@ -236,8 +236,8 @@
             Output::Pin { id, session } => {
                 let held = self.pinned.entry((c, id.dest)).or_default();
                 held.insert((id.clone(), session));
-                // A budget that was lowered is met as sessions end.
-                if held.len() > (self.budget.max(4) / 2) as usize {
+                // A lowered budget is met as sessions end; none is given until it is.
+                if held.len() > (self.budget / 2) as usize {
                     self.wrong(format!(
                         "{} sessions pinned at {}",
                         self.pinned[&(c, id.dest)].len(),
@@ -661,7 +661,7 @@
     faults: u32,
     drains: u32,
     /// Hand-ins that are made: the order in which consumers come.
-    hands: VecDeque<(usize, u64)>,
+    hands: VecDeque<(usize, u64, SettlementId)>,
 }
 
 #[derive(Clone, Debug)]
@@ -754,7 +754,7 @@
     moves
 }
 
-fn step(world: &mut World, left: &mut Left, id: &SettlementId, one: &Move) {
+fn step(world: &mut World, left: &mut Left, one: &Move) {
     let take = |world: &mut World, flight: &Flight| {
         let at = world.flights.iter().position(|(_, other)| other == flight).unwrap();
         world.flights.swap_remove(at).1
@@ -771,9 +771,10 @@
         }
         Move::Apply(c) => world.apply(*c),
         Move::Hand => {
-            let (to, position) = left.hands.pop_front().unwrap();
-            let ask = world.hand(id, position);
-            world.deliver(Flight::Hand { to, ticket: position * 10, id: id.clone(), ask }, None);
+            let (to, position, id) = left.hands.pop_front().unwrap();
+            let ask = world.hand(&id, position);
+            let ticket = (print(&id.name) % 1_000 * 10 + position) * 10;
+            world.deliver(Flight::Hand { to, ticket, id, ask }, None);
         }
         Move::Lose(c, life, writes, has_call) => {
             let n = if *life == Life::Dead { &mut left.kills } else { &mut left.pauses };
@@ -856,7 +857,7 @@
         }
         for one in all {
             let (mut next, mut left) = (world.clone(), left.clone());
-            step(&mut next, &mut left, id, &one);
+            step(&mut next, &mut left, &one);
             let is_quiet = next.flights.is_empty() && left.hands.is_empty();
             if is_quiet && moves(&next, &left).is_empty() {
                 if !next.is_over() {
@@ -898,7 +899,8 @@
     let mut world = World::new(2, BTreeMap::from([(7, one)]), 4);
     let id = settlement("s", 7);
     world.plan(&id, of, repeat, LATE);
-    let left = Left { kills: 0, pauses: 0, faults: 0, drains: 0, hands: hands.iter().copied().collect() };
+    let hands = hands.iter().map(|(to, position)| (*to, *position, id.clone())).collect();
+    let left = Left { kills: 0, pauses: 0, faults: 0, drains: 0, hands };
     (world, left, id)
 }
 
@@ -964,6 +966,24 @@
     }
 }
 
+/// One connection may be pinned, and both settlements are half open at some time: each ends, whoever comes first.
+#[test]
+fn two_half_open_settlements_do_not_wait_for_each_other() {
+    let (_, mut left, id) = case(AFTER, Repeat::Never, &[], 2);
+    let mut world = World::new(1, BTreeMap::from([(7, AFTER)]), 2);
+    let other = settlement("t", 7);
+    for one in [&id, &other] {
+        world.plan(one, 2, Repeat::Never, LATE);
+    }
+    left.hands = [(0, 1, &id), (0, 1, &other), (0, 2, &other), (0, 2, &id)]
+        .map(|(to, position, id)| (to, position, id.clone()))
+        .into();
+    left.faults = 1;
+    let found = run_case("two settlements, one pin", world, left, &id);
+    assert!(found.wrong.is_none());
+    assert!(found.ends.contains_key(&Verdict::Closed { of: 2 }));
+}
+
 // ---------------------------------------------------------------------------------------------------------------
 // Simulation.
 
@@ -1019,7 +1039,7 @@
 fn simulate(seed: u64, totals: &mut Totals) -> Option<String> {
     let mut dice = Dice(seed);
     let n = 3 + dice.below(3) as usize;
-    let mut world = World::new(n, BTreeMap::from(DESTS), 20);
+    let mut world = World::new(n, BTreeMap::from(DESTS), 6);
     let mut blows: Vec<(Micros, Blow)> = Vec::new();
     for s in 0..COUNT {
         let id = settlement(&format!("s{s}"), 1 + dice.below(4));
@@ -1210,7 +1230,8 @@
             world.couriers.iter_mut().for_each(|courier| courier.homes.set_mode(4, mode(one)));
         }
         Blow::Budget => {
-            let budget = 4 + 2 * dice.below(9) as u32;
+            let budget = 2 + dice.below(8) as u32;
+            world.budget = budget;
             for c in 0..world.couriers.len() {
                 for (dest, _) in DESTS {
                     let outputs = world.couriers[c].homes.set_budget("north", dest, budget);
