--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -30,6 +30,10 @@
 /// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// Each courier holds as many copies as it has on average; by chance, and after losses, some hold more. Copies take so many
+/// times the own journal's part of the disk, for each copy that the operator file wants.
+const COPIES_DISK: u64 = 4;
+
 /// Why a courier is not one of its fleet.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -45,6 +49,23 @@
         "fleet: the journal of before can't be put aside: {0}; check the lasting folder's disk and rights"
     )]
     Aside(std::io::Error),
+    #[error(
+        "fleet: {0} is of a member that has not left, and the section is off: others may have its work, which would be done \
+         twice; start it with the section on and stop it with SIGTERM, or begin with an empty folder"
+    )]
+    StillMember(String),
+}
+
+/// The last records of a planned stop are given so long to get to the copies: half of what the stop waits for in all.
+const LAST_COPY: Duration = Duration::from_millis(100);
+/// Descriptors for each other courier: a connection each way, and as many that a closed one still holds for a moment.
+const SOCKETS_EACH: usize = 4;
+/// Copies of others' journals, and what is agreed: files of their own.
+const FILES: usize = 8;
+
+/// Descriptors that a courier's part in its fleet takes.
+pub fn sockets(told: &quillmount_operator::fleet::Fleet) -> usize {
+    if told.on { FILES + told.members.len() * (SOCKETS_EACH + told.copies) } else { 0 }
 }
 
 /// What the member wants of the courier, in order.
@@ -95,7 +116,7 @@
 
 impl Fleet {
     /// Opens what the folder has, listens, and speaks to the others from now on. `span`: the shortest time that a partner
-    /// remembers a key.
+    /// remembers a key; `disk`: bytes that the own journal may take.
     ///
     /// # Errors
     /// The folder or the address can't be had.
@@ -105,13 +126,15 @@
         seed: u64,
         clock: Clock,
         span: Option<Micros>,
+        disk: u64,
     ) -> Result<Rc<Fleet>, FleetError> {
         let listen = |source| FleetError::Listen { addr: told.listen.clone(), source };
         let listener = TcpListener::bind(address("listen", &told.listen)?).await.map_err(listen)?;
         let files = Files::open(folder.join("fleet"))?;
         let (life, token) = (draw(seed), draw(seed).max(1));
         let limits = agreement::Limits { seed: life, ..Default::default() };
-        let (member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        let (mut member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        member.room = disk.saturating_mul(told.copies as u64).saturating_mul(COPIES_DISK);
         let mut links = BTreeMap::new();
         let mut ways = Vec::new();
         for peer in told.members.iter().filter(|peer| peer.name != told.me) {
@@ -165,13 +188,10 @@
     /// The folder refuses it.
     pub fn begin_book(&self, folder: &Path, kept: bool) -> Result<(), FleetError> {
         let mut member = self.member.borrow_mut();
-        if !kept {
-            // A kill in between must not leave a journal that counts as the own one.
-            member.note_line(None)?;
-            match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
-                Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(FleetError::Aside(e)),
-                _ => {}
-            }
+        if !kept && member.is_first() {
+            tracing::info!("fleet: a journal of before it was a member is its own: nobody else has it");
+        } else if !kept {
+            put_aside(&mut member, folder)?;
         }
         let line = member.agreed_line();
         member.note_line(line)?;
@@ -192,12 +212,34 @@
         Ok(())
     }
 
-    /// A planned stop: the book is for others, at once.
-    pub async fn leave(&self) {
+    /// A planned stop: the book is for others, at once, and the journal is put aside.
+    ///
+    /// # Errors
+    /// The folder refuses it.
+    pub async fn leave(&self, folder: &Path) -> Result<(), FleetError> {
         let left = self.left.notified();
         self.flush();
+        // What is written and not copied would be taken over as it was before: an end, as none.
+        let _ = actix_rt::time::timeout(LAST_COPY, self.gate.copied()).await;
         self.step(Input::Leave);
         left.await;
+        let mut member = self.member.borrow_mut();
+        if member.has_left() {
+            put_aside(&mut member, folder)?;
+        }
+        Ok(())
+    }
+
+    /// The operator file was read again while serving: those whom it names agree from now on.
+    pub fn read_again(&self, told: &quillmount_operator::fleet::Fleet) {
+        let plan = plan_of(told);
+        let mut member = self.member.borrow_mut();
+        member.plan.voters = plan.voters.clone();
+        if member.plan != plan || !told.on {
+            tracing::warn!(
+                "fleet: only `voters` is read while serving: start again for the rest of the section"
+            );
+        }
     }
 
     /// Another courier's words; what is said to it at once.
@@ -363,6 +405,33 @@
     }
 }
 
+/// Puts the journal aside, as others have what it says.
+fn put_aside(member: &mut Member<Files>, folder: &Path) -> Result<(), FleetError> {
+    // A kill in between must not leave a journal that counts as the own one.
+    member.note_line(None)?;
+    match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(FleetError::Aside(e)),
+        _ => Ok(()),
+    }
+}
+
+/// Whether a courier may start with this folder while the section is off.
+///
+/// # Errors
+/// The folder is of a member that has not left: others have its work, or are to have it.
+pub fn may_be_off(folder: &Path) -> Result<(), FleetError> {
+    let path = folder.join("fleet").join("identity");
+    let bytes = match std::fs::read(&path) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(()),
+        read => read?,
+    };
+    match postcard::from_bytes::<Option<Epoch>>(&bytes) {
+        Ok(None) => Ok(()),
+        _ if bytes.is_empty() => Ok(()),
+        _ => Err(FleetError::StillMember(folder.display().to_string())),
+    }
+}
+
 /// The messages of these parts of a sealed book, each with where it comes from.
 fn entries(parts: &[Source], settled: &BTreeSet<Source>, bytes: &[u8]) -> Vec<journal::Entry> {
     let (book, _) = Book::read(bytes);
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -2,7 +2,7 @@
 
 use super::config::{Config, ConfigError};
 use super::log::{Levels, LevelsError};
-use crate::fleet::{Fleet, FleetError};
+use crate::fleet::{self, Fleet, FleetError};
 use crate::transport::clock::Clock;
 use crate::transport::courier::Courier;
 use crate::transport::folder::Folder;
@@ -92,7 +92,7 @@
     // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
     // not ask.
     let callers = if config.operator.is_some() { operators::CALLERS } else { 0 };
-    let most = config.sockets.saturating_sub(OWN_SOCKETS + callers) / 2;
+    let most = config.sockets.saturating_sub(OWN_SOCKETS + callers + fleet::sockets(&operator.fleet)) / 2;
     let inherited = match std::env::var("GW_INHERITED_FD") {
         Ok(number) => Some(inherited::listener(&number, config.listen)?),
         Err(_) => None,
@@ -113,12 +113,16 @@
     };
     let (lock, handed) = taken.map_err(RunError::Folder)?;
     let fleet = match operator.fleet.on {
-        false => None,
+        false => {
+            fleet::may_be_off(&config.state)?;
+            None
+        }
         true => {
             let keyed = config.env.categories.iter().filter(|c| c.effect.as_deref() == Some("dedup"));
             let span = keyed.map(|c| (c.memory_span_ms * 1e3) as u64).min();
             let fleet =
-                Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone(), span).await?;
+                Fleet::start(&operator.fleet, &config.state, config.seed, clock.clone(), span, config.disk)
+                    .await?;
             let joined = tokio::select! {
                 joined = fleet.joined() => joined,
                 never = early_calls(early.as_ref()) => match never {},
@@ -230,7 +234,8 @@
         }
     }
     // Through a planned stop too: the last notices go where the platform is by then.
-    let read_again = Reload { path: config.path.clone(), operator: path, levels, discovery: moves };
+    let read_again =
+        Reload { path: config.path.clone(), operator: path, levels, discovery: moves, fleet: fleet.clone() };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
     holder.begin();
     courier.handle.live(Input::Serve);
@@ -278,12 +283,14 @@
         }
         sleep(LOOK.min(left(STOP))).await;
     }
-    if let Some(fleet) = &fleet
-        && timeout(LEAVE, fleet.leave()).await.is_err()
-    {
-        tracing::warn!(
-            "fleet: it did not confirm the leave in time: its book is taken over when the lease lapses"
-        );
+    if let Some(fleet) = &fleet {
+        match timeout(LEAVE, fleet.leave(&config.state)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => tracing::error!("{e}"),
+            Err(_) => tracing::warn!(
+                "fleet: it did not confirm the leave in time: its book is taken over when the lease lapses"
+            ),
+        }
     }
     tracing::info!("{}: stopped; {}", config.name, courier.report());
     courier.handle.live(Input::End);
@@ -354,6 +361,7 @@
     operator: Option<PathBuf>,
     levels: Levels,
     discovery: watch::Sender<SocketAddr>,
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Reload {
@@ -370,7 +378,12 @@
             }
             let Some(path) = &self.operator else { continue };
             let read = Operator::load(path).map_err(RunError::from);
-            match read.and_then(|operator| self.levels.set(&operator.log).map_err(RunError::Log)) {
+            let set = |operator: Operator| {
+                self.levels.set(&operator.log).map_err(RunError::Log)?;
+                self.fleet.iter().for_each(|fleet| fleet.read_again(&operator.fleet));
+                Ok(())
+            };
+            match read.and_then(set) {
                 Ok(()) => tracing::info!("operator file: read again"),
                 Err(e) => tracing::error!("operator file: not read again, the old values hold: {e}"),
             }
--- a/courier/tests/fleet/copies.rs
+++ b/courier/tests/fleet/copies.rs
@@ -104,3 +104,35 @@
         heals(&mut fleet).await;
     });
 }
+
+/// The room for copies at a courier is full, by its own limit: no call is made for what it lacks until another holds the copy.
+#[test]
+fn a_copy_without_room_is_replaced() {
+    play(async || {
+        let mut fleet = Fleet::prepare(setup(3)).unwrap();
+        let copy = copies_of(&fleet, 1, 1)[0];
+        fleet.configure(copy, &json!({"limits": {"disk_mb": 0.01}})).unwrap();
+        for n in 0..3 {
+            fleet.spawn(n).unwrap();
+        }
+        settled(&fleet, 1).await;
+        ready(&fleet, 1).await;
+        let large = [b'x'; 30_000];
+        // The second is one too many for the copy.
+        assert_eq!(fleet.hand_in(1, &message("fee-debit", "fits", HOLDS), &large).await, 202);
+        let consumer = fleet.consumer(1);
+        let invocation = message("fee-debit", "waits", HOLDS);
+        let waits = tokio::task::spawn_local(async move { consumer.hand_in(&invocation, &large).await });
+        fleet.says(copy, "can't be kept").await.unwrap();
+        assert_eq!(calls(&fleet, "waits"), 0);
+        fleet.says(1, "is late and is replaced").await.unwrap();
+        // Its consumer may have been given up by then; the message is not.
+        assert!(matches!(waits.await.unwrap(), 0 | 202));
+        for id in ["fits", "waits"] {
+            call(&fleet, id, 1).await;
+            fleet.partner(1).release(id, Answer::ok());
+            ends(&fleet, id).await;
+        }
+        heals(&mut fleet).await;
+    });
+}
--- a/courier/tests/fleet/restarts.rs
+++ b/courier/tests/fleet/restarts.rs
@@ -1,6 +1,7 @@
 //! Couriers that stop, are started again, or come back as others.
 
 use super::*;
+use quillmount_standins::fleet::link::Way;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -123,3 +124,132 @@
         heals(&mut fleet).await;
     });
 }
+
+/// An end that is written as the last thing before the stop is at the copy before the book is others': they don't end it again.
+#[test]
+fn the_last_end_before_a_planned_stop_is_not_told_again() {
+    play(async || {
+        let mut fleet = fleet(5).await;
+        let far = |owner: &usize| copies_of(&fleet, *owner, 1)[0] != leader(&fleet);
+        let owner = others(&fleet, &[leader(&fleet)]).into_iter().find(far).unwrap();
+        let copy = copies_of(&fleet, owner, 1)[0];
+        assert_eq!(fleet.hand_in(owner, &message("fee-debit", "debit", HOLDS), BODY).await, 202);
+        call(&fleet, "debit", 1).await;
+        fleet.term(owner).unwrap();
+        fleet.says(owner, "stopping;").await.unwrap();
+        fleet.link(owner, copy).set(Way::Delay(Duration::from_millis(20)));
+        fleet.partner(1).release("debit", Answer::ok());
+        assert!(fleet.ended(owner).await.unwrap().success());
+        fleet.spawn(owner).unwrap();
+        fleet.says(owner, "with a new book").await.unwrap();
+        heals(&mut fleet).await;
+        assert_eq!(fleet.witness.read(|record| record.notices_of("debit").count()), 0);
+    });
+}
+
+/// The operators name other voters, and every courier reads that while it serves: those agree from then on.
+#[test]
+fn voters_are_exchanged_by_a_hang_up_while_serving() {
+    play(async || {
+        let mut fleet = five().await;
+        let named = now(&fleet);
+        for n in 0..5 {
+            fleet.operate(n, &json!({"fleet": {"voters": ["c", "d", "e"]}})).unwrap();
+            fleet.hang_up(n).unwrap();
+        }
+        for n in 0..5 {
+            let exchanged = |record: &Record| {
+                let mut said = record.lines.iter().filter(|l| l.courier == n && l.when > named);
+                said.any(|line| line.text.ends_with("voters are c, d, e")).then_some(())
+            };
+            fleet.until("the named voters", PATIENCE, exchanged).await.unwrap();
+        }
+        in_hand(&fleet, 0, "debit", "paid").await;
+        // Two of the voters of before.
+        fleet.kill(0).await.unwrap();
+        fleet.kill(1).await.unwrap();
+        taken_over(&fleet, 0, "debit", "paid").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// What a courier owed before it was one of a fleet stays its own. With the section off again, a folder that has not left is
+/// refused, since others may have its work by then; one that has left begins with nothing.
+#[test]
+fn the_section_is_switched_on_and_off() {
+    play(async || {
+        let mut fleet = Fleet::prepare(setup(4)).unwrap();
+        fleet.operate(3, &json!({"fleet": {"on": false}})).unwrap();
+        for n in 0..4 {
+            fleet.spawn(n).unwrap();
+        }
+        for n in 0..4 {
+            ready(&fleet, n).await;
+        }
+        in_hand(&fleet, 3, "debit", "paid").await;
+        fleet.kill(3).await.unwrap();
+        fleet.operate(3, &json!({"fleet": {"on": true}})).unwrap();
+        fleet.spawn(3).unwrap();
+        ends(&fleet, "debit").await;
+        assert_eq!(call(&fleet, "paid", 2).await.courier, 3);
+        fleet.partner(1).release("paid", Answer::ok());
+        ends(&fleet, "paid").await;
+        assert_eq!((calls(&fleet, "debit"), said(&fleet, "takes over")), (1, 0));
+
+        fleet.kill(3).await.unwrap();
+        fleet.operate(3, &json!({"fleet": {"on": false}})).unwrap();
+        fleet.spawn(3).unwrap();
+        assert!(!fleet.ended(3).await.unwrap().success());
+        fleet.says(3, "has not left").await.unwrap();
+
+        fleet.operate(3, &json!({"fleet": {"on": true}})).unwrap();
+        fleet.spawn(3).unwrap();
+        ready(&fleet, 3).await;
+        in_hand(&fleet, 3, "debit-2", "paid-2").await;
+        fleet.term(3).unwrap();
+        assert!(fleet.ended(3).await.unwrap().success());
+        fleet.operate(3, &json!({"fleet": {"on": false}})).unwrap();
+        fleet.spawn(3).unwrap();
+        taken_over(&fleet, 3, "debit-2", "paid-2").await;
+        heals(&mut fleet).await;
+    });
+}
+
+/// A second process with the folder of one that serves waits for it, and takes no part in the fleet before.
+#[test]
+fn a_second_process_with_the_same_folder_waits_for_the_first() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        let folder = fleet.folder(1);
+        let folder = folder.parent().unwrap();
+        let mut second = tokio::process::Command::new(env!("CARGO_BIN_EXE_quillmount"))
+            .arg("run")
+            .arg("--operator")
+            .arg(folder.join("operator.json"))
+            .env("GW_CONFIG", folder.join("config.json"))
+            .env("GW_STATE", folder.join("state"))
+            .env("GW_OPERATOR", "127.0.0.1:0")
+            .env("RUST_LOG", "info")
+            .stderr(std::process::Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let log = tokio::io::BufReader::new(second.stderr.take().unwrap());
+        let mut lines = tokio::io::AsyncBufReadExt::lines(log);
+        let mut says = async |words: &str| {
+            let said = async { while !lines.next_line().await.unwrap().unwrap().contains(words) {} };
+            assert!(timeout(PATIENCE, said).await.is_ok(), "the second process never said {words:?}");
+        };
+        says("does not listen").await;
+        in_hand(&fleet, 1, "debit", "paid").await;
+        assert_eq!(status(&fleet, 1).await, 200);
+        fleet.term(1).unwrap();
+        assert!(fleet.ended(1).await.unwrap().success());
+        says("serving on").await;
+        ready(&fleet, 1).await;
+        taken_over(&fleet, 1, "debit", "paid").await;
+        assert_eq!(fleet.hand_in(1, &message("fee-debit", "next", 1), BODY).await, 202);
+        ends(&fleet, "next").await;
+        clean(&fleet);
+    });
+}
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -201,6 +201,11 @@
         Ok(Copy { store, place: Place::default(), staged: Vec::new(), staged_generation: 0, sealed })
     }
 
+    /// Bytes that it takes, on the disk and before that.
+    pub fn takes(&self) -> u64 {
+        self.store.len() + self.staged.len() as u64
+    }
+
     pub fn is_sealed(&self) -> bool {
         self.sealed
     }
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -24,6 +24,8 @@
 const FETCH_AGAIN: Micros = 300_000;
 /// No sealed book is longer, as no copy is.
 const BOOK_MOST: u64 = crate::book::COPY_MOST;
+/// Bytes for copies of others' books, where the driver says nothing else.
+const ROOM: u64 = 16 * crate::book::COPY_MOST;
 /// Between two looks at what else is to be done: short against a lease.
 const LOOK: Micros = 50_000;
 
@@ -220,6 +222,8 @@
 /// The machine.
 pub struct Member<D: Stores> {
     pub plan: Plan,
+    /// Bytes that copies of others' books may take here; a seal is written beyond it.
+    pub room: u64,
     stores: D,
     agreement: Agreement<D::Store>,
     agreed: Agreed,
@@ -227,6 +231,7 @@
     life: u64,
     line: Option<Epoch>,
     identity: D::Store,
+    first: bool,
     fresh: bool,
     /// Other voters whose folders know of no fleet.
     fresh_voters: BTreeSet<Name>,
@@ -250,6 +255,8 @@
     safe: u64,
     told_copies: Option<(BTreeSet<Name>, bool)>,
     copies: BTreeMap<BookId, Copy<D::Store>>,
+    /// Books of which a copy was last refused here, by the store.
+    refused: BTreeSet<BookId>,
     fetching: BTreeMap<BookId, Fetching>,
     pending: BTreeMap<Source, Pending>,
     asked: Vec<(Command, Micros)>,
@@ -292,7 +299,7 @@
     ) -> Result<(Self, Vec<Output>), MemberError> {
         let (agreement, opened) = Agreement::open(stores.open("agreement")?, token, limits, now)?;
         let mut identity = stores.open("identity")?;
-        let line = read_identity(&mut identity)?;
+        let (first, line) = (identity.is_empty(), read_identity(&mut identity)?);
         let mut copies = BTreeMap::new();
         for name in stores.names()? {
             if let Some(book) = book_of(&name) {
@@ -301,12 +308,14 @@
         }
         let mut member = Member {
             plan,
+            room: ROOM,
             stores,
             agreement,
             agreed: Agreed::default(),
             life,
             line,
             identity,
+            first,
             fresh: opened.new,
             fresh_voters: BTreeSet::new(),
             names: BTreeMap::new(),
@@ -326,6 +335,7 @@
             safe: 0,
             told_copies: None,
             copies,
+            refused: BTreeSet::new(),
             fetching: BTreeMap::new(),
             pending: BTreeMap::new(),
             asked: Vec::new(),
@@ -372,6 +382,11 @@
         times.into_iter().flatten().min()
     }
 
+    /// No process with this folder was ever one of a fleet: a journal that is there is nobody else's.
+    pub fn is_first(&self) -> bool {
+        self.first
+    }
+
     /// Notes the line of the journal that is in the folder from now on; `None`: what is there is worth nothing.
     ///
     /// # Errors
@@ -387,6 +402,12 @@
         self.agreed.books.get(&self.book()?).map(|book| book.line)
     }
 
+    /// Its book is sealed, or over: all that it owed is others' by now.
+    pub fn has_left(&self) -> bool {
+        let own = self.book().and_then(|book| self.agreed.books.get(&book));
+        self.left && own.is_none_or(|book| book.sealed.is_some())
+    }
+
     fn book(&self) -> Option<BookId> {
         Some(BookId { owner: self.plan.me.clone(), epoch: self.epoch? })
     }
@@ -548,6 +569,9 @@
     fn apply(&mut self, command: &[u8], now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
         // One that can't be read is of a later version: all of this version skip it alike.
         let Ok(command) = postcard::from_bytes::<Command>(command) else { return Ok(()) };
+        let known = self.agreed.members.get(&self.plan.me);
+        // Another folder's process had this name: what it owed is others', wherever it is read from.
+        self.first &= known.is_none_or(|m| m.token == self.agreement.token());
         let events = self.agreed.apply(command);
         if !events.is_empty() {
             self.names_known();
@@ -651,6 +675,7 @@
     }
 
     fn forget(&mut self, book: &BookId) -> Result<(), MemberError> {
+        self.refused.remove(book);
         if self.copies.remove(book).is_some() {
             self.stores.remove(&store_name(book))?;
         }
@@ -774,13 +799,27 @@
                     let store = self.stores.open(&store_name(&book))?;
                     self.copies.insert(book.clone(), Copy::open(store)?);
                 }
+                let used = self.copies.values().map(Copy::takes).sum::<u64>() + bytes.len() as u64;
                 let Some(copy) = self.copies.get_mut(&book) else { return Ok(()) };
-                match copy.append(generation, whole, at, &bytes) {
+                let full = || {
+                    io::Error::new(
+                        io::ErrorKind::StorageFull,
+                        format!("{used} bytes of copies, where {} are the most (limits.disk_mb)", self.room),
+                    )
+                };
+                let done =
+                    if used > self.room { Err(full()) } else { copy.append(generation, whole, at, &bytes) };
+                match done {
                     Ok(Some((place, staged))) => {
+                        self.refused.remove(&book);
                         out.push(Output::Send(from, Message::Copied { book, place, staged }));
                     }
                     Ok(None) => {}
-                    Err(e) => out.push(Output::Note(Note::CopyRefused { book, what: e.to_string() })),
+                    Err(e) => {
+                        if self.refused.insert(book.clone()) {
+                            out.push(Output::Note(Note::CopyRefused { book, what: e.to_string() }));
+                        }
+                    }
                 }
             }
             Message::Copied { book, place, staged } => {
@@ -946,7 +985,9 @@
         let Some((version, agreed)) = self.agreed_copies() else { return };
         let (agreed, span) = (agreed.clone(), self.plan.lease * LATE_LEASES);
         let Some(owner) = &self.owner else { return };
-        for name in &agreed {
+        let wanted = self.wanted_copies();
+        // One that is not a copy yet, too: another is to be one instead.
+        for name in agreed.union(&wanted) {
             if owner.late(name, now) > span && !self.late.contains_key(name) {
                 self.late.insert(name.clone(), now + span);
                 out.push(Output::Note(Note::CopyLate { name: name.clone() }));
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -245,8 +245,15 @@
                 events.push(Event::Renamed { from: from.clone(), to });
             }
             None => {
-                if let Some(m) = self.members.get(&name).filter(|m| m.serving) {
-                    self.gone(&name, m.epoch, events);
+                if let Some(m) = self.members.get(&name).cloned() {
+                    if m.serving {
+                        self.gone(&name, m.epoch, events);
+                    }
+                    let id = BookId { owner: name.clone(), epoch: m.epoch };
+                    if self.books.get(&id).is_some_and(|b| b.version == 0) {
+                        self.books.remove(&id);
+                        events.push(Event::Over(id));
+                    }
                 }
                 self.books
                     .insert(to, Book { line: epoch, copies: BTreeSet::new(), version: 0, sealed: None });
@@ -287,10 +294,8 @@
         events.push(Event::Gone { name: name.into(), epoch });
         self.no_copies_at(name, false, events);
         let id = BookId { owner: name.into(), epoch };
-        if self.books.get(&id).is_some_and(|book| book.version == 0) {
-            self.books.remove(&id);
-            events.push(Event::Over(id));
-        } else if let Some(book) = self.books.get_mut(&id) {
+        // Of a book that never had a copy nothing can be taken over: it stays its owner's, as it is.
+        if let Some(book) = self.books.get_mut(&id).filter(|book| book.version > 0) {
             book.sealed = Some(vec![Part::Waiting; PARTS]);
             events.push(Event::Sealed(id));
         }
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -106,6 +106,8 @@
     lives: u64,
     /// Links that are cut, each way alone.
     pub cut: BTreeSet<(usize, usize)>,
+    /// The same, for pages of books alone.
+    pub cut_books: BTreeSet<(usize, usize)>,
     /// Parts of envelopes that are lost, and that come twice.
     pub loss: f64,
     pub doubled: f64,
@@ -136,6 +138,7 @@
             seed,
             lives: 0,
             cut: BTreeSet::new(),
+            cut_books: BTreeSet::new(),
             loss: 0.0,
             doubled: 0.0,
             delay: MS,
@@ -212,6 +215,9 @@
         let Some(n) = self.names.iter().position(|name| *name == to) else { return };
         let Some(p) = &self.processes[from] else { return };
         let token = p.member.agreement().token();
+        if matches!(message, Message::Append { .. }) && self.cut_books.contains(&(from, n)) {
+            return;
+        }
         if self.cut.contains(&(from, n)) || self.chance() < self.loss {
             return;
         }
--- a/fleet/tests/takeover.rs
+++ b/fleet/tests/takeover.rs
@@ -103,6 +103,42 @@
     }
 }
 
+/// The courier that a copy is to be at serves and can't be reached by the owner, from the first: another is chosen.
+#[test]
+fn a_copy_that_never_is_one_is_replaced() {
+    let mut world = World::new(7, 5);
+    world.start_all();
+    let best = |w: &World, i: usize| {
+        let plan = &w.processes[i].as_ref().unwrap().member.plan;
+        let first = plan.copy_order(&w.names.iter().cloned().collect()).remove(0);
+        w.names.iter().position(|name| *name == first).unwrap()
+    };
+    // Neither has a part in the agreement that the other needs.
+    let (owner, copy) = (3..7).map(|i| (i, best(&world, i))).find(|(_, copy)| *copy != 0).unwrap();
+    world.cut.extend([(owner, copy), (copy, owner)]);
+    let up = world.until(world.now + 20 * SEC, |w| (0..7).all(|i| w.ready(i)));
+    assert!(up, "{owner} at {copy}: {:#?}", world.seen.notes);
+}
+
+/// A courier is lost before its book ever had a copy: the book is nobody else's when it is back.
+#[test]
+fn a_book_without_a_copy_stays_its_owners() {
+    let mut world = fleet(3, 6);
+    world.kill(0);
+    world.run(5 * SEC);
+    // Its new book gets no copy.
+    (1..3).for_each(|i| world.cut_books.extend([(0, i)]));
+    world.start(0);
+    assert!(world.until(world.now + 5 * SEC, |w| w.processes[0].as_ref().is_some_and(|p| p.joined)));
+    let line = world.processes[0].as_ref().unwrap().member.agreed_line();
+    world.kill(0);
+    world.run(5 * SEC);
+    world.cut_books.clear();
+    world.start(0);
+    assert!(world.until(world.now + 5 * SEC, |w| w.ready(0)));
+    assert_eq!(world.processes[0].as_ref().unwrap().member.agreed_line(), line);
+}
+
 /// A day of faults: couriers killed, paused, cut off one way and both, started again with their folder and, where `folders`
 /// may be lost, without; words lost, late, doubled and out of order. Then all is healed.
 fn faults(n: usize, seed: u64, folders: bool) -> World {
