--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -116,6 +116,7 @@
     pub copies: usize,
     pub missing: Missing,
     pub voters: usize,
+    pub budgets: Vec<quillmount_fleet::budget::Budget>,
     /// A call takes so long at the provider.
     pub trip: Micros,
     /// Answers on their way: when, to whom, in which life, for what.
@@ -146,6 +147,7 @@
             copies: 1,
             missing: Missing::Require,
             voters: 3.min(n),
+            budgets: Vec::new(),
             trip: 20 * MS,
             answers: Vec::new(),
             replaced: BTreeSet::new(),
@@ -162,6 +164,9 @@
             drift: 0.01,
             copies: self.copies,
             missing: self.missing,
+            budgets: self.budgets.clone(),
+            call: 2 * SEC,
+            quiet: SEC,
         }
     }
 
@@ -336,7 +341,7 @@
                     return;
                 }
                 Output::Lease(_) => self.act(i),
-                Output::Left => {}
+                Output::Left | Output::Orders(_) => {}
                 Output::Note(note) => self.seen.notes.push((self.now, i, note.to_string())),
             }
         }
