Shed what has just come, or has had most of its time, before what was taken on

What comes in the same step is refused at the door instead, at no price; else what is past seven tenths, by worth.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -1235,4 +1235,51 @@
         let calls: Vec<_> = book.owed.values().flat_map(|e| &e.calls).map(|c| c.never_ran).collect();
         assert_eq!(calls[0], Some(true), "{calls:?}");
     }
+
+    /// A crowd's guard leaves the second no turn in its time: it is refused itself, and no notice tells of it.
+    #[test]
+    fn what_is_given_up_as_it_comes_is_not_taken_on() {
+        use crate::journal::Book;
+        let category = spurshore_settings::Category {
+            name: "fee-debit".into(),
+            effect: Some("fragile".into()),
+            deadline_ms: 16_000.0,
+            promise_ms: 3_000.0,
+            ..Default::default()
+        };
+        let env = Env { categories: vec![category], siblings: Some(3_000), me: Some(1), ..Env::default() };
+        let line = Provider {
+            id: "s".into(),
+            addr: "127.0.0.1:1".parse().ok(),
+            dest: 1,
+            kind: String::new(),
+            zone: String::new(),
+            weight: 0.0,
+            state: ListState::Ready,
+        };
+        let known = ProviderList { version: 1, full: true, providers: vec![line] };
+        let now = 1_000_000_000;
+        let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
+        router.list(known, now);
+        let hand_in = |router: &mut Router<Memory>, id: &str| {
+            let (id, class, time_left, body) =
+                (id.into(), "fee-debit".into(), 16_000_000, bytes::Bytes::new());
+            router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now)
+        };
+        let (intake, steps) = hand_in(&mut router, "a");
+        let call = steps.iter().find_map(|s| match s {
+            Step::Call(call) => Some(call.call),
+            _ => None,
+        });
+        assert_eq!(intake, Intake::TakenOn);
+        router.call_ended(call.unwrap(), CallEnd::Full(0), now);
+        for _ in 0..2 {
+            let (intake, _) = hand_in(&mut router, "b");
+            assert!(matches!(intake, Intake::Rejected { after } if after > 0), "{intake:?}");
+        }
+        let notices = router.notices(9).into_iter().map(|n| n.id).collect::<Vec<_>>();
+        assert_eq!((notices, router.load().0), (vec!["a".to_string()], 1));
+        let (book, _) = Book::read(router.journal().store().bytes());
+        assert_eq!(book.owed.len(), 1, "another life owes it nothing");
+    }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,8 +108,9 @@
 const PRESENT: f64 = 0.25;
 /// Seconds of a tenant's share that may come at once and still be inside it.
 const SHARE_BURST: f64 = 2.0;
-/// Part of the holding limit at which shedding starts.
+/// Part of the holding limit at which shedding starts, and tenths of a message's time that make it early.
 const SHED_AT: f64 = 0.9;
+const EARLY: Micros = 7;
 /// Answer this long before the time is up, microseconds, but a fiftieth of it at most, and no later than the
 /// least: a notice that is not confirmed is sent again after 0.3 s, and would come too late by then.
 const ANSWER_EARLY: Micros = 150_000;
@@ -194,7 +195,6 @@
         std::mem::take(&mut self.acts)
     }
 
-    /// A factor near one.
     fn jitter(&mut self) -> f64 {
         1.0 + JITTER * (2.0 * draw(&mut self.rng) - 1.0)
     }
@@ -248,7 +248,6 @@
 
     /// Forgets endpoints gone with no call out, and their lanes a minute after the last call.
     fn forget(&mut self) {
-        // A wait told binds a route that comes back too, and so does the guard, for a turn.
         let (now, lanes, spare) = (self.now, &mut self.lanes, &mut self.spare);
         self.endpoints
             .retain(|_, e| e.listed || e.calls > 0 || lanes[e.lane].keep.max(lanes[e.lane].wait_until) > now);
@@ -449,17 +448,19 @@
         held.map(|(id, before)| (self.due(&self.msgs[&id], self.hope(&self.msgs[&id], before)), id))
     }
 
-    /// Turns away the least valuable before a full buffer does what is new; harmful if it never fills.
+    /// Turns away before a full buffer does: first what is new or has had most of its time, by worth.
     fn shed(&mut self) {
         let limit = (self.set.open_cap as f64 * SHED_AT) as u32;
         while self.open > limit.max(1) {
             let then = self.now + HORIZON;
             let alike = self.waiting.iter().flat_map(|d| self.dests[d].held.alike());
             let ends = alike.flat_map(|(alike, aged)| aged.ends(then, || self.cuts(alike, 0)));
-            let may = ends.filter(|id| self.may_refuse(&self.msgs[id]));
-            let worst = may.map(|id| (self.worth_at(&self.msgs[&id], then), id));
-            let worst = worst.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-            let Some((_, id)) = worst else { return };
+            let may = ends.map(|id| (id, &self.msgs[&id])).filter(|(_, m)| self.may_refuse(m));
+            let late = |m: &Msg| m.came + m.deadline.saturating_sub(m.came) / 10 * EARLY;
+            let early = |m: &Msg| (m.came + 1..late(m)).contains(&self.now);
+            let worst = may.map(|(id, m)| (early(m), self.worth_at(m, then), id));
+            let worst = worst.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
+            let Some((.., id)) = worst else { return };
             self.answer(id, 2 * SEC);
         }
     }
