A member's log is a small trait, so that a model can stand in for it; the break of a lost copy's folder is wired

Cause: Member named Agreement itself, whose timers and draws can't be explored. Change: trait Log, which Agreement has and which Member is generic over; Agreed::join skips its step for lost folders under EmptyCopyKept.

--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -221,11 +221,53 @@
     done: bool,
 }
 
+/// The one log that all couriers agree on, as a member uses it: [`Agreement`], or a model of one where this is explored.
+pub trait Log {
+    /// # Errors
+    /// There is one already, or it can't be written.
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError>;
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output>;
+    fn leader(&self) -> Option<Token>;
+    fn leads(&self) -> bool;
+    fn token(&self) -> Token;
+    fn voters(&self) -> Vec<Token>;
+    fn learners(&self) -> Vec<Token>;
+    fn wake_at(&self) -> Option<Micros>;
+}
+
+impl<S: Store> Log for Agreement<S> {
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError> {
+        Agreement::begin(self, now)
+    }
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output> {
+        Agreement::step(self, input, now)
+    }
+    fn leader(&self) -> Option<Token> {
+        Agreement::leader(self)
+    }
+    fn leads(&self) -> bool {
+        Agreement::leads(self)
+    }
+    fn token(&self) -> Token {
+        Agreement::token(self)
+    }
+    fn voters(&self) -> Vec<Token> {
+        Agreement::voters(self)
+    }
+    fn learners(&self) -> Vec<Token> {
+        Agreement::learners(self)
+    }
+    fn wake_at(&self) -> Option<Micros> {
+        Agreement::wake_at(self)
+    }
+}
+
 /// The machine.
-pub struct Member<D: Stores> {
+#[derive(Clone)]
+pub struct Member<D: Stores, L = Agreement<<D as Stores>::Store>> {
     pub plan: Plan,
     stores: D,
-    agreement: Agreement<D::Store>,
+    agreement: L,
     agreed: Agreed,
     /// Its own process.
     life: u64,
@@ -296,6 +338,23 @@
         now: Micros,
     ) -> Result<(Self, Vec<Output>), MemberError> {
         let (agreement, opened) = Agreement::open(stores.open("agreement")?, token, limits, now)?;
+        Member::with_log(plan, stores, agreement, opened, life, now)
+    }
+}
+
+impl<D: Stores, L: Log> Member<D, L> {
+    /// Takes up what the folder has beside the log, which was opened already.
+    ///
+    /// # Errors
+    /// What is there can't be read.
+    pub fn with_log(
+        plan: Plan,
+        mut stores: D,
+        agreement: L,
+        opened: agreement::Opened,
+        life: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Output>), MemberError> {
         let mut identity = stores.open("identity")?;
         let line = read_identity(&mut identity)?;
         let mut copies = BTreeMap::new();
@@ -358,7 +417,7 @@
         &self.agreed
     }
 
-    pub fn agreement(&self) -> &Agreement<D::Store> {
+    pub fn agreement(&self) -> &L {
         &self.agreement
     }
 
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -2,6 +2,7 @@
 //! over what of it. Every courier applies the same commands in the same order; nothing here knows the time.
 
 use crate::Token;
+use crate::breaks::{self, Break};
 use crate::budget;
 use crate::plan::{Name, weight};
 use crate::shares::{Count, Shared};
@@ -234,6 +235,7 @@
         let old = self.members.get(&name).cloned();
         if let Some(m) = &old
             && m.token != token
+            && !breaks::on(Break::EmptyCopyKept)
         {
             // Its folder is lost, and with it all copies that it held for others.
             self.no_copies_at(&name, true, events);
