--- /dev/null
+++ b/fleet/tests/explore.rs
@@ -0,0 +1,1137 @@
+//! Every fault at every step of a small fleet: the members' own code, on a virtual clock, with the agreed log as a model (one
+//! order, each member applies it at its own pace, a majority commits). `docs/exploration.md` says what is left out.
+
+use bytes::Bytes;
+use quillmount_core::journal::{self, Book, End, Record, Records, TakenOn};
+use quillmount_core::store::Store;
+use quillmount_fleet::Token;
+use quillmount_fleet::agreement::{self, AgreementError, Opened};
+use quillmount_fleet::member::{Input, Log, Member, Output, Stores};
+use quillmount_fleet::message::{Envelope, Message};
+use quillmount_fleet::plan::{Missing, Peer, Plan};
+use quillmount_fleet::state::{Agreed, BookId, Command, Epoch, Part, Source, part_of};
+use spurshore::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Mutex;
+use std::time::Instant;
+
+const MS: Micros = 1_000;
+const LEASE: Micros = 400 * MS;
+const N: usize = 3;
+/// Faults begin no later than this after the first message, and are healed some leases later.
+const LAST_FAULT: Micros = LEASE * 5 / 2;
+const HEAL: Micros = LEASE * 4;
+const OVER: Micros = LEASE * 16;
+
+type Disk = BTreeMap<String, Vec<u8>>;
+
+/// The folders while a process runs, and the effect at which it dies.
+#[derive(Default)]
+struct Hand {
+    disks: Vec<Disk>,
+    left: Option<u32>,
+    effects: u32,
+    dead: bool,
+    /// Effects that are not of leases alone.
+    matters: bool,
+    copies: bool,
+}
+
+thread_local! {
+    static HAND: RefCell<Hand> = RefCell::default();
+}
+
+fn hand<T>(f: impl FnOnce(&mut Hand) -> T) -> T {
+    HAND.with(|hand| f(&mut hand.borrow_mut()))
+}
+
+/// One more effect of the process that runs; whether it lives to see it.
+fn effect(matters: bool) -> bool {
+    hand(|h| {
+        h.dead |= h.left == Some(h.effects);
+        h.effects += u32::from(!h.dead);
+        h.matters |= matters && !h.dead;
+        !h.dead
+    })
+}
+
+thread_local! {
+    static TELLS: Cell<bool> = const { Cell::new(false) };
+}
+
+fn tell(what: impl FnOnce() -> String) {
+    if TELLS.get() {
+        println!("{}", what());
+    }
+}
+
+#[derive(Clone)]
+struct Folder(usize);
+
+#[derive(Clone)]
+struct File(usize, String);
+
+impl Store for File {
+    fn len(&self) -> u64 {
+        hand(|h| h.disks[self.0].get(&self.1).map_or(0, Vec::len)) as u64
+    }
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        Ok(hand(|h| h.disks[self.0].get(&self.1).cloned().unwrap_or_default()))
+    }
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if effect(true) {
+            hand(|h| {
+                h.copies |= self.1.starts_with("copy.");
+                h.disks[self.0].entry(self.1.clone()).or_default().extend_from_slice(bytes);
+            });
+        }
+        Ok(())
+    }
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if effect(true) {
+            hand(|h| {
+                h.copies |= self.1.starts_with("copy.");
+                h.disks[self.0].insert(self.1.clone(), bytes.to_vec())
+            });
+        }
+        Ok(())
+    }
+}
+
+impl Stores for Folder {
+    type Store = File;
+    fn open(&mut self, name: &str) -> io::Result<File> {
+        if !hand(|h| h.dead) {
+            hand(|h| h.disks[self.0].entry(name.into()).or_default().len());
+        }
+        Ok(File(self.0, name.into()))
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        if effect(true) {
+            hand(|h| h.disks[self.0].remove(name));
+        }
+        Ok(())
+    }
+    fn names(&mut self) -> io::Result<Vec<String>> {
+        Ok(hand(|h| h.disks[self.0].keys().cloned().collect()))
+    }
+}
+
+/// The agreed log as one member sees it.
+#[derive(Clone, Default)]
+struct Line {
+    token: Token,
+    leader: Cell<Option<Token>>,
+    /// A majority would confirm that it leads.
+    sure: Cell<bool>,
+    told: RefCell<Vec<agreement::Output>>,
+    proposed: RefCell<Vec<Vec<u8>>>,
+}
+
+impl Log for Line {
+    fn begin(&mut self, _: Micros) -> Result<Vec<agreement::Output>, AgreementError> {
+        Ok(Vec::new())
+    }
+    fn step(&mut self, input: agreement::Input, _: Micros) -> Vec<agreement::Output> {
+        match input {
+            agreement::Input::Tick => self.told.take(),
+            agreement::Input::Read { ticket } if self.sure.get() => {
+                vec![agreement::Output::Readable { ticket }]
+            }
+            agreement::Input::Propose { command, .. } => {
+                self.proposed.borrow_mut().push(command);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+    fn leader(&self) -> Option<Token> {
+        self.leader.get()
+    }
+    fn leads(&self) -> bool {
+        self.leader.get() == Some(self.token)
+    }
+    fn token(&self) -> Token {
+        self.token
+    }
+    fn voters(&self) -> Vec<Token> {
+        Vec::new()
+    }
+    fn learners(&self) -> Vec<Token> {
+        Vec::new()
+    }
+    fn wake_at(&self) -> Option<Micros> {
+        None
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    TakenOn(String),
+    Call { id: String, msg: u64, debit: bool },
+    Ended { id: String, msg: u64, end: End },
+}
+
+#[derive(Clone)]
+struct Process {
+    member: Member<Folder, Line>,
+    life: u64,
+    applied: usize,
+    mark: u64,
+    safe: u64,
+    enough: bool,
+    next: u64,
+    due: Vec<(u64, Due)>,
+    joined: bool,
+    paused: bool,
+    /// Read from the clock before the pause, and gone by in the turn after it.
+    stale: Option<Micros>,
+    /// It applies nothing more until then.
+    behind: Micros,
+    /// What stands in its sockets.
+    inbox: Vec<Event>,
+    /// When it asked for each lease, and the end of what was granted.
+    asked: BTreeMap<u64, Micros>,
+    leased: Micros,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver { from: usize, to: usize, token: Token, message: Message },
+    Commit { life: u64, term: u64, command: Vec<u8> },
+    Apply(usize),
+    Answer { to: usize, life: u64, id: String, msg: u64 },
+    HandIn(usize),
+    Start(usize),
+    Resume(usize),
+    Elect,
+    Heal,
+    Tick(usize),
+}
+
+/// How a killed courier comes back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Back {
+    /// Within its lease.
+    Soon,
+    Late,
+    SoonEmpty,
+    LateEmpty,
+    AtTheEnd,
+}
+
+/// A fault in the place of a step, or before it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// In this step, before that effect.
+    Kill(usize, u32, Back),
+    Lose,
+    Late,
+    Cut(usize, usize),
+    Isolate(usize),
+    Pause(usize),
+    Behind(usize),
+    Depose,
+}
+
+#[derive(Clone, Debug)]
+struct Case {
+    name: &'static str,
+    owner: usize,
+    copies: usize,
+    /// Destination, whether a debit, and when it is handed in.
+    messages: Vec<(u64, bool, Micros)>,
+    /// A call is so long at the provider.
+    trip: Micros,
+    /// Faults on a path.
+    faults: usize,
+    /// Which kinds.
+    only: fn(&Fault) -> bool,
+}
+
+#[derive(Clone, Default)]
+struct Seen {
+    taken_on: BTreeSet<String>,
+    calls: BTreeMap<String, usize>,
+    ends: BTreeMap<String, BTreeSet<String>>,
+    /// Attempts that were at a copy, by owner and message.
+    recorded: BTreeMap<(String, String), usize>,
+    called: BTreeMap<(String, String), usize>,
+    kept: BTreeMap<(String, Epoch, u32), usize>,
+}
+
+#[derive(Clone)]
+struct World<'a> {
+    case: &'a Case,
+    now: Micros,
+    zero: Micros,
+    disks: Vec<Disk>,
+    processes: Vec<Option<Process>>,
+    queue: BTreeMap<(Micros, u64), Event>,
+    order: u64,
+    lives: u64,
+    log: Vec<Vec<u8>>,
+    agreed: Agreed,
+    leader: usize,
+    term: u64,
+    cut: BTreeSet<(usize, usize)>,
+    lost_folder: bool,
+    healed: bool,
+    seen: Seen,
+    bad: Option<String>,
+}
+
+fn name(i: usize) -> String {
+    format!("c{i:03}")
+}
+
+fn number(name: &str) -> usize {
+    name[1..].parse().unwrap()
+}
+
+fn plan(me: usize, copies: usize) -> Plan {
+    Plan {
+        me: name(me),
+        peers: (0..N).map(|i| Peer { name: name(i), host: String::new() }).collect(),
+        voters: (0..N).map(name).collect(),
+        lease: LEASE,
+        drift: 0.01,
+        copies,
+        missing: Missing::Require,
+        budgets: Vec::new(),
+        call: 2 * LEASE,
+        quiet: LEASE,
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(case: &'a Case) -> Self {
+        let mut world = World {
+            case,
+            now: 1_000_000 * MS,
+            zero: Micros::MAX,
+            disks: vec![Disk::new(); N],
+            processes: vec![None; N],
+            queue: BTreeMap::new(),
+            order: 0,
+            lives: 0,
+            log: Vec::new(),
+            agreed: Agreed::default(),
+            leader: 0,
+            term: 1,
+            cut: BTreeSet::new(),
+            lost_folder: false,
+            healed: false,
+            seen: Seen::default(),
+            bad: None,
+        };
+        (0..N).for_each(|i| world.at(0, Event::Start(i)));
+        while !(0..N).all(|i| world.ready(i)) {
+            let next = world.next().unwrap();
+            world.take(next, None);
+            assert!(world.now < 1_010_000 * MS, "the fleet does not come up");
+        }
+        world.zero = world.now;
+        for n in 0..case.messages.len() {
+            world.at(case.messages[n].2, Event::HandIn(n));
+        }
+        world.at(HEAL, Event::Heal);
+        world
+    }
+
+    fn at(&mut self, after: Micros, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + after, self.order), event);
+    }
+
+    fn wrong(&mut self, what: String) {
+        self.bad.get_or_insert(what);
+    }
+
+    fn ready(&self, i: usize) -> bool {
+        let may = |p: &Process| p.joined && p.enough && p.member.may_act(self.now) && !p.paused;
+        self.processes[i].as_ref().is_some_and(may)
+    }
+
+    fn runs(&self, i: usize) -> bool {
+        self.processes[i].as_ref().is_some_and(|p| !p.paused)
+    }
+
+    fn hears(&self, from: usize, to: usize) -> bool {
+        from == to || !self.cut.contains(&(from, to))
+    }
+
+    /// It runs and reaches a majority, both ways.
+    fn carries(&self, i: usize) -> bool {
+        let linked = |j: &usize| self.runs(*j) && self.hears(i, *j) && self.hears(*j, i);
+        self.runs(i) && (0..N).filter(linked).count() > N / 2
+    }
+
+    fn clock(&self, i: usize) -> Micros {
+        self.processes[i].as_ref().and_then(|p| p.stale).unwrap_or(self.now)
+    }
+
+    fn next(&self) -> Option<(Micros, u64, Event)> {
+        let first = self.queue.first_key_value().map(|((at, n), e)| (*at, *n, e.clone()));
+        let ticks = (0..N).filter(|i| self.runs(*i)).filter_map(|i| {
+            let at = self.processes[i].as_ref()?.member.wake_at()?;
+            Some((at.max(self.now), 0, Event::Tick(i)))
+        });
+        // What has come is read before the clock's turn.
+        let tick = ticks.min_by_key(|(at, ..)| *at);
+        match (first, tick) {
+            (Some(first), Some(tick)) if tick.0 < first.0 => Some(tick),
+            (None, tick) => tick,
+            (first, _) => first,
+        }
+    }
+
+    /// The process whose step it is.
+    fn who(&self, event: &Event) -> Option<usize> {
+        match event {
+            Event::Deliver { to, .. } | Event::Answer { to, .. } => Some(*to),
+            Event::Apply(i) | Event::Tick(i) | Event::Resume(i) => Some(*i),
+            Event::HandIn(_) => Some(self.case.owner),
+            _ => None,
+        }
+    }
+
+    /// One step; the process dies before that effect, if one is named. How many there were, and whether any matters.
+    fn take(&mut self, (at, n, event): (Micros, u64, Event), die: Option<u32>) -> (u32, bool) {
+        self.now = self.now.max(at);
+        if n != 0 {
+            self.queue.remove(&(at, n));
+        }
+        let who = self.who(&event);
+        let disks = std::mem::take(&mut self.disks);
+        hand(|h| *h = Hand { disks, left: die, ..Hand::default() });
+        let matters = !matches!(event, Event::Tick(_) | Event::Deliver { .. } | Event::Apply(_));
+        self.play(event);
+        let h = hand(std::mem::take);
+        self.disks = h.disks;
+        if h.dead && let Some(i) = who {
+            self.processes[i] = None;
+        }
+        if h.copies {
+            self.look_at_copies();
+        }
+        self.look_at_holders();
+        (h.effects, matters || h.matters)
+    }
+
+    fn play(&mut self, event: Event) {
+        if !matches!(event, Event::Tick(_)) {
+            tell(|| format!("{} {event:?}", self.now.saturating_sub(self.zero)));
+        }
+        match event {
+            Event::Deliver { from, to, .. } if !self.hears(from, to) => {}
+            Event::Deliver { to, .. } | Event::Answer { to, .. }
+                if self.processes[to].as_ref().is_some_and(|p| p.paused) =>
+            {
+                self.processes[to].as_mut().unwrap().inbox.push(event);
+            }
+            Event::Deliver { from, to, token, message } => {
+                if let (Message::Granted { ticket, .. }, Some(p)) = (&message, &mut self.processes[to])
+                    && let Some(asked) = p.asked.get(ticket)
+                {
+                    p.leased = p.leased.max(asked + p.member.plan.own_lease());
+                }
+                let envelope = Envelope { from: name(from), to: name(to), token, messages: vec![message] };
+                self.step(to, Input::Heard(envelope));
+            }
+            Event::Commit { life, term, command } => {
+                let leads = self.processes[self.leader].as_ref().is_some_and(|p| p.life == life);
+                if leads && term == self.term && self.carries(self.leader) {
+                    self.commit(command);
+                }
+            }
+            Event::Apply(i) | Event::Tick(i) => self.beat(i),
+            Event::Answer { to, life, id, msg } => {
+                if self.processes[to].as_ref().is_some_and(|p| p.life == life) {
+                    let end = End::Delivered;
+                    let mark = self.write(to, &[Record::End { msg, end }]);
+                    self.owe(to, mark, Due::Ended { id, msg, end });
+                }
+            }
+            Event::HandIn(n) => self.hand_in(n),
+            Event::Start(i) => {
+                if self.processes[i].is_none() {
+                    self.start(i);
+                }
+            }
+            Event::Resume(i) => self.resume(i),
+            Event::Elect => self.elect(false),
+            Event::Heal => {
+                self.cut.clear();
+                self.healed = true;
+                for i in 0..N {
+                    self.resume(i);
+                    if self.processes[i].is_none() {
+                        self.start(i);
+                    }
+                }
+                self.elect(false);
+            }
+        }
+    }
+
+    fn resume(&mut self, i: usize) {
+        let Some(p) = self.processes[i].as_mut().filter(|p| p.paused) else { return };
+        p.paused = false;
+        for event in std::mem::take(&mut p.inbox) {
+            self.play(event);
+        }
+        if let Some(p) = &mut self.processes[i] {
+            p.stale = None;
+        }
+        self.beat(i);
+    }
+
+    /// Another leads: where the one of before has no majority, or `anyway`.
+    fn elect(&mut self, anyway: bool) {
+        if self.carries(self.leader) && !anyway {
+            return;
+        }
+        let old = self.leader;
+        let Some(new) = (1..=N).map(|n| (old + n) % N).find(|i| *i != old && self.carries(*i)) else {
+            if !self.carries(old) && !self.healed {
+                self.at(LEASE / 2, Event::Elect);
+            }
+            return;
+        };
+        (self.leader, self.term) = (new, self.term + 1);
+        // No vote goes to one that lacks what was agreed.
+        self.processes[new].as_mut().unwrap().behind = 0;
+        (0..N).for_each(|i| self.beat(i));
+    }
+
+    /// Tells a member what the leader would, and that time has passed.
+    fn beat(&mut self, i: usize) {
+        if !self.runs(i) {
+            return;
+        }
+        let leader = self.processes[self.leader].as_ref().filter(|p| !p.paused);
+        let leader = leader.map(|p| p.member.agreement().token());
+        let told = leader.filter(|_| self.hears(self.leader, i));
+        let Some(p) = &mut self.processes[i] else { return };
+        let line = p.member.agreement();
+        if let Some(token) = told {
+            if line.leader.get() != Some(token) {
+                line.leader.set(Some(token));
+                let leader = agreement::Output::Leader { leader: Some(token), term: self.term };
+                line.told.borrow_mut().push(leader);
+            }
+            if self.now >= p.behind {
+                for (n, command) in self.log.iter().enumerate().skip(p.applied) {
+                    let (index, command) = (n as u64 + 1, command.clone());
+                    line.told.borrow_mut().push(agreement::Output::Committed { index, ticket: None, command });
+                }
+                if p.applied < self.log.len() {
+                    p.applied = self.log.len();
+                    let at = (p.applied as u64).to_le_bytes().to_vec();
+                    if effect(true) {
+                        hand(|h| h.disks[i].insert("applied".into(), at));
+                    }
+                }
+            }
+        }
+        self.step(i, Input::Tick);
+        self.act(i);
+    }
+
+    fn commit(&mut self, command: Vec<u8>) {
+        let read: Command = postcard::from_bytes(&command).unwrap();
+        if let Command::Gone { name, epoch } = &read
+            && self.agreed.epoch_of(name) == Some(*epoch)
+        {
+            let p = self.processes[number(name)].as_ref().filter(|p| !p.paused);
+            if p.is_some_and(|p| p.member.epoch() == Some(*epoch) && p.leased > self.now) {
+                self.wrong(format!("lease: {name} counts as gone, and has a lease"));
+            }
+        }
+        self.agreed.apply(read);
+        self.log.push(command);
+        self.beat(self.leader);
+        let leader = self.leader;
+        for i in (0..N).filter(|i| *i != leader) {
+            self.at(MS, Event::Apply(i));
+        }
+    }
+
+    fn start(&mut self, i: usize) {
+        self.lives += 1;
+        let life = self.lives * 1_000 + i as u64 + 1;
+        let kept = hand(|h| h.disks[i].get("token").cloned());
+        let token = kept.as_ref().map_or(life, |t| u64::from_le_bytes(t[..].try_into().unwrap()));
+        hand(|h| h.disks[i].insert("token".into(), token.to_le_bytes().into()));
+        let applied = hand(|h| h.disks[i].get("applied").cloned());
+        let applied = applied.map_or(0, |t| u64::from_le_bytes(t[..].try_into().unwrap())) as usize;
+        let committed = self.log[..applied].iter().enumerate().map(|(n, c)| (n as u64 + 1, c.clone()));
+        let committed = committed.collect();
+        let opened = Opened { new: kept.is_none(), state: Vec::new(), index: 0, committed };
+        let line = Line { token, ..Line::default() };
+        let plan = plan(i, self.case.copies);
+        let (member, out) = Member::with_log(plan, Folder(i), line, opened, life, self.now).unwrap();
+        let mark = File(i, "journal".into()).len();
+        self.processes[i] = Some(Process {
+            member,
+            life,
+            applied,
+            mark,
+            safe: 0,
+            enough: false,
+            next: 1,
+            due: Vec::new(),
+            joined: false,
+            paused: false,
+            stale: None,
+            behind: 0,
+            inbox: Vec::new(),
+            asked: BTreeMap::new(),
+            leased: 0,
+        });
+        self.carry_out(i, out);
+        self.elect(false);
+    }
+
+    fn step(&mut self, i: usize, input: Input) {
+        let now = self.clock(i);
+        let sure = i == self.leader && self.carries(i);
+        let Some(p) = self.processes[i].as_mut() else { return };
+        p.member.agreement().sure.set(sure);
+        let out = p.member.step(input, now).unwrap();
+        let proposed = p.member.agreement().proposed.take();
+        let life = p.life;
+        for command in proposed {
+            if i == self.leader && effect(true) {
+                // To a majority and back.
+                self.at(2 * MS, Event::Commit { life, term: self.term, command });
+            }
+        }
+        self.carry_out(i, out);
+    }
+
+    fn write(&mut self, i: usize, records: &[Record]) -> u64 {
+        let Some(p) = self.processes[i].as_mut() else { return 0 };
+        let bytes: Vec<u8> = records.iter().flat_map(|r| journal::frame(r).unwrap()).collect();
+        p.mark += bytes.len() as u64;
+        let mark = p.mark;
+        File(i, "journal".into()).append(&bytes).unwrap();
+        self.step(i, Input::Wrote(bytes));
+        mark
+    }
+
+    fn owe(&mut self, i: usize, mark: u64, due: Due) {
+        if let Some(p) = self.processes[i].as_mut() {
+            p.due.push((mark, due));
+        }
+        self.act(i);
+    }
+
+    fn hand_in(&mut self, n: usize) {
+        let (i, (dest, debit, _)) = (self.case.owner, self.case.messages[n]);
+        if !self.ready(i) {
+            return;
+        }
+        let Some(p) = self.processes[i].as_mut() else { return };
+        let (msg, id) = (p.next, format!("m{n}"));
+        p.next += 1;
+        let class = if debit { "fee-debit" } else { "paid-notice" };
+        let deadline = self.now + 100 * LEASE;
+        let (class, body) = (class.into(), Bytes::from_static(b"body"));
+        let taken = TakenOn { id: id.clone(), class, key: None, dest, deadline, body };
+        let mark = self.write(i, &[Record::TakeOn { msg, taken }]);
+        self.owe(i, mark, Due::TakenOn(id.clone()));
+        self.call(i, id, msg, debit);
+    }
+
+    fn call(&mut self, i: usize, id: String, msg: u64, debit: bool) {
+        let mark = self.write(i, &[Record::Attempt { msg, zone: 0, sent: self.now }]);
+        self.owe(i, mark, Due::Call { id, msg, debit });
+    }
+
+    /// What the journal is safe enough for.
+    fn act(&mut self, i: usize) {
+        loop {
+            let now = self.clock(i);
+            let Some(p) = self.processes[i].as_mut().filter(|p| !p.paused) else { return };
+            let may = p.member.may_act(now);
+            let ready = |(mark, due): &(u64, Due)| *mark <= p.safe && (may || matches!(due, Due::TakenOn(_)));
+            let Some(n) = p.due.iter().position(ready) else { return };
+            let (due, stale, leased) = (p.due.remove(n).1, p.stale.is_some(), p.leased);
+            let (life, epoch) = (p.life, p.member.epoch());
+            if !effect(true) {
+                return;
+            }
+            match due {
+                Due::TakenOn(id) => drop(self.seen.taken_on.insert(id)),
+                Due::Ended { id, msg, end } => {
+                    self.seen.ends.entry(id).or_default().insert(format!("{end:?}"));
+                    self.write(i, &[Record::Told { msg }]);
+                }
+                Due::Call { id, msg, debit } => {
+                    if i != self.leader && leased <= now {
+                        self.wrong(format!("lease: {} calls {id} without one", name(i)));
+                    }
+                    if !stale && self.agreed.epoch_of(&name(i)) != epoch {
+                        self.wrong(format!("owner: {} calls {id}, and is replaced", name(i)));
+                    }
+                    let key = (name(i), id.clone());
+                    let calls = self.seen.called.entry(key.clone()).or_default();
+                    *calls += 1;
+                    let calls = *calls;
+                    if self.seen.recorded.get(&key).is_none_or(|n| *n < calls) && !self.lost_folder {
+                        self.wrong(format!("recorded: {} calls {id}, and no copy knows", name(i)));
+                    }
+                    let all = self.seen.calls.entry(id.clone()).or_default();
+                    *all += 1;
+                    if debit && *all > 1 {
+                        self.wrong(format!("once: debit {id} is called again, by {}", name(i)));
+                    }
+                    self.at(self.case.trip, Event::Answer { to: i, life, id, msg });
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, i: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send(to, message) => self.send(i, &to, message),
+                Output::Joined { kept, .. } => self.joined(i, kept),
+                Output::Safe(mark) => {
+                    if let Some(p) = self.processes[i].as_mut() {
+                        p.safe = mark;
+                    }
+                    self.act(i);
+                }
+                Output::Copies { enough, .. } => {
+                    if let Some(p) = self.processes[i].as_mut() {
+                        p.enough = enough;
+                    }
+                }
+                Output::Adopt { parts, settled, bytes } => self.adopt(i, &parts, &settled, &bytes),
+                Output::Settle { source, kept } => self.settle(i, source, kept),
+                Output::Replaced => {
+                    if !hand(|h| h.dead) {
+                        self.processes[i] = None;
+                        self.start(i);
+                    }
+                    return;
+                }
+                Output::Lease(_) => self.act(i),
+                Output::Note(note) => tell(|| format!("{} {note}", name(i))),
+                Output::Left | Output::Orders(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: Message) {
+        let now = self.clock(from);
+        let Some(p) = self.processes[from].as_mut() else { return };
+        let token = p.member.agreement().token();
+        let lease = matches!(message, Message::Renew { .. } | Message::Granted { .. });
+        if let Message::Renew { ticket, .. } = message {
+            p.asked.insert(ticket, now);
+        }
+        if effect(!lease) {
+            self.at(MS, Event::Deliver { from, to: number(to), token, message });
+        }
+    }
+
+    fn joined(&mut self, i: usize, kept: bool) {
+        let mut file = File(i, "journal".into());
+        let Some(p) = self.processes[i].as_mut() else { return };
+        let line = p.member.agreed_line();
+        if !kept {
+            p.member.note_line(None).unwrap();
+            p.mark = 0;
+            file.replace(&[]).unwrap();
+        }
+        p.member.note_line(line).unwrap();
+        p.joined = true;
+        let bytes = file.read().unwrap();
+        let (book, _) = Book::read(&bytes);
+        p.next = p.next.max(book.next);
+        let unsettled: BTreeSet<Source> =
+            book.owed.values().filter_map(|e| e.source.as_ref().map(Source::from)).collect();
+        self.step(i, Input::Book { bytes, unsettled: unsettled.into_iter().collect() });
+        for (msg, entry) in book.owed.into_iter().filter(|(_, e)| e.source.is_none()) {
+            self.go_on(i, msg, entry);
+        }
+    }
+
+    /// By the journal's rules: a debit that was out is ended, all else is sent.
+    fn go_on(&mut self, i: usize, msg: u64, entry: journal::Entry) {
+        let (id, debit) = (entry.taken.id, entry.taken.class == "fee-debit");
+        let may_have_run = entry.calls.iter().any(|c| c.never_ran != Some(true));
+        if let Some(end) = entry.end {
+            let mark = self.processes[i].as_ref().map_or(0, |p| p.mark);
+            self.owe(i, mark, Due::Ended { id, msg, end });
+        } else if debit && may_have_run {
+            let end = End::Undeliverable;
+            let mark = self.write(i, &[Record::End { msg, end }]);
+            self.owe(i, mark, Due::Ended { id, msg, end });
+        } else {
+            self.call(i, id, msg, debit);
+        }
+    }
+
+    fn adopt(&mut self, i: usize, parts: &[Source], settled: &BTreeSet<Source>, bytes: &[u8]) {
+        let (book, _) = Book::read(bytes);
+        let mut records = Vec::new();
+        for entry in book.owed.into_values() {
+            let part = part_of(entry.taken.dest);
+            let Some(source) = parts.iter().find(|s| s.part == part) else { continue };
+            if entry.source.as_ref().is_some_and(|s| !settled.contains(&Source::from(s))) {
+                continue;
+            }
+            let Some(p) = self.processes[i].as_mut() else { return };
+            let msg = p.next;
+            p.next += 1;
+            records.push(Record::TakeOn { msg, taken: entry.taken });
+            records.push(Record::From { msg, source: source.into() });
+            for call in entry.calls {
+                records.push(Record::Attempt { msg, zone: call.zone, sent: call.sent });
+            }
+            records.extend(entry.end.map(|end| Record::End { msg, end }));
+        }
+        self.write(i, &records);
+        for source in parts {
+            self.step(i, Input::Adopted(source.clone()));
+        }
+    }
+
+    fn settle(&mut self, i: usize, source: Source, kept: bool) {
+        let (book, _) = Book::read(&File(i, "journal".into()).read().unwrap());
+        let from: journal::Source = (&source).into();
+        if kept {
+            let key = (from.owner.clone(), from.epoch, from.part);
+            let by = *self.seen.kept.entry(key).or_insert(i);
+            if by != i {
+                self.wrong(format!("part: {source} is settled by {} and {}", name(by), name(i)));
+            }
+        }
+        self.write(i, &[Record::Settled { source: from.clone(), kept }]);
+        self.step(i, Input::Settled(source));
+        if kept {
+            let mine = book.owed.into_iter().filter(|(_, e)| e.source.as_ref() == Some(&from));
+            for (msg, entry) in mine.collect::<Vec<_>>() {
+                self.go_on(i, msg, entry);
+            }
+        }
+    }
+
+    /// What copies have: attempts before a seal, and nothing behind it.
+    fn look_at_copies(&mut self) {
+        for (i, disk) in self.disks.iter().enumerate() {
+            for (file, bytes) in disk.iter().filter(|(file, _)| file.starts_with("copy.")) {
+                let owner = file.rsplit('.').next().unwrap_or_default().to_string();
+                let end = Records::of(bytes).position(|(_, r)| r == Record::Sealed);
+                if let Some(end) = end {
+                    let behind = Records::of(bytes).count() - end - 1;
+                    if behind > 0 {
+                        let what = format!("sealed: {}'s copy {file} takes records", name(i));
+                        self.bad.get_or_insert(what);
+                    }
+                }
+                let mut ids = BTreeMap::new();
+                let mut tries: BTreeMap<String, usize> = BTreeMap::new();
+                for (_, record) in Records::of(bytes).take(end.unwrap_or(usize::MAX)) {
+                    match record {
+                        Record::TakeOn { msg, taken } => drop(ids.insert(msg, taken.id)),
+                        Record::Attempt { msg, .. } => {
+                            *tries.entry(ids.get(&msg).cloned().unwrap_or_default()).or_default() += 1;
+                        }
+                        _ => {}
+                    }
+                }
+                for (id, n) in tries {
+                    let best = self.seen.recorded.entry((owner.clone(), id)).or_default();
+                    *best = n.max(*best);
+                }
+            }
+        }
+    }
+
+    /// Whoever serves and is named as a copy's holder has what was answered 202 and is not ended.
+    fn look_at_holders(&mut self) {
+        let owed: Vec<_> = self.seen.taken_on.iter().filter(|id| !self.seen.ends.contains_key(*id)).collect();
+        let Some(book) = self.agreed.books.iter().find(|(id, b)| {
+            id.owner == name(self.case.owner) && b.version > 0 && b.line == id.epoch && b.line <= N as Epoch
+        }) else {
+            return;
+        };
+        let untaken = |n: usize| match &book.1.sealed {
+            Some(parts) => matches!(parts[part_of(self.case.messages[n].0)], Part::Waiting | Part::Given(..)),
+            None => true,
+        };
+        for (id, n) in owed.into_iter().map(|id| (id, id[1..].parse::<usize>().unwrap())) {
+            for holder in book.1.copies.iter().map(|h| number(h)).filter(|_| untaken(n)) {
+                let Some(p) = &self.processes[holder] else { continue };
+                // Only one that has come back under its present folder is counted on.
+                let member = self.agreed.members.get(&name(holder));
+                if member.is_none_or(|m| !m.serving || m.life != p.life) {
+                    continue;
+                }
+                let mine = format!(".{}", name(self.case.owner));
+                let copies = self.disks[holder].iter();
+                let mut copies = copies.filter(|(file, _)| file.starts_with("copy.") && file.ends_with(&mine));
+                let has = |bytes: &[u8]| {
+                    Records::of(bytes).any(|(_, r)| matches!(r, Record::TakeOn { taken, .. } if taken.id == *id))
+                };
+                if !copies.any(|(_, bytes)| has(bytes)) {
+                    let what = format!("held: {} is named as holding {id}, and does not", name(holder));
+                    self.bad.get_or_insert(what);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn over(&self) -> bool {
+        let late = self.now > self.zero + OVER;
+        let ended = self.seen.taken_on.iter().all(|id| self.seen.ends.contains_key(id));
+        let calm = self.agreed.books.values().all(|b| b.sealed.is_none());
+        late || self.healed && ended && calm && (0..N).all(|i| self.ready(i))
+    }
+
+    /// At the end of a path.
+    fn judge(&mut self) {
+        let endless = self.seen.taken_on.iter().find(|id| !self.seen.ends.contains_key(*id)).cloned();
+        if let Some(id) = endless {
+            self.wrong(format!("end: {id} was answered 202 and has none"));
+        }
+        let two = self.seen.ends.iter().find(|(_, ends)| ends.len() > 1);
+        if let Some(what) = two.map(|(id, ends)| format!("end: {id} has several: {ends:?}")) {
+            self.wrong(what);
+        }
+    }
+
+    /// The faults that may come in the place of this step, which has so many effects.
+    fn faults(&self, event: &Event, (effects, matters): (u32, bool)) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        if !matters || self.now > self.zero + LAST_FAULT {
+            return faults;
+        }
+        if let Some(i) = self.who(event).filter(|i| self.runs(*i)) {
+            use Back::{AtTheEnd, Late, LateEmpty, Soon, SoonEmpty};
+            for after in 0..effects {
+                for back in [Soon, Late, SoonEmpty, LateEmpty, AtTheEnd] {
+                    let empty = matches!(back, SoonEmpty | LateEmpty);
+                    if !(empty && self.lost_folder) {
+                        faults.push(Fault::Kill(i, after, back));
+                    }
+                }
+            }
+            faults.extend([Fault::Pause(i), Fault::Isolate(i), Fault::Behind(i)]);
+        }
+        if let Event::Deliver { from, to, .. } = event {
+            faults.extend([Fault::Lose, Fault::Late, Fault::Cut(*from, *to)]);
+        }
+        faults.push(Fault::Depose);
+        faults.retain(self.case.only);
+        faults
+    }
+
+    fn strike(&mut self, fault: Fault, next: (Micros, u64, Event)) {
+        self.now = self.now.max(next.0);
+        match fault {
+            Fault::Kill(i, after, back) => {
+                self.take(next, Some(after));
+                self.processes[i] = None;
+                if matches!(back, Back::SoonEmpty | Back::LateEmpty) {
+                    self.disks[i].clear();
+                    self.lost_folder = true;
+                }
+                match back {
+                    Back::Soon | Back::SoonEmpty => self.at(LEASE / 4, Event::Start(i)),
+                    Back::Late | Back::LateEmpty => self.at(LEASE * 2, Event::Start(i)),
+                    Back::AtTheEnd => {}
+                }
+            }
+            Fault::Lose => drop(self.queue.remove(&(next.0, next.1))),
+            Fault::Late => {
+                self.queue.remove(&(next.0, next.1));
+                self.at(LEASE * 6 / 5, next.2);
+            }
+            Fault::Cut(a, b) => drop(self.cut.insert((a, b))),
+            Fault::Isolate(i) => (0..N).filter(|j| *j != i).for_each(|j| self.cut.extend([(i, j), (j, i)])),
+            Fault::Pause(i) => {
+                let now = self.now;
+                if let Some(p) = &mut self.processes[i] {
+                    (p.paused, p.stale) = (true, Some(now));
+                }
+                self.at(LEASE * 3 / 2, Event::Resume(i));
+            }
+            Fault::Behind(i) => {
+                let until = self.now + LEASE * 3 / 2;
+                if let Some(p) = &mut self.processes[i] {
+                    p.behind = until;
+                }
+            }
+            Fault::Depose => {
+                let disks = std::mem::take(&mut self.disks);
+                hand(|h| *h = Hand { disks, ..Hand::default() });
+                self.elect(true);
+                self.disks = hand(std::mem::take).disks;
+            }
+        }
+        if !self.carries(self.leader) {
+            self.at(LEASE / 2, Event::Elect);
+        }
+    }
+}
+
+#[derive(Default)]
+struct Count {
+    paths: AtomicU64,
+    steps: AtomicU64,
+    states: AtomicU64,
+}
+
+type Path = Vec<(Micros, String, Fault)>;
+
+/// Plays a path to its end, and all that leave it by faults; the first break of a property.
+fn explore(mut world: World, faults: usize, path: &mut Path, count: &Count) -> Option<String> {
+    while !world.over() {
+        let Some(next) = world.next() else { break };
+        if faults > 0 && world.now <= world.zero + LAST_FAULT {
+            let mut after = world.clone();
+            let did = after.take(next.clone(), None);
+            for fault in world.faults(&next.2, did) {
+                let mut struck = world.clone();
+                path.push((next.0 - world.zero, format!("{:?}", next.2), fault));
+                struck.strike(fault, next.clone());
+                count.states.fetch_add(1, Relaxed);
+                if let Some(bad) = explore(struck, faults - 1, path, count) {
+                    return Some(bad);
+                }
+                path.pop();
+            }
+            world = after;
+        } else {
+            world.take(next, None);
+        }
+        count.steps.fetch_add(1, Relaxed);
+        if world.bad.is_some() {
+            break;
+        }
+    }
+    if world.bad.is_none() {
+        world.judge();
+    }
+    count.paths.fetch_add(1, Relaxed);
+    world.bad
+}
+
+/// Explores a case: its first break, with the way there. Prints what was seen.
+fn search(case: &Case) -> Option<(String, Path)> {
+    let (begun, count) = (Instant::now(), Count::default());
+    // Its faults at the first level are shared out among threads.
+    let mut world = World::new(case);
+    let mut first = Vec::new();
+    while !world.over() && world.bad.is_none() {
+        let Some(next) = world.next() else { break };
+        let mut after = world.clone();
+        let did = after.take(next.clone(), None);
+        for fault in world.faults(&next.2, did) {
+            let path = vec![(next.0 - world.zero, format!("{:?}", next.2), fault)];
+            let mut struck = world.clone();
+            struck.strike(fault, next.clone());
+            first.push((struck, path));
+        }
+        world = after;
+    }
+    world.judge();
+    assert_eq!(world.bad, None, "{}: without a fault", case.name);
+    assert_eq!(world.seen.taken_on.len(), case.messages.len(), "{}: all are taken on", case.name);
+    let (first, found) = (Mutex::new(first), Mutex::new(None));
+    let broken = broken();
+    std::thread::scope(|scope| {
+        let work = || {
+            set(broken);
+            loop {
+                let Some((world, mut path)) = first.lock().unwrap().pop() else { return };
+                if found.lock().unwrap().is_some() {
+                    return;
+                }
+                count.states.fetch_add(1, Relaxed);
+                if let Some(bad) = explore(world, case.faults - 1, &mut path, &count) {
+                    found.lock().unwrap().get_or_insert((bad, path));
+                }
+            }
+        };
+        (0..THREADS).for_each(|_| drop(scope.spawn(work)));
+    });
+    let found = found.into_inner().unwrap();
+    println!(
+        "{}: {} faults a path, {} paths, {} steps, {:.1} s: {}",
+        case.name,
+        case.faults,
+        count.paths.into_inner(),
+        count.steps.into_inner(),
+        begun.elapsed().as_secs_f64(),
+        found.as_ref().map_or("holds", |(bad, _)| bad),
+    );
+    found
+}
+
+/// Plays the way to a break again, and tells it.
+fn replay(case: &Case, path: &Path) -> Option<String> {
+    let mut world = World::new(case);
+    let mut path = path.iter().peekable();
+    TELLS.set(true);
+    while !world.over() && world.bad.is_none() {
+        let Some(next) = world.next() else { break };
+        let here = path.next_if(|(at, event, _)| *at == next.0 - world.zero && *event == format!("{:?}", next.2));
+        if let Some((_, _, fault)) = here {
+            tell(|| format!("-- {fault:?}"));
+            world.strike(*fault, next);
+        } else {
+            world.take(next, None);
+        }
+    }
+    TELLS.set(false);
+    world.judge();
+    world.bad
+}
+
+const THREADS: usize = 2;
+
+#[cfg(not(feature = "breaks"))]
+fn broken() {}
+#[cfg(not(feature = "breaks"))]
+fn set(_: ()) {}
+
+fn any(_: &Fault) -> bool {
+    true
+}
+
+fn cases(faults: usize, only: fn(&Fault) -> bool) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for (name, owner, debit, trip) in [
+        ("debit fresh", 1, true, 5 * MS),
+        ("debit out", 1, true, LEASE),
+        ("keyed out", 1, false, LEASE),
+        ("leader's debit", 0, true, 5 * MS),
+    ] {
+        cases.push(Case { name, owner, copies: 1, messages: vec![(1, debit, 0)], trip, faults, only });
+    }
+    let messages = vec![(1, true, 0), (2, true, 2 * MS)];
+    cases.push(Case { name: "two debits", owner: 1, copies: 1, messages, trip: 5 * MS, faults, only });
+    cases
+}
+
+#[test]
+fn no_single_fault_breaks_a_takeover() {
+    for case in cases(1, any) {
+        if let Some((_, path)) = search(&case) {
+            let told = replay(&case, &path);
+            panic!("{}: {told:?}: {path:#?}", case.name);
+        }
+    }
+}
