--- a/fleet/src/budget/divide/tests.rs
+++ b/fleet/src/budget/divide/tests.rs
@@ -13,7 +13,8 @@
 }
 
 fn claims(most: usize) -> impl Strategy<Value = Vec<Claim<'static>>> {
-    let one = (1..6u64, 0..4u32, 1..12u32, 0..14u32, -ONE..ONE);
+    let credit = prop_oneof![Just(0), -ONE..ONE];
+    let one = (1..6u64, 0..4u32, 1..12u32, 0..14u32, credit);
     prop::collection::vec(one, 0..=most)
         .prop_map(|all| all.into_iter().enumerate().map(|(n, one)| claim(n, one)).collect())
 }
--- a/fleet/src/budget/holder/tests.rs
+++ b/fleet/src/budget/holder/tests.rs
@@ -153,3 +153,27 @@
     // A tenant that holds nothing is told what a grant takes.
     assert_eq!(holder.may_begin(1, "b", at).unwrap_err().after, GRANT_FIRST);
 }
+
+#[test]
+fn it_is_clear_of_an_earlier_epoch_once_all_is_within_the_present_one() {
+    let (mut holder, mut agreed, now) = holder(&[("a", 3)]);
+    let permits: Vec<Permit> = (0..3).map(|_| begin(&mut holder, "a", now)).collect();
+    agreed.apply(&Command::Lapsed { courier: "me".into(), epoch: 1 });
+    agreed.apply(&Command::Joined { courier: "me".into(), epoch: 2 });
+    holder.joined(2);
+    holder.agreed(&agreed, now);
+    assert!(!holder.report(now).unwrap().clear, "three are open, and one is its floor");
+    permits[1..].iter().for_each(|p| holder.closed(1, p.conn, now));
+    assert!(holder.report(now + REPORT).unwrap().clear);
+}
+
+#[test]
+fn a_floor_that_is_not_agreed_on_yet_is_not_used() {
+    let (mut holder, agreed, now) = holder(&[]);
+    let budget =
+        Budget { dest: 1, connections: 20, calls: None, span_ms: None, courier_floor: 3, tenants: vec![] };
+    holder.budget(&budget);
+    holder.agreed(&agreed, now);
+    assert!(holder.may_begin(1, "a", now).is_ok());
+    assert!(holder.may_begin(1, "a", now).is_err(), "one is agreed on");
+}
