--- a/courier/tests/fleet/faults.rs
+++ b/courier/tests/fleet/faults.rs
@@ -1,11 +1,11 @@
-//! Faults drawn by a seed: one courier at a time is killed, stopped, paused or cut off, and links are cut in the middle of
+//! Faults drawn by a seed: as many couriers as there are copies are killed, stopped, paused, cut off or lose their folder at
+//! once, and links are cut in the middle of
 //! requests, under load. The pace is that of what the couriers say to each other.
 
 use super::*;
 use quillmount_standins::fleet::link::{Once, Way};
 use quillmount_standins::record::Told;
 
-const COURIERS: usize = 4;
 const STEPS: usize = 30;
 
 /// Waits until so many more things have happened on the links.
@@ -15,8 +15,9 @@
     fleet.until("the couriers speak", PATIENCE, more).await.unwrap();
 }
 
-async fn day(seed: u64) {
-    let mut setup = setup(COURIERS);
+async fn day(seed: u64, couriers: usize, copies: usize) {
+    let mut setup = setup(couriers);
+    setup.fleet = Some(json!({"lease": "2s", "copies": copies}));
     setup.seed = seed;
     setup.partner(3, move |call| match call.began.n % 5 {
         0 => Answer::full("1"),
@@ -26,12 +27,12 @@
     let mut draws = setup.generator();
     let mut fleet = start(setup).await;
     let mut load = Vec::new();
-    // The one that is harmed, until it is well again.
-    let mut harmed: Option<usize> = None;
+    // Those that are harmed, until all are well again.
+    let mut harmed: Vec<usize> = Vec::new();
     for step in 0..STEPS {
         for k in 0..4 {
             let class = if draws.bool() { "fee-debit" } else { "paid-notice" };
-            let (consumer, dest) = (fleet.consumer(draws.usize(..COURIERS)), [1, HOLDS, 3][draws.usize(..3)]);
+            let (consumer, dest) = (fleet.consumer(draws.usize(..couriers)), [1, HOLDS, 3][draws.usize(..3)]);
             let invocation = message(class, &format!("m{step}-{k}"), dest);
             load.push(tokio::task::spawn_local(async move { consumer.hand_in(&invocation, BODY).await }));
         }
@@ -39,45 +40,50 @@
             let answer = if draws.bool() { Answer::ok() } else { Answer::failed() };
             fleet.partner(1).release_where(answer, |_| true);
         }
-        let who = draws.usize(..COURIERS);
-        let to = (who + draws.usize(1..COURIERS)) % COURIERS;
-        match (draws.u8(..10), harmed) {
-            (0, None) => {
-                fleet.kill(who).await.unwrap();
-                harmed = Some(who);
+        let who = draws.usize(..couriers);
+        let to = (who + draws.usize(1..couriers)) % couriers;
+        let fault = draws.u8(..11);
+        let may = harmed.len() < copies && !harmed.contains(&who);
+        match fault {
+            0..6 if may => {
+                match fault {
+                    0 => fleet.kill(who).await.unwrap(),
+                    1 => fleet.pause(who).unwrap(),
+                    2 => fleet.set_links(who, Way::Cut),
+                    3 => {
+                        fleet.term(who).unwrap();
+                        fleet.ended(who).await.unwrap();
+                    }
+                    4 => {
+                        fleet.kill(who).await.unwrap();
+                        fleet.spawn(who).unwrap();
+                        continue;
+                    }
+                    _ => (0..couriers).filter(|n| *n != who).for_each(|n| fleet.cut_one_way(who, n)),
+                }
+                harmed.push(who);
             }
-            (1, None) => {
-                fleet.pause(who).unwrap();
-                harmed = Some(who);
-            }
-            (2, None) => {
-                fleet.set_links(who, Way::Cut);
-                harmed = Some(who);
-            }
-            (3, None) => {
-                fleet.term(who).unwrap();
-                fleet.ended(who).await.unwrap();
-                harmed = Some(who);
-            }
-            (4, None) => {
-                fleet.kill(who).await.unwrap();
-                fleet.spawn(who).unwrap();
-            }
-            (5, None) => {
-                (0..COURIERS).filter(|n| *n != who).for_each(|n| fleet.cut_one_way(who, n));
-                harmed = Some(who);
-            }
-            (0..6, Some(_)) => {
+            0..6 => {
                 fleet.mend().await.unwrap();
-                harmed = None;
+                harmed.clear();
             }
-            (6, _) => fleet.link(who, to).close(),
+            6 if harmed.is_empty() => {
+                // Its book and those that it has copies of are at one courier less until the fleet has made up for it.
+                for n in 0..couriers {
+                    ready(&fleet, n).await;
+                }
+                fleet.lose_folder(who).await.unwrap();
+                for n in 0..couriers {
+                    ready(&fleet, n).await;
+                }
+            }
+            7 => fleet.link(who, to).close(),
             _ => fleet.link(who, to).once(Once::pick(&mut draws)),
         }
         goes_on(&fleet, draws.usize(50..400)).await;
     }
     fleet.mend().await.unwrap();
-    for n in 0..COURIERS {
+    for n in 0..couriers {
         ready(&fleet, n).await;
     }
     for task in load {
@@ -98,5 +104,11 @@
 #[test]
 fn no_drawn_fault_loses_a_message_or_runs_a_debit_twice() {
     let seed = std::env::var("SEED").map_or(1, |s| s.parse().unwrap());
-    play(async || day(seed).await);
+    play(async || day(seed, 4, 1).await);
+}
+
+#[test]
+fn no_two_drawn_faults_lose_a_message_or_run_a_debit_twice() {
+    let seed = std::env::var("SEED").map_or(1, |s| s.parse().unwrap());
+    play(async || day(seed, 5, 2).await);
 }
--- a/operator/src/fleet.rs
+++ b/operator/src/fleet.rs
@@ -21,7 +21,7 @@
 const LEASE_MOST: Duration = Duration::from_secs(60);
 const COPIES_MOST: usize = 3;
 
-/// Couriers as one fleet. Read at the start only, but for `members` and `voters`.
+/// Couriers as one fleet. Read at the start only, but for `voters`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 #[schemars(deny_unknown_fields)]
