Ask for leave before a call's first byte where a partner has a budget

The members agreed on partners' budgets, and nothing in the courier asked for them: a flood at three couriers opened as many connections as it had calls.

A call to a partner with a budget now waits in its tenant's line for a permit, goes out on the connection that the permit names, or opens one; each such connection counts until it has ended at the partner too, wherever it was dropped. Without budgets no call takes the way.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -111,6 +111,18 @@
         self.step(pool, Input::Start { open, resting }, now)
     }
 
+    /// Begins on this connection, or on a new one where there is none: it has leave for no other.
+    pub fn start_on(&mut self, pool: &mut Pool<C>, on: Option<(Link, C)>, now: Micros) -> Told<C> {
+        if !pool.lets_through(self.order.provider, now) {
+            let told = self.step(pool, Input::Start { open: false, resting: false }, now);
+            return Told { gone: on.map(|(_, connection)| connection), ..told };
+        }
+        pool.goes_on();
+        (self.held, self.counts) = (on, true);
+        let resting = self.held.is_some();
+        self.step(pool, Input::Start { open: true, resting }, now)
+    }
+
     /// The connection that it waited for is up.
     pub fn connected(&mut self, pool: &mut Pool<C>, connection: C, now: Micros) -> Told<C> {
         let mut link = pool.open();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -91,6 +91,10 @@
 pub struct Parcel {
     pub id: String,
     pub key: Option<String>,
+    /// Whose connections it may use, where partners' budgets are shared; providers are not told, and another process
+    /// is not: in a fleet no process hands its calls over.
+    #[serde(skip)]
+    pub tenant: Option<Box<str>>,
     pub body: Bytes,
 }
 
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -109,6 +109,16 @@
         None
     }
 
+    /// Takes one that rests, wherever it does, and the provider to which it leads; first it is looked for at `provider`.
+    pub fn take(&mut self, provider: u32, which: impl Fn(&C) -> bool) -> Option<(u32, SocketAddr, Link, C)> {
+        let at = |p: &Provider<C>| p.resting.iter().position(|r| which(&r.connection));
+        let here = self.all.get(&provider).and_then(at).map(|n| (provider, n));
+        let (found, n) = here.or_else(|| self.all.iter().find_map(|(found, p)| Some((*found, at(p)?))))?;
+        let Resting { link, addr, connection } = self.all.get_mut(&found)?.resting.remove(n);
+        self.rests -= 1;
+        Some((found, addr, link, connection))
+    }
+
     /// Takes out all that rests: the provider, its address, since when, and the connection.
     pub fn take_resting(&mut self) -> Vec<(u32, SocketAddr, Micros, C)> {
         self.rests = 0;
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -282,12 +282,13 @@
         self.next += 1;
         self.ids.insert(id.clone(), msg);
         let size = size(&id, key.as_deref(), &body);
-        let parcel = Arc::new(Parcel { id, key, body });
+        let number = tenant.as_ref().and_then(|name| self.tenants.iter().position(|t| t == name));
+        let parcel = Arc::new(Parcel { id, key, tenant: tenant.map(String::into_boxed_str), body });
         let of_stream = stream.then(Stream::default);
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0, stream: of_stream });
         let class = class_number;
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
-        let tenant = tenant.and_then(|name| self.tenants.iter().position(|t| *t == name));
+        let tenant = number;
         let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
--- a/core/src/router/restore.rs
+++ b/core/src/router/restore.rs
@@ -97,7 +97,7 @@
         });
         self.ids.insert(id.clone(), msg);
         let size = size(&id, key.as_deref(), &body);
-        let parcel = Arc::new(Parcel { id, key, body });
+        let parcel = Arc::new(Parcel { id, key, tenant: None, body });
         let noted = entry.calls.len() as u32;
         // Its consumer and its body went with the life before.
         let stream = entry.stream.then(|| Stream {
--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A courier as one of a fleet, on sockets: its member machine, the ways to the others, and what the machine's words come to
 //! for the courier. All of it is there only where the operator file's section `fleet` is on.
 
+pub mod budget;
 mod links;
 mod listener;
 mod stores;
@@ -9,10 +10,11 @@
 use crate::transport::courier::Courier;
 use crate::transport::gate::{Gate, Wrote};
 use actix_rt::net::TcpListener;
+use budget::Budgets;
 use links::Link;
 use quillmount_core::journal::{self, Book};
 use quillmount_fleet::agreement;
-use quillmount_fleet::budget::{self, Budget, Tenant};
+use quillmount_fleet::budget::{Budget, Problem, Tenant};
 use quillmount_fleet::member::{Input, Member, MemberError, Note, Output};
 use quillmount_fleet::message::Envelope;
 use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
@@ -41,7 +43,7 @@
     #[error("fleet: {what} {value:?} is no address; mend the operator file's section `fleet`")]
     Address { what: &'static str, value: String },
     #[error("operator file: {}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
-    Budgets(Vec<budget::Problem>),
+    Budgets(Vec<Problem>),
     #[error(transparent)]
     Member(#[from] MemberError),
     #[error("fleet: the folder for what its members keep: {0}; check the lasting folder's disk and rights")]
@@ -61,7 +63,9 @@
 /// The courier's part of its fleet.
 pub struct Fleet {
     clock: Clock,
-    member: RefCell<Member<Files>>,
+    member: Rc<RefCell<Member<Files>>>,
+    /// Where partners' connections are shared.
+    pub budgets: Option<Rc<Budgets>>,
     links: BTreeMap<Name, Rc<Link>>,
     pub gate: Rc<Gate>,
     tasks: RefCell<VecDeque<Task>>,
@@ -116,8 +120,8 @@
 }
 
 /// What the section's types can't say, and its own checks do not know, each with its path.
-pub fn problems(told: &quillmount_operator::fleet::Fleet) -> Vec<budget::Problem> {
-    if told.on { budget::check(&budgets_of(told), told.members.len()) } else { Vec::new() }
+pub fn problems(told: &quillmount_operator::fleet::Fleet) -> Vec<Problem> {
+    if told.on { quillmount_fleet::budget::check(&budgets_of(told), told.members.len()) } else { Vec::new() }
 }
 
 fn address(what: &'static str, value: &str) -> Result<SocketAddr, FleetError> {
@@ -155,10 +159,15 @@
             links.insert(peer.name.clone(), link);
         }
         let token = member.agreement().token();
+        let member = Rc::new(RefCell::new(member));
+        let dests: BTreeSet<u64> = told.budgets.iter().map(|budget| budget.dest).collect();
+        let budgets =
+            (!dests.is_empty()).then(|| Rc::new(Budgets::new(clock.clone(), member.clone(), dests)));
         let fleet = Rc::new(Fleet {
             gate: Rc::new(Gate::new(clock.clone(), span)),
             clock,
-            member: RefCell::new(member),
+            member,
+            budgets,
             links,
             tasks: RefCell::default(),
             more: Notify::new(),
@@ -224,6 +233,9 @@
         self.gate.begin(bytes.len() as u64);
         self.step(Input::Book { bytes, unsettled });
         actix_rt::spawn(self.clone().take_over(courier.clone()));
+        if let Some(budgets) = &self.budgets {
+            actix_rt::spawn(budgets.clone().keep(courier.clone()));
+        }
         Ok(())
     }
 
@@ -315,10 +327,13 @@
                     self.gone.notify_one();
                 }
                 Output::Left => self.left.notify_waiters(),
-                Output::Orders(_) => {}
+                Output::Orders(orders) => {
+                    self.budgets.iter().for_each(|budgets| budgets.order(orders.clone()));
+                }
                 Output::Note(note) => say(&note),
             }
         }
+        self.budgets.iter().for_each(|budgets| budgets.serve());
         self.moved.notify_one();
         said
     }
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -129,6 +129,7 @@
             Some(fleet)
         }
     };
+    let budgets = fleet.as_ref().and_then(|fleet| fleet.budgets.clone());
     let gate = fleet.as_ref().map(|fleet| fleet.gate.clone());
     let pool = Pool::new(config.idle().as_micros() as u64, most);
     let (limits, rules) = streams(&operator.streams).unzip();
@@ -160,7 +161,7 @@
             (Router::open_with(&config.env, limits, seed, known, store()?, config.disk, clock.now())?, None)
         }
     };
-    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules, gate.clone());
+    let courier = Courier::new(clock.clone(), config.connect(), router, pool, rules, gate.clone(), budgets);
     if let Some(fleet) = &fleet {
         fleet.attach(&courier, &config.state)?;
     }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -6,6 +6,7 @@
 use super::handle::{Handle, Part, Parts};
 use super::providers::{self, Came, Words};
 use super::streams::{self, Fails, Pipe, Rules, Streams};
+use crate::fleet::budget::{Budgets, Conn};
 use actix_rt::net::TcpStream;
 use quillmount_core::call::{self, Call};
 use quillmount_core::counters::Counters;
@@ -44,6 +45,8 @@
     notices: Notify,
     /// Where the courier is one of a fleet: what is written counts once others have it too.
     pub gate: Option<Rc<Gate>>,
+    /// Where partners let the fleet have so many connections.
+    budgets: Option<Rc<Budgets>>,
 }
 
 impl Courier {
@@ -51,9 +54,10 @@
         clock: Clock,
         connect: Duration,
         router: Router<Folder>,
-        pool: Pool<TcpStream>,
+        pool: Pool<Conn>,
         rules: Option<Rules>,
         gate: Option<Rc<Gate>>,
+        budgets: Option<Rc<Budgets>>,
     ) -> Rc<Self> {
         Rc::new(Courier {
             streams: Rc::new(Streams::new(rules.as_ref().map_or(0, |rules| rules.turn))),
@@ -65,6 +69,7 @@
             moved: Notify::new(),
             notices: Notify::new(),
             gate,
+            budgets,
         })
     }
 
@@ -93,11 +98,9 @@
     pub fn frozen(&self, settings: u32) -> (hub::State, Parts<TcpStream>) {
         let mut parts = self.handle.given();
         let resting = self.handle.pool(Pool::take_resting);
-        parts.extend(
-            resting.into_iter().map(|(provider, addr, since, stream)| {
-                (Part::Resting { provider, addr, since }, Some(stream))
-            }),
-        );
+        parts.extend(resting.into_iter().map(|(provider, addr, since, conn)| {
+            (Part::Resting { provider, addr, since }, conn.into_stream())
+        }));
         (self.handle.hub.borrow().state(settings), parts)
     }
 
@@ -111,7 +114,7 @@
 
     /// Takes up a connection that rests.
     pub fn rest(&self, provider: u32, addr: SocketAddr, since: Micros, stream: TcpStream) {
-        drop(self.handle.pool(|pool| pool.rest(provider, addr, since, stream)));
+        drop(self.handle.pool(|pool| pool.rest(provider, addr, since, Conn::Plain(stream))));
     }
 
     /// Calls that are out by the state of another process, and came without their parts: they may have run.
@@ -135,6 +138,10 @@
             self.count(|c| c.rejected += 1);
             return Intake::Rejected { after };
         }
+        if let Some(after) = self.budgets.as_ref().and_then(|budgets| budgets.refuses(&invocation)) {
+            self.count(|c| c.rejected += 1);
+            return Intake::Rejected { after };
+        }
         let (intake, todo) = self.handle.hub.borrow_mut().take_on(invocation, self.clock.now());
         self.carry_out(todo);
         intake
@@ -349,6 +356,13 @@
         }
     }
 
+    /// A call's connection has been used for as long as any may be.
+    pub fn cut(&self, call: CallId) {
+        if let Some(words) = self.words.borrow().get(&call) {
+            words.cut();
+        }
+    }
+
     /// Frees the descriptors of connections to providers that will not be used again.
     pub async fn sweep(self: Rc<Self>) {
         loop {
@@ -357,7 +371,7 @@
         }
     }
 
-    fn carry_out(self: &Rc<Self>, todo: Vec<Do<TcpStream>>) {
+    fn carry_out(self: &Rc<Self>, todo: Vec<Do<Conn>>) {
         for one in todo {
             match one {
                 Do::Begin(call) => self.call(call),
@@ -405,7 +419,7 @@
         self: &Rc<Self>,
         id: CallId,
         addr: SocketAddr,
-        call: (Call<TcpStream>, Micros),
+        mut call: (Call<Conn>, Micros),
         passes: Option<(Rc<Gate>, u64, Micros)>,
         span: tracing::Span,
     ) {
@@ -418,7 +432,12 @@
                 None => true,
                 Some((gate, mark, by)) => Box::pin(async move { gate.pass(mark, by).await }).await,
             };
-            let came = if !passed {
+            let counted = this.budgets.as_ref().filter(|b| passed && b.counts(call.0.order.dest));
+            let mut leave = match counted {
+                Some(budgets) => Box::pin(budgets.ask(&this.handle, &mut call, &words)).await,
+                None => None,
+            };
+            let came = if !passed || (counted.is_some() && leave.is_none()) {
                 Came::Ended(CallEnd::HeldBack)
             } else if call.0.order.stream {
                 let pipe = this.pipes.borrow().get(&id.msg).cloned();
@@ -426,15 +445,26 @@
                     // On the heap: every other call would carry the room for it along.
                     Some(pipe) => {
                         let written = || this.stream_written(id);
-                        Box::pin(streams::call(&this.handle, call.0.order, &words, &pipe, written)).await
+                        Box::pin(streams::call(
+                            &this.handle,
+                            call.0.order,
+                            &words,
+                            &pipe,
+                            leave.as_deref_mut(),
+                            written,
+                        ))
+                        .await
                     }
                     // Its consumer has gone: its body with it.
                     None => CallEnd::HeldBack,
                 })
             } else {
-                providers::call(&this.handle, call, &words).await
+                providers::call(&this.handle, call, &words, leave.as_deref_mut()).await
             };
             this.words.borrow_mut().remove(&id);
+            if let (Some(budgets), Some(leave)) = (counted, leave) {
+                budgets.over(*leave);
+            }
             let (end, each) = match came {
                 Came::Ended(end) => (end, None),
                 Came::Each(ends, wait) => (CallEnd::Each, Some((ends, wait))),
--- a/courier/src/transport/handle.rs
+++ b/courier/src/transport/handle.rs
@@ -3,6 +3,7 @@
 
 use super::clock::Clock;
 use super::folder::Folder;
+use crate::fleet::budget::Conn;
 use actix_rt::net::TcpStream;
 use quillmount_core::call;
 use quillmount_core::counters::Counters;
@@ -38,7 +39,7 @@
     pub clock: Clock,
     /// How long a connection to a provider may take to come up.
     pub connect: Duration,
-    pub(super) hub: RefCell<Hub<Folder, TcpStream>>,
+    pub(super) hub: RefCell<Hub<Folder, Conn>>,
     life: Cell<Life>,
     /// A planned stop begins.
     stops: Notify,
@@ -46,7 +47,7 @@
 }
 
 impl Handle {
-    pub fn new(clock: Clock, connect: Duration, hub: Hub<Folder, TcpStream>) -> Self {
+    pub fn new(clock: Clock, connect: Duration, hub: Hub<Folder, Conn>) -> Self {
         Handle {
             clock,
             connect,
@@ -89,7 +90,7 @@
     }
 
     /// The connections to the providers.
-    pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<TcpStream>) -> T) -> T {
+    pub fn pool<T>(&self, act: impl FnOnce(&mut Pool<Conn>) -> T) -> T {
         act(&mut self.hub.borrow_mut().pool)
     }
 
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -6,6 +6,7 @@
 
 use super::clock::Clock;
 use super::handle::Handle;
+use crate::fleet::budget::{Conn, Leave};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
 use quillmount_core::call::{self, Call, Told};
@@ -27,6 +28,7 @@
     give_up: Cell<bool>,
     hold: Cell<bool>,
     ended: Cell<bool>,
+    late: Cell<bool>,
     said: Notify,
     /// Another process goes on with the call.
     give: Notify,
@@ -44,6 +46,12 @@
         self.said.notify_one();
     }
 
+    /// Its time on its connection is up.
+    pub fn cut(&self) {
+        self.late.set(true);
+        self.said.notify_one();
+    }
+
     /// The call is to be given up to another process.
     pub fn give(&self) {
         self.give.notify_one();
@@ -83,6 +91,7 @@
         match state {
             _ if self.give_up.get() => Some(Input::GiveUp),
             _ if unsent && self.ended.get() => Some(Input::Ended),
+            _ if self.late.get() => Some(Input::Deadline),
             State::Writing { .. } if self.hold.take() => Some(Input::Hold),
             _ => None,
         }
@@ -90,15 +99,19 @@
 }
 
 /// Nothing has come on it, no end and no bytes either, which would be taken for an answer.
-pub fn is_quiet(stream: &TcpStream) -> bool {
-    stream.try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+pub fn is_quiet(conn: &Conn) -> bool {
+    conn.stream().try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-pub async fn connect(addr: SocketAddr) -> Option<TcpStream> {
-    let stream = TcpStream::connect(addr).await.ok()?;
+/// Opens a connection; one that counts has leave for it.
+pub async fn connect(addr: SocketAddr, leave: Option<&mut Leave>) -> Option<Conn> {
+    let conn = match leave {
+        None => Conn::Plain(TcpStream::connect(addr).await.ok()?),
+        Some(leave) => leave.connect(addr).await?,
+    };
     // Else the last part of a larger call waits for the provider's acknowledgement.
-    stream.set_nodelay(true).ok()?;
-    Some(stream)
+    conn.stream().set_nodelay(true).ok()?;
+    Some(conn)
 }
 
 /// Adds to an answer what has come.
@@ -122,28 +135,29 @@
 
 /// Reads what the provider of a call that is given up still says, if its connection stands.
 pub async fn last_words(
-    parts: Option<(&mut TcpStream, &mut Vec<u8>)>,
+    parts: Option<(&mut Conn, &mut Vec<u8>)>,
     clock: &Clock,
     rest: Option<Micros>,
 ) -> Input {
     let Some((stream, answer)) = parts else { return tick(clock, rest).await };
     tokio::select! {
         biased;
-        read = read(stream, answer) => read,
+        read = read(stream.stream_mut(), answer) => read,
         tick = tick(clock, rest) => tick,
     }
 }
 
 /// A call at its beginning, or in the middle where another process had it until now.
-pub fn begin(order: InvokerCall, now: Micros) -> (Call<TcpStream>, Micros) {
+pub fn begin(order: InvokerCall, now: Micros) -> (Call<Conn>, Micros) {
     let until = now.saturating_add(order.timeout);
     let decode = invoker::decoder(&order);
     (Call::new(order, decode, ANSWER_MAX), until)
 }
 
 /// Goes on with a call of another process.
-pub fn go_on(handle: &Handle, part: call::Part, connection: Option<TcpStream>) -> (Call<TcpStream>, Micros) {
+pub fn go_on(handle: &Handle, part: call::Part, connection: Option<TcpStream>) -> (Call<Conn>, Micros) {
     let (until, decode) = (part.until, invoker::decoder(&part.order));
+    let connection = connection.map(Conn::Plain);
     let call = handle.pool(|pool| Call::resumed(part, decode, ANSWER_MAX, connection, pool));
     (call, until)
 }
@@ -158,7 +172,12 @@
 }
 
 /// Makes one call, once; `until`: when its time is up.
-pub async fn call(handle: &Handle, (mut call, until): (Call<TcpStream>, Micros), words: &Words) -> Came {
+pub async fn call(
+    handle: &Handle,
+    (mut call, until): (Call<Conn>, Micros),
+    words: &Words,
+    mut leave: Option<&mut Leave>,
+) -> Came {
     let (clock, addr) = (&handle.clock, call.order.addr);
     let deadline = sleep(clock.until(until));
     tokio::pin!(deadline);
@@ -167,7 +186,7 @@
         return given(handle, call, until);
     }
     let mut told = match call.state() {
-        State::New => handle.pool(|pool| call.start(pool, clock.now(), is_quiet)),
+        State::New => start(handle, &mut call, leave.as_deref_mut()),
         State::Writing { written: 1.. } => {
             request = invoker::encode(&call.order);
             Told { end: None, finish: false, gone: None }
@@ -189,7 +208,7 @@
             && let Some((stream, _)) = call.parts()
         {
             // Where it can't be told, the connection is gone already.
-            let _ = stream.shutdown().await;
+            let _ = stream.stream_mut().shutdown().await;
         }
         let (state, rest) = (call.state(), call.attempt().wake_at());
         if matches!(state, State::Writing { written: 0 }) {
@@ -205,7 +224,7 @@
                 // The word first: it may keep the call from leaving.
                 () = words.give.notified() => continue,
                 word = words.heard(state) => word,
-                stream = timeout(handle.connect, connect(addr)) => match stream.ok().flatten() {
+                stream = timeout(handle.connect, connect(addr, leave.as_deref_mut())) => match stream.ok().flatten() {
                     Some(stream) => {
                         told = handle.pool(|pool| call.connected(pool, stream, clock.now()));
                         continue;
@@ -220,7 +239,7 @@
                     biased;
                     () = words.give.notified() => continue,
                     word = words.heard(state) => word,
-                    wrote = stream.write(&request[written..]) => match wrote {
+                    wrote = stream.stream_mut().write(&request[written..]) => match wrote {
                         Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: request.len() - written - bytes },
                         _ => Input::WriteFailed,
                     },
@@ -232,7 +251,7 @@
                 request = Vec::new();
                 tokio::select! {
                     biased;
-                    read = read(stream, answer) => read,
+                    read = read(stream.stream_mut(), answer) => read,
                     () = words.give.notified() => continue,
                     word = words.heard(state) => word,
                     () = &mut deadline => Input::Deadline,
@@ -251,7 +270,16 @@
     }
 }
 
-fn given(handle: &Handle, call: Call<TcpStream>, until: Micros) -> Came {
+/// Begins on what rests, or on what it has leave for where its partner's connections are counted.
+pub fn start(handle: &Handle, call: &mut Call<Conn>, leave: Option<&mut Leave>) -> Told<Conn> {
+    let now = handle.clock.now();
+    handle.pool(|pool| match leave {
+        None => call.start(pool, now, is_quiet),
+        Some(leave) => call.start_on(pool, leave.resting.take(), now),
+    })
+}
+
+fn given(handle: &Handle, call: Call<Conn>, until: Micros) -> Came {
     let (part, connection) = handle.pool(|pool| call.part(pool, until));
-    Came::Given(Box::new(part), connection)
+    Came::Given(Box::new(part), connection.and_then(Conn::into_stream))
 }
--- a/courier/src/transport/streams.rs
+++ b/courier/src/transport/streams.rs
@@ -3,6 +3,7 @@
 
 use super::handle::Handle;
 use super::providers::{self, Words, last_words, read, tick};
+use crate::fleet::budget::Leave;
 use actix_rt::net::TcpStream;
 use actix_rt::time::timeout;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -320,9 +321,10 @@
     order: InvokerCall,
     words: &Words,
     pipe: &Pipe,
+    leave: Option<&mut Leave>,
     written: impl Fn(),
 ) -> CallEnd {
-    let end = make(handle, order, words, pipe, written).await;
+    let end = make(handle, order, words, pipe, leave, written).await;
     pipe.change(|flow| flow.end(handle.clock.now()));
     pipe.room.notify_one();
     end
@@ -333,6 +335,7 @@
     order: InvokerCall,
     words: &Words,
     pipe: &Pipe,
+    mut leave: Option<&mut Leave>,
     written: impl Fn(),
 ) -> CallEnd {
     let (clock, addr, provider) = (&handle.clock, order.addr, order.provider);
@@ -340,7 +343,7 @@
     let mut by = None;
     let mut call = Call::streamed(order, invoker::decode, ANSWER_MAX);
     let mut p = Progress::default();
-    let mut told = handle.pool(|pool| call.start(pool, clock.now(), providers::is_quiet));
+    let mut told = providers::start(handle, &mut call, leave.as_deref_mut());
     loop {
         drop(told.gone);
         if let Some(end) = told.end {
@@ -349,7 +352,7 @@
         if told.finish
             && let Some((stream, _)) = call.parts()
         {
-            let _ = stream.shutdown().await;
+            let _ = stream.stream_mut().shutdown().await;
         }
         let (state, rest) = (call.state(), call.attempt().wake_at());
         if matches!(state, State::Writing { .. }) && !p.headed {
@@ -374,7 +377,7 @@
             (State::Connecting, _) => tokio::select! {
                 biased;
                 word = words.heard_by_stream(state) => word,
-                stream = timeout(handle.connect, providers::connect(addr)) => match stream.ok().flatten() {
+                stream = timeout(handle.connect, providers::connect(addr, leave.as_deref_mut())) => match stream.ok().flatten() {
                     Some(stream) => {
                         told = handle.pool(|pool| call.connected(pool, stream, clock.now()));
                         continue;
@@ -411,7 +414,7 @@
                 } else {
                     let wake = [rest, late, p.hold, p.body_at].into_iter().flatten().min();
                     let writes = !p.out.is_empty() && p.hold.is_none() && !cut;
-                    let (mut from, mut to) = stream.split();
+                    let (mut from, mut to) = stream.stream_mut().split();
                     tokio::select! {
                         biased;
                         word = words.heard_by_stream(state) => word,
@@ -433,7 +436,7 @@
             (State::Awaiting | State::Reading { .. }, Some((stream, answer))) => {
                 tokio::select! {
                     biased;
-                    read = read(stream, answer) => read,
+                    read = read(stream.stream_mut(), answer) => read,
                     word = words.heard_by_stream(state) => word,
                     _ = tick(clock, by) => Input::Deadline,
                     tick = tick(clock, rest) => tick,
--- a/fleet/src/budget/holder.rs
+++ b/fleet/src/budget/holder.rs
@@ -680,6 +680,11 @@
         self.partners.get(&dest).map_or(0, |p| p.conns.len() as u32)
     }
 
+    /// A connection that is closing counts for no longer than this.
+    pub fn closes_within(&self, dest: u64) -> Micros {
+        self.partners.get(&dest).map_or(self.terms.closed(), |p| p.closed)
+    }
+
     /// How many connections a tenant has at a partner, in any state.
     pub fn open_of(&self, dest: u64, tenant: &str) -> u32 {
         self.partners.get(&dest).map_or(0, |p| p.open(tenant))
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -293,7 +293,7 @@
         let parcel = |id: &&str| {
             let (id, key, body) =
                 (id.to_string(), (*id == "b").then(|| "k\"1".into()), vec![0, 255, 10].into());
-            std::sync::Arc::new(Parcel { id, key, body })
+            std::sync::Arc::new(Parcel { id, key, tenant: None, body })
         };
         let id = |msg| quillmount_core::CallId { msg, attempt: 0 };
         let mut parcels = ids.iter().map(parcel).zip(1..);
