--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -30,8 +30,6 @@
 use stores::Files;
 use tokio::sync::Notify;
 
-/// No invoker call writes for longer: the longest time of a message, by the newest pages.
-const CALL: Micros = 30_000_000;
 /// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -96,7 +94,7 @@
             OnMissing::Prefer => Missing::Prefer,
         },
         budgets: budgets_of(told),
-        call: CALL,
+        call: told.partner_call.0.as_micros() as Micros,
         quiet: told.partner_idle.0.as_micros() as Micros,
     }
 }
--- a/courier/tests/fleet_budget.rs
+++ b/courier/tests/fleet_budget.rs
@@ -2,6 +2,7 @@
 
 use quillmount_standins::audit::{Budget, Finding, Terms, audit};
 use quillmount_standins::consumer::Invocation;
+use quillmount_standins::fleet::link::Way;
 use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE, play};
 use quillmount_standins::partner::Answer;
 use quillmount_standins::record::Record;
@@ -18,7 +19,9 @@
 /// Three couriers, and a partner at destination 1 that holds each call until it is told to answer.
 fn setup(budget: Value) -> FleetSetup {
     let mut setup = FleetSetup::new(env!("CARGO_BIN_EXE_quillmount"), 3);
-    setup.fleet = Some(json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "budgets": [budget]}));
+    let times = json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "partner_call": "2s"});
+    setup.fleet = Some(times);
+    setup.fleet.iter_mut().for_each(|fleet| fleet["budgets"] = json!([budget]));
     setup.partner(1, |_| Answer::Held);
     setup
 }
@@ -74,9 +77,8 @@
 
 /// Waits until the partner holds so many calls of a tenant, or of all (the empty name).
 async fn holds(fleet: &Fleet, tenant: &str, many: usize) {
-    let found = |record: &Record| {
-        (held(record).filter(|id| id.starts_with(tenant)).count() == many).then_some(())
-    };
+    let found =
+        |record: &Record| (held(record).filter(|id| id.starts_with(tenant)).count() == many).then_some(());
     fleet.until(&format!("{many} calls of {tenant:?}"), PATIENCE, found).await.unwrap();
 }
 
@@ -103,13 +105,148 @@
 
 /// The partner never had more open than the budget, and no rule was broken.
 fn clean(fleet: &Fleet, connections: usize) {
-    let budgets = vec![Budget { partner: 0, from: 0, most: connections }];
+    let partner = fleet.witness.read(|record| record.opens.last().map_or(0, |open| open.partner));
+    let budgets = vec![Budget { partner, from: 0, most: connections }];
     let mut history = fleet.history(Terms::default());
     history.budgets = budgets;
     let found: Vec<Finding> = audit(&history);
     assert_eq!(found, []);
 }
 
+/// What is out is left alone, and what comes free goes to whoever has too little, within a round of the leader's.
+#[test]
+fn idle_budget_is_lent_and_called_back_without_breaking_a_call_off() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let mut ids = hand_in(&fleet, 0, "a", 20);
+        holds(&fleet, "a", CONNECTIONS).await;
+        ids.extend(hand_in(&fleet, 1, "b", 20));
+        // One of a's calls after another is answered, until b has its part; a's own next ones take no more than theirs.
+        while fleet.witness.read(|record| held(record).filter(|id| id.starts_with('b')).count()) < 3 {
+            let (first, seen) = fleet.witness.read(|record| {
+                (held(record).find(|id| id.starts_with('a')).map(str::to_string), whole(record))
+            });
+            fleet.partner(0).release(&first.unwrap(), Answer::ok());
+            let moved = |record: &Record| (whole(record) > seen).then_some(());
+            fleet.until("the next call", PATIENCE, moved).await.unwrap();
+        }
+        let (a, abandoned) = fleet.witness.read(|record| {
+            let abandoned = record.calls.iter().filter(|call| call.abandoned.is_some()).count();
+            (held(record).filter(|id| id.starts_with('a')).count(), abandoned)
+        });
+        assert_eq!((a, abandoned), (3, 0));
+        all_end(&fleet, &ids).await;
+        assert_eq!(delivered(&fleet, &ids), ids.len());
+        clean(&fleet, CONNECTIONS);
+    });
+}
+
+#[test]
+fn a_tenant_that_asks_for_ten_times_its_part_then_none_then_all_gets_its_part_and_all() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let b = hand_in(&fleet, 1, "b", 3);
+        holds(&fleet, "b", 3).await;
+        let a = hand_in(&fleet, 0, "a", 30);
+        holds(&fleet, "a", 3).await;
+        all_end(&fleet, &[a, b].concat()).await;
+        let b = hand_in(&fleet, 1, "bb", 12);
+        holds(&fleet, "bb", CONNECTIONS).await;
+        all_end(&fleet, &b).await;
+        let a = hand_in(&fleet, 2, "a", 12);
+        holds(&fleet, "a", CONNECTIONS).await;
+        all_end(&fleet, &a).await;
+        clean(&fleet, CONNECTIONS);
+    });
+}
+
+/// A courier that is lost, or cut off from the others alone, may have its connections open for the time of a call and until the
+/// partner ends them: nobody else uses them before.
+#[test]
+fn what_a_lost_courier_held_comes_free_after_the_stated_bound_and_not_before() {
+    // A call, the partner's end of its connection, and the lease, by the slowest clock.
+    const HOLD: u64 = 5_100_000;
+    for cut in [false, true] {
+        play(async || {
+            let mut fleet = start(setup(json!({"dest": 1, "connections": 4}))).await;
+            hand_in(&fleet, 0, "a", 8);
+            hand_in(&fleet, 1, "b", 60);
+            // The share of each, whoever was first.
+            loop {
+                let (a, b, seen) = fleet.witness.read(|record| {
+                    let of = |tenant| held(record).filter(|id| id.starts_with(tenant)).count();
+                    (of('a'), of('b'), whole(record))
+                });
+                if (a, b) == (2, 2) {
+                    break;
+                }
+                let more = if a > 2 { "a" } else { "b" };
+                if a + b == 4 {
+                    let first =
+                        |record: &Record| held(record).find(|id| id.starts_with(more)).map(str::to_string);
+                    let first = fleet.witness.read(first).unwrap();
+                    fleet.partner(0).release(&first, Answer::ok());
+                }
+                let moved = |record: &Record| (whole(record) > seen).then_some(());
+                fleet.until("the next call", PATIENCE, moved).await.unwrap();
+            }
+            let lost = fleet.witness.now();
+            match cut {
+                true => fleet.set_links(0, Way::Cut),
+                false => fleet.kill(0).await.unwrap(),
+            }
+            // b goes on with its two, until it has a third.
+            let third = loop {
+                let (at, seen) = fleet.witness.read(|record| {
+                    let opens = record.opens.iter().filter(|open| open.courier != 0 && open.when.at > lost);
+                    let mut more = 2;
+                    let third = opens.clone().find(|open| {
+                        more = if open.came { more + 1 } else { more - 1 };
+                        more > 2
+                    });
+                    (third.map(|open| open.when.at), whole(record))
+                });
+                if let Some(at) = at {
+                    break at;
+                }
+                fleet.partner(0).release_where(Answer::ok(), |call| call.courier != 0);
+                let moved =
+                    |record: &Record| (whole(record) > seen || record.opens.len() > 999_999).then_some(());
+                if fleet.until("the next call", PATIENCE, moved).await.is_err() {
+                    panic!("nothing came free");
+                }
+            };
+            assert!(third >= lost + HOLD, "{} ms", (third - lost) / 1000);
+            println!("cut {cut}: free after {} ms", (third - lost) / 1000);
+            clean(&fleet, 4);
+        });
+    }
+}
+
+#[test]
+fn a_thousand_tenants_with_a_message_each_have_all_of_them_delivered() {
+    play(async || {
+        let mut setup = setup(json!({"dest": 2, "connections": 24}));
+        setup.partner(2, |_| Answer::ok());
+        let fleet = start(setup).await;
+        let mut ids = Vec::new();
+        for n in 0..1000 {
+            let id = format!("t{n}");
+            let headers = format!("X-Account: tenant-{n}\r\n");
+            let invocation = Invocation { headers, ..Invocation::new("fee-debit", &id, 2, LONG) };
+            let consumer = fleet.consumer(n % 3);
+            spawn_local(async move { consumer.hand_in(&invocation, BODY).await });
+            ids.push(id);
+        }
+        let over = |record: &Record| ids.iter().all(|id| record.has_ended(id)).then_some(());
+        let begun = fleet.witness.now();
+        fleet.until("all ends", LONG * 2, over).await.unwrap();
+        println!("a thousand in {} ms", (fleet.witness.now() - begun) / 1000);
+        assert_eq!(delivered(&fleet, &ids), ids.len());
+        clean(&fleet, 24);
+    });
+}
+
 #[test]
 fn a_flood_at_three_couriers_uses_the_whole_budget_and_never_more() {
     play(async || {
--- a/operator/src/fleet.rs
+++ b/operator/src/fleet.rs
@@ -20,6 +20,8 @@
 const LEASE_LEAST: Duration = Duration::from_millis(1_500);
 const LEASE_MOST: Duration = Duration::from_secs(60);
 const COPIES_MOST: usize = 3;
+/// No invoker call writes for longer: the longest time of a message, by the newest pages.
+const CALL_MOST: Duration = Duration::from_secs(30);
 
 /// Couriers as one fleet. Read at the start only, but for `members` and `voters`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -49,6 +51,9 @@
     pub budgets: Vec<FleetBudget>,
     /// A partner ends a connection within so long after the last that was written on it.
     pub partner_idle: Span,
+    /// A call to a partner with a budget has its connection for so long at most; one that is out for longer is given up, as
+    /// one that may have run. What a lost courier held comes free the later, the longer this is.
+    pub partner_call: Span,
     /// Addresses off this machine are let through. What couriers say to each other is neither secret nor signed.
     pub beyond_loopback: bool,
 }
@@ -128,6 +133,7 @@
             on_missing: OnMissing::default(),
             budgets: Vec::new(),
             partner_idle: Span(Duration::from_secs(15)),
+            partner_call: Span(CALL_MOST),
             beyond_loopback: false,
         }
     }
@@ -218,6 +224,11 @@
                 self.lease
             ),
         );
+        must(
+            self.partner_call.0 > Duration::ZERO && self.partner_call.0 <= CALL_MOST,
+            "partner_call".into(),
+            format!("up to {CALL_MOST:?}, a message's longest time, is possible, not {}", self.partner_call),
+        );
         must(
             (1..=COPIES_MOST).contains(&self.copies),
             "copies".into(),
