--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -295,6 +295,11 @@
         Intake::TakenOn
     }
 
+    /// Whether an invocation with this id was taken on, as far back as is remembered.
+    pub fn knows(&self, id: &str) -> bool {
+        self.ids.contains_key(id) || self.over.get(id).is_some()
+    }
+
     /// Time has passed; wanted at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
--- a/courier/src/fleet/budget.rs
+++ b/courier/src/fleet/budget.rs
@@ -244,8 +244,9 @@
                 Begin::Reuse => {
                     let taken = handle.pool(|pool| pool.take(provider, |conn| conn.is(name)));
                     let Some((to, at, mut link, conn)) = taken else {
-                        // It went meanwhile, and that is noted already.
+                        // It went meanwhile.
                         self.note_gone();
+                        self.gate(|gate, now| gate.connections.closing(dest, permit.conn, now));
                         continue;
                     };
                     let quiet = (to, at) == (provider, addr) && is_quiet(&conn);
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -138,7 +138,9 @@
             self.count(|c| c.rejected += 1);
             return Intake::Rejected { after };
         }
-        if let Some(after) = self.budgets.as_ref().and_then(|budgets| budgets.refuses(&invocation)) {
+        let late = self.budgets.as_ref().and_then(|budgets| budgets.refuses(&invocation));
+        // One that is owed is answered as what it is.
+        if let Some(after) = late.filter(|_| !self.handle.hub.borrow().router.knows(&invocation.id)) {
             self.count(|c| c.rejected += 1);
             return Intake::Rejected { after };
         }
