A copy that comes back is asked anew, and a lease is not renewed once the fleet is asked to count its holder as gone

Cause, found by playing every fault at every step: (1) a holder of a copy that lost its folder and came back within a lease was taken for one that has the book, by its progress of before: the owner counted records as safe that were nowhere else, and where nothing more was written never sent them again. (2) A member whose lease had lapsed, and whose Gone was proposed and not agreed yet, was granted a lease, and counted as gone while it held it.

--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Its process is another, and perhaps its folder: nothing is known of what it has.
+    pub fn forget(&mut self, name: &str) {
+        self.copies.remove(name);
+    }
+
     /// All up to this mark is at each of these.
     pub fn safe(&self, needed: &BTreeSet<Name>) -> u64 {
         let at = |name| self.copies.get(name).map_or(0, |copy| copy.safe);
--- a/fleet/src/lease.rs
+++ b/fleet/src/lease.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Granted {
     heard: BTreeMap<Name, (Epoch, Micros)>,
+    /// Whom it has asked the fleet to count as gone: nothing more is granted, as that may be agreed at any moment.
+    over: BTreeMap<Name, Epoch>,
     /// It began to lead then.
     since: Micros,
 }
@@ -78,12 +80,22 @@
     /// It leads from now on: whoever was granted a lease by the leader before may still hold it.
     pub fn begin(&mut self, now: Micros) {
         self.heard.clear();
+        self.over.clear();
         self.since = now;
     }
 
-    /// A member asks.
-    pub fn hear(&mut self, name: &str, epoch: Epoch, now: Micros) {
-        self.heard.insert(name.into(), (epoch, now));
+    /// A member asks; whether it may be granted a lease.
+    pub fn hear(&mut self, name: &str, epoch: Epoch, now: Micros) -> bool {
+        let may = self.over.get(name) != Some(&epoch);
+        if may {
+            self.heard.insert(name.into(), (epoch, now));
+        }
+        may
+    }
+
+    /// Its lease has lapsed, and the fleet is asked to say so.
+    pub fn lapsed(&mut self, name: &str, epoch: Epoch) {
+        self.over.insert(name.into(), epoch);
     }
 
     /// A member is registered: it has a lease's time for its first question.
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -10,7 +10,7 @@
 use crate::message::{Envelope, Message, Place};
 use crate::plan::{Missing, Name, Plan};
 use crate::shares::Shares;
-use crate::state::{Agreed, BookId, Command, Epoch, Event, Part, Source};
+use crate::state::{Agreed, BookId, Command, Epoch, Event, Member as Registered, Part, Source};
 use bytes::Bytes;
 use quillmount_core::journal;
 use quillmount_core::store::Store;
@@ -587,6 +587,11 @@
     /// The state is a later one, and what led there was not told: what matters is in the difference.
     fn caught_up(&mut self, before: &Agreed, now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
         let mut events = Vec::new();
+        if let Some(owner) = &mut self.owner {
+            let other =
+                |(name, m): &(&Name, &Registered)| before.members.get(*name).is_none_or(|b| b.life != m.life);
+            self.agreed.members.iter().filter(other).for_each(|(name, _)| owner.forget(name));
+        }
         for id in before.books.keys().filter(|id| !self.agreed.books.contains_key(id)) {
             let line = before.books[id].line;
             let renamed = self.agreed.books.iter().find(|(to, b)| to.owner == id.owner && b.line == line);
@@ -636,6 +641,9 @@
             Event::Joined { name, epoch, life, kept } => {
                 self.granted.joined(&name, epoch, now);
                 self.shares_agreed(now, out);
+                if let Some(owner) = &mut self.owner {
+                    owner.forget(&name);
+                }
                 if name == self.plan.me && life == self.life {
                     self.epoch = Some(epoch);
                     self.shares.gate.joined(epoch);
@@ -859,8 +867,10 @@
             }
             Message::Propose(command) => self.propose(command, now, out)?,
             Message::Renew { epoch, ticket } => {
-                if self.leads && self.agreed.epoch_of(&from) == Some(epoch) {
-                    self.granted.hear(&from, epoch, now);
+                if self.leads
+                    && self.agreed.epoch_of(&from) == Some(epoch)
+                    && self.granted.hear(&from, epoch, now)
+                {
                     self.ticket += 1;
                     self.reads.insert(self.ticket, (from, epoch, ticket));
                     self.agree(agreement::Input::Read { ticket: self.ticket }, now, out)?;
@@ -1235,6 +1245,11 @@
             .collect();
         if !lapsed.is_empty() && now >= self.lapse_at {
             self.lapse_at = now + AGAIN;
+            for command in &lapsed {
+                if let Command::Gone { name, epoch } = command {
+                    self.granted.lapsed(name, *epoch);
+                }
+            }
             lapsed.into_iter().try_for_each(|command| self.propose(command, now, out))?;
         }
         let voters = self.agreement.voters();
