--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -1133,9 +1133,11 @@
 const THREADS: usize = 2;
 
 #[cfg(not(feature = "breaks"))]
-fn broken() {}
+fn broken() -> bool {
+    false
+}
 #[cfg(not(feature = "breaks"))]
-fn set(_: ()) {}
+fn set(_: bool) {}
 
 fn any(_: &Fault) -> bool {
     true
