Bound the connections at the listener where couriers hear each other

Whoever found the address could take descriptors without end, and so could a peer that gives connections up and whose closing never comes. Two for each member and eight more; the same number counts against limits.sockets. Without the line the new test is let in until it gives up.

--- a/courier/src/fleet/listener.rs
+++ b/courier/src/fleet/listener.rs
@@ -17,8 +17,14 @@
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 
-/// Accepts other couriers until it is dropped.
+/// Connections at once for each member: one is in use, and one that it has given up is closed within a moment.
+pub const EACH: usize = 2;
+/// And for whoever else finds the address.
+pub const SPARE: usize = 8;
+
+/// Accepts other couriers until it is dropped; more connections than couriers can need are closed at once.
 pub async fn serve(listener: TcpListener, fleet: Rc<Fleet>) {
+    let (open, most) = (Rc::new(()), (fleet.links.len() + 1) * EACH + SPARE);
     let answering = {
         let fleet = fleet.clone();
         fn_service(move |request: Request| {
@@ -31,11 +37,15 @@
     let service = Rc::new(service);
     loop {
         match listener.accept().await {
+            Ok((_, peer)) if Rc::strong_count(&open) > most => {
+                tracing::debug!("fleet: a connection from {peer} is one too many: {most} are open");
+            }
             Ok((stream, peer)) => {
                 // Where it can't be said, an answer waits a moment.
                 let _ = stream.set_nodelay(true);
-                let service = service.clone();
+                let (service, open) = (service.clone(), open.clone());
                 actix_rt::spawn(async move {
+                    let _open = open;
                     if let Err(e) = service.call((stream, Some(peer))).await {
                         tracing::debug!("fleet: a connection from {peer}: {e}");
                     }
--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -63,14 +63,14 @@
 
 /// The last records of a planned stop are given so long to get to the copies: half of what the stop waits for in all.
 const LAST_COPY: Duration = Duration::from_millis(100);
-/// Descriptors for each other courier: a connection each way, and as many that a closed one still holds for a moment.
-const SOCKETS_EACH: usize = 4;
-/// Copies of others' journals, and what is agreed: files of their own.
-const FILES: usize = 8;
+/// Descriptors for each courier: a connection to it, one that it has given up, and those that are let in from it.
+const SOCKETS_EACH: usize = 2 + listener::EACH;
+/// Descriptors for what is agreed, and for the listener and who else comes there. Copies of others' journals have a file each.
+const OWN: usize = 8 + listener::SPARE;
 
 /// Descriptors that a courier's part in its fleet takes.
 pub fn sockets(told: &quillmount_operator::fleet::Fleet) -> usize {
-    if told.on { FILES + told.members.len() * (SOCKETS_EACH + told.copies) } else { 0 }
+    if told.on { OWN + told.members.len() * (SOCKETS_EACH + told.copies) } else { 0 }
 }
 
 /// What the member wants of the courier, in order.
--- a/courier/tests/fleet/cut.rs
+++ b/courier/tests/fleet/cut.rs
@@ -3,6 +3,7 @@
 use super::*;
 use quillmount_standins::door;
 use quillmount_standins::fleet::link::{Once, Way};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// It says that it may not act, takes nothing on, begins nothing, and its work is taken over once.
 #[test]
@@ -134,3 +135,27 @@
         heals(&mut fleet).await;
     });
 }
+
+/// Whoever else finds the address where couriers hear each other takes no more of their descriptors than are set aside for it.
+#[test]
+fn strangers_at_the_listener_take_no_descriptors_without_end() {
+    play(async || {
+        let mut fleet = fleet(3).await;
+        let mut strangers = Vec::new();
+        let closed = async {
+            loop {
+                let mut stream = tokio::net::TcpStream::connect(fleet.listen(1)).await.unwrap();
+                // A word that is answered at once where the connection is let in.
+                let asked = stream.write_all(b"GET / HTTP/1.1\r\nHost: b\r\n\r\n").await;
+                if asked.is_err() || stream.read(&mut [0; 256]).await.unwrap_or(0) == 0 {
+                    return;
+                }
+                strangers.push(stream);
+            }
+        };
+        assert!(timeout(PATIENCE, closed).await.is_ok());
+        assert!(strangers.len() < 30, "{}", strangers.len());
+        drop(strangers);
+        heals(&mut fleet).await;
+    });
+}
