Begin anew with the program that runs, though its file is gone

Seen with drawn faults while the program was being built: a courier that was taken over went to begin anew, and the path of its own program was one that is marked as deleted, so that it ended. It now names itself by the system's own link. Without that the new test waits in vain.

--- a/courier/src/program/cli.rs
+++ b/courier/src/program/cli.rs
@@ -104,8 +104,8 @@
         Ok(run::Ended::Stopped) => ExitCode::SUCCESS,
         Ok(run::Ended::Anew) => {
             // The same process: whoever watches it, or signals it by its number, sees no other.
-            let program = std::env::current_exe().unwrap_or_else(|_| "quillmount".into());
-            let e = std::process::Command::new(program).args(std::env::args_os().skip(1)).exec();
+            // And the same program, though its file be another by now or gone.
+            let e = std::process::Command::new("/proc/self/exe").args(std::env::args_os().skip(1)).exec();
             tracing::error!("the process can't begin anew: {e}; start it again");
             ExitCode::FAILURE
         }
--- a/courier/tests/fleet/copies.rs
+++ b/courier/tests/fleet/copies.rs
@@ -39,7 +39,15 @@
         ready(&fleet, 0).await;
         assert_eq!(fleet.hand_in(0, &message("fee-debit", "alone", 1), BODY).await, 202);
         ends(&fleet, "alone").await;
+        // What nobody else knows is still its own when it is back.
+        in_hand(&fleet, 0, "debit", "paid").await;
         let alone = now(&fleet);
+        fleet.restart(0).await.unwrap();
+        fleet.says(0, "with the book in the folder").await.unwrap();
+        ends(&fleet, "debit").await;
+        assert_eq!(call(&fleet, "paid", 2).await.courier, 0);
+        fleet.partner(1).release("paid", Answer::ok());
+        ends(&fleet, "paid").await;
         fleet.spawn(1).unwrap();
         anybody_says(&fleet, alone, "the journal is copied to b").await;
         heals(&mut fleet).await;
