Hand what waits for its next call over at a planned stop at once

A stop waited until nothing was owed, 3.4 s at most, and then had 0.2 s for the fleet's word: on a loaded machine too little, and the book went by the lease. In a fleet it now waits for calls that are out alone, and for the word until 3.6 s after it was asked.

--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -74,8 +74,8 @@
     Anew,
 }
 
-/// A planned stop waits so long for its fleet's word: SIGKILL comes 0.3 s after the last call's end at the soonest.
-const LEAVE: Duration = Duration::from_millis(200);
+/// A planned stop waits until then for its fleet's word, 0.1 s before SIGKILL comes at the soonest.
+const LEAVE: Duration = Duration::from_millis(3_600);
 
 /// Runs until a planned stop. `operator` came from `path`, where there is such a file.
 ///
@@ -278,13 +278,18 @@
             courier.end_streams();
         }
         let open = connections.close_idle();
-        if !open && courier.is_quiet() {
+        // In a fleet what waits for its next call goes on elsewhere: calls that are out alone are waited for.
+        let quiet = match &fleet {
+            None => courier.is_quiet(),
+            Some(_) => !courier.has_calls_out(),
+        };
+        if !open && quiet {
             break;
         }
         sleep(LOOK.min(left(STOP))).await;
     }
     if let Some(fleet) = &fleet {
-        match timeout(LEAVE, fleet.leave(&config.state)).await {
+        match timeout(left(LEAVE), fleet.leave(&config.state)).await {
             Ok(Ok(())) => {}
             Ok(Err(e)) => tracing::error!("{e}"),
             Err(_) => tracing::warn!(
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -309,6 +309,10 @@
         self.handle.hub.borrow().is_quiet()
     }
 
+    pub fn has_calls_out(&self) -> bool {
+        self.handle.hub.borrow().router.load().1 > 0
+    }
+
     pub fn report(&self) -> String {
         let router = &self.handle.hub.borrow().router;
         let (owed, out) = router.load();
