--- /dev/null
+++ b/courier/tests/fleet_budget.rs
@@ -0,0 +1,294 @@
+//! A partner's connections shared by a fleet: real processes between stand-ins, counted by the partner itself.
+
+use quillmount_standins::audit::{Budget, Finding, Terms, audit};
+use quillmount_standins::consumer::Invocation;
+use quillmount_standins::fleet::link::Way;
+use quillmount_standins::fleet::{Fleet, FleetSetup, PATIENCE, play};
+use quillmount_standins::partner::Answer;
+use quillmount_standins::record::Record;
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(16);
+const BODY: &[u8] = b"body";
+/// The partner's connections, of the whole fleet.
+const CONNECTIONS: usize = 6;
+
+/// Three couriers, and a partner at destination 1 that holds each call until it is told to answer.
+fn setup(budget: Value) -> FleetSetup {
+    let mut setup = FleetSetup::new(env!("CARGO_BIN_EXE_quillmount"), 3);
+    let times = json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "partner_call": "5s"});
+    setup.fleet = Some(times);
+    setup.fleet.iter_mut().for_each(|fleet| fleet["budgets"] = json!([budget]));
+    // Else a courier's own limits are met before the budget is.
+    setup.config = json!({"settings": {"family_info": {"call_slots": 64}, "limits": {"open_cap": 1000}}});
+    setup.partner(1, |_| Answer::Held);
+    setup
+}
+
+async fn start(setup: FleetSetup) -> Fleet {
+    let fleet = Fleet::start(setup).await.unwrap();
+    for courier in 0..fleet.couriers() {
+        until(&format!("{courier} is ready"), async || {
+            fleet.get(courier, "/-/ready").await.is_ok_and(|told| told.0 == 200)
+        })
+        .await;
+    }
+    fleet
+}
+
+/// Waits until something that is no event of the record holds.
+async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let waits = async {
+        while !holds().await {
+            yield_now().await;
+        }
+    };
+    assert!(timeout(PATIENCE, waits).await.is_ok(), "not seen within {PATIENCE:?}: {what}");
+}
+
+/// Hands messages of a tenant in at a courier, all at once; their ids are the tenant's name, the courier and a number.
+fn hand_in(fleet: &Fleet, courier: usize, tenant: &str, many: usize) -> Vec<String> {
+    let ids: Vec<String> = (0..many).map(|n| format!("{tenant}-{courier}-{n}")).collect();
+    for id in &ids {
+        let headers = format!("X-Account: {tenant}\r\n");
+        let invocation = Invocation { headers, ..Invocation::new("fee-debit", id, 1, LONG) };
+        let consumer = fleet.consumer(courier);
+        spawn_local(async move { consumer.hand_in(&invocation, BODY).await });
+    }
+    ids
+}
+
+fn open(fleet: &Fleet) -> (usize, usize) {
+    fleet.witness.read(|record| record.open_at(0))
+}
+
+fn whole(record: &Record) -> usize {
+    record.calls.iter().filter(|call| call.whole.is_some()).count()
+}
+
+/// Calls that the partner holds now.
+fn held(record: &Record) -> impl Iterator<Item = &str> {
+    let held = |call: &&quillmount_standins::record::Call| {
+        call.whole.is_some() && call.answered.is_none() && call.abandoned.is_none()
+    };
+    record.calls.iter().filter(held).map(|call| call.id.as_str())
+}
+
+/// Waits until the partner holds so many calls of a tenant, or of all (the empty name).
+async fn holds(fleet: &Fleet, tenant: &str, many: usize) {
+    let found =
+        |record: &Record| (held(record).filter(|id| id.starts_with(tenant)).count() == many).then_some(());
+    fleet.until(&format!("{many} calls of {tenant:?}"), PATIENCE, found).await.unwrap();
+}
+
+/// The partner answers whatever comes until all of these have their end.
+async fn all_end(fleet: &Fleet, ids: &[String]) {
+    loop {
+        fleet.partner(0).release_where(Answer::ok(), |_| true);
+        let over = |record: &Record| ids.iter().all(|id| record.has_ended(id));
+        let seen = fleet.witness.read(whole);
+        if fleet.witness.read(over) {
+            return;
+        }
+        let moved = |record: &Record| (whole(record) > seen || over(record)).then_some(());
+        fleet.until("a call or an end", PATIENCE, moved).await.unwrap();
+    }
+}
+
+fn delivered(fleet: &Fleet, ids: &[String]) -> usize {
+    let of = |record: &Record, id: &str| {
+        record.calls_of(id).filter(|call| call.answered.is_some_and(|(_, status)| status == 200)).count()
+    };
+    fleet.witness.read(|record| ids.iter().filter(|id| of(record, id) == 1).count())
+}
+
+/// The partner never had more open than the budget, and no rule was broken.
+fn clean(fleet: &Fleet, connections: usize) {
+    let partner = fleet.witness.read(|record| record.opens.last().map_or(0, |open| open.partner));
+    let budgets = vec![Budget { partner, from: 0, most: connections }];
+    let mut history = fleet.history(Terms::default());
+    history.budgets = budgets;
+    let found: Vec<Finding> = audit(&history);
+    assert_eq!(found, []);
+}
+
+/// What is out is left alone, and what comes free goes to whoever has too little, within a round of the leader's.
+#[test]
+fn idle_budget_is_lent_and_called_back_without_breaking_a_call_off() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let mut ids = hand_in(&fleet, 0, "a", 20);
+        holds(&fleet, "a", CONNECTIONS).await;
+        ids.extend(hand_in(&fleet, 1, "b", 20));
+        // One of a's calls after another is answered, until b has its part; a's own next ones take no more than theirs.
+        while fleet.witness.read(|record| held(record).filter(|id| id.starts_with('b')).count()) < 3 {
+            let (first, seen) = fleet.witness.read(|record| {
+                (held(record).find(|id| id.starts_with('a')).map(str::to_string), whole(record))
+            });
+            fleet.partner(0).release(&first.unwrap(), Answer::ok());
+            let moved = |record: &Record| (whole(record) > seen).then_some(());
+            fleet.until("the next call", PATIENCE, moved).await.unwrap();
+        }
+        let (a, abandoned) = fleet.witness.read(|record| {
+            let abandoned = record.calls.iter().filter(|call| call.abandoned.is_some()).count();
+            (held(record).filter(|id| id.starts_with('a')).count(), abandoned)
+        });
+        assert_eq!((a, abandoned), (3, 0));
+        all_end(&fleet, &ids).await;
+        assert_eq!(delivered(&fleet, &ids), ids.len());
+        clean(&fleet, CONNECTIONS);
+    });
+}
+
+#[test]
+fn a_tenant_that_asks_for_ten_times_its_part_then_none_then_all_gets_its_part_and_all() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let b = hand_in(&fleet, 1, "b", 3);
+        holds(&fleet, "b", 3).await;
+        let a = hand_in(&fleet, 0, "a", 30);
+        holds(&fleet, "a", 3).await;
+        all_end(&fleet, &[a, b].concat()).await;
+        let b = hand_in(&fleet, 1, "bb", 12);
+        holds(&fleet, "bb", CONNECTIONS).await;
+        all_end(&fleet, &b).await;
+        let a = hand_in(&fleet, 2, "a", 12);
+        holds(&fleet, "a", CONNECTIONS).await;
+        all_end(&fleet, &a).await;
+        clean(&fleet, CONNECTIONS);
+    });
+}
+
+/// A courier that is lost, or cut off from the others alone, may have its connections open for the time of a call and until the
+/// partner ends them: nobody else uses them before.
+#[test]
+fn what_a_lost_courier_held_comes_free_after_the_stated_bound_and_not_before() {
+    // A call, the partner's end of its connection, and the lease, by the slowest clock.
+    const HOLD: u64 = 8_100_000;
+    for cut in [false, true] {
+        play(async || {
+            let mut fleet = start(setup(json!({"dest": 1, "connections": 4}))).await;
+            hand_in(&fleet, 0, "a", 8);
+            hand_in(&fleet, 1, "b", 12);
+            // The share of each, whoever was first.
+            loop {
+                let (a, b, seen) = fleet.witness.read(|record| {
+                    let of = |tenant| held(record).filter(|id| id.starts_with(tenant)).count();
+                    (of('a'), of('b'), whole(record))
+                });
+                if (a, b) == (2, 2) {
+                    break;
+                }
+                let more = if a > 2 { "a" } else { "b" };
+                if a + b == 4 {
+                    let first =
+                        |record: &Record| held(record).find(|id| id.starts_with(more)).map(str::to_string);
+                    let first = fleet.witness.read(first).unwrap();
+                    fleet.partner(0).release(&first, Answer::ok());
+                }
+                let moved = |record: &Record| (whole(record) > seen).then_some(());
+                fleet.until("the next call", PATIENCE, moved).await.unwrap();
+            }
+            let lost = fleet.witness.now();
+            match cut {
+                true => fleet.set_links(0, Way::Cut),
+                false => fleet.kill(0).await.unwrap(),
+            }
+            // b goes on with its two, and asks for more all the time, until it has a third.
+            let mut n = 0;
+            let third = loop {
+                let found = |record: &Record| {
+                    let mut open = 2;
+                    for one in record.opens.iter().filter(|one| one.courier == 1 && one.when.at > lost) {
+                        open = if one.came { open + 1 } else { open - 1 };
+                        if open > 2 {
+                            return Some(Some(one.when.at));
+                        }
+                    }
+                    (held(record).filter(|id| id.starts_with("b")).count() == 2).then_some(None)
+                };
+                if let Some(at) = fleet.until("a third, or two that are held", PATIENCE, found).await.unwrap()
+                {
+                    break at;
+                }
+                let first = |record: &Record| held(record).find(|id| id.starts_with('b')).map(str::to_string);
+                fleet.partner(0).release(&fleet.witness.read(first).unwrap(), Answer::ok());
+                let headers = "X-Account: b\r\n".to_string();
+                let more =
+                    Invocation { headers, ..Invocation::new("fee-debit", &format!("b-more-{n}"), 1, LONG) };
+                fleet.hand_in(1, &more, BODY).await;
+                n += 1;
+            };
+            assert!(third >= lost + HOLD, "{} ms", (third - lost) / 1000);
+            println!("cut {cut}: free after {} ms", (third - lost) / 1000);
+            clean(&fleet, 4);
+        });
+    }
+}
+
+/// Who comes too late for its time is told so at once, and how long what waits will take; who has the time is taken on.
+#[test]
+fn a_message_whose_time_is_over_before_its_turn_is_refused_at_the_front() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": 1}))).await;
+        let mut ids = hand_in(&fleet, 0, "a", 6);
+        holds(&fleet, "a", 1).await;
+        let message = |id: &str, tenant: &str, time| {
+            let headers = format!("X-Account: {tenant}\r\n");
+            Invocation { headers, ..Invocation::new("fee-debit", id, 1, time) }
+        };
+        let short = Duration::from_secs(3);
+        // Those before have to be in the line.
+        let mut n = 0;
+        while fleet.hand_in(0, &message(&format!("late-{n}"), "a", short), BODY).await != 503 {
+            ids.push(format!("late-{n}"));
+            n += 1;
+        }
+        // One that is owed is not refused.
+        assert_eq!(fleet.hand_in(0, &message(&ids[0], "a", short), BODY).await, 409);
+        assert_eq!(fleet.hand_in(0, &message("in-time", "a", LONG), BODY).await, 202);
+        assert_eq!(fleet.hand_in(0, &message("other", "b", short), BODY).await, 202);
+        ids.push("in-time".into());
+        all_end(&fleet, &ids).await;
+        clean(&fleet, 1);
+    });
+}
+
+#[test]
+fn a_thousand_tenants_with_a_message_each_have_all_of_them_delivered() {
+    play(async || {
+        let mut setup = setup(json!({"dest": 2, "connections": 64}));
+        setup.partner(2, |_| Answer::ok());
+        let fleet = start(setup).await;
+        let mut ids = Vec::new();
+        for n in 0..1000 {
+            let id = format!("t{n}");
+            let headers = format!("X-Account: tenant-{n}\r\n");
+            let invocation = Invocation { headers, ..Invocation::new("fee-debit", &id, 2, LONG) };
+            let consumer = fleet.consumer(n % 3);
+            spawn_local(async move { consumer.hand_in(&invocation, BODY).await });
+            ids.push(id);
+        }
+        let over = |record: &Record| ids.iter().all(|id| record.has_ended(id)).then_some(());
+        let begun = fleet.witness.now();
+        fleet.until("all ends", LONG * 2, over).await.unwrap();
+        println!("a thousand in {} ms", (fleet.witness.now() - begun) / 1000);
+        assert_eq!(delivered(&fleet, &ids), ids.len());
+        clean(&fleet, 64);
+    });
+}
+
+#[test]
+fn a_flood_at_three_couriers_uses_the_whole_budget_and_never_more() {
+    play(async || {
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let ids: Vec<String> = (0..3).flat_map(|courier| hand_in(&fleet, courier, "flood", 40)).collect();
+        holds(&fleet, "flood", CONNECTIONS).await;
+        all_end(&fleet, &ids).await;
+        assert_eq!((delivered(&fleet, &ids), open(&fleet).1), (ids.len(), CONNECTIONS));
+        clean(&fleet, CONNECTIONS);
+    });
+}
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -10,7 +10,7 @@
 use crate::message::{Envelope, Message, Place};
 use crate::plan::{Missing, Name, Plan};
 use crate::shares::Shares;
-use crate::state::{Agreed, BookId, Command, Epoch, Event, Part, Source};
+use crate::state::{Agreed, BookId, Command, Epoch, Event, Member as Registered, Part, Source};
 use bytes::Bytes;
 use quillmount_core::journal;
 use quillmount_core::store::Store;
@@ -223,13 +223,55 @@
     done: bool,
 }
 
+/// The one log that all couriers agree on, as a member uses it: [`Agreement`], or a model of one where this is explored.
+pub trait Log {
+    /// # Errors
+    /// There is one already, or it can't be written.
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError>;
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output>;
+    fn leader(&self) -> Option<Token>;
+    fn leads(&self) -> bool;
+    fn token(&self) -> Token;
+    fn voters(&self) -> Vec<Token>;
+    fn learners(&self) -> Vec<Token>;
+    fn wake_at(&self) -> Option<Micros>;
+}
+
+impl<S: Store> Log for Agreement<S> {
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError> {
+        Agreement::begin(self, now)
+    }
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output> {
+        Agreement::step(self, input, now)
+    }
+    fn leader(&self) -> Option<Token> {
+        Agreement::leader(self)
+    }
+    fn leads(&self) -> bool {
+        Agreement::leads(self)
+    }
+    fn token(&self) -> Token {
+        Agreement::token(self)
+    }
+    fn voters(&self) -> Vec<Token> {
+        Agreement::voters(self)
+    }
+    fn learners(&self) -> Vec<Token> {
+        Agreement::learners(self)
+    }
+    fn wake_at(&self) -> Option<Micros> {
+        Agreement::wake_at(self)
+    }
+}
+
 /// The machine.
-pub struct Member<D: Stores> {
+#[derive(Clone)]
+pub struct Member<D: Stores, L = Agreement<<D as Stores>::Store>> {
     pub plan: Plan,
     /// Bytes that copies of others' books may take here; a seal is written beyond it.
     pub room: u64,
     stores: D,
-    agreement: Agreement<D::Store>,
+    agreement: L,
     agreed: Agreed,
     /// Its own process.
     life: u64,
@@ -303,6 +345,23 @@
         now: Micros,
     ) -> Result<(Self, Vec<Output>), MemberError> {
         let (agreement, opened) = Agreement::open(stores.open("agreement")?, token, limits, now)?;
+        Member::with_log(plan, stores, agreement, opened, life, now)
+    }
+}
+
+impl<D: Stores, L: Log> Member<D, L> {
+    /// Takes up what the folder has beside the log, which was opened already.
+    ///
+    /// # Errors
+    /// What is there can't be read.
+    pub fn with_log(
+        plan: Plan,
+        mut stores: D,
+        agreement: L,
+        opened: agreement::Opened,
+        life: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Output>), MemberError> {
         let mut identity = stores.open("identity")?;
         let (first, line) = (identity.is_empty(), read_identity(&mut identity)?);
         let mut copies = BTreeMap::new();
@@ -368,7 +427,7 @@
         &self.agreed
     }
 
-    pub fn agreement(&self) -> &Agreement<D::Store> {
+    pub fn agreement(&self) -> &L {
         &self.agreement
     }
 
@@ -549,6 +608,11 @@
     /// The state is a later one, and what led there was not told: what matters is in the difference.
     fn caught_up(&mut self, before: &Agreed, now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
         let mut events = Vec::new();
+        if let Some(owner) = &mut self.owner {
+            let other =
+                |(name, m): &(&Name, &Registered)| before.members.get(*name).is_none_or(|b| b.life != m.life);
+            self.agreed.members.iter().filter(other).for_each(|(name, _)| owner.forget(name));
+        }
         for id in before.books.keys().filter(|id| !self.agreed.books.contains_key(id)) {
             let line = before.books[id].line;
             let renamed = self.agreed.books.iter().find(|(to, b)| to.owner == id.owner && b.line == line);
@@ -601,6 +665,9 @@
             Event::Joined { name, epoch, life, kept } => {
                 self.granted.joined(&name, epoch, now);
                 self.shares_agreed(now, out);
+                if let Some(owner) = &mut self.owner {
+                    owner.forget(&name);
+                }
                 if name == self.plan.me && life == self.life {
                     self.epoch = Some(epoch);
                     self.shares.gate.joined(epoch);
@@ -825,8 +892,10 @@
             }
             Message::Propose(command) => self.propose(command, now, out)?,
             Message::Renew { epoch, ticket } => {
-                if self.leads && self.agreed.epoch_of(&from) == Some(epoch) {
-                    self.granted.hear(&from, epoch, now);
+                if self.leads
+                    && self.agreed.epoch_of(&from) == Some(epoch)
+                    && self.granted.hear(&from, epoch, now)
+                {
                     self.ticket += 1;
                     self.reads.insert(self.ticket, (from, epoch, ticket));
                     self.agree(agreement::Input::Read { ticket: self.ticket }, now, out)?;
@@ -1217,6 +1286,11 @@
             .collect();
         if !lapsed.is_empty() && now >= self.lapse_at {
             self.lapse_at = now + AGAIN;
+            for command in &lapsed {
+                if let Command::Gone { name, epoch } = command {
+                    self.granted.lapsed(name, *epoch);
+                }
+            }
             lapsed.into_iter().try_for_each(|command| self.propose(command, now, out))?;
         }
         let voters = self.agreement.voters();
