--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -948,6 +948,14 @@
         }
     }
 
+    /// Whether the fleet promises anything where this folder is lost: not if a book is nowhere else.
+    fn bears_loss(&self, i: usize) -> bool {
+        self.agreed.books.iter().filter(|(_, b)| b.version > 0).all(|(id, b)| {
+            let elsewhere = b.copies.iter().any(|holder| number(holder) != i);
+            elsewhere || b.sealed.is_none() && number(&id.owner) != i
+        })
+    }
+
     /// The faults that may come in the place of this step, which has so many effects.
     fn faults(&self, event: &Event, (effects, matters): (u32, bool)) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -956,10 +964,10 @@
         }
         if let Some(i) = self.who(event).filter(|i| self.runs(*i)) {
             use Back::{AtTheEnd, Late, LateEmpty, Soon, SoonEmpty};
-            for after in 0..effects {
+            for after in 0..=effects {
                 for back in [Soon, Late, SoonEmpty, LateEmpty, AtTheEnd] {
                     let empty = matches!(back, SoonEmpty | LateEmpty);
-                    if !(empty && self.lost_folder) {
+                    if !empty || !self.lost_folder && self.bears_loss(i) {
                         faults.push(Fault::Kill(i, after, back));
                     }
                 }
@@ -1066,9 +1074,10 @@
 }
 
 /// Explores a case: its first break, with the way there. Prints what was seen.
-fn search(case: &Case) -> Option<(String, Path)> {
+fn search(case: &Case, broken: Option<Break>) -> Option<(String, Path)> {
     let (begun, count) = (Instant::now(), Count::default());
     // Its faults at the first level are shared out among threads.
+    set(broken);
     let mut world = World::new(case);
     let mut first = Vec::new();
     while !world.over() && world.bad.is_none() {
@@ -1084,10 +1093,13 @@
         world = after;
     }
     world.judge();
-    assert_eq!(world.bad, None, "{}: without a fault", case.name);
+    set(None);
+    if let Some(bad) = world.bad {
+        println!("{}{:?}: without a fault: {bad}", case.name, broken);
+        return Some((bad, Path::new()));
+    }
     assert_eq!(world.seen.taken_on.len(), case.messages.len(), "{}: all are taken on", case.name);
     let (first, found) = (Mutex::new(first), Mutex::new(None));
-    let broken = broken();
     std::thread::scope(|scope| {
         let work = || {
             set(broken);
@@ -1106,8 +1118,9 @@
     });
     let found = found.into_inner().unwrap();
     println!(
-        "{}: {} faults a path, {} paths, {} steps, {:.1} s: {}",
+        "{}{}: {} faults a path, {} paths, {} steps, {:.1} s: {}",
         case.name,
+        broken.map_or(String::new(), |b| format!(" with {b:?}")),
         case.faults,
         count.paths.into_inner(),
         count.steps.into_inner(),
@@ -1140,10 +1153,13 @@
 
 const THREADS: usize = 2;
 
+#[cfg(feature = "breaks")]
+use quillmount_fleet::breaks::{Break, set};
+
 #[cfg(not(feature = "breaks"))]
-fn broken() {}
+type Break = ();
 #[cfg(not(feature = "breaks"))]
-fn set(_: ()) {}
+fn set(_: Option<Break>) {}
 
 fn any(_: &Fault) -> bool {
     true
@@ -1168,7 +1184,7 @@
 fn holds(cases: &[Case]) {
     let mut bad = 0;
     for case in cases {
-        if let Some((_, path)) = search(case) {
+        if let Some((_, path)) = search(case, None) {
             let told = replay(case, &path);
             println!("{}: {told:?}: {path:#?}", case.name);
             bad += 1;
@@ -1188,3 +1204,58 @@
 fn no_two_faults_break_a_takeover() {
     holds(&cases(2, any));
 }
+
+/// Each deliberate break is found, by the property that is named; the same case holds without it.
+#[cfg(feature = "breaks")]
+#[test]
+fn every_break_is_found() {
+    let case = |owner, copies, faults, only| Case {
+        name: "break",
+        owner,
+        copies,
+        messages: vec![(1, true, 0)],
+        trip: 5 * MS,
+        faults,
+        only,
+    };
+    let kill = |f: &Fault| matches!(f, Fault::Kill(_, _, Back::LateEmpty));
+    // Handed in when the lease has run out, and the leader's words do not come.
+    let late = vec![(1, true, 0), (2, true, LEASE * 2)];
+    let all = [
+        (Break::SafeAtOnce, "recorded:", case(1, 1, 1, kill)),
+        (
+            Break::LeaseIgnored,
+            "lease:",
+            Case { messages: late, ..case(2, 1, 1, |f| matches!(f, Fault::Cut(0, 2))) },
+        ),
+        (Break::NoGrace, "lease:", case(1, 1, 1, |f| matches!(f, Fault::Depose))),
+        // Its owner is lost, and one of its two copies.
+        (
+            Break::EmptyCopyKept,
+            "held:",
+            case(1, 2, 2, |f| {
+                matches!(f, Fault::Kill(1, _, Back::AtTheEnd) | Fault::Kill(0, _, Back::SoonEmpty))
+            }),
+        ),
+        // The taker is lost between its call and the word that it is the taker.
+        (
+            Break::TakenAtOnce,
+            "once:",
+            case(1, 1, 2, |f| matches!(f, Fault::Kill(1, _, Back::AtTheEnd) | Fault::Kill(0, _, _))),
+        ),
+        // The copy's holder has not heard that the owner is gone, a taker has read the copy, and a late word comes.
+        (
+            Break::SealIgnored,
+            "sealed:",
+            case(2, 1, 3, |f| {
+                matches!(f, Fault::Kill(2, _, Back::AtTheEnd) | Fault::Late | Fault::Behind(1))
+            }),
+        ),
+    ];
+    for (broken, property, case) in all {
+        let found = search(&case, Some(broken));
+        assert!(found.as_ref().is_some_and(|(bad, _)| bad.starts_with(property)), "{broken:?}: {found:?}");
+        let (_, path) = found.unwrap();
+        assert_eq!(replay(&case, &path), None, "{broken:?}: without it, on the same way");
+    }
+}
