Every deliberate break of the fleet is found by directed faults; a word for a copy that was lost is void

Cause: two faults showed an owner that was cut off and had not heard that a copy's holder had lost its folder: its word for that copy was agreed after the holder's return, and the copy was named with nothing in it. Change: each folder that is lost makes the versions of all open books grow, so that words of before change nothing.

--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -77,7 +77,8 @@
     pub line: Epoch,
     /// Those at which each record has to be before it counts.
     pub copies: BTreeSet<Name>,
-    /// Grows with each change of `copies`. Where it is 0, nothing that was written there counts.
+    /// Grows with each change of `copies`, and with each folder that a copy may have been lost with. Where it is 0, nothing
+    /// that was written there counts.
     pub version: u64,
     /// `None`: its owner writes it.
     pub sealed: Option<Vec<Part>>,
@@ -289,7 +290,9 @@
     /// A sealed book's copy may be needed when its holder is back; one whose folder is lost (`lost`) will not.
     fn no_copies_at(&mut self, name: &str, lost: bool, events: &mut Vec<Event>) {
         for (id, book) in self.books.iter_mut().filter(|(_, b)| lost || b.sealed.is_none()) {
-            if book.copies.remove(name) {
+            // An owner that has not heard of it yet may ask for the copy that was lost: that word is void.
+            let asked = lost && book.sealed.is_none() && book.version > 0;
+            if book.copies.remove(name) || asked {
                 book.version += 1;
                 events.push(Event::Copies(id.clone()));
             }
--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -869,14 +869,13 @@
         for (i, disk) in self.disks.iter().enumerate() {
             for (file, bytes) in disk.iter().filter(|(file, _)| file.starts_with("copy.")) {
                 let owner = file.rsplit('.').next().unwrap_or_default().to_string();
-                let end = Records::of(bytes).position(|(_, r)| r == Record::Sealed);
-                if let Some(end) = end {
-                    let behind = Records::of(bytes).count() - end - 1;
-                    if behind > 0 {
-                        let what = format!("sealed: {}'s copy {file} takes records", name(i));
-                        self.bad.get_or_insert(what);
-                    }
+                let seal = journal::frame(&Record::Sealed).unwrap().len();
+                let end = Records::of(bytes).enumerate().find(|(_, (_, r))| *r == Record::Sealed);
+                if end.as_ref().is_some_and(|(_, (at, _))| at + seal < bytes.len()) {
+                    let what = format!("sealed: {}'s copy {file} takes more", name(i));
+                    self.bad.get_or_insert(what);
                 }
+                let end = end.map(|(n, _)| n);
                 let mut ids = BTreeMap::new();
                 let mut tries: BTreeMap<String, usize> = BTreeMap::new();
                 for (_, record) in Records::of(bytes).take(end.unwrap_or(usize::MAX)) {
@@ -959,7 +958,11 @@
     /// The faults that may come in the place of this step, which has so many effects.
     fn faults(&self, event: &Event, (effects, matters): (u32, bool)) -> Vec<Fault> {
         let mut faults = Vec::new();
+        if let Event::Deliver { from, to, .. } = event {
+            faults.push(Fault::Cut(*from, *to));
+        }
         if !matters || self.now > self.zero + LAST_FAULT {
+            faults.retain(self.case.only);
             return faults;
         }
         if let Some(i) = self.who(event).filter(|i| self.runs(*i)) {
@@ -974,8 +977,8 @@
             }
             faults.extend([Fault::Pause(i), Fault::Isolate(i), Fault::Behind(i)]);
         }
-        if let Event::Deliver { from, to, .. } = event {
-            faults.extend([Fault::Lose, Fault::Late, Fault::Cut(*from, *to)]);
+        if matches!(event, Event::Deliver { .. }) {
+            faults.extend([Fault::Lose, Fault::Late]);
         }
         faults.push(Fault::Depose);
         faults.retain(self.case.only);
@@ -1099,6 +1102,7 @@
         return Some((bad, Path::new()));
     }
     assert_eq!(world.seen.taken_on.len(), case.messages.len(), "{}: all are taken on", case.name);
+    first.reverse();
     let (first, found) = (Mutex::new(first), Mutex::new(None));
     std::thread::scope(|scope| {
         let work = || {
@@ -1234,14 +1238,14 @@
             Break::EmptyCopyKept,
             "held:",
             case(1, 2, 2, |f| {
-                matches!(f, Fault::Kill(1, _, Back::AtTheEnd) | Fault::Kill(0, _, Back::SoonEmpty))
+                matches!(f, Fault::Kill(1, 0, Back::AtTheEnd) | Fault::Kill(0, 0, Back::SoonEmpty))
             }),
         ),
         // The taker is lost between its call and the word that it is the taker.
         (
             Break::TakenAtOnce,
-            "once:",
-            case(1, 1, 2, |f| matches!(f, Fault::Kill(1, _, Back::AtTheEnd) | Fault::Kill(0, _, _))),
+            "once: part:",
+            case(1, 1, 2, |f| matches!(f, Fault::Kill(1, _, Back::AtTheEnd) | Fault::Kill(0, 0, _))),
         ),
         // The copy's holder has not heard that the owner is gone, a taker has read the copy, and a late word comes.
         (
@@ -1254,7 +1258,10 @@
     ];
     for (broken, property, case) in all {
         let found = search(&case, Some(broken));
-        assert!(found.as_ref().is_some_and(|(bad, _)| bad.starts_with(property)), "{broken:?}: {found:?}");
+        assert!(
+            found.as_ref().is_some_and(|(bad, _)| property.split(' ').any(|p| bad.starts_with(p))),
+            "{broken:?}: {found:?}"
+        );
         let (_, path) = found.unwrap();
         assert_eq!(replay(&case, &path), None, "{broken:?}: without it, on the same way");
     }
--- a/fleet/tests/takeover.rs
+++ b/fleet/tests/takeover.rs
@@ -181,24 +181,3 @@
     let taken = days(100..110, true);
     assert!(taken > 10 * 30, "only {taken} messages were taken on");
 }
-
-/// Each deliberate break of the code is found by these days.
-#[cfg(feature = "breaks")]
-#[test]
-fn every_break_is_found() {
-    use quillmount_fleet::breaks::{Break, set};
-    let all = [
-        Break::SealIgnored,
-        Break::SafeAtOnce,
-        Break::TakenAtOnce,
-        Break::NoGrace,
-        Break::EmptyCopyKept,
-        Break::LeaseIgnored,
-    ];
-    for broken in all {
-        set(Some(broken));
-        let found = (0..60).find(|seed| wrong(&faults(5, *seed, seed % 2 == 0)).is_some());
-        set(None);
-        println!("{broken:?}: found with seed {found:?}");
-    }
-}
