A process that is registered twice goes on under its first epoch only until it begins anew

Cause, found by two faults: a repeated word of joining, agreed after its owner had been counted as gone, registered the same process under a new epoch and line.

--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -644,7 +644,8 @@
                 if let Some(owner) = &mut self.owner {
                     owner.forget(&name);
                 }
-                if name == self.plan.me && life == self.life {
+                // A word that was said again may register the same process twice: what it has begun on is over then.
+                if name == self.plan.me && life == self.life && self.epoch.is_none() {
                     self.epoch = Some(epoch);
                     self.shares.gate.joined(epoch);
                     self.drop_unknown()?;
--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -519,6 +519,7 @@
             return;
         }
         let old = self.leader;
+        tell(|| format!("{old} leads no more"));
         let Some(new) = (1..=N).map(|n| (old + n) % N).find(|i| *i != old && self.carries(*i)) else {
             if !self.carries(old) && !self.healed {
                 self.at(LEASE / 2, Event::Elect);
