--- /dev/null
+++ b/courier/examples/fleet_budget.rs
@@ -0,0 +1,281 @@
+//! A partner's connections under a flood of one tenant, with and without losses of couriers.
+//!
+//!     cargo build --release -p quillmount && cargo run --release -p quillmount --example fleet_budget -- 20 1
+//!
+//! So many seconds a part, a seed. Four parts, each with a fleet of its own: a tenant that floods; other tenants alone; the same beside a tenant that
+//! has as much in hand all the time as it can; the same again while couriers are killed or cut off from the others. Printed: the most
+//! connections that the partner ever counted, how much of the budget was used, and what became of the other tenants' messages.
+
+use quillmount_standins::audit::{Budget, Terms, audit};
+use quillmount_standins::consumer::Invocation;
+use quillmount_standins::fleet::link::Way;
+use quillmount_standins::fleet::{Fleet, FleetSetup};
+use quillmount_standins::partner::Answer;
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const COURIERS: usize = 3;
+const CONNECTIONS: usize = 12;
+/// How long the partner takes for a call, in microseconds.
+const TAKES: u64 = 50_000;
+/// What the flooding tenant keeps in hand at each courier.
+const FLOOD: usize = 100;
+/// Other tenants; each hands a message in at each courier in turn, after such a pause.
+const OTHERS: usize = 5;
+const PAUSE: Duration = Duration::from_millis(33);
+const TIME: Duration = Duration::from_secs(8);
+/// Between two losses, and until the lost is back.
+const LOSS: Duration = Duration::from_secs(4);
+/// The grants are made in the first moments.
+const WARM: u64 = 2_000_000;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Alone,
+    /// The flooding tenant alone: all of the budget is asked for all the time.
+    Flood,
+    Flooded,
+    Lossy,
+}
+
+/// What one part came to.
+struct Came {
+    most: usize,
+    /// Calls and connections at the partner, by time, as parts of the budget.
+    busy: f64,
+    open: f64,
+    /// Of the other tenants: taken on, delivered, milliseconds from one to the other.
+    others: usize,
+    delivered: usize,
+    took: Vec<u64>,
+    flood: usize,
+    findings: usize,
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1).map(|arg| arg.parse::<u64>());
+    let (Some(Ok(seconds)), Some(Ok(seed))) = (args.next(), args.next()) else {
+        eprintln!("fleet_budget: how many seconds a part, and a seed");
+        std::process::exit(2);
+    };
+    let program =
+        std::env::current_exe().ok().and_then(|exe| Some(exe.parent()?.parent()?.join("quillmount")));
+    let Some(program) = program.filter(|program| program.exists()) else {
+        eprintln!("fleet_budget: build the program first: cargo build --release -p quillmount");
+        std::process::exit(2);
+    };
+    println!(
+        "{COURIERS} couriers, {CONNECTIONS} connections, {} ms a call, {seconds} s a part, seed {seed}",
+        TAKES / 1000
+    );
+    let parts = [
+        ("the flood alone", Part::Flood),
+        ("others alone", Part::Alone),
+        ("others and the flood", Part::Flooded),
+        ("both, with losses", Part::Lossy),
+    ];
+    for (name, part) in parts {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let played = runtime.and_then(|runtime| {
+            tokio::task::LocalSet::new().block_on(&runtime, part_of(&program, part, seconds, seed))
+        });
+        match played {
+            Err(e) => {
+                eprintln!("fleet_budget: {e}");
+                std::process::exit(1);
+            }
+            Ok(mut came) => {
+                came.took.sort_unstable();
+                let at = |part: f64| {
+                    came.took.get((came.took.len() as f64 * part) as usize).copied().unwrap_or_default()
+                };
+                println!(
+                    "{name}: most open {} of {CONNECTIONS}; busy {:.3}, open {:.3} of the budget; others {} of {} \
+                     delivered ({:.3}), median {} ms, 99th {} ms; flood {} delivered; findings {}",
+                    came.most,
+                    came.busy,
+                    came.open,
+                    came.delivered,
+                    came.others,
+                    came.delivered as f64 / came.others.max(1) as f64,
+                    at(0.5),
+                    at(0.99),
+                    came.flood,
+                    came.findings
+                );
+            }
+        }
+    }
+}
+
+fn setup(program: &Path, seed: u64) -> FleetSetup {
+    let mut setup = FleetSetup::new(PathBuf::from(program), COURIERS);
+    setup.seed = seed;
+    let budgets = json!([{"dest": 1, "connections": CONNECTIONS}]);
+    setup.fleet = Some(json!({"lease": "1500ms", "copies": 1, "partner_idle": "1s", "partner_call": "2s",
+                              "budgets": budgets}));
+    setup.config = json!({"settings": {"family_info": {"call_slots": 64}, "limits": {"open_cap": 1000}}});
+    setup.partner(1, |_| Answer::Held);
+    setup
+}
+
+fn invocation(tenant: &str, id: &str) -> Invocation {
+    Invocation { headers: format!("X-Account: {tenant}\r\n"), ..Invocation::new("fee-debit", id, 1, TIME) }
+}
+
+async fn part_of(program: &Path, part: Part, seconds: u64, seed: u64) -> std::io::Result<Came> {
+    let setup = setup(program, seed);
+    let mut draws = setup.generator();
+    let mut fleet = Fleet::start(setup).await?;
+    for courier in 0..COURIERS {
+        while fleet.get(courier, "/-/ready").await.map_or(0, |told| told.0) != 200 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let begun = fleet.witness.now();
+    let end = begun + seconds * 1_000_000;
+    for tenant in 0..if part == Part::Flood { 0 } else { OTHERS } {
+        let consumers: Vec<_> = (0..COURIERS).map(|courier| fleet.consumer(courier)).collect();
+        let witness = fleet.witness.clone();
+        spawn_local(async move {
+            for n in 0.. {
+                sleep(PAUSE).await;
+                if witness.now() >= end {
+                    return;
+                }
+                let (consumer, name) = (consumers[n % COURIERS].clone(), format!("other{tenant}"));
+                let message = invocation(&name, &format!("{name}-{n}"));
+                // A lost courier's front answers nothing.
+                spawn_local(async move {
+                    let _ =
+                        tokio::time::timeout(Duration::from_secs(2), consumer.hand_in(&message, b"x")).await;
+                });
+            }
+        });
+    }
+    // What the flooding tenant has in hand, by courier.
+    let in_hand: Rc<RefCell<BTreeMap<usize, usize>>> = Rc::default();
+    let mut number = 0;
+    let mut loss_at = begun + LOSS.as_micros() as u64;
+    let mut lost = None;
+    while fleet.witness.now() < end {
+        sleep(Duration::from_millis(1)).await;
+        release(&fleet, &in_hand);
+        let now = fleet.witness.now();
+        if part == Part::Lossy && now >= loss_at {
+            loss_at = now + LOSS.as_micros() as u64;
+            match lost.take() {
+                Some(_) => fleet.mend().await?,
+                None => {
+                    let courier = draws.usize(0..COURIERS);
+                    lost = Some(courier);
+                    match draws.bool() {
+                        true => fleet.kill(courier).await?,
+                        false => fleet.set_links(courier, Way::Cut),
+                    }
+                }
+            }
+            in_hand.borrow_mut().clear();
+        }
+        if part == Part::Alone {
+            continue;
+        }
+        for courier in (0..COURIERS).filter(|courier| lost != Some(*courier)) {
+            let has = in_hand.borrow().get(&courier).copied().unwrap_or(0);
+            // A few at once: it is one thread that plays all consumers.
+            for _ in has..FLOOD.min(has + 10) {
+                number += 1;
+                *in_hand.borrow_mut().entry(courier).or_default() += 1;
+                let (consumer, message) =
+                    (fleet.consumer(courier), invocation("flood", &format!("flood-{number}")));
+                let in_hand = in_hand.clone();
+                spawn_local(async move {
+                    let told =
+                        tokio::time::timeout(Duration::from_secs(2), consumer.hand_in(&message, b"x")).await;
+                    if told.is_ok_and(|status| status != 202)
+                        && let Some(has) = in_hand.borrow_mut().get_mut(&courier)
+                    {
+                        *has = has.saturating_sub(1);
+                    }
+                });
+            }
+        }
+    }
+    let over = fleet.witness.now();
+    // What is owed has its end.
+    let all = end + TIME.as_micros() as u64 + 2_000_000;
+    fleet.mend().await?;
+    while fleet.witness.now() < all {
+        sleep(Duration::from_millis(1)).await;
+        release(&fleet, &in_hand);
+    }
+    Ok(came(&fleet, begun + WARM, over))
+}
+
+/// The partner answers what it has had for long enough.
+fn release(fleet: &Fleet, in_hand: &Rc<RefCell<BTreeMap<usize, usize>>>) {
+    let now = fleet.witness.now();
+    fleet.partner(0).release_where(Answer::ok(), |call| {
+        let ready = call.whole.is_some_and(|whole| whole.at + TAKES <= now);
+        if ready
+            && call.id.starts_with("flood")
+            && let Some(has) = in_hand.borrow_mut().get_mut(&call.courier)
+        {
+            *has = has.saturating_sub(1);
+        }
+        ready
+    });
+}
+
+fn came(fleet: &Fleet, from: u64, to: u64) -> Came {
+    let mut history = fleet.history(Terms::default());
+    history.budgets = vec![Budget { partner: 0, from: 0, most: CONNECTIONS }];
+    let findings = audit(&history);
+    findings.iter().take(5).for_each(|finding| println!("  {finding:?}"));
+    fleet.witness.read(|record| {
+        let within = |begun: u64, over: u64| over.min(to).saturating_sub(begun.max(from)) as f64;
+        let all = (CONNECTIONS as u64 * (to - from)) as f64;
+        let busy = record.calls.iter().map(|call| {
+            let over = call.answered.map(|(when, _)| when).or(call.abandoned).map_or(to, |when| when.at);
+            within(call.began.at, over)
+        });
+        let ends = record.opens.iter().skip(1).map(|open| open.when.at).chain([to]);
+        let open =
+            record.opens.iter().zip(ends).map(|(open, next)| open.open as f64 * within(open.when.at, next));
+        let others: Vec<_> = record
+            .told
+            .iter()
+            .filter(|told| told.id.starts_with("other"))
+            .filter(|told| told.answer.is_some_and(|(_, status)| status == 202))
+            .collect();
+        let took: Vec<u64> = {
+            let mut first = BTreeMap::new();
+            for call in record.calls.iter().filter(|call| call.id.starts_with("other")) {
+                if let Some((when, 200)) = call.answered {
+                    first.entry(call.id.as_str()).or_insert(when.at);
+                }
+            }
+            let took =
+                others.iter().filter_map(|told| Some((first.get(told.id.as_str())? - told.asked.at) / 1000));
+            took.collect()
+        };
+        let flood =
+            record.calls.iter().filter(|call| call.id.starts_with("flood") && call.answered.is_some());
+        Came {
+            most: record.open_at(0).1,
+            busy: busy.sum::<f64>() / all,
+            open: open.sum::<f64>() / all,
+            others: others.len(),
+            delivered: took.len(),
+            took,
+            flood: flood.count(),
+            findings: findings.len(),
+        }
+    })
+}
--- a/courier/tests/fleet_budget.rs
+++ b/courier/tests/fleet_budget.rs
@@ -16,10 +16,11 @@
 /// The partner's connections, of the whole fleet.
 const CONNECTIONS: usize = 6;
 
-/// Three couriers, and a partner at destination 1 that holds each call until it is told to answer.
-fn setup(budget: Value) -> FleetSetup {
+/// Three couriers, and a partner at destination 1 that holds each call until it is told to answer; a call has its connection for
+/// so long at most.
+fn setup(budget: Value, call: &str) -> FleetSetup {
     let mut setup = FleetSetup::new(env!("CARGO_BIN_EXE_quillmount"), 3);
-    let times = json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "partner_call": "5s"});
+    let times = json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "partner_call": call});
     setup.fleet = Some(times);
     setup.fleet.iter_mut().for_each(|fleet| fleet["budgets"] = json!([budget]));
     // Else a courier's own limits are met before the budget is.
@@ -119,7 +120,7 @@
 #[test]
 fn idle_budget_is_lent_and_called_back_without_breaking_a_call_off() {
     play(async || {
-        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}), "30s")).await;
         let mut ids = hand_in(&fleet, 0, "a", 20);
         holds(&fleet, "a", CONNECTIONS).await;
         ids.extend(hand_in(&fleet, 1, "b", 20));
@@ -146,7 +147,7 @@
 #[test]
 fn a_tenant_that_asks_for_ten_times_its_part_then_none_then_all_gets_its_part_and_all() {
     play(async || {
-        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}), "30s")).await;
         let b = hand_in(&fleet, 1, "b", 3);
         holds(&fleet, "b", 3).await;
         let a = hand_in(&fleet, 0, "a", 30);
@@ -170,7 +171,7 @@
     const HOLD: u64 = 8_100_000;
     for cut in [false, true] {
         play(async || {
-            let mut fleet = start(setup(json!({"dest": 1, "connections": 4}))).await;
+            let mut fleet = start(setup(json!({"dest": 1, "connections": 4}), "5s")).await;
             hand_in(&fleet, 0, "a", 8);
             hand_in(&fleet, 1, "b", 12);
             // The share of each, whoever was first.
@@ -233,7 +234,7 @@
 #[test]
 fn a_message_whose_time_is_over_before_its_turn_is_refused_at_the_front() {
     play(async || {
-        let fleet = start(setup(json!({"dest": 1, "connections": 1}))).await;
+        let fleet = start(setup(json!({"dest": 1, "connections": 1}), "5s")).await;
         let mut ids = hand_in(&fleet, 0, "a", 6);
         holds(&fleet, "a", 1).await;
         let message = |id: &str, tenant: &str, time| {
@@ -260,7 +261,7 @@
 #[test]
 fn a_thousand_tenants_with_a_message_each_have_all_of_them_delivered() {
     play(async || {
-        let mut setup = setup(json!({"dest": 2, "connections": 64}));
+        let mut setup = setup(json!({"dest": 2, "connections": 64}), "30s");
         setup.partner(2, |_| Answer::ok());
         let fleet = start(setup).await;
         let mut ids = Vec::new();
@@ -284,9 +285,13 @@
 #[test]
 fn a_flood_at_three_couriers_uses_the_whole_budget_and_never_more() {
     play(async || {
-        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}))).await;
+        let fleet = start(setup(json!({"dest": 1, "connections": CONNECTIONS}), "30s")).await;
         let ids: Vec<String> = (0..3).flat_map(|courier| hand_in(&fleet, courier, "flood", 40)).collect();
-        holds(&fleet, "flood", CONNECTIONS).await;
+        // To the last message all of it is used, whichever courier has calls left.
+        for _ in 0..ids.len() / CONNECTIONS {
+            holds(&fleet, "flood", CONNECTIONS).await;
+            fleet.partner(0).release_where(Answer::ok(), |_| true);
+        }
         all_end(&fleet, &ids).await;
         assert_eq!((delivered(&fleet, &ids), open(&fleet).1), (ids.len(), CONNECTIONS));
         clean(&fleet, CONNECTIONS);
