--- a/core/src/hub.rs
+++ b/core/src/hub.rs
@@ -2,13 +2,13 @@
 //! is left to the driver is to move bytes, keep time and write the log.
 
 use crate::holds::HoldError;
-use crate::journal::{Entry, JournalError, Source};
+use crate::journal::{Entry, JournalError, Settlements, Source};
 use crate::machine::attempt::Input;
 use crate::note::Note;
 use crate::pool::Pool;
 use crate::router::{self, Intake, Router, Step, StreamEnd};
 use crate::store::Store;
-use crate::{CallEnd, CallId, Invocation, InvokerCall, Notice, ProviderList};
+use crate::{CallEnd, CallId, Ending, Invocation, InvokerCall, Notice, ProviderList};
 use serde::{Deserialize, Serialize};
 use spurshore::breaks::{self, Break};
 use spurshore::{Micros, MsgId};
@@ -93,6 +93,34 @@
         Ok(self.carry_out(steps, now))
     }
 
+    /// The same, with lines about settlements; see [`Router::adopt_with`].
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt_with(
+        &mut self,
+        entries: Vec<Entry>,
+        lines: &Settlements,
+        now: Micros,
+    ) -> Result<Vec<Do<C>>, JournalError> {
+        let steps = self.router.adopt_with(entries, lines, now)?;
+        Ok(self.carry_out(steps, now))
+    }
+
+    /// Ends what was never handed in here, with a notice; see [`Router::end_unsent`].
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing has changed.
+    pub fn end_unsent(
+        &mut self,
+        invocation: Invocation,
+        ending: Ending,
+        now: Micros,
+    ) -> Result<Vec<Do<C>>, JournalError> {
+        let steps = self.router.end_unsent(invocation, ending, now)?;
+        Ok(self.carry_out(steps, now))
+    }
+
     /// The fleet has said whose the messages of a source are; see [`Router::settle_from`].
     ///
     /// # Errors
--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -89,6 +89,87 @@
         source: Source,
         kept: bool,
     },
+    /// A line about a settlement that this courier is home to, in the words of whoever keeps settlements.
+    Settlement {
+        of: String,
+        line: SettlementLine,
+    },
+    /// Nothing that was written about it matters any more.
+    SettlementOver {
+        of: String,
+    },
+}
+
+/// What the journal has to know of such a line.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettlementLine {
+    pub dest: u64,
+    /// It stands for all that was written before it.
+    pub first: bool,
+    pub bytes: Bytes,
+    /// It came from there, and the fleet has yet to say whose it is.
+    pub source: Option<Source>,
+}
+
+/// The lines of each settlement, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settlements(pub BTreeMap<String, Vec<SettlementLine>>);
+
+impl Settlements {
+    /// Takes over what a record changes; true if it is about settlements alone.
+    pub fn apply(&mut self, record: &Record) -> bool {
+        match record {
+            Record::Settlement { of, line } => {
+                let lines = self.0.entry(of.clone()).or_default();
+                if line.first && line.source.is_none() {
+                    lines.retain(|line| line.source.is_some());
+                }
+                lines.push(line.clone());
+                true
+            }
+            Record::SettlementOver { of } => {
+                self.0.remove(of);
+                true
+            }
+            Record::Settled { source, kept } => {
+                for lines in self.0.values_mut() {
+                    if *kept {
+                        let from = lines.iter_mut().filter(|line| line.source.as_ref() == Some(source));
+                        from.for_each(|line| line.source = None);
+                    } else {
+                        lines.retain(|line| line.source.as_ref() != Some(source));
+                    }
+                }
+                self.0.retain(|_, lines| !lines.is_empty());
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Sources whose lines wait for the fleet's word.
+    pub fn unsettled(&self) -> impl Iterator<Item = &Source> {
+        self.0.values().flatten().filter_map(|line| line.source.as_ref())
+    }
+
+    fn records(self) -> impl Iterator<Item = Record> {
+        let records = |(of, lines): (String, Vec<SettlementLine>)| {
+            lines.into_iter().map(move |line| Record::Settlement { of: of.clone(), line })
+        };
+        self.0.into_iter().flat_map(records)
+    }
+
+    /// Bytes that they take in a journal, at most.
+    fn len(&self) -> u64 {
+        let len = |(of, line): (&String, &SettlementLine)| line_len(of, line);
+        self.0.iter().flat_map(|(of, lines)| lines.iter().map(move |line| (of, line))).map(len).sum()
+    }
+}
+
+/// At most what the record of a line takes.
+fn line_len(of: &str, line: &SettlementLine) -> u64 {
+    let source = line.source.as_ref().map_or(0, |source| source.owner.len() + 32);
+    (of.len() + line.bytes.len() + source) as u64 + 48
 }
 
 /// Where a message was before: a part of a journal whose courier is lost.
@@ -175,6 +256,8 @@
     pub over: Vec<(String, End, Micros)>,
     /// Endpoints that are out.
     pub holds: Holds,
+    /// Settlements that the courier is home to.
+    pub settlements: Settlements,
     /// Greater than every number ever used.
     pub next: MsgId,
 }
@@ -188,6 +271,9 @@
     }
 
     fn apply(&mut self, record: Record) {
+        if self.settlements.apply(&record) {
+            return;
+        }
         match record {
             Record::TakeOn { msg, taken } => {
                 self.next = self.next.max(msg + 1);
@@ -224,7 +310,7 @@
             Record::Over { id, end, until } => self.over.push((id, end, until)),
             Record::Hold { id } => self.holds.insert(&id),
             Record::Release { id } => self.holds.remove(&id),
-            Record::Sealed => {}
+            Record::Sealed | Record::Settlement { .. } | Record::SettlementOver { .. } => {}
             Record::From { msg, source } => {
                 if let Some(entry) = self.owed.get_mut(&msg) {
                     entry.source = Some(source);
@@ -253,7 +339,7 @@
         let over = over.map(|(id, end, until)| Record::Over { id, end, until });
         let owed = self.owed.into_iter().flat_map(|(msg, entry)| entry.records(msg));
         let holds: Vec<_> = self.holds.iter().map(|id| Record::Hold { id: id.into() }).collect();
-        holds.into_iter().chain(over).chain(owed)
+        holds.into_iter().chain(over).chain(self.settlements.records()).chain(owed)
     }
 }
 
@@ -321,6 +407,8 @@
     over: u64,
     /// Bytes of records that tell of endpoints that are out.
     holds: u64,
+    /// Bytes of records that tell of settlements, with those that came since the last copy and matter no more.
+    settlements: u64,
 }
 
 fn io(what: &'static str) -> impl Fn(io::Error) -> JournalError {
@@ -338,7 +426,8 @@
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(Self, Book), JournalError> {
-        let mut journal = Journal { store, budget, live: BTreeMap::new(), live_sum: 0, over: 0, holds: 0 };
+        let mut journal =
+            Journal { store, budget, live: BTreeMap::new(), live_sum: 0, over: 0, holds: 0, settlements: 0 };
         let bytes = journal.store.read().map_err(io("read"))?;
         let mut book = Book::default();
         let sound = decode(&bytes, &mut book);
@@ -352,6 +441,7 @@
             journal.count(*msg, encoded_len(&Record::TakeOn { msg: *msg, taken: entry.taken.clone() })?);
         }
         journal.holds = book.holds.iter().map(over_len).sum();
+        journal.settlements = book.settlements.len();
         journal.over = book.over.iter().map(|(id, ..)| over_len(id)).sum();
         Ok((journal, book))
     }
@@ -418,7 +508,40 @@
     /// No room for so many more bytes that are to stay: the old file and its compacted copy stand side by side for a
     /// moment.
     fn is_full(&self, more: u64) -> bool {
-        2 * (self.live_sum + self.over + self.holds + more) + 4 * BLOCK > self.budget
+        2 * (self.fixed() + more) + 4 * BLOCK > self.budget
+    }
+
+    /// What a copy would take, at most.
+    fn fixed(&self) -> u64 {
+        self.live_sum + self.over + self.holds + self.settlements
+    }
+
+    /// Records lines about a settlement, together; `may_wait`: it is refused where its share of the disk is full.
+    ///
+    /// # Errors
+    /// Its share is full, or the store refused them: then nothing of them is there.
+    pub fn settlement(
+        &mut self,
+        records: &[Record],
+        may_wait: bool,
+        now: Micros,
+        notes: &mut Vec<Note>,
+    ) -> Result<(), JournalError> {
+        let mut frames = Vec::new();
+        for record in records {
+            frames.extend(encode(record)?);
+        }
+        let len = frames.len() as u64;
+        if may_wait && self.is_full(len + RESERVE) {
+            // What counts as room that is taken may matter no more.
+            self.compact(now, notes)?;
+            if self.is_full(len + RESERVE) {
+                return Err(JournalError::Full);
+            }
+        }
+        self.append(&frames, now, notes)?;
+        self.settlements += len;
+        Ok(())
     }
 
     /// Records steps of invocations that are owed, together.
@@ -458,6 +581,7 @@
     pub fn adopt(
         &mut self,
         entries: BTreeMap<MsgId, Entry>,
+        lines: &Settlements,
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
@@ -469,14 +593,14 @@
             }
             lens.push((*msg, len));
         }
-        let more = lens.iter().map(|(_, len)| len + RESERVE).sum();
+        let more = lens.iter().map(|(_, len)| len + RESERVE).sum::<u64>() + lines.len();
         if self.is_full(more) {
             return Err(JournalError::Full);
         }
-        if self.store.len() + self.live_sum + self.over + self.holds + more + 4 * BLOCK > self.budget {
+        if self.store.len() + self.fixed() + more + 4 * BLOCK > self.budget {
             self.compact(now, notes)?;
         }
-        self.rewrite(entries, now, notes)?;
+        self.rewrite(entries, lines, now, notes)?;
         lens.into_iter().for_each(|(msg, len)| self.count(msg, len));
         Ok(())
     }
@@ -488,7 +612,7 @@
 
     fn append(&mut self, frame: &[u8], now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
         let len = frame.len() as u64;
-        let copy = self.live_sum + self.over + self.holds + len + RESERVE;
+        let copy = self.fixed() + len + RESERVE;
         if self.store.len() + len + copy + 4 * BLOCK > self.budget {
             self.compact(now, notes)?;
         }
@@ -497,25 +621,31 @@
 
     /// Puts what still matters in the place of all that was written.
     fn compact(&mut self, now: Micros, notes: &mut Vec<Note>) -> Result<(), JournalError> {
-        self.rewrite(BTreeMap::new(), now, notes)
+        self.rewrite(BTreeMap::new(), &Settlements::default(), now, notes)
     }
 
     /// The same, with these entries beside it.
     fn rewrite(
         &mut self,
         more: BTreeMap<MsgId, Entry>,
+        lines: &Settlements,
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
         let mut book = Book::default();
         decode(&self.store.read().map_err(io("read for a copy"))?, &mut book);
         book.owed.extend(more);
+        for (of, more) in &lines.0 {
+            book.settlements.0.entry(of.clone()).or_default().extend(more.iter().cloned());
+        }
+        let settlements = book.settlements.len();
         let mut bytes = Vec::new();
         for record in book.records(now) {
             bytes.extend(encode(&record)?);
         }
         let from = self.store.len();
         self.store.replace(&bytes).map_err(io("write of a copy"))?;
+        self.settlements = settlements;
         notes.push(Note::Compacted { from, to: bytes.len() as u64 });
         Ok(())
     }
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -28,12 +28,14 @@
 mod settle;
 mod state;
 mod streams;
+mod watch;
 
 use calls::{Out, calls_of};
 use list::Known;
 pub use state::{ResumeError, State, mark};
 use streams::Stream;
 pub use streams::{StreamEnd, StreamLimits};
+pub use watch::UnknownId;
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
@@ -162,6 +164,9 @@
     next: MsgId,
     /// A planned stop has begun: nothing is taken on from then on.
     stopping: Option<Micros>,
+    /// Messages whose ends are asked for by id, and those that came since.
+    watched: BTreeSet<String>,
+    watched_ends: Vec<(String, End)>,
     /// The journal's words since the last steps.
     notes: Vec<Note>,
     pub counters: Counters,
@@ -209,6 +214,8 @@
             write_at: Micros::MAX,
             next,
             stopping: None,
+            watched: BTreeSet::new(),
+            watched_ends: Vec::new(),
             notes,
             counters: Counters::default(),
         })
@@ -302,6 +309,7 @@
         if self.out.range(calls_of(msg)).next().is_some() {
             return None;
         }
+        self.tell_watcher(msg, End::Deferred { after });
         self.write(&Record::Told { msg }, now);
         self.notices.remove(msg);
         self.unwritten.remove(msg);
@@ -448,6 +456,7 @@
     fn settle(&mut self, msg: MsgId, end: End, now: Micros) {
         if self.owed.contains_key(&msg) {
             self.write(&Record::End { msg, end }, now);
+            self.tell_watcher(msg, end);
             self.notices.remove(msg);
             self.unwritten.remove(msg);
             self.over(msg, end);
@@ -456,6 +465,7 @@
 
     /// Whoever is owed the end hears it: a stream's consumer, who still waits, or else the platform.
     fn tell(&mut self, msg: MsgId, ending: Ending, steps: &mut Vec<Step>) {
+        self.tell_watcher(msg, ending.into());
         match self.owed.get(&msg).and_then(|owed| owed.stream) {
             Some(stream) if !stream.deaf => {
                 let end = match (stream.cut, ending) {
--- a/core/src/router/restore.rs
+++ b/core/src/router/restore.rs
@@ -61,6 +61,19 @@
     /// # Errors
     /// The journal has no room, or its store refused the records: then nothing is taken over.
     pub fn adopt(&mut self, entries: Vec<journal::Entry>, now: Micros) -> Result<Vec<Step>, JournalError> {
+        self.adopt_with(entries, &journal::Settlements::default(), now)
+    }
+
+    /// The same, with lines about settlements: all or nothing.
+    ///
+    /// # Errors
+    /// The journal has no room, or its store refused the records: then nothing is taken over.
+    pub fn adopt_with(
+        &mut self,
+        entries: Vec<journal::Entry>,
+        lines: &journal::Settlements,
+        now: Micros,
+    ) -> Result<Vec<Step>, JournalError> {
         self.forget(now);
         let mut steps = Vec::new();
         let (mut fresh, mut ids) = (BTreeMap::new(), BTreeSet::new());
@@ -75,8 +88,8 @@
             entry.calls.iter_mut().for_each(|call| call.zone = ELSEWHERE);
             fresh.insert(self.next + fresh.len() as MsgId, entry);
         }
-        if !fresh.is_empty() {
-            self.journal.adopt(fresh.clone(), now, &mut self.notes)?;
+        if !fresh.is_empty() || !lines.0.is_empty() {
+            self.journal.adopt(fresh.clone(), lines, now, &mut self.notes)?;
         }
         self.next += fresh.len() as MsgId;
         self.counters.adopted += fresh.len() as u64;
--- /dev/null
+++ b/core/src/router/watch.rs
@@ -0,0 +1,98 @@
+//! Messages of settlements: whoever keeps those wants to know how each ends, and ends those that never had their turn.
+
+use super::*;
+
+impl<S: Store> Router<S> {
+    /// From now on [`Router::ends`] tells of this message's end.
+    pub fn watch(&mut self, id: &str) {
+        self.watched.insert(id.to_string());
+    }
+
+    /// Ends of watched messages since the last call, each in the journal; none is watched any more.
+    pub fn ends(&mut self) -> Vec<(String, End)> {
+        std::mem::take(&mut self.watched_ends)
+    }
+
+    pub(super) fn tell_watcher(&mut self, msg: MsgId, end: End) {
+        if self.watched.is_empty() {
+            return;
+        }
+        let Some(owed) = self.owed.get(&msg) else { return };
+        if self.watched.remove(&owed.parcel.id) {
+            self.watched_ends.push((owed.parcel.id.clone(), end));
+        }
+    }
+
+    /// How a message has ended; `Ok(None)`: it is open.
+    ///
+    /// # Errors
+    /// No message of this id is known.
+    pub fn fate(&self, id: &str) -> Result<Option<End>, UnknownId> {
+        if let Some(owed) = self.ids.get(id).and_then(|msg| self.owed.get(msg)) {
+            return Ok(owed.end.map(End::from));
+        }
+        if self.ids.contains_key(id) {
+            return Ok(None);
+        }
+        self.over.get(id).map(Some).ok_or(UnknownId)
+    }
+
+    /// Why an invocation could never be taken on, whatever the time: nobody knows its class or destination.
+    pub fn refuses(&self, class: &str, dest: u64) -> Option<Intake> {
+        if !self.classes.iter().any(|c| c == class) {
+            return Some(Intake::UnknownClass);
+        }
+        (self.heard && !self.by_dest.contains_key(&dest)).then_some(Intake::UnknownDest)
+    }
+
+    /// A message that was promised an end, and never had its turn, gets a notice; what is known under its id is let be.
+    ///
+    /// # Errors
+    /// The store refused the records: nothing has changed.
+    pub fn end_unsent(
+        &mut self,
+        invocation: Invocation,
+        ending: Ending,
+        now: Micros,
+    ) -> Result<Vec<Step>, JournalError> {
+        let mut steps = Vec::new();
+        if self.fate(&invocation.id).is_ok() {
+            return Ok(steps);
+        }
+        let Invocation { id, class, key, dest, time_left, body, .. } = invocation;
+        let (msg, deadline) = (self.next, now.saturating_add(time_left));
+        let (id_of, key_of, body_of) = (id.clone(), key.clone(), body.clone());
+        let taken = TakenOn { id: id_of, class, key: key_of, dest, deadline, body: body_of };
+        let end = Record::End { msg, end: ending.into() };
+        self.journal.note_all(&[Record::TakeOn { msg, taken }, end], now, &mut self.notes)?;
+        self.next += 1;
+        match ending {
+            Ending::Undeliverable => self.counters.undeliverable += 1,
+            Ending::Deferred(_) => self.counters.deferred += 1,
+        }
+        self.ids.insert(id.clone(), msg);
+        let parcel = Arc::new(Parcel { id, key, body });
+        self.owed.insert(msg, Owed { parcel, dest, deadline, end: Some(ending), noted: 0, stream: None });
+        self.notices.push_back(msg);
+        steps.push(Step::Notify);
+        self.say(&mut steps);
+        Ok(steps)
+    }
+
+    /// Writes lines about settlements; `may_wait`: where there is no room, they are refused.
+    ///
+    /// # Errors
+    /// There is no room, or the store refused them: nothing of them is there.
+    pub fn write_settlement(
+        &mut self,
+        records: &[Record],
+        may_wait: bool,
+        now: Micros,
+    ) -> Result<(), JournalError> {
+        self.journal.settlement(records, may_wait, now, &mut self.notes)
+    }
+}
+
+/// No message of this id is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownId;
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -9,6 +9,7 @@
 use crate::lease::{Granted, Held};
 use crate::message::{Envelope, Message, Place};
 use crate::plan::{Missing, Name, Plan};
+use crate::settlement;
 use crate::shares::Shares;
 use crate::state::{Agreed, BookId, Command, Epoch, Event, Part, Source};
 use bytes::Bytes;
@@ -26,6 +27,8 @@
 const FETCH_AGAIN: Micros = 300_000;
 /// No sealed book is longer, as no copy is.
 const BOOK_MOST: u64 = crate::book::COPY_MOST;
+/// Settlements' verdicts are looked through for old ones so often.
+const FORGET: Micros = 10_000_000;
 /// Between two looks at what else is to be done: short against a lease.
 const LOOK: Micros = 50_000;
 
@@ -83,6 +86,8 @@
     Settled(Source),
     /// A planned stop: the book is for others from here on.
     Leave,
+    /// Of a settlement's home; said again by whoever wants it, until it is agreed.
+    Settlement(settlement::Command),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -121,6 +126,16 @@
     Left,
     /// Connections to partners that are to be closed.
     Orders(Vec<Order>),
+    /// What is agreed about a settlement has changed.
+    Settlement(settlement::Event),
+    /// The agreed state came as a whole: what became of settlements' homes in between is not known.
+    Settlements,
+    /// Another courier's ask or word about a settlement.
+    Heard {
+        from: Name,
+        message: settlement::Message,
+        parcel: Bytes,
+    },
     Note(Note),
 }
 
@@ -265,6 +280,7 @@
     look_at: Micros,
     hello_at: Micros,
     lapse_at: Micros,
+    forget_at: Micros,
 }
 
 /// What the lasting folder says of the book beside it: the line of the journal, if there is one that counts.
@@ -342,6 +358,7 @@
             look_at: now,
             hello_at: now,
             lapse_at: now,
+            forget_at: now,
         };
         let mut out = Vec::new();
         member.restore(&opened.state)?;
@@ -437,6 +454,11 @@
                 self.leaving = true;
                 self.shares.gate.leave();
             }
+            Input::Settlement(command) => {
+                if let Some(leader) = self.leader().filter(|_| self.epoch.is_some()) {
+                    self.tell(leader, Message::Propose(Command::Settlement(command)), now, &mut out)?;
+                }
+            }
         }
         self.look(now, &mut out)?;
         Ok(out)
@@ -553,7 +575,9 @@
                 events.push(Event::Joined { name, epoch, life, kept: line.is_some() && line == self.line });
             }
         }
-        events.into_iter().try_for_each(|event| self.event(event, now, out))
+        events.into_iter().try_for_each(|event| self.event(event, now, out))?;
+        out.push(Output::Settlements);
+        Ok(())
     }
 
     fn apply(&mut self, command: &[u8], now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
@@ -588,6 +612,7 @@
                 }
             }
             Event::Shares => self.shares_agreed(now, out),
+            Event::Settlement(event) => out.push(Output::Settlement(event)),
             Event::Gone { name, epoch } => {
                 self.shares_agreed(now, out);
                 out.push(Output::Note(Note::Gone { name: name.clone(), epoch }));
@@ -867,6 +892,7 @@
                     self.shares.hears(count, report, now);
                 }
             }
+            Message::Settlement { message, parcel } => out.push(Output::Heard { from, message, parcel }),
             Message::NoBook { book } => {
                 if let Some(fetching) = self.fetching.get_mut(&book) {
                     fetching.none += 1;
@@ -1178,6 +1204,11 @@
             self.lapse_at = now + AGAIN;
             lapsed.into_iter().try_for_each(|command| self.propose(command, now, out))?;
         }
+        if now >= self.forget_at && self.agreed.settlements.sizes().1 > 0 {
+            self.forget_at = now + FORGET;
+            let command = settlement::Command::Forget { before: now };
+            self.propose(Command::Settlement(command), now, out)?;
+        }
         let voters = self.agreement.voters();
         let named = |token: &Token| self.names.get(token).is_some_and(|name| self.plan.is_voter(name));
         let serves = |token: &Token| self.agreed.members.values().any(|m| m.token == *token && m.serving);
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -3,6 +3,7 @@
 use crate::Token;
 use crate::budget::Report;
 use crate::plan::Name;
+use crate::settlement;
 use crate::shares::Count;
 use crate::state::{BookId, Command, Epoch};
 use bytes::Bytes;
@@ -110,4 +111,9 @@
     },
     /// For the leader: what the sender uses and wants of partners' budgets.
     Shares(Count, Report),
+    /// To a settlement's home, or its word; with a message that is handed in goes what the courier has of it.
+    Settlement {
+        message: settlement::Message,
+        parcel: Bytes,
+    },
 }
--- a/fleet/src/settlement/agreed.rs
+++ b/fleet/src/settlement/agreed.rs
@@ -256,6 +256,66 @@
     }
 }
 
+impl Agreed {
+    /// Settlements whose home serves no more (`serves` says so) go to whoever has the part of the lost book that their
+    /// destination is in. Without a taker they stay where they are until there is one.
+    pub fn rehome(
+        &mut self,
+        serves: impl Fn(&str, u64) -> bool,
+        taker: impl Fn(u64) -> Option<Book>,
+    ) -> Vec<Event> {
+        let lost = self.open.iter().filter(|(_, home)| !serves(&home.courier, home.epoch));
+        let lost: Vec<SettlementId> = lost.map(|(id, _)| id.clone()).collect();
+        lost.into_iter().filter_map(|id| self.move_to(&id, taker(id.dest)?, false)).collect()
+    }
+
+    /// A courier's registration is over: it is given none any more.
+    pub fn over(&mut self, courier: &str, epoch: u64) {
+        let last = self.gone.entry(courier.to_string()).or_insert(epoch);
+        *last = (*last).max(epoch);
+        if self.leaving.get(courier).is_some_and(|leaving| *leaving <= epoch) {
+            self.leaving.remove(courier);
+        }
+    }
+
+    /// A courier goes on with its book under another epoch: what it was home to is its own again, and so is what others
+    /// were to take over, as nobody has read that book. `read(book, dest)`: that book's part is in another by now.
+    pub fn back(
+        &mut self,
+        courier: &str,
+        from: u64,
+        to: u64,
+        read: impl Fn(&Book, u64) -> bool,
+    ) -> Vec<Event> {
+        self.over(courier, from);
+        let (old, new) =
+            (Book { courier: courier.into(), epoch: from }, Book { courier: courier.into(), epoch: to });
+        let mut moved = Vec::new();
+        let ids: Vec<SettlementId> = self.open.keys().cloned().collect();
+        for id in ids {
+            let Some(home) = self.open.get_mut(&id) else { continue };
+            if home.is(&old.courier, old.epoch) {
+                moved.extend(self.move_to(&id, new.clone(), false));
+                continue;
+            }
+            let Some(n) = home.books.iter().position(|book| *book == old) else { continue };
+            // It was home too, and never came to read what was before it: then it has written nothing.
+            if n > 0 && !read(&home.books[n - 1], id.dest) {
+                home.books.remove(n);
+                continue;
+            }
+            home.books.truncate(n);
+            moved.extend(self.move_to(&id, new.clone(), false));
+            if let Some(home) = self.open.get_mut(&id) {
+                // Whoever was to have it has written nothing.
+                home.books.truncate(n);
+                home.books.push(old.clone());
+            }
+        }
+        moved
+    }
+}
+
 /// Whom this settlement goes to: the same for everybody, and spread over all of them.
 pub fn taker<'a>(id: &SettlementId, takers: &'a [Book]) -> Option<&'a Book> {
     takers.iter().max_by_key(|taker| (weight(id, &taker.courier), *taker))
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -4,6 +4,7 @@
 use crate::Token;
 use crate::budget;
 use crate::plan::{Name, weight};
+use crate::settlement;
 use crate::shares::{Count, Shared};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,6 +91,8 @@
     pub books: BTreeMap<BookId, Book>,
     /// Partners' budgets, and who holds what of them.
     pub shared: Shared,
+    /// Settlements' homes, and the verdicts of those that are over.
+    pub settlements: settlement::Agreed,
 }
 
 /// One change of it. Each says under which circumstances it holds, so that a late or repeated one changes nothing.
@@ -107,6 +110,8 @@
     Done { source: Source, by: Name, epoch: Epoch },
     /// Of a partner's budget.
     Share(Count, budget::Command),
+    /// Of a settlement's home.
+    Settlement(settlement::Command),
 }
 
 /// What a command has changed.
@@ -138,6 +143,7 @@
     Over(BookId),
     /// What couriers may use of partners' budgets is another.
     Shares,
+    Settlement(settlement::Event),
 }
 
 impl Agreed {
@@ -213,6 +219,19 @@
                     events.push(Event::Shares);
                 }
             }
+            Command::Settlement(command) => {
+                // Only a member that serves is home to any.
+                let holds = match &command {
+                    settlement::Command::Open { home, home_epoch, .. } => {
+                        self.epoch_of(home) == Some(*home_epoch)
+                    }
+                    settlement::Command::Move { to, to_epoch, .. } => self.epoch_of(to) == Some(*to_epoch),
+                    _ => true,
+                };
+                if holds {
+                    events.extend(self.settlements.apply(&command).into_iter().map(Event::Settlement));
+                }
+            }
         }
         events
     }
@@ -267,7 +286,10 @@
         }
         self.members.insert(name.clone(), Member { token, life, epoch, serving: true });
         self.shared.joined(&name, epoch);
-        events.push(Event::Joined { name, epoch, life, kept: kept.is_some() });
+        events.push(Event::Joined { name: name.clone(), epoch, life, kept: kept.is_some() });
+        if let Some(from) = kept {
+            self.settlements_back(&name, from.epoch, epoch, events);
+        }
         self.give(events);
     }
 
@@ -299,6 +321,7 @@
             m.serving = false;
         }
         self.shared.gone(name, epoch);
+        self.settlements.over(name, epoch);
         events.push(Event::Gone { name: name.into(), epoch });
         self.no_copies_at(name, false, events);
         let id = BookId { owner: name.into(), epoch };
@@ -319,6 +342,17 @@
         self.give(events);
     }
 
+    /// A courier goes on with its book: it is home to its settlements again.
+    fn settlements_back(&mut self, name: &str, from: Epoch, to: Epoch, events: &mut Vec<Event>) {
+        let books = &self.books;
+        let read = |book: &settlement::Book, dest: u64| {
+            let id = BookId { owner: book.courier.clone(), epoch: book.epoch };
+            let part = books.get(&id).and_then(|b| b.sealed.as_ref()?.get(part_of(dest)));
+            !matches!(part, Some(Part::Waiting | Part::Given(..)))
+        };
+        events.extend(self.settlements.back(name, from, to, read).into_iter().map(Event::Settlement));
+    }
+
     /// Names takers for what waits: by part, so that each message has exactly one and the work spreads.
     fn give(&mut self, events: &mut Vec<Event>) {
         let serving: Vec<(Name, Epoch)> =
@@ -332,6 +366,16 @@
                 }
             }
         }
+        // A settlement's records are in the part of its destination.
+        let members = &self.members;
+        let serves =
+            |name: &str, epoch: Epoch| members.get(name).is_some_and(|m| m.serving && m.epoch == epoch);
+        let taker = |dest: u64| {
+            let part = part_of(dest).to_le_bytes();
+            let best = serving.iter().max_by_key(|(name, _)| weight(&part, name));
+            best.map(|(name, epoch)| settlement::Book { courier: name.clone(), epoch: *epoch })
+        };
+        events.extend(self.settlements.rehome(serves, taker).into_iter().map(Event::Settlement));
     }
 
     /// Forgets books of which all is in others; what was in those, is in their takers' by now.
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -336,6 +336,7 @@
                 }
                 Output::Lease(_) => self.act(i),
                 Output::Left | Output::Orders(_) => {}
+                Output::Settlement(_) | Output::Settlements | Output::Heard { .. } => {}
                 Output::Note(note) => self.seen.notes.push((self.now, i, note.to_string())),
             }
         }
