--- a/courier/src/fleet/homes.rs
+++ b/courier/src/fleet/homes.rs
@@ -112,7 +112,7 @@
 /// What is done once the journal is where it has to be.
 enum Todo {
     Written(u64),
-    Do(Output),
+    Do(Box<Output>),
 }
 
 struct State {
@@ -350,7 +350,7 @@
         for output in outputs {
             match output {
                 Output::Write { seq, records } => self.write(seq, records, parcel.as_ref()),
-                output => self.state.borrow_mut().todo.push_back(Todo::Do(output)),
+                output => self.state.borrow_mut().todo.push_back(Todo::Do(Box::new(output))),
             }
         }
         self.more.notify_waiters();
@@ -441,7 +441,7 @@
             match todo {
                 Todo::Written(seq) => self.homes(Input::Written { seq }, None),
                 Todo::Do(output) => {
-                    if let Err(e) = self.carry_out(output) {
+                    if let Err(e) = self.carry_out(*output) {
                         tracing::error!("settlement: an end can't be written: {e}; again in {AGAIN} us");
                         let again = self.now().saturating_add(AGAIN);
                         actix_rt::time::sleep(self.courier.clock.until(again)).await;
@@ -579,7 +579,7 @@
         if written.is_err() {
             // Told again before anything behind it.
             let again = Output::End { id, position, msg: msg.into(), end };
-            self.state.borrow_mut().todo.push_front(Todo::Do(again));
+            self.state.borrow_mut().todo.push_front(Todo::Do(Box::new(again)));
         }
         written
     }
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -35,12 +35,15 @@
 /// The answer to a message of a settlement, once its home has given its word.
 pub type HandIn = Pin<Box<dyn Future<Output = Response<Bytes>>>>;
 
+/// Takes what a consumer hands in, with all of its `X-Addressing`; `None`: it is of no settlement.
+pub type Front = Box<dyn Fn(&Invocation, &str) -> Option<HandIn>>;
+/// Hears that a message that is watched has ended.
+pub type Watcher = Box<dyn Fn(&str, End)>;
+
 /// Whoever keeps settlements, where any are carried.
 pub struct Settles {
-    /// What a consumer hands in, with all of its `X-Addressing`; `None`: it is of none.
-    pub hand_in: Box<dyn Fn(&Invocation, &str) -> Option<HandIn>>,
-    /// A message that is watched has ended.
-    ended: Box<dyn Fn(&str, End)>,
+    pub hand_in: Front,
+    ended: Watcher,
 }
 
 pub struct Courier {
@@ -85,11 +88,7 @@
     }
 
     /// From now on messages of settlements go this way.
-    pub fn settle_with(
-        &self,
-        hand_in: Box<dyn Fn(&Invocation, &str) -> Option<HandIn>>,
-        ended: Box<dyn Fn(&str, End)>,
-    ) {
+    pub fn settle_with(&self, hand_in: Front, ended: Watcher) {
         // The first stands: there is one fleet.
         let _ = self.settles.set(Settles { hand_in, ended });
     }
