--- a/courier/tests/fleet/settlements.rs
+++ b/courier/tests/fleet/settlements.rs
@@ -109,25 +109,91 @@
     });
 }
 
+/// What happens to a home between two positions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    Killed,
+    /// It is back with its folder before its lease lapses.
+    Restarted,
+    Stopped,
+    /// It goes on when all is over.
+    Paused,
+}
+
 /// Position 3 was answered, 5 waits for 4, and the home is lost: another has what it had, and goes on with 4.
+async fn lost_between_two_positions(loss: Loss) {
+    let mut fleet = carriers().await;
+    for position in [1, 2, 3, 5] {
+        assert!(matches!(hand_in(&fleet, 0, 1, position).await, 200 | 202));
+    }
+    let home = home(&fleet);
+    let [other, next] = others(&fleet, &[home])[..] else { panic!("three couriers") };
+    delivered(&fleet, other, 3).await;
+    let lost = Instant::now();
+    match loss {
+        Loss::Killed => fleet.kill(home).await.unwrap(),
+        Loss::Restarted => fleet.restart(home).await.unwrap(),
+        Loss::Paused => fleet.pause(home).unwrap(),
+        Loss::Stopped => {
+            fleet.term(home).unwrap();
+            fleet.ended(home).await.unwrap();
+        }
+    }
+    for (courier, position) in [(other, 4), (next, 6)] {
+        assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202), "{position}");
+    }
+    call(&fleet, "p4", 1).await;
+    println!("settlement: home {loss:?}, next position's call after {:?}", lost.elapsed());
+    over(&fleet, other, 1).await;
+    assert_eq!(self::home(&fleet) == home, loss == Loss::Restarted);
+    if loss == Loss::Paused {
+        fleet.go_on(home).unwrap();
+        fleet.says(home, "the process begins anew").await.unwrap();
+        ready(&fleet, home).await;
+    }
+    assert_eq!(seen(&fleet).iter().map(|seen| seen.position).collect::<Vec<_>>(), [1, 2, 3, 4, 5, 6]);
+    whole(&fleet, Outcome::Closed(OF));
+}
+
+#[test]
+fn a_settlement_goes_on_elsewhere_when_its_home_is_killed_between_two_positions() {
+    play(|| lost_between_two_positions(Loss::Killed));
+}
+
+#[test]
+fn a_settlement_goes_on_at_its_home_when_that_is_back_with_its_folder() {
+    play(|| lost_between_two_positions(Loss::Restarted));
+}
+
 #[test]
-fn a_settlement_goes_on_elsewhere_when_its_home_is_lost_between_two_positions() {
+fn a_settlement_goes_on_elsewhere_when_its_home_is_stopped_or_paused() {
+    play(|| lost_between_two_positions(Loss::Stopped));
+    play(|| lost_between_two_positions(Loss::Paused));
+}
+
+/// The home is lost, and so is whoever took the settlement over.
+#[test]
+fn a_settlement_survives_the_loss_of_two_homes() {
     play(async || {
-        let mut fleet = carriers().await;
-        for position in [1, 2, 3, 5] {
-            assert!(matches!(hand_in(&fleet, 0, 1, position).await, 200 | 202));
+        let mut setup = setup(5);
+        setup.fleet = Some(json!({"lease": "2s", "copies": 2, "settlements": [{"dest": 1}]}));
+        let mut fleet = start(setup).await;
+        let mut lost = Vec::new();
+        for (answered, waits) in [(1, 3), (2, 5)] {
+            let courier = others(&fleet, &lost)[0];
+            for position in [answered, waits] {
+                assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202));
+            }
+            delivered(&fleet, courier, answered).await;
+            lost.push(home(&fleet));
+            fleet.kill(lost[lost.len() - 1]).await.unwrap();
         }
-        let home = home(&fleet);
-        let [other, next] = others(&fleet, &[home])[..] else { panic!("three couriers") };
-        delivered(&fleet, other, 3).await;
-        let lost = Instant::now();
-        fleet.kill(home).await.unwrap();
-        for (courier, position) in [(other, 4), (next, 6)] {
-            assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202), "{position}");
+        let courier = others(&fleet, &lost)[0];
+        for position in [6, 4] {
+            assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202));
         }
-        call(&fleet, "p4", 1).await;
-        println!("settlement: home lost, next position's call after {:?}", lost.elapsed());
-        over(&fleet, other, 1).await;
+        over(&fleet, courier, 1).await;
+        assert!(!lost.contains(&home(&fleet)) && lost[0] != lost[1], "{lost:?}");
         assert_eq!(seen(&fleet).iter().map(|seen| seen.position).collect::<Vec<_>>(), [1, 2, 3, 4, 5, 6]);
         whole(&fleet, Outcome::Closed(OF));
     });
