--- a/courier/tests/fleet/settlements.rs
+++ b/courier/tests/fleet/settlements.rs
@@ -2,7 +2,9 @@
 //! break.
 
 use super::*;
-use quillmount_standins::audit::{Outcome, Position, SettlementEnd};
+use quillmount_standins::audit::{History, Outcome, Position, SettlementEnd};
+use quillmount_standins::fleet::link::Way;
+use spurshore::Micros;
 use std::time::Instant;
 use tokio::task::spawn_local;
 
@@ -17,17 +19,18 @@
 }
 
 fn id(position: u32) -> String {
-    format!("p{position}")
+    format!("evening-{position}")
 }
 
 fn part(dest: u64, position: u32) -> Invocation {
+    of(dest, "evening", &id(position), position)
+}
+
+/// A position of a settlement, under an id.
+fn of(dest: u64, settlement: &str, id: &str, position: u32) -> Invocation {
     let count = if position == OF { format!(",of={OF}") } else { String::new() };
-    let of = format!(",settlement=evening,position={position}{count}");
-    Invocation {
-        of,
-        headers: "X-Account: north\r\n".into(),
-        ..Invocation::new("fee-debit", &id(position), dest, LONG)
-    }
+    let of = format!(",settlement={settlement},position={position}{count}");
+    Invocation { of, headers: "X-Account: north\r\n".into(), ..Invocation::new("fee-debit", id, dest, LONG) }
 }
 
 /// Hands a position in, again and again where it is told to come again, and returns the answer.
@@ -65,8 +68,8 @@
 /// What the partner saw of it, in order.
 fn seen(fleet: &Fleet) -> Vec<Position> {
     let position = |call: &Call| {
-        let position = call.id.strip_prefix('p')?.parse().ok()?;
-        let settlement = "evening".to_string();
+        let (settlement, position) = call.id.rsplit_once('-')?;
+        let (settlement, position) = (settlement.to_string(), position.parse().ok()?);
         Some(Position { settlement, position, of: None, at: call.began.at, ran: call.ran, session: None })
     };
     fleet.witness.read(|record| record.calls.iter().filter_map(position).collect())
@@ -142,7 +145,7 @@
     for (courier, position) in [(other, 4), (next, 6)] {
         assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202), "{position}");
     }
-    call(&fleet, "p4", 1).await;
+    call(&fleet, "evening-4", 1).await;
     println!("settlement: home {loss:?}, next position's call after {:?}", lost.elapsed());
     over(&fleet, other, 1).await;
     assert_eq!(self::home(&fleet) == home, loss == Loss::Restarted);
@@ -207,7 +210,7 @@
         for position in [3, 2, 1] {
             assert_eq!(hand_in(&fleet, 0, HOLDS, position).await, 202);
         }
-        call(&fleet, "p1", 1).await;
+        call(&fleet, "evening-1", 1).await;
         let home = home(&fleet);
         fleet.kill(home).await.unwrap();
         for position in 1..=3 {
@@ -227,7 +230,109 @@
             status(3)
         );
         assert_eq!(seen(&fleet).len(), 1);
-        fleet.partner(1).release("p1", Answer::ok());
+        fleet.partner(1).release("evening-1", Answer::ok());
         whole(&fleet, Outcome::Broken(1));
     });
 }
+
+/// The home's word waits for a copy: a position that only the home has would be lost with it.
+#[test]
+fn a_position_is_not_taken_on_before_it_is_at_a_copy() {
+    play(async || {
+        let fleet = carriers().await;
+        assert!(matches!(hand_in(&fleet, 0, 1, 1).await, 200 | 202));
+        delivered(&fleet, 0, 1).await;
+        let home = home(&fleet);
+        let copy = copies_of(&fleet, home, 1)[0];
+        fleet.link(home, copy).set(Way::Cut);
+        assert_eq!(fleet.hand_in(home, &part(1, 2), BODY).await, 503);
+        fleet.link(home, copy).set(Way::Pass);
+        for position in 2..=OF {
+            assert!(matches!(hand_in(&fleet, home, 1, position).await, 200 | 202));
+        }
+        over(&fleet, home, 1).await;
+        whole(&fleet, Outcome::Closed(OF));
+    });
+}
+
+/// Settlements that are under way at once.
+const MANY: usize = 24;
+
+/// Positions of many settlements come at all couriers in any order, while one courier after the other is killed and started:
+/// each settlement is whole, or broken with nothing behind the break, and no debit comes twice.
+#[test]
+fn many_settlements_stay_whole_or_end_at_their_break_while_couriers_are_lost() {
+    play(async || {
+        let mut fleet = carriers().await;
+        let mut rng = setup(3).generator();
+        let name = |settlement: usize| format!("s{settlement}");
+        let msg = |settlement: usize, position: u32| format!("s{settlement}-{position}");
+        let mut tasks = Vec::new();
+        for settlement in 0..MANY {
+            let mut positions: Vec<u32> = (1..=OF).collect();
+            rng.shuffle(&mut positions);
+            for position in positions {
+                let consumers = [0, 1, 2].map(|n| fleet.consumer(n));
+                let invocation = of(1, &name(settlement), &msg(settlement, position), position);
+                let first = rng.usize(..3);
+                tasks.push(spawn_local(async move {
+                    for n in first.. {
+                        match consumers[n % 3].hand_in(&invocation, BODY).await {
+                            0 | 503 => yield_now().await,
+                            status => return status,
+                        }
+                    }
+                    0
+                }));
+            }
+        }
+        for n in 0..3 {
+            // Some of them are under way by now, at every courier.
+            let so_far = n * MANY;
+            fleet
+                .until("calls", PATIENCE, |r: &Record| (r.calls.len() > so_far).then_some(()))
+                .await
+                .unwrap();
+            fleet.kill(n).await.unwrap();
+            fleet.spawn(n).unwrap();
+            fleet.serves(n).await.unwrap();
+            ready(&fleet, n).await;
+        }
+        for task in tasks {
+            let status = timeout(PATIENCE, task).await.unwrap().unwrap();
+            assert!(matches!(status, 200 | 202 | 400 | 409), "{status}");
+        }
+        let mut ends = Vec::new();
+        for settlement in 0..MANY {
+            let last = of(1, &name(settlement), &msg(settlement, OF), OF);
+            until("the verdict", async || fleet.consumer(0).hand_in(&last, BODY).await == 409).await;
+            let over = |record: &Record| {
+                (1..=OF).all(|position| {
+                    let id = msg(settlement, position);
+                    let told = record.told.iter().filter(|told| told.id == id);
+                    let taken_on =
+                        told.filter_map(|told| told.answer).any(|(_, status)| matches!(status, 200 | 202));
+                    !taken_on || record.has_ended(&id)
+                })
+            };
+            until("all ends", async || fleet.witness.read(over)).await;
+            let delivered = |position: &u32| {
+                let id = msg(settlement, *position);
+                fleet.witness.read(|r| r.has_ended(&id) && r.notices_of(&id).next().is_none())
+            };
+            let outcome = match (1..=OF).find(|position| !delivered(position)) {
+                Some(position) => Outcome::Broken(position),
+                None => Outcome::Closed(OF),
+            };
+            ends.push(SettlementEnd { settlement: name(settlement), outcome, at: Micros::MAX });
+        }
+        let broken = ends.iter().filter(|end| matches!(end.outcome, Outcome::Broken(_))).count();
+        let audited = History { positions: seen(&fleet), ends, ..fleet.history(Terms::default()) };
+        println!(
+            "settlements: {MANY} of {OF}, three couriers lost: {broken} broken, {} calls",
+            audited.positions.len()
+        );
+        assert_eq!(audit(&audited), []);
+        heals(&mut fleet).await;
+    });
+}
