--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -289,12 +289,13 @@
         self.next += 1;
         self.ids.insert(id.clone(), msg);
         let size = size(&id, key.as_deref(), &body);
-        let parcel = Arc::new(Parcel { id, key, body });
+        let number = tenant.as_ref().and_then(|name| self.tenants.iter().position(|t| t == name));
+        let parcel = Arc::new(Parcel { id, key, tenant: tenant.map(String::into_boxed_str), body });
         let of_stream = stream.then(Stream::default);
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0, stream: of_stream });
         let class = class_number;
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
-        let tenant = tenant.and_then(|name| self.tenants.iter().position(|t| *t == name));
+        let tenant = number;
         let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
@@ -318,6 +319,11 @@
         Some(after)
     }
 
+    /// Whether an invocation with this id was taken on, as far back as is remembered.
+    pub fn knows(&self, id: &str) -> bool {
+        self.ids.contains_key(id) || self.over.get(id).is_some()
+    }
+
     /// Time has passed; wanted at `wake_at` at the latest.
     pub fn tick(&mut self, now: Micros) -> Vec<Step> {
         let mut steps = Vec::new();
@@ -532,3 +538,57 @@
         |text: &str| text.len() + 5 * text.bytes().filter(|b| matches!(b, b'"' | b'\\' | ..0x20)).count();
     (4 * body.len().div_ceil(3) + escaped(id) + key.map_or(0, escaped) + FRAME) as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Provider;
+    use crate::store::Memory;
+
+    /// A crowd's guard leaves the second no turn in its time: it is refused itself, and no notice tells of it.
+    #[test]
+    fn what_is_given_up_as_it_comes_is_not_taken_on() {
+        use crate::journal::Book;
+        let category = spurshore_settings::Category {
+            name: "fee-debit".into(),
+            effect: Some("fragile".into()),
+            deadline_ms: 16_000.0,
+            promise_ms: 3_000.0,
+            ..Default::default()
+        };
+        let env = Env { categories: vec![category], siblings: Some(3_000), me: Some(1), ..Env::default() };
+        let line = Provider {
+            id: "s".into(),
+            addr: "127.0.0.1:1".parse().ok(),
+            dest: 1,
+            kind: String::new(),
+            zone: String::new(),
+            weight: 0.0,
+            state: ListState::Ready,
+        };
+        let known = ProviderList { version: 1, full: true, providers: vec![line] };
+        let now = 1_000_000_000;
+        let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
+        router.list(known, now);
+        let hand_in = |router: &mut Router<Memory>, id: &str| {
+            let (id, class, time_left, body) =
+                (id.into(), "fee-debit".into(), 16_000_000, bytes::Bytes::new());
+            router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now)
+        };
+        let (intake, steps) = hand_in(&mut router, "a");
+        let call = steps.iter().find_map(|s| match s {
+            Step::Call(call) => Some(call.call),
+            _ => None,
+        });
+        assert_eq!(intake, Intake::TakenOn);
+        router.call_ended(call.unwrap(), CallEnd::Full(0), now);
+        for _ in 0..2 {
+            let (intake, _) = hand_in(&mut router, "b");
+            assert!(matches!(intake, Intake::Rejected { after } if after > 0), "{intake:?}");
+        }
+        let notices = router.notices(9).into_iter().map(|n| n.id).collect::<Vec<_>>();
+        assert_eq!((notices, router.load().0), (vec!["a".to_string()], 1));
+        let (book, _) = Book::read(router.journal().store().bytes());
+        assert_eq!(book.owed.len(), 1, "another life owes it nothing");
+    }
+}
--- a/core/src/router/watch.rs
+++ b/core/src/router/watch.rs
@@ -82,7 +82,8 @@
             Ending::Deferred(_) => self.counters.deferred += 1,
         }
         self.ids.insert(id.clone(), msg);
-        let parcel = Arc::new(Parcel { id, key, body });
+        // Nothing of it is sent: whose it was matters no more.
+        let parcel = Arc::new(Parcel { id, key, tenant: None, body });
         self.owed.insert(msg, Owed { parcel, dest, deadline, end: Some(ending), noted: 0, stream: None });
         self.notices.push_back(msg);
         steps.push(Step::Notify);
--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A courier as one of a fleet, on sockets: its member machine, the ways to the others, and what the machine's words come to
 //! for the courier. All of it is there only where the operator file's section `fleet` is on.
 
+pub mod budget;
 mod homes;
 mod links;
 mod listener;
@@ -10,11 +11,12 @@
 use crate::transport::courier::Courier;
 use crate::transport::gate::{Gate, Wrote};
 use actix_rt::net::TcpListener;
+use budget::Budgets;
 use homes::Settling;
 use links::Link;
 use quillmount_core::journal::{self, Book, Settlements};
 use quillmount_fleet::agreement;
-use quillmount_fleet::budget::{self, Budget, Tenant};
+use quillmount_fleet::budget::{Budget, Problem, Tenant};
 use quillmount_fleet::member::{Input, Member, MemberError, Note, Output};
 use quillmount_fleet::message::Envelope;
 use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
@@ -30,11 +32,13 @@
 use stores::Files;
 use tokio::sync::Notify;
 
-/// No invoker call writes for longer: the longest time of a message, by the newest pages.
-const CALL: Micros = 30_000_000;
 /// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// Each courier holds as many copies as it has on average; by chance, and after losses, some hold more. Copies take so many
+/// times the own journal's part of the disk, for each copy that the operator file wants.
+const COPIES_DISK: u64 = 4;
+
 /// Why a courier is not one of its fleet.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -43,7 +47,7 @@
     #[error("fleet: {what} {value:?} is no address; mend the operator file's section `fleet`")]
     Address { what: &'static str, value: String },
     #[error("operator file: {}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
-    Budgets(Vec<budget::Problem>),
+    Budgets(Vec<Problem>),
     #[error(transparent)]
     Member(#[from] MemberError),
     #[error("fleet: the folder for what its members keep: {0}; check the lasting folder's disk and rights")]
@@ -52,6 +56,23 @@
         "fleet: the journal of before can't be put aside: {0}; check the lasting folder's disk and rights"
     )]
     Aside(std::io::Error),
+    #[error(
+        "fleet: {0} is of a member that has not left, and the section is off: others may have its work, which would be done \
+         twice; start it with the section on and stop it with SIGTERM, or begin with an empty folder"
+    )]
+    StillMember(String),
+}
+
+/// The last records of a planned stop are given so long to get to the copies: half of what the stop waits for in all.
+const LAST_COPY: Duration = Duration::from_millis(100);
+/// Descriptors for each other courier: a connection each way, and as many that a closed one still holds for a moment.
+const SOCKETS_EACH: usize = 4;
+/// Copies of others' journals, and what is agreed: files of their own.
+const FILES: usize = 8;
+
+/// Descriptors that a courier's part in its fleet takes.
+pub fn sockets(told: &quillmount_operator::fleet::Fleet) -> usize {
+    if told.on { FILES + told.members.len() * (SOCKETS_EACH + told.copies) } else { 0 }
 }
 
 /// What the member wants of the courier, in order.
@@ -63,7 +84,9 @@
 /// The courier's part of its fleet.
 pub struct Fleet {
     clock: Clock,
-    member: RefCell<Member<Files>>,
+    member: Rc<RefCell<Member<Files>>>,
+    /// Where partners' connections are shared.
+    pub budgets: Option<Rc<Budgets>>,
     links: BTreeMap<Name, Rc<Link>>,
     pub gate: Rc<Gate>,
     tasks: RefCell<VecDeque<Task>>,
@@ -97,7 +120,7 @@
             OnMissing::Prefer => Missing::Prefer,
         },
         budgets: budgets_of(told),
-        call: CALL,
+        call: told.partner_call.0.as_micros() as Micros,
         quiet: told.partner_idle.0.as_micros() as Micros,
     }
 }
@@ -121,8 +144,8 @@
 }
 
 /// What the section's types can't say, and its own checks do not know, each with its path.
-pub fn problems(told: &quillmount_operator::fleet::Fleet) -> Vec<budget::Problem> {
-    if told.on { budget::check(&budgets_of(told), told.members.len()) } else { Vec::new() }
+pub fn problems(told: &quillmount_operator::fleet::Fleet) -> Vec<Problem> {
+    if told.on { quillmount_fleet::budget::check(&budgets_of(told), told.members.len()) } else { Vec::new() }
 }
 
 fn address(what: &'static str, value: &str) -> Result<SocketAddr, FleetError> {
@@ -131,7 +154,7 @@
 
 impl Fleet {
     /// Opens what the folder has, listens, and speaks to the others from now on. `span`: the shortest time that a partner
-    /// remembers a key.
+    /// remembers a key; `disk`: bytes that the own journal may take.
     ///
     /// # Errors
     /// The folder or the address can't be had.
@@ -141,6 +164,7 @@
         seed: u64,
         clock: Clock,
         span: Option<Micros>,
+        disk: u64,
     ) -> Result<Rc<Fleet>, FleetError> {
         let problems = problems(told);
         if !problems.is_empty() {
@@ -151,7 +175,8 @@
         let files = Files::open(folder.join("fleet"))?;
         let (life, token) = (draw(seed), draw(seed).max(1));
         let limits = agreement::Limits { seed: life, ..Default::default() };
-        let (member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        let (mut member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        member.room = disk.saturating_mul(told.copies as u64).saturating_mul(COPIES_DISK);
         let mut links = BTreeMap::new();
         let mut ways = Vec::new();
         for peer in told.members.iter().filter(|peer| peer.name != told.me) {
@@ -160,10 +185,15 @@
             links.insert(peer.name.clone(), link);
         }
         let token = member.agreement().token();
+        let member = Rc::new(RefCell::new(member));
+        let dests: BTreeSet<u64> = told.budgets.iter().map(|budget| budget.dest).collect();
+        let budgets =
+            (!dests.is_empty()).then(|| Rc::new(Budgets::new(clock.clone(), member.clone(), dests)));
         let fleet = Rc::new(Fleet {
             gate: Rc::new(Gate::new(clock.clone(), span)),
             clock,
-            member: RefCell::new(member),
+            member,
+            budgets,
             links,
             tasks: RefCell::default(),
             more: Notify::new(),
@@ -207,13 +237,10 @@
     /// The folder refuses it.
     pub fn begin_book(&self, folder: &Path, kept: bool) -> Result<(), FleetError> {
         let mut member = self.member.borrow_mut();
-        if !kept {
-            // A kill in between must not leave a journal that counts as the own one.
-            member.note_line(None)?;
-            match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
-                Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(FleetError::Aside(e)),
-                _ => {}
-            }
+        if !kept && member.is_first() {
+            tracing::info!("fleet: a journal of before it was a member is its own: nobody else has it");
+        } else if !kept {
+            put_aside(&mut member, folder)?;
         }
         let line = member.agreed_line();
         member.note_line(line)?;
@@ -242,15 +269,40 @@
             let _ = self.settling.set(settling);
         }
         actix_rt::spawn(self.clone().take_over(courier.clone()));
+        if let Some(budgets) = &self.budgets {
+            actix_rt::spawn(budgets.clone().keep(courier.clone()));
+        }
         Ok(())
     }
 
-    /// A planned stop: the book is for others, at once.
-    pub async fn leave(&self) {
+    /// A planned stop: the book is for others, at once, and the journal is put aside.
+    ///
+    /// # Errors
+    /// The folder refuses it.
+    pub async fn leave(&self, folder: &Path) -> Result<(), FleetError> {
         let left = self.left.notified();
         self.flush();
+        // What is written and not copied would be taken over as it was before: an end, as none.
+        let _ = actix_rt::time::timeout(LAST_COPY, self.gate.copied()).await;
         self.step(Input::Leave);
         left.await;
+        let mut member = self.member.borrow_mut();
+        if member.has_left() {
+            put_aside(&mut member, folder)?;
+        }
+        Ok(())
+    }
+
+    /// The operator file was read again while serving: those whom it names agree from now on.
+    pub fn read_again(&self, told: &quillmount_operator::fleet::Fleet) {
+        let plan = plan_of(told);
+        let mut member = self.member.borrow_mut();
+        member.plan.voters = plan.voters.clone();
+        if member.plan != plan || !told.on {
+            tracing::warn!(
+                "fleet: only `voters` is read while serving: start again for the rest of the section"
+            );
+        }
     }
 
     /// Another courier's words; what is said to it at once.
@@ -334,7 +386,6 @@
                     self.gone.notify_one();
                 }
                 Output::Left => self.left.notify_waiters(),
-                Output::Orders(_) => {}
                 // What came before it was there, it reads from the agreed state.
                 Output::Settlement(event) => {
                     self.settling.get().into_iter().for_each(|settling| settling.agreed(event.clone()));
@@ -347,9 +398,13 @@
                         settling.heard(from, message, &parcel);
                     }
                 }
+                Output::Orders(orders) => {
+                    self.budgets.iter().for_each(|budgets| budgets.order(orders.clone()));
+                }
                 Output::Note(note) => say(&note),
             }
         }
+        self.budgets.iter().for_each(|budgets| budgets.serve());
         self.moved.notify_one();
         said
     }
@@ -439,6 +494,33 @@
     }
 }
 
+/// Puts the journal aside, as others have what it says.
+fn put_aside(member: &mut Member<Files>, folder: &Path) -> Result<(), FleetError> {
+    // A kill in between must not leave a journal that counts as the own one.
+    member.note_line(None)?;
+    match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(FleetError::Aside(e)),
+        _ => Ok(()),
+    }
+}
+
+/// Whether a courier may start with this folder while the section is off.
+///
+/// # Errors
+/// The folder is of a member that has not left: others have its work, or are to have it.
+pub fn may_be_off(folder: &Path) -> Result<(), FleetError> {
+    let path = folder.join("fleet").join("identity");
+    let bytes = match std::fs::read(&path) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(()),
+        read => read?,
+    };
+    match postcard::from_bytes::<Option<Epoch>>(&bytes) {
+        Ok(None) => Ok(()),
+        _ if bytes.is_empty() => Ok(()),
+        _ => Err(FleetError::StillMember(folder.display().to_string())),
+    }
+}
+
 /// The messages of these parts of a sealed book, each with where it comes from.
 fn entries(parts: &[Source], settled: &BTreeSet<Source>, book: Book) -> Vec<journal::Entry> {
     let owed = book.owed.into_values().filter_map(|entry| {
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Its process is another, and perhaps its folder: nothing is known of what it has.
+    pub fn forget(&mut self, name: &str) {
+        self.copies.remove(name);
+    }
+
     /// All up to this mark is at each of these.
     pub fn safe(&self, needed: &BTreeSet<Name>) -> u64 {
         let at = |name| self.copies.get(name).map_or(0, |copy| copy.safe);
@@ -201,6 +206,11 @@
         Ok(Copy { store, place: Place::default(), staged: Vec::new(), staged_generation: 0, sealed })
     }
 
+    /// Bytes that it takes, on the disk and before that.
+    pub fn takes(&self) -> u64 {
+        self.store.len() + self.staged.len() as u64
+    }
+
     pub fn is_sealed(&self) -> bool {
         self.sealed
     }
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -11,7 +11,7 @@
 use crate::plan::{Missing, Name, Plan};
 use crate::settlement;
 use crate::shares::Shares;
-use crate::state::{Agreed, BookId, Command, Epoch, Event, Part, Source};
+use crate::state::{Agreed, BookId, Command, Epoch, Event, Member as Registered, Part, Source};
 use bytes::Bytes;
 use quillmount_core::journal;
 use quillmount_core::store::Store;
@@ -29,6 +29,8 @@
 const BOOK_MOST: u64 = crate::book::COPY_MOST;
 /// Settlements' verdicts are looked through for old ones so often.
 const FORGET: Micros = 10_000_000;
+/// Bytes for copies of others' books, where the driver says nothing else.
+const ROOM: u64 = 16 * crate::book::COPY_MOST;
 /// Between two looks at what else is to be done: short against a lease.
 const LOOK: Micros = 50_000;
 
@@ -236,16 +238,61 @@
     done: bool,
 }
 
+/// The one log that all couriers agree on, as a member uses it: [`Agreement`], or a model of one where this is explored.
+pub trait Log {
+    /// # Errors
+    /// There is one already, or it can't be written.
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError>;
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output>;
+    fn leader(&self) -> Option<Token>;
+    fn leads(&self) -> bool;
+    fn token(&self) -> Token;
+    fn voters(&self) -> Vec<Token>;
+    fn learners(&self) -> Vec<Token>;
+    fn wake_at(&self) -> Option<Micros>;
+}
+
+impl<S: Store> Log for Agreement<S> {
+    fn begin(&mut self, now: Micros) -> Result<Vec<agreement::Output>, AgreementError> {
+        Agreement::begin(self, now)
+    }
+    fn step(&mut self, input: agreement::Input, now: Micros) -> Vec<agreement::Output> {
+        Agreement::step(self, input, now)
+    }
+    fn leader(&self) -> Option<Token> {
+        Agreement::leader(self)
+    }
+    fn leads(&self) -> bool {
+        Agreement::leads(self)
+    }
+    fn token(&self) -> Token {
+        Agreement::token(self)
+    }
+    fn voters(&self) -> Vec<Token> {
+        Agreement::voters(self)
+    }
+    fn learners(&self) -> Vec<Token> {
+        Agreement::learners(self)
+    }
+    fn wake_at(&self) -> Option<Micros> {
+        Agreement::wake_at(self)
+    }
+}
+
 /// The machine.
-pub struct Member<D: Stores> {
+#[derive(Clone)]
+pub struct Member<D: Stores, L = Agreement<<D as Stores>::Store>> {
     pub plan: Plan,
+    /// Bytes that copies of others' books may take here; a seal is written beyond it.
+    pub room: u64,
     stores: D,
-    agreement: Agreement<D::Store>,
+    agreement: L,
     agreed: Agreed,
     /// Its own process.
     life: u64,
     line: Option<Epoch>,
     identity: D::Store,
+    first: bool,
     fresh: bool,
     /// Other voters whose folders know of no fleet.
     fresh_voters: BTreeSet<Name>,
@@ -269,6 +316,8 @@
     safe: u64,
     told_copies: Option<(BTreeSet<Name>, bool)>,
     copies: BTreeMap<BookId, Copy<D::Store>>,
+    /// Books of which a copy was last refused here, by the store.
+    refused: BTreeSet<BookId>,
     fetching: BTreeMap<BookId, Fetching>,
     pending: BTreeMap<Source, Pending>,
     asked: Vec<(Command, Micros)>,
@@ -312,8 +361,25 @@
         now: Micros,
     ) -> Result<(Self, Vec<Output>), MemberError> {
         let (agreement, opened) = Agreement::open(stores.open("agreement")?, token, limits, now)?;
+        Member::with_log(plan, stores, agreement, opened, life, now)
+    }
+}
+
+impl<D: Stores, L: Log> Member<D, L> {
+    /// Takes up what the folder has beside the log, which was opened already.
+    ///
+    /// # Errors
+    /// What is there can't be read.
+    pub fn with_log(
+        plan: Plan,
+        mut stores: D,
+        agreement: L,
+        opened: agreement::Opened,
+        life: u64,
+        now: Micros,
+    ) -> Result<(Self, Vec<Output>), MemberError> {
         let mut identity = stores.open("identity")?;
-        let line = read_identity(&mut identity)?;
+        let (first, line) = (identity.is_empty(), read_identity(&mut identity)?);
         let mut copies = BTreeMap::new();
         for name in stores.names()? {
             if let Some(book) = book_of(&name) {
@@ -324,12 +390,14 @@
         let mut member = Member {
             shares,
             plan,
+            room: ROOM,
             stores,
             agreement,
             agreed: Agreed::default(),
             life,
             line,
             identity,
+            first,
             fresh: opened.new,
             fresh_voters: BTreeSet::new(),
             names: BTreeMap::new(),
@@ -349,6 +417,7 @@
             safe: 0,
             told_copies: None,
             copies,
+            refused: BTreeSet::new(),
             fetching: BTreeMap::new(),
             pending: BTreeMap::new(),
             asked: Vec::new(),
@@ -375,7 +444,7 @@
         &self.agreed
     }
 
-    pub fn agreement(&self) -> &Agreement<D::Store> {
+    pub fn agreement(&self) -> &L {
         &self.agreement
     }
 
@@ -396,6 +465,11 @@
         times.into_iter().flatten().min()
     }
 
+    /// No process with this folder was ever one of a fleet: a journal that is there is nobody else's.
+    pub fn is_first(&self) -> bool {
+        self.first
+    }
+
     /// Notes the line of the journal that is in the folder from now on; `None`: what is there is worth nothing.
     ///
     /// # Errors
@@ -411,6 +485,12 @@
         self.agreed.books.get(&self.book()?).map(|book| book.line)
     }
 
+    /// Its book is sealed, or over: all that it owed is others' by now.
+    pub fn has_left(&self) -> bool {
+        let own = self.book().and_then(|book| self.agreed.books.get(&book));
+        self.left && own.is_none_or(|book| book.sealed.is_some())
+    }
+
     fn book(&self) -> Option<BookId> {
         Some(BookId { owner: self.plan.me.clone(), epoch: self.epoch? })
     }
@@ -550,6 +630,11 @@
     /// The state is a later one, and what led there was not told: what matters is in the difference.
     fn caught_up(&mut self, before: &Agreed, now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
         let mut events = Vec::new();
+        if let Some(owner) = &mut self.owner {
+            let other =
+                |(name, m): &(&Name, &Registered)| before.members.get(*name).is_none_or(|b| b.life != m.life);
+            self.agreed.members.iter().filter(other).for_each(|(name, _)| owner.forget(name));
+        }
         for id in before.books.keys().filter(|id| !self.agreed.books.contains_key(id)) {
             let line = before.books[id].line;
             let renamed = self.agreed.books.iter().find(|(to, b)| to.owner == id.owner && b.line == line);
@@ -583,6 +668,9 @@
     fn apply(&mut self, command: &[u8], now: Micros, out: &mut Vec<Output>) -> Result<(), MemberError> {
         // One that can't be read is of a later version: all of this version skip it alike.
         let Ok(command) = postcard::from_bytes::<Command>(command) else { return Ok(()) };
+        let known = self.agreed.members.get(&self.plan.me);
+        // Another folder's process had this name: what it owed is others', wherever it is read from.
+        self.first &= known.is_none_or(|m| m.token == self.agreement.token());
         let events = self.agreed.apply(command);
         if !events.is_empty() {
             self.names_known();
@@ -601,6 +689,9 @@
             Event::Joined { name, epoch, life, kept } => {
                 self.granted.joined(&name, epoch, now);
                 self.shares_agreed(now, out);
+                if let Some(owner) = &mut self.owner {
+                    owner.forget(&name);
+                }
                 if name == self.plan.me && life == self.life {
                     self.epoch = Some(epoch);
                     self.shares.gate.joined(epoch);
@@ -724,6 +815,7 @@
     }
 
     fn forget(&mut self, book: &BookId) -> Result<(), MemberError> {
+        self.refused.remove(book);
         if self.copies.remove(book).is_some() {
             self.stores.remove(&store_name(book))?;
         }
@@ -825,8 +917,10 @@
             }
             Message::Propose(command) => self.propose(command, now, out)?,
             Message::Renew { epoch, ticket } => {
-                if self.leads && self.agreed.epoch_of(&from) == Some(epoch) {
-                    self.granted.hear(&from, epoch, now);
+                if self.leads
+                    && self.agreed.epoch_of(&from) == Some(epoch)
+                    && self.granted.hear(&from, epoch, now)
+                {
                     self.ticket += 1;
                     self.reads.insert(self.ticket, (from, epoch, ticket));
                     self.agree(agreement::Input::Read { ticket: self.ticket }, now, out)?;
@@ -848,13 +942,27 @@
                     let store = self.stores.open(&store_name(&book))?;
                     self.copies.insert(book.clone(), Copy::open(store)?);
                 }
+                let used = self.copies.values().map(Copy::takes).sum::<u64>() + bytes.len() as u64;
                 let Some(copy) = self.copies.get_mut(&book) else { return Ok(()) };
-                match copy.append(generation, whole, at, &bytes) {
+                let full = || {
+                    io::Error::new(
+                        io::ErrorKind::StorageFull,
+                        format!("{used} bytes of copies, where {} are the most (limits.disk_mb)", self.room),
+                    )
+                };
+                let done =
+                    if used > self.room { Err(full()) } else { copy.append(generation, whole, at, &bytes) };
+                match done {
                     Ok(Some((place, staged))) => {
+                        self.refused.remove(&book);
                         out.push(Output::Send(from, Message::Copied { book, place, staged }));
                     }
                     Ok(None) => {}
-                    Err(e) => out.push(Output::Note(Note::CopyRefused { book, what: e.to_string() })),
+                    Err(e) => {
+                        if self.refused.insert(book.clone()) {
+                            out.push(Output::Note(Note::CopyRefused { book, what: e.to_string() }));
+                        }
+                    }
                 }
             }
             Message::Copied { book, place, staged } => {
@@ -1027,7 +1135,9 @@
         let Some((version, agreed)) = self.agreed_copies() else { return };
         let (agreed, span) = (agreed.clone(), self.plan.lease * LATE_LEASES);
         let Some(owner) = &self.owner else { return };
-        for name in &agreed {
+        let wanted = self.wanted_copies();
+        // One that is not a copy yet, too: another is to be one instead.
+        for name in agreed.union(&wanted) {
             if owner.late(name, now) > span && !self.late.contains_key(name) {
                 self.late.insert(name.clone(), now + span);
                 out.push(Output::Note(Note::CopyLate { name: name.clone() }));
@@ -1202,6 +1312,11 @@
             .collect();
         if !lapsed.is_empty() && now >= self.lapse_at {
             self.lapse_at = now + AGAIN;
+            for command in &lapsed {
+                if let Command::Gone { name, epoch } = command {
+                    self.granted.lapsed(name, *epoch);
+                }
+            }
             lapsed.into_iter().try_for_each(|command| self.propose(command, now, out))?;
         }
         if now >= self.forget_at && self.agreed.settlements.sizes().1 > 0 {
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -2,6 +2,7 @@
 //! over what of it. Every courier applies the same commands in the same order; nothing here knows the time.
 
 use crate::Token;
+use crate::breaks::{self, Break};
 use crate::budget;
 use crate::plan::{Name, weight};
 use crate::settlement;
@@ -253,6 +254,7 @@
         let old = self.members.get(&name).cloned();
         if let Some(m) = &old
             && m.token != token
+            && !breaks::on(Break::EmptyCopyKept)
         {
             // Its folder is lost, and with it all copies that it held for others.
             self.no_copies_at(&name, true, events);
@@ -277,8 +279,15 @@
                 events.push(Event::Renamed { from: from.clone(), to });
             }
             None => {
-                if let Some(m) = self.members.get(&name).filter(|m| m.serving) {
-                    self.gone(&name, m.epoch, events);
+                if let Some(m) = self.members.get(&name).cloned() {
+                    if m.serving {
+                        self.gone(&name, m.epoch, events);
+                    }
+                    let id = BookId { owner: name.clone(), epoch: m.epoch };
+                    if self.books.get(&id).is_some_and(|b| b.version == 0) {
+                        self.books.remove(&id);
+                        events.push(Event::Over(id));
+                    }
                 }
                 self.books
                     .insert(to, Book { line: epoch, copies: BTreeSet::new(), version: 0, sealed: None });
@@ -325,10 +334,8 @@
         events.push(Event::Gone { name: name.into(), epoch });
         self.no_copies_at(name, false, events);
         let id = BookId { owner: name.into(), epoch };
-        if self.books.get(&id).is_some_and(|book| book.version == 0) {
-            self.books.remove(&id);
-            events.push(Event::Over(id));
-        } else if let Some(book) = self.books.get_mut(&id) {
+        // Of a book that never had a copy nothing can be taken over: it stays its owner's, as it is.
+        if let Some(book) = self.books.get_mut(&id).filter(|book| book.version > 0) {
             book.sealed = Some(vec![Part::Waiting; PARTS]);
             events.push(Event::Sealed(id));
         }
--- a/operator/src/fleet.rs
+++ b/operator/src/fleet.rs
@@ -20,8 +20,10 @@
 const LEASE_LEAST: Duration = Duration::from_millis(1_500);
 const LEASE_MOST: Duration = Duration::from_secs(60);
 const COPIES_MOST: usize = 3;
+/// No invoker call writes for longer: the longest time of a message, by the newest pages.
+const CALL_MOST: Duration = Duration::from_secs(30);
 
-/// Couriers as one fleet. Read at the start only, but for `members` and `voters`.
+/// Couriers as one fleet. Read at the start only, but for `voters`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 #[schemars(deny_unknown_fields)]
@@ -51,6 +53,9 @@
     pub partner_idle: Span,
     /// Partners whose settlements are carried: messages that name theirs in `X-Addressing` go out in order, one at a time.
     pub settlements: Vec<FleetSettlement>,
+    /// A call to a partner with a budget has its connection for so long at most; one that is out for longer is given up, as
+    /// one that may have run. What a lost courier held comes free the later, the longer this is.
+    pub partner_call: Span,
     /// Addresses off this machine are let through. What couriers say to each other is neither secret nor signed.
     pub beyond_loopback: bool,
 }
@@ -151,6 +156,7 @@
             budgets: Vec::new(),
             partner_idle: Span(Duration::from_secs(15)),
             settlements: Vec::new(),
+            partner_call: Span(CALL_MOST),
             beyond_loopback: false,
         }
     }
@@ -257,6 +263,11 @@
                 self.lease
             ),
         );
+        must(
+            self.partner_call.0 > Duration::ZERO && self.partner_call.0 <= CALL_MOST,
+            "partner_call".into(),
+            format!("up to {CALL_MOST:?}, a message's longest time, is possible, not {}", self.partner_call),
+        );
         must(
             (1..=COPIES_MOST).contains(&self.copies),
             "copies".into(),
