--- a/courier/src/fleet/homes.rs
+++ b/courier/src/fleet/homes.rs
@@ -570,8 +570,8 @@
                 self.state.borrow_mut().parcels.remove(&(id, position));
                 return Ok(());
             }
-            End::NeverRan { .. } => Ending::Deferred(BROKEN_WAIT),
-            End::OutOfTime | End::Failed | End::MayHaveRun => Ending::Undeliverable,
+            End::NeverRan { .. } | End::OutOfTime => Ending::Deferred(BROKEN_WAIT),
+            End::Failed | End::MayHaveRun => Ending::Undeliverable,
         };
         let parcel = self.state.borrow().parcels.get(&(id.clone(), position)).cloned();
         let Some(parcel) = parcel else { return Ok(()) };
--- a/courier/tests/fleet/settlements.rs
+++ b/courier/tests/fleet/settlements.rs
@@ -9,6 +9,8 @@
 use tokio::task::spawn_local;
 
 const OF: u32 = 6;
+/// Positions of a settlement that are handed in one after the other.
+const PACED: u32 = 40;
 /// The partner that fails at position 4 of every tenth settlement; it may have run.
 const FAILS: u64 = 3;
 
@@ -26,12 +28,12 @@
 }
 
 fn part(dest: u64, position: u32) -> Invocation {
-    of(dest, "evening", &id(position), position)
+    of(dest, ("evening", OF), &id(position), position)
 }
 
-/// A position of a settlement, under an id.
-fn of(dest: u64, settlement: &str, id: &str, position: u32) -> Invocation {
-    let count = if position == OF { format!(",of={OF}") } else { String::new() };
+/// A position of a settlement of so many, under an id.
+fn of(dest: u64, (settlement, all): (&str, u32), id: &str, position: u32) -> Invocation {
+    let count = if position == all { format!(",of={all}") } else { String::new() };
     let of = format!(",settlement={settlement},position={position}{count}");
     Invocation { of, headers: "X-Account: north\r\n".into(), ..Invocation::new("fee-debit", id, dest, LONG) }
 }
@@ -112,6 +114,25 @@
         println!("settlement: {OF} taken on in {told:?}, over in {:?}", begun.elapsed());
         assert_eq!(seen(&fleet).iter().map(|seen| seen.position).collect::<Vec<_>>(), [1, 2, 3, 4, 5, 6]);
         whole(&fleet, Outcome::Closed(OF));
+        // Beside messages alone: what the way to the home, the journal's lines and the turn take until the answer.
+        let (mut alone, mut together) = (Vec::new(), Vec::new());
+        for n in 1..=PACED {
+            let begun = Instant::now();
+            assert_eq!(fleet.hand_in(1, &message("fee-debit", &format!("alone-{n}"), 1), BODY).await, 202);
+            alone.push(begun.elapsed());
+            let (begun, id) = (Instant::now(), format!("paced-{n}"));
+            let courier = usize::from(n > 1);
+            assert_eq!(fleet.hand_in(courier, &of(1, ("paced", PACED), &id, n), BODY).await, 202);
+            together.push(begun.elapsed());
+        }
+        for n in 1..=PACED {
+            ends(&fleet, &format!("paced-{n}")).await;
+        }
+        [&mut alone, &mut together].into_iter().for_each(|times| times.sort_unstable());
+        let (alone, together) = (alone[alone.len() / 2], together[together.len() / 2]);
+        println!(
+            "settlement: the median answer after {together:?} at another courier than its home, alone {alone:?}"
+        );
         // Other messages to the same partner go as ever.
         assert_eq!(fleet.hand_in(1, &message("fee-debit", "alone", 1), BODY).await, 202);
         ends(&fleet, "alone").await;
@@ -191,8 +212,8 @@
         setup.fleet = Some(json!({"lease": "2s", "copies": 2, "settlements": [{"dest": 1}]}));
         let mut fleet = start(setup).await;
         let mut lost = Vec::new();
-        // Position 2 lets 3 go, which waited at the first home.
-        for (next, waits, last) in [(1, 3, 1), (2, 5, 3)] {
+        // Position 5 waits at the first home, and at the second.
+        for (next, waits, last) in [(1, 5, 1), (2, 3, 3)] {
             let courier = others(&fleet, &lost)[0];
             for position in [next, waits] {
                 assert!(matches!(hand_in(&fleet, courier, 1, position).await, 200 | 202));
@@ -283,7 +304,7 @@
             rng.shuffle(&mut positions);
             for position in positions {
                 let consumers = [0, 1, 2].map(|n| fleet.consumer(n));
-                let invocation = of(FAILS, &name(settlement), &msg(settlement, position), position);
+                let invocation = of(FAILS, (&name(settlement), OF), &msg(settlement, position), position);
                 let first = rng.usize(..3);
                 tasks.push(spawn_local(async move {
                     for n in first.. {
@@ -314,7 +335,7 @@
         }
         let mut ends = Vec::new();
         for settlement in 0..MANY {
-            let last = of(FAILS, &name(settlement), &msg(settlement, OF), OF);
+            let last = of(FAILS, (&name(settlement), OF), &msg(settlement, OF), OF);
             until("the verdict", async || fleet.consumer(0).hand_in(&last, BODY).await == 409).await;
             let over = |record: &Record| {
                 (1..=OF).all(|position| {
