--- a/courier/src/fleet/homes.rs
+++ b/courier/src/fleet/homes.rs
@@ -337,7 +337,7 @@
 
     fn send(&self, to: &str, message: Message, parcel: Bytes) {
         if let Some(link) = self.fleet.links.get(to) {
-            link.send(Envelope::Settlement { message, parcel });
+            link.send(Envelope::Settlement { message: Box::new(message), parcel });
         }
     }
 
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -1000,7 +1000,9 @@
                     self.shares.hears(count, report, now);
                 }
             }
-            Message::Settlement { message, parcel } => out.push(Output::Heard { from, message, parcel }),
+            Message::Settlement { message, parcel } => {
+                out.push(Output::Heard { from, message: *message, parcel });
+            }
             Message::NoBook { book } => {
                 if let Some(fetching) = self.fetching.get_mut(&book) {
                     fetching.none += 1;
--- a/fleet/src/message.rs
+++ b/fleet/src/message.rs
@@ -113,7 +113,7 @@
     Shares(Count, Report),
     /// To a settlement's home, or its word; with a message that is handed in goes what the courier has of it.
     Settlement {
-        message: settlement::Message,
+        message: Box<settlement::Message>,
         parcel: Bytes,
     },
 }
--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -756,6 +756,7 @@
                 }
                 Output::Note(note) => tell(|| format!("{} {note}", name(i))),
                 Output::Left | Output::Orders(_) => {}
+                Output::Settlement(_) | Output::Settlements | Output::Heard { .. } => {}
             }
         }
     }
