--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -318,6 +318,19 @@
         assert!(Operator::parse(br#"{"version": 1, "fleet": {"me": "x"}}"#).is_ok());
     }
 
+    /// A session would be carried as single messages, which its partner does not take.
+    #[test]
+    fn settlements_in_sessions_are_refused() {
+        let told = problems(
+            r#"{"version": 1, "fleet": {"on": true, "me": "a", "listen": "127.0.0.1:1", "voters": ["a"],
+                "members": [{"name": "a", "addr": "127.0.0.1:1"}, {"name": "b", "addr": "127.0.0.1:2"}],
+                "settlements": [{"dest": 1}, {"dest": 1, "mode": "message"}, {"dest": 2, "mode": "session"}]}}"#,
+        );
+        assert_eq!(told.len(), 2, "{told:#?}");
+        assert!(told[0].starts_with("$.fleet.settlements[1].dest: 1 is there twice"), "{told:#?}");
+        assert!(told[1].starts_with("$.fleet.settlements[2].mode: sessions are not carried"), "{told:#?}");
+    }
+
     /// `docs/schema/operator.json` is what `quillmount schema` prints; the example holds to it.
     #[test]
     fn the_schema_on_the_page_is_fresh_and_the_example_has_everything_off() {
