--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -109,7 +109,8 @@
         None
     }
 
-    /// Takes one that rests, wherever it does, and the provider to which it leads; first it is looked for at `provider`.
+    /// Takes one that rests, wherever it does, and the provider to which it leads; it is looked for at
+    /// `provider` first.
     pub fn take(&mut self, provider: u32, which: impl Fn(&C) -> bool) -> Option<(u32, SocketAddr, Link, C)> {
         let at = |p: &Provider<C>| p.resting.iter().position(|r| which(&r.connection));
         let here = self.all.get(&provider).and_then(at).map(|n| (provider, n));
--- a/courier/examples/fleet_budget.rs
+++ b/courier/examples/fleet_budget.rs
@@ -2,9 +2,10 @@
 //!
 //!     cargo build --release -p quillmount && cargo run --release -p quillmount --example fleet_budget -- 20 1
 //!
-//! So many seconds a part, a seed. Four parts, each with a fleet of its own: a tenant that floods; other tenants alone; the same beside a tenant that
-//! has as much in hand all the time as it can; the same again while couriers are killed or cut off from the others. Printed: the most
-//! connections that the partner ever counted, how much of the budget was used, and what became of the other tenants' messages.
+//! So many seconds a part, a seed. Four parts, each with a fleet of its own: a tenant that floods; other
+//! tenants alone; the same beside a tenant that has as much in hand all the time as it can; the same again
+//! while couriers are killed or cut off from the others. Printed: the most connections that the partner ever
+//! counted, how much of the budget was used, and what became of the other tenants' messages.
 
 use quillmount_standins::audit::{Budget, Terms, audit};
 use quillmount_standins::consumer::Invocation;
@@ -96,8 +97,8 @@
                     came.took.get((came.took.len() as f64 * part) as usize).copied().unwrap_or_default()
                 };
                 println!(
-                    "{name}: most open {} of {CONNECTIONS}; busy {:.3}, open {:.3} of the budget; others {} of {} \
-                     delivered ({:.3}), median {} ms, 99th {} ms; flood {} delivered; findings {}",
+                    "{name}: most open {} of {CONNECTIONS}; busy {:.3}, open {:.3} of the budget; \
+                     others {} of {} delivered ({:.3}), median {} ms, 99th {} ms; flood {} delivered; findings {}",
                     came.most,
                     came.busy,
                     came.open,
--- a/courier/src/fleet/budget.rs
+++ b/courier/src/fleet/budget.rs
@@ -1,9 +1,9 @@
-//! Partners' budgets on sockets: a call to a partner with a budget has leave for its connection before its first byte, and each
-//! such connection counts from before its connect until its end is known.
+//! Partners' budgets on sockets: a call to a partner with a budget has leave for its connection before its
+//! first byte, and each such connection counts from before its connect until its end is known.
 //!
-//! What may be begun is the [`Holder`](quillmount_fleet::budget::Holder)'s word; here calls stand in line for it, each tenant's
-//! in their order, and what became of connections is told. A connection tells of its own end when it is dropped, wherever that
-//! is: no way of the pool or of a call can forget it.
+//! What may be begun is the [`Holder`](quillmount_fleet::budget::Holder)'s word; here calls stand in line for
+//! it, each tenant's in their order, and what became of connections is told. A connection tells of its own
+//! end when it is dropped, wherever that is: no way of the pool or of a call can forget it.
 
 use super::stores::Files;
 use crate::transport::clock::Clock;
@@ -26,8 +26,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
-/// A call that would get its connection later than this before its time is up is held back instead: it never ran, while one that
-/// goes out then may have, and its answer comes as its message is given up. Some calls' time; one that needn't wait goes out.
+/// A call that would get its connection later than this before its time is up is held back instead: it never
+/// ran, while one that goes out then may have, and its answer comes as its message is given up. Some calls'
+/// time; one that needn't wait goes out.
 const LEAST_LEFT: Micros = 250_000;
 /// What a partner still says on a closed connection is read in such pieces, and let go.
 const READ: usize = 4_096;
@@ -200,8 +201,8 @@
         act(&mut self.member.borrow_mut().shares().gate, self.clock.now())
     }
 
-    /// Whether a message is to be turned away: so many of its tenant's calls wait that its time would be over before its turn;
-    /// how long to wait then.
+    /// Whether a message is to be turned away: so many of its tenant's calls wait that its time would be over
+    /// before its turn; how long to wait then.
     pub fn refuses(&self, invocation: &Invocation) -> Option<Micros> {
         if !self.counts(invocation.dest) {
             return None;
@@ -211,8 +212,8 @@
         (line.after > invocation.time_left).then_some(line.after)
     }
 
-    /// Waits for leave to make this call, as long as its time allows; `None`: it is held back, and has not run. The provider is
-    /// told what is left of its time then.
+    /// Waits for leave to make this call, as long as its time allows; `None`: it is held back, and has not
+    /// run. The provider is told what is left of its time then.
     pub async fn ask(
         self: &Rc<Self>,
         handle: &Handle,
@@ -403,8 +404,8 @@
         }
     }
 
-    /// Waits until the partner has closed it too. Where it does not tell, the connection counts for as long as a partner may
-    /// keep one, and the socket is kept no longer than that.
+    /// Waits until the partner has closed it too. Where it does not tell, the connection counts for as long
+    /// as a partner may keep one, and the socket is kept no longer than that.
     async fn watch(self: Rc<Self>, (dest, conn): Name, fd: OwnedFd) {
         let bound = self.gate(|gate, _| gate.connections.closes_within(dest));
         let ends = async {
--- a/courier/tests/fleet_budget.rs
+++ b/courier/tests/fleet_budget.rs
@@ -1,4 +1,5 @@
-//! A partner's connections shared by a fleet: real processes between stand-ins, counted by the partner itself.
+//! A partner's connections shared by a fleet: real processes between stand-ins, counted by the partner
+//! itself.
 
 use quillmount_standins::audit::{Budget, Finding, Terms, audit};
 use quillmount_standins::consumer::Invocation;
@@ -16,8 +17,8 @@
 /// The partner's connections, of the whole fleet.
 const CONNECTIONS: usize = 6;
 
-/// Three couriers, and a partner at destination 1 that holds each call until it is told to answer; a call has its connection for
-/// so long at most.
+/// Three couriers, and a partner at destination 1 that holds each call until it is told to answer; a call has
+/// its connection for so long at most.
 fn setup(budget: Value, call: &str) -> FleetSetup {
     let mut setup = FleetSetup::new(env!("CARGO_BIN_EXE_quillmount"), 3);
     let times = json!({"lease": "2s", "copies": 1, "partner_idle": "1s", "partner_call": call});
@@ -50,7 +51,8 @@
     assert!(timeout(PATIENCE, waits).await.is_ok(), "not seen within {PATIENCE:?}: {what}");
 }
 
-/// Hands messages of a tenant in at a courier, all at once; their ids are the tenant's name, the courier and a number.
+/// Hands messages of a tenant in at a courier, all at once; their ids are the tenant's name, the courier and
+/// a number.
 fn hand_in(fleet: &Fleet, courier: usize, tenant: &str, many: usize) -> Vec<String> {
     let ids: Vec<String> = (0..many).map(|n| format!("{tenant}-{courier}-{n}")).collect();
     for id in &ids {
@@ -116,7 +118,8 @@
     assert_eq!(found, []);
 }
 
-/// What is out is left alone, and what comes free goes to whoever has too little, within a round of the leader's.
+/// What is out is left alone, and what comes free goes to whoever has too little, within a round of the
+/// leader's.
 #[test]
 fn idle_budget_is_lent_and_called_back_without_breaking_a_call_off() {
     play(async || {
@@ -124,7 +127,8 @@
         let mut ids = hand_in(&fleet, 0, "a", 20);
         holds(&fleet, "a", CONNECTIONS).await;
         ids.extend(hand_in(&fleet, 1, "b", 20));
-        // One of a's calls after another is answered, until b has its part; a's own next ones take no more than theirs.
+        // One of a's calls after another is answered, until b has its part; a's own next ones take no more
+        // than theirs.
         while fleet.witness.read(|record| held(record).filter(|id| id.starts_with('b')).count()) < 3 {
             let (first, seen) = fleet.witness.read(|record| {
                 (held(record).find(|id| id.starts_with('a')).map(str::to_string), whole(record))
@@ -163,8 +167,8 @@
     });
 }
 
-/// A courier that is lost, or cut off from the others alone, may have its connections open for the time of a call and until the
-/// partner ends them: nobody else uses them before.
+/// A courier that is lost, or cut off from the others alone, may have its connections open for the time of a
+/// call and until the partner ends them: nobody else uses them before.
 #[test]
 fn what_a_lost_courier_held_comes_free_after_the_stated_bound_and_not_before() {
     // A call, the partner's end of its connection, and the lease, by the slowest clock.
@@ -230,7 +234,8 @@
     }
 }
 
-/// Who comes too late for its time is told so at once, and how long what waits will take; who has the time is taken on.
+/// Who comes too late for its time is told so at once, and how long what waits will take; who has the time is
+/// taken on.
 #[test]
 fn a_message_whose_time_is_over_before_its_turn_is_refused_at_the_front() {
     play(async || {
