--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -28,12 +28,14 @@
 mod settle;
 mod state;
 mod streams;
+mod watch;
 
 use calls::{Out, calls_of};
 use list::Known;
 pub use state::{ResumeError, State, mark};
 use streams::Stream;
 pub use streams::{StreamEnd, StreamLimits};
+pub use watch::UnknownId;
 
 /// Advice with a rejection for want of room: the module's own for a message that it sheds.
 pub const NO_ROOM_WAIT: Micros = 2_000_000;
@@ -162,6 +164,9 @@
     next: MsgId,
     /// A planned stop has begun: nothing is taken on from then on.
     stopping: Option<Micros>,
+    /// Messages whose ends are asked for by id, and those that came since.
+    watched: BTreeSet<String>,
+    watched_ends: Vec<(String, End)>,
     /// The journal's words since the last steps.
     notes: Vec<Note>,
     pub counters: Counters,
@@ -209,6 +214,8 @@
             write_at: Micros::MAX,
             next,
             stopping: None,
+            watched: BTreeSet::new(),
+            watched_ends: Vec::new(),
             notes,
             counters: Counters::default(),
         })
@@ -292,7 +299,24 @@
         let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
         let orders = self.facade.pick(now, message);
         self.carry_out(orders, now, steps);
-        Intake::TakenOn
+        self.turned_away(msg, now).map_or(Intake::TakenOn, |after| Intake::Rejected { after })
+    }
+
+    /// Whether the module gave a message up in the step that brought it, with no attempt: its consumer, who still
+    /// waits, hears that it is not taken on, instead of a notice later. Streams are answered on their own way.
+    fn turned_away(&mut self, msg: MsgId, now: Micros) -> Option<Micros> {
+        let owed = self.owed.get(&msg).filter(|o| o.stream.is_none() && o.noted == 0)?;
+        let Some(Ending::Deferred(after)) = owed.end else { return None };
+        if self.out.range(calls_of(msg)).next().is_some() {
+            return None;
+        }
+        self.tell_watcher(msg, End::Deferred { after });
+        self.write(&Record::Told { msg }, now);
+        self.notices.remove(msg);
+        self.unwritten.remove(msg);
+        self.over(msg, End::Deferred { after });
+        self.counters.deferred -= 1;
+        Some(after)
     }
 
     /// Whether an invocation with this id was taken on, as far back as is remembered.
@@ -438,6 +462,7 @@
     fn settle(&mut self, msg: MsgId, end: End, now: Micros) {
         if self.owed.contains_key(&msg) {
             self.write(&Record::End { msg, end }, now);
+            self.tell_watcher(msg, end);
             self.notices.remove(msg);
             self.unwritten.remove(msg);
             self.over(msg, end);
@@ -446,6 +471,7 @@
 
     /// Whoever is owed the end hears it: a stream's consumer, who still waits, or else the platform.
     fn tell(&mut self, msg: MsgId, ending: Ending, steps: &mut Vec<Step>) {
+        self.tell_watcher(msg, ending.into());
         match self.owed.get(&msg).and_then(|owed| owed.stream) {
             Some(stream) if !stream.deaf => {
                 let end = match (stream.cut, ending) {
@@ -512,3 +538,57 @@
         |text: &str| text.len() + 5 * text.bytes().filter(|b| matches!(b, b'"' | b'\\' | ..0x20)).count();
     (4 * body.len().div_ceil(3) + escaped(id) + key.map_or(0, escaped) + FRAME) as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Provider;
+    use crate::store::Memory;
+
+    /// A crowd's guard leaves the second no turn in its time: it is refused itself, and no notice tells of it.
+    #[test]
+    fn what_is_given_up_as_it_comes_is_not_taken_on() {
+        use crate::journal::Book;
+        let category = spurshore_settings::Category {
+            name: "fee-debit".into(),
+            effect: Some("fragile".into()),
+            deadline_ms: 16_000.0,
+            promise_ms: 3_000.0,
+            ..Default::default()
+        };
+        let env = Env { categories: vec![category], siblings: Some(3_000), me: Some(1), ..Env::default() };
+        let line = Provider {
+            id: "s".into(),
+            addr: "127.0.0.1:1".parse().ok(),
+            dest: 1,
+            kind: String::new(),
+            zone: String::new(),
+            weight: 0.0,
+            state: ListState::Ready,
+        };
+        let known = ProviderList { version: 1, full: true, providers: vec![line] };
+        let now = 1_000_000_000;
+        let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
+        router.list(known, now);
+        let hand_in = |router: &mut Router<Memory>, id: &str| {
+            let (id, class, time_left, body) =
+                (id.into(), "fee-debit".into(), 16_000_000, bytes::Bytes::new());
+            router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now)
+        };
+        let (intake, steps) = hand_in(&mut router, "a");
+        let call = steps.iter().find_map(|s| match s {
+            Step::Call(call) => Some(call.call),
+            _ => None,
+        });
+        assert_eq!(intake, Intake::TakenOn);
+        router.call_ended(call.unwrap(), CallEnd::Full(0), now);
+        for _ in 0..2 {
+            let (intake, _) = hand_in(&mut router, "b");
+            assert!(matches!(intake, Intake::Rejected { after } if after > 0), "{intake:?}");
+        }
+        let notices = router.notices(9).into_iter().map(|n| n.id).collect::<Vec<_>>();
+        assert_eq!((notices, router.load().0), (vec!["a".to_string()], 1));
+        let (book, _) = Book::read(router.journal().store().bytes());
+        assert_eq!(book.owed.len(), 1, "another life owes it nothing");
+    }
+}
--- a/courier/src/fleet/mod.rs
+++ b/courier/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! for the courier. All of it is there only where the operator file's section `fleet` is on.
 
 pub mod budget;
+mod homes;
 mod links;
 mod listener;
 mod stores;
@@ -11,8 +12,9 @@
 use crate::transport::gate::{Gate, Wrote};
 use actix_rt::net::TcpListener;
 use budget::Budgets;
+use homes::Settling;
 use links::Link;
-use quillmount_core::journal::{self, Book};
+use quillmount_core::journal::{self, Book, Settlements};
 use quillmount_fleet::agreement;
 use quillmount_fleet::budget::{Budget, Problem, Tenant};
 use quillmount_fleet::member::{Input, Member, MemberError, Note, Output};
@@ -21,7 +23,7 @@
 use quillmount_fleet::state::{Epoch, Source, part_of};
 use quillmount_operator::fleet::{FleetBudget, FleetTenant, OnMissing};
 use spurshore::Micros;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -33,6 +35,10 @@
 /// A part that the journal had no room for is written again after so long: what is owed here ends meanwhile.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// Each courier holds as many copies as it has on average; by chance, and after losses, some hold more. Copies take so many
+/// times the own journal's part of the disk, for each copy that the operator file wants.
+const COPIES_DISK: u64 = 4;
+
 /// Why a courier is not one of its fleet.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -50,6 +56,23 @@
         "fleet: the journal of before can't be put aside: {0}; check the lasting folder's disk and rights"
     )]
     Aside(std::io::Error),
+    #[error(
+        "fleet: {0} is of a member that has not left, and the section is off: others may have its work, which would be done \
+         twice; start it with the section on and stop it with SIGTERM, or begin with an empty folder"
+    )]
+    StillMember(String),
+}
+
+/// The last records of a planned stop are given so long to get to the copies: half of what the stop waits for in all.
+const LAST_COPY: Duration = Duration::from_millis(100);
+/// Descriptors for each courier: a connection to it, one that it has given up, and those that are let in from it.
+const SOCKETS_EACH: usize = 2 + listener::EACH;
+/// Descriptors for what is agreed, and for the listener and who else comes there. Copies of others' journals have a file each.
+const OWN: usize = 8 + listener::SPARE;
+
+/// Descriptors that a courier's part in its fleet takes.
+pub fn sockets(told: &quillmount_operator::fleet::Fleet) -> usize {
+    if told.on { OWN + told.members.len() * (SOCKETS_EACH + told.copies) } else { 0 }
 }
 
 /// What the member wants of the courier, in order.
@@ -75,6 +98,9 @@
     pub gone: Notify,
     left: Notify,
     moved: Notify,
+    /// Partners whose settlements are carried.
+    settlements: BTreeSet<u64>,
+    settling: OnceCell<Rc<Settling>>,
 }
 
 fn plan_of(told: &quillmount_operator::fleet::Fleet) -> Plan {
@@ -128,7 +154,7 @@
 
 impl Fleet {
     /// Opens what the folder has, listens, and speaks to the others from now on. `span`: the shortest time that a partner
-    /// remembers a key.
+    /// remembers a key; `disk`: bytes that the own journal may take.
     ///
     /// # Errors
     /// The folder or the address can't be had.
@@ -138,6 +164,7 @@
         seed: u64,
         clock: Clock,
         span: Option<Micros>,
+        disk: u64,
     ) -> Result<Rc<Fleet>, FleetError> {
         let problems = problems(told);
         if !problems.is_empty() {
@@ -148,7 +175,8 @@
         let files = Files::open(folder.join("fleet"))?;
         let (life, token) = (draw(seed), draw(seed).max(1));
         let limits = agreement::Limits { seed: life, ..Default::default() };
-        let (member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        let (mut member, out) = Member::open(plan_of(told), files, life, token, limits, clock.now())?;
+        member.room = disk.saturating_mul(told.copies as u64).saturating_mul(COPIES_DISK);
         let mut links = BTreeMap::new();
         let mut ways = Vec::new();
         for peer in told.members.iter().filter(|peer| peer.name != told.me) {
@@ -175,6 +203,8 @@
             gone: Notify::new(),
             left: Notify::new(),
             moved: Notify::new(),
+            settlements: told.settlements.iter().map(|settlement| settlement.dest).collect(),
+            settling: OnceCell::new(),
         });
         tracing::info!("fleet: {} listens on {}", told.me, listener.local_addr().map_err(listen)?);
         for (link, addr) in ways {
@@ -207,13 +237,10 @@
     /// The folder refuses it.
     pub fn begin_book(&self, folder: &Path, kept: bool) -> Result<(), FleetError> {
         let mut member = self.member.borrow_mut();
-        if !kept {
-            // A kill in between must not leave a journal that counts as the own one.
-            member.note_line(None)?;
-            match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
-                Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(FleetError::Aside(e)),
-                _ => {}
-            }
+        if !kept && member.is_first() {
+            tracing::info!("fleet: a journal of before it was a member is its own: nobody else has it");
+        } else if !kept {
+            put_aside(&mut member, folder)?;
         }
         let line = member.agreed_line();
         member.note_line(line)?;
@@ -226,10 +253,21 @@
     /// The journal can't be read.
     pub fn attach(self: &Rc<Self>, courier: &Rc<Courier>, folder: &Path) -> Result<(), FleetError> {
         let bytes = std::fs::read(folder.join("journal"))?;
-        let unsettled: Vec<_> = courier.unsettled().iter().map(Source::from).collect();
+        let lines = Book::read(&bytes).0.settlements;
+        let unsettled: BTreeSet<_> =
+            courier.unsettled().iter().chain(lines.unsettled()).map(Source::from).collect();
+        let unsettled: Vec<_> = unsettled.into_iter().collect();
         self.gate.add_taking(unsettled.len() as isize);
         self.gate.begin(bytes.len() as u64);
         self.step(Input::Book { bytes, unsettled });
+        let (me, epoch) = {
+            let member = self.member.borrow();
+            (member.plan.me.clone(), member.epoch())
+        };
+        if let Some(epoch) = epoch {
+            let settling = Settling::start(self, courier, me, epoch, self.settlements.clone(), lines);
+            let _ = self.settling.set(settling);
+        }
         actix_rt::spawn(self.clone().take_over(courier.clone()));
         if let Some(budgets) = &self.budgets {
             actix_rt::spawn(budgets.clone().keep(courier.clone()));
@@ -237,12 +275,34 @@
         Ok(())
     }
 
-    /// A planned stop: the book is for others, at once.
-    pub async fn leave(&self) {
+    /// A planned stop: the book is for others, at once, and the journal is put aside.
+    ///
+    /// # Errors
+    /// The folder refuses it.
+    pub async fn leave(&self, folder: &Path) -> Result<(), FleetError> {
         let left = self.left.notified();
         self.flush();
+        // What is written and not copied would be taken over as it was before: an end, as none.
+        let _ = actix_rt::time::timeout(LAST_COPY, self.gate.copied()).await;
         self.step(Input::Leave);
         left.await;
+        let mut member = self.member.borrow_mut();
+        if member.has_left() {
+            put_aside(&mut member, folder)?;
+        }
+        Ok(())
+    }
+
+    /// The operator file was read again while serving: those whom it names agree from now on.
+    pub fn read_again(&self, told: &quillmount_operator::fleet::Fleet) {
+        let plan = plan_of(told);
+        let mut member = self.member.borrow_mut();
+        member.plan.voters = plan.voters.clone();
+        if member.plan != plan || !told.on {
+            tracing::warn!(
+                "fleet: only `voters` is read while serving: start again for the rest of the section"
+            );
+        }
     }
 
     /// Another courier's words; what is said to it at once.
@@ -322,9 +382,22 @@
                 Output::Replaced => {
                     self.gate.set_until(0);
                     self.replaced.set(true);
+                    self.settling.get().into_iter().for_each(|settling| settling.replaced());
                     self.gone.notify_one();
                 }
                 Output::Left => self.left.notify_waiters(),
+                // What came before it was there, it reads from the agreed state.
+                Output::Settlement(event) => {
+                    self.settling.get().into_iter().for_each(|settling| settling.agreed(event.clone()));
+                }
+                Output::Settlements => {
+                    self.settling.get().into_iter().for_each(|settling| settling.snapshot());
+                }
+                Output::Heard { from, message, parcel } => {
+                    if let Some(settling) = self.settling.get() {
+                        settling.heard(from, message, &parcel);
+                    }
+                }
                 Output::Orders(orders) => {
                     self.budgets.iter().for_each(|budgets| budgets.order(orders.clone()));
                 }
@@ -391,8 +464,13 @@
             if self.replaced.get() {
                 return;
             }
+            let mut lines = Settlements::default();
             let done = match &task {
-                Task::Adopt { parts, settled, bytes } => courier.adopt(entries(parts, settled, bytes)),
+                Task::Adopt { parts, settled, bytes } => {
+                    let (book, _) = Book::read(bytes);
+                    lines = homes::lines(parts, settled, &book);
+                    courier.adopt(entries(parts, settled, book), &lines)
+                }
                 Task::Settle { source, kept } => courier.settle_from(&source.into(), *kept),
             };
             if let Err(e) = done {
@@ -404,17 +482,47 @@
             self.flush();
             match task {
                 Task::Adopt { parts, .. } => {
+                    self.settling.get().into_iter().for_each(|settling| settling.adopted(&lines));
                     parts.into_iter().for_each(|part| self.step(Input::Adopted(part)))
                 }
-                Task::Settle { source, .. } => self.step(Input::Settled(source)),
+                Task::Settle { source, kept } => {
+                    self.step(Input::Settled(source.clone()));
+                    self.settling.get().into_iter().for_each(|settling| settling.settled(&source, kept));
+                }
             }
         }
     }
 }
 
+/// Puts the journal aside, as others have what it says.
+fn put_aside(member: &mut Member<Files>, folder: &Path) -> Result<(), FleetError> {
+    // A kill in between must not leave a journal that counts as the own one.
+    member.note_line(None)?;
+    match std::fs::rename(folder.join("journal"), folder.join("journal.sealed")) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(FleetError::Aside(e)),
+        _ => Ok(()),
+    }
+}
+
+/// Whether a courier may start with this folder while the section is off.
+///
+/// # Errors
+/// The folder is of a member that has not left: others have its work, or are to have it.
+pub fn may_be_off(folder: &Path) -> Result<(), FleetError> {
+    let path = folder.join("fleet").join("identity");
+    let bytes = match std::fs::read(&path) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(()),
+        read => read?,
+    };
+    match postcard::from_bytes::<Option<Epoch>>(&bytes) {
+        Ok(None) => Ok(()),
+        _ if bytes.is_empty() => Ok(()),
+        _ => Err(FleetError::StillMember(folder.display().to_string())),
+    }
+}
+
 /// The messages of these parts of a sealed book, each with where it comes from.
-fn entries(parts: &[Source], settled: &BTreeSet<Source>, bytes: &[u8]) -> Vec<journal::Entry> {
-    let (book, _) = Book::read(bytes);
+fn entries(parts: &[Source], settled: &BTreeSet<Source>, book: Book) -> Vec<journal::Entry> {
     let owed = book.owed.into_values().filter_map(|entry| {
         let part = part_of(entry.taken.dest);
         let source = parts.iter().find(|source| source.part == part)?;
--- a/fleet/src/book.rs
+++ b/fleet/src/book.rs
@@ -35,7 +35,7 @@
     /// A page is out, and sent again then.
     again: Option<Micros>,
     pause: Micros,
-    /// It last confirmed anything new then, or was chosen then.
+    /// It last confirmed anything new then, had all, or was chosen.
     moved: Micros,
 }
 
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Its process is another, and perhaps its folder: nothing is known of what it has.
+    pub fn forget(&mut self, name: &str) {
+        self.copies.remove(name);
+    }
+
     /// All up to this mark is at each of these.
     pub fn safe(&self, needed: &BTreeSet<Name>) -> u64 {
         let at = |name| self.copies.get(name).map_or(0, |copy| copy.safe);
@@ -148,6 +153,10 @@
             }
             let at = copy.have.len as usize;
             let done = copy.based && at == self.bytes.len();
+            if done {
+                // It is behind from the next record on, however long there has been none.
+                copy.moved = now;
+            }
             if done || copy.again.is_some_and(|again| now < again) {
                 continue;
             }
@@ -161,7 +170,8 @@
                 Message::Append {
                     book: self.book.clone(),
                     generation: self.generation,
-                    whole: self.whole,
+                    // One that begins anew may have had all of this, and must not have less of it meanwhile.
+                    whole: if copy.based { self.whole } else { self.bytes.len() as u64 },
                     at: at as u64,
                     bytes: Bytes::copy_from_slice(page),
                 },
@@ -197,6 +207,11 @@
         Ok(Copy { store, place: Place::default(), staged: Vec::new(), staged_generation: 0, sealed })
     }
 
+    /// Bytes that it takes, on the disk and before that.
+    pub fn takes(&self) -> u64 {
+        self.store.len() + self.staged.len() as u64
+    }
+
     pub fn is_sealed(&self) -> bool {
         self.sealed
     }
@@ -228,11 +243,12 @@
             if generation != self.staged_generation {
                 (self.staged_generation, self.staged) = (generation, Vec::new());
             }
+            let follows = at <= self.staged.len() as u64;
             let old = (self.staged.len() as u64).saturating_sub(at) as usize;
-            if at <= self.staged.len() as u64 && old < bytes.len() {
+            if follows && old < bytes.len() {
                 self.staged.extend_from_slice(&bytes[old..]);
             }
-            if self.staged.len() as u64 >= whole {
+            if follows && self.staged.len() as u64 >= whole {
                 self.store.replace(&self.staged)?;
                 self.place = Place { generation, len: self.staged.len() as u64 };
                 (self.staged, self.staged_generation) = (Vec::new(), 0);
--- a/fleet/src/state.rs
+++ b/fleet/src/state.rs
@@ -2,8 +2,10 @@
 //! over what of it. Every courier applies the same commands in the same order; nothing here knows the time.
 
 use crate::Token;
+use crate::breaks::{self, Break};
 use crate::budget;
 use crate::plan::{Name, weight};
+use crate::settlement;
 use crate::shares::{Count, Shared};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -76,7 +78,8 @@
     pub line: Epoch,
     /// Those at which each record has to be before it counts.
     pub copies: BTreeSet<Name>,
-    /// Grows with each change of `copies`. Where it is 0, nothing that was written there counts.
+    /// Grows with each change of `copies`, and with each folder that a copy may have been lost with. Where it is 0, nothing
+    /// that was written there counts.
     pub version: u64,
     /// `None`: its owner writes it.
     pub sealed: Option<Vec<Part>>,
@@ -90,6 +93,8 @@
     pub books: BTreeMap<BookId, Book>,
     /// Partners' budgets, and who holds what of them.
     pub shared: Shared,
+    /// Settlements' homes, and the verdicts of those that are over.
+    pub settlements: settlement::Agreed,
 }
 
 /// One change of it. Each says under which circumstances it holds, so that a late or repeated one changes nothing.
@@ -107,6 +112,8 @@
     Done { source: Source, by: Name, epoch: Epoch },
     /// Of a partner's budget.
     Share(Count, budget::Command),
+    /// Of a settlement's home.
+    Settlement(settlement::Command),
 }
 
 /// What a command has changed.
@@ -138,6 +145,7 @@
     Over(BookId),
     /// What couriers may use of partners' budgets is another.
     Shares,
+    Settlement(settlement::Event),
 }
 
 impl Agreed {
@@ -213,6 +221,19 @@
                     events.push(Event::Shares);
                 }
             }
+            Command::Settlement(command) => {
+                // Only a member that serves is home to any.
+                let holds = match &command {
+                    settlement::Command::Open { home, home_epoch, .. } => {
+                        self.epoch_of(home) == Some(*home_epoch)
+                    }
+                    settlement::Command::Move { to, to_epoch, .. } => self.epoch_of(to) == Some(*to_epoch),
+                    _ => true,
+                };
+                if holds {
+                    events.extend(self.settlements.apply(&command).into_iter().map(Event::Settlement));
+                }
+            }
         }
         events
     }
@@ -234,6 +255,7 @@
         let old = self.members.get(&name).cloned();
         if let Some(m) = &old
             && m.token != token
+            && !breaks::on(Break::EmptyCopyKept)
         {
             // Its folder is lost, and with it all copies that it held for others.
             self.no_copies_at(&name, true, events);
@@ -258,8 +280,15 @@
                 events.push(Event::Renamed { from: from.clone(), to });
             }
             None => {
-                if let Some(m) = self.members.get(&name).filter(|m| m.serving) {
-                    self.gone(&name, m.epoch, events);
+                if let Some(m) = self.members.get(&name).cloned() {
+                    if m.serving {
+                        self.gone(&name, m.epoch, events);
+                    }
+                    let id = BookId { owner: name.clone(), epoch: m.epoch };
+                    if self.books.get(&id).is_some_and(|b| b.version == 0) {
+                        self.books.remove(&id);
+                        events.push(Event::Over(id));
+                    }
                 }
                 self.books
                     .insert(to, Book { line: epoch, copies: BTreeSet::new(), version: 0, sealed: None });
@@ -267,7 +296,10 @@
         }
         self.members.insert(name.clone(), Member { token, life, epoch, serving: true });
         self.shared.joined(&name, epoch);
-        events.push(Event::Joined { name, epoch, life, kept: kept.is_some() });
+        events.push(Event::Joined { name: name.clone(), epoch, life, kept: kept.is_some() });
+        if let Some(from) = kept {
+            self.settlements_back(&name, from.epoch, epoch, events);
+        }
         self.give(events);
     }
 
@@ -287,7 +319,9 @@
     /// A sealed book's copy may be needed when its holder is back; one whose folder is lost (`lost`) will not.
     fn no_copies_at(&mut self, name: &str, lost: bool, events: &mut Vec<Event>) {
         for (id, book) in self.books.iter_mut().filter(|(_, b)| lost || b.sealed.is_none()) {
-            if book.copies.remove(name) {
+            // An owner that has not heard of it yet may ask for the copy that was lost: that word is void.
+            let asked = lost && book.sealed.is_none() && book.version > 0;
+            if book.copies.remove(name) || asked {
                 book.version += 1;
                 events.push(Event::Copies(id.clone()));
             }
@@ -299,13 +333,12 @@
             m.serving = false;
         }
         self.shared.gone(name, epoch);
+        self.settlements.over(name, epoch);
         events.push(Event::Gone { name: name.into(), epoch });
         self.no_copies_at(name, false, events);
         let id = BookId { owner: name.into(), epoch };
-        if self.books.get(&id).is_some_and(|book| book.version == 0) {
-            self.books.remove(&id);
-            events.push(Event::Over(id));
-        } else if let Some(book) = self.books.get_mut(&id) {
+        // Of a book that never had a copy nothing can be taken over: it stays its owner's, as it is.
+        if let Some(book) = self.books.get_mut(&id).filter(|book| book.version > 0) {
             book.sealed = Some(vec![Part::Waiting; PARTS]);
             events.push(Event::Sealed(id));
         }
@@ -319,6 +352,17 @@
         self.give(events);
     }
 
+    /// A courier goes on with its book: it is home to its settlements again.
+    fn settlements_back(&mut self, name: &str, from: Epoch, to: Epoch, events: &mut Vec<Event>) {
+        let books = &self.books;
+        let read = |book: &settlement::Book, dest: u64| {
+            let id = BookId { owner: book.courier.clone(), epoch: book.epoch };
+            let part = books.get(&id).and_then(|b| b.sealed.as_ref()?.get(part_of(dest)));
+            !matches!(part, Some(Part::Waiting | Part::Given(..)))
+        };
+        events.extend(self.settlements.back(name, from, to, read).into_iter().map(Event::Settlement));
+    }
+
     /// Names takers for what waits: by part, so that each message has exactly one and the work spreads.
     fn give(&mut self, events: &mut Vec<Event>) {
         let serving: Vec<(Name, Epoch)> =
@@ -332,6 +376,16 @@
                 }
             }
         }
+        // A settlement's records are in the part of its destination.
+        let members = &self.members;
+        let serves =
+            |name: &str, epoch: Epoch| members.get(name).is_some_and(|m| m.serving && m.epoch == epoch);
+        let taker = |dest: u64| {
+            let part = part_of(dest).to_le_bytes();
+            let best = serving.iter().max_by_key(|(name, _)| weight(&part, name));
+            best.map(|(name, epoch)| settlement::Book { courier: name.clone(), epoch: *epoch })
+        };
+        events.extend(self.settlements.rehome(serves, taker).into_iter().map(Event::Settlement));
     }
 
     /// Forgets books of which all is in others; what was in those, is in their takers' by now.
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -4,7 +4,8 @@
 use quillmount_core::journal::{self, Book, End, Record, TakenOn};
 use quillmount_core::store::Store;
 use quillmount_fleet::agreement::Limits;
-use quillmount_fleet::member::{Input, Member, Output, Stores};
+pub use quillmount_fleet::member::Input;
+use quillmount_fleet::member::{Member, Output, Stores};
 use quillmount_fleet::message::{Envelope, Message};
 use quillmount_fleet::plan::{Missing, Name, Peer, Plan};
 use quillmount_fleet::state::{Source, part_of};
@@ -105,6 +106,8 @@
     lives: u64,
     /// Links that are cut, each way alone.
     pub cut: BTreeSet<(usize, usize)>,
+    /// The same, for pages of books alone.
+    pub cut_books: BTreeSet<(usize, usize)>,
     /// Parts of envelopes that are lost, and that come twice.
     pub loss: f64,
     pub doubled: f64,
@@ -118,6 +121,9 @@
     pub trip: Micros,
     /// Answers on their way: when, to whom, in which life, for what.
     answers: Vec<(Micros, usize, u64, String, u64)>,
+    /// Couriers that were replaced, and whether such a process goes on instead of beginning anew at once.
+    pub replaced: BTreeSet<usize>,
+    pub stays: bool,
 }
 
 impl World {
@@ -133,6 +139,7 @@
             seed,
             lives: 0,
             cut: BTreeSet::new(),
+            cut_books: BTreeSet::new(),
             loss: 0.0,
             doubled: 0.0,
             delay: MS,
@@ -143,6 +150,8 @@
             budgets: Vec::new(),
             trip: 20 * MS,
             answers: Vec::new(),
+            replaced: BTreeSet::new(),
+            stays: false,
         }
     }
 
@@ -211,6 +220,9 @@
         let Some(n) = self.names.iter().position(|name| *name == to) else { return };
         let Some(p) = &self.processes[from] else { return };
         let token = p.member.agreement().token();
+        if matches!(message, Message::Append { .. }) && self.cut_books.contains(&(from, n)) {
+            return;
+        }
         if self.cut.contains(&(from, n)) || self.chance() < self.loss {
             return;
         }
@@ -320,12 +332,17 @@
                 Output::Adopt { parts, settled, bytes } => self.adopt(i, &parts, &settled, &bytes),
                 Output::Settle { source, kept } => self.settle(i, source, kept),
                 Output::Replaced => {
+                    self.replaced.insert(i);
+                    if self.stays {
+                        continue;
+                    }
                     self.processes[i] = None;
                     self.start(i);
                     return;
                 }
                 Output::Lease(_) => self.act(i),
                 Output::Left | Output::Orders(_) => {}
+                Output::Settlement(_) | Output::Settlements | Output::Heard { .. } => {}
                 Output::Note(note) => self.seen.notes.push((self.now, i, note.to_string())),
             }
         }
