--- a/core/src/router/watch.rs
+++ b/core/src/router/watch.rs
@@ -1,9 +1,11 @@
-//! Messages of settlements: whoever keeps those wants to know how each ends, and ends those that never had their turn.
+//! Messages of settlements: whoever keeps those wants to know how each ends, and ends those that never had
+//! their turn.
 
 use super::*;
 
 impl<S: Store> Router<S> {
-    /// From now on [`Router::ends`] tells of this message's end, if it has not come yet: this is how it stands.
+    /// From now on [`Router::ends`] tells of this message's end, if it has not come yet: this is how it
+    /// stands.
     ///
     /// # Errors
     /// No message of this id is known yet.
@@ -56,7 +58,8 @@
         (self.heard && !self.by_dest.contains_key(&dest)).then_some(Intake::UnknownDest)
     }
 
-    /// A message that was promised an end, and never had its turn, gets a notice; what is known under its id is let be.
+    /// A message that was promised an end, and never had its turn, gets a notice; what is known under its id
+    /// is let be.
     ///
     /// # Errors
     /// The store refused the records: nothing has changed.
--- a/courier/src/fleet/homes.rs
+++ b/courier/src/fleet/homes.rs
@@ -1,8 +1,8 @@
-//! Settlements on sockets: a consumer's message of one goes to its home, the home writes it down, and hands its router one
-//! position after the other.
+//! Settlements on sockets: a consumer's message of one goes to its home, the home writes it down, and hands
+//! its router one position after the other.
 //!
-//! The machines are `quillmount_fleet::settlement`'s. Whatever they want done waits until all that the journal has by then is
-//! at its copies ([`Settling::act`]), in the order in which they want it.
+//! The machines are `quillmount_fleet::settlement`'s. Whatever they want done waits until all that the
+//! journal has by then is at its copies ([`Settling::act`]), in the order in which they want it.
 
 use super::Fleet;
 use crate::transport::courier::{Courier, HandIn};
@@ -31,7 +31,8 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot};
 
-/// Advice with the notice of a message whose settlement broke before its turn: it may be handed in with another at once.
+/// Advice with the notice of a message whose settlement broke before its turn: it may be handed in with
+/// another at once.
 const BROKEN_WAIT: Micros = 1_000_000;
 
 /// What a courier keeps of a message until its turn.
@@ -264,8 +265,8 @@
             position,
             of: mark.of,
             msg: invocation.id.clone(),
-            // An attempt here is the handing to the router, which knows the message by its id, and its rules: it repeats
-            // no debit that may have run, however often it is handed one.
+            // An attempt here is the handing to the router, which knows the message by its id, and its rules:
+            // it repeats no debit that may have run, however often it is handed one.
             repeat: Repeat::Freely,
             deadline: self.now().saturating_add(invocation.time_left),
             size: parcel.body.len() as u64,
@@ -687,7 +688,8 @@
     known.collect()
 }
 
-/// The lines of these parts of a sealed book, each with where it comes from, and what the book knows of their messages' ends.
+/// The lines of these parts of a sealed book, each with where it comes from, and what the book knows of their
+/// messages' ends.
 pub fn lines(parts: &[Source], settled: &BTreeSet<Source>, book: &Journal) -> Settlements {
     let ends: BTreeMap<&str, Ended> = book.over.iter().map(|(id, end, _)| (id.as_str(), *end)).collect();
     let mut taken = Settlements::default();
@@ -739,8 +741,8 @@
     use quillmount_core::journal::{TakenOn, frame};
     use quillmount_fleet::settlement::Mode;
 
-    /// The lost home knew that position 1 was delivered, and had not written that for the settlement yet: its taker, which
-    /// gets no entry of what is over, would send a debit a second time.
+    /// The lost home knew that position 1 was delivered, and had not written that for the settlement yet: its
+    /// taker, which gets no entry of what is over, would send a debit a second time.
     #[test]
     fn a_taker_learns_of_ends_that_the_lost_home_had_not_written_for_the_settlement() {
         let id = SettlementId { tenant: "north".into(), name: "evening".into(), dest: 7 };
--- a/courier/tests/fleet/settlements.rs
+++ b/courier/tests/fleet/settlements.rs
@@ -1,5 +1,5 @@
-//! Settlements between couriers: whole and in order, wherever they are handed in and whoever is lost; and nothing after a
-//! break.
+//! Settlements between couriers: whole and in order, wherever they are handed in and whoever is lost; and
+//! nothing after a break.
 
 use super::*;
 use quillmount_standins::audit::{History, Outcome, Position, SettlementEnd};
@@ -114,7 +114,8 @@
         println!("settlement: {OF} taken on in {told:?}, over in {:?}", begun.elapsed());
         assert_eq!(seen(&fleet).iter().map(|seen| seen.position).collect::<Vec<_>>(), [1, 2, 3, 4, 5, 6]);
         whole(&fleet, Outcome::Closed(OF));
-        // Beside messages alone: what the way to the home, the journal's lines and the turn take until the answer.
+        // Beside messages alone: what the way to the home, the journal's lines and the turn take until the
+        // answer.
         let (mut alone, mut together) = (Vec::new(), Vec::new());
         for n in 1..=PACED {
             let begun = Instant::now();
@@ -233,7 +234,8 @@
     });
 }
 
-/// Position 1 is out when the home is lost: it may have run, and is not sent again; 2 and 3 never run, and are told so.
+/// Position 1 is out when the home is lost: it may have run, and is not sent again; 2 and 3 never run, and
+/// are told so.
 #[test]
 fn a_debit_that_may_have_run_breaks_its_settlement() {
     play(async || {
@@ -289,8 +291,9 @@
 /// Settlements that are under way at once.
 const MANY: usize = 24;
 
-/// Positions of many settlements come at all couriers in any order, while one courier after the other is killed and started:
-/// each settlement is whole, or broken with nothing behind the break, and no debit comes twice.
+/// Positions of many settlements come at all couriers in any order, while one courier after the other is
+/// killed and started: each settlement is whole, or broken with nothing behind the break, and no debit comes
+/// twice.
 #[test]
 fn many_settlements_stay_whole_or_end_at_their_break_while_couriers_are_lost() {
     play(async || {
--- a/fleet/tests/homes.rs
+++ b/fleet/tests/homes.rs
@@ -29,8 +29,9 @@
     (agreed, epochs)
 }
 
-/// The taker of a settlement is the courier that has the part of the lost book that its destination is in, so that its
-/// records come to it with that part's; and what another is to take over goes on at the next when that one is lost too.
+/// The taker of a settlement is the courier that has the part of the lost book that its destination is in, so
+/// that its records come to it with that part's; and what another is to take over goes on at the next when
+/// that one is lost too.
 #[test]
 fn a_settlement_goes_where_the_part_of_its_destination_goes() {
     let (mut agreed, [x, y, _]) = fleet();
