--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -1208,6 +1208,17 @@
     holds(&cases(1, any));
 }
 
+/// The pairs that once broke a property: a copy started again, a copy lost behind its owner's back, a process registered twice.
+#[test]
+fn pairs_that_were_found_hold() {
+    let pairs: [fn(&Fault) -> bool; 3] = [
+        |f| matches!(f, Fault::Cut(0, 1) | Fault::Kill(0, 0, Back::Soon)),
+        |f| matches!(f, Fault::Cut(0, 1) | Fault::Kill(2, _, Back::SoonEmpty)),
+        |f| matches!(f, Fault::Behind(1) | Fault::Kill(1, 0, Back::Soon)),
+    ];
+    holds(&pairs.map(|only| cases(2, only).remove(0)));
+}
+
 /// Two faults, each at every step: the second one meets the takeover that the first one began.
 #[test]
 #[ignore = "five minutes in a release build"]
