--- a/fleet/src/settlement/home.rs
+++ b/fleet/src/settlement/home.rs
@@ -1205,6 +1205,7 @@
     /// This courier is home now, and reads what earlier ones wrote.
     fn take(&mut self, agreed: &Agreed, id: &SettlementId, now: Micros, outputs: &mut Vec<Output>) {
         let Some(home) = agreed.home(id).filter(|home| home.is(&self.me, self.epoch)) else { return };
+        self.remove(id, outputs);
         let mode = self.modes.get(&id.dest).copied().unwrap_or_default();
         let mut taken = Settlement::new(id.clone(), home.term, mode, Head::Fetching { again: now }, now);
         taken.moving = self.draining.clone();
--- a/fleet/tests/settlement.rs
+++ b/fleet/tests/settlement.rs
@@ -1028,7 +1028,7 @@
     Restart(usize, u64),
     Drain(usize),
     Undrain(usize),
-    Mode,
+    Mode(usize),
     Budget,
 }
 
@@ -1073,7 +1073,7 @@
             0..=2 => (at, Blow::Lose(c, Life::Dead)),
             3 | 4 => (at, Blow::Lose(c, Life::Paused)),
             5..=7 => (at, Blow::Drain(c)),
-            8 => (at, Blow::Mode),
+            8 => (at, Blow::Mode(c)),
             _ => (at, Blow::Budget),
         });
     }
@@ -1223,11 +1223,11 @@
             }
         }
         Blow::Undrain(c) if world.couriers[c].life == Life::Up => world.homes(c, Input::Undrain),
-        // The partner of destination 4 changes its mode: what is open keeps its own.
-        Blow::Mode => {
+        // The partner of destination 4 changes its mode, and one courier hears of it: what is open keeps its own.
+        Blow::Mode(c) => {
             let one = [Mode::Message, NEVER, AFTER][dice.below(3) as usize];
             world.modes.insert(4, one);
-            world.couriers.iter_mut().for_each(|courier| courier.homes.set_mode(4, mode(one)));
+            world.couriers[c].homes.set_mode(4, mode(one));
         }
         Blow::Budget => {
             let budget = 2 + dice.below(8) as u32;
