Let a copy into the set only when it has all that counts by then

Suspected by reading, no run has shown it: a courier that had the whole book once was agreed on while records that were safe at the copies of now were still on their way to it; the owner lost in that moment would have left a copy without them.

--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -1249,7 +1249,11 @@
         else {
             return wants;
         };
-        let based: BTreeSet<Name> = wanted.iter().filter(|name| owner.has_base(name)).cloned().collect();
+        // One that has the book, and all that counts by now: what is safe at the copies of now may be on its way to it.
+        let has_all = |name: &&Name| {
+            owner.has_base(name) && owner.safe(&BTreeSet::from([(*name).clone()])) >= self.safe
+        };
+        let based: BTreeSet<Name> = wanted.iter().filter(has_all).cloned().collect();
         let all_based = based.len() == wanted.len();
         let mut next: BTreeSet<Name> = agreed.union(&based).cloned().collect();
         if all_based && !wanted.is_empty() {
