--- a/fleet/src/settlement/agreed.rs
+++ b/fleet/src/settlement/agreed.rs
@@ -54,8 +54,8 @@
 pub enum Command {
     /// The first of them makes the home.
     Open { id: SettlementId, home: String, home_epoch: u64 },
-    /// The home of this term gives it away; `boundary`: with nothing out and no session open. Who gives one away
-    /// is leaving, and is given none: two that are drained at once would hand one to and fro.
+    /// The home of this term gives it away; `boundary`: with nothing out and no session open. Who gives one
+    /// away is leaving, and is given none: two that are drained at once would hand one to and fro.
     Move { id: SettlementId, term: u64, to: String, to_epoch: u64, boundary: bool },
     /// The home of this term has all that was in earlier books in its own.
     Up { id: SettlementId, term: u64 },
--- a/fleet/src/settlement/error.rs
+++ b/fleet/src/settlement/error.rs
@@ -23,9 +23,7 @@
 /// Each says where, what happened, and what the consumer or the operator can do.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, thiserror::Error)]
 pub enum Error {
-    #[error(
-        "{at}: X-Addressing has no sound `{field}`: give settlement and position once each, and of on the last"
-    )]
+    #[error("{at}: X-Addressing has no sound `{field}`: give each field once, as name=value")]
     Field { at: At, field: String },
     #[error("{0}: positions count from 1: hand it in with its own")]
     Zero(At),
--- a/fleet/src/settlement/home.rs
+++ b/fleet/src/settlement/home.rs
@@ -1479,6 +1479,30 @@
         assert_eq!(alone.homes.sizes().1, 0, "nothing waits any more");
     }
 
+    #[test]
+    fn an_outcome_of_an_attempt_that_is_over_says_nothing_of_the_next() {
+        let mut alone = Alone::new(Limits::default());
+        alone.open("a");
+        let sent = |outputs: Vec<Output>| {
+            outputs.into_iter().find_map(|output| match output {
+                Output::Send { attempt, .. } => Some(attempt),
+                _ => None,
+            })
+        };
+        let asked = Input::Ask { from: "y".into(), id: id("a"), ask: Ask::Hand(hand(1, Some(1))) };
+        let first = sent(alone.step(asked)).unwrap();
+        let outcome = |attempt, outcome| Input::Outcome { id: id("a"), attempt, outcome, lost: false };
+        alone.step(outcome(first, Outcome::NeverRan { after: 0 }));
+        alone.now += REST;
+        let second = sent(alone.step(Input::Tick)).unwrap();
+        assert_eq!(alone.step(outcome(first, Outcome::Delivered)), []);
+        let closed = Verdict::Closed { of: 1 };
+        let outputs = alone.step(outcome(second, Outcome::Delivered));
+        let is_closed =
+            |o: &Output| matches!(o, Output::Agree(Command::Close { verdict, .. }) if *verdict == closed);
+        assert!(outputs.iter().any(is_closed), "{outputs:?}");
+    }
+
     #[test]
     fn a_budget_too_small_for_a_session_is_said_at_once() {
         let mut alone = Alone::new(Limits::default());
--- a/fleet/src/settlement/kept.rs
+++ b/fleet/src/settlement/kept.rs
@@ -296,7 +296,7 @@
         };
         let second = vec![copy(std::slice::from_ref(&first), 2), handed(3)];
         let mut both = first.clone();
-        both.extend([copy(&[first, second.clone()], 3), handed(4)]);
+        both.extend([copy(&[first.clone(), second.clone()], 3), handed(4)]);
         // What the second home wrote late was never acted on.
         let mut late = second.clone();
         late.push(handed(9));
@@ -305,6 +305,12 @@
         let mut taken = kept.clone();
         taken.take_over();
         assert_eq!(taken.hands[&1].first, Some(5), "it was out, and may have run");
+        // Home for the second time, it was lost before it had read anything: its book tells of the first
+        // only.
+        let mut second = second;
+        second.push(Record::Outcome { id: id.clone(), position: 1, outcome: Outcome::Delivered });
+        let (once, again) = ([first.clone(), second.clone()], [first.clone(), second.clone(), first]);
+        assert_eq!(Kept::read(&id, &again), Kept::read(&id, &once));
         for record in second {
             assert_eq!(Record::decode(&record.encode().unwrap()), Ok(record));
         }
--- a/fleet/tests/settlement.rs
+++ b/fleet/tests/settlement.rs
@@ -1,7 +1,8 @@
-//! Settlements among couriers that lose messages, calls and each other: explored in small cases, simulated in large.
+//! Settlements among couriers that lose messages, calls and each other: explored in small cases, simulated in
+//! large.
 //!
-//! The machines are the ones that run. The world around them is small: a log that every courier applies at its own
-//! pace, books that can be sealed, a partner that notes what ran, and consumers that ask again.
+//! The machines are the ones that run. The world around them is small: a log that every courier applies at
+//! its own pace, books that can be sealed, a partner that notes what ran, and consumers that ask again.
 
 use quillmount_fleet::settlement::session::linger;
 use quillmount_fleet::settlement::{
@@ -327,8 +328,9 @@
             self.couriers[c].life == Life::Paused && epoch.is_none_or(|epoch| epoch == self.couriers[c].epoch)
         });
         let is_in_turn = match flight {
-            Flight::Write { c, epoch, seq, .. } => !self.flights.iter().any(|(_, other)| {
-                matches!(other, Flight::Write { c: c2, epoch: e2, seq: s2, .. } if (c2, e2) == (c, epoch) && s2 < seq)
+            Flight::Write { c, epoch, seq, .. } => !self.flights.iter().any(|(_, other)| match other {
+                Flight::Write { c: c2, epoch: e2, seq: s2, .. } => (c2, e2) == (c, epoch) && s2 < seq,
+                _ => false,
             }),
             _ => true,
         };
@@ -622,7 +624,8 @@
         self.seen.values().all(|seen| seen.verdict.is_some())
     }
 
-    /// Once nothing is on its way: each message that was taken on has had its end, and nothing is left in a table.
+    /// Once nothing is on its way: each message that was taken on has had its end, and nothing is left in a
+    /// table.
     fn check_end(&mut self) {
         for (id, seen) in self.seen.clone() {
             if let Some(position) = seen.taken.iter().find(|position| !seen.ends.contains_key(position)) {
@@ -649,7 +652,7 @@
     NotReached,
 }
 
-// ---------------------------------------------------------------------------------------------------------------
+// ------------------------------------------------------------
 // Exploration.
 
 /// What may happen in a case, beside what is on its way.
@@ -670,7 +673,8 @@
     Fault(Flight, Fault),
     Apply(usize),
     Hand,
-    /// So many of its writes are in the book, and a call or closing of its reached the partner: it knows of neither.
+    /// So many of its writes are in the book, and a call or closing of its reached the partner: it knows of
+    /// neither.
     Lose(usize, Life, usize, bool),
     TakeOver(usize),
     Resume(usize),
@@ -691,7 +695,8 @@
             Flight::Net { message: Message::Word { .. }, .. } | Flight::Drop { .. } => true,
             Flight::Net { to, from, .. } if to == from => true,
             Flight::Propose(Command::Open { .. } | Command::Up { .. }) => true,
-            // One that is back from a pause goes on with what it has, and the later it learns of its seal the worse.
+            // One that is back from a pause goes on with what it has, and the later it learns of its seal the
+            // worse.
             Flight::Written { c, .. } | Flight::Write { c, .. } if is_back(*c) => true,
             _ => World::needs(flight).is_some_and(|(c, _)| world.couriers[c].life == Life::Dead),
         };
@@ -747,7 +752,8 @@
             moves.push(Move::Resume(c));
         }
     }
-    // Between a loss and the takeover no time passes: what the clock brings about then, it does as well after.
+    // Between a loss and the takeover no time passes: what the clock brings about then, it does as well
+    // after.
     if is_quiet && !is_waiting && world.wake_at().is_some() {
         moves.push(Move::Advance);
     }
@@ -952,7 +958,8 @@
     takeovers(Life::Paused, REVERSED, 3);
 }
 
-/// A drained home leaves at a boundary where it can, and in the middle where it must; a call may break at each point.
+/// A drained home leaves at a boundary where it can, and in the middle where it must; a call may break at
+/// each point.
 #[test]
 fn a_drain_and_a_fault_at_each_point_of_a_settlement_of_two() {
     for (name, one) in MODES {
@@ -966,7 +973,8 @@
     }
 }
 
-/// One connection may be pinned, and both settlements are half open at some time: each ends, whoever comes first.
+/// One connection may be pinned, and both settlements are half open at some time: each ends, whoever comes
+/// first.
 #[test]
 fn two_half_open_settlements_do_not_wait_for_each_other() {
     let (_, mut left, id) = case(AFTER, Repeat::Never, &[], 2);
@@ -984,7 +992,7 @@
     assert!(found.ends.contains_key(&Verdict::Closed { of: 2 }));
 }
 
-// ---------------------------------------------------------------------------------------------------------------
+// ------------------------------------------------------------
 // Simulation.
 
 /// SplitMix64: the same faults each time.
@@ -1223,7 +1231,8 @@
             }
         }
         Blow::Undrain(c) if world.couriers[c].life == Life::Up => world.homes(c, Input::Undrain),
-        // The partner of destination 4 changes its mode, and one courier hears of it: what is open keeps its own.
+        // The partner of destination 4 changes its mode, and one courier hears of it: what is open keeps its
+        // own.
         Blow::Mode(c) => {
             let one = [Mode::Message, NEVER, AFTER][dice.below(3) as usize];
             world.modes.insert(4, one);
