--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -348,10 +348,6 @@
 /// # Errors
 /// It can't be encoded.
 pub fn frame(record: &Record) -> Result<Vec<u8>, JournalError> {
-    encode(record)
-}
-
-fn encode(record: &Record) -> Result<Vec<u8>, JournalError> {
     let payload = postcard::to_allocvec(record)?;
     let mut frame = Vec::with_capacity(payload.len() + FRAME as usize);
     frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
@@ -360,6 +356,15 @@
     Ok(frame)
 }
 
+/// Several, one behind the other.
+fn frames(records: &[Record]) -> Result<Vec<u8>, JournalError> {
+    let mut frames = Vec::new();
+    for record in records {
+        frames.extend(frame(record)?);
+    }
+    Ok(frames)
+}
+
 /// The records in these bytes, each with the place where it begins, up to the first that is not sound.
 #[derive(Clone, Debug)]
 pub struct Records<'a> {
@@ -473,7 +478,7 @@
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
         let record = if stream { Record::Stream { msg, taken } } else { Record::TakeOn { msg, taken } };
-        let frame = encode(&record)?;
+        let frame = frame(&record)?;
         let len = frame.len() as u64;
         if self.is_full(len + RESERVE) {
             return Err(JournalError::Full);
@@ -499,7 +504,7 @@
         }
         let id = id.to_string();
         let len = over_len(&id);
-        let frame = encode(&if held { Record::Hold { id } } else { Record::Release { id } })?;
+        let frame = frame(&if held { Record::Hold { id } } else { Record::Release { id } })?;
         self.append(&frame, now, notes)?;
         self.holds = if held { self.holds + len } else { self.holds.saturating_sub(len) };
         Ok(())
@@ -527,10 +532,7 @@
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
-        let mut frames = Vec::new();
-        for record in records {
-            frames.extend(encode(record)?);
-        }
+        let frames = frames(records)?;
         let len = frames.len() as u64;
         if may_wait && self.is_full(len + RESERVE) {
             // What counts as room that is taken may matter no more.
@@ -554,10 +556,7 @@
         now: Micros,
         notes: &mut Vec<Note>,
     ) -> Result<(), JournalError> {
-        let mut frames = Vec::new();
-        for record in records {
-            frames.extend(encode(record)?);
-        }
+        let frames = frames(records)?;
         self.append(&frames, now, notes)
     }
 
@@ -641,7 +640,7 @@
         let settlements = book.settlements.len();
         let mut bytes = Vec::new();
         for record in book.records(now) {
-            bytes.extend(encode(&record)?);
+            bytes.extend(frame(&record)?);
         }
         let from = self.store.len();
         self.store.replace(&bytes).map_err(io("write of a copy"))?;
@@ -652,7 +651,7 @@
 }
 
 fn encoded_len(record: &Record) -> Result<u64, JournalError> {
-    Ok(encode(record)?.len() as u64)
+    Ok(frame(record)?.len() as u64)
 }
 
 /// At most what the record of an id that is over takes.
@@ -690,7 +689,7 @@
         // After each whole record: where it ends, and what is known then.
         let mut known = vec![(0, Book::default())];
         for record in &records {
-            bytes.extend(encode(record).unwrap());
+            bytes.extend(frame(record).unwrap());
             let mut book = known[known.len() - 1].1.clone();
             book.apply(record.clone());
             known.push((bytes.len(), book));
--- a/fleet/src/breaks.rs
+++ b/fleet/src/breaks.rs
@@ -1,5 +1,36 @@
 //! Deliberate breaks of the fleet's code, each of which the tests have to find; no release build has them.
 
+/// The switch for one enumeration of breaks: `on` says whether one is on, `set` puts it on, or all off. One at most is on, for
+/// the thread that put it on, so that tests side by side don't meet; without the feature `breaks` none ever is.
+macro_rules! switch {
+    ($Break:ty) => {
+        #[cfg(feature = "breaks")]
+        thread_local! {
+            static CHOSEN: std::cell::Cell<Option<$Break>> = const { std::cell::Cell::new(None) };
+        }
+
+        /// Whether this break is on.
+        #[cfg(feature = "breaks")]
+        pub fn on(one: $Break) -> bool {
+            CHOSEN.get() == Some(one)
+        }
+
+        /// Never: this build has no breaks.
+        #[cfg(not(feature = "breaks"))]
+        #[inline(always)]
+        pub const fn on(_: $Break) -> bool {
+            false
+        }
+
+        /// Puts a break on, or all off, for this thread.
+        #[cfg(feature = "breaks")]
+        pub fn set(one: Option<$Break>) {
+            CHOSEN.set(one);
+        }
+    };
+}
+pub(crate) use switch;
+
 /// What is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Break {
@@ -17,23 +48,4 @@
     EmptyCopyKept,
 }
 
-#[cfg(feature = "breaks")]
-thread_local! {
-    static BROKEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
-}
-
-/// Breaks this from here on, in this thread.
-#[cfg(feature = "breaks")]
-pub fn set(broken: Option<Break>) {
-    BROKEN.set(broken);
-}
-
-#[cfg(feature = "breaks")]
-pub fn on(what: Break) -> bool {
-    BROKEN.get() == Some(what)
-}
-
-#[cfg(not(feature = "breaks"))]
-pub const fn on(_: Break) -> bool {
-    false
-}
+switch!(Break);
--- a/fleet/src/member.rs
+++ b/fleet/src/member.rs
@@ -7,7 +7,7 @@
 use crate::breaks::{self, Break};
 use crate::budget::Order;
 use crate::lease::{Granted, Held};
-use crate::message::{Envelope, Message, Place};
+use crate::message::{Envelope, Message};
 use crate::plan::{Missing, Name, Plan};
 use crate::settlement;
 use crate::shares::Shares;
@@ -1372,6 +1372,3 @@
         Source { book, part: source.part as usize }
     }
 }
-
-/// A copy has nothing yet.
-pub const NOWHERE: Place = Place { generation: 0, len: 0 };
--- a/fleet/src/shares.rs
+++ b/fleet/src/shares.rs
@@ -103,9 +103,9 @@
 
     /// What the leader is to know, if it is time.
     pub fn reports(&mut self, now: Micros) -> Vec<(Count, Report)> {
-        let connections = self.gate.connections.report(now).map(|report| (Count::Connections, report));
-        let calls = self.gate.calls.report(now).map(|report| (Count::Calls, report));
-        connections.into_iter().chain(calls).collect()
+        let (connections, calls) = self.gate.reports(now);
+        let connections = connections.map(|report| (Count::Connections, report));
+        connections.into_iter().chain(calls.map(|report| (Count::Calls, report))).collect()
     }
 
     /// What whoever leads is to propose.
