Hold the sum of all senders under N + 2 root N + 2 at a cold destination, at any fleet size

At fault, in src/rules.rs: `knowing` reckoned with 3 root N + 3, and let three or fewer spend N. `free_at` gave a sender whose part is under a call one call at its own time, so that 20 or 30 of them could meet in one span once a success had lifted the turns. The ramp granted at its end what the beginning of the span could not bear. Two time-outs in a row did not bind the guard outside crowds: senders that met silence twice came with all that they held.

Changed: one S = 2/3 (N + 2 root N + 2) for every number of siblings; the share is that of a span ago; turns go on until the guard lifts wherever a part is under a call, their round halved as S doubles, so that rounds of different length never add up; two failures in a row bind the guard, as background errors seldom come in pairs.

Ruled out: a ramp for every fresh process, since in a crowd it gives back what a restart found untried.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,7 @@
 const PART_LEAST: f64 = 0.125;
 
 // ---- Outages. ----
-/// Failures in a row that make an outage: background errors seldom come in pairs.
+/// Failures in a row that make an outage; two bind the guard: background errors seldom come in pairs.
 const OUT_FAILS: u32 = 3;
 /// Errors among the last eight calls that tell of a place that fails a part of them: only the guard binds.
 /// In the background one call in a hundred fails.
@@ -63,6 +63,8 @@
 const ROUGH: f64 = 1.5;
 /// Turns leave this part of a span between spans; each begins within half of that.
 const TURN_PARTS: Micros = 16;
+/// A round has a multiple of this many turns: it may be halved, twice, and each turn stays one of all rounds.
+const ROUND_OF: u64 = 4;
 /// The least rate, calls a second, that all senders may count on: shuts nobody out for good.
 const LEAST_RATE: f64 = 0.01;
 /// Less than this of an allowance left, as reported late: calls were taken a moment ago.
@@ -421,7 +423,7 @@
     /// When a held message may go, behind so many, in crowds (a turn may lift the guard); else 0.
     fn hope(&self, m: &Msg, before: u64) -> Micros {
         let Some(d) = self.dests.get(&m.dest) else { return 0 };
-        let after = |n: usize| self.cycle(n).saturating_mul(before).min(self.set.cold);
+        let after = |n: usize| self.turns(n, self.set.cold_from).1.saturating_mul(before).min(self.set.cold);
         let turn = |n: usize| self.turn(n, self.lanes[n].wait_until).filter(|_| self.crowd(n));
         let hope = |n: &usize| turn(*n).map_or(0, |t| t.saturating_add(after(*n)).min(self.lanes[*n].guard));
         d.lanes.iter().map(hope).min().unwrap_or(0)
@@ -578,7 +580,8 @@
     fn learn(&mut self, id: EndpointId, c: &Completed, sent: Micros, flows: bool) {
         let (now, jitter, elapsed) = (self.now, self.jitter(), c.elapsed as f64);
         let lane = self.endpoints[&id].lane;
-        let (crowd, gap, part) = (self.crowd(lane), self.cycle(lane) as f64, self.part(lane, true));
+        let (crowd, part) = (self.crowd(lane), self.part(lane, true));
+        let gap = self.turns(lane, self.set.cold_from).1 as f64;
         let told = |n: usize| c.report.get(n).copied().unwrap_or(1.0);
         let limit = |(left, rate)| c.outcome == Outcome::Full && told(rate) > 0.0 && told(left) < USED_UP;
         let limit = self.set.limit_report.is_some_and(limit);
@@ -652,20 +655,19 @@
         let limit = limit || (o == Outcome::Full && !l.out && !crowd);
         let most = o == Outcome::Error && l.errors.count_ones() >= OUT_ERRORS;
         if out || (o != Outcome::Ok && !limit) {
-            self.knows(lane, out || most);
+            self.knows(lane, out || most || self.lanes[lane].fails > 1);
         }
     }
 
     // ---- When a lane may take a call. ----
 
-    // DEPARTURE, the guard of a returning destination: all siblings keep to S = 2/3 of what brings it down,
-    // by turns where a part of that is rare. It binds from the first failure in a crowd, else from the outage
-    // on, until a success of a call sent after the last failure is `cold` old (docs/design.md).
+    // DEPARTURE, the guard of a returning destination: all siblings keep to S, by turns where a part is rare,
+    // from a crowd's first failure or the outage on, until a later success is `cold` old (docs/design.md).
 
     /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
     fn knows(&mut self, lane: usize, out: bool) {
         let binds = out || self.crowd(lane) || self.now < self.lanes[lane].guard;
-        let (keep, l) = (self.now.saturating_add(self.cycle(lane)), &mut self.lanes[lane]);
+        let (keep, l) = (self.now + self.turns(lane, self.set.cold_from).1, &mut self.lanes[lane]);
         (l.guard, l.keep) = if binds { (NEVER, keep) } else { (0, 0) };
         (l.bad_at, self.look_at) = (self.now, self.now);
         self.guarded.extend(binds.then_some(lane));
@@ -677,18 +679,25 @@
         (self.set.fall_multiple * share * rate).max(LEAST_RATE) * self.set.fall as f64 / 1e6
     }
 
-    /// S of the guard: more than B + 3 root B + 3 calls bring it down.
+    /// S of the guard: more than B + 2 root B + 2 calls bring it down.
     fn knowing(&self, lane: usize, share: f64) -> f64 {
         let b = self.allowed(lane, share);
-        if self.set.siblings > 3 { KNOWING_PART * (b + 3.0 * b.sqrt() + 3.0) } else { b }
+        KNOWING_PART * (b + 2.0 * b.sqrt() + 2.0)
     }
 
-    /// Time between two turns of this sender.
-    fn cycle(&self, lane: usize) -> Micros {
-        let calls = self.knowing(lane, self.set.cold_from);
-        let span = (self.set.fall + self.set.fall / TURN_PARTS) as f64;
-        let slot = (span / if calls > 1.0 { calls.floor() } else { calls }) as Micros;
-        slot.saturating_mul(u64::from(self.set.siblings.max(1)))
+    /// Share of its capacity that the destination surely had a span ago. In crowds few calls tell of more.
+    fn share(&self, lane: usize) -> f64 {
+        let left = self.lanes[lane].guard.saturating_sub(self.now).saturating_add(self.set.fall) as f64;
+        let warm = if self.crowd(lane) { 0.0 } else { 1.0 - left / self.set.cold.max(1) as f64 };
+        self.set.cold_from + (1.0 - self.set.cold_from) * warm.max(0.0)
+    }
+
+    /// Time between two senders' turns, and between two of one sender: half as long each time S has doubled.
+    fn turns(&self, lane: usize, share: f64) -> (Micros, Micros) {
+        let (cold, calls) = (self.knowing(lane, self.set.cold_from), self.knowing(lane, share));
+        let slot = ((self.set.fall + self.set.fall / TURN_PARTS) as f64 / cold.floor()).max(1.0) as Micros;
+        let doubled = ((calls / cold) as u64).clamp(1, ROUND_OF).ilog2();
+        (slot, slot * (u64::from(self.set.siblings.max(1)).next_multiple_of(ROUND_OF) >> doubled))
     }
 
     /// A part of two thirds of B is rarer than a call in twice the cold time: hardly three failures are seen.
@@ -697,17 +706,16 @@
         self.set.siblings as f64 * self.set.fall as f64 > b * 2.0 * self.set.cold as f64
     }
 
-    /// This sender's turn under the guard, in crowds or until a success: now, the next, or when it lifts.
+    /// This sender's turn under the guard where its part is no whole call: now, the next, or when it lifts.
     fn turn(&self, lane: usize, from: Micros) -> Option<Micros> {
-        let (l, from) = (&self.lanes[lane], from.max(self.now));
-        let dest = l.endpoints.first().map_or(0, |e| self.endpoints[e].dest);
-        let (cycle, n) = (self.cycle(lane).max(1), u64::from(self.set.siblings.max(1)));
-        let own = (dest % n + u64::from(self.set.me)) % n * (cycle / n);
+        let (l, from, share) = (&self.lanes[lane], from.max(self.now), self.share(lane));
+        let (slot, cycle) = self.turns(lane, share);
+        let own = (l.dest % (cycle / slot) + u64::from(self.set.me)) * slot % cycle;
         let since = (from % cycle + cycle - own) % cycle;
         let on = since <= self.set.fall / (2 * TURN_PARTS) && l.last_sent + since < from;
-        let turn = if on { from } else { from + cycle - since };
-        let rare = self.crowd(lane) || l.guard == NEVER && n > 3 && cycle > self.set.fall;
-        (self.now < l.guard && rare).then_some(turn.min(l.guard.max(from)))
+        let turn = from + if on { 0 } else { cycle - since };
+        let binds = self.now < l.guard && self.knowing(lane, share) < f64::from(self.set.siblings);
+        binds.then_some(turn.min(l.guard.max(from)))
     }
 
     /// When the lane may take its next call, as far as can be told; at or before the present: now.
@@ -733,19 +741,12 @@
             }
         }
         at = at.max(l.paced.saturating_sub((self.gap(lane) as f64 * AHEAD) as Micros));
-        let turn = self.turn(lane, at);
-        if self.now < l.guard {
+        self.turn(lane, at).unwrap_or_else(|| {
             // Slow start: this sender's part of S in any span, growing as the destination warms.
-            let cold = (l.guard - self.now) as f64 / self.set.cold.max(1) as f64;
-            let share = self.set.cold_from + (1.0 - self.set.cold_from) * (1.0 - cold).max(0.0);
-            let own = self.knowing(lane, share) / self.set.siblings.max(1) as f64;
-            let (budget, fall) = (own.max(1.0) as usize, self.set.fall);
-            let rest = if l.out { fall } else { (fall as f64 / own.min(1.0)) as Micros };
-            if l.sent.len() >= budget || rest > fall {
-                at = at.max(l.sent.len().checked_sub(budget).map_or(l.last_sent, |n| l.sent[n]) + rest);
-            }
-        }
-        turn.unwrap_or(at)
+            let own = (self.knowing(lane, self.share(lane)) / f64::from(self.set.siblings.max(1))) as usize;
+            let over = l.sent.len().checked_sub(own.max(1)).filter(|_| self.now < l.guard);
+            at.max(over.map_or(0, |n| l.sent[n] + self.set.fall))
+        })
     }
 
     // ---- Sending. ----
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -22,11 +22,11 @@
     w
 }
 
-/// Whole calls in any fall span: two thirds of N + 3 root N + 3, N being multiple x cold share x true rate x
+/// Whole calls in any fall span: two thirds of N + 2 root N + 2, N being multiple x cold share x true rate x
 /// span, where the listed rate may be half too high.
 fn bound(weight: f64) -> usize {
     let n = 2.0 * 0.2 * (weight / 1.5) * 1.5;
-    (2.0 / 3.0 * (n + 3.0 * f64::sqrt(n) + 3.0)) as usize
+    (2.0 / 3.0 * (n + 2.0 * f64::sqrt(n) + 2.0)) as usize
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
