--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,7 @@
 const PART_LEAST: f64 = 0.125;
 
 // ---- Outages. ----
-/// Failures in a row that make an outage; two bind the guard: background errors seldom come in pairs.
+/// Failures in a row that make an outage: errors seldom come in pairs. Two time-outs already bind the guard.
 const OUT_FAILS: u32 = 3;
 /// Errors among the last eight calls that tell of a place that fails a part of them: only the guard binds.
 /// In the background one call in a hundred fails.
@@ -655,7 +655,7 @@
         let limit = limit || (o == Outcome::Full && !l.out && !crowd);
         let most = o == Outcome::Error && l.errors.count_ones() >= OUT_ERRORS;
         if out || (o != Outcome::Ok && !limit) {
-            self.knows(lane, out || most || self.lanes[lane].fails > 1);
+            self.knows(lane, out || most || self.lanes[lane].timeouts > 1);
         }
     }
 
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -432,6 +432,29 @@
     }
 }
 
+/// A third time-out would take as long again: what is held meanwhile would all come at once.
+#[test]
+fn two_time_outs_in_a_row_bind_the_guard_outside_crowds_and_two_errors_do_not() {
+    let calls = |outcome| {
+        let mut w = World::new(Settings { slots: 64, ..set(3, 0) }, 0);
+        w.list(ListKind::Whole, &[Entry { weight: 30.0, ..entry(0, 5) }]);
+        let first = [w.one(0, 5), w.one(0, 5)];
+        w.pass(SEC);
+        first.map(|m| w.step(&[Event::Hangup { msg: m }]));
+        first.map(|m| w.finish(m, outcome, 0));
+        w.pass(3 * SEC);
+        let before = w.log.len();
+        for _ in 1..FALL / 15_000 {
+            w.one(0, 5);
+            w.pass(15_000);
+            answer_all_but(&mut w, None);
+        }
+        w.log[before..].iter().filter(|(_, a)| matches!(a, Action::Send { .. })).count()
+    };
+    let (silent, errors) = (calls(Outcome::Timeout), calls(Outcome::Error));
+    assert!(silent == 4 && errors > 10, "{silent} calls in a span after silence, {errors} after errors");
+}
+
 /// Operators have put an endpoint back: nobody saw a failure, and it is cold all the same.
 #[test]
 fn an_endpoint_put_back_counts_as_back_from_an_outage() {
