--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -440,8 +440,12 @@
         w.list(ListKind::Whole, &[Entry { weight: 30.0, ..entry(0, 5) }]);
         let first = [w.one(0, 5), w.one(0, 5)];
         w.pass(SEC);
-        first.map(|m| w.step(&[Event::Hangup { msg: m }]));
-        first.map(|m| w.finish(m, outcome, 0));
+        for m in first {
+            w.step(&[Event::Hangup { msg: m }]);
+        }
+        for m in first {
+            w.finish(m, outcome, 0);
+        }
         w.pass(3 * SEC);
         let before = w.log.len();
         for _ in 1..FALL / 15_000 {
