--- a/src/rules.rs
+++ b/src/rules.rs
@@ -98,7 +98,7 @@
 const CROSSING: f64 = 0.75;
 /// A connect that fails within this met a full table, not a place that is down, microseconds.
 const DIALLED: Micros = SEC / 2;
-/// Two such connects within this, with an answer between them, tell of a table that is full, microseconds.
+/// Two such connects within this, at two destinations or with an answer between, tell of full tables, us.
 const REFUSED: Micros = 10 * SEC;
 /// How long after that connections are taken to be scarce there, microseconds.
 const CROWDED: Micros = 10 * SEC;
@@ -147,7 +147,7 @@
     dues: Dues, guarded: BTreeSet<usize>, places: u64,
     /// No message is due before.
     look_at: Micros,
-    timer: Micros, ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
+    timer: Micros, refused: (DestId, Micros), ask_at: Micros, ask_gap: Micros, stop_at: Option<Micros>,
     #[serde(skip)] acts: Vec<Action>,
 }
 
@@ -187,8 +187,7 @@
             self.acts.push(Action::Watch);
             self.ask_at = NEVER;
         }
-        let due = self.ask_at.min(self.give_up());
-        let wake = due.min(self.dispatch());
+        let wake = self.ask_at.min(self.give_up()).min(self.dispatch());
         self.shed();
         if wake < self.timer {
             self.timer = wake.max(self.now + 1);
@@ -551,7 +550,7 @@
     /// down took all of them along. One that refuses connections, yet answers on those it has, holds as many
     /// as it can: there each is closed after its call for a while. A report tells a rate.
     fn links(&mut self, id: EndpointId, c: &Completed, reused: bool) {
-        let (now, o) = (self.now, c.outcome);
+        let (now, o, mut all, mut crowded) = (self.now, c.outcome, id..=id, 0);
         let e = self.endpoints.get_mut(&id).expect("the caller knows the endpoint");
         let told = self.set.limit_report.filter(|_| !self.set.weight_is_rate).and_then(|l| c.report.get(l.1));
         e.rate = told.copied().filter(|r| *r > 0.0).unwrap_or(e.rate);
@@ -563,16 +562,19 @@
                 return;
             }
         } else if o == Outcome::ConnectFailed && c.elapsed < DIALLED {
-            if e.answered > e.refused && now < e.refused + REFUSED {
-                e.crowded = now + CROWDED;
-            }
-            e.refused = now;
+            let two = e.dest != self.refused.0 && now < self.refused.1 + REFUSED;
+            let full = two || e.answered > e.refused && now < e.refused + REFUSED;
+            (e.refused, self.refused) = (now, (e.dest, now));
+            (all, crowded) =
+                (if two { 0..=EndpointId::MAX } else { all }, if full { now + CROWDED } else { 0 });
         } else if o != Outcome::Reset || !reused {
             return;
         }
-        if !e.idle.is_empty() {
-            e.idle.clear();
-            self.acts.push(Action::CloseIdle { endpoint: id });
+        for (id, e) in self.endpoints.range_mut(all) {
+            e.crowded = e.crowded.max(crowded);
+            if !std::mem::take(&mut e.idle).is_empty() {
+                self.acts.push(Action::CloseIdle { endpoint: *id });
+            }
         }
     }
 
@@ -1009,8 +1011,7 @@
 
 impl Lane {
     fn new(slots: u32) -> Self {
-        let w = (cap(slots) as f64 / 2.0).max(1.0);
-        Lane { w, baseline: FLOOR, bad_from: NEVER, ..Lane::default() }
+        Lane { w: (cap(slots) as f64 / 2.0).max(1.0), baseline: FLOOR, bad_from: NEVER, ..Lane::default() }
     }
 
     /// The design's update after a call: CAL, the baseline of the last minute, the window.
@@ -1035,8 +1036,7 @@
     fn effective(&self, now: Micros) -> f64 {
         let oldest = self.live.iter().map(|(_, sent)| *sent).find(|t| *t > self.ok_sent);
         let (Some(sent), Some(_)) = (oldest, self.cal) else { return self.w };
-        let age = (now - sent) as f64;
-        let limit = THRESHOLD * self.baseline;
+        let (age, limit) = ((now - sent) as f64, THRESHOLD * self.baseline);
         if age > limit { self.w * limit / age } else { self.w }
     }
 
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -11,11 +11,13 @@
         let Dispatcher {
             set: _, rng, now, least, msgs, open, endpoints, dests, waiting, lanes, spare, out, keys, shares,
             // The first two follow from the rest; a place only orders those held.
-            dues: _, guarded: _, calls: _, places: _, ready: _, blocked: _, look_at, timer, ask_at, ask_gap, stop_at, acts: _,
+            dues: _, guarded: _, calls: _, places: _, ready: _, blocked: _, look_at, timer, refused, ask_at, ask_gap, stop_at, acts: _,
         } = self;
         [*now, *look_at, *timer, *ask_at, stop_at.unwrap_or(NEVER)].into_iter().for_each(|t| eye.time(t));
         let first = |call: &CallNo| out.get(call).and_then(|o| o.left.first()).copied().unwrap_or(MsgId::MAX);
         [*rng, *ask_gap, u64::from(*open)].into_iter().for_each(|w| eye.word(w));
+        eye.word(refused.0);
+        eye.time(refused.1);
         eye.real(*least);
         eye.word(msgs.len() as u64);
         for (id, m) in msgs {
