Say that a call never ran whose last byte stayed, and let no late repeat begin

Seen, by reading the attempt's machine against the protocol's table: - A call whose time was up while it was connecting, or while a part of it was written, ended as TimedOut, which counts as "may have run". With a span of 1 s the least patience is 667 ms, less than dial_timeout_ms (1000): a connect that came up late began the span, and the message was given up at 900 ms although not a byte of it had left. A fragile one was ended at once. - A repeat on a connection at rest was begun whatever the time was by then. Between order and first byte lie the record's write and the host's own pauses; only a new connection was looked at. - An interim answer whose head came in two reads left the attempt in Reading, and 100 ms later the call ended as Spoilt, though its answer had yet to begin.

Lines: `(_, Deadline)` and `(_, GiveUp)` in Attempt::step stood for all states; `(New, Start)` did not look at `by`; `Awaited` in Attempt::read did nothing.

Now Connecting and Writing end as CouldNotConnect on both (a stream's attempt keeps its own rules: its consumer's leaving tells nothing of the destination), a repeat that begins late is held back and the connection rests on, and Reading goes back to Awaiting. A stream that writes looks at the clock too.

Ruled out: a second copy while the first is connecting, since a message that is out is not sent again.

--- a/core/src/machine/attempt.rs
+++ b/core/src/machine/attempt.rs
@@ -196,6 +196,8 @@
             },
             (Closing { .. }, _) => NOTHING,
             (New, Input::Start { open: false, .. }) => self.end(Link::Nothing, CallEnd::HeldBack),
+            // The host stood still, or its record took long to write; what rested may serve another call.
+            (New, Input::Start { .. }) if now >= self.by => self.end(Link::Keep, CallEnd::HeldBack),
             (New, Input::Start { resting: true, .. }) => self.goes(Writing { written: 0 }, Link::Nothing),
             (New, Input::Start { .. }) => self.goes(Connecting, Link::Open),
             (_, Input::Ended) if breaks::on(Break::SendAfterEnd) => NOTHING,
@@ -211,6 +213,10 @@
             (Connecting | Writing { .. }, Input::Connected { .. } | Input::Tick) if now >= self.by => {
                 self.end(Link::Close, CallEnd::HeldBack)
             }
+            // A call counts once its last byte has come, and that byte stays here now: it never ran.
+            (Connecting | Writing { .. }, Input::Deadline | Input::GiveUp) if !self.streamed => {
+                self.end(Link::Close, CallEnd::CouldNotConnect)
+            }
             (_, Input::Deadline) => self.close(CallEnd::TimedOut, now),
             (_, Input::GiveUp) => self.close(CallEnd::GivenUp, now),
             // Connecting may last longer than the leave that the call had.
@@ -288,6 +294,8 @@
 
     fn read(&mut self, now: Micros) -> Output {
         match (self.decode)(&self.answer, self.answer.len() > self.most) {
+            // What had begun was an interim answer, and it is whole. The rest of a stream's body may be unwritten.
+            Answer::Awaited if !self.streamed => self.goes(State::Awaiting, Link::Nothing),
             Answer::Awaited => NOTHING,
             Answer::Partial => {
                 let by = match self.state {
@@ -354,7 +362,7 @@
             ),
             (
                 "Closing",
-                "given up: its sending has ended, or its connection is closed if it was not wholly written; the end is told 5 ms later, or what was still read",
+                "given up after its last byte, and its sending has ended (a stream's connection is closed if nothing of its body was written); the end is told 5 ms later, or what was still read",
                 at(State::Closing { end: CallEnd::TimedOut, until: 2 }, b""),
             ),
             ("Over", "its end has been told", at(State::Over, b"")),
--- a/courier/src/transport/streams.rs
+++ b/courier/src/transport/streams.rs
@@ -411,6 +411,8 @@
                     Input::Wrote { bytes: 0, left: 0 }
                 } else if late.is_some_and(|at| at <= now) {
                     Input::Deadline
+                } else if rest.is_some_and(|by| by <= now) {
+                    Input::Tick
                 } else {
                     let wake = [rest, late, p.hold, p.body_at].into_iter().flatten().min();
                     let writes = !p.out.is_empty() && p.hold.is_none() && !cut;
