Repeat nothing that may have run where the clock was set back since

Seen: after a restart the age of an attempt is the clock's time less the time in its record. A clock that was set back between the two lives makes an old attempt look young, and a repeat was ordered past the span in which its provider knows the key (core/src/router/restore.rs, restore: `sent: call.sent`). A clock that was set on makes it look older, which is safe.

So every attempt of the book that may have run counts as made at no time: it is not repeated, and its message is ended at once, with a warning in the log. What surely has not run is sent as ever. While a process lives its time never runs backwards (transport/clock.rs). Not seen by this: a clock set back by less than the time for which the process was down, and another courier's book, whose clock is taken to be the same.

core/tests/repeats.rs, a span of 1 s: seen to fail without the mend (clock), with `by` never, with the start's time for the record's, with the first class's effect for all, and with a failed connect told as a time-out.

--- a/core/src/note.rs
+++ b/core/src/note.rs
@@ -31,6 +31,8 @@
     NoRoom(JournalError),
     #[error("journal: invocation {msg} has class {class:?}, which the settings lack")]
     UnknownClass { msg: MsgId, class: String },
+    #[error("journal: an attempt is {ahead} us ahead of the clock; what may have run is not repeated")]
+    SetBack { ahead: Micros },
     #[error("not taken over: {id:?} is open or over here already")]
     NotAdopted { id: String },
     #[error("call {attempt} of invocation {msg} to provider {provider}: not known")]
@@ -42,7 +44,7 @@
         match self {
             Note::TakenOn { .. } | Note::Ended { .. } => Level::Debug,
             Note::Decided(_) | Note::Compacted { .. } | Note::NotAdopted { .. } => Level::Info,
-            Note::Torn(_) | Note::NoRoom(_) => Level::Warn,
+            Note::Torn(_) | Note::NoRoom(_) | Note::SetBack { .. } => Level::Warn,
             Note::NotWritten(_) | Note::UnknownClass { .. } | Note::UnknownCall { .. } => Level::Error,
         }
     }
--- a/core/src/router/restore.rs
+++ b/core/src/router/restore.rs
@@ -36,7 +36,15 @@
         now: Micros,
     ) -> Result<(Self, Vec<Step>), RouterError> {
         let mut notes = Vec::new();
-        let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
+        let (journal, mut book) = Journal::open(store, disk, now, &mut notes)?;
+        // Set back, the clock does not tell how old an attempt is, and no repeat is known to come within its span.
+        let calls = || book.owed.values().flat_map(|entry| &entry.calls);
+        let ahead = calls().map(|call| call.sent.saturating_sub(now)).max().unwrap_or(0);
+        if ahead > 0 {
+            notes.push(Note::SetBack { ahead });
+            let calls = book.owed.values_mut().flat_map(|entry| &mut entry.calls);
+            calls.filter(|call| call.never_ran != Some(true)).for_each(|call| call.sent = 0);
+        }
         let facade = |settings| Facade::new(settings, seed);
         let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
         router.holds = book.holds;
--- /dev/null
+++ b/core/tests/repeats.rs
@@ -0,0 +1,214 @@
+//! Repeats under a key: they leave whole within the span for which the key is remembered, however short it is, or not
+//! at all; and what may be repeated is a matter of each class's settings.
+
+mod common;
+use common::{NOW, World, calls, class, killed, provider};
+use quillmount_core::hub::{Do, Hub};
+use quillmount_core::journal::{Book, End};
+use quillmount_core::note::Note;
+use quillmount_core::pool::Pool;
+use quillmount_core::router::Router;
+use quillmount_core::store::Memory;
+use quillmount_core::{CallEnd, Invocation, InvokerCall, ProviderList};
+use spurshore::{ListState, Micros};
+use spurshore_settings::{Category, Env};
+
+const SPAN: Micros = 1_000_000;
+/// Kept clear of the span's end: by the module as it orders a repeat, and by the call itself for its last byte.
+const ORDER_MARGIN: Micros = 100_000;
+const BYTE_MARGIN: Micros = 50_000;
+
+/// Classes whose names say nothing, each with its effect.
+fn env(effects: &[&str]) -> Env {
+    let categories = effects.iter().enumerate().map(|(n, effect)| {
+        let span = if *effect == "dedup" { SPAN as f64 / 1e3 } else { 0.0 };
+        Category { memory_span_ms: span, dedup_scope: Some("all".into()), ..class(&format!("c{n}"), effect) }
+    });
+    Env { categories: categories.collect(), ..Env::default() }
+}
+
+fn list() -> ProviderList {
+    ProviderList { version: 1, full: true, providers: vec![provider("s", 1, ListState::Ready)] }
+}
+
+fn open(env: &Env, store: Memory, now: Micros) -> (World, Vec<Do<u32>>) {
+    let (router, steps) = Router::open(env, 7, list(), store, 999_999, now).unwrap();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 9));
+    let mut todo = hub.carry_out(steps, now);
+    todo.extend(hub.list(list(), now));
+    (hub, todo)
+}
+
+fn hand_in(hub: &mut World, id: &str, class: usize, now: Micros) -> InvokerCall {
+    let (key, body) = (Some(format!("k-{id}")), bytes::Bytes::from_static(b"body"));
+    let (id, class, time_left) = (id.into(), format!("c{class}"), 16_000_000);
+    let invocation = Invocation { id, class, key, dest: 1, tenant: None, time_left, body };
+    calls(hub.take_on(invocation, now).1).remove(0)
+}
+
+/// Ticks as the hub wants, up to this time; the calls that are begun, with their moments.
+fn run(hub: &mut World, from: Micros, until: Micros) -> Vec<(Micros, InvokerCall)> {
+    let (mut now, mut begun) = (from, Vec::new());
+    while let Some(at) = hub.router.wake_at().map(|at| at.max(now)).filter(|at| *at <= until) {
+        now = at.max(now + 1);
+        begun.extend(calls(hub.tick(now)).into_iter().map(|call| (now, call)));
+    }
+    begun
+}
+
+fn end_of(hub: &World, id: &str) -> Option<End> {
+    let (book, _) = Book::read(hub.router.journal().store().bytes());
+    let over = book.over.iter().find(|(over, ..)| over == id).map(|(_, end, _)| *end);
+    over.or_else(|| book.owed.values().find(|e| e.taken.id == id).and_then(|e| e.end))
+}
+
+fn has_ended(hub: &World, id: &str) -> bool {
+    matches!(end_of(hub, id), Some(End::Undeliverable | End::Deferred { .. }))
+}
+
+/// A reset at any moment of a span of one second: the repeat is ordered in time for its last byte, or the message ends
+/// at once.
+#[test]
+fn a_repeat_within_a_span_of_one_second_leaves_within_it() {
+    let mut repeated = 0;
+    for after in (50_000..1_200_000).step_by(50_000) {
+        let (mut hub, _) = open(&env(&["dedup"]), Memory::default(), NOW);
+        let first = hand_in(&mut hub, "m", 0, NOW);
+        assert_eq!(first.by, Micros::MAX, "nothing is remembered yet");
+        let mut begun: Vec<_> = calls(hub.call_ended(first.call, CallEnd::Reset, NOW + after))
+            .into_iter()
+            .map(|c| (NOW + after, c))
+            .collect();
+        begun.extend(run(&mut hub, NOW + after, NOW + 2 * SPAN));
+        for (at, call) in &begun {
+            assert!(*at <= NOW + SPAN - ORDER_MARGIN, "ordered {} after the first", at - NOW);
+            assert_eq!(call.by, NOW + SPAN - BYTE_MARGIN, "no byte of it leaves from then on");
+            repeated += 1;
+        }
+        assert_eq!(begun.is_empty(), has_ended(&hub, "m"), "{after}");
+        assert!(begun.is_empty() || after <= SPAN - ORDER_MARGIN, "{after}");
+    }
+    assert!(repeated >= 10, "{repeated}");
+}
+
+/// A connect may last longer than the span: a call that never left does not begin it, and the next has all of it.
+#[test]
+fn a_call_whose_connect_lasts_as_long_as_the_span_does_not_begin_it() {
+    let (mut hub, _) = open(&env(&["dedup"]), Memory::default(), NOW);
+    let first = hand_in(&mut hub, "m", 0, NOW);
+    let late = NOW + SPAN + 200_000;
+    let mut begun: Vec<_> = calls(hub.call_ended(first.call, CallEnd::CouldNotConnect, late))
+        .into_iter()
+        .map(|c| (late, c))
+        .collect();
+    begun.extend(run(&mut hub, late, late + 3 * SPAN));
+    let (at, second) = begun.first().expect("it never ran and is tried again");
+    assert_eq!(second.by, Micros::MAX, "no attempt may have run yet");
+    // From here on one may have: the span is the second's, not the first's.
+    let then = at + 100_000;
+    let again = calls(hub.call_ended(second.call, CallEnd::Reset, then));
+    assert!(again.is_empty(), "two failures in a row: the next has to wait for its turn");
+    run(&mut hub, then, at + SPAN - ORDER_MARGIN);
+    assert!(!has_ended(&hub, "m"));
+    assert_eq!(run(&mut hub, at + SPAN - ORDER_MARGIN, at + SPAN).len(), 0);
+    assert!(has_ended(&hub, "m"));
+}
+
+/// After a kill the span goes on from the journal's moment of the first attempt.
+#[test]
+fn a_restart_goes_on_with_the_span_of_the_life_before() {
+    let env = env(&["dedup"]);
+    for down in [100_000, 600_000, 899_999, 900_001, 950_000, SPAN, 5 * SPAN] {
+        let (mut hub, _) = open(&env, Memory::default(), NOW);
+        hand_in(&mut hub, "m", 0, NOW);
+        let (mut next, todo) = open(&env, killed(&hub), NOW + down);
+        let mut begun = calls(todo);
+        begun.extend(run(&mut next, NOW + down, NOW + down + SPAN).into_iter().map(|(_, call)| call));
+        let in_time = down <= SPAN - ORDER_MARGIN;
+        assert_eq!(!begun.is_empty(), in_time, "{down}");
+        assert!(begun.iter().all(|call| call.by == NOW + SPAN - BYTE_MARGIN), "{down}");
+        assert_eq!(has_ended(&next, "m"), !in_time, "{down}");
+    }
+}
+
+/// A clock that was set back makes an old attempt look young: how old it is can't be told, and it is not repeated. One
+/// that was set on makes it look older, which is safe. What has surely not run is sent whatever the clock says.
+#[test]
+fn a_clock_that_was_changed_between_two_lives_allows_no_repeat_past_its_span() {
+    let env = env(&["dedup", "fragile", "retryable"]);
+    for (now, repeats) in
+        [(NOW - 10 * SPAN, false), (NOW - 1, false), (NOW + 300_000, true), (NOW + 3_600 * SPAN, false)]
+    {
+        let (mut hub, _) = open(&env, Memory::default(), NOW - SPAN);
+        let never = hand_in(&mut hub, "never-ran", 1, NOW - SPAN);
+        hub.call_ended(never.call, CallEnd::Full(800_000), NOW - SPAN + 1_000);
+        let later = NOW - SPAN + 2_000;
+        hub.take_on(
+            Invocation {
+                id: "untried".into(),
+                class: "c0".into(),
+                key: None,
+                dest: 1,
+                tenant: None,
+                time_left: 16_000_000,
+                body: bytes::Bytes::new(),
+            },
+            later,
+        );
+        // The wait is over by now.
+        let due = calls(hub.tick(NOW));
+        let out: Vec<&str> = due.iter().map(|call| call.invocation.id.as_str()).collect();
+        assert!(out.contains(&"untried"), "{out:?}");
+        let before = killed(&hub);
+        let (mut next, todo) = open(&env, before, now);
+        let noted = todo.iter().any(|one| matches!(one, Do::Note(Note::SetBack { .. })));
+        assert_eq!(noted, now < NOW, "{now}");
+        let mut begun = calls(todo);
+        begun.extend(run(&mut next, now, now + SPAN / 2).into_iter().map(|(_, call)| call));
+        let repeat = begun.iter().any(|call| call.invocation.id == "untried");
+        assert_eq!(repeat, repeats, "{now}: {begun:?}");
+        assert_eq!(has_ended(&next, "untried"), !repeats, "{now}");
+    }
+}
+
+/// Whatever the order of the classes, a message is repeated as its own class's effect allows.
+#[test]
+fn what_may_be_repeated_follows_from_the_effect_of_each_class_alone() {
+    use CallEnd::*;
+    let orders = [
+        ["fragile", "dedup", "retryable"],
+        ["retryable", "fragile", "dedup"],
+        ["dedup", "retryable", "fragile"],
+    ];
+    // Whether the call may have run.
+    let ends = [
+        (Error, true),
+        (Spoilt(0), true),
+        (Reset, true),
+        (TimedOut, true),
+        (GivenUp, true),
+        (Full(1_000), false),
+        (NoSlot, false),
+        (CouldNotConnect, false),
+        (HeldBack, false),
+    ];
+    for effects in orders {
+        let env = env(&effects);
+        for (n, effect) in effects.iter().enumerate() {
+            for (end, may_have_run) in ends {
+                let (mut hub, _) = open(&env, Memory::default(), NOW);
+                let first = hand_in(&mut hub, "m", n, NOW);
+                let then = NOW + 1_000;
+                let mut begun = calls(hub.call_ended(first.call, end, then));
+                begun
+                    .extend(run(&mut hub, then, NOW + SPAN - ORDER_MARGIN).into_iter().map(|(_, call)| call));
+                let again = !may_have_run || *effect != "fragile";
+                assert_eq!(!begun.is_empty(), again, "{effect}, {end:?}");
+                assert_eq!(has_ended(&hub, "m"), !again, "{effect}, {end:?}");
+                let by =
+                    if may_have_run && *effect == "dedup" { NOW + SPAN - BYTE_MARGIN } else { Micros::MAX };
+                assert!(begun.iter().all(|call| call.by == by), "{effect}, {end:?}");
+            }
+        }
+    }
+}
