--- /dev/null
+++ b/core/tests/pool.rs
@@ -0,0 +1,91 @@
+//! The connections to the providers: which rest, which are closed, and which serve a call.
+
+use quillmount_core::machine::link::Input;
+use quillmount_core::pool::Pool;
+use spurshore::Micros;
+
+const ADDR: &str = "127.0.0.1:1";
+
+fn with_resting(pool: &mut Pool<u32>, provider: u32, connection: u32, now: Micros) {
+    let addr = ADDR.parse().unwrap();
+    assert!(pool.begin(provider, addr, now, |_| true).is_none());
+    let mut link = pool.open();
+    link.step(Input::Up, now);
+    assert_eq!(pool.keep(provider, addr, link, connection, now), None);
+    pool.end();
+}
+
+#[test]
+fn the_longest_resting_of_all_goes_when_room_is_short() {
+    let mut pool = Pool::new(15_000_000, 2);
+    with_resting(&mut pool, 7, 70, 10);
+    with_resting(&mut pool, 8, 80, 5);
+    assert_eq!(pool.make_room(), None);
+    assert!(pool.begin(9, ADDR.parse().unwrap(), 20, |_| true).is_none());
+    assert_eq!((pool.make_room(), pool.load()), (Some(80), (1, 1)));
+}
+
+#[test]
+fn a_shut_gate_closes_what_rests_and_what_comes_to_rest() {
+    let mut pool = Pool::new(15_000_000, 9);
+    with_resting(&mut pool, 7, 70, 10);
+    assert_eq!(pool.gate(7, false), [70]);
+    let mut link = pool.open();
+    link.step(Input::Up, 11);
+    assert_eq!(pool.keep(7, ADDR.parse().unwrap(), link, 71, 11), Some(71));
+    assert!(!pool.lets_through(7, 12) && pool.lets_through(8, 12));
+}
+
+#[test]
+fn what_is_too_old_or_not_quiet_serves_no_call() {
+    let addr = ADDR.parse().unwrap();
+    let mut pool = Pool::new(15_000_000, 9);
+    with_resting(&mut pool, 7, 70, 10);
+    assert!(pool.begin(7, addr, 11, |_| false).is_none());
+    pool.end();
+    with_resting(&mut pool, 7, 71, 10);
+    assert_eq!(pool.sweep(14_000_009, |_| true), []);
+    assert_eq!(pool.sweep(14_000_010, |_| true), [71]);
+}
+
+/// A keep-alive of less than a second: what rests is closed while its provider still holds it.
+#[test]
+fn a_connection_rests_for_half_of_a_short_keep_alive() {
+    let addr = ADDR.parse().unwrap();
+    for (idle, rest) in [(0, 0), (1, 0), (600_000, 300_000), (1_500_000, 750_000), (5_000_000, 4_000_000)] {
+        let mut pool = Pool::new(idle, 9);
+        if rest > 0 {
+            with_resting(&mut pool, 7, 70, 10);
+            assert!(pool.begin(7, addr, 10 + rest - 1, |_| true).is_some(), "{idle}");
+            pool.end();
+        }
+        with_resting(&mut pool, 7, 71, 10);
+        assert!(pool.begin(7, addr, 10 + rest, |_| true).is_none(), "{idle}");
+        assert_eq!(pool.load(), (1, 0), "{idle}: what is too old is closed");
+    }
+}
+
+/// The provider has moved: what leads to its old address serves no call.
+#[test]
+fn what_leads_to_an_old_address_serves_no_call() {
+    let mut pool = Pool::new(15_000_000, 9);
+    with_resting(&mut pool, 7, 70, 10);
+    assert!(pool.begin(7, "127.0.0.1:2".parse().unwrap(), 11, |_| true).is_none());
+    assert_eq!(pool.load(), (1, 0));
+}
+
+/// A provider that is gone for good leaves no connection behind, at rest or as its last call ends.
+#[test]
+fn a_provider_that_is_gone_keeps_no_connection() {
+    let addr = ADDR.parse().unwrap();
+    let mut pool = Pool::new(15_000_000, 9);
+    with_resting(&mut pool, 7, 70, 10);
+    with_resting(&mut pool, 8, 80, 10);
+    let (link, connection) = pool.begin(7, addr, 11, |_| true).unwrap();
+    pool.gate(7, false);
+    assert_eq!(pool.keep(7, addr, link, connection, 12), Some(70), "its call ends after it went");
+    pool.end();
+    assert_eq!(pool.rest(7, addr, 12, 71), Some(71), "one of another process");
+    assert_eq!((pool.forget(7), pool.load()), (vec![], (0, 1)));
+    assert_eq!(pool.gate(8, false), [80]);
+}
