--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -277,6 +277,7 @@
     while left(STOP) > Duration::ZERO {
         if left(CALLS_END) == Duration::ZERO {
             courier.end_streams();
+            courier.keep_unsent();
         }
         let open = connections.close_idle();
         // In a fleet what waits for its next call goes on elsewhere: calls that are out alone are waited for.
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -16,6 +16,7 @@
 use quillmount_core::holds::HoldError;
 use quillmount_core::hub::{self, Do, Hub};
 use quillmount_core::journal::{End, Entry, JournalError, Record, Settlements, Source};
+use quillmount_core::machine::attempt::Input;
 use quillmount_core::note::{Level, Note};
 use quillmount_core::pool::Pool;
 use quillmount_core::router::{Intake, Router, UnknownId};
@@ -313,6 +314,11 @@
         }
     }
 
+    /// The process ends: what has not left of a call stays here, and the next life knows that it never ran.
+    pub fn keep_unsent(&self) {
+        self.words.borrow().values().for_each(|words| words.say(Input::Ended));
+    }
+
     /// The last byte of its call has left.
     fn stream_written(self: &Rc<Self>, call: CallId) {
         let now = self.clock.now();
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -6,6 +6,7 @@
 
 use super::clock::Clock;
 use super::handle::Handle;
+use super::quiet;
 use crate::fleet::budget::{Conn, Leave};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
@@ -16,7 +17,9 @@
 use spurshore::Micros;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use std::pin::Pin;
+use std::task::Poll;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
 
 /// Most answers fit into one read of this.
@@ -98,9 +101,9 @@
     }
 }
 
-/// Nothing has come on it, no end and no bytes either, which would be taken for an answer.
+/// See [`quiet::is_quiet`].
 pub fn is_quiet(conn: &Conn) -> bool {
-    conn.stream().try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    quiet::is_quiet(conn.stream())
 }
 
 /// Opens a connection; one that counts has leave for it.
@@ -124,6 +127,21 @@
     }
 }
 
+/// Writes what is left of a request; from the time `by` on not a byte leaves. Time may have passed since the socket
+/// was said to be writable, so the clock is read just before the write.
+async fn write(stream: &mut TcpStream, left: &[u8], clock: &Clock, by: Option<Micros>) -> Input {
+    std::future::poll_fn(|cx| {
+        if by.is_some_and(|by| clock.now() >= by) {
+            return Poll::Ready(Input::Tick);
+        }
+        Pin::new(&mut *stream).poll_write(cx, left).map(|wrote| match wrote {
+            Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: left.len() - bytes },
+            _ => Input::WriteFailed,
+        })
+    })
+    .await
+}
+
 /// Waits for the time that an attempt's state waits for; for ever where there is none.
 pub async fn tick(clock: &Clock, at: Option<Micros>) -> Input {
     match at {
@@ -239,10 +257,7 @@
                     biased;
                     () = words.give.notified() => continue,
                     word = words.heard(state) => word,
-                    wrote = stream.stream_mut().write(&request[written..]) => match wrote {
-                        Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: request.len() - written - bytes },
-                        _ => Input::WriteFailed,
-                    },
+                    wrote = write(stream.stream_mut(), &request[written..], clock, rest) => wrote,
                     () = &mut deadline => Input::Deadline,
                     tick = tick(clock, rest) => tick,
                 }
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -1,5 +1,6 @@
 //! A courier's process between stand-ins, with a folder of its own that ends with it.
 
+use crate::fleet::merge;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Error, Result};
@@ -31,6 +32,8 @@
     pub open_cap: u32,
     /// Operators may call.
     pub operators: bool,
+    /// Put over the configuration, field by field.
+    pub config: Value,
     /// What RUST_LOG says; empty: it is not set, and the operator file holds.
     pub levels: String,
 }
@@ -47,6 +50,7 @@
             slots: 8,
             open_cap: 100,
             operators: false,
+            config: json!({}),
             levels,
         }
     }
@@ -151,6 +155,7 @@
         config["discovery"] = setup.platform.to_string().into();
         config["settings"]["family_info"]["call_slots"] = setup.slots.into();
         config["settings"]["limits"]["open_cap"] = setup.open_cap.into();
+        merge(&mut config, &setup.config);
         std::fs::write(folder.join("config.json"), config.to_string())?;
         if let Some(operator) = &setup.operator {
             std::fs::write(folder.join("operator.json"), operator.to_string())?;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -176,7 +176,7 @@
 }
 
 /// Puts one value over another, field by field.
-fn merge(into: &mut Value, over: &Value) {
+pub(crate) fn merge(into: &mut Value, over: &Value) {
     match (into, over) {
         (Value::Object(into), Value::Object(over)) => {
             for (name, value) in over {
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -58,6 +58,11 @@
         Reader { from, buf: BytesMut::new() }
     }
 
+    /// The side itself; what has come and was not used goes.
+    pub fn into_inner(self) -> R {
+        self.from
+    }
+
     async fn more(&mut self) -> Result<usize> {
         self.buf.reserve(READ);
         self.from.read_buf(&mut self.buf).await
