Test that a write which waits for room until it is too late sends no more

The look at the clock before each write (a repeat's last byte is bounded by its span, as its first is) goes to transport/socket.rs, beside is_quiet, which was quiet.rs, so that a test reaches both. Its test fills a connection, lets the time be over, makes room, and finds that no byte more comes.

--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -1,8 +1,9 @@
 //! Sockets: the server that consumers reach, and the clients of providers and of the platform.
 //!
-//! Each file knows only those before it: `clock`, `channel`, `gate`, `folder`, `quiet`; `frames`, and `handle`, which is what
-//! tasks know of their courier; `providers` and `streams`, which move the bytes of calls and bodies; `courier`, which
-//! wires them to the decisions; `platform` and `server`, whose tasks hand in what happens; `operators`; `handover`.
+//! Each file knows only those before it: `clock`, `channel`, `gate`, `folder`, `socket`; `frames`, and `handle`, which
+//! is what tasks know of their courier; `providers` and `streams`, which move the bytes of calls and bodies; `courier`,
+//! which wires them to the decisions; `platform` and `server`, whose tasks hand in what happens; `operators`;
+//! `handover`.
 
 pub mod channel;
 pub mod clock;
@@ -16,8 +17,8 @@
 pub mod operators;
 pub mod platform;
 pub mod providers;
-pub mod quiet;
 pub mod server;
+pub mod socket;
 pub mod streams;
 
 use std::time::Duration;
--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -6,7 +6,7 @@
 
 use super::clock::Clock;
 use super::handle::Handle;
-use super::quiet;
+use super::socket;
 use crate::fleet::budget::{Conn, Leave};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
@@ -17,9 +17,7 @@
 use spurshore::Micros;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::Poll;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
 /// Most answers fit into one read of this.
@@ -101,9 +99,9 @@
     }
 }
 
-/// See [`quiet::is_quiet`].
+/// See [`socket::is_quiet`].
 pub fn is_quiet(conn: &Conn) -> bool {
-    quiet::is_quiet(conn.stream())
+    socket::is_quiet(conn.stream())
 }
 
 /// Opens a connection; one that counts has leave for it.
@@ -127,19 +125,13 @@
     }
 }
 
-/// Writes what is left of a request; from the time `by` on not a byte leaves. Time may have passed since the socket
-/// was said to be writable, so the clock is read just before the write.
+/// Writes what is left of a request; from the time `by` on not a byte leaves.
 async fn write(stream: &mut TcpStream, left: &[u8], clock: &Clock, by: Option<Micros>) -> Input {
-    std::future::poll_fn(|cx| {
-        if by.is_some_and(|by| clock.now() >= by) {
-            return Poll::Ready(Input::Tick);
-        }
-        Pin::new(&mut *stream).poll_write(cx, left).map(|wrote| match wrote {
-            Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: left.len() - bytes },
-            _ => Input::WriteFailed,
-        })
-    })
-    .await
+    match socket::write(stream, left, || by.is_some_and(|by| clock.now() >= by)).await {
+        None => Input::Tick,
+        Some(Ok(bytes)) if bytes > 0 => Input::Wrote { bytes, left: left.len() - bytes },
+        Some(_) => Input::WriteFailed,
+    }
 }
 
 /// Waits for the time that an attempt's state waits for; for ever where there is none.
--- a/courier/tests/calls.rs
+++ b/courier/tests/calls.rs
@@ -1,8 +1,8 @@
 //! Calls to providers on sockets, in the moments where two things fall together: answers that are cut or never end,
 //! connections that come up late, and connections at rest that are closed as a call is written.
 
-#[path = "../src/transport/quiet.rs"]
-mod quiet;
+#[path = "../src/transport/socket.rs"]
+mod socket;
 
 use quillmount_standins::consumer::{self, Invocation};
 use quillmount_standins::courier::{Courier, Setup};
@@ -452,7 +452,7 @@
         for what in ["nothing", "a byte", "half a line", "an end", "a reset"] {
             let ours = TcpStream::connect(addr).await.unwrap();
             let (theirs, _) = listener.accept().await.unwrap();
-            assert!(quiet::is_quiet(&ours), "{what}: nothing has come yet");
+            assert!(socket::is_quiet(&ours), "{what}: nothing has come yet");
             let mut theirs = theirs.into_std().unwrap();
             // No await from here on: the runtime has no chance to hear of it.
             match what {
@@ -462,16 +462,55 @@
                 "a reset" => {
                     socket2::SockRef::from(&theirs).set_linger(Some(Duration::ZERO)).unwrap();
                     drop(theirs);
-                    assert!(!quiet::is_quiet(&ours), "{what}");
+                    assert!(!socket::is_quiet(&ours), "{what}");
                     continue;
                 }
                 _ => {}
             }
-            assert_eq!(quiet::is_quiet(&ours), what == "nothing", "{what}");
+            assert_eq!(socket::is_quiet(&ours), what == "nothing", "{what}");
         }
     });
 }
 
+/// A provider that reads slowly: what had no room until it was too late does not leave when there is some.
+#[test]
+fn a_write_that_waits_for_room_until_it_is_too_late_sends_no_more() {
+    play(async || {
+        let (listener, addr) = provider().await;
+        let mut ours = TcpStream::connect(addr).await.unwrap();
+        let (mut theirs, _) = listener.accept().await.unwrap();
+        let block = vec![b'x'; 64 * 1024];
+        let mut sent = 0;
+        // Until the system takes no more.
+        while let Ok(wrote) =
+            timeout(Duration::from_millis(300), socket::write(&mut ours, &block, || false)).await
+        {
+            sent += wrote.unwrap().unwrap();
+        }
+        let late = std::cell::Cell::new(false);
+        let waits = socket::write(&mut ours, &block, || late.get());
+        tokio::pin!(waits);
+        // Asked once: there is no room yet.
+        tokio::select! {
+            biased;
+            wrote = &mut waits => panic!("{wrote:?}"),
+            () = std::future::ready(()) => {}
+        }
+        late.set(true);
+        let read = async {
+            let (mut room, mut got) = (vec![0; 1024 * 1024], 0);
+            while got < sent {
+                got += theirs.read(&mut room).await.unwrap();
+            }
+            got
+        };
+        let (wrote, got) =
+            timeout(PATIENCE, async { tokio::join!(waits, read) }).await.expect("there is room");
+        assert!(wrote.is_none(), "{wrote:?}");
+        assert_eq!(got, sent);
+    });
+}
+
 /// A provider says something on a connection at rest, in the moment before the next call: the call goes elsewhere.
 #[test]
 fn a_connection_on_which_something_came_carries_no_other_call() {
