Test every way in which an answer may tell its length

Ten ways that can't be believed (negative, signed, twice, huge, both kinds ...) and five that can, for a 200 and a refusal. Seen to fail with the connection kept for an answer without a length, and with a second length passed over.

--- a/protocol/tests/invoker.rs
+++ b/protocol/tests/invoker.rs
@@ -98,3 +98,41 @@
     let too_many = b"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
     assert_eq!(decode_each(too_many, false), Answer::Whole { end: NoSlot, reusable: true });
 }
+
+/// How an answer's length is told decides what may be believed of it, and whether its connection may carry another call.
+#[test]
+fn an_answer_whose_length_can_t_be_known_ends_its_connection() {
+    let whole = |end, reusable| Answer::Whole { end, reusable };
+    let rows = [
+        ("Content-Length: 0\r\n", "", true),
+        ("Content-Length: 2\r\n", "ab", true),
+        ("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\n\r\n", true),
+        // It lasts until its connection ends.
+        ("", "", false),
+        ("Connection: close\r\nContent-Length: 0\r\n", "", false),
+    ];
+    for (headers, body, reusable) in rows {
+        for (code, end) in [("200 OK", CallEnd::Delivered), ("503 X", CallEnd::Full(0))] {
+            let text = format!("HTTP/1.1 {code}\r\n{headers}\r\n{body}");
+            assert_eq!(decode(text.as_bytes(), false), whole(end, reusable), "{text:?}");
+        }
+    }
+    let unknown = [
+        "Content-Length: -1\r\n",
+        "Content-Length: +0\r\n",
+        "Content-Length: 0x0\r\n",
+        "Content-Length: 0, 0\r\n",
+        "Content-Length:\r\n",
+        "Content-Length: 0\r\nContent-Length: 0\r\n",
+        "Content-Length: 65537\r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+        "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip\r\n",
+    ];
+    for headers in unknown {
+        for (code, end) in [("200 OK", CallEnd::Delivered), ("503 X", CallEnd::Spoilt(0))] {
+            let text = format!("HTTP/1.1 {code}\r\n{headers}\r\n");
+            assert_eq!(decode(text.as_bytes(), false), whole(end, false), "{text:?}");
+        }
+    }
+}
