--- a/courier/src/transport/providers.rs
+++ b/courier/src/transport/providers.rs
@@ -6,6 +6,7 @@
 
 use super::clock::Clock;
 use super::handle::Handle;
+use super::socket;
 use crate::fleet::budget::{Conn, Leave};
 use actix_rt::net::TcpStream;
 use actix_rt::time::{sleep, timeout};
@@ -98,9 +99,9 @@
     }
 }
 
-/// Nothing has come on it, no end and no bytes either, which would be taken for an answer.
+/// See [`socket::is_quiet`].
 pub fn is_quiet(conn: &Conn) -> bool {
-    conn.stream().try_read(&mut [0; 1]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    socket::is_quiet(conn.stream())
 }
 
 /// Opens a connection; one that counts has leave for it.
@@ -124,6 +125,15 @@
     }
 }
 
+/// Writes what is left of a request; from the time `by` on not a byte leaves.
+async fn write(stream: &mut TcpStream, left: &[u8], clock: &Clock, by: Option<Micros>) -> Input {
+    match socket::write(stream, left, || by.is_some_and(|by| clock.now() >= by)).await {
+        None => Input::Tick,
+        Some(Ok(bytes)) if bytes > 0 => Input::Wrote { bytes, left: left.len() - bytes },
+        Some(_) => Input::WriteFailed,
+    }
+}
+
 /// Waits for the time that an attempt's state waits for; for ever where there is none.
 pub async fn tick(clock: &Clock, at: Option<Micros>) -> Input {
     match at {
@@ -240,10 +250,7 @@
                     biased;
                     () = words.give.notified() => continue,
                     word = words.heard(state) => word,
-                    wrote = stream.stream_mut().write(&request[written..]) => match wrote {
-                        Ok(bytes) if bytes > 0 => Input::Wrote { bytes, left: request.len() - written - bytes },
-                        _ => Input::WriteFailed,
-                    },
+                    wrote = write(stream.stream_mut(), &request[written..], clock, rest) => wrote,
                     () = &mut deadline => Input::Deadline,
                     tick = tick(clock, rest) => tick,
                 }
