--- a/core/src/machine/watch.rs
+++ b/core/src/machine/watch.rs
@@ -5,26 +5,27 @@
 use spurshore_tables::draw;
 
 /// By the protocol a watch that has nothing to tell says so that often, with an empty line.
-const BEAT: Micros = 2_000_000;
+pub const BEAT: Micros = 2_000_000;
 /// How late that line may come.
-const LATE: Micros = 500_000;
+pub const LATE: Micros = 500_000;
 /// A watch that was silent for so long is broken.
 pub const SILENCE: Micros = BEAT + LATE;
 /// What a silent watch misses counts as told so long after it fell silent, whether it arrived or not; so
 /// does, by the protocol, whatever discovery has to tell.
 pub const TOLD: Micros = 6_000_000;
 /// Of [`TOLD`], what is left for heeding: the longest `stop_sending_within_ms` that is in use.
-const LEFT: Micros = 1_000_000;
+pub const LEFT: Micros = 1_000_000;
 /// Within which a question is answered. An agent answers at once; a loaded machine takes longer.
-const ANSWER: Micros = 1_000_000;
+pub const ANSWER: Micros = 1_000_000;
 /// The fleet's questions after a silence, which may befall all of it at one moment, are spread over what
 /// remains: the last is answered `LEFT` before what was missed counts as told.
 const ROUND: Micros = TOLD - LEFT - ANSWER - SILENCE;
 /// A pause after a failed question, and what it grows to in a small fleet.
 const RETRY_FIRST: Micros = 100_000;
 const RETRY_MAX: Micros = 2_000_000;
-/// What it grows to in a large fleet: the next question is answered within `TOLD - LEFT`, as after a silence.
-const REST: Micros = TOLD - LEFT - ANSWER;
+/// No two questions are further apart, nor is one from the last sign of life: whatever became of those before,
+/// one that is asked so long after discovery can be reached is answered within `TOLD - LEFT`.
+pub const REST: Micros = TOLD - LEFT - ANSWER;
 /// What each courier of a fleet adds to what its questions are spread over, and to the longest pause: all of
 /// them lose discovery at one moment, and ask it again. Forty-eight that asked together every 2 s kept it
 /// from answering anybody.
@@ -33,16 +34,33 @@
 /// What each courier adds to the time in which a question stays alone: forty-eight that asked every 2 s, one in 42 ms, were too
 /// many.
 const EACH_BESIDE: Micros = 50_000;
+/// What that is spread by, to either side, and the most that it may come to: drawn a quarter longer it is `REST`.
+const SPREAD: f64 = 0.25;
+const BESIDE_MAX: Micros = REST * 4 / 5;
+/// So few couriers may ask as often as `heed` wants it.
+const FEW: u32 = 10;
 /// The least time to heed that is reckoned with: an agent that is silent is asked about twice in it.
 const HEED_LEAST: Micros = 100_000;
 
+/// The bound: from the last sign of life over the silence and the spread, from a question that failed over the
+/// longest pause, and from one that stays out to the one beside it, the next answer is there within
+/// `TOLD - LEFT`.
+const _: () = {
+    assert!(SILENCE + ROUND <= REST);
+    assert!(RETRY_MAX <= REST && TOLD / 3 <= REST);
+    assert!(BESIDE_MAX * 5 / 4 <= REST && LEFT <= REST);
+    assert!(REST + ANSWER <= TOLD - LEFT);
+};
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
     /// Asked, and waits for the answer's head; until then with the questions that are out, of which the first
-    /// was asked at `since`.
+    /// was asked at `since`, the next at `second`, and the last at `last`.
     Asking {
         until: Micros,
         since: Micros,
+        second: Option<Micros>,
+        last: Micros,
     },
     /// Answered at `since`, and told of changes as they come; silent until then, it counts as broken.
     /// `lasts`: something has come a while after the answer.
@@ -62,9 +80,11 @@
 pub enum Input {
     /// The answer's head has come, and says 200.
     Answered,
-    /// Bytes of a list have come, or an empty line between two lists.
-    Heard,
-    /// It failed, ended, or said what can't be read; `moved`: discovery is elsewhere by now.
+    /// A list has come, or an empty line between two lists; `moved`: discovery is elsewhere by now.
+    Heard { moved: bool },
+    /// One of the questions that are out has failed, and others still are out.
+    Lost,
+    /// All that were out have failed, or the answer ended, or said what can't be read.
     Broken { moved: bool },
     /// The time that the state waits for has come.
     Tick { moved: bool },
@@ -75,9 +95,11 @@
     Nothing,
     /// Ask for the changes after the version that is held. Questions that are still out are given up.
     Ask,
-    /// The same, while the first question stays out; a second beside it is given up.
-    AskBeside,
-    /// The answer is here: the watches at older addresses have done their work.
+    /// The same, while so many of the questions that are out stay so, those that were asked first.
+    AskBeside {
+        stay: usize,
+    },
+    /// It is told of the list here: the watches at older addresses have done their work.
     TakeOver,
     /// Nothing is to be done before this long.
     Pause(Micros),
@@ -102,7 +124,7 @@
     /// A watch that asks at once.
     pub fn new(now: Micros) -> Self {
         let mut watch = Watch { state: State::Over, failed: 0, couriers: 1, heed: LEFT, seed: 0 };
-        watch.ask(now, now);
+        watch.ask(now, None, now);
         watch
     }
 
@@ -116,7 +138,7 @@
         if starts {
             watch.state = State::Pausing { until: now.saturating_add(watch.moment()) };
         } else {
-            watch.ask(now, now);
+            watch.ask(now, None, now);
         }
         watch
     }
@@ -145,19 +167,36 @@
         ((0.5 + 0.5 * self.draw(1.0)) * pause as f64) as Micros
     }
 
+    /// The same, no longer than up to `REST` after the last question or sign of life: what failed late has
+    /// taken a part of the pause.
+    fn rest_after(&mut self, last: Micros, now: Micros) -> Micros {
+        self.rest().min(last.saturating_add(REST).saturating_sub(now))
+    }
+
     /// Asks. An agent is silent while discovery is down, and may have a list at any moment from then on,
     /// which is told then: until it answers, it is asked again in time to heed that. One that said no before
     /// is asked less often.
-    fn ask(&mut self, since: Micros, now: Micros) {
+    fn ask(&mut self, since: Micros, second: Option<Micros>, now: Micros) {
         let mut again = ((0.375 + 0.25 * self.draw(0.5)) * self.heed as f64) as Micros;
         if self.failed > 0 {
             again = self.rest().max(again);
         }
         // A discovery that many ask may be silent because they do: no more than one question in each `EACH_BESIDE` is asked of
-        // it beside those that it has, over the whole fleet.
-        let fleet = (Micros::from(self.couriers) * EACH_BESIDE).min(TOLD);
-        again = again.max(((0.75 + 0.5 * self.draw(0.5)) * fleet as f64) as Micros);
-        self.state = State::Asking { until: now.saturating_add(again), since };
+        // it beside those that it has, over the whole fleet, or by each courier in `REST`.
+        let fleet = (Micros::from(self.couriers) * EACH_BESIDE).min(BESIDE_MAX);
+        let fleet = ((1.0 - SPREAD + 2.0 * SPREAD * self.draw(0.5)) * fleet as f64) as Micros;
+        // A quarter of it is left for the answer.
+        again = again.max(if self.couriers > FEW { fleet } else { fleet.min(self.heed / 4 * 3) });
+        self.state = State::Asking { until: now.saturating_add(again), since, second, last: now };
+    }
+
+    /// Asks beside the questions that are out. One that is given up each time that another is asked would
+    /// never have its answer, where that takes longer than the time between two: beside the first the next one
+    /// stays too, for as long as an answer may take.
+    fn ask_beside(&mut self, since: Micros, second: Option<Micros>, now: Micros) -> Output {
+        let second = second.filter(|asked| now < asked.saturating_add(ANSWER));
+        self.ask(since, second.or(Some(now)), now);
+        Output::AskBeside { stay: 1 + usize::from(second.is_some()) }
     }
 
     pub fn state(&self) -> State {
@@ -180,12 +219,17 @@
             (State::Asking { .. }, Input::Answered) => {
                 self.state =
                     State::Following { until: now.saturating_add(SILENCE), since: now, lasts: false };
-                Output::TakeOver
+                Output::Nothing
             }
-            (State::Following { since, .. }, Input::Heard) => {
+            (State::Asking { .. }, Input::Lost) => {
+                self.count(false);
+                Output::Nothing
+            }
+            (State::Following { since, .. }, Input::Heard { moved }) => {
                 let lasts = now >= since.saturating_add(BEAT / 2);
                 self.state = State::Following { until: now.saturating_add(SILENCE), since, lasts };
-                Output::Nothing
+                // Whoever watches where discovery is now is not ended from where it was.
+                if moved { Output::Nothing } else { Output::TakeOver }
             }
             (
                 State::Asking { until, .. } | State::Following { until, .. } | State::Pausing { until },
@@ -196,28 +240,31 @@
                 self.state = State::Over;
                 Output::Stop
             }
-            (State::Asking { since, .. }, Input::Tick { .. }) if now < since.saturating_add(TOLD) => {
-                self.ask(since, now);
-                Output::AskBeside
+            (State::Asking { since, second, .. }, Input::Tick { .. }) if now < since.saturating_add(TOLD) => {
+                self.ask_beside(since, second, now)
             }
             (State::Asking { .. } | State::Pausing { .. }, Input::Tick { .. }) => {
-                self.ask(now, now);
+                self.ask(now, None, now);
                 Output::Ask
             }
             (State::Following { lasts, .. }, Input::Tick { .. }) => {
-                self.count(lasts);
+                // Silence is no failure: it has lasted long enough to be asked anew at once.
+                if lasts {
+                    self.failed = 0;
+                }
                 let over = self.over(ROUND);
                 let wait = (self.draw(1.0) * over as f64) as Micros;
                 self.pause(wait, now)
             }
-            (State::Following { lasts, .. }, Input::Broken { .. }) => {
+            (State::Following { until, lasts, .. }, Input::Broken { .. }) => {
                 self.count(lasts);
-                let wait = if lasts { self.moment() } else { self.rest() };
+                let heard = until.saturating_sub(SILENCE);
+                let wait = if lasts { self.moment() } else { self.rest_after(heard, now) };
                 self.pause(wait, now)
             }
-            (State::Asking { .. }, Input::Broken { .. }) => {
+            (State::Asking { last, .. }, Input::Broken { .. }) => {
                 self.count(false);
-                let wait = self.rest();
+                let wait = self.rest_after(last, now);
                 self.pause(wait, now)
             }
             _ => Output::Nothing,
@@ -246,15 +293,21 @@
         6 s after the silence began. A start, and a watch that ended, wait for a quarter of \
         `stop_sending_within_ms` (`heed`, of 1 s at most) at most. A question that is not answered stays \
         out, and another is asked beside it after 3 to 5 eighths of `heed`, in a fleet after some 50 ms a courier \
-        (6 s at most); after 6 s all are given up for a new one. After a question that failed (or a watch that did not last) the pause is 25 ms a \
+        (4 s at most, and three quarters of `heed` up to ten couriers); the first stays out for 6 s, and one more \
+        for the 1 s that an answer may take. After a question that failed (or a watch that did not last) the pause is 25 ms a \
         courier, from 0.1 s to 2 s, and doubles up to 2 s, in a fleet up to 4 s, of which half \
-        is drawn; it holds between questions without an answer too, until a watch lasts. Whatever it does, \
+        is drawn, and that counts from the question where it failed late; it holds between questions without an answer too, until a watch lasts. So no two questions are \
+        more than 4 s apart, and what discovery has and can be reached for is here 5 s later. Whatever it does, \
         the last list goes on to hold.";
 
     fn states() -> Vec<(&'static str, &'static str, Self)> {
         let at = |state| Watch { state, ..Watch::new(0) };
         vec![
-            ("Asking", "the request is out", at(State::Asking { until: 10, since: 0 })),
+            (
+                "Asking",
+                "the request is out",
+                at(State::Asking { until: 10, since: 0, second: None, last: 0 }),
+            ),
             (
                 "Following",
                 "the answer has begun; 2.5 s of silence end it",
@@ -268,10 +321,12 @@
     fn inputs() -> Vec<(&'static str, &'static str, Self::Input)> {
         vec![
             ("answered", "the answer's head, with 200", (Input::Answered, 1)),
-            ("heard", "bytes of a list, or an empty line between lists", (Input::Heard, 1)),
+            ("heard", "a list is whole, or an empty line between lists", (Input::Heard { moved: false }, 1)),
+            ("heard, moved", "the same, after discovery has moved", (Input::Heard { moved: true }, 1)),
+            ("lost", "a question failed, and another is out", (Input::Lost, 1)),
             (
                 "broken",
-                "no answer, another status, an end, or what can't be read",
+                "no question is out any more, an end, or what can't be read",
                 (Input::Broken { moved: false }, 1),
             ),
             ("broken, moved", "the same, after discovery has moved", (Input::Broken { moved: true }, 1)),
@@ -298,7 +353,7 @@
         match self.step(input, now) {
             Output::Nothing => "",
             Output::Ask => "ask",
-            Output::AskBeside => "ask beside",
+            Output::AskBeside { .. } => "ask beside",
             Output::TakeOver => "end older watches",
             Output::Pause(_) => "pause",
             Output::Stop => "stop",
@@ -306,195 +361,3 @@
         .to_string()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const FLEETS: [u32; 4] = [3, 100, 300, 5_000];
-    const HEEDS: [Micros; 2] = [500_000, 1_000_000];
-    /// In larger fleets a question that is lost costs more time, so that discovery can answer the others.
-    const FEW: u32 = 10;
-    const TICK: Input = Input::Tick { moved: false };
-    const BROKEN: Input = Input::Broken { moved: false };
-
-    fn courier(fleet: u32, me: u32, starts: bool, heed: Micros) -> Watch {
-        Watch::of_fleet(0, fleet, u64::from(me) * 77, starts, heed)
-    }
-
-    /// Waits for as long as the machine does; true: it asks, at the time returned.
-    fn tick(watch: &mut Watch) -> (Micros, bool) {
-        let now = watch.wake_at().unwrap();
-        (now, matches!(watch.step(TICK, now), Output::Ask | Output::AskBeside))
-    }
-
-    fn next_ask(watch: &mut Watch) -> Micros {
-        loop {
-            if let (at, true) = tick(watch) {
-                return at;
-            }
-        }
-    }
-
-    /// Followed from 0 on, with a line every 2 s, of which the last came at the time returned.
-    fn followed(watch: &mut Watch) -> Micros {
-        watch.step(Input::Answered, 0);
-        for beat in 0..=3 {
-            watch.step(Input::Heard, beat * BEAT);
-        }
-        3 * BEAT
-    }
-
-    /// The most questions within any second.
-    fn busiest(mut asked: Vec<Micros>) -> usize {
-        asked.sort_unstable();
-        let begun = |end: usize| asked.partition_point(|at| at + 1_000_000 <= asked[end]);
-        (0..asked.len()).map(|end| end + 1 - begun(end)).max().unwrap_or(0)
-    }
-
-    /// The silence may begin at any time from the last line to where the next is due; if the new question is
-    /// lost, the one beside it is in time too.
-    #[test]
-    fn a_silent_watch_is_asked_anew_and_answered_before_what_it_missed_counts_as_told() {
-        for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
-            let mut asked = Vec::new();
-            for me in 0..fleet {
-                let mut watch = courier(fleet, me, false, heed);
-                let last = followed(&mut watch);
-                // A line that is half a second late is waited for.
-                assert_eq!(watch.step(TICK, last + BEAT + LATE - 1), Output::Nothing);
-                let first = next_ask(&mut watch);
-                let beside = next_ask(&mut watch);
-                asked.push(first);
-                for phase in 0..=20 {
-                    let told = last + phase * BEAT / 20 + 6_000_000;
-                    assert!(first + ANSWER <= told - 1_000_000, "{fleet} couriers, {heed}: {first}");
-                    let in_time = beside + heed * 3 / 8 <= told - 1_000_000;
-                    assert!(in_time || fleet > FEW, "{fleet} couriers, {heed}: {beside}");
-                }
-            }
-            // All of them fell silent at one moment.
-            let (most, even) = (busiest(asked), fleet as usize * 2 / 3);
-            assert!(fleet < 100 || most <= even * 6 / 5, "{fleet} couriers: {most} a second");
-        }
-    }
-
-    /// An agent that is silent while discovery is down may have a list from any moment on: whether it answers
-    /// what was asked before or only what is asked from then on, a courier has the list in time to heed it.
-    #[test]
-    fn after_an_outage_of_any_length_an_agent_is_asked_in_time_to_heed_what_it_has() {
-        for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
-            let mut all = Vec::new();
-            for me in 0..fleet {
-                let mut watch = courier(fleet, me, false, heed);
-                let lost = followed(&mut watch);
-                let mut asked = vec![next_ask(&mut watch)];
-                while asked.last().is_some_and(|at| *at < lost + 16_000_000) {
-                    asked.push(next_ask(&mut watch));
-                }
-                for pair in asked.windows(2) {
-                    // Three eighths of it are left for the answer.
-                    let most = if fleet > FEW { TOLD * 5 / 4 } else { heed * 5 / 8 };
-                    assert!(pair[1] - pair[0] <= most, "{fleet} couriers, {heed}: {pair:?}");
-                }
-                // The first of each came when the silence was found.
-                all.extend(asked.into_iter().skip(1));
-            }
-            let most = busiest(all);
-            let each = 8 * 1_000_000 / (3 * heed) + 1;
-            let all = if fleet > FEW { fleet as usize * 4 / 5 } else { fleet as usize * each as usize };
-            assert!(most <= all, "{fleet} couriers: {most} a second");
-        }
-    }
-
-    /// Its list counts as told from the first moment, and one question may fail or be lost; after discovery
-    /// has moved it counts 4 s later, and three may fail.
-    #[test]
-    fn a_process_that_starts_asks_in_time_to_heed_what_its_agent_has() {
-        for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
-            for me in 0..fleet {
-                let mut watch = courier(fleet, me, true, heed);
-                let first = next_ask(&mut watch);
-                assert!(first <= heed / 4, "{fleet} couriers, {heed}: {first}");
-                let mut lost = watch;
-                let beside = next_ask(&mut lost);
-                if fleet > FEW {
-                    assert!(beside <= first + TOLD * 5 / 4, "{fleet} couriers, {heed}: {beside}");
-                    continue;
-                }
-                assert!(beside <= heed * 7 / 8, "{fleet} couriers, {heed}: {beside}");
-                watch.step(BROKEN, first);
-                let second = next_ask(&mut watch);
-                assert!(second <= first + heed / 2, "{fleet}, {heed}: {second}");
-                let (mut moved, mut asked) = (courier(fleet, me, false, heed), 0);
-                for _ in 0..3 {
-                    moved.step(BROKEN, asked);
-                    asked = next_ask(&mut moved);
-                }
-                assert!(asked + heed / 2 <= 4_000_000, "{fleet} couriers, {heed}: {asked}");
-            }
-        }
-    }
-
-    /// A fleet that loses discovery at one moment, and is told no each time: how often it asks within any
-    /// second, at first and later. No pause is so long that the answer would come later than 5 s after the
-    /// last one.
-    #[test]
-    fn a_fleet_that_is_told_no_asks_ever_less_often() {
-        let ask_on = |fleet: u32| {
-            let (mut early, mut late) = (Vec::new(), Vec::new());
-            for me in 0..fleet {
-                let mut watch = courier(fleet, me, false, 1_000_000);
-                let mut before = followed(&mut watch);
-                watch.step(BROKEN, before);
-                while before < 60_000_000 {
-                    let at = next_ask(&mut watch);
-                    assert!(at - before <= 4_000_000, "{fleet} couriers: {}", at - before);
-                    if at < 16_000_000 {
-                        early.push(at)
-                    } else {
-                        late.push(at)
-                    }
-                    watch.step(BROKEN, at);
-                    before = at;
-                }
-            }
-            (busiest(early), busiest(late))
-        };
-        for (fleet, first, later) in [(48, 108, 32), (100, 225, 60), (300, 675, 140), (5_000, 11_250, 1_900)]
-        {
-            let (early, late) = ask_on(fleet);
-            assert!(early <= first && late <= later, "{fleet}: {early} in the busiest second, {late} later");
-        }
-        // A small fleet asks as often as before.
-        assert!(ask_on(3).1 >= 2);
-    }
-
-    /// What was told no is overloaded, and is not asked more often for answering late.
-    #[test]
-    fn an_agent_that_said_no_is_not_pressed_while_it_is_silent() {
-        let mut watch = courier(300, 7, false, 1_000_000);
-        for _ in 0..8 {
-            watch.step(BROKEN, watch.wake_at().unwrap());
-            next_ask(&mut watch);
-        }
-        let first = next_ask(&mut watch);
-        let beside = next_ask(&mut watch);
-        assert!(beside - first >= 2_000_000, "{}", beside - first);
-    }
-
-    /// Each watch ends at once, with a list: it does not count as one that lasted.
-    #[test]
-    fn watches_that_end_at_once_are_asked_for_ever_less_often() {
-        let mut watch = courier(300, 7, false, 1_000_000);
-        let (mut now, mut asked) = (0, 0);
-        while now < 30_000_000 {
-            watch.step(Input::Answered, now);
-            watch.step(Input::Heard, now);
-            watch.step(BROKEN, now);
-            now = next_ask(&mut watch);
-            asked += 1;
-        }
-        assert!(asked <= 14, "{asked} questions in 30 s");
-    }
-}
--- /dev/null
+++ b/core/tests/watch.rs
@@ -0,0 +1,442 @@
+//! The watch on discovery: when it asks, how often a fleet does, and that what discovery has and can be reached
+//! for is here in time, whatever failed before.
+
+use quillmount_core::machine::watch::{
+    ANSWER, BEAT, Input, LATE, LEFT, Output, REST, SILENCE, State, TOLD, Watch,
+};
+use spurshore::Micros;
+use spurshore_tables::draw;
+
+const FLEETS: [u32; 4] = [3, 100, 300, 5_000];
+const HEEDS: [Micros; 2] = [500_000, 1_000_000];
+/// In larger fleets a question that is lost costs more time, so that discovery can answer the others.
+const FEW: u32 = 10;
+const TICK: Input = Input::Tick { moved: false };
+const BROKEN: Input = Input::Broken { moved: false };
+const HEARD: Input = Input::Heard { moved: false };
+
+fn courier(fleet: u32, me: u32, starts: bool, heed: Micros) -> Watch {
+    Watch::of_fleet(0, fleet, u64::from(me) * 77, starts, heed)
+}
+
+/// Waits for as long as the machine does; true: it asks, at the time returned.
+fn tick(watch: &mut Watch) -> (Micros, bool) {
+    let now = watch.wake_at().unwrap();
+    (now, matches!(watch.step(TICK, now), Output::Ask | Output::AskBeside { .. }))
+}
+
+fn next_ask(watch: &mut Watch) -> Micros {
+    loop {
+        if let (at, true) = tick(watch) {
+            return at;
+        }
+    }
+}
+
+/// Followed from 0 on, with a line every 2 s, of which the last came at the time returned.
+fn followed(watch: &mut Watch) -> Micros {
+    watch.step(Input::Answered, 0);
+    for beat in 0..=3 {
+        watch.step(HEARD, beat * BEAT);
+    }
+    3 * BEAT
+}
+
+/// The most questions within any second.
+fn busiest(mut asked: Vec<Micros>) -> usize {
+    asked.sort_unstable();
+    let begun = |end: usize| asked.partition_point(|at| at + 1_000_000 <= asked[end]);
+    (0..asked.len()).map(|end| end + 1 - begun(end)).max().unwrap_or(0)
+}
+
+/// The silence may begin at any time from the last line to where the next is due; if the new question is
+/// lost, the one beside it is in time too.
+#[test]
+fn a_silent_watch_is_asked_anew_and_answered_before_what_it_missed_counts_as_told() {
+    for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        let mut asked = Vec::new();
+        for me in 0..fleet {
+            let mut watch = courier(fleet, me, false, heed);
+            let last = followed(&mut watch);
+            // A line that is half a second late is waited for.
+            assert_eq!(watch.step(TICK, last + BEAT + LATE - 1), Output::Nothing);
+            let first = next_ask(&mut watch);
+            let beside = next_ask(&mut watch);
+            asked.push(first);
+            for phase in 0..=20 {
+                let told = last + phase * BEAT / 20 + 6_000_000;
+                assert!(first + ANSWER <= told - 1_000_000, "{fleet} couriers, {heed}: {first}");
+                let in_time = beside + heed * 3 / 8 <= told - 1_000_000;
+                assert!(in_time || fleet > FEW, "{fleet} couriers, {heed}: {beside}");
+            }
+        }
+        // All of them fell silent at one moment.
+        let (most, even) = (busiest(asked), fleet as usize * 2 / 3);
+        assert!(fleet < 100 || most <= even * 6 / 5, "{fleet} couriers: {most} a second");
+    }
+}
+
+/// An agent that is silent while discovery is down may have a list from any moment on: whether it answers
+/// what was asked before or only what is asked from then on, a courier has the list in time to heed it.
+#[test]
+fn after_an_outage_of_any_length_an_agent_is_asked_in_time_to_heed_what_it_has() {
+    for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        let mut all = Vec::new();
+        for me in 0..fleet {
+            let mut watch = courier(fleet, me, false, heed);
+            let lost = followed(&mut watch);
+            let mut asked = vec![next_ask(&mut watch)];
+            while asked.last().is_some_and(|at| *at < lost + 16_000_000) {
+                asked.push(next_ask(&mut watch));
+            }
+            for pair in asked.windows(2) {
+                // Three eighths of it are left for the answer.
+                let most = if fleet > FEW { REST } else { heed * 5 / 8 };
+                assert!(pair[1] - pair[0] <= most, "{fleet} couriers, {heed}: {pair:?}");
+            }
+            // The first of each came when the silence was found.
+            all.extend(asked.into_iter().skip(1));
+        }
+        let most = busiest(all);
+        let each = 8 * 1_000_000 / (3 * heed) + 1;
+        let all = if fleet > FEW { fleet as usize * 4 / 5 } else { fleet as usize * each as usize };
+        assert!(most <= all, "{fleet} couriers: {most} a second");
+    }
+}
+
+/// Its list counts as told from the first moment, and one question may fail or be lost; after discovery
+/// has moved it counts 4 s later, and three may fail.
+#[test]
+fn a_process_that_starts_asks_in_time_to_heed_what_its_agent_has() {
+    for (fleet, heed) in FLEETS.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for me in 0..fleet {
+            let mut watch = courier(fleet, me, true, heed);
+            let first = next_ask(&mut watch);
+            assert!(first <= heed / 4, "{fleet} couriers, {heed}: {first}");
+            let mut lost = watch;
+            let beside = next_ask(&mut lost);
+            if fleet > FEW {
+                assert!(beside <= first + REST, "{fleet} couriers, {heed}: {beside}");
+                continue;
+            }
+            assert!(beside <= heed * 7 / 8, "{fleet} couriers, {heed}: {beside}");
+            watch.step(BROKEN, first);
+            let second = next_ask(&mut watch);
+            assert!(second <= first + heed / 2, "{fleet}, {heed}: {second}");
+            let (mut moved, mut asked) = (courier(fleet, me, false, heed), 0);
+            for _ in 0..3 {
+                moved.step(BROKEN, asked);
+                asked = next_ask(&mut moved);
+            }
+            assert!(asked + heed / 2 <= 4_000_000, "{fleet} couriers, {heed}: {asked}");
+        }
+    }
+}
+
+/// A fleet that loses discovery at one moment, and is told no each time: how often it asks within any
+/// second, at first and later. No pause is so long that the answer would come later than 5 s after the
+/// last one.
+#[test]
+fn a_fleet_that_is_told_no_asks_ever_less_often() {
+    let ask_on = |fleet: u32| {
+        let (mut early, mut late) = (Vec::new(), Vec::new());
+        for me in 0..fleet {
+            let mut watch = courier(fleet, me, false, 1_000_000);
+            let mut before = followed(&mut watch);
+            watch.step(BROKEN, before);
+            while before < 60_000_000 {
+                let at = next_ask(&mut watch);
+                assert!(at - before <= 4_000_000, "{fleet} couriers: {}", at - before);
+                if at < 16_000_000 {
+                    early.push(at)
+                } else {
+                    late.push(at)
+                }
+                watch.step(BROKEN, at);
+                before = at;
+            }
+        }
+        (busiest(early), busiest(late))
+    };
+    for (fleet, first, later) in [(48, 108, 32), (100, 225, 60), (300, 675, 140), (5_000, 11_250, 1_900)] {
+        let (early, late) = ask_on(fleet);
+        assert!(early <= first && late <= later, "{fleet}: {early} in the busiest second, {late} later");
+    }
+    // A small fleet asks as often as before.
+    assert!(ask_on(3).1 >= 2);
+}
+
+/// What was told no is overloaded, and is not asked more often for answering late.
+#[test]
+fn an_agent_that_said_no_is_not_pressed_while_it_is_silent() {
+    let mut watch = courier(300, 7, false, 1_000_000);
+    for _ in 0..8 {
+        watch.step(BROKEN, watch.wake_at().unwrap());
+        next_ask(&mut watch);
+    }
+    let first = next_ask(&mut watch);
+    let beside = next_ask(&mut watch);
+    assert!(beside - first >= 2_000_000, "{}", beside - first);
+}
+
+/// Each watch ends at once, with a list: it does not count as one that lasted.
+#[test]
+fn watches_that_end_at_once_are_asked_for_ever_less_often() {
+    let mut watch = courier(300, 7, false, 1_000_000);
+    let (mut now, mut asked) = (0, 0);
+    while now < 30_000_000 {
+        watch.step(Input::Answered, now);
+        watch.step(HEARD, now);
+        watch.step(BROKEN, now);
+        now = next_ask(&mut watch);
+        asked += 1;
+    }
+    assert!(asked <= 14, "{asked} questions in 30 s");
+}
+
+/// What becomes of one question, by the time that has gone by since it was asked.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// Refused, reset, another status: it fails then.
+    Fails(Micros),
+    /// Not a byte, for good.
+    Silent,
+    /// Its connection is not up yet: the system repeats the first packet after 1, 3, 7 and 15 s.
+    Hangs,
+    /// The head comes; a list too, where `list`; then nothing, or bytes that never become one.
+    Head { at: Micros, list: bool },
+    /// The head, and a list; rubbish, a cut or the end follow then.
+    Ends { at: Micros, end: Micros },
+    /// It is followed for so many lines, and falls silent.
+    Beats { at: Micros, lines: u64 },
+}
+
+const REPEATS: [Micros; 4] = [1_000_000, 3_000_000, 7_000_000, 15_000_000];
+
+fn fate(seed: &mut u64, silent: bool) -> Fate {
+    let kind = if silent { 1 } else { (draw(seed) * 9.0) as u32 };
+    let mut upto = |most: f64| (draw(seed) * most) as Micros;
+    match kind {
+        0 => Fate::Fails(upto(5e4)),
+        1 | 2 => Fate::Silent,
+        3 => Fate::Hangs,
+        4 => Fate::Head { at: upto(1e6), list: false },
+        5 => Fate::Head { at: upto(1e6), list: true },
+        6 => Fate::Ends { at: upto(1e6), end: upto(2e6) },
+        7 => Fate::Beats { at: upto(1e6), lines: upto(4.0) },
+        // Or later, as when discovery is back and resets what it no longer knows.
+        _ => Fate::Fails(upto(12e6)),
+    }
+}
+
+/// A question that is out, and when it was asked.
+type Out = Option<(Micros, Fate)>;
+
+/// Plays one courier until it has a list that was asked for when discovery could be reached again, which it can from
+/// just after the `calm`th moment at which anything happens; from then on what is asked is answered `late` later,
+/// and what was asked before goes on as it would: where that says anything more, the time counts from its last
+/// byte, as for any watch that falls silent. Returns how long it took.
+fn told_after(mut watch: Watch, seed: u64, calm: u32, late: Micros, silent: bool) -> Micros {
+    let (mut seed, mut now, mut back) = (seed | 1, 0, None::<Micros>);
+    let first = |seed: &mut u64| Some((0, fate(seed, silent)));
+    let pauses = matches!(watch.state(), State::Pausing { .. });
+    let mut out: Vec<Out> = if pauses { vec![] } else { vec![first(&mut seed)] };
+    // What the answer that is followed has still to say: lines, then its end.
+    let mut says: Vec<(Micros, Input)> = Vec::new();
+    let mut follows = false;
+    let mut moments = 0;
+    loop {
+        if moments == calm {
+            back = Some(now + 1);
+        }
+        moments += 1;
+        assert!(
+            moments < calm + 1_000,
+            "never told: {watch:?}, {out:?}, {says:?}, back at {back:?}, now {now}"
+        );
+        let reached = |asked: Micros| back.is_some_and(|back| asked >= back);
+        // A connect that hangs is a question that is asked when the system repeats it.
+        let arrives = |(asked, fate): (Micros, Fate)| match fate {
+            Fate::Hangs if !reached(asked) => REPEATS.iter().map(|r| asked + r).find(|at| reached(*at)),
+            _ => Some(asked).filter(|at| reached(*at)),
+        };
+        let happens = |question: (Micros, Fate)| match (arrives(question), question) {
+            (Some(at), _) => Some(at + late),
+            (None, (asked, Fate::Fails(at) | Fate::Head { at, .. })) => Some(asked + at),
+            (None, (asked, Fate::Ends { at, .. } | Fate::Beats { at, .. })) => Some(asked + at),
+            (None, (_, Fate::Silent | Fate::Hangs)) => None,
+        };
+        let next = out.iter().enumerate().filter_map(|(n, q)| Some((happens((*q)?)?, n))).min();
+        let wake = watch.wake_at().unwrap();
+        let said = says.first().copied();
+        if let (true, Some((at, input))) = (follows, said.filter(|(at, _)| *at <= wake)) {
+            now = at;
+            says.remove(0);
+            follows = input == HEARD;
+            back = back.map(|back| if follows { now } else { back });
+            watch.step(input, now);
+        } else if let (false, Some((at, n))) = (follows, next.filter(|(at, _)| *at <= wake)) {
+            now = at.max(now);
+            let question = out[n].take().unwrap();
+            if let (Some(_), Some(back)) = (arrives(question), back) {
+                assert_eq!(watch.step(Input::Answered, now), Output::Nothing);
+                assert_eq!(watch.step(HEARD, now), Output::TakeOver);
+                return now - back;
+            }
+            says = match question.1 {
+                Fate::Fails(_) => {
+                    let others = out.iter().any(Option::is_some);
+                    watch.step(if others { Input::Lost } else { BROKEN }, now);
+                    continue;
+                }
+                Fate::Head { list, .. } => list.then_some((now, HEARD)).into_iter().collect(),
+                Fate::Ends { end, .. } => vec![(now, HEARD), (now + end, BROKEN)],
+                Fate::Beats { lines, .. } => (0..=lines).map(|n| (now + n * BEAT, HEARD)).collect(),
+                Fate::Silent | Fate::Hangs => unreachable!(),
+            };
+            watch.step(Input::Answered, now);
+            back = back.map(|_| now);
+            follows = true;
+            out.clear();
+        } else {
+            now = wake.max(now);
+            match watch.step(TICK, now) {
+                Output::Ask => out.clear(),
+                Output::AskBeside { stay } => out.truncate(stay),
+                Output::Pause(_) => {
+                    out.clear();
+                    follows = false;
+                    continue;
+                }
+                other => panic!("{other:?} at a tick"),
+            }
+            out.push(Some((now, fate(&mut seed, silent))));
+        }
+    }
+}
+
+/// Refused, reset, silent before the head, after it and in the middle of a list, over at once, followed and silent
+/// again, connects that hang: in any order, and discovery can be reached again just after any of it.
+#[test]
+fn what_discovery_has_and_can_be_reached_for_is_here_in_time_to_heed_it_whatever_failed_before() {
+    let mut worst = 0;
+    for (fleet, heed) in [1, 3, 30, 300].into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for seed in 0..400_u64 {
+            let me = (seed % u64::from(fleet)) as u32;
+            let watch = courier(fleet, me, seed % 5 == 0, heed);
+            let late = ANSWER * (seed % 4) / 4;
+            for calm in 0..40 {
+                let took = told_after(watch, seed * 7_919 + 1, calm, late, false);
+                assert!(took <= TOLD - LEFT, "{fleet} couriers, seed {seed}, {calm}, {late}: {took}");
+                worst = worst.max(took);
+            }
+        }
+    }
+    // It is a bound that is met, not one that nothing comes near.
+    assert!(worst > REST, "{worst}");
+}
+
+/// An agent that was silent may tell a drain in the moment in which it is back.
+#[test]
+fn a_few_couriers_are_told_at_once_what_an_agent_has_after_an_outage() {
+    for (fleet, heed) in [1, 3, 6, 10].into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for seed in 0..200_u64 {
+            let watch = courier(fleet, (seed % u64::from(fleet)) as u32, seed % 2 == 0, heed);
+            for calm in 0..60 {
+                let took = told_after(watch, seed, calm, heed / 8, true);
+                assert!(took <= heed, "{fleet} couriers, seed {seed}, {calm}: {took}");
+            }
+        }
+    }
+}
+
+/// From the last sign of life, from the last question that failed, and from the last that was asked, the next is
+/// answered `LEFT` before what discovery has counts as told.
+#[test]
+fn no_two_questions_are_further_apart_than_the_bound_allows() {
+    const { assert!(REST + ANSWER + LEFT <= TOLD) }
+    for (fleet, heed) in
+        [1, 3, 10, 11, 30, 63, 64, 300, 5_000].into_iter().flat_map(|f| HEEDS.map(|h| (f, h)))
+    {
+        for me in 0..fleet.min(200) {
+            let mut watch = courier(fleet, me, false, heed);
+            let last = followed(&mut watch);
+            assert!(next_ask(&mut watch) <= last + REST, "{fleet} couriers after a silence");
+            let mut refused = courier(fleet, me, false, heed);
+            let mut before = 0;
+            for n in 0..40 {
+                // Silent and refused by turns, and several at once.
+                if n % 3 == 0 {
+                    refused.step(BROKEN, before);
+                } else if n % 3 == 1 {
+                    refused.step(Input::Lost, before);
+                }
+                let at = next_ask(&mut refused);
+                assert!(at <= before + REST, "{fleet} couriers: {before} to {at}");
+                before = at;
+            }
+        }
+    }
+}
+
+/// The one that would be answered is not given up each time for another.
+#[test]
+fn a_question_beside_the_first_stays_out_for_as_long_as_its_answer_may_take() {
+    let mut watch = courier(3, 1, false, 500_000);
+    let mut out = vec![0];
+    for _ in 0..60 {
+        let at = watch.wake_at().unwrap();
+        match watch.step(TICK, at) {
+            Output::Ask => out.clear(),
+            Output::AskBeside { stay } => {
+                assert!(stay == 1 || stay == 2, "three are out at most");
+                let given_up = out.split_off(stay.min(out.len()));
+                // What goes is the last of three, or the second, which has had its time.
+                let second = given_up.first().filter(|_| stay == 1);
+                assert!(second.is_none_or(|asked| at - asked >= ANSWER), "{second:?} at {at}");
+            }
+            other => panic!("{other:?}"),
+        }
+        out.push(at);
+        assert!(out.first().is_some_and(|first| at - first < TOLD + 500_000), "{out:?} at {at}");
+    }
+}
+
+/// One of two questions fails: the other may be answered, and the next comes when it would have come.
+#[test]
+fn a_question_that_fails_leaves_the_others_out() {
+    let mut watch = courier(100, 7, false, 500_000);
+    next_ask(&mut watch);
+    let until = watch.wake_at();
+    assert_eq!(watch.step(Input::Lost, until.unwrap() - 1), Output::Nothing);
+    assert_eq!(watch.wake_at(), until);
+    watch.step(Input::Answered, until.unwrap() - 1);
+    assert_eq!(watch.step(HEARD, until.unwrap()), Output::TakeOver);
+}
+
+/// A watch that says nothing is not one that says no: the next outage finds it as quick as the first.
+#[test]
+fn silence_after_each_reopening_makes_no_question_later() {
+    for heed in HEEDS {
+        let mut watch = courier(3, 1, false, heed);
+        let mut asked = 0;
+        for _ in 0..20 {
+            watch.step(Input::Answered, asked);
+            let next = next_ask(&mut watch);
+            assert!(next - asked <= REST, "{asked} to {next}");
+            asked = next;
+        }
+        let beside = next_ask(&mut watch);
+        assert!(beside - asked <= heed * 5 / 8, "{}", beside - asked);
+    }
+}
+
+/// Discovery moved there and back: the old place's answer does not end the watch where it is now.
+#[test]
+fn only_a_watch_where_discovery_is_ends_the_others_and_only_once_it_is_told_something() {
+    let mut watch = courier(3, 1, false, 500_000);
+    assert_eq!(watch.step(Input::Answered, 1), Output::Nothing, "a head says nothing of the list");
+    assert_eq!(watch.step(Input::Heard { moved: true }, 2), Output::Nothing);
+    assert_eq!(watch.step(HEARD, 3), Output::TakeOver);
+    assert_eq!(watch.step(Input::Tick { moved: true }, 3 + SILENCE), Output::Stop);
+}
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -3,13 +3,12 @@
 use super::courier::Courier;
 use actix_rt::time::{sleep, timeout};
 use futures_util::StreamExt;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, poll_fn};
 use quillmount_core::machine::notices::{self, Notices};
 use quillmount_core::machine::watch::{Input, Output, SILENCE, State, TOLD, Watch};
 use quillmount_protocol::{discovery, notice};
 use spurshore::Micros;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -82,8 +81,6 @@
     mut older: Vec<AbortHandle>,
     fleet: Fleet,
 ) {
-    // Questions are given up before.
-    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(2 * TOLD)));
     let moved = || *discovery.borrow() != addr;
     let Fleet { couriers, seed, starts, heed } = fleet;
     let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
@@ -92,18 +89,18 @@
     loop {
         let over = match todo {
             Output::Stop => return,
-            Output::Ask | Output::AskBeside => {
-                if todo == Output::Ask && !out.0.is_empty() {
+            Output::Ask | Output::AskBeside { .. } => {
+                let stay = if let Output::AskBeside { stay } = todo { stay } else { 0 };
+                if stay < out.0.len().min(1) {
                     tracing::warn!(
                         "discovery: watch: no answer for {:?}; asked anew",
                         Duration::from_micros(TOLD)
                     );
                 }
-                out.0.truncate(usize::from(todo == Output::AskBeside));
+                out.0.truncate(stay);
                 courier.count(|c| c.watches += 1);
-                let path = discovery::watch_path(courier.list_version());
-                out.0.push(Box::pin(client.get(format!("http://{addr}{path}")).send()));
-                watch_once(&courier, &mut machine, &mut out, &mut older).await
+                out.0.push(Some(question(addr, courier.list_version())));
+                watch_once(&courier, &mut machine, &mut out, &mut older, &moved).await
             }
             _ => {
                 sleep(courier.clock.until(machine.wake_at().unwrap_or_default())).await;
@@ -131,18 +128,50 @@
     }
 }
 
-type Answered = Result<awc::ClientResponse, awc::error::SendRequestError>;
+type Answer = Result<awc::ClientResponse, WatchError>;
+type Question = LocalBoxFuture<'static, Answer>;
 
-/// The questions that are out, the first of them and at most one more; it waits for the first answer.
+/// Asks on a connection of its own: one that rested may be dead, and nothing would say so.
+fn question(addr: SocketAddr, after: u64) -> Question {
+    // It is given up before.
+    let client = super::plain_client(awc::Connector::new().timeout(Duration::from_micros(2 * TOLD)));
+    let asked = client.get(format!("http://{addr}{}", discovery::watch_path(after))).send();
+    Box::pin(async move {
+        let _client = client;
+        let answer = asked.await?;
+        match answer.status() {
+            awc::http::StatusCode::OK => Ok(answer),
+            other => Err(WatchError::Status(other)),
+        }
+    })
+}
+
+/// The questions that are out, in the order in which they were asked; one that failed leaves its place empty.
 #[derive(Default)]
-struct Questions(Vec<LocalBoxFuture<'static, Answered>>);
+struct Questions(Vec<Option<Question>>);
 
-impl Future for Questions {
-    type Output = Answered;
+/// What became of them.
+enum Came {
+    Answer(Box<awc::ClientResponse>),
+    /// One has failed; `last`: no other is out.
+    Failed {
+        with: WatchError,
+        last: bool,
+    },
+}
 
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let mut answers = self.0.iter_mut().map(|question| question.as_mut().poll(cx));
-        answers.find(Poll::is_ready).unwrap_or(Poll::Pending)
+impl Questions {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Came> {
+        for n in 0..self.0.len() {
+            let Some(question) = &mut self.0[n] else { continue };
+            let Poll::Ready(answer) = question.as_mut().poll(cx) else { continue };
+            self.0[n] = None;
+            return Poll::Ready(match answer {
+                Ok(answer) => Came::Answer(Box::new(answer)),
+                Err(with) => Came::Failed { with, last: self.0.iter().all(Option::is_none) },
+            });
+        }
+        Poll::Pending
     }
 }
 
@@ -152,25 +181,36 @@
     machine: &mut Watch,
     out: &mut Questions,
     older: &mut Vec<AbortHandle>,
+    moved: &impl Fn() -> bool,
 ) -> Result<std::convert::Infallible, WatchError> {
-    let mut answer = in_time(courier, machine, &mut *out).await??;
+    let mut answer = loop {
+        match in_time(courier, machine, poll_fn(|cx| out.poll(cx))).await? {
+            Came::Answer(answer) => break answer,
+            Came::Failed { with, last: true } => return Err(with),
+            Came::Failed { with, last: false } => {
+                tracing::warn!("discovery: watch: {with}; another question is out");
+                machine.step(Input::Lost, courier.clock.now());
+            }
+        }
+    };
     out.0.clear();
-    if !answer.status().is_success() {
-        return Err(WatchError::Status(answer.status()));
-    }
-    if machine.step(Input::Answered, courier.clock.now()) == Output::TakeOver {
-        older.drain(..).for_each(|task| task.abort());
-    }
+    machine.step(Input::Answered, courier.clock.now());
     let mut lists = discovery::Lists::default();
     loop {
         let chunk = in_time(courier, machine, answer.next()).await?;
-        let said = lists.feed(&chunk.ok_or(WatchError::Ended)??)?;
+        let said = lists.feed(&chunk.ok_or(WatchError::Ended)??);
         if said.lives {
-            machine.step(Input::Heard, courier.clock.now());
+            let heard = Input::Heard { moved: moved() };
+            if machine.step(heard, courier.clock.now()) == Output::TakeOver {
+                older.drain(..).for_each(|task| task.abort());
+            }
         }
         for list in said.lists {
             courier.list(list);
         }
+        if let Some(e) = said.end {
+            return Err(e.into());
+        }
     }
 }
 
--- a/protocol/src/discovery.rs
+++ b/protocol/src/discovery.rs
@@ -7,6 +7,9 @@
 
 /// What is longer than this, with its indents, is no list of this platform.
 const LIST_MAX: usize = 4 * 1024 * 1024;
+/// So much more of a list that isn't whole yet shows that the watch lives. A list of some hundred providers is
+/// less: bytes that trickle are no sign of life.
+const PIECE: usize = 64 * 1024;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
@@ -84,19 +87,27 @@
 pub struct Said {
     /// The lists that ended in it.
     pub lists: Vec<ProviderList>,
-    /// The watch lives: a part of a list came, or an empty line where none had begun. Empty lines inside of a
-    /// list are no part of it: the rest is missing.
+    /// The watch lives: a list is whole, or an empty line came where none had begun. A list that has begun is no
+    /// sign of life: its rest may be missing for good; only one that goes on for long is, by the piece.
     pub lives: bool,
+    /// What came behind those lists is none; nothing that follows can be read.
+    pub end: Option<DiscoveryError>,
 }
 
 impl Lists {
-    /// # Errors
-    /// What came is no list; nothing that follows can be read.
-    pub fn feed(&mut self, chunk: &[u8]) -> Result<Said, DiscoveryError> {
-        let empty = chunk.trim_ascii().is_empty();
-        let mut said =
-            Said { lists: Vec::new(), lives: !chunk.is_empty() && (!empty || self.rest.is_empty()) };
+    pub fn feed(&mut self, chunk: &[u8]) -> Said {
+        let between = self.rest.is_empty() && !chunk.is_empty() && chunk.trim_ascii().is_empty();
+        let mut said = Said { lists: Vec::new(), lives: between, end: None };
+        let pieces = self.rest.len() / PIECE;
         self.rest.extend_from_slice(chunk);
+        said.lives |= self.rest.len() / PIECE > pieces;
+        said.end = self.read(chunk, &mut said.lists).err();
+        said.lives |= !said.lists.is_empty();
+        said
+    }
+
+    /// Reads what is whole by the last brace of `chunk`, which has come last.
+    fn read(&mut self, chunk: &[u8], lists: &mut Vec<ProviderList>) -> Result<(), DiscoveryError> {
         // Only a brace ends a list; what is read ends in one, since a number that is cut reads as a wrong
         // one.
         if let Some(last) = chunk.iter().rposition(|byte| *byte == b'}') {
@@ -108,7 +119,7 @@
                     Some(Ok(IgnoredAny)) => {
                         let end = values.byte_offset();
                         let list: List = serde_json::from_slice(&known[read..end])?;
-                        said.lists.push(list.try_into()?);
+                        lists.push(list.try_into()?);
                         read = end;
                     }
                     Some(Err(e)) if !e.is_eof() => return Err(e.into()),
@@ -125,7 +136,7 @@
         if self.rest.len() > LIST_MAX {
             return Err(DiscoveryError::TooLong);
         }
-        Ok(said)
+        Ok(())
     }
 }
 
@@ -144,11 +155,18 @@
         serde_json::to_string_pretty(&value).unwrap().replace("[\n", "[\n\n").replace('\n', "\r\n")
     }
 
+    /// What is no error.
+    fn fed(lists: &mut Lists, chunk: &[u8]) -> Said {
+        let said = lists.feed(chunk);
+        assert!(said.end.is_none(), "{:?}", said.end);
+        said
+    }
+
     fn read(text: &str, cuts: &[usize]) -> Vec<(u64, usize)> {
         let mut lists = Lists::default();
         let (mut all, mut from) = (Vec::new(), 0);
         for to in cuts.iter().copied().chain([text.len()]) {
-            all.extend(lists.feed(&text.as_bytes()[from..to]).unwrap().lists);
+            all.extend(fed(&mut lists, &text.as_bytes()[from..to]).lists);
             from = to;
         }
         assert!(lists.rest.is_empty(), "{:?}", String::from_utf8_lossy(&lists.rest));
@@ -174,33 +192,34 @@
     fn a_list_holds_as_soon_as_its_last_byte_is_there() {
         let mut lists = Lists::default();
         let text = indented();
-        assert!(lists.feed(&text.as_bytes()[..text.len() - 1]).unwrap().lists.is_empty());
-        assert_eq!(lists.feed(b"}").unwrap().lists.len(), 1);
+        assert!(fed(&mut lists, &text.as_bytes()[..text.len() - 1]).lists.is_empty());
+        assert_eq!(fed(&mut lists, b"}").lists.len(), 1);
     }
 
     #[test]
     fn empty_lines_say_that_a_watch_lives_but_inside_of_a_list_that_goes_on() {
         let mut lists = Lists::default();
-        let mut lives = |chunk: &str| lists.feed(chunk.as_bytes()).unwrap().lives;
+        let mut lives = |chunk: &str| fed(&mut lists, chunk.as_bytes()).lives;
         assert!(lives("\n") && lives("\r\n") && lives(&indented()) && lives("\n"));
-        assert!(lives(r#"{"version":"#));
+        // Only a whole list shows that more than its beginning will come.
+        assert!(!lives(r#"{"version":"#));
         assert!(!lives("\n") && !lives("\n"), "the rest of the list never comes");
         assert!(lives("44}") && lives("\n"));
     }
 
     #[test]
     fn what_is_no_list_is_an_error_at_once_and_what_never_ends_at_the_limit() {
-        let fed = |text: &str| Lists::default().feed(text.as_bytes()).unwrap_err();
+        let no_list = |text: &str| Lists::default().feed(text.as_bytes()).end.unwrap();
         for text in ["x", "]", "12\n", "\n[]", r#"{"version":1}]"#] {
-            assert!(matches!(fed(text), DiscoveryError::Start(_)), "{text}");
+            assert!(matches!(no_list(text), DiscoveryError::Start(_)), "{text}");
         }
         for text in ["{]}", r#"{"version":1 "full":true}"#, r#"{"version":"1"}"#, "[1,true,[{}]]"] {
-            assert!(matches!(fed(text), DiscoveryError::Json(_) | DiscoveryError::Start(_)), "{text}");
+            assert!(matches!(no_list(text), DiscoveryError::Json(_) | DiscoveryError::Start(_)), "{text}");
         }
         let mut lists = Lists::default();
-        lists.feed(br#"{"version":1,"servers":[""#).unwrap();
+        fed(&mut lists, br#"{"version":1,"servers":[""#);
         let piece = vec![b'x'; LIST_MAX / 4];
-        let fed: Vec<bool> = (0..4).map(|_| lists.feed(&piece).is_ok()).collect();
+        let fed: Vec<bool> = (0..4).map(|_| lists.feed(&piece).end.is_none()).collect();
         assert_eq!(fed, [true, true, true, false]);
     }
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,17 +2,20 @@
 
 use crate::door::{Door, Way};
 use crate::fleet::fault::{Strike, Struck};
+use crate::gate::{Entry, Gate};
 use crate::http::{Left, Reader};
 use crate::record::{Notice, Witness};
 use crate::{Eyes, What};
 use std::cell::Cell;
-use std::io::Result;
+use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep;
 
 /// As long as nothing changes, an empty line comes so often.
@@ -101,6 +104,133 @@
     Ok(())
 }
 
+/// Questions that may wait to be looked at; who has so many waits with the next.
+const ASKED_MAX: usize = 256;
+
+/// A discovery whose every answer is written by hand; closed when it is dropped.
+pub struct ByHand {
+    pub addr: SocketAddr,
+    entry: watch::Sender<Entry>,
+    asked: mpsc::Receiver<Asked>,
+    task: AbortHandle,
+}
+
+impl Drop for ByHand {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A question that has come, and its connection; dropped, that is closed.
+pub struct Asked {
+    pub at: Instant,
+    /// The version after which changes are wanted.
+    pub after: u64,
+    reader: Reader<OwnedReadHalf>,
+    to: OwnedWriteHalf,
+}
+
+impl ByHand {
+    /// Must run in a `LocalSet`.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub async fn open() -> Result<ByHand> {
+        let mut gate = Gate::open()?;
+        let addr = gate.addr();
+        let (entry, mut told) = watch::channel(Entry::Open);
+        let (to, asked) = mpsc::channel(ASKED_MAX);
+        let task = spawn_local(async move {
+            loop {
+                tokio::select! {
+                    biased;
+                    changed = told.changed() => {
+                        let entry = *told.borrow_and_update();
+                        if changed.is_err() || gate.set(entry).is_err() {
+                            return;
+                        }
+                    }
+                    stream = gate.accept() => {
+                        let Ok(stream) = stream else { continue };
+                        let to = to.clone();
+                        spawn_local(async move {
+                            if let Ok(Some(asked)) = Asked::read(stream).await {
+                                let _ = to.send(asked).await;
+                            }
+                        });
+                    }
+                }
+            }
+        });
+        Ok(ByHand { addr, entry, asked, task: task.abort_handle() })
+    }
+
+    /// How those who come are met from now on.
+    pub fn set(&self, entry: Entry) {
+        self.entry.send_replace(entry);
+    }
+
+    /// The next question.
+    ///
+    /// # Errors
+    /// None can come any more.
+    pub async fn asked(&mut self) -> Result<Asked> {
+        self.asked.recv().await.ok_or_else(|| ErrorKind::NotConnected.into())
+    }
+}
+
+impl Asked {
+    async fn read(stream: TcpStream) -> Result<Option<Asked>> {
+        let (from, to) = stream.into_split();
+        let mut reader = Reader::new(from);
+        let Some(head) = reader.head().await? else { return Ok(None) };
+        let after =
+            head.first.split_once("after=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        let after = after.ok_or_else(|| Error::new(ErrorKind::InvalidData, head.first))?;
+        Ok(Some(Asked { at: Instant::now(), after, reader, to }))
+    }
+
+    /// Writes these bytes.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<()> {
+        self.to.write_all(bytes).await
+    }
+
+    /// The head of an answer that goes on.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn head(&mut self) -> Result<()> {
+        self.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await
+    }
+
+    /// A part of such an answer; without any text its end.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn say(&mut self, text: &str) -> Result<()> {
+        self.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        let _ = self.to.as_ref().set_zero_linger();
+    }
+
+    /// Waits until the courier has closed the connection.
+    ///
+    /// # Errors
+    /// Another question came on it, which only a new connection is to carry.
+    pub async fn given_up(&mut self) -> Result<()> {
+        match self.reader.head().await {
+            Ok(Some(head)) => Err(Error::new(ErrorKind::InvalidData, head.first)),
+            Ok(None) | Err(_) => Ok(()),
+        }
+    }
+}
+
 /// The platform of a whole fleet: a door for each courier, and a record of every notice in the order in
 /// which they came.
 pub struct Platform {
