Close the doors after the last consumer is in; descriptors and small writes under floods

After SIGTERM the accept task was aborted 0.5 s later (run.rs), but the listener lived on until the process ended: the system went on accepting connections that nobody looked at, and reset them at the end with their requests (half_a_head...: a reset while the courier was alive). Now the task is asked to leave, whoever waits in the backlog is let in, and the listener is closed in the same moment: later ones are refused at once. 2. A connection whose time for a first request is up, and one after its last look, was closed by what the runtime had heard by then (server.rs, asked and Look). Held up in between, the thread closed over a request that lay in the system: a reset. Now it reads once more before it closes. 3. The runtime listens with a backlog of 128. Two hundred consumers that come while the thread is held up found no room, and try again only after a second. Now 1,024. 4. A connection that has to make room was aborted, and its descriptor was free only once its task had run: one round of accepts takes 128, so that a burst held 128 descriptors beyond the limit (with `ulimit -n` at the configured number accept failed and the courier stood still for its consumers). Now the end is waited for. 5. Without descriptors accept waited 20 ms and tried again, with nobody asked to go. Now who has nothing to ask goes, and the log says it once a second. Where `ulimit -n` is lower than the configuration's sockets it goes before them. 6. awc's connections (watch, notices, a fleet's links) and operators' had no TCP_NODELAY: a head and its body are two writes, and the second waited for an acknowledgement. Signals were asked for only after the configuration was read: a SIGHUP before that ended the process.

--- a/courier/src/fleet/links.rs
+++ b/courier/src/fleet/links.rs
@@ -77,7 +77,7 @@
 
     /// Carries messages for as long as the process lives; what the other says at once is handed to `heard`.
     pub async fn carry(self: Rc<Self>, addr: SocketAddr, from: Name, token: Token, heard: impl Fn(Envelope)) {
-        let client = crate::transport::plain_client(awc::Connector::new().timeout(TRY));
+        let client = crate::transport::plain_client(TRY);
         let mut up = true;
         loop {
             let messages = self.take();
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -10,7 +10,7 @@
 use crate::transport::inherited::{self, InheritedError};
 use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
-use crate::transport::server::{Connections, serve};
+use crate::transport::server::{Connections, listen, serve};
 use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
 use actix_rt::time::{sleep, timeout};
@@ -19,6 +19,7 @@
 use quillmount_core::router::{self, Router, RouterError, StreamLimits};
 use quillmount_core::{flow, hub};
 use quillmount_operator::{Operator, OperatorError};
+use rustix::process::{Resource, getrlimit};
 use spurshore_settings::{Names, settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -82,17 +83,20 @@
 /// # Errors
 /// The courier can't start.
 pub async fn run(operator: Operator, path: Option<PathBuf>, levels: Levels) -> Result<Ended, RunError> {
-    let config = Config::load(|name| std::env::var(name).ok())?;
+    // Before anything else: until then a signal ends the process, and SIGHUP too.
     let mut stop = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
     let mut ask = signal(SignalKind::user_defined1()).map_err(RunError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    let config = Config::load(|name| std::env::var(name).ok())?;
 
     let clock = Clock::start();
     // Half of the descriptors each: consumers hold a third with requests, the rest is for those who do
     // not ask.
     let callers = if config.operator.is_some() { operators::CALLERS } else { 0 };
-    let most = config.sockets.saturating_sub(OWN_SOCKETS + callers + fleet::sockets(&operator.fleet)) / 2;
+    let most = descriptors(config.sockets)
+        .saturating_sub(OWN_SOCKETS + callers + fleet::sockets(&operator.fleet))
+        / 2;
     let inherited = match std::env::var("GW_INHERITED_FD") {
         Ok(number) => Some(inherited::listener(&number, config.listen)?),
         Err(_) => None,
@@ -174,9 +178,9 @@
         // Bound by the process before, which has handed it over too.
         (None, Some((.., parts))) => match handover::listener(parts) {
             Some(listener) => TcpListener::from_std(listener),
-            None => TcpListener::bind(config.listen).await,
+            None => listen(config.listen),
         },
-        (None, None) => TcpListener::bind(config.listen).await,
+        (None, None) => listen(config.listen),
     };
     let addr = config.listen;
     let listener = listener.map_err(|source| RunError::Listen { addr, source })?;
@@ -191,7 +195,6 @@
     let connections = Rc::new(Connections::new(clock.clone(), most, config.memory / BODIES));
     let (moves, discovery) = watch::channel(config.discovery);
     let desk = Desk::new(courier.clone(), connections.clone(), config.state.clone());
-    let listener = Rc::new(listener);
     let told = settings(&config.env, &mut Names::default()).map_err(RouterError::Decode)?;
     let others = platform::Fleet {
         couriers: told.siblings,
@@ -200,10 +203,10 @@
         heed: told.heed,
     };
     let begin = {
-        let (courier, connections, listener) = (courier.clone(), connections.clone(), listener.clone());
-        move || {
+        let (courier, connections) = (courier.clone(), connections.clone());
+        move |listener| {
             vec![
-                actix_rt::spawn(serve(listener.clone(), courier.clone(), connections.clone())),
+                actix_rt::spawn(accept(listener, courier.clone(), connections.clone())),
                 actix_rt::spawn(courier.clone().keep_time()),
                 actix_rt::spawn(courier.clone().sweep()),
                 actix_rt::spawn(platform::watch(courier.clone(), discovery.clone(), others)),
@@ -217,7 +220,7 @@
         desk: desk.clone(),
         folder: config.state.clone(),
         mark,
-        listener,
+        listener: RefCell::new(Some(Rc::new(listener))),
         lock: Cell::new(Some(lock)),
         begin: Box::new(begin),
         tasks: RefCell::default(),
@@ -271,8 +274,8 @@
     courier.stop(asked + CALLS_END.as_micros() as u64);
     connections.close_after_answers(true);
     sleep(left(ACCEPT_ON)).await;
-    if let Some(server) = holder.tasks.borrow().first() {
-        server.abort();
+    if timeout(left(STOP), holder.close_doors()).await.is_err() {
+        tracing::warn!("{}: consumers that had just come were not let in", config.name);
     }
     while left(STOP) > Duration::ZERO {
         if left(CALLS_END) == Duration::ZERO {
@@ -303,6 +306,25 @@
     Ok(Ended::Stopped)
 }
 
+/// How many descriptors there are: what the system lets the process have goes before what the platform tells.
+fn descriptors(told: usize) -> usize {
+    let had =
+        getrlimit(Resource::Nofile).current.map_or(usize::MAX, |n| usize::try_from(n).unwrap_or(usize::MAX));
+    if had < told {
+        tracing::warn!(
+            "limits: {told} descriptors are told, and the system lets the process have {had}: raise ulimit -n"
+        );
+    }
+    told.min(had)
+}
+
+/// Accepts consumers, for as long as there is a listener.
+async fn accept(listener: Option<Rc<TcpListener>>, courier: Rc<Courier>, connections: Rc<Connections>) {
+    if let Some(listener) = listener {
+        serve(listener, courier, connections).await;
+    }
+}
+
 /// Waits until others have its work, if it is one of a fleet.
 async fn replaced(fleet: Option<&Fleet>) {
     match fleet {
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -8,7 +8,7 @@
 use super::frames::{Frame, PASS_ON};
 use super::handle::{Part, Parts};
 use super::operators::Desk;
-use super::server::Connections;
+use super::server::{self, Connections};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
 use quillmount_core::hub;
@@ -182,6 +182,9 @@
     Some(listener)
 }
 
+/// A process's tasks, the server first.
+pub type Tasks = Vec<tokio::task::JoinHandle<()>>;
+
 /// What the deciding process needs to hand over, and to take back.
 pub struct Holder {
     pub courier: Rc<Courier>,
@@ -191,11 +194,11 @@
     /// Of the settings it decides under.
     pub mark: u32,
     /// The consumers' listening socket.
-    pub listener: Rc<TcpListener>,
+    pub listener: RefCell<Option<Rc<TcpListener>>>,
     pub lock: Cell<Option<Lock>>,
     /// Begins its tasks: the server, the clock, the watch and the notices.
-    pub begin: Box<dyn Fn() -> Vec<tokio::task::JoinHandle<()>>>,
-    pub tasks: RefCell<Vec<tokio::task::JoinHandle<()>>>,
+    pub begin: Box<dyn Fn(Option<Rc<TcpListener>>) -> Tasks>,
+    pub tasks: RefCell<Tasks>,
     pub gone: Notify,
 }
 
@@ -229,7 +232,25 @@
 
     /// Begins to serve.
     pub fn begin(&self) {
-        *self.tasks.borrow_mut() = (self.begin)();
+        let listener = self.listener.borrow().clone();
+        *self.tasks.borrow_mut() = (self.begin)(listener);
+    }
+
+    /// A planned stop: accepts no more, and closes the listener once whoever waits in it is let in.
+    pub async fn close_doors(&self) {
+        let server = {
+            let mut tasks = self.tasks.borrow_mut();
+            (!tasks.is_empty()).then(|| tasks.remove(0))
+        };
+        self.connections.accept_no_more();
+        if let Some(server) = server {
+            // It ends with who it has accepted last.
+            let _ = server.await;
+        }
+        let listener = self.listener.take().and_then(Rc::into_inner);
+        if let Some(listener) = listener {
+            server::close_doors(listener, &self.courier, &self.connections).await;
+        }
     }
 
     /// Listens for the next process until this one has handed over.
@@ -360,7 +381,9 @@
         let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1 };
         channel.send(&first, None).await?;
         drop(first);
-        channel.send(&(Part::Listener, true), Some(self.listener.as_fd())).await?;
+        let listener = self.listener.borrow().clone();
+        let fd = listener.as_ref().map(AsFd::as_fd);
+        channel.send(&(Part::Listener, fd.is_some()), fd).await?;
         for (part, stream) in parts {
             let fd = stream.as_ref().map(AsFd::as_fd);
             channel.send(&(part, fd.is_some()), fd).await?;
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -19,20 +19,21 @@
 pub mod server;
 pub mod streams;
 
+use actix_rt::net::TcpStream;
+use actix_service::ServiceExt;
+use actix_tls::connect::{Connection, Connector};
 use std::time::Duration;
 
 /// A client that does what it is told once: awc's own answer to redirects, its five seconds for any
 /// answer and its default headers all act behind the caller's back.
-pub(crate) fn plain_client<S, Io>(connector: awc::Connector<S>) -> awc::Client
-where
-    S: actix_service::Service<
-            actix_tls::connect::ConnectInfo<awc::http::Uri>,
-            Response = actix_tls::connect::Connection<awc::http::Uri, Io>,
-            Error = actix_tls::connect::ConnectError,
-        > + Clone
-        + 'static,
-    Io: actix_rt::net::ActixStream + std::fmt::Debug + 'static,
-{
+/// A connection comes up within `connect`.
+pub(crate) fn plain_client(connect: Duration) -> awc::Client {
+    // A head and its body are two writes: the second must not wait for the acknowledgement of the first.
+    let dial = Connector::default().service().map(|conn: Connection<awc::http::Uri, TcpStream>| {
+        let _ = conn.io_ref().set_nodelay(true);
+        conn
+    });
+    let connector = awc::Connector::new().connector(dial).timeout(connect);
     // No lifetime: a connection that works is kept, since a new one costs the provider work.
     let connector = connector.conn_lifetime(Duration::from_secs(86_400)).limit(0);
     awc::Client::builder()
--- a/courier/src/transport/operators.rs
+++ b/courier/src/transport/operators.rs
@@ -134,6 +134,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                // Where it can't be said, an answer waits a moment.
+                let _ = stream.set_nodelay(true);
                 callers.retain(|caller| !caller.is_finished());
                 // Who has waited longest has had most time to call.
                 while callers.len() >= CALLERS
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -20,15 +20,19 @@
 use quillmount_core::router::{Intake, NO_ROOM_WAIT, StreamEnd};
 use quillmount_protocol::invocation::{self, Head, Malformed};
 use quillmount_protocol::stream::{self, Body, Digest, Framing};
+use rustix::io::Errno;
+use socket2::SockRef;
 use spurshore::MsgId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, Read};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::timeout_at;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -48,14 +52,17 @@
 const READ: usize = 2 * 1024;
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
+/// So many connections may wait in the system while the thread is held up: who finds no room there tries again only
+/// after a second, and consumers come by the hundred. The runtime's own 128 is less.
+const BACKLOG: u32 = 1_024;
 /// A connection that is to leave may have a request on its way: it is closed after this, if none has come.
 const LAST_LOOK: Duration = Duration::from_millis(5);
-/// One line tells of all malformed requests within this.
+/// One line tells of all malformed requests, or of all accepts that failed, within this.
 const TELL: Duration = Duration::from_secs(1);
 
 /// The task of a connection, and its word to leave.
 struct Task {
-    task: AbortHandle,
+    task: JoinHandle<()>,
     leave: Rc<Notify>,
 }
 
@@ -68,9 +75,11 @@
     room: u64,
     under_way: Cell<u64>,
     closing: Cell<bool>,
-    /// No connection is accepted any more: another process does it from here on.
+    /// No connection is accepted any more: another process does it from here on, or the planned stop has begun.
     accepts: Notify,
     malformed: Cell<(u64, Option<Instant>)>,
+    /// When an accept that failed was last told.
+    unaccepted: Cell<Option<Instant>>,
     /// One of them has ended.
     left: Notify,
 }
@@ -87,6 +96,7 @@
             closing: Cell::new(false),
             accepts: Notify::new(),
             malformed: Cell::default(),
+            unaccepted: Cell::default(),
             left: Notify::new(),
         }
     }
@@ -103,6 +113,11 @@
         !self.crowd.borrow().is_empty()
     }
 
+    /// The planned stop has begun: whoever accepts is to leave that.
+    pub fn accept_no_more(&self) {
+        self.accepts.notify_one();
+    }
+
     /// Asks all connections, and whoever accepts them, to give their parts up to another process.
     pub fn give(&self) {
         self.accepts.notify_one();
@@ -126,7 +141,7 @@
         let (courier, leave) = (courier.clone(), Rc::new(Notify::new()));
         let head = Bytes::new();
         let conversation = Conversation { stream, codec, head, buf, courier, entry, leave: leave.clone() };
-        let task = actix_rt::spawn(conversation.run(state)).abort_handle();
+        let task = actix_rt::spawn(conversation.run(state));
         self.tasks.borrow_mut().insert(number, Task { task, leave });
     }
 
@@ -143,20 +158,37 @@
             match room {
                 Room::Free => return,
                 Room::Leave(number) => return self.ask_to_leave(number),
-                Room::End(number) => {
-                    if let Some(task) = self.tasks.borrow_mut().remove(&number) {
-                        task.task.abort();
-                    }
-                    return;
-                }
+                Room::End(number) => return self.end(number).await,
                 // Those that leave do so within 5 ms, or answer.
                 Room::Wait => self.left.notified().await,
             }
         }
     }
 
+    /// Ends a connection, and waits until its descriptor is free: a flood would else take many more than may be.
+    async fn end(&self, number: u64) {
+        let task = self.tasks.borrow_mut().remove(&number);
+        if let Some(Task { task, .. }) = task {
+            task.abort();
+            // It says that it was ended, which is known.
+            let _ = task.await;
+        }
+    }
+
+    /// The process has no descriptor left: who says nothing gives one back, whatever their number.
+    async fn give_back(&self) {
+        let room = self.crowd.borrow_mut().give_back(self.clock.now());
+        match room {
+            Room::Leave(number) => self.ask_to_leave(number),
+            Room::End(number) => self.end(number).await,
+            Room::Free | Room::Wait => {}
+        }
+    }
+
     fn is(&self, number: u64, state: State) {
         self.crowd.borrow_mut().is(number, state, self.clock.now());
+        // One that was to leave may have stayed.
+        self.left.notify_one();
     }
 
     /// Room for a body under way, if there is any.
@@ -165,6 +197,14 @@
         (taken <= self.room).then(|| self.under_way.set(taken)).map(|()| Reserved(self, len))
     }
 
+    /// Tells that nobody can be accepted; it may go on for as long as descriptors are short.
+    fn tell_accept(&self, why: &io::Error) {
+        if self.unaccepted.get().is_none_or(|told| told.elapsed() >= TELL) {
+            tracing::warn!("server: accept: {why}");
+            self.unaccepted.set(Some(Instant::now()));
+        }
+    }
+
     /// Counts a malformed request; a line for each would cost more than its answer.
     fn tell(&self, why: Malformed) {
         let (count, told) = self.malformed.get();
@@ -195,15 +235,27 @@
     }
 }
 
+/// Listens for consumers.
+///
+/// # Errors
+/// The address can't be had.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // The process before may have left connections there that the system still keeps.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts and serves until it is dropped, or another process accepts.
 pub async fn serve(listener: Rc<TcpListener>, courier: Rc<Courier>, connections: Rc<Connections>) {
     loop {
         // What is accepted is served: a connection dropped in between would be one turned back unheard.
         let accepted = tokio::select! {
             biased;
-            () = connections.accepts.notified() => match courier.handle.life().hands_over() {
-                true => return,
-                false => continue,
+            () = connections.accepts.notified() => match courier.handle.life() {
+                life if life.hands_over() || life.stopping().is_some() => return,
+                _ => continue,
             },
             accepted = listener.accept() => accepted,
         };
@@ -213,14 +265,39 @@
                 connections.make_room().await;
                 connections.admit(&courier, stream, None);
             }
+            // The one connection broke before it was accepted.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(e) => {
-                tracing::warn!("server: accept: {e}");
+                connections.tell_accept(&e);
+                if [Errno::MFILE, Errno::NFILE].map(|e| Some(e.raw_os_error())).contains(&e.raw_os_error()) {
+                    connections.give_back().await;
+                }
                 sleep(ACCEPT_REST).await;
             }
         }
     }
 }
 
+/// Takes in whoever the system has accepted by now, and closes the listener in the moment in which there are none: one
+/// that is closed over them resets them, with what they have sent.
+pub async fn close_doors(listener: TcpListener, courier: &Rc<Courier>, connections: &Rc<Connections>) {
+    let Ok(listener) = listener.into_std() else { return };
+    // The system holds one more than it was asked to.
+    for _ in 0..=BACKLOG {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+            Err(_) => return,
+        };
+        let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else {
+            continue;
+        };
+        courier.count(|c| c.connections += 1);
+        connections.make_room().await;
+        connections.admit(courier, stream, None);
+    }
+}
+
 /// One consumer's connection.
 struct Conversation {
     stream: TcpStream,
@@ -290,6 +367,7 @@
                 }
                 Output::Look => match timeout(LAST_LOOK, self.stream.readable()).await {
                     Ok(_) => Input::Readable,
+                    Err(_) if self.arrived() => Input::Readable,
                     Err(_) => Input::Looked,
                 },
                 Output::Linger => {
@@ -310,23 +388,33 @@
     async fn asked(&mut self, connections: &Connections) -> io::Result<Option<(Option<Answer>, Input)>> {
         let (leave, mut by) = (self.leave.clone(), Instant::now() + REQUEST);
         let courier = self.courier.clone();
-        let asked = {
-            let request = self.request(connections);
-            tokio::pin!(request);
-            loop {
-                tokio::select! {
-                    biased;
-                    asked = &mut request => break Some(asked?),
-                    () = leave.notified() => {
-                        if courier.handle.life().hands_over() {
-                            return Ok(None);
+        let mut looked = false;
+        let asked = loop {
+            let asked = {
+                let request = self.request(connections);
+                tokio::pin!(request);
+                loop {
+                    tokio::select! {
+                        biased;
+                        asked = &mut request => break Some(asked?),
+                        () = leave.notified() => {
+                            if courier.handle.life().hands_over() {
+                                return Ok(None);
+                            }
+                            // Room is short: what is on its way has a moment left.
+                            by = by.min(Instant::now() + LAST_LOOK);
                         }
-                        // Room is short: what is on its way has a moment left.
-                        by = by.min(Instant::now() + LAST_LOOK);
+                        () = sleep_until(by) => break None,
                     }
-                    () = sleep_until(by) => break None,
                 }
+            };
+            // A request that came in this very moment would be lost with the connection.
+            let silent =
+                asked.is_none() && self.buf.is_empty() && self.codec.message_type() == MessageType::None;
+            if !silent || std::mem::replace(&mut looked, true) || !self.arrived() {
+                break asked;
             }
+            by = Instant::now() + LAST_LOOK;
         };
         let asked = match asked {
             Some(asked) => asked,
@@ -506,6 +594,16 @@
         self.courier.rules.is_some() && large()
     }
 
+    /// Takes what the system has for it by now. The runtime knows of that only from its last round on, and a thread
+    /// that was held up since then would close over a request.
+    fn arrived(&mut self) -> bool {
+        let mut bytes = [0; READ];
+        let mut socket = &*SockRef::from(&self.stream);
+        let read = socket.read(&mut bytes).unwrap_or(0);
+        self.buf.extend_from_slice(&bytes[..read]);
+        read > 0
+    }
+
     async fn read(&mut self) -> io::Result<usize> {
         self.buf.reserve(READ);
         self.stream.read_buf(&mut self.buf).await
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -29,6 +29,10 @@
     /// Put into the configuration as JSON merge does, one level deep in `limits` and `settings`.
     pub slots: u32,
     pub open_cap: u32,
+    /// Likewise in `limits`, as in `{"sockets": 64}`.
+    pub limits: Value,
+    /// What `ulimit -n` lets its process have; none: as the test's own.
+    pub descriptors: Option<u32>,
     /// Operators may call.
     pub operators: bool,
     /// What RUST_LOG says; empty: it is not set, and the operator file holds.
@@ -46,6 +50,8 @@
             operator: None,
             slots: 8,
             open_cap: 100,
+            limits: json!({}),
+            descriptors: None,
             operators: false,
             levels,
         }
@@ -151,6 +157,9 @@
         config["discovery"] = setup.platform.to_string().into();
         config["settings"]["family_info"]["call_slots"] = setup.slots.into();
         config["settings"]["limits"]["open_cap"] = setup.open_cap.into();
+        for (name, value) in setup.limits.as_object().into_iter().flatten() {
+            config["limits"][name] = value.clone();
+        }
         std::fs::write(folder.join("config.json"), config.to_string())?;
         if let Some(operator) = &setup.operator {
             std::fs::write(folder.join("operator.json"), operator.to_string())?;
@@ -191,6 +200,48 @@
         signal(&self.child, Signal::STOP)
     }
 
+    /// SIGSTOP, and waits until it stands still.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn pause(&self) -> Result<()> {
+        self.hang()?;
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let stands = |text: &str| text.rsplit(')').next().is_some_and(|rest| rest.starts_with(" T"));
+        while !stands(&std::fs::read_to_string(&stat)?) {
+            std::thread::yield_now();
+        }
+        Ok(())
+    }
+
+    /// SIGCONT.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn go_on(&self) -> Result<()> {
+        signal(&self.child, Signal::CONT)
+    }
+
+    /// Its descriptors that are open; 0 where the system does not tell.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
+    /// Waits until a line of its log has these words.
+    ///
+    /// # Errors
+    /// It did not say them in time.
+    pub async fn says(&self, words: &str) -> Result<()> {
+        let by = Instant::now() + STOP;
+        while Instant::now() < by {
+            if self.log.try_iter().any(|line| line.contains(words)) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        Err(Error::other(format!("the courier did not say {words:?}")))
+    }
+
     /// SIGHUP.
     ///
     /// # Errors
@@ -257,7 +308,14 @@
 }
 
 fn launch(setup: &Setup, folder: &Path) -> Result<Launched> {
-    let mut command = Command::new(&setup.program);
+    let mut command = match setup.descriptors {
+        None => Command::new(&setup.program),
+        Some(most) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", &format!("ulimit -n {most} && exec \"$0\" \"$@\"")]).arg(&setup.program);
+            shell
+        }
+    };
     command.arg("run");
     if setup.operator.is_some() {
         command.arg("--operator").arg(folder.join("operator.json"));
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform;
 pub mod provider;
 pub mod record;
+pub mod stage;
 
 use std::time::Instant;
 use tokio::sync::mpsc;
