Hold only the route that told a wait, where the routes of a destination are separate

Checked: the module's wait binds the lane, and of a kind with separate routes each endpoint has its own lane (src/rules.rs, lane.wait_until). The pool's does not: core/src/router/calls.rs, call_ended_each, held all providers of the destination. So the module sent to the free route, the pool let nothing through, and the module, told that nothing had happened, sent again at once. The test was seen to fail with the wait bound to the destination as before.

--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -126,6 +126,8 @@
     facade: Facade,
     classes: Arc<[String]>,
     kinds: Arc<[String]>,
+    /// For each kind: the endpoints of a destination are separate routes.
+    apart: Arc<[bool]>,
     zones: Arc<Names>,
     open_cap: usize,
     /// Streams at once.
@@ -190,6 +192,7 @@
             facade: facade(settings)?,
             classes: env.categories.iter().map(|c| c.name.clone()).collect(),
             kinds: env.skus.as_slice().into(),
+            apart: env.family_info.separate_routes.as_slice().into(),
             zones: Arc::new(zones),
             open_cap,
             streams_most: streams.map_or(0, |limits| limits.most),
--- a/core/src/router/calls.rs
+++ b/core/src/router/calls.rs
@@ -50,8 +50,8 @@
         let wait = waits.max().unwrap_or(0).max(told);
         if wait > 0 {
             let until = now.saturating_add(wait);
-            let same = self.by_dest.get(&dest).into_iter().flatten();
-            steps.extend(same.map(|n| Step::Hold { provider: *n, until }));
+            let bound = self.bound_by(provider, dest);
+            steps.extend(bound.map(|provider| Step::Hold { provider, until }));
         }
         for (item, end) in items.iter().zip(ends) {
             reports.extend(self.message_ended(*item, *end, told, now, &mut steps));
@@ -64,6 +64,15 @@
         steps
     }
 
+    /// Those that a wait told by one provider binds, as the module heeds it: of separate routes that one alone, or else
+    /// all of the destination. Held wider, what the module sends to another route would be held back again and again.
+    fn bound_by(&self, provider: u32, dest: u64) -> impl Iterator<Item = u32> {
+        let kind = self.providers.get(&provider).map_or(usize::MAX, |known| known.kind);
+        let apart = self.apart.get(kind).copied().unwrap_or(false);
+        let same = self.by_dest.get(&dest).into_iter().flatten().copied();
+        same.filter(move |n| !apart || *n == provider)
+    }
+
     /// A report's values in the order of the settings; none where one is missing or is no number.
     fn reported(&self, said: &Said) -> Vec<f64> {
         let value = |name: &String| said.load.iter().find(|(told, _)| told == name).map(|(_, value)| *value);
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -8,7 +8,7 @@
     pub fn see(&self, eye: &mut impl Eye) {
         #[rustfmt::skip]
         let Router {
-            facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, provider_names, providers, holds, version: _, heard,
+            facade, classes: _, kinds: _, apart: _, zones: _, open_cap: _, streams_most: _, provider_names, providers, holds, version: _, heard,
             // These three follow from the others.
             by_dest: _, went: _, out_at: _, waits: _, second_copies: _, tenants: _, load_fields: _,
             journal: _, unsettled: _, owed, bundles, ids: _, over, out, notices, unwritten, write_at, next: _, stopping, watched: _, watched_ends: _, notes: _, counters: _,
--- a/core/tests/bundles.rs
+++ b/core/tests/bundles.rs
@@ -206,3 +206,29 @@
     assert!(next.is_quiet());
     assert_eq!(next.router.notices(9).iter().filter(|n| n.ending == Ending::Undeliverable).count(), 0);
 }
+
+/// Two routes of one destination, of which one tells a wait: the pool holds that one alone, as the module does, and what
+/// it sends to the other leaves.
+#[test]
+fn a_wait_told_by_one_of_separate_routes_holds_no_other() {
+    for (apart, held) in [(true, false), (false, true)] {
+        let env =
+            Env { family_info: FamilyInfo { separate_routes: vec![apart], ..env().family_info }, ..env() };
+        let route = |id| Provider { kind: "k".into(), weight: 2.0, ..provider(id, 1, ListState::Ready) };
+        let list = ProviderList { version: 1, full: true, providers: vec![route("a"), route("b")] };
+        let (router, steps) = Router::open(&env, 7, list, Memory::default(), 999_999, NOW).unwrap();
+        let mut hub: World = Hub::new(router, Pool::new(15_000_000, 9));
+        hub.carry_out(steps, NOW);
+        let told = hand_in(&mut hub, "q0", NOW).remove(0);
+        let other = 1 - told.provider;
+        let now = NOW + 100_000;
+        let mut out = calls(hub.call_ended(told.call, CallEnd::Full(2_000_000), now));
+        assert!(!hub.pool.lets_through(told.provider, now), "apart: {apart}");
+        assert_eq!(hub.pool.lets_through(other, now), !held, "apart: {apart}");
+        out.extend((1..100).flat_map(|n| calls(hub.tick(now + n * 10_000))));
+        out.extend(hand_in(&mut hub, "q1", now + 1_000_000));
+        // Whatever the module lets go within the wait, the pool lets through.
+        assert_eq!(out.is_empty(), held, "apart: {apart}, {out:?}");
+        assert!(out.iter().all(|call| call.provider == other), "apart: {apart}, {out:?}");
+    }
+}
