Let the message that lives longest lead its bundle: led by an older one, others were lost

The time by which it came after the earliest deadline in the bundle varies up to 4.6 s, so the first message's time counts, not the least. At fault: core/src/router/calls.rs, call, kept the module's order, in which an older message may stand first. Younger ones went on waiting beyond its time, and what came then was taken for their delivery. Changed: the message with the latest deadline stands first. No wait is longer than a message's own time, so none lasts beyond the first one's; the rest of the order stays. Calls with one message are as before. The test was seen to fail without the change (d2 stood first).

--- a/core/src/router/calls.rs
+++ b/core/src/router/calls.rs
@@ -1,6 +1,7 @@
 //! The invoker calls that are out, each with one message or several.
 
 use super::*;
+use std::cmp::Reverse;
 
 /// A message that is out in a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -198,6 +199,12 @@
                 None => steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider })),
             }
         }
+        // For whoever answers, a call's time is its first message's: an answer after that counts for none of them, whatever
+        // it says. The one that lives longest leads, so that nobody waits beyond.
+        let lives = |(call, ..): &(CallId, _, _, _, _)| self.owed.get(&call.msg).map(|owed| owed.deadline);
+        if let Some((longest, _)) = parcels.iter().enumerate().max_by_key(|(n, p)| (lives(p), Reverse(*n))) {
+            parcels[..=longest].rotate_right(1);
+        }
         let (Some((addr, zone, dest)), Some((lead, invocation, stream, ..))) =
             (known, parcels.first().cloned())
         else {
--- a/core/tests/bundles.rs
+++ b/core/tests/bundles.rs
@@ -232,3 +232,30 @@
         assert!(out.iter().all(|call| call.provider == other), "apart: {apart}, {out:?}");
     }
 }
+
+/// An answer after the time of the call's first message counts for none of them: the one that lives longest stands first,
+/// whatever the order of the module, and at the end of its time the call is waited for by nobody.
+#[test]
+fn the_message_that_lives_longest_stands_first_in_a_call() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let alone: Vec<InvokerCall> = ["q0", "q1"].iter().flat_map(|id| hand_in(&mut hub, id, NOW)).collect();
+    for (n, id) in (0..).zip(["d2", "q3", "d4", "d5", "q6"]) {
+        // The fourth has the most time left though it comes before the last.
+        let (class, came) = (if id.starts_with('d') { "debit" } else { "quote" }, NOW + n * 100_000);
+        let time_left = if id == "d5" { 15_900_000 } else { 15_500_000 };
+        let (id, class, body) = (id.into(), class.into(), bytes::Bytes::from_static(b"body"));
+        let message = Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body };
+        assert_eq!(calls(hub.take_on(message, came).1).len(), 0);
+    }
+    alone.iter().for_each(|call| drop(hub.call_ended(call.call, CallEnd::Delivered, NOW + 450_000)));
+    let call = calls(hub.tick(NOW + 900_000)).remove(0);
+    let ids: Vec<&str> = call.parcels().map(|p| p.id.as_str()).collect();
+    assert_eq!((ids.len(), ids[0]), (5, "d5"), "{ids:?}");
+    let over = NOW + 300_000 + 15_900_000;
+    assert!(NOW + 900_000 + call.timeout <= over, "{} us", call.timeout);
+    // The answer would come a moment later.
+    hub.call_ended(call.call, CallEnd::TimedOut, over);
+    for id in ["d2", "d4", "d5"] {
+        assert_eq!(end_of(&hub, id), Some(End::Undeliverable), "{id}");
+    }
+}
