--- a/core/tests/bundles.rs
+++ b/core/tests/bundles.rs
@@ -206,3 +206,56 @@
     assert!(next.is_quiet());
     assert_eq!(next.router.notices(9).iter().filter(|n| n.ending == Ending::Undeliverable).count(), 0);
 }
+
+/// Two routes of one destination, of which one tells a wait: the pool holds that one alone, as the module does, and what
+/// it sends to the other leaves.
+#[test]
+fn a_wait_told_by_one_of_separate_routes_holds_no_other() {
+    for (apart, held) in [(true, false), (false, true)] {
+        let env =
+            Env { family_info: FamilyInfo { separate_routes: vec![apart], ..env().family_info }, ..env() };
+        let route = |id| Provider { kind: "k".into(), weight: 2.0, ..provider(id, 1, ListState::Ready) };
+        let list = ProviderList { version: 1, full: true, providers: vec![route("a"), route("b")] };
+        let (router, steps) = Router::open(&env, 7, list, Memory::default(), 999_999, NOW).unwrap();
+        let mut hub: World = Hub::new(router, Pool::new(15_000_000, 9));
+        hub.carry_out(steps, NOW);
+        let told = hand_in(&mut hub, "q0", NOW).remove(0);
+        let other = 1 - told.provider;
+        let now = NOW + 100_000;
+        let mut out = calls(hub.call_ended(told.call, CallEnd::Full(2_000_000), now));
+        assert!(!hub.pool.lets_through(told.provider, now), "apart: {apart}");
+        assert_eq!(hub.pool.lets_through(other, now), !held, "apart: {apart}");
+        out.extend((1..100).flat_map(|n| calls(hub.tick(now + n * 10_000))));
+        out.extend(hand_in(&mut hub, "q1", now + 1_000_000));
+        // Whatever the module lets go within the wait, the pool lets through.
+        assert_eq!(out.is_empty(), held, "apart: {apart}, {out:?}");
+        assert!(out.iter().all(|call| call.provider == other), "apart: {apart}, {out:?}");
+    }
+}
+
+/// An answer after the time of the call's first message counts for none of them: the one that lives longest stands first,
+/// whatever the order of the module, and at the end of its time the call is waited for by nobody.
+#[test]
+fn the_message_that_lives_longest_stands_first_in_a_call() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let alone: Vec<InvokerCall> = ["q0", "q1"].iter().flat_map(|id| hand_in(&mut hub, id, NOW)).collect();
+    for (n, id) in (0..).zip(["d2", "q3", "d4", "d5", "q6"]) {
+        // The fourth has the most time left though it comes before the last.
+        let (class, came) = (if id.starts_with('d') { "debit" } else { "quote" }, NOW + n * 100_000);
+        let time_left = if id == "d5" { 15_900_000 } else { 15_500_000 };
+        let (id, class, body) = (id.into(), class.into(), bytes::Bytes::from_static(b"body"));
+        let message = Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body };
+        assert_eq!(calls(hub.take_on(message, came).1).len(), 0);
+    }
+    alone.iter().for_each(|call| drop(hub.call_ended(call.call, CallEnd::Delivered, NOW + 450_000)));
+    let call = calls(hub.tick(NOW + 900_000)).remove(0);
+    let ids: Vec<&str> = call.parcels().map(|p| p.id.as_str()).collect();
+    assert_eq!((ids.len(), ids[0]), (5, "d5"), "{ids:?}");
+    let over = NOW + 300_000 + 15_900_000;
+    assert!(NOW + 900_000 + call.timeout <= over, "{} us", call.timeout);
+    // The answer would come a moment later.
+    hub.call_ended(call.call, CallEnd::TimedOut, over);
+    for id in ["d2", "d4", "d5"] {
+        assert_eq!(end_of(&hub, id), Some(End::Undeliverable), "{id}");
+    }
+}
