Match what a folder owes by name and by the stricter effect, and keep its place

Seen: (1) Record::Attempt (core/src/router/calls.rs) held its zone as a number that comes from the order of `failure_domains` and of lists; under another order the repeat of a message whose key one zone remembers went to another zone. (3) A table over nine tenths full as the process died was shed untried at the start: restored messages have `came` = now, the first that the module's `shed` looks for, and each Event::Restore runs it. (4) What has no class any more was ended as undeliverable even where it surely never ran, and its error named a number. (5) The mark of an upgrade's state left out the names of tenants and zones. (6) A clock set back between two lives lengthened the span for repeats by as much.

Ruled out: classes by position (they went by name already), destinations (numbers of the platform), holds (ids), an empty or old `known` (untried messages wait to the end of their time), a compaction (keeps all of it, tested through a copy).

Change: Record::Sent holds the effect that an attempt was sent under, with the zone's name where one zone alone remembers the key; Attempt is still read, its zone names none. `past` gives the module the stricter of both, and ends what today's effect can't express. `fresh` sets room aside for what is owed. Attempts in the future count as past their span.

PastCall has no zone any more: core/tests/adopt.rs and the fleet's tests write the same records without it.

--- a/core/src/journal.rs
+++ b/core/src/journal.rs
@@ -38,7 +38,7 @@
         msg: MsgId,
         taken: TakenOn,
     },
-    /// Written before the call's first byte leaves.
+    /// An earlier version's word for [`Record::Sent`]: its zone's number tells nothing under other settings.
     Attempt {
         msg: MsgId,
         zone: u32,
@@ -98,6 +98,25 @@
     SettlementOver {
         of: String,
     },
+    /// Written before the call's first byte leaves.
+    Sent {
+        msg: MsgId,
+        sent: Micros,
+        under: Under,
+    },
+}
+
+/// What a repeat of an attempt may do, by the settings that it was sent under: another life may have others. Zones go
+/// by their names, since numbers come from the settings too.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Under {
+    Safe,
+    /// Repeats are dropped for so long; by this zone's endpoints alone, if one is named.
+    Keyed {
+        span: Micros,
+        zone: Option<String>,
+    },
+    Unsafe,
 }
 
 /// What the journal has to know of such a line.
@@ -215,8 +234,9 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PastCall {
-    pub zone: u32,
     pub sent: Micros,
+    /// `None`: an earlier version sent it, and did not say.
+    pub under: Option<Under>,
     /// `None`: it was out when the process ended.
     pub never_ran: Option<bool>,
 }
@@ -237,7 +257,11 @@
     fn records(self, msg: MsgId) -> impl Iterator<Item = Record> {
         let Entry { taken, calls, end, stream, source } = self;
         let calls = calls.into_iter().enumerate().flat_map(move |(n, call)| {
-            let attempt = Record::Attempt { msg, zone: call.zone, sent: call.sent };
+            let PastCall { sent, under, .. } = call;
+            let attempt = match under {
+                Some(under) => Record::Sent { msg, sent, under },
+                None => Record::Attempt { msg, zone: 0, sent },
+            };
             let outcome =
                 call.never_ran.map(|never_ran| Record::Outcome { msg, attempt: n as u32, never_ran });
             std::iter::once(attempt).chain(outcome)
@@ -285,9 +309,14 @@
                 self.owed
                     .insert(msg, Entry { taken, calls: Vec::new(), end: None, stream: true, source: None });
             }
-            Record::Attempt { msg, zone, sent } => {
+            Record::Attempt { msg, zone: _, sent } => {
+                if let Some(entry) = self.owed.get_mut(&msg) {
+                    entry.calls.push(PastCall { sent, under: None, never_ran: None });
+                }
+            }
+            Record::Sent { msg, sent, under } => {
                 if let Some(entry) = self.owed.get_mut(&msg) {
-                    entry.calls.push(PastCall { zone, sent, never_ran: None });
+                    entry.calls.push(PastCall { sent, under: Some(under), never_ran: None });
                 }
             }
             Record::Outcome { msg, attempt, never_ran } => {
--- a/core/src/note.rs
+++ b/core/src/note.rs
@@ -29,8 +29,21 @@
     NotWritten(JournalError),
     #[error("rejected for want of room on disk: {0}")]
     NoRoom(JournalError),
-    #[error("journal: invocation {msg} has class {class:?}, which the settings lack")]
-    UnknownClass { msg: MsgId, class: String },
+    #[error(
+        "journal: invocation {id:?} has class {class:?}, which the settings lack: it is ended; where the class was \
+         renamed, let the old name stand beside the new one until this folder is empty"
+    )]
+    UnknownClass { id: String, class: String },
+    #[error(
+        "journal: invocation {id:?} may have run under a stricter effect of its class {class:?} than today's: it is ended \
+         as undeliverable; empty the folder under the old settings before an effect is changed"
+    )]
+    OtherEffect { id: String, class: String },
+    #[error(
+        "journal: an attempt in it lies in the future, since the clock was set back: no invocation with a span for \
+         repeats is sent again that may have run; let the clock be set before the courier starts"
+    )]
+    SetBack,
     #[error("not taken over: {id:?} is open or over here already")]
     NotAdopted { id: String },
     #[error("call {attempt} of invocation {msg} to provider {provider}: not known")]
@@ -42,8 +55,9 @@
         match self {
             Note::TakenOn { .. } | Note::Ended { .. } => Level::Debug,
             Note::Decided(_) | Note::Compacted { .. } | Note::NotAdopted { .. } => Level::Info,
-            Note::Torn(_) | Note::NoRoom(_) => Level::Warn,
-            Note::NotWritten(_) | Note::UnknownClass { .. } | Note::UnknownCall { .. } => Level::Error,
+            Note::Torn(_) | Note::NoRoom(_) | Note::SetBack => Level::Warn,
+            Note::NotWritten(_) | Note::UnknownClass { .. } | Note::OtherEffect { .. } => Level::Error,
+            Note::UnknownCall { .. } => Level::Error,
         }
     }
 }
--- a/core/src/router.rs
+++ b/core/src/router.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counters;
 use crate::flow::Cut;
 use crate::holds::{HoldError, Holds, ID_MAX};
-use crate::journal::{self, End, Journal, JournalError, Record, TakenOn};
+use crate::journal::{self, End, Journal, JournalError, Record, TakenOn, Under};
 use crate::note::Note;
 use crate::over::Over;
 use crate::store::Store;
@@ -12,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 use spurshore::breaks::{self, Break};
 use spurshore::{
-    Entry, Facade, Item, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt, Report,
-    Settings, SettingsError,
+    Effect, Entry, Facade, Item, ListKind, ListState, Message, Micros, MsgId, Order, Outcome, PastAttempt,
+    Report, Settings, SettingsError,
 };
 use spurshore_settings::{Env, Names, settings};
 use spurshore_tables::Line;
@@ -112,6 +112,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Owed {
     parcel: Arc<Parcel>,
+    /// Its number in this life's settings; none that they have: it is ended as it is found.
+    class: usize,
     dest: u64,
     deadline: Micros,
     /// Ended, and the platform has yet to confirm it.
@@ -125,6 +127,8 @@
 pub struct Router<S> {
     facade: Facade,
     classes: Arc<[String]>,
+    /// What a repeat of each class may do.
+    effects: Arc<[Effect]>,
     kinds: Arc<[String]>,
     zones: Arc<Names>,
     open_cap: usize,
@@ -173,20 +177,30 @@
 }
 
 impl<S: Store> Router<S> {
-    /// One that owes nothing and knows nobody.
+    /// One that owes nothing and knows nobody, and is to be given so many messages that are owed already. What was
+    /// taken on has its place: where these alone are more than the module's share of the table, it would turn some away
+    /// before it tried them. New ones are let in below `open_cap` as ever.
     fn fresh(
         env: &Env,
         streams: Option<StreamLimits>,
+        owed: usize,
         facade: impl FnOnce(Settings) -> Result<Facade, SettingsError>,
         journal: Journal<S>,
         next: MsgId,
         notes: Vec<Note>,
     ) -> Result<Self, RouterError> {
-        let (settings, zones) = settings_of(env, streams)?;
+        let (mut settings, zones) = settings_of(env, streams)?;
         let open_cap = settings.open_cap as usize;
+        // The module sheds beyond nine tenths.
+        let room = u32::try_from(owed + owed / 8 + 2).unwrap_or(u32::MAX);
+        if owed > open_cap / 10 * 9 {
+            settings.open_cap = settings.open_cap.max(room);
+        }
+        let effects = settings.classes.iter().map(|class| class.effect).collect();
         Ok(Router {
             facade: facade(settings)?,
             classes: env.categories.iter().map(|c| c.name.clone()).collect(),
+            effects,
             kinds: env.skus.as_slice().into(),
             zones: Arc::new(zones),
             open_cap,
@@ -292,8 +306,8 @@
         let number = tenant.as_ref().and_then(|name| self.tenants.iter().position(|t| t == name));
         let parcel = Arc::new(Parcel { id, key, tenant: tenant.map(String::into_boxed_str), body });
         let of_stream = stream.then(Stream::default);
-        self.owed.insert(msg, Owed { parcel, dest, deadline, end: None, noted: 0, stream: of_stream });
         let class = class_number;
+        self.owed.insert(msg, Owed { parcel, class, dest, deadline, end: None, noted: 0, stream: of_stream });
         steps.push(Step::Note(Note::TakenOn { msg, dest, class, time_left }));
         let tenant = number;
         let message = Message { id: msg, class, tenant, key: None, deadline, hint: None, dest, stream, size };
--- a/core/src/router/calls.rs
+++ b/core/src/router/calls.rs
@@ -165,6 +165,18 @@
         self.out_at.range((provider, first)..=(provider, last)).map(|(_, call)| *call)
     }
 
+    /// What another life has to know of an attempt in this zone; the strictest where the settings do not say.
+    fn under(&self, class: Option<usize>, zone: u32) -> Under {
+        match class.and_then(|class| self.effects.get(class)) {
+            Some(Effect::Safe) => Under::Safe,
+            Some(Effect::Keyed { span, by_zone }) => {
+                let name = || self.zones.name(u64::from(zone)).to_string();
+                Under::Keyed { span: *span, zone: by_zone.then(name) }
+            }
+            Some(Effect::Unsafe) | None => Under::Unsafe,
+        }
+    }
+
     pub(super) fn call(&mut self, provider: u32, items: &[Item], now: Micros, steps: &mut Vec<Step>) {
         let known = self.providers.get(&provider).and_then(|p| Some((p.addr?, p.zone, p.dest)));
         let mut parcels = Vec::with_capacity(items.len());
@@ -198,7 +210,10 @@
             self.bundles.insert(lead, parcels.iter().map(|(item, ..)| *item).collect());
         }
         // Without their records the messages must not leave: after a restart the call would count as never made.
-        let record = |(item, ..): &(CallId, _, _, _, _)| Record::Attempt { msg: item.msg, zone, sent: now };
+        let record = |(item, ..): &(CallId, _, _, _, _)| {
+            let class = self.owed.get(&item.msg).map(|owed| owed.class);
+            Record::Sent { msg: item.msg, sent: now, under: self.under(class, zone) }
+        };
         let records: Vec<Record> = parcels.iter().map(record).collect();
         if !breaks::on(Break::AttemptUnwritten) && !self.write_all(&records, now) {
             return steps.push(Step::NotWritten(lead));
--- a/core/src/router/list.rs
+++ b/core/src/router/list.rs
@@ -20,7 +20,7 @@
 }
 
 /// A name's number; a name that is known copies nothing.
-fn number(names: &mut Arc<Names>, name: &str) -> u64 {
+pub(super) fn number(names: &mut Arc<Names>, name: &str) -> u64 {
     names.known(name).unwrap_or_else(|| Arc::make_mut(names).number(name))
 }
 
--- a/core/src/router/restore.rs
+++ b/core/src/router/restore.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// The zone of another courier's attempt: none that has a number here, so that a repeat which only one zone would know
-/// for what it is goes to none.
+/// The zone of an attempt whose zone is not told: none that has a number here, so that a repeat which only one zone would
+/// know for what it is goes to none.
 const ELSEWHERE: u32 = u32::MAX;
 
 impl<S: Store> Router<S> {
@@ -36,9 +36,15 @@
         now: Micros,
     ) -> Result<(Self, Vec<Step>), RouterError> {
         let mut notes = Vec::new();
-        let (journal, book) = Journal::open(store, disk, now, &mut notes)?;
+        let (journal, mut book) = Journal::open(store, disk, now, &mut notes)?;
+        let calls = || book.owed.values().flat_map(|entry| &entry.calls);
+        if calls().any(|call| call.sent > now) {
+            // The clock was set back: how long ago an attempt was can't be told, and its repeat may come too late.
+            notes.push(Note::SetBack);
+            book.owed.values_mut().flat_map(|entry| &mut entry.calls).for_each(|call| call.sent = 0);
+        }
         let facade = |settings| Facade::new(settings, seed);
-        let mut router = Self::fresh(env, streams, facade, journal, book.next, notes)?;
+        let mut router = Self::fresh(env, streams, book.owed.len(), facade, journal, book.next, notes)?;
         router.holds = book.holds;
         let mut steps = router.list(known, now);
         router.heard = false;
@@ -77,15 +83,13 @@
         self.forget(now);
         let mut steps = Vec::new();
         let (mut fresh, mut ids) = (BTreeMap::new(), BTreeSet::new());
-        for mut entry in entries {
+        for entry in entries {
             let id = &entry.taken.id;
             let known = self.ids.contains_key(id) || self.over.contains(id);
             if known || entry.end == Some(End::Delivered) || !ids.insert(id.clone()) {
                 steps.push(Step::Note(Note::NotAdopted { id: id.clone() }));
                 continue;
             }
-            // The other courier's numbers of zones stand for other names here.
-            entry.calls.iter_mut().for_each(|call| call.zone = ELSEWHERE);
             fresh.insert(self.next + fresh.len() as MsgId, entry);
         }
         if !fresh.is_empty() || !lines.0.is_empty() {
@@ -108,9 +112,11 @@
             End::Deferred { after } => Ending::Deferred(after),
             End::Delivered | End::Undeliverable => Ending::Undeliverable,
         });
+        // Numbers of classes are this life's: what was taken on goes by its class's name.
+        let known = self.classes.iter().position(|c| *c == class);
         self.ids.insert(id.clone(), msg);
         let size = size(&id, key.as_deref(), &body);
-        let parcel = Arc::new(Parcel { id, key, tenant: None, body });
+        let parcel = Arc::new(Parcel { id: id.clone(), key, tenant: None, body });
         let noted = entry.calls.len() as u32;
         // Its consumer and its body went with the life before.
         let stream = entry.stream.then(|| Stream {
@@ -119,16 +125,18 @@
             deaf: true,
             ..Stream::default()
         });
-        self.owed.insert(msg, Owed { parcel, dest, deadline, end, noted, stream });
+        let number = known.unwrap_or(usize::MAX);
+        self.owed.insert(msg, Owed { parcel, class: number, dest, deadline, end, noted, stream });
         if end.is_some() {
             self.notices.push_back(msg);
             steps.push(Step::Notify);
             return;
         }
-        let Some(class) = self.classes.iter().position(|c| *c == class) else {
+        let Some(number) = known else {
             // The settings have changed since: nothing can be decided about it any more.
-            steps.push(Step::Note(Note::UnknownClass { msg, class }));
-            return self.end(msg, Ending::Undeliverable, now, steps);
+            let ran = entry.calls.iter().any(|call| call.never_ran != Some(true));
+            steps.push(Step::Note(Note::UnknownClass { id, class }));
+            return self.end(msg, if ran { Ending::Undeliverable } else { Ending::Deferred(0) }, now, steps);
         };
         if let Some(stream) = stream {
             return self.end(msg, stream.ending(), now, steps);
@@ -137,14 +145,14 @@
             // Nothing can be delivered any more, and an end that the store refused may have been told.
             return self.end(msg, Ending::Undeliverable, now, steps);
         }
-        let past = entry.calls.iter().map(|call| PastAttempt {
-            zone: call.zone,
-            sent: call.sent,
-            may_have_run: call.never_ran != Some(true),
-        });
+        let Some(past) = entry.calls.iter().map(|call| self.past(number, call)).collect::<Option<Vec<_>>>()
+        else {
+            steps.push(Step::Note(Note::OtherEffect { id, class }));
+            return self.end(msg, Ending::Undeliverable, now, steps);
+        };
         let message = Message {
             id: msg,
-            class,
+            class: number,
             tenant: None,
             key: None,
             deadline,
@@ -153,8 +161,32 @@
             stream: false,
             size,
         };
-        let past = past.filter(|_| !breaks::on(Break::ForgetPast)).collect();
+        let past = if breaks::on(Break::ForgetPast) { Vec::new() } else { past };
         let orders = self.facade.restore(now, message, past);
         self.carry_out(orders, now, steps);
     }
+
+    /// An attempt of another life as the module is to see it: the stricter holds of what a repeat could do then and could
+    /// do now. `None`: the class's effect of today can't say what was stricter then, and no repeat is allowed.
+    fn past(&mut self, class: usize, call: &journal::PastCall) -> Option<PastAttempt> {
+        let may_have_run = call.never_ran != Some(true);
+        let as_is = PastAttempt { zone: ELSEWHERE, sent: call.sent, may_have_run };
+        let effect = *self.effects.get(class)?;
+        match (&call.under, effect) {
+            // Nothing ran, nothing was stricter, or the module never repeats it.
+            (None | Some(Under::Safe), _) | (_, Effect::Unsafe) => Some(as_is),
+            _ if !may_have_run => Some(as_is),
+            (Some(Under::Unsafe), _) | (Some(Under::Keyed { .. }), Effect::Safe) => None,
+            (Some(Under::Keyed { zone: Some(_), .. }), Effect::Keyed { by_zone: false, .. }) => None,
+            (Some(Under::Keyed { span: then, zone }), Effect::Keyed { span, .. }) => {
+                let zone = zone.as_ref().map_or(ELSEWHERE, |name| list::number(&mut self.zones, name) as u32);
+                // Sent so much earlier, its span of today ends with the one of then.
+                Some(PastAttempt {
+                    zone,
+                    sent: call.sent.saturating_sub(span.saturating_sub(*then)),
+                    may_have_run,
+                })
+            }
+        }
+    }
 }
--- a/core/src/router/seen.rs
+++ b/core/src/router/seen.rs
@@ -8,7 +8,7 @@
     pub fn see(&self, eye: &mut impl Eye) {
         #[rustfmt::skip]
         let Router {
-            facade, classes: _, kinds: _, zones: _, open_cap: _, streams_most: _, provider_names, providers, holds, version: _, heard,
+            facade, classes: _, effects: _, kinds: _, zones: _, open_cap: _, streams_most: _, provider_names, providers, holds, version: _, heard,
             // These three follow from the others.
             by_dest: _, went: _, out_at: _, waits: _, second_copies: _, tenants: _,
             journal: _, unsettled: _, owed, bundles, ids: _, over, out, notices, unwritten, write_at, next: _, stopping, watched: _, watched_ends: _, notes: _, counters: _,
@@ -32,7 +32,7 @@
             eye.time(gone.unwrap_or(Micros::MAX));
         }
         for (id, o) in owed {
-            let Owed { parcel, dest, deadline, end, noted, stream } = o;
+            let Owed { parcel, class: _, dest, deadline, end, noted, stream } = o;
             if let Some(Stream { committed, may_have_run, cut, over, deaf }) = stream {
                 [*committed, *may_have_run, cut.is_some(), *over, *deaf]
                     .into_iter()
--- a/core/src/router/state.rs
+++ b/core/src/router/state.rs
@@ -42,7 +42,9 @@
 pub fn mark(env: &Env, streams: Option<StreamLimits>) -> Result<u32, RouterError> {
     let (settings, _) = settings_of(env, streams)?;
     let classes: Vec<_> = env.categories.iter().map(|c| &c.name).collect();
-    Ok(crc32fast::hash(format!("{settings:?} {classes:?} {:?} {streams:?}", env.skus).as_bytes()))
+    let tenants: Vec<_> = env.tenants.iter().map(|t| &t.name).collect();
+    let names = format!("{classes:?} {:?} {tenants:?} {:?} {:?}", env.skus, env.zone, env.failure_domains);
+    Ok(crc32fast::hash(format!("{settings:?} {names} {streams:?}").as_bytes()))
 }
 
 impl<S: Store> Router<S> {
@@ -96,7 +98,7 @@
             return Err(ResumeError::OtherJournal);
         }
         let facade = |settings| state.facade.resume(settings);
-        let mut router = Self::fresh(env, streams, facade, journal, state.next, notes)?;
+        let mut router = Self::fresh(env, streams, state.owed.len(), facade, journal, state.next, notes)?;
         (router.zones, router.provider_names) = (Arc::new(state.zones), Arc::new(state.provider_names));
         router.holds = state.holds;
         let mut steps = Vec::new();
--- a/core/src/router/watch.rs
+++ b/core/src/router/watch.rs
@@ -87,7 +87,10 @@
         self.ids.insert(id.clone(), msg);
         // Nothing of it is sent: whose it was matters no more.
         let parcel = Arc::new(Parcel { id, key, tenant: None, body });
-        self.owed.insert(msg, Owed { parcel, dest, deadline, end: Some(ending), noted: 0, stream: None });
+        self.owed.insert(
+            msg,
+            Owed { parcel, class: usize::MAX, dest, deadline, end: Some(ending), noted: 0, stream: None },
+        );
         self.notices.push_back(msg);
         steps.push(Step::Notify);
         self.say(&mut steps);
--- a/core/tests/adopt.rs
+++ b/core/tests/adopt.rs
@@ -45,7 +45,7 @@
 
 /// Its last attempt began, and nothing tells how it fared.
 fn out(id: &str) -> Entry {
-    Entry { calls: vec![PastCall { zone: 0, sent: NOW - 9, never_ran: None }], ..owed(id) }
+    Entry { calls: vec![PastCall { sent: NOW - 9, under: None, never_ran: None }], ..owed(id) }
 }
 
 fn of(class: &str, entry: Entry) -> Entry {
@@ -63,7 +63,8 @@
 #[test]
 fn what_another_book_owes_goes_on_as_after_a_restart() {
     let mut hub = open(Memory::default(), DISK);
-    let refused = Entry { calls: vec![PastCall { zone: 0, sent: 5, never_ran: Some(true) }], ..owed("back") };
+    let refused =
+        Entry { calls: vec![PastCall { sent: 5, under: None, never_ran: Some(true) }], ..owed("back") };
     let ended = Entry { end: Some(End::Deferred { after: 70 }), ..owed("ended") };
     let late = Entry { taken: TakenOn { deadline: NOW, ..owed("late").taken }, ..owed("late") };
     let stream = Entry { stream: true, ..out("stream") };
--- /dev/null
+++ b/core/tests/restart.rs
@@ -0,0 +1,405 @@
+//! What a restart finds, in the core: tried whatever else stands against it, and matched by name under other settings.
+
+mod common;
+use bytes::Bytes;
+use common::{NOW, World, calls, class, killed, provider};
+use quillmount_core::hub::Hub;
+use quillmount_core::journal::{Book, End, Journal, Record, TakenOn, Under, frame};
+use quillmount_core::note::{Level, Note};
+use quillmount_core::pool::Pool;
+use quillmount_core::router::{Intake, Router, Step, mark};
+use quillmount_core::store::{Fault, Memory};
+use quillmount_core::{CallEnd, Ending, Invocation, InvokerCall, Notice, Provider, ProviderList};
+use spurshore::{ListState, Micros, MsgId};
+use spurshore_settings::{Category, Env, Tenant};
+use std::collections::BTreeSet;
+
+const DISK: u64 = 3_000_000;
+const LIFE: Micros = 16_000_000;
+
+fn dedup(name: &str, span_ms: f64, scope: &str) -> Category {
+    Category { memory_span_ms: span_ms, dedup_scope: Some(scope.into()), ..class(name, "dedup") }
+}
+
+fn env(categories: Vec<Category>) -> Env {
+    Env { categories, ..Env::default() }
+}
+
+fn list(lines: &[(&str, u64, &str)]) -> ProviderList {
+    // Each has a port by its place.
+    let line = |((id, dest, zone), port): (&(&str, u64, &str), u16)| Provider {
+        zone: (*zone).into(),
+        addr: Some(([127, 0, 0, 1], port).into()),
+        ..provider(id, *dest, ListState::Ready)
+    };
+    ProviderList { version: 2, full: true, providers: lines.iter().zip(1..).map(line).collect() }
+}
+
+fn none() -> ProviderList {
+    ProviderList { version: 0, full: true, providers: Vec::new() }
+}
+
+fn taken(n: u64, class: &str) -> TakenOn {
+    let (id, key) = (format!("m{n}"), Some(format!("k{n}")));
+    TakenOn { id, class: class.into(), key, dest: 1, deadline: NOW + LIFE, body: Bytes::from_static(b"body") }
+}
+
+/// A folder with these records.
+fn folder(records: &[Record]) -> Memory {
+    Memory::of(records.iter().flat_map(|record| frame(record).unwrap()).collect())
+}
+
+/// The next life, what it begins at once, and the errors that it logs.
+fn open(
+    env: &Env,
+    known: ProviderList,
+    store: Memory,
+    now: Micros,
+) -> (World, Vec<InvokerCall>, Vec<String>) {
+    let (router, steps) = Router::open(env, 7, known, store, DISK, now).unwrap();
+    let errors = steps.iter().filter_map(|step| match step {
+        Step::Note(note) if note.level() == Level::Error => Some(note.to_string()),
+        _ => None,
+    });
+    let errors = errors.collect();
+    let mut hub = Hub::new(router, Pool::new(15_000_000, 99));
+    let begun = calls(hub.carry_out(steps, now));
+    (hub, begun, errors)
+}
+
+fn hand_in(hub: &mut World, id: &str, class: &str, now: Micros) -> (Intake, Vec<InvokerCall>) {
+    let (id, class, body) = (id.to_string(), class.to_string(), Bytes::from_static(b"body"));
+    let key = Some(id.clone());
+    let invocation = Invocation { id, class, key, dest: 1, tenant: None, time_left: LIFE, body };
+    let (intake, todo) = hub.take_on(invocation, now);
+    (intake, calls(todo))
+}
+
+fn ends(hub: &World) -> Vec<(MsgId, Ending)> {
+    hub.router.notices(9_999).into_iter().map(|Notice { msg, ending, .. }| (msg, ending)).collect()
+}
+
+/// Plays on, each call delivered, until the time; the messages that were called.
+fn played(hub: &mut World, mut out: Vec<InvokerCall>, mut now: Micros, until: Micros) -> BTreeSet<MsgId> {
+    let mut called = BTreeSet::new();
+    loop {
+        while let Some(call) = out.pop() {
+            called.insert(call.call.msg);
+            out.extend(calls(hub.call_ended(call.call, CallEnd::Delivered, now)));
+        }
+        match hub.router.wake_at().filter(|at| *at <= until) {
+            Some(at) => now = now.max(at),
+            None => return called,
+        }
+        out.extend(calls(hub.tick(now)));
+    }
+}
+
+/// A table that was full, with calls out as the process was killed: the module sheds beyond nine tenths what it has
+/// only just been given, and all of this is.
+#[test]
+fn what_fills_the_table_is_kept_by_a_restart_and_tried_before_anything_new_comes_in() {
+    for (cap, owed) in [(20, 20), (10, 20), (1, 3), (20, 18), (1_000, 1)] {
+        let settings = Env {
+            limits: spurshore_settings::Limits { open_cap: Some(cap), ..Default::default() },
+            ..env(vec![class("fee-debit", "fragile")])
+        };
+        let records: Vec<_> =
+            (0..owed).map(|msg| Record::TakeOn { msg, taken: taken(msg, "fee-debit") }).collect();
+        let (mut hub, begun, _) = open(&settings, none(), folder(&records), NOW);
+        assert_eq!((ends(&hub).len(), begun.len()), (0, 0), "{owed} in a table of {cap}");
+        // An upgrade right then keeps them too.
+        let state = hub.state(mark(&settings, None).unwrap());
+        let (next, _) =
+            Router::resume(&settings, None, state.router, killed(&hub), DISK, NOW + 1_000).unwrap();
+        hub = Hub::new(next, Pool::new(15_000_000, 99));
+        hub.tick(NOW + 1_000_000);
+        assert_eq!(ends(&hub).len(), 0, "{owed} in a table of {cap}");
+        let now = NOW + 1_000_000;
+        let begun = calls(hub.list(list(&[("a", 1, "z")]), now));
+        if owed >= u64::from(cap) {
+            let (intake, _) = hand_in(&mut hub, "new", "fee-debit", now);
+            assert!(matches!(intake, Intake::Rejected { .. }), "{intake:?}");
+        }
+        assert_eq!(played(&mut hub, begun, now, now + 10_000_000), (0..owed).collect(), "{cap}");
+        // Its place goes with it: the table's limit is the settings' from here on.
+        let taken_on = (0..2 * u64::from(cap).min(50)).filter(|n| {
+            hand_in(&mut hub, &format!("n{n}"), "fee-debit", now + 10_000_000).0 == Intake::TakenOn
+        });
+        assert!(taken_on.count() <= cap as usize);
+    }
+}
+
+/// Neither an empty `known` nor one that lacks the destination, nor discovery that is silent or fails ends what is owed
+/// before its time is up; the first list that has it is enough.
+#[test]
+fn what_is_untried_waits_for_a_list_to_the_end_of_its_time() {
+    let settings = env(vec![class("fee-debit", "fragile")]);
+    for known in [none(), list(&[("x", 9, "z")])] {
+        let records: Vec<_> =
+            (0..9).map(|msg| Record::TakeOn { msg, taken: taken(msg, "fee-debit") }).collect();
+        let (mut hub, begun, _) = open(&settings, known, folder(&records), NOW);
+        let late = NOW + LIFE - 1_000_000;
+        assert!(played(&mut hub, begun, NOW, late).is_empty());
+        assert_eq!(ends(&hub), []);
+        let begun = calls(hub.list(list(&[("a", 1, "z")]), late));
+        assert_eq!(played(&mut hub, begun, late, late + 500_000).len(), 9);
+    }
+}
+
+/// Classes renamed, reordered and removed: a class goes by its name alone.
+#[test]
+fn what_is_owed_goes_by_its_classs_name_and_ends_with_an_error_where_none_has_it() {
+    let records = [
+        Record::TakeOn { msg: 1, taken: taken(1, "fee-debit") },
+        Record::Sent { msg: 1, sent: NOW - 9, under: Under::Unsafe },
+        Record::TakeOn { msg: 2, taken: taken(2, "paid-notice") },
+        Record::Sent { msg: 2, sent: NOW - 9, under: Under::Safe },
+        Record::TakeOn { msg: 3, taken: taken(3, "gone") },
+        Record::TakeOn { msg: 4, taken: taken(4, "gone") },
+        Record::Sent { msg: 4, sent: NOW - 9, under: Under::Safe },
+        Record::TakeOn { msg: 5, taken: taken(5, "gone") },
+        Record::Sent { msg: 5, sent: NOW - 9, under: Under::Safe },
+        Record::Outcome { msg: 5, attempt: 0, never_ran: true },
+    ];
+    let settings = env(vec![class("paid-notice", "retryable"), class("fee-debit", "fragile")]);
+    let (mut hub, begun, errors) = open(&settings, list(&[("a", 1, "z")]), folder(&records), NOW);
+    // What never ran may be handed in again; of the rest nobody can promise anything.
+    let failed = Ending::Undeliverable;
+    let wanted = [(1, failed), (3, Ending::Deferred(0)), (4, failed), (5, Ending::Deferred(0))];
+    let mut found = ends(&hub);
+    found.sort_by_key(|(msg, _)| *msg);
+    assert_eq!(found, wanted);
+    assert_eq!(played(&mut hub, begun, NOW, NOW + 1_000_000), BTreeSet::from([2]));
+    assert_eq!(errors.len(), 3, "{errors:?}");
+    for (error, id) in errors.iter().zip(["m3", "m4", "m5"]) {
+        for word in [id, "\"gone\"", "the old name"] {
+            assert!(error.contains(word), "{error}");
+        }
+    }
+}
+
+/// The effect of a class has changed: an attempt that may have run was sent under the old one, and the stricter holds.
+#[test]
+fn the_stricter_effect_holds_for_what_may_have_run() {
+    let keyed = |span: Micros, zone: Option<&str>| Under::Keyed { span, zone: zone.map(Into::into) };
+    let now_safe = || class("c", "retryable");
+    let now_once = || class("c", "fragile");
+    let now_keyed = |span_ms| dedup("c", span_ms, "all");
+    let second = 1_000_000;
+    // The attempt's effect, today's, how long ago it was sent, and whether it is called again.
+    let cases = [
+        (Under::Safe, now_safe(), 5 * second, true),
+        (Under::Unsafe, now_safe(), 0, false),
+        (Under::Unsafe, now_keyed(6_000.0), 0, false),
+        (Under::Safe, now_once(), 0, false),
+        (keyed(6 * second, None), now_once(), 0, false),
+        (keyed(6 * second, None), now_safe(), 0, false),
+        (keyed(6 * second, None), now_keyed(6_000.0), 5 * second, true),
+        (keyed(6 * second, None), now_keyed(6_000.0), 6 * second, false),
+        (keyed(2 * second, None), now_keyed(6_000.0), second, true),
+        (keyed(2 * second, None), now_keyed(6_000.0), 2 * second, false),
+        (keyed(6 * second, None), now_keyed(2_000.0), second, true),
+        (keyed(6 * second, None), now_keyed(2_000.0), 2 * second, false),
+        (keyed(6 * second, Some("z")), now_keyed(6_000.0), 0, false),
+        (keyed(6 * second, Some("z")), dedup("c", 6_000.0, "zone"), second, true),
+        (keyed(6 * second, Some("y")), dedup("c", 6_000.0, "zone"), second, false),
+        (keyed(6 * second, None), dedup("c", 6_000.0, "zone"), second, false),
+    ];
+    for (under, today, ago, again) in cases {
+        let what = format!("{under:?} and {:?}, {ago} us ago", today.effect);
+        let sent = Record::Sent { msg: 1, sent: NOW - ago, under: under.clone() };
+        let settings = env(vec![class("other", "retryable"), today]);
+        let ran = [Record::TakeOn { msg: 1, taken: taken(1, "c") }, sent];
+        let (mut hub, begun, errors) = open(&settings, list(&[("a", 1, "z")]), folder(&ran), NOW);
+        assert_eq!(!played(&mut hub, begun, NOW, NOW + LIFE).is_empty(), again, "{what}");
+        assert_eq!(ends(&hub).len(), usize::from(!again), "{what}");
+        assert!(errors.iter().all(|error| error.contains("\"m1\"") && error.contains("\"c\"")), "{errors:?}");
+        // What has surely not run goes by today's effect.
+        let never = Record::Outcome { msg: 1, attempt: 0, never_ran: true };
+        let not = [ran[0].clone(), ran[1].clone(), never];
+        let (mut hub, begun, errors) = open(&settings, list(&[("a", 1, "z")]), folder(&not), NOW);
+        assert_eq!((played(&mut hub, begun, NOW, NOW + LIFE).len(), errors.len()), (1, 0), "{what}");
+    }
+}
+
+/// A key that only one zone remembers: the zone goes by its name, through a copy too, however the settings and the lists
+/// of the next life number them.
+#[test]
+fn a_repeat_that_one_zone_alone_would_drop_goes_to_the_zone_of_that_name() {
+    let zoned = |zones: &[&str], own: &str| Env {
+        failure_domains: zones.iter().map(|z| z.to_string()).collect(),
+        zone: Some(own.into()),
+        ..env(vec![dedup("c", 6_000.0, "zone")])
+    };
+    let (mut hub, ..) = open(&zoned(&["west", "east"], "west"), none(), Memory::default(), NOW);
+    hub.list(list(&[("w", 1, "west"), ("f", 2, "far")]), NOW);
+    let (_, out) = hand_in(&mut hub, "m", "c", NOW);
+    assert_eq!(out.len(), 1);
+    let kill = killed(&hub);
+    assert!(kill.bytes().windows(4).any(|word| word == b"west"));
+    let mut torn = kill.bytes().to_vec();
+    torn.extend([9, 0, 0, 0, 1]);
+    for store in [kill, Memory::of(torn)] {
+        for zones in [vec!["east", "west"], vec!["west", "east"], vec![]] {
+            let settings = zoned(&zones, "east");
+            let known = list(&[("f", 1, "far"), ("e", 1, "east")]);
+            let (mut hub, begun, _) = open(&settings, known, store.clone(), NOW + 1_000_000);
+            assert_eq!(begun.len(), 0, "{zones:?}: no other zone knows the key");
+            let all = list(&[("f", 1, "far"), ("e", 1, "east"), ("w", 1, "west")]);
+            let begun = calls(hub.list(all, NOW + 1_000_000));
+            assert_eq!(begun.len(), 1, "{zones:?}");
+            assert_eq!(begun[0].addr.port(), 3, "{zones:?}");
+        }
+    }
+    // An earlier version wrote numbers: they name no zone.
+    let old =
+        [Record::TakeOn { msg: 1, taken: taken(1, "c") }, Record::Attempt { msg: 1, zone: 0, sent: NOW }];
+    let (_, begun, _) = open(&zoned(&["west"], "west"), list(&[("w", 1, "west")]), folder(&old), NOW);
+    assert_eq!(begun.len(), 0);
+}
+
+/// The wall clock was set back between two lives: how long ago an attempt was sent is not known any more.
+#[test]
+fn a_clock_that_was_set_back_lengthens_no_span_for_repeats() {
+    let settings = env(vec![dedup("c", 2_000.0, "all"), class("s", "retryable")]);
+    let sent = |msg, sent, under| Record::Sent { msg, sent, under };
+    let keyed = || Under::Keyed { span: 2_000_000, zone: None };
+    let records = [
+        Record::TakeOn { msg: 1, taken: taken(1, "c") },
+        sent(1, NOW - 100_000, keyed()),
+        Record::TakeOn { msg: 2, taken: taken(2, "s") },
+        sent(2, NOW, Under::Safe),
+        Record::TakeOn { msg: 3, taken: taken(3, "c") },
+    ];
+    let known = || list(&[("a", 1, "z")]);
+    let begun = |now| {
+        let (mut hub, begun, _) = open(&settings, known(), folder(&records), now);
+        played(&mut hub, begun, now, now)
+    };
+    assert_eq!(begun(NOW), BTreeSet::from([1, 2, 3]));
+    assert_eq!(begun(NOW - 1), BTreeSet::from([2, 3]), "the first may be as old as one likes");
+    // Set forward, it only cuts a span short.
+    assert_eq!(begun(NOW + 3_000_000), BTreeSet::from([2, 3]));
+}
+
+/// The state of an upgrade numbers classes, zones and tenants: another order of the same figures is another customer.
+#[test]
+fn the_state_of_an_upgrade_is_not_taken_under_other_names() {
+    let tenants = |names: [&str; 2]| names.map(|n| Tenant { name: n.into(), allowance_per_s: 5.0 }).into();
+    let settings = || Env {
+        tenants: tenants(["a", "b"]),
+        failure_domains: vec!["x".into(), "y".into()],
+        zone: Some("x".into()),
+        skus: vec!["bank".into(), "post".into()],
+        ..env(vec![class("one", "fragile"), class("two", "fragile")])
+    };
+    let others = [
+        Env { tenants: tenants(["b", "a"]), ..settings() },
+        Env { failure_domains: vec!["y".into(), "x".into()], zone: Some("y".into()), ..settings() },
+        Env { skus: vec!["post".into(), "bank".into()], ..settings() },
+        Env { categories: vec![class("two", "fragile"), class("one", "fragile")], ..settings() },
+        Env { categories: vec![class("one", "retryable"), class("two", "fragile")], ..settings() },
+    ];
+    let own = mark(&settings(), None).unwrap();
+    assert_eq!(own, mark(&settings(), None).unwrap());
+    for (n, other) in others.iter().enumerate() {
+        assert_ne!(own, mark(other, None).unwrap(), "{n}");
+    }
+}
+
+/// The process dies at any byte of any write of a message's way: between its record and the 202, its attempt and the first
+/// byte, its outcome and its end, its end and its notice. The next life has each step or the one before it.
+#[test]
+fn a_kill_at_any_byte_of_any_write_is_taken_up_by_the_next_life() {
+    let settings = env(vec![class("fee-debit", "fragile"), class("status", "retryable")]);
+    let mut met = BTreeSet::new();
+    for class in ["fee-debit", "status"] {
+        for last in [CallEnd::Delivered, CallEnd::Reset, CallEnd::Full(0)] {
+            for (after, bytes) in (0..6).flat_map(|after| (0..40).map(move |bytes| (after, bytes))) {
+                let (mut hub, ..) = open(&settings, none(), Memory::default(), NOW);
+                hub.list(list(&[("a", 1, "z")]), NOW);
+                hub.router.journal_mut().store_mut().fail(Fault::Die { after, bytes });
+                let alive = |hub: &World| !hub.router.journal().store().is_dead();
+                let (_, out) = hand_in(&mut hub, "m", class, NOW);
+                // What a life does after its death reaches nobody: neither its 202 nor the first byte of a call.
+                let sent = alive(&hub) && !out.is_empty();
+                // The record of a take-on is the first write of all.
+                let accepted = alive(&hub) || after > 0;
+                if sent {
+                    hub.call_ended(out[0].call, last, NOW);
+                }
+                let ended = alive(&hub);
+                let notices = hub.router.notices(9);
+                if ended && !notices.is_empty() {
+                    hub.told(&notices, NOW);
+                }
+                let told = alive(&hub);
+                let book = Book::read(killed(&hub).bytes()).0;
+                let (mut next, begun, _) = open(&settings, list(&[("a", 1, "z")]), killed(&hub), NOW);
+                let what =
+                    format!("{class}, {last:?}, killed after {after} writes and {bytes} bytes: {book:?}");
+                let found = (begun.len(), next.router.notices(9).len());
+                let entry = book.owed.values().next();
+                let knows = entry.is_some() || !book.over.is_empty();
+                assert!(knows || !accepted, "{what}: taken on");
+                let noted = entry.is_none_or(|entry| !entry.calls.is_empty());
+                assert!(noted || !sent, "{what}: a byte may have left");
+                match entry {
+                    None => assert_eq!(found, (0, 0), "{what}"),
+                    Some(entry) if entry.end.is_some() => assert_eq!(found, (0, 1), "{what}"),
+                    Some(entry) => {
+                        let ran = entry.calls.iter().any(|call| call.never_ran != Some(true));
+                        let again = class == "status" || !ran;
+                        assert_eq!(found, if again { (1, 0) } else { (0, 1) }, "{what}");
+                    }
+                }
+                let over = last == CallEnd::Delivered || !notices.is_empty();
+                assert!(!(sent && told && over) || book.owed.is_empty(), "{what}: over and told");
+                met.insert((accepted, sent, ended, told));
+                played(&mut next, begun, NOW, NOW + LIFE);
+                let (notices, later) = (next.router.notices(9), NOW + LIFE);
+                next.told(&notices, later);
+                assert_eq!(next.router.load(), (0, 0), "{what}: it has its end");
+            }
+        }
+    }
+    // Killed before the 202, the first byte, the end and the confirmed notice, and not at all.
+    let (no, yes) = (false, true);
+    let places =
+        [(no, no, no, no), (yes, no, no, no), (yes, yes, no, no), (yes, yes, yes, no), (yes, yes, yes, yes)];
+    assert!(places.iter().all(|place| met.contains(place)), "{met:?}");
+}
+
+/// A journal filled to the share of the disk: taken up whole, and by far within the time that a restart has.
+#[test]
+fn a_full_journal_is_taken_up_whole_and_soon() {
+    let settings = Env {
+        limits: spurshore_settings::Limits { open_cap: Some(20_000), ..Default::default() },
+        ..env(vec![class("fee-debit", "fragile"), class("status", "retryable")])
+    };
+    let mut notes = Vec::new();
+    let (mut journal, _) = Journal::open(Memory::default(), DISK, NOW, &mut notes).unwrap();
+    let mut owed = 0;
+    while journal.take_on(owed, taken(owed, "status"), false, NOW, &mut notes).is_ok() {
+        owed += 1;
+    }
+    // Two attempts of each, the first refused, and as much again of what is over.
+    for msg in 0..owed {
+        let sent = || Record::Sent { msg, sent: NOW, under: Under::Safe };
+        let refused = Record::Outcome { msg, attempt: 0, never_ran: true };
+        journal.note_all(&[sent(), refused, sent()], NOW, &mut notes).unwrap();
+    }
+    let over = |n| Record::Over { id: format!("over-{n}"), end: End::Delivered, until: NOW + LIFE };
+    while !notes.iter().any(|note| matches!(note, Note::Compacted { .. })) && journal.disk() < DISK * 6 / 10 {
+        journal.note_all(&[over(journal.disk())], NOW, &mut notes).unwrap();
+    }
+    assert!(owed > 1_000, "{owed}");
+    let begun = std::time::Instant::now();
+    let (hub, begun_calls, _) = open(&settings, list(&[("a", 1, "z")]), journal.store().clone(), NOW);
+    let took = begun.elapsed();
+    assert_eq!(hub.router.load().0 as u64, owed);
+    assert!(!begun_calls.is_empty());
+    println!("{owed} invocations, {} bytes: {took:?}", journal.disk());
+    assert!(took < std::time::Duration::from_secs(10), "{took:?} for {owed}");
+}
--- a/courier/src/program/inspect.rs
+++ b/courier/src/program/inspect.rs
@@ -75,7 +75,7 @@
                 time: time(taken.deadline),
                 ..empty
             },
-            Record::Attempt { msg, sent, .. } => {
+            Record::Attempt { msg, sent, .. } | Record::Sent { msg, sent, .. } => {
                 Line { record: "attempt", msg: Some(*msg), time: time(*sent), ..empty }
             }
             Record::Outcome { msg, attempt, never_ran } => Line {
--- a/fleet/tests/common/mod.rs
+++ b/fleet/tests/common/mod.rs
@@ -403,7 +403,7 @@
             records.push(Record::TakeOn { msg, taken: entry.taken });
             records.push(Record::From { msg, source: source.into() });
             for (n, call) in entry.calls.into_iter().enumerate() {
-                records.push(Record::Attempt { msg, zone: call.zone, sent: call.sent });
+                records.push(Record::Attempt { msg, zone: 0, sent: call.sent });
                 if let Some(never_ran) = call.never_ran {
                     records.push(Record::Outcome { msg, attempt: n as u32, never_ran });
                 }
--- a/fleet/tests/explore.rs
+++ b/fleet/tests/explore.rs
@@ -841,7 +841,7 @@
             records.push(Record::TakeOn { msg, taken: entry.taken });
             records.push(Record::From { msg, source: source.into() });
             for call in entry.calls {
-                records.push(Record::Attempt { msg, zone: call.zone, sent: call.sent });
+                records.push(Record::Attempt { msg, zone: 0, sent: call.sent });
             }
             records.extend(entry.end.map(|end| Record::End { msg, end }));
         }
--- a/standins/src/audit.rs
+++ b/standins/src/audit.rs
@@ -461,7 +461,7 @@
                     let class = terms.classes.get(&taken.class).copied().unwrap_or(Class::Once);
                     owed.insert(msg, (taken.id, class, Vec::new(), None));
                 }
-                Record::Attempt { msg, .. } => {
+                Record::Attempt { msg, .. } | Record::Sent { msg, .. } => {
                     let Some((id, class, calls, end)) = owed.get_mut(&msg) else { continue };
                     if end.is_some() {
                         found.push(Finding::WrittenAfterEnd { id: id.clone(), courier, byte: at });
