Hand the lock over with the word, heed a stop while waiting, refuse another's file

Change: the lock's descriptor goes with LetGo (flock is the open file's), so that it is free at no moment; `take` ends where it is told to while it has not confirmed; `latest` begins anew with each holder that was ended, and the number is forgotten where nobody listens; a file whose courier, classes, effects, tenants or kinds differ is refused whole; the taker counts on by the giver's clock.

--- a/core/src/machine/handover.rs
+++ b/core/src/machine/handover.rs
@@ -1,7 +1,8 @@
 //! An upgrade: one process hands all that it is doing to the next, which has the same folder.
 //!
-//! Who holds the folder's lock decides and writes the journal. The giver lets go of the lock last, and the taker
-//! goes on from what it was handed only if it hears so; else it restores from the journal once the lock is free.
+//! Who holds the folder's lock decides and writes the journal. The giver lets go of the lock last, with the word that
+//! it does, and the taker goes on from what it was handed only if it hears so; else it restores from the journal once the
+//! lock is free.
 
 use super::Machine;
 use spurshore::Micros;
@@ -196,6 +197,8 @@
             }
             (Locking { .. }, Held) if self.failed || now >= self.latest => {
                 self.failed = false;
+                // Whoever holds the lock from here on has not been asked yet.
+                self.latest = now.saturating_add(LATEST);
                 (again, TakerOutput::End)
             }
             (Locking { .. }, Held) => (asking, TakerOutput::Ask),
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -355,3 +355,31 @@
         assert!(search(broken).1.is_some(), "{broken:?} is not found");
     }
 }
+
+/// The holder is ended, or hands over to a third process, and that one takes the lock: it is asked like any other, however
+/// long the process has waited by then. Asked no more, it would be waited for until it ends by itself.
+#[test]
+fn whoever_takes_the_lock_after_the_holder_was_ended_is_asked_in_its_turn() {
+    let mut taker = Taker::new(0);
+    let mut now = 0;
+    let look = |taker: &mut Taker, now: u64| {
+        assert_eq!(taker.step(TakerInput::Tick, now), TakerOutput::Lock);
+        taker.step(TakerInput::Held, now)
+    };
+    // Busy to the last, as one that starts slowly or serves another.
+    let mut ended = 0;
+    while ended == 0 {
+        match look(&mut taker, now) {
+            TakerOutput::Ask => assert_eq!(taker.step(TakerInput::Busy, now), TakerOutput::Nothing),
+            output => {
+                assert_eq!((output, now >= LATEST), (TakerOutput::End, true));
+                ended += 1;
+            }
+        }
+        now += AGAIN;
+    }
+    assert_eq!(look(&mut taker, now), TakerOutput::Ask, "another holds the lock by now");
+    assert_eq!(taker.step(TakerInput::All, now), TakerOutput::Confirm);
+    assert_eq!(taker.step(TakerInput::LetGo, now), TakerOutput::Lock);
+    assert_eq!(taker.step(TakerInput::Locked, now), TakerOutput::Resume);
+}
--- a/courier/src/program/config.rs
+++ b/courier/src/program/config.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use spurshore::Facade;
 use spurshore_settings::{Env, Names, settings};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -22,6 +23,45 @@
     Address { what: &'static str, value: String },
     #[error("known: {0}")]
     Known(#[from] DiscoveryError),
+    #[error(
+        "{path} is another courier's or customer's: {what} differ; put this courier's own file there and send SIGHUP \
+         again, or stop it and start it under the new file"
+    )]
+    NotOurs { path: String, what: &'static str },
+}
+
+/// Whose a configuration is: by names, in any order, and by what a repeat may do. Figures may change: they hold from the
+/// next start on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Whose {
+    courier: (String, Option<u32>),
+    classes: BTreeSet<(String, Option<String>)>,
+    tenants: BTreeSet<String>,
+    kinds: BTreeSet<String>,
+}
+
+impl Whose {
+    fn of(file: &File) -> Whose {
+        let Env { categories, tenants, skus, me, .. } = &file.settings;
+        Whose {
+            courier: (file.name.clone(), *me),
+            classes: categories.iter().map(|c| (c.name.clone(), c.effect.clone())).collect(),
+            tenants: tenants.iter().map(|t| t.name.clone()).collect(),
+            kinds: skus.iter().cloned().collect(),
+        }
+    }
+
+    /// What sets another's file apart.
+    fn differs(&self, other: &Whose) -> Option<&'static str> {
+        [
+            (self.courier != other.courier, "its name or number"),
+            (self.classes != other.classes, "its classes or their effects"),
+            (self.tenants != other.tenants, "its tenants"),
+            (self.kinds != other.kinds, "its kinds of partners"),
+        ]
+        .into_iter()
+        .find_map(|(differs, what)| differs.then_some(what))
+    }
 }
 
 #[derive(Deserialize)]
@@ -71,6 +111,8 @@
 
 pub struct Config {
     pub path: String,
+    /// The file's, whatever name the platform gives.
+    pub whose: Whose,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -91,12 +133,14 @@
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = var("GW_CONFIG").ok_or(ConfigError::Missing("GW_CONFIG"))?;
         let file = File::read(&path)?;
+        let whose = Whose::of(&file);
         let address = |what, told: Option<String>| address(what, var(what).or(told));
         let known = match file.known {
             Some(list) => ProviderList { full: true, ..list.try_into()? },
             None => ProviderList { version: 0, full: true, providers: Vec::new() },
         };
         Ok(Config {
+            whose,
             path,
             name: var("GW_NAME").unwrap_or(file.name),
             listen: address("GW_LISTEN", file.listen)?,
@@ -144,9 +188,13 @@
     }
 
     /// Where discovery is by the file as it stands now. It has changed since the start, so that it goes
-    /// before `GW_DISCOVERY`; a file that does not hold as a whole is not believed in part.
-    pub fn discovery_now(path: &str) -> Result<SocketAddr, ConfigError> {
-        address("discovery", File::read(path)?.discovery)
+    /// before `GW_DISCOVERY`; a file that does not hold as a whole, or is another's, is not believed in part.
+    pub fn discovery_now(path: &str, ours: &Whose) -> Result<SocketAddr, ConfigError> {
+        let file = File::read(path)?;
+        if let Some(what) = ours.differs(&Whose::of(&file)) {
+            return Err(ConfigError::NotOurs { path: path.into(), what });
+        }
+        address("discovery", file.discovery)
     }
 
     /// How long a connection to a provider may take to come up.
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -1,6 +1,6 @@
 //! The life of the process: start, signals, planned stop.
 
-use super::config::{Config, ConfigError};
+use super::config::{Config, ConfigError, Whose};
 use super::log::{Levels, LevelsError};
 use crate::fleet::{self, Fleet, FleetError};
 use crate::transport::clock::Clock;
@@ -106,12 +106,22 @@
             Some(listener)
         }
     };
+    let told_to_end = async {
+        tokio::select! {
+            _ = stop.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
     let taken = tokio::select! {
-        taken = handover::take(&config.state, &clock) => taken,
+        taken = handover::take(&config.state, &clock, told_to_end) => taken,
         // A holder that hangs is waited for; operators are answered meanwhile.
         never = early_calls(early.as_ref()) => match never {},
     };
-    let (lock, handed) = taken.map_err(RunError::Folder)?;
+    let Some((lock, handed)) = taken.map_err(RunError::Folder)? else {
+        tracing::info!("{}: stopped; it had taken nothing over, and the other process goes on", config.name);
+        return Ok(Ended::Stopped);
+    };
+    let clock = handed.as_ref().map_or(clock, |handed| Clock::start_ahead(handed.ahead));
     let fleet = match operator.fleet.on {
         false => {
             fleet::may_be_off(&config.state)?;
@@ -147,7 +157,7 @@
     };
     let resumed = match handed {
         None => None,
-        Some(Handed { state: hub::State { router: state, holds }, drained, parts }) => {
+        Some(Handed { state: hub::State { router: state, holds }, drained, parts, .. }) => {
             match Router::resume(&config.env, limits, state, store()?, config.disk, clock.now()) {
                 Ok(first) => Some((first, (holds, drained, parts))),
                 Err(e) => {
@@ -235,8 +245,14 @@
         }
     }
     // Through a planned stop too: the last notices go where the platform is by then.
-    let read_again =
-        Reload { path: config.path.clone(), operator: path, levels, discovery: moves, fleet: fleet.clone() };
+    let read_again = Reload {
+        whose: config.whose.clone(),
+        path: config.path.clone(),
+        operator: path,
+        levels,
+        discovery: moves,
+        fleet: fleet.clone(),
+    };
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
     holder.begin();
     courier.handle.live(Input::Serve);
@@ -364,6 +380,7 @@
 /// What a SIGHUP reads again.
 struct Reload {
     path: String,
+    whose: Whose,
     operator: Option<PathBuf>,
     levels: Levels,
     discovery: watch::Sender<SocketAddr>,
@@ -375,7 +392,7 @@
     async fn on(self, mut hangup: Signal, courier: Rc<Courier>) {
         while hangup.recv().await.is_some() {
             courier.count(|c| c.reloads += 1);
-            match Config::discovery_now(&self.path) {
+            match Config::discovery_now(&self.path, &self.whose) {
                 Ok(addr) => {
                     tracing::info!("configuration: read again; discovery at {addr}");
                     self.discovery.send_if_modified(|known| std::mem::replace(known, addr) != addr);
--- a/courier/src/transport/channel.rs
+++ b/courier/src/transport/channel.rs
@@ -17,7 +17,7 @@
 use tokio::net::UnixStream;
 
 /// What both sides say first: another version is not read, and its process restores from the journal instead.
-const HELLO: [u8; 6] = *b"qmh\x00\x00\x02";
+const HELLO: [u8; 6] = *b"qmh\x00\x00\x03";
 /// A frame holds the whole state at most: what is owed, which fits into the share of the disk, and what is known of
 /// some thousands of destinations.
 const FRAME_MAX: usize = 16 * 1024 * 1024;
--- a/courier/src/transport/frames.rs
+++ b/courier/src/transport/frames.rs
@@ -26,6 +26,8 @@
         state: Box<hub::State>,
         drained: bool,
         parts: usize,
+        /// How far the clock that all times are told by runs ahead of the system's.
+        ahead: i64,
     },
     Got,
     LetGo,
--- a/courier/src/transport/handover.rs
+++ b/courier/src/transport/handover.rs
@@ -30,10 +30,10 @@
 /// Between two looks whether the tasks have given their parts up.
 const LOOK: Duration = Duration::from_millis(1);
 
-/// The folder's lock; it ends with the process or its drop.
+/// The folder's lock; it ends with the last process that has this file open, and goes to the next one with it.
 #[derive(Debug)]
 pub struct Lock {
-    _file: File,
+    file: File,
 }
 
 impl Lock {
@@ -43,7 +43,7 @@
         let path = folder.join("lock");
         let file = File::options().create(true).append(true).open(&path)?;
         match file.try_lock() {
-            Ok(()) => Ok(Some(Lock { _file: file })),
+            Ok(()) => Ok(Some(Lock { file })),
             Err(TryLockError::WouldBlock) => Ok(None),
             Err(TryLockError::Error(e)) => Err(e),
         }
@@ -54,35 +54,56 @@
 pub struct Handed {
     pub state: hub::State,
     pub drained: bool,
+    /// How far the other process's clock ran ahead of the system's.
+    pub ahead: i64,
     pub parts: Parts<OwnedFd>,
 }
 
-/// Takes the folder: at once where nobody holds it, else from its holder.
+/// Takes the folder: at once where nobody holds it, else from its holder. `None`: told to end before it held anything, so
+/// that the holder goes on as if nobody had asked. From the word that all has come it waits for the holder's.
 ///
 /// # Errors
 /// The lock's file can't be had.
-pub async fn take(folder: &Path, clock: &Clock) -> io::Result<(Lock, Option<Handed>)> {
+pub async fn take(
+    folder: &Path,
+    clock: &Clock,
+    told_to_end: impl Future<Output = ()>,
+) -> io::Result<Option<(Lock, Option<Handed>)>> {
+    let mut told_to_end = std::pin::pin!(told_to_end);
     let mut machine = Taker::new(clock.now());
-    let (mut channel, mut handed, mut holder) = (None, None, None);
+    let (mut channel, mut handed, mut holder, mut passed) = (None, None, None, None);
     let (mut todo, mut told) = (TakerOutput::Lock, false);
     loop {
         let input = match todo {
-            TakerOutput::Lock => match Lock::take(folder)? {
-                None => TakerInput::Held,
-                Some(lock) => match machine.step(TakerInput::Locked, clock.now()) {
-                    TakerOutput::Resume => return Ok((lock, handed)),
-                    _ => return Ok((lock, None)),
-                },
-            },
+            // Free for a moment, a third process could take it, and all that was handed over would be lost.
+            TakerOutput::Lock => {
+                match passed.take().map_or_else(|| Lock::take(folder), |lock| Ok(Some(lock)))? {
+                    None => TakerInput::Held,
+                    Some(lock) => match machine.step(TakerInput::Locked, clock.now()) {
+                        TakerOutput::Resume => return Ok(Some((lock, handed))),
+                        _ => return Ok(Some((lock, None))),
+                    },
+                }
+            }
             TakerOutput::Ask => {
                 handed = None;
                 // A holder that starts does not listen yet, and one that stops does not any more.
                 match channel::reach(folder).await {
-                    Err(_) => TakerInput::Busy,
+                    Err(e) => {
+                        if matches!(e.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::NotFound) {
+                            // Whoever listened before has gone, and its number may be another's by now.
+                            holder = None;
+                        }
+                        TakerInput::Busy
+                    }
                     Ok(stream) => {
                         holder = Channel::peer(&stream);
                         tracing::info!("upgrade: asking process {}", holder.unwrap_or_default());
-                        let asked = receive(stream, &mut machine, clock).await;
+                        let asked = tokio::select! {
+                            biased;
+                            () = &mut told_to_end => return Ok(None),
+                            asked = receive(stream, &mut machine, clock) => asked,
+                        };
                         asked.map_or_else(
                             |input| input,
                             |(came, from)| {
@@ -94,7 +115,11 @@
                 }
             }
             TakerOutput::Confirm => match &mut channel {
-                Some(from) => confirm(from, &machine, clock).await,
+                Some(from) => {
+                    let word = confirm(from, &machine, clock).await;
+                    passed = from.fd().map(|fd| Lock { file: fd.into() });
+                    word
+                }
                 None => TakerInput::Lost,
             },
             TakerOutput::End => {
@@ -115,8 +140,11 @@
                 TakerInput::Tick
             }
             _ => {
-                sleep(clock.until(machine.wake_at().unwrap_or_default())).await;
-                TakerInput::Tick
+                tokio::select! {
+                    biased;
+                    () = &mut told_to_end => return Ok(None),
+                    () = sleep(clock.until(machine.wake_at().unwrap_or_default())) => TakerInput::Tick,
+                }
             }
         };
         if input == TakerInput::Lost {
@@ -149,7 +177,9 @@
 ) -> Result<(Handed, Channel), TakerInput> {
     let mut channel = in_time(machine, clock, Channel::open(stream)).await?;
     in_time(machine, clock, channel.send(&Frame::Ask, None)).await?;
-    let Frame::State { state, drained, parts: count } = in_time(machine, clock, channel.recv()).await? else {
+    let Frame::State { state, drained, parts: count, ahead } =
+        in_time(machine, clock, channel.recv()).await?
+    else {
         return Err(TakerInput::Busy);
     };
     let mut parts = Vec::new();
@@ -159,7 +189,7 @@
         let fd = if held { Some(channel.fd().ok_or(TakerInput::Lost)?) } else { None };
         parts.push((part, fd));
     }
-    Ok((Handed { state: *state, drained, parts }, channel))
+    Ok((Handed { state: *state, drained, ahead, parts }, channel))
 }
 
 async fn confirm(channel: &mut Channel, machine: &Taker, clock: &Clock) -> TakerInput {
@@ -333,13 +363,15 @@
             GiverOutput::LetGo => {
                 let count = parts.len();
                 drop(parts);
-                drop(self.lock.take());
+                let lock = self.lock.take();
                 tracing::info!(
                     "upgrade: handed over {count} parts in {} us, of which {} us without a decision",
                     clock.now() - begun,
                     clock.now() - frozen
                 );
-                let said = channel.send(&Frame::LetGo, None).await;
+                // The lock goes with the word: from here on it is the other's, or nobody's where that one is gone.
+                let said = channel.send(&Frame::LetGo, lock.as_ref().map(|lock| lock.file.as_fd())).await;
+                drop(lock);
                 self.gone.notify_one();
                 said
             }
@@ -357,7 +389,8 @@
         parts: &[(Part, Option<TcpStream>)],
     ) -> io::Result<()> {
         let drained = self.courier.handle.life().is_drained();
-        let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1 };
+        let ahead = self.courier.clock.ahead();
+        let first = Frame::State { state: Box::new(state), drained, parts: parts.len() + 1, ahead };
         channel.send(&first, None).await?;
         drop(first);
         channel.send(&(Part::Listener, true), Some(self.listener.as_fd())).await?;
--- /dev/null
+++ b/courier/tests/restart.rs
@@ -0,0 +1,489 @@
+//! Restarts and hand-overs on sockets, and folders and files of another customer: each test forces one moment.
+
+use bytes::Bytes;
+use quillmount_core::journal::{Record, TakenOn, frame};
+use quillmount_standins::consumer::{self, Invocation};
+use quillmount_standins::courier::{Courier, Former, Setup};
+use quillmount_standins::provider::{self, Script};
+use quillmount_standins::{Eyes, Seen, What, platform};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::TryLockError;
+use std::future::Future;
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::UnixStream;
+use tokio::sync::{mpsc, watch};
+
+/// Only a broken program waits for so long.
+const PATIENCE: Duration = Duration::from_secs(30);
+const LONG: Duration = Duration::from_secs(12);
+
+/// One courier, and a provider for destination 7.
+struct Stage {
+    courier: Courier,
+    seen: mpsc::Receiver<Seen>,
+    #[allow(dead_code)]
+    list: watch::Sender<String>,
+    #[allow(dead_code)]
+    down: watch::Sender<bool>,
+}
+
+/// Plays a test on one thread.
+fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let played = async { tokio::time::timeout(Duration::from_secs(120), test()).await };
+    tokio::task::LocalSet::new().block_on(&runtime, played).expect("the test has come to its end");
+}
+
+/// `down`: discovery is silent from the start.
+async fn stage(script: Script, down: bool, set: impl FnOnce(&mut Setup)) -> Stage {
+    let (eyes, seen) = Eyes::open();
+    let (list, told) = watch::channel(String::new());
+    let (down, is_down) = watch::channel(down);
+    let platform = platform::open_with(eyes.clone(), told, is_down).await.unwrap();
+    let provider = provider::open(eyes, move |_| script.clone()).await.unwrap();
+    let mut setup = Setup::new(env!("CARGO_BIN_EXE_quillmount"), platform, vec![(7, provider)]);
+    set(&mut setup);
+    Stage { courier: Courier::start(setup).unwrap(), seen, list, down }
+}
+
+impl Stage {
+    async fn hand_in(&self, class: &str, id: &str) -> u16 {
+        let invocation = Invocation::new(class, id, 7, LONG);
+        consumer::hand_in(self.courier.addr, &invocation, b"body").await.unwrap().status()
+    }
+
+    async fn next(&mut self) -> Seen {
+        tokio::time::timeout(PATIENCE, self.seen.recv()).await.expect("nothing more is seen").unwrap()
+    }
+
+    /// Waits until each of these is delivered or told of, and counts the calls of each; how many were told of.
+    async fn ends(
+        &mut self,
+        ids: impl IntoIterator<Item = String>,
+        calls: &mut BTreeMap<String, u32>,
+    ) -> u32 {
+        let mut left: BTreeSet<String> = ids.into_iter().collect();
+        let mut told = 0;
+        while !left.is_empty() {
+            let Seen { id, what, .. } = self.next().await;
+            match what {
+                What::CallBegan => *calls.entry(id).or_default() += 1,
+                What::Answered(_) => drop(left.remove(&id)),
+                What::Notice(_) => {
+                    told += 1;
+                    left.remove(&id);
+                }
+                _ => {}
+            }
+        }
+        told
+    }
+}
+
+/// Waits for a line of the log with these words.
+async fn logged(log: &Receiver<String>, words: &str) -> String {
+    let by = Instant::now() + PATIENCE;
+    while Instant::now() < by {
+        match log.try_recv() {
+            Ok(line) if line.contains(words) => return line,
+            Ok(_) => {}
+            Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+        }
+    }
+    panic!("not logged: {words}");
+}
+
+/// A SIGHUP with the file of another courier or customer changes nothing; with this courier's own, other figures in it do
+/// not matter.
+#[test]
+fn a_file_of_another_customer_moves_nothing() {
+    play(|| async {
+        let mut stage = stage(Script::default(), false, |_| {}).await;
+        let (eyes, mut seen) = Eyes::open();
+        let (_list, told) = watch::channel(String::new());
+        let elsewhere = platform::open(eyes, told).await.unwrap();
+        let own: Value =
+            serde_json::from_slice(&std::fs::read(stage.courier.folder.join("config.json")).unwrap())
+                .unwrap();
+        let others: [(&str, Value); 7] = [
+            ("/name", json!("n9")),
+            ("/settings/me", json!(5)),
+            ("/settings/categories/0/name", json!("levy")),
+            ("/settings/categories/0/effect", json!("retryable")),
+            ("/settings/categories", json!([])),
+            ("/settings/tenants", json!([{"name": "t", "allowance_per_s": 1.0}])),
+            ("/settings/skus", json!(["post"])),
+        ];
+        for (place, value) in others {
+            stage
+                .courier
+                .configure(|file| {
+                    *file = own.clone();
+                    file["discovery"] = elsewhere.to_string().into();
+                    match file.pointer_mut(place) {
+                        Some(found) => *found = value,
+                        None => file["settings"]["tenants"] = value,
+                    }
+                })
+                .unwrap();
+            stage.courier.hang_up().unwrap();
+            let line = logged(&stage.courier.log, "configuration: ").await;
+            assert!(
+                line.contains("not read again") && line.contains("put this courier's own file"),
+                "{place}: {line}"
+            );
+        }
+        // Notices go where they went, and nobody has called elsewhere.
+        assert_eq!(stage.hand_in("paid-notice", "m").await, 202);
+        stage.ends(["m".to_string()], &mut BTreeMap::new()).await;
+        assert!(seen.try_recv().is_err());
+        stage
+            .courier
+            .configure(|file| {
+                *file = own.clone();
+                file["discovery"] = elsewhere.to_string().into();
+                file["settings"]["rules"]["cold_ms"] = 100.into();
+                file["settings"]["categories"].as_array_mut().unwrap().reverse();
+            })
+            .unwrap();
+        stage.courier.hang_up().unwrap();
+        let line = logged(&stage.courier.log, "configuration: ").await;
+        assert!(line.contains("read again; discovery at"), "{line}");
+        let seen = tokio::time::timeout(PATIENCE, seen.recv()).await.unwrap().unwrap();
+        assert_eq!(seen.what, What::Watched);
+    });
+}
+
+/// Killed with calls out, and started again with one class gone and the other in its place.
+#[test]
+fn a_folder_under_other_settings_goes_by_names_and_says_what_it_ended() {
+    play(|| async {
+        let mut stage = stage(Script::silent(), false, |_| {}).await;
+        for (class, id) in [("fee-debit", "debit"), ("paid-notice", "notice")] {
+            assert_eq!(stage.hand_in(class, id).await, 202);
+        }
+        let mut begun = BTreeSet::new();
+        while begun.len() < 2 {
+            let Seen { id, what, .. } = stage.next().await;
+            begun.extend((what == What::CallBegan).then_some(id));
+        }
+        let renamed = |file: &mut Value| {
+            let classes = file["settings"]["categories"].as_array_mut().unwrap();
+            classes.reverse();
+            classes[1]["name"] = "levy".into();
+        };
+        stage.courier.configure(renamed).unwrap();
+        stage.courier.kill_and_restart().unwrap();
+        let line = logged(&stage.courier.log, "which the settings lack").await;
+        assert!(
+            line.contains("ERROR") && line.contains("\"debit\"") && line.contains("\"fee-debit\""),
+            "{line}"
+        );
+        // The one is called again by its name, the other told of.
+        let (mut again, mut told) = (0, String::new());
+        while again == 0 || told.is_empty() {
+            let Seen { id, what, .. } = stage.next().await;
+            match what {
+                What::CallBegan => {
+                    assert_eq!(id, "notice");
+                    again += 1;
+                }
+                What::Notice(line) => {
+                    assert_eq!(id, "debit");
+                    told = line;
+                }
+                _ => {}
+            }
+        }
+        assert!(told.contains("undeliverable"), "{told}");
+        assert_eq!(stage.hand_in("fee-debit", "more").await, 404);
+    });
+}
+
+/// The new process is told to end while the old one, which hangs for a moment, has not answered it.
+#[test]
+fn a_new_process_told_to_end_before_it_holds_anything_leaves_all_where_it_is() {
+    play(|| async {
+        let mut stage = stage(Script::default(), false, |_| {}).await;
+        // It answers, so it listens for the next process too.
+        assert_eq!(stage.hand_in("paid-notice", "first").await, 202);
+        stage.ends(["first".to_string()], &mut BTreeMap::new()).await;
+        stage.courier.hang().unwrap();
+        let mut next = stage.courier.begin_another().unwrap();
+        logged(&next.log, "upgrade: asking process").await;
+        next.term().unwrap();
+        assert!(next.ended().await.unwrap().success());
+        stage.courier.go_on().unwrap();
+        assert_eq!(stage.hand_in("paid-notice", "m").await, 202);
+        stage.ends(["m".to_string()], &mut BTreeMap::new()).await;
+    });
+}
+
+/// Another process at the old one's socket, as far as it is to come.
+struct Taker(UnixStream);
+
+impl Taker {
+    async fn open(stage: &Stage) -> Taker {
+        Taker(UnixStream::connect(stage.courier.folder.join("state/handover")).await.unwrap())
+    }
+
+    /// Says the version that it hears.
+    async fn greet(&mut self) {
+        let mut version = [0; 6];
+        self.0.read_exact(&mut version).await.unwrap();
+        self.0.write_all(&version).await.unwrap();
+    }
+
+    /// One frame of one byte: the word's number.
+    async fn say(&mut self, word: u8) {
+        self.0.write_all(&[1, 0, 0, 0, word]).await.unwrap();
+    }
+
+    /// The number of the word that it hears, and how long its frame is.
+    async fn hear(&mut self) -> (u8, u32) {
+        let mut head = [0; 5];
+        self.0.read_exact(&mut head).await.unwrap();
+        (head[4], u32::from_le_bytes([head[0], head[1], head[2], head[3]]))
+    }
+}
+
+/// Words between two processes, by number.
+const ASK: u8 = 0;
+const BUSY: u8 = 3;
+const STATE: u8 = 4;
+const GOT: u8 = 5;
+
+/// The old process has ended, and the new one has not heard yet that the folder is its own: a third that looks for the
+/// lock just then must not find it free, or what was handed over is of no use.
+#[test]
+fn the_folder_is_nobody_elses_while_the_word_that_it_was_let_go_is_on_its_way() {
+    play(|| async {
+        let mut stage = stage(Script::default(), false, |_| {}).await;
+        assert_eq!(stage.hand_in("paid-notice", "m").await, 202);
+        stage.ends(["m".to_string()], &mut BTreeMap::new()).await;
+        let mut taker = Taker::open(&stage).await;
+        taker.greet().await;
+        taker.say(ASK).await;
+        assert_eq!(taker.hear().await.0, STATE);
+        taker.say(GOT).await;
+        assert!(stage.courier.ended().await.unwrap().success());
+        let lock = std::fs::File::open(stage.courier.folder.join("state/lock")).unwrap();
+        assert!(matches!(lock.try_lock(), Err(TryLockError::WouldBlock)));
+        // The new one dies before it has read the word: nobody holds the folder.
+        drop(taker);
+        while lock.try_lock().is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreaksOff {
+    Reached,
+    Greeted,
+    Asked,
+    HasState,
+    Silent,
+    Rubbish,
+}
+
+/// The process that takes over dies, falls silent or says rubbish at each step, and the old one is told to end, to read its
+/// configuration again, or is asked by a third just then: it goes on with all that was out, and gives nobody two answers.
+#[test]
+fn a_hand_over_that_breaks_off_at_any_step_is_taken_back_whole() {
+    use BreaksOff::*;
+    play(|| async {
+        for (step, signal) in [Reached, Greeted, Asked, HasState, Silent, Rubbish]
+            .into_iter()
+            .flat_map(|step| ["none", "TERM", "HUP"].map(|signal| (step, signal)))
+        {
+            let what = format!("{step:?}-{signal}");
+            let slow = Script { delay: Duration::from_millis(400), ..Script::default() };
+            let mut stage = stage(slow, false, |_| {}).await;
+            let ids = ["fee-debit", "paid-notice"].map(|class| (class, format!("{what}-{class}")));
+            for (class, id) in &ids {
+                assert_eq!(stage.hand_in(class, id).await, 202, "{what}");
+            }
+            let mut calls = BTreeMap::new();
+            while calls.len() < 2 {
+                let Seen { id, what, .. } = stage.next().await;
+                if what == What::CallBegan {
+                    *calls.entry(id).or_default() += 1;
+                }
+            }
+            let mut taker = Taker::open(&stage).await;
+            if step != Reached {
+                taker.greet().await;
+            }
+            if ![Reached, Greeted].contains(&step) {
+                taker.say(ASK).await;
+            }
+            let frozen = [HasState, Silent, Rubbish].contains(&step);
+            if frozen {
+                assert_eq!(taker.hear().await.0, STATE, "{what}");
+                let mut third = Taker::open(&stage).await;
+                third.greet().await;
+                third.say(ASK).await;
+                assert_eq!(third.hear().await, (BUSY, 1), "{what}: it serves another");
+            }
+            match signal {
+                "TERM" => stage.courier.term().unwrap(),
+                "HUP" => stage.courier.hang_up().unwrap(),
+                _ => {}
+            }
+            match step {
+                Rubbish => taker.say(99).await,
+                Silent => {}
+                _ => drop(taker.0.shutdown().await),
+            }
+            if step != Silent {
+                drop(taker);
+            }
+            let told = stage.ends(ids.iter().map(|(_, id)| id.clone()), &mut calls).await;
+            assert_eq!(
+                (told, calls.values().max()),
+                (0, Some(&1)),
+                "{what}: each call came to its end, once"
+            );
+            if signal == "TERM" {
+                assert!(stage.courier.ended().await.unwrap().success(), "{what}");
+            } else {
+                assert_eq!(stage.hand_in("paid-notice", "later").await, 202, "{what}");
+                stage.ends(["later".to_string()], &mut calls).await;
+                // The next one gets all.
+                let next = stage.courier.begin_another().unwrap();
+                assert!(stage.courier.ended().await.unwrap().success(), "{what}");
+                logged(&next.log, "parts came over").await;
+            }
+        }
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Strike {
+    TermOld,
+    TermNew,
+    HangUpOld,
+    HangUpNew,
+    KillOld,
+    KillNew,
+    KillBoth,
+    /// A third process begins too.
+    Third,
+}
+
+/// A signal, a kill or a third process in the milliseconds of a hand-over. Afterwards one more process begins: whoever
+/// holds the folder by then, or the journal, gives it all; no message is lost, and no debit called twice.
+async fn struck(strike: Strike) {
+    for after in [0, 5, 15, 40] {
+        let slow = Script { delay: Duration::from_millis(120), ..Script::default() };
+        let mut stage = stage(slow, false, |_| {}).await;
+        let ids: Vec<String> = (0..6).map(|n| format!("{strike:?}-{after}-{n}")).collect();
+        for (n, id) in ids.iter().enumerate() {
+            let class = if n % 2 == 0 { "fee-debit" } else { "paid-notice" };
+            assert_eq!(stage.hand_in(class, id).await, 202, "{id}");
+        }
+        let mut next = stage.courier.begin_another().unwrap();
+        // No event tells of the steps of a hand-over: each of these lengths falls into another.
+        tokio::time::sleep(Duration::from_millis(after)).await;
+        let mut third: Option<Former> = None;
+        // Where one has ended by itself there is nobody to signal.
+        let _ = match strike {
+            Strike::TermOld => stage.courier.term(),
+            Strike::TermNew => next.term(),
+            Strike::HangUpOld => stage.courier.hang_up(),
+            Strike::HangUpNew => next.hang_up(),
+            Strike::KillOld => stage.courier.kill(),
+            Strike::KillNew => next.kill(),
+            Strike::KillBoth => stage.courier.kill().and(next.kill()),
+            Strike::Third => stage.courier.begin_another().map(|begun| third = Some(begun)),
+        };
+        let last = stage.courier.begin_another().unwrap();
+        let line = logged(&last.log, "serving on ").await;
+        let addr = line.split_once("serving on ").unwrap().1.split(';').next().unwrap();
+        stage.courier.addr = addr.parse().unwrap();
+        let mut calls = BTreeMap::new();
+        let told = stage.ends(ids.clone(), &mut calls).await;
+        // Where nobody was killed who decided, each call came to its end.
+        let whole = match strike {
+            Strike::KillOld | Strike::KillBoth => false,
+            Strike::KillNew => last.log.try_iter().any(|line| line.contains("parts came over")),
+            _ => true,
+        };
+        assert!(told == 0 || !whole, "{strike:?} after {after} ms: {told} were given up");
+        let twice: Vec<_> =
+            ids.iter().step_by(2).filter(|id| calls.get(*id).is_some_and(|n| *n > 1)).collect();
+        assert_eq!(twice, Vec::<&String>::new(), "{strike:?} after {after} ms: a debit was called twice");
+        let id = format!("{strike:?}-{after}-last");
+        assert_eq!(stage.hand_in("paid-notice", &id).await, 202, "{id}");
+        stage.ends([id], &mut calls).await;
+        drop((last, next, third));
+    }
+}
+
+#[test]
+fn sigterm_in_a_hand_over_loses_nothing() {
+    play(|| async {
+        struck(Strike::TermOld).await;
+        struck(Strike::TermNew).await;
+    });
+}
+
+#[test]
+fn sighup_in_a_hand_over_loses_nothing() {
+    play(|| async {
+        struck(Strike::HangUpOld).await;
+        struck(Strike::HangUpNew).await;
+    });
+}
+
+#[test]
+fn a_kill_of_either_or_both_in_a_hand_over_loses_nothing() {
+    play(|| async {
+        struck(Strike::KillOld).await;
+        struck(Strike::KillNew).await;
+        struck(Strike::KillBoth).await;
+    });
+}
+
+#[test]
+fn three_processes_that_want_one_folder_lose_nothing() {
+    play(|| struck(Strike::Third));
+}
+
+/// A journal as full as its share of the disk lets it be, and discovery that says nothing: ready within the time that nine
+/// in ten have, and what is owed is tried.
+#[test]
+fn a_full_journal_and_a_silent_discovery_keep_no_restart_from_being_ready() {
+    play(|| async {
+        let mut stage = stage(Script::default(), true, |setup| setup.open_cap = 5_000).await;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64;
+        let mut bytes = Vec::new();
+        let mut owed = 0;
+        while bytes.len() < 1_400_000 {
+            let (id, body) = (format!("m{owed}"), Bytes::from(vec![b'x'; 500]));
+            let (class, dest, deadline) = ("paid-notice".to_string(), 7, now + 60_000_000);
+            let taken = TakenOn { id, class, key: None, dest, deadline, body };
+            bytes.extend(frame(&Record::TakeOn { msg: owed, taken }).unwrap());
+            owed += 1;
+        }
+        stage.courier.kill().unwrap();
+        std::fs::write(stage.courier.folder.join("state/journal"), &bytes).unwrap();
+        let begun = Instant::now();
+        stage.courier.kill_and_restart().unwrap();
+        let (status, _) = consumer::get(stage.courier.addr, "/-/ready").await.unwrap();
+        let took = begun.elapsed();
+        println!("{owed} invocations: ready after {took:?}");
+        assert_eq!(status, 200);
+        assert!(took < Duration::from_secs(10), "{took:?}");
+        let mut called = BTreeSet::new();
+        while called.len() < 100 {
+            let Seen { id, what, .. } = stage.next().await;
+            assert!(!matches!(what, What::Notice(_)), "{id} was given up");
+            called.extend((what == What::CallBegan).then_some(id));
+        }
+    });
+}
--- a/standins/src/courier.rs
+++ b/standins/src/courier.rs
@@ -64,7 +64,7 @@
     pub log: Receiver<String>,
 }
 
-/// A courier's process that another has followed; dropped, it is killed.
+/// A courier's process that another has followed, or that has only begun; dropped, it is killed.
 pub struct Former {
     child: Child,
     pub operators: Option<SocketAddr>,
@@ -87,6 +87,23 @@
         signal(&self.child, Signal::TERM)
     }
 
+    /// SIGHUP.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn hang_up(&self) -> Result<()> {
+        signal(&self.child, Signal::HUP)
+    }
+
+    /// SIGKILL; it has ended when this returns.
+    ///
+    /// # Errors
+    /// It can't be waited for.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
     /// Waits for its end.
     ///
     /// # Errors
@@ -183,6 +200,36 @@
         Ok(Former { child, operators, log: std::mem::replace(&mut self.log, next.log) })
     }
 
+    /// Another process with the same folder and configuration, which may be anywhere on its way; its log from the start.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn begin_another(&self) -> Result<Former> {
+        let mut child = command(&self.setup, &self.folder).spawn()?;
+        let log = child.stderr.take().ok_or_else(|| Error::other("the courier has no log"))?;
+        Ok(Former { child, operators: None, log: heard(BufReader::new(log).lines()) })
+    }
+
+    /// SIGKILL, and no start.
+    ///
+    /// # Errors
+    /// It can't be waited for.
+    pub fn kill(&mut self) -> Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
+    /// Changes its configuration file; a start or SIGHUP reads it.
+    ///
+    /// # Errors
+    /// The file can't be read or written.
+    pub fn configure(&self, change: impl FnOnce(&mut Value)) -> Result<()> {
+        let path = self.folder.join("config.json");
+        let mut config = serde_json::from_slice(&std::fs::read(&path)?)?;
+        change(&mut config);
+        std::fs::write(path, config.to_string())
+    }
+
     /// SIGSTOP: it hangs from here on.
     ///
     /// # Errors
@@ -191,6 +238,14 @@
         signal(&self.child, Signal::STOP)
     }
 
+    /// SIGCONT: it goes on after it hung.
+    ///
+    /// # Errors
+    /// It is gone.
+    pub fn go_on(&self) -> Result<()> {
+        signal(&self.child, Signal::CONT)
+    }
+
     /// SIGHUP.
     ///
     /// # Errors
@@ -256,7 +311,16 @@
     log: Receiver<String>,
 }
 
-fn launch(setup: &Setup, folder: &Path) -> Result<Launched> {
+/// Unread, its log would fill the pipe and hold the courier up.
+fn heard(lines: impl Iterator<Item = Result<String>> + Send + 'static) -> Receiver<String> {
+    let (to, from) = sync_channel(LINES_MAX);
+    std::thread::spawn(move || {
+        lines.map_while(std::result::Result::ok).for_each(|line| drop(to.try_send(line)));
+    });
+    from
+}
+
+fn command(setup: &Setup, folder: &Path) -> Command {
     let mut command = Command::new(&setup.program);
     command.arg("run");
     if setup.operator.is_some() {
@@ -267,7 +331,7 @@
     } else {
         command.env("RUST_LOG", &setup.levels);
     }
-    let mut child = command
+    command
         .env("GW_CONFIG", folder.join("config.json"))
         .env("GW_STATE", folder.join("state"))
         .env_remove("GW_NAME")
@@ -275,8 +339,12 @@
         .env_remove("GW_DISCOVERY")
         .env_remove("GW_OPERATOR")
         .env_remove("GW_INHERITED_FD")
-        .stderr(Stdio::piped())
-        .spawn()?;
+        .stderr(Stdio::piped());
+    command
+}
+
+fn launch(setup: &Setup, folder: &Path) -> Result<Launched> {
+    let mut child = command(setup, folder).spawn()?;
     let log = child.stderr.take().ok_or_else(|| Error::other("the courier has no log"))?;
     let mut lines = BufReader::new(log).lines();
     let (mut last, mut operators) = (String::new(), None);
@@ -288,12 +356,7 @@
         let Some((_, rest)) = last.split_once("serving on ") else { continue };
         let addr = rest.split(';').next().and_then(|addr| addr.parse().ok());
         let addr = addr.ok_or_else(|| Error::other(last.clone()))?;
-        let (to, from) = sync_channel(LINES_MAX);
-        // Unread, its log would fill the pipe and hold the courier up.
-        std::thread::spawn(move || {
-            lines.map_while(std::result::Result::ok).for_each(|line| drop(to.try_send(line)));
-        });
-        return Ok(Launched { child, addr, operators, log: from });
+        return Ok(Launched { child, addr, operators, log: heard(lines) });
     }
     let _ = child.wait();
     Err(Error::other(format!("the courier did not start: {last}")))
