--- a/core/src/note.rs
+++ b/core/src/note.rs
@@ -29,9 +29,20 @@
     NotWritten(JournalError),
     #[error("rejected for want of room on disk: {0}")]
     NoRoom(JournalError),
-    #[error("journal: invocation {msg} has class {class:?}, which the settings lack")]
-    UnknownClass { msg: MsgId, class: String },
-    #[error("journal: an attempt is {ahead} us ahead of the clock; what may have run is not repeated")]
+    #[error(
+        "journal: invocation {id:?} has class {class:?}, which the settings lack: it is ended; where the class was \
+         renamed, let the old name stand beside the new one until this folder is empty"
+    )]
+    UnknownClass { id: String, class: String },
+    #[error(
+        "journal: invocation {id:?} may have run under a stricter effect of its class {class:?} than today's: it is ended \
+         as undeliverable; empty the folder under the old settings before an effect is changed"
+    )]
+    OtherEffect { id: String, class: String },
+    #[error(
+        "journal: an attempt is {ahead} us ahead of the clock, which was set back: what may have run is not repeated; let the \
+         clock be set before the courier starts"
+    )]
     SetBack { ahead: Micros },
     #[error("not taken over: {id:?} is open or over here already")]
     NotAdopted { id: String },
@@ -45,7 +56,8 @@
             Note::TakenOn { .. } | Note::Ended { .. } => Level::Debug,
             Note::Decided(_) | Note::Compacted { .. } | Note::NotAdopted { .. } => Level::Info,
             Note::Torn(_) | Note::NoRoom(_) | Note::SetBack { .. } => Level::Warn,
-            Note::NotWritten(_) | Note::UnknownClass { .. } | Note::UnknownCall { .. } => Level::Error,
+            Note::NotWritten(_) | Note::UnknownClass { .. } | Note::OtherEffect { .. } => Level::Error,
+            Note::UnknownCall { .. } => Level::Error,
         }
     }
 }
