Count a planned stop from its signal on, while a hanging holder of the folder is waited for

Seen: SIGTERM to a process that waits for the folder's lock (its holder hangs, and is ended after 1.5 s) ended it 5.0 s later; SIGKILL comes 3.7 s after SIGTERM. Checked: the signal was caught, and its time taken only when the loop behind the start first looked (run.rs). Ruled out: ending at once, since a hand-over that is under way would be cut off with the consumers' connections in it.

--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -110,10 +110,19 @@
             Some(listener)
         }
     };
-    let taken = tokio::select! {
-        taken = handover::take(&config.state, &clock) => taken,
-        // A holder that hangs is waited for; operators are answered meanwhile.
-        never = early_calls(early.as_ref()) => match never {},
+    // A holder that hangs is waited for; operators are answered meanwhile, and a stop counts from its signal on.
+    let mut told_to_stop = None;
+    let taken = {
+        let (taking, calls) = (handover::take(&config.state, &clock), early_calls(early.as_ref()));
+        tokio::pin!(taking, calls);
+        loop {
+            tokio::select! {
+                taken = &mut taking => break taken,
+                never = &mut calls => match never {},
+                _ = stop.recv(), if told_to_stop.is_none() => told_to_stop = Some(clock.now()),
+                _ = interrupt.recv(), if told_to_stop.is_none() => told_to_stop = Some(clock.now()),
+            }
+        }
     };
     let (lock, handed) = taken.map_err(RunError::Folder)?;
     let fleet = match operator.fleet.on {
@@ -243,6 +252,9 @@
     actix_rt::spawn(read_again.on(hangup, courier.clone()));
     holder.begin();
     courier.handle.live(Input::Serve);
+    if let Some(asked) = told_to_stop {
+        courier.handle.live_from(Input::Stop, asked);
+    }
     // In a fleet the next process joins with the same folder: it is a member of its own.
     if fleet.is_none()
         && let Err(e) = holder.listen()
--- a/courier/src/transport/handle.rs
+++ b/courier/src/transport/handle.rs
@@ -65,8 +65,13 @@
 
     /// Something happened to its life; what is to be done.
     pub fn live(&self, input: life::Input) -> life::Output {
+        self.live_from(input, self.clock.now())
+    }
+
+    /// The same, with what happened then.
+    pub fn live_from(&self, input: life::Input, when: Micros) -> life::Output {
         let mut life = self.life.get();
-        let output = life.step(input, self.clock.now());
+        let output = life.step(input, when);
         self.life.set(life);
         if life.stopping().is_some() {
             self.stops.notify_one();
--- a/courier/tests/shutdown.rs
+++ b/courier/tests/shutdown.rs
@@ -392,6 +392,32 @@
     }
 }
 
+/// The next process waits for a holder that hangs, and is told to stop meanwhile: its stop counts from then on.
+#[test]
+fn a_stop_while_a_holder_that_hangs_is_waited_for_ends_in_time() {
+    play(async || {
+        let mut stage = silent().await;
+        assert_eq!(stage.hand_in("owed").await.unwrap(), 202);
+        stage.called("owed").await.unwrap();
+        stage.courier.pause().unwrap();
+        let mut next = Command::new(PROGRAM)
+            .env("GW_CONFIG", stage.courier.folder.join("config.json"))
+            .env("GW_STATE", stage.courier.folder.join("state"))
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(next.stderr.take().unwrap()).lines().map_while(Result::ok);
+        assert!(lines.any(|line| line.contains("upgrade: asking process")));
+        let told = Instant::now();
+        kill_process(Pid::from_child(&next), Signal::TERM).unwrap();
+        let said: Vec<String> = lines.collect();
+        assert!(next.wait().unwrap().success(), "{said:?}");
+        assert!(said.iter().any(|line| line.contains("stopping; ")), "{said:?}");
+        assert!(told.elapsed() < KILL, "{:?}: {said:?}", told.elapsed());
+    });
+}
+
 /// For each of a process's TCP connections over IP: its other end, and whether small writes leave at once.
 fn connections(pid: u32) -> Vec<(String, bool)> {
     let process = pidfd_open(Pid::from_raw(pid as i32).unwrap(), PidfdFlags::empty()).unwrap();
