--- a/src/rules.rs
+++ b/src/rules.rs
@@ -667,8 +667,8 @@
     /// The sender has seen a failure: in a crowd or an outage the guard binds from now on.
     fn knows(&mut self, lane: usize, out: bool) {
         let binds = out || self.crowd(lane) || self.now < self.lanes[lane].guard;
-        let (keep, l) = (self.now + self.turns(lane, self.set.cold_from).1, &mut self.lanes[lane]);
-        (l.guard, l.keep) = if binds { (NEVER, keep) } else { (0, 0) };
+        let (cycle, l) = (self.turns(lane, self.set.cold_from).1, &mut self.lanes[lane]);
+        (l.guard, l.keep) = if binds { (NEVER, self.now.saturating_add(cycle)) } else { (0, 0) };
         (l.bad_at, self.look_at) = (self.now, self.now);
         self.guarded.extend(binds.then_some(lane));
     }
@@ -697,7 +697,7 @@
         let (cold, calls) = (self.knowing(lane, self.set.cold_from), self.knowing(lane, share));
         let slot = ((self.set.fall + self.set.fall / TURN_PARTS) as f64 / cold.floor()).max(1.0) as Micros;
         let doubled = ((calls / cold) as u64).clamp(1, ROUND_OF).ilog2();
-        (slot, slot * (u64::from(self.set.siblings.max(1)).next_multiple_of(ROUND_OF) >> doubled))
+        (slot, slot.saturating_mul(u64::from(self.set.siblings.max(1)).next_multiple_of(ROUND_OF) >> doubled))
     }
 
     /// A part of two thirds of B is rarer than a call in twice the cold time: hardly three failures are seen.
@@ -710,7 +710,7 @@
     fn turn(&self, lane: usize, from: Micros) -> Option<Micros> {
         let (l, from, share) = (&self.lanes[lane], from.max(self.now), self.share(lane));
         let (slot, cycle) = self.turns(lane, share);
-        let own = (l.dest % (cycle / slot) + u64::from(self.set.me)) * slot % cycle;
+        let own = (l.dest % (cycle / slot) + u64::from(self.set.me)) % (cycle / slot) * slot;
         let since = (from % cycle + cycle - own) % cycle;
         let on = since <= self.set.fall / (2 * TURN_PARTS) && l.last_sent + since < from;
         let turn = from + if on { 0 } else { cycle - since };
