Take a refusal that closes a new connection for a connect that failed

At fault: the call's end passed it on as a limit's refusal. Now Call::step ends it as CouldNotConnect.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -16,6 +16,8 @@
     held: Option<(Link, C)>,
     /// The pool counts the call, until its connection is closed or kept.
     counts: bool,
+    /// Its connection was opened for it.
+    fresh: bool,
 }
 
 /// What a step came to.
@@ -66,19 +68,19 @@
         if counts {
             pool.goes_on();
         }
-        Call { order: part.order, attempt, held, counts }
+        Call { order: part.order, attempt, held, counts, fresh: false }
     }
 
     /// `decode` reads answers, and never more than `most` bytes of one.
     pub fn new(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::new(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false }
+        Call { order, attempt, held: None, counts: false, fresh: false }
     }
 
     /// The same for a stream, whose body is passed on as it comes.
     pub fn streamed(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::streamed(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false }
+        Call { order, attempt, held: None, counts: false, fresh: false }
     }
 
     pub fn attempt(&self) -> &Attempt {
@@ -127,14 +129,19 @@
     pub fn connected(&mut self, pool: &mut Pool<C>, connection: C, now: Micros) -> Told<C> {
         let mut link = pool.open();
         link.step(link::Input::Up, now);
-        self.held = Some((link, connection));
+        (self.held, self.fresh) = (Some((link, connection)), true);
         let open = pool.lets_through(self.order.provider, now);
         self.step(pool, Input::Connected { open }, now)
     }
 
     /// Anything else that happened.
     pub fn step(&mut self, pool: &mut Pool<C>, input: Input, now: Micros) -> Told<C> {
-        let output = self.attempt.step(input, now);
+        let mut output = self.attempt.step(input, now);
+        // A provider whose table of connections is full takes a new one only to say so, and closes it: that is a connect
+        // that failed. A destination that is over its limit keeps the connection.
+        if self.fresh && output.link == Todo::Close && output.end == Some(CallEnd::Full(0)) {
+            output.end = Some(CallEnd::CouldNotConnect);
+        }
         let gone = match output.link {
             Todo::Nothing | Todo::Finish => None,
             Todo::Open => pool.make_room(),
--- /dev/null
+++ b/core/tests/full.rs
@@ -0,0 +1,54 @@
+//! A provider whose table of connections is full says so on a new connection, and closes it.
+
+use bytes::Bytes;
+use quillmount_core::call::Call;
+use quillmount_core::machine::attempt::{Answer, Input};
+use quillmount_core::pool::Pool;
+use quillmount_core::{CallEnd, CallId, InvokerCall, Parcel};
+use std::sync::Arc;
+
+const NOW: u64 = 1_000_000_000;
+
+fn order() -> InvokerCall {
+    let parcel = Parcel { id: "m".into(), key: None, tenant: None, body: Bytes::new() };
+    InvokerCall {
+        call: CallId { msg: 1, attempt: 0 },
+        provider: 7,
+        dest: 1,
+        addr: "127.0.0.1:1".parse().unwrap(),
+        invocation: Arc::new(parcel),
+        timeout: 1_000_000,
+        by: u64::MAX,
+        stream: false,
+        more: Vec::new(),
+        told: 1_000_000,
+    }
+}
+
+/// How a call ends whose answer refuses it, on a new connection or on one that rested.
+fn end(answer: fn(&[u8], bool) -> Answer, fresh: bool) -> (Option<CallEnd>, (usize, usize)) {
+    let mut pool = Pool::new(15_000_000, 9);
+    if !fresh {
+        assert!(pool.rest(7, order().addr, NOW, 70).is_none());
+    }
+    let mut call = Call::new(order(), answer, 64);
+    call.start(&mut pool, NOW, |_| true);
+    if fresh {
+        call.connected(&mut pool, 71, NOW);
+    }
+    call.step(&mut pool, Input::Wrote { bytes: 1, left: 0 }, NOW);
+    let told = call.step(&mut pool, Input::Read, NOW + 1);
+    (told.end, pool.load())
+}
+
+#[test]
+fn a_refusal_that_closes_a_new_connection_is_a_connect_that_failed() {
+    let closes = |_: &[u8], _| Answer::Whole { end: CallEnd::Full(0), reusable: false };
+    assert_eq!(end(closes, true), (Some(CallEnd::CouldNotConnect), (0, 0)));
+    // What was taken before was not for want of room, and what is kept or tells a wait is not either.
+    assert_eq!(end(closes, false), (Some(CallEnd::Full(0)), (0, 0)));
+    let keeps = |_: &[u8], _| Answer::Whole { end: CallEnd::Full(0), reusable: true };
+    assert_eq!(end(keeps, true), (Some(CallEnd::Full(0)), (0, 1)));
+    let waits = |_: &[u8], _| Answer::Whole { end: CallEnd::Full(9), reusable: false };
+    assert_eq!(end(waits, true).0, Some(CallEnd::Full(9)));
+}
