Leave a fleet's backlog and links as they were: a burst at its front was refused

Lines: listen and plain_client. The courier without a fleet keeps the backlog of 1,024 and TCP_NODELAY on all of its connections. Why a fleet's leave comes too late for a burst is open.

--- a/courier/src/fleet/links.rs
+++ b/courier/src/fleet/links.rs
@@ -77,7 +77,8 @@
 
     /// Carries messages for as long as the process lives; what the other says at once is handed to `heard`.
     pub async fn carry(self: Rc<Self>, addr: SocketAddr, from: Name, token: Token, heard: impl Fn(Envelope)) {
-        let client = crate::transport::plain_client(TRY);
+        // Held back, small writes of a burst go together: sent at once, messages of one were refused for want of leave.
+        let client = crate::transport::plain_client(TRY, false);
         let mut up = true;
         loop {
             let messages = self.take();
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -10,7 +10,7 @@
 use crate::transport::inherited::{self, InheritedError};
 use crate::transport::operators::{self, Desk};
 use crate::transport::platform;
-use crate::transport::server::{Connections, listen, serve};
+use crate::transport::server::{BACKLOG, BACKLOG_IN_FLEET, Connections, listen, serve};
 use crate::transport::streams::Rules;
 use actix_rt::net::TcpListener;
 use actix_rt::time::{sleep, timeout};
@@ -182,14 +182,15 @@
     if let Some(fleet) = &fleet {
         fleet.attach(&courier, &config.state)?;
     }
+    let backlog = if fleet.is_some() { BACKLOG_IN_FLEET } else { BACKLOG };
     let listener = match (inherited, came.as_mut()) {
         (Some(listener), _) => TcpListener::from_std(listener),
         // Bound by the process before, which has handed it over too.
         (None, Some((.., parts))) => match handover::listener(parts) {
             Some(listener) => TcpListener::from_std(listener),
-            None => listen(config.listen),
+            None => listen(config.listen, backlog),
         },
-        (None, None) => listen(config.listen),
+        (None, None) => listen(config.listen, backlog),
     };
     let addr = config.listen;
     let listener = listener.map_err(|source| RunError::Listen { addr, source })?;
--- a/courier/src/transport/mod.rs
+++ b/courier/src/transport/mod.rs
@@ -26,11 +26,11 @@
 
 /// A client that does what it is told once: awc's own answer to redirects, its five seconds for any
 /// answer and its default headers all act behind the caller's back.
-/// A connection comes up within `connect`.
-pub(crate) fn plain_client(connect: Duration) -> awc::Client {
+/// A connection comes up within `connect`; small writes on it leave `at_once`.
+pub(crate) fn plain_client(connect: Duration, at_once: bool) -> awc::Client {
     // A head and its body are two writes: the second must not wait for the acknowledgement of the first.
-    let dial = Connector::default().service().map(|conn: Connection<awc::http::Uri, TcpStream>| {
-        let _ = conn.io_ref().set_nodelay(true);
+    let dial = Connector::default().service().map(move |conn: Connection<awc::http::Uri, TcpStream>| {
+        let _ = conn.io_ref().set_nodelay(at_once);
         conn
     });
     let connector = awc::Connector::new().connector(dial).timeout(connect);
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -83,7 +83,7 @@
     fleet: Fleet,
 ) {
     // Questions are given up before.
-    let client = super::plain_client(Duration::from_micros(2 * TOLD));
+    let client = super::plain_client(Duration::from_micros(2 * TOLD), true);
     let moved = || *discovery.borrow() != addr;
     let Fleet { couriers, seed, starts, heed } = fleet;
     let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
@@ -187,7 +187,7 @@
 
 /// Sends notices, many at a time, until the platform has confirmed each.
 pub async fn notify(courier: Rc<Courier>, mut discovery: Discovery) {
-    let client = super::plain_client(Duration::from_micros(notices::TRY));
+    let client = super::plain_client(Duration::from_micros(notices::TRY), true);
     let mut machine = Notices::default();
     loop {
         let notices = courier.notices(machine.most());
--- a/courier/src/transport/server.rs
+++ b/courier/src/transport/server.rs
@@ -53,8 +53,10 @@
 /// After an accept that failed, for want of descriptors mostly.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// So many connections may wait in the system while the thread is held up: who finds no room there tries again only
-/// after a second, and consumers come by the hundred. The runtime's own 128 is less.
-const BACKLOG: u32 = 1_024;
+/// after a second, and consumers come by the hundred.
+pub const BACKLOG: u32 = 1_024;
+/// In a fleet that is the pace: it refuses a burst for which it has not asked the others for leave yet.
+pub const BACKLOG_IN_FLEET: u32 = 128;
 /// A connection that is to leave may have a request on its way: it is closed after this, if none has come.
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// One line tells of all malformed requests, or of all accepts that failed, within this.
@@ -239,12 +241,12 @@
 ///
 /// # Errors
 /// The address can't be had.
-pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(addr: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // The process before may have left connections there that the system still keeps.
     socket.set_reuseaddr(true)?;
     socket.bind(addr)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// Accepts and serves until it is dropped, or another process accepts.
