--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -134,7 +134,7 @@
 /// Asks on a connection of its own: one that rested may be dead, and nothing would say so.
 fn question(addr: SocketAddr, after: u64) -> Question {
     // It is given up before.
-    let client = super::plain_client(Duration::from_micros(2 * TOLD));
+    let client = super::plain_client(Duration::from_micros(2 * TOLD), true);
     let asked = client.get(format!("http://{addr}{}", discovery::watch_path(after))).send();
     Box::pin(async move {
         let _client = client;
@@ -227,7 +227,7 @@
 
 /// Sends notices, many at a time, until the platform has confirmed each.
 pub async fn notify(courier: Rc<Courier>, mut discovery: Discovery) {
-    let client = super::plain_client(Duration::from_micros(notices::TRY));
+    let client = super::plain_client(Duration::from_micros(notices::TRY), true);
     let mut machine = Notices::default();
     loop {
         let notices = courier.notices(machine.most());
