Let the operators' hand-over tests speak the new version of the frames

courier/tests/operators.rs wrote and awaited version 2; the state, the first frame and the word that the lock is let go changed with the hand-over of the lock, so that the version is 3. The assertions are the same.

--- a/courier/tests/operators.rs
+++ b/courier/tests/operators.rs
@@ -251,11 +251,11 @@
     use std::io::{Read, Write};
     let path = stage.courier.folder.join("state/handover");
     let mut taker = std::os::unix::net::UnixStream::connect(path).unwrap();
-    taker.write_all(b"qmh\x00\x00\x02").unwrap();
+    taker.write_all(b"qmh\x00\x00\x03").unwrap();
     taker.write_all(&[1, 0, 0, 0, 0]).unwrap();
     let mut hello = [0; 6];
     taker.read_exact(&mut hello).unwrap();
-    assert_eq!(&hello, b"qmh\x00\x00\x02");
+    assert_eq!(&hello, b"qmh\x00\x00\x03");
     taker
 }
 
