Try what a restart found untried to its time, whatever its turn in a guarded crowd

Seen: in a crowd, one refused call after a restart gave 4 of 10 untried messages up at once with no call (3,000 siblings, core/tests/restart_guard.rs, seen to fail without the mend). At fault: Dispatcher::due ends what has no turn in its time in the moment in which it comes, which for a restored message is the restart; its consumer is no longer there to hear it. Now one that came with a restart and has no attempt is due at its own time.

--- /dev/null
+++ b/core/tests/restart_guard.rs
@@ -0,0 +1,58 @@
+//! A restart beside a cold destination in a crowd, in the core: what was found untried is not given up for want of a turn.
+
+mod common;
+use bytes::Bytes;
+use common::{NOW, class, provider};
+use quillmount_core::hub::Hub;
+use quillmount_core::journal::{Record, TakenOn, frame};
+use quillmount_core::pool::Pool;
+use quillmount_core::router::Router;
+use quillmount_core::store::Memory;
+use quillmount_core::{CallEnd, ProviderList};
+use spurshore::ListState;
+use spurshore_settings::Env;
+
+const LIFE: u64 = 16_000_000;
+
+#[test]
+fn what_a_restart_found_untried_is_not_given_up_early_for_want_of_a_turn() {
+    for fate in [CallEnd::Full(0), CallEnd::CouldNotConnect, CallEnd::Reset] {
+        let env = Env {
+            categories: vec![class("fee-debit", "fragile")],
+            siblings: Some(3_000),
+            me: Some(1),
+            ..Env::default()
+        };
+        let taken = |n: u64| TakenOn {
+            id: format!("m{n}"),
+            class: "fee-debit".into(),
+            key: None,
+            dest: 1,
+            deadline: NOW + LIFE,
+            body: Bytes::new(),
+        };
+        let bytes =
+            (0..10).flat_map(|msg| frame(&Record::TakeOn { msg, taken: taken(msg) }).unwrap()).collect();
+        let known =
+            ProviderList { version: 1, full: true, providers: vec![provider("s", 1, ListState::Ready)] };
+        let (router, steps) = Router::open(&env, 7, known, Memory::of(bytes), 99_999, NOW).unwrap();
+        let mut hub = Hub::new(router, Pool::new(15_000_000, 99));
+        let begun = common::calls(hub.carry_out(steps, NOW));
+        for call in begun {
+            hub.call_ended(call.call, fate, NOW + 1_000);
+        }
+        // To seven tenths of their time none that no call was made for is told of.
+        let mut now = NOW + 1_000;
+        while let Some(at) = hub.router.wake_at().filter(|at| *at < NOW + LIFE / 10 * 7) {
+            now = now.max(at);
+            for call in common::calls(hub.tick(now)) {
+                hub.call_ended(call.call, fate, now);
+            }
+        }
+        let untried = hub.router.notices(99).into_iter().filter(|notice| {
+            let book = quillmount_core::journal::Book::read(hub.router.journal().store().bytes()).0;
+            book.owed.get(&notice.msg).is_some_and(|entry| entry.calls.is_empty())
+        });
+        assert_eq!(untried.count(), 0, "{fate:?}");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -173,8 +173,8 @@
         for e in events {
             match e {
                 Event::List { kind, entries } => self.on_list(*kind, entries),
-                Event::Submit(m) => self.on_submit(m, &[]),
-                Event::Restore { message, past } => self.on_submit(message, past),
+                Event::Submit(m) => self.on_submit(m, None),
+                Event::Restore { message, past } => self.on_submit(message, Some(&past[..])),
                 Event::Stop { at } => self.stop_at = Some(*at),
                 Event::Completed(c) => self.on_completed(c),
                 Event::Written { msg, attempt } => self.on_written(*msg, *attempt),
@@ -267,7 +267,7 @@
 
     // ---- The ledger. ----
 
-    fn on_submit(&mut self, m: &Message, past: &[PastAttempt]) {
+    fn on_submit(&mut self, m: &Message, past: Option<&[PastAttempt]>) {
         let known = self.msgs.contains_key(&m.id);
         let Some(class) = self.set.classes.get(m.class).filter(|_| !known) else { return };
         let mut worth = class.worth;
@@ -288,10 +288,10 @@
         }
         let born = m.deadline.saturating_sub(class.deadline);
         let (class, came, deadline, dest) = (m.class, self.now, m.deadline, m.dest);
-        let attempts = past.iter().map(Attempt::of_past).collect();
-        let (stream, size, open, place) = (m.stream, m.size, true, 0);
-        let msg =
-            Msg { class, worth, key, born, came, aim, deadline, dest, open, stream, size, attempts, place };
+        let (old, attempts) = (past.is_some(), past.into_iter().flatten().map(Attempt::of_past).collect());
+        #[rustfmt::skip]
+        let msg = Msg { class, worth, key, born, came, aim, deadline, dest, open: true, old,
+            stream: m.stream, size: m.size, attempts, place: 0 };
         self.open += 1;
         self.msgs.insert(m.id, msg);
         self.hold(m.id);
@@ -403,7 +403,7 @@
         let last = if breaks::on(Break::AnswerLate) { m.deadline + 400_000 } else { last };
         // A turn too late is none: others may know nothing. One missed, look again.
         let last = match hope {
-            0 => last,
+            turn if turn == 0 || m.old && m.attempts.is_empty() => last,
             turn if turn < last => last.min(turn + self.set.fall / TURN_PARTS),
             _ => self.now,
         };
--- a/src/rules/seen.rs
+++ b/src/rules/seen.rs
@@ -77,9 +77,24 @@
 }
 
 fn see_message(m: &Msg, eye: &mut impl Eye) {
-    let Msg { class, worth, key, dest, born, came, aim, deadline, open, stream, size, attempts, place: _ } =
-        m;
+    let Msg {
+        class,
+        worth,
+        key,
+        dest,
+        born,
+        came,
+        aim,
+        deadline,
+        open,
+        stream,
+        size,
+        attempts,
+        place: _,
+        old,
+    } = m;
     eye.flag(*stream);
+    eye.flag(*old);
     eye.word(*size);
     [*class as u64, *dest, *aim, u64::from(*open), attempts.len() as u64]
         .into_iter()
--- a/src/rules/state.rs
+++ b/src/rules/state.rs
@@ -28,7 +28,7 @@
     pub class: usize, pub worth: f64, pub key: Option<u64>, pub dest: DestId,
     pub born: Micros, pub came: Micros, pub aim: Micros, pub deadline: Micros,
     /// Owed an answer still; an ended message stays until its attempts are over.
-    pub open: bool, pub stream: bool, pub size: u64, pub attempts: Vec<Attempt>,
+    pub open: bool, pub old: bool, pub stream: bool, pub size: u64, pub attempts: Vec<Attempt>,
     /// Its place among those held.
     pub place: u64,
 }
