--- /dev/null
+++ b/tests/full_tables.rs
@@ -0,0 +1,48 @@
+//! Connects that are refused at once: an outage takes one destination, so that two of them tell of tables that are full.
+
+mod common;
+use common::*;
+use spurshore::*;
+
+/// A sender with a connection at rest at destination 7, after connects were refused there: the connections it closes.
+fn closed_after(refused: &[DestId], apart: Micros) -> Vec<EndpointId> {
+    let mut w = World::new(settings(8), 7);
+    w.list(ListKind::Whole, &[entry(0, 5), entry(1, 6), entry(2, 7)]);
+    let rests = w.one(0, 7);
+    w.finish_after(rests, SEC / 10, Outcome::Ok);
+    for dest in refused {
+        let msg = w.one(0, *dest);
+        w.finish_after(msg, SEC / 100, Outcome::ConnectFailed);
+        w.pass(apart);
+    }
+    let closes = w.log.iter().filter_map(|(_, act)| match act {
+        Action::CloseIdle { endpoint } => Some(*endpoint),
+        _ => None,
+    });
+    closes.collect()
+}
+
+#[test]
+fn connects_refused_at_two_destinations_close_what_rests_anywhere() {
+    assert_eq!(closed_after(&[5, 6], SEC), [2]);
+}
+
+#[test]
+fn connects_refused_at_one_destination_or_long_apart_close_nothing_elsewhere() {
+    assert_eq!(closed_after(&[5], SEC), []);
+    assert_eq!(closed_after(&[5, 6], 12 * SEC), []);
+}
+
+/// While they are full each connection is closed after its call, also where none was refused.
+#[test]
+fn what_is_opened_while_tables_are_full_is_closed_after_its_call() {
+    let mut w = World::new(settings(8), 7);
+    w.list(ListKind::Whole, &[entry(0, 5), entry(1, 6), entry(2, 7)]);
+    for dest in [5, 6] {
+        let msg = w.one(0, dest);
+        w.finish_after(msg, SEC / 100, Outcome::ConnectFailed);
+    }
+    let msg = w.one(0, 7);
+    let acts = w.finish_after(msg, SEC / 10, Outcome::Ok);
+    assert!(acts.contains(&Action::CloseIdle { endpoint: 2 }), "{acts:?}");
+}
