Let two destinations tell of full tables in crowds only

Cause: two places that crash within ten seconds looked like full tables, and every connection was closed. Where few senders share a destination each sees an answer between two refusals itself, which the rule before asks for; so the second destination counts only in crowds, as the guard knows them.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -435,8 +435,7 @@
             over.extend(self.turning().filter(|(due, _)| *due <= self.now).map(|(_, id)| id));
             over.into_iter().for_each(|id| self.answer(id, NEVER));
             self.guarded.retain(|n| self.now < self.lanes[*n].guard);
-            let first = self.dues.first().unwrap_or(NEVER);
-            self.look_at = self.turning().map(|(due, _)| due).fold(first, Micros::min);
+            self.look_at = self.turning().map(|t| t.0).fold(self.dues.first().unwrap_or(NEVER), Micros::min);
         }
         self.look_at
     }
@@ -550,7 +549,8 @@
     /// down took all of them along. One that refuses connections, yet answers on those it has, holds as many
     /// as it can: there each is closed after its call for a while. A report tells a rate.
     fn links(&mut self, id: EndpointId, c: &Completed, reused: bool) {
-        let (now, o, mut all, mut crowded) = (self.now, c.outcome, id..=id, 0);
+        let (now, o, crowd) = (self.now, c.outcome, self.crowd(self.endpoints[&id].lane));
+        let (mut all, mut crowded) = (id..=id, 0);
         let e = self.endpoints.get_mut(&id).expect("the caller knows the endpoint");
         let told = self.set.limit_report.filter(|_| !self.set.weight_is_rate).and_then(|l| c.report.get(l.1));
         e.rate = told.copied().filter(|r| *r > 0.0).unwrap_or(e.rate);
@@ -562,7 +562,7 @@
                 return;
             }
         } else if o == Outcome::ConnectFailed && c.elapsed < DIALLED {
-            let two = e.dest != self.refused.0 && now < self.refused.1 + REFUSED;
+            let two = crowd && e.dest != self.refused.0 && now < self.refused.1 + REFUSED;
             let full = two || e.answered > e.refused && now < e.refused + REFUSED;
             (e.refused, self.refused) = (now, (e.dest, now));
             (all, crowded) =
--- a/tests/full_tables.rs
+++ b/tests/full_tables.rs
@@ -4,9 +4,16 @@
 use common::*;
 use spurshore::*;
 
+/// Many senders: each meets a destination too seldom to see an answer between two refusals.
+fn crowd() -> World {
+    let mut set = settings(8);
+    (set.siblings, set.me) = (300, 7);
+    World::new(set, 7)
+}
+
 /// A sender with a connection at rest at destination 7, after connects were refused there: the connections it closes.
 fn closed_after(refused: &[DestId], apart: Micros) -> Vec<EndpointId> {
-    let mut w = World::new(settings(8), 7);
+    let mut w = crowd();
     w.list(ListKind::Whole, &[entry(0, 5), entry(1, 6), entry(2, 7)]);
     let rests = w.one(0, 7);
     w.finish_after(rests, SEC / 10, Outcome::Ok);
@@ -33,10 +40,24 @@
     assert_eq!(closed_after(&[5, 6], 12 * SEC), []);
 }
 
+/// Where few share a destination, an outage of two is the likelier.
+#[test]
+fn outside_crowds_two_destinations_that_refuse_close_nothing_elsewhere() {
+    let mut w = World::new(settings(8), 7);
+    w.list(ListKind::Whole, &[entry(0, 5), entry(1, 6), entry(2, 7)]);
+    let rests = w.one(0, 7);
+    w.finish_after(rests, SEC / 10, Outcome::Ok);
+    for dest in [5, 6] {
+        let msg = w.one(0, dest);
+        w.finish_after(msg, SEC / 100, Outcome::ConnectFailed);
+    }
+    assert!(!w.log.iter().any(|(_, act)| *act == Action::CloseIdle { endpoint: 2 }));
+}
+
 /// While they are full each connection is closed after its call, also where none was refused.
 #[test]
 fn what_is_opened_while_tables_are_full_is_closed_after_its_call() {
-    let mut w = World::new(settings(8), 7);
+    let mut w = crowd();
     w.list(ListKind::Whole, &[entry(0, 5), entry(1, 6), entry(2, 7)]);
     for dest in [5, 6] {
         let msg = w.one(0, dest);
