Take a closing refusal for a full table only where answers hold reports of load

What was measured of full tables was measured where answers report their limit; where none does, a refusal that closes may be a limit's, as before.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -18,6 +18,8 @@
     counts: bool,
     /// Its connection was opened for it.
     fresh: bool,
+    /// Its provider's answers hold reports of load, so that a refusal by a limit is known for one.
+    pub reports: bool,
 }
 
 /// What a step came to.
@@ -68,19 +70,19 @@
         if counts {
             pool.goes_on();
         }
-        Call { order: part.order, attempt, held, counts, fresh: false }
+        Call { order: part.order, attempt, held, counts, fresh: false, reports: false }
     }
 
     /// `decode` reads answers, and never more than `most` bytes of one.
     pub fn new(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::new(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false, fresh: false }
+        Call { order, attempt, held: None, counts: false, fresh: false, reports: false }
     }
 
     /// The same for a stream, whose body is passed on as it comes.
     pub fn streamed(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::streamed(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false, fresh: false }
+        Call { order, attempt, held: None, counts: false, fresh: false, reports: false }
     }
 
     pub fn attempt(&self) -> &Attempt {
@@ -139,7 +141,7 @@
         let mut output = self.attempt.step(input, now);
         // A provider whose table of connections is full takes a new one only to say so, and closes it: that is a connect
         // that failed. A destination that is over its limit keeps the connection.
-        if self.fresh && output.link == Todo::Close && output.end == Some(CallEnd::Full(0)) {
+        if self.fresh && self.reports && output.link == Todo::Close && output.end == Some(CallEnd::Full(0)) {
             output.end = Some(CallEnd::CouldNotConnect);
         }
         let gone = match output.link {
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -507,7 +507,8 @@
             call.by = call.by.min(gate.latest(self.clock.now()));
             (gate.clone(), gate.written(), call.by)
         });
-        let call = providers::begin(call, self.clock.now());
+        let mut call = providers::begin(call, self.clock.now());
+        call.0.reports = self.handle.hub.borrow().router.hears_load();
         self.make(id, addr, call, passes, span);
     }
 
