--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -16,10 +16,10 @@
     held: Option<(Link, C)>,
     /// The pool counts the call, until its connection is closed or kept.
     counts: bool,
-    /// Its connection was opened for it.
-    fresh: bool,
-    /// Its provider's answers hold reports of load, so that a refusal by a limit is known for one.
-    pub reports: bool,
+    /// A refusal that closes its connection is taken for a full table of connections there. The driver says so before it
+    /// starts, where answers hold reports of load, so that a refusal by a limit is known for one; it is over where the call
+    /// starts on a connection that rested.
+    pub full_closes: bool,
 }
 
 /// What a step came to.
@@ -70,19 +70,19 @@
         if counts {
             pool.goes_on();
         }
-        Call { order: part.order, attempt, held, counts, fresh: false, reports: false }
+        Call { order: part.order, attempt, held, counts, full_closes: false }
     }
 
     /// `decode` reads answers, and never more than `most` bytes of one.
     pub fn new(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::new(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false, fresh: false, reports: false }
+        Call { order, attempt, held: None, counts: false, full_closes: false }
     }
 
     /// The same for a stream, whose body is passed on as it comes.
     pub fn streamed(order: InvokerCall, decode: Decode, most: usize) -> Self {
         let attempt = Attempt::streamed(decode, most, order.by);
-        Call { order, attempt, held: None, counts: false, fresh: false, reports: false }
+        Call { order, attempt, held: None, counts: false, full_closes: false }
     }
 
     pub fn attempt(&self) -> &Attempt {
@@ -111,7 +111,7 @@
             self.held = pool.begin(provider, addr, now, quiet);
             self.counts = true;
         }
-        let resting = self.held.is_some();
+        let resting = self.rests();
         self.step(pool, Input::Start { open, resting }, now)
     }
 
@@ -123,15 +123,22 @@
         }
         pool.goes_on();
         (self.held, self.counts) = (on, true);
-        let resting = self.held.is_some();
+        let resting = self.rests();
         self.step(pool, Input::Start { open: true, resting }, now)
     }
 
+    /// Whether it starts on a connection that rested: a table that was full would not have let that one in.
+    fn rests(&mut self) -> bool {
+        let resting = self.held.is_some();
+        self.full_closes &= !resting;
+        resting
+    }
+
     /// The connection that it waited for is up.
     pub fn connected(&mut self, pool: &mut Pool<C>, connection: C, now: Micros) -> Told<C> {
         let mut link = pool.open();
         link.step(link::Input::Up, now);
-        (self.held, self.fresh) = (Some((link, connection)), true);
+        self.held = Some((link, connection));
         let open = pool.lets_through(self.order.provider, now);
         self.step(pool, Input::Connected { open }, now)
     }
@@ -141,7 +148,7 @@
         let mut output = self.attempt.step(input, now);
         // A provider whose table of connections is full takes a new one only to say so, and closes it: that is a connect
         // that failed. A destination that is over its limit keeps the connection.
-        if self.fresh && self.reports && output.link == Todo::Close && output.end == Some(CallEnd::Full(0)) {
+        if self.full_closes && output.link == Todo::Close && output.end == Some(CallEnd::Full(0)) {
             output.end = Some(CallEnd::CouldNotConnect);
         }
         let gone = match output.link {
--- a/core/tests/full.rs
+++ b/core/tests/full.rs
@@ -32,7 +32,7 @@
         assert!(pool.rest(7, order().addr, NOW, 70).is_none());
     }
     let mut call = Call::new(order(), answer, 64);
-    call.reports = reports;
+    call.full_closes = reports;
     call.start(&mut pool, NOW, |_| true);
     if fresh {
         call.connected(&mut pool, 71, NOW);
--- a/core/tests/router.rs
+++ b/core/tests/router.rs
@@ -3,13 +3,12 @@
 use quillmount_core::journal::Book;
 use quillmount_core::router::{Intake, Router, Step};
 use quillmount_core::store::{Fault, Memory};
-use quillmount_core::{CallEnd, Invocation, Provider, ProviderList};
+use quillmount_core::{CallEnd, CallId, Invocation, Provider, ProviderList};
 use spurshore::ListState;
 use spurshore_settings::Env;
 
-/// A crowd's guard leaves the second no turn in its time: it is refused itself, and no notice tells of it.
-#[test]
-fn what_is_given_up_as_it_comes_is_not_taken_on() {
+/// A router with a ready provider for destination 1, where messages take effect once, and the time.
+fn opened(env: Env) -> (Router<Memory>, u64) {
     let category = spurshore_settings::Category {
         name: "fee-debit".into(),
         effect: Some("fragile".into()),
@@ -17,7 +16,7 @@
         promise_ms: 3_000.0,
         ..Default::default()
     };
-    let env = Env { categories: vec![category], siblings: Some(3_000), me: Some(1), ..Env::default() };
+    let env = Env { categories: vec![category], ..env };
     let line = Provider {
         id: "s".into(),
         addr: "127.0.0.1:1".parse().ok(),
@@ -31,19 +30,31 @@
     let now = 1_000_000_000;
     let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
     router.list(known, now);
-    let hand_in = |router: &mut Router<Memory>, id: &str| {
-        let (id, class, time_left, body) = (id.into(), "fee-debit".into(), 16_000_000, bytes::Bytes::new());
-        router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now)
-    };
-    let (intake, steps) = hand_in(&mut router, "a");
-    let call = steps.iter().find_map(|s| match s {
+    (router, now)
+}
+
+fn hand_in(router: &mut Router<Memory>, id: &str, now: u64) -> (Intake, Vec<Step>) {
+    let (id, class, time_left, body) = (id.into(), "fee-debit".into(), 16_000_000, bytes::Bytes::new());
+    router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now)
+}
+
+fn call(steps: &[Step]) -> Option<CallId> {
+    steps.iter().find_map(|step| match step {
         Step::Call(call) => Some(call.call),
         _ => None,
-    });
+    })
+}
+
+/// A crowd's guard leaves the second no turn in its time: it is refused itself, and no notice tells of it.
+#[test]
+fn what_is_given_up_as_it_comes_is_not_taken_on() {
+    let (mut router, now) = opened(Env { siblings: Some(3_000), me: Some(1), ..Env::default() });
+    let (intake, steps) = hand_in(&mut router, "a", now);
+    let call = call(&steps);
     assert_eq!(intake, Intake::TakenOn);
     router.call_ended(call.unwrap(), CallEnd::Full(0), now);
     for _ in 0..2 {
-        let (intake, _) = hand_in(&mut router, "b");
+        let (intake, _) = hand_in(&mut router, "b", now);
         assert!(matches!(intake, Intake::Rejected { after } if after > 0), "{intake:?}");
     }
     let notices = router.notices(9).into_iter().map(|n| n.id).collect::<Vec<_>>();
@@ -56,43 +67,17 @@
 /// journal, and the next outcome must still be noted for the attempt that it belongs to.
 #[test]
 fn an_outcome_is_noted_for_its_own_attempt_after_one_that_was_refused() {
-    let category = spurshore_settings::Category {
-        name: "fee-debit".into(),
-        effect: Some("fragile".into()),
-        deadline_ms: 16_000.0,
-        promise_ms: 3_000.0,
-        ..Default::default()
-    };
-    let env = Env { categories: vec![category], ..Env::default() };
-    let line = Provider {
-        id: "s".into(),
-        addr: "127.0.0.1:1".parse().ok(),
-        dest: 1,
-        kind: String::new(),
-        zone: String::new(),
-        weight: 0.0,
-        state: ListState::Ready,
-    };
-    let known = ProviderList { version: 1, full: true, providers: vec![line] };
-    let now = 1_000_000_000;
-    let (mut router, _) = Router::open(&env, 7, known.clone(), Memory::default(), 99_999, now).unwrap();
-    router.list(known, now);
-    let body = bytes::Bytes::new();
-    let (id, class, time_left) = ("m".to_string(), "fee-debit".to_string(), 16_000_000);
+    let (mut router, now) = opened(Env::default());
     // The take-on is written, and the attempt behind it is not.
     router.journal_mut().store_mut().fail(Fault::Full { after: 1 });
-    let (_, steps) =
-        router.take_on(Invocation { id, class, key: None, dest: 1, tenant: None, time_left, body }, now);
+    let (_, steps) = hand_in(&mut router, "m", now);
     let refused = steps.iter().find_map(|s| match s {
         Step::NotWritten(call) => Some(*call),
         _ => None,
     });
     router.journal_mut().store_mut().fail(Fault::None);
     let steps = router.call_ended(refused.unwrap(), CallEnd::HeldBack, now);
-    let call = steps.iter().find_map(|s| match s {
-        Step::Call(call) => Some(call.call),
-        _ => None,
-    });
+    let call = call(&steps);
     assert_eq!(call.unwrap().attempt, 1);
     router.call_ended(call.unwrap(), CallEnd::Full(0), now);
     let (book, _) = Book::read(router.journal().store().bytes());
--- a/courier/src/transport/courier.rs
+++ b/courier/src/transport/courier.rs
@@ -508,7 +508,7 @@
             (gate.clone(), gate.written(), call.by)
         });
         let mut call = providers::begin(call, self.clock.now());
-        call.0.reports = self.handle.hub.borrow().router.hears_load();
+        call.0.full_closes = self.handle.hub.borrow().router.hears_load();
         self.make(id, addr, call, passes, span);
     }
 
--- a/fleet/src/budget/mod.rs
+++ b/fleet/src/budget/mod.rs
@@ -49,44 +49,31 @@
 /// A hundredth for clocks of different rates, and one for each that is read twice.
 pub const DRIFT: u64 = 50;
 
-/// One partner's budget, as the operator file has it in `fleet.budgets`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// One partner's budget; the form of the operator file's `fleet.budgets` is the operator package's.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Budget {
     pub dest: u64,
     /// At most so many connections of the whole fleet at once.
     pub connections: u32,
     /// At most so many calls of the whole fleet in each span.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub calls: Option<u32>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub span_ms: Option<u64>,
     /// Kept for each courier, also when it is cut off.
-    #[serde(default)]
     pub courier_floor: u32,
     /// Others than these have weight 1, no floor and no ceiling.
-    #[serde(default)]
     pub tenants: Vec<Tenant>,
 }
 
 /// One tenant's part in a budget.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     pub name: String,
-    #[serde(default = "one")]
     pub weight: f64,
     /// Kept for it when it asks for it.
-    #[serde(default)]
     pub floor: u32,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ceiling: Option<u32>,
 }
 
-fn one() -> f64 {
-    1.0
-}
-
 /// Bounds on time, the same at every courier; all in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Terms {
--- a/protocol/src/invoker.rs
+++ b/protocol/src/invoker.rs
@@ -91,17 +91,25 @@
 }
 
 fn decoded(bytes: &[u8], over: bool, each: bool) -> Answer {
+    past_interim(bytes, |rest, parsed, head| match parsed {
+        Ok(Status::Complete(end)) => whole(head, rest, end, over, each),
+        Ok(Status::Partial) if !over && rest.is_empty() => Answer::Awaited,
+        Ok(Status::Partial) if !over && rest.len() <= HEAD_MAX => Answer::Partial,
+        _ => spoilt(rest, 0, each),
+    })
+}
+
+/// Walks past interim (1xx) answers, which stand before the one that counts, and shows that one: its bytes, how far its head
+/// could be parsed, and the head.
+fn past_interim<T>(bytes: &[u8], read: impl FnOnce(&[u8], httparse::Result<usize>, &Response) -> T) -> T {
     let mut rest = bytes;
     loop {
         let mut headers = [EMPTY_HEADER; HEADERS_MAX];
         let mut head = Response::new(&mut headers);
         match head.parse(rest) {
-            // An interim answer stands before the one that counts.
+            // 101 is the last answer in this protocol: what follows it is in another.
             Ok(Status::Complete(end)) if matches!(head.code, Some(100 | 102..=199)) => rest = &rest[end..],
-            Ok(Status::Complete(end)) => return whole(&head, rest, end, over, each),
-            Ok(Status::Partial) if !over && rest.is_empty() => return Answer::Awaited,
-            Ok(Status::Partial) if !over && rest.len() <= HEAD_MAX => return Answer::Partial,
-            _ => return spoilt(rest, 0, each),
+            parsed => return read(rest, parsed, &head),
         }
     }
 }
@@ -109,32 +117,23 @@
 /// What a whole answer to a call with several messages tells of each, and the wait that it tells (0: none). Of one that it
 /// leaves out, names twice in two ways or in words that are not known, it says no more than that it may have run.
 pub fn each(answer: &[u8], call: &InvokerCall) -> (Vec<CallEnd>, Micros) {
-    let mut rest = answer;
-    let (told, body) = loop {
-        let mut headers = [EMPTY_HEADER; HEADERS_MAX];
-        let mut head = Response::new(&mut headers);
-        let Ok(Status::Complete(end)) = head.parse(rest) else { break (0, Vec::new()) };
-        if matches!(head.code, Some(100 | 102..=199)) {
-            rest = &rest[end..];
-            continue;
-        }
+    let (told, body) = past_interim(answer, |rest, parsed, head| {
+        let Ok(Status::Complete(end)) = parsed else { return (0, Vec::new()) };
         let header = |name| Lookup::of(head.headers, name);
         let told = header("retry-after").text().and_then(super::seconds).unwrap_or(0);
         let body = &rest[end..];
-        break (
-            told,
-            match header("content-length").text().and_then(|length| length.parse::<usize>().ok()) {
-                Some(length) => body.get(..length).unwrap_or(body).to_vec(),
-                None if header("transfer-encoding").text().is_some() => {
-                    let mut all = Vec::new();
-                    // Read before, it is whole: what could not be read is not told of here.
-                    let _ = chunked(body, |part| all.extend_from_slice(part));
-                    all
-                }
-                None => body.to_vec(),
-            },
-        );
-    };
+        let body = match header("content-length").text().and_then(|length| length.parse::<usize>().ok()) {
+            Some(length) => body.get(..length).unwrap_or(body).to_vec(),
+            None if header("transfer-encoding").text().is_some() => {
+                let mut all = Vec::new();
+                // Read before, it is whole: what could not be read is not told of here.
+                let _ = chunked(body, |part| all.extend_from_slice(part));
+                all
+            }
+            None => body.to_vec(),
+        };
+        (told, body)
+    });
     let fared: Vec<Fared> = serde_json::from_slice(&body).unwrap_or_default();
     let mut ends: HashMap<&str, CallEnd> = HashMap::new();
     for one in &fared {
@@ -159,22 +158,15 @@
 
 /// The report of its load that a whole answer holds; values that are no numbers are left out.
 pub fn load(answer: &[u8]) -> Vec<(String, f64)> {
-    let mut rest = answer;
-    loop {
-        let mut headers = [EMPTY_HEADER; HEADERS_MAX];
-        let mut head = Response::new(&mut headers);
-        let Ok(Status::Complete(end)) = head.parse(rest) else { return Vec::new() };
-        if matches!(head.code, Some(100 | 102..=199)) {
-            rest = &rest[end..];
-            continue;
-        }
+    past_interim(answer, |_, parsed, head| {
+        let Ok(Status::Complete(_)) = parsed else { return Vec::new() };
         let told = Lookup::of(head.headers, LOAD).text().unwrap_or_default();
         let values = told.split(',').filter_map(|value| {
             let (name, value) = value.split_once('=')?;
             Some((name.trim().to_string(), value.trim().parse().ok()?))
         });
-        return values.collect();
-    }
+        values.collect()
+    })
 }
 
 fn whole(head: &Response, bytes: &[u8], end: usize, over: bool, each: bool) -> Answer {
--- a/protocol/tests/invoker.rs
+++ b/protocol/tests/invoker.rs
@@ -2,7 +2,7 @@
 
 use quillmount_core::machine::attempt::Answer;
 use quillmount_core::{CallEnd, InvokerCall, Parcel};
-use quillmount_protocol::invoker::{decode, decode_each, each, encode};
+use quillmount_protocol::invoker::{decode, decode_each, each, encode, load};
 use spurshore::Micros;
 
 /// Whatever the pieces in which an answer comes, it says one thing, and only with its last byte where it is no 200.
@@ -136,3 +136,33 @@
         }
     }
 }
+
+/// Interim answers stand before the one that counts: it says with them what it says without, to every reader, and nothing of
+/// it is said before it begins. A 101 is none of them.
+#[test]
+fn interim_answers_change_nothing_of_the_one_behind_them() {
+    let order = call(&["a", "b"]);
+    let body = r#"[{"id":"a","state":"ok"},{"id":"b","state":"later"}]"#;
+    let length = body.len();
+    let interim =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nX-Backend-Load: in_use=9\r\nRetry-After: 7\r\n\r\n";
+    for head in ["200 OK", "503 X"] {
+        let plain = format!(
+            "HTTP/1.1 {head}\r\nX-Backend-Load: in_use=2\r\nRetry-After: 1\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        let text = [interim, &plain].concat();
+        let (plain, text) = (plain.as_bytes(), text.as_bytes());
+        for cut in interim.len() + 1..=text.len() {
+            let rest = &plain[..cut - interim.len()];
+            for over in [false, true] {
+                assert_eq!(decode(&text[..cut], over), decode(rest, over), "{head}, {cut} bytes");
+                assert_eq!(decode_each(&text[..cut], over), decode_each(rest, over), "{head}, {cut} bytes");
+            }
+        }
+        assert_eq!(decode(interim.as_bytes(), false), Answer::Awaited);
+        assert_eq!(each(text, &order), (vec![CallEnd::Delivered, CallEnd::Full(0)], 1_000_000));
+        assert_eq!(load(text), [("in_use".to_string(), 2.0)]);
+    }
+    let switched = "HTTP/1.1 101 X\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(decode(switched.as_bytes(), false), Answer::Whole { end: CallEnd::Error, reusable: true });
+}
