--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -1,4 +1,4 @@
-//! One invoker call with its connection: the attempt's machine, and what the pool is to know of it.
+//! One invoker call with its connection: the attempt's machine, and what the connection pool is to know of it.
 
 use crate::machine::attempt::{Attempt, Decode, Input, Link as Todo, State};
 use crate::machine::link::{self, Link};
--- a/core/src/machine/life.rs
+++ b/core/src/machine/life.rs
@@ -13,7 +13,7 @@
     Serving,
     /// Another process has asked for all, or has it on its way.
     HandingOver(Giver),
-    /// A planned stop.
+    /// A planned stop, the graceful shutdown.
     Stopping,
     /// Another process decides, or the planned stop is done.
     Ended,
--- a/courier/src/transport/folder.rs
+++ b/courier/src/transport/folder.rs
@@ -14,7 +14,7 @@
     name.into()
 }
 
-/// An append-only file, and its whole replacement by a copy beside it.
+/// An append-only file, and its atomic replacement: a whole copy is written beside it and renamed.
 pub struct Folder {
     path: PathBuf,
     file: File,
--- a/fleet/src/budget/divide.rs
+++ b/fleet/src/budget/divide.rs
@@ -6,7 +6,7 @@
 
 /// One connection, in the units of [`Claim::credit`] and [`Part::fair`].
 pub const ONE: i64 = 1_000_000;
-/// Who holds a seat keeps it against one whose claim to it is greater by less than this: a quarter of a
+/// Hysteresis: who holds a seat keeps it against one whose claim to it is greater by less than this: a quarter of a
 /// connection. Without it, demand that wavers would turn seats over at each look.
 pub const STICK: i64 = ONE / 4;
 /// Credits count up to so many connections either way: who asked for long can't hoard.
--- a/fleet/src/settlement/forward.rs
+++ b/fleet/src/settlement/forward.rs
@@ -10,9 +10,9 @@
 use spurshore::Micros;
 use std::collections::BTreeMap;
 
-/// Without a word the home is asked again.
+/// Retry interval: without a word the home is asked again.
 pub const ASK_AGAIN: Micros = 50_000;
-/// Consumers wait 0.4 s for a word.
+/// Time-out of an ask: consumers wait 0.4 s for a word.
 pub const PATIENCE: Micros = 350_000;
 /// Asks without a word that a courier holds: their bodies are 64 KiB each at most.
 pub const ASKS_MAX: usize = 1_024;
--- a/fleet/src/settlement/home.rs
+++ b/fleet/src/settlement/home.rs
@@ -19,9 +19,9 @@
 use spurshore::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Between two tries of what nobody has confirmed: a command, or a call for records.
+/// Retry interval of what nobody has confirmed: a command, or a call for records.
 pub const AGAIN: Micros = 200_000;
-/// After an attempt that is to be repeated, and told no other wait.
+/// Backoff after an attempt that is to be repeated, and told no other wait.
 pub const REST: Micros = 10_000;
 /// No message is handed in with more time than this.
 const MESSAGE_LONGEST: Micros = 600_000_000;
--- a/fleet/src/settlement/mod.rs
+++ b/fleet/src/settlement/mod.rs
@@ -48,7 +48,7 @@
 pub enum Repeat {
     /// It takes effect once: an attempt that may have run is the last one.
     Never,
-    /// Repeats are dropped for so long from the first attempt that may have run.
+    /// The idempotency window: repeats are dropped for so long from the first attempt that may have run.
     Within(Micros),
     Freely,
 }
--- a/tables/src/dues.rs
+++ b/tables/src/dues.rs
@@ -1,4 +1,4 @@
-//! When each of many things is due, and calls by the time they were sent.
+//! When each of many things is due (a timer queue), and calls by the time they were sent.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/tables/src/recent.rs
+++ b/tables/src/recent.rs
@@ -1,4 +1,4 @@
-//! The tenth lowest of what was measured lately.
+//! The tenth lowest of what was measured lately: the lower decile of a sliding window.
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
