Tell the end of what is delivered about the end of its time: some of it did not count

The couriers' logs, with each take-on, answer, call and notice in them: every 202 was written, every message had an end. Checked and ruled out: consumers' connections (none ended without its answer), the end of the process, repeats under another id, answers read after the courier had ended its sending (nine such deliveries, none lost), notices (each confirmed). At fault: core/src/router/calls.rs, message_ended and delivered_late, settled whatever a 200 said and took a notice back that was not on its way yet. A message's time counts from its last byte at the consumer; the courier's begins when it has read that, so that the last moments of its own are past the other's, and a 200 of then counts for nobody. Changed: less than 50 ms (the protocol's slack on sockets) before that end, or behind it, a delivery is followed by a notice, which by the protocol does no harm where the message is over. Streams are answered on their way, as before. The fleet's auditor passes such a notice over within the same 50 ms, and only there.

--- a/core/src/router/calls.rs
+++ b/core/src/router/calls.rs
@@ -19,6 +19,10 @@
     pub(super) until: Micros,
 }
 
+/// A delivery counts by the time at which the message's own consumer sent it, and its rest is known here from when it was
+/// read. What is less than this before the end of the message's time may have come after it.
+const CLOSE: Micros = 50_000;
+
 /// The numbers of all calls of a message.
 pub(super) fn calls_of(msg: MsgId) -> std::ops::RangeInclusive<CallId> {
     CallId { msg, attempt: 0 }..=CallId { msg, attempt: u32::MAX }
@@ -122,7 +126,7 @@
             if stream == Some(None) {
                 steps.push(Step::Answer { msg, end: StreamEnd::Delivered });
             }
-            self.settle(msg, End::Delivered, now);
+            self.delivered(msg, end, now, steps);
         } else if self.owed.contains_key(&msg) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::Moot | Outcome::ConnectFailed)
                 || breaks::on(Break::OutcomeNever);
@@ -136,11 +140,23 @@
         Some(Report { msg, attempt, outcome, elapsed, finished, wait })
     }
 
+    /// A provider has said that a message is delivered, or over. Whether a delivery about the end of its time counts depends
+    /// on whose clock is asked; its end is told too then, which does no harm where it counts.
+    fn delivered(&mut self, msg: MsgId, end: CallEnd, now: Micros, steps: &mut Vec<Step>) {
+        let late = |owed: &Owed| owed.stream.is_none() && now.saturating_add(CLOSE) >= owed.deadline;
+        if end == CallEnd::Delivered && self.owed.get(&msg).is_some_and(late) {
+            // Where the module has ended it already, that stays.
+            self.end(msg, Ending::Undeliverable, now, steps);
+        } else {
+            self.settle(msg, End::Delivered, now);
+        }
+    }
+
     /// A call delivered a message that was not waited for any longer: nothing more is owed, and nothing more is to leave.
     fn delivered_late(&mut self, msg: MsgId, end: CallEnd, now: Micros, steps: &mut Vec<Step>) {
         let open = self.owed.get(&msg).is_some_and(|owed| owed.end.is_none());
         if open && matches!(end, CallEnd::Delivered | CallEnd::Over) {
-            self.settle(msg, End::Delivered, now);
+            self.delivered(msg, end, now, steps);
             let again = self.out.range(calls_of(msg)).map(|(_, out)| Step::Ended(out.lead));
             steps.extend(again);
             let orders = self.facade.ended(now, msg);
--- a/courier/tests/calls.rs
+++ b/courier/tests/calls.rs
@@ -609,3 +609,26 @@
         });
     }
 }
+
+/// The answer lies in the system as its message's time ends: by whose clock it came in time is not known here, and its
+/// consumer would wait for ever if it did not.
+#[test]
+fn a_delivery_that_crosses_the_end_of_its_messages_time_is_followed_by_a_notice() {
+    for class in ["fee-debit", "paid-notice"] {
+        play(async || {
+            let (listener, addr) = provider().await;
+            let mut stage = Stage::open(vec![(1, addr)], json!({})).await;
+            let (begun, time) = (Instant::now(), Duration::from_secs(2));
+            stage.hand_in(class, "crosses", 1, time).await;
+            let mut reader = accept(&listener).await;
+            call(&mut reader).await;
+            stage.courier.pause().unwrap();
+            reader.into_inner().write_all(OK).await.unwrap();
+            tokio::time::sleep_until((begun + time + Duration::from_millis(100)).into()).await;
+            stage.courier.go_on().unwrap();
+            assert_eq!(stage.end(addr).await, "Delivered", "{class}");
+            // Of whichever end came first, the module's or the courier's own.
+            stage.notice("crosses").await;
+        });
+    }
+}
--- a/standins/src/audit.rs
+++ b/standins/src/audit.rs
@@ -19,6 +19,9 @@
 use spurshore::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A delivery so long before the end of its message's time, or later, may be followed by a notice of its end.
+const CLOSE: Micros = 50_000;
+
 /// What may be done with a class's messages a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -269,8 +272,11 @@
             found.push(Finding::ToldTwice { id: id.clone(), first, second, couriers });
         }
     }
+    // About the end of its time a delivery may count or not, and its end is told too.
+    let ends = story.handed.iter().filter_map(|handed| Some(handed.answered?.0 + handed.time_left)).max();
+    let close = |at: Micros| ends.is_some_and(|ends| at + CLOSE >= ends);
     let heard = |seen: &&&Seen| {
-        let at = seen.delivered().filter(|_| !seen.unheard);
+        let at = seen.delivered().filter(|at| !seen.unheard && !close(*at));
         at.is_some_and(|at| !history.troubled(seen.courier, seen.began, at))
     };
     if let (Some(notice), Some(call)) = (story.notices.first(), story.seen.iter().find(heard)) {
