Let who is waited for longest lead a bundle: led by one that had its end, others were lost

At fault: core/src/router/calls.rs, call, put the message first that lives longest, though a class that may be repeated is waited for less long than one that may not, and may be sent again or ended while the call goes on. Changed: who is waited for longest leads, and of those who lives longest. No message is waited for beyond its own time, so nobody waits beyond the first one's either. The test was seen to fail without the change (the quote stood first).

--- a/core/src/router/calls.rs
+++ b/core/src/router/calls.rs
@@ -227,10 +227,12 @@
                 None => steps.push(Step::Note(Note::UnknownCall { msg, attempt, provider })),
             }
         }
-        // For whoever answers, a call's time is its first message's: an answer after that counts for none of them, whatever
-        // it says. The one that lives longest leads, so that nobody waits beyond.
+        // For whoever answers, a call's time is its first message's: an answer after that one's end counts for none of them,
+        // whatever it says. Who is waited for longest leads, so that nobody waits beyond, and of those who lives longest: one
+        // that is left behind may be sent again or ended meanwhile, and the call goes on for the others.
         let lives = |(call, ..): &(CallId, _, _, _, _)| self.owed.get(&call.msg).map(|owed| owed.deadline);
-        if let Some((longest, _)) = parcels.iter().enumerate().max_by_key(|(n, p)| (lives(p), Reverse(*n))) {
+        let waits = |p: &(CallId, _, _, Micros, _)| (p.3, lives(p));
+        if let Some((longest, _)) = parcels.iter().enumerate().max_by_key(|(n, p)| (waits(p), Reverse(*n))) {
             parcels[..=longest].rotate_right(1);
         }
         let (Some((addr, zone, dest)), Some((lead, invocation, stream, ..))) =
--- a/core/tests/bundles.rs
+++ b/core/tests/bundles.rs
@@ -259,3 +259,33 @@
         assert_eq!(end_of(&hub, id), Some(End::Undeliverable), "{id}");
     }
 }
+
+/// A quote that lives longer than the debits beside it is waited for less long: it is left behind, sent again or ended, and
+/// what the call's answer says of the debits has to count.
+#[test]
+fn who_is_waited_for_longest_stands_first_in_a_call() {
+    let (mut hub, _) = open(Memory::default(), NOW);
+    let alone: Vec<InvokerCall> = ["q0", "q1"].iter().flat_map(|id| hand_in(&mut hub, id, NOW)).collect();
+    for (n, id) in (0..).zip(["d2", "q3", "d4", "q5"]) {
+        assert_eq!(hand_in(&mut hub, id, NOW + n * 100_000).len(), 0);
+    }
+    alone.iter().for_each(|call| drop(hub.call_ended(call.call, CallEnd::Delivered, NOW + 450_000)));
+    let now = NOW + 900_000;
+    let call = calls(hub.tick(now)).remove(0);
+    let ids: Vec<&str> = call.parcels().map(|p| p.id.as_str()).collect();
+    assert_eq!((ids.len(), ids[0]), (4, "d4"), "{ids:?}");
+    // The first one's wait is the call's: nobody leaves later, and it does not leave before.
+    assert_eq!(now + call.timeout, NOW + 200_000 + 16_000_000);
+    assert!(call.told < call.timeout);
+    // Long after the quotes were left behind.
+    let mut at = now;
+    while at < now + call.timeout - 1_000_000 {
+        at = hub.router.wake_at().map_or(now + call.timeout, |wake| wake.max(at + 1));
+        if at < now + call.timeout - 1_000_000 {
+            hub.tick(at);
+        }
+    }
+    let late = now + call.timeout - 1_000_000;
+    hub.call_ended_each(call.call, &[CallEnd::Delivered; 4], &Said::default(), late);
+    assert_eq!([end_of(&hub, "d2"), end_of(&hub, "d4")], [Some(End::Delivered); 2]);
+}
