Keep a question out at any moment of an agent's silence where lists are pushed

Where lists are pushed, what the agent of a courier's machine gets at its return counts as told at once, and a drain in it has to be heeded within stop_sending_within_ms.

A probe that logs which question is answered: the oldest one, out for 4.6 s, in the moment of the return; those beside it are not needed. The watch that had been open goes on by itself too, with its own lines. So only the moments count in which no question is out. At fault: Following's tick in watch.rs, which spread the next question over ROUND, and Broken in Asking, which paused as for one that says no.

Changed, where lists are pushed (the settings' discovery is not subscribe): asked anew as soon as the silence is found, and as at a start (a quarter of heed, 50 ms at least) after the first question that fails and after one that fails with 1 s without a word; resets in one moment count once. How often a silent agent is asked is as before.

--- a/core/src/machine/watch.rs
+++ b/core/src/machine/watch.rs
@@ -118,12 +118,27 @@
     heed: Micros,
     /// Of the pauses' draws; 0: none is drawn.
     seed: u64,
+    /// Lists are pushed: it asks an agent of its own machine, which answers at no cost. What that has counts as told
+    /// in the moment in which it is back from a silence, and what is out then is answered: one always is.
+    pushed: bool,
+    /// There, since when questions are out to which not a word came, and when one that counts failed.
+    waits: Option<Micros>,
+    said: Micros,
 }
 
 impl Watch {
     /// A watch that asks at once.
     pub fn new(now: Micros) -> Self {
-        let mut watch = Watch { state: State::Over, failed: 0, couriers: 1, heed: LEFT, seed: 0 };
+        let mut watch = Watch {
+            state: State::Over,
+            failed: 0,
+            couriers: 1,
+            heed: LEFT,
+            seed: 0,
+            pushed: false,
+            waits: None,
+            said: 0,
+        };
         watch.ask(now, None, now);
         watch
     }
@@ -143,6 +158,15 @@
         watch
     }
 
+    /// Whether lists are pushed; where they are not, each question is the whole fleet's discovery's to answer.
+    pub fn where_pushed(self, pushed: bool) -> Self {
+        let waits = match self.state {
+            State::Asking { since, .. } if pushed => Some(since),
+            _ => None,
+        };
+        Watch { pushed, waits, ..self }
+    }
+
     /// What the fleet's questions are spread over, where there is so much time for it.
     fn over(&self, most: Micros) -> Micros {
         (Micros::from(self.couriers) * EACH).min(most)
@@ -187,6 +211,7 @@
         let fleet = ((1.0 - SPREAD + 2.0 * SPREAD * self.draw(0.5)) * fleet as f64) as Micros;
         // A quarter of it is left for the answer.
         again = again.max(if self.couriers > FEW { fleet } else { fleet.min(self.heed / 4 * 3) });
+        self.waits = self.waits.or(self.pushed.then_some(now));
         self.state = State::Asking { until: now.saturating_add(again), since, second, last: now };
     }
 
@@ -217,12 +242,14 @@
         match (self.state, input) {
             (State::Over, _) => Output::Nothing,
             (State::Asking { .. }, Input::Answered) => {
+                self.waits = None;
                 self.state =
                     State::Following { until: now.saturating_add(SILENCE), since: now, lasts: false };
                 Output::Nothing
             }
             (State::Asking { .. }, Input::Lost) => {
-                self.count(false);
+                self.fails(now);
+                self.waits = self.pushed.then_some(now);
                 Output::Nothing
             }
             (State::Following { since, .. }, Input::Heard { moved }) => {
@@ -252,7 +279,8 @@
                 if lasts {
                     self.failed = 0;
                 }
-                let over = self.over(ROUND);
+                // An agent may be back at any moment, and has to find a question then.
+                let over = if self.pushed { 0 } else { self.over(ROUND) };
                 let wait = (self.draw(1.0) * over as f64) as Micros;
                 self.pause(wait, now)
             }
@@ -263,8 +291,9 @@
                 self.pause(wait, now)
             }
             (State::Asking { last, .. }, Input::Broken { .. }) => {
-                self.count(false);
-                let wait = self.rest_after(last, now);
+                self.fails(now);
+                let back = self.pushed && self.failed == 1;
+                let wait = if back { self.moment().max(RETRY_FIRST / 2) } else { self.rest_after(last, now) };
                 self.pause(wait, now)
             }
             _ => Output::Nothing,
@@ -277,6 +306,23 @@
         self.failed = if lasted { 0 } else { self.failed.saturating_add(1) };
     }
 
+    /// Counts a question that failed. Where lists are pushed: an agent that is back from a silence may reset what it
+    /// no longer knows, all of it in one moment: that is the first no.
+    fn fails(&mut self, now: Micros) {
+        if !self.pushed {
+            return self.count(false);
+        }
+        let silent = self.waits.take().is_some_and(|since| now >= since.saturating_add(ANSWER));
+        if silent {
+            self.failed = 1;
+        } else if self.failed == 0 || now >= self.said.saturating_add(RETRY_FIRST) {
+            self.count(false);
+        } else {
+            return;
+        }
+        self.said = now;
+    }
+
     fn pause(&mut self, wait: Micros, now: Micros) -> Output {
         self.state = State::Pausing { until: now.saturating_add(wait) };
         Output::Pause(wait)
@@ -290,13 +336,17 @@
         An empty line is due every 2 s; after 2.5 s of \
         silence the watch is broken, and is asked for anew 25 ms later for each courier of the fleet, 1.5 \
         s at most, at a time that is drawn: the answer is there 1 s before what was missed counts as told, \
-        6 s after the silence began. A start, and a watch that ended, wait for a quarter of \
+        6 s after the silence began. Where lists are pushed it is asked for at once, since what the agent of the \
+        courier's own machine has counts as told when that is back, and what is out then is answered: from here on \
+        a question always is. A start, and a watch that ended, wait for a quarter of \
         `stop_sending_within_ms` (`heed`, of 1 s at most) at most. A question that is not answered stays \
         out, and another is asked beside it after 3 to 5 eighths of `heed`, in a fleet after some 50 ms a courier \
         (4 s at most, and three quarters of `heed` up to ten couriers); the first stays out for 6 s, and one more \
         for the 1 s that an answer may take. After a question that failed (or a watch that did not last) the pause is 25 ms a \
         courier, from 0.1 s to 2 s, and doubles up to 2 s, in a fleet up to 4 s, of which half \
-        is drawn, and that counts from the question where it failed late; it holds between questions without an answer too, until a watch lasts. So no two questions are \
+        is drawn, and that counts from the question where it failed late; it holds between questions without an answer too, until a watch lasts; where lists are pushed, the first that \
+        fails, and one that fails after 1 s without a word, are followed as a start is, after 50 ms at least: who is back resets \
+        what it no longer knows. So no two questions are \
         more than 4 s apart, and what discovery has and can be reached for is here 5 s later. Whatever it does, \
         the last list goes on to hold.";
 
--- a/core/tests/watch.rs
+++ b/core/tests/watch.rs
@@ -321,9 +321,9 @@
 fn what_discovery_has_and_can_be_reached_for_is_here_in_time_to_heed_it_whatever_failed_before() {
     let mut worst = 0;
     for (fleet, heed) in [1, 3, 30, 300].into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
-        for seed in 0..400_u64 {
+        for seed in 0..800_u64 {
             let me = (seed % u64::from(fleet)) as u32;
-            let watch = courier(fleet, me, seed % 5 == 0, heed);
+            let watch = courier(fleet, me, seed % 5 == 0, heed).where_pushed(seed >= 400);
             let late = ANSWER * (seed % 4) / 4;
             for calm in 0..40 {
                 let took = told_after(watch, seed * 7_919 + 1, calm, late, false);
@@ -342,6 +342,7 @@
     for (fleet, heed) in [1, 3, 6, 10].into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
         for seed in 0..200_u64 {
             let watch = courier(fleet, (seed % u64::from(fleet)) as u32, seed % 2 == 0, heed);
+            let watch = watch.where_pushed(seed % 4 < 2);
             for calm in 0..60 {
                 let took = told_after(watch, seed, calm, heed / 8, true);
                 assert!(took <= heed, "{fleet} couriers, seed {seed}, {calm}: {took}");
@@ -350,6 +351,132 @@
     }
 }
 
+/// What an agent does with the questions that came while it was silent, in the moment in which it is back.
+#[derive(Clone, Copy, Debug)]
+enum Return {
+    Answers,
+    Resets,
+}
+
+/// How long after an agent's return its news is here; `out`: the questions that wait for it. What it answers is here
+/// `late` later.
+fn told_at_return(watch: &mut Watch, out: &mut usize, back: Micros, how: Return, late: Micros) -> Micros {
+    /// Asks or waits when the state's time has come; true: a question is out that was asked now.
+    fn on(watch: &mut Watch, out: &mut usize) -> (Micros, bool) {
+        let now = watch.wake_at().unwrap();
+        let stay = match watch.step(TICK, now) {
+            Output::Ask => 0,
+            Output::AskBeside { stay } => stay,
+            Output::Pause(_) => {
+                *out = 0;
+                return (now, false);
+            }
+            other => panic!("{other:?} at a tick"),
+        };
+        *out = stay.min(*out) + 1;
+        (now, true)
+    }
+    while watch.wake_at().is_some_and(|at| at <= back) {
+        on(watch, out);
+    }
+    if *out > 0 {
+        match how {
+            // Unless it is given up before the answer is here, for another that is answered as late.
+            Return::Answers => {
+                let mut here = back + late;
+                while watch.wake_at().is_some_and(|at| at < here) {
+                    let (now, asks) = on(watch, out);
+                    assert!(asks, "an agent that was silent is not followed");
+                    if *out == 1 {
+                        here = now + late;
+                    }
+                }
+                return here - back;
+            }
+            Return::Resets => {
+                (1..*out).for_each(|_| assert_eq!(watch.step(Input::Lost, back), Output::Nothing));
+                assert!(matches!(watch.step(BROKEN, back), Output::Pause(_)));
+                *out = 0;
+            }
+        }
+    }
+    loop {
+        if let (now, true) = on(watch, out) {
+            return now + late - back;
+        }
+    }
+}
+
+const SIZES: [u32; 9] = [1, 3, 10, 11, 30, 64, 100, 300, 5_000];
+
+/// Where lists are pushed, what an agent gets at its return counts as told at once, in a fleet of any size: from the
+/// moment in which the silence can be found on, a question waits for it, or comes in time.
+#[test]
+fn where_lists_are_pushed_the_news_of_an_agent_that_was_silent_is_here_in_time_to_heed_it() {
+    for (fleet, heed) in SIZES.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for (me, how) in
+            (0..fleet.min(300)).flat_map(|me| [Return::Answers, Return::Resets].map(|how| (me, how)))
+        {
+            let mut seed = u64::from(me) * 31 + 7;
+            for _ in 0..40 {
+                let mut watch = courier(fleet, me, false, heed).where_pushed(true);
+                let silent = followed(&mut watch);
+                let back = silent + SILENCE + (draw(&mut seed) * 20e6) as Micros;
+                let took = told_at_return(&mut watch, &mut 0, back, how, heed / 8);
+                assert!(took <= heed, "{fleet} couriers, {heed}, {me} {how:?}, back at {back}: {took}");
+            }
+        }
+    }
+}
+
+/// From the first moment of a process on, which may start while its agent is silent; and where it had refused before.
+#[test]
+fn where_lists_are_pushed_a_process_that_starts_in_a_silence_is_told_at_its_end() {
+    for (fleet, heed) in SIZES.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for (me, how) in
+            (0..fleet.min(300)).flat_map(|me| [Return::Answers, Return::Resets].map(|how| (me, how)))
+        {
+            let mut seed = u64::from(me) * 31 + 7;
+            for n in 0..40 {
+                let mut watch = courier(fleet, me, true, heed).where_pushed(true);
+                let back = if n == 0 { 0 } else { (draw(&mut seed) * 20e6) as Micros };
+                let took = told_at_return(&mut watch, &mut 0, back, how, heed / 8);
+                assert!(took <= heed, "{fleet} couriers, {heed}, {me} {how:?}, back at {back}: {took}");
+                // Refused, as by an agent that starts; then it is silent.
+                let mut watch = courier(fleet, me, true, heed).where_pushed(true);
+                for _ in 0..n % 6 {
+                    let at = next_ask(&mut watch);
+                    watch.step(BROKEN, at);
+                }
+                let asked = next_ask(&mut watch);
+                let long = (draw(&mut seed) * 20e6) as Micros + ANSWER;
+                let took = told_at_return(&mut watch, &mut 1, asked + long, how, heed / 8);
+                assert!(
+                    took <= heed,
+                    "{fleet} couriers, {heed}, {me} {how:?}, refused, back after {long}: {took}"
+                );
+            }
+        }
+    }
+}
+
+/// The same questions, of which the first comes as soon as the silence is found.
+#[test]
+fn where_lists_are_pushed_a_silent_agent_is_asked_no_more_often_than_a_silent_discovery() {
+    for (fleet, heed) in SIZES.into_iter().flat_map(|fleet| HEEDS.map(|heed| (fleet, heed))) {
+        for me in 0..fleet.min(300) {
+            let between = |pushed: bool| {
+                let mut watch = courier(fleet, me, false, heed).where_pushed(pushed);
+                let silent = followed(&mut watch);
+                let asked: Vec<Micros> = (0..12).map(|_| next_ask(&mut watch)).collect();
+                assert!(!pushed || asked[0] == silent + SILENCE, "{fleet} couriers: {}", asked[0]);
+                asked.windows(2).map(|pair| pair[1] - pair[0]).collect::<Vec<_>>()
+            };
+            assert_eq!(between(true), between(false), "{fleet} couriers, {heed}");
+        }
+    }
+}
+
 /// From the last sign of life, from the last question that failed, and from the last that was asked, the next is
 /// answered `LEFT` before what discovery has counts as told.
 #[test]
@@ -359,10 +486,10 @@
         [1, 3, 10, 11, 30, 63, 64, 300, 5_000].into_iter().flat_map(|f| HEEDS.map(|h| (f, h)))
     {
         for me in 0..fleet.min(200) {
-            let mut watch = courier(fleet, me, false, heed);
+            let mut watch = courier(fleet, me, false, heed).where_pushed(me % 2 == 0);
             let last = followed(&mut watch);
             assert!(next_ask(&mut watch) <= last + REST, "{fleet} couriers after a silence");
-            let mut refused = courier(fleet, me, false, heed);
+            let mut refused = courier(fleet, me, false, heed).where_pushed(me % 2 == 0);
             let mut before = 0;
             for n in 0..40 {
                 // Silent and refused by turns, and several at once.
--- a/courier/src/program/run.rs
+++ b/courier/src/program/run.rs
@@ -212,6 +212,7 @@
         seed: config.seed,
         starts: came.is_none(),
         heed: told.heed,
+        pushed: !told.must_ask,
     };
     let begin = {
         let (courier, connections) = (courier.clone(), connections.clone());
--- a/courier/src/transport/platform.rs
+++ b/courier/src/transport/platform.rs
@@ -27,6 +27,8 @@
     pub starts: bool,
     /// Within which a drain has to be heeded.
     pub heed: Micros,
+    /// Lists are pushed to an agent of the courier's own machine.
+    pub pushed: bool,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -82,8 +84,9 @@
     fleet: Fleet,
 ) {
     let moved = || *discovery.borrow() != addr;
-    let Fleet { couriers, seed, starts, heed } = fleet;
-    let mut machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
+    let Fleet { couriers, seed, starts, heed, pushed } = fleet;
+    let machine = Watch::of_fleet(courier.clock.now(), couriers, seed, starts, heed);
+    let mut machine = machine.where_pushed(pushed);
     let mut todo = if starts { Output::Nothing } else { Output::Ask };
     let mut out = Questions::default();
     loop {
--- a/courier/tests/watch.rs
+++ b/courier/tests/watch.rs
@@ -5,6 +5,7 @@
 use quillmount_standins::gate::Entry;
 use quillmount_standins::platform::{Asked, ByHand};
 use quillmount_standins::{Eyes, Seen, What, platform};
+use serde_json::json;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -107,8 +108,14 @@
 
 impl Stage {
     async fn open() -> Stage {
+        Stage::of_fleet(1).await
+    }
+
+    /// It is one of so many, which are told of changes unasked.
+    async fn of_fleet(couriers: u32) -> Stage {
         let mut hand = ByHand::open().await.unwrap();
-        let setup = Setup::new(env!("CARGO_BIN_EXE_quillmount"), hand.addr, Vec::new());
+        let mut setup = Setup::new(env!("CARGO_BIN_EXE_quillmount"), hand.addr, Vec::new());
+        setup.config = json!({"settings": {"siblings": couriers, "discovery": "automatic"}});
         let courier = Courier::start(setup).unwrap();
         let mut followed = next(&mut hand).await;
         answer(&mut followed, 2).await;
@@ -467,3 +474,52 @@
 fn discovery_moves_twice_before_anything_was_told() {
     run(started_without());
 }
+
+/// What an agent gets at its return counts as told at once: here it is back in the moment in which its silence is
+/// found, and the next question is answered.
+async fn back_as_the_silence_is_found() {
+    let Stage { mut hand, courier, followed: _silent } = Stage::of_fleet(300).await;
+    logged(&courier, "silent for 2.5s; again in").await;
+    let back = Instant::now();
+    is_back(&mut hand, &courier, 3).await;
+    assert!(back.elapsed() < HEED, "{:?}", back.elapsed());
+}
+
+#[test]
+fn one_of_a_large_fleet_is_told_at_once_by_an_agent_that_is_back_as_its_silence_is_found() {
+    run(back_as_the_silence_is_found());
+}
+
+/// The silence lasts until a second question is out; then the first is answered, and the second is not.
+async fn back_with_an_answer_to_the_first() {
+    let Stage { mut hand, courier, followed: _silent } = Stage::of_fleet(30).await;
+    let mut first = next(&mut hand).await;
+    let _second = next(&mut hand).await;
+    let back = Instant::now();
+    answer(&mut first, 3).await;
+    listed(&courier, 3).await;
+    assert!(back.elapsed() < HEED, "{:?}", back.elapsed());
+}
+
+#[test]
+fn what_was_asked_in_a_silence_stays_out_and_is_answered_at_its_end() {
+    run(back_with_an_answer_to_the_first());
+}
+
+/// It resets what it no longer knows, and answers what comes then.
+async fn back_with_resets() {
+    let Stage { mut hand, courier, followed: _silent } = Stage::of_fleet(300).await;
+    let first = next(&mut hand).await;
+    let second = next(&mut hand).await;
+    assert!(second.at - first.at > Duration::from_secs(1), "the fleet asks seldom");
+    let back = Instant::now();
+    first.reset();
+    second.reset();
+    is_back(&mut hand, &courier, 3).await;
+    assert!(back.elapsed() < HEED, "{:?}", back.elapsed());
+}
+
+#[test]
+fn an_agent_that_is_back_and_resets_what_was_asked_is_asked_anew_at_once() {
+    run(back_with_resets());
+}
