Deal out what whole calls leave of the guard's share where turns went before

Seen: 100 senders whose S is 199 send a call each in a span, so that half of S lies while a destination warms. At fault: free_at rounds S / N down.

Changed: where turns bind at the cold share, S mod N of the senders have one call more, at each destination others.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -747,8 +747,10 @@
         }
         at = at.max(l.paced.saturating_sub((self.gap(lane) as f64 * AHEAD) as Micros));
         self.turn(lane, at).unwrap_or_else(|| {
-            // Slow start: this sender's part of S in any span, growing as the destination warms.
-            let own = (self.ramp(lane) / f64::from(self.set.siblings.max(1))) as usize;
+            // Slow start: this sender's part of S in any span. Where turns went before, some have one more.
+            let (all, calls) = (u64::from(self.set.siblings.max(1)), self.ramp(lane) as u64);
+            let more = (l.dest % all + u64::from(self.set.me)) % all < calls % all;
+            let own = (calls / all) as usize + usize::from(more && self.cycle(lane) > self.set.fall);
             let over = l.sent.len().checked_sub(own.max(1)).filter(|_| self.now < l.guard);
             at.max(over.map_or(0, |n| l.sent[n] + self.set.fall))
         })
@@ -820,13 +822,12 @@
 
     /// The best message for a destination that may send now, with its endpoint.
     fn best_of(&mut self, dest: DestId, wake: &mut Micros) -> Option<Pick> {
-        let d = &self.dests[&dest];
         let at = |l: &usize| self.lanes[*l].live.len() + self.lanes[*l].flows as usize;
-        if d.lanes.iter().map(at).sum::<usize>() >= cap(self.set.slots) as usize {
+        if self.dests[&dest].lanes.iter().map(at).sum::<usize>() >= cap(self.set.slots) as usize {
             return None;
         }
         let mut best: Option<Pick> = None;
-        for lane in d.lanes.clone() {
+        for lane in self.dests[&dest].lanes.clone() {
             let at = self.free_at(lane);
             if at > self.now {
                 self.lanes[lane].pressed = true;
@@ -834,9 +835,7 @@
                 continue;
             }
             let Some(pick) = self.best_message(lane, None, wake) else { continue };
-            if best.is_none_or(|b| (pick.3, -pick.0) < (b.3, -b.0)) {
-                best = Some(pick);
-            }
+            best = best.filter(|b| (b.3, -b.0) <= (pick.3, -pick.0)).or(Some(pick));
         }
         best
     }
