--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -1,9 +1,19 @@
-//! Batch jobs of one shard: operations, positions, digests for repair. No I/O, no clock.
+//! Batch jobs of one shard: operations, positions, digests for repair, and the replica that keeps them on several stores.
+//! No I/O, no clock.
 
+pub mod breaks;
 mod digests;
+mod lead;
+mod primary;
 mod record;
+mod replica;
+mod rewrite;
 mod shard;
 
 pub use digests::{BUCKETS, bucket_of, different_buckets};
+pub use primary::{MEMBER_TIME, RETRY};
 pub use record::StoreRecord;
+pub use replica::{
+    CallId, Micros, OperationId, Output, ReadId, Replica, ReplicaIdentity, RequestId, WriteId,
+};
 pub use shard::{JobEntry, ShardJobs};
--- a/batch/src/record.rs
+++ b/batch/src/record.rs
@@ -9,8 +9,22 @@
 pub enum StoreRecord {
     /// Operations with consecutive numbers.
     Operations { shard: u32, epoch: Epoch, first: u64, operations: Vec<ShardOperation> },
-    /// Jobs replaced and dropped by a repair or a compaction.
+    /// Jobs replaced and dropped by a repair, or written once more by a rewrite.
     Install { shard: u32, epoch: Epoch, dropped: Vec<String>, jobs: Vec<JobState>, next: Option<u64> },
+    /// This store is primary from this epoch on.
+    Reign { shard: u32, epoch: Epoch },
+    /// The end of a rewrite: the shard holds these jobs and no others.
+    Whole {
+        shard: u32,
+        /// Highest epoch seen.
+        epoch: Epoch,
+        /// Highest epoch in which this store was primary.
+        led: Epoch,
+        jobs: Vec<String>,
+        next: u64,
+    },
+    /// Where a rewrite of all shards begins.
+    Marker,
 }
 
 impl StoreRecord {
@@ -21,4 +35,35 @@
     pub fn decode(bytes: &[u8]) -> Result<StoreRecord, FrameError> {
         decode(bytes)
     }
+
+    /// The shard that the record is of.
+    pub fn shard(&self) -> Option<u32> {
+        match self {
+            StoreRecord::Operations { shard, .. }
+            | StoreRecord::Install { shard, .. }
+            | StoreRecord::Reign { shard, .. }
+            | StoreRecord::Whole { shard, .. } => Some(*shard),
+            StoreRecord::Marker => None,
+        }
+    }
+
+    /// The epoch in which it was written.
+    pub fn epoch(&self) -> Epoch {
+        match self {
+            StoreRecord::Operations { epoch, .. }
+            | StoreRecord::Install { epoch, .. }
+            | StoreRecord::Reign { epoch, .. }
+            | StoreRecord::Whole { epoch, .. } => *epoch,
+            StoreRecord::Marker => 0,
+        }
+    }
+
+    /// The highest epoch in which this store is known to have been primary by this record.
+    pub fn led(&self) -> Epoch {
+        match self {
+            StoreRecord::Reign { epoch, .. } => *epoch,
+            StoreRecord::Whole { led, .. } => *led,
+            _ => 0,
+        }
+    }
 }
--- a/batch/src/shard.rs
+++ b/batch/src/shard.rs
@@ -161,9 +161,20 @@
                 }
             }
             StoreRecord::Install { dropped, jobs, next, .. } => self.install(&dropped, jobs, next),
+            StoreRecord::Whole { jobs, next, .. } => self.keep_only(&jobs, next),
+            StoreRecord::Reign { .. } | StoreRecord::Marker => {}
         }
     }
 
+    /// Drops every job that is not named.
+    fn keep_only(&mut self, jobs: &[String], next: u64) {
+        let kept: BTreeSet<&str> = jobs.iter().map(String::as_str).collect();
+        let dropped: Vec<String> =
+            self.jobs.keys().filter(|job| !kept.contains(job.as_str())).cloned().collect();
+        dropped.iter().for_each(|job| self.drop_job(job));
+        self.next = next;
+    }
+
     /// Bytes in memory, about.
     pub fn bytes(&self) -> usize {
         self.bytes
--- /dev/null
+++ b/batch/tests/cluster/day.rs
@@ -0,0 +1,183 @@
+//! Days of mixed faults, drawn by seed.
+
+use crate::world::{MILLI, SECOND, World};
+use quillmount_batch::Micros;
+
+/// What a day did.
+pub struct Summary {
+    pub commits: usize,
+    pub reads: usize,
+    pub faults: usize,
+}
+
+/// Plays a day: faults for some seconds, calm, a closing loss of power of everything, at times with a lost disk, and a
+/// reading of all that was acknowledged.
+pub fn play(seed: u64) -> Summary {
+    let survivable = if seed.is_multiple_of(4) { 2 } else { 1 };
+    let stores = survivable as u32 + 2 + (seed % 3) as u32;
+    let mut world = World::new(stores, survivable, seed);
+    world.run(2 * SECOND);
+    let mut faults = 0;
+    for _ in 0..14 {
+        strike(&mut world);
+        faults += 1;
+        let pause = world.random.next(900);
+        world.run(pause * MILLI);
+    }
+    calm(&mut world);
+    closing(&mut world);
+    Summary { commits: world.auditor.commits, reads: world.auditor.reads, faults }
+}
+
+fn any_store(world: &mut World) -> u32 {
+    let names: Vec<u32> =
+        world.stores.values().filter(|store| !store.removed).map(|store| store.name).collect();
+    let place = world.random.next(names.len() as u64) as usize;
+    names[place]
+}
+
+fn primary_or_any(world: &mut World) -> u32 {
+    match world.primary() {
+        Some(primary) if world.random.chance(60) => primary,
+        _ => any_store(world),
+    }
+}
+
+fn span(world: &mut World, from: u64, below: u64) -> Micros {
+    (from + world.random.next(below - from)) * MILLI
+}
+
+fn strike(world: &mut World) {
+    let store = primary_or_any(world);
+    match world.random.next(12) {
+        0 | 1 => {
+            let (down, power) = (span(world, 50, 2500), world.random.chance(50));
+            world.kill(store, power);
+            world.restart_after(store, down);
+        }
+        2 | 3 => {
+            let span = span(world, 100, 3500);
+            let until = world.now + span;
+            let store = world.stores.get_mut(&store).unwrap();
+            store.frozen_until = store.frozen_until.max(until);
+        }
+        4 => herd(world),
+        5 => cut_between(world, store),
+        6 => {
+            world.cut_from_core.insert(store);
+        }
+        7 => {
+            world.cuts.clear();
+            world.cut_from_core.clear();
+        }
+        8 => {
+            let span = span(world, 100, 1200);
+            let until = world.now + span;
+            world.stores.get_mut(&store).unwrap().disk_fails_until = until;
+        }
+        9 => {
+            let span = span(world, 500, 3000);
+            let until = world.now + span;
+            world.stores.get_mut(&store).unwrap().disk_slow_until = until;
+        }
+        10 => world.compact(store),
+        _ => wipe(world, store),
+    }
+}
+
+/// Many processes end at the same moment.
+fn herd(world: &mut World) {
+    let power = world.random.chance(50);
+    let names: Vec<u32> = world.stores.keys().copied().collect();
+    let spared = world.random.chance(30).then(|| any_store(world));
+    for name in names.into_iter().filter(|name| Some(*name) != spared) {
+        let down = span(world, 50, 1500);
+        world.kill(name, power);
+        world.restart_after(name, down);
+    }
+}
+
+/// A store is cut off from the others, or only one way, or from one of them.
+fn cut_between(world: &mut World, store: u32) {
+    let others: Vec<u32> = world.stores.keys().copied().filter(|name| *name != store).collect();
+    let (into, out) = match world.random.next(3) {
+        0 => (true, false),
+        1 => (false, true),
+        _ => (true, true),
+    };
+    let one = world.random.chance(40);
+    for other in others.into_iter().take(if one { 1 } else { usize::MAX }) {
+        if into {
+            world.cuts.insert((other, store));
+        }
+        if out {
+            world.cuts.insert((store, other));
+        }
+    }
+}
+
+/// Loses a disk, if every earlier loss has been made up for.
+pub fn wipe(world: &mut World, store: u32) {
+    if !world.is_healed() {
+        return;
+    }
+    world.kill(store, true);
+    world.add_store(store);
+    let down = span(world, 100, 1500);
+    let until = world.now + down;
+    world.stores.get_mut(&store).unwrap().frozen_until = until;
+}
+
+/// Ends all faults and waits until the shard is whole.
+pub fn calm(world: &mut World) {
+    world.cuts.clear();
+    world.cut_from_core.clear();
+    for _ in 0..120 {
+        world.run(250 * MILLI);
+        if world.is_healed() {
+            return;
+        }
+    }
+    panic!("STUCK: the shard is not whole 30 s after the last fault: {:?}", world.view());
+}
+
+/// Everything loses power, at times with one disk; then all that was acknowledged is read.
+fn closing(world: &mut World) {
+    let lost = world.random.chance(50).then(|| any_store(world));
+    let names: Vec<u32> = world.stores.keys().copied().collect();
+    for name in names {
+        world.kill(name, true);
+        if Some(name) == lost {
+            world.add_store(name);
+        } else {
+            let down = span(world, 100, 1500);
+            world.restart_after(name, down);
+        }
+    }
+    world.run(3 * SECOND);
+    calm(world);
+    read_back(world);
+}
+
+/// Reads all that was acknowledged, and compares the members.
+pub fn read_back(world: &mut World) {
+    world.busy = false;
+    world.run(SECOND);
+    let before = world.auditor.reads;
+    for _ in 0..10 {
+        world.read_all();
+        world.run(SECOND);
+        if world.auditor.reads >= before + world.auditor.acknowledged.len() {
+            return compare_members(world);
+        }
+    }
+    panic!("STUCK: what was acknowledged can't be read");
+}
+
+fn compare_members(world: &World) {
+    let Some(view) = world.view() else { return };
+    let members: Vec<_> = world.stores.values().filter(|store| view.in_sync.contains(&store.disk)).collect();
+    for pair in members.windows(2) {
+        world.auditor.members_agree(pair[0].replica.jobs(), pair[1].replica.jobs());
+    }
+}
--- /dev/null
+++ b/batch/tests/cluster/world.rs
@@ -0,0 +1,610 @@
+//! Stores on virtual time: the real replicas of one shard, and the real planning of its views, between a network, disks and
+//! processes that fail by seed.
+
+use crate::audit::Auditor;
+use quillmount_batch::{Micros, Output, Replica, ReplicaIdentity, ShardJobs, StoreRecord, WriteId};
+use quillmount_control::{ControlState, ShardInputs};
+use quillmount_wire::messages::{
+    DiskId, Item, ItemResult, Job, MemberMessage, NodeInfo, NodeRole, Phase, Response, ShardOperation,
+    ShardReport, ShardView,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const MILLI: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+/// A store that has not polled for so long has lost its lease.
+const LEASE: Micros = 1_100 * MILLI;
+/// Reports of a store are used for so long.
+const REPORT_LIFE: Micros = 600 * MILLI;
+const POLL_PAUSE: Micros = 150 * MILLI;
+const PLAN_PAUSE: Micros = 100 * MILLI;
+const TICK: Micros = 20 * MILLI;
+const WORK_PAUSE: Micros = 15 * MILLI;
+/// Items of a job.
+const ITEMS: u32 = 6;
+
+/// A small generator, so that a seed always plays the same.
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn next(&mut self, below: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % below.max(1)
+    }
+
+    pub fn chance(&mut self, of_hundred: u64) -> bool {
+        self.next(100) < of_hundred
+    }
+}
+
+pub enum Event {
+    Request { from: u32, to: DiskId, call: u64, life: u64, epoch: u64, message: MemberMessage },
+    Reply { to: u32, call: u64, life: u64, answer: Option<Response> },
+    Synced { store: u32, life: u64, write: WriteId, position: usize },
+    NotWritten { store: u32, life: u64, write: WriteId },
+    View { to: u32, life: u64, view: ShardView },
+    Poll { from: u32, disk: DiskId, reports: Vec<ShardReport> },
+    Start { store: u32 },
+}
+
+/// A store: its process and its disk.
+pub struct Store {
+    pub name: u32,
+    pub disk: DiskId,
+    pub up: bool,
+    pub removed: bool,
+    /// Counts starts of the process.
+    pub life: u64,
+    pub frozen_until: Micros,
+    pub replica: Replica,
+    /// Records on the disk, in the order of writing; the first `synced` of them survive a loss of power.
+    pub records: Vec<StoreRecord>,
+    pub synced: usize,
+    /// What the records that are synced give.
+    pub on_disk: ShardJobs,
+    /// Records that were released by compactions: positions are counted with them.
+    pub released: usize,
+    /// Where the rewrite under way began.
+    rewrite_from: Option<usize>,
+    pub disk_fails_until: Micros,
+    pub disk_slow_until: Micros,
+    /// Writes that fail, and of which the replica was not told yet.
+    failing: usize,
+    last_sync: Micros,
+    last_poll: Micros,
+    requests: BTreeMap<u64, (u32, u64, u64)>,
+}
+
+/// What a replica is asked by a client, by the number of the operation or read.
+pub enum Asked {
+    Submit { job: String },
+    Append,
+    End,
+    Read { job: String, found: Option<Vec<ItemResult>>, must_exist: bool, at_least: usize },
+}
+
+pub struct World {
+    pub now: Micros,
+    pub random: Random,
+    order: u64,
+    events: BTreeMap<(Micros, u64), Event>,
+    pub stores: BTreeMap<u32, Store>,
+    /// Pairs of stores between which nothing goes this way.
+    pub cuts: BTreeSet<(u32, u32)>,
+    /// Stores that the core can't be reached by.
+    pub cut_from_core: BTreeSet<u32>,
+    pub control: ControlState,
+    leases: BTreeMap<DiskId, (Micros, Vec<ShardReport>)>,
+    pub survivable: usize,
+    pub auditor: Auditor,
+    asked: BTreeMap<u64, Asked>,
+    next_id: u64,
+    next_disk: DiskId,
+    /// Whether clients are at work.
+    pub busy: bool,
+}
+
+pub fn job(id: &str) -> Job {
+    let item = |number: u32| Item {
+        id: format!("{id}-{number}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: vec![number as u8; 8],
+        tokens: 1,
+    };
+    Job {
+        id: id.to_owned(),
+        tenant: "t".to_owned(),
+        route: "r".to_owned(),
+        host: "h".to_owned(),
+        path: "/p/".to_owned(),
+        items: (0..ITEMS).map(item).collect(),
+    }
+}
+
+impl World {
+    pub fn new(stores: u32, survivable: usize, seed: u64) -> World {
+        let mut world = World {
+            now: SECOND,
+            random: Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ seed),
+            order: 0,
+            events: BTreeMap::new(),
+            stores: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            cut_from_core: BTreeSet::new(),
+            control: ControlState::default(),
+            leases: BTreeMap::new(),
+            survivable,
+            auditor: Auditor::default(),
+            asked: BTreeMap::new(),
+            next_id: 0,
+            next_disk: 100,
+            busy: true,
+        };
+        (1..=stores).for_each(|name| world.add_store(name));
+        world
+    }
+
+    fn identity(&self, disk: DiskId) -> ReplicaIdentity {
+        ReplicaIdentity { disk, shard: 0, survivable: self.survivable }
+    }
+
+    /// Adds a store with an empty disk, or gives one an empty disk.
+    pub fn add_store(&mut self, name: u32) {
+        self.next_disk += 1;
+        let disk = self.next_disk;
+        let life = self.stores.get(&name).map_or(1, |store| store.life + 1);
+        let store = Store {
+            name,
+            disk,
+            up: true,
+            removed: false,
+            life,
+            frozen_until: 0,
+            replica: Replica::new(self.identity(disk)),
+            records: Vec::new(),
+            synced: 0,
+            on_disk: ShardJobs::default(),
+            released: 0,
+            rewrite_from: None,
+            disk_fails_until: 0,
+            disk_slow_until: 0,
+            failing: 0,
+            last_sync: 0,
+            last_poll: 0,
+            requests: BTreeMap::new(),
+        };
+        self.stores.insert(name, store);
+    }
+
+    fn schedule(&mut self, at: Micros, event: Event) {
+        self.order += 1;
+        self.events.insert((at, self.order), event);
+    }
+
+    fn draw_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub fn view(&self) -> Option<&ShardView> {
+        self.control.placement.shards.first()
+    }
+
+    // Faults
+
+    /// Ends a process; with `power` what was not synced may be lost.
+    pub fn kill(&mut self, name: u32, power: bool) {
+        let Some(store) = self.stores.get_mut(&name).filter(|store| store.up) else { return };
+        store.up = false;
+        store.life += 1;
+        store.requests.clear();
+        store.rewrite_from = None;
+        store.failing = 0;
+        let unsynced = store.records.len() - store.synced;
+        let kept = if power { self.random.next(unsynced as u64 + 1) as usize } else { unsynced };
+        store.records.truncate(store.synced + kept);
+        for record in &store.records[store.synced..] {
+            store.on_disk.recover(record.clone());
+        }
+        store.synced = store.records.len();
+    }
+
+    pub fn restart_after(&mut self, name: u32, down: Micros) {
+        self.schedule(self.now + down, Event::Start { store: name });
+    }
+
+    fn start(&mut self, name: u32) {
+        let identity = self.identity(self.stores[&name].disk);
+        let Some(store) = self.stores.get_mut(&name).filter(|store| !store.up && !store.removed) else {
+            return;
+        };
+        store.up = true;
+        store.frozen_until = 0;
+        store.replica = Replica::new(identity);
+        for record in &store.records {
+            store.replica.recover(record.clone());
+        }
+    }
+
+    /// Begins a compaction at a store.
+    pub fn compact(&mut self, name: u32) {
+        let Some(store) = self.stores.get_mut(&name).filter(|store| store.up) else { return };
+        if store.rewrite_from.is_none() {
+            store.rewrite_from = Some(store.records.len());
+            let outputs = store.replica.rewrite();
+            self.perform(name, outputs);
+        }
+    }
+
+    // Time
+
+    pub fn run(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let due = self.now + MILLI;
+        while let Some((&key, _)) = self.events.first_key_value()
+            && key.0 <= due
+        {
+            let event = self.events.remove(&key).unwrap();
+            self.now = self.now.max(key.0);
+            self.take(event);
+        }
+        self.now = due;
+        if self.now.is_multiple_of(TICK) {
+            self.tick();
+        }
+        if self.now.is_multiple_of(PLAN_PAUSE) {
+            self.plan();
+        }
+        if self.busy && self.now.is_multiple_of(WORK_PAUSE) {
+            self.work();
+        }
+    }
+
+    fn awake(&self, name: u32) -> bool {
+        self.stores.get(&name).is_some_and(|store| store.up && store.frozen_until <= self.now)
+    }
+
+    fn tick(&mut self) {
+        let names: Vec<u32> = self.stores.keys().copied().collect();
+        for name in names.into_iter().filter(|name| self.awake(*name)).collect::<Vec<_>>() {
+            let now = self.now;
+            let store = self.stores.get_mut(&name).unwrap();
+            let outputs = if store.replica.is_restless() { store.replica.tick(now) } else { Vec::new() };
+            if now >= store.last_poll + POLL_PAUSE {
+                store.last_poll = now;
+                let reports = store.replica.report().into_iter().collect();
+                let disk = store.disk;
+                // A poll may be late, and come after its sender has been started again.
+                let delay = if self.random.chance(3) { 400 * MILLI } else { 2 * MILLI };
+                self.schedule(now + delay, Event::Poll { from: name, disk, reports });
+            }
+            self.perform(name, outputs);
+        }
+    }
+
+    /// The core: admits stores, plans the views, and brings them to the stores.
+    fn plan(&mut self) {
+        let now = self.now;
+        let live =
+            self.leases.iter().filter(|(_, (at, _))| now - at < LEASE).map(|(disk, _)| *disk).collect();
+        let recent = self.leases.values().filter(|(at, _)| now - at < REPORT_LIFE);
+        let reports = recent.flat_map(|(_, reports)| reports.iter().cloned()).collect();
+        let inputs = ShardInputs { live, leaving: BTreeSet::new(), reports, survivable: self.survivable };
+        if self.control.placement.stores.len() > self.survivable {
+            self.control.plan_shards(&inputs);
+            self.control.placement.shards.truncate(1);
+        }
+        let Some(view) = self.view().cloned() else { return };
+        let names: Vec<u32> = self.stores.keys().copied().collect();
+        for name in names {
+            if !self.cut_from_core.contains(&name) {
+                let life = self.stores[&name].life;
+                let delay = self.random.next(120) * MILLI;
+                self.schedule(now + delay, Event::View { to: name, life, view: view.clone() });
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let to = match &event {
+            Event::Request { to, .. } => {
+                self.stores.values().find(|store| store.disk == *to).map(|store| store.name)
+            }
+            Event::Reply { to, .. } | Event::View { to, .. } => Some(*to),
+            Event::Synced { store, .. } | Event::NotWritten { store, .. } => Some(*store),
+            Event::Poll { .. } | Event::Start { .. } => None,
+        };
+        if let Some(store) = to.and_then(|to| self.stores.get(&to))
+            && store.frozen_until > self.now
+        {
+            // What comes to a frozen process waits for it.
+            let at = store.frozen_until;
+            return self.schedule(at, event);
+        }
+        match event {
+            Event::Request { from, call, life, epoch, message, .. } => {
+                let Some(to) = to.filter(|to| self.awake(*to) && !self.cuts.contains(&(from, *to))) else {
+                    return;
+                };
+                let request = self.draw_id();
+                let draw = self.random.next(u64::MAX) << 20 | request;
+                let store = self.stores.get_mut(&to).unwrap();
+                store.requests.insert(request, (from, call, life));
+                let outputs = store.replica.receive(request, epoch, message, draw);
+                self.perform(to, outputs);
+            }
+            Event::Reply { to, call, life, answer } => {
+                let now = self.now;
+                if self.awake(to) && self.stores[&to].life == life {
+                    let outputs = self.stores.get_mut(&to).unwrap().replica.answered(call, answer, now);
+                    self.perform(to, outputs);
+                }
+            }
+            Event::Synced { store: name, life, write, position } => {
+                let now = self.now;
+                let Some(store) = self.stores.get_mut(&name).filter(|store| store.life == life) else {
+                    return;
+                };
+                let synced = position + 1 - store.released;
+                for record in &store.records[store.synced..synced] {
+                    store.on_disk.recover(record.clone());
+                }
+                store.synced = synced;
+                let outputs = store.replica.written(write, true, now);
+                self.perform(name, outputs);
+            }
+            Event::NotWritten { store: name, life, write } => {
+                let now = self.now;
+                let Some(store) = self.stores.get_mut(&name).filter(|store| store.life == life) else {
+                    return;
+                };
+                store.failing -= 1;
+                let outputs = store.replica.written(write, false, now);
+                self.perform(name, outputs);
+            }
+            Event::View { to, life, view } => {
+                let now = self.now;
+                if self.awake(to) && self.stores[&to].life == life {
+                    let outputs = self.stores.get_mut(&to).unwrap().replica.follow_view(&view, now);
+                    self.perform(to, outputs);
+                }
+            }
+            Event::Poll { from, disk, reports } => {
+                if !self.cut_from_core.contains(&from) {
+                    self.leases.insert(disk, (self.now, reports));
+                    self.admit(from, disk);
+                }
+            }
+            Event::Start { store } => self.start(store),
+        }
+    }
+
+    fn admit(&mut self, name: u32, disk: DiskId) {
+        if self.stores.get(&name).is_some_and(|store| store.disk == disk && !store.removed) {
+            let node = NodeInfo {
+                name: format!("store-{name}"),
+                disk,
+                internal: format!("10.0.0.{name}:7360"),
+                admin: None,
+                zone: "z".to_owned(),
+                role: NodeRole::Store,
+            };
+            self.control.admit_store(&node);
+        }
+    }
+
+    fn perform(&mut self, name: u32, outputs: Vec<Output>) {
+        for output in outputs {
+            self.perform_one(name, output);
+        }
+        self.audit_disk(name);
+    }
+
+    fn perform_one(&mut self, name: u32, output: Output) {
+        match output {
+            Output::Write { write, record } => self.write(name, write, record),
+            Output::Call { call, member, epoch, message, time } => {
+                let life = self.stores[&name].life;
+                let delay = 500 + self.random.next(2_000);
+                let copies = if self.random.chance(2) { 2 } else { 1 };
+                for copy in 0..copies {
+                    let at = self.now + delay + copy * self.random.next(600) * MILLI;
+                    let message = message.clone();
+                    self.schedule(at, Event::Request { from: name, to: member, call, life, epoch, message });
+                }
+                self.schedule(self.now + time, Event::Reply { to: name, call, life, answer: None });
+            }
+            Output::Answer { request, response } => {
+                let asker = self.stores.get_mut(&name).unwrap().requests.remove(&request);
+                if let Some((to, call, life)) = asker.filter(|(to, ..)| !self.cuts.contains(&(name, *to))) {
+                    let at = self.now + 500 + self.random.next(2_000);
+                    self.schedule(at, Event::Reply { to, call, life, answer: Some(response) });
+                }
+            }
+            Output::Committed { operation, change } => self.committed(operation, &change),
+            Output::Uncertain { operation } | Output::NotBegun { operation } => {
+                self.asked.remove(&operation);
+            }
+            Output::ReadConfirmed { read } => {
+                if let Some(Asked::Read { job, found, must_exist, at_least }) = self.asked.remove(&read) {
+                    self.auditor.read(&job, found, must_exist, at_least);
+                }
+            }
+            Output::ReadRefused { read } => {
+                self.asked.remove(&read);
+            }
+            Output::Rewritten { complete } => self.rewritten(name, complete),
+            Output::Serving { .. } | Output::Ended | Output::ReportDue => {}
+        }
+    }
+
+    fn write(&mut self, name: u32, write: WriteId, record: StoreRecord) {
+        let now = self.now;
+        let span = 300 + self.random.next(2_500);
+        let store = self.stores.get_mut(&name).unwrap();
+        let slow = if store.disk_slow_until > now { 300 * MILLI } else { 0 };
+        let at = (now + span + slow).max(store.last_sync + 1);
+        store.last_sync = at;
+        let life = store.life;
+        if store.disk_fails_until > now {
+            store.failing += 1;
+            return self.schedule(at, Event::NotWritten { store: name, life, write });
+        }
+        let position = store.released + store.records.len();
+        store.records.push(record);
+        self.schedule(at, Event::Synced { store: name, life, write, position });
+    }
+
+    /// A rewrite is over: what stands before it may go, here up to any record.
+    fn rewritten(&mut self, name: u32, complete: bool) {
+        let store = self.stores.get_mut(&name).unwrap();
+        let Some(from) = store.rewrite_from.take().filter(|_| complete) else { return };
+        let gone = self.random.next(from as u64 + 1) as usize;
+        store.records.drain(..gone);
+        store.released += gone;
+        store.synced -= gone;
+        let mut on_disk = ShardJobs::default();
+        store.records[..store.synced].iter().for_each(|record| on_disk.recover(record.clone()));
+        store.on_disk = on_disk;
+    }
+
+    /// What the records give is what is in memory.
+    fn audit_disk(&self, name: u32) {
+        let store = &self.stores[&name];
+        let replica = &store.replica;
+        let settled = store.synced == store.records.len() && store.failing == 0;
+        if settled && !replica.is_damaged() && !replica.is_replicating() {
+            self.auditor.disk_agrees(name, &store.on_disk, replica.jobs());
+        }
+    }
+
+    // Clients
+
+    fn committed(&mut self, operation: u64, change: &ShardOperation) {
+        let holds = |jobs: &ShardJobs| match change {
+            ShardOperation::Submit(job) => jobs.jobs.contains_key(&job.id),
+            ShardOperation::Append { job, result } => {
+                jobs.jobs.get(job).is_some_and(|entry| entry.ended || entry.is_listed(result.item))
+            }
+            ShardOperation::End { job } => jobs.jobs.get(job).is_some_and(|entry| entry.ended),
+            ShardOperation::Forget { job } => !jobs.jobs.contains_key(job),
+        };
+        let copies = self.stores.values().filter(|store| !store.removed && holds(&store.on_disk)).count();
+        self.auditor.copies(change, copies, self.survivable + 1);
+        if let Some(Asked::Submit { job }) = self.asked.remove(&operation) {
+            self.auditor.acknowledged.insert(job);
+        }
+    }
+
+    /// A client asks a store that takes itself for the primary.
+    fn work(&mut self) {
+        let serving: Vec<u32> = self.stores.keys().copied().filter(|name| self.awake(*name)).collect();
+        let serving: Vec<u32> =
+            serving.into_iter().filter(|name| self.stores[name].replica.serving().is_some()).collect();
+        for name in serving {
+            match self.random.next(10) {
+                0 | 1 => self.submit(name),
+                2..=5 => self.append(name),
+                6 if self.random.chance(10) => self.end(name),
+                _ => self.read_any(name),
+            }
+        }
+    }
+
+    fn commit(&mut self, name: u32, asked: Asked, change: ShardOperation) {
+        let operation = self.draw_id();
+        self.asked.insert(operation, asked);
+        let now = self.now;
+        let outputs = self.stores.get_mut(&name).unwrap().replica.commit(operation, change, now);
+        self.perform(name, outputs);
+    }
+
+    fn submit(&mut self, name: u32) {
+        let id = format!("j{}", self.draw_id());
+        let change = ShardOperation::Submit(job(&id));
+        self.commit(name, Asked::Submit { job: id }, change);
+    }
+
+    fn any_job(&mut self, name: u32) -> Option<String> {
+        let jobs: Vec<&String> = self.stores[&name].replica.jobs().jobs.keys().collect();
+        if jobs.is_empty() {
+            return None;
+        }
+        let place = self.random.next(jobs.len() as u64) as usize;
+        Some(jobs[place].clone())
+    }
+
+    fn append(&mut self, name: u32) {
+        let Some(job) = self.any_job(name) else { return };
+        let entry = &self.stores[&name].replica.jobs().jobs[&job];
+        let Some(item) = (0..ITEMS).find(|item| !entry.is_listed(*item)) else { return };
+        // Each run of an item gives another text.
+        let text = format!("run {}", self.draw_id());
+        let result = ItemResult { item, phase: Phase::Done, text };
+        self.commit(name, Asked::Append, ShardOperation::Append { job, result });
+    }
+
+    fn end(&mut self, name: u32) {
+        if let Some(job) = self.any_job(name) {
+            self.commit(name, Asked::End, ShardOperation::End { job });
+        }
+    }
+
+    fn read_any(&mut self, name: u32) {
+        let known: Vec<&String> = self.auditor.acknowledged.iter().collect();
+        if known.is_empty() {
+            return;
+        }
+        let place = self.random.next(known.len() as u64) as usize;
+        let job = known[place].clone();
+        self.read(name, &job);
+    }
+
+    fn read(&mut self, name: u32, job: &str) {
+        let replica = &self.stores[&name].replica;
+        if replica.is_pending(job) {
+            return;
+        }
+        let found = replica.jobs().jobs.get(job).map(|entry| entry.results.clone());
+        let must_exist = self.auditor.acknowledged.contains(job);
+        let at_least = self.auditor.listed(job);
+        let read = self.draw_id();
+        self.asked.insert(read, Asked::Read { job: job.to_owned(), found, must_exist, at_least });
+        let now = self.now;
+        let until = now + 900 * MILLI;
+        let outputs = self.stores.get_mut(&name).unwrap().replica.confirm(read, until, now);
+        self.perform(name, outputs);
+    }
+
+    /// Reads every job that was acknowledged, at the primary.
+    pub fn read_all(&mut self) {
+        let Some(primary) = self.primary() else { return };
+        let jobs: Vec<String> = self.auditor.acknowledged.iter().cloned().collect();
+        jobs.iter().for_each(|job| self.read(primary, job));
+    }
+
+    /// The store that the view in force names, if it serves.
+    pub fn primary(&self) -> Option<u32> {
+        let view = self.view()?;
+        let store = self.stores.values().find(|store| store.disk == view.primary)?;
+        (store.up && store.replica.serving() == Some(view.epoch)).then_some(store.name)
+    }
+
+    /// Whether every member in sync is there, none joins, and the primary serves.
+    pub fn is_healed(&self) -> bool {
+        let Some(view) = self.view() else { return false };
+        let there = |disk: &DiskId| self.stores.values().any(|store| store.disk == *disk && store.up);
+        let wanted = (self.survivable + 2).min(self.stores.values().filter(|store| !store.removed).count());
+        self.primary().is_some()
+            && view.joining.is_empty()
+            && view.in_sync.len() >= wanted
+            && view.in_sync.iter().all(there)
+    }
+}
--- a/node/src/core/inspect.rs
+++ b/node/src/core/inspect.rs
@@ -41,6 +41,11 @@
                 dropped.len()
             )
         }
+        Ok(StoreRecord::Reign { shard, epoch }) => format!("shard {shard} epoch {epoch}: primary"),
+        Ok(StoreRecord::Whole { shard, epoch, led, jobs, next }) => {
+            format!("shard {shard} epoch {epoch}: whole with {} jobs, next {next}, led in {led}", jobs.len())
+        }
+        Ok(StoreRecord::Marker) => "a rewrite of all shards begins".to_owned(),
         Err(error) => format!("{} bytes that are no record of this version: {error}", body.len()),
     }
 }
--- a/node/src/store/items.rs
+++ b/node/src/store/items.rs
@@ -1,8 +1,7 @@
 //! Runs the items of batch jobs in the room that endpoints have.
 
 use super::Store;
-use super::leader::{Leader, Tracked};
-use super::shard::Shard;
+use super::reign::{Reign, Tracked};
 use crate::clock;
 use crate::upstream::{BodyPart, UpstreamAnswer, UpstreamError, UpstreamRequest};
 use quillmount_dataplane::dispatch::{BatchQuota, CallEnd, Demand, Placement};
@@ -45,7 +44,7 @@
 
 /// An item that is to run, with what earlier runs left.
 struct Run {
-    leader: Rc<Leader>,
+    reign: Rc<Reign>,
     tracked: Tracked,
     job: Rc<Job>,
     item: u32,
@@ -69,24 +68,24 @@
 }
 
 impl Runner {
-    /// Takes all unlisted items of a shard whose leader begins to serve.
-    pub fn add_shard(&self, store: &Store, shard: &Rc<Shard>, leader: &Rc<Leader>) {
-        let jobs: Vec<String> = shard.jobs.borrow().jobs.keys().cloned().collect();
-        jobs.iter().for_each(|job| self.add_job(store, shard, leader, job));
+    /// Takes all unlisted items of a shard whose primary begins to serve.
+    pub fn add_shard(&self, store: &Store, reign: &Rc<Reign>) {
+        let jobs: Vec<String> = reign.shard.replica().jobs().jobs.keys().cloned().collect();
+        jobs.iter().for_each(|job| self.add_job(store, reign, job));
     }
 
     /// Takes the unlisted items of a job.
-    pub fn add_job(&self, store: &Store, shard: &Rc<Shard>, leader: &Rc<Leader>, job: &str) {
+    pub fn add_job(&self, store: &Store, reign: &Rc<Reign>, job: &str) {
         let tables = store.node.tables();
-        let jobs = shard.jobs.borrow();
-        let Some(entry) = jobs.jobs.get(job).filter(|entry| !entry.ended) else { return };
-        let tracked = leader.track(job);
+        let replica = reign.shard.replica();
+        let Some(entry) = replica.jobs().jobs.get(job).filter(|entry| !entry.ended) else { return };
+        let tracked = reign.track(job);
         let route = tables.routes.by_name(&entry.job.route);
         let due_ms = route.and_then(|route| route.route.due_ms).unwrap_or(DEFAULT_DUE_MS);
         let due = tracked.seen + clock::millis(due_ms).as_micros() as u64;
         for item in (0..entry.job.items.len() as u32).filter(|item| !entry.is_listed(*item)) {
             self.put(Run {
-                leader: leader.clone(),
+                reign: reign.clone(),
                 tracked: tracked.clone(),
                 job: entry.job.clone(),
                 item,
@@ -156,7 +155,7 @@
     }
 
     fn next(&self, store: &Store) -> Next {
-        if self.tracked.cancel.is_cancelled() || !self.leader.is_serving() {
+        if self.tracked.cancel.is_cancelled() || !self.reign.is_serving() {
             return Next::Drop;
         }
         let tables = store.node.tables();
@@ -233,7 +232,7 @@
         let Some(run) = store.runner.take() else { return };
         match run.next(store) {
             Next::Drop => {}
-            Next::DeadLetter => list(run, Phase::DeadLetter, String::new()),
+            Next::DeadLetter => list(store, run, Phase::DeadLetter, String::new()),
             Next::Place { service, demand } => {
                 let now = clock::micros();
                 let mut dispatcher = store.node.dispatcher.borrow_mut();
@@ -267,15 +266,18 @@
 }
 
 /// Lists the result of an item.
-fn list(run: Run, phase: Phase, text: String) {
+fn list(store: &Rc<Store>, run: Run, phase: Phase, text: String) {
     let operation = ShardOperation::Append {
         job: run.job.id.clone(),
         result: ItemResult { item: run.item, phase, text },
     };
-    // A leader that ends leaves the item to the next one.
-    tokio::task::spawn_local(async move {
-        let _ = run.leader.commit(operation).await;
-    });
+    // A primary that ends leaves the item to the next one.
+    if run.reign.is_serving() {
+        let store = store.clone();
+        tokio::task::spawn_local(async move {
+            let _ = run.reign.shard.commit(&store, operation).await;
+        });
+    }
 }
 
 /// How a run at one endpoint ended.
@@ -310,14 +312,14 @@
     match ended {
         Ended::Whole => {
             let text = run.text.join("\n");
-            list(run, Phase::Done, text);
+            list(&store, run, Phase::Done, text);
         }
-        Ended::Impossible => list(run, Phase::DeadLetter, String::new()),
+        Ended::Impossible => list(&store, run, Phase::DeadLetter, String::new()),
         Ended::Cancelled => {}
         Ended::Failed => {
             run.failures += 1;
             if run.failures >= run.tries(&store) {
-                return list(run, Phase::DeadLetter, String::new());
+                return list(&store, run, Phase::DeadLetter, String::new());
             }
             put_back(store, run, placement, true).await;
         }
--- a/node/src/store/serve.rs
+++ b/node/src/store/serve.rs
@@ -1,9 +1,8 @@
 //! Calls of couriers at the primary of a shard.
 
 use super::Store;
-use super::leader::{CommitError, Leader, confirm};
-use super::member;
-use super::shard::Shard;
+use super::reign::Reign;
+use super::shard::CommitError;
 use crate::clock;
 use quillmount_batch::JobEntry;
 use quillmount_wire::messages::{Epoch, Job, Phase, Request, Response, ShardOperation};
@@ -19,33 +18,31 @@
 pub async fn answer(store: &Rc<Store>, request: Request) -> Response {
     match request {
         Request::Member { to, shard, epoch, message } => {
-            member::answer(store, to, shard, epoch, message).await
+            let mine = to == store.node.info.disk;
+            match store.shards.get(shard as usize).filter(|_| mine).cloned() {
+                Some(shard) => shard.answer(store, epoch, message).await,
+                None => Response::WrongEpoch,
+            }
         }
         Request::Submit { shard, epoch, job } => match serving(store, shard, epoch) {
-            Some((shard, leader)) => submit(store, &shard, &leader, job).await,
+            Some(reign) => submit(store, &reign, job).await,
             None => Response::WrongEpoch,
         },
         Request::Read { shard, epoch, job, tenant, start_after, wait_ms } => {
             match serving(store, shard, epoch) {
-                Some((shard, leader)) => {
-                    let reader = Reader { store, shard: &shard, leader: &leader, job: &job, tenant: &tenant };
+                Some(reign) => {
+                    let reader = Reader { store, reign: &reign, job: &job, tenant: &tenant };
                     reader.results(start_after, wait_ms).await
                 }
                 None => Response::WrongEpoch,
             }
         }
         Request::Body { shard, epoch, job, tenant, item } => match serving(store, shard, epoch) {
-            Some((shard, leader)) => {
-                let reader = Reader { store, shard: &shard, leader: &leader, job: &job, tenant: &tenant };
-                reader.body(&item).await
-            }
+            Some(reign) => Reader { store, reign: &reign, job: &job, tenant: &tenant }.body(&item).await,
             None => Response::WrongEpoch,
         },
         Request::End { shard, epoch, job, tenant } => match serving(store, shard, epoch) {
-            Some((shard, leader)) => {
-                let reader = Reader { store, shard: &shard, leader: &leader, job: &job, tenant: &tenant };
-                reader.end().await
-            }
+            Some(reign) => Reader { store, reign: &reign, job: &job, tenant: &tenant }.end().await,
             None => Response::WrongEpoch,
         },
         Request::Announce { .. } | Request::Primary { .. } | Request::Poll(_) | Request::Replica { .. } => {
@@ -54,23 +51,23 @@
     }
 }
 
-fn serving(store: &Store, shard: u32, epoch: Epoch) -> Option<(Rc<Shard>, Rc<Leader>)> {
-    let shard = store.shards.get(shard as usize)?.clone();
-    let leader = shard.serving(epoch)?;
+fn serving(store: &Store, shard: u32, epoch: Epoch) -> Option<Rc<Reign>> {
+    let reign = store.shards.get(shard as usize)?.serving(epoch)?;
     // Without a configuration the routes of items are unknown.
-    (store.node.tables().versions.configuration > 0).then_some((shard, leader))
+    (store.node.tables().versions.configuration > 0).then_some(reign)
 }
 
-async fn submit(store: &Rc<Store>, shard: &Rc<Shard>, leader: &Rc<Leader>, job: Job) -> Response {
-    let known = shard.jobs.borrow().jobs.contains_key(&job.id);
+async fn submit(store: &Rc<Store>, reign: &Reign, job: Job) -> Response {
+    let shard = &reign.shard;
+    let known = shard.replica().jobs().jobs.contains_key(&job.id);
     if known {
         let until = clock::micros() + CONFIRM_TIME;
-        return if confirm(store, shard, leader, until).await { Response::Done } else { Response::Uncertain };
+        return if shard.confirm(store, until).await { Response::Done } else { Response::Uncertain };
     }
-    if !leader.is_pending(&job.id) && !store.has_room() {
+    if !shard.replica().is_pending(&job.id) && !store.has_room() {
         return Response::Full;
     }
-    committed(leader.commit(ShardOperation::Submit(job)).await)
+    committed(shard.commit(store, ShardOperation::Submit(job)).await)
 }
 
 fn committed(outcome: Result<(), CommitError>) -> Response {
@@ -84,8 +81,7 @@
 /// A call that names a job.
 struct Reader<'a> {
     store: &'a Rc<Store>,
-    shard: &'a Rc<Shard>,
-    leader: &'a Rc<Leader>,
+    reign: &'a Reign,
     job: &'a str,
     tenant: &'a str,
 }
@@ -93,24 +89,25 @@
 impl Reader<'_> {
     /// Looks at the job, if it is there and the tenant's.
     fn with_job<T>(&self, look: impl FnOnce(&JobEntry) -> T) -> Option<T> {
-        let jobs = self.shard.jobs.borrow();
-        jobs.jobs.get(self.job).filter(|entry| entry.job.tenant == self.tenant).map(look)
+        let replica = self.reign.shard.replica();
+        replica.jobs().jobs.get(self.job).filter(|entry| entry.job.tenant == self.tenant).map(look)
     }
 
     /// Gives an answer only if this store may still give one.
     async fn confirmed(&self, response: Response) -> Response {
-        let certain = !self.leader.is_pending(self.job)
-            && confirm(self.store, self.shard, self.leader, clock::micros() + CONFIRM_TIME).await;
+        let shard = &self.reign.shard;
+        let pending = shard.replica().is_pending(self.job);
+        let certain = !pending && shard.confirm(self.store, clock::micros() + CONFIRM_TIME).await;
         if certain { response } else { Response::Uncertain }
     }
 
     async fn results(&self, start_after: u64, wait_ms: u64) -> Response {
         let held_until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
         loop {
-            let news = self.leader.results.notified();
+            let news = self.reign.news.notified();
             let more = self.with_job(|entry| entry.results.len() as u64 > start_after || entry.ended);
             let waiting = more == Some(false) && tokio::time::Instant::now() < held_until;
-            if !waiting || !self.leader.is_serving() {
+            if !waiting || !self.reign.is_serving() {
                 break;
             }
             let _ = tokio::time::timeout_at(held_until, news).await;
@@ -129,7 +126,8 @@
             None => self.confirmed(Response::NotFound).await,
             Some(true) => self.confirmed(Response::Done).await,
             Some(false) => {
-                committed(self.leader.commit(ShardOperation::End { job: self.job.to_owned() }).await)
+                let change = ShardOperation::End { job: self.job.to_owned() };
+                committed(self.reign.shard.commit(self.store, change).await)
             }
         }
     }
--- a/replication/src/group.rs
+++ b/replication/src/group.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// A primary that may have reported in this reign before its process, or its work, was interrupted: every joining
+    /// member may have been told of as level, so that all of them count.
+    pub fn resume(view: ShardView, survivable: usize) -> Group {
+        let promised = view.joining.iter().copied().collect();
+        Group { promised, ..Group::new(view, survivable) }
+    }
+
     pub fn view(&self) -> &ShardView {
         &self.view
     }
