--- a/node/tests/tier/whole_path.rs
+++ b/node/tests/tier/whole_path.rs
@@ -22,6 +22,10 @@
         eventually("a live answer", || live(&tier, 0, "/live/1", KEY).filter(|answer| answer.status == 200));
     assert_eq!(header(&answer.head, "Seal").as_deref(), Some("seal-1"));
     assert_eq!(answer.body, "id: 1\ndata: kaje\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n");
+    // Another courier that serves, and so knows the configuration, refuses what it does not allow.
+    eventually("a live answer elsewhere", || {
+        live(&tier, 1, "/live/1b", KEY).filter(|answer| answer.status == 200)
+    });
     assert_eq!(live(&tier, 1, "/live/2", "Token unknown").unwrap().status, 401);
     assert_eq!(live(&tier, 1, "/nowhere/2", KEY).unwrap().status, 404);
 
