Retirement: members that are gone make up for no copy of a leaving store

Cause (read in the code, then a test): leave_retiring counted every member that stays in the set, also those that are gone; with two of them gone the set could be left with disks that are not there while the only copy alive left, and was removed. Seen to fail without the mend: a_leaving_store_that_alone_is_alive_with_a_copy_stays.

--- a/batch/tests/cluster/world.rs
+++ b/batch/tests/cluster/world.rs
@@ -104,8 +104,8 @@
     next_disk: DiskId,
     /// Whether clients are at work.
     pub busy: bool,
-    /// When disks were lost.
-    lost_disks: Vec<Micros>,
+    /// What lost disks held, synced.
+    lost_disks: Vec<ShardJobs>,
 }
 
 pub fn job(id: &str) -> Job {
@@ -159,8 +159,8 @@
         self.next_disk += 1;
         let disk = self.next_disk;
         let life = self.stores.get(&name).map_or(1, |store| store.life + 1);
-        if self.stores.contains_key(&name) {
-            self.lost_disks.push(self.now);
+        if let Some(lost) = self.stores.remove(&name) {
+            self.lost_disks.push(lost.on_disk);
         }
         let store = Store {
             name,
@@ -499,14 +499,18 @@
         let holds = |jobs: &ShardJobs| match change {
             ShardOperation::Submit(job) => jobs.jobs.contains_key(&job.id),
             ShardOperation::Append { job, result } => {
-                jobs.jobs.get(job).is_some_and(|entry| entry.ended || entry.is_listed(result.item))
+                // An operation that changes nothing, since the item is listed or the job ended, needs no copy.
+                let changes = |entry: &JobEntry| {
+                    entry.ended || entry.results.contains(result) || entry.is_listed(result.item)
+                };
+                jobs.jobs.get(job).is_some_and(changes)
             }
             ShardOperation::End { job } => jobs.jobs.get(job).is_some_and(|entry| entry.ended),
             ShardOperation::Forget { job } => !jobs.jobs.contains_key(job),
         };
         let copies = self.stores.values().filter(|store| !store.removed && holds(&store.on_disk)).count();
-        // A copy that was synced may have been lost with its disk before the primary heard of the sync.
-        let lost = self.lost_disks.iter().filter(|at| self.now - **at < MEMBER_TIME).count();
+        // A copy may have been lost with its disk after it was synced, and before the primary heard of that.
+        let lost = self.lost_disks.iter().filter(|on_disk| holds(on_disk)).count();
         self.auditor.copies(change, copies + lost, self.survivable + 1);
         if let Some(Asked::Submit { job }) = self.asked.remove(&operation) {
             self.auditor.acknowledged.insert(job);
--- a/control/src/shards.rs
+++ b/control/src/shards.rs
@@ -137,7 +137,9 @@
     fn leave_retiring(&self, next: &mut ShardView, inputs: &ShardInputs, wanted: usize) {
         let staying: Vec<DiskId> =
             next.in_sync.iter().copied().filter(|disk| !self.retiring.contains(disk)).collect();
-        let enough = staying.len() > inputs.survivable && staying.len() >= wanted;
+        // Members that are gone make up for nothing: theirs may be the disks that were lost.
+        let present = staying.iter().filter(|disk| inputs.live.contains(disk)).count();
+        let enough = present > inputs.survivable && present >= wanted;
         if staying.len() < next.in_sync.len() && enough {
             next.in_sync = staying;
         }
--- a/control/tests/shards.rs
+++ b/control/tests/shards.rs
@@ -151,6 +151,27 @@
     assert_eq!(state.retire("store-2", 1), Retirement::TooFew);
 }
 
+#[test]
+fn a_leaving_store_that_alone_is_alive_with_a_copy_stays() {
+    let mut state = started(&[1, 2, 3]);
+    // The others that have copies are gone, one of them for good, and two empty stores are there instead.
+    assert_eq!(state.admit_store(&store(4)), Admission::Admitted);
+    assert_eq!(state.admit_store(&store(5)), Admission::Admitted);
+    assert_eq!(state.retire("store-1", 1), Retirement::Serving);
+    for _ in 0..10 {
+        state.plan_shards(&inputs(&[1, 4, 5]));
+    }
+    for view in state.placement.shards.iter() {
+        assert_eq!(view.primary, 1, "the only copy that is alive leads: {view:?}");
+        assert!(view.in_sync.contains(&1), "{view:?}");
+    }
+    assert_eq!(state.retirement("store-1"), Retirement::Serving);
+    // Once others have caught up, it goes.
+    settle(&mut state, inputs(&[1, 4, 5]));
+    assert_eq!(state.retirement("store-1"), Retirement::Done);
+    assert!(state.placement.shards.iter().all(|view| view.in_sync.contains(&4) && view.in_sync.contains(&5)));
+}
+
 #[test]
 fn a_core_member_with_a_lost_disk_is_replaced_in_its_place() {
     let mut state = ControlState::default();
