Batch jobs without tenants; waiting tokens bounded over all shards (MaxQueued)

Change: such jobs belong to the one tenant without a name; the primary of one shard, drawn from tenant and route, keeps the ledger of that pair, and every other primary claims there before it takes a job.

--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -5,6 +5,7 @@
 mod digests;
 mod lead;
 mod primary;
+mod quota;
 mod record;
 mod replica;
 mod rewrite;
@@ -12,6 +13,7 @@
 
 pub use digests::{BUCKETS, bucket_of, different_buckets};
 pub use primary::{MEMBER_TIME, RETRY};
+pub use quota::{ClaimVerdict, PendingClaims, QuotaLedger};
 pub use record::StoreRecord;
 pub use replica::{
     CallId, Micros, OperationId, Output, ReadId, Replica, ReplicaIdentity, RequestId, WriteId,
--- a/batch/src/shard.rs
+++ b/batch/src/shard.rs
@@ -2,7 +2,7 @@
 
 use crate::digests::{BUCKETS, bucket_of, end_digest, job_digest, result_digest};
 use crate::record::StoreRecord;
-use quillmount_wire::messages::{BucketDigest, Item, ItemResult, Job, JobState, ShardOperation};
+use quillmount_wire::messages::{BucketDigest, Item, ItemResult, Job, JobState, QuotaKey, ShardOperation};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -14,6 +14,7 @@
     pub ended: bool,
     listed: BTreeSet<u32>,
     places: BTreeMap<String, u32>,
+    waiting_tokens: u64,
     digest: u64,
 }
 
@@ -22,12 +23,14 @@
         let digest = job_digest(&job);
         let places =
             job.items.iter().enumerate().map(|(place, item)| (item.id.clone(), place as u32)).collect();
+        let waiting_tokens = job.items.iter().map(|item| item.tokens).sum();
         JobEntry {
             job: Rc::new(job),
             results: Vec::new(),
             ended: false,
             listed: BTreeSet::new(),
             places,
+            waiting_tokens,
             digest,
         }
     }
@@ -56,6 +59,11 @@
         self.listed.len() == self.job.items.len()
     }
 
+    /// Tokens of the items that have no result, unless the job has ended.
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.ended { 0 } else { self.waiting_tokens }
+    }
+
     /// The item of this id.
     pub fn item(&self, id: &str) -> Option<&Item> {
         self.places.get(id).and_then(|place| self.job.items.get(*place as usize))
@@ -72,6 +80,8 @@
         if self.ended || !exists || !self.listed.insert(result.item) {
             return;
         }
+        let tokens = self.job.items.get(result.item as usize).map_or(0, |item| item.tokens);
+        self.waiting_tokens = self.waiting_tokens.saturating_sub(tokens);
         self.digest = result_digest(self.digest, &result);
         self.results.push(result);
     }
@@ -180,6 +190,16 @@
         self.bytes
     }
 
+    /// Tokens that wait, by tenant and route.
+    pub fn waiting_tokens(&self) -> BTreeMap<QuotaKey, u64> {
+        let mut waiting: BTreeMap<QuotaKey, u64> = BTreeMap::new();
+        for entry in self.jobs.values().filter(|entry| entry.waiting_tokens() > 0) {
+            let key = QuotaKey { tenant: entry.job.tenant.clone(), route: entry.job.route.clone() };
+            *waiting.entry(key).or_default() += entry.waiting_tokens();
+        }
+        waiting
+    }
+
     /// Digest of each bucket.
     pub fn buckets(&self) -> Vec<BucketDigest> {
         let mut buckets = vec![0; BUCKETS];
--- a/dataplane/src/routes.rs
+++ b/dataplane/src/routes.rs
@@ -146,6 +146,11 @@
         self.names.get(name)
     }
 
+    /// Whether any route limits the tokens that may wait.
+    pub fn limits_waiting(&self) -> bool {
+        self.names.values().any(|route| route.route.waiting_limit().is_some())
+    }
+
     /// What the `Authorization` header of a request allows.
     pub fn access(&self, authorization: Option<&str>, public: bool) -> Access {
         let key = authorization.and_then(|value| value.strip_prefix("Token ")).map(str::trim);
--- a/node/src/edge/connection.rs
+++ b/node/src/edge/connection.rs
@@ -141,8 +141,13 @@
     let host = headers.get("Host").unwrap_or_default();
     let authorization = headers.get("Authorization");
     if batch_api::is_job_call(&request.head.target) {
-        let Access::Tenant(tenant) = tables.routes.access(authorization, false) else {
-            return respond(node, connection, keep_alive, &Answer::text(401, "the key is unknown")).await;
+        let tenant = match tables.routes.access(authorization, false) {
+            Access::Tenant(tenant) => tenant,
+            // Without tenants all jobs belong to the same one, which has no name.
+            Access::Anonymous => Rc::from(""),
+            Access::Denied => {
+                return respond(node, connection, keep_alive, &Answer::text(401, "the key is unknown")).await;
+            }
         };
         return batch_api::serve(node, connection, &request, &tenant).await;
     }
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod compaction;
 mod items;
+mod quota;
 mod reign;
 mod serve;
 mod shard;
@@ -221,6 +222,7 @@
     tokio::task::spawn_local(settle_writes(store.clone(), pending));
     tokio::task::spawn_local(follow_views(store.clone()));
     tokio::task::spawn_local(step_replicas(store.clone()));
+    tokio::task::spawn_local(quota::state_all(store.clone()));
     tokio::task::spawn_local(items::run(store.clone()));
     tokio::task::spawn_local(tidy(store.clone()));
     wait_for_stop(&node).await?;
--- a/node/src/store/reign.rs
+++ b/node/src/store/reign.rs
@@ -1,7 +1,9 @@
 //! What a store remembers of a shard while it serves as its primary, beyond what is replicated.
 
+use super::quota::ReignQuota;
 use super::shard::Shard;
 use crate::clock;
+use quillmount_wire::messages::Epoch;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -48,11 +50,19 @@
     /// Told when something was committed, and at the end.
     pub news: Notify,
     tracked: RefCell<HashMap<String, Tracked>>,
+    pub quota: ReignQuota,
 }
 
 impl Reign {
-    pub fn new(shard: Rc<Shard>) -> Rc<Reign> {
-        Rc::new(Reign { shard, ended: Cell::new(false), news: Notify::new(), tracked: RefCell::default() })
+    /// Begins to serve in this epoch.
+    pub fn new(shard: Rc<Shard>, epoch: Epoch) -> Rc<Reign> {
+        Rc::new(Reign {
+            shard,
+            ended: Cell::new(false),
+            news: Notify::new(),
+            tracked: RefCell::default(),
+            quota: ReignQuota::new(epoch),
+        })
     }
 
     pub fn is_serving(&self) -> bool {
--- a/node/src/store/serve.rs
+++ b/node/src/store/serve.rs
@@ -1,6 +1,7 @@
 //! Calls of couriers at the primary of a shard.
 
 use super::Store;
+use super::quota::{self, ClaimError};
 use super::reign::Reign;
 use super::shard::CommitError;
 use crate::clock;
@@ -45,6 +46,11 @@
             Some(reign) => Reader { store, reign: &reign, job: &job, tenant: &tenant }.end().await,
             None => Response::WrongEpoch,
         },
+        Request::Claim(claim) => quota::answer(store, &claim),
+        Request::Statements(statements) => {
+            quota::take_statements(store, &statements);
+            Response::Done
+        }
         Request::Announce { .. } | Request::Primary { .. } | Request::Poll(_) | Request::Replica { .. } => {
             Response::WrongEpoch
         }
@@ -57,7 +63,7 @@
     (store.node.tables().versions.configuration > 0).then_some(reign)
 }
 
-async fn submit(store: &Rc<Store>, reign: &Reign, job: Job) -> Response {
+async fn submit(store: &Rc<Store>, reign: &Rc<Reign>, job: Job) -> Response {
     let shard = &reign.shard;
     let known = shard.replica().jobs().jobs.contains_key(&job.id);
     if known {
@@ -67,7 +73,18 @@
     if !shard.replica().is_pending(&job.id) && !store.has_room() {
         return Response::Full;
     }
-    committed(shard.commit(store, ShardOperation::Submit(job)).await)
+    if shard.replica().is_pending(&job.id) {
+        return committed(shard.commit(store, ShardOperation::Submit(job)).await);
+    }
+    // Held until the outcome is there: until then the claim counts beside what is committed.
+    let claimed = match quota::claim(store, reign, &job).await {
+        Ok(claimed) => claimed,
+        Err(ClaimError::Exceeded) => return Response::Full,
+        Err(ClaimError::Unsure) => return Response::WrongEpoch,
+    };
+    let outcome = shard.commit(store, ShardOperation::Submit(job)).await;
+    drop(claimed);
+    committed(outcome)
 }
 
 fn committed(outcome: Result<(), CommitError>) -> Response {
--- a/node/src/store/shard.rs
+++ b/node/src/store/shard.rs
@@ -230,7 +230,7 @@
 
     fn begin_reign(self: &Rc<Self>, store: &Rc<Store>, epoch: Epoch) {
         tracing::info!(shard = self.number, epoch, "serving");
-        let reign = Reign::new(self.clone());
+        let reign = Reign::new(self.clone(), epoch);
         *self.reign.borrow_mut() = Some(reign.clone());
         store.runner.add_shard(store, &reign);
     }
--- a/wire/src/configuration.rs
+++ b/wire/src/configuration.rs
@@ -117,6 +117,9 @@
     /// Batch: time after which an item may be given up, s.
     #[serde(rename = "RetainS")]
     pub retain_s: Option<f64>,
+    /// Batch: most tokens that a tenant may have waiting; 0 or nothing: no limit.
+    #[serde(rename = "MaxQueued")]
+    pub max_queued: Option<f64>,
 }
 
 /// Part of a route's requests that goes to one service.
@@ -193,6 +196,11 @@
 }
 
 impl Route {
+    /// Most tokens that a tenant may have waiting, if that is limited.
+    pub fn waiting_limit(&self) -> Option<u64> {
+        self.max_queued.filter(|limit| *limit > 0.0).map(|limit| limit as u64)
+    }
+
     /// Services and weights, whichever way the route names them.
     pub fn services(&self) -> Vec<(&str, f64)> {
         match (&self.shares, &self.service) {
--- a/wire/src/messages.rs
+++ b/wire/src/messages.rs
@@ -281,6 +281,44 @@
     pub ended: bool,
 }
 
+/// Whose waiting tokens are bounded: a tenant's on a route.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Archive, Serialize, Deserialize)]
+pub struct QuotaKey {
+    pub tenant: String,
+    pub route: String,
+}
+
+/// The primary of a shard asks whether a job's tokens fit.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct QuotaClaim {
+    /// The shard whose primary keeps the ledger, and its epoch as the asker knows it.
+    pub keeper: u32,
+    pub keeper_epoch: Epoch,
+    /// The shard that is to take the job, and the epoch of its primary.
+    pub shard: u32,
+    pub epoch: Epoch,
+    /// Rises with each claim and statement of a shard.
+    pub sequence: u64,
+    pub key: QuotaKey,
+    /// Tokens of the job.
+    pub tokens: u64,
+    /// Tokens that the shard holds besides, other claims included.
+    pub held: u64,
+    /// Most tokens that may wait, as the asker knows the route.
+    pub limit: u64,
+}
+
+/// The primary of a shard states all that the shard holds of the pairs that one ledger keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct QuotaStatement {
+    pub keeper: u32,
+    pub keeper_epoch: Epoch,
+    pub shard: u32,
+    pub epoch: Epoch,
+    pub sequence: u64,
+    pub held: Vec<(QuotaKey, u64)>,
+}
+
 /// Digest of the jobs of one bucket of a shard.
 pub type BucketDigest = u64;
 
@@ -331,6 +369,10 @@
         job: String,
         tenant: String,
     },
+    /// Do a job's tokens fit? Answered by `Done`, `Full`, or `WrongEpoch` where that is not known.
+    Claim(QuotaClaim),
+    /// Nobody answers it.
+    Statements(Vec<QuotaStatement>),
     /// A message to a member of a shard, known by its disk.
     Member {
         to: DiskId,
