Core member as a state machine in control/; orders beyond the memory are never refused; tables only while a majority is heard

Cause (read in the code): an order older than the 16,384 remembered ones was answered 412 although it may have been taken; polls were answered by a primary for up to half a second after it lost its majority, and after a freeze until its next tick.

--- /dev/null
+++ b/control/src/breaks.rs
@@ -0,0 +1,70 @@
+//! Deliberate breaks of the control state's code, each of which the tests have to find; no release build has them.
+
+/// What is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Break {
+    /// A primary answers reads and refusals without asking a majority.
+    ReadWithoutRound,
+    /// A member promises and acknowledges before its register is on its disk.
+    AnsweredBeforeSync,
+    /// A change is confirmed when it is proposed.
+    ConfirmedWhenProposed,
+    /// A primary that hears no majority hands out its tables.
+    StaleTables,
+    /// An order is known again by its body alone, whatever it builds on.
+    DigestWithoutBase,
+    /// An order that comes again is not known.
+    OrderForgotten,
+    /// An order is taken whatever version it builds on.
+    BaseIgnored,
+    /// An order that may have been forgotten is refused.
+    ForgottenRefused,
+    /// A store that leaves counts members that are gone as copies.
+    LeavingCountsGone,
+    /// A report of an older epoch changes a view.
+    ReportOfOlderEpoch,
+    /// A store that joins counts as in sync at once.
+    JoiningAtOnce,
+    /// The set in sync shrinks to the members that are alive, however few.
+    ShrinksBelow,
+}
+
+/// Every break.
+pub const ALL: [Break; 12] = [
+    Break::ReadWithoutRound,
+    Break::AnsweredBeforeSync,
+    Break::ConfirmedWhenProposed,
+    Break::StaleTables,
+    Break::DigestWithoutBase,
+    Break::OrderForgotten,
+    Break::BaseIgnored,
+    Break::ForgottenRefused,
+    Break::LeavingCountsGone,
+    Break::ReportOfOlderEpoch,
+    Break::JoiningAtOnce,
+    Break::ShrinksBelow,
+];
+
+#[cfg(feature = "breaks")]
+thread_local! {
+    static CHOSEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
+}
+
+/// Whether this break is on, for this thread.
+#[cfg(feature = "breaks")]
+pub fn on(one: Break) -> bool {
+    CHOSEN.get() == Some(one)
+}
+
+/// Never: this build has no breaks.
+#[cfg(not(feature = "breaks"))]
+#[inline(always)]
+pub const fn on(_: Break) -> bool {
+    false
+}
+
+/// Puts a break on, or all off, for this thread.
+#[cfg(feature = "breaks")]
+pub fn set(one: Option<Break>) {
+    CHOSEN.set(one);
+}
--- a/control/src/orders.rs
+++ b/control/src/orders.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration orders.
 
+use crate::breaks::{self, Break};
 use crate::state::{ControlState, TakenOrder};
 use quillmount_wire::configuration::{Configuration, ConfigurationError, apply_patch};
 
@@ -36,6 +37,8 @@
         current: u64,
     },
     Invalid(ConfigurationError),
+    /// It builds on a version of which the orders are no longer remembered: it may have been taken, so that nothing is said.
+    Forgotten,
 }
 
 /// FNV-1a over 128 bits.
@@ -50,6 +53,7 @@
             OrderKind::Patch => 2,
         };
         let base = self.base.to_le_bytes();
+        let base = if breaks::on(Break::DigestWithoutBase) { [0; 8] } else { base };
         let bytes = std::iter::once(kind).chain(base).chain(self.body.bytes());
         bytes.fold(FNV_OFFSET, |digest, byte| (digest ^ u128::from(byte)).wrapping_mul(FNV_PRIME))
     }
@@ -59,10 +63,14 @@
     /// Takes an order or says why not; only a verdict of `Taken` changes the state.
     pub fn order(&mut self, order: &Order) -> Verdict {
         let digest = order.digest();
-        if let Some(taken) = self.taken.iter().rev().find(|taken| taken.digest == digest) {
+        let known = |taken: &&TakenOrder| taken.digest == digest && !breaks::on(Break::OrderForgotten);
+        if let Some(taken) = self.taken.iter().rev().find(known) {
             return Verdict::Taken { version: taken.version };
         }
-        if order.base != self.version {
+        if order.base < self.forgotten && !breaks::on(Break::ForgottenRefused) {
+            return Verdict::Forgotten;
+        }
+        if order.base != self.version && !breaks::on(Break::BaseIgnored) {
             return Verdict::OtherVersion { current: self.version };
         }
         match self.next_configuration(order) {
@@ -70,14 +78,22 @@
                 self.version = version;
                 self.configuration = text;
                 self.taken.push(TakenOrder { digest, version });
-                let excess = self.taken.len().saturating_sub(TAKEN_LIMIT);
-                self.taken.drain(..excess);
+                self.forget_old_orders();
                 Verdict::Taken { version }
             }
             Err(error) => Verdict::Invalid(error),
         }
     }
 
+    /// Forgets the oldest orders beyond the limit. Each built on a version below the one that it made, and no other order that
+    /// was taken builds on these.
+    fn forget_old_orders(&mut self) {
+        let excess = self.taken.len().saturating_sub(TAKEN_LIMIT);
+        if let Some(last) = self.taken.drain(..excess).next_back() {
+            self.forgotten = last.version;
+        }
+    }
+
     fn next_configuration(&self, order: &Order) -> Result<(u64, String), ConfigurationError> {
         let text = match order.kind {
             OrderKind::Put => order.body.clone(),
--- a/control/src/shards.rs
+++ b/control/src/shards.rs
@@ -1,5 +1,6 @@
 //! Where the shards of the batch store are kept. Every change raises the shard's epoch.
 
+use crate::breaks::{self, Break};
 use crate::state::ControlState;
 use quillmount_wire::messages::{DiskId, NodeInfo, ShardReport, ShardView};
 use std::collections::{BTreeMap, BTreeSet};
@@ -111,13 +112,16 @@
         let reports: Vec<&ShardReport> = inputs
             .reports
             .iter()
-            .filter(|report| report.shard == shard && report.epoch == view.epoch)
+            .filter(|report| report.shard == shard)
+            .filter(|report| report.epoch == view.epoch || breaks::on(Break::ReportOfOlderEpoch))
             .collect();
         let mute = |disk: &DiskId| reports.iter().any(|report| report.unresponsive.contains(disk));
         let alive = |disk: &DiskId| exists(disk) && inputs.live.contains(disk);
         let mut next = view.clone();
         // A promoted member has everything: it counts from now on.
-        let caught_up = |disk: &DiskId| reports.iter().any(|report| report.caught_up.contains(disk));
+        let at_once = breaks::on(Break::JoiningAtOnce);
+        let caught_up =
+            |disk: &DiskId| at_once || reports.iter().any(|report| report.caught_up.contains(disk));
         let promoted: Vec<DiskId> =
             view.joining.iter().copied().filter(|disk| caught_up(disk) && alive(disk)).collect();
         next.joining.retain(|disk| !promoted.contains(disk) && alive(disk) && !mute(disk));
@@ -138,7 +142,8 @@
         let staying: Vec<DiskId> =
             next.in_sync.iter().copied().filter(|disk| !self.retiring.contains(disk)).collect();
         // Members that are gone make up for nothing: theirs may be the disks that were lost.
-        let present = staying.iter().filter(|disk| inputs.live.contains(disk)).count();
+        let counts = |disk: &&DiskId| inputs.live.contains(*disk) || breaks::on(Break::LeavingCountsGone);
+        let present = staying.iter().filter(counts).count();
         let enough = present > inputs.survivable && present >= wanted;
         if staying.len() < next.in_sync.len() && enough {
             next.in_sync = staying;
@@ -237,6 +242,9 @@
     let without_primary: Vec<DiskId> = living.iter().copied().filter(|disk| *disk != view.primary).collect();
     let candidates = [heard, without_primary, living.clone()];
     let any_mute = living.iter().any(mute);
+    if breaks::on(Break::ShrinksBelow) {
+        return Some(living);
+    }
     let chosen = candidates
         .into_iter()
         .enumerate()
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -20,7 +20,10 @@
     pub version: u64,
     /// Its whole JSON text.
     pub configuration: String,
+    /// Orders that were taken, oldest first; a bounded number.
     pub taken: Vec<TakenOrder>,
+    /// Version that the newest order that was forgotten made: of orders that build on older ones nothing is known.
+    pub forgotten: u64,
     pub placement: Placement,
     /// Rises with every change of the placement.
     pub placement_version: u64,
--- a/node/src/core/bootstrap.rs
+++ b/node/src/core/bootstrap.rs
@@ -88,5 +88,5 @@
     let mut state = ControlState::default();
     state.placement.core = members;
     state.placement_version = 1;
-    core.bootstrap(state, &addresses);
+    core.bootstrap(&state, &addresses);
 }
--- a/node/src/core/operator.rs
+++ b/node/src/core/operator.rs
@@ -83,6 +83,8 @@
             Some(problem(412, format!("version {current} is in place, not {base}")))
         }
         Ok(Verdict::Invalid(error)) => Some(problem(400, error)),
+        // It may have been taken long ago: neither yes nor no would be certain.
+        Ok(Verdict::Forgotten) => None,
         Err(ChangeError::NotPrimary) => Some(unavailable()),
         Err(ChangeError::Uncertain) => None,
     }
--- a/node/src/core/polls.rs
+++ b/node/src/core/polls.rs
@@ -80,10 +80,11 @@
     admitted.is_ok()
 }
 
-/// Committed tables that are newer than those of the asker; `None` if this member no longer serves.
+/// Committed tables that are newer than those of the asker; `None` if this member no longer serves, or can't be sure of it:
+/// tables are handed out only while a majority was heard lately.
 fn newer(core: &Core, have: TableVersions) -> Option<Tables> {
     let epoch = core.serving()?;
-    let state = core.committed()?;
+    let state = core.recent()?;
     let configuration =
         (state.version > have.configuration).then(|| (state.version, state.configuration.clone()));
     let placement = (state.placement_version > have.placement)
--- a/node/src/core/register.rs
+++ b/node/src/core/register.rs
@@ -1,14 +1,13 @@
-//! A member of the core: the replicated register on sockets and disk, and changes of the control state.
+//! A member of the core on sockets and disk: carries out what [`CoreMember`] decides.
 
 use super::leases::Leases;
 use crate::clock;
 use crate::disk::DiskWriter;
 use crate::node::Node;
-use quillmount_control::{ControlState, Directory};
-use quillmount_replication::{Output, Replica, Timing};
+use quillmount_control::{ControlState, CoreMember, Directory, MemberOutput, RegisterWrite, Ticket};
 use quillmount_storage::{RingSize, StorageError};
-use quillmount_wire::messages::{Accepted, DiskId, Epoch, Register, ReplicaMessage, Request, decode, encode};
-use std::cell::{Cell, RefCell};
+use quillmount_wire::messages::{DiskId, Epoch, Register, ReplicaMessage, Request, decode, encode};
+use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::path::Path;
 use std::rc::{Rc, Weak};
@@ -19,10 +18,8 @@
 const RING: RingSize = RingSize { segment: 4 << 20, segments: 4 };
 /// Pause between two ticks of the register.
 const TICK: Duration = Duration::from_millis(25);
-/// A change that is not committed in this time is uncertain.
+/// A change or read that is not certain in this time is given up.
 const CHANGE_TIME: Duration = Duration::from_millis(3000);
-/// A core member without an answer for so long may be replaced by a newcomer, microseconds.
-const REPLACEABLE: u64 = 2_000_000;
 
 /// Why a change was not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,40 +30,14 @@
     Uncertain,
 }
 
-struct Waiting {
-    generation: u64,
-    done: oneshot::Sender<()>,
-}
-
-/// What a primary works on.
-#[derive(Default)]
-struct Work {
-    /// Committed state with all changes since.
-    state: ControlState,
-    /// Counts changes of `state`.
-    generation: u64,
-    /// Generation of the proposal under way, and of the last one.
-    proposed: u64,
-    committed: u64,
-    waiting: Vec<Waiting>,
-    reads: HashMap<u64, oneshot::Sender<()>>,
-    next_read: u64,
-    /// When members last answered, steady clock.
-    answered: HashMap<DiskId, u64>,
-}
-
 /// A member of the core.
 pub struct Core {
     /// For tasks that outlive a call.
     this: Weak<Core>,
     pub node: Rc<Node>,
-    replica: RefCell<Replica>,
+    member: RefCell<CoreMember>,
     disk: DiskWriter,
-    work: RefCell<Work>,
-    /// State committed in this epoch, while this member is primary.
-    committed: RefCell<Option<Rc<ControlState>>>,
-    /// When this member was elected, steady clock.
-    elected: Cell<u64>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<()>>>,
     addresses: RefCell<HashMap<DiskId, String>>,
     /// Told when pollers may have something new.
     pub news: Notify,
@@ -81,20 +52,13 @@
         let (disk, records) = DiskWriter::open(folder, RING)?;
         let register: Option<Register> = records.iter().rev().find_map(|record| decode(&record.body).ok());
         let survivable = node.settings.survive.boxes;
-        let replica = Replica::new(
-            node.info.disk,
-            survivable,
-            register.unwrap_or_default(),
-            Timing::default(),
-            clock::micros(),
-        );
+        let register = register.unwrap_or_default();
+        let member = CoreMember::new(node.info.disk, survivable, register, clock::micros());
         let core = Rc::new_cyclic(|this| Core {
             this: this.clone(),
-            replica: RefCell::new(replica),
+            member: RefCell::new(member),
             disk,
-            work: RefCell::default(),
-            committed: RefCell::new(None),
-            elected: Cell::new(0),
+            waiting: RefCell::default(),
             addresses: RefCell::default(),
             news: Notify::new(),
             leases: RefCell::default(),
@@ -109,61 +73,57 @@
     pub async fn run(self: Rc<Core>) {
         loop {
             tokio::time::sleep(TICK).await;
-            let outputs = self.replica.borrow_mut().tick(clock::micros());
+            let outputs = self.member.borrow_mut().tick(clock::micros());
             self.perform(outputs);
-            self.propose();
         }
     }
 
     /// Whether the disk held no register at the start and none came since.
     pub fn is_blank(&self) -> bool {
-        self.replica.borrow().is_blank()
+        self.member.borrow().replica().is_blank()
     }
 
     /// The epoch in which this member serves: elected, and its first value committed.
     pub fn serving(&self) -> Option<Epoch> {
-        self.committed.borrow().as_ref()?;
-        self.replica.borrow().primary_epoch()
+        self.member.borrow().serving()
     }
 
     /// State committed in this epoch.
     pub fn committed(&self) -> Option<Rc<ControlState>> {
-        self.committed.borrow().clone()
+        self.member.borrow().committed()
+    }
+
+    /// State committed in this epoch, while a majority was heard lately.
+    pub fn recent(&self) -> Option<Rc<ControlState>> {
+        self.member.borrow().recent(clock::micros())
     }
 
     /// For how long this member has been primary, microseconds.
     pub fn reign(&self) -> u64 {
-        clock::micros().saturating_sub(self.elected.get())
+        self.member.borrow().reign(clock::micros())
     }
 
     /// Internal address of the primary, if it was heard lately.
     pub fn primary_address(&self) -> Option<String> {
-        let primary = self.replica.borrow().primary_heard(clock::micros())?;
+        let primary = self.member.borrow().replica().primary_heard(clock::micros())?;
         self.addresses.borrow().get(&primary).cloned()
     }
 
     /// Core members that have not answered for long.
     pub fn silent_members(&self) -> BTreeSet<DiskId> {
-        let now = clock::micros();
-        let work = self.work.borrow();
-        let silent = |disk: &DiskId| {
-            let last = work.answered.get(disk).copied().unwrap_or(self.elected.get());
-            *disk != self.node.info.disk && now.saturating_sub(last) > REPLACEABLE
-        };
-        self.replica.borrow().members().iter().copied().filter(silent).collect()
+        self.member.borrow().silent_members(clock::micros())
     }
 
     /// Writes the first value of the whole system.
-    pub fn bootstrap(&self, state: ControlState, addresses: &[(DiskId, String)]) {
+    pub fn bootstrap(&self, state: &ControlState, addresses: &[(DiskId, String)]) {
         self.addresses.borrow_mut().extend(addresses.iter().cloned());
-        let outputs =
-            self.replica.borrow_mut().bootstrap(state.core_disks(), state.encode(), clock::micros());
+        let outputs = self.member.borrow_mut().bootstrap(state, clock::micros());
         self.perform(outputs);
     }
 
     /// Leaves the primary's place, before the process stops.
     pub fn resign(&self) {
-        let outputs = self.replica.borrow_mut().resign(clock::micros());
+        let outputs = self.member.borrow_mut().resign(clock::micros());
         self.perform(outputs);
     }
 
@@ -173,25 +133,13 @@
             return;
         }
         self.addresses.borrow_mut().insert(from, address);
-        let outputs = self.receive_inner(from, message);
+        let outputs = self.member.borrow_mut().receive(from, message, clock::micros());
         self.perform(outputs);
     }
 
-    fn receive_inner(&self, from: DiskId, message: ReplicaMessage) -> Vec<Output> {
-        if matches!(message, ReplicaMessage::HeartbeatReply { .. } | ReplicaMessage::Acknowledge { .. }) {
-            self.work.borrow_mut().answered.insert(from, clock::micros());
-        }
-        let accepts = matches!(message, ReplicaMessage::Accept { .. });
-        let outputs = self.replica.borrow_mut().receive(from, message, clock::micros());
-        if accepts {
-            self.learn_addresses();
-        }
-        outputs
-    }
-
     fn learn_addresses(&self) {
-        let replica = self.replica.borrow();
-        let Some(accepted) = &replica.register().accepted else { return };
+        let member = self.member.borrow();
+        let Some(accepted) = &member.replica().register().accepted else { return };
         if let Ok(state) = ControlState::decode(&accepted.value.payload) {
             let known = state.placement.core.iter().map(|member| (member.disk, member.internal.clone()));
             self.addresses.borrow_mut().extend(known);
@@ -200,23 +148,31 @@
         }
     }
 
-    fn perform(&self, outputs: Vec<Output>) {
-        let mut queue: VecDeque<Output> = outputs.into();
+    fn perform(&self, outputs: Vec<MemberOutput>) {
+        let mut queue: VecDeque<MemberOutput> = outputs.into();
         while let Some(output) = queue.pop_front() {
             match output {
-                Output::Send { to, message } if to == self.node.info.disk => {
-                    queue.extend(self.receive_inner(to, message));
-                }
-                Output::Send { to, message } => self.send(to, message),
-                Output::Persist { register, then } => self.persist(&register, then),
-                Output::Committed { accepted } => self.on_committed(&accepted),
-                Output::Elected { epoch } => self.on_elected(epoch),
-                Output::SteppedDown => self.on_stepped_down(),
-                Output::ReadConfirmed { read } => {
-                    if let Some(done) = self.work.borrow_mut().reads.remove(&read) {
-                        let _ = done.send(());
+                MemberOutput::Send { to, message } => self.send(to, message),
+                MemberOutput::Persist { write, register } => self.persist(write, &register),
+                MemberOutput::Confirmed { ticket } => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+                        let _ = waiting.send(());
                     }
                 }
+                // A dropped sender tells who waits that the outcome is uncertain.
+                MemberOutput::Uncertain { ticket } => drop(self.waiting.borrow_mut().remove(&ticket)),
+                MemberOutput::Elected { epoch } => {
+                    tracing::info!(epoch, "elected primary of the core");
+                    *self.leases.borrow_mut() = Leases::default();
+                    *self.directory.borrow_mut() = Directory::default();
+                }
+                MemberOutput::SteppedDown => {
+                    tracing::info!("no longer primary of the core");
+                    *self.directory.borrow_mut() = Directory::default();
+                    self.news.notify_waiters();
+                }
+                MemberOutput::News => self.news.notify_waiters(),
+                MemberOutput::Accepted => self.learn_addresses(),
             }
         }
     }
@@ -228,7 +184,7 @@
         self.node.links.notify(&address, &request);
     }
 
-    fn persist(&self, register: &Register, then: Vec<Output>) {
+    fn persist(&self, write: RegisterWrite, register: &Register) {
         let written = self.disk.append(encode(register));
         let Some(core) = self.this.upgrade() else { return };
         tokio::task::spawn_local(async move {
@@ -236,121 +192,39 @@
                 Ok(Ok(written)) => {
                     // Each record is whole: older segments are of no use.
                     core.disk.release(written.segment);
-                    core.perform(then);
+                    let outputs = core.member.borrow_mut().persisted(write, clock::micros());
+                    core.perform(outputs);
+                }
+                Ok(Err(error)) => {
+                    tracing::error!(%error, "the control state could not be written");
+                    core.member.borrow_mut().not_persisted(write);
                 }
-                Ok(Err(error)) => tracing::error!(%error, "the control state could not be written"),
                 Err(_) => tracing::error!("the disk's thread has ended"),
             }
         });
     }
 
-    fn on_elected(&self, epoch: Epoch) {
-        tracing::info!(epoch, "elected primary of the core");
-        self.elected.set(clock::micros());
-        *self.committed.borrow_mut() = None;
-        *self.directory.borrow_mut() = Directory::default();
-        *self.leases.borrow_mut() = Leases::default();
-        *self.work.borrow_mut() = Work::default();
-    }
-
-    fn on_stepped_down(&self) {
-        tracing::info!("no longer primary of the core");
-        *self.committed.borrow_mut() = None;
-        *self.directory.borrow_mut() = Directory::default();
-        // Dropped senders tell those who wait that the outcome is uncertain.
-        *self.work.borrow_mut() = Work::default();
-        self.news.notify_waiters();
-    }
-
-    fn on_committed(&self, accepted: &Accepted) {
-        let Ok(state) = ControlState::decode(&accepted.value.payload) else {
-            tracing::error!("the committed control state can't be read");
-            return;
-        };
-        let first = self.committed.borrow().is_none();
-        let mut work = self.work.borrow_mut();
-        if first {
-            work.state = state.clone();
-        }
-        work.committed = work.proposed;
-        let committed = work.committed;
-        let (done, waiting) =
-            work.waiting.drain(..).partition(|waiting: &Waiting| waiting.generation <= committed);
-        work.waiting = waiting;
-        drop(work);
-        *self.committed.borrow_mut() = Some(Rc::new(state));
-        let done: Vec<Waiting> = done;
-        done.into_iter().for_each(|waiting| {
-            let _ = waiting.done.send(());
-        });
-        self.news.notify_waiters();
-        self.propose();
-    }
-
-    /// Proposes the changes that wait, once the register is idle.
-    fn propose(&self) {
-        let mut work = self.work.borrow_mut();
-        let due = work.generation > work.proposed && self.committed.borrow().is_some();
-        if !due || !self.replica.borrow().idle() {
-            return;
-        }
-        work.proposed = work.generation;
-        let (members, payload) = (work.state.core_disks(), work.state.encode());
-        drop(work);
-        let outputs = self.replica.borrow_mut().propose(members, payload, clock::micros());
-        self.perform(outputs);
-    }
-
     /// Changes the control state; returns once the change, and all that its outcome rests on, is committed.
     pub async fn change<T>(&self, change: impl FnOnce(&mut ControlState) -> T) -> Result<T, ChangeError> {
-        if self.serving().is_none() {
-            return Err(ChangeError::NotPrimary);
-        }
-        let (done, receiver) = oneshot::channel();
-        let (outcome, changed) = {
-            let mut work = self.work.borrow_mut();
-            let before = work.state.clone();
-            let outcome = change(&mut work.state);
-            let changed = work.state != before;
-            if changed {
-                work.generation += 1;
-            }
-            let generation = work.generation;
-            if generation > work.committed {
-                work.waiting.push(Waiting { generation, done });
-                (outcome, true)
-            } else {
-                (outcome, false)
-            }
-        };
-        if !changed {
-            return self.confirm().await.map(|()| outcome);
-        }
-        self.propose();
-        match tokio::time::timeout(CHANGE_TIME, receiver).await {
-            Ok(Ok(())) => Ok(outcome),
-            _ => Err(ChangeError::Uncertain),
-        }
+        let begun = self.member.borrow_mut().change(change, clock::micros());
+        let (outcome, ticket, outputs) = begun.map_err(|_| ChangeError::NotPrimary)?;
+        if self.wait_for(ticket, outputs).await { Ok(outcome) } else { Err(ChangeError::Uncertain) }
     }
 
     /// Confirms that this member is still primary: what it has committed is the newest there is.
     pub async fn confirm(&self) -> Result<(), ChangeError> {
-        if self.serving().is_none() {
-            return Err(ChangeError::NotPrimary);
-        }
+        let begun = self.member.borrow_mut().confirm(clock::micros());
+        let (ticket, outputs) = begun.map_err(|_| ChangeError::NotPrimary)?;
+        if self.wait_for(ticket, outputs).await { Ok(()) } else { Err(ChangeError::NotPrimary) }
+    }
+
+    /// Waits until a ticket is certain, for a bounded time; whether it is.
+    async fn wait_for(&self, ticket: Ticket, outputs: Vec<MemberOutput>) -> bool {
         let (done, receiver) = oneshot::channel();
-        let read = {
-            let mut work = self.work.borrow_mut();
-            work.next_read += 1;
-            let read = work.next_read;
-            work.reads.insert(read, done);
-            read
-        };
-        let outputs = self.replica.borrow_mut().confirm_read(read, clock::micros());
+        self.waiting.borrow_mut().insert(ticket, done);
         self.perform(outputs);
-        match tokio::time::timeout(CHANGE_TIME, receiver).await {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(ChangeError::NotPrimary),
-        }
+        let certain = matches!(tokio::time::timeout(CHANGE_TIME, receiver).await, Ok(Ok(())));
+        self.waiting.borrow_mut().remove(&ticket);
+        certain
     }
 }
--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -9,4 +9,4 @@
 mod replica;
 
 pub use group::Group;
-pub use replica::{Output, Replica, Role, Timing};
+pub use replica::{Micros, Output, Replica, Role, Timing};
--- a/replication/src/replica.rs
+++ b/replication/src/replica.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Whether this primary heard a majority within the silence after which it would step down: what it has committed was the
+    /// newest then.
+    pub fn hears_majority(&self, now: Micros) -> bool {
+        let Role::Primary(primary) = &self.role else { return false };
+        let live = self.in_sync(primary, now);
+        primary.committed.as_ref().is_some_and(|accepted| quorum::agreed(&accepted.value, &live))
+    }
+
     fn in_sync(&self, primary: &Primary, now: Micros) -> BTreeSet<DiskId> {
         let mut live: BTreeSet<DiskId> = primary
             .answers
