Core: a ring that restarts use up no more, members that follow whoever was elected, joint memberships left at once

Each start opened a segment, and what had been released counted again. Writing goes on behind the last whole record now, behind a control record with a salt; the oldest segment in use is noted in the ring; a failed write or sync leaves the end where it was; a core member releases all but its newest register when it opens. Two candidates promised the same epoch by different members: the member that had promised to the one who lost refused the elected primary for ever and never caught up. The value of a replacement names the members before it, and stayed the newest until the next change: a second loss in a quiet system left no majority of these. The primary writes it again without them at once.

--- a/node/src/core/bootstrap.rs
+++ b/node/src/core/bootstrap.rs
@@ -40,12 +40,20 @@
     }
 }
 
-/// Answers an announcement.
-pub fn answer(node: &Node, announcements: &Announcements, from: &NodeInfo, bootstrap: bool) -> Response {
+/// Answers an announcement; `core` is the member here, if this machine has one.
+pub fn answer(
+    node: &Node,
+    core: Option<&Core>,
+    announcements: &Announcements,
+    from: &NodeInfo,
+    bootstrap: bool,
+) -> Response {
     if bootstrap && from.role == NodeRole::Core {
         announcements.hear(from);
     }
-    Response::Announced { node: node.info.clone(), empty: true, known: announcements.all() }
+    // Whoever knows of a value, or of a table, knows that the system has begun.
+    let empty = core.is_none_or(Core::is_blank) && node.heard.get() == 0;
+    Response::Announced { node: node.info.clone(), empty, known: announcements.all() }
 }
 
 /// Announces this machine to all seeds until a first value is there; the first by address writes it.
@@ -53,7 +61,12 @@
     let began = clock::micros();
     announcements.hear(&core.node.info);
     while core.is_blank() {
-        let complete = announce(&core, &announcements).await;
+        let complete = match announce(&core, &announcements).await {
+            Round::Complete => true,
+            Round::Incomplete => false,
+            // It is admitted by its polls.
+            Round::HasBegun => return,
+        };
         let gathered = clock::micros().saturating_sub(began) > GATHERING;
         let all = announcements.all();
         let first = all.first().is_some_and(|node| node.disk == core.node.info.disk);
@@ -65,21 +78,32 @@
     }
 }
 
-/// One round; whether every seed has answered.
-async fn announce(core: &Core, announcements: &Announcements) -> bool {
+/// What a round of announcements came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Round {
+    /// Every seed has answered.
+    Complete,
+    Incomplete,
+    /// The system has a value already: one that is late must not write another.
+    HasBegun,
+}
+
+/// One round.
+async fn announce(core: &Core, announcements: &Announcements) -> Round {
     let request = Request::Announce { node: core.node.info.clone(), bootstrap: true };
-    let mut complete = true;
+    let mut round = Round::Complete;
     for peer in &core.node.settings.peers {
         let address = core.node.settings.internal_address_of(peer);
         if address == core.node.info.internal {
             continue;
         }
         match core.node.links.call(&address, &request, CALL_TIME).await {
+            Ok(Response::Announced { empty: false, .. }) => return Round::HasBegun,
             Ok(Response::Announced { known, .. }) => known.iter().for_each(|node| announcements.hear(node)),
-            _ => complete = false,
+            _ => round = Round::Incomplete,
         }
     }
-    complete
+    round
 }
 
 fn begin(core: &Core, members: Vec<NodeInfo>) {
--- a/node/src/core/register.rs
+++ b/node/src/core/register.rs
@@ -50,7 +50,14 @@
     /// Opens the register of a folder.
     pub fn open(node: Rc<Node>, folder: &Path) -> Result<Rc<Core>, StorageError> {
         let (disk, records) = DiskWriter::open(folder, RING)?;
-        let register: Option<Register> = records.iter().rev().find_map(|record| decode(&record.body).ok());
+        let newest = records.iter().rev().find_map(|record| {
+            decode::<Register>(&record.body).ok().map(|register| (record.segment, register))
+        });
+        // Each record is whole: older segments are of no use.
+        let register = newest.map(|(segment, register)| {
+            disk.release(segment);
+            register
+        });
         let survivable = node.settings.survive.boxes;
         let register = register.unwrap_or_default();
         let member = CoreMember::new(node.info.disk, survivable, register, clock::micros());
--- a/node/src/disk.rs
+++ b/node/src/disk.rs
@@ -34,7 +34,7 @@
 impl DiskWriter {
     /// Opens the ring of a folder and starts its thread; returns what the ring holds.
     pub fn open(folder: &Path, size: RingSize) -> Result<(DiskWriter, Vec<Record>), StorageError> {
-        let (ring, records) = Ring::open(folder, size)?;
+        let (ring, records) = Ring::open(folder, size, crate::clock::draw())?;
         let (jobs, queue) = mpsc::channel();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || write_all(ring, &queue))?;
         Ok((DiskWriter { jobs }, records))
--- a/node/src/edge/mod.rs
+++ b/node/src/edge/mod.rs
@@ -132,8 +132,8 @@
         let (node, core, announcements) = (node.clone(), core.clone(), announcements.clone());
         Box::pin(async move {
             match (request, core) {
-                (Request::Announce { node: from, bootstrap }, _) => {
-                    Some(bootstrap::answer(&node, &announcements, &from, bootstrap))
+                (Request::Announce { node: from, bootstrap }, core) => {
+                    Some(bootstrap::answer(&node, core.as_deref(), &announcements, &from, bootstrap))
                 }
                 (Request::Primary { address }, _) => {
                     node.hear_of_primary(address);
--- a/node/src/store/compaction.rs
+++ b/node/src/store/compaction.rs
@@ -4,8 +4,9 @@
 use quillmount_batch::StoreRecord;
 use std::rc::Rc;
 
-/// Part of the segments that is free when a compaction begins.
-const DUE_PART: f64 = 0.3;
+/// Part of the segments that is free when a compaction begins: what is kept fits into it, with room for what is written
+/// meanwhile.
+const DUE_PART: f64 = 0.5;
 
 /// Starts a compaction if little is free and none runs.
 pub fn start_if_due(store: &Rc<Store>) {
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -33,7 +33,7 @@
 /// Part of the memory that jobs may take.
 const MEMORY_PART: f64 = 0.4;
 /// Part of the ring that jobs may take: the rest is for what is written while they are written once more.
-const LIVE_PART: f64 = 0.4;
+const LIVE_PART: f64 = 0.3;
 /// Part of the ring that has to be free for a new job.
 const FREE_PART: f64 = 0.15;
 /// How long a store that stops goes on serving, so that its shards are led elsewhere.
--- a/replication/src/replica.rs
+++ b/replication/src/replica.rs
@@ -6,6 +6,8 @@
 
 /// Microseconds of a steady clock.
 pub type Micros = u64;
+/// Epoch of the first value of the whole system.
+const FIRST_EPOCH: Epoch = 1;
 
 /// Intervals, microseconds.
 #[derive(Clone, Copy, Debug)]
@@ -444,8 +446,7 @@
             return Vec::new();
         }
         if epoch <= self.register.promised {
-            let message = ReplicaMessage::Reject { promised: self.register.promised };
-            return vec![Output::Send { to: from, message }];
+            return self.reject(from);
         }
         self.register.promised = epoch;
         self.register.promised_to = from;
@@ -498,11 +499,23 @@
             .collect()
     }
 
-    fn on_accept(&mut self, from: DiskId, accepted: Accepted, now: Micros) -> Vec<Output> {
+    /// Whether a primary's message is refused. A promise of the same epoch to another candidate does not stand against one who
+    /// was elected: a majority promised to the one who sends as primary, so that the other never will be. The first value of
+    /// the whole system is written without an election, and only its writer is followed in that epoch.
+    fn refuses(&self, from: DiskId, epoch: Epoch) -> bool {
         let promised = self.register.promised;
-        let foreign = accepted.epoch == promised && self.register.promised_to != from;
-        if accepted.epoch < promised || foreign {
-            return vec![Output::Send { to: from, message: ReplicaMessage::Reject { promised } }];
+        let foreign = epoch == promised && self.register.promised_to != from;
+        epoch < promised || (foreign && epoch == FIRST_EPOCH)
+    }
+
+    fn reject(&self, to: DiskId) -> Vec<Output> {
+        let message = ReplicaMessage::Reject { promised: self.register.promised };
+        vec![Output::Send { to, message }]
+    }
+
+    fn on_accept(&mut self, from: DiskId, accepted: Accepted, now: Micros) -> Vec<Output> {
+        if self.refuses(from, accepted.epoch) {
+            return self.reject(from);
         }
         if !all_members(&accepted.value).contains(&self.me) {
             return Vec::new();
@@ -578,16 +591,21 @@
         let Role::Primary(primary) = &mut self.role else { return Vec::new() };
         let Some(proposal) = primary.proposal.take() else { return Vec::new() };
         primary.committed = Some(proposal.accepted.clone());
-        vec![Output::Committed { accepted: proposal.accepted }]
+        let value = proposal.accepted.value.clone();
+        let mut outputs = vec![Output::Committed { accepted: proposal.accepted }];
+        if value.prior.is_some() {
+            // The members before the change are needed no more: for as long as the value named them, their losses would count.
+            outputs.extend(self.send_proposal(RegisterValue { prior: None, ..value }, now));
+        }
+        outputs
     }
 
     fn on_heartbeat(&mut self, from: DiskId, epoch: Epoch, round: u64, now: Micros) -> Vec<Output> {
         if self.is_blank() {
             return Vec::new();
         }
-        let promised = self.register.promised;
-        if epoch < promised || (epoch == promised && self.register.promised_to != from) {
-            return vec![Output::Send { to: from, message: ReplicaMessage::Reject { promised } }];
+        if self.refuses(from, epoch) {
+            return self.reject(from);
         }
         let mut outputs = Vec::new();
         if from != self.me {
@@ -601,7 +619,7 @@
             accepted_sequence: held.1,
         };
         let send = Output::Send { to: from, message: reply };
-        if epoch > promised {
+        if epoch > self.register.promised || from != self.register.promised_to {
             self.register.promised = epoch;
             self.register.promised_to = from;
             outputs.push(Output::Persist { register: self.register.clone(), then: vec![send] });
--- a/storage/src/ring.rs
+++ b/storage/src/ring.rs
@@ -6,11 +6,16 @@
 use std::path::{Path, PathBuf};
 
 /// Names a segment and the version of its form.
-const MAGIC: [u8; 4] = *b"QMS1";
+const MAGIC: [u8; 4] = *b"QMS2";
 /// Head of a segment: magic, number (8 bytes), checksum (4).
 const SEGMENT_HEAD: u64 = 16;
 /// Head of a record: length (4 bytes), checksum (4).
 const RECORD_HEAD: u64 = 8;
+/// Set in the length of a control record: the number of the oldest segment in use (8 bytes) and a salt (8), which keeps what
+/// an earlier life left behind it from passing for what follows.
+const CONTROL: u32 = 1 << 31;
+/// Body of a control record, bytes.
+const CONTROL_BODY: u64 = 16;
 
 /// Bytes read from a file at once.
 const READ_BUFFER: usize = 64 << 10;
@@ -72,10 +77,19 @@
     /// Numbers of the segments in use are `oldest..=current`; 0 means none was written yet.
     oldest: u64,
     current: u64,
+    /// End of what was appended, and of what is synced.
+    end: End,
+    synced: End,
+    /// What follows the end is unknown: a control record goes before the next one.
+    uncertain: bool,
+    salt: u64,
+}
+
+/// Where the records of the current segment end, and the checksum with which the next one goes on.
+#[derive(Clone, Copy, Debug, Default)]
+struct End {
     position: u64,
     chain: u32,
-    /// A write failed: its segment's end is unknown, so that the next record opens another.
-    spoilt: bool,
 }
 
 fn path(folder: &Path, index: usize) -> PathBuf {
@@ -89,10 +103,10 @@
     hasher.finalize()
 }
 
-fn record_checksum(chain: u32, body: &[u8]) -> u32 {
+fn record_checksum(chain: u32, length: u32, body: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&chain.to_le_bytes());
-    hasher.update(&(body.len() as u32).to_le_bytes());
+    hasher.update(&length.to_le_bytes());
     hasher.update(body);
     hasher.finalize()
 }
@@ -121,102 +135,122 @@
     Ok((word(&head[12..16]) == segment_checksum(number)).then_some(number))
 }
 
+/// What a segment holds.
+enum Entry {
+    Record(Vec<u8>),
+    /// The oldest segment in use.
+    Oldest(u64),
+}
+
 /// Records of one file, in order, and only as far as they are whole: what is behind them is not read.
 struct SegmentReader<'a> {
     reader: BufReader<&'a mut File>,
-    /// Bytes behind the position.
-    left: u64,
-    chain: u32,
+    /// Bytes of the file.
+    length: u64,
+    end: End,
 }
 
 impl<'a> SegmentReader<'a> {
     /// Reads behind the head of this segment.
     fn new(file: &'a mut File, number: u64) -> std::io::Result<SegmentReader<'a>> {
-        let left = file.metadata()?.len().saturating_sub(SEGMENT_HEAD);
+        let length = file.metadata()?.len();
         file.seek(SeekFrom::Start(SEGMENT_HEAD))?;
         let reader = BufReader::with_capacity(READ_BUFFER, file);
-        Ok(SegmentReader { reader, left, chain: segment_checksum(number) })
+        let end = End { position: SEGMENT_HEAD, chain: segment_checksum(number) };
+        Ok(SegmentReader { reader, length, end })
     }
 
-    /// The next record; `None` where the next one is not whole.
-    fn next_record(&mut self) -> std::io::Result<Option<Vec<u8>>> {
+    /// The next entry; `None` where the next one is not whole.
+    fn next_entry(&mut self) -> std::io::Result<Option<Entry>> {
         let mut head = [0; RECORD_HEAD as usize];
-        if self.left < RECORD_HEAD || !read_whole(&mut self.reader, &mut head)? {
+        let left = self.length.saturating_sub(self.end.position);
+        if left < RECORD_HEAD || !read_whole(&mut self.reader, &mut head)? {
             return Ok(None);
         }
-        self.left -= RECORD_HEAD;
-        let (length, checksum) = (word(&head[..4]), word(&head[4..]));
-        if length == 0 || u64::from(length) > self.left {
+        let (word_of_length, checksum) = (word(&head[..4]), word(&head[4..]));
+        let length = u64::from(word_of_length & !CONTROL);
+        let control = word_of_length & CONTROL != 0;
+        if length == 0 || length > left - RECORD_HEAD || (control && length != CONTROL_BODY) {
             return Ok(None);
         }
-        self.left -= u64::from(length);
         let mut body = vec![0; length as usize];
-        if !read_whole(&mut self.reader, &mut body)? || record_checksum(self.chain, &body) != checksum {
+        if !read_whole(&mut self.reader, &mut body)?
+            || record_checksum(self.end.chain, word_of_length, &body) != checksum
+        {
             return Ok(None);
         }
-        self.chain = checksum;
-        Ok(Some(body))
+        self.end = End { position: self.end.position + RECORD_HEAD + length, chain: checksum };
+        Ok(Some(if control { Entry::Oldest(double_word(&body)) } else { Entry::Record(body) }))
     }
 }
 
-/// Reads the records of a file; nothing if it is no segment.
-fn read_file(file: &mut File, records: &mut Vec<Record>) -> std::io::Result<()> {
-    let Some(segment) = read_segment_number(file)? else { return Ok(()) };
-    let mut reader = SegmentReader::new(file, segment)?;
-    while let Some(body) = reader.next_record()? {
-        records.push(Record { segment, body });
+fn double_word(bytes: &[u8]) -> u64 {
+    u64::from(word(bytes)) | u64::from(word(bytes.get(4..).unwrap_or_default())) << 32
+}
+
+/// A segment that was read.
+struct SegmentContent {
+    number: u64,
+    records: Vec<Record>,
+    /// The oldest segment in use, as last noted here.
+    oldest: u64,
+    end: End,
+}
+
+/// Reads a file; `None` if it is no segment.
+fn read_file(file: &mut File) -> std::io::Result<Option<SegmentContent>> {
+    let Some(number) = read_segment_number(file)? else { return Ok(None) };
+    let mut reader = SegmentReader::new(file, number)?;
+    let mut records = Vec::new();
+    let mut oldest = 0;
+    while let Some(entry) = reader.next_entry()? {
+        match entry {
+            Entry::Record(body) => records.push(Record { segment: number, body }),
+            Entry::Oldest(noted) => oldest = noted,
+        }
     }
-    Ok(())
+    Ok(Some(SegmentContent { number, records, oldest, end: reader.end }))
 }
 
-/// Reads the records of a folder without changing anything, oldest first.
+/// Reads the records of a folder without changing anything, oldest first; those that were released are among them for as long
+/// as their files are not used again.
 pub fn inspect(folder: &Path) -> Result<Vec<Record>, StorageError> {
     let mut records = Vec::new();
     for index in 0.. {
         let Ok(mut file) = File::open(path(folder, index)) else { break };
-        read_file(&mut file, &mut records)?;
+        records.extend(read_file(&mut file)?.into_iter().flat_map(|content| content.records));
     }
     records.sort_by_key(|record| record.segment);
     Ok(records)
 }
 
 impl Ring {
-    /// Opens or makes the ring of a folder; returns it with the records found, oldest first.
-    pub fn open(folder: &Path, size: RingSize) -> Result<(Ring, Vec<Record>), StorageError> {
-        fs::create_dir_all(folder)?;
+    /// Opens or makes the ring of a folder; returns it with the records found, oldest first. `salt` is a random number: no two
+    /// openings have the same.
+    pub fn open(folder: &Path, size: RingSize, salt: u64) -> Result<(Ring, Vec<Record>), StorageError> {
         let segments = size.segments.max(2);
-        let mut files = Vec::with_capacity(segments);
-        for index in 0..segments {
-            let file = OpenOptions::new()
-                .read(true)
-                .write(true)
-                .create(true)
-                .truncate(false)
-                .open(path(folder, index))?;
-            if file.metadata()?.len() < size.segment {
-                file.set_len(size.segment)?;
-                file.sync_all()?;
-            }
-            files.push(file);
-        }
-        File::open(folder)?.sync_all()?;
-        let mut numbers = Vec::new();
+        let mut files = open_files(folder, RingSize { segments, ..size })?;
+        let mut contents = Vec::new();
         for file in &mut files {
-            numbers.extend(read_segment_number(file)?);
+            contents.extend(read_file(file)?);
         }
-        let current = numbers.iter().copied().max().unwrap_or(0);
-        // Older numbers were released, or belong to a lap before this one.
-        let oldest =
-            numbers.iter().copied().filter(|number| number + segments as u64 > current).min().unwrap_or(0);
-        let records = inspect(folder)?.into_iter().filter(|record| record.segment >= oldest).collect();
+        contents.sort_by_key(|content| content.number);
+        let (current, end) = contents.last().map_or((0, End::default()), |last| (last.number, last.end));
+        // Older numbers belong to a lap before this one.
+        contents.retain(|content| content.number + segments as u64 > current);
+        let first = contents.first().map_or(0, |content| content.number);
+        let noted = contents.iter().map(|content| content.oldest).max().unwrap_or(0);
+        let oldest = noted.clamp(first, current);
+        let kept = contents.into_iter().filter(|content| content.number >= oldest);
+        let records = kept.flat_map(|content| content.records).collect();
         let size = RingSize { segments, ..size };
-        // What follows the last whole record is unknown: writing goes on in a segment of its own.
-        Ok((Ring { size, files, oldest, current, position: 0, chain: 0, spoilt: true }, records))
+        let ring = Ring { size, files, oldest, current, end, synced: end, uncertain: true, salt };
+        Ok((ring, records))
     }
 
     /// Largest record, bytes.
     pub fn largest_record(&self) -> u64 {
-        self.size.segment - SEGMENT_HEAD - RECORD_HEAD
+        self.size.segment - SEGMENT_HEAD - 2 * (RECORD_HEAD + CONTROL_BODY) - RECORD_HEAD
     }
 
     /// Number of the segment that is written.
@@ -240,18 +274,41 @@
         if body.len() as u64 > self.largest_record() {
             return Err(StorageError::TooLarge { bytes: body.len(), limit: self.largest_record() });
         }
-        let needed = RECORD_HEAD + body.len() as u64;
-        if self.spoilt || self.position + needed > self.size.segment {
+        // A control record may go before it.
+        let needed = 2 * RECORD_HEAD + CONTROL_BODY + body.len() as u64;
+        if self.current == 0 || self.end.position + needed > self.size.segment {
             self.open_segment()?;
         }
-        let checksum = record_checksum(self.chain, body);
-        let mut bytes = Vec::with_capacity(needed as usize);
-        bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        if self.end.position == 0 {
+            self.write_segment_head()?;
+        }
+        if self.uncertain {
+            self.append_control()?;
+        }
+        self.write_record(body.len() as u32, body)?;
+        Ok(self.current)
+    }
+
+    fn write_record(&mut self, length: u32, body: &[u8]) -> Result<(), StorageError> {
+        let checksum = record_checksum(self.end.chain, length, body);
+        let mut bytes = Vec::with_capacity(RECORD_HEAD as usize + body.len());
+        bytes.extend_from_slice(&length.to_le_bytes());
         bytes.extend_from_slice(&checksum.to_le_bytes());
         bytes.extend_from_slice(body);
         self.write(&bytes)?;
-        self.chain = checksum;
-        Ok(self.current)
+        self.end.chain = checksum;
+        Ok(())
+    }
+
+    /// Notes which segment is the oldest in use.
+    fn append_control(&mut self) -> Result<(), StorageError> {
+        self.salt = self.salt.wrapping_add(1);
+        let mut body = Vec::with_capacity(CONTROL_BODY as usize);
+        body.extend_from_slice(&self.oldest.to_le_bytes());
+        body.extend_from_slice(&self.salt.to_le_bytes());
+        self.write_record(CONTROL | CONTROL_BODY as u32, &body)?;
+        self.uncertain = false;
+        Ok(())
     }
 
     fn file(&mut self) -> &mut File {
@@ -259,15 +316,16 @@
         &mut self.files[index]
     }
 
+    /// Writes at the end; a write that fails leaves the end where it was.
     fn write(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
-        let position = self.position;
+        let position = self.end.position;
         let file = self.file();
         let written = file.seek(SeekFrom::Start(position)).and_then(|_| file.write_all(bytes));
         if let Err(error) = written {
-            self.spoilt = true;
+            self.uncertain = true;
             return Err(error.into());
         }
-        self.position += bytes.len() as u64;
+        self.end.position += bytes.len() as u64;
         Ok(())
     }
 
@@ -276,36 +334,73 @@
             return Err(StorageError::Full);
         }
         // Whatever the last segment still has to sync is synced before it is left.
-        if self.current > 0 {
-            self.file().sync_data()?;
-        }
+        self.sync()?;
         self.current += 1;
         if self.oldest == 0 {
             self.oldest = self.current;
         }
+        self.end = End { position: 0, chain: segment_checksum(self.current) };
+        self.synced = self.end;
+        Ok(())
+    }
+
+    fn write_segment_head(&mut self) -> Result<(), StorageError> {
         let mut head = Vec::with_capacity(SEGMENT_HEAD as usize);
         head.extend_from_slice(&MAGIC);
         head.extend_from_slice(&self.current.to_le_bytes());
         head.extend_from_slice(&segment_checksum(self.current).to_le_bytes());
-        self.position = 0;
-        self.chain = segment_checksum(self.current);
-        self.spoilt = false;
+        self.uncertain = true;
         self.write(&head)
     }
 
-    /// Syncs all records appended so far.
+    /// Syncs all records appended so far. When that fails, none of them since the last sync counts: the next record takes their
+    /// place.
     pub fn sync(&mut self) -> Result<(), StorageError> {
         if self.current == 0 {
             return Ok(());
         }
-        self.file().sync_data()?;
+        if let Err(error) = self.file().sync_data() {
+            self.end = self.synced;
+            self.uncertain = true;
+            return Err(error.into());
+        }
+        self.synced = self.end;
         Ok(())
     }
 
-    /// Frees the segments before `segment`.
+    /// Frees the segments before `segment`. That is noted at once, or with the next record where there is no room now; should
+    /// the note be lost, more is read at the next start than is needed.
     pub fn release(&mut self, segment: u64) {
-        if self.oldest > 0 {
-            self.oldest = segment.clamp(self.oldest, self.current);
+        let oldest = segment.clamp(self.oldest, self.current);
+        if self.oldest == 0 || oldest == self.oldest {
+            return;
+        }
+        self.oldest = oldest;
+        self.uncertain = true;
+        let fits = self.end.position + RECORD_HEAD + CONTROL_BODY <= self.size.segment;
+        if fits && self.end.position > 0 {
+            // A note that fails is made with the next record.
+            let _ = self.append_control();
+        }
+    }
+}
+
+fn open_files(folder: &Path, size: RingSize) -> Result<Vec<File>, StorageError> {
+    fs::create_dir_all(folder)?;
+    let mut files = Vec::with_capacity(size.segments);
+    for index in 0..size.segments {
+        let file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path(folder, index))?;
+        if file.metadata()?.len() < size.segment {
+            file.set_len(size.segment)?;
+            file.sync_all()?;
         }
+        files.push(file);
     }
+    File::open(folder)?.sync_all()?;
+    Ok(files)
 }
--- a/storage/tests/ring.rs
+++ b/storage/tests/ring.rs
@@ -1,10 +1,10 @@
 //! The ring through restarts, torn and missing writes.
 
-use quillmount_storage::{Ring, RingSize, StorageError, inspect, load_identity};
+use quillmount_storage::{Record, Ring, RingSize, StorageError, inspect, load_identity};
 use std::fs::{self, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 const SIZE: RingSize = RingSize { segment: 256, segments: 4 };
 
@@ -28,15 +28,21 @@
     }
 }
 
+/// Opens the ring with a salt of its own.
+fn open(folder: &Folder) -> Result<(Ring, Vec<Record>), StorageError> {
+    static SALT: AtomicU64 = AtomicU64::new(1);
+    Ring::open(&folder.0, SIZE, SALT.fetch_add(1 << 20, Ordering::Relaxed))
+}
+
 fn bodies(folder: &Folder) -> Vec<Vec<u8>> {
-    let (_, records) = Ring::open(&folder.0, SIZE).unwrap();
+    let (_, records) = open(&folder).unwrap();
     records.into_iter().map(|record| record.body).collect()
 }
 
 #[test]
 fn records_come_back_in_their_order() {
     let folder = Folder::new();
-    let (mut ring, found) = Ring::open(&folder.0, SIZE).unwrap();
+    let (mut ring, found) = open(&folder).unwrap();
     assert!(found.is_empty());
     for number in 0..20u8 {
         ring.append(&[number; 20]).unwrap();
@@ -50,7 +56,7 @@
 #[test]
 fn a_full_ring_refuses_and_loses_nothing() {
     let folder = Folder::new();
-    let (mut ring, _) = Ring::open(&folder.0, SIZE).unwrap();
+    let (mut ring, _) = open(&folder).unwrap();
     let mut kept = 0;
     while ring.append(&[kept; 100]).is_ok() {
         kept += 1;
@@ -64,14 +70,14 @@
 #[test]
 fn a_record_larger_than_a_segment_is_refused() {
     let folder = Folder::new();
-    let (mut ring, _) = Ring::open(&folder.0, SIZE).unwrap();
+    let (mut ring, _) = open(&folder).unwrap();
     assert!(matches!(ring.append(&[0; 300]), Err(StorageError::TooLarge { bytes: 300, .. })));
 }
 
 #[test]
 fn released_segments_are_written_again_and_their_old_records_stay_away() {
     let folder = Folder::new();
-    let (mut ring, _) = Ring::open(&folder.0, SIZE).unwrap();
+    let (mut ring, _) = open(&folder).unwrap();
     for number in 0..50u8 {
         let segment = ring.append(&[number; 100]).unwrap();
         ring.sync().unwrap();
@@ -93,10 +99,10 @@
 
 #[test]
 fn a_torn_record_ends_its_segment_at_every_byte() {
-    // The head of a segment takes 16 bytes, that of a record 8: the third record begins at 16 + 2 * 28.
-    for torn in 72..100 {
+    // The head of a segment takes 16 bytes, that of a record 8, the control record 24: the third record begins at 40 + 2 * 28.
+    for torn in 96..124 {
         let folder = Folder::new();
-        let (mut ring, _) = Ring::open(&folder.0, SIZE).unwrap();
+        let (mut ring, _) = open(&folder).unwrap();
         (1..=4u8).for_each(|number| {
             ring.append(&[number; 20]).unwrap();
         });
@@ -111,15 +117,15 @@
 #[test]
 fn what_follows_a_missing_write_is_never_taken_for_a_record_later() {
     let folder = Folder::new();
-    let (mut ring, _) = Ring::open(&folder.0, SIZE).unwrap();
+    let (mut ring, _) = open(&folder).unwrap();
     (1..=4u8).for_each(|number| {
         ring.append(&[number; 20]).unwrap();
     });
     ring.sync().unwrap();
     drop(ring);
     // The second record's write is missing; the third and fourth are there.
-    overwrite(&folder, "segment-001", 16 + 28, &[0; 28]);
-    let (mut ring, found) = Ring::open(&folder.0, SIZE).unwrap();
+    overwrite(&folder, "segment-001", 40 + 28, &[0; 28]);
+    let (mut ring, found) = open(&folder).unwrap();
     assert_eq!(found.len(), 1);
     ring.append(&[9; 20]).unwrap();
     ring.sync().unwrap();
@@ -127,6 +133,91 @@
     assert_eq!(bodies(&folder), vec![vec![1; 20], vec![9; 20]]);
 }
 
+#[test]
+fn the_same_record_written_again_brings_nothing_back_that_followed_it() {
+    let folder = Folder::new();
+    let (mut ring, _) = open(&folder).unwrap();
+    (1..=3u8).for_each(|number| {
+        ring.append(&[number; 20]).unwrap();
+    });
+    ring.sync().unwrap();
+    drop(ring);
+    // The second record's write is missing, and then the very same record is written there.
+    overwrite(&folder, "segment-001", 40 + 28, &[0; 28]);
+    let (mut ring, _) = open(&folder).unwrap();
+    ring.append(&[2; 20]).unwrap();
+    ring.sync().unwrap();
+    drop(ring);
+    assert_eq!(bodies(&folder), vec![vec![1; 20], vec![2; 20]]);
+}
+
+#[test]
+fn any_number_of_restarts_uses_no_room_up() {
+    let folder = Folder::new();
+    for restart in 0..200u8 {
+        let (mut ring, found) = open(&folder).unwrap();
+        assert!(restart == 0 || found.last().is_some_and(|record| record.body == [restart - 1; 60]));
+        let segment =
+            ring.append(&[restart; 60]).unwrap_or_else(|error| panic!("restart {restart}: {error}"));
+        ring.sync().unwrap();
+        ring.release(segment);
+    }
+}
+
+#[test]
+fn what_was_released_stays_released_after_a_restart() {
+    let folder = Folder::new();
+    let (mut ring, _) = open(&folder).unwrap();
+    let mut segment = 0;
+    while ring.free() > 1 {
+        segment = ring.append(&[1; 100]).unwrap();
+    }
+    ring.release(segment);
+    ring.append(&[2; 20]).unwrap();
+    ring.sync().unwrap();
+    let free = ring.free();
+    drop(ring);
+    let (ring, found) = open(&folder).unwrap();
+    assert_eq!(ring.free(), free);
+    assert!(found.iter().all(|record| record.segment >= segment), "{found:?}");
+}
+
+/// Laps, restarts and torn tails by seed: what was synced and not released is always found, in order.
+#[test]
+fn whatever_happens_what_was_synced_is_found() {
+    for seed in 1..=60u64 {
+        let folder = Folder::new();
+        let mut draws = seed;
+        let mut draw = |below: u64| {
+            draws = draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (draws >> 33) % below
+        };
+        let mut kept: Vec<(u64, Vec<u8>)> = Vec::new();
+        let mut number = 0u32;
+        for _ in 0..12 {
+            let (mut ring, found) = open(&folder).unwrap();
+            let found: Vec<Vec<u8>> = found.into_iter().map(|record| record.body).collect();
+            let synced: Vec<Vec<u8>> = kept.iter().map(|(_, body)| body.clone()).collect();
+            assert!(
+                found.windows(synced.len().max(1)).any(|part| part == synced) || synced.is_empty(),
+                "seed {seed}"
+            );
+            for _ in 0..draw(20) {
+                number += 1;
+                let mut body = number.to_le_bytes().to_vec();
+                body.resize(4 + draw(90) as usize, 7);
+                let Ok(segment) = ring.append(&body) else { break };
+                ring.sync().unwrap();
+                kept.push((segment, body));
+                if ring.free() < 2 {
+                    ring.release(segment);
+                    kept.retain(|(of, _)| *of >= segment);
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn an_identity_is_drawn_once() {
     let folder = Folder::new();
