--- a/storage/tests/ring.rs
+++ b/storage/tests/ring.rs
@@ -35,7 +35,7 @@
 }
 
 fn bodies(folder: &Folder) -> Vec<Vec<u8>> {
-    let (_, records) = open(&folder).unwrap();
+    let (_, records) = open(folder).unwrap();
     records.into_iter().map(|record| record.body).collect()
 }
 
