Answers: read while a long request is sent, nameless refusals only on fresh connections, no promise that an endpoint does not make

Cause (read in the code): a 408, 429 or 503 without Not-Run was passed on to the client, to whom it promises that the request has not run; a refusal without an id was believed on a connection that carried other requests, where it may be of one of those; an answer that came before a long body was sent was read only afterwards. Now: such statuses end as 502, or are repeated where the route allows; nameless refusals count on fresh connections only; answers are read while the request is written, and such a connection is not used again. Tests over loopback: 12 ends of an attempt on four kinds of routes (node/tests/tier/answers.rs), reuse of an address, nameless refusals.

--- a/node/src/edge/forward.rs
+++ b/node/src/edge/forward.rs
@@ -20,6 +20,8 @@
 const MISSES: usize = 6;
 /// A resumable stream whose endpoint is silent for so long goes on elsewhere.
 const RESUME_AFTER: Duration = Duration::from_millis(900);
+/// Statuses that promise to a client that its request has not run and never will.
+const PROMISES: [u16; 3] = [408, 429, 503];
 /// Headers that are set here, whatever the client sent.
 const OWN_HEADERS: [&str; 6] =
     ["authorization", "tenant", "deadline", "expect-endpoint", "last-event-id", "expect-version"];
@@ -212,6 +214,10 @@
         if not_run {
             return self.refused(placement, answer).await;
         }
+        if PROMISES.contains(&answer.head.status) {
+            // Passed on it would promise that the request has not run; the endpoint does not say so.
+            return self.failed(placement, UpstreamError::Broken, sent);
+        }
         let stream =
             answer.head.headers.get("Content-Type").is_some_and(|kind| kind.starts_with("text/event-stream"));
         if answer.head.status / 100 == 2 && stream {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -64,6 +63,22 @@
     buffer: Vec<u8>,
     reader: BodyReader,
     endpoint: String,
+    /// The whole request was sent: the connection is at the start of another.
+    sent_whole: bool,
+}
+
+/// A connection on which a request is sent.
+struct Opened {
+    stream: TcpStream,
+    /// Nothing was sent on it before.
+    fresh: bool,
+}
+
+/// The head of an answer, and what was read behind it.
+struct Answered {
+    head: ResponseHead,
+    buffer: Vec<u8>,
+    sent_whole: bool,
 }
 
 impl Upstreams {
@@ -106,14 +121,18 @@
         request: UpstreamRequest<'_>,
         time: Duration,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let mut stream = match self.take_resting(request.endpoint) {
-            Some(stream) => stream,
-            None => open(request.address).await.ok_or(UpstreamError::NotSent)?,
+        let opened = match self.take_resting(request.endpoint) {
+            Some(stream) => Opened { stream, fresh: false },
+            None => {
+                let stream = open(request.address).await.ok_or(UpstreamError::NotSent)?;
+                Opened { stream, fresh: true }
+            }
         };
-        match timeout(time, exchange(&mut stream, &request)).await {
-            Ok(Some((head, buffer))) => {
+        match timeout(time, exchange(&opened, &request)).await {
+            Ok(Some(Answered { head, buffer, sent_whole })) => {
                 let reader = BodyReader::new(head.framing);
-                Ok(UpstreamAnswer { head, stream, buffer, reader, endpoint: request.endpoint.to_owned() })
+                let (stream, endpoint) = (opened.stream, request.endpoint.to_owned());
+                Ok(UpstreamAnswer { head, stream, buffer, reader, endpoint, sent_whole })
             }
             Ok(None) => Err(UpstreamError::Broken),
             Err(_) => Err(UpstreamError::Silent),
@@ -150,13 +169,14 @@
 }
 
 /// Writes the request and reads heads until one is of this request; `None` if the connection carries none.
-async fn exchange(stream: &mut TcpStream, request: &UpstreamRequest<'_>) -> Option<(ResponseHead, Vec<u8>)> {
-    stream.write_all(request.bytes).await.ok()?;
+async fn exchange(opened: &Opened, request: &UpstreamRequest<'_>) -> Option<Answered> {
+    let stream = &opened.stream;
     let mut buffer = Vec::new();
+    let sent_whole = write_request(opened, request, &mut buffer).await?;
     for _ in 0..=STRAY_ANSWERS {
         let head = read_head(stream, &mut buffer).await?;
-        if answers(&head, request.request_id) {
-            return Some((head, buffer));
+        if answers(&head, request.request_id, opened.fresh) {
+            return Some(Answered { head, buffer, sent_whole });
         }
         // The late answer to a request before this one: its body is passed over.
         pass_over(stream, &mut buffer, &head).await?;
@@ -164,12 +184,44 @@
     None
 }
 
+/// Writes the request, reading meanwhile: an endpoint may answer before it has read all of it. Whether all of it was sent;
+/// `None` if the connection broke.
+async fn write_request(opened: &Opened, request: &UpstreamRequest<'_>, buffer: &mut Vec<u8>) -> Option<bool> {
+    let stream = &opened.stream;
+    let mut rest = request.bytes;
+    while !rest.is_empty() {
+        tokio::select! {
+            writable = stream.writable() => {
+                writable.ok()?;
+                match stream.try_write(rest) {
+                    Ok(written) => rest = rest.get(written..).unwrap_or_default(),
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return None,
+                }
+            }
+            read = fill(stream, buffer) => {
+                if read.ok()? == 0 || buffer.len() > HEAD_LIMIT {
+                    return None;
+                }
+                if let Ok(Some((head, _))) = parse_response(buffer, false)
+                    && head.status >= 200
+                    && answers(&head, request.request_id, opened.fresh)
+                {
+                    return Some(false);
+                }
+            }
+        }
+    }
+    Some(true)
+}
+
 /// Whether a head may be believed for this request.
-fn answers(head: &ResponseHead, request_id: &str) -> bool {
+fn answers(head: &ResponseHead, request_id: &str, fresh: bool) -> bool {
     match head.headers.get("Request-Id") {
         Some(id) => id == request_id,
-        // A refusal that names no request: it comes before the endpoint has looked at the id.
-        None => head.status == 421 || head.headers.get("Not-Run").is_some(),
+        // A refusal that names no request: it comes before the endpoint has looked at the id. On a connection that carried
+        // others before it may be of one of those.
+        None => fresh && (head.status == 421 || head.headers.get("Not-Run").is_some()),
     }
 }
 
@@ -250,7 +302,8 @@
 
     /// Keeps the connection for another request, if the answer is whole and nothing follows it.
     pub fn release(self, upstreams: &Upstreams) {
-        if self.reader.is_done() && self.buffer.is_empty() && self.head.keep_alive {
+        let clean = self.sent_whole && self.reader.is_done() && self.buffer.is_empty();
+        if clean && self.head.keep_alive {
             upstreams.rest(&self.endpoint, self.stream, &self.head);
         }
     }
--- a/node/tests/tier/harness.rs
+++ b/node/tests/tier/harness.rs
@@ -1,6 +1,6 @@
 //! A small tier on loopback: processes of the roles, a stand-in platform and a stand-in endpoint.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -100,15 +100,18 @@
     let _ = stream.write_all(answer.as_bytes());
 }
 
-fn serve(address: String, answer: impl Fn(&TcpStream, &Asked) + Send + Sync + 'static) {
+/// Serves connections; `answer` says whether the connection goes on.
+fn serve(address: String, answer: impl Fn(&TcpStream, &Asked) -> bool + Send + Sync + 'static) {
     let listener = TcpListener::bind(address).unwrap();
     let answer = Arc::new(answer);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
             std::thread::spawn(move || {
-                if let Some(asked) = read_request(&stream) {
-                    answer(&stream, &asked);
+                while let Some(asked) = read_request(&stream) {
+                    if !answer(&stream, &asked) {
+                        break;
+                    }
                 }
                 let _ = stream.shutdown(Shutdown::Both);
             });
@@ -135,23 +138,100 @@
     let _ = stream.write_all(b"0\r\n\r\n");
 }
 
-fn serve_endpoint(address: String) {
-    let broken: Mutex<HashSet<String>> = Mutex::new(HashSet::new());
+/// How often each request reached an endpoint, by its id.
+pub type Arrivals = Arc<Mutex<HashMap<String, u32>>>;
+
+/// Serves an endpoint. Words at the end of a path say how it ends the first attempt of a request; every other is answered
+/// well.
+fn serve_endpoint(address: String, endpoint: &'static str, arrivals: Arrivals) {
     serve(address, move |stream, asked| {
         let id = header(&asked.head, "Request-Id").unwrap_or_default();
         let leaked = header(&asked.head, "Authorization").is_some();
-        let elsewhere = header(&asked.head, "Expect-Endpoint").as_deref() != Some("i-1");
+        let elsewhere = header(&asked.head, "Expect-Endpoint").as_deref() != Some(endpoint);
         if leaked || elsewhere {
             answer_with(stream, "400 Bad Request", &format!("Request-Id: {id}\r\n"), "");
-        } else if asked.target.ends_with("poison") {
-            answer_with(stream, "422 Unprocessable Content", &format!("Request-Id: {id}\r\nSeal: s\r\n"), "");
+            return false;
+        }
+        let arrival = {
+            let mut arrivals = arrivals.lock().unwrap();
+            let count = arrivals.entry(id.clone()).or_default();
+            *count += 1;
+            *count
+        };
+        let word = asked.target.rsplit('/').next().unwrap_or_default();
+        if arrival == 1 || word == "poison" {
+            misbehave(stream, asked, &id, word)
         } else {
-            let breaks = asked.target.ends_with("break") && broken.lock().unwrap().insert(id);
-            stream_events(stream, asked, breaks);
+            answer_well(stream, asked, &id);
+            false
         }
     });
 }
 
+/// An answer that is whole: events on routes of streams, else a body.
+fn answer_well(stream: &TcpStream, asked: &Asked, id: &str) {
+    let streams = ["/live/", "/flow/", "/bulk/"].iter().any(|prefix| asked.target.starts_with(prefix));
+    if streams {
+        stream_events(stream, asked, false);
+    } else {
+        answer_with(stream, "200 OK", &format!("Request-Id: {id}\r\nSeal: seal-1\r\n"), "done");
+    }
+}
+
+/// Ends an attempt as the word says; whether the connection goes on.
+fn misbehave(mut stream: &TcpStream, asked: &Asked, id: &str, word: &str) -> bool {
+    let own = format!("Request-Id: {id}\r\nSeal: s\r\n");
+    match word {
+        "poison" => answer_with(stream, "422 Unprocessable Content", &own, ""),
+        "break" => stream_events(stream, asked, true),
+        "close-before" => {}
+        "close-in-head" => drop(stream.write_all(b"HTTP/1.1 200 OK\r\nRequest-I")),
+        "close-in-body" if asked.target.starts_with("/live/") || asked.target.starts_with("/flow/") => {
+            stream_events(stream, asked, true);
+        }
+        "close-in-body" => {
+            let head = format!("HTTP/1.1 200 OK\r\n{own}Content-Length: 4\r\n\r\ndo");
+            let _ = stream.write_all(head.as_bytes());
+        }
+        "not-run" => answer_with(stream, "503 Service Unavailable", &format!("{own}Not-Run: 1\r\n"), ""),
+        "not-run-cut" => {
+            let head =
+                format!("HTTP/1.1 503 Service Unavailable\r\n{own}Not-Run: 1\r\nContent-Length: 9\r\n\r\nfu");
+            let _ = stream.write_all(head.as_bytes());
+        }
+        "lie" => answer_with(stream, "503 Service Unavailable", &own, ""),
+        "gone" => answer_with(stream, "421 Misdirected Request", &own, ""),
+        "failed" => answer_with(stream, "500 Internal Server Error", &own, "failed"),
+        "interim" => {
+            let _ = stream.write_all(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+            answer_well(stream, asked, id);
+        }
+        "stray" => {
+            let _ = stream.write_all(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nSeal: of-another\r\nContent-Length: 5\r\n\r\nother",
+            );
+            answer_well(stream, asked, id);
+        }
+        "spoilt-id" => answer_with(stream, "200 OK", "Request-Id: another\r\nSeal: s\r\n", "other"),
+        "unframed" => {
+            let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{own}\r\nbody").as_bytes());
+        }
+        "silent" => {
+            let _ = stream.set_read_timeout(None);
+            // Until the other side closes the connection.
+            let _ = stream.read(&mut [0; 1]);
+        }
+        "keep" => {
+            let _ =
+                stream.write_all(format!("HTTP/1.1 200 OK\r\n{own}Content-Length: 4\r\n\r\ndone").as_bytes());
+            return true;
+        }
+        "nameless" => answer_with(stream, "503 Service Unavailable", "Not-Run: 1\r\n", ""),
+        _ => answer_well(stream, asked, id),
+    }
+    false
+}
+
 /// Processes of a tier; killed at the end.
 pub struct Tier {
     block: String,
@@ -160,6 +240,7 @@
     seeds: Vec<usize>,
     couriers: Vec<Option<Child>>,
     stores: Vec<Option<Child>>,
+    arrivals: Arrivals,
 }
 
 impl Tier {
@@ -170,15 +251,23 @@
         let id = std::process::id() * TIERS + STARTED.fetch_add(1, Ordering::Relaxed) % TIERS;
         let block = format!("127.{}.{}", 32 + id % 200, id / 200 % 250);
         let folder = std::env::temp_dir().join(format!("quillmount-tier-{id}"));
-        serve_endpoint(format!("{block}.250:{ENDPOINT}"));
-        let list = format!(
-            r#"{{"Endpoints":[{{"Backend":"llm","Address":"{block}.250:{ENDPOINT}","Az":"a","Gen":"v1","Capacity":8,"Phase":"up","ColdLeftMs":0,"Id":"i-1"}}],"NextCursor":null}}"#
-        );
+        let arrivals = Arrivals::default();
+        serve_endpoint(format!("{block}.250:{ENDPOINT}"), "i-1", arrivals.clone());
+        serve_endpoint(format!("{block}.249:{ENDPOINT}"), "i-2", arrivals.clone());
+        let entry = |host: u32, id: &str| {
+            format!(
+                r#"{{"Backend":"llm","Address":"{block}.{host}:{ENDPOINT}","Az":"a","Gen":"v1","Capacity":8,"Phase":"up","ColdLeftMs":0,"Id":"{id}"}}"#
+            )
+        };
+        let list =
+            format!(r#"{{"Endpoints":[{},{}],"NextCursor":null}}"#, entry(250, "i-1"), entry(249, "i-2"));
         serve(format!("{block}.251:{PLATFORM}"), move |stream, asked| {
             let body = if asked.target.starts_with("/endpoints") { list.as_str() } else { "" };
             answer_with(stream, "200 OK", "", body);
+            false
         });
-        let mut tier = Tier { block, folder, seeds: vec![0, 1, 2], couriers: Vec::new(), stores: Vec::new() };
+        let (couriers, stores) = (Vec::new(), Vec::new());
+        let mut tier = Tier { block, folder, seeds: vec![0, 1, 2], couriers, stores, arrivals };
         tier.couriers = (0..3).map(|number| Some(tier.spawn("courier", number))).collect();
         tier.stores = (0..3).map(|number| Some(tier.spawn("store", number))).collect();
         tier
@@ -221,6 +310,11 @@
             .unwrap()
     }
 
+    /// How often a request reached an endpoint.
+    pub fn arrivals(&self, request_id: &str) -> u32 {
+        self.arrivals.lock().unwrap().get(request_id).copied().unwrap_or(0)
+    }
+
     /// Numbers of the couriers that run.
     pub fn couriers(&self) -> Vec<usize> {
         (0..self.couriers.len()).filter(|number| self.couriers[*number].is_some()).collect()
@@ -294,6 +388,9 @@
     format!(
         r#"{{"Gen":{version},"Routes":[
         {{"Name":"live","Host":"a.example","PathPrefix":"/live/","Mode":"stream","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false,"Resumable":true,"gap_aim_ms":250}},
+        {{"Name":"flow","Host":"a.example","PathPrefix":"/flow/","Mode":"stream","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false,"Resumable":false,"gap_aim_ms":250}},
+        {{"Name":"safe","Host":"a.example","PathPrefix":"/safe/","Mode":"safe","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}},
+        {{"Name":"once","Host":"a.example","PathPrefix":"/once/","Mode":"mutating","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}},
         {{"Name":"bulk","Host":"a.example","PathPrefix":"/bulk/","Mode":"bulk","DeadlineMs":6000,"TargetMs":2000,"Prio":2,"Backend":"llm","Tries":3,"Public":false,"DueMs":8000,"RetainS":40}}],
         "Backends":[{{"Name":"llm","Probe":"/healthz","MaxConns":100,"Proto":"h1","Tls":false}}],
         "Limits":{{"HdrBytes":16384,"BodyBytes":4194304,"HdrMs":3000,"IdleMs":15000}},
@@ -336,11 +433,16 @@
     None
 }
 
-/// Sends a request to a courier.
+/// Sends a request to a courier, with an id that is its path.
 pub fn live(tier: &Tier, courier: usize, path: &str, key: &str) -> Option<Answer> {
+    ask(tier, courier, path, key, 4000)
+}
+
+/// Sends a request to a courier, with an id that is its path, and a deadline in ms.
+pub fn ask(tier: &Tier, courier: usize, path: &str, key: &str, deadline: u32) -> Option<Answer> {
     let body = "prompt";
     let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-{path}\r\nDeadline: 4000\r\nAuthorization: {key}\r\nTenant: forged\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-{path}\r\nDeadline: {deadline}\r\nAuthorization: {key}\r\nTenant: forged\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
     );
     http(&tier.client_address(courier), &request)
--- a/node/tests/tier/main.rs
+++ b/node/tests/tier/main.rs
@@ -1,5 +1,6 @@
 //! Whole tiers on loopback.
 
+mod answers;
 mod harness;
 mod seeds;
 mod whole_path;
