--- a/batch/tests/cluster/day.rs
+++ b/batch/tests/cluster/day.rs
@@ -49,7 +49,7 @@
 
 fn strike(world: &mut World) {
     let store = primary_or_any(world);
-    match world.random.next(12) {
+    match world.random.next(13) {
         0 | 1 => {
             let (down, power) = (span(world, 50, 2500), world.random.chance(50));
             world.kill(store, power);
@@ -81,6 +81,7 @@
             world.stores.get_mut(&store).unwrap().disk_slow_until = until;
         }
         10 => world.compact(store),
+        11 => retire(world, store),
         _ => wipe(world, store),
     }
 }
@@ -116,6 +117,15 @@
     }
 }
 
+/// Empties a store while another, empty one is added, so that enough remain.
+fn retire(world: &mut World, store: u32) {
+    let next = world.stores.keys().max().copied().unwrap_or(0) + 1;
+    if next <= 9 {
+        world.add_store(next);
+        world.retire(store);
+    }
+}
+
 /// Loses a disk, if every earlier loss has been made up for.
 pub fn wipe(world: &mut World, store: u32) {
     if !world.is_healed() {
@@ -145,7 +155,7 @@
 fn closing(world: &mut World) {
     let lost = world.random.chance(50).then(|| any_store(world));
     let names: Vec<u32> = world.stores.keys().copied().collect();
-    for name in names {
+    for name in names.into_iter().filter(|name| !world.stores[name].removed).collect::<Vec<_>>() {
         world.kill(name, true);
         if Some(name) == lost {
             world.add_store(name);
--- a/batch/tests/cluster/main.rs
+++ b/batch/tests/cluster/main.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod day;
 mod scenarios;
+mod steps;
 mod world;
 
 /// Days played where nothing else is asked for.
@@ -27,20 +28,25 @@
     assert!(commits as u64 > 20 * seeds() && reads as u64 > 20 * seeds(), "{commits} commits, {reads} reads");
 }
 
-/// Each deliberate break of the replica's code is found, by a day of a few hundred.
+/// Each deliberate break of the replica's code is found: by steps of one replica, by a run by name, or by one of some days.
 #[cfg(feature = "breaks")]
 #[test]
 fn each_break_is_found() {
     use quillmount_batch::breaks;
-    const DAYS: u64 = 400;
+    const DAYS: u64 = 150;
+    let fails = |run: &fn()| std::panic::catch_unwind(run).is_err();
     std::panic::set_hook(Box::new(|_| {}));
     let mut missed = Vec::new();
     for one in breaks::ALL {
         breaks::set(Some(one));
-        let found = (1..=DAYS).find(|seed| std::panic::catch_unwind(|| day::play(*seed)).is_err());
+        let steps = steps::ALL.iter().position(fails);
+        let scenario = steps.is_none().then(|| scenarios::ALL.iter().position(fails)).flatten();
+        let by_name = steps.or(scenario).is_some();
+        let day = || (1..=DAYS).find(|seed| std::panic::catch_unwind(|| day::play(*seed)).is_err());
+        let day = if by_name { None } else { day() };
         breaks::set(None);
-        println!("{one:?}: found by seed {found:?}");
-        if found.is_none() {
+        println!("{one:?}: steps {steps:?}, run by name {scenario:?}, day {day:?}");
+        if !by_name && day.is_none() {
             missed.push(one);
         }
     }
--- a/batch/tests/cluster/scenarios.rs
+++ b/batch/tests/cluster/scenarios.rs
@@ -3,6 +3,20 @@
 use crate::day::{calm, read_back, wipe};
 use crate::world::{MILLI, SECOND, World};
 
+/// All runs, for the proof that deliberate breaks are found.
+#[cfg(feature = "breaks")]
+pub const ALL: [fn(); 9] = [
+    a_batch_that_was_not_committed_shows_at_no_position_after_a_restart_of_everything,
+    a_frozen_primary_that_wakes_answers_nothing_after_its_successor_serves,
+    disks_lost_one_after_the_other_lose_nothing_once_each_was_made_up_for,
+    a_disk_lost_while_all_others_lose_power_loses_nothing,
+    a_member_whose_disk_failed_counts_only_once_all_of_it_is_written_again,
+    a_store_that_was_emptied_takes_nothing_along_though_a_disk_is_lost_right_behind,
+    a_leaving_store_that_holds_the_only_copy_there_is_stays_until_it_does_not,
+    two_halves_confirm_nothing_that_is_lost_when_they_meet,
+    restarts_of_everything_in_a_row_give_exactly_what_was_confirmed,
+];
+
 fn started(stores: u32, survivable: usize, seed: u64) -> World {
     let mut world = World::new(stores, survivable, seed);
     world.run(3 * SECOND);
@@ -104,3 +118,80 @@
         read_back(&mut world);
     }
 }
+
+#[test]
+fn a_store_that_was_emptied_takes_nothing_along_though_a_disk_is_lost_right_behind() {
+    for seed in 1..=30 {
+        let mut world = started(4, 1, seed);
+        let leaving = world.primary().unwrap();
+        world.retire(leaving);
+        world.wipe_behind_removal = true;
+        world.run(6 * SECOND);
+        assert!(world.stores[&leaving].removed, "seed {seed}");
+        calm(&mut world);
+        power_off_all(&mut world);
+        world.run(2 * SECOND);
+        calm(&mut world);
+        read_back(&mut world);
+    }
+}
+
+/// The members in sync are gone one after the other while the leaving one alone is there.
+#[test]
+fn a_leaving_store_that_holds_the_only_copy_there_is_stays_until_it_does_not() {
+    for seed in 1..=30 {
+        let mut world = started(5, 1, seed);
+        let view = world.view().unwrap().clone();
+        let members: Vec<u32> = world
+            .stores
+            .values()
+            .filter(|store| view.in_sync.contains(&store.disk))
+            .map(|store| store.name)
+            .collect();
+        let leaving = members[0];
+        world.retire(leaving);
+        // One of the others loses its disk, the rest of them stand still for some seconds.
+        world.kill(members[1], true);
+        world.add_store(members[1]);
+        for name in &members[2..] {
+            world.stores.get_mut(name).unwrap().frozen_until = world.now + 4 * SECOND;
+        }
+        world.run(8 * SECOND);
+        calm(&mut world);
+        read_back(&mut world);
+    }
+}
+
+/// Two halves for some seconds: nobody confirms what the other half does not have.
+#[test]
+fn two_halves_confirm_nothing_that_is_lost_when_they_meet() {
+    for seed in 1..=30 {
+        let mut world = started(4, 1, seed);
+        for one in [1, 2] {
+            for other in [3, 4] {
+                world.cuts.insert((one, other));
+                world.cuts.insert((other, one));
+            }
+        }
+        world.run(5 * SECOND);
+        calm(&mut world);
+        power_off_all(&mut world);
+        world.run(2 * SECOND);
+        calm(&mut world);
+        read_back(&mut world);
+    }
+}
+
+/// Everything is killed again and again while jobs are taken: rings hold uncommitted, superseded and repaired records.
+#[test]
+fn restarts_of_everything_in_a_row_give_exactly_what_was_confirmed() {
+    for seed in 1..=15 {
+        let mut world = started(3, 1, seed);
+        for round in 0..8u64 {
+            power_off_all(&mut world);
+            world.run((900 + 150 * round) * MILLI);
+        }
+        calm(&mut world);
+        read_back(&mut world);
+    }
+}
--- a/batch/tests/cluster/world.rs
+++ b/batch/tests/cluster/world.rs
@@ -3,7 +3,7 @@
 
 use crate::audit::Auditor;
 use quillmount_batch::{JobEntry, Micros, Output, Replica, ReplicaIdentity, ShardJobs, StoreRecord, WriteId};
-use quillmount_control::{ControlState, ShardInputs};
+use quillmount_control::{ControlState, Retirement, ShardInputs};
 use quillmount_wire::messages::{
     DiskId, Item, ItemResult, Job, MemberMessage, NodeInfo, NodeRole, Phase, Response, ShardOperation,
     ShardReport, ShardView,
@@ -102,6 +102,8 @@
     next_disk: DiskId,
     /// Whether clients are at work.
     pub busy: bool,
+    /// A member loses its disk right after a store was emptied and removed.
+    pub wipe_behind_removal: bool,
     /// What lost disks held, synced.
     lost_disks: Vec<ShardJobs>,
 }
@@ -142,6 +144,7 @@
             next_id: 0,
             next_disk: 100,
             busy: true,
+            wipe_behind_removal: false,
             lost_disks: Vec::new(),
         };
         (1..=stores).for_each(|name| world.add_store(name));
@@ -233,6 +236,25 @@
         }
     }
 
+    /// Orders a store to be emptied; it is removed, with its disk, as soon as the core says that it is empty.
+    pub fn retire(&mut self, name: u32) {
+        self.control.retire(&format!("store-{name}"), self.survivable);
+    }
+
+    fn remove_emptied(&mut self) -> Option<u32> {
+        let emptied = |name: &&u32| {
+            let store = &self.stores[*name];
+            !store.removed && self.control.retirement(&format!("store-{name}")) == Retirement::Done
+        };
+        let name = self.stores.keys().find(emptied).copied()?;
+        self.kill(name, true);
+        let store = self.stores.get_mut(&name).unwrap();
+        store.removed = true;
+        store.records.clear();
+        store.on_disk = ShardJobs::default();
+        Some(name)
+    }
+
     /// Begins a compaction at a store.
     pub fn compact(&mut self, name: u32) {
         let Some(store) = self.stores.get_mut(&name).filter(|store| store.up) else { return };
@@ -307,6 +329,9 @@
             self.control.plan_shards(&inputs);
             self.control.placement.shards.truncate(1);
         }
+        if self.remove_emptied().is_some() && self.wipe_behind_removal {
+            self.wipe_any_member();
+        }
         let Some(view) = self.view().cloned() else { return };
         let names: Vec<u32> = self.stores.keys().copied().collect();
         for name in names {
@@ -392,6 +417,15 @@
         }
     }
 
+    fn wipe_any_member(&mut self) {
+        let members = self.view().map(|view| view.in_sync.clone()).unwrap_or_default();
+        let present = |store: &&Store| members.contains(&store.disk) && !store.removed;
+        let Some(name) = self.stores.values().find(present).map(|store| store.name) else { return };
+        self.wipe_behind_removal = false;
+        self.kill(name, true);
+        self.add_store(name);
+    }
+
     fn admit(&mut self, name: u32, disk: DiskId) {
         if self.stores.get(&name).is_some_and(|store| store.disk == disk && !store.removed) {
             let node = NodeInfo {
--- a/control/tests/members/main.rs
+++ b/control/tests/members/main.rs
@@ -216,6 +216,11 @@
             missed.push(one);
         }
     }
+    breaks::set(Some(Break::StaleTables));
+    if std::panic::catch_unwind(a_member_that_is_cut_off_says_nothing_that_it_can_not_be_sure_of).is_ok() {
+        missed.push(Break::StaleTables);
+    }
+    breaks::set(None);
     let _ = std::panic::take_hook();
     assert!(missed.is_empty(), "not found: {missed:?}");
 }
--- a/control/tests/shards.rs
+++ b/control/tests/shards.rs
@@ -206,3 +206,22 @@
     (0..1600).for_each(|number| counts[shard_of(&format!("{:016x}", number * 7919), SHARDS) as usize] += 1);
     assert!(counts.iter().all(|count| (50..=160).contains(count)), "{counts:?}");
 }
+
+/// Each deliberate break of the planning of views is found by one of the tests above.
+#[cfg(feature = "breaks")]
+#[test]
+fn each_break_of_views_is_found() {
+    use quillmount_control::breaks::{self, Break};
+    let found_by: [(Break, fn()); 4] = [
+        (Break::LeavingCountsGone, a_leaving_store_that_alone_is_alive_with_a_copy_stays),
+        (Break::ReportOfOlderEpoch, only_a_member_that_caught_up_in_this_epoch_is_promoted),
+        (Break::JoiningAtOnce, a_wiped_store_is_another_and_joins_from_nothing),
+        (Break::ShrinksBelow, the_set_in_sync_never_shrinks_below_what_has_to_survive),
+    ];
+    for (one, test) in found_by {
+        breaks::set(Some(one));
+        let failed = std::panic::catch_unwind(test).is_err();
+        breaks::set(None);
+        assert!(failed, "{one:?} is not found");
+    }
+}
