Courier: takes no requests later than three seconds after SIGTERM

From three seconds on the address is closed, and what is still read is refused with the promise that it has not run.

--- a/node/src/edge/connection.rs
+++ b/node/src/edge/connection.rs
@@ -26,12 +26,21 @@
     limit: usize,
     closing: Cell<bool>,
     close: Notify,
+    refusing: Cell<bool>,
+    refuse: Notify,
 }
 
 impl Connections {
     pub fn new(node: &Node) -> Connections {
         let limit = (node.settings.limits.nofile as f64 * RESERVED_PART) as usize;
-        Connections { open: Cell::new(0), limit, closing: Cell::new(false), close: Notify::new() }
+        Connections {
+            open: Cell::new(0),
+            limit,
+            closing: Cell::new(false),
+            close: Notify::new(),
+            refusing: Cell::new(false),
+            refuse: Notify::new(),
+        }
     }
 
     /// How many are open.
@@ -45,6 +54,20 @@
         self.close.notify_waiters();
     }
 
+    /// Takes nothing more, neither connections nor requests.
+    pub fn refuse_all(&self) {
+        self.refusing.set(true);
+        self.refuse.notify_waiters();
+    }
+
+    /// Waits until nothing more is taken.
+    async fn refusing(&self) {
+        let notified = self.refuse.notified();
+        if !self.refusing.get() {
+            notified.await;
+        }
+    }
+
     /// Waits until resting connections are to be closed.
     async fn closing(&self) {
         let notified = self.close.notified();
@@ -64,10 +87,14 @@
     Abort,
 }
 
-/// Accepts clients for as long as the process lives.
+/// Accepts clients until nothing more is taken; later ones find the address closed and go elsewhere.
 pub async fn accept(node: Rc<Node>, connections: Rc<Connections>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = connections.refusing() => return,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
@@ -96,6 +123,11 @@
             return;
         }
         let Some(request) = connection.next_request(&limits).await else { return };
+        if connections.refusing.get() {
+            // It would hardly end before the process does.
+            let _ = respond(node, &mut connection, false, &refusal("this courier stops")).await;
+            return connection.close_gently().await;
+        }
         match serve(node, &mut connection, request).await {
             Served::KeepAlive => {}
             Served::Close => return connection.close_gently().await,
--- a/node/src/edge/mod.rs
+++ b/node/src/edge/mod.rs
@@ -58,6 +58,9 @@
 
 /// How long new connections may still come after SIGTERM: readiness is asked for each second and has to fail twice.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2600);
+/// How long requests are taken after SIGTERM: where most couriers of a zone stop at once, the platform goes on sending clients.
+/// The rest of the grace is for what was taken to end.
+const TAKE_FOR: Duration = Duration::from_millis(3000);
 /// Taken off the grace, so that the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 /// Pause between two looks at what still runs.
@@ -211,6 +214,8 @@
     let began = tokio::time::Instant::now();
     tokio::time::sleep(CLOSE_IDLE_AFTER.min(grace)).await;
     connections.close_idle();
+    tokio::time::sleep(TAKE_FOR.min(grace).saturating_sub(began.elapsed())).await;
+    connections.refuse_all();
     while connections.open() > 0 && began.elapsed() < grace {
         tokio::time::sleep(STOP_LOOK).await;
     }
