--- a/node/tests/tier/harness.rs
+++ b/node/tests/tier/harness.rs
@@ -355,6 +355,18 @@
         end(self.couriers[number].take());
     }
 
+    /// Asks a courier to stop.
+    pub fn terminate_courier(&mut self, number: usize) {
+        let id = self.couriers[number].as_ref().map(Child::id).unwrap();
+        let asked = Command::new("sh").arg("-c").arg(format!("kill -TERM {id}")).status().unwrap();
+        assert!(asked.success());
+    }
+
+    /// Whether a courier's process runs.
+    pub fn is_running(&mut self, number: usize) -> bool {
+        self.couriers[number].as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Starts a courier that was killed, with its folder.
     pub fn start_courier(&mut self, number: usize) {
         self.couriers[number] = Some(self.spawn("courier", number));
@@ -440,10 +452,15 @@
 
 /// Sends a request to a courier, with an id that is its path, and a deadline in ms.
 pub fn ask(tier: &Tier, courier: usize, path: &str, key: &str, deadline: u32) -> Option<Answer> {
+    ask_at(&tier.client_address(courier), path, key, deadline)
+}
+
+/// The same at the address of a courier.
+pub fn ask_at(address: &str, path: &str, key: &str, deadline: u32) -> Option<Answer> {
     let body = "prompt";
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-{path}\r\nDeadline: {deadline}\r\nAuthorization: {key}\r\nTenant: forged\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
     );
-    http(&tier.client_address(courier), &request)
+    http(address, &request)
 }
--- a/node/tests/tier/main.rs
+++ b/node/tests/tier/main.rs
@@ -3,4 +3,5 @@
 mod answers;
 mod harness;
 mod seeds;
+mod stop;
 mod whole_path;
