--- a/control/tests/members/main.rs
+++ b/control/tests/members/main.rs
@@ -217,7 +217,7 @@
         }
     }
     breaks::set(Some(Break::StaleTables));
-    if std::panic::catch_unwind(a_member_that_is_cut_off_says_nothing_that_it_can_not_be_sure_of).is_ok() {
+    if std::panic::catch_unwind(a_frozen_primary_hands_out_nothing_when_it_wakes).is_ok() {
         missed.push(Break::StaleTables);
     }
     breaks::set(None);
--- a/control/tests/orders.rs
+++ b/control/tests/orders.rs
@@ -1,6 +1,6 @@
 //! The operator's orders: what is taken, what is refused, what comes again.
 
-use quillmount_control::{ControlState, Order, OrderKind, Verdict};
+use quillmount_control::{ControlState, Order, OrderKind, TAKEN_LIMIT, Verdict};
 use quillmount_wire::configuration::{Configuration, ConfigurationError};
 
 fn route(name: &str, prefix: &str, service: &str) -> String {
@@ -120,6 +120,43 @@
     assert!(ControlState::decode(&state.encode()[..40]).is_err());
 }
 
+/// One that may have been taken and is no longer remembered is neither confirmed nor refused; all that are remembered are
+/// confirmed with their number.
+#[test]
+fn an_order_older_than_the_memory_gets_no_clear_answer() {
+    let mut state = started();
+    let order = |base: u64| put(base, whole(base + 1, &[route("r", "/a/", "s")]));
+    let last = 5 + TAKEN_LIMIT as u64 + 20;
+    for base in 5..last {
+        assert_eq!(state.order(&order(base)), Verdict::Taken { version: base + 1 });
+    }
+    let before = state.clone();
+    assert_eq!(state.taken.len(), TAKEN_LIMIT);
+    for base in (5..last).step_by(997).chain([last - 1, state.forgotten]) {
+        let again = state.order(&order(base));
+        if base < before.forgotten {
+            assert_eq!(again, Verdict::Forgotten, "{base}");
+        } else {
+            assert_eq!(again, Verdict::Taken { version: base + 1 }, "{base}");
+        }
+    }
+    // One that was never taken and builds on a version that is remembered is refused.
+    let never = put(before.forgotten + 1, whole(before.forgotten + 2, &[route("never", "/n/", "s")]));
+    assert_eq!(state.order(&never), Verdict::OtherVersion { current: last });
+    assert_eq!(state, before);
+}
+
+/// The break of the memory's bound is found by the test above.
+#[cfg(feature = "breaks")]
+#[test]
+fn the_break_of_forgotten_orders_is_found() {
+    use quillmount_control::breaks::{self, Break};
+    breaks::set(Some(Break::ForgottenRefused));
+    let failed = std::panic::catch_unwind(an_order_older_than_the_memory_gets_no_clear_answer).is_err();
+    breaks::set(None);
+    assert!(failed);
+}
+
 #[test]
 fn usage_is_fixed_once() {
     use quillmount_wire::messages::UsageWindow;
