--- a/batch/src/breaks.rs
+++ b/batch/src/breaks.rs
@@ -66,26 +66,4 @@
     Break::DeposedGoesOn,
 ];
 
-#[cfg(feature = "breaks")]
-thread_local! {
-    static CHOSEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
-}
-
-/// Whether this break is on, for this thread.
-#[cfg(feature = "breaks")]
-pub fn on(one: Break) -> bool {
-    CHOSEN.get() == Some(one)
-}
-
-/// Never: this build has no breaks.
-#[cfg(not(feature = "breaks"))]
-#[inline(always)]
-pub const fn on(_: Break) -> bool {
-    false
-}
-
-/// Puts a break on, or all off, for this thread.
-#[cfg(feature = "breaks")]
-pub fn set(one: Option<Break>) {
-    CHOSEN.set(one);
-}
+quillmount_replication::break_switch!(Break);
--- a/control/src/breaks.rs
+++ b/control/src/breaks.rs
@@ -29,42 +29,4 @@
     ShrinksBelow,
 }
 
-/// Every break.
-pub const ALL: [Break; 12] = [
-    Break::ReadWithoutRound,
-    Break::AnsweredBeforeSync,
-    Break::ConfirmedWhenProposed,
-    Break::StaleTables,
-    Break::DigestWithoutBase,
-    Break::OrderForgotten,
-    Break::BaseIgnored,
-    Break::ForgottenRefused,
-    Break::LeavingCountsGone,
-    Break::ReportOfOlderEpoch,
-    Break::JoiningAtOnce,
-    Break::ShrinksBelow,
-];
-
-#[cfg(feature = "breaks")]
-thread_local! {
-    static CHOSEN: std::cell::Cell<Option<Break>> = const { std::cell::Cell::new(None) };
-}
-
-/// Whether this break is on, for this thread.
-#[cfg(feature = "breaks")]
-pub fn on(one: Break) -> bool {
-    CHOSEN.get() == Some(one)
-}
-
-/// Never: this build has no breaks.
-#[cfg(not(feature = "breaks"))]
-#[inline(always)]
-pub const fn on(_: Break) -> bool {
-    false
-}
-
-/// Puts a break on, or all off, for this thread.
-#[cfg(feature = "breaks")]
-pub fn set(one: Option<Break>) {
-    CHOSEN.set(one);
-}
+quillmount_replication::break_switch!(Break);
--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -4,6 +4,7 @@
 //! of the core itself. It is handed messages and the time of a steady clock, and returns [`Output`]s. What must
 //! be on disk before something is said stands inside [`Output::Persist`].
 
+mod breaks;
 mod group;
 pub mod quorum;
 mod replica;
