Rewrite: one that is asked for begins after the asking

Cause (read in the review): a compaction that asked while the rewrite of a failed write was under way took that one's end for its own, although its records stand before the compaction's marker: the segments that held them would have been released. Test: a_rewrite_that_was_asked_for_begins_after_the_asking.

--- a/batch/src/replica.rs
+++ b/batch/src/replica.rs
@@ -17,7 +17,7 @@
 pub type Micros = u64;
 /// A call that this replica makes.
 pub type CallId = u64;
-/// A call of another store, as the caller of [`Replica::receive`] numbers it.
+/// A call of another store, or a request for a rewrite, as the caller numbers it.
 pub type RequestId = u64;
 /// A record on its way to the disk.
 pub type WriteId = u64;
@@ -51,8 +51,8 @@
     ReadRefused { read: ReadId },
     /// The core is to be told of the members soon.
     ReportDue,
-    /// A rewrite is over; whether all of it is on the disk.
-    Rewritten { complete: bool },
+    /// A rewrite that was asked for is over; whether all of it is on the disk.
+    Rewritten { request: RequestId, complete: bool },
 }
 
 /// Whose replica it is.
@@ -93,6 +93,8 @@
     pub(crate) damaged: bool,
     pub(crate) rewrite: Option<Rewrite>,
     pub(crate) rewrite_due: bool,
+    /// Who asked for a rewrite that has not begun.
+    pub(crate) rewrite_requests: Vec<RequestId>,
     pub(crate) outputs: Vec<Output>,
 }
 
@@ -113,6 +115,7 @@
             damaged: false,
             rewrite: None,
             rewrite_due: false,
+            rewrite_requests: Vec::new(),
             outputs: Vec::new(),
         }
     }
--- a/batch/src/rewrite.rs
+++ b/batch/src/rewrite.rs
@@ -2,7 +2,7 @@
 
 use crate::breaks::{self, Break};
 use crate::record::StoreRecord;
-use crate::replica::{Output, Replica, WritePurpose};
+use crate::replica::{Output, Replica, RequestId, WritePurpose};
 use quillmount_wire::messages::JobState;
 
 /// Bytes of jobs in one record, about.
@@ -13,13 +13,17 @@
     /// Records that are not synced yet.
     left: usize,
     failed: bool,
+    /// Who asked for it before it began.
+    requests: Vec<RequestId>,
     /// It began after a write had failed; nothing is written beside it, so that it makes up for all that is missing.
     heals: bool,
 }
 
 impl Replica {
-    /// Writes all jobs once more, after the batch under way; [`Output::Rewritten`] follows.
-    pub fn rewrite(&mut self) -> Vec<Output> {
+    /// Writes all jobs once more, after the batch under way; [`Output::Rewritten`] follows with the same number, for a rewrite
+    /// that begins after this was asked.
+    pub fn rewrite(&mut self, request: RequestId) -> Vec<Output> {
+        self.rewrite_requests.push(request);
         self.rewrite_due = true;
         self.rewrite_if_due();
         self.take_outputs()
@@ -33,7 +37,8 @@
         }
         self.rewrite_due = false;
         let records = self.whole_records();
-        self.rewrite = Some(Rewrite { left: records.len(), failed: false, heals: self.damaged });
+        let requests = std::mem::take(&mut self.rewrite_requests);
+        self.rewrite = Some(Rewrite { left: records.len(), failed: false, requests, heals: self.damaged });
         for record in records {
             self.write(record, WritePurpose::Rewrite);
         }
@@ -90,7 +95,8 @@
         if complete && rewrite.heals {
             self.damaged = false;
         }
+        let requests = std::mem::take(&mut rewrite.requests);
         self.rewrite = None;
-        self.outputs.push(Output::Rewritten { complete });
+        self.outputs.extend(requests.into_iter().map(|request| Output::Rewritten { request, complete }));
     }
 }
--- a/batch/tests/cluster/steps.rs
+++ b/batch/tests/cluster/steps.rs
@@ -205,3 +205,24 @@
     script.records.drain(..).for_each(|record| again.recover(record));
     assert!(again.jobs().jobs.is_empty(), "the job that was dropped came back");
 }
+
+/// A rewrite under way began before what asks now: only the next one counts for it.
+#[test]
+fn a_rewrite_that_was_asked_for_begins_after_the_asking() {
+    let (mut member, mut script) = level_member(70);
+    let outputs = member.receive(3, 5, submit(70, "a"), 0);
+    script.carry_out(&mut member, outputs);
+    let first = member.rewrite(11);
+    let second = member.rewrite(12);
+    assert!(second.is_empty(), "the first is under way");
+    script.outputs.clear();
+    script.carry_out(&mut member, first);
+    let done = |request: u64| Output::Rewritten { request, complete: true };
+    let places = [11, 12].map(|request| script.outputs.iter().position(|output| *output == done(request)));
+    assert!(matches!(places, [Some(first), Some(second)] if first < second), "{places:?}");
+    let wholes = script
+        .outputs
+        .iter()
+        .filter(|output| matches!(output, Output::Write { record: StoreRecord::Whole { .. }, .. }));
+    assert_eq!(wholes.count(), 2);
+}
--- a/batch/tests/cluster/world.rs
+++ b/batch/tests/cluster/world.rs
@@ -260,7 +260,7 @@
         let Some(store) = self.stores.get_mut(&name).filter(|store| store.up) else { return };
         if store.rewrite_from.is_none() {
             store.rewrite_from = Some(store.records.len());
-            let outputs = store.replica.rewrite();
+            let outputs = store.replica.rewrite(0);
             self.perform(name, outputs);
         }
     }
@@ -480,7 +480,7 @@
             Output::ReadRefused { read } => {
                 self.asked.remove(&read);
             }
-            Output::Rewritten { complete } => self.rewritten(name, complete),
+            Output::Rewritten { complete, .. } => self.rewritten(name, complete),
             Output::Serving { .. } | Output::Ended | Output::ReportDue => {}
         }
     }
--- a/node/src/store/shard.rs
+++ b/node/src/store/shard.rs
@@ -30,7 +30,7 @@
     answers: HashMap<RequestId, oneshot::Sender<Response>>,
     operations: HashMap<OperationId, oneshot::Sender<Result<(), CommitError>>>,
     reads: HashMap<u64, oneshot::Sender<bool>>,
-    rewrites: Vec<oneshot::Sender<bool>>,
+    rewrites: HashMap<RequestId, oneshot::Sender<bool>>,
 }
 
 /// A shard as one store has it.
@@ -146,9 +146,10 @@
 
     /// Writes all jobs once more; whether they are synced.
     pub async fn rewrite(self: &Rc<Self>, store: &Rc<Store>) -> bool {
+        let request = self.draw_id();
         let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().rewrites.push(sender);
-        let outputs = self.replica.borrow_mut().rewrite();
+        self.waiting.borrow_mut().rewrites.insert(request, sender);
+        let outputs = self.replica.borrow_mut().rewrite(request);
         self.perform(store, outputs);
         receiver.await.unwrap_or(false)
     }
@@ -183,9 +184,8 @@
             Output::ReadConfirmed { read } => send(self.waiting.borrow_mut().reads.remove(&read), true),
             Output::ReadRefused { read } => send(self.waiting.borrow_mut().reads.remove(&read), false),
             Output::ReportDue => store.node.report.notify_one(),
-            Output::Rewritten { complete } => {
-                let waiting = std::mem::take(&mut self.waiting.borrow_mut().rewrites);
-                waiting.into_iter().for_each(|sender| send(Some(sender), complete));
+            Output::Rewritten { request, complete } => {
+                send(self.waiting.borrow_mut().rewrites.remove(&request), complete);
             }
         }
     }
