--- a/batch/tests/cluster/main.rs
+++ b/batch/tests/cluster/main.rs
@@ -3,6 +3,7 @@
 
 mod audit;
 mod day;
+mod exploration;
 mod scenarios;
 mod steps;
 mod world;
--- a/control/tests/members/main.rs
+++ b/control/tests/members/main.rs
@@ -243,3 +243,71 @@
         world.history.check();
     }
 }
+
+/// Four operators at work, and the primary killed, frozen or cut off at each moment of a busy span: between the writing of an
+/// order and its answer, too.
+#[test]
+fn a_failover_at_every_moment_of_a_busy_span() {
+    for moment in 0..300 {
+        for fault in 0..3 {
+            let mut world = World::new(3, 1, 4, 11);
+            world.run(2 * SECOND + moment * MILLI);
+            let primary = world.primary().unwrap();
+            match fault {
+                0 => {
+                    world.kill(primary);
+                    world.restart_after(primary, 1_500 * MILLI);
+                }
+                1 => {
+                    let until = world.now + 1_500 * MILLI;
+                    world.machines.get_mut(&primary).unwrap().frozen_until = until;
+                }
+                _ => {
+                    let others: Vec<DiskId> = world.machines.keys().copied().collect();
+                    for other in others.into_iter().filter(|disk| *disk != primary) {
+                        world.cuts.insert((primary, other));
+                    }
+                }
+            }
+            world.run(2 * SECOND);
+            calm(&mut world);
+            world.busy = false;
+            world.run(3 * SECOND);
+            world.history.check();
+        }
+    }
+}
+
+/// Each deliberate break that concerns members and orders is found by a day of a few hundred.
+#[cfg(feature = "breaks")]
+#[test]
+fn each_break_of_members_and_orders_is_found() {
+    use quillmount_control::breaks::{self, Break};
+    const DAYS: u64 = 300;
+    let concerned = [
+        Break::ReadWithoutRound,
+        Break::AnsweredBeforeSync,
+        Break::ConfirmedWhenProposed,
+        Break::DigestWithoutBase,
+        Break::OrderForgotten,
+        Break::BaseIgnored,
+    ];
+    std::panic::set_hook(Box::new(|_| {}));
+    let mut missed = Vec::new();
+    for one in concerned {
+        breaks::set(Some(one));
+        let found = (1..=DAYS).find(|seed| std::panic::catch_unwind(|| play(*seed)).is_err());
+        breaks::set(None);
+        println!("{one:?}: found by seed {found:?}");
+        if found.is_none() {
+            missed.push(one);
+        }
+    }
+    breaks::set(Some(Break::StaleTables));
+    if std::panic::catch_unwind(a_frozen_primary_hands_out_nothing_when_it_wakes).is_ok() {
+        missed.push(Break::StaleTables);
+    }
+    breaks::set(None);
+    let _ = std::panic::take_hook();
+    assert!(missed.is_empty(), "not found: {missed:?}");
+}
