--- /dev/null
+++ b/batch/tests/cluster/core.rs
@@ -0,0 +1,231 @@
+//! The core of a world: its real members, with leases of stores, the planning of views, and the views' way to the stores. What
+//! leases and polls do here is what `node/src/core/` does on sockets.
+
+use crate::world::{MILLI, Random};
+use quillmount_batch::Micros;
+use quillmount_control::{ControlState, CoreMember, MemberOutput, RegisterWrite, ShardInputs};
+use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Register, ReplicaMessage, ShardReport};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A store that has not polled for so long has lost its lease.
+const LEASE: Micros = 1_100 * MILLI;
+/// Reports of a store are used for so long.
+const REPORT_LIFE: Micros = 600 * MILLI;
+/// A new primary knows who is alive after this time.
+const LEASES_KNOWN: Micros = 1_200 * MILLI;
+/// Identities of core members begin here.
+const FIRST: DiskId = 1;
+
+/// What a core machine has to be told, and when.
+pub enum CoreEvent {
+    Deliver { from: DiskId, to: DiskId, message: ReplicaMessage },
+    Synced { to: DiskId, life: u64, write: RegisterWrite, register: Register },
+    Start { to: DiskId },
+}
+
+/// A store's poll.
+pub struct Poll {
+    pub node: NodeInfo,
+    pub reports: Vec<ShardReport>,
+}
+
+pub struct Machine {
+    pub member: CoreMember,
+    disk: Register,
+    life: u64,
+    pub up: bool,
+    pub frozen_until: Micros,
+    /// Leases of stores, in this epoch.
+    leases: BTreeMap<DiskId, (Micros, Vec<ShardReport>)>,
+}
+
+pub struct Core {
+    pub machines: BTreeMap<DiskId, Machine>,
+    /// Pairs between which nothing goes this way.
+    pub cuts: BTreeSet<(DiskId, DiskId)>,
+    survivable: usize,
+    /// The newest state that any primary has committed.
+    pub newest: ControlState,
+    pub due: Vec<(Micros, CoreEvent)>,
+    /// Primaries that have news for the stores which poll them.
+    pub news: Vec<DiskId>,
+}
+
+impl Core {
+    pub fn new(members: u64, survivable: usize, now: Micros, random: &mut Random) -> Core {
+        let machine = |disk: DiskId| Machine {
+            member: CoreMember::new(disk, survivable, Register::default(), now),
+            disk: Register::default(),
+            life: 1,
+            up: true,
+            frozen_until: 0,
+            leases: BTreeMap::new(),
+        };
+        let machines: BTreeMap<DiskId, Machine> =
+            (FIRST..FIRST + members).map(|disk| (disk, machine(disk))).collect();
+        let mut state = ControlState::default();
+        state.placement.core = machines.keys().map(|disk| core_node(*disk)).collect();
+        let (due, news) = (Vec::new(), Vec::new());
+        let newest = ControlState::default();
+        let mut core = Core { machines, cuts: BTreeSet::new(), survivable, newest, due, news };
+        let outputs = core.machines.get_mut(&FIRST).unwrap().member.bootstrap(&state, now);
+        core.perform(FIRST, outputs, now, random);
+        core
+    }
+
+    pub fn awake(&self, disk: DiskId, now: Micros) -> bool {
+        self.machines.get(&disk).is_some_and(|machine| machine.up && machine.frozen_until <= now)
+    }
+
+    /// Machines that take themselves for the primary, and are awake.
+    pub fn serving(&self, now: Micros) -> Vec<DiskId> {
+        let serves = |(disk, machine): &(&DiskId, &Machine)| {
+            self.awake(**disk, now) && machine.member.serving().is_some()
+        };
+        self.machines.iter().filter(serves).map(|(disk, _)| *disk).collect()
+    }
+
+    pub fn kill(&mut self, disk: DiskId) {
+        if let Some(machine) = self.machines.get_mut(&disk) {
+            machine.up = false;
+            machine.life += 1;
+        }
+    }
+
+    pub fn restart_at(&mut self, disk: DiskId, at: Micros) {
+        self.due.push((at, CoreEvent::Start { to: disk }));
+    }
+
+    pub fn tick(&mut self, now: Micros, random: &mut Random) {
+        let disks: Vec<DiskId> = self.machines.keys().copied().collect();
+        for disk in disks.into_iter().filter(|disk| self.awake(*disk, now)).collect::<Vec<_>>() {
+            let outputs = self.machines.get_mut(&disk).unwrap().member.tick(now);
+            self.perform(disk, outputs, now, random);
+        }
+    }
+
+    /// Takes an event; gives it back with a later time if its machine stands still.
+    pub fn take(&mut self, event: CoreEvent, now: Micros, random: &mut Random) {
+        let to = match &event {
+            CoreEvent::Deliver { to, .. } | CoreEvent::Synced { to, .. } | CoreEvent::Start { to } => *to,
+        };
+        let Some(machine) = self.machines.get_mut(&to) else { return };
+        if machine.up && machine.frozen_until > now {
+            let at = machine.frozen_until;
+            return self.due.push((at, event));
+        }
+        match event {
+            CoreEvent::Deliver { from, to, message } => {
+                if machine.up && !self.cuts.contains(&(from, to)) {
+                    let outputs = machine.member.receive(from, message, now);
+                    self.perform(to, outputs, now, random);
+                }
+            }
+            CoreEvent::Synced { to, life, write, register } => {
+                if machine.life == life {
+                    machine.disk = register;
+                    let outputs = machine.member.persisted(write, now);
+                    self.perform(to, outputs, now, random);
+                }
+            }
+            CoreEvent::Start { to } => {
+                if !machine.up {
+                    machine.member = CoreMember::new(to, self.survivable, machine.disk.clone(), now);
+                    machine.up = true;
+                    machine.frozen_until = 0;
+                    machine.leases.clear();
+                }
+            }
+        }
+    }
+
+    fn perform(&mut self, disk: DiskId, outputs: Vec<MemberOutput>, now: Micros, random: &mut Random) {
+        for output in outputs {
+            match output {
+                MemberOutput::Send { to, message } => {
+                    let at = now + 500 + random.next(1_500);
+                    self.due.push((at, CoreEvent::Deliver { from: disk, to, message }));
+                }
+                MemberOutput::Persist { write, register } => {
+                    let life = self.machines[&disk].life;
+                    let at = now + 300 + random.next(2_000);
+                    self.due.push((at, CoreEvent::Synced { to: disk, life, write, register }));
+                }
+                MemberOutput::Elected { .. } => self.machines.get_mut(&disk).unwrap().leases.clear(),
+                MemberOutput::News => self.on_news(disk),
+                _ => {}
+            }
+        }
+    }
+
+    fn on_news(&mut self, disk: DiskId) {
+        let state = self.machines[&disk].member.committed().unwrap();
+        if state.placement_version > self.newest.placement_version {
+            self.newest = (*state).clone();
+        }
+        self.news.push(disk);
+    }
+
+    /// A store polls this machine: its lease is renewed, and it is admitted if it is new.
+    pub fn poll(&mut self, disk: DiskId, poll: Poll, now: Micros, random: &mut Random) {
+        let Some(machine) = self.machines.get_mut(&disk) else { return };
+        let Some(state) = machine.member.committed() else { return };
+        machine.leases.insert(poll.node.disk, (now, poll.reports));
+        if !state.placement.stores.contains(&poll.node) {
+            self.change(disk, now, random, |state| {
+                state.admit_store(&poll.node);
+            });
+        }
+    }
+
+    /// Changes the state at a machine that takes itself for the primary.
+    pub fn change(
+        &mut self,
+        disk: DiskId,
+        now: Micros,
+        random: &mut Random,
+        change: impl FnOnce(&mut ControlState),
+    ) {
+        let begun = self.machines.get_mut(&disk).unwrap().member.change(change, now);
+        if let Ok((_, _, outputs)) = begun {
+            self.perform(disk, outputs, now, random);
+        }
+    }
+
+    /// Every machine that takes itself for the primary keeps the views in line with the leases that it knows.
+    pub fn plan(&mut self, now: Micros, random: &mut Random) {
+        for disk in self.serving(now) {
+            let machine = &self.machines[&disk];
+            let Some(state) = machine.member.committed() else { continue };
+            if machine.member.reign(now) < LEASES_KNOWN || state.placement.stores.len() <= self.survivable {
+                continue;
+            }
+            let leases = &machine.leases;
+            let live = leases.iter().filter(|(_, (at, _))| now - at < LEASE).map(|(disk, _)| *disk).collect();
+            let recent = leases.values().filter(|(at, _)| now - at < REPORT_LIFE);
+            let reports = recent.flat_map(|(_, reports)| reports.iter().cloned()).collect();
+            let survivable = self.survivable;
+            let inputs = ShardInputs { live, leaving: BTreeSet::new(), reports, survivable };
+            let plan = |state: &mut ControlState| {
+                state.plan_shards(&inputs);
+                state.placement.shards.truncate(1);
+            };
+            let mut trial = (*state).clone();
+            plan(&mut trial);
+            if trial != *state {
+                self.change(disk, now, random, plan);
+            }
+        }
+    }
+}
+
+fn core_node(disk: DiskId) -> NodeInfo {
+    NodeInfo {
+        name: format!("core-{disk}"),
+        disk,
+        internal: format!("10.1.0.{disk}:7360"),
+        admin: None,
+        zone: "z".to_owned(),
+        role: NodeRole::Core,
+    }
+}
--- a/batch/tests/cluster/day.rs
+++ b/batch/tests/cluster/day.rs
@@ -15,11 +15,25 @@
 pub fn play(seed: u64) -> Summary {
     let survivable = if seed.is_multiple_of(4) { 2 } else { 1 };
     let stores = survivable as u32 + 2 + (seed % 3) as u32;
-    let mut world = World::new(stores, survivable, seed);
-    world.run(2 * SECOND);
+    play_in(World::new(stores, survivable, seed))
+}
+
+/// The same with a core of real members, which has faults of its own.
+pub fn play_with_core(seed: u64) -> Summary {
+    let survivable = if seed.is_multiple_of(4) { 2 } else { 1 };
+    let stores = survivable as u32 + 2 + (seed % 3) as u32;
+    play_in(World::with_core(2 * survivable as u64 + 1, stores, survivable, seed))
+}
+
+fn play_in(mut world: World) -> Summary {
+    world.run(4 * SECOND);
     let mut faults = 0;
     for _ in 0..14 {
-        strike(&mut world);
+        if world.core.is_some() && world.random.chance(40) {
+            strike_core(&mut world);
+        } else {
+            strike(&mut world);
+        }
         faults += 1;
         let pause = world.random.next(900);
         world.run(pause * MILLI);
@@ -86,6 +100,44 @@
     }
 }
 
+/// A fault at the core: a member killed, all killed, one frozen, one or half cut off, or all cuts healed.
+fn strike_core(world: &mut World) {
+    let now = world.now;
+    let (choice, down, draw) = (world.random.next(7), span(world, 50, 2500), world.random.next(1 << 20));
+    let Some(core) = &mut world.core else { return };
+    let disks: Vec<u64> = core.machines.keys().copied().collect();
+    let any = disks[draw as usize % disks.len()];
+    let one = core.serving(now).first().copied().filter(|_| draw % 2 == 0).unwrap_or(any);
+    match choice {
+        0 | 1 => {
+            core.kill(one);
+            core.restart_at(one, now + down);
+        }
+        2 => {
+            for disk in disks {
+                core.kill(disk);
+                core.restart_at(disk, now + down / 2 + disk * 10 * MILLI);
+            }
+        }
+        3 | 4 => {
+            let machine = core.machines.get_mut(&one).unwrap();
+            machine.frozen_until = machine.frozen_until.max(now + down);
+        }
+        5 => {
+            let here: Vec<u64> = if draw % 3 == 0 { disks[..disks.len() / 2].to_vec() } else { vec![one] };
+            for here_one in &here {
+                for other in disks.iter().filter(|other| !here.contains(other)) {
+                    core.cuts.insert((*here_one, *other));
+                    if draw % 5 > 0 {
+                        core.cuts.insert((*other, *here_one));
+                    }
+                }
+            }
+        }
+        _ => core.cuts.clear(),
+    }
+}
+
 /// Many processes end at the same moment.
 fn herd(world: &mut World) {
     let power = world.random.chance(50);
@@ -142,6 +194,9 @@
 pub fn calm(world: &mut World) {
     world.cuts.clear();
     world.cut_from_core.clear();
+    if let Some(core) = &mut world.core {
+        core.cuts.clear();
+    }
     for _ in 0..120 {
         world.run(250 * MILLI);
         if world.is_healed() {
--- a/batch/tests/cluster/main.rs
+++ b/batch/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 //! auditor of what was acknowledged. `SEEDS=N` plays so many days.
 
 mod audit;
+mod core;
 mod day;
 mod exploration;
 mod scenarios;
@@ -29,6 +30,20 @@
     assert!(commits as u64 > 20 * seeds() && reads as u64 > 20 * seeds(), "{commits} commits, {reads} reads");
 }
 
+/// The same with a core of real members between the stores and their views, and faults at both.
+#[test]
+fn days_of_stores_and_core_lose_nothing() {
+    let (mut commits, mut reads) = (0, 0);
+    for seed in 1..=seeds() {
+        let day = std::panic::catch_unwind(|| day::play_with_core(seed));
+        let day = day.unwrap_or_else(|_| panic!("the day of seed {seed}"));
+        commits += day.commits;
+        reads += day.reads;
+    }
+    println!("{} days: {commits} commits, {reads} reads", seeds());
+    assert!(commits as u64 > 20 * seeds() && reads as u64 > 20 * seeds(), "{commits} commits, {reads} reads");
+}
+
 /// Each deliberate break of the replica's code is found: by steps of one replica, by a run by name, or by one of some days.
 #[cfg(feature = "breaks")]
 #[test]
--- a/batch/tests/cluster/world.rs
+++ b/batch/tests/cluster/world.rs
@@ -2,6 +2,7 @@
 //! processes that fail by seed.
 
 use crate::audit::Auditor;
+use crate::core::{Core, CoreEvent, Poll};
 use quillmount_batch::{JobEntry, Micros, Output, Replica, ReplicaIdentity, ShardJobs, StoreRecord, WriteId};
 use quillmount_control::{ControlState, Retirement, ShardInputs};
 use quillmount_wire::messages::{
@@ -45,6 +46,7 @@
     View { to: u32, life: u64, view: ShardView },
     Poll { from: u32, disk: DiskId, reports: Vec<ShardReport> },
     Start { store: u32 },
+    Core(CoreEvent),
 }
 
 /// A store: its process and its disk.
@@ -93,7 +95,9 @@
     pub cuts: BTreeSet<(u32, u32)>,
     /// Stores that the core can't be reached by.
     pub cut_from_core: BTreeSet<u32>,
+    /// The control state in force: the newest that the core committed, or that of one authority where there is no core.
     pub control: ControlState,
+    pub core: Option<Core>,
     leases: BTreeMap<DiskId, (Micros, Vec<ShardReport>)>,
     pub survivable: usize,
     pub auditor: Auditor,
@@ -108,6 +112,17 @@
     lost_disks: Vec<ShardJobs>,
 }
 
+fn store_node(name: u32, disk: DiskId) -> NodeInfo {
+    NodeInfo {
+        name: format!("store-{name}"),
+        disk,
+        internal: format!("10.0.0.{name}:7360"),
+        admin: None,
+        zone: "z".to_owned(),
+        role: NodeRole::Store,
+    }
+}
+
 pub fn job(id: &str) -> Job {
     let item = |number: u32| Item {
         id: format!("{id}-{number}"),
@@ -137,6 +152,7 @@
             cuts: BTreeSet::new(),
             cut_from_core: BTreeSet::new(),
             control: ControlState::default(),
+            core: None,
             leases: BTreeMap::new(),
             survivable,
             auditor: Auditor::default(),
@@ -151,6 +167,13 @@
         world
     }
 
+    /// The same with a core of real members.
+    pub fn with_core(members: u64, stores: u32, survivable: usize, seed: u64) -> World {
+        let mut world = World::new(stores, survivable, seed);
+        world.core = Some(Core::new(members, survivable, world.now, &mut world.random));
+        world
+    }
+
     fn identity(&self, disk: DiskId) -> ReplicaIdentity {
         ReplicaIdentity { disk, shard: 0, survivable: self.survivable }
     }
@@ -238,7 +261,19 @@
 
     /// Orders a store to be emptied; it is removed, with its disk, as soon as the core says that it is empty.
     pub fn retire(&mut self, name: u32) {
-        self.control.retire(&format!("store-{name}"), self.survivable);
+        let (store, survivable, now) = (format!("store-{name}"), self.survivable, self.now);
+        match &mut self.core {
+            None => {
+                self.control.retire(&store, survivable);
+            }
+            Some(core) => {
+                for disk in core.serving(now) {
+                    core.change(disk, now, &mut self.random, |state| {
+                        state.retire(&store, survivable);
+                    });
+                }
+            }
+        }
     }
 
     fn remove_emptied(&mut self) -> Option<u32> {
@@ -284,6 +319,7 @@
             self.take(event);
         }
         self.now = due;
+        self.run_core();
         if self.now.is_multiple_of(TICK) {
             self.tick();
         }
@@ -295,6 +331,49 @@
         }
     }
 
+    /// Lets the core go on, and brings the views that it hands out to the stores that poll.
+    fn run_core(&mut self) {
+        let Some(mut core) = self.core.take() else { return };
+        if self.now.is_multiple_of(25 * MILLI) {
+            core.tick(self.now, &mut self.random);
+        }
+        for (at, event) in std::mem::take(&mut core.due) {
+            self.schedule(at.max(self.now + 1), Event::Core(event));
+        }
+        self.control = core.newest.clone();
+        let news = std::mem::take(&mut core.news);
+        news.into_iter().for_each(|disk| self.hand_out(&core, disk, None));
+        self.core = Some(core);
+    }
+
+    /// A primary hands out its view, to one store or to all that are not cut off, while it may be sure of it.
+    fn hand_out(&mut self, core: &Core, primary: DiskId, to: Option<u32>) {
+        let recent = core.machines[&primary].member.recent(self.now);
+        let Some(view) = recent.and_then(|state| state.placement.shards.first().cloned()) else { return };
+        let names: Vec<u32> =
+            self.stores.keys().copied().filter(|name| to.is_none_or(|to| to == *name)).collect();
+        for name in names.into_iter().filter(|name| !self.cut_from_core.contains(name)).collect::<Vec<_>>() {
+            let life = self.stores[&name].life;
+            let delay = (1 + self.random.next(20)) * MILLI;
+            self.schedule(self.now + delay, Event::View { to: name, life, view: view.clone() });
+        }
+    }
+
+    /// A store's poll reaches any machine that takes itself for the primary.
+    fn poll_core(&mut self, from: u32, disk: DiskId, reports: Vec<ShardReport>) {
+        let Some(mut core) = self.core.take() else { return };
+        let serving = core.serving(self.now);
+        if !serving.is_empty()
+            && self.stores.get(&from).is_some_and(|store| store.disk == disk && !store.removed)
+        {
+            let primary = serving[self.random.next(serving.len() as u64) as usize];
+            let poll = Poll { node: store_node(from, disk), reports };
+            core.poll(primary, poll, self.now, &mut self.random);
+            self.hand_out(&core, primary, Some(from));
+        }
+        self.core = Some(core);
+    }
+
     fn awake(&self, name: u32) -> bool {
         self.stores.get(&name).is_some_and(|store| store.up && store.frozen_until <= self.now)
     }
@@ -320,6 +399,13 @@
     /// The core: admits stores, plans the views, and brings them to the stores.
     fn plan(&mut self) {
         let now = self.now;
+        if let Some(core) = &mut self.core {
+            core.plan(now, &mut self.random);
+            if self.remove_emptied().is_some() && self.wipe_behind_removal {
+                self.wipe_any_member();
+            }
+            return;
+        }
         let live =
             self.leases.iter().filter(|(_, (at, _))| now - at < LEASE).map(|(disk, _)| *disk).collect();
         let recent = self.leases.values().filter(|(at, _)| now - at < REPORT_LIFE);
@@ -350,7 +436,7 @@
             }
             Event::Reply { to, .. } | Event::View { to, .. } => Some(*to),
             Event::Synced { store, .. } | Event::NotWritten { store, .. } => Some(*store),
-            Event::Poll { .. } | Event::Start { .. } => None,
+            Event::Poll { .. } | Event::Start { .. } | Event::Core(_) => None,
         };
         if let Some(store) = to.and_then(|to| self.stores.get(&to))
             && store.frozen_until > self.now
@@ -408,12 +494,21 @@
                 }
             }
             Event::Poll { from, disk, reports } => {
-                if !self.cut_from_core.contains(&from) {
+                if self.core.is_some() {
+                    if !self.cut_from_core.contains(&from) {
+                        self.poll_core(from, disk, reports);
+                    }
+                } else if !self.cut_from_core.contains(&from) {
                     self.leases.insert(disk, (self.now, reports));
                     self.admit(from, disk);
                 }
             }
             Event::Start { store } => self.start(store),
+            Event::Core(event) => {
+                if let Some(core) = &mut self.core {
+                    core.take(event, self.now, &mut self.random);
+                }
+            }
         }
     }
 
@@ -428,15 +523,7 @@
 
     fn admit(&mut self, name: u32, disk: DiskId) {
         if self.stores.get(&name).is_some_and(|store| store.disk == disk && !store.removed) {
-            let node = NodeInfo {
-                name: format!("store-{name}"),
-                disk,
-                internal: format!("10.0.0.{name}:7360"),
-                admin: None,
-                zone: "z".to_owned(),
-                role: NodeRole::Store,
-            };
-            self.control.admit_store(&node);
+            self.control.admit_store(&store_node(name, disk));
         }
     }
 
