Views: slow joining members change nothing again and again; repairs in small steps, one copy at a time

They were slow to answer because repairs sent 2 MB at a time, to all members at once, on links of 30 to 60 Mbit/s. Change: the same joining members in another order are no change; only an unanswered first step tells of a member, for one that only joins after five; 256 KB a step, one member copied at a time. Test: joining_members_that_are_slow_to_answer_change_no_view_again_and_again.

--- a/batch/src/lead.rs
+++ b/batch/src/lead.rs
@@ -2,8 +2,8 @@
 
 use crate::breaks::{self, Break};
 use crate::primary::{
-    Batch, FIRST_STEP_TIME, MEMBER_TIME, Primary, Purpose, QUEUE_LIMIT, Queued, RETRY, Read, Repair, Round,
-    STEP_TIME, Step,
+    Batch, FIRST_STEP_TIME, JOINING_MISSES, MEMBER_TIME, Primary, Purpose, QUEUE_LIMIT, Queued, RETRY, Read,
+    Repair, Round, STEP_TIME, Step,
 };
 use crate::record::StoreRecord;
 use crate::replica::{CallId, Micros, OperationId, Output, ReadId, Replica, WriteId, WritePurpose};
@@ -11,8 +11,8 @@
 use quillmount_wire::messages::{DiskId, JobState, MemberMessage, Response, ShardOperation, ShardView};
 use std::collections::VecDeque;
 
-/// Bytes of jobs sent together by a repair, about.
-const INSTALL_BYTES: usize = 2 << 20;
+/// Bytes of jobs sent together by a repair, about: many repairs may share a link, and what other shards send there waits behind.
+const INSTALL_BYTES: usize = 256 << 10;
 
 impl Replica {
     /// Follows the view in force.
@@ -189,6 +189,11 @@
             (_, Some(Response::Behind)) => self.retry_later(member, now),
             (_, Some(answer)) if stale && !matches!(answer, Response::Full) => self.compare(member, true),
             (Step::Buckets, Some(Response::DifferentBuckets { session, buckets })) => {
+                primary.misses.remove(&member);
+                if !buckets.is_empty() && primary.is_copying() {
+                    // One member at a time: together they would only be slower.
+                    return self.retry_later(member, now);
+                }
                 self.compare_jobs(member, session, buckets);
             }
             (Step::Jobs { session }, Some(Response::DifferentJobs(wanted))) => {
@@ -198,10 +203,26 @@
                 self.install_next(member, session, remaining);
             }
             (Step::Level { session }, Some(Response::Done)) => self.attach(member, session),
+            (Step::Buckets, None) => self.missed(member, now),
+            // The first step of the next attempt shows whether it is there.
+            (_, None) => self.retry_later(member, now),
             _ => self.unresponsive(member, now),
         }
     }
 
+    /// A member did not answer the first step. One that only joins and holds nothing up is given some more tries: a link that
+    /// copies fill is slow.
+    fn missed(&mut self, member: DiskId, now: Micros) {
+        let Some(primary) = &mut self.primary else { return };
+        let misses = primary.misses.entry(member).or_default();
+        *misses += 1;
+        if *misses >= JOINING_MISSES || primary.group.required().contains(&member) {
+            self.unresponsive(member, now);
+        } else {
+            self.retry_later(member, now);
+        }
+    }
+
     fn compare_jobs(&mut self, member: DiskId, session: u64, buckets: Vec<u32>) {
         if buckets.is_empty() {
             return self.install_next(member, session, VecDeque::new());
--- a/batch/src/primary.rs
+++ b/batch/src/primary.rs
@@ -13,6 +13,8 @@
 pub(crate) const FIRST_STEP_TIME: Micros = 250_000;
 /// A later step without an answer for so long has failed, microseconds.
 pub(crate) const STEP_TIME: Micros = 800_000;
+/// First steps without an answer after which a member that only joins is told of to the core.
+pub(crate) const JOINING_MISSES: u32 = 5;
 /// Operations replicated together at most, and their bytes, about.
 pub(crate) const BATCH_LIMIT: usize = 128;
 pub(crate) const BATCH_BYTES: usize = 2 << 20;
@@ -92,6 +94,8 @@
     pub calls: BTreeMap<CallId, Purpose>,
     /// When a member that did not answer is tried again.
     pub retry_at: BTreeMap<DiskId, Micros>,
+    /// First steps in a row that a member did not answer.
+    pub misses: BTreeMap<DiskId, u32>,
     pub queue: VecDeque<Queued>,
     pub batch: Option<Batch>,
     pub reads: Vec<Read>,
@@ -109,6 +113,7 @@
             repairs: BTreeMap::new(),
             calls: BTreeMap::new(),
             retry_at: BTreeMap::new(),
+            misses: BTreeMap::new(),
             queue: VecDeque::new(),
             batch: None,
             reads: Vec::new(),
@@ -137,6 +142,11 @@
         self.repairs.values().any(|repair| repair.answered)
     }
 
+    /// Whether jobs are being copied to a member.
+    pub fn is_copying(&self) -> bool {
+        self.repairs.values().any(|repair| matches!(repair.step, Step::Jobs { .. } | Step::Install { .. }))
+    }
+
     /// Operations of the next batch.
     pub fn take_batch(&mut self) -> Vec<Queued> {
         let mut batch = Vec::new();
--- a/control/src/shards.rs
+++ b/control/src/shards.rs
@@ -134,6 +134,7 @@
         self.leave_retiring(&mut next, inputs, wanted);
         self.choose_primary(&mut next, inputs, lead);
         self.add_joining(&mut next, inputs, wanted);
+        keep_order(&mut next.joining, &view.joining);
         next
     }
 
@@ -253,6 +254,15 @@
     Some(chosen.unwrap_or_else(|| view.in_sync.clone()))
 }
 
+/// Members that went and came in one plan stay where they were: another order alone is no change, and each change of a view
+/// makes its primary begin all repairs anew.
+fn keep_order(joining: &mut Vec<DiskId>, before: &[DiskId]) {
+    let same = joining.len() == before.len() && joining.iter().all(|disk| before.contains(disk));
+    if same {
+        *joining = before.to_vec();
+    }
+}
+
 /// One copy more than has to be synced, so that the loss of one delays nothing.
 fn copies_wanted(survivable: usize, stores: usize) -> usize {
     (survivable + 2).min(stores)
--- a/control/tests/shards.rs
+++ b/control/tests/shards.rs
@@ -113,6 +113,34 @@
     assert!(state.placement.shards.iter().all(|view| view.in_sync.len() == 3));
 }
 
+/// One that does not answer and that no other can stand in for stays as it is: a change of the view would only make the
+/// primary begin its repairs anew.
+#[test]
+fn joining_members_that_are_slow_to_answer_change_no_view_again_and_again() {
+    let mut state = ControlState::default();
+    (1..=4).for_each(|disk| assert_eq!(state.admit_store(&store(disk)), Admission::Admitted));
+    let with = |live: &[DiskId], reports| ShardInputs { survivable: 2, reports, ..inputs(live) };
+    assert!(state.plan_shards(&with(&[1, 2, 3, 4], Vec::new())));
+    // Two disks are lost at once, and both machines are back without what they had.
+    for (disk, place) in [(33, 3), (34, 4)] {
+        state.admit_store(&NodeInfo { disk, ..store(place) });
+    }
+    let live = [1, 2, 33, 34];
+    while state.plan_shards(&with(&live, Vec::new())) {}
+    let before = state.placement.shards.clone();
+    for mute in [33, 34] {
+        let report = |(shard, view): (usize, &ShardView)| ShardReport {
+            shard: shard as u32,
+            epoch: view.epoch,
+            unresponsive: vec![mute],
+            caught_up: Vec::new(),
+        };
+        let reports = state.placement.shards.iter().enumerate().map(report).collect();
+        state.plan_shards(&with(&live, reports));
+        assert_eq!(state.placement.shards, before, "{mute}");
+    }
+}
+
 #[test]
 fn a_primary_that_hears_none_of_enough_others_is_the_one_that_goes() {
     let mut state = started(&[1, 2, 3]);
