--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -29,11 +29,12 @@
 /// Bytes of one file of the ring.
 const SEGMENT: u64 = 8 << 20;
 /// Part of the disk that the ring takes.
-const DISK_PART: f64 = 0.8;
+const DISK_PART: f64 = 0.93;
 /// Part of the memory that jobs may take.
 const MEMORY_PART: f64 = 0.4;
-/// Part of the ring that jobs may take: the rest is for what is written while they are written once more.
-const LIVE_PART: f64 = 0.3;
+/// Part of the ring that jobs may take. A compaction begins at half of it, so that a whole copy fits beside what is there, with
+/// a file for what is written meanwhile.
+const LIVE_PART: f64 = 0.36;
 /// Part of the ring that has to be free for a new job.
 const FREE_PART: f64 = 0.15;
 /// How long a store that stops goes on serving, so that its shards are led elsewhere.
