--- a/storage/src/ring.rs
+++ b/storage/src/ring.rs
@@ -1,5 +1,6 @@
 //! The ring itself.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{BufReader, Read, Seek, SeekFrom, Write};
@@ -58,7 +59,7 @@
 pub struct RingSize {
     /// Bytes of one file.
     pub segment: u64,
-    /// Number of files, two at least.
+    /// Number of files at most, two at least. A file is made, whole, when the ones there are all in use.
     pub segments: usize,
 }
 
@@ -73,7 +74,10 @@
 /// An open ring.
 pub struct Ring {
     size: RingSize,
-    files: Vec<File>,
+    folder: PathBuf,
+    /// By number: those never used first, the one that is written last. The numbers in use are consecutive, as the file with the
+    /// lowest is written over first.
+    files: VecDeque<SegmentFile>,
     /// Numbers of the segments in use are `oldest..=current`; 0 means none was written yet.
     oldest: u64,
     current: u64,
@@ -85,6 +89,13 @@
     salt: u64,
 }
 
+/// A file of the ring.
+struct SegmentFile {
+    /// Number of the segment that it holds; 0 before the first.
+    number: u64,
+    file: File,
+}
+
 /// Where the records of the current segment end, and the checksum with which the next one goes on.
 #[derive(Clone, Copy, Debug, Default)]
 struct End {
@@ -92,8 +103,13 @@
     chain: u32,
 }
 
-fn path(folder: &Path, index: usize) -> PathBuf {
-    folder.join(format!("segment-{index:03}"))
+/// Name of every file of a ring, before its index.
+const FILE_PREFIX: &str = "segment-";
+
+/// The file that is made after `made` others: where none is used again, its index is the number of its segment.
+fn path(folder: &Path, made: usize, size: RingSize) -> PathBuf {
+    let index = (made + 1) % size.segments;
+    folder.join(format!("{FILE_PREFIX}{index:03}"))
 }
 
 fn segment_checksum(number: u64) -> u32 {
@@ -216,9 +232,12 @@
 /// as their files are not used again.
 pub fn inspect(folder: &Path) -> Result<Vec<Record>, StorageError> {
     let mut records = Vec::new();
-    for index in 0.. {
-        let Ok(mut file) = File::open(path(folder, index)) else { break };
-        records.extend(read_file(&mut file)?.into_iter().flat_map(|content| content.records));
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        if entry.file_name().to_string_lossy().starts_with(FILE_PREFIX) {
+            let content = read_file(&mut File::open(entry.path())?)?;
+            records.extend(content.into_iter().flat_map(|content| content.records));
+        }
     }
     records.sort_by_key(|record| record.segment);
     Ok(records)
@@ -228,23 +247,25 @@
     /// Opens or makes the ring of a folder; returns it with the records found, oldest first. `salt` is a random number: no two
     /// openings have the same.
     pub fn open(folder: &Path, size: RingSize, salt: u64) -> Result<(Ring, Vec<Record>), StorageError> {
-        let segments = size.segments.max(2);
-        let mut files = open_files(folder, RingSize { segments, ..size })?;
+        let size = RingSize { segments: size.segments.max(2), ..size };
+        let mut files = open_files(folder, size)?;
         let mut contents = Vec::new();
-        for file in &mut files {
-            contents.extend(read_file(file)?);
+        for SegmentFile { number, file } in &mut files {
+            let content = read_file(file)?;
+            *number = content.as_ref().map_or(0, |content| content.number);
+            contents.extend(content);
         }
+        files.make_contiguous().sort_by_key(|file| file.number);
         contents.sort_by_key(|content| content.number);
         let (current, end) = contents.last().map_or((0, End::default()), |last| (last.number, last.end));
-        // Older numbers belong to a lap before this one.
-        contents.retain(|content| content.number + segments as u64 > current);
-        let first = contents.first().map_or(0, |content| content.number);
+        // What is not followed by each number up to the newest belongs to a lap before this one.
+        let first = first_of_run(&contents);
         let noted = contents.iter().map(|content| content.oldest).max().unwrap_or(0);
         let oldest = noted.clamp(first, current);
         let kept = contents.into_iter().filter(|content| content.number >= oldest);
         let records = kept.flat_map(|content| content.records).collect();
-        let size = RingSize { segments, ..size };
-        let ring = Ring { size, files, oldest, current, end, synced: end, uncertain: true, salt };
+        let folder = folder.to_owned();
+        let ring = Ring { size, folder, files, oldest, current, end, synced: end, uncertain: true, salt };
         Ok((ring, records))
     }
 
@@ -311,15 +332,15 @@
         Ok(())
     }
 
-    fn file(&mut self) -> &mut File {
-        let index = (self.current % self.size.segments as u64) as usize;
-        &mut self.files[index]
+    /// The file that is written: the last one, once a segment was opened.
+    fn file(&mut self) -> Result<&mut File, StorageError> {
+        self.files.back_mut().map(|segment| &mut segment.file).ok_or(StorageError::Full)
     }
 
     /// Writes at the end; a write that fails leaves the end where it was.
     fn write(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
         let position = self.end.position;
-        let file = self.file();
+        let file = self.file()?;
         let written = file.seek(SeekFrom::Start(position)).and_then(|_| file.write_all(bytes));
         if let Err(error) = written {
             self.uncertain = true;
@@ -335,7 +356,9 @@
         }
         // Whatever the last segment still has to sync is synced before it is left.
         self.sync()?;
+        let file = self.free_file()?;
         self.current += 1;
+        self.files.push_back(SegmentFile { number: self.current, file });
         if self.oldest == 0 {
             self.oldest = self.current;
         }
@@ -344,6 +367,22 @@
         Ok(())
     }
 
+    /// The file with the lowest number, if that is no longer in use; else a new one.
+    fn free_file(&mut self) -> Result<File, StorageError> {
+        let reusable = |segment: &SegmentFile| segment.number == 0 || segment.number < self.oldest;
+        if self.files.front().is_some_and(reusable)
+            && let Some(segment) = self.files.pop_front()
+        {
+            return Ok(segment.file);
+        }
+        if self.files.len() >= self.size.segments {
+            return Err(StorageError::Full);
+        }
+        let file = make_file(&path(&self.folder, self.files.len(), self.size), self.size.segment)?;
+        File::open(&self.folder)?.sync_all()?;
+        Ok(file)
+    }
+
     fn write_segment_head(&mut self) -> Result<(), StorageError> {
         let mut head = Vec::with_capacity(SEGMENT_HEAD as usize);
         head.extend_from_slice(&MAGIC);
@@ -359,7 +398,7 @@
         if self.current == 0 {
             return Ok(());
         }
-        if let Err(error) = self.file().sync_data() {
+        if let Err(error) = self.file()?.sync_data() {
             self.end = self.synced;
             self.uncertain = true;
             return Err(error.into());
@@ -385,21 +424,38 @@
     }
 }
 
-fn open_files(folder: &Path, size: RingSize) -> Result<Vec<File>, StorageError> {
+/// The first number of those that go up to the newest without a gap.
+fn first_of_run(contents: &[SegmentContent]) -> u64 {
+    let mut first = contents.last().map_or(0, |content| content.number);
+    for content in contents.iter().rev().skip(1) {
+        if content.number + 1 != first {
+            break;
+        }
+        first = content.number;
+    }
+    first
+}
+
+/// Opens a file of the ring, or makes it; it has its whole length, on the disk, before it is used.
+fn make_file(path: &Path, bytes: u64) -> std::io::Result<File> {
+    let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
+    if file.metadata()?.len() < bytes {
+        file.set_len(bytes)?;
+        file.sync_all()?;
+    }
+    Ok(file)
+}
+
+/// Opens the files that are there, or makes the first one.
+fn open_files(folder: &Path, size: RingSize) -> Result<VecDeque<SegmentFile>, StorageError> {
     fs::create_dir_all(folder)?;
-    let mut files = Vec::with_capacity(size.segments);
-    for index in 0..size.segments {
-        let file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create(true)
-            .truncate(false)
-            .open(path(folder, index))?;
-        if file.metadata()?.len() < size.segment {
-            file.set_len(size.segment)?;
-            file.sync_all()?;
+    let mut files = VecDeque::new();
+    while files.len() < size.segments {
+        let path = path(folder, files.len(), size);
+        if !files.is_empty() && !path.exists() {
+            break;
         }
-        files.push(file);
+        files.push_back(SegmentFile { number: 0, file: make_file(&path, size.segment)? });
     }
     File::open(folder)?.sync_all()?;
     Ok(files)
--- a/storage/tests/ring.rs
+++ b/storage/tests/ring.rs
@@ -228,3 +228,48 @@
     fs::remove_file(folder.0.join("identity")).unwrap();
     assert_eq!(load_identity(&folder.0, 8).unwrap().disk, 8);
 }
+
+fn files(folder: &Folder) -> usize {
+    fs::read_dir(&folder.0).unwrap().count()
+}
+
+#[test]
+fn a_ring_makes_a_file_only_when_the_others_are_in_use() {
+    let folder = Folder::new();
+    let (mut ring, _) = open(&folder).unwrap();
+    assert_eq!(files(&folder), 1);
+    for number in 0..50u8 {
+        let segment = ring.append(&[number; 100]).unwrap();
+        ring.sync().unwrap();
+        ring.release(segment);
+    }
+    assert_eq!(files(&folder), 2, "what was released is written again first");
+    while ring.append(&[0; 100]).is_ok() {}
+    assert_eq!(files(&folder), SIZE.segments);
+    ring.sync().unwrap();
+    drop(ring);
+    let (ring, found) = open(&folder).unwrap();
+    assert_eq!(ring.free(), 0);
+    assert!(found.len() >= SIZE.segments);
+}
+
+#[test]
+fn a_file_that_was_lost_as_it_was_made_is_made_again() {
+    let folder = Folder::new();
+    let (mut ring, _) = open(&folder).unwrap();
+    let mut kept = 0u8;
+    while ring.free() > 2 {
+        ring.append(&[kept; 100]).unwrap();
+        kept += 1;
+    }
+    ring.sync().unwrap();
+    drop(ring);
+    // Its name was kept, its length was not.
+    fs::write(folder.0.join("segment-003"), []).unwrap();
+    let (mut ring, found) = open(&folder).unwrap();
+    assert_eq!(found.len(), usize::from(kept));
+    while ring.append(&[9; 100]).is_ok() {}
+    ring.sync().unwrap();
+    drop(ring);
+    assert!(bodies(&folder).len() > usize::from(kept));
+}
