Batch: places of endpoints go where items wait, in the room that live requests leave

Cause: each store had an even part of six tenths of each endpoint's places, whatever waited there and whatever live requests left free. Ruled out: the bound on unread prompts (60 ms for 30 ms: the same), waiting for room (0.4 of the objective for 0.24: the same). Change: stores tell with each poll how many items they have; the primary of the core tells stores of all stores' items and of the places that live requests need. A store's share is by its items (a fifth of the room evenly); the room is what live requests leave, 0.4 to 0.9 of the places. Places are dealt by an offset of each endpoint's, so that all senders together never have one twice. Demand, share and rank have modules of their own; the circle of dispatch and prefix memory is gone.

--- /dev/null
+++ b/dataplane/src/batch_share.rs
@@ -0,0 +1,80 @@
+//! Room that batch work may take at endpoints, and the share of it that one of several senders has.
+//!
+//! Senders do not talk to each other: each knows how many items the others have, as the core last heard it. In one order of all
+//! senders each has an interval of the whole as long as its share; an endpoint's places are dealt to the intervals with an
+//! offset of its own, so that all senders together have each place once, and shares below one place come out right over all
+//! endpoints.
+
+use crate::dispatch::READ_TOKENS_PER_MS;
+use crate::rank::rank;
+use quillmount_wire::messages::Endpoint;
+
+/// Time that an endpoint may need for reading the prompts of batch work that has not begun, all senders together,
+/// milliseconds: live requests wait behind them.
+const READING_MS: f64 = 30.0;
+/// Part of all places that stays free of live requests and batch work: for what the next moments bring.
+const SPARE_PART: f64 = 0.1;
+/// Places kept for each place that live requests need now.
+const LIVE_ROOM: f64 = 1.25;
+/// Least and largest part of the places that batch work may fill.
+const LEAST_PART: f64 = 0.4;
+const LARGEST_PART: f64 = 0.9;
+/// Part of the room that is dealt evenly among senders that have items, so that new items begin before the others know of them.
+const EVEN_PART: f64 = 0.2;
+/// Key of the offset with which an endpoint's places are dealt.
+const OFFSET_KEY: u64 = 0x6f66_6673_6574;
+
+/// Items that one sender has, waiting or running.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SenderItems {
+    pub sender: u64,
+    pub items: u32,
+}
+
+/// Part of the places of a service that batch work of all senders may fill: what live requests leave.
+pub fn batch_part(live_places: f64, capacity: u32) -> f64 {
+    let live = live_places / f64::from(capacity.max(1));
+    (1.0 - SPARE_PART - live * LIVE_ROOM).clamp(LEAST_PART, LARGEST_PART)
+}
+
+/// How many items one sender may have at each endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BatchShare {
+    /// Part of an endpoint's places for the batch work of all senders.
+    part: f64,
+    /// This sender's interval of the whole.
+    from: f64,
+    to: f64,
+}
+
+impl BatchShare {
+    /// The share of `me`. Senders without items have none; `me` has at least one item.
+    pub fn new(me: u64, senders: &[SenderItems], part: f64) -> BatchShare {
+        let mut active: Vec<SenderItems> =
+            senders.iter().copied().filter(|other| other.items > 0 && other.sender != me).collect();
+        let own = senders.iter().find(|other| other.sender == me).map_or(1, |own| own.items.max(1));
+        active.push(SenderItems { sender: me, items: own });
+        active.sort_by_key(|sender| sender.sender);
+        let total: f64 = active.iter().map(|sender| f64::from(sender.items)).sum();
+        let even = EVEN_PART / active.len() as f64;
+        let share = |sender: &SenderItems| even + (1.0 - EVEN_PART) * f64::from(sender.items) / total;
+        let before = active.iter().take_while(|sender| sender.sender != me);
+        let from: f64 = before.map(share).sum();
+        let own = share(&SenderItems { sender: me, items: own });
+        let last = active.last().is_some_and(|sender| sender.sender == me);
+        BatchShare { part, from, to: if last { 1.0 } else { from + own } }
+    }
+
+    /// Items that may be at this endpoint at once.
+    pub(crate) fn places(&self, endpoint: &Endpoint) -> u32 {
+        let all = (f64::from(endpoint.capacity) * self.part).floor().max(1.0);
+        let offset = (rank(OFFSET_KEY, &endpoint.id) >> 11) as f64 / (1u64 << 53) as f64;
+        let dealt = |part: f64| (all * part + offset).floor();
+        (dealt(self.to) - dealt(self.from)).max(0.0) as u32
+    }
+
+    /// Prompt tokens that this sender's items may leave to be read at one endpoint; one item may always be there.
+    pub(crate) fn unread_tokens(&self) -> f64 {
+        READING_MS * READ_TOKENS_PER_MS * (self.to - self.from)
+    }
+}
--- a/dataplane/src/dispatch.rs
+++ b/dataplane/src/dispatch.rs
@@ -1,12 +1,15 @@
 //! Endpoints and the choice among them.
 
+use crate::batch_share::BatchShare;
+use crate::demand::Demand;
 use crate::prefix_cache::PrefixCache;
+use crate::rank::rank;
 use quillmount_window::{Micros, Parameters, Window};
 use quillmount_wire::messages::Endpoint;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Tokens that an endpoint is taken to read in a millisecond until it is known better.
-const READ_TOKENS_PER_MS: f64 = 128.0;
+pub(crate) const READ_TOKENS_PER_MS: f64 = 128.0;
 /// First event of a call whose prompt need not be read, milliseconds.
 const REFERENCE_MS: f64 = 20.0;
 /// What a request in flight there costs the next one, in milliseconds of its first event.
@@ -23,53 +26,6 @@
 /// Failures in a row after which a pause begins, if they are errors and not losses.
 const ERRORS_IN_A_ROW: u32 = 3;
 
-/// A part of a prompt: identity and tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    pub id: u64,
-    pub tokens: u32,
-}
-
-/// What a request asks of an endpoint.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Demand {
-    pub parts: Vec<PromptPart>,
-    pub prompt_tokens: u32,
-    pub output_tokens: u32,
-}
-
-impl Demand {
-    /// Reads `Token-Count` and `Prompt-Prefix`; what can't be read counts as nothing.
-    pub fn parse(token_count: Option<&str>, prompt_prefix: Option<&str>) -> Demand {
-        let mut counts =
-            token_count.unwrap_or_default().split(',').map(|word| word.trim().parse().unwrap_or(0));
-        let prompt_tokens = counts.next().unwrap_or(0);
-        let output_tokens = counts.next().unwrap_or(0);
-        let part = |word: &str| {
-            let (id, tokens) = word.trim().split_once(':')?;
-            Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
-        };
-        let parts = prompt_prefix.unwrap_or_default().split(',').filter_map(part).collect();
-        Demand { parts, prompt_tokens, output_tokens }
-    }
-
-    /// Tokens of the whole prompt.
-    fn tokens(&self) -> u32 {
-        let parts: u32 = self.parts.iter().map(|part| part.tokens).fold(0, u32::saturating_add);
-        parts.max(self.prompt_tokens)
-    }
-
-    /// Parts that other requests share: all but the last, which belongs to the request or its session.
-    fn shared(&self) -> &[PromptPart] {
-        self.parts.split_last().map_or(&[], |(_, shared)| shared)
-    }
-
-    /// The parts by which requests are kept together: the longest shared one decides.
-    fn affinity(&self) -> Option<u64> {
-        self.shared().iter().max_by_key(|part| part.tokens).map(|part| part.id)
-    }
-}
-
 /// How a call ended, for the window of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CallEnd {
@@ -143,38 +99,6 @@
     shares: HashMap<String, ServiceShare>,
 }
 
-/// Part of an endpoint's places that batch work of all senders together may fill: the rest is for live requests.
-const BATCH_PART: f64 = 0.6;
-
-/// Time that an endpoint may need for reading the prompts of batch work that has not begun, all senders together,
-/// milliseconds: live requests wait behind them.
-const BATCH_READING_MS: f64 = 30.0;
-
-/// How many items one sender may have at each endpoint, so that all senders keep to [`BATCH_PART`] without talking.
-#[derive(Clone, Debug, Default)]
-pub struct BatchQuota {
-    /// Identity of this sender, and of all.
-    pub me: u64,
-    pub senders: Vec<u64>,
-}
-
-impl BatchQuota {
-    /// Items at once at this endpoint; places that can't be shared evenly go to senders by a rank of the endpoint's.
-    fn of(&self, endpoint: &Endpoint) -> u32 {
-        let places = ((f64::from(endpoint.capacity) * BATCH_PART) as u32).max(1);
-        let senders = self.senders.len().max(1) as u32;
-        let mine = rendezvous(self.me, &endpoint.id);
-        let ahead =
-            self.senders.iter().filter(|sender| rendezvous(**sender, &endpoint.id) > mine).count() as u32;
-        places / senders + u32::from(ahead < places % senders)
-    }
-
-    /// Prompt tokens that this sender's items may leave to be read at one endpoint; one item may always be there.
-    fn unread_tokens(&self) -> f64 {
-        BATCH_READING_MS * READ_TOKENS_PER_MS / self.senders.len().max(1) as f64
-    }
-}
-
 /// A call's hold on an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -193,15 +117,6 @@
     Busy,
 }
 
-/// Rank of an endpoint for a part, the same at every courier.
-fn rendezvous(part: u64, endpoint: &str) -> u64 {
-    let seed = part ^ 0x9e37_79b9_7f4a_7c15;
-    let mixed = endpoint
-        .bytes()
-        .fold(seed, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3));
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
-
 impl Dispatcher {
     pub fn new(seed: u64, zone: &str, parameters: Parameters) -> Dispatcher {
         Dispatcher { seed, zone: zone.to_owned(), parameters, ..Dispatcher::default() }
@@ -256,9 +171,9 @@
         self.shares.get(&state.endpoint.service).copied().unwrap_or_default().slots
     }
 
-    fn has_room(&self, state: &EndpointState, now: Micros, quota: Option<&BatchQuota>) -> bool {
+    fn has_room(&self, state: &EndpointState, now: Micros, quota: Option<&BatchShare>) -> bool {
         let window = state.window.size();
-        let most = quota.map_or(window, |quota| window.min(quota.of(&state.endpoint)));
+        let most = quota.map_or(window, |quota| window.min(quota.places(&state.endpoint)));
         let reads = quota.is_none_or(|quota| state.unread_tokens < quota.unread_tokens());
         state.in_flight < most && reads && now >= state.paused_until
     }
@@ -268,7 +183,7 @@
         &mut self,
         service: &str,
         demand: &Demand,
-        quota: Option<&BatchQuota>,
+        quota: Option<&BatchShare>,
         tried: &[String],
         now: Micros,
     ) -> Result<Placement, NoPlace> {
@@ -282,7 +197,7 @@
         let favourite = demand.affinity().and_then(|part| {
             candidates
                 .iter()
-                .max_by_key(|state| rendezvous(part, &state.endpoint.id))
+                .max_by_key(|state| rank(part, &state.endpoint.id))
                 .map(|state| state.endpoint.id.clone())
         });
         let open = candidates.iter().filter(|state| self.has_room(state, now, quota));
@@ -310,7 +225,7 @@
         let zone = if state.endpoint.zone == self.zone { 0.0 } else { COST_OF_ZONE_MS };
         let load = f64::from(state.in_flight) * COST_OF_CALL_MS;
         let cold = if state.endpoint.cold_left_ms > 0.0 { COST_OF_CALL_MS } else { 0.0 };
-        let draw = rendezvous(self.seed.wrapping_add(self.calls), &state.endpoint.id) % 1000;
+        let draw = rank(self.seed.wrapping_add(self.calls), &state.endpoint.id) % 1000;
         let spread = draw as f64 / 1000.0 * SPREAD_MS;
         reading + zone + load + cold + spread
     }
@@ -360,6 +275,12 @@
         }
     }
 
+    /// Places of all endpoints of a service that may be sent to.
+    pub fn capacity(&self, service: &str) -> u32 {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.endpoints.get(id)).map(|state| state.endpoint.capacity).sum()
+    }
+
     /// Calls in flight from here, by service.
     pub fn in_flight(&self) -> HashMap<String, u32> {
         let mut all = HashMap::new();
--- a/dataplane/src/prefix_cache.rs
+++ b/dataplane/src/prefix_cache.rs
@@ -3,7 +3,7 @@
 //! An endpoint drops the parts that were unused longest. All processes send there at about the same rate, so what was sent
 //! from here is kept while the tokens sent from here since are fewer than this process's share of the endpoint's memory.
 
-use crate::dispatch::PromptPart;
+use crate::demand::PromptPart;
 use std::collections::{BTreeMap, HashMap};
 
 /// Parts remembered at most, whatever the capacity.
--- a/dataplane/tests/dispatch.rs
+++ b/dataplane/tests/dispatch.rs
@@ -1,8 +1,8 @@
 //! Routes, keys, and the choice of an endpoint.
 
-use quillmount_dataplane::dispatch::{
-    BatchQuota, CallEnd, Demand, Dispatcher, NoPlace, PromptPart, ServiceShare,
-};
+use quillmount_dataplane::batch_share::{BatchShare, SenderItems, batch_part};
+use quillmount_dataplane::demand::{Demand, PromptPart};
+use quillmount_dataplane::dispatch::{CallEnd, Dispatcher, NoPlace, ServiceShare};
 use quillmount_dataplane::prefix_cache::PrefixCache;
 use quillmount_dataplane::routes::{Access, Mode, RouteTable};
 use quillmount_window::Parameters;
@@ -148,13 +148,19 @@
     assert!(counts.len() == 20 && counts.values().all(|count| *count < 45), "{counts:?}");
 }
 
+/// Senders with so many items each.
+fn senders(items: impl IntoIterator<Item = u32>) -> Vec<SenderItems> {
+    let senders = items.into_iter().zip(1..);
+    senders.map(|(items, number)| SenderItems { sender: number * 7919, items }).collect()
+}
+
 #[test]
 fn all_senders_together_keep_to_the_part_for_batch_work() {
     for stores in 1..12u64 {
-        let senders: Vec<u64> = (1..=stores).map(|store| store * 7919).collect();
+        let senders = senders((0..stores).map(|_| 5));
         let mut placed = 0;
-        for me in &senders {
-            let quota = BatchQuota { me: *me, senders: senders.clone() };
+        for SenderItems { sender, .. } in &senders {
+            let quota = BatchShare::new(*sender, &senders, 0.6);
             let mut dispatcher = dispatcher(&["1"]);
             while placed < 100 && dispatcher.place("s", &Demand::default(), Some(&quota), &[], 1).is_ok() {
                 placed += 1;
@@ -166,6 +172,48 @@
     }
 }
 
+/// Items that each sender may have at all endpoints together, each endpoint a fresh dispatcher.
+fn room(senders: &[SenderItems], endpoints: u32) -> Vec<u32> {
+    let places = |me: u64| {
+        let share = BatchShare::new(me, senders, 0.6);
+        let at = |id: String| {
+            let mut dispatcher = dispatcher(&[&id]);
+            (0..20)
+                .take_while(|_| dispatcher.place("s", &Demand::default(), Some(&share), &[], 1).is_ok())
+                .count() as u32
+        };
+        (0..endpoints).map(|id| at(id.to_string())).sum()
+    };
+    senders.iter().map(|sender| places(sender.sender)).collect()
+}
+
+#[test]
+fn room_goes_where_the_items_are() {
+    let room = room(&senders([600, 200, 0, 200]), 50);
+    // Nine places at each of fifty endpoints; a fifth of them evenly among the three that have items. One sender is bound by
+    // its window as well, six calls at an endpoint; one without items may begin as soon as it has one.
+    assert!((230..=270).contains(&room[0]), "{room:?}");
+    assert!((85..=115).contains(&room[1]) && (85..=115).contains(&room[3]), "{room:?}");
+    assert!((10..=35).contains(&room[2]), "{room:?}");
+}
+
+#[test]
+fn a_sender_that_nobody_knows_of_yet_has_room_for_its_first_items() {
+    let known = senders([400, 400]);
+    let share = BatchShare::new(77, &known, 0.6);
+    let ids: Vec<String> = (0..50).map(|id| id.to_string()).collect();
+    let mut dispatcher = dispatcher(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    assert!(dispatcher.place("s", &Demand::default(), Some(&share), &[], 1).is_ok());
+}
+
+#[test]
+fn batch_work_has_what_live_requests_leave() {
+    assert_eq!(batch_part(0.0, 100), 0.9);
+    assert!((batch_part(20.0, 100) - 0.65).abs() < 1e-9);
+    assert_eq!(batch_part(90.0, 100), 0.4);
+    assert_eq!(batch_part(5.0, 0), 0.4, "no endpoint is known");
+}
+
 #[test]
 fn demand_is_read_from_its_headers() {
     let demand = Demand::parse(Some("1460,80"), Some("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"));
@@ -235,7 +283,7 @@
 #[test]
 fn prompts_of_items_that_are_not_read_yet_hold_further_items_back_and_no_live_request() {
     let mut dispatcher = dispatcher(&["1"]);
-    let quota = BatchQuota { me: 1, senders: vec![1, 2, 3] };
+    let quota = BatchShare::new(7919, &senders([5, 5, 5]), 0.6);
     let demand = Demand { parts: Vec::new(), prompt_tokens: 1500, output_tokens: 1 };
     let first = dispatcher.place("s", &demand, Some(&quota), &[], 1).unwrap();
     assert_eq!(dispatcher.place("s", &demand, Some(&quota), &[], 1), Err(NoPlace::Busy));
--- a/node/src/core/leases.rs
+++ b/node/src/core/leases.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use quillmount_control::{Heard, all_heard};
-use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Poll, ShardReport, UsageWindow};
+use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Poll, ServiceLoad, ShardReport, UsageWindow};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A process that has not polled for so long has lost its lease, microseconds.
@@ -22,6 +22,7 @@
     leaving: bool,
     reports: Vec<ShardReport>,
     demand: Vec<(String, f64)>,
+    items: Vec<(String, u32)>,
 }
 
 /// Counts of one process in one window, by tenant.
@@ -48,6 +49,7 @@
             leaving: poll.leaving,
             reports: poll.shards.clone(),
             demand: poll.demand.clone(),
+            items: poll.items.clone(),
         };
         self.leases.insert(poll.node.disk, lease);
         for UsageWindow { window, counts } in &poll.usage {
@@ -75,6 +77,24 @@
         needs.filter(|(name, _)| name == service).map(|(_, places)| places).sum()
     }
 
+    /// What each service's endpoints are asked for.
+    pub fn loads(&self) -> Vec<ServiceLoad> {
+        let mut loads: BTreeMap<&str, ServiceLoad> = BTreeMap::new();
+        for lease in self.live() {
+            if lease.node.role != NodeRole::Store {
+                for (service, places) in &lease.demand {
+                    loads.entry(service).or_default().live_places += places;
+                }
+            }
+            for (service, items) in &lease.items {
+                loads.entry(service).or_default().items.push((lease.node.disk, *items));
+            }
+        }
+        let named =
+            |(service, load): (&str, ServiceLoad)| ServiceLoad { service: service.to_owned(), ..load };
+        loads.into_iter().map(named).collect()
+    }
+
     /// Some couriers without a disk, of every zone in turn.
     pub fn relays(&self) -> Vec<String> {
         let mut zones: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
--- a/node/src/edge/admission.rs
+++ b/node/src/edge/admission.rs
@@ -2,7 +2,8 @@
 
 use crate::clock;
 use crate::node::Node;
-use quillmount_dataplane::dispatch::{Demand, NoPlace, Placement};
+use quillmount_dataplane::demand::Demand;
+use quillmount_dataplane::dispatch::{NoPlace, Placement};
 
 /// Part of the objective for which a request waits for room.
 const WAIT_OF_TARGET: f64 = 0.24;
--- a/node/src/edge/mod.rs
+++ b/node/src/edge/mod.rs
@@ -11,11 +11,12 @@
 use crate::http::{self, Answer};
 use crate::node::Node;
 use crate::rpc::{self, Handler};
-use crate::subscription;
+use crate::subscription::{self, Reporter};
 use connection::Connections;
 use quillmount_storage::{StorageError, load_identity};
-use quillmount_wire::messages::{NodeInfo, NodeRole, Request, Response};
+use quillmount_wire::messages::{NodeInfo, NodeRole, Request, Response, ShardReport};
 use quillmount_wire::settings::Settings;
+use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,9 +99,7 @@
             tokio::task::spawn_local(bootstrap::run(core.clone(), announcements));
         }
     }
-    let waiting = node.clone();
-    let waiting: subscription::Waiting = Rc::new(move || waiting.waiting());
-    tokio::task::spawn_local(subscription::run(node.clone(), Rc::new(Vec::new), waiting));
+    tokio::task::spawn_local(subscription::run(node.clone(), Rc::new(CourierReporter(node.clone()))));
     tokio::task::spawn_local(subscription::read_when_orphaned(node.clone()));
     serve_operator(&node, core.as_ref())?;
     let connections = serve_clients(&node)?;
@@ -113,6 +112,23 @@
     Ok(())
 }
 
+/// A courier tells of its requests only.
+struct CourierReporter(Rc<Node>);
+
+impl Reporter for CourierReporter {
+    fn shards(&self) -> Vec<ShardReport> {
+        Vec::new()
+    }
+
+    fn waiting(&self) -> HashMap<String, f64> {
+        self.0.waiting()
+    }
+
+    fn items(&self) -> HashMap<String, u32> {
+        HashMap::new()
+    }
+}
+
 fn open_core(node: &Rc<Node>) -> Result<Option<Rc<Core>>, RoleError> {
     match (node.info.role, node.settings.data_folder()) {
         (NodeRole::Core, Some(folder)) => Ok(Some(Core::open(node.clone(), Path::new(folder))?)),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -5,7 +5,7 @@
 use quillmount_dataplane::dispatch::{Dispatcher, ServiceShare};
 use quillmount_dataplane::routes::RouteTable;
 use quillmount_window::Parameters;
-use quillmount_wire::messages::{Endpoint, NodeInfo, Placement, TableVersions, UsageWindow};
+use quillmount_wire::messages::{Endpoint, NodeInfo, Placement, ServiceLoad, TableVersions, UsageWindow};
 use quillmount_wire::settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -54,6 +54,8 @@
     pub relays: RefCell<Vec<String>>,
     /// Internal addresses of the core's members, as this machine's disk knows them.
     pub members: RefCell<Vec<String>>,
+    /// What services are asked for, as the primary last told; a store's.
+    pub loads: RefCell<Rc<Vec<ServiceLoad>>>,
     /// When the primary last answered, steady clock.
     pub heard: Cell<u64>,
     /// `Admin` addresses of the seeds, as the settings file names them now.
@@ -84,6 +86,7 @@
             leader: RefCell::new(None),
             relays: RefCell::default(),
             members: RefCell::default(),
+            loads: RefCell::default(),
             heard: Cell::new(0),
             tables: watch::Sender::new(Rc::default()),
             usage: RefCell::default(),
--- a/node/src/store/items.rs
+++ b/node/src/store/items.rs
@@ -8,10 +8,12 @@
 use super::Store;
 use super::reign::{Reign, Tracked};
 use crate::clock;
-use quillmount_dataplane::dispatch::{BatchQuota, Demand, Placement};
+use crate::subscription::Reporter;
+use quillmount_dataplane::batch_share::{BatchShare, SenderItems, batch_part};
+use quillmount_dataplane::demand::Demand;
+use quillmount_dataplane::dispatch::Placement;
 use quillmount_dataplane::routes::CompiledRoute;
 use quillmount_wire::messages::{Item, ItemResult, Job, Phase, ShardOperation};
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -131,7 +133,6 @@
 
 /// Starts items, oldest first, until no endpoint has room.
 fn start_items(store: &Rc<Store>) {
-    let quota = quota(store);
     loop {
         let Some(run) = store.runner.take() else { return };
         match run.next(store) {
@@ -139,11 +140,12 @@
             Next::DeadLetter => list(store, run, Phase::DeadLetter, String::new()),
             Next::Place { service, demand } => {
                 let now = clock::micros();
+                let share = store.runner.share(&service, now, || batch_share(store, &service));
                 let mut dispatcher = store.node.dispatcher.borrow_mut();
-                let placed = dispatcher.place(&service, &demand, Some(&quota), &run.tried, now);
+                let placed = dispatcher.place(&service, &demand, Some(&share), &run.tried, now);
                 let placed = match placed {
                     Err(_) if !run.tried.is_empty() => {
-                        dispatcher.place(&service, &demand, Some(&quota), &[], now)
+                        dispatcher.place(&service, &demand, Some(&share), &[], now)
                     }
                     placed => placed,
                 };
@@ -162,11 +164,21 @@
     }
 }
 
-/// This store's part of the endpoints: as large as that of any other store that leads shards.
-fn quota(store: &Store) -> BatchQuota {
-    let tables = store.node.tables();
-    let leaders: BTreeSet<u64> = tables.placement.shards.iter().map(|view| view.primary).collect();
-    BatchQuota { me: store.node.info.disk, senders: leaders.into_iter().collect() }
+/// This store's share of a service's endpoints: by the items that it has beside those of the others, of the room that live
+/// requests leave.
+fn batch_share(store: &Store, service: &str) -> BatchShare {
+    let me = store.node.info.disk;
+    let loads = store.node.loads.borrow().clone();
+    let load = loads.iter().find(|load| load.service == service);
+    let others = load.into_iter().flat_map(|load| &load.items).filter(|(sender, _)| *sender != me);
+    let mut senders: Vec<SenderItems> =
+        others.map(|(sender, items)| SenderItems { sender: *sender, items: *items }).collect();
+    // Of its own items the store knows better than the core does.
+    let own = store.items().get(service).copied().unwrap_or_default() + 1;
+    senders.push(SenderItems { sender: me, items: own });
+    let live = load.map_or(0.0, |load| load.live_places);
+    let capacity = store.node.dispatcher.borrow().capacity(service);
+    BatchShare::new(me, &senders, batch_part(live, capacity))
 }
 
 /// Lists the result of an item.
--- a/node/src/store/items/line.rs
+++ b/node/src/store/items/line.rs
@@ -4,6 +4,8 @@
 use crate::clock;
 use crate::store::Store;
 use crate::store::reign::Reign;
+use quillmount_dataplane::batch_share::BatchShare;
+use quillmount_dataplane::routes::RouteTable;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -15,6 +17,9 @@
 const BACKLOG_S: f64 = 12.0;
 const ITEM_S: f64 = 1.0;
 
+/// A share is worked out anew after so long, microseconds.
+const SHARE_AGE: u64 = 50_000;
+
 /// Place in the line: what can still be in time, by due time; then what is late, by due time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
@@ -28,6 +33,8 @@
 pub struct Runner {
     queue: RefCell<BTreeMap<Place, Run>>,
     numbers: Cell<u64>,
+    /// Shares of endpoints by service, and when each was worked out, steady clock.
+    shares: RefCell<HashMap<String, (u64, BatchShare)>>,
     added: Notify,
 }
 
@@ -62,6 +69,19 @@
         }
     }
 
+    /// This store's share of a service's endpoints, worked out anew now and then.
+    pub(super) fn share(&self, service: &str, now: u64, work_out: impl FnOnce() -> BatchShare) -> BatchShare {
+        let known = self.shares.borrow().get(service).copied();
+        match known {
+            Some((at, share)) if now.saturating_sub(at) < SHARE_AGE => share,
+            _ => {
+                let share = work_out();
+                self.shares.borrow_mut().insert(service.to_owned(), (now, share));
+                share
+            }
+        }
+    }
+
     /// Waits until an item is put in the line.
     pub(super) async fn added(&self) {
         self.added.notified().await;
@@ -72,16 +92,21 @@
     }
 
     /// Places needed for the items that wait, if they are to be done within [`BACKLOG_S`].
-    pub fn demand(&self, store: &Store) -> HashMap<String, f64> {
-        let tables = store.node.tables();
-        let mut demand: HashMap<String, f64> = HashMap::new();
+    pub fn demand(&self, routes: &RouteTable) -> HashMap<String, f64> {
+        let places = |items: u32| f64::from(items) * ITEM_S / BACKLOG_S;
+        self.waiting(routes).into_iter().map(|(service, items)| (service, places(items))).collect()
+    }
+
+    /// Items that wait, by service.
+    pub fn waiting(&self, routes: &RouteTable) -> HashMap<String, u32> {
+        let mut waiting: HashMap<String, u32> = HashMap::new();
         for run in self.queue.borrow().values() {
-            let route = tables.routes.by_name(&run.job.route);
+            let route = routes.by_name(&run.job.route);
             if let Some(service) = route.and_then(|route| route.service(0.0)) {
-                *demand.entry(service.to_owned()).or_default() += ITEM_S / BACKLOG_S;
+                *waiting.entry(service.to_owned()).or_default() += 1;
             }
         }
-        demand
+        waiting
     }
 
     /// Puts an item in the line, and tells of it.
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -12,7 +12,7 @@
 use crate::edge::{RoleError, listen, wait_for_stop};
 use crate::node::Node;
 use crate::rpc::{self, Handler};
-use crate::subscription;
+use crate::subscription::{self, Reporter};
 use items::Runner;
 use quillmount_batch::{RETRY, ReplicaIdentity, StoreRecord, WriteId};
 use quillmount_control::SHARDS;
@@ -21,6 +21,7 @@
 use quillmount_wire::settings::Settings;
 use shard::Shard;
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -112,10 +113,24 @@
         // The other end is held for as long as the store runs.
         let _ = self.writes.send(PendingWrite { shard: shard.clone(), write, written });
     }
+}
 
-    fn reports(&self) -> Vec<ShardReport> {
+impl Reporter for Store {
+    fn shards(&self) -> Vec<ShardReport> {
         self.shards.iter().filter_map(|shard| shard.report()).collect()
     }
+
+    fn waiting(&self) -> HashMap<String, f64> {
+        self.runner.demand(&self.node.tables().routes)
+    }
+
+    fn items(&self) -> HashMap<String, u32> {
+        let mut items = self.runner.waiting(&self.node.tables().routes);
+        for (service, running) in self.node.dispatcher.borrow().in_flight() {
+            *items.entry(service).or_default() += running;
+        }
+        items
+    }
 }
 
 fn recover(shards: &[Rc<Shard>], records: Vec<Record>) {
@@ -215,10 +230,7 @@
     tracing::info!(name = node.info.name, "store started");
     let internal = listen(&node.info.internal)?;
     tokio::task::spawn_local(rpc::serve(internal, handler(&store)));
-    let reporter = store.clone();
-    let waiting = store.clone();
-    let waiting: subscription::Waiting = Rc::new(move || waiting.runner.demand(&waiting));
-    tokio::task::spawn_local(subscription::run(node.clone(), Rc::new(move || reporter.reports()), waiting));
+    tokio::task::spawn_local(subscription::run(node.clone(), store.clone()));
     tokio::task::spawn_local(subscription::read_when_orphaned(node.clone()));
     tokio::task::spawn_local(settle_writes(store.clone(), pending));
     tokio::task::spawn_local(follow_views(store.clone()));
--- a/node/src/subscription.rs
+++ b/node/src/subscription.rs
@@ -24,13 +24,18 @@
 /// Pause between two readings of its own.
 const OWN_READING: Duration = Duration::from_millis(900);
 
-/// Gives the shard reports that go with the next poll.
-pub type ShardReports = Rc<dyn Fn() -> Vec<ShardReport>>;
-/// Gives places that are needed beyond the calls in flight, by service.
-pub type Waiting = Rc<dyn Fn() -> HashMap<String, f64>>;
+/// What a role tells the core with each poll.
+pub trait Reporter {
+    /// Reports of the shards whose primary this process is.
+    fn shards(&self) -> Vec<ShardReport>;
+    /// Places that are needed beyond the calls in flight, by service.
+    fn waiting(&self) -> HashMap<String, f64>;
+    /// Items of batch jobs that wait or run here, by service.
+    fn items(&self) -> HashMap<String, u32>;
+}
 
 /// Polls for as long as the process lives.
-pub async fn run(node: Rc<Node>, reports: ShardReports, waiting: Waiting) {
+pub async fn run(node: Rc<Node>, reporter: Rc<dyn Reporter>) {
     let mut contacts = Contacts::default();
     loop {
         let contact = node.contact.borrow().clone();
@@ -39,7 +44,7 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        match poll_once(&node, &address, &reports, &waiting).await {
+        match poll_once(&node, &address, &*reporter).await {
             Polled::Answered => {}
             Polled::Redirected(hint) => {
                 let now = clock::micros();
@@ -65,7 +70,7 @@
 }
 
 /// Sends one poll and takes its answer.
-async fn poll_once(node: &Rc<Node>, address: &str, reports: &ShardReports, waiting: &Waiting) -> Polled {
+async fn poll_once(node: &Rc<Node>, address: &str, reporter: &dyn Reporter) -> Polled {
     let stopping = node.stopping.get();
     let poll = Poll {
         node: node.info.clone(),
@@ -73,10 +78,11 @@
         have: node.tables().versions,
         hold_ms: if stopping { 0 } else { HOLD.as_millis() as u64 },
         usage: node.usage(),
-        shards: reports(),
+        shards: reporter.shards(),
         leaving: stopping,
         relayed: false,
-        demand: demand(node, waiting),
+        demand: demand(node, reporter),
+        items: reporter.items().into_iter().collect(),
     };
     let request = Request::Poll(poll);
     let call = node.links.call(address, &request, POLL_TIME);
@@ -94,6 +100,7 @@
             node.heard.set(clock::micros());
             *node.leader.borrow_mut() = Some(tables.primary.clone());
             *node.relays.borrow_mut() = tables.relays.clone();
+            *node.loads.borrow_mut() = Rc::new(tables.loads.clone());
             apply(node, tables);
             if stopping {
                 tokio::time::sleep(PAUSE).await;
@@ -106,8 +113,8 @@
 }
 
 /// Places needed at once: calls in flight, and what waits.
-fn demand(node: &Node, waiting: &Waiting) -> Vec<(String, f64)> {
-    let mut demand = waiting();
+fn demand(node: &Node, reporter: &dyn Reporter) -> Vec<(String, f64)> {
+    let mut demand = reporter.waiting();
     for (service, calls) in node.dispatcher.borrow().in_flight() {
         *demand.entry(service).or_default() += f64::from(calls);
     }
--- a/wire/src/messages.rs
+++ b/wire/src/messages.rs
@@ -169,6 +169,18 @@
     pub relayed: bool,
     /// Places at endpoints that are needed here at once, by service.
     pub demand: Vec<(String, f64)>,
+    /// Items of batch jobs that wait or run here, by service; a store's.
+    pub items: Vec<(String, u32)>,
+}
+
+/// What a service's endpoints are asked for, as the core's primary heard it last.
+#[derive(Clone, Debug, Default, PartialEq, Archive, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    pub service: String,
+    /// Places that live requests need at once.
+    pub live_places: f64,
+    /// Items of batch jobs, by store.
+    pub items: Vec<(DiskId, u32)>,
 }
 
 /// Where a shard is kept.
@@ -216,6 +228,8 @@
     pub primary: String,
     /// Couriers without a disk that pass polls on for those that the core can't be reached by.
     pub relays: Vec<String>,
+    /// For stores only.
+    pub loads: Vec<ServiceLoad>,
 }
 
 /// An item of a batch job as it was submitted.
