--- a/dataplane/src/batch_share.rs
+++ b/dataplane/src/batch_share.rs
@@ -13,12 +13,12 @@
 /// milliseconds: live requests wait behind them.
 const READING_MS: f64 = 30.0;
 /// Part of all places that stays free of live requests and batch work: for what the next moments bring.
-const SPARE_PART: f64 = 0.1;
+const SPARE_PART: f64 = 0.2;
 /// Places kept for each place that live requests need now.
 const LIVE_ROOM: f64 = 1.25;
 /// Least and largest part of the places that batch work may fill.
-const LEAST_PART: f64 = 0.4;
-const LARGEST_PART: f64 = 0.9;
+const LEAST_PART: f64 = 0.35;
+const LARGEST_PART: f64 = 0.75;
 /// Part of the room that is dealt evenly among senders that have items, so that new items begin before the others know of them.
 const EVEN_PART: f64 = 0.2;
 /// Key of the offset with which an endpoint's places are dealt.
