Batch: the room of items falls at once and grows slowly

All clients come again at once, and stores that know of no live request fill three quarters of the places with items first, which hold them for most of a second. Ruled out: the start of the processes, the election and the first tables (they take 0.6 s together); waiting in the courier (0 to 60 ms of it). Change: a sender begins with a tenth of the places, and its room grows by 0.15 a second at most; it falls at once.

--- a/dataplane/src/batch_share.rs
+++ b/dataplane/src/batch_share.rs
@@ -7,6 +7,7 @@
 
 use crate::dispatch::READ_TOKENS_PER_MS;
 use crate::rank::rank;
+use quillmount_window::Micros;
 use quillmount_wire::messages::Endpoint;
 
 /// Time that an endpoint may need for reading the prompts of batch work that has not begun, all senders together,
@@ -31,6 +32,36 @@
     pub items: u32,
 }
 
+/// Part of the places with which a sender begins, before it was told what live requests need.
+const FIRST_PART: f64 = 0.1;
+/// How fast that part may grow, a second.
+const GROWTH_PER_S: f64 = 0.15;
+
+/// The part of a service's places that batch work may fill, followed over time: it falls at once and grows slowly, so that
+/// after an outage, when all clients come again at the same moment, items do not take the places first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BatchRoom {
+    part: f64,
+    /// When it was last worked out.
+    at: Micros,
+}
+
+impl BatchRoom {
+    pub fn new(now: Micros) -> BatchRoom {
+        BatchRoom { part: FIRST_PART, at: now }
+    }
+
+    /// Takes the part that live requests leave now, as far as it is known; returns the part in force.
+    pub fn follow(&mut self, now: Micros, left: Option<f64>) -> f64 {
+        let grown = self.part + GROWTH_PER_S * now.saturating_sub(self.at) as f64 / 1e6;
+        self.at = now;
+        if let Some(left) = left {
+            self.part = left.min(grown);
+        }
+        self.part
+    }
+}
+
 /// Part of the places of a service that batch work of all senders may fill: what live requests leave.
 pub fn batch_part(live_places: f64, capacity: u32) -> f64 {
     let live = live_places / f64::from(capacity.max(1));
--- a/dataplane/tests/dispatch.rs
+++ b/dataplane/tests/dispatch.rs
@@ -1,6 +1,6 @@
 //! Routes, keys, and the choice of an endpoint.
 
-use quillmount_dataplane::batch_share::{BatchShare, SenderItems, batch_part};
+use quillmount_dataplane::batch_share::{BatchRoom, BatchShare, SenderItems, batch_part};
 use quillmount_dataplane::demand::{Demand, PromptPart};
 use quillmount_dataplane::dispatch::{CallEnd, Dispatcher, NoPlace, ServiceShare};
 use quillmount_dataplane::prefix_cache::PrefixCache;
@@ -214,6 +214,17 @@
     assert_eq!(batch_part(5.0, 0), 0.35, "no endpoint is known");
 }
 
+#[test]
+fn room_for_batch_work_falls_at_once_and_grows_slowly() {
+    let mut room = BatchRoom::new(0);
+    assert_eq!(room.follow(5_000_000, None), 0.1, "nothing is known of live requests");
+    assert!((room.follow(6_000_000, Some(0.75)) - 0.25).abs() < 1e-9);
+    let parts: Vec<f64> = (7..12).map(|second| room.follow(second * 1_000_000, Some(0.75))).collect();
+    assert!(parts.is_sorted() && parts[0] < 0.45 && parts[4] == 0.75, "{parts:?}");
+    assert_eq!(room.follow(12_000_000, Some(0.35)), 0.35);
+    assert!(room.follow(12_500_000, Some(0.75)) < 0.43);
+}
+
 #[test]
 fn demand_is_read_from_its_headers() {
     let demand = Demand::parse(Some("1460,80"), Some("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"));
--- a/node/src/store/items.rs
+++ b/node/src/store/items.rs
@@ -9,7 +9,7 @@
 use super::reign::{Reign, Tracked};
 use crate::clock;
 use crate::subscription::Reporter;
-use quillmount_dataplane::batch_share::{BatchShare, SenderItems, batch_part};
+use quillmount_dataplane::batch_share::{BatchRoom, BatchShare, SenderItems, batch_part};
 use quillmount_dataplane::demand::Demand;
 use quillmount_dataplane::dispatch::Placement;
 use quillmount_dataplane::routes::CompiledRoute;
@@ -140,7 +140,7 @@
             Next::DeadLetter => list(store, run, Phase::DeadLetter, String::new()),
             Next::Place { service, demand } => {
                 let now = clock::micros();
-                let share = store.runner.share(&service, now, || batch_share(store, &service));
+                let share = store.runner.share(&service, now, |room| batch_share(store, &service, now, room));
                 let mut dispatcher = store.node.dispatcher.borrow_mut();
                 let placed = dispatcher.place(&service, &demand, Some(&share), &run.tried, now);
                 let placed = match placed {
@@ -166,7 +166,7 @@
 
 /// This store's share of a service's endpoints: by the items that it has beside those of the others, of the room that live
 /// requests leave.
-fn batch_share(store: &Store, service: &str) -> BatchShare {
+fn batch_share(store: &Store, service: &str, now: u64, room: &mut BatchRoom) -> BatchShare {
     let me = store.node.info.disk;
     let loads = store.node.loads.borrow().clone();
     let load = loads.iter().find(|load| load.service == service);
@@ -176,9 +176,9 @@
     // Of its own items the store knows better than the core does.
     let own = store.items().get(service).copied().unwrap_or_default() + 1;
     senders.push(SenderItems { sender: me, items: own });
-    let live = load.map_or(0.0, |load| load.live_places);
     let capacity = store.node.dispatcher.borrow().capacity(service);
-    BatchShare::new(me, &senders, batch_part(live, capacity))
+    let left = load.map(|load| batch_part(load.live_places, capacity));
+    BatchShare::new(me, &senders, room.follow(now, left))
 }
 
 /// Lists the result of an item.
--- a/node/src/store/items/line.rs
+++ b/node/src/store/items/line.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::store::Store;
 use crate::store::reign::Reign;
-use quillmount_dataplane::batch_share::BatchShare;
+use quillmount_dataplane::batch_share::{BatchRoom, BatchShare};
 use quillmount_dataplane::routes::RouteTable;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -28,13 +28,22 @@
     number: u64,
 }
 
+/// A share of a service's endpoints as it was last worked out.
+#[derive(Clone, Copy)]
+struct KnownShare {
+    /// Steady clock.
+    at: u64,
+    share: BatchShare,
+    room: BatchRoom,
+}
+
 /// Items that wait for room.
 #[derive(Default)]
 pub struct Runner {
     queue: RefCell<BTreeMap<Place, Run>>,
     numbers: Cell<u64>,
-    /// Shares of endpoints by service, and when each was worked out, steady clock.
-    shares: RefCell<HashMap<String, (u64, BatchShare)>>,
+    /// Shares of endpoints, by service.
+    shares: RefCell<HashMap<String, KnownShare>>,
     added: Notify,
 }
 
@@ -70,16 +79,20 @@
     }
 
     /// This store's share of a service's endpoints, worked out anew now and then.
-    pub(super) fn share(&self, service: &str, now: u64, work_out: impl FnOnce() -> BatchShare) -> BatchShare {
+    pub(super) fn share(
+        &self,
+        service: &str,
+        now: u64,
+        work_out: impl FnOnce(&mut BatchRoom) -> BatchShare,
+    ) -> BatchShare {
         let known = self.shares.borrow().get(service).copied();
-        match known {
-            Some((at, share)) if now.saturating_sub(at) < SHARE_AGE => share,
-            _ => {
-                let share = work_out();
-                self.shares.borrow_mut().insert(service.to_owned(), (now, share));
-                share
-            }
+        if let Some(known) = known.filter(|known| now.saturating_sub(known.at) < SHARE_AGE) {
+            return known.share;
         }
+        let mut room = known.map_or_else(|| BatchRoom::new(now), |known| known.room);
+        let share = work_out(&mut room);
+        self.shares.borrow_mut().insert(service.to_owned(), KnownShare { at: now, share, room });
+        share
     }
 
     /// Waits until an item is put in the line.
