--- a/dataplane/src/batch_share.rs
+++ b/dataplane/src/batch_share.rs
@@ -5,7 +5,7 @@
 //! offset of its own, so that all senders together have each place once, and shares below one place come out right over all
 //! endpoints.
 
-use crate::dispatch::READ_TOKENS_PER_MS;
+use crate::endpoint_state::READ_TOKENS_PER_MS;
 use crate::rank::rank;
 use quillmount_window::Micros;
 use quillmount_wire::messages::Endpoint;
--- a/dataplane/src/dispatch.rs
+++ b/dataplane/src/dispatch.rs
@@ -2,16 +2,14 @@
 
 use crate::batch_share::BatchShare;
 use crate::demand::Demand;
-use crate::prefix_cache::PrefixCache;
+use crate::endpoint_state::{EndpointState, READ_TOKENS_PER_MS};
 use crate::rank::rank;
-use quillmount_window::{Micros, Parameters, Window};
+
+pub use crate::endpoint_state::CallEnd;
+use quillmount_window::{Micros, Parameters};
 use quillmount_wire::messages::Endpoint;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Tokens that an endpoint is taken to read in a millisecond until it is known better.
-pub(crate) const READ_TOKENS_PER_MS: f64 = 128.0;
-/// First event of a call whose prompt need not be read, milliseconds.
-const REFERENCE_MS: f64 = 20.0;
 /// What a request in flight there costs the next one, in milliseconds of its first event.
 const COST_OF_CALL_MS: f64 = 2.0;
 /// What an endpoint of another zone costs, milliseconds.
@@ -20,54 +18,6 @@
 const FAVOURITE_KEEPS: f64 = 0.8;
 /// By how much chance may move a choice, milliseconds.
 const SPREAD_MS: f64 = 2.0;
-/// Pauses after failures in a row, microseconds: first and longest.
-const PAUSE_FIRST: Micros = 200_000;
-const PAUSE_LONGEST: Micros = 3_200_000;
-/// Failures in a row after which a pause begins, if they are errors and not losses.
-const ERRORS_IN_A_ROW: u32 = 3;
-
-/// How a call ended, for the window of its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum CallEnd {
-    /// Time to the first event, microseconds.
-    FirstEvent(Micros),
-    /// Nothing came for this long, microseconds.
-    TimedOut(Micros),
-    /// Refused as full: it has not run.
-    Refused,
-    /// Another endpoint has its address: it is gone for good.
-    Replaced,
-    /// It could not be reached, or its connection broke.
-    Lost,
-    /// It answered with an error of its own.
-    Error,
-    /// It went on with a stream where another call left it: its first event comes after those that are passed over, and
-    /// tells nothing of the load.
-    Resumed,
-    /// Ended from this side; tells nothing.
-    Abandoned,
-}
-
-/// State of one endpoint as this process sees it.
-#[derive(Clone, Debug)]
-pub struct EndpointState {
-    pub endpoint: Endpoint,
-    /// Whether the newest list names it.
-    listed: bool,
-    window: Window,
-    in_flight: u32,
-    /// Prompt tokens sent there whose first event has not come.
-    unread_tokens: f64,
-    cache: PrefixCache,
-    failures: u32,
-    paused_until: Micros,
-}
-
-impl EndpointState {
-    fn is_open(&self) -> bool {
-        self.listed && !self.endpoint.draining
-    }
-}
 
 /// What one process may use of each endpoint of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,16 +90,9 @@
                     state.cache.resize(share.cache_tokens);
                 }
                 None => {
-                    let state = EndpointState {
-                        endpoint: endpoint.clone(),
-                        listed: true,
-                        window: Window::new(self.parameters, share.slots),
-                        in_flight: 0,
-                        unread_tokens: 0.0,
-                        cache: PrefixCache::new(share.cache_tokens),
-                        failures: 0,
-                        paused_until: 0,
-                    };
+                    let parameters = self.parameters;
+                    let state =
+                        EndpointState::new(endpoint.clone(), parameters, share.slots, share.cache_tokens);
                     self.endpoints.insert(endpoint.id.clone(), state);
                 }
             }
@@ -204,18 +147,16 @@
         let best = open
             .map(|state| (self.cost(state, demand, favourite.as_deref()), state))
             .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, state)| (state.endpoint.id.clone(), uncached_tokens(state, demand)));
+            .map(|(_, state)| (state.endpoint.id.clone(), state.uncached_tokens(demand)));
         let Some((id, uncached_tokens)) = best else { return Err(NoPlace::Busy) };
         let state = self.endpoints.get_mut(&id).ok_or(NoPlace::NoEndpoint)?;
-        state.in_flight += 1;
-        state.unread_tokens += uncached_tokens;
-        state.cache.record(&demand.parts);
+        state.begin(demand, uncached_tokens);
         Ok(Placement { id, address: state.endpoint.address.clone(), uncached_tokens })
     }
 
     /// Expected time to the first event there, milliseconds.
     fn cost(&self, state: &EndpointState, demand: &Demand, favourite: Option<&str>) -> f64 {
-        let mut tokens = uncached_tokens(state, demand);
+        let mut tokens = state.uncached_tokens(demand);
         if favourite == Some(state.endpoint.id.as_str()) {
             // The others send such requests there too.
             let shared: f64 = demand.shared().iter().map(|part| f64::from(part.tokens)).sum();
@@ -244,35 +185,13 @@
         }
         let Some(state) = self.endpoints.get(&placement.id) else { return };
         let slots = self.slots_of(state);
-        let reading = (placement.uncached_tokens / READ_TOKENS_PER_MS * 1000.0) as Micros;
         if end == CallEnd::Replaced
             && let Some(ids) = self.by_service.get_mut(&state.endpoint.service)
         {
             ids.retain(|id| *id != placement.id);
         }
         let Some(state) = self.endpoints.get_mut(&placement.id) else { return };
-        state.in_flight = state.in_flight.saturating_sub(1);
-        match end {
-            CallEnd::FirstEvent(latency) => {
-                state.failures = 0;
-                state.window.sample(now, relative_latency(latency, reading), slots);
-            }
-            CallEnd::TimedOut(length) => {
-                state.window.sample(now, length as f64, slots);
-                pause(state, now);
-            }
-            CallEnd::Refused => state.window.refused(slots),
-            CallEnd::Replaced => state.endpoint.draining = true,
-            CallEnd::Lost => pause(state, now),
-            CallEnd::Error => {
-                state.failures += 1;
-                if state.failures >= ERRORS_IN_A_ROW {
-                    pause(state, now);
-                }
-            }
-            CallEnd::Resumed => state.failures = 0,
-            CallEnd::Abandoned => {}
-        }
+        state.end(end, placement.uncached_tokens, slots, now);
     }
 
     /// Places of all endpoints of a service that may be sent to.
@@ -290,22 +209,3 @@
         all
     }
 }
-
-/// What counts as the latency of a streamed call, microseconds: the time to its first event as a multiple of what the
-/// reading of its prompt should take, for a prompt that is read in no time.
-fn relative_latency(first_event: Micros, reading: Micros) -> f64 {
-    let reference = REFERENCE_MS * 1000.0;
-    first_event as f64 * reference / (reference + reading as f64)
-}
-
-fn pause(state: &mut EndpointState, now: Micros) {
-    state.failures += 1;
-    let doubled = PAUSE_FIRST << state.failures.saturating_sub(1).min(4);
-    state.paused_until = now + doubled.min(PAUSE_LONGEST);
-    state.cache.clear();
-}
-
-/// Prompt tokens that the endpoint has to read.
-fn uncached_tokens(state: &EndpointState, demand: &Demand) -> f64 {
-    f64::from(demand.tokens().saturating_sub(state.cache.kept_tokens(&demand.parts)))
-}
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod demand;
 pub mod dispatch;
+mod endpoint_state;
 pub mod events;
 pub mod head;
 pub mod prefix_cache;
--- a/node/src/edge/forward.rs
+++ b/node/src/edge/forward.rs
@@ -1,15 +1,16 @@
 //! One client request: sent to endpoints, its answer passed on.
 
+mod stream;
+mod whole;
+
 use super::admission;
 use super::connection::{Served, refusal, respond};
 use crate::clock;
 use crate::http::{Answer, Connection, Request, reason};
 use crate::node::Node;
-use crate::upstream::{BodyPart, UpstreamAnswer, UpstreamError, UpstreamRequest};
-use quillmount_dataplane::body::{LAST_CHUNK, write_chunk};
+use crate::upstream::{UpstreamAnswer, UpstreamError, UpstreamRequest};
 use quillmount_dataplane::demand::Demand;
 use quillmount_dataplane::dispatch::{CallEnd, NoPlace, Placement};
-use quillmount_dataplane::events::EventReader;
 use quillmount_dataplane::head::{ResponseHead, is_connection_header};
 use quillmount_dataplane::routes::CompiledRoute;
 use std::rc::Rc;
@@ -50,15 +51,6 @@
     counted: bool,
 }
 
-/// The first event of one attempt.
-#[derive(Clone, Copy)]
-struct FirstEvent {
-    /// From the sending of the request, microseconds.
-    latency: u64,
-    /// The endpoint was asked to go on behind an event.
-    resumed: bool,
-}
-
 /// What one endpoint made of it.
 enum Attempt {
     /// Passed on to its end.
@@ -264,156 +256,12 @@
         Attempt::Again(refusal("endpoints are full"))
     }
 
-    /// Passes on an answer that is not a stream, once it is whole.
-    async fn whole(
-        &mut self,
-        connection: &mut Connection,
-        placement: &Placement,
-        mut answer: UpstreamAnswer,
-        sent: u64,
-        keep_alive: bool,
-    ) -> Attempt {
-        let left = Duration::from_micros(self.deadline.saturating_sub(clock::micros()));
-        let body = tokio::select! {
-            body = tokio::time::timeout(left, answer.read_all(ANSWER_LIMIT)) => body.ok().flatten(),
-            () = connection.client_left() => {
-                self.finish(placement, CallEnd::Abandoned, false);
-                return Attempt::Done(Served::Abort);
-            }
-        };
-        let status = answer.head.status;
-        let spent = clock::micros().saturating_sub(sent);
-        let Some(body) = body else {
-            self.finish(placement, CallEnd::Lost, false);
-            return Attempt::Again(Answer::text(502, "the endpoint broke off"));
-        };
-        let failed = status >= 500;
-        self.finish(placement, if failed { CallEnd::Error } else { CallEnd::FirstEvent(spent) }, false);
-        let head = answer.head.clone();
-        answer.release(&self.node.upstreams);
-        if failed
-            && self.route.idempotent()
-            && self.runs < self.route.tries
-            && clock::micros() < self.deadline
-        {
-            return Attempt::Again(Answer::text(502, "the endpoint failed"));
-        }
-        if self.begun {
-            return Attempt::Done(Served::Abort);
-        }
-        if status / 100 == 2 {
-            self.count();
-        }
-        let keep_alive = keep_alive && !self.node.stopping.get();
-        let mut bytes = response_head(&head, keep_alive);
-        bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-        bytes.extend_from_slice(&body);
-        let written = connection.write(&bytes).await;
-        Attempt::Done(match written {
-            Err(_) => Served::Abort,
-            Ok(()) if keep_alive => Served::KeepAlive,
-            Ok(()) => Served::Close,
-        })
-    }
-
     fn count(&mut self) {
         if !self.counted {
             self.counted = true;
             self.node.count_usage(self.tenant.unwrap_or_default());
         }
     }
-
-    /// Passes events on as they come, each one whole.
-    async fn stream(
-        &mut self,
-        connection: &mut Connection,
-        placement: &Placement,
-        mut answer: UpstreamAnswer,
-        sent: u64,
-        keep_alive: bool,
-    ) -> Attempt {
-        let keep_alive = keep_alive && !self.node.stopping.get();
-        let mut events = EventReader::default();
-        let mut first: Option<FirstEvent> = None;
-        let resumed = self.last_event.is_some();
-        loop {
-            let mut bytes = Vec::new();
-            let patience = self.patience();
-            let part = tokio::select! {
-                part = tokio::time::timeout(patience, answer.read(&mut bytes)) => part,
-                () = connection.client_left() => {
-                    self.end_stream(placement, CallEnd::Abandoned, first);
-                    return Attempt::Done(Served::Abort);
-                }
-            };
-            let Ok(part) = part else {
-                let spent = clock::micros().saturating_sub(sent);
-                self.end_stream(placement, CallEnd::TimedOut(spent), first);
-                return Attempt::Again(Answer::text(504, "the endpoint fell silent"));
-            };
-            events.add(&bytes);
-            let mut out = Vec::new();
-            let Ok(any) = self.take_events(&mut events, &mut out) else {
-                self.end_stream(placement, CallEnd::Error, first);
-                return Attempt::Again(Answer::text(502, "the endpoint sent no events"));
-            };
-            if any && first.is_none() {
-                first = Some(FirstEvent { latency: clock::micros().saturating_sub(sent), resumed });
-                self.node.dispatcher.borrow_mut().first_event(placement);
-                self.count();
-            }
-            let whole = part == BodyPart::End && events.remainder() == 0;
-            let mut packet = Vec::new();
-            if (any || whole) && !self.begun {
-                self.begun = true;
-                packet = response_head(&answer.head, keep_alive);
-                packet.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
-            }
-            write_chunk(&out, &mut packet);
-            if whole {
-                packet.extend_from_slice(LAST_CHUNK);
-            }
-            if !packet.is_empty() && connection.write(&packet).await.is_err() {
-                self.end_stream(placement, CallEnd::Abandoned, first);
-                return Attempt::Done(Served::Abort);
-            }
-            if whole {
-                self.end_stream(placement, CallEnd::Abandoned, first);
-                answer.release(&self.node.upstreams);
-                return Attempt::Done(if keep_alive { Served::KeepAlive } else { Served::Close });
-            }
-            if part != BodyPart::More {
-                self.end_stream(placement, CallEnd::Lost, first);
-                return Attempt::Again(Answer::text(502, "the endpoint broke off"));
-            }
-        }
-    }
-
-    /// Takes whole events; whether there were any.
-    fn take_events(&mut self, events: &mut EventReader, out: &mut Vec<u8>) -> Result<bool, ()> {
-        let mut any = false;
-        while let Some(event) = events.next_event().map_err(|_| ())? {
-            // A stream that goes on has to go on where it was left.
-            if let (Some(last), Some(id)) = (self.last_event, event.id)
-                && id != last + 1
-            {
-                return Err(());
-            }
-            any = true;
-            self.last_event = event.id.or(self.last_event);
-            out.extend_from_slice(&event.raw);
-        }
-        Ok(any)
-    }
-
-    fn end_stream(&self, placement: &Placement, end: CallEnd, first: Option<FirstEvent>) {
-        let end = match (end, first) {
-            (CallEnd::Abandoned, Some(FirstEvent { resumed: true, .. })) => CallEnd::Resumed,
-            (CallEnd::Abandoned, Some(FirstEvent { latency, .. })) => CallEnd::FirstEvent(latency),
-            (end, _) => end,
-        };
-        self.finish(placement, end, first.is_some());
-    }
 }
 
 /// The endpoint's head for the client, without the framing of the body.
