Tier: windows grow by three calls and bear five times the baseline

Cause: a courier has one to four calls at an endpoint where many share it; with the constant growth of one call and three times the baseline of its default a single slow answer closes such a window, and requests go to worse endpoints or wait. The default stays as it was.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -18,6 +18,11 @@
 /// An answer of the primary counts as news of it for so long, microseconds.
 const HEARD_LATELY: u64 = 1_500_000;
 
+/// Parameters of the windows. One process has one to four calls at an endpoint where many share it: with the note's own constant
+/// growth of one call and three times the baseline, a single slow answer closes such a window, and requests go to worse
+/// endpoints (`docs/worth.md`, rounds).
+const WINDOW: Parameters = Parameters { alpha: 0.7, gamma: 0.5, beta: 3.0, multiple: 5.0 };
+
 /// Tables of a process: immutable, swapped whole.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -69,7 +74,7 @@
 impl Node {
     pub fn new(settings: Settings, info: NodeInfo) -> Rc<Node> {
         let life = crate::clock::draw();
-        let dispatcher = Dispatcher::new(life, &settings.az, Parameters::default());
+        let dispatcher = Dispatcher::new(life, &settings.az, WINDOW);
         Rc::new(Node {
             seeds: RefCell::new(settings.peers.clone()),
             settings,
