--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -17,6 +17,6 @@
 pub use members::Admission;
 pub use orders::{Order, OrderKind, TAKEN_LIMIT, Verdict};
 pub use scaling::Scaler;
-pub use shards::{Retirement, SHARDS, ShardInputs, all_accounted, shard_of};
+pub use shards::{Retirement, SHARDS, ShardInputs, shard_of};
 pub use state::{ControlState, TakenOrder};
 pub use usage::{Heard, SETTLE_S, all_heard, may_fix};
--- a/control/src/shards.rs
+++ b/control/src/shards.rs
@@ -30,17 +30,6 @@
     pub survivable: usize,
 }
 
-/// Whether it is known of each of these stores if it is alive: its disk was heard, or another disk in its machine's place, which
-/// says that the disk is lost. A primary that has begun need not wait for leases then.
-pub fn all_accounted<'a>(stores: &[NodeInfo], heard: impl Iterator<Item = &'a NodeInfo> + Clone) -> bool {
-    let accounted = |store: &NodeInfo| {
-        heard
-            .clone()
-            .any(|other| other.disk == store.disk || (other.role == store.role && other.name == store.name))
-    };
-    stores.iter().all(accounted)
-}
-
 /// What became of an order to empty a store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Retirement {
--- a/node/src/core/duties.rs
+++ b/node/src/core/duties.rs
@@ -23,14 +23,10 @@
 pub async fn plan_shards(core: Rc<Core>) {
     loop {
         tokio::time::sleep(PLAN_PAUSE).await;
-        if core.serving().is_none() {
-            continue;
-        }
-        if core.reign() >= LEASES_KNOWN {
-            drop_silent(&core).await;
-        } else if !stores_are_accounted(&core) {
+        if core.serving().is_none() || core.reign() < LEASES_KNOWN {
             continue;
         }
+        drop_silent(&core).await;
         let inputs = {
             let leases = core.leases.borrow();
             ShardInputs {
@@ -48,14 +44,6 @@
     }
 }
 
-/// Whether every store was heard in this reign, or its successor on the same machine.
-fn stores_are_accounted(core: &Core) -> bool {
-    let since = clock::micros().saturating_sub(core.reign());
-    let Some(state) = core.committed() else { return false };
-    let stores = &state.placement.stores;
-    !stores.is_empty() && core.leases.borrow().all_accounted(stores, since)
-}
-
 /// Takes core members out that are silent, once others have taken their places.
 async fn drop_silent(core: &Rc<Core>) {
     let silent = core.silent_members();
--- a/node/src/core/leases.rs
+++ b/node/src/core/leases.rs
@@ -1,7 +1,7 @@
 //! Leases of couriers and stores at the primary of the core, and what came with them.
 
 use crate::clock;
-use quillmount_control::{Heard, all_accounted, all_heard};
+use quillmount_control::{Heard, all_heard};
 use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Poll, ServiceLoad, ShardReport, UsageWindow};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -132,12 +132,6 @@
         all_heard(heard, since, clock::micros())
     }
 
-    /// Whether it is known of each of these stores if it is alive, by polls since a moment of the steady clock.
-    pub fn all_accounted(&self, stores: &[NodeInfo], since: u64) -> bool {
-        let recent = self.leases.values().filter(|lease| lease.renewed >= since);
-        all_accounted(stores, recent.map(|lease| &lease.node))
-    }
-
     /// Whether a process has polled since a moment of the steady clock, or is stopping.
     pub fn heard_since(&self, disk: DiskId, since: u64) -> bool {
         self.leases.get(&disk).is_some_and(|lease| lease.leaving || lease.renewed >= since)
