Tier: what was worked out twice is worked out once

No change of behaviour. A poll walks a store's line of items once for its places and its items (twice before); loads of services are gathered for the answer that is sent and not at each wake of a held poll; a share takes its own items apart from what others are known to have, where caller and callee both looked for the own entry; loads move out of an answer instead of being copied. Tests: one loss of power of all stores for runs by name and exploration, each with its own length as before.

--- a/batch/tests/cluster/day.rs
+++ b/batch/tests/cluster/day.rs
@@ -190,6 +190,15 @@
     world.stores.get_mut(&store).unwrap().frozen_until = until;
 }
 
+/// Takes the power of every store, for so long.
+pub fn power_off_all(world: &mut World, down: Micros) {
+    let names: Vec<u32> = world.stores.keys().copied().collect();
+    for name in names {
+        world.kill(name, true);
+        world.restart_after(name, down);
+    }
+}
+
 /// Ends all faults and waits until the shard is whole.
 pub fn calm(world: &mut World) {
     world.cuts.clear();
--- a/batch/tests/cluster/exploration.rs
+++ b/batch/tests/cluster/exploration.rs
@@ -1,6 +1,6 @@
 //! Small cases with a fault at every moment of them.
 
-use crate::day::{calm, read_back, wipe};
+use crate::day::{calm, power_off_all, read_back, wipe};
 use crate::world::{MILLI, SECOND, World};
 
 /// A world in which jobs are at work, always the same.
@@ -11,14 +11,6 @@
     world
 }
 
-fn power_off_all(world: &mut World) {
-    let names: Vec<u32> = world.stores.keys().copied().collect();
-    for name in names {
-        world.kill(name, true);
-        world.restart_after(name, 300 * MILLI);
-    }
-}
-
 fn settle(world: &mut World) {
     world.run(SECOND);
     calm(world);
@@ -31,7 +23,7 @@
     for moment in 0..200 {
         let mut world = busy(3);
         world.run(moment * MILLI);
-        power_off_all(&mut world);
+        power_off_all(&mut world, 300 * MILLI);
         settle(&mut world);
     }
 }
@@ -64,7 +56,7 @@
         world.kill(primary, true);
         world.restart_after(primary, 40 * MILLI);
         world.run(400 * MILLI);
-        power_off_all(&mut world);
+        power_off_all(&mut world, 300 * MILLI);
         settle(&mut world);
     }
 }
--- a/batch/tests/cluster/scenarios.rs
+++ b/batch/tests/cluster/scenarios.rs
@@ -1,6 +1,6 @@
 //! Runs by name, each of which brings one of the operators' worst days about.
 
-use crate::day::{calm, read_back, wipe};
+use crate::day::{calm, power_off_all, read_back, wipe};
 use crate::world::{MILLI, SECOND, World};
 
 /// All runs, for the proof that deliberate breaks are found.
@@ -24,17 +24,9 @@
     world
 }
 
-fn power_off_all(world: &mut World) {
-    let names: Vec<u32> = world.stores.keys().copied().collect();
-    for name in names {
-        world.kill(name, true);
-        world.restart_after(name, 700 * MILLI);
-    }
-}
-
 /// Everything loses power; then all that was acknowledged is read.
 fn power_off_and_read(world: &mut World) {
-    power_off_all(world);
+    power_off_all(world, 700 * MILLI);
     world.run(2 * SECOND);
     calm(world);
     read_back(world);
@@ -96,7 +88,7 @@
     for seed in 1..=30 {
         let mut world = started(3, 1, seed);
         let lost = world.primary().unwrap();
-        power_off_all(&mut world);
+        power_off_all(&mut world, 700 * MILLI);
         world.add_store(lost);
         world.run(3 * SECOND);
         calm(&mut world);
@@ -181,7 +173,7 @@
     for seed in 1..=15 {
         let mut world = started(3, 1, seed);
         for round in 0..8u64 {
-            power_off_all(&mut world);
+            power_off_all(&mut world, 700 * MILLI);
             world.run((900 + 150 * round) * MILLI);
         }
         calm(&mut world);
--- a/dataplane/src/batch_share.rs
+++ b/dataplane/src/batch_share.rs
@@ -22,6 +22,10 @@
 const LARGEST_PART: f64 = 0.75;
 /// Part of the room that is dealt evenly among senders that have items, so that new items begin before the others know of them.
 const EVEN_PART: f64 = 0.2;
+/// Part of the places with which a sender begins, before it was told what live requests need.
+const FIRST_PART: f64 = 0.1;
+/// How fast that part may grow, a second.
+const GROWTH_PER_S: f64 = 0.15;
 /// Key of the offset with which an endpoint's places are dealt.
 const OFFSET_KEY: u64 = 0x6f66_6673_6574;
 
@@ -32,11 +36,6 @@
     pub items: u32,
 }
 
-/// Part of the places with which a sender begins, before it was told what live requests need.
-const FIRST_PART: f64 = 0.1;
-/// How fast that part may grow, a second.
-const GROWTH_PER_S: f64 = 0.15;
-
 /// The part of a service's places that batch work may fill, followed over time: it falls at once and grows slowly, so that
 /// after an outage, when all clients come again at the same moment, items do not take the places first.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,21 +78,18 @@
 }
 
 impl BatchShare {
-    /// The share of `me`. Senders without items have none; `me` has at least one item.
-    pub fn new(me: u64, senders: &[SenderItems], part: f64) -> BatchShare {
-        let mut active: Vec<SenderItems> =
-            senders.iter().copied().filter(|other| other.items > 0 && other.sender != me).collect();
-        let own = senders.iter().find(|other| other.sender == me).map_or(1, |own| own.items.max(1));
-        active.push(SenderItems { sender: me, items: own });
+    /// The share of `me`, which has at least one item. What `senders` say of it is passed over, and so are those without items.
+    pub fn new(me: SenderItems, senders: &[SenderItems], part: f64) -> BatchShare {
+        let me = SenderItems { items: me.items.max(1), ..me };
+        let others = senders.iter().copied().filter(|other| other.items > 0 && other.sender != me.sender);
+        let mut active: Vec<SenderItems> = others.chain([me]).collect();
         active.sort_by_key(|sender| sender.sender);
         let total: f64 = active.iter().map(|sender| f64::from(sender.items)).sum();
         let even = EVEN_PART / active.len() as f64;
         let share = |sender: &SenderItems| even + (1.0 - EVEN_PART) * f64::from(sender.items) / total;
-        let before = active.iter().take_while(|sender| sender.sender != me);
-        let from: f64 = before.map(share).sum();
-        let own = share(&SenderItems { sender: me, items: own });
-        let last = active.last().is_some_and(|sender| sender.sender == me);
-        BatchShare { part, from, to: if last { 1.0 } else { from + own } }
+        let from: f64 = active.iter().take_while(|sender| sender.sender != me.sender).map(share).sum();
+        let last = active.last() == Some(&me);
+        BatchShare { part, from, to: if last { 1.0 } else { from + share(&me) } }
     }
 
     /// Items that may be at this endpoint at once.
--- a/dataplane/src/dispatch.rs
+++ b/dataplane/src/dispatch.rs
@@ -4,12 +4,12 @@
 use crate::demand::Demand;
 use crate::endpoint_state::{EndpointState, READ_TOKENS_PER_MS};
 use crate::rank::rank;
-
-pub use crate::endpoint_state::CallEnd;
 use quillmount_window::{Micros, Parameters};
 use quillmount_wire::messages::Endpoint;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+pub use crate::endpoint_state::CallEnd;
+
 /// What a request in flight there costs the next one, in milliseconds of its first event.
 const COST_OF_CALL_MS: f64 = 2.0;
 /// What an endpoint of another zone costs, milliseconds.
@@ -114,19 +114,19 @@
         self.shares.get(&state.endpoint.service).copied().unwrap_or_default().slots
     }
 
-    fn has_room(&self, state: &EndpointState, now: Micros, quota: Option<&BatchShare>) -> bool {
+    fn has_room(&self, state: &EndpointState, now: Micros, batch: Option<&BatchShare>) -> bool {
         let window = state.window.size();
-        let most = quota.map_or(window, |quota| window.min(quota.places(&state.endpoint)));
-        let reads = quota.is_none_or(|quota| state.unread_tokens < quota.unread_tokens());
+        let most = batch.map_or(window, |batch| window.min(batch.places(&state.endpoint)));
+        let reads = batch.is_none_or(|batch| state.unread_tokens < batch.unread_tokens());
         state.in_flight < most && reads && now >= state.paused_until
     }
 
-    /// Chooses an endpoint and takes a place there; batch work keeps to its quota as well as to the window.
+    /// Chooses an endpoint and takes a place there; batch work keeps to its share as well as to the window.
     pub fn place(
         &mut self,
         service: &str,
         demand: &Demand,
-        quota: Option<&BatchShare>,
+        batch: Option<&BatchShare>,
         tried: &[String],
         now: Micros,
     ) -> Result<Placement, NoPlace> {
@@ -143,7 +143,7 @@
                 .max_by_key(|state| rank(part, &state.endpoint.id))
                 .map(|state| state.endpoint.id.clone())
         });
-        let open = candidates.iter().filter(|state| self.has_room(state, now, quota));
+        let open = candidates.iter().filter(|state| self.has_room(state, now, batch));
         let best = open
             .map(|state| (self.cost(state, demand, favourite.as_deref()), state))
             .min_by(|(one, _), (other, _)| one.total_cmp(other))
--- a/dataplane/tests/dispatch.rs
+++ b/dataplane/tests/dispatch.rs
@@ -159,8 +159,8 @@
     for stores in 1..12u64 {
         let senders = senders((0..stores).map(|_| 5));
         let mut placed = 0;
-        for SenderItems { sender, .. } in &senders {
-            let quota = BatchShare::new(*sender, &senders, 0.6);
+        for me in &senders {
+            let quota = BatchShare::new(*me, &senders, 0.6);
             let mut dispatcher = dispatcher(&["1"]);
             while placed < 100 && dispatcher.place("s", &Demand::default(), Some(&quota), &[], 1).is_ok() {
                 placed += 1;
@@ -174,7 +174,7 @@
 
 /// Items that each sender may have at all endpoints together, each endpoint a fresh dispatcher.
 fn room(senders: &[SenderItems], endpoints: u32) -> Vec<u32> {
-    let places = |me: u64| {
+    let places = |me: SenderItems| {
         let share = BatchShare::new(me, senders, 0.6);
         let at = |id: String| {
             let mut dispatcher = dispatcher(&[&id]);
@@ -184,7 +184,7 @@
         };
         (0..endpoints).map(|id| at(id.to_string())).sum()
     };
-    senders.iter().map(|sender| places(sender.sender)).collect()
+    senders.iter().map(|sender| places(*sender)).collect()
 }
 
 #[test]
@@ -200,7 +200,7 @@
 #[test]
 fn a_sender_that_nobody_knows_of_yet_has_room_for_its_first_items() {
     let known = senders([400, 400]);
-    let share = BatchShare::new(77, &known, 0.6);
+    let share = BatchShare::new(SenderItems { sender: 77, items: 0 }, &known, 0.6);
     let ids: Vec<String> = (0..50).map(|id| id.to_string()).collect();
     let mut dispatcher = dispatcher(&ids.iter().map(String::as_str).collect::<Vec<_>>());
     assert!(dispatcher.place("s", &Demand::default(), Some(&share), &[], 1).is_ok());
@@ -294,7 +294,8 @@
 #[test]
 fn prompts_of_items_that_are_not_read_yet_hold_further_items_back_and_no_live_request() {
     let mut dispatcher = dispatcher(&["1"]);
-    let quota = BatchShare::new(7919, &senders([5, 5, 5]), 0.6);
+    let senders = senders([5, 5, 5]);
+    let quota = BatchShare::new(senders[0], &senders, 0.6);
     let demand = Demand { parts: Vec::new(), prompt_tokens: 1500, output_tokens: 1 };
     let first = dispatcher.place("s", &demand, Some(&quota), &[], 1).unwrap();
     assert_eq!(dispatcher.place("s", &demand, Some(&quota), &[], 1), Err(NoPlace::Busy));
--- a/node/src/core/polls.rs
+++ b/node/src/core/polls.rs
@@ -3,7 +3,7 @@
 use super::register::Core;
 use crate::node::Node;
 use quillmount_control::Admission;
-use quillmount_wire::messages::{NodeRole, Poll, Request, Response, Tables};
+use quillmount_wire::messages::{NodeRole, Poll, Request, Response, TableVersions, Tables};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,13 +29,15 @@
     let held_until = tokio::time::Instant::now() + hold;
     loop {
         let news = core.news.notified();
-        let Some(tables) = newer(core, &poll) else {
+        let Some(tables) = newer(core, poll.have) else {
             return Response::NotPrimary { hint: core.primary_address() };
         };
         let empty =
             tables.configuration.is_none() && tables.placement.is_none() && tables.directory.is_none();
         if !empty || tokio::time::Instant::now() >= held_until {
-            return Response::Tables(tables);
+            let loads =
+                if poll.node.role == NodeRole::Store { core.leases.borrow().loads() } else { Vec::new() };
+            return Response::Tables(Tables { loads, ..tables });
         }
         let _ = tokio::time::timeout_at(held_until, news).await;
     }
@@ -82,8 +84,7 @@
 
 /// Committed tables that are newer than those of the asker; `None` if this member no longer serves, or can't be sure of it:
 /// tables are handed out only while a majority was heard lately.
-fn newer(core: &Core, poll: &Poll) -> Option<Tables> {
-    let have = poll.have;
+fn newer(core: &Core, have: TableVersions) -> Option<Tables> {
     let epoch = core.serving()?;
     let state = core.recent()?;
     let configuration =
@@ -97,6 +98,5 @@
     let leases = core.leases.borrow();
     let (senders, relays) = (leases.senders(), leases.relays());
     let primary = core.node.info.internal.clone();
-    let loads = if poll.node.role == NodeRole::Store { leases.loads() } else { Vec::new() };
-    Some(Tables { epoch, configuration, placement, directory, senders, primary, relays, loads })
+    Some(Tables { epoch, configuration, placement, directory, senders, primary, relays, loads: Vec::new() })
 }
--- a/node/src/edge/mod.rs
+++ b/node/src/edge/mod.rs
@@ -11,12 +11,11 @@
 use crate::http::{self, Answer};
 use crate::node::Node;
 use crate::rpc::{self, Handler};
-use crate::subscription::{self, Reporter};
+use crate::subscription::{self, Needs, Reporter};
 use connection::Connections;
 use quillmount_storage::{StorageError, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole, Request, Response, ShardReport};
 use quillmount_wire::settings::Settings;
-use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -120,12 +119,8 @@
         Vec::new()
     }
 
-    fn waiting(&self) -> HashMap<String, f64> {
-        self.0.waiting()
-    }
-
-    fn items(&self) -> HashMap<String, u32> {
-        HashMap::new()
+    fn needs(&self) -> Needs {
+        Needs { places: self.0.waiting(), ..Needs::default() }
     }
 }
 
--- a/node/src/store/items.rs
+++ b/node/src/store/items.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod line;
 
-pub use line::Runner;
+pub use line::{Runner, places_for};
 
 use super::Store;
 use super::reign::{Reign, Tracked};
@@ -167,15 +167,14 @@
 /// This store's share of a service's endpoints: by the items that it has beside those of the others, of the room that live
 /// requests leave.
 fn batch_share(store: &Store, service: &str, now: u64, room: &mut BatchRoom) -> BatchShare {
-    let me = store.node.info.disk;
     let loads = store.node.loads.borrow().clone();
     let load = loads.iter().find(|load| load.service == service);
-    let others = load.into_iter().flat_map(|load| &load.items).filter(|(sender, _)| *sender != me);
-    let mut senders: Vec<SenderItems> =
-        others.map(|(sender, items)| SenderItems { sender: *sender, items: *items }).collect();
-    // Of its own items the store knows better than the core does.
-    let own = store.items().get(service).copied().unwrap_or_default() + 1;
-    senders.push(SenderItems { sender: me, items: own });
+    let known = load.into_iter().flat_map(|load| &load.items);
+    let senders: Vec<SenderItems> =
+        known.map(|(sender, items)| SenderItems { sender: *sender, items: *items }).collect();
+    // Of its own items the store knows better than the core does; the one that is placed now waits no longer.
+    let own = store.needs().items.get(service).copied().unwrap_or_default() + 1;
+    let me = SenderItems { sender: store.node.info.disk, items: own };
     let capacity = store.node.dispatcher.borrow().capacity(service);
     let left = load.map(|load| batch_part(load.live_places, capacity));
     BatchShare::new(me, &senders, room.follow(now, left))
--- a/node/src/store/items/line.rs
+++ b/node/src/store/items/line.rs
@@ -28,6 +28,12 @@
     number: u64,
 }
 
+/// Places needed for items that wait, by service, if they are to be done within [`BACKLOG_S`].
+pub fn places_for(waiting: &HashMap<String, u32>) -> HashMap<String, f64> {
+    let places = |items: u32| f64::from(items) * ITEM_S / BACKLOG_S;
+    waiting.iter().map(|(service, items)| (service.clone(), places(*items))).collect()
+}
+
 /// A share of a service's endpoints as it was last worked out.
 #[derive(Clone, Copy)]
 struct KnownShare {
@@ -104,12 +110,6 @@
         self.queue.borrow().is_empty()
     }
 
-    /// Places needed for the items that wait, if they are to be done within [`BACKLOG_S`].
-    pub fn demand(&self, routes: &RouteTable) -> HashMap<String, f64> {
-        let places = |items: u32| f64::from(items) * ITEM_S / BACKLOG_S;
-        self.waiting(routes).into_iter().map(|(service, items)| (service, places(items))).collect()
-    }
-
     /// Items that wait, by service.
     pub fn waiting(&self, routes: &RouteTable) -> HashMap<String, u32> {
         let mut waiting: HashMap<String, u32> = HashMap::new();
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -12,7 +12,7 @@
 use crate::edge::{RoleError, listen, wait_for_stop};
 use crate::node::Node;
 use crate::rpc::{self, Handler};
-use crate::subscription::{self, Reporter};
+use crate::subscription::{self, Needs, Reporter};
 use items::Runner;
 use quillmount_batch::{RETRY, ReplicaIdentity, StoreRecord, WriteId};
 use quillmount_control::SHARDS;
@@ -21,7 +21,6 @@
 use quillmount_wire::settings::Settings;
 use shard::Shard;
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -120,16 +119,13 @@
         self.shards.iter().filter_map(|shard| shard.report()).collect()
     }
 
-    fn waiting(&self) -> HashMap<String, f64> {
-        self.runner.demand(&self.node.tables().routes)
-    }
-
-    fn items(&self) -> HashMap<String, u32> {
+    fn needs(&self) -> Needs {
         let mut items = self.runner.waiting(&self.node.tables().routes);
+        let places = items::places_for(&items);
         for (service, running) in self.node.dispatcher.borrow().in_flight() {
             *items.entry(service).or_default() += running;
         }
-        items
+        Needs { places, items }
     }
 }
 
--- a/node/src/subscription.rs
+++ b/node/src/subscription.rs
@@ -28,10 +28,17 @@
 pub trait Reporter {
     /// Reports of the shards whose primary this process is.
     fn shards(&self) -> Vec<ShardReport>;
-    /// Places that are needed beyond the calls in flight, by service.
-    fn waiting(&self) -> HashMap<String, f64>;
-    /// Items of batch jobs that wait or run here, by service.
-    fn items(&self) -> HashMap<String, u32>;
+    /// What it needs of endpoints now.
+    fn needs(&self) -> Needs;
+}
+
+/// What a process needs of endpoints, by service.
+#[derive(Default)]
+pub struct Needs {
+    /// Places beyond the calls in flight.
+    pub places: HashMap<String, f64>,
+    /// Items of batch jobs that wait or run here.
+    pub items: HashMap<String, u32>,
 }
 
 /// Polls for as long as the process lives.
@@ -72,6 +79,7 @@
 /// Sends one poll and takes its answer.
 async fn poll_once(node: &Rc<Node>, address: &str, reporter: &dyn Reporter) -> Polled {
     let stopping = node.stopping.get();
+    let Needs { places, items } = reporter.needs();
     let poll = Poll {
         node: node.info.clone(),
         life: node.life,
@@ -81,8 +89,8 @@
         shards: reporter.shards(),
         leaving: stopping,
         relayed: false,
-        demand: demand(node, reporter),
-        items: reporter.items().into_iter().collect(),
+        demand: demand(node, places),
+        items: items.into_iter().collect(),
     };
     let request = Request::Poll(poll);
     let call = node.links.call(address, &request, POLL_TIME);
@@ -92,7 +100,7 @@
         () = node.report.notified() => return Polled::Answered,
     };
     match answer {
-        Ok(Response::Tables(tables)) => {
+        Ok(Response::Tables(mut tables)) => {
             // Behind a relay the primary itself is tried now and then.
             let direct = address == tables.primary || !clock::draw().is_multiple_of(DIRECT_EVERY);
             *node.contact.borrow_mut() =
@@ -100,7 +108,7 @@
             node.heard.set(clock::micros());
             *node.leader.borrow_mut() = Some(tables.primary.clone());
             *node.relays.borrow_mut() = tables.relays.clone();
-            *node.loads.borrow_mut() = Rc::new(tables.loads.clone());
+            *node.loads.borrow_mut() = Rc::new(std::mem::take(&mut tables.loads));
             apply(node, tables);
             if stopping {
                 tokio::time::sleep(PAUSE).await;
@@ -112,9 +120,8 @@
     }
 }
 
-/// Places needed at once: calls in flight, and what waits.
-fn demand(node: &Node, reporter: &dyn Reporter) -> Vec<(String, f64)> {
-    let mut demand = reporter.waiting();
+/// Places needed at once: calls in flight, and those beyond them.
+fn demand(node: &Node, mut demand: HashMap<String, f64>) -> Vec<(String, f64)> {
     for (service, calls) in node.dispatcher.borrow().in_flight() {
         *demand.entry(service).or_default() += f64::from(calls);
     }
