--- a/tier/dataplane/src/events.rs
+++ b/tier/dataplane/src/events.rs
@@ -37,12 +37,16 @@
     /// The next complete event, `None` if more bytes are needed.
     ///
     /// # Errors
-    /// The event is larger than [`EVENT_LIMIT`].
+    /// The event, complete or not, is larger than [`EVENT_LIMIT`]. It stays where it is: the stream can't be read further.
     pub fn next_event(&mut self) -> Result<Option<SseEvent>, EventTooLong> {
-        let Some(end) = self.event_end() else {
+        let end = self.event_end();
+        if end.unwrap_or(self.pending.len()) > EVENT_LIMIT {
+            return Err(EventTooLong);
+        }
+        let Some(end) = end else {
             // An end of three bytes may have begun in the last two.
             self.searched = self.pending.len().saturating_sub(3);
-            return if self.pending.len() > EVENT_LIMIT { Err(EventTooLong) } else { Ok(None) };
+            return Ok(None);
         };
         let raw: Vec<u8> = self.pending.drain(..end).collect();
         self.searched = 0;
--- a/tier/node/src/edge/forward/stream.rs
+++ b/tier/node/src/edge/forward/stream.rs
@@ -7,25 +7,14 @@
 use crate::upstream::{BodyProgress, UpstreamAnswer};
 use quillmount_dataplane::body::{LAST_CHUNK, write_chunk};
 use quillmount_dataplane::dispatch::CallOutcome;
-use quillmount_dataplane::events::{EventReader, EventTooLong};
+use quillmount_dataplane::event_sequence::{EventIds, EventSequence, SequenceError};
 use quillmount_dataplane::head::ResponseHead;
 use quillmount_wire::Micros;
 use tokio::time::timeout;
 
-/// Why the events of an endpoint can't be forwarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum StreamError {
-    /// An event is too long.
-    #[error(transparent)]
-    TooLong(#[from] EventTooLong),
-    /// An event does not follow the last one that the client has.
-    #[error("an event is out of sequence")]
-    OutOfSequence,
-}
-
 /// The part of a stream that one endpoint sends.
 struct EndpointStream {
-    events: EventReader,
+    events: EventSequence,
     /// Time from the start of the attempt to the first event; `None` before that event.
     first_event: Option<Micros>,
     /// Whether the endpoint continues a stream after an event that the client has.
@@ -33,6 +22,14 @@
     keep_alive: bool,
 }
 
+/// What one read of an endpoint's stream brought.
+struct AcceptedEvents {
+    /// Bytes of the complete events.
+    content: Vec<u8>,
+    /// What is wrong behind them.
+    fault: Option<SequenceError>,
+}
+
 /// Forwards events until the stream ends or can't be continued at this endpoint.
 pub(super) async fn forward(
     request: &mut ForwardedRequest<'_>,
@@ -41,7 +38,7 @@
     mut answer: UpstreamAnswer,
 ) -> AttemptOutcome {
     let mut stream = EndpointStream {
-        events: EventReader::default(),
+        events: EventSequence::resuming(request.last_event, EventIds::Optional),
         first_event: None,
         resumed: request.last_event.is_some(),
         keep_alive: request.keep_alive() && !request.node.stopping.get(),
@@ -57,16 +54,18 @@
             stream.finish_with_fault(request, attempt, CallOutcome::TimedOut(attempt.elapsed()));
             return AttemptOutcome::Retry(HttpResponse::text(504, "the endpoint fell silent"));
         };
-        let Ok(content) = stream.accept(request, attempt, &bytes) else {
-            stream.finish_with_fault(request, attempt, CallOutcome::Error);
-            return AttemptOutcome::Retry(HttpResponse::text(502, "the endpoint sent no events"));
-        };
-        let complete = progress == BodyProgress::End && stream.events.remainder() == 0;
+        let AcceptedEvents { content, fault } = stream.accept(request, attempt, &bytes);
+        let complete = fault.is_none() && progress == BodyProgress::End && stream.events.is_between_events();
         let packet = stream.encode(request, &answer.head, &content, complete);
         if !packet.is_empty() && connection.write(&packet).await.is_err() {
             stream.finish_without_fault(request, attempt);
             return AttemptOutcome::Done(ServeOutcome::Abort);
         }
+        if let Some(fault) = fault {
+            tracing::debug!(endpoint = attempt.reservation.id, %fault, "an endpoint's stream can't be read further");
+            stream.finish_with_fault(request, attempt, CallOutcome::Error);
+            return AttemptOutcome::Retry(HttpResponse::text(502, "the endpoint sent no events"));
+        }
         if complete {
             stream.finish_without_fault(request, attempt);
             answer.release(&request.node.upstreams);
@@ -80,30 +79,23 @@
 }
 
 impl EndpointStream {
-    /// Adds received bytes and returns the bytes of the events that are complete now.
+    /// Adds received bytes and returns the events that are complete now. Those before a fault are for the client as well: its
+    /// stream is continued after them.
     fn accept(
         &mut self,
         request: &mut ForwardedRequest<'_>,
         attempt: &Attempt<'_>,
         bytes: &[u8],
-    ) -> Result<Vec<u8>, StreamError> {
-        self.events.add(bytes);
-        let mut content = Vec::new();
-        while let Some(event) = self.events.next_event()? {
-            if let (Some(last), Some(id)) = (request.last_event, event.id)
-                && id != last + 1
-            {
-                return Err(StreamError::OutOfSequence);
-            }
-            request.last_event = event.id.or(request.last_event);
-            content.extend_from_slice(&event.raw);
-        }
+    ) -> AcceptedEvents {
+        let received = self.events.add(bytes);
+        request.last_event = self.events.last_id();
+        let content: Vec<u8> = received.events.into_iter().flat_map(|event| event.raw).collect();
         if !content.is_empty() && self.first_event.is_none() {
             self.first_event = Some(attempt.elapsed());
             request.node.dispatcher.borrow_mut().first_event(attempt.reservation);
             request.count_usage();
         }
-        Ok(content)
+        AcceptedEvents { content, fault: received.fault }
     }
 
     /// Bytes for the client: the head before the first events, the events as a chunk, and the end of a complete stream.
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -9,7 +9,8 @@
 use crate::store::state::Store;
 use crate::upstream::{BodyProgress, UpstreamAnswer, UpstreamError, UpstreamRequest};
 use quillmount_dataplane::dispatch::{CallOutcome, Reservation};
-use quillmount_dataplane::events::{EventReader, SseEvent};
+use quillmount_dataplane::event_sequence::{EventIds, EventSequence};
+use quillmount_dataplane::events::SseEvent;
 use quillmount_wire::Micros;
 use quillmount_wire::messages::Phase;
 use std::rc::Rc;
@@ -110,22 +111,16 @@
 
     /// Reads events until the stream ends.
     async fn read_events(&mut self, answer: &mut UpstreamAnswer) -> ItemAttemptOutcome {
-        let mut events = EventReader::default();
+        let mut sequence = EventSequence::resuming(self.run.last_event, EventIds::Required);
         loop {
             let mut bytes = Vec::new();
             let Ok(progress) = tokio::time::timeout(SILENCE_TIMEOUT, answer.read(&mut bytes)).await else {
                 return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
             };
-            events.add(&bytes);
-            loop {
-                let event = match events.next_event() {
-                    Ok(Some(event)) => event,
-                    Ok(None) => break,
-                    Err(_) => return ItemAttemptOutcome::Retry(CallOutcome::Error),
-                };
-                if !self.add_event(event) {
-                    return ItemAttemptOutcome::Retry(CallOutcome::Error);
-                }
+            let received = sequence.add(&bytes);
+            received.events.into_iter().for_each(|event| self.add_event(event));
+            if received.fault.is_some() {
+                return ItemAttemptOutcome::Retry(CallOutcome::Error);
             }
             if self.run.text.iter().map(String::len).sum::<usize>() > TEXT_LIMIT {
                 // No valid answer is this long: the item starts from the beginning, until the job gives it up.
@@ -135,27 +130,21 @@
             }
             match progress {
                 BodyProgress::More => {}
-                BodyProgress::End if events.remainder() == 0 => return ItemAttemptOutcome::Complete,
+                BodyProgress::End if sequence.is_between_events() => return ItemAttemptOutcome::Complete,
                 _ => return ItemAttemptOutcome::Retry(CallOutcome::Lost),
             }
         }
     }
 
-    /// Appends an event to the item's text; whether it is the one that follows the last.
-    fn add_event(&mut self, event: SseEvent) -> bool {
+    /// Appends the next event to the item's text.
+    fn add_event(&mut self, event: SseEvent) {
         if self.first_event_latency.is_none() {
             self.first_event_latency = Some(self.elapsed());
             self.store.node.dispatcher.borrow_mut().first_event(&self.reservation);
             self.store.node.capacity_freed.notify_waiters();
         }
-        // An event without a number can't be placed, and one out of sequence belongs to another run.
-        let expected = self.run.last_event.map(|last| last + 1);
-        if event.id.is_none() || expected.is_some_and(|expected| event.id != Some(expected)) {
-            return false;
-        }
         self.run.last_event = event.id;
         self.run.text.push(event.data.unwrap_or_default());
-        true
     }
 
     /// Time since the start.
--- a/tier/node/tests/tier/answers.rs
+++ b/tier/node/tests/tier/answers.rs
@@ -8,11 +8,13 @@
 
 /// For each outcome of the first attempt: arrivals at endpoints and final status on the routes `safe`, `once`, `live`
 /// (resumable) and `flow`.
-const TABLE: [(&str, [(u32, u16); 4]); 12] = [
+const TABLE: [(&str, [(u32, u16); 4]); 13] = [
     // No answer arrived: the request may have run, so only idempotent requests are retried.
     ("close-before", [(2, 200), (1, 502), (2, 200), (1, 502)]),
     ("close-in-head", [(2, 200), (1, 502), (2, 200), (1, 502)]),
     ("close-in-body", [(2, 200), (1, 502), (2, 200), (1, BROKEN_OFF)]),
+    // An event and, in the same read, one out of sequence: the client has the first, and the stream goes on after it.
+    ("skip", [(1, 200), (1, 200), (2, 200), (1, BROKEN_OFF)]),
     ("silent", [(1, 504), (1, 504), (2, 200), (1, 504)]),
     // A rejection with the promise that the request has not run.
     ("not-run", [(2, 200), (2, 200), (2, 200), (2, 200)]),
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -138,6 +138,16 @@
     let _ = stream.write_all(b"0\r\n\r\n");
 }
 
+/// One write with the first event and the third, which does not follow it.
+fn skip_an_event(mut stream: &TcpStream, received: &ReceivedRequest, id: &str) {
+    let tenant = header(&received.head, "Tenant").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {id}\r\nSeal: seal-1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    );
+    let events = format!("id: 1\ndata: {tenant}\n\nid: 3\ndata: three\n\n");
+    let _ = stream.write_all(format!("{head}{:x}\r\n{events}\r\n0\r\n\r\n", events.len()).as_bytes());
+}
+
 /// How often each request reached an endpoint, by its id.
 pub type Arrivals = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -193,6 +203,9 @@
             let head = format!("HTTP/1.1 200 OK\r\n{own}Content-Length: 4\r\n\r\ndo");
             let _ = stream.write_all(head.as_bytes());
         }
+        "skip" if received.target.starts_with("/live/") || received.target.starts_with("/flow/") => {
+            skip_an_event(stream, received, id);
+        }
         "not-run" => answer_with(stream, "503 Service Unavailable", &format!("{own}Not-Run: 1\r\n"), ""),
         "not-run-cut" => {
             let head =
