Storage: no identity is drawn over a ring

Cause: load_identity took any failure to read the file for 'there is none' and drew a new identity, also beside a ring with data: the machine came back as a new disk with the promises of another.

Result: tests no_identity_is_drawn_over_a_ring (four kinds of damage), an_identity_without_a_ring_is_drawn_anew_only_if_it_was_read, a_role_does_not_start_over_a_ring_without_its_identity: ok; 'cargo test -p quillmount-storage': 20 passed.

--- a/tier/node/src/role.rs
+++ b/tier/node/src/role.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use crate::socket;
-use quillmount_storage::StorageError;
+use quillmount_storage::{IdentityError, StorageError};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -15,6 +15,9 @@
     /// The data folder is unreadable or damaged.
     #[error("the data folder can't be used: {0}")]
     Storage(StorageError),
+    /// The disk has no identity that can be used.
+    #[error("the identity of the disk can't be used: {0}")]
+    Identity(IdentityError),
     /// An address can't be listened on.
     #[error("can't listen on {address}: {error}")]
     Listen {
@@ -34,6 +37,12 @@
     }
 }
 
+impl From<IdentityError> for RoleError {
+    fn from(error: IdentityError) -> Self {
+        RoleError::Identity(error)
+    }
+}
+
 /// Listens on an address of the settings.
 pub fn listen(address: &str) -> Result<TcpListener, RoleError> {
     socket::listen(address).map_err(|error| RoleError::Listen { address: address.to_owned(), error })
--- a/tier/node/tests/commands.rs
+++ b/tier/node/tests/commands.rs
@@ -59,3 +59,20 @@
     assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 0);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// A store over a ring whose identity is lost must not start as a new disk: it says so and leaves the folder as it is.
+#[test]
+fn a_role_does_not_start_over_a_ring_without_its_identity() {
+    let folder = std::env::temp_dir().join(format!("quillmount-command-{}-lost", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("segment-001"), "").unwrap();
+    let settings = format!(
+        "Hostname = \"s\"\nBindIp = \"127.0.0.1\"\nAz = \"a\"\nPortRange = [1, 1]\nVarDir = \"{}\"\n[Limits]\nRamMb = 64\nNofile = 64\n[Survive]\nBoxes = 1\n[Slo]\n",
+        folder.display()
+    );
+    let output = run(&["store"], Some(&file("lost.toml", &settings)));
+    assert_eq!(output.status.code(), Some(1));
+    assert!(errors(&output).contains("missing or damaged beside a ring"), "{}", errors(&output));
+    assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 1);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/tier/storage/src/error.rs
+++ b/tier/storage/src/error.rs
@@ -1,4 +1,4 @@
-//! Why an operation on the ring or on a disk's identity failed.
+//! Why an operation on the ring failed.
 
 /// Why a record could not be stored or read.
 #[derive(Debug, thiserror::Error)]
--- a/tier/storage/src/files.rs
+++ b/tier/storage/src/files.rs
@@ -51,6 +51,16 @@
     Ok(file)
 }
 
+/// Whether a folder has a file of a ring, written or not.
+pub(crate) fn holds_ring(folder: &Path) -> std::io::Result<bool> {
+    for entry in fs::read_dir(folder)? {
+        if entry?.file_name().to_string_lossy().starts_with(FILE_PREFIX) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
 /// Makes the names of new files durable.
 pub(crate) fn sync_folder(folder: &Path) -> std::io::Result<()> {
     File::open(folder)?.sync_all()
--- a/tier/storage/src/lib.rs
+++ b/tier/storage/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use error::StorageError;
 pub use files::RingSize;
-pub use identity::{Identity, load_identity};
+pub use identity::{Identity, IdentityError, load_identity};
 pub use recovery::read_records;
 pub use ring::Ring;
 pub use segment::RingRecord;
--- a/tier/storage/tests/ring.rs
+++ b/tier/storage/tests/ring.rs
@@ -1,6 +1,8 @@
 //! The ring through restarts, torn and missing writes.
 
-use quillmount_storage::{Ring, RingRecord, RingSize, StorageError, load_identity, read_records};
+use quillmount_storage::{
+    IdentityError, Ring, RingRecord, RingSize, StorageError, load_identity, read_records,
+};
 use quillmount_test_support::temporary::TemporaryFolder;
 use std::fs::{self, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
@@ -209,6 +211,44 @@
     assert_eq!(load_identity(&folder.0, 8).unwrap().disk, 8);
 }
 
+/// The records of a ring belong to the identity that was there: whatever became of its file, none is drawn anew.
+#[test]
+fn no_identity_is_drawn_over_a_ring() {
+    let damages: [fn(&std::path::Path); 4] = [
+        |file| fs::remove_file(file).unwrap(),
+        |file| fs::write(file, "").unwrap(),
+        |file| fs::write(file, "no number").unwrap(),
+        |file| fs::write(file, [0xff, 0xfe]).unwrap(),
+    ];
+    for damage in damages {
+        let folder = TemporaryFolder::new();
+        load_identity(&folder.0, 7).unwrap();
+        let (mut ring, _) = open(&folder).unwrap();
+        ring.append(b"a record").unwrap();
+        ring.sync().unwrap();
+        drop(ring);
+        damage(&folder.0.join("identity"));
+        let error = load_identity(&folder.0, 8).unwrap_err();
+        assert!(matches!(error, IdentityError::LostBesideRing { .. }), "{error}");
+        assert!(error.to_string().contains("empty the folder"), "{error}");
+        assert_eq!(open(&folder).unwrap().1.len(), 1, "the ring is as it was");
+        fs::write(folder.0.join("identity"), "0000000000000007\n").unwrap();
+        assert_eq!(load_identity(&folder.0, 8).unwrap().disk, 7);
+    }
+}
+
+/// A damaged file without a ring has nothing to lose; one that the operating system does not give is left as it is.
+#[test]
+fn an_identity_without_a_ring_is_drawn_anew_only_if_it_was_read() {
+    let folder = TemporaryFolder::new();
+    fs::write(folder.0.join("identity"), "no number").unwrap();
+    let drawn = load_identity(&folder.0, 8).unwrap();
+    assert_eq!((drawn.disk, drawn.fresh), (8, true));
+    fs::remove_file(folder.0.join("identity")).unwrap();
+    fs::create_dir(folder.0.join("identity")).unwrap();
+    assert!(matches!(load_identity(&folder.0, 9).unwrap_err(), IdentityError::Io { .. }));
+}
+
 fn files(folder: &TemporaryFolder) -> usize {
     fs::read_dir(&folder.0).unwrap().count()
 }
