Tier: numbers are checked where they come in, sums inside stop at the largest number

Cause: numbers of configurations, settings, batch jobs and Keep-Alive had no upper bound (some not even a lower one) and were added and multiplied: a sum of tokens that overflows came out small and bypassed a quota; a span overflowed (a panic in debug builds). A result that a job did not take was counted in the estimate of its bytes.

Change: ranges (quillmount-wire) has the range of each kind of number. A configuration outside is answered 400 with the field, settings end the start, a batch job is answered 400 with Requests[ID].Tokens; its other faults are named too (SubmissionError). Sums of tokens saturate, spans count as ten years at most, Keep-Alive as an hour. Negative weights and time-outs have texts of their own. ShardJobs counts only results that were added.

--- a/tier/batch/src/job.rs
+++ b/tier/batch/src/job.rs
@@ -40,7 +40,7 @@
         let digest = job_digest(&job);
         let item_indices =
             job.items.iter().enumerate().map(|(index, item)| (item.id.clone(), index as u32)).collect();
-        let waiting_tokens = job.items.iter().map(|item| item.tokens).sum();
+        let waiting_tokens = job.tokens();
         JobEntry {
             job: Rc::new(job),
             results: Vec::new(),
@@ -88,16 +88,17 @@
         self.digest
     }
 
-    /// Adds a result, unless the job has ended, has no such item, or the item has its result.
-    pub(crate) fn append(&mut self, result: ItemResult) {
+    /// Adds a result, unless the job has ended, has no such item, or the item has its result. Returns whether it was added.
+    pub(crate) fn append(&mut self, result: ItemResult) -> bool {
         let exists = (result.item as usize) < self.job.items.len();
         if self.ended || !exists || !self.items_with_result.insert(result.item) {
-            return;
+            return false;
         }
         let tokens = self.job.items.get(result.item as usize).map_or(0, |item| item.tokens);
         self.waiting_tokens = self.waiting_tokens.saturating_sub(tokens);
         self.digest = result_digest(self.digest, &result);
         self.results.push(result);
+        true
     }
 
     /// Ends the job.
@@ -112,7 +113,9 @@
 impl From<JobState> for JobEntry {
     fn from(state: JobState) -> JobEntry {
         let mut entry = JobEntry::new(state.job);
-        state.results.into_iter().for_each(|result| entry.append(result));
+        for result in state.results {
+            entry.append(result);
+        }
         if state.ended {
             entry.end();
         }
--- a/tier/batch/src/quota.rs
+++ b/tier/batch/src/quota.rs
@@ -81,17 +81,18 @@
         if reservation.advance_to(claim.epoch, claim.sequence) {
             reservation.tokens.insert(claim.key.clone(), claim.reserved);
         }
-        if self.total(&claim.key) + claim.tokens > limit {
+        if self.total(&claim.key).saturating_add(claim.tokens) > limit {
             return ClaimOutcome::Exceeded;
         }
         let reservation = self.reservations.entry(claim.shard).or_default();
-        *reservation.tokens.entry(claim.key.clone()).or_default() += claim.tokens;
+        add_tokens(&mut reservation.tokens, &claim.key, claim.tokens);
         ClaimOutcome::Granted
     }
 
     /// Tokens of a key over all shards.
     pub fn total(&self, key: &QuotaKey) -> u64 {
-        self.reservations.values().filter_map(|reservation| reservation.tokens.get(key)).sum()
+        let reserved = self.reservations.values().filter_map(|reservation| reservation.tokens.get(key));
+        reserved.copied().fold(0, u64::saturating_add)
     }
 }
 
@@ -104,7 +105,7 @@
 impl PendingClaims {
     /// Adds a claim; to be called before it is sent.
     pub fn begin(&mut self, key: &QuotaKey, tokens: u64) {
-        *self.tokens.entry(key.clone()).or_default() += tokens;
+        add_tokens(&mut self.tokens, key, tokens);
     }
 
     /// Removes a claim: its job is committed and counted as waiting, or was not started.
@@ -125,8 +126,14 @@
     /// Adds the claimed tokens to those of items that wait.
     pub fn add_to(&self, mut waiting: BTreeMap<QuotaKey, u64>) -> BTreeMap<QuotaKey, u64> {
         for (key, tokens) in &self.tokens {
-            *waiting.entry(key.clone()).or_default() += tokens;
+            add_tokens(&mut waiting, key, *tokens);
         }
         waiting
     }
 }
+
+/// Adds tokens to those of a key. What does not fit counts as the largest number: a quota errs upwards.
+pub(crate) fn add_tokens(all: &mut BTreeMap<QuotaKey, u64>, key: &QuotaKey, tokens: u64) {
+    let sum = all.entry(key.clone()).or_default();
+    *sum = sum.saturating_add(tokens);
+}
--- a/tier/batch/src/shard_jobs.rs
+++ b/tier/batch/src/shard_jobs.rs
@@ -2,6 +2,7 @@
 
 use crate::digests::{BUCKETS, bucket_of};
 use crate::job::{JobEntry, result_bytes};
+use crate::quota::add_tokens;
 use crate::record::StoreRecord;
 use quillmount_wire::messages::{BucketDigest, JobState, QuotaKey, ShardOperation};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,8 +41,10 @@
             }
             ShardOperation::Append { job, result } => {
                 if let Some(entry) = self.jobs.get_mut(job) {
-                    self.bytes += result_bytes(result);
-                    entry.append(result.clone());
+                    let bytes = result_bytes(result);
+                    if entry.append(result.clone()) {
+                        self.bytes += bytes;
+                    }
                 }
             }
             ShardOperation::End { job } => {
@@ -104,7 +107,7 @@
         let mut waiting: BTreeMap<QuotaKey, u64> = BTreeMap::new();
         for entry in self.jobs.values().filter(|entry| entry.waiting_tokens() > 0) {
             let key = QuotaKey { tenant: entry.job.tenant.clone(), route: entry.job.route.clone() };
-            *waiting.entry(key).or_default() += entry.waiting_tokens();
+            add_tokens(&mut waiting, &key, entry.waiting_tokens());
         }
         waiting
     }
--- a/tier/batch/tests/quota.rs
+++ b/tier/batch/tests/quota.rs
@@ -68,6 +68,26 @@
     assert_eq!(ledger.claim(&claim(1, 6, 100, 100), None), ClaimOutcome::Granted);
 }
 
+/// Counts near the limit of 64 bits stop there instead of starting again at 0: nothing is granted by an overflow.
+#[test]
+fn tokens_that_do_not_fit_into_a_number_exceed_every_limit() {
+    let mut ledger = QuotaLedger::new(5, 2);
+    ledger.apply_statement(&statement(5, 0, 1, 1));
+    ledger.apply_statement(&statement(5, 1, 1, 0));
+    for tokens in [u64::MAX, u64::MAX - 1, LIMIT] {
+        assert_eq!(ledger.claim(&claim(0, 2, tokens, 1), None), ClaimOutcome::Exceeded, "{tokens}");
+    }
+    ledger.apply_statement(&statement(5, 0, 3, u64::MAX));
+    ledger.apply_statement(&statement(5, 1, 3, 2));
+    assert_eq!(ledger.total(&key()), u64::MAX);
+    assert_eq!(ledger.claim(&claim(1, 4, 1, 2), None), ClaimOutcome::Exceeded);
+    let mut pending = PendingClaims::default();
+    pending.begin(&key(), u64::MAX);
+    pending.begin(&key(), 2);
+    assert_eq!(pending.claimed(&key()), u64::MAX);
+    assert_eq!(pending.add_to(BTreeMap::from([(key(), 3)])), BTreeMap::from([(key(), u64::MAX)]));
+}
+
 /// A shard as its primary counts it.
 #[derive(Default)]
 struct Shard {
--- a/tier/batch/tests/shard.rs
+++ b/tier/batch/tests/shard.rs
@@ -153,6 +153,30 @@
     QuickCheck::new().tests(300).quickcheck(same as fn(Operations, usize) -> bool);
 }
 
+/// The estimate is what the jobs take that are there, also after operations without effect: no result that a job did not take is
+/// counted.
+#[test]
+fn bytes_are_those_of_the_same_jobs_stored_anew() {
+    fn same(operations: Operations) -> bool {
+        let shard = applied(&operations);
+        let mut anew = ShardJobs::default();
+        anew.install(&[], content(&shard), None);
+        shard.bytes() == anew.bytes()
+    }
+    QuickCheck::new().tests(300).quickcheck(same as fn(Operations) -> bool);
+}
+
+#[test]
+fn tokens_of_a_job_stop_at_the_largest_number() {
+    let mut largest = job("a", 3);
+    largest.items.iter_mut().for_each(|item| item.tokens = u64::MAX / 2);
+    assert_eq!(largest.tokens(), u64::MAX);
+    let mut shard = ShardJobs::default();
+    shard.apply(&ShardOperation::Submit(largest.clone()));
+    shard.apply(&ShardOperation::Submit(Job { id: "b".to_owned(), ..largest }));
+    assert_eq!(shard.waiting_tokens().into_values().collect::<Vec<_>>(), [u64::MAX]);
+}
+
 #[test]
 fn bytes_match_the_stored_jobs() {
     let mut shard = ShardJobs::default();
--- a/tier/dataplane/src/dispatch/dispatcher.rs
+++ b/tier/dataplane/src/dispatch/dispatcher.rs
@@ -163,7 +163,8 @@
     /// Slots of all open endpoints of a service.
     pub fn capacity(&self, service: &str) -> u32 {
         let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.endpoints.get(id)).map(|state| state.endpoint.capacity).sum()
+        let open = ids.filter_map(|id| self.endpoints.get(id));
+        open.map(|state| state.endpoint.capacity).fold(0, u32::saturating_add)
     }
 
     /// Calls of this process in flight, by service.
--- a/tier/node/src/clock.rs
+++ b/tier/node/src/clock.rs
@@ -4,6 +4,7 @@
 //! day ([`wall_seconds`]) numbers usage windows and quota claims, which have to mean the same on all machines.
 
 use quillmount_wire::Micros;
+use quillmount_wire::ranges::LONGEST_SPAN_MS;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -21,9 +22,10 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64())
 }
 
-/// Converts milliseconds, in which settings and configurations state spans of time; negative values count as 0.
+/// Converts milliseconds, in which settings and configurations state spans of time. Negative values count as 0, and those
+/// over ten years as ten years: a moment and a span can always be added.
 pub fn micros_from_ms(span_ms: f64) -> Micros {
-    (span_ms.max(0.0) * 1000.0) as Micros
+    (span_ms.clamp(0.0, LONGEST_SPAN_MS) * 1000.0) as Micros
 }
 
 /// As [`micros_from_ms`], for timers.
--- a/tier/node/src/edge/batch_api/bodies.rs
+++ b/tier/node/src/edge/batch_api/bodies.rs
@@ -4,6 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use miniserde::{Deserialize, Serialize, json};
 use quillmount_wire::messages::{Item, ItemOutcome, Phase};
+use quillmount_wire::ranges::{ITEM_TOKENS, OutOfRange};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Largest number of items of one job.
@@ -50,29 +51,59 @@
     text: String,
 }
 
-/// Parses the items of a submitted job; `None` if the body is malformed, has too many items, or repeats an id.
-pub(super) fn parse_submission(body: &[u8]) -> Option<Vec<Item>> {
-    let submission: SubmissionBody = json::from_str(std::str::from_utf8(body).ok()?).ok()?;
+/// Why the body of a submission is no batch job. The texts are answers to clients.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum SubmissionError {
+    /// The body is not JSON with a list of requests, or a field of one is missing or of another type.
+    #[error("the body is no batch job")]
+    Unreadable,
+    /// There are too many items.
+    #[error("Requests: {0} items, {ITEM_LIMIT} at most")]
+    TooManyItems(usize),
+    /// Two items have the same id.
+    #[error("Requests[{0}].Id is there twice")]
+    DuplicateId(String),
+    /// The body of an item is not base64.
+    #[error("Requests[{0}].Body is not base64")]
+    BodyEncoding(String),
+    /// The tokens of an item are no possible number.
+    #[error(transparent)]
+    Tokens(#[from] OutOfRange),
+}
+
+/// Parses the items of a submitted job.
+///
+/// # Errors
+/// [`SubmissionError`], by the first fault.
+pub(super) fn parse_submission(body: &[u8]) -> Result<Vec<Item>, SubmissionError> {
+    let text = std::str::from_utf8(body).map_err(|_| SubmissionError::Unreadable)?;
+    let submission: SubmissionBody = json::from_str(text).map_err(|_| SubmissionError::Unreadable)?;
     if submission.requests.len() > ITEM_LIMIT {
-        return None;
+        return Err(SubmissionError::TooManyItems(submission.requests.len()));
     }
     let mut ids = BTreeSet::new();
     let item = |item: SubmittedItem| {
-        ids.insert(item.id.clone()).then_some(())?;
-        Some(Item {
-            id: item.id,
-            path: item.path,
-            headers: item.headers.into_iter().flatten().collect(),
-            body: STANDARD.decode(item.body.unwrap_or_default()).ok()?,
-            tokens: item.tokens.unwrap_or(0.0) as u64,
-        })
+        if !ids.insert(item.id.clone()) {
+            return Err(SubmissionError::DuplicateId(item.id));
+        }
+        parse_item(item)
     };
     submission.requests.into_iter().map(item).collect()
 }
 
+fn parse_item(item: SubmittedItem) -> Result<Item, SubmissionError> {
+    let tokens = item.tokens.unwrap_or(0.0);
+    ITEM_TOKENS.check(&format!("Requests[{}].Tokens", item.id), tokens)?;
+    let Ok(body) = STANDARD.decode(item.body.unwrap_or_default()) else {
+        return Err(SubmissionError::BodyEncoding(item.id));
+    };
+    let headers = item.headers.into_iter().flatten().collect();
+    Ok(Item { id: item.id, path: item.path, headers, body, tokens: tokens as u64 })
+}
+
 /// Encodes results. `total` counts all items of the job, `start_after` the results before the first of `results`.
 pub(super) fn encode_results(start_after: u64, total: u64, results: Vec<ItemOutcome>) -> String {
-    let next = start_after + results.len() as u64;
+    let next = start_after.saturating_add(results.len() as u64);
     let outputs = results
         .into_iter()
         .map(|ItemOutcome { id, phase, text }| ResultBody { id, phase: phase_name(phase).to_owned(), text })
--- a/tier/node/src/edge/batch_api/mod.rs
+++ b/tier/node/src/edge/batch_api/mod.rs
@@ -70,9 +70,12 @@
     tenant: Option<&str>,
 ) -> HttpResponse {
     let id = request.head.headers.get("Request-Id").unwrap_or_default();
-    let items = bodies::parse_submission(&request.body);
-    let Some(items) = items.filter(|_| !id.is_empty()) else {
-        return HttpResponse::text(400, "the body is no batch job");
+    if id.is_empty() {
+        return HttpResponse::text(400, "Request-Id is missing: it is the id of the batch job");
+    }
+    let items = match bodies::parse_submission(&request.body) {
+        Ok(items) => items,
+        Err(error) => return HttpResponse::text(400, &error.to_string()),
     };
     let job = Job {
         id: id.to_owned(),
--- a/tier/node/src/store/quota.rs
+++ b/tier/node/src/store/quota.rs
@@ -76,7 +76,7 @@
 ) -> Result<Option<ClaimGuard>, ClaimError> {
     let Some(limit) = waiting_limit(store, &job.route) else { return Ok(None) };
     let key = QuotaKey { tenant: job.tenant.clone(), route: job.route.clone() };
-    let tokens = job.items.iter().map(|item| item.tokens).sum();
+    let tokens = job.tokens();
     let ledger_shard = ledger_shard_of(&key);
     let ledger = ledger_primary(store, ledger_shard).ok_or(ClaimError::Unknown)?;
     let quota = &served.term.quota;
@@ -85,7 +85,7 @@
         let epoch = replica.serving().ok_or(ClaimError::Unknown)?;
         (epoch, replica.jobs().waiting_tokens().get(&key).copied().unwrap_or(0))
     };
-    let reserved = waiting + quota.claimed(&key);
+    let reserved = waiting.saturating_add(quota.claimed(&key));
     let guard = ClaimGuard::begin(&served.term, &key, tokens);
     let claim = QuotaClaim {
         ledger_shard,
--- a/tier/node/src/upstream/pool.rs
+++ b/tier/node/src/upstream/pool.rs
@@ -12,6 +12,8 @@
 const IDLE_TIMEOUT: Micros = 2_000_000;
 /// Subtracted from the time that the endpoint states, microseconds, so that this side closes first.
 const IDLE_MARGIN: Micros = 800_000;
+/// Longest time for which a connection is kept idle, whatever the endpoint states, seconds.
+const MAX_KEEP_ALIVE_S: u64 = 3_600;
 /// Largest number of idle connections to one endpoint.
 const IDLE_LIMIT: usize = 16;
 
@@ -45,8 +47,9 @@
     /// Keeps a connection idle after an answer with this head, for as long as the head allows.
     pub(super) fn insert(&self, endpoint: String, stream: TcpStream, head: &ResponseHead) {
         let stated = head.headers.get("Keep-Alive").and_then(keep_alive_seconds);
-        let idle_time =
-            stated.map_or(IDLE_TIMEOUT, |seconds| (seconds * 1_000_000).saturating_sub(IDLE_MARGIN));
+        let idle_time = stated.map_or(IDLE_TIMEOUT, |seconds| {
+            (seconds.min(MAX_KEEP_ALIVE_S) * 1_000_000).saturating_sub(IDLE_MARGIN)
+        });
         let mut by_endpoint = self.by_endpoint.borrow_mut();
         let connections = by_endpoint.entry(endpoint).or_default();
         if connections.len() < IDLE_LIMIT {
--- a/tier/node/tests/tier/answers.rs
+++ b/tier/node/tests/tier/answers.rs
@@ -8,7 +8,7 @@
 
 /// For each outcome of the first attempt: arrivals at endpoints and final status on the routes `safe`, `once`, `live`
 /// (resumable) and `flow`.
-const TABLE: [(&str, [(u32, u16); 4]); 13] = [
+const TABLE: [(&str, [(u32, u16); 4]); 14] = [
     // No answer arrived: the request may have run, so only idempotent requests are retried.
     ("close-before", [(2, 200), (1, 502), (2, 200), (1, 502)]),
     ("close-in-head", [(2, 200), (1, 502), (2, 200), (1, 502)]),
@@ -26,6 +26,8 @@
     ("interim", [(1, 200), (1, 200), (1, 200), (1, 200)]),
     ("stray", [(1, 200), (1, 200), (1, 200), (1, 200)]),
     ("spoilt-id", [(2, 200), (1, 502), (2, 200), (1, 502)]),
+    // A connection that the endpoint says it keeps for longer than can be counted.
+    ("keep-long", [(1, 200), (1, 200), (1, 200), (1, 200)]),
     ("unframed", [(1, 200), (1, 200), (1, 200), (1, 200)]),
 ];
 
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -239,6 +239,12 @@
                 stream.write_all(format!("HTTP/1.1 200 OK\r\n{own}Content-Length: 4\r\n\r\ndone").as_bytes());
             return true;
         }
+        "keep-long" => {
+            let forever = format!("{own}Keep-Alive: timeout={}\r\n", u64::MAX);
+            let _ = stream
+                .write_all(format!("HTTP/1.1 200 OK\r\n{forever}Content-Length: 4\r\n\r\ndone").as_bytes());
+            return true;
+        }
         "nameless" => answer_with(stream, "503 Service Unavailable", "Not-Run: 1\r\n", ""),
         _ => answer_well(stream, received, id),
     }
--- a/tier/node/tests/tier/interfaces.rs
+++ b/tier/node/tests/tier/interfaces.rs
@@ -89,6 +89,21 @@
     check("retire another", &refused, 409, JSON, r#"{"Error":"too few stores would be left"}"#);
 }
 
+/// Jobs with one fault each, and the answer that names it.
+const FAULTY_JOBS: [(&str, &str); 5] = [
+    (
+        r#"{"Requests":[{"Id":"a","Path":"/","Tokens":-1}]}"#,
+        "Requests[a].Tokens: -1 is not between 0 and 4294967295",
+    ),
+    (
+        r#"{"Requests":[{"Id":"a","Path":"/","Tokens":18446744073709551615}]}"#,
+        "Requests[a].Tokens: 18446744073709552000 is not between 0 and 4294967295",
+    ),
+    (r#"{"Requests":[{"Id":"a","Path":"/","Body":"?"}]}"#, "Requests[a].Body is not base64"),
+    (r#"{"Requests":[{"Id":"a","Path":"/"},{"Id":"a","Path":"/"}]}"#, "Requests[a].Id is there twice"),
+    (r#"{"Requests":[{"Id":"a","Path":"/","Tokens":"1"}]}"#, "the body is no batch job"),
+];
+
 fn check_batch(tier: &Tier) {
     let client = tier.client_address(0);
     let with_id = format!("Request-Id: job-1\r\nAuthorization: {KEY}\r\n");
@@ -101,7 +116,11 @@
     };
     check("submit", &call("POST /bulk/", &with_id, JOB), 202, TEXT, "taken\n");
     check("no job", &call("POST /bulk/", &with_id, "{}"), 400, TEXT, "the body is no batch job\n");
-    check("no id", &call("POST /bulk/", &key, JOB), 400, TEXT, "the body is no batch job\n");
+    let no_id = "Request-Id is missing: it is the id of the batch job\n";
+    check("no id", &call("POST /bulk/", &key, JOB), 400, TEXT, no_id);
+    for (body, error) in FAULTY_JOBS {
+        check(body, &call("POST /bulk/", &with_id, body), 400, TEXT, &format!("{error}\n"));
+    }
     let dead = r#"{"Id":"i1","Phase":"dead_letter","Text":""}"#;
     let done = r#"{"Id":"i0","Phase":"done","Text":"kaje\ntwo\nthree"}"#;
     let results =
--- a/tier/wire/src/configuration.rs
+++ b/tier/wire/src/configuration.rs
@@ -6,6 +6,7 @@
 mod checks;
 mod document;
 mod error;
+mod numbers;
 mod patch;
 mod reading;
 mod types;
--- a/tier/wire/src/configuration/checks.rs
+++ b/tier/wire/src/configuration/checks.rs
@@ -15,6 +15,7 @@
         if self.version <= current {
             return Err(ConfigurationError::NotNewer { version: self.version, current });
         }
+        self.check_numbers()?;
         let services = unique_names(SERVICES, self.services.iter().map(|service| service.name.as_str()))?;
         unique_names(ROUTES, self.routes.iter().map(|route| route.name.as_str()))?;
         let mut host_prefixes: BTreeMap<(&str, &str), &str> = BTreeMap::new();
@@ -51,12 +52,10 @@
         let (route, service) = (route.name.clone(), (*service).to_owned());
         return Err(ConfigurationError::UnknownService { route, service });
     }
-    if shares.iter().any(|(_, weight)| *weight < 0.0)
-        || shares.iter().map(|(_, weight)| weight).sum::<f64>() <= 0.0
-    {
+    if shares.iter().all(|(_, weight)| *weight == 0.0) {
         return Err(ConfigurationError::ZeroWeight { route: route.name.clone() });
     }
-    if route.deadline_ms <= 0.0 {
+    if route.deadline_ms == 0.0 {
         return Err(ConfigurationError::ZeroTimeout { route: route.name.clone() });
     }
     Ok(())
--- a/tier/wire/src/configuration/error.rs
+++ b/tier/wire/src/configuration/error.rs
@@ -1,5 +1,7 @@
 //! Why a configuration, or a change of one, is rejected.
 
+use crate::ranges::OutOfRange;
+
 /// Why a configuration is rejected. The texts are answers to operators.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ConfigurationError {
@@ -30,13 +32,16 @@
         /// Name of the items.
         name: String,
     },
-    /// The weights of a route's services sum to 0, or one is negative.
+    /// A number is outside the range of its field.
+    #[error(transparent)]
+    OutOfRange(#[from] OutOfRange),
+    /// The weights of a route's services sum to 0.
     #[error("Routes[{route}].Shares: the weights sum to 0")]
     ZeroWeight {
         /// Name of the route.
         route: String,
     },
-    /// The deadline of a route is not above 0.
+    /// The deadline of a route is 0.
     #[error("Routes[{route}].DeadlineMs is 0")]
     ZeroTimeout {
         /// Name of the route.
--- a/tier/wire/src/lib.rs
+++ b/tier/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod frame;
 pub mod messages;
+pub mod ranges;
 pub mod settings;
 
 /// A moment on the steady clock of a process, or a span of time, in microseconds. Moments of different processes can't be compared.
--- a/tier/wire/src/messages/jobs.rs
+++ b/tier/wire/src/messages/jobs.rs
@@ -34,6 +34,14 @@
     pub items: Vec<Item>,
 }
 
+impl Job {
+    /// Tokens of all items.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
+    }
+}
+
 /// How an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub enum Phase {
--- a/tier/wire/src/settings.rs
+++ b/tier/wire/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file of a process (TOML), read at the start and again when the seeds are looked up again. Unknown fields are ignored:
 //! the deployment writes more than is used here. Names in the file differ from those of the fields here in places.
 
+use crate::ranges::{COUNT, OutOfRange, QUANTITY, SPAN_MS, SPAN_S};
 use miette::Diagnostic;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -169,6 +170,22 @@
     }
 }
 
+impl Bounds {
+    fn check_numbers(&self) -> Result<(), OutOfRange> {
+        SPAN_MS.check("Slo.ContactMs", self.contact_ms)?;
+        SPAN_MS.check("Slo.AckMs", self.ack_ms)?;
+        SPAN_MS.check("Slo.DrainMs", self.drain_ms)?;
+        SPAN_S.check("Slo.GraceS", self.grace_s)?;
+        SPAN_MS.check("Slo.ApplyMs", self.apply_ms)?;
+        SPAN_MS.check("Slo.LeaseMs", self.lease_ms)?;
+        SPAN_S.check("Slo.ReportS", self.report_s)?;
+        SPAN_S.check("Slo.UsageDelayS", self.usage_delay_s)?;
+        SPAN_S.check("Slo.PollS", self.poll_s)?;
+        SPAN_S.check("Slo.CompleteS", self.complete_s)?;
+        SPAN_MS.check("Slo.AbortMs", self.abort_ms)
+    }
+}
+
 /// The platform's interface.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -192,12 +209,22 @@
         if settings.port_range[0] > settings.port_range[1] {
             return Err(invalid("PortRange: the first port is above the second".to_owned()));
         }
-        if settings.slo.report_s <= 0.0 {
+        settings.check_numbers().map_err(|error| invalid(error.to_string()))?;
+        if settings.slo.report_s == 0.0 {
             return Err(invalid("Slo.ReportS: has to be above 0".to_owned()));
         }
         Ok(settings)
     }
 
+    /// Checks that every number is within its range.
+    fn check_numbers(&self) -> Result<(), OutOfRange> {
+        COUNT.check("Survive.Boxes", self.fault_tolerance.machines as f64)?;
+        QUANTITY.check("Limits.CpuFrac", self.limits.cpu_frac)?;
+        QUANTITY.check("Limits.RamMb", self.limits.ram_mb as f64)?;
+        QUANTITY.check("Limits.DiskMb", self.limits.disk_mb as f64)?;
+        self.slo.check_numbers()
+    }
+
     /// Reads the file that [`PATH_VARIABLE`] names.
     ///
     /// # Errors
--- a/tier/wire/tests/operator_files.rs
+++ b/tier/wire/tests/operator_files.rs
@@ -153,6 +153,83 @@
     assert_eq!(error.to_string(), "the configuration can't be read: Gen is missing");
 }
 
+/// Each number of a configuration has a range, and what is outside it is named; what is inside is taken.
+#[test]
+fn numbers_of_a_configuration_outside_their_ranges_are_named() {
+    const SPAN_MS: &str = "0 and 315360000000";
+    const SPAN_S: &str = "0 and 315360000";
+    const COUNT: &str = "0 and 4294967295";
+    const QUANTITY: &str = "0 and 9007199254740992";
+    let route = |fields: &str| {
+        let route = r#"{"Name":"a","Host":"h","PathPrefix":"/","DeadlineMs":1,"Backend":"s","#;
+        format!(r#"{{"Gen":3,"Routes":[{route}{fields}}}],"Backends":[{{"Name":"s"}}]}}"#)
+    };
+    let deadline = |value: &str| {
+        with(&format!(r#"{{"Name":"a","Host":"h","PathPrefix":"/","DeadlineMs":{value},"Backend":"s"}}"#), "")
+    };
+    let service = |fields: &str| format!(r#"{{"Gen":3,"Routes":[],"Backends":[{{"Name":"s",{fields}}}]}}"#);
+    let limits = |head: &str, idle: &str| {
+        format!(
+            r#"{{"Gen":3,"Routes":[],"Backends":[],"Limits":{{"HdrBytes":1,"BodyBytes":1,"HdrMs":{head},"IdleMs":{idle}}}}}"#
+        )
+    };
+    let scale = |floor: &str, ceiling: &str, boot: &str| {
+        service(&format!(r#""Autoscale":{{"Floor":{floor},"Ceil":{ceiling},"BootS":{boot}}}"#))
+    };
+    let table = [
+        (deadline("-5"), "Routes[a].DeadlineMs: -5", SPAN_MS),
+        (deadline("1e300"), "Routes[a].DeadlineMs: 1000", SPAN_MS),
+        (route(r#""TargetMs":-0.5"#), "Routes[a].TargetMs: -0.5", SPAN_MS),
+        (route(r#""gap_aim_ms":4e11"#), "Routes[a].gap_aim_ms: 400000000000", SPAN_MS),
+        (route(r#""DueMs":18446744073709551615"#), "Routes[a].DueMs: 18446744073709552000", SPAN_MS),
+        (route(r#""RetainS":1e12"#), "Routes[a].RetainS: 1000000000000", SPAN_S),
+        (route(r#""MaxQueued":-1"#), "Routes[a].MaxQueued: -1", QUANTITY),
+        (
+            route(r#""Shares":[{"Backend":"s","Wt":5},{"Backend":"s","Wt":-5}]"#),
+            "Routes[a].Shares[s].Wt: -5",
+            QUANTITY,
+        ),
+        (service(r#""MaxConns":5e9"#), "Backends[s].MaxConns: 5000000000", COUNT),
+        (service(r#""Runtime":{"Capacity":-1}"#), "Backends[s].Runtime.Capacity: -1", COUNT),
+        (service(r#""Runtime":{"KvCap":1e16}"#), "Backends[s].Runtime.KvCap: 10000000000000000", QUANTITY),
+        (scale("-1", "2", "3"), "Backends[s].Autoscale.Floor: -1", COUNT),
+        (scale("1", "5e9", "3"), "Backends[s].Autoscale.Ceil: 5000000000", COUNT),
+        (scale("1", "2", "-3"), "Backends[s].Autoscale.BootS: -3", SPAN_S),
+        (limits("-1", "1"), "Limits.HdrMs: -1", SPAN_MS),
+        (limits("1", "4e11"), "Limits.IdleMs: 400000000000", SPAN_MS),
+    ];
+    for (json, field, range) in table {
+        let error = Configuration::read(&json).and_then(|read| read.check(2)).unwrap_err().to_string();
+        assert!(
+            error.starts_with(field) && error.ends_with(&format!(" is not between {range}")),
+            "{error}, {json}"
+        );
+    }
+    let largest = route(
+        r#""TargetMs":315360000000,"DueMs":0,"RetainS":315360000,"MaxQueued":9007199254740992,"Tries":18446744073709551615"#,
+    );
+    Configuration::read(&largest).and_then(|read| read.check(2)).unwrap();
+}
+
+/// The same for the settings of a process.
+#[test]
+fn numbers_of_settings_outside_their_ranges_are_named() {
+    let least = read("settings-least.toml");
+    let ms = ["ContactMs", "AckMs", "DrainMs", "ApplyMs", "LeaseMs", "AbortMs"];
+    let s = ["GraceS", "ReportS", "UsageDelayS", "PollS", "CompleteS"];
+    for name in ms.into_iter().chain(s) {
+        for value in ["-1", "nan", "inf", "1e13"] {
+            let text = least.replace("[Slo]", &format!("[Slo]\n{name} = {value}"));
+            let error = Settings::parse(&text, "f.toml").unwrap_err().to_string();
+            assert!(error.starts_with(&format!("f.toml: Slo.{name}: ")), "{error}, {value}");
+        }
+    }
+    let boxes = least.replace("Boxes = 1", "Boxes = 9223372036854775807");
+    assert_ne!(boxes, least);
+    let error = Settings::parse(&boxes, "f.toml").unwrap_err().to_string();
+    assert!(error.starts_with("f.toml: Survive.Boxes: "), "{error}");
+}
+
 #[test]
 fn settings_give_all_their_values() {
     let settings = Settings::parse(&read("settings.toml"), "settings.toml").unwrap();
