Core: a primary without a writable disk hands over; every write's end is reported; answers of older epochs don't count

Cause: (1) a write that failed because the writer thread had ended was logged and not reported to Member, whose list of writes in flight kept it. (2) Member kept its own record of answers beside the replica's, without their epoch: a member that sent only answers to an older epoch was no silent one.

Change: Member::write_ended takes the outcome of every write (one call in place of two, so that none can be left out). silent_members uses the replica's record, which is by epoch.

Ruled out: a lost promise on a full disk. Promises and acknowledgements are sent only after their sync; heartbeats that are answered from memory elect nobody and commit nothing.

Breaks FailedWriteCounts, PrimaryWithoutDisk found.

--- a/tier/batch/tests/cluster/core.rs
+++ b/tier/batch/tests/cluster/core.rs
@@ -6,7 +6,7 @@
 pub use self::state_changes::Poll;
 
 use crate::leases::StoreLeases;
-use quillmount_control::{ControlState, Member, MemberAction, RegisterWrite};
+use quillmount_control::{ControlState, Member, MemberAction, RegisterWrite, WriteOutcome};
 use quillmount_test_support::network::{MESSAGE_DELAY, Partitions, REGISTER_SYNC_DELAY};
 use quillmount_test_support::process::Process;
 use quillmount_test_support::random::Random;
@@ -141,7 +141,7 @@
             CoreEvent::Synced { to, incarnation, write, register } => {
                 if machine.process.incarnation() == incarnation {
                     machine.disk = register;
-                    let actions = machine.member.persisted(write, now);
+                    let actions = machine.member.write_ended(write, WriteOutcome::Synced, now);
                     self.perform(to, actions, now, random);
                 }
             }
--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -13,6 +13,10 @@
         ConfirmedWhenProposed,
         /// A primary that hears from no majority serves its state.
         StaleTables,
+        /// What rests on a write goes on although the write failed.
+        FailedWriteCounts,
+        /// A primary goes on although its own disk refuses its writes.
+        PrimaryWithoutDisk,
         /// The digest of an order leaves the base version out.
         DigestWithoutBase,
         /// A retried order is not recognized.
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -23,7 +23,9 @@
 pub use admission::Admission;
 pub use contacts::Contacts;
 pub use directory::{Directory, apply_update};
-pub use member::{Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead, Ticket};
+pub use member::{
+    Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead, Ticket, WriteOutcome,
+};
 pub use orders::{APPLIED_ORDERS_LIMIT, Order, OrderKind, OrderOutcome};
 pub use scaling::Scaler;
 pub use shards::{Retirement, SHARDS, ShardPlanInputs, shard_of};
--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Member`] does no I/O and reads no clock. The caller
 //! - creates it with the register that is on the disk ([`Member::new`]),
-//! - passes in every message ([`Member::receive`]), every completed write ([`Member::persisted`]) and, every few tens
+//! - passes in every message ([`Member::receive`]), every write that ended ([`Member::write_ended`]) and, every few tens
 //!   of milliseconds, the time ([`Member::tick`]),
 //! - submits changes ([`Member::change`]) and reads ([`Member::confirm`]), each of which gets a [`Ticket`],
 //! - and carries out the [`MemberAction`]s that each call returns, in their order.
@@ -22,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-pub use self::action::{MemberAction, RegisterWrite, SubmittedChange, SubmittedRead, Ticket};
+pub use self::action::{MemberAction, RegisterWrite, SubmittedChange, SubmittedRead, Ticket, WriteOutcome};
 
 /// A core member that did not answer for this time may be replaced by another machine, microseconds.
 const REPLACEABLE_AFTER: Micros = 2_000_000;
@@ -102,7 +102,7 @@
     #[must_use]
     pub fn silent_members(&self, now: Micros) -> BTreeSet<DiskId> {
         let silent = |disk: &DiskId| {
-            let last_reply = self.work.last_reply(*disk).unwrap_or(self.elected_at);
+            let last_reply = self.replica.last_reply(*disk).unwrap_or(self.elected_at);
             *disk != self.me && now.saturating_sub(last_reply) > REPLACEABLE_AFTER
         };
         self.replica.members().iter().copied().filter(silent).collect()
@@ -137,16 +137,28 @@
         self.take_actions()
     }
 
-    /// Continues after a write that is synced.
-    pub fn persisted(&mut self, write: RegisterWrite, now: Micros) -> Vec<MemberAction> {
+    /// Continues after a write that has ended. What rests on a write that failed is dropped: the sender of the message that
+    /// caused it sends again. A primary hands over then.
+    pub fn write_ended(
+        &mut self,
+        write: RegisterWrite,
+        outcome: WriteOutcome,
+        now: Micros,
+    ) -> Vec<MemberAction> {
         let then = self.writes.remove(&write).unwrap_or_default();
-        self.perform(then, now);
+        if outcome == WriteOutcome::Synced || breaks::on(Break::FailedWriteCounts) {
+            self.perform(then, now);
+        } else if !breaks::on(Break::PrimaryWithoutDisk) {
+            let actions = self.replica.write_failed(now);
+            self.perform(actions, now);
+        }
         self.take_actions()
     }
 
-    /// Drops what was to follow a write, which failed.
-    pub fn persist_failed(&mut self, write: RegisterWrite) {
-        self.writes.remove(&write);
+    /// Number of writes that have not ended.
+    #[must_use]
+    pub fn writes_in_flight(&self) -> usize {
+        self.writes.len()
     }
 
     /// Applies a change to the control state.
@@ -214,11 +226,6 @@
     }
 
     fn handle_message(&mut self, from: DiskId, message: RegisterMessage, now: Micros) -> Vec<RegisterAction> {
-        let is_reply =
-            matches!(message, RegisterMessage::HeartbeatReply { .. } | RegisterMessage::Acknowledge { .. });
-        if is_reply {
-            self.work.record_reply(from, now);
-        }
         let is_proposal = matches!(message, RegisterMessage::Accept { .. });
         let actions = self.replica.receive(from, message, now);
         if is_proposal {
--- a/tier/control/src/member/action.rs
+++ b/tier/control/src/member/action.rs
@@ -18,6 +18,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RegisterWrite(pub(super) u64);
 
+/// How a write of the register ended. Each write ends, whatever became of the disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// The register is synced.
+    Synced,
+    /// It is not known to be on the disk, nor that it is not.
+    Failed,
+}
+
 /// A change that was applied to a primary's working copy of the state and is not confirmed yet.
 #[derive(Debug)]
 pub struct SubmittedChange<T> {
@@ -49,8 +58,7 @@
         message: RegisterMessage,
     },
     /// Write the register to the disk and sync it, in the order of these actions; then call
-    /// [`Member::persisted`](super::Member::persisted), or
-    /// [`Member::persist_failed`](super::Member::persist_failed) if that failed.
+    /// [`Member::write_ended`](super::Member::write_ended).
     Persist {
         /// Passed back with the outcome.
         write: RegisterWrite,
--- a/tier/control/src/member/pending.rs
+++ b/tier/control/src/member/pending.rs
@@ -5,8 +5,6 @@
 
 use super::action::Ticket;
 use crate::state::ControlState;
-use quillmount_wire::Micros;
-use quillmount_wire::messages::DiskId;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Counts the states that the changes of one epoch lead to; 0 is the state at the first commit.
@@ -27,8 +25,6 @@
     changes: BTreeMap<Ticket, Generation>,
     /// Reads that wait for a majority.
     reads: BTreeSet<Ticket>,
-    /// When each member last answered this primary.
-    last_replies: BTreeMap<DiskId, Micros>,
 }
 
 impl PendingWork {
@@ -88,16 +84,6 @@
         self.reads.remove(&ticket)
     }
 
-    /// Notes that a member answered.
-    pub(super) fn record_reply(&mut self, member: DiskId, now: Micros) {
-        self.last_replies.insert(member, now);
-    }
-
-    /// When a member last answered in this epoch.
-    pub(super) fn last_reply(&self, member: DiskId) -> Option<Micros> {
-        self.last_replies.get(&member).copied()
-    }
-
     /// All changes and reads that were waiting.
     pub(super) fn into_tickets(self) -> impl Iterator<Item = Ticket> {
         self.changes.into_keys().chain(self.reads)
--- a/tier/control/tests/members/main.rs
+++ b/tier/control/tests/members/main.rs
@@ -2,6 +2,7 @@
 //! repeated orders. Every history is checked against one linearizable register. `SEEDS=N` runs so many seeds.
 
 mod digest;
+mod disks;
 mod faults;
 mod history;
 mod world;
@@ -190,6 +191,14 @@
             missed.push(one);
         }
     }
+    breaks::set(Some(Break::FailedWriteCounts));
+    if seeds::first_failing(1..=RUNS, |seed| _ = disks::run_seed(seed)).is_none() {
+        missed.push(Break::FailedWriteCounts);
+    }
+    breaks::set(Some(Break::PrimaryWithoutDisk));
+    if !seeds::fails(disks::a_primary_whose_disk_is_full_hands_over) {
+        missed.push(Break::PrimaryWithoutDisk);
+    }
     breaks::set(Some(Break::StaleTables));
     if !seeds::fails(a_frozen_primary_serves_no_stale_state_when_it_resumes) {
         missed.push(Break::StaleTables);
--- a/tier/control/tests/members/world.rs
+++ b/tier/control/tests/members/world.rs
@@ -39,6 +39,8 @@
     pub member: Member,
     /// What is synced.
     disk: Register,
+    /// Until then the disk is full: every write fails.
+    pub refuses_writes_until: Time,
     pub process: Process,
     /// Calls that wait for their tickets.
     waiting: BTreeMap<Ticket, WaitingCall>,
@@ -113,6 +115,7 @@
             name,
             member,
             disk: Register::default(),
+            refuses_writes_until: 0,
             process: Process::running(1),
             waiting: BTreeMap::new(),
         };
--- a/tier/control/tests/members/world/events.rs
+++ b/tier/control/tests/members/world/events.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use crate::history::Answer;
-use quillmount_control::{Member, RegisterWrite};
+use quillmount_control::{Member, RegisterWrite, WriteOutcome};
 use quillmount_test_support::simulation::{MILLI, Simulation, Time, Timeline};
 use quillmount_wire::messages::{DiskId, Register, RegisterMessage};
 
@@ -99,8 +99,12 @@
         let Some(machine) = machine.filter(|machine| machine.process.incarnation() == incarnation) else {
             return;
         };
-        machine.disk = register;
-        let actions = machine.member.persisted(write, now);
+        let outcome =
+            if now < machine.refuses_writes_until { WriteOutcome::Failed } else { WriteOutcome::Synced };
+        if outcome == WriteOutcome::Synced {
+            machine.disk = register;
+        }
+        let actions = machine.member.write_ended(write, outcome, now);
         self.perform(disk, actions);
     }
 
--- a/tier/node/src/control_member/member.rs
+++ b/tier/node/src/control_member/member.rs
@@ -6,11 +6,11 @@
 
 use super::leases::Leases;
 use crate::clock;
-use crate::disk::{AppendError, DiskWriter};
+use crate::disk::DiskWriter;
 use crate::node::Node;
 use quillmount_control::{
     ControlState, Directory, Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead,
-    Ticket,
+    Ticket, WriteOutcome,
 };
 use quillmount_storage::{RingRecord, RingSize, StorageError};
 use quillmount_wire::Micros;
@@ -236,20 +236,19 @@
         let receipt = self.disk.append(encode(register));
         let Some(core) = self.this.upgrade() else { return };
         tokio::task::spawn_local(async move {
-            match receipt.synced().await {
+            let outcome = match receipt.synced().await {
                 Ok(written) => {
                     // Each record is a complete register: older segments are of no use.
                     core.disk.release(written.segment);
-                    let actions = core.member.borrow_mut().persisted(write, clock::now());
-                    core.perform(actions);
+                    WriteOutcome::Synced
                 }
                 Err(error) => {
                     tracing::error!(%error, "failed to write the control state to disk");
-                    if let AppendError::Storage(_) = error {
-                        core.member.borrow_mut().persist_failed(write);
-                    }
+                    WriteOutcome::Failed
                 }
-            }
+            };
+            let actions = core.member.borrow_mut().write_ended(write, outcome, clock::now());
+            core.perform(actions);
         });
     }
 }
--- a/tier/replication/src/replica.rs
+++ b/tier/replication/src/replica.rs
@@ -4,6 +4,7 @@
 //! - creates it with the register that is on the disk ([`RegisterReplica::new`]),
 //! - passes in every message that arrives ([`RegisterReplica::receive`]) and, every few tens of milliseconds, the time
 //!   ([`RegisterReplica::tick`]),
+//! - says which writes failed ([`RegisterReplica::write_failed`]),
 //! - on the primary proposes values ([`RegisterReplica::propose`]) and begins reads
 //!   ([`RegisterReplica::confirm_read`]),
 //! - and carries out the [`RegisterAction`]s that each call returns, in their order. Whatever must not happen before a
@@ -47,6 +48,8 @@
     register: Register,
     role: Role,
     election_timer: ElectionTimer,
+    /// When a write of the register last failed.
+    write_failed_at: Option<Micros>,
 }
 
 impl RegisterReplica {
@@ -61,7 +64,15 @@
         let mut election_timer = ElectionTimer::new(timing.election_timeout, me ^ now, now);
         election_timer.expire_after(timing.pre_vote_delay, now);
         let role = Role::Follower { primary: None };
-        RegisterReplica { me, tolerated_failures, timing, register, role, election_timer }
+        RegisterReplica {
+            me,
+            tolerated_failures,
+            timing,
+            register,
+            role,
+            election_timer,
+            write_failed_at: None,
+        }
     }
 
     /// Whether this member has accepted no value.
@@ -112,7 +123,7 @@
     pub fn tick(&mut self, now: Micros) -> Vec<RegisterAction> {
         if self.role.as_primary().is_some() {
             self.tick_as_primary(now)
-        } else if self.election_timer.is_expired(now) {
+        } else if self.election_timer.is_expired(now) && self.can_write(now) {
             self.start_pre_vote(now)
         } else {
             Vec::new()
@@ -170,6 +181,13 @@
         }
     }
 
+    /// Whether the disk has refused no write of late: a member that can't store its own promise wins no election, and those that it
+    /// asks would promise in vain.
+    fn can_write(&self, now: Micros) -> bool {
+        let pause = 2 * self.timing.election_timeout;
+        self.write_failed_at.is_none_or(|failed_at| now.saturating_sub(failed_at) >= pause)
+    }
+
     /// Notes that a primary was heard from.
     fn follow_primary(&mut self, primary: DiskId, now: Micros) -> Vec<RegisterAction> {
         if let Role::Follower { primary: known } = &mut self.role {
--- a/tier/replication/src/replica/election.rs
+++ b/tier/replication/src/replica/election.rs
@@ -33,6 +33,17 @@
         actions
     }
 
+    /// Handles a write of the register that failed: the disk may be full. A primary, whose values count only once its own disk
+    /// has them, hands over to a member that answers. The member does not stand for election for two election timeouts.
+    pub fn write_failed(&mut self, now: Micros) -> Vec<RegisterAction> {
+        self.write_failed_at = Some(now);
+        match self.role {
+            Role::Primary(_) => self.resign(now),
+            Role::Candidate { .. } | Role::PreCandidate { .. } => self.step_down(now, None),
+            Role::Follower { .. } => Vec::new(),
+        }
+    }
+
     pub(super) fn become_primary(&mut self, epoch: Epoch, now: Micros) {
         self.role = Role::Primary(Box::new(Primary::new(self.me, epoch, now)));
     }
@@ -179,6 +190,6 @@
             return Vec::new();
         }
         self.role = Role::Follower { primary: None };
-        if successor == self.me { self.start_pre_vote(now) } else { Vec::new() }
+        if successor == self.me && self.can_write(now) { self.start_pre_vote(now) } else { Vec::new() }
     }
 }
--- a/tier/replication/src/replica/heartbeats.rs
+++ b/tier/replication/src/replica/heartbeats.rs
@@ -17,6 +17,12 @@
         primary.committed.as_ref().is_some_and(|accepted| quorum::is_quorum(&accepted.value, &responsive))
     }
 
+    /// When a member last answered this primary in its epoch; `None` if it has not, or this member is not primary.
+    #[must_use]
+    pub fn last_reply(&self, member: DiskId) -> Option<Micros> {
+        self.role.as_primary()?.last_reply(member)
+    }
+
     /// Begins a read: sends a round of heartbeats, and returns [`RegisterAction::ReadConfirmed`] once a quorum has
     /// answered it. A read that is pending when this member steps down is dropped without an action.
     pub fn confirm_read(&mut self, read: ReadId, now: Micros) -> Vec<RegisterAction> {
--- a/tier/replication/src/replica/primary.rs
+++ b/tier/replication/src/replica/primary.rs
@@ -127,6 +127,11 @@
         self.last_replies.entry(member).or_default().at = now;
     }
 
+    /// When a member last answered in this epoch.
+    pub(super) fn last_reply(&self, member: DiskId) -> Option<Micros> {
+        self.last_replies.get(&member).map(|reply| reply.at)
+    }
+
     /// Starts a round of heartbeats; returns its number.
     pub(super) fn begin_round(&mut self, heartbeat_interval: Micros, now: Micros) -> u64 {
         self.last_round += 1;
