Courier: impossible numbers are rejected by name; SIGINT ends a process that has handed over; stand-ins record only what they did

Cause: Settings::check left out tenants' rates, cross_zone_price and stream_window_share (NaN, negative); the check of 'copies' added 1 to the largest number (a panic in debug builds); a process that has handed over listened only to SIGTERM; operators read addr Some("here"); stand-ins recorded a fault before they knew that the courier runs, and Courier::suspend spun for ever on a process that had ended.

Change: SettingsError names the number; saturating arithmetic for descriptors and copies; one suspend in the stand-ins' process (waitid, which also sees an end). drain_grace: traced, it governs how often the watch asks discovery (Watch::of_fleet), its doc says so; the dispatcher stops at once. Messages of an unknown tenant: accepted, against no share; documented.

Tests: settings_with_impossible_numbers_are_rejected_by_name, messages_of_an_unknown_tenant_..., the_largest_number_of_copies_..., a_process_that_has_handed_over_ends_at_once_...

--- a/courier/operator/tests/file.rs
+++ b/courier/operator/tests/file.rs
@@ -77,6 +77,18 @@
     assert_eq!(problems(text).join("\n"), include_str!("fixtures/problem_lines.txt").trim_end());
 }
 
+/// Numbers at their limit are told like any other that is too large.
+#[test]
+fn the_largest_number_of_copies_is_told_and_not_calculated_with() {
+    let text = r#"{"version": 1, "fleet": {"on": true, "me": "a", "listen": "127.0.0.1:1", "voters": ["a"],
+        "members": [{"name": "a", "addr": "127.0.0.1:1"}, {"name": "b", "addr": "127.0.0.1:2"}],
+        "copies": 18446744073709551615}}"#;
+    let lines = problems(text);
+    assert_eq!(lines.len(), 2, "{lines:#?}");
+    assert!(lines[0].starts_with("$.fleet.copies: from 1 to "), "{lines:#?}");
+    assert!(lines[1].starts_with("$.fleet.copies: 18446744073709551615 copies need"), "{lines:#?}");
+}
+
 /// A session would be carried as single messages, which its partner does not take.
 #[test]
 fn settlements_in_sessions_are_refused() {
--- a/courier/policy/src/events.rs
+++ b/courier/policy/src/events.rs
@@ -51,7 +51,8 @@
     pub id: MsgId,
     /// Index of its class in the settings.
     pub class: usize,
-    /// Index of its tenant in the settings, if it has one.
+    /// Index of its tenant in the settings, if it has one. A message of a tenant that the settings don't have is accepted and counts
+    /// against no share.
     pub tenant: Option<usize>,
     /// Key for the order of messages, where the class keeps it.
     pub key: Option<u64>,
--- a/courier/policy/src/settings.rs
+++ b/courier/policy/src/settings.rs
@@ -110,7 +110,8 @@
     pub overload_multiple: f64,
     /// How long no other message of a key is sent after a call without an answer, microseconds.
     pub key_cooldown: Micros,
-    /// No call starts to an endpoint later than this after its drain was announced, microseconds.
+    /// No call starts to an endpoint later than this after its drain was announced, microseconds. The dispatcher itself starts none
+    /// once it is told; the host asks discovery so often that it is told in time (the watch of `quillmount-core`).
     pub drain_grace: Micros,
     /// How values fall after the latency target.
     pub decay: Decay,
@@ -172,22 +173,46 @@
     /// # Errors
     /// There is no slot or no attempt, or a share or value is no finite number of zero or more.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let is_valid = |value: f64| value.is_finite() && value >= 0.0;
-        let shares = [self.slow_start_share, self.overload_multiple, self.above_share_value];
-        let class_values = self
-            .classes
-            .iter()
-            .flat_map(|class| [class.value, class.late_value, class.latency_target_stretch]);
-        let all_valid = shares.into_iter().chain(class_values).all(is_valid);
-        if self.slots > 0 && self.max_attempts > 0 && all_valid {
-            Ok(())
-        } else {
-            Err(SettingsError("no slot, no attempt, or a share or worth that is no number of zero or more"))
+        if self.slots == 0 {
+            return Err(SettingsError::NoSlot);
         }
+        if self.max_attempts == 0 {
+            return Err(SettingsError::NoAttempt);
+        }
+        let shares = [
+            ("slow_start_share", self.slow_start_share),
+            ("overload_multiple", self.overload_multiple),
+            ("above_share_value", self.above_share_value),
+            ("cross_zone_price", self.cross_zone_price),
+            ("stream_window_share", self.stream_window_share),
+        ];
+        let class_values = self.classes.iter().flat_map(|class| {
+            [
+                ("value of a class", class.value),
+                ("late_value of a class", class.late_value),
+                ("latency_target_stretch of a class", class.latency_target_stretch),
+            ]
+        });
+        let tenant_rates = self.tenants.iter().map(|rate| ("rate of a tenant", *rate));
+        let mut numbers = shares.into_iter().chain(class_values).chain(tenant_rates);
+        let invalid = numbers.find(|(_, value)| !value.is_finite() || *value < 0.0);
+        invalid.map_or(Ok(()), |(field, _)| Err(SettingsError::InvalidNumber { field }))
     }
 }
 
 /// Settings that no instance can run under, with the reason.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("impossible settings: {0}")]
-pub struct SettingsError(pub &'static str);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// No call may be in flight.
+    #[error("impossible settings: slots is 0")]
+    NoSlot,
+    /// No attempt may be made.
+    #[error("impossible settings: max_attempts is 0")]
+    NoAttempt,
+    /// A share, rate or value is negative, infinite or no number.
+    #[error("impossible settings: the {field} is no number of zero or more")]
+    InvalidNumber {
+        /// What the number is.
+        field: &'static str,
+    },
+}
--- a/courier/policy/tests/rules.rs
+++ b/courier/policy/tests/rules.rs
@@ -10,6 +10,62 @@
     w
 }
 
+/// Every number that the decisions calculate with is checked, and the error names it.
+#[test]
+fn settings_with_impossible_numbers_are_rejected_by_name() {
+    type Change = fn(&mut Settings, f64);
+    let numbers: [(&str, Change); 9] = [
+        ("slow_start_share", |settings, value| settings.slow_start_share = value),
+        ("overload_multiple", |settings, value| settings.overload_multiple = value),
+        ("above_share_value", |settings, value| settings.above_share_value = value),
+        ("cross_zone_price", |settings, value| settings.cross_zone_price = value),
+        ("stream_window_share", |settings, value| settings.stream_window_share = value),
+        ("rate of a tenant", |settings, value| settings.tenants = vec![0.0, value]),
+        ("value of a class", |settings, value| settings.classes[0].value = value),
+        ("late_value of a class", |settings, value| settings.classes[1].late_value = value),
+        ("latency_target_stretch of a class", |settings, value| {
+            settings.classes[2].latency_target_stretch = value;
+        }),
+    ];
+    for (name, change) in numbers {
+        for value in [f64::NAN, f64::INFINITY, -0.5] {
+            let mut impossible = settings(8);
+            change(&mut impossible, value);
+            let error = Dispatcher::new(impossible, 1).err().unwrap();
+            assert_eq!(error, SettingsError::InvalidNumber { field: name }, "{value}");
+        }
+        let mut possible = settings(8);
+        change(&mut possible, 0.5);
+        assert!(Dispatcher::new(possible, 1).is_ok(), "{name}");
+    }
+    let none = Settings { slots: 0, ..settings(8) };
+    assert_eq!(Dispatcher::new(none, 1).err(), Some(SettingsError::NoSlot));
+    let none = Settings { max_attempts: 0, ..settings(8) };
+    assert_eq!(Dispatcher::new(none, 1).err(), Some(SettingsError::NoAttempt));
+}
+
+/// A tenant that the settings don't have counts against no share: its messages are sent, and keep their full value where those of
+/// a tenant above its share are rejected first.
+#[test]
+fn messages_of_an_unknown_tenant_are_accepted_and_count_against_no_share() {
+    let limited = Settings { tenants: vec![0.001], above_share_value: 0.0, ..settings(1) };
+    let mut w = World::new(limited, 1);
+    w.list(ListUpdate::Full, &[entry(0, 5)]);
+    let submit = |w: &mut World, tenant| w.submit_with(0, 5, |message| message.tenant = Some(tenant));
+    let first = submit(&mut w, 9);
+    assert_eq!(w.sends(first), 1);
+    let of_limited: Vec<MsgId> = (0..3).map(|_| submit(&mut w, 0)).collect();
+    let of_unknown: Vec<MsgId> = (0..3).map(|_| submit(&mut w, 9)).collect();
+    // The first message of the limited tenant is within its share.
+    for _ in 0..4 {
+        let sent = w.in_flight.keys().next().unwrap().0;
+        w.finish(sent, Outcome::Ok, 0);
+    }
+    assert!(of_unknown.iter().all(|message| w.sends(*message) == 1), "all of the unknown tenant's are sent");
+    let sent_above = of_limited[1..].iter().filter(|message| w.sends(**message) > 0).count();
+    assert_eq!(sent_above, 0, "those above the share wait");
+}
+
 #[test]
 fn a_message_without_an_endpoint_is_rejected_before_its_deadline_and_never_sent() {
     let mut w = world();
--- a/courier/program/src/fleet/descriptors.rs
+++ b/courier/program/src/fleet/descriptors.rs
@@ -10,5 +10,9 @@
 
 /// Descriptors that a courier needs for its fleet.
 pub fn sockets(settings: &FleetSettings) -> usize {
-    if settings.on { BASE_SOCKETS + settings.members.len() * (SOCKETS_PER_PEER + settings.copies) } else { 0 }
+    if !settings.on {
+        return 0;
+    }
+    let by_peer = settings.copies.saturating_add(SOCKETS_PER_PEER);
+    settings.members.len().saturating_mul(by_peer).saturating_add(BASE_SOCKETS)
 }
--- a/courier/program/src/program/process.rs
+++ b/courier/program/src/program/process.rs
@@ -142,7 +142,8 @@
     /// Another process has the folder: operators' calls are forwarded to it until this one is to end.
     async fn forward_operators(&self, signals: &mut Signals) {
         if self.config.operator.is_some() && !self.courier.handle.lifecycle().stop_requested() {
-            let _ = timeout(FORWARD_OPERATORS, signals.terminate.recv()).await;
+            // Without a request to stop the time is up.
+            let _ = timeout(FORWARD_OPERATORS, signals.shutdown_requested()).await;
         }
         tracing::info!("{}: stopped; another process has taken over", self.config.name);
     }
--- a/courier/program/tests/fleet/faults.rs
+++ b/courier/program/tests/fleet/faults.rs
@@ -3,6 +3,7 @@
 //! requests, under load. The pace is that of what the couriers say to each other.
 
 use super::*;
+use quillmount_standins::fleet::FleetError;
 use quillmount_standins::fleet::link::{LinkMode, RequestFault};
 use quillmount_standins::record::RecordedSubmission;
 
@@ -17,6 +18,22 @@
     fleet.wait_until("the couriers speak", WAIT_TIMEOUT, more).await.unwrap();
 }
 
+/// A fault that can't be injected, since the courier does not run, is not in the record: the audit would excuse its answers.
+#[test]
+fn faults_of_a_courier_that_does_not_run_are_not_recorded() {
+    run_test(|| async {
+        let mut fleet = fleet(3).await;
+        fleet.kill(1).await.unwrap();
+        let faults = |fleet: &Fleet| fleet.recorder.read(|record| record.injected_faults.len());
+        let before = faults(&fleet);
+        assert!(matches!(fleet.suspend(1), Err(FleetError::NotRunning { .. })));
+        assert!(matches!(fleet.resume(1), Err(FleetError::NotRunning { .. })));
+        assert!(matches!(fleet.send_sigterm(1), Err(FleetError::NotRunning { .. })));
+        assert!(matches!(fleet.send_sighup(1), Err(FleetError::NotRunning { .. })));
+        assert_eq!(faults(&fleet), before);
+    });
+}
+
 #[expect(clippy::too_many_lines, reason = "one scenario, step by step")]
 async fn day(seed: u64, steps: usize, couriers: usize, copies: usize) {
     let mut setup = setup(couriers);
--- a/courier/program/tests/operators.rs
+++ b/courier/program/tests/operators.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -328,6 +328,26 @@
     });
 }
 
+/// A process that has handed over forwards operators' calls for ten seconds, unless it is asked to end: by either signal.
+#[test]
+fn a_process_that_has_handed_over_ends_at_once_when_it_is_asked_to() {
+    for interrupts in [false, true] {
+        run_test(|| async {
+            let mut test_bed = test_bed(EndpointScript::default()).await;
+            let mut old = test_bed.courier.upgrade().unwrap();
+            assert_eq!(test_bed.call("READY").await, "SUCCESS ready\n");
+            let asked_at = Instant::now();
+            match interrupts {
+                true => old.send_sigint().unwrap(),
+                false => old.send_sigterm().unwrap(),
+            }
+            assert!(old.wait_for_exit().await.unwrap().success());
+            let took = asked_at.elapsed();
+            assert!(took < Duration::from_secs(5), "SIGINT: {interrupts}; it ended after {took:?}");
+        });
+    }
+}
+
 /// SIGTERM came before anybody asked: the next process waits for the lock, and reads the journal.
 #[test]
 fn a_process_that_is_stopping_hands_nothing_over_and_the_next_restores() {
--- a/courier/protocol/src/discovery.rs
+++ b/courier/protocol/src/discovery.rs
@@ -43,7 +43,7 @@
     #[error(transparent)]
     State(#[from] EndpointStateError),
     /// Its address is no IP address with a port.
-    #[error("addr {:?}: {source}", Some(.text))]
+    #[error("addr {text:?}: {source}")]
     Address {
         /// What stands there.
         text: String,
--- a/tools/standins/src/courier/previous.rs
+++ b/tools/standins/src/courier/previous.rs
@@ -26,6 +26,14 @@
         self.process.signal(Signal::TERM).map_err(|source| CourierError::Signal { source })
     }
 
+    /// Sends SIGINT.
+    ///
+    /// # Errors
+    /// The process has ended.
+    pub fn send_sigint(&self) -> Result<(), CourierError> {
+        self.process.signal(Signal::INT).map_err(|source| CourierError::Signal { source })
+    }
+
     /// Sends SIGHUP.
     ///
     /// # Errors
--- a/tools/standins/src/fleet/lifecycle.rs
+++ b/tools/standins/src/fleet/lifecycle.rs
@@ -109,6 +109,7 @@
     /// # Errors
     /// It is not running.
     pub fn resume(&mut self, courier: usize) -> Result<(), FleetError> {
+        self.members[courier].running()?;
         self.recorder.record_fault(Fault::Resume(courier));
         let resumed = self.members[courier].running()?.resume();
         resumed.map_err(|source| self.members[courier].signal_error(source))
@@ -119,6 +120,7 @@
     /// # Errors
     /// It is not running.
     pub fn send_sigterm(&mut self, courier: usize) -> Result<(), FleetError> {
+        self.members[courier].running()?;
         self.recorder.record_fault(Fault::Sigterm(courier));
         self.signal(courier, Signal::TERM)
     }
@@ -128,6 +130,7 @@
     /// # Errors
     /// It is not running.
     pub fn send_sighup(&mut self, courier: usize) -> Result<(), FleetError> {
+        self.members[courier].running()?;
         self.recorder.record_fault(Fault::Sighup(courier));
         self.signal(courier, Signal::HUP)
     }
--- a/tools/standins/src/fleet/process.rs
+++ b/tools/standins/src/fleet/process.rs
@@ -3,7 +3,7 @@
 use crate::config;
 use crate::process::KillOnDrop;
 use crate::record::{LogLine, Recorder};
-use rustix::process::{Signal, WaitId, WaitIdOptions, waitid};
+use rustix::process::Signal;
 use std::io::{BufRead, BufReader, ErrorKind, Result};
 use std::path::Path;
 use std::process::{Command, ExitStatus, Stdio};
@@ -68,14 +68,12 @@
         self.child.signal(signal)
     }
 
-    /// Sends SIGSTOP, and returns when the process has stopped or ended.
+    /// Sends SIGSTOP, and returns when the process has stopped.
     ///
     /// # Errors
     /// The process has ended.
     pub fn suspend(&mut self) -> Result<()> {
-        self.signal(Signal::STOP)?;
-        let what = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
-        waitid(WaitId::Pid(self.child.pid()), what)?;
+        self.child.suspend()?;
         self.paused = true;
         Ok(())
     }
--- a/tools/standins/src/process.rs
+++ b/tools/standins/src/process.rs
@@ -1,7 +1,7 @@
 //! A child process that is killed when it is dropped.
 
-use rustix::process::{Pid, Signal, kill_process};
-use std::io::{Error, Result};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
+use std::io::{Error, ErrorKind, Result};
 use std::process::{Child, ExitStatus};
 
 /// A child process that is killed when it is dropped.
@@ -39,6 +39,17 @@
         kill_process(self.pid(), signal).map_err(Error::from)
     }
 
+    /// Sends SIGSTOP, and returns when the process has stopped.
+    ///
+    /// # Errors
+    /// The process has ended.
+    pub fn suspend(&self) -> Result<()> {
+        self.signal(Signal::STOP)?;
+        let either = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        let status = waitid(WaitId::Pid(self.pid()), either)?;
+        if status.is_some_and(|status| status.stopped()) { Ok(()) } else { Err(ErrorKind::NotFound.into()) }
+    }
+
     /// Sends SIGKILL, and returns when the process has ended.
     ///
     /// # Errors
