Explorer: the fingerprint has what a restart reads; inspect knows what a folder holds; a closed pipe is no panic

(2) Records of a core's ring and of a store's say nothing of their kind, and inspect tried both; a register without a value was told as no record. (3) println! panics on a closed pipe.

--- a/courier/program/src/program/cli.rs
+++ b/courier/program/src/program/cli.rs
@@ -82,7 +82,12 @@
     if std::env::args_os().len() <= 1 {
         return serve(None);
     }
-    let done = match Cli::parse().command.unwrap_or(Command::Run { operator: None }) {
+    let command = Cli::parse().command.unwrap_or(Command::Run { operator: None });
+    if !matches!(command, Command::Run { .. } | Command::Demo) {
+        // Who reads the output may close it early, as `head` does: the command ends then. What has sockets goes on instead.
+        sigpipe::reset();
+    }
+    let done = match command {
         Command::Run { operator } => return serve(operator),
         Command::Check { config, operator } => {
             let config = config.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
--- a/courier/program/tests/command.rs
+++ b/courier/program/tests/command.rs
@@ -163,3 +163,19 @@
     assert_eq!(told.matches("the courier tells the platform").count(), 4, "{told}");
     assert!(told.contains("8 messages, one final answer each"), "{told}");
 }
+
+/// The output goes to a pipe that nobody reads, as after `head`: the command ends by the signal, without a panic.
+#[test]
+fn a_command_whose_output_is_closed_ends_without_a_panic() {
+    use std::os::unix::process::ExitStatusExt;
+    const SIGPIPE: i32 = 13;
+    let config = root("courier/example/config.json");
+    for arguments in [vec!["schema"], vec!["completions", "bash"], vec!["check", "--config", &config]] {
+        let (reader, writer) = std::io::pipe().unwrap();
+        drop(reader);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quillmount"));
+        let output = command.args(&arguments).stdout(writer).output().unwrap();
+        assert_eq!(output.status.signal(), Some(SIGPIPE), "{arguments:?}: {}", said(&output.stderr));
+        assert_eq!(said(&output.stderr), "");
+    }
+}
--- a/tier/node/src/commands.rs
+++ b/tier/node/src/commands.rs
@@ -73,6 +73,10 @@
 
 /// Runs a command to its end: a role until it is asked to stop. An error is a message for the person who started it.
 pub async fn run(command: CommandLine) -> miette::Result<()> {
+    if matches!(command.command, Command::Check(_) | Command::Inspect(_) | Command::Version(_)) {
+        // Who reads the output may close it early, as `head` does: the command ends then. Roles go on instead.
+        sigpipe::reset();
+    }
     match command.command {
         Command::Courier(Courier { log }) => {
             init_log(&log);
--- a/tier/node/src/edge/mod.rs
+++ b/tier/node/src/edge/mod.rs
@@ -22,7 +22,7 @@
 use crate::subscription::{self, Needs, Reporter};
 use crate::{clock, rpc};
 use client_connections::ClientConnections;
-use quillmount_storage::{Identity, load_identity};
+use quillmount_storage::{FolderContents, Identity, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole, ShardReport};
 use quillmount_wire::settings::Settings;
 use std::path::Path;
@@ -97,7 +97,10 @@
 
 fn open_core(node: &Rc<Node>) -> Result<Option<Rc<ControlMember>>, RoleError> {
     match (node.info.role, node.settings.data_folder()) {
-        (NodeRole::Core, Some(folder)) => Ok(Some(ControlMember::open(node.clone(), Path::new(folder))?)),
+        (NodeRole::Core, Some(folder)) => {
+            claim_contents(Path::new(folder), FolderContents::ControlState)?;
+            Ok(Some(ControlMember::open(node.clone(), Path::new(folder))?))
+        }
         _ => Ok(None),
     }
 }
--- a/tier/node/src/role.rs
+++ b/tier/node/src/role.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use crate::socket;
-use quillmount_storage::{IdentityError, StorageError};
+use quillmount_storage::{ContentsError, IdentityError, StorageError};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -18,6 +18,9 @@
     /// The disk has no identity that can be used.
     #[error("the identity of the disk can't be used: {0}")]
     Identity(IdentityError),
+    /// The data folder holds something else.
+    #[error("the data folder can't be used: {0}")]
+    Contents(ContentsError),
     /// An address can't be listened on.
     #[error("can't listen on {address}: {error}")]
     Listen {
@@ -43,6 +46,12 @@
     }
 }
 
+impl From<ContentsError> for RoleError {
+    fn from(error: ContentsError) -> Self {
+        RoleError::Contents(error)
+    }
+}
+
 /// Listens on an address of the settings.
 pub fn listen(address: &str) -> Result<TcpListener, RoleError> {
     socket::listen(address).map_err(|error| RoleError::Listen { address: address.to_owned(), error })
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -25,7 +25,7 @@
 use crate::role::{RoleError, listen, wait_for_stop};
 use crate::rpc::{self, Handler};
 use crate::subscription;
-use quillmount_storage::load_identity;
+use quillmount_storage::{FolderContents, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole};
 use quillmount_wire::settings::Settings;
 use state::{OpenedStore, Store};
@@ -44,6 +44,7 @@
 pub async fn run(settings: Settings) -> Result<(), RoleError> {
     let folder = settings.data_folder().unwrap_or(DEFAULT_FOLDER).to_owned();
     let identity = load_identity(Path::new(&folder), clock::random_id())?;
+    claim_contents(Path::new(&folder), FolderContents::BatchJobs)?;
     let info = NodeInfo {
         name: settings.hostname.clone(),
         disk: identity.disk,
--- a/tier/node/tests/commands.rs
+++ b/tier/node/tests/commands.rs
@@ -60,6 +60,22 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+/// The output goes to a pipe that nobody reads, as after `head`: the command ends by the signal, without a panic.
+#[test]
+fn a_command_whose_output_is_closed_ends_without_a_panic() {
+    use std::os::unix::process::ExitStatusExt;
+    const SIGPIPE: i32 = 13;
+    let configuration = file("closed.json", r#"{"Gen":1,"Routes":[],"Backends":[]}"#);
+    for arguments in [vec!["version"], vec!["check", "--configuration", &configuration]] {
+        let (reader, writer) = std::io::pipe().unwrap();
+        drop(reader);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quillmount-node"));
+        let output = command.args(&arguments).stdout(writer).output().unwrap();
+        assert_eq!(output.status.signal(), Some(SIGPIPE), "{arguments:?}: {}", errors(&output));
+        assert_eq!(errors(&output), "");
+    }
+}
+
 /// A store over a ring whose identity is lost must not start as a new disk: it says so and leaves the folder as it is.
 #[test]
 fn a_role_does_not_start_over_a_ring_without_its_identity() {
--- a/tier/node/tests/stored_data.rs
+++ b/tier/node/tests/stored_data.rs
@@ -3,7 +3,7 @@
 
 use quillmount_batch::{ShardAction, ShardReplica, ShardReplicaId, StoreRecord};
 use quillmount_control::{ControlState, Order, OrderKind, OrderOutcome, ShardPlanInputs};
-use quillmount_storage::{Ring, RingRecord, RingSize, load_identity};
+use quillmount_storage::{FolderContents, Ring, RingRecord, RingSize, claim_contents, load_identity};
 use quillmount_test_support::fixtures::{Fixtures, file_names};
 use quillmount_test_support::temporary::TemporaryFolder;
 use quillmount_wire::messages::{
@@ -116,6 +116,16 @@
     assert_eq!(lines[1..], expected);
 }
 
+/// What the folder holds is noted beside its ring: a register without a value is told as one.
+#[test]
+fn inspect_prints_a_register_without_a_value_where_the_contents_are_noted() {
+    let folder = stored("core", write_core);
+    claim_contents(&folder.0, FolderContents::ControlState).unwrap();
+    let lines = inspect(&folder.0);
+    assert_eq!(lines[0], "segment 1: register promised 1, nothing accepted");
+    assert!(lines[1].starts_with("segment 1: register promised 1 accepted 1.1: "), "{}", lines[1]);
+}
+
 fn job(id: &str, tenant: &str, items: u64) -> Job {
     let item = |number: u64| Item {
         id: format!("i{number}"),
--- a/tier/storage/src/files.rs
+++ b/tier/storage/src/files.rs
@@ -6,6 +6,7 @@
 use crate::error::StorageError;
 use std::collections::VecDeque;
 use std::fs::{self, File, OpenOptions};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 
 /// Name of every file of a ring, before its index.
@@ -61,6 +62,16 @@
     Ok(false)
 }
 
+/// Writes a small file so that a crash leaves either none or all of it, and makes it durable.
+pub(crate) fn replace_file(folder: &Path, name: &str, text: &str) -> std::io::Result<()> {
+    let temporary = folder.join(format!("{name}.new"));
+    let mut file = File::create(&temporary)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    fs::rename(&temporary, folder.join(name))?;
+    sync_folder(folder)
+}
+
 /// Makes the names of new files durable.
 pub(crate) fn sync_folder(folder: &Path) -> std::io::Result<()> {
     File::open(folder)?.sync_all()
--- a/tier/storage/src/identity.rs
+++ b/tier/storage/src/identity.rs
@@ -1,14 +1,12 @@
 //! The identity of a disk: a random number, drawn when its folder is found empty and stored there.
 
-use crate::files::{holds_ring, sync_folder};
-use std::fs::{self, File};
-use std::io::{ErrorKind, Write};
+use crate::files::{holds_ring, replace_file, sync_folder};
+use std::fs;
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 /// Name of the file with the identity: 16 hexadecimal digits and a newline.
 const FILE_NAME: &str = "identity";
-/// Name under which the file is written before it is renamed, so that a crash leaves no partial identity.
-const TEMPORARY_FILE_NAME: &str = "identity.new";
 
 /// Identity of a disk, and whether it was drawn just now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,7 +64,7 @@
     if has_ring {
         return Err(IdentityError::LostBesideRing { path });
     }
-    store_identity(folder, &path, drawn).map_err(failed_at(&path))?;
+    replace_file(folder, FILE_NAME, &format!("{drawn:016x}\n")).map_err(failed_at(&path))?;
     Ok(Identity { disk: drawn, fresh: true })
 }
 
@@ -83,12 +81,3 @@
     let text = str::from_utf8(bytes).ok()?;
     u64::from_str_radix(text.trim(), 16).ok()
 }
-
-fn store_identity(folder: &Path, path: &Path, drawn: u64) -> std::io::Result<()> {
-    let temporary = folder.join(TEMPORARY_FILE_NAME);
-    let mut file = File::create(&temporary)?;
-    file.write_all(format!("{drawn:016x}\n").as_bytes())?;
-    file.sync_all()?;
-    fs::rename(&temporary, path)?;
-    sync_folder(folder)
-}
--- a/tier/storage/src/lib.rs
+++ b/tier/storage/src/lib.rs
@@ -1,4 +1,5 @@
-//! Durable storage of a node: a ring of preallocated files with checksummed records, and the identity of a disk.
+//! Durable storage of a node: a ring of preallocated files with checksummed records, the identity of a disk, and what
+//! its ring holds.
 //!
 //! The caller opens a [`Ring`], replays the records found, then appends and syncs records, and releases the oldest segments once
 //! their records are superseded. A ring starts with one file and grows to its limit by whole files; after that the file of the
@@ -8,6 +9,7 @@
 //! before it, so that bytes of an earlier lap, or after a torn record, are never read as records. Recovery ends a segment at the
 //! first record that does not verify; anything after it was never synced.
 
+mod contents;
 mod error;
 mod files;
 mod format;
@@ -16,6 +18,7 @@
 mod ring;
 mod segment;
 
+pub use contents::{ContentsError, FolderContents, claim_contents, read_contents};
 pub use error::StorageError;
 pub use files::RingSize;
 pub use identity::{Identity, IdentityError, load_identity};
--- a/tier/storage/tests/ring.rs
+++ b/tier/storage/tests/ring.rs
@@ -1,7 +1,8 @@
 //! The ring through restarts, torn and missing writes.
 
 use quillmount_storage::{
-    IdentityError, Ring, RingRecord, RingSize, StorageError, load_identity, read_records,
+    ContentsError, FolderContents, IdentityError, Ring, RingRecord, RingSize, StorageError, claim_contents,
+    load_identity, read_contents, read_records,
 };
 use quillmount_test_support::temporary::TemporaryFolder;
 use std::fs::{self, OpenOptions};
@@ -249,6 +250,22 @@
     assert!(matches!(load_identity(&folder.0, 9).unwrap_err(), IdentityError::Io { .. }));
 }
 
+/// A folder belongs to one role; one whose ring an earlier version made is noted when it is next opened.
+#[test]
+fn a_folder_is_claimed_for_one_kind_of_records() {
+    let folder = TemporaryFolder::new();
+    fs::create_dir_all(&folder.0).unwrap();
+    assert_eq!(read_contents(&folder.0).unwrap(), None);
+    drop(open(&folder).unwrap());
+    claim_contents(&folder.0, FolderContents::BatchJobs).unwrap();
+    claim_contents(&folder.0, FolderContents::BatchJobs).unwrap();
+    assert_eq!(read_contents(&folder.0).unwrap(), Some(FolderContents::BatchJobs));
+    let error = claim_contents(&folder.0, FolderContents::ControlState).unwrap_err();
+    assert!(matches!(error, ContentsError::Other { .. }), "{error}");
+    assert!(error.to_string().contains("holds batch-jobs, not control-state"), "{error}");
+    assert_eq!(open(&folder).unwrap().1.len(), 0);
+}
+
 fn files(folder: &TemporaryFolder) -> usize {
     fs::read_dir(&folder.0).unwrap().count()
 }
--- a/tools/explore/src/fingerprint.rs
+++ b/tools/explore/src/fingerprint.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Hashes the number that the next message gets, unless ids count by their ranks: it is above all others in any case.
+    pub fn visit_next_number(&mut self, number: MsgId) {
+        if self.ids.is_none() {
+            self.visit_u64(number);
+        }
+    }
+
     /// Hashes a value by its `Hash`.
     pub fn hash(&mut self, value: &impl Hash) {
         value.hash(self);
--- a/tools/explore/src/main.rs
+++ b/tools/explore/src/main.rs
@@ -13,6 +13,8 @@
 static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
+    // Who reads the output may close it early, as `head` does: the program ends then.
+    sigpipe::reset();
     match command::run(Cli::parse().command) {
         Ok(status) => status.into(),
         Err(error) => {
--- a/tools/explore/src/search/mod.rs
+++ b/tools/explore/src/search/mod.rs
@@ -4,6 +4,7 @@
 //! `report` has the bounds and the result. `workers` expands a layer on several threads, `expand` applies all transitions of
 //! one state, `visited` recognises states, and `predecessors` remembers how each was reached.
 
+mod ambiguity;
 mod expand;
 mod play;
 mod predecessors;
@@ -11,6 +12,7 @@
 mod visited;
 mod workers;
 
+pub use ambiguity::{Ambiguity, find_ambiguity};
 pub use play::{PathViolation, PlayError, play};
 pub use report::{Bounds, Progress, SearchReport, StopReason, Verdict};
 pub use visited::fingerprint;
--- a/tools/explore/src/search/predecessors.rs
+++ b/tools/explore/src/search/predecessors.rs
@@ -23,7 +23,7 @@
     }
 
     /// The transition out of this state.
-    fn unpack(self, world: &World) -> Option<Transition> {
+    pub(super) fn unpack(self, world: &World) -> Option<Transition> {
         let [crash, action] = self.0.to_be_bytes();
         let action = *world.actions().get(usize::from(action))?;
         let crash = crash.checked_sub(1).map(|n| CrashPoint { after: u32::from(n / 2), torn: n % 2 == 1 });
--- a/tools/explore/src/world/hash.rs
+++ b/tools/explore/src/world/hash.rs
@@ -2,6 +2,7 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::monitor::DRAIN_GRACE;
+use crate::world::process::FAR_FUTURE;
 use crate::world::state::{OutstandingCall, ProcessState, World};
 use quillmount_core::machine::attempt::AttemptState;
 use quillmount_core::machine::watch::WatchState;
@@ -88,7 +89,13 @@
         if self.case.incarnations <= 1 {
             return;
         }
-        for (number, entry) in &self.journal_contents().owed {
+        let contents = self.journal_contents();
+        hasher.visit_next_number(contents.next);
+        for remembered in &contents.ended {
+            hasher.hash(&(&remembered.id, format!("{:?}", remembered.end)));
+            hasher.visit_time(remembered.until);
+        }
+        for (number, entry) in &contents.owed {
             hasher.hash(&(number, &entry.taken.id, entry.calls.len()));
             for call in &entry.calls {
                 hasher.visit_time(call.sent);
@@ -124,7 +131,12 @@
             hasher.visit_time(wait.since);
             hasher.visit_time(wait.until);
         }
-        hasher.visit_time(if self.monitor.grace_until > self.now { self.monitor.grace_until } else { 0 });
+        hasher.visit_time(match self.monitor.grace_until {
+            // Not a moment: it is as far away at any time.
+            FAR_FUTURE => Micros::MAX,
+            until if until > self.now => until,
+            _ => 0,
+        });
     }
 
     /// The state of the process with times relative to the present, for hashing.
--- a/tools/explore/src/world/process.rs
+++ b/tools/explore/src/world/process.rs
@@ -21,7 +21,7 @@
 /// Time from SIGTERM until the process ends, in microseconds.
 const PROCESS_STOP: Micros = 3_400_000;
 /// A time that no path reaches, while it is unknown when the next incarnation is ready.
-const FAR_FUTURE: Micros = Micros::MAX / 2;
+pub(super) const FAR_FUTURE: Micros = Micros::MAX / 2;
 /// The port of the first endpoint.
 const FIRST_PORT: u16 = 1_000;
 
--- a/tools/explore/tests/command.rs
+++ b/tools/explore/tests/command.rs
@@ -101,3 +101,16 @@
     }
     std::fs::remove_file(path).unwrap();
 }
+
+/// The output goes to a pipe that nobody reads, as after `head`: the program ends by the signal, without a panic.
+#[test]
+fn a_command_whose_output_is_closed_ends_without_a_panic() {
+    use std::os::unix::process::ExitStatusExt;
+    const SIGPIPE: i32 = 13;
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quillmount-explore"));
+    let output = command.arg("list").stdout(writer).output().unwrap();
+    assert_eq!(output.status.signal(), Some(SIGPIPE), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+}
