--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod scaling;
 mod shards;
 mod state;
+mod time_limits;
 mod usage;
 
 pub use admission::Admission;
@@ -30,4 +31,5 @@
 pub use scaling::Scaler;
 pub use shards::{Retirement, SHARDS, ShardPlanInputs, shard_of};
 pub use state::{AppliedOrder, ControlState};
+pub use time_limits::TimeLimits;
 pub use usage::{LastHeard, SETTLE_S, all_reported, may_finalize};
--- /dev/null
+++ b/tier/control/tests/time_limits.rs
@@ -0,0 +1,47 @@
+//! Limits derived from the bounds of a deployment: each stays within its bound, whatever that is.
+
+use quickcheck::QuickCheck;
+use quillmount_control::TimeLimits;
+use quillmount_wire::settings::Bounds;
+use std::time::Duration;
+
+/// Longest time by which the platform's list is behind, as a part of `DrainMs`: `LagMs` of the deployments is a quarter of it.
+const LIST_LAG: f64 = 0.27;
+
+#[test]
+fn the_bounds_of_the_settings_page_give_the_ceilings() {
+    let limits = TimeLimits::new(&Bounds::default());
+    assert_eq!(limits.change, Duration::from_millis(3_000));
+    assert_eq!(limits.recent_answer, Duration::from_millis(1_500));
+    assert_eq!(limits.core_silence, Duration::from_millis(1_200));
+    assert_eq!(limits.list_reading, Duration::from_millis(900));
+    assert_eq!(limits.refusal, Duration::from_millis(1_000));
+    assert_eq!(limits.item_silence, Duration::from_millis(4_000));
+    let larger = Bounds { ack_ms: 6e3, contact_ms: 5e3, drain_ms: 4e3, apply_ms: 3e3, ..Bounds::default() };
+    let expected = TimeLimits { refusal: Duration::from_millis(1_500), ..limits };
+    assert_eq!(TimeLimits::new(&larger), expected);
+}
+
+#[test]
+fn every_limit_is_within_its_bound() {
+    fn within(bound_ms: u32) -> bool {
+        let bound_ms = f64::from(bound_ms);
+        let bounds = Bounds {
+            ack_ms: bound_ms,
+            contact_ms: bound_ms,
+            drain_ms: bound_ms,
+            apply_ms: bound_ms,
+            complete_s: bound_ms / 1000.0,
+            ..Bounds::default()
+        };
+        let limits = TimeLimits::new(&bounds);
+        let bound = Duration::from_micros((bound_ms * 1000.0) as u64);
+        let listed = limits.core_silence + limits.list_reading + bound.mul_f64(LIST_LAG);
+        limits.change <= bound
+            && limits.recent_answer <= bound
+            && listed <= bound
+            && limits.refusal <= bound
+            && limits.item_silence * 2 <= bound
+    }
+    QuickCheck::new().tests(500).quickcheck(within as fn(u32) -> bool);
+}
--- a/tier/node/src/control_member/member.rs
+++ b/tier/node/src/control_member/member.rs
@@ -26,8 +26,6 @@
 const RING: RingSize = RingSize { segment: 4 << 20, segments: 4 };
 /// Interval between two ticks of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// A change or read that is not confirmed within this time is reported as uncertain.
-const CHANGE_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// Why a change of the control state was not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -172,7 +170,7 @@
         let (done, receiver) = oneshot::channel();
         self.pending.borrow_mut().insert(ticket, done);
         self.perform(actions);
-        let confirmed = matches!(tokio::time::timeout(CHANGE_TIMEOUT, receiver).await, Ok(Ok(())));
+        let confirmed = matches!(tokio::time::timeout(self.node.limits.change, receiver).await, Ok(Ok(())));
         self.pending.borrow_mut().remove(&ticket);
         confirmed
     }
--- a/tier/node/src/edge/mod.rs
+++ b/tier/node/src/edge/mod.rs
@@ -71,7 +71,7 @@
 }
 
 fn node_info(settings: &Settings, identity: Option<&Identity>) -> NodeInfo {
-    let is_core_member = identity.is_some() && settings.sockets.admin.is_some();
+    let is_core_member = identity.is_some() && settings.sockets.admin.is_some() && settings.counts_for_quorum;
     NodeInfo {
         name: settings.hostname.clone(),
         disk: identity.map_or_else(clock::random_id, |identity| identity.disk),
--- a/tier/node/src/edge/routing.rs
+++ b/tier/node/src/edge/routing.rs
@@ -41,7 +41,8 @@
         return respond(node, connection, keep_alive, &not_configured(node)).await;
     }
     let response = match destination(&tables.routes, &request) {
-        Err(response) => response,
+        Err(refusal) if node.may_refuse() => refusal,
+        Err(_) => refusal_uncertain(),
         Ok(Destination::Job { tenant }) => batch_api::answer(node, &request, &tenant).await,
         Ok(Destination::Route { route, tenant }) => {
             let tenant = tenant.as_deref();
@@ -69,6 +70,12 @@
         .with_header("Retry-After", format!("{:.2}", time_left.max(RETRY_AFTER_S)))
 }
 
+/// Answers a request that the configuration known here does not allow, while a newer one may be in force elsewhere.
+fn refusal_uncertain() -> HttpResponse {
+    HttpResponse::text(503, "the newest configuration is not known here")
+        .with_header("Retry-After", format!("{RETRY_AFTER_S:.2}"))
+}
+
 /// What serves a request, or the response that rejects it.
 fn destination(routes: &RouteTable, request: &HttpRequest) -> Result<Destination, HttpResponse> {
     let target = &request.head.target;
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::rpc::PeerLinks;
 use crate::upstream::Upstreams;
+use quillmount_control::TimeLimits;
 use quillmount_dataplane::dispatch::{Dispatcher, ServiceShare};
 use quillmount_window::Parameters;
 use quillmount_wire::Micros;
@@ -34,6 +35,8 @@
 pub struct Node {
     /// The settings file, as it was read at the start.
     pub settings: Settings,
+    /// How long it waits, and for how long it trusts what it knows.
+    pub limits: TimeLimits,
     /// Identity, addresses and role of this process.
     pub info: NodeInfo,
     /// Identifier of this run of the process, drawn at each start.
@@ -68,9 +71,11 @@
     /// Makes the shared state of a process that starts now.
     pub fn new(settings: Settings, info: NodeInfo) -> Rc<Node> {
         let incarnation = clock::random_id();
+        let limits = TimeLimits::new(&settings.slo);
         let dispatcher = Dispatcher::new(incarnation, &settings.zone, WINDOW);
         Rc::new(Node {
             seeds: RefCell::new(settings.seeds.clone()),
+            limits,
             settings,
             info,
             incarnation,
@@ -81,7 +86,7 @@
             capacity_freed: Notify::new(),
             stopping: Cell::new(false),
             report_due: Notify::new(),
-            core_contact: CoreContact::default(),
+            core_contact: CoreContact::new(limits.recent_answer),
             loads: RefCell::default(),
             tables: watch::Sender::new(Rc::default()),
             usage: RefCell::default(),
@@ -89,6 +94,12 @@
         })
     }
 
+    /// Whether requests may be refused by the configuration in force: the primary was heard from so recently that a newer one, which
+    /// may allow them, need not be in force here yet.
+    pub fn may_refuse(&self) -> bool {
+        self.core_contact.silence() < self.limits.refusal.as_micros() as Micros
+    }
+
     /// Seconds since the process began.
     pub fn uptime_s(&self) -> f64 {
         clock::now().saturating_sub(self.started) as f64 / 1e6
--- a/tier/node/src/node/core_contact.rs
+++ b/tier/node/src/node/core_contact.rs
@@ -3,13 +3,13 @@
 use crate::clock;
 use quillmount_wire::Micros;
 use std::cell::{Cell, RefCell};
-
-/// An answer of the primary counts as recent for this long, microseconds.
-const RECENT_ANSWER: Micros = 1_500_000;
+use std::time::Duration;
 
 /// Addresses at which a process finds the core, and when the primary last answered it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CoreContact {
+    /// An answer of the primary counts as recent for this long.
+    recent_answer: Micros,
     /// Address that is polled next: the primary's or a relay's. `None` while the process searches.
     poll_address: RefCell<Option<String>>,
     primary: RefCell<Option<String>>,
@@ -20,6 +20,18 @@
 }
 
 impl CoreContact {
+    /// No contact yet; an answer of the primary will count as recent for this long.
+    pub fn new(recent_answer: Duration) -> CoreContact {
+        CoreContact {
+            recent_answer: recent_answer.as_micros() as Micros,
+            poll_address: RefCell::default(),
+            primary: RefCell::default(),
+            relays: RefCell::default(),
+            members: RefCell::default(),
+            last_answer: Cell::default(),
+        }
+    }
+
     /// Address that is polled next, if one is known to answer.
     pub fn poll_address(&self) -> Option<String> {
         self.poll_address.borrow().clone()
@@ -55,9 +67,9 @@
         self.last_answer.get() > 0
     }
 
-    /// Whether the primary answered within the last 1.5 seconds.
+    /// Whether the last answer of the primary is recent.
     pub fn has_recent_primary(&self) -> bool {
-        self.has_ever_answered() && self.silence() < RECENT_ANSWER
+        self.has_ever_answered() && self.silence() < self.recent_answer
     }
 
     /// Time since the primary last answered, or since the start of the clock.
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -16,8 +16,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An endpoint that sends nothing for this long is given up; the item continues elsewhere.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Delay before an item is queued again after an attempt without progress.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Largest text of one item, bytes.
@@ -73,13 +71,14 @@
             request_id: &self.run.item().id,
             bytes: &bytes,
         };
-        let mut answer = match self.store.node.upstreams.send(request, SILENCE_TIMEOUT).await {
-            Ok(answer) => answer,
-            Err(UpstreamError::Silent) => {
-                return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
-            }
-            Err(_) => return ItemAttemptOutcome::Retry(CallOutcome::Lost),
-        };
+        let mut answer =
+            match self.store.node.upstreams.send(request, self.store.node.limits.item_silence).await {
+                Ok(answer) => answer,
+                Err(UpstreamError::Silent) => {
+                    return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
+                }
+                Err(_) => return ItemAttemptOutcome::Retry(CallOutcome::Lost),
+            };
         if answer.head.status != 200 || !answer.head.is_event_stream() {
             return self.read_status(answer).await;
         }
@@ -94,7 +93,8 @@
     async fn read_status(&self, mut answer: UpstreamAnswer) -> ItemAttemptOutcome {
         let status = answer.head.status;
         let rejection = CallOutcome::of_rejection(&answer.head);
-        let complete = tokio::time::timeout(SILENCE_TIMEOUT, answer.read_all(ANSWER_LIMIT)).await;
+        let complete =
+            tokio::time::timeout(self.store.node.limits.item_silence, answer.read_all(ANSWER_LIMIT)).await;
         if !matches!(complete, Ok(Some(_))) {
             return ItemAttemptOutcome::Retry(CallOutcome::Lost);
         }
@@ -114,7 +114,9 @@
         let mut sequence = EventSequence::resuming(self.run.last_event, EventIds::Required);
         loop {
             let mut bytes = Vec::new();
-            let Ok(progress) = tokio::time::timeout(SILENCE_TIMEOUT, answer.read(&mut bytes)).await else {
+            let Ok(progress) =
+                tokio::time::timeout(self.store.node.limits.item_silence, answer.read(&mut bytes)).await
+            else {
                 return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
             };
             let received = sequence.add(&bytes);
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::node::Node;
 use quillmount_control::Contacts;
-use quillmount_wire::messages::{Poll, Request, Response, ShardReport, Tables};
+use quillmount_wire::messages::{NodeRole, Poll, Request, Response, ShardReport, Tables};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -117,13 +117,18 @@
         max_wait_ms: if stopping { 0 } else { MAX_WAIT.as_millis() as u64 },
         usage: node.usage(),
         shards: reporter.shard_reports(),
-        draining: stopping,
+        draining: stopping || !may_hold_jobs(node),
         relayed: false,
         demand: total_demand(node, demand),
         items: items.into_iter().collect(),
     }
 }
 
+/// Whether the machine may be lost no more often than the system tolerates. A store that may go at any time is given no shards.
+fn may_hold_jobs(node: &Node) -> bool {
+    node.info.role != NodeRole::Store || node.settings.counts_for_quorum
+}
+
 /// Demand with the calls in flight added; services without any are left out.
 fn total_demand(node: &Node, mut demand: HashMap<String, f64>) -> Vec<(String, f64)> {
     for (service, calls) in node.dispatcher.borrow().in_flight() {
--- a/tier/node/src/subscription/direct_list.rs
+++ b/tier/node/src/subscription/direct_list.rs
@@ -5,17 +5,11 @@
 use quillmount_wire::Micros;
 use quillmount_wire::messages::Endpoint;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Silence of the core after which a process reads the list itself, microseconds.
-const CORE_SILENCE: Micros = 1_200_000;
-/// Interval between two readings.
-const READ_INTERVAL: Duration = Duration::from_millis(900);
 
 /// Reads the platform's list whenever the core is silent, for as long as the process runs.
 pub async fn read_list_without_core(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(READ_INTERVAL).await;
+        tokio::time::sleep(node.limits.list_reading).await;
         if !is_core_silent(&node) {
             continue;
         }
@@ -35,7 +29,7 @@
 }
 
 fn is_core_silent(node: &Node) -> bool {
-    node.core_contact.silence() > CORE_SILENCE
+    node.core_contact.silence() > node.limits.core_silence.as_micros() as Micros
 }
 
 fn install(node: &Node, current: &TableSnapshot, list: Vec<Endpoint>) {
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -20,8 +20,8 @@
 
 /// Couriers with a disk; further ones have none.
 const CORE: usize = 3;
-/// Tiers that one process may run at once.
-const TIERS: u32 = 8;
+/// Tiers that one process starts: each has addresses of its own.
+const TIERS: u32 = 32;
 
 /// An answer read to its end, chunks taken apart.
 pub struct Answer {
@@ -298,11 +298,15 @@
     }
 
     fn spawn(&self, role: &str, number: usize) -> Child {
+        self.spawn_on(role, number, number < CORE, true)
+    }
+
+    /// Starts a process; `has_disk` holds for couriers, stores always have one.
+    fn spawn_on(&self, role: &str, number: usize, has_disk: bool, counts_for_quorum: bool) -> Child {
         let ip = self.ip(role, number);
         let data = self.folder.join(format!("{role}-{number}"));
         std::fs::create_dir_all(&data).unwrap();
-        let data =
-            if role == "courier" && number >= CORE { String::new() } else { data.display().to_string() };
+        let data = if role == "courier" && !has_disk { String::new() } else { data.display().to_string() };
         let peers: Vec<String> =
             self.seeds.iter().map(|peer| format!("\"{}:{ADMIN}\"", self.ip("courier", *peer))).collect();
         let sockets = match role {
@@ -312,7 +316,7 @@
             _ => String::new(),
         };
         let settings = format!(
-            "Hostname = \"{role}-{number}\"\nBindIp = \"{ip}\"\nAz = \"a\"\nPortRange = [{INTERNAL}, {}]\nPeers = [{}]\nBootstrap = true\nCountsForQuorum = true\nVarDir = \"{}\"\n[Sockets]\n{sockets}[Limits]\nRamMb = 200\nNofile = 1000\nDiskMb = 64\n[Survive]\nBoxes = 1\n[Slo]\n[CloudApi]\nAddress = \"{}.251:{PLATFORM}\"\n",
+            "Hostname = \"{role}-{number}\"\nBindIp = \"{ip}\"\nAz = \"a\"\nPortRange = [{INTERNAL}, {}]\nPeers = [{}]\nBootstrap = true\nCountsForQuorum = {counts_for_quorum}\nVarDir = \"{}\"\n[Sockets]\n{sockets}[Limits]\nRamMb = 200\nNofile = 1000\nDiskMb = 64\n[Survive]\nBoxes = 1\n[Slo]\n[CloudApi]\nAddress = \"{}.251:{PLATFORM}\"\n",
             INTERNAL + 15,
             peers.join(","),
             data,
@@ -362,6 +366,27 @@
         self.couriers.push(Some(courier));
     }
 
+    /// Adds a courier with a disk that does not count for the quorum; returns its number.
+    pub fn add_uncounted_courier(&mut self) -> usize {
+        let number = self.couriers.len();
+        self.couriers.push(Some(self.spawn_on("courier", number, true, false)));
+        number
+    }
+
+    /// Adds a store; returns its name.
+    pub fn add_store(&mut self, counts_for_quorum: bool) -> String {
+        let number = self.stores.len();
+        self.stores.push(Some(self.spawn_on("store", number, true, counts_for_quorum)));
+        format!("store-{number}")
+    }
+
+    /// Names of the files in a courier's folder.
+    pub fn files_of_courier(&self, number: usize) -> Vec<String> {
+        let folder = self.folder.join(format!("courier-{number}"));
+        let names = std::fs::read_dir(folder).unwrap().flatten();
+        names.map(|entry| entry.file_name().to_string_lossy().into_owned()).collect()
+    }
+
     /// Kills everything, and starts it again with settings that name these couriers as seeds.
     pub fn restart_all(&mut self, seeds: &[usize]) {
         self.couriers.iter_mut().chain(&mut self.stores).for_each(|child| end(child.take()));
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -3,6 +3,8 @@
 mod answers;
 mod harness;
 mod interfaces;
+mod quorum;
 mod seeds;
+mod stale;
 mod stop;
 mod whole_path;
--- a/tier/wire/src/settings.rs
+++ b/tier/wire/src/settings.rs
@@ -58,8 +58,9 @@
     /// The process takes part in the first start of the system.
     #[serde(default)]
     pub bootstrap: bool,
-    /// The machine is one of those that [`FaultTolerance::machines`] counts; not used.
-    #[serde(default)]
+    /// The machine is one of those that [`FaultTolerance::machines`] counts. Any number of others may be lost at once: they are no
+    /// members of the core and hold no batch jobs.
+    #[serde(default = "counts")]
     pub counts_for_quorum: bool,
     /// Folder for data; absent or empty on machines without a disk.
     #[serde(default)]
@@ -111,6 +112,10 @@
     pub disk_mb: u64,
 }
 
+fn counts() -> bool {
+    true
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -128,15 +133,15 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Bounds {
-    /// Time in contact after which two machines count as connected; not used.
+    /// Time in contact after which a machine is bound by the rules.
     pub contact_ms: f64,
-    /// Time in which an operator's change has to be acknowledged; not used.
+    /// Time in which an operator's change has to be acknowledged.
     pub ack_ms: f64,
-    /// Time after a notice of draining in which requests may still arrive; not used.
+    /// Time after a notice of draining in which requests may still arrive at the endpoint.
     pub drain_ms: f64,
     /// Time from the signal to shut down until the process has to end.
     pub grace_s: f64,
-    /// Time after the acknowledgement of a configuration until it is in force everywhere; not used.
+    /// Time after the acknowledgement of a configuration until it is in force everywhere.
     pub apply_ms: f64,
     /// Time that a new primary waits before it acts in a singleton role of the previous one.
     pub lease_ms: f64,
@@ -146,9 +151,9 @@
     pub usage_delay_s: f64,
     /// Time for which the results of a finished job can be read.
     pub poll_s: f64,
-    /// Time that batch jobs are given after the last traffic; not used.
+    /// Time that batch jobs are given after the last traffic.
     pub complete_s: f64,
-    /// Time after a cancellation until no endpoint runs the item any more; not used.
+    /// Time after a cancellation until no endpoint gets the item any more; not used, since a cancellation acts at once.
     pub abort_ms: f64,
 }
 
--- a/tier/wire/tests/operator_files.rs
+++ b/tier/wire/tests/operator_files.rs
@@ -269,10 +269,7 @@
 fn settings_without_optional_fields_have_their_defaults() {
     let settings = Settings::parse(&read("settings-least.toml"), "settings-least.toml").unwrap();
     assert_eq!((settings.region.as_str(), settings.seeds.len()), ("", 0));
-    assert_eq!(
-        (settings.bootstrap, settings.counts_for_quorum, settings.data_folder()),
-        (false, false, None)
-    );
+    assert_eq!((settings.bootstrap, settings.counts_for_quorum, settings.data_folder()), (false, true, None));
     let sockets = &settings.sockets;
     assert!(sockets.http.is_none() && sockets.readyz.is_none() && sockets.admin.is_none());
     assert_eq!((settings.limits.cpu_frac, settings.limits.disk_mb), (1.0, 0));
