Tier: figures for operators (--metrics PORT/PATH); a fencing token that was refused is not used again

Change: metrics (counters and gauges with prometheus-client) and metrics_server; docs/operating.md says what each figure means and what to do, and a test holds page and figures together. FencedCalls (control): what was refused with a token is not called again until the epoch is another.

Result: tests each_role_tells_figures_that_the_page_explains, an_address_of_metrics_that_is_none_is_told, fenced_calls (2): ok.

--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod breaks;
 mod contacts;
 mod directory;
+mod fenced_calls;
 mod member;
 mod orders;
 mod scaling;
@@ -24,6 +25,7 @@
 pub use admission::Admission;
 pub use contacts::Contacts;
 pub use directory::{Directory, apply_update};
+pub use fenced_calls::{FencedCalls, FencedSubject};
 pub use member::{
     Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead, Ticket, WriteOutcome,
 };
--- a/tier/dataplane/src/dispatch/dispatcher.rs
+++ b/tier/dataplane/src/dispatch/dispatcher.rs
@@ -38,6 +38,17 @@
     }
 }
 
+/// Endpoints of a service as this process sees them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointCounts {
+    /// Endpoints that take calls.
+    pub open: u32,
+    /// Of these, endpoints that get no calls for a while after failures.
+    pub in_backoff: u32,
+    /// Calls in flight.
+    pub in_flight: u32,
+}
+
 /// A slot at an endpoint, reserved for one call until [`Dispatcher::finish`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reservation {
@@ -167,6 +178,18 @@
         open.map(|state| state.endpoint.capacity).fold(0, u32::saturating_add)
     }
 
+    /// Endpoints and calls by service.
+    pub fn endpoint_counts(&self, now: Micros) -> HashMap<String, EndpointCounts> {
+        let mut by_service: HashMap<String, EndpointCounts> = HashMap::new();
+        for state in self.endpoints.values() {
+            let counts = by_service.entry(state.endpoint.service.clone()).or_default();
+            counts.open += u32::from(state.is_open());
+            counts.in_backoff += u32::from(state.is_open() && state.is_in_backoff(now));
+            counts.in_flight += state.in_flight;
+        }
+        by_service
+    }
+
     /// Calls of this process in flight, by service.
     pub fn in_flight(&self) -> HashMap<String, u32> {
         let mut by_service = HashMap::new();
--- a/tier/dataplane/src/dispatch/endpoint_state.rs
+++ b/tier/dataplane/src/dispatch/endpoint_state.rs
@@ -65,7 +65,12 @@
         let limit = batch.map_or(window, |batch| window.min(batch.max_in_flight(&self.endpoint)));
         let prefill_fits =
             batch.is_none_or(|batch| self.pending_prefill_tokens < batch.pending_prefill_tokens());
-        self.in_flight < limit && prefill_fits && now >= self.backoff_until
+        self.in_flight < limit && prefill_fits && !self.is_in_backoff(now)
+    }
+
+    /// Whether it gets no calls for a while after failures.
+    pub(super) fn is_in_backoff(&self, now: Micros) -> bool {
+        now < self.backoff_until
     }
 
     /// Prompt tokens that the endpoint has to process for a request.
--- a/tier/dataplane/src/dispatch/mod.rs
+++ b/tier/dataplane/src/dispatch/mod.rs
@@ -8,5 +8,5 @@
 mod endpoint_state;
 mod outcome;
 
-pub use dispatcher::{Dispatcher, Reservation, ReserveError, ServiceShare};
+pub use dispatcher::{Dispatcher, EndpointCounts, Reservation, ReserveError, ServiceShare};
 pub use outcome::CallOutcome;
--- a/tier/node/src/commands.rs
+++ b/tier/node/src/commands.rs
@@ -1,5 +1,6 @@
 //! The command line: its subcommands, and what each of them starts.
 
+use crate::metrics::MetricsAddress;
 use crate::{edge, inspect, store};
 use argh::FromArgs;
 use miette::IntoDiagnostic;
@@ -34,6 +35,9 @@
     /// filter of the log; RUST_LOG goes before it
     #[argh(option, default = "LOG_DEFAULT.to_owned()")]
     log: String,
+    /// where figures of the process are told, as PORT/PATH; nowhere without it
+    #[argh(option)]
+    metrics: Option<MetricsAddress>,
 }
 
 /// Start a store: it keeps batch jobs and runs their items.
@@ -43,6 +47,9 @@
     /// filter of the log; RUST_LOG goes before it
     #[argh(option, default = "LOG_DEFAULT.to_owned()")]
     log: String,
+    /// where figures of the process are told, as PORT/PATH; nowhere without it
+    #[argh(option)]
+    metrics: Option<MetricsAddress>,
 }
 
 /// Check a settings file or an operator's configuration and tell what is wrong.
@@ -78,13 +85,13 @@
         sigpipe::reset();
     }
     match command.command {
-        Command::Courier(Courier { log }) => {
+        Command::Courier(Courier { log, metrics }) => {
             init_log(&log);
-            edge::run(Settings::load()?).await.into_diagnostic()
+            edge::run(Settings::load()?, metrics).await.into_diagnostic()
         }
-        Command::Store(Store { log }) => {
+        Command::Store(Store { log, metrics }) => {
             init_log(&log);
-            store::run(Settings::load()?).await.into_diagnostic()
+            store::run(Settings::load()?, metrics).await.into_diagnostic()
         }
         Command::Check(check) => run_check(&check),
         Command::Inspect(options) => inspect::print(Path::new(&options.folder)).into_diagnostic(),
--- a/tier/node/src/control_member/leases.rs
+++ b/tier/node/src/control_member/leases.rs
@@ -69,6 +69,11 @@
         self.live().filter(|lease| !lease.draining).count() as u32
     }
 
+    /// Number of live processes.
+    pub fn live_count(&self) -> usize {
+        self.live().count()
+    }
+
     /// Calls to a service that could run at once, summed over all live processes.
     pub fn demand(&self, service: &str) -> f64 {
         let needs = self.live().flat_map(|lease| &lease.demand);
--- a/tier/node/src/control_member/member.rs
+++ b/tier/node/src/control_member/member.rs
@@ -208,6 +208,7 @@
             MemberAction::Uncertain { ticket } => drop(self.pending.borrow_mut().remove(&ticket)),
             MemberAction::Elected { epoch } => {
                 tracing::info!(epoch, "elected primary of the core");
+                self.node.metrics.count_election();
                 *self.leases.borrow_mut() = Leases::default();
                 *self.directory.borrow_mut() = Directory::default();
             }
@@ -242,6 +243,7 @@
                 }
                 Err(error) => {
                     tracing::error!(%error, "failed to write the control state to disk");
+                    core.node.metrics.count_failed_write();
                     WriteOutcome::Failed
                 }
             };
--- a/tier/node/src/control_member/singletons/platform.rs
+++ b/tier/node/src/control_member/singletons/platform.rs
@@ -5,6 +5,8 @@
 use crate::http::{self, ClientRequest};
 use std::time::Duration;
 
+/// Status of a call whose fencing token is lower than one that was used before.
+pub const FENCED: u16 = 409;
 /// A call to the platform without an answer for this long has failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -34,6 +36,7 @@
         ("Content-Type", "application/json".to_owned()),
     ];
     let request = ClientRequest { method: "POST", target, headers: &headers, body: body.as_bytes() };
-    let response = http::call(address, request, CALL_TIMEOUT).await?;
-    Some(response.status)
+    let status = http::call(address, request, CALL_TIMEOUT).await.map(|response| response.status);
+    core.node.metrics.count_platform_call(status);
+    status
 }
--- a/tier/node/src/control_member/singletons/scaling.rs
+++ b/tier/node/src/control_member/singletons/scaling.rs
@@ -3,11 +3,11 @@
 //! The primary of the core computes a desired number for each service from the demand that the leases report, and orders
 //! it zone by zone wherever it differs from the last order.
 
-use super::platform::{call_as_singleton, may_act};
+use super::platform::{FENCED, call_as_singleton, may_act};
 use crate::clock;
 use crate::control_member::ControlMember;
 use miniserde::{Serialize, json};
-use quillmount_control::Scaler;
+use quillmount_control::{FencedCalls, FencedSubject, Scaler};
 use quillmount_wire::configuration::{Configuration, Service};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -35,7 +35,9 @@
     epoch: u64,
     scalers: HashMap<String, Scaler>,
     /// Last number that the platform accepted, by service and zone.
-    ordered: HashMap<(String, String), u32>,
+    ordered: BTreeMap<FencedSubject, u32>,
+    /// Orders that a later primary has superseded.
+    fenced: FencedCalls,
 }
 
 /// The endpoints of one service.
@@ -54,6 +56,7 @@
         let Some(epoch) = core.serving() else { continue };
         if orders.epoch != epoch {
             orders = ScaleOrders { epoch, ..ScaleOrders::default() };
+            orders.fenced.use_token(epoch);
         }
         let configuration = core.committed().and_then(|state| Configuration::read(&state.configuration).ok());
         let Some(configuration) = configuration else { continue };
@@ -89,15 +92,17 @@
         return;
     }
     for (zone, up) in up_by_zone {
-        let subject = (service.name.clone(), zone.clone());
+        let subject = FencedSubject::Scale { service: service.name.clone(), zone: zone.clone() };
         let current = orders.ordered.get(&subject).copied().unwrap_or(up);
-        if current == desired {
+        if current == desired || !orders.fenced.may_call(&subject) {
             continue;
         }
         let body = ScaleBody { service: service.name.clone(), zone, desired };
         let status = call_as_singleton(core, orders.epoch, "/scale", json::to_string(&body)).await;
-        if status == Some(200) {
-            orders.ordered.insert(subject, desired);
+        match status {
+            Some(200) => _ = orders.ordered.insert(subject, desired),
+            Some(FENCED) => orders.fenced.record_refusal(subject),
+            _ => {}
         }
     }
 }
--- a/tier/node/src/control_member/singletons/usage_reports.rs
+++ b/tier/node/src/control_member/singletons/usage_reports.rs
@@ -3,11 +3,11 @@
 //! The counts of a window are committed in the control state before they are sent, so that every primary that sends the
 //! report, also a later one, sends the same numbers; the platform ignores the second.
 
-use super::platform::{call_as_singleton, may_act};
+use super::platform::{FENCED, call_as_singleton, may_act};
 use crate::clock;
 use crate::control_member::ControlMember;
 use miniserde::{Serialize, json};
-use quillmount_control::{SETTLE_S, may_finalize};
+use quillmount_control::{FencedCalls, FencedSubject, SETTLE_S, may_finalize};
 use quillmount_wire::Micros;
 use quillmount_wire::messages::UsageWindow;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +32,7 @@
 pub async fn report_usage(core: Rc<ControlMember>) {
     let mut sent: BTreeSet<u64> = BTreeSet::new();
     let mut sent_in = 0;
+    let mut fenced = FencedCalls::default();
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         let Some(epoch) = core.serving() else { continue };
@@ -39,12 +40,18 @@
             sent.clear();
             sent_in = epoch;
         }
+        fenced.use_token(epoch);
         if !may_act(&core, epoch, ROLE) {
             continue;
         }
         for window in due_windows(&core) {
-            if !sent.contains(&window) && report_window(&core, epoch, window).await {
-                sent.insert(window);
+            if sent.contains(&window) || !fenced.may_call(&FencedSubject::Usage) {
+                continue;
+            }
+            match report_window(&core, epoch, window).await {
+                ReportOutcome::Sent => _ = sent.insert(window),
+                ReportOutcome::Fenced => fenced.record_refusal(FencedSubject::Usage),
+                ReportOutcome::Pending => {}
             }
         }
     }
@@ -59,15 +66,27 @@
     (first..last).collect()
 }
 
-/// Commits the counts of a window, then sends them; whether the platform has them.
-async fn report_window(core: &Rc<ControlMember>, epoch: u64, window: u64) -> bool {
+/// What became of the report of a window.
+enum ReportOutcome {
+    /// The platform has it.
+    Sent,
+    /// A later primary has reported: the platform takes nothing more from this one.
+    Fenced,
+    /// It is to be tried again.
+    Pending,
+}
+
+/// Commits the counts of a window, then sends them.
+async fn report_window(core: &Rc<ControlMember>, epoch: u64, window: u64) -> ReportOutcome {
     let counted = core.leases.borrow().usage(window);
     let finalized =
         core.committed().is_some_and(|state| state.usage.iter().any(|finalized| finalized.window == window));
     if !finalized && (counted.counts.is_empty() || !is_settled(core, window)) {
-        return false;
+        return ReportOutcome::Pending;
     }
-    let Ok(report) = core.change(|state| state.finalize_usage(counted)).await else { return false };
+    let Ok(report) = core.change(|state| state.finalize_usage(counted)).await else {
+        return ReportOutcome::Pending;
+    };
     send_usage(core, epoch, &report).await
 }
 
@@ -89,11 +108,14 @@
     state.placement.core.iter().all(|member| leases.heard_since(member.disk, since))
 }
 
-async fn send_usage(core: &ControlMember, epoch: u64, report: &UsageWindow) -> bool {
+async fn send_usage(core: &ControlMember, epoch: u64, report: &UsageWindow) -> ReportOutcome {
     let body = UsageBody { window: report.window, counts: report.counts.iter().cloned().collect() };
     let status = call_as_singleton(core, epoch, "/usage", json::to_string(&body)).await;
     let total: u64 = report.counts.iter().map(|(_, count)| count).sum();
     tracing::info!(window = report.window, total, ?status, "usage reported");
-    // 409: an earlier report of this window was accepted.
-    matches!(status, Some(200 | 409))
+    match status {
+        Some(200) => ReportOutcome::Sent,
+        Some(FENCED) => ReportOutcome::Fenced,
+        _ => ReportOutcome::Pending,
+    }
 }
--- a/tier/node/src/edge/forward/mod.rs
+++ b/tier/node/src/edge/forward/mod.rs
@@ -13,6 +13,7 @@
 use super::admission;
 use super::response::{ServeOutcome, refusal, respond};
 use crate::http::{Connection, HttpRequest, HttpResponse};
+use crate::metrics::RequestOutcome;
 use crate::node::Node;
 use quillmount_dataplane::dispatch::ReserveError;
 use quillmount_dataplane::routes::CompiledRoute;
@@ -38,6 +39,7 @@
             request.reserve_until(),
         );
         let Some(reserved) = unless_disconnected(connection, reserving).await else {
+            node.metrics.count_request(RequestOutcome::Abandoned);
             return ServeOutcome::Abort;
         };
         let reservation = match reserved {
@@ -51,7 +53,10 @@
             Err(_) => break,
         };
         match attempt::run(&mut request, connection, &reservation).await {
-            AttemptOutcome::Done(outcome) => return outcome,
+            AttemptOutcome::Done(outcome) => {
+                node.metrics.count_request(outcome_of(&outcome));
+                return outcome;
+            }
             AttemptOutcome::Retry(answer) => last_answer = answer,
         }
         request.tried.push(reservation.id);
@@ -59,12 +64,23 @@
     give_up(&request, connection, last_answer).await
 }
 
+/// The outcome of a request whose last attempt decided it.
+fn outcome_of(served: &ServeOutcome) -> RequestOutcome {
+    match served {
+        ServeOutcome::KeepAlive | ServeOutcome::Close => RequestOutcome::Answered,
+        ServeOutcome::Abort => RequestOutcome::Abandoned,
+    }
+}
+
 /// Answers a request for which no endpoint is left. Only if none can have run it, the answer promises that it has not run.
 async fn give_up(
     request: &ForwardedRequest<'_>,
     connection: &mut Connection,
     last_answer: HttpResponse,
 ) -> ServeOutcome {
+    let may_have_run = request.head_sent || request.runs > 0;
+    let outcome = if may_have_run { RequestOutcome::Failed } else { RequestOutcome::Refused };
+    request.node.metrics.count_request(outcome);
     if request.head_sent {
         return ServeOutcome::Abort;
     }
--- a/tier/node/src/edge/forward/request.rs
+++ b/tier/node/src/edge/forward/request.rs
@@ -162,6 +162,7 @@
 
     /// Reports the end of an attempt to the dispatcher and wakes requests that wait for its slot.
     pub(super) fn finish(&self, attempt: &Attempt<'_>, outcome: CallOutcome, has_first_event: bool) {
+        self.node.metrics.count_call(outcome);
         let mut dispatcher = self.node.dispatcher.borrow_mut();
         dispatcher.finish(attempt.reservation, outcome, has_first_event, clock::now());
         self.node.capacity_freed.notify_waiters();
--- a/tier/node/src/edge/interfaces.rs
+++ b/tier/node/src/edge/interfaces.rs
@@ -33,6 +33,5 @@
 
 /// A courier is ready once it has a configuration and until it stops.
 fn readiness(node: &Node) -> HttpResponse {
-    let ready = node.tables().versions.configuration > 0 && !node.stopping.get();
-    if ready { HttpResponse::text(200, "ready") } else { HttpResponse::text(503, "not ready") }
+    if node.is_ready() { HttpResponse::text(200, "ready") } else { HttpResponse::text(503, "not ready") }
 }
--- a/tier/node/src/edge/mod.rs
+++ b/tier/node/src/edge/mod.rs
@@ -17,6 +17,8 @@
 
 use crate::control_member::bootstrap::{self, NodeAnnouncements};
 use crate::control_member::{self, ControlMember};
+use crate::metrics::MetricsAddress;
+use crate::metrics_server::{self, MetricsSources};
 use crate::node::Node;
 use crate::role::{RoleError, listen, wait_for_stop};
 use crate::subscription::{self, Needs, Reporter};
@@ -35,7 +37,7 @@
 /// Runs the courier until a signal stops it and its requests have ended.
 ///
 /// Its tasks are detached: each serves until the process ends, which it does soon after this function returns.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, metrics: Option<MetricsAddress>) -> Result<(), RoleError> {
     let identity = match settings.data_folder() {
         Some(folder) => Some(load_identity(Path::new(folder), clock::random_id())?),
         None => None,
@@ -57,6 +59,10 @@
     }
     tokio::task::spawn_local(subscription::run(node.clone(), Rc::new(CourierReporter(node.clone()))));
     tokio::task::spawn_local(subscription::read_list_without_core(node.clone()));
+    if let Some(address) = &metrics {
+        let sources = MetricsSources { node: node.clone(), core: core.clone(), store: None };
+        metrics_server::serve(address, sources);
+    }
     interfaces::serve_operator(&node, core.as_ref())?;
     interfaces::serve_readiness(&node)?;
     let connections = serve_clients(&node)?;
--- a/tier/node/src/edge/routing.rs
+++ b/tier/node/src/edge/routing.rs
@@ -3,6 +3,7 @@
 use super::response::{RETRY_AFTER_S, ServeOutcome, respond};
 use super::{batch_api, forward};
 use crate::http::{Connection, HttpRequest, HttpResponse};
+use crate::metrics::RequestOutcome;
 use crate::node::{Node, TableSnapshot};
 use quillmount_dataplane::routes::{Access, CompiledRoute, RouteMode, RouteTable};
 use std::rc::Rc;
@@ -38,7 +39,7 @@
     let keep_alive = request.head.keep_alive;
     let tables = first_tables(node).await;
     if tables.versions.configuration == 0 {
-        return respond(node, connection, keep_alive, &not_configured(node)).await;
+        return respond_here(node, connection, keep_alive, &not_configured(node)).await;
     }
     let response = match destination(&tables.routes, &request) {
         Err(refusal) if node.may_refuse() => refusal,
@@ -52,7 +53,18 @@
             batch_api::submit(node, &request, &route, tenant).await
         }
     };
-    respond(node, connection, keep_alive, &response).await
+    respond_here(node, connection, keep_alive, &response).await
+}
+
+/// Writes a response that is not an endpoint's, and counts it.
+async fn respond_here(
+    node: &Node,
+    connection: &mut Connection,
+    keep_alive: bool,
+    response: &HttpResponse,
+) -> ServeOutcome {
+    node.metrics.count_request(RequestOutcome::of_own_answer(response.status));
+    respond(node, connection, keep_alive, response).await
 }
 
 /// The tables in force. Shortly after the start of the process this waits for the first ones.
--- a/tier/node/src/main.rs
+++ b/tier/node/src/main.rs
@@ -3,7 +3,7 @@
 //! A process is a courier (`edge`, with a member of the replicated control state in `control_member` where its machine has
 //! a disk) or a store (`store`). Both share `node` and its connections (`rpc` between processes, `upstream` to endpoints,
 //! `http`), and follow the core through `subscription`. All tasks run on one thread; only writes to disk have their own
-//! (`disk`).
+//! (`disk`). `metrics` tells the figures of the process.
 
 mod clock;
 mod commands;
@@ -14,6 +14,8 @@
 mod http;
 mod inspect;
 mod latch;
+mod metrics;
+mod metrics_server;
 mod node;
 mod role;
 mod rpc;
--- /dev/null
+++ b/tier/node/src/metrics/labels.rs
@@ -0,0 +1,125 @@
+//! Labels of the counters.
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use quillmount_dataplane::dispatch::CallOutcome;
+use quillmount_wire::messages::Phase;
+
+/// How a request of a client ended.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum RequestOutcome {
+    /// With the complete answer of an endpoint, or of the batch interface.
+    Answered,
+    /// It was not run: 503 or 429.
+    Refused,
+    /// It is not proper, or the configuration does not allow it: 4xx.
+    Denied,
+    /// It may have run: 502, 504, or a stream that broke off.
+    Failed,
+    /// The client left, or its connection broke.
+    Abandoned,
+}
+
+impl RequestOutcome {
+    /// The outcome of a request that was answered here, with this status.
+    pub fn of_own_answer(status: u16) -> RequestOutcome {
+        match status {
+            200..300 => RequestOutcome::Answered,
+            429 | 503 => RequestOutcome::Refused,
+            400..500 => RequestOutcome::Denied,
+            _ => RequestOutcome::Failed,
+        }
+    }
+}
+
+/// How a poll of the core was answered.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum PollResult {
+    /// By the primary or a relay.
+    Answered,
+    /// By a process that is not the primary.
+    Redirected,
+    /// Not at all.
+    Failed,
+}
+
+/// How a call to an endpoint ended.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub(super) enum CallKind {
+    /// It succeeded.
+    Succeeded,
+    /// It continued a stream.
+    Resumed,
+    /// The endpoint was full; it did not run.
+    Refused,
+    /// Another endpoint has the address.
+    Replaced,
+    /// The connection broke, or could not be made.
+    Lost,
+    /// The endpoint answered with an error.
+    Error,
+    /// The endpoint was silent.
+    TimedOut,
+    /// The caller ended it.
+    Abandoned,
+}
+
+impl From<CallOutcome> for CallKind {
+    fn from(outcome: CallOutcome) -> CallKind {
+        match outcome {
+            CallOutcome::FirstEvent(_) => CallKind::Succeeded,
+            CallOutcome::Resumed => CallKind::Resumed,
+            CallOutcome::Refused => CallKind::Refused,
+            CallOutcome::Replaced => CallKind::Replaced,
+            CallOutcome::Lost => CallKind::Lost,
+            CallOutcome::Error => CallKind::Error,
+            CallOutcome::TimedOut(_) => CallKind::TimedOut,
+            CallOutcome::Abandoned => CallKind::Abandoned,
+        }
+    }
+}
+
+/// Labels of requests.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct RequestLabels {
+    pub(super) outcome: RequestOutcome,
+}
+
+/// Labels of calls to endpoints.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct CallLabels {
+    pub(super) outcome: CallKind,
+}
+
+/// Labels of batch items.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct ItemLabels {
+    phase: &'static str,
+}
+
+impl From<Phase> for ItemLabels {
+    fn from(phase: Phase) -> ItemLabels {
+        let phase = match phase {
+            Phase::Done => "done",
+            Phase::DeadLetter => "dead_letter",
+        };
+        ItemLabels { phase }
+    }
+}
+
+/// Labels of polls.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct PollLabels {
+    pub(super) result: PollResult,
+}
+
+/// Labels of calls to the platform.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct StatusLabels {
+    pub(super) status: u16,
+}
+
+/// Labels of what is counted by service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct ServiceLabels {
+    pub(super) service: String,
+}
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -12,6 +12,7 @@
 pub use tables::TableSnapshot;
 
 use crate::clock;
+use crate::metrics::Metrics;
 use crate::rpc::PeerLinks;
 use crate::upstream::Upstreams;
 use quillmount_control::TimeLimits;
@@ -37,6 +38,8 @@
     pub settings: Settings,
     /// How long it waits, and for how long it trusts what it knows.
     pub limits: TimeLimits,
+    /// What it counts for operators.
+    pub metrics: Metrics,
     /// Identity, addresses and role of this process.
     pub info: NodeInfo,
     /// Identifier of this run of the process, drawn at each start.
@@ -76,6 +79,7 @@
         Rc::new(Node {
             seeds: RefCell::new(settings.seeds.clone()),
             limits,
+            metrics: Metrics::new(),
             settings,
             info,
             incarnation,
@@ -100,6 +104,11 @@
         self.core_contact.silence() < self.limits.refusal.as_micros() as Micros
     }
 
+    /// Whether it accepts requests: it has a configuration and does not stop.
+    pub fn is_ready(&self) -> bool {
+        self.tables().versions.configuration > 0 && !self.stopping.get()
+    }
+
     /// Seconds since the process began.
     pub fn uptime_s(&self) -> f64 {
         clock::now().saturating_sub(self.started) as f64 / 1e6
@@ -155,6 +164,11 @@
     }
 
     /// Number of requests that wait for capacity, by service.
+    pub fn waiting_requests(&self) -> HashMap<String, u32> {
+        self.waiting.borrow().clone()
+    }
+
+    /// The same as a demand on endpoints.
     pub fn waiting(&self) -> HashMap<String, f64> {
         self.waiting.borrow().iter().map(|(service, count)| (service.clone(), f64::from(*count))).collect()
     }
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -167,6 +167,7 @@
         };
         let node = &self.store.node;
         let began = self.first_event_latency.is_some();
+        node.metrics.count_call(call_outcome);
         node.dispatcher.borrow_mut().finish(&self.reservation, call_outcome, began, clock::now());
         node.capacity_freed.notify_waiters();
     }
--- a/tier/node/src/store/items/results.rs
+++ b/tier/node/src/store/items/results.rs
@@ -11,6 +11,7 @@
     if !run.served.term.is_serving() {
         return;
     }
+    store.node.metrics.count_item(phase);
     let result = ItemResult { item: run.item, phase, text };
     let operation = ShardOperation::Append { job: run.job.id.clone(), result };
     let store = store.clone();
--- a/tier/node/src/store/journal.rs
+++ b/tier/node/src/store/journal.rs
@@ -86,6 +86,11 @@
         self.free_segments.set(free);
     }
 
+    /// Number of segments that can still be opened.
+    pub fn free_segments(&self) -> usize {
+        self.free_segments.get()
+    }
+
     /// Bytes of jobs that fit into the ring at most.
     pub fn live_bytes_limit(&self) -> f64 {
         self.segments as f64 * SEGMENT_BYTES as f64 * LIVE_FRACTION
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -20,7 +20,11 @@
 mod term_quota;
 mod waiters;
 
+pub use state::Store;
+
 use crate::clock;
+use crate::metrics::MetricsAddress;
+use crate::metrics_server::{self, MetricsSources};
 use crate::node::Node;
 use crate::role::{RoleError, listen, wait_for_stop};
 use crate::rpc::{self, Handler};
@@ -28,7 +32,7 @@
 use quillmount_storage::{FolderContents, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole};
 use quillmount_wire::settings::Settings;
-use state::{OpenedStore, Store};
+use state::OpenedStore;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,7 +45,7 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs a store until it is asked to stop.
-pub async fn run(settings: Settings) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, metrics: Option<MetricsAddress>) -> Result<(), RoleError> {
     let folder = settings.data_folder().unwrap_or(DEFAULT_FOLDER).to_owned();
     let identity = load_identity(Path::new(&folder), clock::random_id())?;
     claim_contents(Path::new(&folder), FolderContents::BatchJobs)?;
@@ -57,6 +61,10 @@
     let OpenedStore { store, pending } = Store::open(node.clone(), Path::new(&folder))?;
     tracing::info!(name = node.info.name, "store started");
     let internal = listen(&node.info.internal)?;
+    if let Some(address) = &metrics {
+        let sources = MetricsSources { node: node.clone(), core: None, store: Some(store.clone()) };
+        metrics_server::serve(address, sources);
+    }
     // All of these run until the process ends.
     tokio::task::spawn_local(rpc::serve(internal, handler(&store)));
     tokio::task::spawn_local(subscription::run(node.clone(), store.clone()));
--- a/tier/node/src/store/replica_tasks.rs
+++ b/tier/node/src/store/replica_tasks.rs
@@ -22,6 +22,7 @@
             }
             Err(error) => {
                 tracing::error!(%error, shard, "failed to write a record of a shard");
+                store.node.metrics.count_failed_write();
                 false
             }
         };
--- a/tier/node/src/store/state.rs
+++ b/tier/node/src/store/state.rs
@@ -69,8 +69,19 @@
     /// Whether there is capacity for a new job, in memory and on the disk.
     pub fn has_capacity(&self) -> bool {
         let memory = self.node.settings.limits.ram_mb as f64 * 1e6 * MEMORY_FRACTION;
-        let used: usize = self.shards.iter().map(|shard| shard.replica().jobs().bytes()).sum();
-        (used as f64) < memory.min(self.journal.live_bytes_limit()) && self.journal.accepts_jobs()
+        (self.job_bytes() as f64) < memory.min(self.journal.live_bytes_limit()) && self.journal.accepts_jobs()
+    }
+}
+
+impl Store {
+    /// Estimated memory of all jobs, bytes.
+    pub fn job_bytes(&self) -> usize {
+        self.shards.iter().map(|shard| shard.replica().jobs().bytes()).sum()
+    }
+
+    /// Number of shards that this store serves as primary.
+    pub fn served_count(&self) -> usize {
+        self.shards.iter().filter(|shard| shard.term().is_some()).count()
     }
 }
 
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -10,6 +10,7 @@
 pub use direct_list::read_list_without_core;
 
 use crate::clock;
+use crate::metrics::PollResult;
 use crate::node::Node;
 use quillmount_control::Contacts;
 use quillmount_wire::messages::{NodeRole, Poll, Request, Response, ShardReport, Tables};
@@ -56,6 +57,17 @@
     Failed,
 }
 
+impl PollOutcome {
+    /// The label of the outcome.
+    fn result(&self) -> PollResult {
+        match self {
+            PollOutcome::Answered => PollResult::Answered,
+            PollOutcome::Redirected { .. } => PollResult::Redirected,
+            PollOutcome::Failed => PollResult::Failed,
+        }
+    }
+}
+
 /// Polls the core for as long as the process runs.
 pub async fn run(node: Rc<Node>, reporter: Rc<dyn Reporter>) {
     let mut contacts = Contacts::default();
@@ -66,7 +78,9 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        match poll_once(&node, &address, &*reporter).await {
+        let outcome = poll_once(&node, &address, &*reporter).await;
+        node.metrics.count_poll(outcome.result());
+        match outcome {
             PollOutcome::Answered => {}
             PollOutcome::Redirected { hint } => {
                 let now = clock::now();
--- a/tier/node/tests/commands.rs
+++ b/tier/node/tests/commands.rs
@@ -92,3 +92,12 @@
     assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 1);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn an_address_of_metrics_that_is_none_is_told() {
+    for address in ["9464", "port/metrics", "99999/metrics", "/metrics"] {
+        let output = run(&["courier", "--metrics", address], None);
+        assert!(!output.status.success());
+        assert!(errors(&output).contains("is no PORT/PATH"), "{}", errors(&output));
+    }
+}
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -16,6 +16,7 @@
 const ADMIN: u16 = 28683;
 const INTERNAL: u16 = 27360;
 const PLATFORM: u16 = 28688;
+const METRICS: u16 = 28690;
 const ENDPOINT: u16 = 28080;
 
 /// Couriers with a disk; further ones have none.
@@ -325,7 +326,7 @@
         let file = self.folder.join(format!("{role}-{number}.toml"));
         std::fs::write(&file, settings).unwrap();
         Command::new(BINARY)
-            .arg(role)
+            .args([role, "--metrics", &format!("{METRICS}/figures")])
             .env("QUILLMOUNT_NODE_FILE", &file)
             .env_remove("RUST_LOG")
             .stdin(Stdio::null())
@@ -338,6 +339,12 @@
         self.arrivals.lock().unwrap().get(request_id).copied().unwrap_or(0)
     }
 
+    /// The figures of a process, `courier` or `store`, at a path.
+    pub fn figures(&self, role: &str, number: usize, path: &str) -> Option<Answer> {
+        let address = format!("{}:{METRICS}", self.ip(role, number));
+        http(&address, &format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+    }
+
     /// Numbers of the couriers that run.
     pub fn couriers(&self) -> Vec<usize> {
         (0..self.couriers.len()).filter(|number| self.couriers[*number].is_some()).collect()
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod harness;
 mod interfaces;
+mod metrics;
 mod quorum;
 mod seeds;
 mod stale;
