--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -131,7 +131,7 @@
         max_wait_ms: if stopping { 0 } else { MAX_WAIT.as_millis() as u64 },
         usage: node.usage(),
         shards: reporter.shard_reports(),
-        draining: stopping || !may_hold_jobs(node),
+        draining: stopping || !may_store_jobs(node),
         relayed: false,
         demand: total_demand(node, demand),
         items: items.into_iter().collect(),
@@ -139,7 +139,7 @@
 }
 
 /// Whether the machine may be lost no more often than the system tolerates. A store that may go at any time is given no shards.
-fn may_hold_jobs(node: &Node) -> bool {
+fn may_store_jobs(node: &Node) -> bool {
     node.info.role != NodeRole::Store || node.settings.counts_for_quorum
 }
 
--- a/tier/replication/src/replica.rs
+++ b/tier/replication/src/replica.rs
@@ -184,8 +184,8 @@
     /// Whether the disk has refused no write of late: a member that can't store its own promise wins no election, and those that it
     /// asks would promise in vain.
     fn can_write(&self, now: Micros) -> bool {
-        let pause = 2 * self.timing.election_timeout;
-        self.write_failed_at.is_none_or(|failed_at| now.saturating_sub(failed_at) >= pause)
+        let backoff = 2 * self.timing.election_timeout;
+        self.write_failed_at.is_none_or(|failed_at| now.saturating_sub(failed_at) >= backoff)
     }
 
     /// Notes that a primary was heard from.
--- a/tier/storage/src/contents.rs
+++ b/tier/storage/src/contents.rs
@@ -1,6 +1,6 @@
 //! What the ring of a folder holds, noted in a file beside it: the records of a ring say nothing of their kind themselves.
 
-use crate::files::{holds_ring, replace_file};
+use crate::files::{has_ring_files, replace_file};
 use std::fs;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -18,18 +18,18 @@
 }
 
 impl FolderContents {
-    /// The word in the file.
-    fn word(self) -> &'static str {
+    /// The name in the file.
+    fn name(self) -> &'static str {
         match self {
             FolderContents::ControlState => "control-state",
             FolderContents::BatchJobs => "batch-jobs",
         }
     }
 
-    fn from_word(word: &str) -> Option<FolderContents> {
+    fn from_name(name: &str) -> Option<FolderContents> {
         [FolderContents::ControlState, FolderContents::BatchJobs]
             .into_iter()
-            .find(|known| known.word() == word)
+            .find(|known| known.name() == name)
     }
 }
 
@@ -64,7 +64,7 @@
 pub fn read_contents(folder: &Path) -> Result<Option<FolderContents>, ContentsError> {
     let path = folder.join(FILE_NAME);
     match fs::read_to_string(&path) {
-        Ok(text) => Ok(FolderContents::from_word(text.trim())),
+        Ok(text) => Ok(FolderContents::from_name(text.trim())),
         Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
         Err(cause) => Err(ContentsError::Io { path, cause }),
     }
@@ -79,11 +79,11 @@
     match read_contents(folder)? {
         Some(found) if found == wanted => Ok(()),
         Some(found) => {
-            Err(ContentsError::Other { path: folder.to_owned(), found: found.word(), wanted: wanted.word() })
+            Err(ContentsError::Other { path: folder.to_owned(), found: found.name(), wanted: wanted.name() })
         }
         None => {
-            let written = replace_file(folder, FILE_NAME, &format!("{}\n", wanted.word()));
-            let has_ring = holds_ring(folder).unwrap_or(false);
+            let written = replace_file(folder, FILE_NAME, &format!("{}\n", wanted.name()));
+            let has_ring = has_ring_files(folder).unwrap_or(false);
             written
                 .or_else(|cause| if has_ring { Ok(()) } else { Err(cause) })
                 .map_err(|cause| ContentsError::Io { path: folder.join(FILE_NAME), cause })
--- a/tier/storage/src/files.rs
+++ b/tier/storage/src/files.rs
@@ -53,7 +53,7 @@
 }
 
 /// Whether a folder has a file of a ring, written or not.
-pub(crate) fn holds_ring(folder: &Path) -> std::io::Result<bool> {
+pub(crate) fn has_ring_files(folder: &Path) -> std::io::Result<bool> {
     for entry in fs::read_dir(folder)? {
         if entry?.file_name().to_string_lossy().starts_with(FILE_PREFIX) {
             return Ok(true);
--- a/tier/storage/src/identity.rs
+++ b/tier/storage/src/identity.rs
@@ -1,6 +1,6 @@
 //! The identity of a disk: a random number, drawn when its folder is found empty and stored there.
 
-use crate::files::{holds_ring, replace_file, sync_folder};
+use crate::files::{has_ring_files, replace_file, sync_folder};
 use std::fs;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -53,7 +53,7 @@
     };
     fs::create_dir_all(folder).map_err(failed_at(folder))?;
     let path = folder.join(FILE_NAME);
-    let has_ring = holds_ring(folder).map_err(failed_at(folder))?;
+    let has_ring = has_ring_files(folder).map_err(failed_at(folder))?;
     if let Some(disk) = read_identity(&path).map_err(failed_at(&path))? {
         if !has_ring {
             // An earlier start may have ended before the file's name was durable, which has to be before there is a ring.
