Control: leases, polls, the search for the primary and its contact are without I/O; tables' updates are the data plane's

What a primary does with polls and what a process does to find it stood in tier/node between sockets, and again in the tests of the batch store.

--- a/tier/batch/tests/cluster/core.rs
+++ b/tier/batch/tests/cluster/core.rs
@@ -1,12 +1,8 @@
-//! The core of a world: its real members, with leases of stores and the planning of views. What leases and polls do here is
-//! what `tier/node/src/control_member/` does on sockets.
+//! The core of a world: its real members, with the leases that they grant to stores and the planning of views.
 
 mod state_changes;
 
-pub use self::state_changes::Poll;
-
-use crate::leases::StoreLeases;
-use quillmount_control::{ControlState, Member, MemberAction, RegisterWrite, WriteOutcome};
+use quillmount_control::{ControlState, Leases, Member, MemberAction, RegisterWrite, WriteOutcome};
 use quillmount_test_support::network::{MESSAGE_DELAY, Partitions, REGISTER_SYNC_DELAY};
 use quillmount_test_support::process::Process;
 use quillmount_test_support::random::Random;
@@ -34,7 +30,7 @@
     disk: Register,
     pub process: Process,
     /// Leases of stores, in this epoch.
-    leases: StoreLeases,
+    leases: Leases,
 }
 
 /// The machines of the core, and what they have put out.
@@ -64,7 +60,7 @@
             member: Member::new(disk, tolerated_failures, Register::default(), now),
             disk: Register::default(),
             process: Process::running(1),
-            leases: StoreLeases::default(),
+            leases: Leases::default(),
         };
         let machines: BTreeMap<DiskId, Machine> =
             (FIRST_DISK..FIRST_DISK + members).map(|disk| (disk, machine(disk))).collect();
@@ -149,7 +145,7 @@
                 if !machine.process.is_up() {
                     machine.member = Member::new(to, self.tolerated_failures, machine.disk.clone(), now);
                     machine.process.start();
-                    machine.leases.clear();
+                    machine.leases = Leases::default();
                 }
             }
         }
@@ -172,7 +168,7 @@
                 }
                 MemberAction::Elected { .. } => {
                     self.elections += 1;
-                    self.machines.get_mut(&disk).unwrap().leases.clear();
+                    self.machines.get_mut(&disk).unwrap().leases = Leases::default();
                 }
                 MemberAction::StateChanged => self.on_state_changed(disk),
                 _ => {}
--- a/tier/batch/tests/cluster/core/state_changes.rs
+++ b/tier/batch/tests/cluster/core/state_changes.rs
@@ -2,26 +2,21 @@
 
 use super::Core;
 use quillmount_control::ControlState;
+use quillmount_control::polls::needs_admission;
 use quillmount_test_support::random::Random;
 use quillmount_test_support::simulation::{MILLI, Time};
-use quillmount_wire::messages::{DiskId, NodeInfo, ShardReport};
+use quillmount_wire::messages::{DiskId, Poll};
 
 /// A new primary knows who is alive after this time.
 const LEASES_KNOWN: Time = 1_200 * MILLI;
 
-/// A store's poll.
-pub struct Poll {
-    pub node: NodeInfo,
-    pub reports: Vec<ShardReport>,
-}
-
 impl Core {
     /// A store polls this machine: its lease is renewed, and it is admitted if it is new.
-    pub fn poll(&mut self, disk: DiskId, poll: Poll, now: Time, random: &mut Random) {
+    pub fn poll(&mut self, disk: DiskId, poll: &Poll, now: Time, random: &mut Random) {
         let Some(machine) = self.machines.get_mut(&disk) else { return };
         let Some(state) = machine.member.committed() else { return };
-        machine.leases.renew(poll.node.disk, now, poll.reports);
-        if !state.placement.stores.contains(&poll.node) {
+        machine.leases.renew(poll, now);
+        if needs_admission(&state, poll) {
             self.change(disk, now, random, |state| {
                 state.admit_store(&poll.node);
             });
@@ -52,7 +47,7 @@
             {
                 continue;
             }
-            let inputs = machine.leases.plan_inputs(now, self.tolerated_failures);
+            let inputs = machine.leases.plan_inputs(self.tolerated_failures, now);
             let plan = |state: &mut ControlState| {
                 state.plan_shards(&inputs);
                 state.placement.shards.truncate(1);
--- a/tier/batch/tests/cluster/events.rs
+++ b/tier/batch/tests/cluster/events.rs
@@ -1,6 +1,7 @@
 //! Events of a world in the order of virtual time, and what each does to a store.
 
 use crate::core::CoreEvent;
+use crate::planning::store_poll;
 use crate::store::Store;
 use crate::world::World;
 use quillmount_batch::WriteId;
@@ -193,7 +194,7 @@
         if self.core.is_some() {
             self.poll_core(from, disk, reports);
         } else {
-            self.leases.renew(disk, self.timeline.now(), reports);
+            self.leases.renew(&store_poll(from, disk, reports), self.timeline.now());
             self.admit(from, disk);
         }
     }
--- a/tier/batch/tests/cluster/main.rs
+++ b/tier/batch/tests/cluster/main.rs
@@ -10,7 +10,6 @@
 mod events;
 mod exploration;
 mod jobs;
-mod leases;
 mod planning;
 mod random_faults;
 mod recovery;
--- a/tier/batch/tests/cluster/planning.rs
+++ b/tier/batch/tests/cluster/planning.rs
@@ -1,13 +1,13 @@
 //! The core of a world and its stores: polls, admission, the planning of views, and their publication to the stores.
 
-use crate::core::{Core, Poll};
+use crate::core::Core;
 use crate::events::Event;
 use crate::store::Store;
 use crate::world::World;
 use quillmount_batch::ShardJobs;
 use quillmount_control::Retirement;
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
-use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, ShardReport};
+use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Poll, ShardReport, TableVersions};
 
 /// How often the clocks of core members are advanced.
 const CORE_TICK_INTERVAL: Time = 25 * MILLI;
@@ -24,6 +24,22 @@
     }
 }
 
+/// The poll of a store, with reports on the shards that it leads.
+pub fn store_poll(name: u32, disk: DiskId, shards: Vec<ShardReport>) -> Poll {
+    Poll {
+        node: store_node(name, disk),
+        incarnation: disk,
+        known_versions: TableVersions::default(),
+        max_wait_ms: 0,
+        usage: Vec::new(),
+        shards,
+        draining: false,
+        relayed: false,
+        demand: Vec::new(),
+        items: Vec::new(),
+    }
+}
+
 impl World {
     /// Advances the core, and sends the views that it publishes to the stores.
     pub fn run_core(&mut self) {
@@ -63,8 +79,7 @@
             && self.stores.get(&from).is_some_and(|store| store.disk == disk && !store.removed)
         {
             let primary = serving[self.random.index(serving.len())];
-            let poll = Poll { node: store_node(from, disk), reports };
-            core.poll(primary, poll, self.now(), &mut self.random);
+            core.poll(primary, &store_poll(from, disk, reports), self.now(), &mut self.random);
             self.publish_view(&core, primary, Some(from));
         }
         self.core = Some(core);
@@ -80,7 +95,7 @@
             }
             return;
         }
-        let inputs = self.leases.plan_inputs(now, self.tolerated_failures);
+        let inputs = self.leases.plan_inputs(self.tolerated_failures, now);
         if self.control.placement.stores.len() > self.tolerated_failures {
             self.control.plan_shards(&inputs);
             self.control.placement.shards.truncate(1);
--- a/tier/batch/tests/cluster/world.rs
+++ b/tier/batch/tests/cluster/world.rs
@@ -5,10 +5,9 @@
 use crate::clients::PendingCall;
 use crate::core::Core;
 use crate::events::Event;
-use crate::leases::StoreLeases;
 use crate::store::Store;
 use quillmount_batch::{ShardJobs, ShardReplicaId};
-use quillmount_control::ControlState;
+use quillmount_control::{ControlState, Leases};
 use quillmount_test_support::digest::Counts;
 use quillmount_test_support::network::Partitions;
 use quillmount_test_support::random::Random;
@@ -29,7 +28,7 @@
     pub control: ControlState,
     pub core: Option<Core>,
     /// Leases of stores where there is no core.
-    pub leases: StoreLeases,
+    pub leases: Leases,
     pub tolerated_failures: usize,
     pub auditor: Auditor,
     /// Calls of clients without an outcome, by the number of the operation or read.
@@ -57,7 +56,7 @@
             isolated_from_core: BTreeSet::new(),
             control: ControlState::default(),
             core: None,
-            leases: StoreLeases::default(),
+            leases: Leases::default(),
             tolerated_failures,
             auditor: Auditor::default(),
             pending_calls: BTreeMap::new(),
--- a/tier/node/src/control_member/leases.rs
+++ b/tier/control/src/leases.rs
@@ -1,14 +1,16 @@
 //! Leases of couriers and stores at the primary of the core, with what each process last reported.
 //!
 //! Every poll renews its sender's lease. Leases are in memory only: a new primary starts with none, and knows who is live
-//! once all processes have polled it.
+//! once all processes have polled it. The caller passes the time in.
 
-use super::usage::UsageTotals;
-use crate::clock;
-use quillmount_control::{LastHeard, all_reported};
+mod usage_totals;
+
+use crate::shards::ShardPlanInputs;
+use crate::usage::{LastHeard, all_reported};
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{DiskId, NodeInfo, NodeRole, Poll, ServiceLoad, ShardReport, UsageWindow};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
+use usage_totals::UsageTotals;
 
 /// A lease that was not renewed for this long has expired, microseconds.
 const LEASE_DURATION: Micros = 1_100_000;
@@ -20,6 +22,7 @@
 const REPORT_TTL: Micros = 600_000;
 
 /// The lease of one process.
+#[derive(Debug)]
 struct Lease {
     node: NodeInfo,
     /// Moment of the last poll.
@@ -39,7 +42,7 @@
 }
 
 /// The leases of all processes, by disk.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Leases {
     leases: HashMap<DiskId, Lease>,
     usage: UsageTotals,
@@ -47,8 +50,7 @@
 
 impl Leases {
     /// Renews the lease of a poll's sender and records what the poll reports.
-    pub fn renew(&mut self, poll: &Poll) {
-        let now = clock::now();
+    pub fn renew(&mut self, poll: &Poll, now: Micros) {
         if self.leases.len() >= LEASE_LIMIT {
             self.leases.retain(|_, lease| now.saturating_sub(lease.renewed) < LEASE_DURATION);
         }
@@ -65,25 +67,29 @@
     }
 
     /// Number of live processes that are not draining: those that share the endpoints.
-    pub fn senders(&self) -> u32 {
-        self.live().filter(|lease| !lease.draining).count() as u32
+    #[must_use]
+    pub fn senders(&self, now: Micros) -> u32 {
+        self.live(now).filter(|lease| !lease.draining).count() as u32
     }
 
     /// Number of live processes.
-    pub fn live_count(&self) -> usize {
-        self.live().count()
+    #[must_use]
+    pub fn live_count(&self, now: Micros) -> usize {
+        self.live(now).count()
     }
 
     /// Calls to a service that could run at once, summed over all live processes.
-    pub fn demand(&self, service: &str) -> f64 {
-        let needs = self.live().flat_map(|lease| &lease.demand);
+    #[must_use]
+    pub fn demand(&self, service: &str, now: Micros) -> f64 {
+        let needs = self.live(now).flat_map(|lease| &lease.demand);
         needs.filter(|(name, _)| name == service).map(|(_, calls)| calls).sum()
     }
 
     /// Demand of live requests and items of batch jobs on each service, sorted by service.
-    pub fn loads(&self) -> Vec<ServiceLoad> {
+    #[must_use]
+    pub fn loads(&self, now: Micros) -> Vec<ServiceLoad> {
         let mut loads: BTreeMap<&str, ServiceLoad> = BTreeMap::new();
-        for lease in self.live() {
+        for lease in self.live(now) {
             if !lease.is_store() {
                 for (service, calls) in &lease.demand {
                     loads.entry(service).or_default().live_demand += calls;
@@ -99,9 +105,10 @@
     }
 
     /// Internal addresses of some live couriers without a disk, taken from each zone in turn.
-    pub fn relays(&self) -> Vec<String> {
+    #[must_use]
+    pub fn relays(&self, now: Micros) -> Vec<String> {
         let mut zones: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-        let couriers = self.live().filter(|lease| lease.node.role == NodeRole::Courier && !lease.draining);
+        let couriers = self.live(now).filter(|lease| lease.node.role == NodeRole::Courier && !lease.draining);
         for lease in couriers {
             zones.entry(&lease.node.zone).or_default().push(&lease.node.internal);
         }
@@ -110,46 +117,45 @@
         (0..RELAY_LIMIT).flat_map(of_rank).take(RELAY_LIMIT).map(|address| (*address).to_owned()).collect()
     }
 
-    /// Disks of the live stores.
-    pub fn live_stores(&self) -> BTreeSet<DiskId> {
-        self.live().filter(|lease| lease.is_store()).map(|lease| lease.node.disk).collect()
-    }
-
-    /// Disks of the live processes that are draining.
-    pub fn draining(&self) -> BTreeSet<DiskId> {
-        self.live().filter(|lease| lease.draining).map(|lease| lease.node.disk).collect()
-    }
-
-    /// Recent reports of shard primaries.
-    pub fn shard_reports(&self) -> Vec<ShardReport> {
-        let now = clock::now();
+    /// Live and draining processes and recent reports of shard primaries, for the planning of views.
+    #[must_use]
+    pub fn plan_inputs(&self, tolerated_failures: usize, now: Micros) -> ShardPlanInputs {
+        let stores = self.live(now).filter(|lease| lease.is_store());
+        let draining = self.live(now).filter(|lease| lease.draining);
         let recent = self.leases.values().filter(|lease| now.saturating_sub(lease.renewed) < REPORT_TTL);
-        recent.flat_map(|lease| lease.reports.iter().cloned()).collect()
+        ShardPlanInputs {
+            live: stores.map(|lease| lease.node.disk).collect(),
+            draining: draining.map(|lease| lease.node.disk).collect(),
+            reports: recent.flat_map(|lease| lease.reports.iter().cloned()).collect(),
+            tolerated_failures,
+        }
     }
 
     /// Whether every process that counts requests has polled since a moment.
-    pub fn all_heard_since(&self, since: Micros) -> bool {
+    #[must_use]
+    pub fn all_heard_since(&self, since: Micros, now: Micros) -> bool {
         let couriers = self.leases.values().filter(|lease| !lease.is_store());
         let heard = couriers.map(|lease| LastHeard {
             name: &lease.node.name,
             at: lease.renewed,
             draining: lease.draining,
         });
-        all_reported(heard, since, clock::now())
+        all_reported(heard, since, now)
     }
 
     /// Whether a process has polled since a moment, or is draining.
+    #[must_use]
     pub fn heard_since(&self, disk: DiskId, since: Micros) -> bool {
         self.leases.get(&disk).is_some_and(|lease| lease.draining || lease.renewed >= since)
     }
 
     /// Requests that began to run in a usage window and were reported so far.
+    #[must_use]
     pub fn usage(&self, window: u64) -> UsageWindow {
         self.usage.total(window)
     }
 
-    fn live(&self) -> impl Iterator<Item = &Lease> {
-        let now = clock::now();
+    fn live(&self, now: Micros) -> impl Iterator<Item = &Lease> {
         self.leases.values().filter(move |lease| now.saturating_sub(lease.renewed) < LEASE_DURATION)
     }
 }
--- a/tier/node/src/control_member/usage.rs
+++ b/tier/control/src/leases/usage_totals.rs
@@ -12,13 +12,13 @@
 /// Counts by window, then by the incarnation of the process that reported them: counts of a process that was restarted
 /// are added to those of its earlier incarnation.
 #[derive(Debug, Default)]
-pub struct UsageTotals {
+pub(super) struct UsageTotals {
     windows: BTreeMap<u64, HashMap<u64, TenantCounts>>,
 }
 
 impl UsageTotals {
     /// Replaces the counts of an incarnation in the windows that it reports, and drops the oldest beyond the limit.
-    pub fn update(&mut self, incarnation: u64, report: &[UsageWindow]) {
+    pub(super) fn update(&mut self, incarnation: u64, report: &[UsageWindow]) {
         for UsageWindow { window, counts } in report {
             let counts = counts.iter().cloned().collect();
             self.windows.entry(*window).or_default().insert(incarnation, counts);
@@ -29,8 +29,7 @@
     }
 
     /// Requests that began to run in a window, summed over all processes, sorted by tenant.
-    #[must_use]
-    pub fn total(&self, window: u64) -> UsageWindow {
+    pub(super) fn total(&self, window: u64) -> UsageWindow {
         let mut total = TenantCounts::new();
         for counts in self.windows.get(&window).into_iter().flat_map(HashMap::values) {
             for (tenant, count) in counts {
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -6,26 +6,33 @@
 //! [`MemberAction`]s that it returns. Neither does I/O nor reads a clock, so that tests drive whole clusters on
 //! virtual time.
 //!
-//! [`Contacts`] and [`Directory`] serve the processes that poll the core: which address to poll next, and how the
-//! endpoint list is sent as a difference to an earlier version.
+//! [`subscription`] and [`CoreContact`] are the side of the processes that poll the core: which address to poll next, and what is
+//! known of the primary. [`polls`], [`Leases`] and [`Directory`] are the primary's: who is live, which tables a subscriber gets, and
+//! the endpoint list as a difference to an earlier version.
 
 mod admission;
 pub mod breaks;
 mod contacts;
+mod core_contact;
 mod directory;
 mod fenced_calls;
+mod leases;
 mod member;
 mod orders;
+pub mod polls;
 mod scaling;
 mod shards;
 mod state;
+pub mod subscription;
 mod time_limits;
 mod usage;
 
 pub use admission::Admission;
 pub use contacts::Contacts;
+pub use core_contact::CoreContact;
 pub use directory::{Directory, apply_update};
 pub use fenced_calls::{FencedCalls, FencedSubject};
+pub use leases::Leases;
 pub use member::{
     Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead, Ticket, WriteOutcome,
 };
--- a/tier/dataplane/src/lib.rs
+++ b/tier/dataplane/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decisions and codecs of the data plane, without I/O and without a clock.
 //!
+//! - [`tables`] has what a process works with, as the core last sent it.
 //! - [`routes`] compiles a configuration: which route a request belongs to, and what its key allows.
 //! - [`dispatch`] chooses an endpoint for a request and follows the load and the failures of each endpoint.
 //! - [`batch_share`] limits what batch work may use of the endpoints.
@@ -20,3 +21,4 @@
 mod rendezvous;
 pub mod request_profile;
 pub mod routes;
+pub mod tables;
--- a/tier/node/src/control_member/bootstrap.rs
+++ b/tier/node/src/control_member/bootstrap.rs
@@ -70,7 +70,7 @@
         announcements.record(from);
     }
     // A value in the register, or an answer of a primary, shows that the system exists already.
-    let empty = core.is_none_or(ControlMember::is_blank) && !node.core_contact.has_ever_answered();
+    let empty = core.is_none_or(ControlMember::is_blank) && !node.core_contact.borrow().has_ever_answered();
     Response::Announced { node: node.info.clone(), empty, known: announcements.all() }
 }
 
--- a/tier/node/src/control_member/member.rs
+++ b/tier/node/src/control_member/member.rs
@@ -4,13 +4,12 @@
 //! by a caller) is handed to it, and the actions that it returns are performed: messages go out, registers to the disk,
 //! and callers learn the outcome of their changes through a channel per [`Ticket`].
 
-use super::leases::Leases;
 use crate::clock;
 use crate::disk::DiskWriter;
 use crate::node::Node;
 use quillmount_control::{
-    ControlState, Directory, Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange, SubmittedRead,
-    Ticket, WriteOutcome,
+    ControlState, Directory, Leases, Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange,
+    SubmittedRead, Ticket, WriteOutcome,
 };
 use quillmount_storage::{RingRecord, RingSize, StorageError};
 use quillmount_wire::Micros;
@@ -183,6 +182,7 @@
             self.addresses.borrow_mut().extend(member_addresses(&state));
             self.node
                 .core_contact
+                .borrow_mut()
                 .set_members(state.placement.core.into_iter().map(|member| member.internal).collect());
         }
     }
--- a/tier/node/src/control_member/mod.rs
+++ b/tier/node/src/control_member/mod.rs
@@ -7,12 +7,10 @@
 
 pub mod bootstrap;
 pub mod directory;
-mod leases;
 mod member;
 pub mod operator;
 pub mod polls;
 pub mod seeds;
 pub mod singletons;
-mod usage;
 
 pub use member::ControlMember;
--- a/tier/node/src/control_member/polls.rs
+++ b/tier/node/src/control_member/polls.rs
@@ -4,11 +4,11 @@
 //! ([`answer`]). A courier without a member of the core passes polls on to the primary ([`relay`]).
 
 use super::member::ControlMember;
+use crate::clock;
 use crate::node::Node;
 use quillmount_control::Admission;
-use quillmount_wire::messages::{
-    DirectoryVersion, NodeRole, Poll, Request, Response, TableVersions, Tables, Versioned,
-};
+use quillmount_control::polls::{self, PublishedTables};
+use quillmount_wire::messages::{NodeRole, Poll, Request, Response, TableVersions, Tables};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
     if core.serving().is_none() {
         return Response::NotPrimary { hint: core.primary_address() };
     }
-    core.leases.borrow_mut().renew(&poll);
+    core.leases.borrow_mut().renew(&poll, clock::now());
     if !admit(core, &poll).await {
         return Response::NotPrimary { hint: core.primary_address() };
     }
@@ -40,10 +40,11 @@
 pub async fn relay(node: &Node, poll: Poll) -> Response {
     // A poll passes one relay at most. Without a recent primary, what this courier knows may be as old as what the sender
     // knows.
-    if poll.relayed || !node.core_contact.has_recent_primary() {
+    if poll.relayed || !node.core_contact.borrow().has_recent_primary(clock::now()) {
         return Response::NotPrimary { hint: None };
     }
-    let Some(primary) = node.core_contact.primary() else { return Response::NotPrimary { hint: None } };
+    let primary = node.core_contact.borrow().primary().map(str::to_owned);
+    let Some(primary) = primary else { return Response::NotPrimary { hint: None } };
     let request = Request::Poll(Poll { relayed: true, ..poll });
     let answer = node.links.call(&primary, &request, RELAY_TIMEOUT).await;
     answer.unwrap_or(Response::NotPrimary { hint: None })
@@ -52,15 +53,10 @@
 /// Adds an unknown process with a disk to the placement; whether its poll may be answered.
 async fn admit(core: &Rc<ControlMember>, poll: &Poll) -> bool {
     let Some(state) = core.committed() else { return false };
-    let node = &poll.node;
-    let known = match node.role {
-        NodeRole::Courier => return true,
-        NodeRole::Core => state.placement.core.contains(node),
-        NodeRole::Store => state.placement.stores.contains(node),
-    };
-    if known || poll.draining {
+    if !polls::needs_admission(&state, poll) {
         return true;
     }
+    let node = &poll.node;
     let silent = core.silent_members();
     let admitted = core
         .change(|state| match node.role {
@@ -86,11 +82,11 @@
         // Registered before the tables are read, so that no change in between is missed.
         let changed = core.changed.notified();
         let tables = newer_tables(core, poll.known_versions)?;
-        let empty =
-            tables.configuration.is_none() && tables.placement.is_none() && tables.directory.is_none();
-        if !empty || tokio::time::Instant::now() >= deadline {
-            let loads =
-                if poll.node.role == NodeRole::Store { core.leases.borrow().loads() } else { Vec::new() };
+        if !polls::is_empty(&tables) || tokio::time::Instant::now() >= deadline {
+            let loads = match poll.node.role {
+                NodeRole::Store => core.leases.borrow().loads(clock::now()),
+                NodeRole::Courier | NodeRole::Core => Vec::new(),
+            };
             return Some(Tables { loads, ..tables });
         }
         // A timeout is handled by the deadline above.
@@ -103,26 +99,12 @@
 fn newer_tables(core: &ControlMember, known: TableVersions) -> Option<Tables> {
     let epoch = core.serving()?;
     let state = core.committed_if_recent()?;
-    let configuration = (state.version > known.configuration)
-        .then(|| Versioned { version: state.version, content: state.configuration.clone() });
-    let placement = (state.placement_version > known.placement)
-        .then(|| Versioned { version: state.placement_version, content: state.placement.clone() });
-    let directory = core.directory.borrow();
-    // A sender with the list of another epoch gets this one completely.
-    let known_changes = if known.directory.epoch == epoch { known.directory.changes } else { 0 };
-    let directory = directory.update_since(known_changes).map(|update| Versioned {
-        version: DirectoryVersion { epoch, changes: directory.version() },
-        content: update,
-    });
-    let leases = core.leases.borrow();
-    Some(Tables {
+    let published = PublishedTables {
         epoch,
-        configuration,
-        placement,
-        directory,
-        senders: leases.senders(),
-        primary: core.node.info.internal.clone(),
-        relays: leases.relays(),
-        loads: Vec::new(),
-    })
+        state: &state,
+        directory: &core.directory.borrow(),
+        leases: &core.leases.borrow(),
+        primary: &core.node.info.internal,
+    };
+    Some(published.newer_than(known, clock::now()))
 }
--- a/tier/node/src/control_member/seeds.rs
+++ b/tier/node/src/control_member/seeds.rs
@@ -24,7 +24,7 @@
 
 fn announce_once(core: &ControlMember) {
     let request = Request::PrimaryHint { address: core.node.info.internal.clone() };
-    let members = core.node.core_contact.members();
+    let members = core.node.core_contact.borrow().members().to_vec();
     for address in core.node.seed_addresses() {
         if !members.contains(&address) {
             core.node.links.notify(&address, &request);
--- a/tier/node/src/control_member/singletons/scaling.rs
+++ b/tier/node/src/control_member/singletons/scaling.rs
@@ -85,7 +85,7 @@
     if up_by_zone.is_empty() {
         return;
     }
-    let demand = core.leases.borrow().demand(&service.name);
+    let demand = core.leases.borrow().demand(&service.name, clock::now());
     let scaler = orders.scalers.entry(service.name.clone()).or_default();
     let desired = scaler.desired(clock::now(), demand, capacity, up_by_zone.len(), bounds);
     if !may_act(core, orders.epoch, ROLE) {
--- a/tier/node/src/control_member/singletons/shard_planning.rs
+++ b/tier/node/src/control_member/singletons/shard_planning.rs
@@ -1,5 +1,6 @@
 //! Adapts the placement to the processes that are live: the views of the shards, and the members of the core.
 
+use crate::clock;
 use crate::control_member::ControlMember;
 use quillmount_control::ShardPlanInputs;
 use quillmount_wire::Micros;
@@ -47,11 +48,5 @@
 }
 
 fn plan_inputs(core: &ControlMember) -> ShardPlanInputs {
-    let leases = core.leases.borrow();
-    ShardPlanInputs {
-        live: leases.live_stores(),
-        draining: leases.draining(),
-        reports: leases.shard_reports(),
-        tolerated_failures: core.node.settings.fault_tolerance.machines,
-    }
+    core.leases.borrow().plan_inputs(core.node.settings.fault_tolerance.machines, clock::now())
 }
--- a/tier/node/src/control_member/singletons/usage_reports.rs
+++ b/tier/node/src/control_member/singletons/usage_reports.rs
@@ -96,7 +96,8 @@
     let age_s = clock::wall_seconds() - (window + 1) as f64 * slo.report_s;
     let settled = clock::micros_from_ms((age_s - SETTLE_S).max(0.0) * 1000.0);
     let since = clock::now().saturating_sub(settled);
-    let complete = core.leases.borrow().all_heard_since(since) && members_heard_since(core, since);
+    let complete =
+        core.leases.borrow().all_heard_since(since, clock::now()) && members_heard_since(core, since);
     may_finalize(age_s, slo.usage_delay_s, complete)
 }
 
--- a/tier/node/src/edge/peer_calls.rs
+++ b/tier/node/src/edge/peer_calls.rs
@@ -1,5 +1,6 @@
 //! The calls of other processes that a courier answers.
 
+use crate::clock;
 use crate::control_member::bootstrap::{self, NodeAnnouncements};
 use crate::control_member::{self, ControlMember};
 use crate::node::Node;
@@ -31,7 +32,7 @@
             Some(bootstrap::answer(node, core.as_deref(), announcements, &from, bootstrap))
         }
         (Request::PrimaryHint { address }, _) => {
-            node.core_contact.note_primary(address);
+            node.core_contact.borrow_mut().note_primary(address, clock::now());
             None
         }
         (Request::Register { from, address, to, message }, Some(core)) => {
--- a/tier/node/src/edge/routing.rs
+++ b/tier/node/src/edge/routing.rs
@@ -4,8 +4,9 @@
 use super::{batch_api, forward};
 use crate::http::{Connection, HttpRequest, HttpResponse};
 use crate::metrics::RequestOutcome;
-use crate::node::{Node, TableSnapshot};
+use crate::node::Node;
 use quillmount_dataplane::routes::{Access, CompiledRoute, RouteMode, RouteTable};
+use quillmount_dataplane::tables::TableSnapshot;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/tier/node/src/metrics_server.rs
+++ b/tier/node/src/metrics_server.rs
@@ -62,9 +62,9 @@
         let store = self.store.as_ref();
         ProcessState {
             configuration_version: node.tables().versions.configuration,
-            core_silence_ms: node.core_contact.silence() / 1000,
+            core_silence_ms: node.core_silence() / 1000,
             ready: node.is_ready(),
-            live_processes: serving.map_or(0, |core| core.leases.borrow().live_count() as u64),
+            live_processes: serving.map_or(0, |core| core.leases.borrow().live_count(clock::now()) as u64),
             job_bytes: store.map_or(0, |store| store.job_bytes() as u64),
             free_segments: store.map_or(0, |store| store.journal.free_segments() as u64),
             shards_served: store.map_or(0, |store| store.served_count() as u64),
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -4,19 +4,16 @@
 //! dispatcher that picks endpoints. A role (courier or store) makes one at its start and hands it to each of its tasks,
 //! which all run on one thread.
 
-mod core_contact;
-mod tables;
 mod usage;
 
-pub use core_contact::CoreContact;
-pub use tables::TableSnapshot;
-
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::rpc::PeerLinks;
 use crate::upstream::Upstreams;
-use quillmount_control::TimeLimits;
+use quillmount_control::subscription::core_addresses;
+use quillmount_control::{CoreContact, TimeLimits};
 use quillmount_dataplane::dispatch::{Dispatcher, ServiceShare};
+use quillmount_dataplane::tables::TableSnapshot;
 use quillmount_window::Parameters;
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{NodeInfo, ServiceLoad, UsageWindow};
@@ -57,7 +54,7 @@
     /// Notified when a report to the core can't wait for the next poll.
     pub report_due: Notify,
     /// Where the core answers.
-    pub core_contact: CoreContact,
+    pub core_contact: RefCell<CoreContact>,
     /// Demand on each service, as the primary last reported it; stores only.
     pub loads: RefCell<Rc<Vec<ServiceLoad>>>,
     /// Start of the process.
@@ -90,7 +87,7 @@
             capacity_freed: Notify::new(),
             stopping: Cell::new(false),
             report_due: Notify::new(),
-            core_contact: CoreContact::new(limits.recent_answer),
+            core_contact: RefCell::new(CoreContact::new(limits.recent_answer)),
             loads: RefCell::default(),
             tables: watch::Sender::new(Rc::default()),
             usage: RefCell::default(),
@@ -101,7 +98,12 @@
     /// Whether requests may be refused by the configuration in force: the primary was heard from so recently that a newer one, which
     /// may allow them, need not be in force here yet.
     pub fn may_refuse(&self) -> bool {
-        self.core_contact.silence() < self.limits.refusal.as_micros() as Micros
+        self.core_silence() < self.limits.refusal.as_micros() as Micros
+    }
+
+    /// Time since the primary of the core last answered, or since the start of the clock.
+    pub fn core_silence(&self) -> Micros {
+        self.core_contact.borrow().silence(clock::now())
     }
 
     /// Whether it accepts requests: it has a configuration and does not stop.
@@ -184,22 +186,17 @@
         self.usage.borrow().report()
     }
 
-    /// Internal addresses at which polls may be answered: the core's members, then the seeds, then relays.
+    /// Internal addresses at which polls may be answered.
     pub fn core_addresses(&self) -> Vec<String> {
-        let mut addresses: Vec<String> =
-            self.tables().placement.core.iter().map(|member| member.internal.clone()).collect();
-        for address in self.core_contact.members().into_iter().chain(self.seed_addresses()) {
-            if !addresses.contains(&address) {
-                addresses.push(address);
-            }
-        }
-        addresses.extend(self.core_contact.relays().into_iter().filter(|relay| *relay != self.info.internal));
-        addresses
+        let tables = self.tables();
+        let members = tables.placement.core.iter().map(|member| member.internal.clone());
+        core_addresses(&self.core_contact.borrow(), members, self.seed_addresses(), &self.info.internal)
     }
 
     /// Address of the operator's interface at the core's primary, if that member is in the placement.
     pub fn primary_admin(&self) -> Option<String> {
-        let primary = self.core_contact.primary()?;
+        let contact = self.core_contact.borrow();
+        let primary = contact.primary()?;
         let tables = self.tables();
         let member = tables.placement.core.iter().find(|member| member.internal == primary)?;
         member.admin.clone()
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -1,34 +1,23 @@
 //! The long poll of a courier or store: heartbeat, usage counts and reports to the core, tables from it.
 //!
 //! [`run`] polls one address after another until the primary of the core, or a relay, answers, then stays with that one.
-//! The core answers as soon as it has newer tables, or without any after [`MAX_WAIT`]. While the core is silent,
+//! The core answers as soon as it has newer tables, or without any after [`MAX_POLL_WAIT`]. While the core is silent,
 //! [`read_list_without_core`] keeps the endpoints current.
 
 mod direct_list;
-mod table_update;
 
 pub use direct_list::read_list_without_core;
 
 use crate::clock;
 use crate::metrics::PollResult;
 use crate::node::Node;
-use quillmount_control::Contacts;
+use quillmount_control::subscription::{MAX_POLL_WAIT, POLL_TIMEOUT, RETRY_DELAY, Subscription};
+use quillmount_dataplane::tables::RejectedConfiguration;
 use quillmount_wire::messages::{NodeRole, Poll, Request, Response, ShardReport, Tables};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time for which the core may delay its answer to a poll.
-const MAX_WAIT: Duration = Duration::from_millis(300);
-/// A poll without an answer for this long has failed.
-const POLL_TIMEOUT: Duration = Duration::from_millis(650);
-/// Delay after a poll that found no primary.
-const RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Delay before the next address is polled: one that refuses connections fails at once.
-const NEXT_ADDRESS_DELAY: Duration = Duration::from_millis(5);
-/// Of the polls that go through a relay, one in this many (on average) is followed by one to the primary itself.
-const DIRECT_EVERY: u64 = 10;
-
 /// What a role reports to the core with each poll.
 pub trait Reporter {
     /// Reports on the shards whose primary this process is.
@@ -49,8 +38,10 @@
 
 /// How a poll ended.
 enum PollOutcome {
-    /// Tables came, or the poll was abandoned because a report is due.
-    Answered,
+    /// Tables came.
+    Tables(Box<Tables>),
+    /// It was given up because a report is due.
+    Abandoned,
     /// The other side is not the primary; it may name the one that is.
     Redirected { hint: Option<String> },
     /// There was no answer.
@@ -61,7 +52,7 @@
     /// The label of the outcome.
     fn result(&self) -> PollResult {
         match self {
-            PollOutcome::Answered => PollResult::Answered,
+            PollOutcome::Tables(_) | PollOutcome::Abandoned => PollResult::Answered,
             PollOutcome::Redirected { .. } => PollResult::Redirected,
             PollOutcome::Failed => PollResult::Failed,
         }
@@ -70,35 +61,44 @@
 
 /// Polls the core for as long as the process runs.
 pub async fn run(node: Rc<Node>, reporter: Rc<dyn Reporter>) {
-    let mut contacts = Contacts::default();
+    let mut subscription = Subscription::default();
     loop {
-        let poll_address = node.core_contact.poll_address();
-        let address = poll_address.or_else(|| contacts.next_address(&node.core_addresses(), clock::now()));
-        let Some(address) = address else {
+        let next = {
+            let contact = node.core_contact.borrow();
+            subscription.next_address(&contact, || node.core_addresses(), clock::now())
+        };
+        let Some(address) = next else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         let outcome = poll_once(&node, &address, &*reporter).await;
         node.metrics.count_poll(outcome.result());
-        match outcome {
-            PollOutcome::Answered => {}
-            PollOutcome::Redirected { hint } => {
-                let now = clock::now();
-                let hint = hint.filter(|hint| *hint != address && contacts.may_follow(hint, now));
-                let delay = if hint.is_some() { NEXT_ADDRESS_DELAY } else { RETRY_DELAY };
-                node.core_contact.set_poll_address(hint);
-                tokio::time::sleep(delay).await;
-            }
-            PollOutcome::Failed => {
-                contacts.record_failure(&address, clock::now());
-                node.core_contact.set_poll_address(None);
-                tokio::time::sleep(NEXT_ADDRESS_DELAY).await;
-            }
+        let delay = follow_up(&node, &mut subscription, &address, outcome);
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
     }
 }
 
-/// Sends one poll and applies its answer.
+/// Applies the outcome of a poll; returns the delay before the next one.
+fn follow_up(node: &Node, subscription: &mut Subscription, address: &str, outcome: PollOutcome) -> Duration {
+    let now = clock::now();
+    let mut contact = node.core_contact.borrow_mut();
+    match outcome {
+        PollOutcome::Tables(tables) => {
+            subscription.answered(&mut contact, address, &tables, clock::random_id(), now);
+            drop(contact);
+            accept_tables(node, *tables);
+            // Polls of a draining process are answered at once.
+            if node.stopping.get() { RETRY_DELAY } else { Duration::ZERO }
+        }
+        PollOutcome::Abandoned => Duration::ZERO,
+        PollOutcome::Redirected { hint } => subscription.redirected(&mut contact, address, hint, now),
+        PollOutcome::Failed => subscription.failed(&mut contact, address, now),
+    }
+}
+
+/// Sends one poll.
 async fn poll_once(node: &Node, address: &str, reporter: &dyn Reporter) -> PollOutcome {
     let stopping = node.stopping.get();
     let request = Request::Poll(make_poll(node, reporter, stopping));
@@ -106,17 +106,10 @@
     // A report that can't wait goes with a new poll, whose answer brings what this one would have brought.
     let answer = tokio::select! {
         answer = call => answer,
-        () = node.report_due.notified() => return PollOutcome::Answered,
+        () = node.report_due.notified() => return PollOutcome::Abandoned,
     };
     match answer {
-        Ok(Response::Tables(tables)) => {
-            accept_tables(node, address, tables);
-            if stopping {
-                // Polls of a draining process are answered at once.
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-            PollOutcome::Answered
-        }
+        Ok(Response::Tables(tables)) => PollOutcome::Tables(Box::new(tables)),
         Ok(Response::NotPrimary { hint }) => PollOutcome::Redirected { hint },
         _ => PollOutcome::Failed,
     }
@@ -128,7 +121,7 @@
         node: node.info.clone(),
         incarnation: node.incarnation,
         known_versions: node.tables().versions,
-        max_wait_ms: if stopping { 0 } else { MAX_WAIT.as_millis() as u64 },
+        max_wait_ms: if stopping { 0 } else { MAX_POLL_WAIT.as_millis() as u64 },
         usage: node.usage(),
         shards: reporter.shard_reports(),
         draining: stopping || !may_store_jobs(node),
@@ -151,14 +144,17 @@
     demand.into_iter().filter(|(_, calls)| *calls > 0.0).collect()
 }
 
-/// Records where the core answers, and puts its tables in force.
-fn accept_tables(node: &Node, address: &str, mut tables: Tables) {
-    // Polls that go through a relay are mixed with some to the primary itself.
-    let is_relay = address != tables.primary;
-    let try_primary = is_relay && clock::random_id().is_multiple_of(DIRECT_EVERY);
-    let next = if try_primary { &tables.primary } else { address };
-    node.core_contact.set_poll_address(Some(next.to_owned()));
-    node.core_contact.record_answer(&tables.primary, &tables.relays);
+/// Puts the tables of an answer in force that are newer than the present ones.
+fn accept_tables(node: &Node, mut tables: Tables) {
     *node.loads.borrow_mut() = Rc::new(std::mem::take(&mut tables.loads));
-    table_update::apply(node, tables);
+    let current = node.tables();
+    let update = current.update(tables);
+    if let Some(RejectedConfiguration { version, error }) = update.rejected {
+        tracing::error!(%error, version, "failed to parse the configuration received from the core");
+    }
+    let Some(next) = update.next else { return };
+    if current.versions.configuration == 0 && next.versions.configuration > 0 {
+        tracing::info!(version = next.versions.configuration, "first configuration in force");
+    }
+    node.swap_tables(next);
 }
--- a/tier/node/src/subscription/direct_list.rs
+++ b/tier/node/src/subscription/direct_list.rs
@@ -1,9 +1,8 @@
 //! The fallback of a process that has lost the core: it reads the platform's list of endpoints itself.
 
 use crate::endpoint_list;
-use crate::node::{Node, TableSnapshot};
+use crate::node::Node;
 use quillmount_wire::Micros;
-use quillmount_wire::messages::Endpoint;
 use std::rc::Rc;
 
 /// Reads the platform's list whenever the core is silent, for as long as the process runs.
@@ -15,26 +14,19 @@
         }
         // The file may have changed without a signal.
         node.reload_seeds();
-        if !node.core_contact.has_ever_answered() {
+        if !node.core_contact.borrow().has_ever_answered() {
             continue;
         }
         if let Some(list) = endpoint_list::read(&node).await {
             let current = node.tables();
             // The core may have come back meanwhile: its list then takes precedence.
             if is_core_silent(&node) {
-                install(&node, &current, list);
+                node.swap_tables(current.with_own_list(list));
             }
         }
     }
 }
 
 fn is_core_silent(node: &Node) -> bool {
-    node.core_contact.silence() > node.limits.core_silence.as_micros() as Micros
-}
-
-fn install(node: &Node, current: &TableSnapshot, list: Vec<Endpoint>) {
-    // An incremental update of the core's list does not apply to this one: no changes make the core send all of its own.
-    let mut versions = current.versions;
-    versions.directory.changes = 0;
-    node.swap_tables(TableSnapshot { versions, endpoints: Rc::new(list), ..current.clone() });
+    node.core_silence() > node.limits.core_silence.as_micros() as Micros
 }
