One world of the control and data planes on virtual time; a refusal goes by when the answered poll was sent

tier/dataplane/tests/planes: core members with leases and polls, couriers with relays and dispatch, operators, the platform with its list and fences, clients; kills, freezes, cuts of machines and zones, losses of power, full and slow disks, clocks that step, newcomers.

Cause: the limit for refusals counted from when an answer came; with a poll on its way for up to 0.65 s and a primary that trusts its majority for 0.5 s that is 2.15 s. Now it counts from when the answered poll was sent (CoreContact::age): 1.5 s.

--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -17,6 +17,14 @@
         FailedWriteCounts,
         /// A primary goes on although its own disk refuses its writes.
         PrimaryWithoutDisk,
+        /// A process without the core refuses requests by the configuration that it has.
+        RefusesWithoutCore,
+        /// A subscriber with the list of another epoch gets only the changes after the same number.
+        DirectoryOfOtherEpoch,
+        /// A fencing token that was refused is used again.
+        RefusedTokenUsedAgain,
+        /// Counts of a window are final without those of silent processes.
+        UsageWithoutSilent,
         /// The digest of an order leaves the base version out.
         DigestWithoutBase,
         /// A retried order is not recognized.
--- a/tier/control/src/core_contact.rs
+++ b/tier/control/src/core_contact.rs
@@ -15,6 +15,8 @@
     members: Vec<String>,
     /// When the primary last answered; 0 before the first answer.
     last_answer: Micros,
+    /// When the poll was sent that it answered last: what it answered is not older.
+    last_answered_poll: Micros,
 }
 
 impl CoreContact {
@@ -41,9 +43,10 @@
         self.primary.as_deref()
     }
 
-    /// Records an answer of the primary, which may have come through a relay.
-    pub fn record_answer(&mut self, primary: &str, relays: &[String], now: Micros) {
+    /// Records an answer of the primary, which may have come through a relay, to a poll that was sent at `asked_at`.
+    pub fn record_answer(&mut self, primary: &str, relays: &[String], asked_at: Micros, now: Micros) {
         self.last_answer = now;
+        self.last_answered_poll = asked_at;
         self.primary = Some(primary.to_owned());
         self.relays = relays.to_vec();
     }
@@ -74,6 +77,13 @@
         now.saturating_sub(self.last_answer)
     }
 
+    /// Age at most of what the primary answered last, by this process's clock. The primary's own state may be older by the time for
+    /// which it trusts its last contact with a majority.
+    #[must_use]
+    pub fn age(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.last_answered_poll)
+    }
+
     /// Internal addresses of the core's members, as this machine's own register names them.
     #[must_use]
     pub fn members(&self) -> &[String] {
--- a/tier/control/src/subscription.rs
+++ b/tier/control/src/subscription.rs
@@ -20,6 +20,17 @@
 /// Of the polls that go through a relay, one in this many (on average) is followed by one to the primary itself.
 const DIRECT_EVERY: u64 = 10;
 
+/// A poll that was answered.
+#[derive(Clone, Copy, Debug)]
+pub struct AnsweredPoll<'a> {
+    /// The address that it was sent to.
+    pub address: &'a str,
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// When its answer came.
+    pub answered_at: Micros,
+}
+
 /// The search for an address that answers.
 #[derive(Clone, Debug, Default)]
 pub struct Subscription {
@@ -39,21 +50,20 @@
         known.or_else(|| self.contacts.next_address(&addresses(), now))
     }
 
-    /// The process at `address` answered with tables. `draw` is a random number: polls that go through a relay are mixed with some to
-    /// the primary itself.
+    /// A poll was answered with tables. `draw` is a random number: polls that go through a relay are mixed with some to the primary
+    /// itself.
     pub fn answered(
         &mut self,
         contact: &mut CoreContact,
-        address: &str,
+        poll: &AnsweredPoll<'_>,
         tables: &Tables,
         draw: u64,
-        now: Micros,
     ) {
-        let is_relay = address != tables.primary;
+        let is_relay = poll.address != tables.primary;
         let try_primary = is_relay && draw.is_multiple_of(DIRECT_EVERY);
-        let next = if try_primary { &tables.primary } else { address };
+        let next = if try_primary { &tables.primary } else { poll.address };
         contact.set_poll_address(Some(next.to_owned()));
-        contact.record_answer(&tables.primary, &tables.relays, now);
+        contact.record_answer(&tables.primary, &tables.relays, poll.sent_at, poll.answered_at);
     }
 
     /// The process at `address` is not the primary, and may have named the one that is. Returns the delay before the next poll.
--- a/tier/control/src/time_limits.rs
+++ b/tier/control/src/time_limits.rs
@@ -3,6 +3,8 @@
 //! Each limit is a part of the bound that it has to stay within, and has a ceiling of its own: where a deployment allows much
 //! time, nothing waits for longer than what was found to serve.
 
+use crate::breaks::{self, Break};
+use quillmount_wire::Micros;
 use quillmount_wire::settings::Bounds;
 use std::time::Duration;
 
@@ -46,8 +48,9 @@
     pub core_silence: Duration,
     /// Interval between two such readings.
     pub list_reading: Duration,
-    /// A process that has not heard from the primary for this long refuses no request by its configuration, as a newer one may
-    /// allow it: within `ApplyMs`, after which refusals have to follow the newer one.
+    /// A process whose newest answer of the primary is older than this refuses no request by its configuration, as a newer one may
+    /// allow it: within `ApplyMs`, after which refusals have to follow the newer one, with the time for which a primary trusts its last
+    /// contact with a majority.
     pub refusal: Duration,
     /// An endpoint that is silent for this long while it runs an item is given up: well within `CompleteS`, in which the item has
     /// to be listed.
@@ -55,6 +58,15 @@
 }
 
 impl TimeLimits {
+    /// Whether requests may be refused by the configuration in force: what the primary answered last ([`CoreContact::age`]) is so
+    /// recent that a newer one, which may allow them, need not be in force here yet.
+    ///
+    /// [`CoreContact::age`]: crate::CoreContact::age
+    #[must_use]
+    pub fn may_refuse(&self, age: Micros) -> bool {
+        age < self.refusal.as_micros() as Micros || breaks::on(Break::RefusesWithoutCore)
+    }
+
     /// The limits under these bounds.
     #[must_use]
     pub fn new(bounds: &Bounds) -> TimeLimits {
--- a/tier/control/src/usage.rs
+++ b/tier/control/src/usage.rs
@@ -3,6 +3,7 @@
 //! A report is sent by the primary of the core, possibly several of them in turn. The counts are committed to the
 //! control state before they are sent ([`ControlState::finalize_usage`]), so that a retry sends the same counts.
 
+use crate::breaks::{self, Break};
 use crate::state::ControlState;
 use quillmount_wire::Micros;
 use quillmount_wire::messages::UsageWindow;
@@ -42,7 +43,7 @@
         }
     }
     let awaited = |heard: &&LastHeard| !heard.draining && now.saturating_sub(heard.at) < FORGET_AFTER;
-    latest.values().filter(awaited).all(|heard| heard.at >= since)
+    latest.values().filter(awaited).all(|heard| heard.at >= since) || breaks::on(Break::UsageWithoutSilent)
 }
 
 /// Whether the counts of a window may be finalized `age_s` seconds after its end, if its report is due `delay_s`
--- a/tier/dataplane/src/dispatch/endpoint_state.rs
+++ b/tier/dataplane/src/dispatch/endpoint_state.rs
@@ -2,6 +2,7 @@
 
 use super::outcome::CallOutcome;
 use crate::batch_share::BatchShare;
+use crate::breaks::{self, Break};
 use crate::prefill::normalized_latency;
 use crate::prefix_cache::PrefixCache;
 use crate::request_profile::RequestProfile;
@@ -56,7 +57,7 @@
 
     /// Whether new calls may be sent to it.
     pub(super) fn is_open(&self) -> bool {
-        self.listed && !self.endpoint.draining
+        self.listed && (!self.endpoint.draining || breaks::on(Break::DrainingEndpointOpen))
     }
 
     /// Whether another call fits now; a batch item must fit in its sender's share as well as in the window.
--- a/tier/dataplane/src/lib.rs
+++ b/tier/dataplane/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod batch_share;
 pub mod body;
+pub mod breaks;
 pub mod dispatch;
 pub mod event_sequence;
 pub mod events;
--- a/tier/dataplane/src/tables.rs
+++ b/tier/dataplane/src/tables.rs
@@ -1,5 +1,6 @@
 //! The tables that a process works with, as the core last sent them.
 
+use crate::breaks::{self, Break};
 use crate::routes::RouteTable;
 use quillmount_control::apply_update;
 use quillmount_wire::configuration::{Configuration, ConfigurationError};
@@ -47,7 +48,7 @@
         let mut changed = false;
         let mut rejected = None;
         if let Some(Versioned { version, content: text }) = tables.configuration
-            && version > self.versions.configuration
+            && (version > self.versions.configuration || breaks::on(Break::OlderConfigurationApplied))
         {
             match Configuration::read(&text) {
                 Ok(configuration) => {
@@ -84,7 +85,9 @@
     #[must_use]
     pub fn with_own_list(&self, list: Vec<Endpoint>) -> TableSnapshot {
         let mut versions = self.versions;
-        versions.directory.changes = 0;
+        if !breaks::on(Break::OwnListKeepsVersion) {
+            versions.directory.changes = 0;
+        }
         TableSnapshot { versions, endpoints: Rc::new(list), ..self.clone() }
     }
 }
--- /dev/null
+++ b/tier/dataplane/tests/planes/core_side.rs
@@ -0,0 +1,230 @@
+//! What members of the core do: they end writes, answer polls once there are newer tables, and read the list of endpoints.
+
+use crate::machine::{MachineId, address, machine_at};
+use crate::operators::OperatorAnswer;
+use crate::world::{Event, World};
+use quillmount_control::polls::{PublishedTables, is_empty, needs_admission};
+use quillmount_control::{Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
+use quillmount_test_support::simulation::{MILLI, Simulation, Time};
+use quillmount_wire::messages::{Epoch, NodeRole, Poll, Register, Tables, UsageWindow};
+
+/// Interval between two readings of the list by the primary.
+const LIST_INTERVAL: Time = 600 * MILLI;
+/// Interval between two announcements of the primary to seeds.
+const ANNOUNCE_INTERVAL: Time = 150 * MILLI;
+
+/// The answer to a poll.
+pub enum PollAnswer {
+    Tables(Box<Tables>),
+    NotPrimary { hint: Option<String> },
+}
+
+/// How far a poll is at the primary.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its sender is being admitted, or its first tables are confirmed by a majority.
+    Confirming(Ticket),
+    /// It waits for newer tables.
+    Waiting,
+}
+
+/// A poll that the primary has not answered.
+pub struct PendingPoll {
+    path: Vec<MachineId>,
+    call: u64,
+    poll: Box<Poll>,
+    stage: Stage,
+    until: Time,
+}
+
+/// What waits for a ticket.
+pub enum Waiting {
+    /// A poll, by its call.
+    Poll(u64),
+    /// A call of an operator.
+    Operator { operator: usize, call: u64, answer: Option<OperatorAnswer> },
+    /// The counts of a window, which are sent then.
+    Usage { epoch: Epoch, report: UsageWindow },
+}
+
+impl World {
+    /// Ends a write of the register, unless its process was killed.
+    pub fn end_write(&mut self, id: MachineId, incarnation: u64, write: RegisterWrite, register: Register) {
+        if !self.is_same_process(id, incarnation) {
+            return;
+        }
+        let now = self.now();
+        let outcome =
+            if now < self.machines[id].full_until { WriteOutcome::Failed } else { WriteOutcome::Synced };
+        if outcome == WriteOutcome::Synced {
+            self.machines[id].synced = register;
+        }
+        let actions = self.member(id).write_ended(write, outcome, now);
+        self.perform(id, actions);
+    }
+
+    /// Drops what a machine knew as primary of an earlier epoch.
+    pub fn forget_primary_state(&mut self, id: MachineId) {
+        let state = &mut self.machines[id].state;
+        state.leases = Leases::default();
+        state.directory = Directory::default();
+    }
+
+    /// A poll arrives at a machine: the primary keeps it until it can answer, a courier without a member relays it.
+    pub fn receive_poll(&mut self, path: Vec<MachineId>, to: MachineId, call: u64, poll: Box<Poll>) {
+        let now = self.now();
+        let machine = &mut self.machines[to];
+        if machine.state.member.is_none() {
+            return self.relay_poll(path, to, call, poll);
+        }
+        let member = machine.state.member.as_mut().expect("a member");
+        if member.serving().is_none() {
+            let hint = member.replica().recent_primary(now);
+            let hint = hint.and_then(|disk| self.machines.iter().find(|machine| machine.disk == disk));
+            let hint = hint.map(|machine| address(machine.id));
+            return self.answer_poll(to, path, call, PollAnswer::NotPrimary { hint });
+        }
+        machine.state.leases.renew(&poll, now);
+        let until = now + poll.max_wait_ms * MILLI;
+        let pending = PendingPoll { path, call, poll, stage: Stage::Waiting, until };
+        self.machines[to].state.pending_polls.push(pending);
+        self.begin_admission(to, call);
+    }
+
+    /// Admits the sender of a poll that is new, then confirms its first tables.
+    fn begin_admission(&mut self, id: MachineId, call: u64) {
+        let now = self.now();
+        let Some(index) = self.pending_index(id, call) else { return };
+        let poll = self.machines[id].state.pending_polls[index].poll.clone();
+        let member = self.member(id);
+        let Some(committed) = member.committed() else { return };
+        let submitted = if needs_admission(&committed, &poll) {
+            let silent = member.silent_members(now);
+            let node = poll.node;
+            let change = member.change(|state| state.admit_core_member(&node, &silent), now);
+            change.map(|change| (change.ticket, change.actions))
+        } else if poll.known_versions.configuration == 0 {
+            member.confirm(now).map(|read| (read.ticket, read.actions))
+        } else {
+            return;
+        };
+        match submitted {
+            Ok((ticket, actions)) => {
+                let state = &mut self.machines[id].state;
+                state.pending_polls[index].stage = Stage::Confirming(ticket);
+                state.waiting.insert(ticket, Waiting::Poll(call));
+                self.perform(id, actions);
+            }
+            Err(_) => self.refuse_poll(id, call),
+        }
+    }
+
+    fn pending_index(&self, id: MachineId, call: u64) -> Option<usize> {
+        self.machines[id].state.pending_polls.iter().position(|pending| pending.call == call)
+    }
+
+    fn refuse_poll(&mut self, id: MachineId, call: u64) {
+        if let Some(index) = self.pending_index(id, call) {
+            let PendingPoll { path, call, .. } = self.machines[id].state.pending_polls.remove(index);
+            self.answer_poll(id, path, call, PollAnswer::NotPrimary { hint: None });
+        }
+    }
+
+    /// A ticket is confirmed, or can't be any more.
+    pub fn on_confirmed(&mut self, id: MachineId, ticket: Ticket, confirmed: bool) {
+        match self.machines[id].state.waiting.remove(&ticket) {
+            Some(Waiting::Poll(call)) if confirmed => {
+                if let Some(index) = self.pending_index(id, call) {
+                    self.machines[id].state.pending_polls[index].stage = Stage::Waiting;
+                }
+            }
+            Some(Waiting::Poll(call)) => self.refuse_poll(id, call),
+            Some(Waiting::Operator { operator, call, answer }) => {
+                self.answer_operator(id, operator, call, answer, confirmed);
+            }
+            Some(Waiting::Usage { epoch, report }) if confirmed => self.send_usage(id, epoch, report),
+            Some(Waiting::Usage { .. }) | None => {}
+        }
+    }
+
+    /// Answers the polls for which there are newer tables, or whose time is up.
+    pub fn answer_waiting_polls(&mut self) {
+        for id in 0..self.machines.len() {
+            if !self.is_running(id) || self.machines[id].state.pending_polls.is_empty() {
+                continue;
+            }
+            let waiting = self.machines[id].state.pending_polls.iter();
+            let calls: Vec<u64> = waiting
+                .filter(|pending| pending.stage == Stage::Waiting)
+                .map(|pending| pending.call)
+                .collect();
+            calls.into_iter().for_each(|call| self.answer_if_due(id, call));
+        }
+    }
+
+    fn answer_if_due(&mut self, id: MachineId, call: u64) {
+        let now = self.now();
+        let Some(index) = self.pending_index(id, call) else { return };
+        let state = &self.machines[id].state;
+        let pending = &state.pending_polls[index];
+        let member = state.member.as_ref().expect("a member");
+        let serving = member.serving().zip(member.committed_if_recent(now));
+        let Some((epoch, committed)) = serving else { return self.refuse_poll(id, call) };
+        let published = PublishedTables {
+            epoch,
+            state: &committed,
+            directory: &state.directory,
+            leases: &state.leases,
+            primary: &address(id),
+        };
+        let tables = published.newer_than(pending.poll.known_versions, now);
+        if is_empty(&tables) && now < pending.until {
+            return;
+        }
+        let PendingPoll { path, call, .. } = self.machines[id].state.pending_polls.remove(index);
+        self.answer_poll(id, path, call, PollAnswer::Tables(Box::new(tables)));
+    }
+
+    /// Sends the answer to a poll to the last machine of its path.
+    pub fn answer_poll(&mut self, from: MachineId, path: Vec<MachineId>, call: u64, answer: PollAnswer) {
+        if let Some(to) = path.last().copied() {
+            self.send(from, to, Event::Answer { from, path, call, answer });
+        }
+    }
+
+    /// Lets the primary read the list, and announce itself to seeds that are no members.
+    pub fn read_lists(&mut self) {
+        for id in 0..self.machines.len() {
+            if !self.is_running(id) {
+                continue;
+            }
+            let machine = &self.machines[id];
+            let serving = machine.state.member.as_ref().and_then(|member| member.serving());
+            if serving.is_some() && self.is_due_every(LIST_INTERVAL) {
+                self.ask_for_list(id, serving);
+            }
+            if serving.is_some() && self.is_due_every(ANNOUNCE_INTERVAL) {
+                self.announce(id);
+            }
+            self.read_own_list(id);
+        }
+    }
+
+    /// Asks the platform for its list; `for_primary` is the epoch in which the primary asks.
+    pub fn ask_for_list(&mut self, id: MachineId, for_primary: Option<Epoch>) {
+        let incarnation = self.machines[id].process.incarnation();
+        let list = self.platform.list(self.timeline.now());
+        self.send_outside(Event::List { to: id, incarnation, for_primary, list });
+    }
+
+    fn announce(&mut self, id: MachineId) {
+        let members = self.machines[id].state.contact.members().to_vec();
+        let is_member = |seed: &MachineId| members.iter().any(|member| machine_at(member) == Some(*seed));
+        let seeds: Vec<MachineId> = self.machines.iter().flat_map(|machine| machine.seeds.clone()).collect();
+        for to in seeds.into_iter().filter(|seed| !is_member(seed)) {
+            if self.machines[to].role == NodeRole::Courier {
+                self.send(id, to, Event::Hint { from: id, to });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tier/dataplane/tests/planes/main.rs
@@ -0,0 +1,84 @@
+//! All planes in one world on virtual time: core members with their leases and polls, couriers with and without a disk that relay
+//! polls, decide on requests and choose endpoints, operators who change the configuration, the platform with its list of endpoints
+//! and its fences, clients. Machines are killed, frozen, cut off, lose their power, have full and slow disks and clocks that step.
+//!
+//! What is checked, as properties of histories, is in `audit`. `SEEDS=N` runs so many seeds.
+
+mod audit;
+mod clients;
+mod core_side;
+mod duties;
+mod faults;
+mod machine;
+mod operators;
+mod platform;
+mod subscriber;
+mod world;
+
+use faults::run_seed;
+use quillmount_test_support::seeds;
+
+/// Seeds that are run unless `SEEDS` names another number.
+const DEFAULT_SEEDS: u64 = 24;
+
+#[test]
+fn no_history_of_all_planes_breaks_a_property() {
+    let count = seeds::count(DEFAULT_SEEDS);
+    let totals = seeds::run_each(count, |seed| run_seed(seed).audit.totals());
+    let served: u64 = totals.iter().map(|totals| totals.served).sum();
+    let acknowledged: u64 = totals.iter().map(|totals| totals.acknowledged).sum();
+    let reported: u64 = totals.iter().map(|totals| totals.reported_windows).sum();
+    let own_lists: u64 = totals.iter().map(|totals| totals.own_lists).sum();
+    println!(
+        "{count} runs: {served} requests served, {acknowledged} configurations acknowledged, {reported} windows of usage, {own_lists} lists \
+         read without the core"
+    );
+    assert!(served > 500 * count && acknowledged > 3 * count && reported > 2 * count && own_lists > count);
+}
+
+/// Each deliberate fault, in whichever plane, is found by one of the runs.
+#[cfg(feature = "breaks")]
+#[test]
+fn each_break_over_the_planes_is_found() {
+    use quillmount_control::breaks::{self as control_breaks, Break as ControlBreak};
+    use quillmount_dataplane::breaks::{self as dataplane_breaks, Break as DataplaneBreak};
+    const RUNS: u64 = 150;
+    let of_control = [
+        ControlBreak::ReadWithoutRound,
+        ControlBreak::AnsweredBeforeSync,
+        ControlBreak::ConfirmedWhenProposed,
+        ControlBreak::BaseIgnored,
+        ControlBreak::OrderForgotten,
+        ControlBreak::FailedWriteCounts,
+        ControlBreak::RefusesWithoutCore,
+        ControlBreak::DirectoryOfOtherEpoch,
+        ControlBreak::RefusedTokenUsedAgain,
+        ControlBreak::UsageWithoutSilent,
+    ];
+    let of_dataplane = [
+        DataplaneBreak::OwnListKeepsVersion,
+        DataplaneBreak::OlderConfigurationApplied,
+        DataplaneBreak::DrainingEndpointOpen,
+    ];
+    let silenced = seeds::SilencedPanics::begin();
+    let mut missed = Vec::new();
+    let mut search = |name: String| {
+        let found = seeds::first_failing(1..=RUNS, |seed| _ = run_seed(seed));
+        println!("{name}: found by seed {found:?}");
+        if found.is_none() {
+            missed.push(name);
+        }
+    };
+    for one in of_control {
+        control_breaks::set(Some(one));
+        search(format!("{one:?}"));
+        control_breaks::set(None);
+    }
+    for one in of_dataplane {
+        dataplane_breaks::set(Some(one));
+        search(format!("{one:?}"));
+        dataplane_breaks::set(None);
+    }
+    drop(silenced);
+    assert!(missed.is_empty(), "not found: {missed:?}");
+}
--- /dev/null
+++ b/tier/dataplane/tests/planes/subscriber.rs
@@ -0,0 +1,168 @@
+//! What every process does: it polls the core, relays the polls of others, and reads the list of endpoints itself while the core is
+//! silent.
+
+use crate::core_side::PollAnswer;
+use crate::machine::{MachineId, SentPoll, address, machine_at};
+use crate::world::{Event, World};
+use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
+use quillmount_test_support::simulation::{Simulation, Time};
+use quillmount_wire::messages::{Endpoint, Epoch, Poll, Tables};
+use std::time::Duration;
+
+fn micros(duration: Duration) -> Time {
+    duration.as_micros() as Time
+}
+
+impl World {
+    /// Sends the next poll of a machine.
+    pub fn send_poll(&mut self, id: MachineId, incarnation: u64) {
+        if !self.is_same_process(id, incarnation) || self.machines[id].state.poll.is_some() {
+            return;
+        }
+        let now = self.now();
+        let machine = &mut self.machines[id];
+        let own = address(id);
+        let state = &mut machine.state;
+        let contact = state.contact.clone();
+        let addresses = || {
+            let members = state.tables.placement.core.iter().map(|member| member.internal.clone());
+            let seeds = machine.seeds.iter().map(|seed| address(*seed)).collect();
+            core_addresses(&contact, members, seeds, &own)
+        };
+        let Some(next) = state.subscription.next_address(&contact, addresses, now) else { return };
+        let call = self.next_call();
+        let poll = self.make_poll(id);
+        self.machines[id].state.poll = Some(SentPoll { call, address: next.clone(), sent_at: now });
+        self.schedule(now + micros(POLL_TIMEOUT), Event::PollTimeout { to: id, incarnation, call });
+        if let Some(to) = machine_at(&next) {
+            self.send(id, to, Event::Poll { path: vec![id], to, call, poll: Box::new(poll) });
+        }
+    }
+
+    fn make_poll(&self, id: MachineId) -> Poll {
+        let machine = &self.machines[id];
+        Poll {
+            node: machine.node_info(),
+            incarnation: machine.process.incarnation() * 1_000 + id as u64,
+            known_versions: machine.state.tables.versions,
+            max_wait_ms: MAX_POLL_WAIT.as_millis() as u64,
+            usage: machine.state.usage_report(),
+            shards: Vec::new(),
+            draining: false,
+            relayed: false,
+            demand: Vec::new(),
+            items: Vec::new(),
+        }
+    }
+
+    /// Passes a poll on to the primary, once.
+    pub fn relay_poll(&mut self, path: Vec<MachineId>, id: MachineId, call: u64, poll: Box<Poll>) {
+        let now = self.now();
+        let contact = &self.machines[id].state.contact;
+        let primary = contact.primary().and_then(machine_at);
+        let may_relay = !poll.relayed && contact.has_recent_primary(now);
+        let Some(primary) = primary.filter(|_| may_relay) else {
+            return self.answer_poll(id, path, call, PollAnswer::NotPrimary { hint: None });
+        };
+        let path = path.into_iter().chain([id]).collect();
+        let poll = Box::new(Poll { relayed: true, ..*poll });
+        self.send(id, primary, Event::Poll { path, to: primary, call, poll });
+    }
+
+    /// An answer arrives at the last machine of its path: the sender of the poll, or a relay that passes it on.
+    pub fn receive_answer(
+        &mut self,
+        from: MachineId,
+        mut path: Vec<MachineId>,
+        call: u64,
+        answer: PollAnswer,
+    ) {
+        let Some(id) = path.pop() else { return };
+        if !path.is_empty() {
+            return self.answer_poll(id, path, call, answer);
+        }
+        let now = self.now();
+        let draw = self.random.below(1_000);
+        let state = &mut self.machines[id].state;
+        let Some(sent) = state.poll.take_if(|poll| poll.call == call) else { return };
+        let polled = sent.address;
+        assert_eq!(machine_at(&polled), Some(from));
+        let delay = match answer {
+            PollAnswer::Tables(tables) => {
+                let poll = AnsweredPoll { address: &polled, sent_at: sent.sent_at, answered_at: now };
+                state.subscription.answered(&mut state.contact, &poll, &tables, draw);
+                self.accept_tables(id, *tables);
+                0
+            }
+            PollAnswer::NotPrimary { hint } => {
+                micros(state.subscription.redirected(&mut state.contact, &polled, hint, now))
+            }
+        };
+        self.schedule_poll(id, delay);
+    }
+
+    fn accept_tables(&mut self, id: MachineId, tables: Tables) {
+        let state = &mut self.machines[id].state;
+        let update = state.tables.update(tables);
+        assert!(update.rejected.is_none(), "a configuration that was in force can be read");
+        if let Some(next) = update.next {
+            state.swap_tables(next);
+        }
+    }
+
+    /// A poll was not answered in time.
+    pub fn time_out_poll(&mut self, id: MachineId, incarnation: u64, call: u64) {
+        if !self.is_same_process(id, incarnation) {
+            return;
+        }
+        let now = self.now();
+        let state = &mut self.machines[id].state;
+        let Some(SentPoll { address: polled, .. }) = state.poll.take_if(|poll| poll.call == call) else {
+            return;
+        };
+        let delay = micros(state.subscription.failed(&mut state.contact, &polled, now));
+        self.schedule_poll(id, delay);
+    }
+
+    /// A process that has lost the core reads the list itself.
+    pub fn read_own_list(&mut self, id: MachineId) {
+        let machine = &self.machines[id];
+        let age = self.now() - machine.started_at;
+        let is_due = age > 0 && age.is_multiple_of(micros(machine.limits.list_reading));
+        let contact = &machine.state.contact;
+        let is_silent = contact.silence(self.now()) > micros(machine.limits.core_silence);
+        if is_due && is_silent && contact.has_ever_answered() {
+            self.ask_for_list(id, None);
+        }
+    }
+
+    /// A list arrives at the process that asked for it.
+    pub fn receive_list(
+        &mut self,
+        id: MachineId,
+        incarnation: u64,
+        for_primary: Option<Epoch>,
+        list: Vec<Endpoint>,
+    ) {
+        if !self.is_same_process(id, incarnation) {
+            return;
+        }
+        let now = self.now();
+        let machine = &mut self.machines[id];
+        let state = &mut machine.state;
+        match for_primary {
+            Some(epoch) => {
+                let serving = state.member.as_ref().and_then(|member| member.serving());
+                if serving == Some(epoch) {
+                    state.directory.replace(list);
+                }
+            }
+            None if state.contact.silence(now) > micros(machine.limits.core_silence) => {
+                let next = state.tables.with_own_list(list);
+                state.swap_tables(next);
+                self.audit.own_list();
+            }
+            None => {}
+        }
+    }
+}
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -95,10 +95,9 @@
         })
     }
 
-    /// Whether requests may be refused by the configuration in force: the primary was heard from so recently that a newer one, which
-    /// may allow them, need not be in force here yet.
+    /// Whether requests may be refused by the configuration in force ([`TimeLimits::may_refuse`]).
     pub fn may_refuse(&self) -> bool {
-        self.core_silence() < self.limits.refusal.as_micros() as Micros
+        self.limits.may_refuse(self.core_contact.borrow().age(clock::now()))
     }
 
     /// Time since the primary of the core last answered, or since the start of the clock.
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -11,8 +11,11 @@
 use crate::clock;
 use crate::metrics::PollResult;
 use crate::node::Node;
-use quillmount_control::subscription::{MAX_POLL_WAIT, POLL_TIMEOUT, RETRY_DELAY, Subscription};
+use quillmount_control::subscription::{
+    AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, RETRY_DELAY, Subscription,
+};
 use quillmount_dataplane::tables::RejectedConfiguration;
+use quillmount_wire::Micros;
 use quillmount_wire::messages::{NodeRole, Poll, Request, Response, ShardReport, Tables};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -71,9 +74,10 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
+        let sent_at = clock::now();
         let outcome = poll_once(&node, &address, &*reporter).await;
         node.metrics.count_poll(outcome.result());
-        let delay = follow_up(&node, &mut subscription, &address, outcome);
+        let delay = follow_up(&node, &mut subscription, &address, sent_at, outcome);
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
@@ -81,12 +85,19 @@
 }
 
 /// Applies the outcome of a poll; returns the delay before the next one.
-fn follow_up(node: &Node, subscription: &mut Subscription, address: &str, outcome: PollOutcome) -> Duration {
+fn follow_up(
+    node: &Node,
+    subscription: &mut Subscription,
+    address: &str,
+    sent_at: Micros,
+    outcome: PollOutcome,
+) -> Duration {
     let now = clock::now();
     let mut contact = node.core_contact.borrow_mut();
     match outcome {
         PollOutcome::Tables(tables) => {
-            subscription.answered(&mut contact, address, &tables, clock::random_id(), now);
+            let poll = AnsweredPoll { address, sent_at, answered_at: now };
+            subscription.answered(&mut contact, &poll, &tables, clock::random_id());
             drop(contact);
             accept_tables(node, *tables);
             // Polls of a draining process are answered at once.
