--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -21,8 +21,10 @@
         RefusesWithoutCore,
         /// A subscriber with the list of another epoch gets only the changes after the same number.
         DirectoryOfOtherEpoch,
-        /// A fencing token that was refused is used again.
-        RefusedTokenUsedAgain,
+        /// A process that has lost the core never reads the list of endpoints itself.
+        NoOwnList,
+        /// The counts of a window that are final are replaced by those of another primary.
+        UsageFinalizedAgain,
         /// Counts of a window are final without those of silent processes.
         UsageWithoutSilent,
         /// The digest of an order leaves the base version out.
--- a/tier/control/src/fenced_calls.rs
+++ b/tier/control/src/fenced_calls.rs
@@ -1,7 +1,6 @@
 //! Calls to the platform in a singleton role, each with a fencing token that rises with the holder: one that was refused because
 //! another holder has used a higher token is never used again.
 
-use crate::breaks::{self, Break};
 use quillmount_wire::messages::Epoch;
 use std::collections::BTreeSet;
 
@@ -38,7 +37,7 @@
     /// Whether a call about a subject may be made with the present token.
     #[must_use]
     pub fn may_call(&self, subject: &FencedSubject) -> bool {
-        !self.refused.contains(subject) || breaks::on(Break::RefusedTokenUsedAgain)
+        !self.refused.contains(subject)
     }
 
     /// Notes that the platform refused a call with the present token.
--- a/tier/control/src/time_limits.rs
+++ b/tier/control/src/time_limits.rs
@@ -70,10 +70,11 @@
     /// The limits under these bounds.
     #[must_use]
     pub fn new(bounds: &Bounds) -> TimeLimits {
+        let core_silence = CORE_SILENCE.of_ms(bounds.drain_ms);
         TimeLimits {
             change: CHANGE.of_ms(bounds.ack_ms),
             recent_answer: RECENT_ANSWER.of_ms(bounds.contact_ms),
-            core_silence: CORE_SILENCE.of_ms(bounds.drain_ms),
+            core_silence: if breaks::on(Break::NoOwnList) { Duration::MAX } else { core_silence },
             list_reading: LIST_READING.of_ms(bounds.drain_ms),
             refusal: REFUSAL.of_ms(bounds.apply_ms),
             item_silence: ITEM_SILENCE.of_ms(bounds.complete_s * 1000.0),
--- a/tier/control/src/usage.rs
+++ b/tier/control/src/usage.rs
@@ -57,8 +57,12 @@
 impl ControlState {
     /// Finalizes the counts of a window, unless an earlier report did; returns the final counts.
     pub fn finalize_usage(&mut self, report: UsageWindow) -> UsageWindow {
-        if let Some(finalized) = self.usage.iter().find(|finalized| finalized.window == report.window) {
-            return finalized.clone();
+        let known = self.usage.iter().position(|finalized| finalized.window == report.window);
+        if let Some(known) = known {
+            if !breaks::on(Break::UsageFinalizedAgain) {
+                return self.usage[known].clone();
+            }
+            self.usage.remove(known);
         }
         self.usage.push(report.clone());
         self.usage.sort_by_key(|finalized| finalized.window);
--- a/tier/dataplane/src/breaks.rs
+++ b/tier/dataplane/src/breaks.rs
@@ -4,10 +4,8 @@
     for each thread:
     /// A fault that can be switched on.
     pub enum Break {
-        /// A list that a process read itself counts as the core's: changes are applied to it.
-        OwnListKeepsVersion,
-        /// A configuration is put in force whatever its version.
-        OlderConfigurationApplied,
+        /// A newer configuration counts as in force, and requests go by the routes of the one before.
+        RoutesKept,
         /// An endpoint that drains gets requests as any other.
         DrainingEndpointOpen,
     }
--- a/tier/dataplane/src/tables.rs
+++ b/tier/dataplane/src/tables.rs
@@ -48,11 +48,13 @@
         let mut changed = false;
         let mut rejected = None;
         if let Some(Versioned { version, content: text }) = tables.configuration
-            && (version > self.versions.configuration || breaks::on(Break::OlderConfigurationApplied))
+            && version > self.versions.configuration
         {
             match Configuration::read(&text) {
                 Ok(configuration) => {
-                    next.routes = Rc::new(RouteTable::compile(&configuration));
+                    if !breaks::on(Break::RoutesKept) || self.versions.configuration == 0 {
+                        next.routes = Rc::new(RouteTable::compile(&configuration));
+                    }
                     next.versions.configuration = version;
                     changed = true;
                 }
@@ -85,9 +87,7 @@
     #[must_use]
     pub fn with_own_list(&self, list: Vec<Endpoint>) -> TableSnapshot {
         let mut versions = self.versions;
-        if !breaks::on(Break::OwnListKeepsVersion) {
-            versions.directory.changes = 0;
-        }
+        versions.directory.changes = 0;
         TableSnapshot { versions, endpoints: Rc::new(list), ..self.clone() }
     }
 }
--- a/tier/dataplane/tests/planes/clients.rs
+++ b/tier/dataplane/tests/planes/clients.rs
@@ -80,6 +80,7 @@
         };
         state.dispatcher.finish(&reservation, CallOutcome::FirstEvent(LATENCY), false, now);
         *state.usage.entry(window).or_default() += 1;
+        self.audit.request_sent(window);
         Decision::Sent { endpoint: reservation.id }
     }
 
--- a/tier/dataplane/tests/planes/duties.rs
+++ b/tier/dataplane/tests/planes/duties.rs
@@ -15,6 +15,8 @@
 const REPORT_DELAY_S: f64 = 10.0;
 /// Time that a new primary waits before it acts in a role of the one before.
 const LEASE: Time = 3 * SECOND;
+/// Counts of a process that is frozen until then after a window's end are waited for.
+const LONGEST_WAIT: Time = 4 * SECOND;
 /// Interval between two checks.
 const CHECK_INTERVAL: Time = 250 * MILLI;
 
@@ -105,10 +107,21 @@
     pub fn platform_call(&mut self, from: MachineId, incarnation: u64, call: PlatformCall) {
         let now = self.now();
         let accepted = self.platform.accept(&call);
+        if accepted && self.counts_are_known(call.report.window) {
+            self.audit.check_counts(&call.report);
+        }
         self.audit.platform_call(&call, accepted, now);
         self.send_outside(Event::PlatformAnswer { to: from, incarnation, call, accepted });
     }
 
+    /// Whether nothing but freezes came between the requests of a window and their counts, and those ended in time.
+    fn counts_are_known(&self, window: u64) -> bool {
+        let (begin, end) = (window * WINDOW, (window + 1) * WINDOW);
+        let thawed = (0..self.machines.len()).all(|id| self.audit.frozen_until(id) < end + LONGEST_WAIT);
+        let newest = self.machines.iter().map(|machine| machine.started_at).max().unwrap_or(0);
+        self.last_loss.max(newest) + SECOND < begin && thawed
+    }
+
     /// The platform's answer arrives at the holder.
     pub fn platform_answer(&mut self, id: MachineId, incarnation: u64, call: PlatformCall, accepted: bool) {
         if !self.is_same_process(id, incarnation) {
