--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -25,8 +25,6 @@
         NoOwnList,
         /// The counts of a window that are final are replaced by those of another primary.
         UsageFinalizedAgain,
-        /// Counts of a window are final without those of silent processes.
-        UsageWithoutSilent,
         /// The digest of an order leaves the base version out.
         DigestWithoutBase,
         /// A retried order is not recognized.
--- a/tier/control/src/usage.rs
+++ b/tier/control/src/usage.rs
@@ -43,7 +43,7 @@
         }
     }
     let awaited = |heard: &&LastHeard| !heard.draining && now.saturating_sub(heard.at) < FORGET_AFTER;
-    latest.values().filter(awaited).all(|heard| heard.at >= since) || breaks::on(Break::UsageWithoutSilent)
+    latest.values().filter(awaited).all(|heard| heard.at >= since)
 }
 
 /// Whether the counts of a window may be finalized `age_s` seconds after its end, if its report is due `delay_s`
