--- a/tier/dataplane/tests/planes/duties.rs
+++ b/tier/dataplane/tests/planes/duties.rs
@@ -31,7 +31,7 @@
 impl World {
     /// The time of day by a machine's clock.
     pub fn wall_clock(&self, id: MachineId) -> Time {
-        self.now().saturating_add_signed(self.machines[id].clock_offset)
+        self.machines[id].clock.shows(self.now())
     }
 
     /// Lets primaries report the windows that have ended.
--- a/tier/dataplane/tests/planes/faults.rs
+++ b/tier/dataplane/tests/planes/faults.rs
@@ -1,18 +1,21 @@
-//! Runs with faults by seed.
+//! Runs with the faults of a seed.
 
 use crate::audit::CONTACT;
-use crate::machine::MachineId;
+use crate::fault_plan::{FaultKind, FaultPlan, PlannedFault};
+use crate::machine::{MachineId, WallClock};
 use crate::world::{CORE, Event, World};
 use quillmount_test_support::network::Isolation;
+use quillmount_test_support::seeds;
 use quillmount_test_support::simulation::{MILLI, SECOND, Simulation, Time};
 use quillmount_wire::messages::NodeRole;
+use std::panic::{catch_unwind, resume_unwind};
 
-/// Faults of one run.
-const FAULTS: usize = 9;
 /// Longest time from the end of all faults until every machine has the newest configuration.
 const RECOVERY_LIMIT: Time = 20 * SECOND;
 /// How often it is checked whether that is so.
 const CHECK_INTERVAL: Time = 250 * MILLI;
+/// An acknowledgement is waited for at most this long.
+const LONGEST_WAIT_FOR_ANSWER: Time = 3 * SECOND;
 /// Length of a quota's period.
 const QUOTA_PERIOD: Time = 100 * MILLI;
 /// A process runs for this time of each period.
@@ -21,18 +24,35 @@
 const BURSTS_FOR: Time = 30 * SECOND;
 /// Machines at most.
 const MOST_MACHINES: usize = 14;
+/// Largest drift of a clock, millionths.
+const CLOCK_DRIFT_PPM: i64 = 20_000;
 /// Longest step of a clock, milliseconds.
 const CLOCK_STEP_MS: i64 = 2_000;
 
-/// Runs all planes with faults by seed, and checks the end; returns the world.
+/// Runs all planes with the faults of a seed, and checks the end; returns the world.
+///
+/// # Panics
+/// A property does not hold. The fewest faults with which it still does not are printed before.
 pub fn run_seed(seed: u64) -> World {
+    let plan = FaultPlan::draw(seed);
+    match catch_unwind(|| run_plan(seed, &plan)) {
+        Ok(world) => world,
+        Err(panic) => {
+            let shrunk = plan.shrink(|fewer| seeds::fails(|| _ = run_plan(seed, fewer)));
+            println!("seed {seed} fails with these faults already: {:#?}", shrunk.faults);
+            resume_unwind(panic)
+        }
+    }
+}
+
+/// Runs all planes with these faults.
+fn run_plan(seed: u64, plan: &FaultPlan) -> World {
     let mut world = World::new(seed);
     world.run(4 * SECOND);
-    for _ in 0..FAULTS {
-        inject_fault(&mut world);
-        let gap = world.random.below(2_500);
-        world.run(gap * MILLI);
-        if world.random.chance(30) {
+    for fault in &plan.faults {
+        inject(&mut world, fault);
+        world.run(fault.gap);
+        if fault.then_calm {
             world.heal();
             world.run(CONTACT + 2 * SECOND);
         }
@@ -73,39 +93,42 @@
     world
 }
 
-/// Injects a fault that the seed decides.
-fn inject_fault(world: &mut World) {
-    let id = any_machine(world);
-    let span = (200 + world.random.below(4_000)) * MILLI;
-    world.last_fault = world.now() + span;
-    let fault = world.random.below(14);
-    if !(2..=4).contains(&fault) {
-        world.last_loss = world.now() + span;
-    }
-    match fault {
-        0 | 1 => world.kill(id, span),
-        2..=4 => freeze(world, id, span),
-        12 | 13 => fill_disks_and_power_off(world, span),
-        5 => power_off_all(world),
-        6 => isolate(world, id),
-        7 => cut_zone(world),
-        8 => {
-            let core = world.random.index(CORE);
-            world.machines[core].full_until = world.now() + span;
+/// Injects a fault.
+fn inject(world: &mut World, fault: &PlannedFault) {
+    let id = target(world, fault.target);
+    let member = (fault.target % CORE as u64) as usize;
+    let until = world.now() + fault.span;
+    world.last_fault = until;
+    if fault.kind != FaultKind::Freeze {
+        world.last_loss = until;
+    }
+    match fault.kind {
+        FaultKind::Kill => world.kill(id, fault.span),
+        FaultKind::Freeze => freeze(world, id, fault.span),
+        FaultKind::PowerOff => power_off_all(world),
+        FaultKind::PowerOffAfterAnswer => power_off_after_answer(world),
+        FaultKind::Isolate => isolate(world, id, fault.variant),
+        FaultKind::CutZone => cut_zone(world, fault.variant),
+        FaultKind::FullDisk => world.machines[member].full_until = until,
+        FaultKind::SlowDisk => world.machines[member].slow_until = until,
+        FaultKind::SpoiltDisksAndPowerOff => spoil_disks_and_power_off(world, member, until, fault.variant),
+        FaultKind::ClockStep => {
+            let step_ms = (fault.variant % (2 * CLOCK_STEP_MS as u64)) as i64 - CLOCK_STEP_MS;
+            world.machines[id].clock.step(step_ms * MILLI as i64);
         }
-        9 => {
-            let core = world.random.index(CORE);
-            world.machines[core].slow_until = world.now() + span;
+        FaultKind::ClockDrift => {
+            let drift = (fault.variant % (2 * CLOCK_DRIFT_PPM as u64)) as i64 - CLOCK_DRIFT_PPM;
+            let now = world.now();
+            world.machines[id].clock.drift(drift, now);
         }
-        10 => step_clock(world, id),
-        _ => join(world),
+        FaultKind::Join => join(world),
     }
 }
 
-/// Any machine, the primary in a third of the cases.
-fn any_machine(world: &mut World) -> MachineId {
-    let any = world.random.index(world.machines.len());
-    if world.random.chance(33) { world.primary().unwrap_or(any) } else { any }
+/// The machine of a fault: the primary in a third of the cases.
+fn target(world: &World, draw: u64) -> MachineId {
+    let any = (draw / 3) as usize % world.machines.len();
+    if draw.is_multiple_of(3) { world.primary().unwrap_or(any) } else { any }
 }
 
 fn freeze(world: &mut World, id: MachineId, span: Time) {
@@ -122,22 +145,31 @@
     }
 }
 
-/// The disks of two members take no writes for a while; in the middle of it all processes end.
-fn fill_disks_and_power_off(world: &mut World, span: Time) {
-    let until = world.now() + span;
-    let spared = world.random.index(CORE);
+/// The disks of two members take no writes, or take long for them; in the middle of it, right after an answer, all processes end.
+fn spoil_disks_and_power_off(world: &mut World, spared: MachineId, until: Time, variant: u64) {
     for id in (0..CORE).filter(|id| *id != spared) {
-        world.machines[id].full_until = until;
+        let machine = &mut world.machines[id];
+        if variant.is_multiple_of(2) {
+            machine.full_until = until;
+        } else {
+            machine.slow_until = until;
+        }
     }
-    let before = world.random.below(1_500);
-    world.run(before * MILLI);
+    power_off_after_answer(world);
+}
+
+/// All processes end within a millisecond of the next acknowledgement.
+fn power_off_after_answer(world: &mut World) {
+    let acknowledged = world.audit.totals().acknowledged;
+    let has_next = |world: &World| world.audit.totals().acknowledged > acknowledged;
+    world.run_until(MILLI, LONGEST_WAIT_FOR_ANSWER, has_next);
     power_off_all(world);
 }
 
 /// One machine is cut off from the others, both ways or one way.
-fn isolate(world: &mut World, id: MachineId) {
+fn isolate(world: &mut World, id: MachineId, variant: u64) {
     let all: Vec<MachineId> = (0..world.machines.len()).collect();
-    let directions = match world.random.below(4) {
+    let directions = match variant % 4 {
         0 => Isolation::INBOUND,
         1 => Isolation::OUTBOUND,
         _ => Isolation::BOTH,
@@ -146,19 +178,13 @@
 }
 
 /// A zone is apart from the others.
-fn cut_zone(world: &mut World) {
-    let zone = world.random.below(3) as u32;
+fn cut_zone(world: &mut World, variant: u64) {
+    let zone = (variant % 3) as u32;
     let all: Vec<MachineId> = (0..world.machines.len()).collect();
     let inside: Vec<MachineId> = all.iter().copied().filter(|id| world.machines[*id].zone == zone).collect();
     world.partitions.isolate(&inside, &all, Isolation::BOTH);
 }
 
-/// The time of day jumps on one machine.
-fn step_clock(world: &mut World, id: MachineId) {
-    let step = world.random.below(2 * CLOCK_STEP_MS as u64) as i64 - CLOCK_STEP_MS;
-    world.machines[id].clock_offset = step * MILLI as i64;
-}
-
 /// Three couriers join at the same moment, with settings that name any couriers.
 fn join(world: &mut World) {
     for _ in 0..3 {
@@ -182,7 +208,7 @@
         for machine in &mut self.machines {
             machine.full_until = 0;
             machine.slow_until = 0;
-            machine.clock_offset = 0;
+            machine.clock = WallClock::default();
         }
         let now = self.now();
         let frozen = (0..self.machines.len()).map(|id| self.audit.frozen_until(id)).max().unwrap_or(0);
@@ -197,7 +223,7 @@
             (0..self.machines.len()).all(|other| one == other || !self.partitions.is_blocked(one, other))
         });
         let disks = self.machines.iter().all(|machine| machine.full_until == 0 && machine.slow_until == 0);
-        let clocks = self.machines.iter().all(|machine| machine.clock_offset == 0);
+        let clocks = self.machines.iter().all(|machine| machine.clock == WallClock::default());
         let newest = self.machines.iter().map(|machine| machine.started_at).max().unwrap_or(0);
         (healthy && whole && disks && clocks).then_some(self.last_fault.max(newest))
     }
--- a/tier/dataplane/tests/planes/machine.rs
+++ b/tier/dataplane/tests/planes/machine.rs
@@ -30,8 +30,7 @@
     pub role: NodeRole,
     pub zone: u32,
     pub process: Process,
-    /// Added to the true time of day, microseconds.
-    pub clock_offset: i64,
+    pub clock: WallClock,
     /// Identity of the disk, or of this run of a process without one.
     pub disk: DiskId,
     /// What is synced on the disk.
@@ -47,6 +46,36 @@
     pub state: ProcessMemory,
 }
 
+/// The clock of the time of day, which can be wrong. The steady clock of a process is never.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WallClock {
+    /// Added to the true time, microseconds.
+    offset: i64,
+    /// Millionths by which it goes fast.
+    drift_ppm: i64,
+    /// Since when it drifts.
+    drifts_since: Time,
+}
+
+impl WallClock {
+    /// The time that it shows.
+    pub fn shows(&self, now: Time) -> Time {
+        let drifted = (now - self.drifts_since.min(now)) as i64 * self.drift_ppm / 1_000_000;
+        now.saturating_add_signed(self.offset + drifted)
+    }
+
+    /// Lets it jump.
+    pub fn step(&mut self, offset: i64) {
+        self.offset = offset;
+    }
+
+    /// Lets it drift from now on.
+    pub fn drift(&mut self, ppm: i64, now: Time) {
+        self.drift_ppm = ppm;
+        self.drifts_since = now;
+    }
+}
+
 /// A poll that was sent.
 pub struct SentPoll {
     pub call: u64,
@@ -97,7 +126,7 @@
             role,
             zone,
             process: Process::running(1),
-            clock_offset: 0,
+            clock: WallClock::default(),
             disk,
             synced,
             full_until: 0,
--- a/tier/dataplane/tests/planes/main.rs
+++ b/tier/dataplane/tests/planes/main.rs
@@ -8,6 +8,7 @@
 mod clients;
 mod core_side;
 mod duties;
+mod fault_plan;
 mod faults;
 mod machine;
 mod operators;
--- a/tools/test-support/src/seeds.rs
+++ b/tools/test-support/src/seeds.rs
@@ -12,15 +12,39 @@
     std::env::var(COUNT_VARIABLE).ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(default)
 }
 
-/// Runs the seeds from 1 to the count, and returns what each run gave.
+/// From so many seeds on, runs go on all cores: an ordinary run of the tests leaves the others to other tests.
+const PARALLEL_FROM: u64 = 500;
+
+/// Runs the seeds from 1 to the count, and returns what each run gave, in the order of the seeds.
 ///
 /// # Panics
 /// A run panics; the message names its seed.
 #[track_caller]
-pub fn run_each<Outcome>(count: u64, run: impl Fn(u64) -> Outcome + RefUnwindSafe) -> Vec<Outcome> {
+pub fn run_each<Outcome: Send>(
+    count: u64,
+    run: impl Fn(u64) -> Outcome + RefUnwindSafe + Sync,
+) -> Vec<Outcome> {
     let run_one =
         |seed| catch_unwind(|| run(seed)).unwrap_or_else(|_| panic!("the run of seed {seed} failed"));
-    (1..=count).map(run_one).collect()
+    if count < PARALLEL_FROM {
+        return (1..=count).map(run_one).collect();
+    }
+    let threads = std::thread::available_parallelism().map_or(1, |cores| cores.get() as u64);
+    let of_thread = |thread: u64| (1..=count).filter(move |seed| seed % threads == thread);
+    let mut outcomes: Vec<(u64, Outcome)> = std::thread::scope(|scope| {
+        let run_one = &run_one;
+        let workers: Vec<_> = (0..threads)
+            .map(|thread| {
+                scope.spawn(move || of_thread(thread).map(|seed| (seed, run_one(seed))).collect::<Vec<_>>())
+            })
+            .collect();
+        let outcomes = workers.into_iter().map(|worker| worker.join());
+        outcomes
+            .flat_map(|outcome| outcome.unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+            .collect()
+    });
+    outcomes.sort_by_key(|(seed, _)| *seed);
+    outcomes.into_iter().map(|(_, outcome)| outcome).collect()
 }
 
 /// Whether a run panics, which is how a deliberate fault is detected.
