--- a/tier/dataplane/tests/planes/audit.rs
+++ b/tier/dataplane/tests/planes/audit.rs
@@ -5,17 +5,18 @@
 //! - A route of the newest configuration that was acknowledged `ApplyMs` ago is denied nowhere, by machines in touch or not; in a calm
 //!   time one that it dropped is served nowhere.
 //! - No process goes back to an older configuration (`clients`), and none sends to an endpoint that drains for longer than `DrainMs`.
+//! - A shard's views have rising epochs, enough copies, and members that were there before.
 //! - A fence has one holder; a window of usage has one report; a fence that was refused is not used again later than `LeaseMs`; no holder
 //!   acts between two actions of another within `LeaseMs`.
 
 use crate::clients::{DecidedRequest, Decision};
-use crate::machine::MachineId;
+use crate::machine::{MachineId, TOLERATED_FAILURES};
 use crate::operators::{OperatorAnswer, Task};
 use crate::platform::PlatformCall;
 use quillmount_control::ControlState;
 use quillmount_test_support::random::Random;
 use quillmount_test_support::simulation::{SECOND, Time};
-use quillmount_wire::messages::{Epoch, UsageWindow};
+use quillmount_wire::messages::{DiskId, Epoch, ShardView, UsageWindow};
 use std::collections::BTreeMap;
 
 /// `ApplyMs`.
@@ -53,6 +54,7 @@
     pub acknowledged: u64,
     pub reported_windows: u64,
     pub own_lists: u64,
+    pub views: u64,
 }
 
 /// What has happened so far.
@@ -74,6 +76,8 @@
     frozen_until: BTreeMap<MachineId, Time>,
     /// Requests that were sent to an endpoint, by window of the courier's clock.
     sent_requests: BTreeMap<u64, u64>,
+    /// The view of each shard.
+    views: BTreeMap<usize, ShardView>,
     totals: Totals,
 }
 
@@ -131,6 +135,23 @@
             let text = self.committed.entry(state.version).or_insert_with(|| state.configuration.clone());
             assert_eq!(*text, state.configuration, "CONFIG: version {} has two texts", state.version);
         }
+        for (shard, view) in state.placement.shards.iter().enumerate() {
+            self.check_view(shard, view);
+        }
+    }
+
+    /// A shard's view is followed only by one of a higher epoch, whose members were in sync or joining before.
+    fn check_view(&mut self, shard: usize, view: &ShardView) {
+        assert!(view.in_sync.contains(&view.primary), "SHARD {shard}: {view:?}");
+        assert!(view.in_sync.len() > TOLERATED_FAILURES, "SHARD {shard}: too few copies in {view:?}");
+        let Some(before) = self.views.insert(shard, view.clone()) else { return };
+        if before == *view {
+            return;
+        }
+        assert!(view.epoch > before.epoch, "SHARD {shard}: {view:?} after {before:?}");
+        let had = |disk: &DiskId| before.in_sync.contains(disk) || before.joining.contains(disk);
+        assert!(view.in_sync.iter().all(had), "SHARD {shard}: {view:?} after {before:?}");
+        self.totals.views += 1;
     }
 
     /// A call of an operator begins at a machine.
--- a/tier/dataplane/tests/planes/clients.rs
+++ b/tier/dataplane/tests/planes/clients.rs
@@ -1,13 +1,14 @@
 //! Clients: requests on routes that are lasting, new or gone, at any courier, and what the courier decides.
 
 use crate::duties::WINDOW;
-use crate::machine::MachineId;
+use crate::machine::{Machine, MachineId};
 use crate::operators::{LASTING_ROUTES, route_name};
 use crate::platform::SERVICE;
 use crate::world::World;
 use quillmount_dataplane::dispatch::CallOutcome;
 use quillmount_dataplane::request_profile::RequestProfile;
 use quillmount_test_support::simulation::{Simulation, Time};
+use quillmount_wire::messages::NodeRole;
 
 /// Time to the first event of every call.
 const LATENCY: Time = 20_000;
@@ -36,7 +37,10 @@
 impl World {
     /// Sends a request to some machine.
     pub fn send_requests(&mut self) {
-        let courier = self.random.index(self.machines.len());
+        let is_courier = |machine: &&Machine| machine.role != NodeRole::Store;
+        let couriers: Vec<MachineId> =
+            self.machines.iter().filter(is_courier).map(|machine| machine.id).collect();
+        let courier = couriers[self.random.index(couriers.len())];
         if !self.is_running(courier) {
             return;
         }
--- a/tier/dataplane/tests/planes/core_side.rs
+++ b/tier/dataplane/tests/planes/core_side.rs
@@ -1,15 +1,17 @@
 //! What members of the core do: they end writes, answer polls once there are newer tables, and read the list of endpoints.
 
-use crate::machine::{MachineId, address, machine_at};
+use crate::machine::{MachineId, TOLERATED_FAILURES, address, machine_at};
 use crate::operators::OperatorAnswer;
 use crate::world::{Event, World};
 use quillmount_control::polls::{PublishedTables, is_empty, needs_admission};
-use quillmount_control::{Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
+use quillmount_control::{ControlState, Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
 use quillmount_wire::messages::{Epoch, NodeRole, Poll, Register, Tables, UsageWindow};
 
 /// Interval between two readings of the list by the primary.
 const LIST_INTERVAL: Time = 600 * MILLI;
+/// Time after its election from which a primary knows all live processes by their polls.
+const LEASES_KNOWN: Time = 1_200 * MILLI;
 /// Interval between two announcements of the primary to seeds.
 const ANNOUNCE_INTERVAL: Time = 150 * MILLI;
 
@@ -101,7 +103,11 @@
         let submitted = if needs_admission(&committed, &poll) {
             let silent = member.silent_members(now);
             let node = poll.node;
-            let change = member.change(|state| state.admit_core_member(&node, &silent), now);
+            let admit = |state: &mut ControlState| match node.role {
+                NodeRole::Store => state.admit_store(&node),
+                NodeRole::Courier | NodeRole::Core => state.admit_core_member(&node, &silent),
+            };
+            let change = member.change(admit, now);
             change.map(|change| (change.ticket, change.actions))
         } else if poll.known_versions.configuration == 0 {
             member.confirm(now).map(|read| (read.ticket, read.actions))
@@ -192,6 +198,26 @@
         }
     }
 
+    /// Lets primaries plan the views of the shards by the leases that they know.
+    pub fn plan_views(&mut self) {
+        let now = self.now();
+        for id in 0..self.machines.len() {
+            let state = &self.machines[id].state;
+            let Some(member) = state.member.as_ref().filter(|_| self.is_running(id)) else { continue };
+            let Some(committed) = member.committed() else { continue };
+            if member.time_as_primary(now) < LEASES_KNOWN {
+                continue;
+            }
+            let inputs = state.leases.plan_inputs(TOLERATED_FAILURES, now);
+            // A change costs a round of consensus: a trial on a copy shows whether there is anything to change.
+            if (*committed).clone().plan_shards(&inputs)
+                && let Ok(change) = self.member(id).change(|state| state.plan_shards(&inputs), now)
+            {
+                self.perform(id, change.actions);
+            }
+        }
+    }
+
     /// Lets the primary read the list, and announce itself to seeds that are no members.
     pub fn read_lists(&mut self) {
         for id in 0..self.machines.len() {
--- a/tier/dataplane/tests/planes/main.rs
+++ b/tier/dataplane/tests/planes/main.rs
@@ -1,5 +1,5 @@
 //! All planes in one world on virtual time: core members with their leases and polls, couriers with and without a disk that relay
-//! polls, decide on requests and choose endpoints, operators who change the configuration, the platform with its list of endpoints
+//! polls, decide on requests and choose endpoints, stores whose shards are planned, operators who change the configuration, the platform with its list of endpoints
 //! and its fences, clients. Machines are killed, frozen, cut off, lose their power, have full and slow disks and clocks that step.
 //!
 //! What is checked, as properties of histories, is in `audit`. `SEEDS=N` runs so many seeds.
@@ -30,11 +30,13 @@
     let acknowledged: u64 = totals.iter().map(|totals| totals.acknowledged).sum();
     let reported: u64 = totals.iter().map(|totals| totals.reported_windows).sum();
     let own_lists: u64 = totals.iter().map(|totals| totals.own_lists).sum();
+    let views: u64 = totals.iter().map(|totals| totals.views).sum();
     println!(
         "{count} runs: {served} requests served, {acknowledged} configurations acknowledged, {reported} windows of usage, {own_lists} lists \
-         read without the core"
+         read without the core, {views} views of shards"
     );
-    assert!(served > 500 * count && acknowledged > 3 * count && reported > 2 * count && own_lists > count);
+    assert!(served > 500 * count && acknowledged > 3 * count && reported > 2 * count);
+    assert!(own_lists > count && views > 16 * count);
 }
 
 /// A share of a core as a quota: each process runs for a tenth of every tenth of a second, and stands still for the rest. The primary
@@ -47,9 +49,20 @@
         assert_eq!(world.primary_epoch(), Some(1), "seed {seed}: no election");
         assert!(totals.acknowledged >= 5 && totals.served > 500, "seed {seed}: {totals:?}");
         assert_eq!(totals.own_lists, 0, "seed {seed}: no process lost the core");
+        assert_eq!(totals.views, 0, "seed {seed}: no store lost its shards");
     }
 }
 
+#[test]
+fn a_plan_is_shrunk_to_the_faults_that_matter() {
+    use fault_plan::{FaultKind, FaultPlan};
+    let plan = FaultPlan::draw(3);
+    let kinds = |plan: &FaultPlan| plan.faults.iter().map(|fault| fault.kind).collect::<Vec<FaultKind>>();
+    let (first, last) = (plan.faults[0].kind, plan.faults.last().unwrap().kind);
+    let shrunk = plan.shrink(|fewer| kinds(fewer).contains(&first) && kinds(fewer).contains(&last));
+    assert_eq!(kinds(&shrunk).len(), if first == last { 1 } else { 2 });
+}
+
 /// Each deliberate fault, in whichever plane, is found by one of the runs.
 #[cfg(feature = "breaks")]
 #[test]
--- a/tier/dataplane/tests/planes/subscriber.rs
+++ b/tier/dataplane/tests/planes/subscriber.rs
@@ -6,9 +6,12 @@
 use crate::world::{Event, World};
 use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
 use quillmount_test_support::simulation::{Simulation, Time};
-use quillmount_wire::messages::{Endpoint, Epoch, Poll, Tables};
+use quillmount_wire::messages::{DiskId, Endpoint, Epoch, NodeRole, Poll, ShardReport, Tables};
 use std::time::Duration;
 
+/// A member of a shard that does not answer for this long is reported.
+const CALL_TIMEOUT: Time = 400_000;
+
 fn micros(duration: Duration) -> Time {
     duration.as_micros() as Time
 }
@@ -47,7 +50,7 @@
             known_versions: machine.state.tables.versions,
             max_wait_ms: MAX_POLL_WAIT.as_millis() as u64,
             usage: machine.state.usage_report(),
-            shards: Vec::new(),
+            shards: self.shard_reports(id),
             draining: false,
             relayed: false,
             demand: Vec::new(),
@@ -55,6 +58,40 @@
         }
     }
 
+    /// What a store reports on the shards that it leads: members that do not answer, and joining ones that do, which have caught up by
+    /// then. What the members of a shard store is not modelled here.
+    fn shard_reports(&self, id: MachineId) -> Vec<ShardReport> {
+        let machine = &self.machines[id];
+        if machine.role != NodeRole::Store {
+            return Vec::new();
+        }
+        let answers = |disk: &DiskId| {
+            let member = self.machines.iter().find(|machine| machine.disk == *disk);
+            member.is_some_and(|member| {
+                let stands_still = member.process.resumes_at(self.now());
+                member.process.is_up()
+                    && stands_still.is_none_or(|until| until < self.now() + CALL_TIMEOUT)
+                    && !self.partitions.is_blocked(id, member.id)
+                    && !self.partitions.is_blocked(member.id, id)
+            })
+        };
+        let views = machine.state.tables.placement.shards.iter().enumerate();
+        let led = views.filter(|(_, view)| view.primary == machine.disk);
+        led.map(|(shard, view)| ShardReport {
+            shard: shard as u32,
+            epoch: view.epoch,
+            unresponsive: view
+                .in_sync
+                .iter()
+                .chain(&view.joining)
+                .copied()
+                .filter(|disk| !answers(disk))
+                .collect(),
+            caught_up: view.joining.iter().copied().filter(answers).collect(),
+        })
+        .collect()
+    }
+
     /// Passes a poll on to the primary, once.
     pub fn relay_poll(&mut self, path: Vec<MachineId>, id: MachineId, call: u64, poll: Box<Poll>) {
         let now = self.now();
--- a/tier/dataplane/tests/planes/world.rs
+++ b/tier/dataplane/tests/planes/world.rs
@@ -16,6 +16,8 @@
 pub const CORE: usize = 3;
 /// Couriers without a disk at the beginning.
 const COURIERS: usize = 5;
+/// Stores.
+const STORES: usize = 4;
 /// Operators.
 const OPERATORS: usize = 4;
 /// Percentage of messages that are up to [`LATEST`] late.
@@ -28,6 +30,8 @@
 const TICK_INTERVAL: Time = 25 * MILLI;
 /// How often waiting polls, clients and operators are looked at.
 const WORK_INTERVAL: Time = 5 * MILLI;
+/// How often primaries plan the views of shards.
+const PLAN_INTERVAL: Time = 100 * MILLI;
 /// How often the platform changes endpoints.
 const ENDPOINT_INTERVAL: Time = 500 * MILLI;
 /// How many times as long a write takes on a slow disk.
@@ -107,6 +111,9 @@
         for _ in 0..COURIERS {
             world.add_machine(NodeRole::Courier);
         }
+        for _ in 0..STORES {
+            world.add_machine(NodeRole::Store);
+        }
         let mut state = ControlState::default();
         state.placement.core = world.machines[..CORE].iter().map(Machine::node_info).collect();
         state.placement_version = 1;
@@ -121,10 +128,10 @@
         let id = self.machines.len();
         let disk = self.draw_disk();
         let mut machine = Machine::new(id, role, disk, self.now());
-        machine.seeds = if id < CORE + COURIERS {
+        machine.seeds = if id < CORE + COURIERS + STORES {
             (0..CORE).collect()
         } else {
-            (0..3).map(|_| self.random.index(id)).collect()
+            (0..3).map(|_| self.random.index(CORE + COURIERS)).collect()
         };
         self.machines.push(machine);
         self.schedule_poll(id, 0);
@@ -329,6 +336,9 @@
         if self.is_due_every(ENDPOINT_INTERVAL) {
             self.platform.change_endpoints(self.timeline.now(), &mut self.random);
         }
+        if self.is_due_every(PLAN_INTERVAL) {
+            self.plan_views();
+        }
         self.run_duties();
         self.read_lists();
     }
