--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -149,8 +149,19 @@
     let _ = stream.write_all(format!("{head}{:x}\r\n{events}\r\n0\r\n\r\n", events.len()).as_bytes());
 }
 
-/// How often each request reached an endpoint, by its id.
-pub type Arrivals = Arc<Mutex<HashMap<String, u32>>>;
+/// What an endpoint saw of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrival {
+    /// How often it arrived.
+    pub count: u32,
+    /// Its `Deadline` when it last arrived, milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// When its connection was closed while the endpoint had not answered.
+    pub closed_at: Option<Instant>,
+}
+
+/// What endpoints saw of each request, by its id.
+pub type Arrivals = Arc<Mutex<HashMap<String, Arrival>>>;
 
 /// Serves an endpoint. Words at the end of a path say how it ends the first attempt of a request; every other is answered
 /// well.
@@ -165,13 +176,18 @@
         }
         let arrival = {
             let mut arrivals = arrivals.lock().unwrap();
-            let count = arrivals.entry(id.clone()).or_default();
-            *count += 1;
-            *count
+            let arrival = arrivals.entry(id.clone()).or_default();
+            arrival.count += 1;
+            arrival.deadline_ms = header(&received.head, "Deadline").and_then(|value| value.parse().ok());
+            arrival.count
         };
         let ending = received.target.rsplit('/').next().unwrap_or_default();
-        if arrival == 1 || ending == "poison" {
-            misbehave(stream, received, &id, ending)
+        if arrival == 1 || ["poison", "always-failed"].contains(&ending) {
+            let goes_on = misbehave(stream, received, &id, ending);
+            if ending == "silent" {
+                arrivals.lock().unwrap().entry(id).or_default().closed_at = Some(Instant::now());
+            }
+            goes_on
         } else {
             answer_well(stream, received, &id);
             false
@@ -215,6 +231,7 @@
         }
         "lie" => answer_with(stream, "503 Service Unavailable", &own, ""),
         "gone" => answer_with(stream, "421 Misdirected Request", &own, ""),
+        "always-failed" => answer_with(stream, "500 Internal Server Error", &own, "failed"),
         "failed" => answer_with(stream, "500 Internal Server Error", &own, "failed"),
         "interim" => {
             let _ = stream.write_all(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
@@ -336,7 +353,12 @@
 
     /// How often a request reached an endpoint.
     pub fn arrivals(&self, request_id: &str) -> u32 {
-        self.arrivals.lock().unwrap().get(request_id).copied().unwrap_or(0)
+        self.arrival(request_id).count
+    }
+
+    /// What endpoints saw of a request.
+    pub fn arrival(&self, request_id: &str) -> Arrival {
+        self.arrivals.lock().unwrap().get(request_id).copied().unwrap_or_default()
     }
 
     /// The figures of a process, `courier` or `store`, at a path.
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -8,4 +8,5 @@
 mod seeds;
 mod stale;
 mod stop;
+mod terms;
 mod whole_path;
