--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -24,7 +24,7 @@
         /// A process that has lost the core never reads the list of endpoints itself.
         NoOwnList,
         /// The counts of a window that are final are replaced by those of another primary.
-        UsageFinalizedAgain,
+        UsageFinalizedTwice,
         /// The digest of an order leaves the base version out.
         DigestWithoutBase,
         /// A retried order is not recognized.
--- a/tier/dataplane/src/breaks.rs
+++ b/tier/dataplane/src/breaks.rs
@@ -5,7 +5,7 @@
     /// A fault that can be switched on.
     pub enum Break {
         /// A newer configuration counts as in force, and requests go by the routes of the one before.
-        RoutesKept,
+        RoutesOutdated,
         /// An endpoint that drains gets requests as any other.
         DrainingEndpointOpen,
     }
--- a/tier/dataplane/tests/planes/main.rs
+++ b/tier/dataplane/tests/planes/main.rs
@@ -78,10 +78,10 @@
         ControlBreak::FailedWriteCounts,
         ControlBreak::RefusesWithoutCore,
         ControlBreak::DirectoryOfOtherEpoch,
-        ControlBreak::UsageFinalizedAgain,
+        ControlBreak::UsageFinalizedTwice,
         ControlBreak::NoOwnList,
     ];
-    let of_dataplane = [DataplaneBreak::RoutesKept, DataplaneBreak::DrainingEndpointOpen];
+    let of_dataplane = [DataplaneBreak::RoutesOutdated, DataplaneBreak::DrainingEndpointOpen];
     let silenced = seeds::SilencedPanics::begin();
     let mut missed = Vec::new();
     let mut search = |name: String| {
