Import circle of metrics and store broken; late answers in the world of planes are judged by their own call

Change: metrics_server has the trait StoreFigures. A waiting call keeps its task, and each late answer is still checked.

--- a/tier/dataplane/tests/planes/audit.rs
+++ b/tier/dataplane/tests/planes/audit.rs
@@ -167,7 +167,7 @@
     }
 
     /// A machine answers a call.
-    pub fn answered(&mut self, call: u64, answer: &OperatorAnswer, task: Option<&Task>, now: Time) {
+    pub fn answered(&mut self, call: u64, answer: &OperatorAnswer, task: &Task, now: Time) {
         let floor = self.floors.get(&call).copied().unwrap_or(0);
         match answer {
             OperatorAnswer::Shows { version, text } => {
@@ -183,14 +183,14 @@
     }
 
     /// A change that is in force, or was, is never refused.
-    fn check_mismatch(&self, task: Option<&Task>) {
-        let Some(Task::Put(order)) = task else { return };
+    fn check_mismatch(&self, task: &Task) {
+        let Task::Put(order) = task else { return };
         let is_applied = self.committed.values().any(|text| *text == order.body);
         assert!(!is_applied, "CONFIG: a change on version {} was applied and is refused", order.base);
     }
 
-    fn acknowledge(&mut self, version: u64, task: Option<&Task>, now: Time) {
-        let Some(Task::Put(order)) = task else { return };
+    fn acknowledge(&mut self, version: u64, task: &Task, now: Time) {
+        let Task::Put(order) = task else { return };
         let first = *self.bases.entry(order.base).or_insert(version);
         assert_eq!(first, version, "CONFIG: two changes on version {} are acknowledged", order.base);
         let text = self.committed.get(&version);
--- a/tier/dataplane/tests/planes/core_side.rs
+++ b/tier/dataplane/tests/planes/core_side.rs
@@ -1,7 +1,7 @@
 //! What members of the core do: they end writes, answer polls once there are newer tables, and read the list of endpoints.
 
 use crate::machine::{MachineId, TOLERATED_FAILURES, address, machine_at};
-use crate::operators::OperatorAnswer;
+use crate::operators::OperatorCall;
 use crate::world::{Event, World};
 use quillmount_control::polls::{PublishedTables, is_empty, needs_admission};
 use quillmount_control::{ControlState, Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
@@ -44,7 +44,7 @@
     /// A poll, by its call.
     Poll(u64),
     /// A call of an operator.
-    Operator { operator: usize, call: u64, answer: Option<OperatorAnswer> },
+    Operator(OperatorCall),
     /// The counts of a window, which are sent then.
     Usage { epoch: Epoch, report: UsageWindow },
 }
@@ -145,9 +145,7 @@
                 }
             }
             Some(Waiting::Poll(call)) => self.refuse_poll(id, call),
-            Some(Waiting::Operator { operator, call, answer }) => {
-                self.answer_operator(id, operator, call, answer, confirmed);
-            }
+            Some(Waiting::Operator(call)) => self.answer_operator(id, call, confirmed),
             Some(Waiting::Usage { epoch, report }) if confirmed => self.send_usage(id, epoch, report),
             Some(Waiting::Usage { .. }) | None => {}
         }
--- a/tier/dataplane/tests/planes/operators.rs
+++ b/tier/dataplane/tests/planes/operators.rs
@@ -36,6 +36,15 @@
     Unclear,
 }
 
+/// A call that a machine took and has not answered. The operator may have another task by the time of the answer.
+pub struct OperatorCall {
+    pub operator: usize,
+    pub call: u64,
+    pub task: Task,
+    /// What a change led to; a read has its answer once its ticket is confirmed.
+    pub answer: Option<OperatorAnswer>,
+}
+
 /// An operator.
 #[derive(Default)]
 pub struct Operator {
@@ -126,7 +135,7 @@
         match submitted {
             Ok((ticket, actions, answer)) => {
                 self.audit.call_began(call, now);
-                let waiting = Waiting::Operator { operator, call, answer };
+                let waiting = Waiting::Operator(OperatorCall { operator, call, task, answer });
                 self.machines[to].state.waiting.insert(ticket, waiting);
                 self.perform(to, actions);
             }
@@ -135,14 +144,8 @@
     }
 
     /// A machine answers a call once its ticket is confirmed.
-    pub fn answer_operator(
-        &mut self,
-        id: MachineId,
-        operator: usize,
-        call: u64,
-        answer: Option<OperatorAnswer>,
-        confirmed: bool,
-    ) {
+    pub fn answer_operator(&mut self, id: MachineId, waiting: OperatorCall, confirmed: bool) {
+        let OperatorCall { operator, call, task, answer } = waiting;
         let shown = || {
             let state = self.machines[id].state.member.as_ref().and_then(|member| member.committed());
             state.map(|state| OperatorAnswer::Shows {
@@ -153,7 +156,7 @@
         let answer = if confirmed { answer.or_else(shown) } else { None };
         let answer = answer.unwrap_or(OperatorAnswer::Unclear);
         let now = self.now();
-        self.audit.answered(call, &answer, self.operators[operator].task.as_ref(), now);
+        self.audit.answered(call, &answer, &task, now);
         self.send_operator_answer(operator, call, answer);
     }
 
--- a/tier/node/src/metrics_server.rs
+++ b/tier/node/src/metrics_server.rs
@@ -6,7 +6,6 @@
 use crate::metrics::{MetricsAddress, ProcessState, ServiceNumbers};
 use crate::node::Node;
 use crate::socket;
-use crate::store::Store;
 use quillmount_dataplane::dispatch::EndpointCounts;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,6 +13,18 @@
 /// Content type of the text.
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// What a store tells of itself.
+pub trait StoreFigures {
+    /// Estimated memory of all jobs, bytes.
+    fn job_bytes(&self) -> usize;
+    /// Segments of the journal that are free.
+    fn free_segments(&self) -> usize;
+    /// Shards that it serves as primary.
+    fn shards_served(&self) -> usize;
+    /// Items that wait for an endpoint, by service.
+    fn waiting_items(&self) -> HashMap<String, u32>;
+}
+
 /// What the figures are taken from.
 pub struct MetricsSources {
     /// The process.
@@ -21,7 +32,7 @@
     /// Its member of the core, if it has one.
     pub core: Option<Rc<ControlMember>>,
     /// Its store, if it is one.
-    pub store: Option<Rc<Store>>,
+    pub store: Option<Rc<dyn StoreFigures>>,
 }
 
 /// Serves the figures from now on. Without the port the role runs all the same: they are for people.
@@ -66,8 +77,8 @@
             ready: node.is_ready(),
             live_processes: serving.map_or(0, |core| core.leases.borrow().live_count(clock::now()) as u64),
             job_bytes: store.map_or(0, |store| store.job_bytes() as u64),
-            free_segments: store.map_or(0, |store| store.journal.free_segments() as u64),
-            shards_served: store.map_or(0, |store| store.served_count() as u64),
+            free_segments: store.map_or(0, |store| store.free_segments() as u64),
+            shards_served: store.map_or(0, |store| store.shards_served() as u64),
         }
     }
 
@@ -79,7 +90,7 @@
         };
         let mut waiting = self.node.waiting_requests();
         if let Some(store) = &self.store {
-            for (service, items) in store.item_queue.waiting(&self.node.tables().routes) {
+            for (service, items) in store.waiting_items() {
                 *waiting.entry(service).or_default() += items;
             }
         }
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -20,7 +20,7 @@
 mod term_quota;
 mod waiters;
 
-pub use state::Store;
+use state::Store;
 
 use crate::clock;
 use crate::metrics::MetricsAddress;
--- a/tier/node/src/store/state.rs
+++ b/tier/node/src/store/state.rs
@@ -4,6 +4,7 @@
 use super::items::shares::BatchShares;
 use super::journal::{Journal, OpenedJournal, PendingWrite};
 use super::shard::{ServedShard, Shard, ShardHost};
+use crate::metrics_server::StoreFigures;
 use crate::node::Node;
 use crate::subscription::{Needs, Reporter};
 use quillmount_batch::{ShardReplicaId, StoreRecord, WriteId};
@@ -11,6 +12,7 @@
 use quillmount_storage::{RingRecord, StorageError};
 use quillmount_wire::messages::ShardReport;
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::sync::{Notify, mpsc};
@@ -73,16 +75,22 @@
     }
 }
 
-impl Store {
-    /// Estimated memory of all jobs, bytes.
-    pub fn job_bytes(&self) -> usize {
+impl StoreFigures for Store {
+    fn job_bytes(&self) -> usize {
         self.shards.iter().map(|shard| shard.replica().jobs().bytes()).sum()
     }
 
-    /// Number of shards that this store serves as primary.
-    pub fn served_count(&self) -> usize {
+    fn free_segments(&self) -> usize {
+        self.journal.free_segments()
+    }
+
+    fn shards_served(&self) -> usize {
         self.shards.iter().filter(|shard| shard.term().is_some()).count()
     }
+
+    fn waiting_items(&self) -> HashMap<String, u32> {
+        self.item_queue.waiting(&self.node.tables().routes)
+    }
 }
 
 impl ShardHost for Store {
