--- a/courier/fleet/src/budget/leader/allocation.rs
+++ b/courier/fleet/src/budget/leader/allocation.rs
@@ -4,22 +4,15 @@
 use super::limits::{
     MAX_MOVE_BURST, MAX_MOVES_PER_SECOND, REVIEW_COST_PER_SEAT, ROUND_INTERVAL, TURN_INTERVAL,
 };
+use super::review::Review;
 use super::seats::{Group, Seat, collect_seats};
 use super::shortfall::{Round, Shortfall};
 use crate::budget::divide::{Claim, ONE_CONNECTION, divide};
 use crate::budget::model::Tenant;
-use crate::budget::state::{BudgetCommand, BudgetState, PartnerBudget};
+use crate::budget::state::BudgetCommand;
 use quillmount_policy::Micros;
 use std::collections::BTreeMap;
 
-/// What a review of one partner looks at.
-pub(super) struct Review<'a> {
-    pub(super) dest: u64,
-    pub(super) partner: &'a PartnerBudget,
-    pub(super) budget_state: &'a BudgetState,
-    pub(super) now: Micros,
-}
-
 /// A tenant's part in a budget, as it is configured.
 #[derive(Clone, Copy, Debug)]
 struct TenantPolicy {
--- a/courier/fleet/src/budget/leader/mod.rs
+++ b/courier/fleet/src/budget/leader/mod.rs
@@ -18,13 +18,14 @@
 //! - At most [`MAX_MOVES_PER_SECOND`] shares of a partner change in any second, whatever the demand does; only a lowered
 //!   budget's recalls come in addition.
 //!
-//! Inside: `demand` has the reports, `seats` what each tenant has and demands at each courier, `shortfall` what it was
+//! Inside: `demand` has the reports, `review` what is looked at in a round, `seats` what each tenant has and demands at each courier, `shortfall` what it was
 //! short of, `allocation` divides a partner's budget over the seats, and `moves` proposes the changes.
 
 mod allocation;
 mod demand;
 mod limits;
 mod moves;
+mod review;
 mod seats;
 mod shortfall;
 
@@ -36,9 +37,10 @@
 use super::model::{Budget, TimeBounds};
 use super::report::{BudgetMessage, ConfirmedRecall};
 use super::state::{BudgetCommand, BudgetMember, BudgetState};
-use allocation::{PartnerAllocation, Review};
+use allocation::PartnerAllocation;
 use demand::CourierReport;
 use quillmount_policy::Micros;
+use review::Review;
 use std::collections::BTreeMap;
 
 /// A member's state, and since when it is known here.
--- a/courier/fleet/src/budget/leader/moves.rs
+++ b/courier/fleet/src/budget/leader/moves.rs
@@ -1,7 +1,8 @@
 //! Moves: the commands that bring the shares closer to their targets, as far as others need it and the limit of moves
 //! allows.
 
-use super::allocation::{PartnerAllocation, Review};
+use super::allocation::PartnerAllocation;
+use super::review::Review;
 use super::seats::Seat;
 use crate::budget::state::BudgetCommand;
 use std::cmp::Reverse;
--- a/courier/fleet/src/budget/leader/seats.rs
+++ b/courier/fleet/src/budget/leader/seats.rs
@@ -1,7 +1,7 @@
 //! Seats: what each tenant has, demands and is to have at each courier.
 
-use super::allocation::Review;
 use super::demand::CourierReport;
+use super::review::Review;
 use super::shortfall::Shortfall;
 use std::collections::BTreeMap;
 use std::ops::Range;
--- a/courier/fleet/src/lib.rs
+++ b/courier/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod breaks;
 pub mod budget;
 pub mod config;
+mod ids;
 pub mod lease;
 pub mod member;
 pub mod message;
--- a/courier/fleet/src/settlement/owner/capacity.rs
+++ b/courier/fleet/src/settlement/owner/capacity.rs
@@ -1,6 +1,6 @@
 //! Capacity: the connections that sessions reserve, and the pending messages of each tenant.
 
-use super::interface::{ATTEMPT_BACKOFF, OwnerOutput};
+use super::interface::{ATTEMPT_BACKOFF, OwnerOutput, pin_outputs};
 use super::machine::{PendingLoad, TenantOverload};
 use super::owned::OwnedSettlements;
 use crate::settlement::model::SettlementId;
@@ -65,8 +65,3 @@
         Err(TenantOverload { waiting, bytes, after })
     }
 }
-
-/// The outputs that notify sessions of the connections they were granted.
-pub(super) fn pin_outputs(granted: Vec<SessionKey>) -> impl Iterator<Item = OwnerOutput> {
-    granted.into_iter().map(|SessionKey { settlement: id, session }| OwnerOutput::Pin { id, session })
-}
--- a/courier/fleet/src/settlement/owner/interface.rs
+++ b/courier/fleet/src/settlement/owner/interface.rs
@@ -4,6 +4,7 @@
 use crate::settlement::progress::SettlementRecord;
 use crate::settlement::registry::{JournalRef, SettlementCommand, SettlementEvent};
 use crate::settlement::request::{SettlementReply, SettlementRequest};
+use crate::settlement::session::SessionKey;
 use quillmount_policy::Micros;
 
 /// Interval at which an unconfirmed command, or an unanswered fetch of records, is repeated.
@@ -227,3 +228,8 @@
         id: SettlementId,
     },
 }
+
+/// The outputs that notify sessions of the connections they were granted.
+pub(super) fn pin_outputs(granted: Vec<SessionKey>) -> impl Iterator<Item = OwnerOutput> {
+    granted.into_iter().map(|SessionKey { settlement: id, session }| OwnerOutput::Pin { id, session })
+}
--- a/courier/fleet/src/settlement/owner/owned.rs
+++ b/courier/fleet/src/settlement/owner/owned.rs
@@ -1,7 +1,6 @@
 //! The settlements of one courier: passes each input to its settlement and keeps the times at which they are due.
 
-use super::capacity::pin_outputs;
-use super::interface::{OwnerInput, OwnerOutput, RETRY_INTERVAL, SettlementLimits};
+use super::interface::{OwnerInput, OwnerOutput, RETRY_INTERVAL, SettlementLimits, pin_outputs};
 use super::machine::{Context, Handover, PendingLoad, PinChange, Settlement, earlier};
 use crate::settlement::model::{Mode, SettlementId};
 use crate::settlement::progress::SettlementProgress;
--- a/courier/fleet/src/shares.rs
+++ b/courier/fleet/src/shares.rs
@@ -9,7 +9,7 @@
     ConnectionOrder, GateReports, Report, TimeBounds, calls,
 };
 use crate::config::Name;
-use crate::state::Epoch;
+use crate::ids::Epoch;
 use quillmount_policy::Micros;
 use serde::{Deserialize, Serialize};
 
--- a/courier/fleet/src/state.rs
+++ b/courier/fleet/src/state.rs
@@ -7,10 +7,9 @@
 
 mod apply;
 mod command;
-mod ids;
 
+pub use crate::ids::{Epoch, JournalId, PARTITIONS, PartitionId, partition_of};
 pub use command::{FleetCommand, FleetEvent};
-pub use ids::{Epoch, JournalId, PARTITIONS, PartitionId, partition_of};
 
 use crate::NodeId;
 use crate::config::Name;
--- a/courier/program/src/fleet/settlements.rs
+++ b/courier/program/src/fleet/settlements.rs
@@ -17,6 +17,7 @@
 mod actions;
 mod attempts;
 mod intake;
+mod pending_action;
 mod records;
 mod requests;
 mod takeover;
@@ -24,9 +25,9 @@
 use super::links::PeerLinks;
 use super::stores::SharedMember;
 use crate::transport::courier::Courier;
-use actions::PendingAction;
 use attempts::Attempt;
 use bytes::Bytes;
+use pending_action::PendingAction;
 use quillmount_core::journal::Settlements;
 use quillmount_fleet::config::Name;
 use quillmount_fleet::settlement::forward::ForwardInput;
--- a/courier/program/src/fleet/settlements/actions.rs
+++ b/courier/program/src/fleet/settlements/actions.rs
@@ -1,6 +1,7 @@
 //! Carries out what the owner's machine asks for, in order, each action once all that is written by then has been replicated.
 
 use super::attempts::Attempt;
+use super::pending_action::PendingAction;
 use super::takeover::PendingFetch;
 use super::{LOG_TARGET, SettlementHost};
 use bytes::Bytes;
@@ -11,14 +12,6 @@
 use quillmount_policy::Micros;
 use std::rc::Rc;
 
-/// What is done once the journal has been replicated.
-pub(super) enum PendingAction {
-    /// Report the write of this number to the owner's machine.
-    Written(u64),
-    /// Carry out an output of the owner's machine.
-    Perform(Box<OwnerOutput>),
-}
-
 impl SettlementHost {
     /// Carries out pending actions. Never returns, except where the courier is in no fleet.
     pub(super) async fn run_actions(self: Rc<Self>) {
--- a/courier/program/src/fleet/settlements/attempts.rs
+++ b/courier/program/src/fleet/settlements/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts of messages whose turn it is: an attempt is a submission to the courier's router, which handles the message as any
 //! other; its end there is the attempt's outcome.
 
-use super::actions::PendingAction;
+use super::pending_action::PendingAction;
 use super::{LOG_TARGET, SettlementHost};
 use quillmount_core::Ending;
 use quillmount_core::journal::{End as MessageEnd, JournalError};
--- a/courier/program/src/fleet/settlements/records.rs
+++ b/courier/program/src/fleet/settlements/records.rs
@@ -1,7 +1,7 @@
 //! The owner's records in the courier's journal: writes them together with the messages that they are about, and writes them
 //! again where that fails.
 
-use super::actions::PendingAction;
+use super::pending_action::PendingAction;
 use super::{HostState, LOG_TARGET, SettlementHost};
 use quillmount_core::journal::JournalRecord;
 use quillmount_fleet::settlement::journal_lines::{JournalLine, MessagePayload, settlement_key};
