The last import circles of the courier's server and the stand-ins' faults are gone

Cause: client and connections of the server started and counted each other; faults, links and the record of the stand-ins imported each other. Change: start_client stands beside ClientTask, Connections counts; Answer and Received, PumpItem and Stamp have modules of their own; the stand-ins' faults are the module fault (fleet::fault before). No circle of files is left but children that use their parent's names.

--- a/courier/program/src/transport/handover/sender.rs
+++ b/courier/program/src/transport/handover/sender.rs
@@ -6,7 +6,7 @@
 use crate::transport::frames::{Frame, PASS_ON_TIMEOUT};
 use crate::transport::handle::{HandoverPart, ReleasedPart};
 use crate::transport::operators::OperatorService;
-use crate::transport::server::{self, Connections, ResumedClient};
+use crate::transport::server::{self, Connections, ResumedClient, start_client};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::{sleep, timeout};
 use quillmount_core::hub;
@@ -82,7 +82,7 @@
         match (released.part, released.socket) {
             (HandoverPart::Client { state, bytes }, Some(stream)) => {
                 let resumed = ResumedClient { state, bytes: bytes[..].into() };
-                self.connections.admit(&self.courier, stream, Some(resumed));
+                start_client(&self.connections, &self.courier, stream, Some(resumed));
             }
             (HandoverPart::IdleConnection { endpoint, addr, since }, Some(stream)) => {
                 self.courier.add_idle(endpoint, addr, since, stream);
--- a/courier/program/src/transport/server.rs
+++ b/courier/program/src/transport/server.rs
@@ -2,17 +2,19 @@
 //! thread.
 //!
 //! This file accepts connections ([`serve`]) and empties the listener's backlog at a planned stop ([`close_listener`]).
-//! [`connections`] is the table of open connections and their limits, `client` runs one connection, `request` reads
+//! [`connections`] is the table of open connections and their limits, `client` runs one connection, `answer` has what a request led to, `request` reads
 //! and answers one request, `socket` moves a connection's bytes.
 //!
 //! The loop around the codec is our own: actix-http's dispatcher buffers 128 KiB for each connection and does not show
 //! bytes that follow a request, so that neither can be bounded there.
 
+mod answer;
 mod client;
 mod connections;
 mod request;
 mod socket;
 
+pub use client::start_client;
 pub use connections::{Connections, ResumedClient};
 
 use super::ACCEPT_BACKOFF;
@@ -104,7 +106,7 @@
 async fn admit(stream: TcpStream, courier: &Rc<Courier>, connections: &Rc<Connections>) {
     courier.count(|counters| counters.connections += 1);
     connections.wait_for_capacity().await;
-    connections.admit(courier, stream, None);
+    start_client(connections, courier, stream, None);
 }
 
 /// Whether the process, or the system, has no descriptor left.
--- a/courier/program/src/transport/server/client.rs
+++ b/courier/program/src/transport/server/client.rs
@@ -3,13 +3,14 @@
 //! [`ClientConnection`] decides what happens next on the connection; [`ClientTask::run`] carries that out until the
 //! machine closes the connection or another process takes it over.
 
-use super::connections::{Connections, Registration};
-use super::request::{Answer, Received};
+use super::answer::{Answer, Received};
+use super::connections::{Connections, Registration, ResumedClient};
 use super::socket::ClientSocket;
 use super::{LAST_REQUEST_TIMEOUT, LOG_TARGET};
 use crate::transport::courier::Courier;
 use crate::transport::handle::HandoverPart;
 use actix_http::ConnectionType;
+use actix_rt::net::TcpStream;
 use actix_rt::time::{Instant, sleep, sleep_until, timeout};
 use quillmount_core::machine::client::{ClientConnection, ClientInput, ClientOutput, ClientState};
 use quillmount_protocol::submission::{self, Malformed};
@@ -53,6 +54,28 @@
     pub(super) leave: Rc<Notify>,
 }
 
+/// Starts the task of a connection: a new one, or one of another process with its state and the bytes that were read
+/// from it.
+pub fn start_client(
+    connections: &Rc<Connections>,
+    courier: &Rc<Courier>,
+    stream: TcpStream,
+    resumed: Option<ResumedClient>,
+) {
+    // An answer must not wait for the acknowledgement of the one before; where this fails, it waits.
+    let _ = stream.set_nodelay(true);
+    let ResumedClient { state, bytes } = resumed.unwrap_or_default();
+    let number = connections.enter(state);
+    let leave = Rc::new(Notify::new());
+    let client = ClientTask {
+        socket: ClientSocket::new(stream, bytes),
+        courier: courier.clone(),
+        registration: Registration { connections: connections.clone(), number },
+        leave: leave.clone(),
+    };
+    connections.add_task(number, actix_rt::spawn(client.run(state)), leave);
+}
+
 impl ClientTask {
     /// Serves the connection from this state on, until it closes or is handed over.
     pub(super) async fn run(mut self, state: ClientState) {
--- a/courier/program/src/transport/server/connections.rs
+++ b/courier/program/src/transport/server/connections.rs
@@ -4,11 +4,7 @@
 //! [`Admission`] decides; this module carries out what it says on the connections' tasks.
 
 use super::LOG_TARGET;
-use super::client::ClientTask;
-use super::socket::ClientSocket;
 use crate::transport::clock::Clock;
-use crate::transport::courier::Courier;
-use actix_rt::net::TcpStream;
 use actix_rt::time::Instant;
 use bytes::BytesMut;
 use quillmount_core::admission::{Admission, Decision};
@@ -127,22 +123,15 @@
         self.admission.borrow().handover_pending()
     }
 
-    /// Starts the task of a connection: a new one, or one of another process with its state and the bytes that were
-    /// read from it.
-    pub fn admit(self: &Rc<Self>, courier: &Rc<Courier>, stream: TcpStream, resumed: Option<ResumedClient>) {
-        // An answer must not wait for the acknowledgement of the one before; where this fails, it waits.
-        let _ = stream.set_nodelay(true);
+    /// Counts one more connection, and returns its number.
+    pub(super) fn enter(&self, state: ClientState) -> u64 {
         let number = self.admission.borrow_mut().enter(self.clock.now());
-        let ResumedClient { state, bytes } = resumed.unwrap_or_default();
         self.set_state(number, state);
-        let leave = Rc::new(Notify::new());
-        let client = ClientTask {
-            socket: ClientSocket::new(stream, bytes),
-            courier: courier.clone(),
-            registration: Registration { connections: self.clone(), number },
-            leave: leave.clone(),
-        };
-        let task = actix_rt::spawn(client.run(state));
+        number
+    }
+
+    /// Keeps the task of a connection, with the signal that asks it to close or to hand over.
+    pub(super) fn add_task(&self, number: u64, task: JoinHandle<()>, leave: Rc<Notify>) {
         self.tasks.borrow_mut().insert(number, ConnectionTask { task, leave });
     }
 
--- a/courier/program/src/transport/server/request.rs
+++ b/courier/program/src/transport/server/request.rs
@@ -1,5 +1,6 @@
 //! One request of a client: reads it, and submits its message, answers a health check, or passes a stream's body on.
 
+use super::answer::{Answer, Received};
 use super::client::ClientTask;
 use super::connections::Connections;
 use super::socket::HeadRead;
@@ -17,39 +18,6 @@
 use std::io;
 use std::rc::Rc;
 
-/// The answer to a request.
-pub(super) struct Answer {
-    pub(super) response: Response<Bytes>,
-    /// The streamed message that the answer ends, if it ends one.
-    pub(super) stream: Option<MsgId>,
-}
-
-impl From<Response<Bytes>> for Answer {
-    fn from(response: Response<Bytes>) -> Self {
-        Answer { response, stream: None }
-    }
-}
-
-/// What came of one wait for a request.
-pub(super) enum Received {
-    /// Its body is to be passed on.
-    Stream(Request),
-    /// The connection ended between requests.
-    Nothing,
-    /// A request with its answer.
-    Answered(Response<Bytes>),
-    /// A health check with its answer.
-    Probed(Response<Bytes>),
-    /// A request that can't be accepted.
-    Malformed(Malformed),
-}
-
-impl From<Malformed> for Received {
-    fn from(why: Malformed) -> Self {
-        Received::Malformed(why)
-    }
-}
-
 /// The head of a streamed request.
 struct StreamRequest {
     framing: Framing,
--- a/courier/program/tests/harness.rs
+++ b/courier/program/tests/harness.rs
@@ -3,7 +3,7 @@
 
 use quillmount_standins::audit::{AuditRules, Budget, Finding, audit};
 use quillmount_standins::client::MessageRequest;
-use quillmount_standins::fleet::fault::Fault;
+use quillmount_standins::fault::Fault;
 use quillmount_standins::fleet::{Fleet, FleetSetup, WAIT_TIMEOUT, run_test};
 use quillmount_standins::listener::ListenerMode;
 use quillmount_standins::partner::Answer;
--- a/tools/standins/src/fleet/fault.rs
+++ b/tools/standins/src/fault.rs
@@ -1,8 +1,16 @@
 //! Faults that a harness injects into couriers, links and listeners, as values: each is recorded when it is injected.
 
-use super::link::{LinkMode, RequestFault};
+mod link_event;
+mod link_mode;
+mod request_fault;
+
+pub use link_event::{LinkEvent, LinkEventKind};
+pub(crate) use link_mode::Direction;
+pub use link_mode::LinkMode;
+pub use request_fault::RequestFault;
+
 use crate::listener::ListenerMode;
-use crate::record::Stamp;
+use crate::stamp::Stamp;
 use std::fmt;
 
 /// A fault that the harness injects, or the repair of one. Couriers and partners are given by their numbers.
--- a/tools/standins/src/fleet/link/event.rs
+++ b/tools/standins/src/fault/link_event.rs
@@ -1,6 +1,6 @@
 //! What happens on a link, as the record of a run has it.
 
-use crate::record::Stamp;
+use crate::stamp::Stamp;
 
 /// Something that happened on a link.
 #[derive(Clone, Debug)]
--- a/tools/standins/src/fleet/link/mode.rs
+++ b/tools/standins/src/fault/link_mode.rs
@@ -30,19 +30,19 @@
 
 /// A direction of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Direction {
+pub(crate) enum Direction {
     Requests,
     Answers,
 }
 
 impl LinkMode {
     /// Whether no byte is read or written.
-    pub(super) fn is_stalled(self) -> bool {
+    pub(crate) fn is_stalled(self) -> bool {
         matches!(self, LinkMode::Partitioned | LinkMode::PartitionedRefusing)
     }
 
     /// Whether the bytes of this direction are dropped.
-    pub(super) fn drops(self, direction: Direction) -> bool {
+    pub(crate) fn drops(self, direction: Direction) -> bool {
         matches!(
             (self, direction),
             (LinkMode::AnswersLost, Direction::Answers) | (LinkMode::RequestsLost, Direction::Requests)
--- a/tools/standins/src/fleet.rs
+++ b/tools/standins/src/fleet.rs
@@ -13,7 +13,7 @@
 //! in place of a refusal.
 //!
 //! - `setup` and `prepare`: what a fleet is started with, and its files, ports and links; `member`, `process`: one courier;
-//! - `lifecycle`: starts, signals and ends of couriers; [`fault`], [`link`], `injection`: faults, and what carries them out;
+//! - `lifecycle`: starts, signals and ends of couriers; [`crate::fault`], [`link`], `injection`: faults, and what carries them out;
 //! - `client`: clients of a fleet; `error`: why something could not be done.
 //!
 //! ```no_run
@@ -49,7 +49,6 @@
 
 mod client;
 mod error;
-pub mod fault;
 mod injection;
 mod lifecycle;
 pub mod link;
--- a/tools/standins/src/fleet/injection.rs
+++ b/tools/standins/src/fleet/injection.rs
@@ -2,8 +2,8 @@
 
 use super::Fleet;
 use super::error::FleetError;
-use super::fault::Fault;
-use super::link::LinkMode;
+use crate::fault::Fault;
+use crate::fault::LinkMode;
 use crate::listener::ListenerMode;
 
 impl Fleet {
--- a/tools/standins/src/fleet/lifecycle.rs
+++ b/tools/standins/src/fleet/lifecycle.rs
@@ -1,10 +1,10 @@
 //! Starts, signals and ends of a fleet's couriers, and changes of their files.
 
 use super::error::FleetError;
-use super::fault::Fault;
 use super::process::{Process, ProcessSetup};
 use super::setup::FleetSetup;
 use super::{Fleet, WAIT_TIMEOUT};
+use crate::fault::Fault;
 use crate::record::{RunRecord, WaitTimeout};
 use rustix::process::Signal;
 use serde_json::Value;
--- a/tools/standins/src/fleet/link.rs
+++ b/tools/standins/src/fleet/link.rs
@@ -8,20 +8,16 @@
 //! - `relay` accepts connections and connects each to the target, `pump` moves the bytes of one direction, `requests` finds
 //!   the boundaries of requests, `redelivery` sends a stored request once more.
 
-mod event;
-mod mode;
 mod pump;
+mod pump_item;
 mod redelivery;
 mod relay;
-mod request_fault;
 mod requests;
 mod state;
 
-pub use event::{LinkEvent, LinkEventKind};
-pub use mode::LinkMode;
-pub use request_fault::RequestFault;
+pub use crate::fault::{LinkEvent, LinkEventKind, LinkMode, RequestFault};
 
-use super::fault::Fault;
+use crate::fault::Fault;
 use crate::gate::{AcceptMode, Gate};
 use crate::record::Recorder;
 use state::LinkState;
--- a/tools/standins/src/fleet/link/pump.rs
+++ b/tools/standins/src/fleet/link/pump.rs
@@ -1,10 +1,11 @@
 //! Moves the bytes of one direction of a connection, as the mode of the link and the faults of its requests have it.
 
-use super::LinkEventKind;
-use super::mode::{Direction, LinkMode};
+use super::pump_item::PumpItem;
 use super::redelivery::redeliver;
 use super::requests::RequestTracker;
 use super::state::ConnectionState;
+use crate::fault::LinkEventKind;
+use crate::fault::{Direction, LinkMode};
 use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
 use std::io::{Error, ErrorKind, Result};
@@ -23,18 +24,6 @@
 /// Chunks per second into which a slow link divides its rate.
 const SLOW_CHUNKS_PER_SECOND: u64 = 20;
 
-/// An element of the stream of one direction.
-pub(super) enum PumpItem {
-    /// Bytes to be written.
-    Bytes(Bytes),
-    /// A request is blocked here until more requests than this number were released.
-    Block(u64),
-    /// The last byte of a request comes before this; the request, if it is to be delivered once more.
-    End(Option<Bytes>),
-    /// The connection is to be closed: the request was truncated after this many bytes.
-    Close(usize),
-}
-
 struct QueuedItem {
     /// Not handled before this time.
     due: Instant,
--- a/tools/standins/src/fleet/link/redelivery.rs
+++ b/tools/standins/src/fleet/link/redelivery.rs
@@ -1,7 +1,7 @@
 //! Sends a stored request once more, on a connection of its own.
 
-use super::LinkEventKind;
 use super::state::LinkState;
+use crate::fault::LinkEventKind;
 use crate::http::{BodyRemainder, Reader};
 use bytes::Bytes;
 use std::io::{ErrorKind, Result};
--- a/tools/standins/src/fleet/link/relay.rs
+++ b/tools/standins/src/fleet/link/relay.rs
@@ -1,9 +1,9 @@
 //! Accepts the connections of a link, and connects each to the target.
 
-use super::LinkEventKind;
-use super::mode::Direction;
 use super::pump::Pump;
 use super::state::{ConnectionState, LinkState};
+use crate::fault::Direction;
+use crate::fault::LinkEventKind;
 use crate::gate::{AcceptMode, Gate};
 use std::io::Result;
 use std::rc::Rc;
--- a/tools/standins/src/fleet/link/requests.rs
+++ b/tools/standins/src/fleet/link/requests.rs
@@ -1,8 +1,8 @@
 //! Finds the boundaries of the requests on a connection, and applies the fault of each.
 
-use super::pump::PumpItem;
+use super::pump_item::PumpItem;
 use super::state::ConnectionState;
-use super::{LinkEventKind, RequestFault};
+use crate::fault::{LinkEventKind, RequestFault};
 use bytes::{Bytes, BytesMut};
 
 /// Bytes of a request that is stored to be delivered once more; a longer one is not stored.
--- a/tools/standins/src/fleet/link/state.rs
+++ b/tools/standins/src/fleet/link/state.rs
@@ -1,6 +1,6 @@
 //! What the connections of a link share.
 
-use super::{LinkEvent, LinkEventKind, LinkMode, RequestFault};
+use crate::fault::{LinkEvent, LinkEventKind, LinkMode, RequestFault};
 use crate::record::Recorder;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 pub mod courier;
 pub mod endpoint;
+pub mod fault;
 pub mod fleet;
 pub mod gate;
 pub mod http;
@@ -21,6 +22,7 @@
 mod process;
 pub mod record;
 pub mod runtime;
+mod stamp;
 pub mod test_bed;
 
 use std::time::Instant;
--- a/tools/standins/src/partner.rs
+++ b/tools/standins/src/partner.rs
@@ -7,7 +7,7 @@
 
 pub use answer::Answer;
 
-use crate::fleet::fault::Fault;
+use crate::fault::Fault;
 use crate::listener::{CourierListener, ListenerMode};
 use crate::record::{RecordedCall, Recorder};
 use state::PartnerState;
--- a/tools/standins/src/platform/fleet_platform.rs
+++ b/tools/standins/src/platform/fleet_platform.rs
@@ -2,7 +2,7 @@
 
 use super::agent;
 use crate::ObservationKind;
-use crate::fleet::fault::Fault;
+use crate::fault::Fault;
 use crate::listener::{CourierListener, ListenerMode};
 use crate::record::{RecordedNotice, Recorder};
 use std::cell::Cell;
--- a/tools/standins/src/record.rs
+++ b/tools/standins/src/record.rs
@@ -8,13 +8,11 @@
 mod history;
 mod recorder;
 
-pub use entries::{
-    BodyDigest, ConnectionChange, LogLine, RecordedCall, RecordedNotice, RecordedSubmission, Stamp,
-};
+pub use crate::stamp::Stamp;
+pub use entries::{BodyDigest, ConnectionChange, LogLine, RecordedCall, RecordedNotice, RecordedSubmission};
 pub use recorder::{Recorder, WaitTimeout};
 
-use crate::fleet::fault::InjectedFault;
-use crate::fleet::link::LinkEvent;
+use crate::fault::{InjectedFault, LinkEvent};
 use std::collections::HashMap;
 
 /// All that was recorded of a run, each kind in its order.
--- a/tools/standins/src/record/entries.rs
+++ b/tools/standins/src/record/entries.rs
@@ -1,17 +1,9 @@
 //! The entries of a record, by what was observed.
 
 use crate::http::Head;
+use crate::stamp::Stamp;
 use quillmount_policy::Micros;
 
-/// When something was recorded. Stamps are in the order of recording.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Stamp {
-    /// Its number in the record, from 1.
-    pub n: u64,
-    /// Unix time in microseconds.
-    pub at: Micros,
-}
-
 /// A line of a courier's log.
 #[derive(Clone, Debug)]
 pub struct LogLine {
--- a/tools/standins/src/record/history.rs
+++ b/tools/standins/src/record/history.rs
@@ -2,7 +2,7 @@
 
 use super::{ConnectionChange, RecordedCall, RecordedNotice, RecordedSubmission, RunRecord, Stamp};
 use crate::audit::{AuditRules, ConnectionCount, FaultWindow, History, Notice, ObservedCall, Submission};
-use crate::fleet::fault::{FaultPhase, FaultTarget};
+use crate::fault::{FaultPhase, FaultTarget};
 use quillmount_policy::Micros;
 use std::collections::BTreeMap;
 
--- a/tools/standins/src/record/recorder.rs
+++ b/tools/standins/src/record/recorder.rs
@@ -1,7 +1,7 @@
 //! Writes the record of a run, and waits for what appears in it.
 
 use super::{LogLine, RunRecord, Stamp};
-use crate::fleet::fault::{Fault, InjectedFault};
+use crate::fault::{Fault, InjectedFault};
 use quillmount_policy::Micros;
 use std::cell::RefCell;
 use std::fmt;
