--- a/courier/fleet/src/budget/divide.rs
+++ b/courier/fleet/src/budget/divide.rs
@@ -1,7 +1,7 @@
 //! The division of whole connections: weighted max-min fairness (Bertsekas and Gallager, Data Networks, section 6.5.2) by
 //! what is demanded now. It is exact, and the same at every courier whatever the order of the claims.
 
-use super::breaks::{Break, on};
+use super::breaks::{Break, is_enabled};
 use std::cmp::Reverse;
 
 /// One connection, in the units of [`Claim::credit`] and [`Allocation::fair`].
@@ -86,7 +86,8 @@
 
 fn claim_bounds(pool: u32, claims: &[Claim]) -> Vec<Bounds> {
     let high = |claim: &Claim| claim.demand.min(claim.ceiling);
-    let low = |claim: &Claim| if on(Break::FloorForgotten) { 0 } else { claim.floor.min(high(claim)) };
+    let low =
+        |claim: &Claim| if is_enabled(Break::FloorForgotten) { 0 } else { claim.floor.min(high(claim)) };
     let least: u64 = claims.iter().map(|claim| u64::from(low(claim))).sum();
     let bounds = |claim: &Claim| match least > u64::from(pool) {
         true => Bounds { low: 0, high: low(claim) },
--- a/courier/fleet/src/budget/leader/shortfall.rs
+++ b/courier/fleet/src/budget/leader/shortfall.rs
@@ -1,7 +1,7 @@
 //! What tenants and couriers were short of: the credit that decides who gets a connection where they take turns.
 
 use super::limits::TURN_INTERVAL;
-use crate::budget::breaks::{Break, on};
+use crate::budget::breaks::{Break, is_enabled};
 use crate::budget::divide::{MAX_CREDIT, ONE_CONNECTION};
 use quillmount_policy::Micros;
 
@@ -42,7 +42,7 @@
 impl Shortfall {
     /// The credit that counts in this round.
     pub(super) fn credit(&self, now: Micros) -> Credit {
-        if on(Break::TurnsForgotten) {
+        if is_enabled(Break::TurnsForgotten) {
             return Credit { millionths: 0, overdue: 0 };
         }
         let waited = self.since.map_or(0, |at| now.saturating_sub(at));
--- a/courier/fleet/src/budget/local/connections.rs
+++ b/courier/fleet/src/budget/local/connections.rs
@@ -1,6 +1,6 @@
 //! The connections of one courier at one partner, by tenant, beside what was granted and what waits.
 
-use crate::budget::breaks::{Break, on};
+use crate::budget::breaks::{Break, is_enabled};
 use crate::budget::divide::ONE_CONNECTION;
 use crate::budget::state::Share;
 use quillmount_policy::Micros;
@@ -122,7 +122,7 @@
 impl PartnerConnections {
     /// All connections, in any state.
     pub(super) fn total(&self) -> u32 {
-        if on(Break::ClosingUncounted) {
+        if is_enabled(Break::ClosingUncounted) {
             let connections = self.connections.values();
             return connections.filter(|c| c.state != ConnectionState::Closing).count() as u32;
         }
--- a/courier/fleet/src/budget/local/mod.rs
+++ b/courier/fleet/src/budget/local/mod.rs
@@ -23,7 +23,7 @@
 };
 pub use reporting::{MIN_REPORT_INTERVAL, REPORT_INTERVAL};
 
-use super::breaks::{Break, on};
+use super::breaks::{Break, is_enabled};
 use super::model::{Budget, TimeBounds};
 use super::state::{BudgetState, PartnerBudget};
 use connections::{Grant, PartnerConnections};
@@ -88,7 +88,8 @@
     /// A process that starts. What an earlier process of the same name had open may still be open for
     /// [`TimeBounds::drain_time`].
     pub fn new(local_name: &str, bounds: TimeBounds, now: Micros) -> LocalBudget {
-        let floor_from = if on(Break::FloorTooSoon) { now } else { now.saturating_add(bounds.drain_time()) };
+        let floor_from =
+            if is_enabled(Break::FloorTooSoon) { now } else { now.saturating_add(bounds.drain_time()) };
         LocalBudget {
             local_name: local_name.to_string(),
             bounds,
@@ -199,7 +200,7 @@
     }
 
     fn is_cut_off(&self, now: Micros) -> bool {
-        now >= self.lease_until && !on(Break::LeaseIgnored)
+        now >= self.lease_until && !is_enabled(Break::LeaseIgnored)
     }
 
     fn allowance(&self, now: Micros) -> Allowance {
--- a/courier/fleet/src/budget/state/mod.rs
+++ b/courier/fleet/src/budget/state/mod.rs
@@ -8,7 +8,7 @@
 pub use command::{BudgetCommand, BudgetEvent, BudgetRejection};
 pub use partner::{BudgetMember, PartnerBudget, Share};
 
-use super::breaks::{Break, on};
+use super::breaks::{Break, is_enabled};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -85,7 +85,7 @@
             }
             BudgetCommand::Lapsed { courier, epoch } => {
                 self.member_in_epoch(courier, *epoch)?.lapsed = true;
-                if on(Break::LapseFreesAtOnce) {
+                if is_enabled(Break::LapseFreesAtOnce) {
                     self.free(courier, epoch.saturating_add(1), events);
                 }
                 events.push(BudgetEvent::Lapsed { courier: courier.clone(), epoch: *epoch });
@@ -195,7 +195,7 @@
         }
         self.number += 1;
         new.number = self.number;
-        if on(Break::RecallUnconfirmed)
+        if is_enabled(Break::RecallUnconfirmed)
             && let Some(to) = new.recalled.take()
         {
             new.granted = to;
@@ -217,7 +217,7 @@
         let shares = shares.ok_or(BudgetRejection::Epoch)?;
         let share = shares.get_mut(tenant).ok_or(BudgetRejection::Number)?;
         let to = to.max(share.recalled.ok_or(BudgetRejection::Number)?);
-        if share.number != number && !on(Break::NumberIgnored) {
+        if share.number != number && !is_enabled(Break::NumberIgnored) {
             return Err(BudgetRejection::Number);
         }
         let freed = share.granted.saturating_sub(to);
--- a/courier/fleet/src/budget/state/partner.rs
+++ b/courier/fleet/src/budget/state/partner.rs
@@ -1,6 +1,6 @@
 //! One partner's part of the agreed state: its budget, the couriers' floors and shares, and what these count together.
 
-use crate::budget::breaks::{Break, on};
+use crate::budget::breaks::{Break, is_enabled};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,7 +29,7 @@
         }
         let wanted = to - self.granted;
         let more = u64::from(wanted).min(capacity()) as u32;
-        let raise = if on(Break::CapacityIgnored) { wanted } else { more };
+        let raise = if is_enabled(Break::CapacityIgnored) { wanted } else { more };
         Share { granted: self.granted + raise, recalled: None, ..self }
     }
 }
--- a/courier/fleet/src/member/agreement_outputs.rs
+++ b/courier/fleet/src/member/agreement_outputs.rs
@@ -76,7 +76,7 @@
         let leads = self.agreement.leads();
         if leads && !self.is_leader {
             self.shares.begin_leadership(self.config.time_bounds());
-            let since = if breaks::on(Break::NoGrace) { 0 } else { now };
+            let since = if breaks::is_enabled(Break::NoGrace) { 0 } else { now };
             self.granted_leases.begin_leadership(since);
         }
         if leads != self.is_leader {
--- a/courier/fleet/src/member/mod.rs
+++ b/courier/fleet/src/member/mod.rs
@@ -241,7 +241,9 @@
 
     /// Whether the courier is a member with a valid lease, so that it may accept messages and begin calls.
     pub fn may_act(&self, now: Micros) -> bool {
-        self.epoch.is_some() && !self.fenced && (self.lease.is_valid(now) || breaks::on(Break::LeaseIgnored))
+        self.epoch.is_some()
+            && !self.fenced
+            && (self.lease.is_valid(now) || breaks::is_enabled(Break::LeaseIgnored))
     }
 
     /// When it wants [`MemberInput::Tick`] at the latest.
--- a/courier/fleet/src/member/own_journal.rs
+++ b/courier/fleet/src/member/own_journal.rs
@@ -71,7 +71,7 @@
             MissingReplicas::Require => !agreed.is_empty(),
             MissingReplicas::Prefer => version > 0,
         };
-        let replicated = if breaks::on(Break::ReplicatedAtOnce) {
+        let replicated = if breaks::is_enabled(Break::ReplicatedAtOnce) {
             replicator.written()
         } else if enough {
             replicator.replicated_offset(&needed)
--- a/courier/fleet/src/member/takeover.rs
+++ b/courier/fleet/src/member/takeover.rs
@@ -219,7 +219,7 @@
             } else if !is_own {
                 self.takeovers.pending.remove(&source);
                 out.push(MemberOutput::ResolveAdoption { source, adopted: false });
-            } else if is_adopted || breaks::on(Break::AdoptedAtOnce) {
+            } else if is_adopted || breaks::is_enabled(Break::AdoptedAtOnce) {
                 pending.adopted = true;
                 out.push(MemberOutput::ResolveAdoption { source, adopted: true });
             }
--- a/courier/fleet/src/replication/replica.rs
+++ b/courier/fleet/src/replication/replica.rs
@@ -79,7 +79,7 @@
         at: u64,
         bytes: &[u8],
     ) -> io::Result<Option<ReplicaAcknowledgement>> {
-        if self.sealed && !breaks::on(Break::SealIgnored) {
+        if self.sealed && !breaks::is_enabled(Break::SealIgnored) {
             return Ok(None);
         }
         if at + bytes.len() as u64 > MAX_REPLICA_BYTES {
--- a/courier/fleet/src/settlement/owner/admission.rs
+++ b/courier/fleet/src/settlement/owner/admission.rs
@@ -117,7 +117,7 @@
         let records: Vec<SettlementRecord> = self.opening_record().into_iter().chain([record]).collect();
         let seq = cx.write(records.clone());
         let pending = PendingSubmission { request, records, from: vec![from.into()] };
-        if breaks::on(Break::ReplyUnwritten) {
+        if breaks::is_enabled(Break::ReplyUnwritten) {
             self.reply_to_all(pending.clone(), &SettlementReply::Accepted, cx);
         }
         self.pending.insert(seq, pending);
@@ -125,7 +125,7 @@
 
     /// The submission's records are in the journal: it is acknowledged.
     pub(super) fn submission_written(&mut self, pending: PendingSubmission, cx: &mut Context) {
-        if matches!(self.phase, Phase::Leaving { .. }) && !breaks::on(Break::ReleaseInMove) {
+        if matches!(self.phase, Phase::Leaving { .. }) && !breaks::is_enabled(Break::ReleaseInMove) {
             return;
         }
         pending.records.iter().for_each(|record| self.progress.apply(record));
--- a/courier/fleet/src/settlement/owner/order.rs
+++ b/courier/fleet/src/settlement/owner/order.rs
@@ -59,7 +59,7 @@
         if let Some(cause) =
             self.progress.positions.get(&at).and_then(|state| self.break_cause(state, cx.now))
         {
-            if breaks::on(Break::AfterBreak) && self.progress.positions.contains_key(&(at + 1)) {
+            if breaks::is_enabled(Break::AfterBreak) && self.progress.positions.contains_key(&(at + 1)) {
                 self.progress.next += 1;
                 return self.delivery_step(cx);
             }
@@ -104,7 +104,7 @@
     /// Every position is delivered.
     fn closing_step(&self, cx: &Context) -> NextStep {
         let closed = NextStep::Decide(Verdict::Closed { total: self.progress.next - 1 });
-        if self.mode == Mode::Message || breaks::on(Break::ClosedEarly) {
+        if self.mode == Mode::Message || breaks::is_enabled(Break::ClosedEarly) {
             return closed;
         }
         let idle = self.last_activity.saturating_add(cx.limits.idle);
@@ -149,7 +149,7 @@
             return NextStep::Wait(None);
         }
         match self.earliest_deadline() {
-            Some(_) if breaks::on(Break::SkipHole) => {
+            Some(_) if breaks::is_enabled(Break::SkipHole) => {
                 let first = self.progress.positions.iter().find(|(_, state)| state.end.is_none());
                 self.progress.next = first.map_or(at, |(position, _)| *position);
                 self.delivery_step(cx)
--- a/courier/fleet/src/settlement/owner/persistence.rs
+++ b/courier/fleet/src/settlement/owner/persistence.rs
@@ -38,7 +38,7 @@
         if then != AfterWrite::Continue {
             self.wake = None;
         }
-        if breaks::on(Break::SendUnwritten) && matches!(then, AfterWrite::Send { .. }) {
+        if breaks::is_enabled(Break::SendUnwritten) && matches!(then, AfterWrite::Send { .. }) {
             self.written(seq, cx);
         }
     }
--- a/courier/fleet/src/settlement/owner/takeover.rs
+++ b/courier/fleet/src/settlement/owner/takeover.rs
@@ -32,7 +32,7 @@
         self.progress.begin_ownership();
         self.mode = *self.progress.mode.get_or_insert(self.mode);
         if let (Mode::Session { linger, .. }, Some(_)) = (self.mode, self.progress.session)
-            && !breaks::on(Break::NoLinger)
+            && !breaks::is_enabled(Break::NoLinger)
         {
             self.session_not_before = cx.now.saturating_add(linger);
         }
@@ -77,7 +77,7 @@
         self.step_session(SessionInput::Leave, cx);
         let retry_at = cx.retry_at();
         self.wake = Some(retry_at);
-        if !breaks::on(Break::ReleaseInMove) {
+        if !breaks::is_enabled(Break::ReleaseInMove) {
             self.phase = Phase::Leaving { boundary, retry_at };
         }
         cx.outputs.push(OwnerOutput::Propose(SettlementCommand::Move {
@@ -87,7 +87,7 @@
             to_epoch: epoch,
             boundary,
         }));
-        if breaks::on(Break::ReleaseInMove) {
+        if breaks::is_enabled(Break::ReleaseInMove) {
             self.handover = None;
             self.advance(Vec::new(), cx);
         }
--- a/courier/fleet/src/settlement/progress.rs
+++ b/courier/fleet/src/settlement/progress.rs
@@ -286,7 +286,7 @@
         let in_flight: Vec<u64> =
             self.positions.iter().filter(|(_, state)| state.sent_at.is_some()).map(|(p, _)| *p).collect();
         for position in in_flight {
-            let outcome = match breaks::on(Break::OutNeverRan) {
+            let outcome = match breaks::is_enabled(Break::OutNeverRan) {
                 true => Outcome::NeverRan { after: 0 },
                 false => Outcome::MayHaveRun,
             };
@@ -299,7 +299,7 @@
         match (state.first_attempt, state.sequenced.repeat) {
             (None, _) | (_, Repeat::Freely) => true,
             (Some(first), Repeat::Within(span)) => now < first.saturating_add(span),
-            (Some(_), Repeat::Never) => breaks::on(Break::DebitRepeated),
+            (Some(_), Repeat::Never) => breaks::is_enabled(Break::DebitRepeated),
         }
     }
 
--- a/courier/fleet/src/state/apply.rs
+++ b/courier/fleet/src/state/apply.rs
@@ -123,7 +123,7 @@
         self.epoch += 1;
         let epoch = self.epoch;
         if former.as_ref().is_some_and(|former| former.node_id != request.node_id)
-            && !breaks::on(Break::EmptyReplicaTrusted)
+            && !breaks::is_enabled(Break::EmptyReplicaTrusted)
         {
             // Its folder is lost, and all replicas in it.
             self.drop_replicas_at(&request.name, true, events);
--- a/tier/batch/src/breaks.rs
+++ b/tier/batch/src/breaks.rs
@@ -1,5 +1,5 @@
 //! Deliberate faults in this package (mutations), each of which the tests have to detect. Only builds with the feature `breaks` have
-//! them: `set` turns one on for the calling thread, and `on` asks for it.
+//! them: `set` enables one for the calling thread, and `is_enabled` asks for it.
 
 quillmount_breaks::breaks! {
     for each thread:
--- a/tier/batch/src/replica.rs
+++ b/tier/batch/src/replica.rs
@@ -63,7 +63,7 @@
     /// time `until` at the latest, [`ShardAction::ReadRejected`] follows.
     pub fn confirm(&mut self, read: ReadId, until: Micros, now: Micros) -> Vec<ShardAction> {
         match &mut self.primary {
-            Some(_) if breaks::on(Break::ReadWithoutRound) => {
+            Some(_) if breaks::is_enabled(Break::ReadWithoutRound) => {
                 self.actions.push(ShardAction::ReadConfirmed { read });
             }
             Some(primary) if primary.serving => {
@@ -110,11 +110,11 @@
     pub fn on_written(&mut self, write: WriteId, synced: bool, now: Micros) -> Vec<ShardAction> {
         let Some(purpose) = self.writes.remove(&write) else { return Vec::new() };
         let is_rewrite = matches!(purpose, WritePurpose::Rewrite);
-        if !synced && !is_rewrite && !breaks::on(Break::FailedWriteIgnored) {
+        if !synced && !is_rewrite && !breaks::is_enabled(Break::FailedWriteIgnored) {
             self.damaged = true;
             self.step_down();
         }
-        let durable = (synced || breaks::on(Break::FailedWriteIgnored)) && !self.damaged;
+        let durable = (synced || breaks::is_enabled(Break::FailedWriteIgnored)) && !self.damaged;
         match purpose {
             WritePurpose::Answer { request, response } => {
                 self.answer(request, if durable { *response } else { Response::Full });
--- a/tier/batch/src/replica/member.rs
+++ b/tier/batch/src/replica/member.rs
@@ -21,10 +21,10 @@
             }
             ShardMessage::Replicate { session, .. } => (*session, false),
         };
-        let wrong_session = session != self.session && !breaks::on(Break::SessionIgnored);
+        let wrong_session = session != self.session && !breaks::is_enabled(Break::SessionIgnored);
         // A repair message may arrive late or twice: it must not undo later operations.
-        let late_repair = is_repair && self.caught_up && !breaks::on(Break::RepairAfterCaughtUp);
-        let early_operations = !is_repair && !self.caught_up && !breaks::on(Break::SessionIgnored);
+        let late_repair = is_repair && self.caught_up && !breaks::is_enabled(Break::RepairAfterCaughtUp);
+        let early_operations = !is_repair && !self.caught_up && !breaks::is_enabled(Break::SessionIgnored);
         (wrong_session || late_repair || early_operations).then_some(Response::Behind)
     }
 
@@ -35,7 +35,7 @@
             ShardMessage::CompareBuckets { buckets } => self.start_session(request, &buckets, draw),
             ShardMessage::CompareJobs { buckets, jobs, .. } => {
                 let JobDifference { mut dropped, wanted } = self.jobs.compare(&buckets, &jobs);
-                if breaks::on(Break::DroppedJobRetained) {
+                if breaks::is_enabled(Break::DroppedJobRetained) {
                     dropped.clear();
                 }
                 let record = self.install_record(dropped, Vec::new(), None);
@@ -77,7 +77,7 @@
     /// Applies a record and writes it; the answer waits until it is durable.
     fn apply_and_persist(&mut self, request: RequestId, record: StoreRecord, response: Response) {
         self.jobs.recover(record.clone());
-        if breaks::on(Break::AcknowledgedBeforeSync) {
+        if breaks::is_enabled(Break::AcknowledgedBeforeSync) {
             self.answer(request, response.clone());
         }
         self.write(record, WritePurpose::Answer { request, response: Box::new(response) });
--- a/tier/batch/src/replica/repair.rs
+++ b/tier/batch/src/replica/repair.rs
@@ -45,7 +45,7 @@
     pub(super) fn on_repair_answer(&mut self, member: DiskId, answer: Option<Response>, now: Micros) {
         let Some(primary) = &mut self.primary else { return };
         let Some(repair) = primary.repairs.remove(&member) else { return };
-        let is_stale = repair.base != self.jobs.next && !breaks::on(Break::StaleRepair);
+        let is_stale = repair.base != self.jobs.next && !breaks::is_enabled(Break::StaleRepair);
         match (repair.step, answer) {
             // The member has seen a newer view, which this store will receive as well.
             (_, Some(Response::WrongEpoch)) => self.retry_later(member, now),
--- a/tier/batch/src/replica/replication.rs
+++ b/tier/batch/src/replica/replication.rs
@@ -27,7 +27,7 @@
         let operations = queued.iter().map(|queued| queued.change.clone()).collect();
         let record = StoreRecord::Operations { shard, epoch, first, operations };
         let write = self.write(record, WritePurpose::Batch);
-        let written = breaks::on(Break::CommittedBeforeOwnSync);
+        let written = breaks::is_enabled(Break::CommittedBeforeOwnSync);
         let synced = BTreeSet::new();
         if let Some(primary) = &mut self.primary {
             primary.batch = Some(OperationBatch { first, queued, write, written, synced, stuck: false });
@@ -96,7 +96,7 @@
         if !batch.written || primary.is_replicating() {
             return;
         }
-        if !breaks::on(Break::OneCopyEnough) && !primary.group.commit(&batch.synced) {
+        if !breaks::is_enabled(Break::OneCopyEnough) && !primary.group.commit(&batch.synced) {
             return;
         }
         let Some(batch) = primary.batch.take() else { return };
--- a/tier/batch/src/replica/rewrite.rs
+++ b/tier/batch/src/replica/rewrite.rs
@@ -58,9 +58,9 @@
     /// Records that give the complete shard, whatever was written before. The last one names all jobs, so that recovery drops others.
     fn snapshot_records(&self) -> Vec<StoreRecord> {
         let (shard, epoch, next) = (self.identity.shard, self.epoch, self.jobs.next);
-        let skipped = usize::from(breaks::on(Break::RewriteDropsJob));
+        let skipped = usize::from(breaks::is_enabled(Break::RewriteDropsJob));
         let mut records = self.job_records(skipped);
-        let last = if breaks::on(Break::RewriteKeepsDropped) {
+        let last = if breaks::is_enabled(Break::RewriteKeepsDropped) {
             let (dropped, jobs) = (Vec::new(), Vec::new());
             StoreRecord::Install { shard, epoch, dropped, jobs, next: Some(next) }
         } else {
--- a/tier/batch/src/replica/state.rs
+++ b/tier/batch/src/replica/state.rs
@@ -59,7 +59,7 @@
 
     /// Applies a record found on the disk; to be called for all records in the order of writing, before anything else.
     pub fn recover(&mut self, record: StoreRecord) {
-        if !breaks::on(Break::EpochForgotten) {
+        if !breaks::is_enabled(Break::EpochForgotten) {
             self.epoch = self.epoch.max(record.epoch());
         }
         self.last_primary_epoch = self.last_primary_epoch.max(record.last_primary_epoch());
--- a/tier/batch/src/replica/term.rs
+++ b/tier/batch/src/replica/term.rs
@@ -31,11 +31,11 @@
     /// Notes the epoch of a call; `false` if it is below the highest one seen. A primary of an older epoch steps down.
     pub(super) fn observe_epoch(&mut self, epoch: Epoch) -> bool {
         if epoch < self.epoch {
-            return breaks::on(Break::OlderEpochAnswered);
+            return breaks::is_enabled(Break::OlderEpochAnswered);
         }
         self.epoch = epoch;
         let is_outdated = self.primary.as_ref().is_some_and(|primary| primary.epoch() < epoch);
-        if is_outdated && !breaks::on(Break::DeposedGoesOn) {
+        if is_outdated && !breaks::is_enabled(Break::DeposedGoesOn) {
             self.step_down();
         }
         true
@@ -49,7 +49,7 @@
             return;
         }
         let tolerated_failures = self.identity.tolerated_failures;
-        let resumes = self.last_primary_epoch >= view.since && !breaks::on(Break::ReportForgotten);
+        let resumes = self.last_primary_epoch >= view.since && !breaks::is_enabled(Break::ReportForgotten);
         let (shard, epoch) = (self.identity.shard, view.epoch);
         let group = if resumes {
             ReplicaGroup::resume(view, tolerated_failures)
@@ -57,13 +57,13 @@
             ReplicaGroup::new(view, tolerated_failures)
         };
         let mut primary = PrimaryState::new(group);
-        primary.term_durable = breaks::on(Break::TermNotSynced);
+        primary.term_durable = breaks::is_enabled(Break::TermNotSynced);
         self.last_primary_epoch = epoch;
         self.primary = Some(primary);
-        if breaks::on(Break::NumbersRestart) {
+        if breaks::is_enabled(Break::NumbersRestart) {
             self.jobs.next = 0;
         }
-        if !breaks::on(Break::TermNotSynced) {
+        if !breaks::is_enabled(Break::TermNotSynced) {
             self.write(StoreRecord::TermStart { shard, epoch }, WritePurpose::TermStart);
         }
     }
@@ -78,7 +78,7 @@
     /// Serves once the members in sync have caught up.
     pub(super) fn start_serving(&mut self) {
         let Some(primary) = &mut self.primary else { return };
-        let ready = primary.group.is_ready() || breaks::on(Break::ServesBeforeCaughtUp);
+        let ready = primary.group.is_ready() || breaks::is_enabled(Break::ServesBeforeCaughtUp);
         if !primary.serving && ready {
             primary.serving = true;
             let epoch = primary.epoch();
@@ -91,7 +91,7 @@
     pub(super) fn step_down(&mut self) {
         let Some(primary) = self.primary.take() else { return };
         for queued in primary.batch.into_iter().flat_map(|batch| batch.queued) {
-            if !breaks::on(Break::UncommittedForgotten) {
+            if !breaks::is_enabled(Break::UncommittedForgotten) {
                 self.jobs.apply(&queued.change);
             }
             self.actions.push(ShardAction::Uncertain { operation: queued.operation });
--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -88,7 +88,7 @@
     /// as the last contact with a majority.
     #[must_use]
     pub fn committed_if_recent(&self, now: Micros) -> Option<Rc<ControlState>> {
-        let recent = self.replica.has_recent_majority(now) || breaks::on(Break::StaleTables);
+        let recent = self.replica.has_recent_majority(now) || breaks::is_enabled(Break::StaleTables);
         self.committed.clone().filter(|_| recent)
     }
 
@@ -146,9 +146,9 @@
         now: Micros,
     ) -> Vec<MemberAction> {
         let then = self.writes.remove(&write).unwrap_or_default();
-        if outcome == WriteOutcome::Synced || breaks::on(Break::FailedWriteCounts) {
+        if outcome == WriteOutcome::Synced || breaks::is_enabled(Break::FailedWriteCounts) {
             self.perform(then, now);
-        } else if !breaks::on(Break::PrimaryWithoutDisk) {
+        } else if !breaks::is_enabled(Break::PrimaryWithoutDisk) {
             let actions = self.replica.write_failed(now);
             self.perform(actions, now);
         }
@@ -207,7 +207,7 @@
     }
 
     fn read(&mut self, ticket: Ticket, now: Micros) {
-        if breaks::on(Break::ReadWithoutRound) {
+        if breaks::is_enabled(Break::ReadWithoutRound) {
             self.actions.push(MemberAction::Confirmed { ticket });
             return;
         }
@@ -259,7 +259,7 @@
         queue: &mut VecDeque<RegisterAction>,
     ) {
         let write = RegisterWrite(self.allocate_id());
-        if breaks::on(Break::AnsweredBeforeSync) {
+        if breaks::is_enabled(Break::AnsweredBeforeSync) {
             queue.extend(then);
         } else {
             self.writes.insert(write, then);
@@ -314,7 +314,7 @@
             return;
         }
         self.work.record_proposal();
-        if breaks::on(Break::ConfirmedWhenProposed) {
+        if breaks::is_enabled(Break::ConfirmedWhenProposed) {
             let all = self.work.take_changes();
             self.push_confirmed(all);
         }
--- a/tier/control/src/orders.rs
+++ b/tier/control/src/orders.rs
@@ -71,7 +71,8 @@
             OrderKind::Put => 1u8,
             OrderKind::Patch => 2,
         };
-        let base = if breaks::on(Break::DigestWithoutBase) { [0; 8] } else { self.base.to_le_bytes() };
+        let base =
+            if breaks::is_enabled(Break::DigestWithoutBase) { [0; 8] } else { self.base.to_le_bytes() };
         let bytes = std::iter::once(kind).chain(base).chain(self.body.bytes());
         bytes.fold(FNV_OFFSET, |digest, byte| (digest ^ u128::from(byte)).wrapping_mul(FNV_PRIME))
     }
@@ -84,10 +85,10 @@
         if let Some(version) = self.applied_version(digest) {
             return OrderOutcome::Applied { version };
         }
-        if order.base < self.forgotten_version && !breaks::on(Break::ForgottenRefused) {
+        if order.base < self.forgotten_version && !breaks::is_enabled(Break::ForgottenRefused) {
             return OrderOutcome::Expired;
         }
-        if order.base != self.version && !breaks::on(Break::BaseIgnored) {
+        if order.base != self.version && !breaks::is_enabled(Break::BaseIgnored) {
             return OrderOutcome::VersionMismatch { current: self.version };
         }
         match self.next_configuration(order) {
@@ -104,7 +105,7 @@
 
     /// Version that the order with this digest produced, if it is remembered.
     fn applied_version(&self, digest: u128) -> Option<u64> {
-        if breaks::on(Break::OrderForgotten) {
+        if breaks::is_enabled(Break::OrderForgotten) {
             return None;
         }
         let applied = self.applied_orders.iter().rev().find(|applied| applied.digest == digest)?;
--- a/tier/control/src/polls.rs
+++ b/tier/control/src/polls.rs
@@ -32,7 +32,8 @@
         let placement = (state.placement_version > known.placement)
             .then(|| Versioned { version: state.placement_version, content: state.placement.clone() });
         // A sender with the list of another epoch gets this one completely.
-        let same_epoch = known.directory.epoch == self.epoch || breaks::on(Break::DirectoryOfOtherEpoch);
+        let same_epoch =
+            known.directory.epoch == self.epoch || breaks::is_enabled(Break::DirectoryOfOtherEpoch);
         let known_changes = if same_epoch { known.directory.changes } else { 0 };
         let version = DirectoryVersion { epoch: self.epoch, changes: self.directory.version() };
         let directory = self.directory.update_since(known_changes);
--- a/tier/control/src/shards/planner.rs
+++ b/tier/control/src/shards/planner.rs
@@ -121,7 +121,8 @@
         let reports = self.current_reports(shard, view);
         let unresponsive = |disk: DiskId| reports.iter().any(|report| report.unresponsive.contains(&disk));
         let caught_up = |disk: DiskId| {
-            breaks::on(Break::JoiningAtOnce) || reports.iter().any(|report| report.caught_up.contains(&disk))
+            breaks::is_enabled(Break::JoiningAtOnce)
+                || reports.iter().any(|report| report.caught_up.contains(&disk))
         };
         let alive = |disk: DiskId| self.is_alive(disk);
         let mut next = view.clone();
@@ -143,8 +144,9 @@
 
     /// Reports on a shard that were made in the epoch of its view.
     fn current_reports(&self, shard: usize, view: &ShardView) -> Vec<&'a ShardReport> {
-        let is_current =
-            |report: &&ShardReport| report.epoch == view.epoch || breaks::on(Break::ReportOfOlderEpoch);
+        let is_current = |report: &&ShardReport| {
+            report.epoch == view.epoch || breaks::is_enabled(Break::ReportOfOlderEpoch)
+        };
         self.inputs
             .reports
             .iter()
@@ -158,8 +160,9 @@
         let remaining: Vec<DiskId> =
             next.in_sync.iter().copied().filter(|disk| !self.retiring.contains(disk)).collect();
         // Members that are gone replace none: theirs may be the disks that were lost.
-        let counts =
-            |disk: &&DiskId| self.inputs.live.contains(*disk) || breaks::on(Break::RetiringCountsGone);
+        let counts = |disk: &&DiskId| {
+            self.inputs.live.contains(*disk) || breaks::is_enabled(Break::RetiringCountsGone)
+        };
         let present = remaining.iter().filter(counts).count();
         let enough = present > self.inputs.tolerated_failures && present >= target;
         if remaining.len() < next.in_sync.len() && enough {
--- a/tier/control/src/shards/view.rs
+++ b/tier/control/src/shards/view.rs
@@ -30,7 +30,7 @@
     if alive_members.is_empty() {
         return None;
     }
-    if breaks::on(Break::ShrinksBelowMinimum) {
+    if breaks::is_enabled(Break::ShrinksBelowMinimum) {
         return Some(alive_members);
     }
     let enough = |members: &[DiskId]| members.len() > tolerated_failures;
--- a/tier/control/src/time_limits.rs
+++ b/tier/control/src/time_limits.rs
@@ -64,7 +64,7 @@
     /// [`CoreContact::age`]: crate::CoreContact::age
     #[must_use]
     pub fn may_refuse(&self, age: Micros) -> bool {
-        age < self.refusal.as_micros() as Micros || breaks::on(Break::RefusesWithoutCore)
+        age < self.refusal.as_micros() as Micros || breaks::is_enabled(Break::RefusesWithoutCore)
     }
 
     /// The limits under these bounds.
@@ -74,7 +74,7 @@
         TimeLimits {
             change: CHANGE.of_ms(bounds.ack_ms),
             recent_answer: RECENT_ANSWER.of_ms(bounds.contact_ms),
-            core_silence: if breaks::on(Break::NoOwnList) { Duration::MAX } else { core_silence },
+            core_silence: if breaks::is_enabled(Break::NoOwnList) { Duration::MAX } else { core_silence },
             list_reading: LIST_READING.of_ms(bounds.drain_ms),
             refusal: REFUSAL.of_ms(bounds.apply_ms),
             item_silence: ITEM_SILENCE.of_ms(bounds.complete_s * 1000.0),
--- a/tier/control/src/usage.rs
+++ b/tier/control/src/usage.rs
@@ -59,7 +59,7 @@
     pub fn finalize_usage(&mut self, report: UsageWindow) -> UsageWindow {
         let known = self.usage.iter().position(|finalized| finalized.window == report.window);
         if let Some(known) = known {
-            if !breaks::on(Break::UsageFinalizedTwice) {
+            if !breaks::is_enabled(Break::UsageFinalizedTwice) {
                 return self.usage[known].clone();
             }
             self.usage.remove(known);
--- a/tier/dataplane/src/dispatch/endpoint_state.rs
+++ b/tier/dataplane/src/dispatch/endpoint_state.rs
@@ -57,7 +57,7 @@
 
     /// Whether new calls may be sent to it.
     pub(super) fn is_open(&self) -> bool {
-        self.listed && (!self.endpoint.draining || breaks::on(Break::DrainingEndpointOpen))
+        self.listed && (!self.endpoint.draining || breaks::is_enabled(Break::DrainingEndpointOpen))
     }
 
     /// Whether another call fits now; a batch item must fit in its sender's share as well as in the window.
--- a/tier/dataplane/src/tables.rs
+++ b/tier/dataplane/src/tables.rs
@@ -52,7 +52,7 @@
         {
             match Configuration::read(&text) {
                 Ok(configuration) => {
-                    if !breaks::on(Break::RoutesOutdated) || self.versions.configuration == 0 {
+                    if !breaks::is_enabled(Break::RoutesOutdated) || self.versions.configuration == 0 {
                         next.routes = Rc::new(RouteTable::compile(&configuration));
                     }
                     next.versions.configuration = version;
--- a/tools/breaks/src/lib.rs
+++ b/tools/breaks/src/lib.rs
@@ -18,7 +18,7 @@
 /// Defines an enumeration of breaks, the list `ALL` of them, and the functions that enable one and ask for it. At most one
 /// break of an enumeration is enabled.
 ///
-/// - `for each thread:` the functions are `on` and `set`. A break is enabled for the thread that enabled it, so that tests
+/// - `for each thread:` the functions are `is_enabled` and `set`. A break is enabled for the thread that enabled it, so that tests
 ///   in parallel do not interfere.
 /// - `for the process:` the functions are `is_enabled`, `enable` and `disable`. A break is enabled for all threads, and has a
 ///   name for the command line and a text that says what the code does while it is enabled; `ALL` lists both.
@@ -47,14 +47,14 @@
 
         /// Whether this break is enabled for this thread.
         #[cfg(feature = "breaks")]
-        pub fn on(one: $Break) -> bool {
+        pub fn is_enabled(one: $Break) -> bool {
             ENABLED.get() == Some(one)
         }
 
         /// False: this build has no breaks.
         #[cfg(not(feature = "breaks"))]
         #[inline(always)]
-        pub const fn on(_: $Break) -> bool {
+        pub const fn is_enabled(_: $Break) -> bool {
             false
         }
 
--- a/tools/breaks/tests/switches.rs
+++ b/tools/breaks/tests/switches.rs
@@ -40,14 +40,14 @@
 #[cfg(feature = "breaks")]
 #[test]
 fn a_break_of_a_thread_is_enabled_for_this_thread_alone() {
-    use thread_breaks::{Break, on, set};
-    assert!(!on(Break::First) && !on(Break::Second));
+    use thread_breaks::{Break, is_enabled, set};
+    assert!(!is_enabled(Break::First) && !is_enabled(Break::Second));
     set(Some(Break::First));
     set(Some(Break::Second));
-    assert!(!on(Break::First) && on(Break::Second));
-    std::thread::spawn(|| assert!(!on(Break::Second))).join().unwrap();
+    assert!(!is_enabled(Break::First) && is_enabled(Break::Second));
+    std::thread::spawn(|| assert!(!is_enabled(Break::Second))).join().unwrap();
     set(None);
-    assert!(!on(Break::Second));
+    assert!(!is_enabled(Break::Second));
 }
 
 #[cfg(feature = "breaks")]
@@ -66,7 +66,7 @@
 #[cfg(not(feature = "breaks"))]
 #[test]
 fn without_the_feature_every_break_is_off_at_compile_time() {
-    const _: () = assert!(!thread_breaks::on(thread_breaks::Break::First));
+    const _: () = assert!(!thread_breaks::is_enabled(thread_breaks::Break::First));
     const _: () = assert!(!process_breaks::is_enabled(process_breaks::Break::First));
     assert_eq!(process_breaks::enable("first"), Err(BreakError::NotBuilt));
     process_breaks::disable();
