--- a/tools/standins/src/fault/request_fault.rs
+++ b/tools/standins/src/fault/request_fault.rs
@@ -14,11 +14,11 @@
     CutInBody(usize),
     /// It arrives, and once more on a connection of its own; the second answer is dropped.
     Duplicate,
-    /// It arrives, and is stored for [`Link::replay`](super::Link::replay).
+    /// It arrives, and is stored for [`Link::replay`](crate::fleet::link::Link::replay).
     Capture,
     /// It arrives; when the first byte of its answer does, the connection is closed instead.
     LoseAnswer,
-    /// It waits at its first byte for [`Link::release`](super::Link::release).
+    /// It waits at its first byte for [`Link::release`](crate::fleet::link::Link::release).
     Block,
 }
 
