Read once more: twins, copies and a dead parameter of this change; behaviour as before

Cause, by reading the whole diff: the explorer's two small searches had the same frontier; two worlds of core members ended with the same checks; the figures by service were copied into four maps from one; each request copied the name of its route to draw a service; the seeds' announcement copied the members; a parameter of the planes' audit was not used; imports stood twice. Change: breadth_first serves both small worlds; check_at_rest; ServiceNumbers holds the EndpointCounts; ServiceDraws copies a name once; claim_contents looks for a ring only where the write failed. No assertion was changed.

--- a/courier/program/src/transport/server.rs
+++ b/courier/program/src/transport/server.rs
@@ -2,8 +2,8 @@
 //! thread.
 //!
 //! This file accepts connections ([`serve`]) and empties the listener's backlog at a planned stop ([`close_listener`]).
-//! [`connections`] is the table of open connections and their limits, `client` runs one connection, `answer` has what a request led to, `request` reads
-//! and answers one request, `socket` moves a connection's bytes.
+//! [`connections`] is the table of open connections and their limits, `client` runs one connection, `request` reads
+//! and answers one request, `answer` has what a request led to, `socket` moves a connection's bytes.
 //!
 //! The loop around the codec is our own: actix-http's dispatcher buffers 128 KiB for each connection and does not show
 //! bytes that follow a request, so that neither can be bounded there.
--- a/tier/control/tests/members/disks.rs
+++ b/tier/control/tests/members/disks.rs
@@ -1,6 +1,6 @@
 //! Core members whose disks refuse writes for a while, and answers that come too late to count.
 
-use crate::faults::{disks, end_faults, restart_all};
+use crate::faults::{check_at_rest, disks, end_faults, restart_all};
 use crate::world::World;
 use quillmount_test_support::seeds;
 use quillmount_test_support::simulation::{MILLI, SECOND, Simulation, Time};
@@ -36,12 +36,7 @@
         world.run(gap * MILLI);
     }
     end_faults(&mut world);
-    world.busy = false;
-    world.run(3 * SECOND);
-    world.history.check();
-    let primary = world.primary().expect("a primary");
-    let state = world.machines[&primary].member.committed().unwrap();
-    assert_eq!(state.version, world.history.newest_version(), "LOST: the newest version");
+    check_at_rest(&mut world);
     let all_ended =
         |world: &World| world.machines.values().all(|machine| machine.member.writes_in_flight() == 0);
     assert!(world.run_until(10 * MILLI, WRITE_LIMIT, all_ended), "a write that ended was not reported");
--- a/tier/control/tests/members/faults.rs
+++ b/tier/control/tests/members/faults.rs
@@ -30,13 +30,18 @@
     world.run(2 * SECOND);
     end_faults(&mut world);
     world.run(SECOND);
+    check_at_rest(&mut world);
+    world
+}
+
+/// Lets operators send nothing more, and checks the history and that its newest version is in force.
+pub fn check_at_rest(world: &mut World) {
     world.busy = false;
     world.run(3 * SECOND);
     world.history.check();
     let primary = world.primary().expect("a primary");
     let state = world.machines[&primary].member.committed().unwrap();
     assert_eq!(state.version, world.history.newest_version(), "LOST: the newest version");
-    world
 }
 
 /// Disks of all machines.
--- a/tier/dataplane/src/routes/draws.rs
+++ b/tier/dataplane/src/routes/draws.rs
@@ -23,13 +23,22 @@
         ServiceDraws { start, draws: HashMap::new() }
     }
 
-    /// The next draw for a route, 0 or more and less than 1.
+    /// The next draw for a route, 0 or more and less than 1. Each request of a client makes one: the name of a known route is not copied.
     pub fn next(&mut self, route: &str) -> f64 {
-        if self.draws.len() >= ROUTES_LIMIT && !self.draws.contains_key(route) {
+        let number = self.count(route);
+        (self.start + number as f64 * GOLDEN_FRACTION).fract()
+    }
+
+    /// Counts one more draw of a route, and returns their number.
+    fn count(&mut self, route: &str) -> u64 {
+        if let Some(number) = self.draws.get_mut(route) {
+            *number += 1;
+            return *number;
+        }
+        if self.draws.len() >= ROUTES_LIMIT {
             self.draws.clear();
         }
-        let number = self.draws.entry(route.to_owned()).or_default();
-        *number += 1;
-        (self.start + *number as f64 * GOLDEN_FRACTION).fract()
+        self.draws.insert(route.to_owned(), 1);
+        1
     }
 }
--- a/tier/dataplane/tests/planes/audit.rs
+++ b/tier/dataplane/tests/planes/audit.rs
@@ -123,7 +123,7 @@
     }
 
     /// Notes a configuration that an operator sends.
-    pub fn sent(&mut self, version: u64, base: u64, added: Vec<u64>, _now: Time) {
+    pub fn sent(&mut self, version: u64, base: u64, added: Vec<u64>) {
         self.sent.push(SentConfiguration { version, base, added });
     }
 
--- a/tier/dataplane/tests/planes/operators.rs
+++ b/tier/dataplane/tests/planes/operators.rs
@@ -101,7 +101,7 @@
             let mut added = self.audit.added_by(base);
             added.push(version);
             let body = configuration(version, &added);
-            self.audit.sent(version, base, added, self.timeline.now());
+            self.audit.sent(version, base, added);
             Task::Put(Order { kind: OrderKind::Put, base, body })
         };
         self.operators[operator].task = Some(task);
--- a/tier/node/src/control_member/seeds.rs
+++ b/tier/node/src/control_member/seeds.rs
@@ -24,9 +24,9 @@
 
 fn announce_once(core: &ControlMember) {
     let request = Request::PrimaryHint { address: core.node.info.internal.clone() };
-    let members = core.node.core_contact.borrow().members().to_vec();
+    let contact = core.node.core_contact.borrow();
     for address in core.node.seed_addresses() {
-        if !members.contains(&address) {
+        if !contact.members().contains(&address) {
             core.node.links.notify(&address, &request);
         }
     }
--- a/tier/node/src/metrics/endpoint.rs
+++ b/tier/node/src/metrics/endpoint.rs
@@ -4,6 +4,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use quillmount_dataplane::dispatch::EndpointCounts;
 use std::collections::HashMap;
 
 type ServiceGauge = Family<ServiceLabels, Gauge>;
@@ -20,12 +21,8 @@
 /// Numbers by service, of this moment.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceNumbers {
-    /// Endpoints that take calls.
-    pub open: HashMap<String, u32>,
-    /// Of these, endpoints that get none for a while after failures.
-    pub in_backoff: HashMap<String, u32>,
-    /// Calls in flight.
-    pub in_flight: HashMap<String, u32>,
+    /// Endpoints and calls in flight.
+    pub endpoints: HashMap<String, EndpointCounts>,
     /// Requests and batch items that wait for a slot.
     pub waiting: HashMap<String, u32>,
 }
@@ -42,16 +39,16 @@
 
     /// Replaces all numbers; services that are gone are dropped.
     pub(super) fn set(&self, numbers: &ServiceNumbers) {
-        replace(&self.open, &numbers.open);
-        replace(&self.in_backoff, &numbers.in_backoff);
-        replace(&self.in_flight, &numbers.in_flight);
-        replace(&self.waiting, &numbers.waiting);
+        replace(&self.open, &numbers.endpoints, |counts| counts.open);
+        replace(&self.in_backoff, &numbers.endpoints, |counts| counts.in_backoff);
+        replace(&self.in_flight, &numbers.endpoints, |counts| counts.in_flight);
+        replace(&self.waiting, &numbers.waiting, |waiting| *waiting);
     }
 }
 
-fn replace(gauge: &ServiceGauge, numbers: &HashMap<String, u32>) {
+fn replace<Counts>(gauge: &ServiceGauge, by_service: &HashMap<String, Counts>, number: fn(&Counts) -> u32) {
     gauge.clear();
-    for (service, number) in numbers {
-        gauge.get_or_create(&ServiceLabels { service: service.clone() }).set(i64::from(*number));
+    for (service, counts) in by_service {
+        gauge.get_or_create(&ServiceLabels { service: service.clone() }).set(i64::from(number(counts)));
     }
 }
--- a/tier/node/src/metrics_server.rs
+++ b/tier/node/src/metrics_server.rs
@@ -6,7 +6,6 @@
 use crate::metrics::{MetricsAddress, ProcessState, ServiceNumbers};
 use crate::node::Node;
 use crate::socket;
-use quillmount_dataplane::dispatch::EndpointCounts;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -83,22 +82,13 @@
     }
 
     fn service_numbers(&self) -> ServiceNumbers {
-        let dispatcher = self.node.dispatcher.borrow();
-        let counts = dispatcher.endpoint_counts(clock::now());
-        let of = |number: fn(&EndpointCounts) -> u32| -> HashMap<String, u32> {
-            counts.iter().map(|(service, counts)| (service.clone(), number(counts))).collect()
-        };
+        let endpoints = self.node.dispatcher.borrow().endpoint_counts(clock::now());
         let mut waiting = self.node.waiting_requests();
         if let Some(store) = &self.store {
             for (service, items) in store.waiting_items() {
                 *waiting.entry(service).or_default() += items;
             }
         }
-        ServiceNumbers {
-            open: of(|counts| counts.open),
-            in_backoff: of(|counts| counts.in_backoff),
-            in_flight: of(|counts| counts.in_flight),
-            waiting,
-        }
+        ServiceNumbers { endpoints, waiting }
     }
 }
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -71,14 +71,13 @@
             request_id: &self.run.item().id,
             bytes: &bytes,
         };
-        let mut answer =
-            match self.store.node.upstreams.send(request, self.store.node.limits.item_silence).await {
-                Ok(answer) => answer,
-                Err(UpstreamError::Silent) => {
-                    return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
-                }
-                Err(_) => return ItemAttemptOutcome::Retry(CallOutcome::Lost),
-            };
+        let mut answer = match self.store.node.upstreams.send(request, self.silence_limit()).await {
+            Ok(answer) => answer,
+            Err(UpstreamError::Silent) => {
+                return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
+            }
+            Err(_) => return ItemAttemptOutcome::Retry(CallOutcome::Lost),
+        };
         if answer.head.status != 200 || !answer.head.is_event_stream() {
             return self.read_status(answer).await;
         }
@@ -93,8 +92,7 @@
     async fn read_status(&self, mut answer: UpstreamAnswer) -> ItemAttemptOutcome {
         let status = answer.head.status;
         let rejection = CallOutcome::of_rejection(&answer.head);
-        let complete =
-            tokio::time::timeout(self.store.node.limits.item_silence, answer.read_all(ANSWER_LIMIT)).await;
+        let complete = tokio::time::timeout(self.silence_limit(), answer.read_all(ANSWER_LIMIT)).await;
         if !matches!(complete, Ok(Some(_))) {
             return ItemAttemptOutcome::Retry(CallOutcome::Lost);
         }
@@ -114,8 +112,7 @@
         let mut sequence = EventSequence::resuming(self.run.last_event, EventIds::Required);
         loop {
             let mut bytes = Vec::new();
-            let Ok(progress) =
-                tokio::time::timeout(self.store.node.limits.item_silence, answer.read(&mut bytes)).await
+            let Ok(progress) = tokio::time::timeout(self.silence_limit(), answer.read(&mut bytes)).await
             else {
                 return ItemAttemptOutcome::Retry(CallOutcome::TimedOut(self.elapsed()));
             };
@@ -149,6 +146,11 @@
         self.run.text.push(event.data.unwrap_or_default());
     }
 
+    /// An endpoint that sends nothing for this long is given up; the item continues elsewhere.
+    fn silence_limit(&self) -> Duration {
+        self.store.node.limits.item_silence
+    }
+
     /// Time since the start.
     fn elapsed(&self) -> Micros {
         clock::now().saturating_sub(self.sent)
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -20,8 +20,6 @@
 mod term_quota;
 mod waiters;
 
-use state::Store;
-
 use crate::clock;
 use crate::metrics::MetricsAddress;
 use crate::metrics_server::{self, MetricsSources};
@@ -32,7 +30,7 @@
 use quillmount_storage::{FolderContents, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole};
 use quillmount_wire::settings::Settings;
-use state::OpenedStore;
+use state::{OpenedStore, Store};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
--- a/tier/storage/src/contents.rs
+++ b/tier/storage/src/contents.rs
@@ -81,12 +81,11 @@
         Some(found) => {
             Err(ContentsError::Other { path: folder.to_owned(), found: found.name(), wanted: wanted.name() })
         }
-        None => {
-            let written = replace_file(folder, FILE_NAME, &format!("{}\n", wanted.name()));
-            let has_ring = has_ring_files(folder).unwrap_or(false);
-            written
-                .or_else(|cause| if has_ring { Ok(()) } else { Err(cause) })
-                .map_err(|cause| ContentsError::Io { path: folder.join(FILE_NAME), cause })
-        }
+        None => match replace_file(folder, FILE_NAME, &format!("{}\n", wanted.name())) {
+            Err(cause) if !has_ring_files(folder).unwrap_or(false) => {
+                Err(ContentsError::Io { path: folder.join(FILE_NAME), cause })
+            }
+            Ok(()) | Err(_) => Ok(()),
+        },
     }
 }
--- a/tools/explore/src/clients/search.rs
+++ b/tools/explore/src/clients/search.rs
@@ -1,9 +1,9 @@
-//! The search of the world of clients: breadth first, so that the first counterexample is a shortest one.
+//! The search of the world of clients.
 
 use super::event::ClientEvent;
 use super::perform::ClientViolation;
 use super::world::ClientWorld;
-use std::collections::{HashSet, VecDeque};
+use crate::breadth_first::{self, Counterexample, SearchResult, SmallWorld};
 
 /// The result of an exploration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,68 +17,37 @@
 }
 
 /// A path of events, and what does not hold after them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ClientCounterexample {
-    /// The events from the beginning of the world.
-    pub path: Vec<ClientEvent>,
-    /// What does not hold after them.
-    pub violation: ClientViolation,
-}
+pub type ClientCounterexample = Counterexample<ClientEvent, ClientViolation>;
 
 /// Explores `clients` connections of `requests` requests each at a table for `max_connections`.
 pub fn explore(clients: u8, requests: u8, max_connections: usize) -> ClientSearch {
-    let mut frontier = Frontier::new(ClientWorld::new(clients, requests, max_connections));
-    let mut depth = 0;
-    let mut counterexample = None;
-    while let Some(reached) = frontier.queue.pop_front() {
-        depth = depth.max(reached.path.len());
-        if let Err(found) = frontier.expand(&reached) {
-            counterexample = Some(found);
-            break;
-        }
-    }
-    ClientSearch { states: frontier.visited.len(), depth, counterexample }
+    let root = ClientWorld::new(clients, requests, max_connections);
+    let SearchResult { states, depth, counterexample } = breadth_first::search(root, |_| {});
+    ClientSearch { states, depth, counterexample }
 }
 
-/// A state, and the path that leads to it.
-struct ReachedState {
-    world: ClientWorld,
-    path: Vec<ClientEvent>,
-}
+impl SmallWorld for ClientWorld {
+    type Event = ClientEvent;
+    type Key = String;
+    type Violation = ClientViolation;
 
-/// The states visited so far, and those whose successors are not.
-struct Frontier {
-    /// Keys of all states visited.
-    visited: HashSet<String>,
-    queue: VecDeque<ReachedState>,
-}
+    fn key(&self) -> String {
+        self.key()
+    }
+
+    fn events(&self) -> Vec<ClientEvent> {
+        self.events()
+    }
+
+    fn is_end(events: &[ClientEvent]) -> bool {
+        events.is_empty()
+    }
 
-impl Frontier {
-    fn new(root: ClientWorld) -> Frontier {
-        let visited = HashSet::from([root.key()]);
-        let queue = VecDeque::from([ReachedState { world: root, path: Vec::new() }]);
-        Frontier { visited, queue }
+    fn check_quiescent(&self) -> Result<(), ClientViolation> {
+        self.check_quiescent()
     }
 
-    /// Visits all successors of a state.
-    fn expand(&mut self, reached: &ReachedState) -> Result<(), ClientCounterexample> {
-        let events = reached.world.events();
-        if events.is_empty()
-            && let Err(violation) = reached.world.check_quiescent()
-        {
-            return Err(ClientCounterexample { path: reached.path.clone(), violation });
-        }
-        for event in events {
-            let mut world = reached.world.clone();
-            let mut path = reached.path.clone();
-            path.push(event);
-            if let Err(violation) = world.apply(event) {
-                return Err(ClientCounterexample { path, violation });
-            }
-            if self.visited.insert(world.key()) {
-                self.queue.push_back(ReachedState { world, path });
-            }
-        }
-        Ok(())
+    fn apply(&mut self, event: ClientEvent) -> Result<(), ClientViolation> {
+        self.apply(event)
     }
 }
--- a/tools/explore/src/streams/search.rs
+++ b/tools/explore/src/streams/search.rs
@@ -1,11 +1,11 @@
-//! The search of the world of streams: breadth first, so that the first counterexample is a shortest one.
+//! The search of the world of streams.
 
 use super::case::StreamCase;
 use super::event::{BodyEvent, StreamEvent};
 use super::world::StreamWorld;
+use crate::breadth_first::{self, Counterexample, SearchResult, SmallWorld};
 use crate::courier::OpenError;
 use crate::property::Violation;
-use std::collections::{HashSet, VecDeque};
 
 /// The result of an exploration.
 #[derive(Clone, Debug)]
@@ -21,13 +21,7 @@
 }
 
 /// A path of events, and what it violates.
-#[derive(Clone, Debug)]
-pub struct StreamCounterexample {
-    /// The events from the beginning of the world.
-    pub path: Vec<BodyEvent>,
-    /// What does not hold after them.
-    pub violation: Violation,
-}
+pub type StreamCounterexample = Counterexample<BodyEvent, Violation>;
 
 /// Explores every order of events, breadth first.
 ///
@@ -35,63 +29,35 @@
 /// The router rejects the settings.
 pub fn explore(case: StreamCase) -> Result<StreamSearch, OpenError> {
     let root = StreamWorld::new(case)?;
-    let mut frontier = Frontier::new(root);
-    let mut depth = 0;
-    let mut counterexample = None;
-    while let Some(reached) = frontier.queue.pop_front() {
-        depth = depth.max(reached.path.len());
-        if let Err(found) = frontier.expand(&reached) {
-            counterexample = Some(found);
-            break;
-        }
-    }
-    let Frontier { visited, paused_states, .. } = frontier;
-    Ok(StreamSearch { states: visited.len(), depth, paused_states, counterexample })
+    let mut paused_states = 0;
+    let count_paused = |world: &StreamWorld| paused_states += usize::from(world.has_paused_body());
+    let SearchResult { states, depth, counterexample } = breadth_first::search(root, count_paused);
+    Ok(StreamSearch { states, depth, paused_states, counterexample })
 }
 
-/// A state, and the path that leads to it.
-struct ReachedState {
-    world: StreamWorld,
-    path: Vec<BodyEvent>,
-}
+impl SmallWorld for StreamWorld {
+    type Event = BodyEvent;
+    type Key = u128;
+    type Violation = Violation;
 
-/// The states visited so far, and those whose successors are not.
-struct Frontier {
-    /// Fingerprints of all states visited.
-    visited: HashSet<u128>,
-    queue: VecDeque<ReachedState>,
-    /// States visited in which a body waits, sent in part.
-    paused_states: usize,
-}
+    fn key(&self) -> u128 {
+        self.fingerprint()
+    }
+
+    fn events(&self) -> Vec<BodyEvent> {
+        self.events()
+    }
+
+    /// A state from which only a kill leads on.
+    fn is_end(events: &[BodyEvent]) -> bool {
+        events.iter().all(|possible| possible.event == StreamEvent::Kill)
+    }
 
-impl Frontier {
-    fn new(root: StreamWorld) -> Frontier {
-        let visited = HashSet::from([root.fingerprint()]);
-        let queue = VecDeque::from([ReachedState { world: root, path: Vec::new() }]);
-        Frontier { visited, queue, paused_states: 0 }
+    fn check_quiescent(&self) -> Result<(), Violation> {
+        self.check_quiescent()
     }
 
-    /// Visits all successors of a state.
-    fn expand(&mut self, reached: &ReachedState) -> Result<(), StreamCounterexample> {
-        let events = reached.world.events();
-        // A state from which only a kill leads on has to be quiescent.
-        if events.iter().all(|possible| possible.event == StreamEvent::Kill)
-            && let Err(violation) = reached.world.check_quiescent()
-        {
-            return Err(StreamCounterexample { path: reached.path.clone(), violation });
-        }
-        for event in events {
-            let mut world = reached.world.clone();
-            let mut path = reached.path.clone();
-            path.push(event);
-            if let Err(violation) = world.apply(event) {
-                return Err(StreamCounterexample { path, violation });
-            }
-            if self.visited.insert(world.fingerprint()) {
-                self.paused_states += usize::from(world.has_paused_body());
-                self.queue.push_back(ReachedState { world, path });
-            }
-        }
-        Ok(())
+    fn apply(&mut self, event: BodyEvent) -> Result<(), Violation> {
+        self.apply(event)
     }
 }
--- a/tools/standins/src/fleet/injection.rs
+++ b/tools/standins/src/fleet/injection.rs
@@ -2,8 +2,7 @@
 
 use super::Fleet;
 use super::error::FleetError;
-use crate::fault::Fault;
-use crate::fault::LinkMode;
+use crate::fault::{Fault, LinkMode};
 use crate::listener::ListenerMode;
 
 impl Fleet {
--- a/tools/standins/src/fleet/link/relay.rs
+++ b/tools/standins/src/fleet/link/relay.rs
@@ -2,8 +2,7 @@
 
 use super::pump::Pump;
 use super::state::{ConnectionState, LinkState};
-use crate::fault::Direction;
-use crate::fault::LinkEventKind;
+use crate::fault::{Direction, LinkEventKind};
 use crate::gate::{AcceptMode, Gate};
 use std::io::Result;
 use std::rc::Rc;
