Observability: bytes between processes, kinds of tables sent, stalls; each configuration's commit and coming into force are logged

Cause: with the log lines and figures that were there a change that comes late can't be told apart: too little of a processor at the primary, a full link, or a process that polls the wrong address.

Change: counters of bytes to and from peers, of tables in answers to polls by kind, of time for which the process did not run; log lines (info) when a configuration is committed, when its outcome is unknown, when it comes into force at a process, and for stalls.

--- a/tier/node/src/control_member/operator.rs
+++ b/tier/node/src/control_member/operator.rs
@@ -97,6 +97,7 @@
     let order = Order { kind, base, body };
     match core.change(|state| state.apply_order(&order)).await {
         Ok(OrderOutcome::Applied { version }) => {
+            tracing::info!(version, "configuration committed");
             Some(HttpResponse::json(200, json::to_string(&VersionBody { version })))
         }
         Ok(OrderOutcome::VersionMismatch { current }) => {
@@ -106,7 +107,10 @@
         // The same order may have been applied long ago: neither success nor failure is certain.
         Ok(OrderOutcome::Expired) => None,
         Err(ChangeError::NotPrimary) => Some(unavailable()),
-        Err(ChangeError::Uncertain) => None,
+        Err(ChangeError::Uncertain) => {
+            tracing::info!(base, "the outcome of a change of the configuration is unknown");
+            None
+        }
     }
 }
 
--- a/tier/node/src/control_member/polls.rs
+++ b/tier/node/src/control_member/polls.rs
@@ -5,10 +5,11 @@
 
 use super::member::ControlMember;
 use crate::clock;
+use crate::metrics::TableKind;
 use crate::node::Node;
 use quillmount_control::Admission;
 use quillmount_control::polls::{self, PublishedTables};
-use quillmount_wire::messages::{NodeRole, Poll, Request, Response, TableVersions, Tables};
+use quillmount_wire::messages::{DirectoryUpdate, NodeRole, Poll, Request, Response, TableVersions, Tables};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,6 +88,7 @@
                 NodeRole::Store => core.leases.borrow().loads(clock::now()),
                 NodeRole::Courier | NodeRole::Core => Vec::new(),
             };
+            count_tables(&core.node, &tables);
             return Some(Tables { loads, ..tables });
         }
         // A timeout is handled by the deadline above.
@@ -94,6 +96,18 @@
     }
 }
 
+fn count_tables(node: &Node, tables: &Tables) {
+    let endpoints = tables.directory.as_ref().map(|directory| match directory.content {
+        DirectoryUpdate::Full(_) => TableKind::EndpointList,
+        DirectoryUpdate::Delta { .. } => TableKind::EndpointChanges,
+    });
+    let configuration = tables.configuration.as_ref().map(|_| TableKind::Configuration);
+    let placement = tables.placement.as_ref().map(|_| TableKind::Placement);
+    for kind in [configuration, placement, endpoints].into_iter().flatten() {
+        node.metrics.count_table(kind);
+    }
+}
+
 /// Committed tables that are newer than those of the sender. `None` unless this member is primary and a majority has
 /// confirmed that recently.
 fn newer_tables(core: &ControlMember, known: TableVersions) -> Option<Tables> {
--- a/tier/node/src/edge/mod.rs
+++ b/tier/node/src/edge/mod.rs
@@ -22,7 +22,7 @@
 use crate::node::Node;
 use crate::role::{RoleError, listen, wait_for_stop};
 use crate::subscription::{self, Needs, Reporter};
-use crate::{clock, rpc};
+use crate::{clock, rpc, stalls};
 use client_connections::ClientConnections;
 use quillmount_storage::{FolderContents, Identity, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole, ShardReport};
@@ -50,7 +50,7 @@
     let core = open_core(&node)?;
     let internal = listen(&node.info.internal)?;
     let handler = peer_calls::handler(&node, core.as_ref(), &announcements);
-    tokio::task::spawn_local(rpc::serve(internal, handler));
+    tokio::task::spawn_local(rpc::serve(internal, handler, node.links.traffic().clone()));
     if let Some(core) = &core {
         start_core(core);
         if node.settings.bootstrap && identity.is_some_and(|identity| identity.fresh) {
@@ -59,6 +59,7 @@
     }
     tokio::task::spawn_local(subscription::run(node.clone(), Rc::new(CourierReporter(node.clone()))));
     tokio::task::spawn_local(subscription::read_list_without_core(node.clone()));
+    tokio::task::spawn_local(stalls::watch(node.clone()));
     if let Some(address) = &metrics {
         let sources = MetricsSources { node: node.clone(), core: core.clone(), store: None };
         metrics_server::serve(address, sources);
--- a/tier/node/src/main.rs
+++ b/tier/node/src/main.rs
@@ -20,6 +20,7 @@
 mod role;
 mod rpc;
 mod socket;
+mod stalls;
 mod store;
 mod subscription;
 mod upstream;
--- a/tier/node/src/metrics/labels.rs
+++ b/tier/node/src/metrics/labels.rs
@@ -42,6 +42,19 @@
     Failed,
 }
 
+/// A table, or an update of it, in the answer to a poll.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub enum TableKind {
+    /// The operator's configuration.
+    Configuration,
+    /// The placement.
+    Placement,
+    /// The complete list of endpoints.
+    EndpointList,
+    /// Changes of the list of endpoints.
+    EndpointChanges,
+}
+
 /// How a call to an endpoint ended.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
 pub(super) enum CallKind {
@@ -112,6 +125,12 @@
     pub(super) result: PollResult,
 }
 
+/// Labels of tables in answers to polls.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct TableLabels {
+    pub(super) kind: TableKind,
+}
+
 /// Labels of calls to the platform.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct StatusLabels {
--- a/tier/node/src/metrics/mod.rs
+++ b/tier/node/src/metrics/mod.rs
@@ -9,16 +9,17 @@
 
 pub use address::MetricsAddress;
 pub use endpoint::ServiceNumbers;
-pub use labels::{PollResult, RequestOutcome};
+pub use labels::{PollResult, RequestOutcome, TableKind};
 
 use endpoint::EndpointGauges;
-use labels::{CallKind, CallLabels, ItemLabels, PollLabels, RequestLabels, StatusLabels};
+use labels::{CallKind, CallLabels, ItemLabels, PollLabels, RequestLabels, StatusLabels, TableLabels};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use quillmount_dataplane::dispatch::CallOutcome;
 use quillmount_wire::messages::Phase;
+use std::time::Duration;
 
 /// The figures of a process.
 pub struct Metrics {
@@ -30,6 +31,8 @@
     platform_calls: Family<StatusLabels, Counter>,
     elections: Counter,
     failed_writes: Counter,
+    tables_sent: Family<TableLabels, Counter>,
+    stalled_ms: Counter,
     endpoints: EndpointGauges,
     configuration_version: Gauge,
     core_silence_ms: Gauge,
@@ -38,6 +41,8 @@
     job_bytes: Gauge,
     free_segments: Gauge,
     shards_served: Gauge,
+    peer_bytes_sent: Gauge,
+    peer_bytes_received: Gauge,
 }
 
 /// State of a process at one moment, beyond what its dispatcher knows.
@@ -57,6 +62,10 @@
     pub free_segments: u64,
     /// Shards that this store serves as primary.
     pub shards_served: u64,
+    /// Bytes sent to other processes of the tier since the start.
+    pub peer_bytes_sent: u64,
+    /// Bytes received from other processes of the tier since the start.
+    pub peer_bytes_received: u64,
 }
 
 impl Metrics {
@@ -71,6 +80,8 @@
             platform_calls: Family::default(),
             elections: Counter::default(),
             failed_writes: Counter::default(),
+            tables_sent: Family::default(),
+            stalled_ms: Counter::default(),
             endpoints: EndpointGauges::default(),
             configuration_version: Gauge::default(),
             core_silence_ms: Gauge::default(),
@@ -79,6 +90,8 @@
             job_bytes: Gauge::default(),
             free_segments: Gauge::default(),
             shards_served: Gauge::default(),
+            peer_bytes_sent: Gauge::default(),
+            peer_bytes_received: Gauge::default(),
         };
         metrics.register_counters();
         metrics.register_gauges();
@@ -95,6 +108,10 @@
         registry.register("platform_calls", help, self.platform_calls.clone());
         registry.register("elections", "Elections that this member won", self.elections.clone());
         registry.register("failed_writes", "Records that the disk did not take", self.failed_writes.clone());
+        let help = "Tables that answers to polls held, by kind";
+        registry.register("tables_sent", help, self.tables_sent.clone());
+        let help = "Time for which this process did not run though it was due, milliseconds";
+        registry.register("stalled_ms", help, self.stalled_ms.clone());
     }
 
     fn register_gauges(&mut self) {
@@ -111,6 +128,10 @@
         let help = "Segments of the ring that can still be opened";
         registry.register("free_segments", help, self.free_segments.clone());
         registry.register("shards_served", "Shards served as primary", self.shards_served.clone());
+        let help = "Bytes sent to other processes of the tier";
+        registry.register("peer_bytes_sent", help, self.peer_bytes_sent.clone());
+        let help = "Bytes received from other processes of the tier";
+        registry.register("peer_bytes_received", help, self.peer_bytes_received.clone());
     }
 
     /// Counts a request of a client that has ended.
@@ -148,6 +169,16 @@
         self.failed_writes.inc();
     }
 
+    /// Counts a table that an answer to a poll holds.
+    pub fn count_table(&self, kind: TableKind) {
+        self.tables_sent.get_or_create(&TableLabels { kind }).inc();
+    }
+
+    /// Counts time for which the process did not run though it was due.
+    pub fn count_stall(&self, duration: Duration) {
+        self.stalled_ms.inc_by(duration.as_millis() as u64);
+    }
+
     /// The figures as text, with the state of this moment.
     ///
     /// # Errors
@@ -169,6 +200,8 @@
             (&self.job_bytes, state.job_bytes),
             (&self.free_segments, state.free_segments),
             (&self.shards_served, state.shards_served),
+            (&self.peer_bytes_sent, state.peer_bytes_sent),
+            (&self.peer_bytes_received, state.peer_bytes_received),
         ];
         for (gauge, value) in gauges {
             gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/tier/node/src/rpc/client.rs
+++ b/tier/node/src/rpc/client.rs
@@ -1,11 +1,13 @@
 //! Sends notifications and calls to other processes.
 
 use super::link::{PeerLink, PendingCall};
+use super::traffic::PeerTraffic;
 use crate::clock;
 use quillmount_wire::frame::{FrameKind, encode};
 use quillmount_wire::messages::{Request, Response};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -26,9 +28,15 @@
     links: RefCell<HashMap<String, PeerLink>>,
     /// Number of the last call.
     last_call: Cell<u64>,
+    traffic: Rc<PeerTraffic>,
 }
 
 impl PeerLinks {
+    /// Bytes exchanged over these links, and by those who count with them.
+    pub fn traffic(&self) -> &Rc<PeerTraffic> {
+        &self.traffic
+    }
+
     /// Sends a message without a response. It is lost if the peer can't be reached.
     pub fn notify(&self, address: &str, request: &Request) {
         let bytes = encode(FrameKind::Notification, 0, &request.encode());
@@ -64,7 +72,7 @@
         if let Some(link) = links.get(address) {
             return link.clone();
         }
-        let link = PeerLink::open(address);
+        let link = PeerLink::open(address, &self.traffic);
         links.insert(address.to_owned(), link.clone());
         link
     }
--- a/tier/node/src/rpc/link.rs
+++ b/tier/node/src/rpc/link.rs
@@ -1,8 +1,10 @@
 //! The way to one address: a queue of frames, and a connection that is opened when a frame needs one.
 
 use super::read_frame::read_frame;
+use super::traffic::PeerTraffic;
 use crate::{clock, socket};
 use quillmount_wire::Micros;
+use quillmount_wire::frame::HEADER_BYTES;
 use quillmount_wire::messages::Response;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,6 +36,7 @@
 /// State of a link that its calls and its connection share.
 #[derive(Default)]
 struct LinkState {
+    traffic: Rc<PeerTraffic>,
     /// When a frame was last received or the connection opened.
     last_received: Cell<Micros>,
     /// Closes the connection.
@@ -64,9 +67,10 @@
 
 impl PeerLink {
     /// A link to an address. It connects when there is a first frame.
-    pub(super) fn open(address: &str) -> PeerLink {
+    pub(super) fn open(address: &str, traffic: &Rc<PeerTraffic>) -> PeerLink {
         let (queue, outgoing) = mpsc::channel(QUEUE_LIMIT);
-        let link = PeerLink { queue, state: Rc::default() };
+        let state = LinkState { traffic: traffic.clone(), ..LinkState::default() };
+        let link = PeerLink { queue, state: Rc::new(state) };
         // Detached: it ends when the last clone of the link is dropped, with the process.
         tokio::task::spawn_local(run_link(address.to_owned(), outgoing, link.state.clone()));
         link
@@ -137,6 +141,7 @@
         bytes.extend_from_slice(&frame.bytes);
         state.register(frame.call);
     }
+    state.traffic.count_sent(bytes.len());
     tokio::select! {
         written = writer.write_all(&bytes) => written.is_ok(),
         () = state.close.notified() => false,
@@ -148,6 +153,7 @@
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
     while let Ok((header, body)) = read_frame(&mut reader).await {
         state.last_received.set(clock::now());
+        state.traffic.count_received(HEADER_BYTES + body.len());
         let response = match Response::decode(&body) {
             Ok(response) => response,
             Err(error) => {
--- a/tier/node/src/rpc/mod.rs
+++ b/tier/node/src/rpc/mod.rs
@@ -7,6 +7,7 @@
 mod link;
 mod read_frame;
 mod server;
+mod traffic;
 
 pub use client::{CallError, PeerLinks};
 pub use server::{Handler, serve};
--- a/tier/node/src/rpc/server.rs
+++ b/tier/node/src/rpc/server.rs
@@ -1,8 +1,9 @@
 //! Answers the calls of other processes.
 
 use super::read_frame::{ReadError, read_frame};
+use super::traffic::PeerTraffic;
 use crate::socket;
-use quillmount_wire::frame::{FrameKind, encode};
+use quillmount_wire::frame::{FrameKind, HEADER_BYTES, encode};
 use quillmount_wire::messages::{Request, Response};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -24,14 +25,14 @@
 /// Answers a request; `None` if it has no answer.
 pub type Handler = Rc<dyn Fn(Request) -> Pin<Box<dyn Future<Output = Option<Response>>>>>;
 
-/// Accepts connections and answers their calls until the process ends.
-pub async fn serve(listener: TcpListener, handler: Handler) {
+/// Accepts connections and answers their calls until the process ends. The bytes are counted in `traffic`.
+pub async fn serve(listener: TcpListener, handler: Handler, traffic: Rc<PeerTraffic>) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 socket::set_options(&stream, USER_TIMEOUT);
                 // Detached: it ends with its connection.
-                tokio::task::spawn_local(serve_connection(stream, peer, handler.clone()));
+                tokio::task::spawn_local(serve_connection(stream, peer, handler.clone(), traffic.clone()));
             }
             Err(error) => {
                 tracing::warn!(%error, "accepting a connection from a peer failed");
@@ -41,12 +42,12 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, peer: SocketAddr, handler: Handler) {
+async fn serve_connection(stream: TcpStream, peer: SocketAddr, handler: Handler, traffic: Rc<PeerTraffic>) {
     let (reader, writer) = stream.into_split();
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
     let (responses, outgoing) = mpsc::channel(QUEUE_LIMIT);
     // Detached: it ends when the connection or the last sender of responses is gone.
-    tokio::task::spawn_local(write_responses(writer, outgoing));
+    tokio::task::spawn_local(write_responses(writer, outgoing, traffic.clone()));
     loop {
         let (header, body) = match read_frame(&mut reader).await {
             Ok(frame) => frame,
@@ -56,6 +57,7 @@
                 return;
             }
         };
+        traffic.count_received(HEADER_BYTES + body.len());
         let request = match Request::decode(&body) {
             Ok(request) => request,
             Err(error) => {
@@ -78,8 +80,13 @@
     }
 }
 
-async fn write_responses(mut writer: OwnedWriteHalf, mut outgoing: mpsc::Receiver<Vec<u8>>) {
+async fn write_responses(
+    mut writer: OwnedWriteHalf,
+    mut outgoing: mpsc::Receiver<Vec<u8>>,
+    traffic: Rc<PeerTraffic>,
+) {
     while let Some(frame) = outgoing.recv().await {
+        traffic.count_sent(frame.len());
         if writer.write_all(&frame).await.is_err() {
             return;
         }
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -26,7 +26,7 @@
 use crate::node::Node;
 use crate::role::{RoleError, listen, wait_for_stop};
 use crate::rpc::{self, Handler};
-use crate::subscription;
+use crate::{stalls, subscription};
 use quillmount_storage::{FolderContents, claim_contents, load_identity};
 use quillmount_wire::messages::{NodeInfo, NodeRole};
 use quillmount_wire::settings::Settings;
@@ -64,9 +64,10 @@
         metrics_server::serve(address, sources);
     }
     // All of these run until the process ends.
-    tokio::task::spawn_local(rpc::serve(internal, handler(&store)));
+    tokio::task::spawn_local(rpc::serve(internal, handler(&store), node.links.traffic().clone()));
     tokio::task::spawn_local(subscription::run(node.clone(), store.clone()));
     tokio::task::spawn_local(subscription::read_list_without_core(node.clone()));
+    tokio::task::spawn_local(stalls::watch(node.clone()));
     tokio::task::spawn_local(replica_tasks::report_writes(store.clone(), pending));
     tokio::task::spawn_local(replica_tasks::follow_views(store.clone()));
     tokio::task::spawn_local(replica_tasks::tick_replicas(store.clone()));
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -164,8 +164,11 @@
         tracing::error!(%error, version, "failed to parse the configuration received from the core");
     }
     let Some(next) = update.next else { return };
-    if current.versions.configuration == 0 && next.versions.configuration > 0 {
-        tracing::info!(version = next.versions.configuration, "first configuration in force");
+    let version = next.versions.configuration;
+    if current.versions.configuration == 0 && version > 0 {
+        tracing::info!(version, "first configuration in force");
+    } else if version > current.versions.configuration {
+        tracing::info!(version, "configuration in force");
     }
     node.swap_tables(next);
 }
