Dataplane tests: a world of hundreds of processes that poll over links of limited rate

Cause: the worlds so far give each message a delay whatever its length, so that none showed that heartbeats wait behind the answers to polls on the primary's link.

Change: `tests/distribution`: five members of the core, 250 couriers, 45 stores and an operator on virtual time. Each machine has an outgoing and an incoming link (FIFO; 100, 30 and 60 Mbit/s, 1 ms each). A message is as long as its frame: 27.8 kB with a changed configuration, 14.4 kB with the list of 160 endpoints, 46.8 kB with all tables. The machine of a process that does not run refuses polls. Polls are answered in one place (`answers::answer`).

--- /dev/null
+++ b/tier/dataplane/tests/distribution/core_side.rs
@@ -0,0 +1,224 @@
+//! What members of the core do: they send each other messages of the register, answer polls, and read the list of endpoints.
+
+use crate::answers::{self, PollAnswer, response_bytes};
+use crate::fixtures;
+use crate::machine::{MachineId, address, request_bytes};
+use crate::world::{Event, Message, World};
+use quillmount_control::polls::{PublishedTables, needs_admission};
+use quillmount_control::{Directory, Leases, MemberAction, RegisterWrite, Ticket, WriteOutcome};
+use quillmount_test_support::simulation::{MILLI, Simulation, Time};
+use quillmount_wire::messages::{DiskId, Epoch, Poll, RegisterMessage, Request, Response};
+use std::rc::Rc;
+
+/// Time that a write of the register takes.
+const WRITE_TIME: Time = MILLI;
+/// Interval between two readings of the list of endpoints by the primary.
+const LIST_INTERVAL: Time = 600 * MILLI;
+/// Time that a reading of the list takes.
+const READING_TIME: Time = 5 * MILLI;
+
+/// How far a poll is at the primary.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its sender's first tables are being confirmed by a majority.
+    Confirming,
+    /// It was not looked at yet.
+    Ready,
+    /// It waits for newer tables.
+    Waiting,
+}
+
+/// A poll that the primary has not answered.
+pub struct PendingPoll {
+    pub path: Vec<MachineId>,
+    poll: Rc<Poll>,
+    stage: Stage,
+    until: Time,
+}
+
+/// What waits for a ticket.
+pub enum Waiting {
+    /// A poll, by its call.
+    Poll(u64),
+    /// A change, by its index, with the call in which it was sent.
+    Change { change: usize, call: u64 },
+}
+
+impl World {
+    /// Performs the actions of a member.
+    pub fn perform(&mut self, id: MachineId, actions: Vec<MemberAction>) {
+        for action in actions {
+            match action {
+                MemberAction::Send { to, message } => self.send_register(id, to, message),
+                MemberAction::Persist { write, .. } => {
+                    self.schedule(self.now() + WRITE_TIME, Event::Written { to: id, write });
+                }
+                MemberAction::Confirmed { ticket } => self.on_confirmed(id, ticket, true),
+                MemberAction::Uncertain { ticket } => self.on_confirmed(id, ticket, false),
+                MemberAction::Elected { epoch } => {
+                    self.record_election(epoch);
+                    self.forget_primary_state(id);
+                }
+                MemberAction::SteppedDown => self.forget_primary_state(id),
+                MemberAction::StateChanged => {
+                    self.record_service(id);
+                    self.machines[id].state.changed = true;
+                }
+                MemberAction::Accepted => self.machines[id].state.learn_members(),
+            }
+        }
+    }
+
+    fn send_register(&mut self, from: MachineId, disk: DiskId, message: RegisterMessage) {
+        let Some(to) = self.machines.iter().position(|machine| machine.node.disk == disk) else { return };
+        let from_disk = self.machines[from].node.disk;
+        let request = Request::Register { from: from_disk, address: address(from), to: disk, message };
+        let bytes = request_bytes(&request);
+        if let Request::Register { message, .. } = request {
+            self.send(from, to, bytes, Message::Register { from: from_disk, message });
+        }
+    }
+
+    /// Ends a write of the register.
+    pub fn end_write(&mut self, id: MachineId, write: RegisterWrite) {
+        let now = self.now();
+        let actions = self.member(id).write_ended(write, WriteOutcome::Synced, now);
+        self.perform(id, actions);
+    }
+
+    /// Drops what a machine knew as primary of an earlier epoch.
+    fn forget_primary_state(&mut self, id: MachineId) {
+        let state = &mut self.machines[id].state;
+        state.leases = Leases::default();
+        state.directory = Directory::default();
+        state.next_reading = 0;
+        state.changed = true;
+    }
+
+    /// A poll arrives at a machine: the primary keeps it until it can answer, a courier relays it.
+    pub fn receive_poll(&mut self, path: Vec<MachineId>, to: MachineId, call: u64, poll: Rc<Poll>) {
+        let now = self.now();
+        let state = &mut self.machines[to].state;
+        let Some(member) = state.member.as_mut() else { return self.relay_poll(path, to, call, &poll) };
+        let Some(committed) = member.committed().filter(|_| member.serving().is_some()) else {
+            let hint = member.replica().recent_primary(now);
+            let hint =
+                hint.and_then(|disk| self.machines.iter().position(|machine| machine.node.disk == disk));
+            return self.redirect_poll(to, path, call, hint.map(address));
+        };
+        assert!(!needs_admission(&committed, &poll), "all machines are in the register");
+        state.leases.renew(&poll, now);
+        let is_first = poll.known_versions.configuration == 0;
+        let until = now + poll.max_wait_ms * MILLI;
+        let stage = if is_first { Stage::Confirming } else { Stage::Ready };
+        state.pending_polls.insert(call, PendingPoll { path, poll, stage, until });
+        if is_first {
+            let read = member.confirm(now).expect("a primary that serves");
+            state.waiting.insert(read.ticket, Waiting::Poll(call));
+            self.perform(to, read.actions);
+        }
+    }
+
+    fn on_confirmed(&mut self, id: MachineId, ticket: Ticket, confirmed: bool) {
+        match self.machines[id].state.waiting.remove(&ticket) {
+            Some(Waiting::Poll(call)) if confirmed => {
+                if let Some(pending) = self.machines[id].state.pending_polls.get_mut(&call) {
+                    pending.stage = Stage::Ready;
+                }
+            }
+            Some(Waiting::Poll(call)) => self.refuse_poll(id, call),
+            Some(Waiting::Change { change, call }) => self.answer_change(id, change, call, confirmed),
+            None => {}
+        }
+    }
+
+    /// Answers the polls for which there are newer tables, or whose time is up.
+    pub fn answer_polls(&mut self) {
+        let now = self.now();
+        for id in self.core_ids() {
+            let state = &mut self.machines[id].state;
+            let changed = std::mem::take(&mut state.changed);
+            let is_due = |pending: &PendingPoll| match pending.stage {
+                Stage::Confirming => false,
+                Stage::Ready => true,
+                Stage::Waiting => changed || pending.until <= now,
+            };
+            let pending = state.pending_polls.iter();
+            let due: Vec<u64> =
+                pending.filter(|(_, pending)| is_due(pending)).map(|(call, _)| *call).collect();
+            due.into_iter().for_each(|call| self.answer_poll(id, call));
+        }
+    }
+
+    fn answer_poll(&mut self, id: MachineId, call: u64) {
+        let now = self.now();
+        let state = &mut self.machines[id].state;
+        let Some(pending) = state.pending_polls.get_mut(&call) else { return };
+        let member = state.member.as_ref().expect("a member");
+        let serving = member.serving().zip(member.committed_if_recent(now));
+        let Some((epoch, committed)) = serving else { return self.refuse_poll(id, call) };
+        let published = PublishedTables {
+            epoch,
+            state: &committed,
+            directory: &state.directory,
+            leases: &state.leases,
+            primary: &address(id),
+        };
+        let Some(tables) = answers::answer(&published, &pending.poll, pending.until, now) else {
+            pending.stage = Stage::Waiting;
+            return;
+        };
+        if let Some(PendingPoll { path, poll, .. }) = state.pending_polls.remove(&call) {
+            let bytes = self.lengths.of_tables(&tables, poll.known_versions);
+            self.send_answer(id, path, call, bytes, PollAnswer::Tables(Box::new(tables)));
+        }
+    }
+
+    fn refuse_poll(&mut self, id: MachineId, call: u64) {
+        if let Some(PendingPoll { path, .. }) = self.machines[id].state.pending_polls.remove(&call) {
+            self.redirect_poll(id, path, call, None);
+        }
+    }
+
+    /// Answers a poll at a machine that is not the primary.
+    pub fn redirect_poll(&mut self, id: MachineId, path: Vec<MachineId>, call: u64, hint: Option<String>) {
+        let bytes = response_bytes(&Response::NotPrimary { hint: hint.clone() });
+        self.send_answer(id, path, call, bytes, PollAnswer::NotPrimary { hint });
+    }
+
+    /// Sends the answer to a poll to the last machine of its path.
+    pub fn send_answer(
+        &mut self,
+        from: MachineId,
+        path: Vec<MachineId>,
+        call: u64,
+        bytes: usize,
+        answer: PollAnswer,
+    ) {
+        if let Some(to) = path.last().copied() {
+            self.send(from, to, bytes, Message::Answer { path, call, bytes, answer });
+        }
+    }
+
+    /// Lets the primary read the list of endpoints.
+    pub fn read_lists(&mut self) {
+        let now = self.now();
+        for id in self.core_ids() {
+            let state = &mut self.machines[id].state;
+            let serving = state.member.as_ref().and_then(|member| member.serving());
+            if let Some(epoch) = serving.filter(|_| now >= state.next_reading) {
+                state.next_reading = now + LIST_INTERVAL;
+                self.schedule(now + READING_TIME, Event::List { to: id, epoch });
+            }
+        }
+    }
+
+    /// The list arrives at the primary that reads it.
+    pub fn receive_list(&mut self, id: MachineId, epoch: Epoch) {
+        let state = &mut self.machines[id].state;
+        let serving = state.member.as_ref().and_then(|member| member.serving());
+        if serving == Some(epoch) && state.directory.replace(fixtures::endpoints()) {
+            state.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/tier/dataplane/tests/distribution/subscriber.rs
@@ -0,0 +1,108 @@
+//! What every process does: it polls the core, and relays the polls of others if it is a courier.
+
+use crate::answers::PollAnswer;
+use crate::machine::{MachineId, SentPoll, address, machine_at};
+use crate::world::{Event, Message, SEEDS, World};
+use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
+use quillmount_test_support::simulation::{Simulation, Time};
+use quillmount_wire::messages::{Poll, Tables};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bound of the draws that a subscription uses.
+const DRAW_BOUND: u64 = 1_000;
+
+fn micros(duration: Duration) -> Time {
+    duration.as_micros() as Time
+}
+
+impl World {
+    /// Sends the next poll of a machine.
+    pub fn send_poll(&mut self, id: MachineId) {
+        if self.machines[id].state.poll.is_some() {
+            return;
+        }
+        let now = self.now();
+        let call = self.next_call();
+        let machine = &mut self.machines[id];
+        let state = &mut machine.state;
+        let contact = state.contact.clone();
+        let addresses = || {
+            let members = state.tables.placement.core.iter().map(|member| member.internal.clone());
+            core_addresses(&contact, members, (0..SEEDS).map(address).collect(), &address(id))
+        };
+        let Some(next) = state.subscription.next_address(&contact, addresses, now) else { return };
+        state.poll = Some(SentPoll { call, address: next.clone(), sent_at: now });
+        let poll = Rc::new(machine.poll(MAX_POLL_WAIT.as_millis() as u64));
+        let bytes = machine.poll_bytes;
+        self.schedule(now + micros(POLL_TIMEOUT), Event::PollTimeout { to: id, call });
+        if let Some(to) = machine_at(&next) {
+            self.send(id, to, bytes, Message::Poll { path: vec![id], call, poll });
+        }
+    }
+
+    /// Passes a poll on to the primary, once.
+    pub fn relay_poll(&mut self, path: Vec<MachineId>, id: MachineId, call: u64, poll: &Poll) {
+        let now = self.now();
+        let contact = &self.machines[id].state.contact;
+        let primary = contact.primary().and_then(machine_at);
+        let may_relay = !poll.relayed && contact.has_recent_primary(now);
+        let Some(primary) = primary.filter(|_| may_relay) else {
+            return self.redirect_poll(id, path, call, None);
+        };
+        let bytes = self.machines[path[0]].poll_bytes;
+        let path = path.into_iter().chain([id]).collect();
+        let poll = Rc::new(Poll { relayed: true, ..poll.clone() });
+        self.send(id, primary, bytes, Message::Poll { path, call, poll });
+    }
+
+    /// An answer arrives at the last machine of its path: the sender of the poll, or a relay that passes it on.
+    pub fn receive_answer(&mut self, mut path: Vec<MachineId>, call: u64, bytes: usize, answer: PollAnswer) {
+        let Some(id) = path.pop() else { return };
+        if !path.is_empty() {
+            // A relay answers itself where it did not reach the primary.
+            return match answer {
+                PollAnswer::Refused => self.redirect_poll(id, path, call, None),
+                PollAnswer::Tables(_) | PollAnswer::NotPrimary { .. } => {
+                    self.send_answer(id, path, call, bytes, answer);
+                }
+            };
+        }
+        let now = self.now();
+        let draw = self.random.below(DRAW_BOUND);
+        let state = &mut self.machines[id].state;
+        let Some(sent) = state.poll.take_if(|poll| poll.call == call) else { return };
+        let delay = match answer {
+            PollAnswer::Tables(tables) => {
+                let poll = AnsweredPoll { address: &sent.address, sent_at: sent.sent_at, answered_at: now };
+                state.subscription.answered(&mut state.contact, &poll, &tables, draw);
+                self.accept_tables(id, *tables);
+                0
+            }
+            PollAnswer::NotPrimary { hint } => {
+                micros(state.subscription.redirected(&mut state.contact, &sent.address, hint, now))
+            }
+            PollAnswer::Refused => micros(state.subscription.failed(&mut state.contact, &sent.address, now)),
+        };
+        self.schedule(now + delay, Event::NextPoll { to: id });
+    }
+
+    fn accept_tables(&mut self, id: MachineId, tables: Tables) {
+        let state = &mut self.machines[id].state;
+        let update = state.tables.update(tables);
+        assert!(update.rejected.is_none(), "a configuration that was in force can be read");
+        if let Some(next) = update.next {
+            state.tables = next;
+            self.record_tables(id);
+        }
+    }
+
+    /// A poll was not answered in time.
+    pub fn time_out_poll(&mut self, id: MachineId, call: u64) {
+        let now = self.now();
+        let state = &mut self.machines[id].state;
+        let Some(sent) = state.poll.take_if(|poll| poll.call == call) else { return };
+        let delay = micros(state.subscription.failed(&mut state.contact, &sent.address, now));
+        self.schedule(now + delay, Event::NextPoll { to: id });
+    }
+}
