Tables go out as differences, and at a part of the link's rate: heartbeats no longer wait behind them

Cause: the primary answers the polls of all processes at once with whole tables. One altered route made it send 27 kB to each of 300, 8 MB over 100 Mbit/s. Heartbeats waited behind it; after 0.5 s without a majority the primary stepped down. The next one, of another epoch, sent the complete list of endpoints to all, and stepped down too: elections went on for as long as there were changes. The class: congestion collapse, as bulk data and the messages that keep a primary share a link without a limit.

Change: - A subscriber with an earlier version of the configuration or of the placement gets the difference (Delta, TableHistory). Followers remember what they accept, so that a new primary knows what subscribers have. A difference that does not fit is noticed by its checksum: the whole table is asked for. - A new primary begins with the endpoint list that it had as a subscriber: others with the same one get what changed since. - Answers with tables take six tenths of the link's rate at most (TransmissionBudget, Limits.NicMbps), in turn. Where an answer would wait longer than 250 ms, the poll is answered Full: the process asks again, and does not take what it has for confirmed.

Why this works: no number of subscribers and no size of a table makes a heartbeat wait longer than the burst of 50 ms behind tables.

--- a/tier/control/src/breaks.rs
+++ b/tier/control/src/breaks.rs
@@ -21,6 +21,8 @@
         RefusesWithoutCore,
         /// A subscriber with the list of another epoch gets only the changes after the same number.
         DirectoryOfOtherEpoch,
+        /// Answers to polls take the whole link.
+        TablesUnpaced,
         /// A process that has lost the core never reads the list of endpoints itself.
         NoOwnList,
         /// The counts of a window that are final are replaced by those of another primary.
--- a/tier/control/src/core_contact.rs
+++ b/tier/control/src/core_contact.rs
@@ -51,6 +51,13 @@
         self.relays = relays.to_vec();
     }
 
+    /// Records that the primary answered without the newer tables that it has: it is there, but what is known here is no newer.
+    pub fn record_busy(&mut self, now: Micros) {
+        if self.has_ever_answered() {
+            self.last_answer = now;
+        }
+    }
+
     /// Polls the process at `address` next, which announced itself as primary, unless the primary that is known answered recently.
     pub fn note_primary(&mut self, address: String, now: Micros) {
         if !self.has_recent_primary(now) {
--- a/tier/control/src/directory.rs
+++ b/tier/control/src/directory.rs
@@ -3,7 +3,7 @@
 //! The primary of the core replaces the list with each reading ([`Directory::replace`]) and sends each subscriber
 //! what [`Directory::update_since`] gives; the subscriber applies it with [`apply_update`].
 
-use quillmount_wire::messages::{DirectoryUpdate, Endpoint};
+use quillmount_wire::messages::{DirectoryUpdate, DirectoryVersion, Endpoint};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -18,9 +18,29 @@
     version: u64,
     /// Ids that changed with each of the last versions, the newest last; at most [`HISTORY_LIMIT`].
     history: VecDeque<BTreeSet<String>>,
+    /// The list of an earlier epoch that subscribers may have.
+    predecessor: Option<Predecessor>,
+}
+
+/// The list that this process had as a subscriber when it was elected.
+#[derive(Clone, Debug)]
+struct Predecessor {
+    version: DirectoryVersion,
+    list: Rc<Vec<Endpoint>>,
+    /// The changes from `list` to the current list.
+    update: DirectoryUpdate,
 }
 
 impl Directory {
+    /// A directory without a reading, at a process that has this list of an earlier epoch. A list without changes counted is one that
+    /// the process has read itself: no other has the same.
+    #[must_use]
+    pub fn succeeding(version: DirectoryVersion, list: Rc<Vec<Endpoint>>) -> Directory {
+        let update = DirectoryUpdate::Delta { changed: Vec::new(), removed: Vec::new() };
+        let predecessor = (version.changes > 0).then_some(Predecessor { version, list, update });
+        Directory { predecessor, ..Directory::default() }
+    }
+
     /// The current list.
     #[must_use]
     pub fn list(&self) -> &Rc<Vec<Endpoint>> {
@@ -40,6 +60,10 @@
         if changed.is_empty() && self.version > 0 {
             return false;
         }
+        if let Some(predecessor) = &mut self.predecessor {
+            let ids = changed_ids(&predecessor.list, &list);
+            predecessor.update = difference(&ids, &list);
+        }
         self.list = Rc::new(list);
         self.version += 1;
         self.history.push_back(changed);
@@ -59,13 +83,27 @@
         if known_version == 0 || missing > self.history.len() {
             return Some(DirectoryUpdate::Full((*self.list).clone()));
         }
-        let ids: BTreeSet<&String> = self.history.iter().rev().take(missing).flatten().collect();
-        let current = by_id(&self.list);
-        let changed =
-            ids.iter().filter_map(|id| current.get(id.as_str()).map(|endpoint| (*endpoint).clone()));
-        let removed = ids.iter().filter(|id| !current.contains_key(id.as_str())).map(|id| (*id).clone());
-        Some(DirectoryUpdate::Delta { changed: changed.collect(), removed: removed.collect() })
+        let ids: BTreeSet<String> = self.history.iter().rev().take(missing).flatten().cloned().collect();
+        Some(difference(&ids, &self.list))
     }
+
+    /// The update for a subscriber that has a list of another epoch; `None` before the first reading.
+    #[must_use]
+    pub fn update_since_predecessor(&self, known: DirectoryVersion) -> Option<DirectoryUpdate> {
+        let same_list = self.predecessor.as_ref().filter(|predecessor| predecessor.version == known);
+        match same_list {
+            Some(predecessor) if self.version > 0 => Some(predecessor.update.clone()),
+            _ => self.update_since(0),
+        }
+    }
+}
+
+/// The update that leads to a list, for a subscriber to whom entries with these ids are new, changed or gone.
+fn difference(ids: &BTreeSet<String>, list: &[Endpoint]) -> DirectoryUpdate {
+    let current = by_id(list);
+    let changed = ids.iter().filter_map(|id| current.get(id.as_str()).map(|endpoint| (*endpoint).clone()));
+    let removed = ids.iter().filter(|id| !current.contains_key(id.as_str())).cloned();
+    DirectoryUpdate::Delta { changed: changed.collect(), removed: removed.collect() }
 }
 
 /// The list of a subscriber after an update; ordered by id if the update is a difference.
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -24,7 +24,9 @@
 mod shards;
 mod state;
 pub mod subscription;
+mod table_history;
 mod time_limits;
+mod transmission;
 mod usage;
 
 pub use admission::Admission;
@@ -40,5 +42,7 @@
 pub use scaling::Scaler;
 pub use shards::{Retirement, SHARDS, ShardPlanInputs, shard_of};
 pub use state::{AppliedOrder, ControlState};
+pub use table_history::TableHistory;
 pub use time_limits::TimeLimits;
+pub use transmission::{MAX_TURN_WAIT, Saturated, TransmissionBudget};
 pub use usage::{LastHeard, SETTLE_S, all_reported, may_finalize};
--- a/tier/dataplane/src/tables.rs
+++ b/tier/dataplane/src/tables.rs
@@ -4,7 +4,10 @@
 use crate::routes::RouteTable;
 use quillmount_control::apply_update;
 use quillmount_wire::configuration::{Configuration, ConfigurationError};
-use quillmount_wire::messages::{Endpoint, Placement, TableVersions, Tables, Versioned};
+use quillmount_wire::frame::FrameError;
+use quillmount_wire::messages::{
+    ChangedTables, DeltaError, Endpoint, Placement, TableVersions, Tables, Versioned, decode, encode,
+};
 use std::rc::Rc;
 
 /// One consistent set of tables. A snapshot never changes; new tables come as a new snapshot.
@@ -12,6 +15,8 @@
 pub struct TableSnapshot {
     /// Versions of the tables below; 0 where none has come yet.
     pub versions: TableVersions,
+    /// Text of the operator's configuration.
+    pub configuration: Rc<str>,
     /// Routes and services of the operator's configuration.
     pub routes: Rc<RouteTable>,
     /// Members of the core, stores, and the view of each shard.
@@ -40,7 +45,38 @@
     pub error: ConfigurationError,
 }
 
+/// A difference that was received and does not lead from the table in force to the next one.
+#[derive(Debug, thiserror::Error)]
+pub enum UnusableDifference {
+    /// It does not apply.
+    #[error(transparent)]
+    Delta(#[from] DeltaError),
+    /// It leads to a configuration that is no text.
+    #[error("the configuration is not UTF-8: {0}")]
+    Text(#[from] std::string::FromUtf8Error),
+    /// It leads to bytes that are no placement.
+    #[error(transparent)]
+    Placement(#[from] FrameError),
+}
+
 impl TableSnapshot {
+    /// The whole tables that differences to those in force lead to.
+    ///
+    /// # Errors
+    /// A difference was made for another table.
+    pub fn complete(&self, answer: ChangedTables) -> Result<Tables, UnusableDifference> {
+        let ChangedTables { mut tables, configuration, placement } = answer;
+        if let Some(Versioned { version, content: delta }) = configuration {
+            let content = String::from_utf8(delta.apply(self.configuration.as_bytes())?)?;
+            tables.configuration = Some(Versioned { version, content });
+        }
+        if let Some(Versioned { version, content: delta }) = placement {
+            let content = decode(&delta.apply(&encode(&*self.placement))?)?;
+            tables.placement = Some(Versioned { version, content });
+        }
+        Ok(tables)
+    }
+
     /// The snapshot that follows this one by an answer of the core. Tables that are not newer than those here are ignored.
     #[must_use]
     pub fn update(&self, tables: Tables) -> TablesUpdate {
@@ -55,6 +91,7 @@
                     if !breaks::is_enabled(Break::RoutesOutdated) || self.versions.configuration == 0 {
                         next.routes = Rc::new(RouteTable::compile(&configuration));
                     }
+                    next.configuration = Rc::from(text);
                     next.versions.configuration = version;
                     changed = true;
                 }
--- a/tier/dataplane/tests/distribution/answers.rs
+++ b/tier/dataplane/tests/distribution/answers.rs
@@ -1,14 +1,16 @@
 //! The answers to polls, and how long they are on the wire.
 
-use quillmount_control::polls::{PublishedTables, is_empty};
+use quillmount_control::polls::{PublishedTables, is_empty, response};
 use quillmount_test_support::simulation::Time;
 use quillmount_wire::frame::HEADER_BYTES;
-use quillmount_wire::messages::{Poll, Response, TableVersions, Tables};
+use quillmount_wire::messages::{ChangedTables, Poll, Response, TableVersions};
 use std::collections::HashMap;
 
 /// The answer to a poll.
 pub enum PollAnswer {
-    Tables(Box<Tables>),
+    Tables(Box<ChangedTables>),
+    /// The link carries no more tables at present.
+    Busy,
     NotPrimary {
         hint: Option<String>,
     },
@@ -17,7 +19,7 @@
 }
 
 /// The answer of the primary to a poll. `None` while there are no newer tables and the poll may wait.
-pub fn answer(published: &PublishedTables<'_>, poll: &Poll, until: Time, now: Time) -> Option<Tables> {
+pub fn answer(published: &PublishedTables<'_>, poll: &Poll, until: Time, now: Time) -> Option<ChangedTables> {
     let tables = published.newer_than(poll.known_versions, now);
     (!is_empty(&tables) || now >= until).then_some(tables)
 }
@@ -27,18 +29,23 @@
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct AnswerContent {
     configuration: Option<u64>,
+    configuration_delta: Option<u64>,
     placement: Option<u64>,
+    placement_delta: Option<u64>,
     directory: Option<[u64; 2]>,
     known: [u64; 4],
     relays: usize,
 }
 
 impl AnswerContent {
-    fn of(tables: &Tables, known: TableVersions) -> AnswerContent {
+    fn of(answer: &ChangedTables, known: TableVersions) -> AnswerContent {
+        let ChangedTables { tables, configuration, placement } = answer;
         let directory = tables.directory.as_ref().map(|table| table.version);
         AnswerContent {
             configuration: tables.configuration.as_ref().map(|table| table.version),
+            configuration_delta: configuration.as_ref().map(|delta| delta.version),
             placement: tables.placement.as_ref().map(|table| table.version),
+            placement_delta: placement.as_ref().map(|delta| delta.version),
             directory: directory.map(|version| [version.epoch, version.changes]),
             known: [known.configuration, known.placement, known.directory.epoch, known.directory.changes],
             relays: tables.relays.len(),
@@ -54,9 +61,9 @@
 
 impl AnswerLengths {
     /// Length of the frame of tables that answer a poll with these known versions, bytes.
-    pub fn of_tables(&mut self, tables: &Tables, known: TableVersions) -> usize {
-        let encode = || response_bytes(&Response::Tables(tables.clone()));
-        *self.bytes.entry(AnswerContent::of(tables, known)).or_insert_with(encode)
+    pub fn of_tables(&mut self, answer: &ChangedTables, known: TableVersions) -> usize {
+        let encode = || response_bytes(&response(answer.clone()));
+        *self.bytes.entry(AnswerContent::of(answer, known)).or_insert_with(encode)
     }
 }
 
--- a/tier/dataplane/tests/distribution/core_side.rs
+++ b/tier/dataplane/tests/distribution/core_side.rs
@@ -4,10 +4,13 @@
 use crate::fixtures;
 use crate::machine::{MachineId, address, request_bytes};
 use crate::world::{Event, Message, World};
-use quillmount_control::polls::{PublishedTables, needs_admission};
-use quillmount_control::{Directory, Leases, MemberAction, RegisterWrite, Ticket, WriteOutcome};
+use quillmount_control::polls::{PublishedTables, is_empty, needs_admission, size};
+use quillmount_control::{
+    Directory, Leases, MAX_TURN_WAIT, MemberAction, RegisterWrite, Saturated, Ticket, TransmissionBudget,
+    WriteOutcome,
+};
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
-use quillmount_wire::messages::{DiskId, Epoch, Poll, RegisterMessage, Request, Response};
+use quillmount_wire::messages::{ChangedTables, DiskId, Epoch, Poll, RegisterMessage, Request, Response};
 use std::rc::Rc;
 
 /// Time that a write of the register takes.
@@ -26,6 +29,13 @@
     Ready,
     /// It waits for newer tables.
     Waiting,
+    /// It waits for its turn on the link.
+    Queued {
+        /// When that is, or when it is told that the link carries no more.
+        until: Time,
+        /// Whether it gets its turn then.
+        admitted: bool,
+    },
 }
 
 /// A poll that the primary has not answered.
@@ -44,6 +54,18 @@
     Change { change: usize, call: u64 },
 }
 
+/// The stage of a poll whose answer has to wait for the link; `None` if it goes at once.
+fn queue(transmission: &mut TransmissionBudget, answer: &ChangedTables, now: Time) -> Option<Stage> {
+    if is_empty(answer) {
+        return None;
+    }
+    match transmission.reserve(size(answer), now) {
+        Ok(0) => None,
+        Ok(wait) => Some(Stage::Queued { until: now + wait, admitted: true }),
+        Err(Saturated) => Some(Stage::Queued { until: now + MAX_TURN_WAIT, admitted: false }),
+    }
+}
+
 impl World {
     /// Performs the actions of a member.
     pub fn perform(&mut self, id: MachineId, actions: Vec<MemberAction>) {
@@ -62,7 +84,11 @@
                 MemberAction::SteppedDown => self.forget_primary_state(id),
                 MemberAction::StateChanged => {
                     self.record_service(id);
-                    self.machines[id].state.changed = true;
+                    let state = &mut self.machines[id].state;
+                    if let Some(committed) = state.member.as_ref().and_then(|member| member.committed()) {
+                        state.history.record(&committed);
+                    }
+                    state.changed = true;
                 }
                 MemberAction::Accepted => self.machines[id].state.learn_members(),
             }
@@ -90,7 +116,8 @@
     fn forget_primary_state(&mut self, id: MachineId) {
         let state = &mut self.machines[id].state;
         state.leases = Leases::default();
-        state.directory = Directory::default();
+        let tables = &state.tables;
+        state.directory = Directory::succeeding(tables.versions.directory, tables.endpoints.clone());
         state.next_reading = 0;
         state.changed = true;
     }
@@ -142,6 +169,7 @@
                 Stage::Confirming => false,
                 Stage::Ready => true,
                 Stage::Waiting => changed || pending.until <= now,
+                Stage::Queued { until, .. } => until <= now,
             };
             let pending = state.pending_polls.iter();
             let due: Vec<u64> =
@@ -160,6 +188,7 @@
         let published = PublishedTables {
             epoch,
             state: &committed,
+            history: &state.history,
             directory: &state.directory,
             leases: &state.leases,
             primary: &address(id),
@@ -168,12 +197,29 @@
             pending.stage = Stage::Waiting;
             return;
         };
+        match pending.stage {
+            Stage::Queued { admitted: false, .. } => return self.reject_poll(id, call),
+            Stage::Queued { admitted: true, .. } => {}
+            Stage::Confirming | Stage::Ready | Stage::Waiting => {
+                if let Some(queued) = queue(&mut state.transmission, &tables, now) {
+                    pending.stage = queued;
+                    return;
+                }
+            }
+        }
         if let Some(PendingPoll { path, poll, .. }) = state.pending_polls.remove(&call) {
             let bytes = self.lengths.of_tables(&tables, poll.known_versions);
             self.send_answer(id, path, call, bytes, PollAnswer::Tables(Box::new(tables)));
         }
     }
 
+    /// Tells the sender of a poll that the link carries no more tables at present.
+    fn reject_poll(&mut self, id: MachineId, call: u64) {
+        if let Some(PendingPoll { path, .. }) = self.machines[id].state.pending_polls.remove(&call) {
+            self.send_answer(id, path, call, response_bytes(&Response::Full), PollAnswer::Busy);
+        }
+    }
+
     fn refuse_poll(&mut self, id: MachineId, call: u64) {
         if let Some(PendingPoll { path, .. }) = self.machines[id].state.pending_polls.remove(&call) {
             self.redirect_poll(id, path, call, None);
--- a/tier/dataplane/tests/distribution/machine.rs
+++ b/tier/dataplane/tests/distribution/machine.rs
@@ -3,7 +3,10 @@
 use crate::core_side::{PendingPoll, Waiting};
 use crate::link::Link;
 use quillmount_control::subscription::Subscription;
-use quillmount_control::{ControlState, CoreContact, Directory, Leases, Member, Ticket, TimeLimits};
+use quillmount_control::{
+    ControlState, CoreContact, Directory, Leases, Member, TableHistory, Ticket, TimeLimits,
+    TransmissionBudget,
+};
 use quillmount_dataplane::tables::TableSnapshot;
 use quillmount_test_support::process::Process;
 use quillmount_test_support::simulation::Time;
@@ -19,6 +22,8 @@
 pub const TOLERATED_FAILURES: usize = 2;
 /// Zones, to which the machines belong in turn.
 const ZONES: usize = 3;
+/// Rate of the links of the core's members, megabits per second.
+const CORE_MBPS: f64 = 100.0;
 /// A million bits per second.
 const MEGABIT: u64 = 1_000_000;
 
@@ -46,6 +51,10 @@
     pub member: Option<Member>,
     pub leases: Leases,
     pub directory: Directory,
+    /// The last tables that this member published or accepted.
+    pub history: TableHistory,
+    /// What answers to polls may take of the link.
+    pub transmission: TransmissionBudget,
     /// When a primary reads the list of endpoints next.
     pub next_reading: Time,
     /// Polls that are not answered, by their call.
@@ -90,7 +99,7 @@
 /// Rate of the links of a machine, bits per second.
 const fn link_rate(role: NodeRole) -> u64 {
     match role {
-        NodeRole::Core => 100 * MEGABIT,
+        NodeRole::Core => CORE_MBPS as u64 * MEGABIT,
         NodeRole::Courier => 30 * MEGABIT,
         NodeRole::Store => 60 * MEGABIT,
     }
@@ -158,6 +167,8 @@
             member: None,
             leases: Leases::default(),
             directory: Directory::default(),
+            history: TableHistory::default(),
+            transmission: TransmissionBudget::new(Some(CORE_MBPS)),
             next_reading: 0,
             pending_polls: BTreeMap::new(),
             changed: false,
@@ -174,6 +185,9 @@
         let accepted = self.member.as_ref().and_then(|member| member.replica().register().accepted.as_ref());
         let state = accepted.and_then(|accepted| ControlState::decode(&accepted.value.payload).ok());
         if let Some(state) = state {
+            if self.member.as_ref().is_some_and(|member| member.serving().is_none()) {
+                self.history.record(&state);
+            }
             self.contact
                 .set_members(state.placement.core.into_iter().map(|member| member.internal).collect());
         }
--- a/tier/dataplane/tests/distribution/main.rs
+++ b/tier/dataplane/tests/distribution/main.rs
@@ -93,66 +93,82 @@
     assert!(failed.is_empty(), "{} of {} seeds failed\n{}", failed.len(), outcomes.len(), failed.join("\n"));
 }
 
-#[test]
-fn a_change_that_goes_to_hundreds_of_processes_costs_the_primary_no_election() {
+fn make_changes(seed: u64) -> Failures {
     const CHANGES: u64 = 3;
     const DISTANCE: Time = 2 * SECOND;
-    check_each_seed(|seed| {
-        let mut world = settled(seed);
-        let began = world.now();
-        for number in 1..=CHANGES {
-            world.submit_change(FIRST_VERSION + number);
-            world.run(DISTANCE);
-        }
-        world.run(CALM_ACKNOWLEDGEMENT_LIMIT + APPLY_LIMIT - DISTANCE);
-        let mut failures = Failures::default();
-        failures.expect_no_election_after(&world, began);
-        for change in 0..world.changes.len() {
-            failures.expect_change(&world, change, CALM_ACKNOWLEDGEMENT_LIMIT);
-        }
-        failures
-    });
+    let mut world = settled(seed);
+    let began = world.now();
+    for number in 1..=CHANGES {
+        world.submit_change(FIRST_VERSION + number);
+        world.run(DISTANCE);
+    }
+    world.run(CALM_ACKNOWLEDGEMENT_LIMIT + APPLY_LIMIT - DISTANCE);
+    let mut failures = Failures::default();
+    failures.expect_no_election_after(&world, began);
+    for change in 0..world.changes.len() {
+        failures.expect_change(&world, change, CALM_ACKNOWLEDGEMENT_LIMIT);
+    }
+    failures
 }
 
 #[test]
-fn an_election_among_hundreds_of_processes_is_followed_by_no_other() {
+fn a_change_that_goes_to_hundreds_of_processes_costs_the_primary_no_election() {
+    check_each_seed(make_changes);
+}
+
+fn kill_primary(seed: u64) -> Failures {
     const ELECTION_LIMIT: Time = 5 * SECOND;
     const QUIET: Time = 10 * SECOND;
     const CHANGE_AFTER: Time = 2 * SECOND;
-    check_each_seed(|seed| {
-        let mut world = settled(seed);
-        let killed = world.primary().expect("a primary");
-        world.kill(killed);
-        let is_elected = world.run_until(CHECK_INTERVAL, ELECTION_LIMIT, |world| world.primary().is_some());
-        assert!(is_elected, "seed {seed}: no primary for {ELECTION_LIMIT} µs");
-        let elected_at = world.services[1].at;
-        world.run(CHANGE_AFTER);
-        let change = world.submit_change(FIRST_VERSION + 1);
-        world.run(QUIET - CHANGE_AFTER);
-        let mut failures = Failures::default();
-        failures.expect_no_election_after(&world, elected_at);
-        world.run((CHANGE_AFTER + ACKNOWLEDGEMENT_LIMIT + APPLY_LIMIT).saturating_sub(QUIET));
-        failures.expect_change(&world, change, ACKNOWLEDGEMENT_LIMIT);
-        failures
-    });
+    let mut world = settled(seed);
+    let killed = world.primary().expect("a primary");
+    world.kill(killed);
+    let is_elected = world.run_until(CHECK_INTERVAL, ELECTION_LIMIT, |world| world.primary().is_some());
+    assert!(is_elected, "seed {seed}: no primary for {ELECTION_LIMIT} µs");
+    let elected_at = world.services[1].at;
+    world.run(CHANGE_AFTER);
+    let change = world.submit_change(FIRST_VERSION + 1);
+    world.run(QUIET - CHANGE_AFTER);
+    let mut failures = Failures::default();
+    failures.expect_no_election_after(&world, elected_at);
+    world.run((CHANGE_AFTER + ACKNOWLEDGEMENT_LIMIT + APPLY_LIMIT).saturating_sub(QUIET));
+    failures.expect_change(&world, change, ACKNOWLEDGEMENT_LIMIT);
+    failures
 }
 
 #[test]
-fn hundreds_of_processes_that_start_at_once_get_their_tables_without_an_election() {
+fn an_election_among_hundreds_of_processes_is_followed_by_no_other() {
+    check_each_seed(kill_primary);
+}
+
+fn start_at_once(seed: u64) -> Failures {
     const ELECTION_LIMIT: Time = 5 * SECOND;
     const TABLES_LIMIT: Time = 5 * SECOND;
-    check_each_seed(|seed| {
-        let mut world = World::new(seed, Starts::AtOnce);
-        let is_elected = world.run_until(CHECK_INTERVAL, ELECTION_LIMIT, |world| world.primary().is_some());
-        assert!(is_elected, "seed {seed}: no primary for {ELECTION_LIMIT} µs");
-        let elected_at = world.services[0].at;
-        world.run(TABLES_LIMIT);
-        let mut failures = Failures::default();
-        failures.expect_no_election_after(&world, elected_at);
-        failures.expect(world.all_have_tables(), || {
-            let complete = world.subscribers().iter().filter(|machine| machine.has_all_tables()).count();
-            format!("{complete} of {} processes have their tables", world.subscribers().len())
-        });
-        failures
+    let mut world = World::new(seed, Starts::AtOnce);
+    let is_elected = world.run_until(CHECK_INTERVAL, ELECTION_LIMIT, |world| world.primary().is_some());
+    assert!(is_elected, "seed {seed}: no primary for {ELECTION_LIMIT} µs");
+    let elected_at = world.services[0].at;
+    world.run(TABLES_LIMIT);
+    let mut failures = Failures::default();
+    failures.expect_no_election_after(&world, elected_at);
+    failures.expect(world.all_have_tables(), || {
+        let complete = world.subscribers().iter().filter(|machine| machine.has_all_tables()).count();
+        format!("{complete} of {} processes have their tables", world.subscribers().len())
     });
+    failures
+}
+
+#[test]
+fn hundreds_of_processes_that_start_at_once_get_their_tables_without_an_election() {
+    check_each_seed(start_at_once);
+}
+
+#[cfg(feature = "breaks")]
+#[test]
+fn tables_that_fill_the_link_are_found() {
+    use quillmount_control::breaks::{Break, set};
+    set(Some(Break::TablesUnpaced));
+    let found = (1..=DEFAULT_SEEDS).find(|seed| !start_at_once(*seed).0.is_empty());
+    set(None);
+    assert!(found.is_some(), "TablesUnpaced is not found");
 }
--- a/tier/dataplane/tests/distribution/subscriber.rs
+++ b/tier/dataplane/tests/distribution/subscriber.rs
@@ -5,7 +5,7 @@
 use crate::world::{Event, Message, SEEDS, World};
 use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
 use quillmount_test_support::simulation::{Simulation, Time};
-use quillmount_wire::messages::{Poll, Tables};
+use quillmount_wire::messages::{ChangedTables, Poll};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,7 +63,7 @@
             // A relay answers itself where it did not reach the primary.
             return match answer {
                 PollAnswer::Refused => self.redirect_poll(id, path, call, None),
-                PollAnswer::Tables(_) | PollAnswer::NotPrimary { .. } => {
+                PollAnswer::Tables(_) | PollAnswer::Busy | PollAnswer::NotPrimary { .. } => {
                     self.send_answer(id, path, call, bytes, answer);
                 }
             };
@@ -75,10 +75,14 @@
         let delay = match answer {
             PollAnswer::Tables(tables) => {
                 let poll = AnsweredPoll { address: &sent.address, sent_at: sent.sent_at, answered_at: now };
-                state.subscription.answered(&mut state.contact, &poll, &tables, draw);
+                state.subscription.answered(&mut state.contact, &poll, &tables.tables, draw);
                 self.accept_tables(id, *tables);
                 0
             }
+            PollAnswer::Busy => {
+                state.contact.record_busy(now);
+                0
+            }
             PollAnswer::NotPrimary { hint } => {
                 micros(state.subscription.redirected(&mut state.contact, &sent.address, hint, now))
             }
@@ -87,8 +91,9 @@
         self.schedule(now + delay, Event::NextPoll { to: id });
     }
 
-    fn accept_tables(&mut self, id: MachineId, tables: Tables) {
+    fn accept_tables(&mut self, id: MachineId, answer: ChangedTables) {
         let state = &mut self.machines[id].state;
+        let tables = state.tables.complete(answer).expect("differences fit the tables in force");
         let update = state.tables.update(tables);
         assert!(update.rejected.is_none(), "a configuration that was in force can be read");
         if let Some(next) = update.next {
--- a/tier/dataplane/tests/planes/core_side.rs
+++ b/tier/dataplane/tests/planes/core_side.rs
@@ -6,7 +6,7 @@
 use quillmount_control::polls::{PublishedTables, is_empty, needs_admission};
 use quillmount_control::{ControlState, Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
-use quillmount_wire::messages::{Epoch, NodeRole, Poll, Register, Tables, UsageWindow};
+use quillmount_wire::messages::{ChangedTables, Epoch, NodeRole, Poll, Register, UsageWindow};
 
 /// Interval between two readings of the list by the primary.
 const LIST_INTERVAL: Time = 600 * MILLI;
@@ -17,7 +17,7 @@
 
 /// The answer to a poll.
 pub enum PollAnswer {
-    Tables(Box<Tables>),
+    Tables(Box<ChangedTables>),
     NotPrimary { hint: Option<String> },
 }
 
@@ -69,7 +69,8 @@
     pub fn forget_primary_state(&mut self, id: MachineId) {
         let state = &mut self.machines[id].state;
         state.leases = Leases::default();
-        state.directory = Directory::default();
+        let tables = &state.tables;
+        state.directory = Directory::succeeding(tables.versions.directory, tables.endpoints.clone());
     }
 
     /// A poll arrives at a machine: the primary keeps it until it can answer, a courier without a member relays it.
@@ -177,6 +178,7 @@
         let published = PublishedTables {
             epoch,
             state: &committed,
+            history: &state.history,
             directory: &state.directory,
             leases: &state.leases,
             primary: &address(id),
--- a/tier/dataplane/tests/planes/machine.rs
+++ b/tier/dataplane/tests/planes/machine.rs
@@ -4,7 +4,7 @@
 use crate::duties::Duties;
 use crate::platform::SERVICE;
 use quillmount_control::subscription::Subscription;
-use quillmount_control::{CoreContact, Directory, Leases, Member, Ticket, TimeLimits};
+use quillmount_control::{CoreContact, Directory, Leases, Member, TableHistory, Ticket, TimeLimits};
 use quillmount_dataplane::dispatch::Dispatcher;
 use quillmount_dataplane::tables::TableSnapshot;
 use quillmount_test_support::process::Process;
@@ -89,6 +89,7 @@
     pub member: Option<Member>,
     pub leases: Leases,
     pub directory: Directory,
+    pub history: TableHistory,
     pub pending_polls: Vec<PendingPoll>,
     pub waiting: BTreeMap<Ticket, Waiting>,
     pub duties: Duties,
@@ -177,6 +178,7 @@
             member,
             leases: Leases::default(),
             directory: Directory::default(),
+            history: TableHistory::default(),
             pending_polls: Vec::new(),
             waiting: BTreeMap::new(),
             duties: Duties::default(),
--- a/tier/dataplane/tests/planes/subscriber.rs
+++ b/tier/dataplane/tests/planes/subscriber.rs
@@ -6,7 +6,7 @@
 use crate::world::{Event, World};
 use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
 use quillmount_test_support::simulation::{Simulation, Time};
-use quillmount_wire::messages::{DiskId, Endpoint, Epoch, NodeRole, Poll, ShardReport, Tables};
+use quillmount_wire::messages::{ChangedTables, DiskId, Endpoint, Epoch, NodeRole, Poll, ShardReport};
 use std::time::Duration;
 
 /// A member of a shard that does not answer for this long is reported.
@@ -127,7 +127,7 @@
         let delay = match answer {
             PollAnswer::Tables(tables) => {
                 let poll = AnsweredPoll { address: &polled, sent_at: sent.sent_at, answered_at: now };
-                state.subscription.answered(&mut state.contact, &poll, &tables, draw);
+                state.subscription.answered(&mut state.contact, &poll, &tables.tables, draw);
                 self.accept_tables(id, *tables);
                 0
             }
@@ -138,8 +138,9 @@
         self.schedule_poll(id, delay);
     }
 
-    fn accept_tables(&mut self, id: MachineId, tables: Tables) {
+    fn accept_tables(&mut self, id: MachineId, answer: ChangedTables) {
         let state = &mut self.machines[id].state;
+        let tables = state.tables.complete(answer).expect("differences fit the tables in force");
         let update = state.tables.update(tables);
         assert!(update.rejected.is_none(), "a configuration that was in force can be read");
         if let Some(next) = update.next {
--- a/tier/dataplane/tests/planes/world.rs
+++ b/tier/dataplane/tests/planes/world.rs
@@ -227,6 +227,9 @@
         let accepted = self.member(id).replica().register().accepted.clone();
         let state = accepted.and_then(|accepted| ControlState::decode(&accepted.value.payload).ok());
         if let Some(state) = state {
+            if self.member(id).serving().is_none() {
+                self.machines[id].state.history.record(&state);
+            }
             let members = state.placement.core.into_iter().map(|member| member.internal).collect();
             self.machines[id].state.contact.set_members(members);
         }
@@ -236,6 +239,7 @@
         let member = self.member(id);
         if let (Some(epoch), Some(state)) = (member.serving(), member.committed()) {
             self.audit.committed(epoch, &state);
+            self.machines[id].state.history.record(&state);
         }
     }
 
--- a/tier/node/src/control_member/member.rs
+++ b/tier/node/src/control_member/member.rs
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use quillmount_control::{
     ControlState, Directory, Leases, Member, MemberAction, NotPrimary, RegisterWrite, SubmittedChange,
-    SubmittedRead, Ticket, WriteOutcome,
+    SubmittedRead, TableHistory, Ticket, TransmissionBudget, WriteOutcome,
 };
 use quillmount_storage::{RingRecord, RingSize, StorageError};
 use quillmount_wire::Micros;
@@ -47,6 +47,10 @@
     pub leases: RefCell<Leases>,
     /// The list of endpoints as read in this epoch; empty where this member is not primary.
     pub directory: RefCell<Directory>,
+    /// The last tables that this member published as primary or accepted as a follower.
+    pub history: RefCell<TableHistory>,
+    /// What answers to polls may take of the machine's link.
+    pub transmission: RefCell<TransmissionBudget>,
     /// Lets a task that waits for a write refer to this member.
     this: Weak<ControlMember>,
     member: RefCell<Member>,
@@ -64,11 +68,14 @@
         let register = newest_register(&disk, &records).unwrap_or_default();
         let tolerated_failures = node.settings.fault_tolerance.machines;
         let member = Member::new(node.info.disk, tolerated_failures, register, clock::now());
+        let transmission = TransmissionBudget::new(node.settings.limits.nic_mbps);
         let core = Rc::new_cyclic(|this| ControlMember {
             node,
             changed: Notify::new(),
             leases: RefCell::default(),
             directory: RefCell::default(),
+            history: RefCell::default(),
+            transmission: RefCell::new(transmission),
             this: this.clone(),
             member: RefCell::new(member),
             disk,
@@ -179,6 +186,9 @@
         let member = self.member.borrow();
         let Some(accepted) = &member.replica().register().accepted else { return };
         if let Ok(state) = ControlState::decode(&accepted.value.payload) {
+            if self.serving().is_none() {
+                self.history.borrow_mut().record(&state);
+            }
             self.addresses.borrow_mut().extend(member_addresses(&state));
             self.node
                 .core_contact
@@ -210,14 +220,21 @@
                 tracing::info!(epoch, "elected primary of the core");
                 self.node.metrics.count_election();
                 *self.leases.borrow_mut() = Leases::default();
-                *self.directory.borrow_mut() = Directory::default();
+                let tables = self.node.tables();
+                *self.directory.borrow_mut() =
+                    Directory::succeeding(tables.versions.directory, tables.endpoints.clone());
             }
             MemberAction::SteppedDown => {
                 tracing::info!("no longer primary of the core");
                 *self.directory.borrow_mut() = Directory::default();
                 self.changed.notify_waiters();
             }
-            MemberAction::StateChanged => self.changed.notify_waiters(),
+            MemberAction::StateChanged => {
+                if let Some(state) = self.committed() {
+                    self.history.borrow_mut().record(&state);
+                }
+                self.changed.notify_waiters();
+            }
             MemberAction::Accepted => self.update_addresses(),
         }
     }
--- a/tier/node/src/control_member/polls.rs
+++ b/tier/node/src/control_member/polls.rs
@@ -7,9 +7,11 @@
 use crate::clock;
 use crate::metrics::TableKind;
 use crate::node::Node;
-use quillmount_control::Admission;
 use quillmount_control::polls::{self, PublishedTables};
-use quillmount_wire::messages::{DirectoryUpdate, NodeRole, Poll, Request, Response, TableVersions, Tables};
+use quillmount_control::{Admission, MAX_TURN_WAIT, Saturated};
+use quillmount_wire::messages::{
+    ChangedTables, DirectoryUpdate, NodeRole, Poll, Request, Response, TableVersions,
+};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,12 +33,50 @@
     if poll.known_versions.configuration == 0 && core.confirm().await.is_err() {
         return Response::NotPrimary { hint: None };
     }
-    match wait_for_tables(core, &poll).await {
-        Some(tables) => Response::Tables(tables),
+    let answer = match wait_for_tables(core, &poll).await {
+        Some(answer) if polls::is_empty(&answer) => Some(answer),
+        Some(answer) => match wait_for_turn(core, &answer).await {
+            Ok(Turn::Immediate) => Some(answer),
+            // What is sent is the newest at that moment.
+            Ok(Turn::Delayed) => answer_now(core, &poll),
+            Err(Saturated) => return Response::Full,
+        },
+        None => None,
+    };
+    match answer {
+        Some(answer) => {
+            count_tables(&core.node, &answer);
+            polls::response(answer)
+        }
         None => Response::NotPrimary { hint: core.primary_address() },
     }
 }
 
+/// When an answer got its turn on the link.
+enum Turn {
+    /// At once.
+    Immediate,
+    /// After a wait.
+    Delayed,
+}
+
+/// Waits until the link may carry an answer. Where that would take too long, it waits for as long as it may all the same, so that the
+/// sender does not come again at once.
+async fn wait_for_turn(core: &ControlMember, answer: &ChangedTables) -> Result<Turn, Saturated> {
+    let reserved = core.transmission.borrow_mut().reserve(polls::size(answer), clock::now());
+    match reserved {
+        Ok(0) => Ok(Turn::Immediate),
+        Ok(wait) => {
+            tokio::time::sleep(Duration::from_micros(wait)).await;
+            Ok(Turn::Delayed)
+        }
+        Err(saturated) => {
+            tokio::time::sleep(Duration::from_micros(MAX_TURN_WAIT)).await;
+            Err(saturated)
+        }
+    }
+}
+
 /// Passes a poll on to the primary, for a process that can't reach it.
 pub async fn relay(node: &Node, poll: Poll) -> Response {
     // A poll passes one relay at most. Without a recent primary, what this courier knows may be as old as what the sender
@@ -76,46 +116,57 @@
 }
 
 /// Waits until there are tables newer than the sender's, or its time is up; `None` if this member may not serve them.
-async fn wait_for_tables(core: &ControlMember, poll: &Poll) -> Option<Tables> {
+async fn wait_for_tables(core: &ControlMember, poll: &Poll) -> Option<ChangedTables> {
     let max_wait = Duration::from_millis(poll.max_wait_ms).min(MAX_WAIT_LIMIT);
     let deadline = tokio::time::Instant::now() + max_wait;
     loop {
         // Registered before the tables are read, so that no change in between is missed.
         let changed = core.changed.notified();
-        let tables = newer_tables(core, poll.known_versions)?;
-        if !polls::is_empty(&tables) || tokio::time::Instant::now() >= deadline {
-            let loads = match poll.node.role {
-                NodeRole::Store => core.leases.borrow().loads(clock::now()),
-                NodeRole::Courier | NodeRole::Core => Vec::new(),
-            };
-            count_tables(&core.node, &tables);
-            return Some(Tables { loads, ..tables });
+        let answer = answer_now(core, poll)?;
+        if !polls::is_empty(&answer) || tokio::time::Instant::now() >= deadline {
+            return Some(answer);
         }
         // A timeout is handled by the deadline above.
         let _ = tokio::time::timeout_at(deadline, changed).await;
     }
 }
 
-fn count_tables(node: &Node, tables: &Tables) {
+/// The answer to a poll at this moment; `None` if this member may not serve tables.
+fn answer_now(core: &ControlMember, poll: &Poll) -> Option<ChangedTables> {
+    let mut answer = newer_tables(core, poll.known_versions)?;
+    if poll.node.role == NodeRole::Store {
+        answer.tables.loads = core.leases.borrow().loads(clock::now());
+    }
+    Some(answer)
+}
+
+fn count_tables(node: &Node, answer: &ChangedTables) {
+    let ChangedTables { tables, configuration, placement } = answer;
     let endpoints = tables.directory.as_ref().map(|directory| match directory.content {
         DirectoryUpdate::Full(_) => TableKind::EndpointList,
         DirectoryUpdate::Delta { .. } => TableKind::EndpointChanges,
     });
-    let configuration = tables.configuration.as_ref().map(|_| TableKind::Configuration);
-    let placement = tables.placement.as_ref().map(|_| TableKind::Placement);
-    for kind in [configuration, placement, endpoints].into_iter().flatten() {
+    let kinds = [
+        tables.configuration.as_ref().map(|_| TableKind::Configuration),
+        configuration.as_ref().map(|_| TableKind::ConfigurationChanges),
+        tables.placement.as_ref().map(|_| TableKind::Placement),
+        placement.as_ref().map(|_| TableKind::PlacementChanges),
+        endpoints,
+    ];
+    for kind in kinds.into_iter().flatten() {
         node.metrics.count_table(kind);
     }
 }
 
 /// Committed tables that are newer than those of the sender. `None` unless this member is primary and a majority has
 /// confirmed that recently.
-fn newer_tables(core: &ControlMember, known: TableVersions) -> Option<Tables> {
+fn newer_tables(core: &ControlMember, known: TableVersions) -> Option<ChangedTables> {
     let epoch = core.serving()?;
     let state = core.committed_if_recent()?;
     let published = PublishedTables {
         epoch,
         state: &state,
+        history: &core.history.borrow(),
         directory: &core.directory.borrow(),
         leases: &core.leases.borrow(),
         primary: &core.node.info.internal,
--- a/tier/node/src/metrics/labels.rs
+++ b/tier/node/src/metrics/labels.rs
@@ -36,6 +36,8 @@
 pub enum PollResult {
     /// By the primary or a relay.
     Answered,
+    /// By the primary, which has newer tables than its link carries at present.
+    Busy,
     /// By a process that is not the primary.
     Redirected,
     /// Not at all.
@@ -47,8 +49,12 @@
 pub enum TableKind {
     /// The operator's configuration.
     Configuration,
+    /// Changes of the configuration.
+    ConfigurationChanges,
     /// The placement.
     Placement,
+    /// Changes of the placement.
+    PlacementChanges,
     /// The complete list of endpoints.
     EndpointList,
     /// Changes of the list of endpoints.
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -58,6 +58,8 @@
     pub service_draws: RefCell<ServiceDraws>,
     /// Where the core answers.
     pub core_contact: RefCell<CoreContact>,
+    /// Whether the next poll asks for whole tables: a difference did not fit.
+    pub whole_tables_wanted: Cell<bool>,
     /// Demand on each service, as the primary last reported it; stores only.
     pub loads: RefCell<Rc<Vec<ServiceLoad>>>,
     /// Start of the process.
@@ -92,6 +94,7 @@
             report_due: Notify::new(),
             service_draws: RefCell::new(ServiceDraws::starting_at(clock::random_fraction())),
             core_contact: RefCell::new(CoreContact::new(limits.recent_answer)),
+            whole_tables_wanted: Cell::new(false),
             loads: RefCell::default(),
             tables: watch::Sender::new(Rc::default()),
             usage: RefCell::default(),
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -16,7 +16,9 @@
 };
 use quillmount_dataplane::tables::RejectedConfiguration;
 use quillmount_wire::Micros;
-use quillmount_wire::messages::{NodeRole, Poll, Request, Response, ShardReport, Tables};
+use quillmount_wire::messages::{
+    ChangedTables, NodeRole, Poll, Request, Response, ShardReport, TableVersions,
+};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,8 +43,10 @@
 
 /// How a poll ended.
 enum PollOutcome {
-    /// Tables came.
-    Tables(Box<Tables>),
+    /// Tables came, or differences to those in force.
+    Tables(Box<ChangedTables>),
+    /// The primary has newer tables than it can send at present.
+    Busy,
     /// It was given up because a report is due.
     Abandoned,
     /// The other side is not the primary; it may name the one that is.
@@ -56,6 +60,7 @@
     fn result(&self) -> PollResult {
         match self {
             PollOutcome::Tables(_) | PollOutcome::Abandoned => PollResult::Answered,
+            PollOutcome::Busy => PollResult::Busy,
             PollOutcome::Redirected { .. } => PollResult::Redirected,
             PollOutcome::Failed => PollResult::Failed,
         }
@@ -97,12 +102,16 @@
     match outcome {
         PollOutcome::Tables(tables) => {
             let poll = AnsweredPoll { address, sent_at, answered_at: now };
-            subscription.answered(&mut contact, &poll, &tables, clock::random_id());
+            subscription.answered(&mut contact, &poll, &tables.tables, clock::random_id());
             drop(contact);
             accept_tables(node, *tables);
             // Polls of a draining process are answered at once.
             if node.stopping.get() { RETRY_DELAY } else { Duration::ZERO }
         }
+        PollOutcome::Busy => {
+            contact.record_busy(now);
+            Duration::ZERO
+        }
         PollOutcome::Abandoned => Duration::ZERO,
         PollOutcome::Redirected { hint } => subscription.redirected(&mut contact, address, hint, now),
         PollOutcome::Failed => subscription.failed(&mut contact, address, now),
@@ -120,7 +129,11 @@
         () = node.report_due.notified() => return PollOutcome::Abandoned,
     };
     match answer {
-        Ok(Response::Tables(tables)) => PollOutcome::Tables(Box::new(tables)),
+        Ok(Response::Tables(tables)) => {
+            PollOutcome::Tables(Box::new(ChangedTables { tables, ..ChangedTables::default() }))
+        }
+        Ok(Response::ChangedTables(tables)) => PollOutcome::Tables(tables),
+        Ok(Response::Full) => PollOutcome::Busy,
         Ok(Response::NotPrimary { hint }) => PollOutcome::Redirected { hint },
         _ => PollOutcome::Failed,
     }
@@ -131,7 +144,7 @@
     Poll {
         node: node.info.clone(),
         incarnation: node.incarnation,
-        known_versions: node.tables().versions,
+        known_versions: known_versions(node),
         max_wait_ms: if stopping { 0 } else { MAX_POLL_WAIT.as_millis() as u64 },
         usage: node.usage(),
         shards: reporter.shard_reports(),
@@ -142,6 +155,16 @@
     }
 }
 
+/// Versions of the tables in force; those of no table where whole ones are wanted.
+fn known_versions(node: &Node) -> TableVersions {
+    let versions = node.tables().versions;
+    if node.whole_tables_wanted.get() {
+        TableVersions { configuration: 0, placement: 0, ..versions }
+    } else {
+        versions
+    }
+}
+
 /// Whether the machine may be lost no more often than the system tolerates. A store that may go at any time is given no shards.
 fn may_store_jobs(node: &Node) -> bool {
     node.info.role != NodeRole::Store || node.settings.counts_for_quorum
@@ -156,9 +179,18 @@
 }
 
 /// Puts the tables of an answer in force that are newer than the present ones.
-fn accept_tables(node: &Node, mut tables: Tables) {
-    *node.loads.borrow_mut() = Rc::new(std::mem::take(&mut tables.loads));
+fn accept_tables(node: &Node, answer: ChangedTables) {
     let current = node.tables();
+    let mut tables = match current.complete(answer) {
+        Ok(tables) => tables,
+        Err(error) => {
+            tracing::error!(%error, "a change of a table does not fit the table in force: the whole one is asked for");
+            node.whole_tables_wanted.set(true);
+            return;
+        }
+    };
+    node.whole_tables_wanted.set(false);
+    *node.loads.borrow_mut() = Rc::new(std::mem::take(&mut tables.loads));
     let update = current.update(tables);
     if let Some(RejectedConfiguration { version, error }) = update.rejected {
         tracing::error!(%error, version, "failed to parse the configuration received from the core");
--- a/tier/wire/src/messages.rs
+++ b/tier/wire/src/messages.rs
@@ -4,6 +4,7 @@
 //! are not. Variants and fields are never reordered; `tests/message_bytes.rs` compares the bytes.
 
 mod calls;
+mod delta;
 mod directory;
 mod encoding;
 mod jobs;
@@ -15,12 +16,15 @@
 mod shard;
 
 pub use calls::{Request, Response};
+pub use delta::{Delta, DeltaError, DeltaStep};
 pub use directory::{DirectoryUpdate, Endpoint};
 pub use encoding::{decode, encode};
 pub use jobs::{Item, ItemOutcome, ItemResult, Job, JobState, Phase, ShardOperation};
 pub use node::{DiskId, Epoch, NodeInfo, NodeRole};
 pub use placement::{Placement, ShardReport, ShardView};
-pub use poll::{DirectoryVersion, Poll, ServiceLoad, TableVersions, Tables, UsageWindow, Versioned};
+pub use poll::{
+    ChangedTables, DirectoryVersion, Poll, ServiceLoad, TableVersions, Tables, UsageWindow, Versioned,
+};
 pub use quota::{QuotaClaim, QuotaKey, QuotaStatement};
 pub use register::{Accepted, Register, RegisterMessage, RegisterValue};
 pub use shard::{BucketDigest, ShardMessage};
--- a/tier/wire/src/messages/calls.rs
+++ b/tier/wire/src/messages/calls.rs
@@ -3,7 +3,7 @@
 use super::encoding::{decode_aligned, encode};
 use super::jobs::{ItemOutcome, Job};
 use super::node::{DiskId, Epoch, NodeInfo};
-use super::poll::{Poll, Tables};
+use super::poll::{ChangedTables, Poll, Tables};
 use super::quota::{QuotaClaim, QuotaStatement};
 use super::register::RegisterMessage;
 use super::shard::ShardMessage;
@@ -157,6 +157,8 @@
     },
     /// Response to `CompareJobs`: ids of jobs that the member lacks or that differ.
     DifferentJobs(Vec<String>),
+    /// Response to `Poll` of the core's primary, with differences to the tables that the sender has.
+    ChangedTables(Box<ChangedTables>),
 }
 
 impl Request {
--- a/tier/wire/src/messages/poll.rs
+++ b/tier/wire/src/messages/poll.rs
@@ -1,5 +1,6 @@
 //! The long poll of couriers and stores at the core's primary: heartbeat and subscription to the tables in one.
 
+use super::delta::Delta;
 use super::directory::DirectoryUpdate;
 use super::node::{DiskId, Epoch, NodeInfo};
 use super::placement::{Placement, ShardReport};
@@ -100,3 +101,14 @@
     /// Load of each service; empty unless the poll is a store's.
     pub loads: Vec<ServiceLoad>,
 }
+
+/// Response to a long poll whose sender has an earlier version of a table: the difference in place of the table.
+#[derive(Clone, Debug, Default, PartialEq, Archive, Serialize, Deserialize)]
+pub struct ChangedTables {
+    /// All else; without the tables that are given as differences.
+    pub tables: Tables,
+    /// Difference of the configuration's text.
+    pub configuration: Option<Versioned<u64, Delta>>,
+    /// Difference of the encoded placement.
+    pub placement: Option<Versioned<u64, Delta>>,
+}
--- a/tier/wire/src/settings.rs
+++ b/tier/wire/src/settings.rs
@@ -107,6 +107,9 @@
     /// Largest number of open files and sockets.
     #[serde(rename = "Nofile")]
     pub open_files: u64,
+    /// Rate of the machine's link, megabits per second.
+    #[serde(default)]
+    pub nic_mbps: Option<f64>,
     /// Disk, megabytes; 0 without one.
     #[serde(default)]
     pub disk_mb: u64,
--- a/tier/wire/tests/message_bytes.rs
+++ b/tier/wire/tests/message_bytes.rs
@@ -4,10 +4,10 @@
 use quillmount_test_support::fixtures::Fixtures;
 use quillmount_wire::frame::{FrameError, FrameHeader, FrameKind, HEADER_BYTES, aligned_buffer, encode};
 use quillmount_wire::messages::{
-    Accepted, DirectoryUpdate, DirectoryVersion, Endpoint, Epoch, Item, ItemOutcome, ItemResult, Job,
-    JobState, NodeInfo, NodeRole, Phase, Placement, Poll, QuotaClaim, QuotaKey, QuotaStatement,
-    RegisterMessage, RegisterValue, Request, Response, ServiceLoad, ShardMessage, ShardOperation,
-    ShardReport, ShardView, TableVersions, Tables, UsageWindow, Versioned,
+    Accepted, ChangedTables, Delta, DeltaStep, DirectoryUpdate, DirectoryVersion, Endpoint, Epoch, Item,
+    ItemOutcome, ItemResult, Job, JobState, NodeInfo, NodeRole, Phase, Placement, Poll, QuotaClaim, QuotaKey,
+    QuotaStatement, RegisterMessage, RegisterValue, Request, Response, ServiceLoad, ShardMessage,
+    ShardOperation, ShardReport, ShardView, TableVersions, Tables, UsageWindow, Versioned,
 };
 
 const FIXTURES: Fixtures = Fixtures::of_package(env!("CARGO_MANIFEST_DIR"));
@@ -282,6 +282,16 @@
     single.chain(replicas).chain(members).collect()
 }
 
+fn changed_tables() -> ChangedTables {
+    let steps = vec![DeltaStep::Copy { start: 3, length: 70_000 }, DeltaStep::Insert(vec![0, 1, 254, 255])];
+    let delta = Delta { steps, checksum: 0x0102_0304 };
+    ChangedTables {
+        tables: Tables { configuration: None, placement: None, ..tables() },
+        configuration: Some(Versioned { version: 211, content: delta.clone() }),
+        placement: Some(Versioned { version: 212, content: Delta { steps: Vec::new(), ..delta } }),
+    }
+}
+
 fn responses() -> Vec<(String, Response)> {
     let changes = DirectoryUpdate::Delta { changed: vec![endpoint("e-2")], removed: vec![text("e-3")] };
     let changes = Versioned { version: directory_version(54, 56), content: changes };
@@ -308,6 +318,8 @@
         ("behind", Response::Behind),
         ("different-buckets", Response::DifferentBuckets { session: 202, buckets: vec![0, 63] }),
         ("different-jobs", Response::DifferentJobs(vec![text("job-1"), text("a-job-with-a-longer-name")])),
+        ("changed-tables", Response::ChangedTables(Box::new(changed_tables()))),
+        ("changed-tables-with-nothing", Response::ChangedTables(Box::default())),
     ];
     all.into_iter().map(|(name, response)| (text(name), response)).collect()
 }
@@ -356,7 +368,7 @@
         assert!(response == expected, "{name}");
         assert_eq!(&encode(FrameKind::Response, call_number(row), &response.encode()), bytes, "{name}");
     }
-    assert_eq!(stored.len(), 17);
+    assert_eq!(stored.len(), 19);
 }
 
 #[test]
