courier/fleet: the tests of stored forms in one module for each form

Cause: tests/stored_forms.rs had 769 lines: messages between couriers, records of settlements, the agreed state, budgets, the agreement's messages and logs, and whole folders, each with its values, in one file.

Change: tests/stored_forms/ with main.rs, values (what several forms are made of), messages, settlements, state, agreement and folders. Nothing but imports and visibility differs: names of tests, assertions and fixtures are as before; a test's full name has its module's. The documentation of fleet::message follows the path.

--- a/courier/fleet/src/message.rs
+++ b/courier/fleet/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between the couriers of a fleet. Any of them may be lost, duplicated, late or reordered.
 //!
 //! They are encoded by postcard, which goes by position: fields and variants must not be reordered. The forms of a
-//! version are fixed by `tests/stored_forms.rs`.
+//! version are fixed by `tests/stored_forms/`.
 
 use crate::NodeId;
 use crate::budget::Report;
