courier: one type for the steps of a takeover

Cause: `TakeoverTask` of the program repeated two variants of the member's outputs, field by field, and each was copied into the other as the member's outputs were carried out.

Change: `TakeoverTask` is part of fleet::member, and `MemberOutput::Takeover` hands it over; the program queues it as it is. What the gate counts as being taken over is set in the same place as the task is queued, in the same order. In the fleet, one function makes the output of a decided adoption instead of six literals. The patterns of the two test worlds follow; no assertion is changed.

--- a/courier/fleet/src/member/interface.rs
+++ b/courier/fleet/src/member/interface.rs
@@ -62,24 +62,8 @@
         /// Whether these are enough to accept messages (see [`MissingReplicas`](crate::config::MissingReplicas)).
         enough: bool,
     },
-    /// Partitions of a sealed journal are to be written into the own journal, at once.
-    Adopt {
-        /// The partitions, all of the same journal.
-        partitions: Vec<PartitionId>,
-        /// Partitions that the owner of the sealed journal had itself adopted. Of other partitions' records in
-        /// that journal nothing was its own.
-        settled: BTreeSet<PartitionId>,
-        /// The sealed journal's contents.
-        bytes: Vec<u8>,
-    },
-    /// The adoption of a partition is decided.
-    ResolveAdoption {
-        /// The partition.
-        source: PartitionId,
-        /// Whether it belongs to this courier, which acts on its records from now on. If not, another courier
-        /// has it.
-        adopted: bool,
-    },
+    /// A step of a takeover is due.
+    Takeover(TakeoverTask),
     /// The registration is void, and others may take over the journal: the process has to start again.
     Fenced,
     /// The fleet has agreed that this courier has left.
@@ -102,3 +86,26 @@
     /// Something for the process's log.
     Notice(MemberNotice),
 }
+
+/// A step of a takeover, to be carried out on the courier's journal and router. The steps keep their order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TakeoverTask {
+    /// Partitions of a sealed journal are to be written into the own journal, at once.
+    Adopt {
+        /// The partitions, all of the same journal.
+        partitions: Vec<PartitionId>,
+        /// Partitions that the owner of the sealed journal had itself adopted. Of other partitions' records in
+        /// that journal nothing was its own.
+        settled: BTreeSet<PartitionId>,
+        /// The sealed journal's contents.
+        bytes: Vec<u8>,
+    },
+    /// The adoption of a partition is decided.
+    ResolveAdoption {
+        /// The partition.
+        source: PartitionId,
+        /// Whether it belongs to this courier, which acts on its records from now on. If not, another courier
+        /// has it.
+        adopted: bool,
+    },
+}
--- a/courier/fleet/src/member/mod.rs
+++ b/courier/fleet/src/member/mod.rs
@@ -27,7 +27,7 @@
 mod takeover;
 
 pub use error::MemberError;
-pub use interface::{MemberInput, MemberOutput};
+pub use interface::{MemberInput, MemberOutput, TakeoverTask};
 pub use log::AgreementLog;
 pub use notice::MemberNotice;
 pub use stores::StoreDirectory;
--- a/courier/fleet/src/member/takeover.rs
+++ b/courier/fleet/src/member/takeover.rs
@@ -2,12 +2,12 @@
 //! fleet and the own journal agree on whose it is.
 //!
 //! A partition that is assigned to this member goes through these steps: its journal is fetched, its records are
-//! written into the own journal ([`MemberOutput::Adopt`]), and, once they are replicated, the fleet commits
+//! written into the own journal ([`TakeoverTask::Adopt`]), and, once they are replicated, the fleet commits
 //! [`FleetCommand::Adopted`](crate::state::FleetCommand::Adopted). Only then the member acts on them
-//! ([`MemberOutput::ResolveAdoption`]). When the own journal records that, replicated in turn, the fleet commits
+//! ([`TakeoverTask::ResolveAdoption`]). When the own journal records that, replicated in turn, the fleet commits
 //! [`FleetCommand::Done`](crate::state::FleetCommand::Done) and forgets the partition.
 
-use super::{AgreementLog, Member, MemberError, MemberNotice, MemberOutput, StoreDirectory};
+use super::{AgreementLog, Member, MemberError, MemberNotice, MemberOutput, StoreDirectory, TakeoverTask};
 use crate::breaks::{self, Break};
 use crate::config::Name;
 use crate::message::FleetMessage;
@@ -199,7 +199,7 @@
             partitions: partitions.len(),
             bytes: fetch.bytes.len(),
         }));
-        out.push(MemberOutput::Adopt { partitions, settled, bytes: fetch.bytes });
+        out.push(MemberOutput::Takeover(TakeoverTask::Adopt { partitions, settled, bytes: fetch.bytes }));
     }
 
     /// Resolves adoptions that were in the journal when it was opened, or whose end was committed meanwhile.
@@ -218,10 +218,10 @@
                 }
             } else if !is_own {
                 self.takeovers.pending.remove(&source);
-                out.push(MemberOutput::ResolveAdoption { source, adopted: false });
+                out.push(resolve_adoption(source, false));
             } else if is_adopted || breaks::is_enabled(Break::AdoptedAtOnce) {
                 pending.adopted = true;
-                out.push(MemberOutput::ResolveAdoption { source, adopted: true });
+                out.push(resolve_adoption(source, true));
             }
         }
     }
@@ -231,7 +231,7 @@
         let is_open = self.takeovers.pending.get(&source).is_some_and(|pending| !pending.adopted);
         if is_open && !self.is_assigned_here(&source) {
             self.takeovers.pending.remove(&source);
-            out.push(MemberOutput::ResolveAdoption { source, adopted: false });
+            out.push(resolve_adoption(source, false));
         }
     }
 
@@ -247,10 +247,10 @@
         let Some(pending) = self.takeovers.pending.get_mut(&source) else { return };
         if !is_own {
             self.takeovers.pending.remove(&source);
-            out.push(MemberOutput::ResolveAdoption { source, adopted: false });
+            out.push(resolve_adoption(source, false));
         } else if !pending.adopted {
             pending.adopted = true;
-            out.push(MemberOutput::ResolveAdoption { source, adopted: true });
+            out.push(resolve_adoption(source, true));
         }
     }
 
@@ -260,7 +260,7 @@
             self.takeovers.pending.keys().filter(|source| source.journal == *journal).cloned().collect();
         for source in sources {
             if self.takeovers.pending.remove(&source).is_some_and(|pending| !pending.adopted) {
-                out.push(MemberOutput::ResolveAdoption { source, adopted: false });
+                out.push(resolve_adoption(source, false));
             }
         }
     }
@@ -275,3 +275,8 @@
         }
     }
 }
+
+/// The output for a partition whose adoption is decided.
+fn resolve_adoption(source: PartitionId, adopted: bool) -> MemberOutput {
+    MemberOutput::Takeover(TakeoverTask::ResolveAdoption { source, adopted })
+}
--- a/courier/fleet/tests/common/mod.rs
+++ b/courier/fleet/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use quillmount_fleet::agreement::AgreementLimits;
 use quillmount_fleet::config::{FleetConfig, MissingReplicas, Name, Peer};
 pub use quillmount_fleet::member::MemberInput;
-use quillmount_fleet::member::{Member, MemberOutput, ProcessIdentity, StoreDirectory};
+use quillmount_fleet::member::{Member, MemberOutput, ProcessIdentity, StoreDirectory, TakeoverTask};
 use quillmount_fleet::message::{Envelope, FleetMessage};
 use quillmount_fleet::state::{PartitionId, partition_of};
 use quillmount_policy::Micros;
@@ -332,10 +332,10 @@
                         p.may_accept = enough;
                     }
                 }
-                MemberOutput::Adopt { partitions, settled, bytes } => {
+                MemberOutput::Takeover(TakeoverTask::Adopt { partitions, settled, bytes }) => {
                     self.adopt(i, &partitions, &settled, &bytes);
                 }
-                MemberOutput::ResolveAdoption { source, adopted } => {
+                MemberOutput::Takeover(TakeoverTask::ResolveAdoption { source, adopted }) => {
                     self.resolve_adoption(i, source, adopted);
                 }
                 MemberOutput::Fenced => {
--- a/courier/fleet/tests/explore/process.rs
+++ b/courier/fleet/tests/explore/process.rs
@@ -8,7 +8,7 @@
 use quillmount_core::journal::{self, AcceptedMessage, End, JournalContents, JournalRecord};
 use quillmount_core::store::Store;
 use quillmount_fleet::agreement::{CommittedCommand, Opened};
-use quillmount_fleet::member::{AgreementLog, Member, MemberInput, MemberOutput, OpenedLog};
+use quillmount_fleet::member::{AgreementLog, Member, MemberInput, MemberOutput, OpenedLog, TakeoverTask};
 use quillmount_fleet::message::FleetMessage;
 use quillmount_fleet::state::{PartitionId, partition_of};
 use quillmount_policy::Micros;
@@ -211,10 +211,10 @@
                         p.may_accept = enough;
                     }
                 }
-                MemberOutput::Adopt { partitions, settled, bytes } => {
+                MemberOutput::Takeover(TakeoverTask::Adopt { partitions, settled, bytes }) => {
                     self.adopt(i, &partitions, &settled, &bytes);
                 }
-                MemberOutput::ResolveAdoption { source, adopted } => {
+                MemberOutput::Takeover(TakeoverTask::ResolveAdoption { source, adopted }) => {
                     self.resolve_adoption(i, source, adopted);
                 }
                 MemberOutput::Fenced => {
--- a/courier/program/src/fleet/membership/outputs.rs
+++ b/courier/program/src/fleet/membership/outputs.rs
@@ -1,7 +1,6 @@
 //! Carries out what the member machine asks for: messages to peers, the state of the courier's gate, tasks for takeovers,
 //! events for settlements and budgets.
 
-use super::takeover::TakeoverTask;
 use super::{Fleet, Joined};
 use crate::fleet::LOG_TARGET;
 use quillmount_fleet::config::Name;
@@ -54,14 +53,7 @@
                 log_replicas(&at, enough);
                 self.gate.set_replicas(at.len(), enough);
             }
-            MemberOutput::Adopt { partitions, settled, bytes } => {
-                self.gate.add_takeovers(partitions.len() as isize);
-                self.takeovers.add(TakeoverTask::Adopt { partitions, settled, bytes });
-            }
-            MemberOutput::ResolveAdoption { source, adopted } => {
-                self.gate.add_takeovers(-1);
-                self.takeovers.add(TakeoverTask::ResolveAdoption { source, adopted });
-            }
+            MemberOutput::Takeover(task) => self.add_takeover(task),
             MemberOutput::Fenced => self.fence(),
             MemberOutput::Left => self.left.notify_waiters(),
             // A host that starts later reads earlier events from the agreed state.
--- a/courier/program/src/fleet/membership/takeover.rs
+++ b/courier/program/src/fleet/membership/takeover.rs
@@ -5,7 +5,7 @@
 use crate::fleet::LOG_TARGET;
 use crate::transport::courier::Courier;
 use quillmount_core::journal::{JournalContents, JournalEntry, Settlements};
-use quillmount_fleet::member::MemberInput;
+use quillmount_fleet::member::{MemberInput, TakeoverTask};
 use quillmount_fleet::settlement::journal_lines::adopted_lines;
 use quillmount_fleet::state::{PartitionId, partition_of};
 use std::cell::RefCell;
@@ -17,26 +17,6 @@
 /// Wait before a partition that did not fit into the journal is written again: messages end meanwhile.
 const TAKEOVER_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What the member machine asks for on the courier's journal and router.
-pub(super) enum TakeoverTask {
-    /// Take over these partitions of a sealed journal.
-    Adopt {
-        /// The partitions.
-        partitions: Vec<PartitionId>,
-        /// Partitions that the sealed journal had adopted itself, as is agreed.
-        settled: BTreeSet<PartitionId>,
-        /// The sealed journal.
-        bytes: Vec<u8>,
-    },
-    /// Record whether this courier owns the messages of a partition that it has adopted.
-    ResolveAdoption {
-        /// The partition.
-        source: PartitionId,
-        /// It does.
-        adopted: bool,
-    },
-}
-
 /// The tasks that are not done yet, in order.
 #[derive(Default)]
 pub(super) struct TakeoverQueue {
@@ -46,7 +26,7 @@
 
 impl TakeoverQueue {
     /// Adds a task behind all others.
-    pub(super) fn add(&self, task: TakeoverTask) {
+    fn add(&self, task: TakeoverTask) {
         self.tasks.borrow_mut().push_back(task);
         self.task_added.notify_one();
     }
@@ -69,6 +49,15 @@
 }
 
 impl Fleet {
+    /// Adds a task behind all others, and counts the partitions whose takeover it begins or ends.
+    pub(super) fn add_takeover(&self, task: TakeoverTask) {
+        self.gate.add_takeovers(match &task {
+            TakeoverTask::Adopt { partitions, .. } => partitions.len() as isize,
+            TakeoverTask::ResolveAdoption { .. } => -1,
+        });
+        self.takeovers.add(task);
+    }
+
     /// Carries out the member's tasks on the courier's journal and router, until the journal is sealed.
     pub(super) async fn run_takeovers(self: Rc<Self>, courier: Rc<Courier>) {
         loop {
