A primary publishes no list that is too old

Cause: nothing bounded the age of the endpoint list with which a primary answers polls: one that stood still published what it had read before, and an answer of one that had read nothing yet (each of many elections brings one) counted as contact with the core, so that the process did not read the list itself. Requests reached endpoints later than DrainMs after the list showed them as draining.

Change: a list is current for a quarter of DrainMs (750 ms at most) after its reading began (`Directory::is_current`). Without a current list an answer carries none and says so, as version 0 without changes ("no list" in the format as it is; an earlier version keeps the list that it has), and a poll waits for the reading as it does for a change. `CoreContact` keeps when the last current list was asked for, and a process whose last one is older than 3/5 of DrainMs (1.8 s at most) reads the list itself at once; a silent core is treated as before. When to read is decided without I/O (`control::direct_list`), by the processes and by the world of the planes.

Weighed: waiting for the next reading alone (bounds nothing over many elections); answering no poll without a current list (holds up configurations, and all of the core's contacts while the platform is down); a new field with the age (changes the format); own readings while the primary's fail (all processes would call a platform that is down). Open: a primary that alone is cut off from the platform goes on to publish its last list.

`Directory::replace` takes the beginning of the reading, which its tests pass as 0.

--- a/tier/control/src/core_contact.rs
+++ b/tier/control/src/core_contact.rs
@@ -19,6 +19,8 @@
     last_heard: Micros,
     /// When the poll was sent that it answered last: what it answered is not older.
     last_answered_poll: Micros,
+    /// When the poll was sent whose answer last brought or confirmed the primary's current list; the first answered poll if none did.
+    last_current_list: Micros,
 }
 
 impl CoreContact {
@@ -47,6 +49,9 @@
 
     /// Records an answer of the primary, which may have come through a relay, to a poll that was sent at `asked_at`.
     pub fn record_answer(&mut self, primary: &str, relays: &[String], asked_at: Micros, now: Micros) {
+        if !self.has_ever_answered() {
+            self.last_current_list = asked_at;
+        }
         self.last_answer = now;
         self.last_heard = now;
         self.last_answered_poll = asked_at;
@@ -61,6 +66,11 @@
         self.poll_address = Some(address.to_owned());
     }
 
+    /// Records that the answer to the poll that was sent at `asked_at` brought or confirmed the primary's current list.
+    pub fn record_current_list(&mut self, asked_at: Micros) {
+        self.last_current_list = asked_at;
+    }
+
     /// Polls the process at `address` next, which announced itself as primary, unless the primary that is known answered recently.
     pub fn note_primary(&mut self, address: String, now: Micros) {
         if !self.has_recent_primary(now) {
@@ -94,6 +104,13 @@
         now.saturating_sub(self.last_answered_poll)
     }
 
+    /// Time since the primary's list was known here to be current, by this process's clock. The list itself may be older by the age up
+    /// to which a primary publishes it.
+    #[must_use]
+    pub fn list_age(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.last_current_list)
+    }
+
     /// Internal addresses of the core's members, as this machine's own register names them.
     #[must_use]
     pub fn members(&self) -> &[String] {
--- a/tier/control/src/directory.rs
+++ b/tier/control/src/directory.rs
@@ -2,10 +2,18 @@
 //!
 //! The primary of the core replaces the list with each reading ([`Directory::replace`]) and sends each subscriber
 //! what [`Directory::update_since`] gives; the subscriber applies it with [`apply_update`].
+//!
+//! A list is current for a limited time after its reading began ([`Directory::is_current`]). A primary that stood still, or was
+//! elected just now, has none until its next reading has ended.
 
+use quillmount_wire::Micros;
 use quillmount_wire::messages::{DirectoryUpdate, DirectoryVersion, Endpoint};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Interval between the starts of two readings of the list by the primary.
+pub const READ_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Number of versions of which the changes are remembered; a subscriber with an older one gets the full list.
 const HISTORY_LIMIT: usize = 64;
@@ -18,6 +26,8 @@
     version: u64,
     /// Ids that changed with each of the last versions, the newest last; at most [`HISTORY_LIMIT`].
     history: VecDeque<BTreeSet<String>>,
+    /// When the newest reading began, or the platform was last found not to give its list, whichever is later; `None` before.
+    current_at: Option<Micros>,
     /// The list of an earlier epoch that subscribers may have.
     predecessor: Option<Predecessor>,
 }
@@ -53,9 +63,21 @@
         self.version
     }
 
-    /// Replaces the list by a new reading; returns whether anything changed. The first reading always counts as a
-    /// change.
-    pub fn replace(&mut self, list: Vec<Endpoint>) -> bool {
+    /// Whether the list is as new as the platform allowed at most `max_age` ago.
+    #[must_use]
+    pub fn is_current(&self, max_age: Duration, now: Micros) -> bool {
+        self.current_at.is_some_and(|at| now.saturating_sub(at) <= max_age.as_micros() as Micros)
+    }
+
+    /// Notes that the platform does not give its list at this time, as it is down, slow or cut off: the list is as new as can be.
+    pub fn note_unavailable(&mut self, now: Micros) {
+        self.current_at = self.current_at.max(Some(now));
+    }
+
+    /// Replaces the list by a reading that began at `began`; returns whether anything changed. The first reading always counts
+    /// as a change.
+    pub fn replace(&mut self, list: Vec<Endpoint>, began: Micros) -> bool {
+        self.current_at = self.current_at.max(Some(began));
         let changed = changed_ids(&self.list, &list);
         if changed.is_empty() && self.version > 0 {
             return false;
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -6,15 +6,16 @@
 //! [`MemberAction`]s that it returns. Neither does I/O nor reads a clock, so that tests drive whole clusters on
 //! virtual time.
 //!
-//! [`subscription`] and [`CoreContact`] are the side of the processes that poll the core: which address to poll next, and what is
-//! known of the primary. [`polls`], [`Leases`] and [`Directory`] are the primary's: who is live, which tables a subscriber gets, and
+//! [`subscription`], [`CoreContact`] and [`direct_list`] are the side of the processes that poll the core: which address to poll next,
+//! what is known of the primary, and when to read the endpoint list without it. [`polls`], [`Leases`] and [`Directory`] are the primary's: who is live, which tables a subscriber gets, and
 //! the endpoint list as a difference to an earlier version.
 
 mod admission;
 pub mod breaks;
 mod contacts;
 mod core_contact;
-mod directory;
+pub mod direct_list;
+pub mod directory;
 mod fenced_calls;
 mod leases;
 mod member;
--- a/tier/control/src/polls.rs
+++ b/tier/control/src/polls.rs
@@ -10,6 +10,7 @@
     ChangedTables, DirectoryUpdate, DirectoryVersion, Endpoint, Epoch, NodeRole, Placement, Poll, Response,
     TableVersions, Tables, Versioned,
 };
+use std::time::Duration;
 
 /// Size of an answer without tables, bytes, approximately: addresses of the primary and of relays.
 const EMPTY_ANSWER_BYTES: usize = 512;
@@ -33,6 +34,10 @@
     pub directory: &'a Directory,
     /// The leases that it has granted in this epoch.
     pub leases: &'a Leases,
+    /// Age up to which the list is published as current ([`TimeLimits::published_list`]).
+    ///
+    /// [`TimeLimits::published_list`]: crate::TimeLimits::published_list
+    pub max_list_age: Duration,
     /// Its internal address.
     pub primary: &'a str,
 }
@@ -44,7 +49,11 @@
         let mut answer = ChangedTables { tables: self.without_tables(now), ..ChangedTables::default() };
         self.add_configuration(known, &mut answer);
         self.add_placement(known, &mut answer);
-        answer.tables.directory = self.directory_update(known.directory);
+        answer.tables.directory = if self.directory.is_current(self.max_list_age, now) {
+            self.directory_update(known.directory)
+        } else {
+            Some(self.no_current_list())
+        };
         answer
     }
 
@@ -101,6 +110,12 @@
         let version = DirectoryVersion { epoch: self.epoch, changes: self.directory.version() };
         content.map(|content| Versioned { version, content })
     }
+
+    /// Says that there is no current list, which the absence of an update would not: version 0, and no change.
+    fn no_current_list(&self) -> Versioned<DirectoryVersion, DirectoryUpdate> {
+        let content = DirectoryUpdate::Delta { changed: Vec::new(), removed: Vec::new() };
+        Versioned { version: DirectoryVersion { epoch: self.epoch, changes: 0 }, content }
+    }
 }
 
 /// Whether an answer has no table: the poll waits for one, as long as it allows.
@@ -108,9 +123,14 @@
 pub fn is_empty(answer: &ChangedTables) -> bool {
     let ChangedTables { tables, configuration, placement } = answer;
     let has_difference = configuration.is_some() || placement.is_some();
-    let has_table =
-        tables.configuration.is_some() || tables.placement.is_some() || tables.directory.is_some();
-    !has_difference && !has_table
+    let has_list = tables.directory.is_some() && comes_from_current_list(tables);
+    !has_difference && tables.configuration.is_none() && tables.placement.is_none() && !has_list
+}
+
+/// Whether the primary had a current list when it answered: with this answer the sender of the poll has it too.
+#[must_use]
+pub fn comes_from_current_list(tables: &Tables) -> bool {
+    tables.directory.as_ref().is_none_or(|update| update.version.changes > 0)
 }
 
 /// Size of an answer in a message, bytes, approximately: what its tables take, and as much again as an answer without any.
--- a/tier/control/src/subscription.rs
+++ b/tier/control/src/subscription.rs
@@ -5,6 +5,7 @@
 
 use crate::contacts::Contacts;
 use crate::core_contact::CoreContact;
+use crate::polls;
 use quillmount_wire::Micros;
 use quillmount_wire::messages::Tables;
 use std::time::Duration;
@@ -64,6 +65,9 @@
         let next = if try_primary { &tables.primary } else { poll.address };
         contact.set_poll_address(Some(next.to_owned()));
         contact.record_answer(&tables.primary, &tables.relays, poll.sent_at, poll.answered_at);
+        if polls::comes_from_current_list(tables) {
+            contact.record_current_list(poll.sent_at);
+        }
     }
 
     /// The process at `address` is not the primary, and may have named the one that is. Returns the delay before the next poll.
--- a/tier/control/src/time_limits.rs
+++ b/tier/control/src/time_limits.rs
@@ -21,6 +21,10 @@
 const RECENT_ANSWER: Limit = Limit { fraction: 0.5, ceiling_ms: 1_500.0 };
 /// Silence of the core before a process reads the list of endpoints itself.
 const CORE_SILENCE: Limit = Limit { fraction: 0.4, ceiling_ms: 1_200.0 };
+/// Age of the list that a primary publishes, counted from when its reading began.
+const PUBLISHED_LIST: Limit = Limit { fraction: 0.25, ceiling_ms: 750.0 };
+/// Time without a current list of the primary before a process reads the list itself although the core answers.
+const CURRENT_LIST: Limit = Limit { fraction: 0.6, ceiling_ms: 1_800.0 };
 /// Interval between two such readings.
 const LIST_READING: Limit = Limit { fraction: 0.3, ceiling_ms: 900.0 };
 /// Age of the configuration by which a request is refused.
@@ -46,7 +50,14 @@
     /// After this silence of the core a process reads the list of endpoints itself: with one interval more, and the list's lag,
     /// within `DrainMs`, in which it has to stop sending to an endpoint that leaves.
     pub core_silence: Duration,
-    /// Interval between two such readings.
+    /// A primary publishes its list for this long after its reading began; then it says that it has none that is current.
+    pub published_list: Duration,
+    /// A process whose last current list of the primary is older than this ([`CoreContact::list_age`]) reads the list itself: with the
+    /// age of that list ([`TimeLimits::published_list`]) within `DrainMs`.
+    ///
+    /// [`CoreContact::list_age`]: crate::CoreContact::list_age
+    pub current_list: Duration,
+    /// Interval between two readings by a process that lacks the primary's.
     pub list_reading: Duration,
     /// A process whose newest answer of the primary is older than this refuses no request by its configuration, as a newer one may
     /// allow it: within `ApplyMs`, after which refusals have to follow the newer one, with the time for which a primary trusts its last
@@ -70,11 +81,14 @@
     /// The limits under these bounds.
     #[must_use]
     pub fn new(bounds: &Bounds) -> TimeLimits {
-        let core_silence = CORE_SILENCE.of_ms(bounds.drain_ms);
+        let without_break =
+            |limit: Duration| if breaks::is_enabled(Break::NoOwnList) { Duration::MAX } else { limit };
         TimeLimits {
             change: CHANGE.of_ms(bounds.ack_ms),
             recent_answer: RECENT_ANSWER.of_ms(bounds.contact_ms),
-            core_silence: if breaks::is_enabled(Break::NoOwnList) { Duration::MAX } else { core_silence },
+            core_silence: without_break(CORE_SILENCE.of_ms(bounds.drain_ms)),
+            published_list: PUBLISHED_LIST.of_ms(bounds.drain_ms),
+            current_list: without_break(CURRENT_LIST.of_ms(bounds.drain_ms)),
             list_reading: LIST_READING.of_ms(bounds.drain_ms),
             refusal: REFUSAL.of_ms(bounds.apply_ms),
             item_silence: ITEM_SILENCE.of_ms(bounds.complete_s * 1000.0),
--- a/tier/control/tests/directory.rs
+++ b/tier/control/tests/directory.rs
@@ -32,7 +32,7 @@
         let (mut known, mut known_version) = (Vec::new(), 0);
         let from = from % (readings.len() + 1);
         for (number, reading) in readings.iter().enumerate() {
-            directory.replace(list(reading));
+            directory.replace(list(reading), 0);
             if number < from {
                 if let Some(update) = directory.update_since(known_version) {
                     known = apply_update(&known, update);
@@ -51,10 +51,10 @@
 #[test]
 fn only_changes_are_sent_and_a_new_subscriber_gets_the_full_list() {
     let mut directory = Directory::default();
-    assert!(directory.replace((0..100).map(|id| endpoint(id, false, 0.0)).collect()));
-    assert!(!directory.replace((0..100).map(|id| endpoint(id, false, 0.0)).collect()));
+    assert!(directory.replace((0..100).map(|id| endpoint(id, false, 0.0)).collect(), 0));
+    assert!(!directory.replace((0..100).map(|id| endpoint(id, false, 0.0)).collect(), 0));
     assert_eq!(directory.update_since(1), None);
-    assert!(directory.replace((1..100).map(|id| endpoint(id, id == 7, 0.0)).collect()));
+    assert!(directory.replace((1..100).map(|id| endpoint(id, id == 7, 0.0)).collect(), 0));
     let expected =
         DirectoryUpdate::Delta { changed: vec![endpoint(7, true, 0.0)], removed: vec!["i-000".to_owned()] };
     assert_eq!(directory.update_since(1), Some(expected));
@@ -64,9 +64,9 @@
 #[test]
 fn warming_up_is_no_change_but_its_end_is() {
     let mut directory = Directory::default();
-    assert!(directory.replace(vec![endpoint(1, false, 900.0)]));
-    assert!(!directory.replace(vec![endpoint(1, false, 300.0)]));
-    assert!(directory.replace(vec![endpoint(1, false, 0.0)]));
+    assert!(directory.replace(vec![endpoint(1, false, 900.0)], 0));
+    assert!(!directory.replace(vec![endpoint(1, false, 300.0)], 0));
+    assert!(directory.replace(vec![endpoint(1, false, 0.0)], 0));
 }
 
 /// The version of the list in epoch 3 after this number of changes.
@@ -80,12 +80,12 @@
     let mut directory = Directory::succeeding(version(5), Rc::new(former.clone()));
     assert_eq!(directory.update_since_predecessor(version(5)), None, "before the first reading");
     let reading = list(&[(1, false), (2, true), (4, false)]);
-    directory.replace(reading.clone());
+    directory.replace(reading.clone(), 0);
     let update = directory.update_since_predecessor(version(5)).expect("an update");
     assert!(matches!(&update, DirectoryUpdate::Delta { changed, .. } if changed.len() == 2));
     assert_eq!(apply_update(&former, update), reading);
     let second_reading = list(&[(1, false), (2, false), (3, false)]);
-    directory.replace(second_reading.clone());
+    directory.replace(second_reading.clone(), 0);
     let update = directory.update_since_predecessor(version(5)).expect("an update");
     assert_eq!(apply_update(&former, update), second_reading);
     for other in [version(4), version(6), version(0), DirectoryVersion { epoch: 2, changes: 5 }] {
@@ -96,6 +96,6 @@
 #[test]
 fn a_list_that_a_process_read_itself_is_nobody_elses() {
     let mut directory = Directory::succeeding(version(0), Rc::new(list(&[(1, false)])));
-    directory.replace(list(&[(1, false)]));
+    directory.replace(list(&[(1, false)]), 0);
     assert!(matches!(directory.update_since_predecessor(version(0)), Some(DirectoryUpdate::Full(_))));
 }
--- /dev/null
+++ b/tier/control/tests/published_list.rs
@@ -0,0 +1,145 @@
+//! The age of the endpoint list: which list a primary publishes, and when a process reads it itself.
+
+use quillmount_control::direct_list::{DirectReadings, lacks_current_list};
+use quillmount_control::polls::{PublishedTables, comes_from_current_list, is_empty};
+use quillmount_control::subscription::{AnsweredPoll, Subscription};
+use quillmount_control::{ControlState, CoreContact, Directory, Leases, TableHistory, TimeLimits};
+use quillmount_wire::Micros;
+use quillmount_wire::messages::{ChangedTables, DirectoryVersion, Endpoint, TableVersions, Tables};
+use quillmount_wire::settings::Bounds;
+
+const MILLI: Micros = 1_000;
+const EPOCH: u64 = 2;
+const PRIMARY: &str = "10.0.0.1:1";
+
+fn limits() -> TimeLimits {
+    TimeLimits::new(&Bounds::default())
+}
+
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.9:1".to_owned(),
+        zone: "z".to_owned(),
+        capacity: 8,
+        draining: false,
+        warmup_left_ms: 0.0,
+        models: Vec::new(),
+    }
+}
+
+/// The answer of a primary with this list to a sender that has the given changes of it.
+fn answer(directory: &Directory, known_changes: u64, now: Micros) -> ChangedTables {
+    let published = PublishedTables {
+        epoch: EPOCH,
+        state: &ControlState::default(),
+        history: &TableHistory::default(),
+        directory,
+        leases: &Leases::default(),
+        max_list_age: limits().published_list,
+        primary: PRIMARY,
+    };
+    let directory = DirectoryVersion { epoch: EPOCH, changes: known_changes };
+    published.newer_than(TableVersions { directory, ..TableVersions::default() }, now)
+}
+
+#[test]
+fn a_list_is_published_until_it_is_too_old() {
+    let mut directory = Directory::default();
+    assert!(!comes_from_current_list(&answer(&directory, 0, 100 * MILLI).tables), "before the first reading");
+    assert!(directory.replace(vec![endpoint("i-1")], 1_000 * MILLI));
+    let current = answer(&directory, 0, 1_750 * MILLI);
+    assert!(!is_empty(&current) && comes_from_current_list(&current.tables));
+    let confirmed = answer(&directory, 1, 1_750 * MILLI);
+    assert!(is_empty(&confirmed) && comes_from_current_list(&confirmed.tables));
+    // A poll waits for the next reading, whether its sender has this list or not.
+    for known_changes in [0, 1] {
+        let old = answer(&directory, known_changes, 1_751 * MILLI);
+        assert!(is_empty(&old) && !comes_from_current_list(&old.tables));
+    }
+    assert!(!directory.replace(vec![endpoint("i-1")], 2_000 * MILLI));
+    assert!(comes_from_current_list(&answer(&directory, 1, 2_100 * MILLI).tables));
+}
+
+#[test]
+fn the_age_of_a_list_counts_from_the_beginning_of_its_reading() {
+    let mut directory = Directory::default();
+    directory.replace(vec![endpoint("i-1")], 1_000 * MILLI);
+    // The process stood still while it read.
+    directory.replace(vec![endpoint("i-2")], 1_600 * MILLI);
+    assert!(!comes_from_current_list(&answer(&directory, 1, 4_000 * MILLI).tables));
+    assert!(is_empty(&answer(&directory, 1, 4_000 * MILLI)));
+}
+
+#[test]
+fn the_last_list_is_published_while_the_platform_gives_none() {
+    let mut directory = Directory::default();
+    directory.replace(vec![endpoint("i-1")], 1_000 * MILLI);
+    directory.note_unavailable(5_000 * MILLI);
+    assert!(!is_empty(&answer(&directory, 0, 5_500 * MILLI)));
+    // What was read before that is no newer.
+    directory.replace(vec![endpoint("i-1")], 4_500 * MILLI);
+    assert!(comes_from_current_list(&answer(&directory, 1, 5_700 * MILLI).tables));
+    assert!(!comes_from_current_list(&answer(&directory, 1, 5_800 * MILLI).tables));
+}
+
+/// What a process does that polls every 300 ms from 1,000 ms on, and whose polls are answered at once with `tables`: when it first reads
+/// the list itself, milliseconds.
+fn first_reading(tables: impl Fn(Micros) -> Tables) -> Option<Micros> {
+    let limits = limits();
+    let (mut contact, mut subscription) = (CoreContact::new(limits.recent_answer), Subscription::default());
+    let mut readings = DirectReadings::new(&limits, 900 * MILLI);
+    (900..10_000).step_by(10).find(|at| {
+        let now = at * MILLI;
+        if *at >= 1_000 && (at - 1_000).is_multiple_of(300) {
+            let poll = AnsweredPoll { address: PRIMARY, sent_at: now, answered_at: now };
+            subscription.answered(&mut contact, &poll, &tables(now), 1);
+        }
+        readings.is_due(&contact, &limits, now)
+    })
+}
+
+#[test]
+fn a_process_whose_primary_has_no_current_list_reads_it_itself() {
+    let mut directory = Directory::default();
+    directory.replace(vec![endpoint("i-1")], 1_000 * MILLI);
+    // The last answer from a current list is that of 1,600.
+    assert_eq!(first_reading(|now| answer(&directory, 1, now).tables), Some(3_410));
+    // Each of many elections brings a primary that has read no list yet.
+    let elected = |now| Tables { epoch: now / (100 * MILLI), ..answer(&Directory::default(), 1, now).tables };
+    assert_eq!(first_reading(elected), Some(2_810));
+    let read_always = |now| {
+        let mut directory = directory.clone();
+        directory.replace(vec![endpoint("i-1")], now);
+        answer(&directory, 1, now).tables
+    };
+    assert_eq!(first_reading(read_always), None);
+    let platform_is_down = |now| {
+        let mut directory = directory.clone();
+        directory.note_unavailable(now);
+        answer(&directory, 1, now).tables
+    };
+    assert_eq!(first_reading(platform_is_down), None);
+}
+
+#[test]
+fn own_readings_go_on_at_their_interval_until_the_core_has_a_current_list() {
+    let limits = limits();
+    let mut contact = CoreContact::new(limits.recent_answer);
+    contact.record_answer(PRIMARY, &[], 1_000 * MILLI, 1_000 * MILLI);
+    let mut readings = DirectReadings::new(&limits, 0);
+    let mut due = Vec::new();
+    for at in (1_000..6_000).step_by(10) {
+        let now = at * MILLI;
+        contact.record_answer(PRIMARY, &[], now, now);
+        if at == 5_000 {
+            contact.record_current_list(now);
+            assert!(!lacks_current_list(&contact, &limits, now));
+        }
+        if readings.is_due(&contact, &limits, now) {
+            due.push(at);
+        }
+    }
+    assert_eq!(due, [2_810, 3_710, 4_610]);
+}
--- a/tier/control/tests/time_limits.rs
+++ b/tier/control/tests/time_limits.rs
@@ -45,3 +45,18 @@
     }
     QuickCheck::new().tests(500).quickcheck(within as fn(u32) -> bool);
 }
+
+/// A list that is published as current, the time without another, and the reading that follows are within `DrainMs`.
+#[test]
+fn a_process_replaces_an_old_list_within_the_bound() {
+    fn within(bound_ms: u32) -> bool {
+        let limits = TimeLimits::new(&Bounds { drain_ms: f64::from(bound_ms), ..Bounds::default() });
+        let bound = Duration::from_millis(u64::from(bound_ms));
+        let replaced = limits.published_list + limits.current_list;
+        replaced <= bound.mul_f64(0.85) && limits.published_list + limits.list_reading <= bound
+    }
+    QuickCheck::new().tests(500).quickcheck(within as fn(u32) -> bool);
+    let limits = TimeLimits::new(&Bounds::default());
+    assert_eq!(limits.published_list, Duration::from_millis(750));
+    assert_eq!(limits.current_list, Duration::from_millis(1_800));
+}
--- a/tier/dataplane/src/tables.rs
+++ b/tier/dataplane/src/tables.rs
@@ -109,6 +109,8 @@
         if let Some(Versioned { version, content: update }) = tables.directory
             && version > self.versions.directory
             && self.may_apply(&update)
+            // Version 0 says that the primary has no current list.
+            && version.changes > 0
         {
             next.endpoints = Rc::new(apply_update(&self.endpoints, update));
             next.versions.directory = version;
--- a/tier/dataplane/tests/distribution/core_side.rs
+++ b/tier/dataplane/tests/distribution/core_side.rs
@@ -6,10 +6,12 @@
 use crate::world::{Event, Message, World};
 use quillmount_control::polls::{PublishedTables, is_empty, needs_admission, size};
 use quillmount_control::{
-    Directory, Leases, MemberAction, RegisterWrite, Saturated, Ticket, TransmissionBudget, WriteOutcome,
+    Directory, Leases, MemberAction, RegisterWrite, Saturated, Ticket, TimeLimits, TransmissionBudget,
+    WriteOutcome,
 };
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
 use quillmount_wire::messages::{ChangedTables, DiskId, Epoch, Poll, RegisterMessage, Request, Response};
+use quillmount_wire::settings::Bounds;
 use std::rc::Rc;
 
 /// Time that a write of the register takes.
@@ -190,12 +192,14 @@
         let member = state.member.as_ref().expect("a member");
         let serving = member.serving().zip(member.committed_if_recent(now));
         let Some((epoch, committed)) = serving else { return self.refuse_poll(id, call) };
+        let limits = TimeLimits::new(&Bounds::default());
         let published = PublishedTables {
             epoch,
             state: &committed,
             history: &state.history,
             directory: &state.directory,
             leases: &state.leases,
+            max_list_age: limits.published_list,
             primary: &address(id),
         };
         let Some(tables) = answers::answer(&published, &pending.poll, pending.until, now) else {
@@ -259,16 +263,16 @@
             let serving = state.member.as_ref().and_then(|member| member.serving());
             if let Some(epoch) = serving.filter(|_| now >= state.next_reading) {
                 state.next_reading = now + LIST_INTERVAL;
-                self.schedule(now + READING_TIME, Event::List { to: id, epoch });
+                self.schedule(now + READING_TIME, Event::List { to: id, epoch, began: now });
             }
         }
     }
 
     /// The list arrives at the primary that reads it.
-    pub fn receive_list(&mut self, id: MachineId, epoch: Epoch) {
+    pub fn receive_list(&mut self, id: MachineId, epoch: Epoch, began: Time) {
         let state = &mut self.machines[id].state;
         let serving = state.member.as_ref().and_then(|member| member.serving());
-        if serving == Some(epoch) && state.directory.replace(fixtures::endpoints()) {
+        if serving == Some(epoch) && state.directory.replace(fixtures::endpoints(), began) {
             state.changed = true;
         }
     }
--- a/tier/dataplane/tests/distribution/world.rs
+++ b/tier/dataplane/tests/distribution/world.rs
@@ -54,7 +54,7 @@
     /// A poll has not been answered in time.
     PollTimeout { to: MachineId, call: u64 },
     /// The list of endpoints arrives at the primary that reads it in this epoch.
-    List { to: MachineId, epoch: Epoch },
+    List { to: MachineId, epoch: Epoch, began: Time },
     /// A change of the operator arrives.
     Change { to: MachineId, change: usize, call: u64 },
     /// Its answer arrives.
@@ -297,7 +297,7 @@
             Event::Written { to, write } => self.end_write(to, write),
             Event::NextPoll { to } => self.send_poll(to),
             Event::PollTimeout { to, call } => self.time_out_poll(to, call),
-            Event::List { to, epoch } => self.receive_list(to, epoch),
+            Event::List { to, epoch, began } => self.receive_list(to, epoch, began),
             Event::Change { to, change, call } => self.receive_change(to, change, call),
             Event::ChangeAnswer { change, call, applied } => {
                 self.receive_change_answer(change, call, applied);
--- a/tier/dataplane/tests/planes/core_side.rs
+++ b/tier/dataplane/tests/planes/core_side.rs
@@ -3,13 +3,14 @@
 use crate::machine::{MachineId, TOLERATED_FAILURES, address, machine_at};
 use crate::operators::OperatorCall;
 use crate::world::{Event, World};
+use quillmount_control::directory::READ_INTERVAL;
 use quillmount_control::polls::{PublishedTables, is_empty, needs_admission};
 use quillmount_control::{ControlState, Directory, Leases, RegisterWrite, Ticket, WriteOutcome};
 use quillmount_test_support::simulation::{MILLI, Simulation, Time};
 use quillmount_wire::messages::{ChangedTables, Epoch, NodeRole, Poll, Register, UsageWindow};
 
 /// Interval between two readings of the list by the primary.
-const LIST_INTERVAL: Time = 600 * MILLI;
+const LIST_INTERVAL: Time = READ_INTERVAL.as_micros() as Time;
 /// Time after its election from which a primary knows all live processes by their polls.
 const LEASES_KNOWN: Time = 1_200 * MILLI;
 /// Interval between two announcements of the primary to seeds.
@@ -71,6 +72,7 @@
         state.leases = Leases::default();
         let tables = &state.tables;
         state.directory = Directory::succeeding(tables.versions.directory, tables.endpoints.clone());
+        state.next_reading = 0;
     }
 
     /// A poll arrives at a machine: the primary keeps it until it can answer, a courier without a member relays it.
@@ -181,6 +183,7 @@
             history: &state.history,
             directory: &state.directory,
             leases: &state.leases,
+            max_list_age: self.machines[id].limits.published_list,
             primary: &address(id),
         };
         let tables = published.newer_than(pending.poll.known_versions, now);
@@ -220,13 +223,19 @@
 
     /// Lets the primary read the list, and announce itself to seeds that are no members.
     pub fn read_lists(&mut self) {
+        let now = self.now();
         for id in 0..self.machines.len() {
             if !self.is_running(id) {
                 continue;
             }
             let machine = &self.machines[id];
             let serving = machine.state.member.as_ref().and_then(|member| member.serving());
-            if serving.is_some() && self.is_due_every(LIST_INTERVAL) {
+            // A primary that was frozen at a turn reads as soon as it runs.
+            let state = &machine.state;
+            let has_missed_turn =
+                now >= state.next_reading && !state.directory.is_current(machine.limits.published_list, now);
+            if serving.is_some() && (has_missed_turn || self.is_due_every(LIST_INTERVAL)) {
+                self.machines[id].state.next_reading = now + LIST_INTERVAL;
                 self.ask_for_list(id, serving);
             }
             if serving.is_some() && self.is_due_every(ANNOUNCE_INTERVAL) {
@@ -239,8 +248,9 @@
     /// Asks the platform for its list; `for_primary` is the epoch in which the primary asks.
     pub fn ask_for_list(&mut self, id: MachineId, for_primary: Option<Epoch>) {
         let incarnation = self.machines[id].process.incarnation();
-        let list = self.platform.list(self.timeline.now());
-        self.send_outside(Event::List { to: id, incarnation, for_primary, list });
+        let asked_at = self.now();
+        let list = self.platform.list(asked_at);
+        self.send_outside(Event::List { to: id, incarnation, for_primary, asked_at, list });
     }
 
     fn announce(&mut self, id: MachineId) {
--- a/tier/dataplane/tests/planes/machine.rs
+++ b/tier/dataplane/tests/planes/machine.rs
@@ -3,6 +3,7 @@
 use crate::core_side::{PendingPoll, Waiting};
 use crate::duties::Duties;
 use crate::platform::SERVICE;
+use quillmount_control::direct_list::DirectReadings;
 use quillmount_control::subscription::Subscription;
 use quillmount_control::{CoreContact, Directory, Leases, Member, TableHistory, Ticket, TimeLimits};
 use quillmount_dataplane::dispatch::Dispatcher;
@@ -90,6 +91,10 @@
     pub leases: Leases,
     pub directory: Directory,
     pub history: TableHistory,
+    /// When this machine, as primary, reads the list again at the earliest if it has no current one.
+    pub next_reading: Time,
+    /// Its readings of the list without the core.
+    pub direct_readings: DirectReadings,
     pub pending_polls: Vec<PendingPoll>,
     pub waiting: BTreeMap<Ticket, Waiting>,
     pub duties: Duties,
@@ -179,6 +184,8 @@
             leases: Leases::default(),
             directory: Directory::default(),
             history: TableHistory::default(),
+            next_reading: 0,
+            direct_readings: DirectReadings::new(limits, now),
             pending_polls: Vec::new(),
             waiting: BTreeMap::new(),
             duties: Duties::default(),
--- a/tier/dataplane/tests/planes/subscriber.rs
+++ b/tier/dataplane/tests/planes/subscriber.rs
@@ -4,6 +4,7 @@
 use crate::core_side::PollAnswer;
 use crate::machine::{MachineId, SentPoll, address, machine_at};
 use crate::world::{Event, World};
+use quillmount_control::direct_list::lacks_current_list;
 use quillmount_control::subscription::{AnsweredPoll, MAX_POLL_WAIT, POLL_TIMEOUT, core_addresses};
 use quillmount_test_support::simulation::{Simulation, Time};
 use quillmount_wire::messages::{ChangedTables, DiskId, Endpoint, Epoch, NodeRole, Poll, ShardReport};
@@ -162,14 +163,12 @@
         self.schedule_poll(id, delay);
     }
 
-    /// A process that has lost the core reads the list itself.
+    /// A process that has lost the core, or whose primary has no current list, reads the list itself.
     pub fn read_own_list(&mut self, id: MachineId) {
-        let machine = &self.machines[id];
-        let age = self.now() - machine.started_at;
-        let is_due = age > 0 && age.is_multiple_of(micros(machine.limits.list_reading));
-        let contact = &machine.state.contact;
-        let is_silent = contact.silence(self.now()) > micros(machine.limits.core_silence);
-        if is_due && is_silent && contact.has_ever_answered() {
+        let now = self.now();
+        let machine = &mut self.machines[id];
+        let state = &mut machine.state;
+        if state.direct_readings.is_due(&state.contact, &machine.limits, now) {
             self.ask_for_list(id, None);
         }
     }
@@ -178,13 +177,10 @@
     pub fn receive_list(
         &mut self,
         id: MachineId,
-        incarnation: u64,
         for_primary: Option<Epoch>,
+        asked_at: Time,
         list: Vec<Endpoint>,
     ) {
-        if !self.is_same_process(id, incarnation) {
-            return;
-        }
         let now = self.now();
         let machine = &mut self.machines[id];
         let state = &mut machine.state;
@@ -192,10 +188,10 @@
             Some(epoch) => {
                 let serving = state.member.as_ref().and_then(|member| member.serving());
                 if serving == Some(epoch) {
-                    state.directory.replace(list);
+                    state.directory.replace(list, asked_at);
                 }
             }
-            None if state.contact.silence(now) > micros(machine.limits.core_silence) => {
+            None if lacks_current_list(&state.contact, &machine.limits, now) => {
                 let next = state.tables.with_own_list(list);
                 state.swap_tables(next);
                 self.audit.own_list();
--- a/tier/dataplane/tests/planes/world.rs
+++ b/tier/dataplane/tests/planes/world.rs
@@ -58,7 +58,7 @@
     /// The primary announces itself to a courier that settings name as a seed.
     Hint { from: MachineId, to: MachineId },
     /// The list of endpoints arrives at a process that has asked the platform for it.
-    List { to: MachineId, incarnation: u64, for_primary: Option<u64>, list: Vec<Endpoint> },
+    List { to: MachineId, incarnation: u64, for_primary: Option<u64>, asked_at: Time, list: Vec<Endpoint> },
     /// A call in a singleton role arrives at the platform.
     PlatformCall { from: MachineId, incarnation: u64, call: PlatformCall },
     /// Its answer arrives.
@@ -315,8 +315,10 @@
             Event::Hint { from, to } => {
                 self.machines[to].state.contact.note_primary(address(from), now);
             }
-            Event::List { to, incarnation, for_primary, list } => {
-                self.receive_list(to, incarnation, for_primary, list);
+            Event::List { to, incarnation, for_primary, asked_at, list } => {
+                if self.is_same_process(to, incarnation) {
+                    self.receive_list(to, for_primary, asked_at, list);
+                }
             }
             Event::PlatformCall { from, incarnation, call } => self.platform_call(from, incarnation, call),
             Event::PlatformAnswer { to, incarnation, call, accepted } => {
--- a/tier/node/src/control_member/polls.rs
+++ b/tier/node/src/control_member/polls.rs
@@ -133,7 +133,8 @@
 
 fn count_tables(node: &Node, answer: &ChangedTables) {
     let ChangedTables { tables, configuration, placement } = answer;
-    let endpoints = tables.directory.as_ref().map(|directory| match directory.content {
+    let list = tables.directory.as_ref().filter(|_| polls::comes_from_current_list(tables));
+    let endpoints = list.map(|directory| match directory.content {
         DirectoryUpdate::Full(_) => TableKind::EndpointList,
         DirectoryUpdate::Delta { .. } => TableKind::EndpointChanges,
     });
@@ -160,6 +161,7 @@
         history: &core.history.borrow(),
         directory: &core.directory.borrow(),
         leases: &core.leases.borrow(),
+        max_list_age: core.node.limits.published_list,
         primary: &core.node.info.internal,
     };
     Some(published.newer_than(known, clock::now()))
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -1,8 +1,8 @@
 //! The long poll of a courier or store: heartbeat, usage counts and reports to the core, tables from it.
 //!
 //! [`run`] polls one address after another until the primary of the core, or a relay, answers, then stays with that one.
-//! The core answers as soon as it has newer tables, or without any after [`MAX_POLL_WAIT`]. While the core is silent,
-//! [`read_list_without_core`] keeps the endpoints current.
+//! The core answers as soon as it has newer tables, or without any after [`MAX_POLL_WAIT`]. While the core is silent, or answers
+//! without a current list, [`read_list_without_core`] keeps the endpoints current.
 
 mod direct_list;
 
