Soak of the tier: signals, restarts and changes in series, with clients that keep their connections

Cause: runs over loopback stopped, killed and changed one thing at a time, and no client went on using a connection until its courier was gone. Change: a seeded run with kept connections at each courier (late bodies, work of up to 3 s), SIGTERM (also two at once, also twice), SIGHUP, SIGKILL of a core member, SIGSTOP and SIGCONT, restarts, changes by put and patch (invalid ones, two on the same version), and batch jobs; all overlap. The harness gets answers of a request's own, signals to any process, and room for more than ten couriers (stores had the addresses from the eleventh courier on).

--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -20,7 +20,9 @@
 const ENDPOINT: u16 = 28080;
 
 /// Couriers with a disk; further ones have none.
-const CORE: usize = 3;
+pub const CORE: usize = 3;
+/// A path's last word that asks for an answer of its own: `own-` and the ms that it takes.
+const OWN: &str = "own-";
 /// Tiers that one process starts: each has addresses of its own.
 const TIERS: u32 = 32;
 
@@ -54,7 +56,7 @@
     Some(Answer { status, head: head.to_owned(), body })
 }
 
-fn unchunk(mut rest: &str) -> Option<String> {
+pub fn unchunk(mut rest: &str) -> Option<String> {
     let mut body = String::new();
     loop {
         let (size, after) = rest.split_once("\r\n")?;
@@ -182,6 +184,9 @@
             arrival.count
         };
         let ending = received.target.rsplit('/').next().unwrap_or_default();
+        if let Some(takes_ms) = ending.strip_prefix(OWN) {
+            return answer_with_own(stream, received, &id, takes_ms.parse().unwrap_or(0));
+        }
         if arrival == 1 || ["poison", "always-failed"].contains(&ending) {
             let goes_on = misbehave(stream, received, &id, ending);
             if ending == "silent" {
@@ -205,6 +210,29 @@
     }
 }
 
+/// An answer, after so many ms, that no other request has: its body is the request's id, on routes of streams the data of three
+/// events, the time being spent between them. Whether the connection goes on.
+fn answer_with_own(mut stream: &TcpStream, received: &ReceivedRequest, id: &str, takes_ms: u64) -> bool {
+    let own = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nSeal: seal-{id}\r\n");
+    if !received.target.starts_with("/live/") && !received.target.starts_with("/flow/") {
+        std::thread::sleep(Duration::from_millis(takes_ms));
+        return write!(stream, "{own}Content-Length: {}\r\n\r\n{id}", id.len()).is_ok();
+    }
+    let last: usize = header(&received.head, "Last-Event-Id").and_then(|last| last.parse().ok()).unwrap_or(0);
+    let _ = write!(stream, "{own}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for number in last + 1..=3 {
+        let event = own_event(id, number);
+        let _ = write!(stream, "{:x}\r\n{event}\r\n", event.len());
+        std::thread::sleep(Duration::from_millis(takes_ms / 3));
+    }
+    stream.write_all(b"0\r\n\r\n").is_ok()
+}
+
+/// An event of a stream that belongs to this request alone.
+pub fn own_event(id: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {id}\n\n")
+}
+
 /// Ends an attempt as the word says; whether the connection goes on.
 fn misbehave(mut stream: &TcpStream, received: &ReceivedRequest, id: &str, ending: &str) -> bool {
     let own = format!("Request-Id: {id}\r\nSeal: s\r\n");
@@ -311,7 +339,7 @@
     }
 
     fn ip(&self, role: &str, number: usize) -> String {
-        let base = if role == "store" { 20 } else { 10 };
+        let base = if role == "store" { 200 } else { 10 };
         format!("{}.{}", self.block, base + number)
     }
 
@@ -430,9 +458,38 @@
 
     /// Asks a courier to stop.
     pub fn terminate_courier(&mut self, number: usize) {
-        let id = self.couriers[number].as_ref().map(Child::id).unwrap();
-        let received = Command::new("sh").arg("-c").arg(format!("kill -TERM {id}")).status().unwrap();
-        assert!(received.success());
+        assert!(self.signal("courier", number, "TERM"));
+    }
+
+    /// Sends a signal to a process of a role, if it runs; whether it was sent.
+    pub fn signal(&mut self, role: &str, number: usize, signal: &str) -> bool {
+        let Some(child) = self.processes(role)[number].as_mut() else { return false };
+        if !matches!(child.try_wait(), Ok(None)) {
+            return false;
+        }
+        let command = format!("kill -{signal} {}", child.id());
+        Command::new("sh").arg("-c").arg(command).status().unwrap().success()
+    }
+
+    fn processes(&mut self, role: &str) -> &mut Vec<Option<Child>> {
+        if role == "store" { &mut self.stores } else { &mut self.couriers }
+    }
+
+    /// How a process has ended, if it has.
+    pub fn ending_of(&mut self, role: &str, number: usize) -> Option<ExitStatus> {
+        self.processes(role)[number].as_mut().and_then(|child| child.try_wait().unwrap())
+    }
+
+    /// Starts a process again that has ended, with its folder.
+    pub fn start_again(&mut self, role: &str, number: usize) {
+        end(self.processes(role)[number].take());
+        let child = self.spawn(role, number);
+        self.processes(role)[number] = Some(child);
+    }
+
+    /// Arrivals at the endpoints, to be read beside changes of the tier.
+    pub fn shared_arrivals(&self) -> Arrivals {
+        self.arrivals.clone()
     }
 
     /// Whether a courier's process runs.
@@ -470,8 +527,13 @@
 
 /// A configuration with a live and a bulk route.
 pub fn configuration(version: u64) -> String {
+    configuration_with(version, "")
+}
+
+/// The same with further routes, each followed by a comma.
+pub fn configuration_with(version: u64, routes: &str) -> String {
     format!(
-        r#"{{"Gen":{version},"Routes":[
+        r#"{{"Gen":{version},"Routes":[{routes}
         {{"Name":"live","Host":"a.example","PathPrefix":"/live/","Mode":"stream","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false,"Resumable":true,"gap_aim_ms":250}},
         {{"Name":"flow","Host":"a.example","PathPrefix":"/flow/","Mode":"stream","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false,"Resumable":false,"gap_aim_ms":250}},
         {{"Name":"safe","Host":"a.example","PathPrefix":"/safe/","Mode":"safe","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}},
@@ -497,8 +559,14 @@
 
 /// Sends an order to any courier, following redirects as callers do.
 pub fn order(tier: &Tier, path: &str, base: u64, body: &str) -> Option<u16> {
-    for courier in tier.couriers() {
-        let mut address = tier.admin(courier);
+    let admins: Vec<String> = tier.couriers().into_iter().map(|courier| tier.admin(courier)).collect();
+    order_at(&admins, path, base, body)
+}
+
+/// The same at any of these addresses.
+pub fn order_at(admins: &[String], path: &str, base: u64, body: &str) -> Option<u16> {
+    for admin in admins {
+        let mut address = admin.clone();
         for _ in 0..3 {
             let request = format!(
                 "POST {path} HTTP/1.1\r\nHost: x\r\nBase-Version: {base}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod quorum;
 mod seeds;
+mod soak;
 mod stale;
 mod stop;
 mod terms;
--- /dev/null
+++ b/tier/node/tests/tier/soak/operator.rs
@@ -0,0 +1,210 @@
+//! Operators that change the configuration: whole and by patch, invalid, and two on the same version.
+
+use super::{FIRST_VERSION, Soak};
+use crate::harness::{Answer, configuration_with, http, order_at};
+use quillmount_test_support::random::Random;
+use std::time::{Duration, Instant};
+
+/// Routes of so many acknowledged changes are in force at a time.
+const KEPT_ROUTES: usize = 6;
+const MOST_BETWEEN_MS: u64 = 1200;
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// For how long the newest configuration is asked for at the end.
+const READ_BACK: Duration = Duration::from_secs(10);
+
+/// A change that was sent until its answer was clear, or the run ended.
+pub struct Change {
+    /// The number of the route that it adds, of no other change.
+    pub number: u64,
+    pub version: u64,
+    pub base: u64,
+    pub is_valid: bool,
+    /// Another change was sent on the same base at the same time.
+    pub is_contested: bool,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    /// The clear answer.
+    pub status: Option<u16>,
+    /// Routes that it takes away.
+    pub removes: Vec<u64>,
+}
+
+impl Change {
+    pub fn is_acknowledged(&self) -> bool {
+        self.status == Some(200)
+    }
+}
+
+fn route(number: u64) -> String {
+    format!(
+        r#"{{"Name":"added-{number}","Host":"a.example","PathPrefix":"/added-{number}/","Mode":"mutating","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}}"#
+    )
+}
+
+/// An order as it is sent.
+struct Order {
+    path: &'static str,
+    body: String,
+    change: Change,
+}
+
+struct Operator<'soak> {
+    soak: &'soak Soak,
+    random: Random,
+    /// The newest acknowledged version, and the routes it has.
+    version: u64,
+    routes: Vec<u64>,
+    newest_route: u64,
+    changes: Vec<Change>,
+}
+
+impl Operator<'_> {
+    fn change(&mut self, version: u64, is_contested: bool) -> Change {
+        self.newest_route += 1;
+        let number = self.newest_route;
+        let now = Instant::now();
+        let kept = self.routes.len().min(KEPT_ROUTES - 1);
+        let removes = self.routes[..self.routes.len() - kept].to_vec();
+        let (base, is_valid, status) = (self.version, true, None);
+        Change { number, version, base, is_valid, is_contested, sent_at: now, ended_at: now, status, removes }
+    }
+
+    fn valid(&mut self, version: u64, is_contested: bool) -> Order {
+        let change = self.change(version, is_contested);
+        let number = change.number;
+        if self.random.chance(50) {
+            let removed: Vec<String> =
+                change.removes.iter().map(|removed| format!("\"added-{removed}\"")).collect();
+            let body = format!(
+                r#"{{"Gen":{version},"Upsert":{{"Routes":[{}]}},"Remove":{{"Routes":[{}]}}}}"#,
+                route(number),
+                removed.join(",")
+            );
+            return Order { path: "/-/config/patch", body, change };
+        }
+        let kept = self.routes.iter().filter(|kept| !change.removes.contains(kept));
+        let routes: String = kept.chain([&number]).map(|number| route(*number) + ",").collect();
+        Order { path: "/-/config/put", body: configuration_with(version, &routes), change }
+    }
+
+    fn invalid(&mut self) -> Order {
+        let next = self.version + 1;
+        let change = Change { is_valid: false, ..self.change(next, false) };
+        let added = route(change.number) + ",";
+        if self.random.chance(25) {
+            let added = route(change.number);
+            // The routes would name a service that is not there.
+            let body = format!(
+                r#"{{"Gen":{next},"Upsert":{{"Routes":[{added}]}},"Remove":{{"Backends":["llm"]}}}}"#
+            );
+            return Order { path: "/-/config/patch", body, change };
+        }
+        let body = match self.random.below(6) {
+            0 => configuration_with(next, &added.replace("\"llm\"", "\"unknown\"")),
+            1 => configuration_with(next, &added.replace(r#""DeadlineMs":4000"#, r#""DeadlineMs":0"#)),
+            2 => configuration_with(self.version, &added),
+            3 => configuration_with(next, &added).trim_end_matches('}').to_owned(),
+            4 => {
+                configuration_with(next, &(added.clone() + &added.replace("\"Name\":\"", "\"Name\":\"twin-")))
+            }
+            _ => configuration_with(next, &added).replace(
+                r#""Accounts":["#,
+                r#""Accounts":[{"Name":"other","Apikeys":["key-of-kaje"],"Prio":1},"#,
+            ),
+        };
+        Order { path: "/-/config/put", body, change }
+    }
+
+    fn step(&mut self) {
+        let next = self.version + 1 + self.random.below(3);
+        let orders = match self.random.below(10) {
+            0 | 1 => vec![self.invalid()],
+            2 | 3 => vec![self.valid(next, true), self.valid(next + 1, true)],
+            _ => vec![self.valid(next, false)],
+        };
+        self.soak.offered.lock().unwrap().extend(orders.iter().map(|order| order.change.number));
+        let starts: Vec<usize> = orders.iter().map(|_| self.random.index(self.soak.admins.len())).collect();
+        let soak = self.soak;
+        let sent: Vec<Change> = std::thread::scope(|scope| {
+            let pairs = orders.into_iter().zip(starts);
+            let senders: Vec<_> =
+                pairs.map(|(order, start)| scope.spawn(move || send(soak, order, start))).collect();
+            senders.into_iter().map(|sender| sender.join().unwrap()).collect()
+        });
+        for change in sent {
+            if change.is_acknowledged() && change.is_valid {
+                self.version = change.version;
+                self.routes.retain(|route| !change.removes.contains(route));
+                self.routes.push(change.number);
+            }
+            self.changes.push(change);
+        }
+    }
+}
+
+/// Sends an order unchanged until the answer is clear.
+fn send(soak: &Soak, order: Order, start: usize) -> Change {
+    let mut admins = soak.admins.clone();
+    admins.rotate_left(start);
+    let Order { path, body, mut change } = order;
+    change.sent_at = Instant::now();
+    while change.status.is_none() && !soak.is_stopped() {
+        let status = order_at(&admins, path, change.base, &body);
+        change.status = status.filter(|status| *status < 500 && ![408, 429].contains(status));
+        change.ended_at = Instant::now();
+        if change.status.is_none() {
+            admins.rotate_left(1);
+            std::thread::sleep(RETRY_PAUSE);
+        }
+    }
+    change
+}
+
+/// Plays operators until the run stops, or until the state of a change is unclear.
+pub fn play(soak: &Soak) -> Vec<Change> {
+    let random = Random::from_mixed_seed(soak.seed ^ 0x6f70);
+    let (version, routes, changes) = (FIRST_VERSION, Vec::new(), Vec::new());
+    let mut operator = Operator { soak, random, version, routes, newest_route: 0, changes };
+    while !soak.is_stopped() {
+        operator.step();
+        let pause = operator.random.below(MOST_BETWEEN_MS);
+        std::thread::sleep(Duration::from_millis(pause));
+    }
+    operator.changes
+}
+
+/// Checks that the newest acknowledged configuration is read back, with its route, or one whose answer was not clear.
+pub fn read_back(soak: &Soak, changes: &[Change]) -> Option<String> {
+    let acknowledged = changes.iter().filter(|change| change.is_acknowledged());
+    let newest = acknowledged.max_by_key(|change| change.version);
+    let unclear = changes.iter().filter(|change| change.is_valid && change.status.is_none());
+    let mut allowed: Vec<(u64, u64)> =
+        unclear.chain(newest).map(|change| (change.version, change.number)).collect();
+    if newest.is_none() {
+        // It has none of the routes that changes add.
+        allowed.push((FIRST_VERSION, 0));
+    }
+    let until = Instant::now() + READ_BACK;
+    let mut seen = None;
+    while Instant::now() < until {
+        seen = soak.admins.iter().filter_map(|admin| get(admin)).find(|answer| answer.status == 200);
+        let Some(answer) = &seen else {
+            std::thread::sleep(RETRY_PAUSE);
+            continue;
+        };
+        let holds = |(version, route): &(u64, u64)| {
+            let has_route = *route == 0 || answer.body.contains(&format!("/added-{route}/"));
+            has_route && answer.body.contains(&format!("\"Gen\":{version},"))
+        };
+        if allowed.iter().any(holds) {
+            return None;
+        }
+        break;
+    }
+    let seen = seen.map(|answer| answer.body);
+    Some(format!("CONFIG: read back is not one of {allowed:?}: {seen:?}"))
+}
+
+fn get(admin: &str) -> Option<Answer> {
+    http(admin, "GET /-/config/get HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+}
