--- a/tier/node/src/edge/mod.rs
+++ b/tier/node/src/edge/mod.rs
@@ -20,7 +20,7 @@
 use crate::metrics::MetricsAddress;
 use crate::metrics_server::{self, MetricsSources};
 use crate::node::Node;
-use crate::role::{RoleError, listen, wait_for_stop};
+use crate::role::{RoleError, Signals, listen, wait_for_stop};
 use crate::subscription::{self, Needs, Reporter};
 use crate::{clock, rpc, stalls};
 use client_connections::ClientConnections;
@@ -38,6 +38,7 @@
 ///
 /// Its tasks are detached: each serves until the process ends, which it does soon after this function returns.
 pub async fn run(settings: Settings, metrics: Option<MetricsAddress>) -> Result<(), RoleError> {
+    let signals = Signals::install()?;
     let identity = match settings.data_folder() {
         Some(folder) => Some(load_identity(Path::new(folder), clock::random_id())?),
         None => None,
@@ -69,7 +70,7 @@
     let connections = serve_clients(&node)?;
     tokio::task::spawn_local(close_expired_connections(node.clone()));
 
-    wait_for_stop(&node).await?;
+    wait_for_stop(&node, signals).await;
     if let Some(core) = &core {
         core.resign();
     }
--- a/tier/node/src/role.rs
+++ b/tier/node/src/role.rs
@@ -4,7 +4,7 @@
 use crate::socket;
 use quillmount_storage::{ContentsError, IdentityError, StorageError};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Why a role could not run.
 ///
@@ -57,20 +57,36 @@
     socket::listen(address).map_err(|error| RoleError::Listen { address: address.to_owned(), error })
 }
 
+/// The signals that a role takes. Until they are installed each of them ends the process, so that a role installs them before it
+/// does anything else; those that come before [`wait_for_stop`] are kept for it.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    pub fn install() -> Result<Signals, RoleError> {
+        let install = |kind| signal(kind).map_err(RoleError::Signals);
+        Ok(Signals {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT and marks the node as stopping. SIGHUP reloads the seeds; all other settings are fixed until the
 /// process ends.
-pub async fn wait_for_stop(node: &Node) -> Result<(), RoleError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(RoleError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(RoleError::Signals)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(RoleError::Signals)?;
+pub async fn wait_for_stop(node: &Node, mut signals: Signals) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => node.reload_seeds(),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => node.reload_seeds(),
         }
     }
     node.stopping.set(true);
     node.report_due.notify_one();
-    Ok(())
 }
--- a/tier/node/src/store/mod.rs
+++ b/tier/node/src/store/mod.rs
@@ -24,7 +24,7 @@
 use crate::metrics::MetricsAddress;
 use crate::metrics_server::{self, MetricsSources};
 use crate::node::Node;
-use crate::role::{RoleError, listen, wait_for_stop};
+use crate::role::{RoleError, Signals, listen, wait_for_stop};
 use crate::rpc::{self, Handler};
 use crate::{stalls, subscription};
 use quillmount_storage::{FolderContents, claim_contents, load_identity};
@@ -44,6 +44,7 @@
 
 /// Runs a store until it is asked to stop.
 pub async fn run(settings: Settings, metrics: Option<MetricsAddress>) -> Result<(), RoleError> {
+    let signals = Signals::install()?;
     let folder = settings.data_folder().unwrap_or(DEFAULT_FOLDER).to_owned();
     let identity = load_identity(Path::new(&folder), clock::random_id())?;
     claim_contents(Path::new(&folder), FolderContents::BatchJobs)?;
@@ -74,7 +75,7 @@
     tokio::task::spawn_local(quota::send_statements_periodically(store.clone()));
     tokio::task::spawn_local(items::run(store.clone()));
     tokio::task::spawn_local(clean_up(store.clone()));
-    wait_for_stop(&node).await?;
+    wait_for_stop(&node, signals).await;
     tokio::time::sleep(HANDOVER_GRACE).await;
     Ok(())
 }
--- a/tier/node/tests/tier/stop.rs
+++ b/tier/node/tests/tier/stop.rs
@@ -1,6 +1,6 @@
 //! The graceful shutdown of a courier.
 
-use crate::harness::{KEY, Tier, configuration, eventually, order, send_request, send_request_to};
+use crate::harness::{CORE, KEY, Tier, configuration, eventually, order, send_request, send_request_to};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -45,3 +45,19 @@
         assert_eq!(long.join().unwrap().map(|answer| answer.status), Some(504));
     });
 }
+
+/// SIGHUP says that the settings file has changed, also to a process that is still opening its disk.
+#[test]
+fn processes_that_start_take_a_hangup() {
+    let mut tier = Tier::start();
+    let courier = tier.add_uncounted_courier();
+    assert!(courier >= CORE, "its folder is new");
+    eventually("it opens its disk", || (!tier.files_of_courier(courier).is_empty()).then_some(()));
+    assert!(tier.signal("courier", courier, "HUP"));
+    let first = configuration(3);
+    assert_eq!(eventually("the first configuration", || order(&tier, "/-/config/put", 0, &first)), 200);
+    eventually("it serves", || {
+        assert_eq!(tier.ending_of("courier", courier), None);
+        send_request(&tier, courier, "/safe/1", KEY, 4000).filter(|answer| answer.status == 200)
+    });
+}
