Soak: calls about batch jobs that end without a whole answer are judged

Cause: a call about a batch job that was closed without an answer, or got none, was passed over. Change: it is LOST, under the terms of a request of a client.

--- a/tier/node/tests/tier/soak/client.rs
+++ b/tier/node/tests/tier/soak/client.rs
@@ -88,14 +88,15 @@
     }
 }
 
-/// A connection that is kept.
-struct Connection {
+/// A connection that may be kept.
+pub struct Connection {
     stream: TcpStream,
     received: Vec<u8>,
 }
 
 impl Connection {
-    fn open(address: &str) -> Option<Connection> {
+    /// Connects; `None` if that fails.
+    pub fn open(address: &str) -> Option<Connection> {
         let stream = TcpStream::connect_timeout(&address.parse().unwrap(), CONNECT_TIMEOUT).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         stream.set_nodelay(true).ok()?;
@@ -112,6 +113,12 @@
         self.stream.write_all(b"prompt")
     }
 
+    /// Sends all of a request, and reads its answer; `None` if it could not be sent.
+    pub fn call(&mut self, request: &str) -> Option<Outcome> {
+        self.stream.write_all(request.as_bytes()).ok()?;
+        Some(self.read_outcome())
+    }
+
     fn read_outcome(&mut self) -> Outcome {
         let mut bytes = [0; 4096];
         loop {
--- a/tier/node/tests/tier/soak/jobs.rs
+++ b/tier/node/tests/tier/soak/jobs.rs
@@ -1,7 +1,8 @@
 //! Clients with batch jobs: they submit them until they are accepted, and read the results again and again.
 
 use super::Soak;
-use crate::harness::{Answer, KEY, http};
+use super::client::{Connection, Outcome};
+use crate::harness::{Answer, KEY};
 use miniserde::Deserialize;
 use quillmount_test_support::random::Random;
 use std::time::{Duration, Instant};
@@ -36,6 +37,16 @@
     text: String,
 }
 
+/// A call about batch jobs that was sent and got no whole answer.
+pub struct Unanswered {
+    pub courier: usize,
+    pub call: String,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    /// The answer began.
+    pub is_broken_off: bool,
+}
+
 /// A batch job.
 pub struct Job {
     id: String,
@@ -45,6 +56,8 @@
     pub is_refused: bool,
     /// Answers of 404 or 410 to reads: courier, and when the read was sent and answered.
     pub missing: Vec<(usize, Instant, Instant)>,
+    /// Calls that got no whole answer.
+    pub unanswered: Vec<Unanswered>,
     /// Results read so far.
     results: Vec<Output>,
     pub faults: Vec<String>,
@@ -75,13 +88,27 @@
         }
     }
 
+    /// Makes a call on a connection of its own.
+    fn call(&mut self, soak: &Soak, courier: usize, request: &str) -> Option<Answer> {
+        let mut connection = Connection::open(&soak.clients[courier])?;
+        let sent_at = Instant::now();
+        let outcome = connection.call(request)?;
+        let is_broken_off = matches!(outcome, Outcome::BrokenOff);
+        if let Outcome::Answered(answer) = outcome {
+            return Some(answer);
+        }
+        let call = format!("{} {}", self.id, request.lines().next().unwrap_or_default());
+        self.unanswered.push(Unanswered { courier, call, sent_at, ended_at: Instant::now(), is_broken_off });
+        None
+    }
+
     fn read(&mut self, soak: &Soak, courier: usize, wait_ms: u64) -> Option<usize> {
         let sent_at = Instant::now();
         let request = format!(
             "GET /-/lots/{}?StartAfter=0 HTTP/1.1\r\nHost: a.example\r\nAuthorization: {KEY}\r\nWait: {wait_ms}\r\nConnection: close\r\n\r\n",
             self.id
         );
-        let answer = http(&soak.clients[courier], &request)?;
+        let answer = self.call(soak, courier, &request)?;
         match answer.status {
             200 => self.note(&answer.body),
             404 | 410 => self.missing.push((courier, sent_at, Instant::now())),
@@ -91,7 +118,7 @@
     }
 }
 
-fn submit(soak: &Soak, courier: usize, job: &Job) -> Option<Answer> {
+fn submit(soak: &Soak, courier: usize, job: &mut Job) -> Option<Answer> {
     let items: Vec<String> = job
         .items
         .iter()
@@ -105,17 +132,18 @@
         job.id,
         body.len()
     );
-    http(&soak.clients[courier], &request)
+    job.call(soak, courier, &request)
 }
 
 /// Submits a job until it is accepted, or the run stops.
 fn submit_until_accepted(soak: &Soak, random: &mut Random, number: u64) -> Job {
     let id = format!("job-{}-{number}", soak.seed);
     let items = (0..ITEMS).map(|item| format!("{id}-{item}")).collect();
-    let (missing, results, faults) = (Vec::new(), Vec::new(), Vec::new());
-    let mut job = Job { id, items, accepted_at: None, is_refused: true, missing, results, faults };
+    let (missing, unanswered, results, faults) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    let mut job =
+        Job { id, items, accepted_at: None, is_refused: true, missing, unanswered, results, faults };
     while job.accepted_at.is_none() && !soak.is_stopped() {
-        let answer = submit(soak, random.index(soak.clients.len()), &job);
+        let answer = submit(soak, random.index(soak.clients.len()), &mut job);
         match answer.map(|answer| answer.status) {
             Some(202) => {
                 job.is_refused = false;
--- a/tier/node/tests/tier/soak/rules.rs
+++ b/tier/node/tests/tier/soak/rules.rs
@@ -1,7 +1,7 @@
 //! Judges what everybody saw in a run by RULES.md.
 
 use super::client::{Exchange, Kind, Outcome};
-use super::jobs::Job;
+use super::jobs::{Job, Unanswered};
 use super::operator::Change;
 use super::trouble::{History, courier};
 use super::{ACKNOWLEDGE, APPLY, CONTACT, DOWNGRADE, SETTLE, SLACK, STRETCH};
@@ -200,6 +200,7 @@
             if job.is_refused && job.items.iter().any(|item| self.arrivals(item) > 0) {
                 violations.push(format!("REFUSED: {:?} run, and all tries were refused", job.items));
             }
+            violations.extend(job.unanswered.iter().filter_map(|call| self.check_unanswered(call)));
             for (courier, sent_at, ended_at) in &job.missing {
                 let is_settled = job.accepted_at.is_some_and(|accepted| *sent_at > accepted + SETTLE);
                 if is_settled && self.is_in_touch(*courier, (*sent_at, *ended_at)) {
@@ -212,6 +213,19 @@
         violations
     }
 
+    /// Checks a call about batch jobs that ended without a whole answer, as a request of a client.
+    fn check_unanswered(&self, call: &Unanswered) -> Option<String> {
+        let Unanswered { courier: number, call: what, sent_at, ended_at, is_broken_off } = call;
+        let took = *ended_at - *sent_at;
+        let harmed_from = sent_at.checked_sub(CONTACT).unwrap();
+        let is_harmed = self.history.is_harmed(courier(*number), harmed_from, *ended_at);
+        if is_harmed || (!is_broken_off && took <= SLACK) {
+            return None;
+        }
+        let at = self.history.at(*sent_at);
+        Some(format!("LOST: {what} at courier {number}, sent {at}, no whole answer after {took:?}"))
+    }
+
     /// Requests on routes that are always there, denied by machines in touch.
     fn check_denied(&self) -> Vec<String> {
         let is_denied = |exchange: &&Exchange| {
