--- a/tier/control/src/transmission.rs
+++ b/tier/control/src/transmission.rs
@@ -20,7 +20,7 @@
 /// Time after the arrival of a poll within which its answer gets its turn: well within the time-out of the poll.
 pub const TURN_LIMIT: Micros = 400_000;
 /// Time after which a poll that gets no turn is to come again. Polls that are turned away together come back one after the other.
-const COME_AGAIN: RangeInclusive<Micros> = 50_000..=250_000;
+const RETRY_DELAY: RangeInclusive<Micros> = 50_000..=250_000;
 /// Its multiples spread evenly over the unit interval, however many there are.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -29,7 +29,7 @@
 #[error("too many answers wait to be sent")]
 pub struct Saturated {
     /// Time for which the sender of the poll is to be kept waiting, microseconds.
-    pub come_again: Micros,
+    pub retry_delay: Micros,
 }
 
 /// Admits answers to the link at a rate, in the order in which they ask.
@@ -64,18 +64,18 @@
         let begins = self.busy_until.max(now);
         let wait = begins.saturating_sub(now).saturating_sub(BURST);
         if wait > 0 && now + wait > arrived + TURN_LIMIT {
-            return Err(Saturated { come_again: self.come_again(arrived, now) });
+            return Err(Saturated { retry_delay: self.retry_delay(arrived, now) });
         }
         self.busy_until = begins + (bytes as f64 / self.rate * 1e6) as Micros;
         Ok(wait)
     }
 
     /// A time from the range, within the limit of the poll's turn.
-    fn come_again(&mut self, arrived: Micros, now: Micros) -> Micros {
+    fn retry_delay(&mut self, arrived: Micros, now: Micros) -> Micros {
         self.rejected += 1;
         let fraction = (self.rejected as f64 * GOLDEN_RATIO).fract();
-        let spread = (COME_AGAIN.end() - COME_AGAIN.start()) as f64 * fraction;
-        let wait = COME_AGAIN.start() + spread as Micros;
-        wait.min((arrived + TURN_LIMIT).saturating_sub(now)).max(*COME_AGAIN.start())
+        let spread = (RETRY_DELAY.end() - RETRY_DELAY.start()) as f64 * fraction;
+        let wait = RETRY_DELAY.start() + spread as Micros;
+        wait.min((arrived + TURN_LIMIT).saturating_sub(now)).max(*RETRY_DELAY.start())
     }
 }
--- a/tier/control/tests/transmission.rs
+++ b/tier/control/tests/transmission.rs
@@ -55,12 +55,12 @@
     let mut budget = TransmissionBudget::new(Some(100.0));
     fill(&mut budget, 10_000, SECOND);
     let rejected = (0..200).map(|_| budget.reserve(10_000, SECOND, SECOND));
-    let mut returns: Vec<u64> = rejected.map(|rejected| rejected.unwrap_err().come_again).collect();
+    let mut returns: Vec<u64> = rejected.map(|rejected| rejected.unwrap_err().retry_delay).collect();
     returns.sort_unstable();
     assert!(returns.iter().all(|wait| *wait <= TURN_LIMIT));
     let most = returns.windows(20).map(|twenty| twenty[19] - twenty[0]).min().unwrap();
     assert!(most >= 10_000, "twenty of two hundred come back within {most} µs");
-    assert_eq!(budget.reserve(10_000, 0, SECOND).unwrap_err().come_again, 50_000, "late as it is");
+    assert_eq!(budget.reserve(10_000, 0, SECOND).unwrap_err().retry_delay, 50_000, "late as it is");
 }
 
 #[test]
--- a/tier/dataplane/tests/distribution/core_side.rs
+++ b/tier/dataplane/tests/distribution/core_side.rs
@@ -69,7 +69,7 @@
     match transmission.reserve(size(answer), arrived, now) {
         Ok(0) => None,
         Ok(wait) => Some(Stage::Queued { until: now + wait, admitted: true }),
-        Err(Saturated { come_again }) => Some(Stage::Queued { until: now + come_again, admitted: false }),
+        Err(Saturated { retry_delay }) => Some(Stage::Queued { until: now + retry_delay, admitted: false }),
     }
 }
 
--- a/tier/node/src/control_member/polls.rs
+++ b/tier/node/src/control_member/polls.rs
@@ -49,9 +49,9 @@
             // What is sent is the newest at that moment.
             respond(core, answer_now(core, &poll))
         }
-        Err(Saturated { come_again }) => {
+        Err(Saturated { retry_delay }) => {
             drop(answer);
-            tokio::time::sleep(Duration::from_micros(come_again)).await;
+            tokio::time::sleep(Duration::from_micros(retry_delay)).await;
             if core.serving().is_some() { Response::Full } else { respond(core, None) }
         }
     }
