Stores give up no batch item by a configuration older than the job's

Cause: a store gave an item up as soon as its own configuration had no route of the job's name. It took "I don't know this route" for "this route has ended". The courier that accepted the job had the new version already; the store's turn among the subscribers came later. The same holds for a shorter RetainS or a lower Tries of an older version, and for a store that takes over a shard.

No job says under which version it was accepted, and adding that would change the stored form.

Change: the decision is a function of its own (dataplane/batch_item): an item runs, is given up for a reason, or is deferred while the store's configuration may be older than the job. It is new enough once an answered poll was sent a second or more after this store first knew the job: a primary publishes its state for 0.5 s at most without replies of a majority. An answer whose configuration this build rejects does not count, and no longer counts for refusals of couriers either (CoreContact::configuration_age). Nothing on the wire or on disk changes, so processes of the old build may run beside it. When a deferred item's route becomes known, its due time is set from it. quillmount_given_up_items counts the reasons.

Why it works: the accepting courier's version was committed before the store knew the job, so each state confirmed after that moment contains it.

--- a/tier/control/src/core_contact.rs
+++ b/tier/control/src/core_contact.rs
@@ -3,6 +3,10 @@
 use quillmount_wire::Micros;
 use std::time::Duration;
 
+/// Upper bound on the age of the state that a primary publishes, microseconds: twice the time without replies of a majority after
+/// which it stops.
+const MAX_PUBLISHED_STATE_AGE: Micros = 1_000_000;
+
 /// Addresses at which a process reaches the core, and when the primary last answered. The caller passes in the
 /// current time.
 ///
@@ -21,8 +25,8 @@
     last_tables_at: Micros,
     /// When the last answer of any kind from the primary arrived.
     last_response_at: Micros,
-    /// When the poll was sent to which the primary last answered with its tables: these tables are not older.
-    last_tables_poll_sent_at: Micros,
+    /// When the poll was sent whose answer last contained or confirmed the configuration that is in force here.
+    newest_configuration_poll_sent_at: Micros,
     /// When the poll was sent whose answer last contained or confirmed the primary's current endpoint list; before
     /// such an answer, when the first answered poll was sent.
     current_list_poll_sent_at: Micros,
@@ -53,14 +57,14 @@
     }
 
     /// Records an answer with the primary's tables, directly or through a relay, to a poll that was sent at
-    /// `poll_sent_at`.
+    /// `poll_sent_at`. If the newest configuration is in force here after it, the caller also calls
+    /// [`CoreContact::record_newest_configuration`].
     pub fn record_answer(&mut self, primary: &str, relays: &[String], poll_sent_at: Micros, now: Micros) {
         if !self.has_ever_answered() {
             self.current_list_poll_sent_at = poll_sent_at;
         }
         self.last_tables_at = now;
         self.last_response_at = now;
-        self.last_tables_poll_sent_at = poll_sent_at;
         self.primary = Some(primary.to_owned());
         self.relays = relays.to_vec();
     }
@@ -73,6 +77,12 @@
         self.poll_address = Some(address.to_owned());
     }
 
+    /// Records that the answer to the poll sent at `poll_sent_at` contained or confirmed the configuration that is in
+    /// force here. This does not hold for an answer with a configuration that this process rejected.
+    pub fn record_newest_configuration(&mut self, poll_sent_at: Micros) {
+        self.newest_configuration_poll_sent_at = poll_sent_at;
+    }
+
     /// Records that the answer to the poll sent at `poll_sent_at` contained or confirmed the primary's current
     /// endpoint list.
     pub fn record_current_list(&mut self, poll_sent_at: Micros) {
@@ -106,11 +116,19 @@
         now.saturating_sub(self.last_tables_at)
     }
 
-    /// Upper bound on the age of the primary's last answer with tables, by this process's clock; microseconds. The
-    /// state of the primary may be older by the time for which it serves its state without contact with a majority.
+    /// Upper bound on the time since the configuration in force here was the primary's newest one, by this process's
+    /// clock; microseconds. The state of the primary may be older by the time for which it serves its state without
+    /// contact with a majority.
+    #[must_use]
+    pub fn configuration_age(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.newest_configuration_poll_sent_at)
+    }
+
+    /// Whether the configuration in force here is at least as new as each one that was in force at any process at
+    /// `time`, by this process's clock.
     #[must_use]
-    pub fn age(&self, now: Micros) -> Micros {
-        now.saturating_sub(self.last_tables_poll_sent_at)
+    pub fn has_configurations_of(&self, time: Micros) -> bool {
+        self.newest_configuration_poll_sent_at >= time.saturating_add(MAX_PUBLISHED_STATE_AGE)
     }
 
     /// Time since this process last knew the primary's endpoint list to be current, by its own clock; microseconds.
--- a/tier/control/src/time_limits.rs
+++ b/tier/control/src/time_limits.rs
@@ -75,10 +75,10 @@
 
 impl TimeLimits {
     /// Whether requests may be refused based on the configuration of this process. `age` is that of the primary's
-    /// last answer ([`CoreContact::age`]), microseconds; if it is small enough, a newer configuration that allows the
+    /// last answer ([`CoreContact::configuration_age`]), microseconds; if it is small enough, a newer configuration that allows the
     /// requests need not be applied here yet.
     ///
-    /// [`CoreContact::age`]: crate::CoreContact::age
+    /// [`CoreContact::configuration_age`]: crate::CoreContact::configuration_age
     #[must_use]
     pub fn may_refuse(&self, age: Micros) -> bool {
         age < self.max_refusal_age.as_micros() as Micros || breaks::is_enabled(Break::RefusesWithoutCore)
--- a/tier/dataplane/src/breaks.rs
+++ b/tier/dataplane/src/breaks.rs
@@ -8,5 +8,7 @@
         RoutesOutdated,
         /// A draining endpoint still receives new requests.
         DrainingEndpointOpen,
+        /// A store gives batch items up by a configuration that may be older than the one under which their job was accepted.
+        GivesUpByOldConfiguration,
     }
 }
--- a/tier/dataplane/tests/planes/audit.rs
+++ b/tier/dataplane/tests/planes/audit.rs
@@ -6,6 +6,7 @@
 //!   ago. In a time without faults, no machine serves a route that this configuration has removed.
 //! - No process returns to an older configuration, and none sends requests to an endpoint that has been listed as draining for longer
 //!   than `DrainMs` (both in `clients`).
+//! - A batch item is given up only by a configuration that is at least as new as the one under which its job was accepted.
 //! - The views of a shard have increasing epochs and enough copies, and their members were in sync or joining in the previous view.
 //! - A fencing token has one holder, and a usage window has one report. A rejected token is not used later than `LeaseMs` after the
 //!   rejection. No holder acts between two actions of another holder within `LeaseMs`.
@@ -56,6 +57,7 @@
     pub reported_windows: u64,
     pub direct_lists: u64,
     pub views: u64,
+    pub given_up_items: u64,
 }
 
 /// The recorded history of a run.
@@ -311,6 +313,17 @@
         );
     }
 
+    /// Checks that a store gives up an item by a configuration that is at least as new as the one under which its job was accepted.
+    /// `version` is that of the store's configuration, which has no such route.
+    pub fn check_given_up(&mut self, store: MachineId, route: &str, version: u64, accepted_under: u64) {
+        assert!(
+            version >= accepted_under,
+            "MIXED: store {store} gives up an item of route {route} with version {version}, although its job was accepted under \
+             version {accepted_under}"
+        );
+        self.totals.given_up_items += 1;
+    }
+
     /// Checks a fenced call at the platform and records whether it was accepted.
     pub fn check_platform_call(&mut self, call: &PlatformCall, accepted: bool, now: Time) {
         let holder = *self.holders.entry(call.fence).or_insert(call.holder);
--- a/tier/dataplane/tests/planes/clients.rs
+++ b/tier/dataplane/tests/planes/clients.rs
@@ -49,6 +49,7 @@
         let decided_at = self.now();
         if let Decision::Sent { endpoint } = &decision {
             self.check_drain(courier, endpoint);
+            self.accept_job(courier, &route);
         }
         let state = &mut self.machines[courier].state;
         let version = state.tables.versions.configuration;
@@ -79,7 +80,7 @@
             return Decision::Refused;
         }
         if state.tables.routes.find("h", &format!("/{route}/x")).is_none() {
-            let age = state.contact.age(now);
+            let age = state.contact.configuration_age(now);
             return if machine.limits.may_refuse(age) { Decision::Denied } else { Decision::Refused };
         }
         let profile = RequestProfile::default();
--- a/tier/dataplane/tests/planes/main.rs
+++ b/tier/dataplane/tests/planes/main.rs
@@ -1,11 +1,12 @@
 //! Simulation of the control plane and the data plane together, on virtual time. Core members keep leases and answer polls. Couriers,
 //! with and without a disk, relay polls, decide on requests and choose endpoints. Stores are assigned shards, operators change the
-//! configuration, clients send requests, and the platform provides its endpoint list and checks fencing tokens. The injected faults
+//! configuration, clients send requests and batch jobs, and the platform provides its endpoint list and checks fencing tokens. The injected faults
 //! are process kills, freezes, network partitions, power failures, full and slow disks, and clock steps and drift.
 //!
 //! The module `audit` checks the properties of the recorded histories. `SEEDS=N` sets the number of seeds.
 
 mod audit;
+mod batch;
 mod clients;
 mod core_side;
 mod duties;
@@ -32,12 +33,13 @@
     let reported: u64 = totals.iter().map(|totals| totals.reported_windows).sum();
     let direct_lists: u64 = totals.iter().map(|totals| totals.direct_lists).sum();
     let views: u64 = totals.iter().map(|totals| totals.views).sum();
+    let given_up: u64 = totals.iter().map(|totals| totals.given_up_items).sum();
     println!(
         "{count} runs: {served} requests served, {acknowledged} configurations acknowledged, {reported} usage windows reported, \
-         {direct_lists} endpoint lists read directly, {views} shard views changed"
+         {direct_lists} endpoint lists read directly, {views} shard views changed, {given_up} batch items given up"
     );
     assert!(served > 500 * count && acknowledged > 3 * count && reported > 2 * count);
-    assert!(direct_lists > count && views > 16 * count);
+    assert!(direct_lists > count && views > 16 * count && given_up > count);
 }
 
 /// Regression test for two seeds beyond [`DEFAULT_SEEDS`] at which correct histories failed, because the checks themselves were wrong.
@@ -107,7 +109,11 @@
         ControlBreak::UsageFinalizedTwice,
         ControlBreak::NoOwnList,
     ];
-    let of_dataplane = [DataplaneBreak::RoutesOutdated, DataplaneBreak::DrainingEndpointOpen];
+    let of_dataplane = [
+        DataplaneBreak::RoutesOutdated,
+        DataplaneBreak::DrainingEndpointOpen,
+        DataplaneBreak::GivesUpByOldConfiguration,
+    ];
     let silenced = seeds::SilencedPanics::begin();
     let mut undetected_breaks = Vec::new();
     let mut search = |break_name: String| {
--- a/tier/dataplane/tests/planes/subscriber.rs
+++ b/tier/dataplane/tests/planes/subscriber.rs
@@ -130,6 +130,7 @@
                 let poll = AnsweredPoll { address: &polled, sent_at: sent.sent_at, answered_at: now };
                 state.subscription.answered(&mut state.contact, &poll, &tables.tables, draw);
                 self.accept_tables(id, *tables);
+                self.machines[id].state.contact.record_newest_configuration(sent.sent_at);
                 0
             }
             PollAnswer::NotPrimary { hint } => {
--- a/tier/dataplane/tests/planes/world.rs
+++ b/tier/dataplane/tests/planes/world.rs
@@ -1,6 +1,7 @@
 //! The simulated deployment: machines, the network between them, and the scheduled events.
 
 use crate::audit::Audit;
+use crate::batch::AcceptedJob;
 use crate::core_side::PollAnswer;
 use crate::machine::{Machine, MachineId, address};
 use crate::operators::{Operator, OperatorAnswer};
@@ -79,11 +80,15 @@
 pub struct World {
     pub timeline: Timeline<Event>,
     pub random: Random,
+    /// Draws for batch jobs; apart from the others, so that those of a seed do not depend on them.
+    pub batch_random: Random,
     pub machines: Vec<Machine>,
     pub partitions: Partitions<MachineId>,
     pub platform: Platform,
     pub operators: Vec<Operator>,
     pub audit: Audit,
+    /// Batch jobs whose item is neither run nor given up.
+    pub jobs: Vec<AcceptedJob>,
     /// Planned end of the last fault. Frozen or killed machines can extend it when faults are healed.
     pub last_fault: Time,
     /// Planned end of the last fault that is not a freeze.
@@ -100,11 +105,13 @@
         let mut world = World {
             timeline: Timeline::new(SECOND),
             random: Random::from_mixed_seed(seed),
+            batch_random: Random::from_mixed_seed(seed),
             machines: Vec::new(),
             partitions: Partitions::none(),
             platform: Platform::new(SECOND),
             operators: (0..OPERATORS).map(|_| Operator::default()).collect(),
             audit: Audit::default(),
+            jobs: Vec::new(),
             last_fault: 0,
             last_fault_without_freezes: 0,
             operators_active: true,
@@ -348,6 +355,7 @@
         if self.is_due_every(WORK_INTERVAL) {
             self.answer_waiting_polls();
             self.send_requests();
+            self.decide_items();
             self.operate();
         }
         if self.is_due_every(ENDPOINT_INTERVAL) {
--- a/tier/node/src/metrics/labels.rs
+++ b/tier/node/src/metrics/labels.rs
@@ -1,6 +1,7 @@
 //! Labels of the counters.
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use quillmount_dataplane::batch_item::GiveUpReason;
 use quillmount_dataplane::dispatch::CallOutcome;
 use quillmount_wire::messages::Phase;
 
@@ -125,6 +126,36 @@
     }
 }
 
+/// Why an item of a batch job was given up.
+#[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
+pub(super) enum GiveUpKind {
+    /// The route of its job ended.
+    RouteEnded,
+    /// Its retention time passed.
+    Expired,
+    /// Endpoints failed it as often as the route allows.
+    Failed,
+    /// An endpoint answered that it can't be processed.
+    Unprocessable,
+}
+
+impl From<GiveUpReason> for GiveUpKind {
+    fn from(reason: GiveUpReason) -> GiveUpKind {
+        match reason {
+            GiveUpReason::RouteEnded => GiveUpKind::RouteEnded,
+            GiveUpReason::Expired => GiveUpKind::Expired,
+            GiveUpReason::Failed => GiveUpKind::Failed,
+            GiveUpReason::Unprocessable => GiveUpKind::Unprocessable,
+        }
+    }
+}
+
+/// Labels of batch items that were given up.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct GiveUpLabels {
+    pub(super) reason: GiveUpKind,
+}
+
 /// Labels of polls.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(super) struct PollLabels {
--- a/tier/node/src/metrics/mod.rs
+++ b/tier/node/src/metrics/mod.rs
@@ -12,11 +12,14 @@
 pub use labels::{PollResult, RequestOutcome, TableKind};
 
 use endpoint::EndpointGauges;
-use labels::{CallKind, CallLabels, ItemLabels, PollLabels, RequestLabels, StatusLabels, TableLabels};
+use labels::{
+    CallKind, CallLabels, GiveUpLabels, ItemLabels, PollLabels, RequestLabels, StatusLabels, TableLabels,
+};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use quillmount_dataplane::batch_item::GiveUpReason;
 use quillmount_dataplane::dispatch::CallOutcome;
 use quillmount_wire::messages::Phase;
 use std::time::Duration;
@@ -27,6 +30,7 @@
     requests: Family<RequestLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     items: Family<ItemLabels, Counter>,
+    given_up_items: Family<GiveUpLabels, Counter>,
     polls: Family<PollLabels, Counter>,
     platform_calls: Family<StatusLabels, Counter>,
     elections: Counter,
@@ -76,6 +80,7 @@
             requests: Family::default(),
             calls: Family::default(),
             items: Family::default(),
+            given_up_items: Family::default(),
             polls: Family::default(),
             platform_calls: Family::default(),
             elections: Counter::default(),
@@ -103,6 +108,8 @@
         registry.register("requests", "Requests of clients by how they ended", self.requests.clone());
         registry.register("calls", "Calls to endpoints by how they ended", self.calls.clone());
         registry.register("items", "Results of batch items by phase", self.items.clone());
+        let help = "Batch items that were given up, by reason";
+        registry.register("given_up_items", help, self.given_up_items.clone());
         registry.register("polls", "Polls of the core by their answer", self.polls.clone());
         let help = "Calls to the platform in a singleton role by status, 0 without an answer";
         registry.register("platform_calls", help, self.platform_calls.clone());
@@ -149,6 +156,11 @@
         self.items.get_or_create(&ItemLabels::from(phase)).inc();
     }
 
+    /// Counts an item of a batch job that was given up.
+    pub fn count_given_up_item(&self, reason: GiveUpReason) {
+        self.given_up_items.get_or_create(&GiveUpLabels { reason: reason.into() }).inc();
+    }
+
     /// Counts a poll of the core.
     pub fn count_poll(&self, result: PollResult) {
         self.polls.get_or_create(&PollLabels { result }).inc();
--- a/tier/node/src/node.rs
+++ b/tier/node/src/node.rs
@@ -104,7 +104,12 @@
 
     /// Whether requests may be refused by the configuration in force ([`TimeLimits::may_refuse`]).
     pub fn may_refuse(&self) -> bool {
-        self.limits.may_refuse(self.core_contact.borrow().age(clock::now()))
+        self.limits.may_refuse(self.core_contact.borrow().configuration_age(clock::now()))
+    }
+
+    /// Whether the configuration in force is at least as new as each one that was in force at any process at `time`.
+    pub fn has_configurations_of(&self, time: Micros) -> bool {
+        self.core_contact.borrow().has_configurations_of(time)
     }
 
     /// Time since the primary of the core last answered, or since the start of the clock.
--- a/tier/node/src/store/items.rs
+++ b/tier/node/src/store/items.rs
@@ -3,6 +3,8 @@
 //! [`run`] takes items from the queue (`queue`) in the order of their due times, reserves an endpoint for each, and starts
 //! an attempt (`attempt`), whose result is committed in the job's shard (`results`). The batch capacity of the endpoints is
 //! divided among the stores in proportion to their numbers of items (`shares`).
+//!
+//! Items about which the configuration can't decide yet are set aside, and [`release_deferred`] queues them again.
 
 mod attempt;
 mod item_run;
@@ -18,13 +20,14 @@
 use quillmount_dataplane::dispatch::Reservation;
 use quillmount_dataplane::request_profile::RequestProfile;
 use quillmount_wire::Micros;
-use quillmount_wire::messages::Phase;
-use results::append_result;
+use results::give_up;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Longest time between two checks for free capacity.
 const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest time between two decisions about an item that was set aside.
+const DEFERRED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Starts waiting items until the process ends.
 pub async fn run(store: Rc<Store>) {
@@ -45,12 +48,23 @@
     }
 }
 
+/// Queues the items that were set aside again, with each change of the tables and regularly, until the process ends.
+pub async fn release_deferred(store: Rc<Store>) {
+    let mut tables = store.node.watch_tables();
+    loop {
+        // Neither outcome needs handling: the items are decided again in any case.
+        let _ = tokio::time::timeout(DEFERRED_CHECK_INTERVAL, tables.changed()).await;
+        store.item_queue.release_deferred(&store.node.tables().routes);
+    }
+}
+
 /// Starts waiting items in the order of the queue until no endpoint has capacity.
 fn start_items(store: &Rc<Store>) {
     while let Some(run) = store.item_queue.pop() {
-        match run.next_step(&store.node.tables().routes) {
+        match run.next_step(&store.node) {
             NextStep::Drop => {}
-            NextStep::DeadLetter => append_result(store, run, Phase::DeadLetter, String::new()),
+            NextStep::GiveUp(reason) => give_up(store, run, reason),
+            NextStep::Defer => store.item_queue.defer(run),
             NextStep::Reserve { service, profile } => match reserve(store, &run, &service, &profile) {
                 Some(reservation) => {
                     // The task ends with the attempt, which is cancelled when its job or term ends.
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -3,11 +3,12 @@
 //! An endpoint answers with a stream of numbered events. If an attempt is interrupted after some of them, the next attempt resumes
 //! after the last event, possibly at another endpoint.
 
-use super::item_run::ItemRun;
-use super::results::append_result;
+use super::item_run::{ItemRun, NextStep};
+use super::results::{append_result, give_up};
 use crate::clock;
 use crate::store::state::Store;
 use crate::upstream::{BodyProgress, UpstreamAnswer, UpstreamError, UpstreamRequest};
+use quillmount_dataplane::batch_item::GiveUpReason;
 use quillmount_dataplane::dispatch::{CallOutcome, Reservation};
 use quillmount_dataplane::event_sequence::{EventIds, EventSequence};
 use quillmount_dataplane::events::SseEvent;
@@ -182,14 +183,15 @@
                 let text = self.run.text.join("\n");
                 append_result(&self.store, self.run, Phase::Done, text);
             }
-            ItemAttemptOutcome::Unprocessable => self.give_up(),
+            ItemAttemptOutcome::Unprocessable => give_up(&self.store, self.run, GiveUpReason::Unprocessable),
             ItemAttemptOutcome::Cancelled => {}
             ItemAttemptOutcome::Failed => {
                 self.run.failures += 1;
-                if self.run.failures >= self.run.max_attempts(&self.store.node.tables().routes) {
-                    self.give_up();
-                } else {
-                    self.requeue_without_progress().await;
+                match self.run.next_step(&self.store.node) {
+                    NextStep::Drop => {}
+                    NextStep::GiveUp(reason) => give_up(&self.store, self.run, reason),
+                    NextStep::Defer => self.store.item_queue.defer(self.run),
+                    NextStep::Reserve { .. } => self.requeue_without_progress().await,
                 }
             }
             ItemAttemptOutcome::Retry(_) if self.first_event_latency.is_none() => {
@@ -202,10 +204,6 @@
         }
     }
 
-    fn give_up(self) {
-        append_result(&self.store, self.run, Phase::DeadLetter, String::new());
-    }
-
     /// Queues the item again after a delay. The next attempt prefers other endpoints.
     async fn requeue_without_progress(mut self) {
         self.run.tried_endpoints.push(self.reservation.id);
--- a/tier/node/src/store/items/item_run.rs
+++ b/tier/node/src/store/items/item_run.rs
@@ -1,19 +1,21 @@
 //! State of a batch item until it has a result.
 
 use crate::clock;
+use crate::node::Node;
 use crate::store::shard::ServedShard;
 use crate::store::term::TrackedJob;
+use quillmount_dataplane::batch_item::{GiveUpReason, ItemDecision, ItemProgress, decide};
 use quillmount_dataplane::dispatch::Reservation;
 use quillmount_dataplane::request_profile::RequestProfile;
-use quillmount_dataplane::routes::RouteTable;
+use quillmount_dataplane::routes::{CompiledRoute, RouteTable};
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{Item, Job};
 use std::rc::Rc;
 
 /// An item that is due within this time counts as late, microseconds. This is about the time that an item takes to run.
 const LATE_MARGIN: Micros = 700_000;
-/// Largest number of attempts of an item whose route no longer exists.
-const DEFAULT_MAX_ATTEMPTS: u32 = 1;
+/// Time after which an item is due if its route sets none or is not known yet, milliseconds.
+const DEFAULT_DUE_MS: f64 = 60_000.0;
 /// Headers of an item that are not forwarded, because the request sets them itself or they apply to one connection only.
 const REPLACED_HEADERS: [&str; 6] =
     ["host", "request-id", "tenant", "content-length", "connection", "transfer-encoding"];
@@ -45,7 +47,9 @@
     /// Drop the item, because its job or the term has ended.
     Drop,
     /// Give the item up, with a dead-letter result.
-    DeadLetter,
+    GiveUp(GiveUpReason),
+    /// Decide again once a newer configuration may be in force.
+    Defer,
     /// Reserve an endpoint of the service for the item.
     Reserve {
         /// Name of the service.
@@ -66,26 +70,37 @@
         &self.job.items[self.item as usize]
     }
 
-    /// Decides whether and at which service the item runs, according to the current routes. If the route has several services, one is
-    /// chosen at random by weight.
-    pub fn next_step(&self, routes: &RouteTable) -> NextStep {
+    /// Decides whether and at which service the item runs, according to the current configuration. If the route has several services,
+    /// one is chosen at random by weight.
+    pub fn next_step(&self, node: &Node) -> NextStep {
         if self.tracked.cancelled.is_set() || !self.served.term.is_serving() {
             return NextStep::Drop;
         }
-        let Some(route) = routes.by_name(&self.job.route) else { return NextStep::DeadLetter };
-        let age = clock::now().saturating_sub(self.tracked.known_since);
-        let retention = route.route.retain_s.map(|seconds| clock::micros_from_ms(seconds * 1000.0));
-        if retention.is_some_and(|retention| age > retention) {
-            return NextStep::DeadLetter;
+        let tables = node.tables();
+        let route = tables.routes.by_name(&self.job.route).map(|route| &**route);
+        let progress = ItemProgress {
+            age: clock::now().saturating_sub(self.tracked.known_since),
+            failures: self.failures,
+            has_configuration_of_job: node.has_configurations_of(self.tracked.known_since),
+        };
+        match decide(route, progress) {
+            ItemDecision::Run(route) => self.reserve_step(route),
+            ItemDecision::GiveUp(reason) => NextStep::GiveUp(reason),
+            ItemDecision::Defer => NextStep::Defer,
         }
+    }
+
+    fn reserve_step(&self, route: &CompiledRoute) -> NextStep {
         let profile = RequestProfile::parse(self.header("Token-Count"), self.header("Prompt-Prefix"));
         let service = route.pick_service(clock::random_fraction()).unwrap_or_default().to_owned();
         NextStep::Reserve { service, profile }
     }
 
-    /// Returns the number of failed attempts after which the item is given up.
-    pub fn max_attempts(&self, routes: &RouteTable) -> u32 {
-        routes.by_name(&self.job.route).map_or(DEFAULT_MAX_ATTEMPTS, |route| route.max_attempts)
+    /// Sets the time by which the result is due from the route of the job, as far as that is known.
+    pub fn update_due_time(&mut self, routes: &RouteTable) {
+        let route = routes.by_name(&self.job.route);
+        let due_ms = route.and_then(|route| route.route.due_ms).unwrap_or(DEFAULT_DUE_MS);
+        self.due_at = self.tracked.known_since + clock::micros_from_ms(due_ms);
     }
 
     /// Creates the HTTP request, head and body, for the reserved endpoint.
--- a/tier/node/src/store/items/queue.rs
+++ b/tier/node/src/store/items/queue.rs
@@ -1,7 +1,6 @@
-//! Queue of the items that wait for capacity, ordered by due time.
+//! Queue of the items that wait for capacity, ordered by due time, and the items that wait for a newer configuration.
 
 use super::item_run::ItemRun;
-use crate::clock;
 use crate::store::shard::ServedShard;
 use quillmount_dataplane::routes::RouteTable;
 use quillmount_wire::Micros;
@@ -9,8 +8,6 @@
 use std::collections::{BTreeMap, HashMap};
 use tokio::sync::Notify;
 
-/// Time after which an item is due if its route sets none, milliseconds.
-const DEFAULT_DUE_MS: f64 = 60_000.0;
 /// Time within which the waiting items should complete, seconds. Together with [`ITEM_DURATION_S`] it determines how many endpoints
 /// are requested for them.
 const BACKLOG_TARGET_S: f64 = 12.0;
@@ -34,10 +31,12 @@
     waiting.iter().map(|(service, items)| (service.clone(), calls(*items))).collect()
 }
 
-/// Queue of the items that wait for capacity.
+/// Queue of the items that wait for capacity. Together with the running items it is bounded by the limit on the memory of jobs.
 #[derive(Default)]
 pub struct ItemQueue {
     runs: RefCell<BTreeMap<QueueKey, ItemRun>>,
+    /// Items about which the present configuration can't decide.
+    deferred: RefCell<Vec<ItemRun>>,
     last_number: Cell<u64>,
     added: Notify,
 }
@@ -54,11 +53,8 @@
         let replica = served.shard.replica();
         let Some(entry) = replica.jobs().jobs.get(job).filter(|entry| !entry.ended) else { return };
         let tracked = served.term.track(job);
-        let due_ms =
-            routes.by_name(&entry.job.route).and_then(|route| route.route.due_ms).unwrap_or(DEFAULT_DUE_MS);
-        let due_at = tracked.known_since + clock::micros_from_ms(due_ms);
         for item in (0..entry.job.items.len() as u32).filter(|item| !entry.has_result(*item)) {
-            self.enqueue(ItemRun {
+            let mut run = ItemRun {
                 served: served.clone(),
                 tracked: tracked.clone(),
                 job: entry.job.clone(),
@@ -67,8 +63,23 @@
                 last_event: None,
                 failures: 0,
                 tried_endpoints: Vec::new(),
-                due_at,
-            });
+                due_at: tracked.known_since,
+            };
+            run.update_due_time(routes);
+            self.enqueue(run);
+        }
+    }
+
+    /// Sets an item aside until [`ItemQueue::release_deferred`].
+    pub fn defer(&self, run: ItemRun) {
+        self.deferred.borrow_mut().push(run);
+    }
+
+    /// Queues all items again that were set aside. Their route may have become known, and with it the time by which they are due.
+    pub fn release_deferred(&self, routes: &RouteTable) {
+        for mut run in self.deferred.take() {
+            run.update_due_time(routes);
+            self.enqueue(run);
         }
     }
 
--- a/tier/node/src/store/items/results.rs
+++ b/tier/node/src/store/items/results.rs
@@ -2,6 +2,7 @@
 
 use super::item_run::ItemRun;
 use crate::store::state::Store;
+use quillmount_dataplane::batch_item::GiveUpReason;
 use quillmount_wire::messages::{ItemResult, Phase, ShardOperation};
 use std::rc::Rc;
 
@@ -19,3 +20,10 @@
         let _ = run.served.shard.commit(&store, operation).await;
     });
 }
+
+/// Commits a dead-letter result for an item that is given up.
+pub fn give_up(store: &Rc<Store>, run: ItemRun, reason: GiveUpReason) {
+    tracing::debug!(job = run.job.id, item = run.item, ?reason, "gave up an item of a batch job");
+    store.node.metrics.count_given_up_item(reason);
+    append_result(store, run, Phase::DeadLetter, String::new());
+}
--- a/tier/node/src/subscription.rs
+++ b/tier/node/src/subscription.rs
@@ -105,7 +105,9 @@
                 let poll = AnsweredPoll { address, sent_at, answered_at: now };
                 subscription.answered(&mut contact, &poll, &tables, clock::random_id());
                 drop(contact);
-                accept_tables(node, tables);
+                if accept_tables(node, tables).is_ok() {
+                    node.core_contact.borrow_mut().record_newest_configuration(sent_at);
+                }
                 // Polls of a draining process are answered at once.
                 if node.stopping.get() { RETRY_DELAY } else { Duration::ZERO }
             }
@@ -187,20 +189,29 @@
 }
 
 /// Puts the tables of an answer in force that are newer than the present ones.
-fn accept_tables(node: &Node, mut tables: Tables) {
+///
+/// # Errors
+/// The configuration of the answer is invalid by the rules of this build; the present one stays in force.
+fn accept_tables(node: &Node, mut tables: Tables) -> Result<(), RejectedConfiguration> {
     node.whole_tables_wanted.set(false);
     *node.loads.borrow_mut() = Rc::new(std::mem::take(&mut tables.loads));
     let current = node.tables();
     let update = current.apply(tables);
-    if let Some(RejectedConfiguration { version, error }) = update.rejected {
-        tracing::error!(%error, version, "failed to parse the configuration received from the core");
+    if let Some(next) = update.next {
+        let version = next.versions.configuration;
+        if current.versions.configuration == 0 && version > 0 {
+            tracing::info!(version, "first configuration in force");
+        } else if version > current.versions.configuration {
+            tracing::info!(version, "configuration in force");
+        }
+        node.swap_tables(next);
     }
-    let Some(next) = update.next else { return };
-    let version = next.versions.configuration;
-    if current.versions.configuration == 0 && version > 0 {
-        tracing::info!(version, "first configuration in force");
-    } else if version > current.versions.configuration {
-        tracing::info!(version, "configuration in force");
+    match update.rejected {
+        Some(rejected) => {
+            let RejectedConfiguration { version, error } = &rejected;
+            tracing::error!(%error, version, "failed to parse the configuration received from the core");
+            Err(rejected)
+        }
+        None => Ok(()),
     }
-    node.swap_tables(next);
 }
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -586,6 +586,15 @@
     None
 }
 
+/// Sends a call with the key of the only tenant and these further headers, each with its line end.
+pub fn call_with_key(address: &str, line: &str, headers: &str, body: &str) -> Option<Answer> {
+    let request = format!(
+        "{line} HTTP/1.1\r\nHost: a.example\r\nAuthorization: {KEY}\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    http(address, &request)
+}
+
 /// Sends a request to a courier, with an id that is its path.
 pub fn live(tier: &Tier, courier: usize, path: &str, key: &str) -> Option<Answer> {
     send_request(tier, courier, path, key, 4000)
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod interfaces;
 mod metrics;
+mod outdated_stores;
 mod quorum;
 mod seeds;
 mod soak;
--- /dev/null
+++ b/tier/node/tests/tier/outdated_stores.rs
@@ -0,0 +1,103 @@
+//! Stores whose configuration is older than the one under which a batch job was accepted.
+
+use crate::harness::{
+    KEY, Tier, call_with_key, configuration, configuration_with, eventually, order, send_request,
+};
+use std::time::{Duration, Instant};
+
+/// Number of the courier without a disk.
+const OUTER: usize = 3;
+const STORES: usize = 3;
+/// Jobs of a test: enough that each store is likely to be the primary of one of them.
+const JOBS: usize = 8;
+/// After this time a stopped store waits for no answer to an earlier poll.
+const POLLS_ENDED: Duration = Duration::from_millis(1000);
+/// Time in which a store that took its configuration for the newest one would have given the items up.
+const OBSERVED: Duration = Duration::from_millis(2500);
+
+/// A route for batch jobs and one that shows which couriers have the configuration, each followed by a comma.
+const ADDED_ROUTES: &str = r#"{"Name":"added","Host":"a.example","PathPrefix":"/added/","Mode":"safe","DeadlineMs":4000,"Backend":"llm","Tries":2,"Public":false},
+{"Name":"added-bulk","Host":"a.example","PathPrefix":"/added-bulk/","Mode":"bulk","DeadlineMs":6000,"TargetMs":2000,"Prio":2,"Backend":"llm","Tries":3,"Public":false,"DueMs":8000,"RetainS":40},"#;
+
+/// Submits a job with one item at the outer courier until it is accepted.
+fn submit(tier: &Tier, prefix: &str, job: &str, item_path: &str) {
+    let body = format!(
+        r#"{{"Requests":[{{"Id":"{job}-item","Path":"{item_path}","Headers":{{}},"Body":"cXVpbGw=","Tokens":5}}]}}"#
+    );
+    let headers = format!("Request-Id: {job}\r\n");
+    eventually("the job is accepted", || {
+        let line = format!("POST {prefix}");
+        call_with_key(&tier.client_address(OUTER), &line, &headers, &body)
+            .filter(|answer| answer.status == 202)
+    });
+}
+
+/// The results of a job, once a store can be asked.
+fn results(tier: &Tier, job: &str) -> String {
+    let line = format!("GET /-/lots/{job}?StartAfter=0");
+    let read =
+        || call_with_key(&tier.client_address(OUTER), &line, "", "").filter(|answer| answer.status == 200);
+    eventually("the results are read", read).body
+}
+
+fn put(tier: &Tier, base: u64, text: &str) {
+    assert_eq!(eventually("a configuration", || order(tier, "/-/config/put", base, text)), 200);
+}
+
+fn started() -> Tier {
+    let mut tier = Tier::start();
+    put(&tier, 0, &configuration(3));
+    tier.add_courier();
+    eventually("the outer courier serves", || {
+        send_request(&tier, OUTER, "/safe/first", KEY, 4000).filter(|answer| answer.status == 200)
+    });
+    tier
+}
+
+/// Guards against dead-letter results of items that no endpoint has seen: a store gave items up because it did not know the route of
+/// their job yet, while the courier that accepted the job did.
+#[test]
+fn a_store_gives_up_no_item_of_a_route_that_it_does_not_know_yet() {
+    let mut tier = started();
+    submit(&tier, "/bulk/", "job-before", "/bulk/before");
+    eventually("the stores serve", || {
+        results(&tier, "job-before").contains(r#""Phase":"done""#).then_some(())
+    });
+    // The stores miss the change: they stand still until it is in force at the couriers, and then the core is gone.
+    (0..STORES).for_each(|store| assert!(tier.signal("store", store, "STOP")));
+    std::thread::sleep(POLLS_ENDED);
+    put(&tier, 3, &configuration_with(5, ADDED_ROUTES));
+    eventually("the outer courier has the change", || {
+        send_request(&tier, OUTER, "/added/first", KEY, 4000).filter(|answer| answer.status == 200)
+    });
+    (0..OUTER).for_each(|courier| tier.kill_courier(courier));
+    (0..STORES).for_each(|store| assert!(tier.signal("store", store, "CONT")));
+    let jobs: Vec<String> = (0..JOBS).map(|job| format!("job-{job}")).collect();
+    jobs.iter().for_each(|job| submit(&tier, "/added-bulk/", job, &format!("/bulk/{job}")));
+    let observed_until = Instant::now() + OBSERVED;
+    while Instant::now() < observed_until {
+        for job in &jobs {
+            let text = results(&tier, job);
+            assert!(!text.contains("dead_letter"), "given up without a run: {text}");
+        }
+    }
+    (0..OUTER).for_each(|courier| tier.start_courier(courier));
+    for job in &jobs {
+        let done = || results(&tier, job).contains(r#""Phase":"done""#).then_some(());
+        eventually("the item is done once the store knows the route", done);
+    }
+}
+
+/// The items of a route that has ended are given up, though not before the store knows that its configuration is new enough.
+#[test]
+fn items_of_a_removed_route_are_given_up() {
+    let tier = started();
+    put(&tier, 3, &configuration_with(5, ADDED_ROUTES));
+    // Each attempt ends with an answer that is no event stream, and is repeated.
+    submit(&tier, "/added-bulk/", "job-removed", "/added-bulk/own-300");
+    eventually("the item is attempted", || (tier.arrivals("job-removed-item") > 0).then_some(()));
+    put(&tier, 5, &configuration(7));
+    eventually("the item is given up", || {
+        results(&tier, "job-removed").contains(r#""Phase":"dead_letter""#).then_some(())
+    });
+}
--- a/tier/node/tests/tier/terms.rs
+++ b/tier/node/tests/tier/terms.rs
@@ -1,6 +1,6 @@
 //! Terms of the operators' newer pages, each by its name there.
 
-use crate::harness::{Answer, KEY, Tier, configuration, eventually, http, order, send_request};
+use crate::harness::{Answer, KEY, Tier, call_with_key, configuration, eventually, order, send_request};
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -21,12 +21,9 @@
 
 /// A call of the batch interface that is answered clearly.
 fn call(tier: &Tier, line: &str, headers: &str, body: &str) -> Answer {
-    let request = format!(
-        "{line} HTTP/1.1\r\nHost: a.example\r\nAuthorization: {KEY}\r\n{headers}Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        body.len()
-    );
     eventually(line, || {
-        http(&tier.client_address(0), &request).filter(|answer| ![503, 504].contains(&answer.status))
+        call_with_key(&tier.client_address(0), line, headers, body)
+            .filter(|answer| ![503, 504].contains(&answer.status))
     })
 }
 
