Endpoint connections carry no two requests with the same id

Cause: endpoints may send one answer more than expected, late, in the place where the next answer is due; the id shows which is which. When all endpoints had rejected a request, the courier tried them again, often on the connection on which it had been rejected, and under the same Request-Id. The late copy of the first rejection then passed as the answer to the second attempt, while the endpoint ran it.

Change: each connection remembers the ids of the last 16 requests that it carried (upstream/carried_requests); the pool hands out the last used idle connection that has not carried the id, or else a new one is opened. This covers every call to an endpoint: requests, streams and their continuations, and items. Whether a connection is new follows from the same record.

Why it works: a late answer can arrive only on the connection of its request, and there no later request has its id, so it is skipped.

The message courier is not concerned: its answers carry no id, and a connection on which something arrived between two calls is closed (EndpointConnection).

--- a/tier/node/src/upstream/answer.rs
+++ b/tier/node/src/upstream/answer.rs
@@ -1,9 +1,8 @@
 //! The answer of an endpoint, whose body is read step by step.
 
-use super::exchange::{ReceivedHead, fill};
+use super::exchange::{OpenConnection, ReceivedHead, fill};
 use quillmount_dataplane::body::BodyReader;
 use quillmount_dataplane::head::ResponseHead;
-use tokio::net::TcpStream;
 
 /// What reading a part of a body resulted in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +20,7 @@
     /// Status and headers.
     pub head: ResponseHead,
     /// The connection; `buffer` has what was read of it and not used.
-    pub(super) stream: TcpStream,
+    pub(super) connection: OpenConnection,
     /// Id of the endpoint.
     pub(super) endpoint: String,
     /// Bytes that were read after the part of the body that was returned.
@@ -33,10 +32,14 @@
 
 impl UpstreamAnswer {
     /// An answer of which the head was received.
-    pub(super) fn new(received: ReceivedHead, stream: TcpStream, endpoint: String) -> UpstreamAnswer {
+    pub(super) fn new(
+        received: ReceivedHead,
+        connection: OpenConnection,
+        endpoint: String,
+    ) -> UpstreamAnswer {
         let ReceivedHead { head, buffer, fully_sent } = received;
         let reader = BodyReader::new(head.framing);
-        UpstreamAnswer { head, stream, endpoint, buffer, reader, fully_sent }
+        UpstreamAnswer { head, connection, endpoint, buffer, reader, fully_sent }
     }
 
     /// Waits for a part of the body and appends it to `output`.
@@ -52,7 +55,7 @@
             if output.len() > length_before {
                 return BodyProgress::More;
             }
-            match fill(&self.stream, &mut self.buffer).await {
+            match fill(&self.connection.stream, &mut self.buffer).await {
                 Ok(0) if self.reader.is_close_delimited() => return BodyProgress::End,
                 Ok(0) | Err(_) => return BodyProgress::Broken,
                 Ok(_) => {}
--- a/tier/node/src/upstream/client.rs
+++ b/tier/node/src/upstream/client.rs
@@ -39,18 +39,19 @@
         request: UpstreamRequest<'_>,
         time_limit: Duration,
     ) -> Result<UpstreamAnswer, UpstreamError> {
-        let connection = match self.idle.checkout(request.endpoint) {
-            Some(stream) => OpenConnection { stream, fresh: false },
+        let mut connection = match self.idle.checkout(request.endpoint, request.request_id) {
+            Some(connection) => connection,
             None => {
                 let stream = socket::connect_within(request.address, CONNECT_TIMEOUT, USER_TIMEOUT)
                     .await
                     .ok_or(UpstreamError::NotSent)?;
-                OpenConnection { stream, fresh: true }
+                OpenConnection::new(stream)
             }
         };
         match timeout(time_limit, exchange(&connection, &request)).await {
             Ok(Some(received)) => {
-                Ok(UpstreamAnswer::new(received, connection.stream, request.endpoint.to_owned()))
+                connection.carried.add(request.request_id);
+                Ok(UpstreamAnswer::new(received, connection, request.endpoint.to_owned()))
             }
             Ok(None) => Err(UpstreamError::Broken),
             Err(_) => Err(UpstreamError::Silent),
@@ -67,7 +68,7 @@
     /// Keeps the connection for another request if that is possible, and closes it otherwise.
     pub fn release(self, upstreams: &Upstreams) {
         if self.is_reusable() {
-            upstreams.idle.insert(self.endpoint, self.stream, &self.head);
+            upstreams.idle.insert(self.endpoint, self.connection, &self.head);
         }
     }
 }
--- a/tier/node/src/upstream/exchange.rs
+++ b/tier/node/src/upstream/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange on a connection: the request is written and the head of its answer read.
 
+use super::carried_requests::CarriedRequests;
 use crate::socket;
 use quillmount_dataplane::body::BodyReader;
 use quillmount_dataplane::head::{ResponseHead, parse_response};
@@ -27,12 +28,24 @@
     pub bytes: &'a [u8],
 }
 
-/// A connection on which a request is sent.
+/// A connection to an endpoint.
 pub(super) struct OpenConnection {
     /// The connection.
     pub(super) stream: TcpStream,
-    /// Whether no request was sent on it before.
-    pub(super) fresh: bool,
+    /// The requests that were answered on it.
+    pub(super) carried: CarriedRequests,
+}
+
+impl OpenConnection {
+    /// A connection that was just opened.
+    pub(super) fn new(stream: TcpStream) -> OpenConnection {
+        OpenConnection { stream, carried: CarriedRequests::default() }
+    }
+
+    /// Whether no request was answered on it.
+    fn is_fresh(&self) -> bool {
+        self.carried.is_empty()
+    }
 }
 
 /// The head of an answer, and the bytes that were read after it.
@@ -60,7 +73,7 @@
     let fully_sent = write_request(connection, request, &mut buffer).await?;
     for _ in 0..=MAX_LATE_ANSWERS {
         let head = read_head(stream, &mut buffer).await?;
-        if matches_request(&head, request.request_id, connection.fresh) {
+        if matches_request(&head, request.request_id, connection.is_fresh()) {
             return Some(ReceivedHead { head, buffer, fully_sent });
         }
         // The late answer to a previous request on this connection.
@@ -94,7 +107,7 @@
                 }
                 if let Ok(Some((head, _))) = parse_response(buffer, false)
                     && head.status >= FIRST_FINAL_STATUS
-                    && matches_request(&head, request.request_id, connection.fresh)
+                    && matches_request(&head, request.request_id, connection.is_fresh())
                 {
                     return Some(false);
                 }
--- a/tier/node/src/upstream/pool.rs
+++ b/tier/node/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! Idle connections to endpoints, kept for the next request.
 
+use super::exchange::OpenConnection;
 use crate::clock;
 use quillmount_dataplane::head::ResponseHead;
 use quillmount_wire::Micros;
@@ -18,10 +19,16 @@
 const IDLE_LIMIT: usize = 16;
 
 struct IdleConnection {
-    stream: TcpStream,
+    connection: OpenConnection,
     expires_at: Micros,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Micros) -> bool {
+        self.expires_at > now && is_quiet(&self.connection.stream)
+    }
+}
+
 /// Idle connections by the id of their endpoint.
 #[derive(Default)]
 pub(super) struct IdlePool {
@@ -29,23 +36,24 @@
 }
 
 impl IdlePool {
-    /// Removes a connection on which another request can be sent. Those that expired, were closed by the endpoint, or carry
-    /// unexpected bytes are dropped.
-    pub(super) fn checkout(&self, endpoint: &str) -> Option<TcpStream> {
+    /// Removes a connection on which a request with this id can be sent: one that carried no other request with it, the one that was
+    /// used last first. Those that expired, were closed by the endpoint, or carry unexpected bytes are dropped.
+    pub(super) fn checkout(&self, endpoint: &str, request_id: &str) -> Option<OpenConnection> {
         let now = clock::now();
         let mut by_endpoint = self.by_endpoint.borrow_mut();
         let connections = by_endpoint.get_mut(endpoint)?;
-        while let Some(connection) = connections.pop() {
-            let quiet = is_quiet(&connection.stream);
-            if connection.expires_at > now && quiet {
-                return Some(connection.stream);
+        loop {
+            let position =
+                connections.iter().rposition(|idle| !idle.connection.carried.contains(request_id))?;
+            let idle = connections.remove(position);
+            if idle.is_usable(now) {
+                return Some(idle.connection);
             }
         }
-        None
     }
 
     /// Keeps a connection idle after an answer with this head, for as long as the head allows.
-    pub(super) fn insert(&self, endpoint: String, stream: TcpStream, head: &ResponseHead) {
+    pub(super) fn insert(&self, endpoint: String, connection: OpenConnection, head: &ResponseHead) {
         let stated = head.headers.get("Keep-Alive").and_then(keep_alive_seconds);
         let idle_time = stated.map_or(IDLE_TIMEOUT, |seconds| {
             (seconds.min(MAX_KEEP_ALIVE_S) * 1_000_000).saturating_sub(IDLE_MARGIN)
@@ -53,7 +61,7 @@
         let mut by_endpoint = self.by_endpoint.borrow_mut();
         let connections = by_endpoint.entry(endpoint).or_default();
         if connections.len() < IDLE_LIMIT {
-            connections.push(IdleConnection { stream, expires_at: clock::now() + idle_time });
+            connections.push(IdleConnection { connection, expires_at: clock::now() + idle_time });
         }
     }
 
--- a/tier/node/tests/tier/answers.rs
+++ b/tier/node/tests/tier/answers.rs
@@ -1,7 +1,7 @@
 //! Retries and responses, for each kind of route and each outcome of the first attempt: how often the request reaches an
 //! endpoint, and the status that its client receives.
 
-use crate::harness::{KEY, Tier, configuration, eventually, order, send_request};
+use crate::harness::{KEY, Tier, call_with_key, configuration, eventually, order, send_request};
 
 /// Stands for the status of an answer that broke off.
 const BROKEN_OFF: u16 = 0;
@@ -34,6 +34,9 @@
 /// A complete stream.
 const EVENTS: &str = "id: 1\ndata: kaje\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
 
+/// Items of a job whose first attempts fail.
+const LATE_ITEMS: usize = 4;
+
 const ROUTES: [&str; 4] = ["safe", "once", "live", "flow"];
 
 fn started() -> Tier {
@@ -109,3 +112,42 @@
     let reused = send_request(&tier, 0, "/once/kept/nameless", KEY, 1500).map(|answer| answer.status);
     assert_eq!((reused, tier.arrivals("r-/once/kept/nameless")), (Some(502), 1));
 }
+
+/// Guards against a second run of a request that must not run twice, and against a 503 for one that ran: a late copy of a rejection
+/// passed as the answer to the next attempt on the same connection, as both attempts carry the same request id.
+#[test]
+fn a_late_copy_of_a_rejection_does_not_answer_the_next_attempt() {
+    let tier = started();
+    let mut number = 0;
+    eventually("a request that both endpoints reject and one of them then runs", || {
+        number += 1;
+        let path = format!("/once/{number}/late-rejection");
+        let status = send_request(&tier, 0, &path, KEY, 1500).map(|answer| answer.status);
+        let arrival = tier.arrival(&format!("r-{path}"));
+        let runs = u32::from(status == Some(200));
+        assert_eq!(arrival.runs, runs, "{path}: {status:?} after {} arrivals", arrival.count);
+        assert!([Some(200), Some(503)].contains(&status), "{path}: {status:?}");
+        (status == Some(200)).then_some(())
+    });
+}
+
+/// Guards against dead-letter results before an item has failed `Tries` times: a late copy of the first failure counted once more, for
+/// an attempt that the endpoint ran well.
+#[test]
+fn a_late_copy_of_a_failure_does_not_count_for_the_next_attempt_of_an_item() {
+    let tier = started();
+    let items: Vec<String> = (0..LATE_ITEMS)
+        .map(|item| format!(r#"{{"Id":"late-{item}","Path":"/bulk/{item}/late-failure","Headers":{{}},"Body":"","Tokens":5}}"#))
+        .collect();
+    let job = format!(r#"{{"Requests":[{}]}}"#, items.join(","));
+    let call =
+        |line: &str, headers: &str, body: &str| call_with_key(&tier.client_address(0), line, headers, body);
+    eventually("the job is accepted", || {
+        call("POST /bulk/", "Request-Id: job-late\r\n", &job).filter(|answer| answer.status == 202)
+    });
+    let results = eventually("all results", || {
+        let answer = call("GET /-/lots/job-late?StartAfter=0", "Wait: 1000\r\n", "")?;
+        answer.body.contains(&format!(r#""NextCursor":{LATE_ITEMS},"#)).then_some(answer.body)
+    });
+    assert!(!results.contains("dead_letter"), "{results}");
+}
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -1,5 +1,6 @@
 //! A small tier on loopback: processes of the roles, a stand-in platform and a stand-in endpoint.
 
+use crate::late_copies::{FirstAnswer, LateCopies, Served};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -156,6 +157,8 @@
 pub struct Arrival {
     /// How often it arrived.
     pub count: u32,
+    /// How often an endpoint with late copies began to work on it.
+    pub runs: u32,
     /// Its `Deadline` when it last arrived, milliseconds.
     pub deadline_ms: Option<u64>,
     /// When its connection was closed while the endpoint had not answered.
@@ -168,6 +171,7 @@
 /// Serves an endpoint. Words at the end of a path say how it ends the first attempt of a request; every other is answered
 /// well.
 fn serve_endpoint(address: String, endpoint: &'static str, arrivals: Arrivals) {
+    let late_copies = LateCopies::default();
     serve(address, move |stream, received| {
         let id = header(&received.head, "Request-Id").unwrap_or_default();
         let leaked = header(&received.head, "Authorization").is_some();
@@ -187,6 +191,14 @@
         if let Some(takes_ms) = ending.strip_prefix(OWN) {
             return answer_with_own(stream, received, &id, takes_ms.parse().unwrap_or(0));
         }
+        if let Some(first_answer) = FirstAnswer::of_ending(ending) {
+            if late_copies.serve(stream, &id, first_answer) == Served::Failed {
+                return true;
+            }
+            arrivals.lock().unwrap().entry(id.clone()).or_default().runs += 1;
+            answer_well(stream, received, &id);
+            return false;
+        }
         if arrival == 1 || ["poison", "always-failed"].contains(&ending) {
             let goes_on = misbehave(stream, received, &id, ending);
             if ending == "silent" {
--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod harness;
 mod interfaces;
+mod late_copies;
 mod metrics;
 mod outdated_stores;
 mod quorum;
