Soak: batch jobs on routes that changes add, and late copies of failures

Change: each change adds a batch route too; 60 of 100 jobs go to the newest one. Items may be given up only after a change that took the route away was sent. Three of 100 requests are rejected first and the rejection sent once more; an item in five fails first with a late copy of its 500.

--- a/tier/node/tests/tier/soak/client.rs
+++ b/tier/node/tests/tier/soak/client.rs
@@ -22,6 +22,9 @@
 const LONG_WORK_MS: u64 = 600;
 const LONGEST_WORK_MS: u64 = 3000;
 
+/// The ending of requests that endpoints reject at first, and whose rejection comes once more.
+pub const LATE_REJECTION: &str = "late-rejection";
+
 /// The kind of a request, by the first part of its path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -187,6 +190,7 @@
             7..15 => "keep".to_owned(),
             15 => format!("own-{}", self.random.below(LONGEST_WORK_MS)),
             16..36 => format!("own-{}", self.random.below(LONG_WORK_MS)),
+            97.. => LATE_REJECTION.to_owned(),
             _ => format!("own-{}", self.random.below(SHORT_WORK_MS)),
         }
     }
--- a/tier/node/tests/tier/soak/jobs.rs
+++ b/tier/node/tests/tier/soak/jobs.rs
@@ -14,6 +14,9 @@
 const READ_BACK: Duration = Duration::from_secs(25);
 /// The text of each item: the events of a stream.
 const TEXT: &str = "kaje\ntwo\nthree";
+/// Jobs on a route that a change has added, and items whose first attempts fail and whose failure comes once more.
+const ADDED_ROUTE_PERCENT: u64 = 60;
+const LATE_FAILURE_PERCENT: u64 = 20;
 
 /// A page of results.
 #[derive(Deserialize)]
@@ -37,6 +40,16 @@
     text: String,
 }
 
+impl Output {
+    fn is_done(&self) -> bool {
+        self.phase == "done" && self.text == TEXT
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.phase == "dead_letter" && self.text.is_empty()
+    }
+}
+
 /// A call about batch jobs that was sent and got no whole answer.
 pub struct Unanswered {
     pub courier: usize,
@@ -50,8 +63,14 @@
 /// A batch job.
 pub struct Job {
     id: String,
+    /// The number of its route, if a change has added that.
+    pub route: Option<u64>,
     pub items: Vec<String>,
+    /// Paths of the items.
+    paths: Vec<String>,
     pub accepted_at: Option<Instant>,
+    /// When the first answer ended that showed items as given up.
+    pub given_up_by: Option<Instant>,
     /// Each try was answered that nothing of it runs.
     pub is_refused: bool,
     /// Answers of 404 or 410 to reads: courier, and when the read was sent and answered.
@@ -64,6 +83,34 @@
 }
 
 impl Job {
+    /// A job on the route of the first configuration, or on the newest one that a change has offered.
+    fn draw(soak: &Soak, random: &mut Random, number: u64) -> Job {
+        let id = format!("job-{}-{number}", soak.seed);
+        let newest = soak.offered.lock().unwrap().last().copied();
+        let route = newest.filter(|_| random.chance(ADDED_ROUTE_PERCENT));
+        let items: Vec<String> = (0..ITEMS).map(|item| format!("{id}-{item}")).collect();
+        let mut path = |item: &String| {
+            let ending = if random.chance(LATE_FAILURE_PERCENT) { "/late-failure" } else { "" };
+            format!("/bulk/{item}{ending}")
+        };
+        let paths = items.iter().map(&mut path).collect();
+        let (missing, unanswered, results, faults) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (accepted_at, given_up_by, is_refused) = (None, None, true);
+        Job {
+            id,
+            route,
+            items,
+            paths,
+            accepted_at,
+            given_up_by,
+            is_refused,
+            missing,
+            unanswered,
+            results,
+            faults,
+        }
+    }
+
     /// Compares a page from the start with what was read before.
     fn note(&mut self, body: &str) {
         let Ok(page) = miniserde::json::from_str::<Page>(body) else {
@@ -79,10 +126,13 @@
             && ids.len() == page.outputs.len()
             && page.outputs[..common] == self.results[..common]
             && page.outputs.iter().all(|output| self.items.contains(&output.id))
-            && page.outputs.iter().all(|output| output.phase == "done" && output.text == TEXT);
+            && page.outputs.iter().all(|output| output.is_done() || output.is_given_up());
         if !is_right {
             self.faults.push(format!("TWICE or MIXED: {}: {body} after {:?}", self.id, self.results));
         }
+        if page.outputs.iter().any(Output::is_given_up) {
+            self.given_up_by.get_or_insert_with(Instant::now);
+        }
         if page.outputs.len() > self.results.len() {
             self.results = page.outputs;
         }
@@ -119,29 +169,23 @@
 }
 
 fn submit(soak: &Soak, courier: usize, job: &mut Job) -> Option<Answer> {
-    let items: Vec<String> = job
-        .items
-        .iter()
-        .map(|id| {
-            format!(r#"{{"Id":"{id}","Path":"/bulk/{id}","Headers":{{}},"Body":"cXVpbGw=","Tokens":5}}"#)
-        })
-        .collect();
+    let item = |(id, path): (&String, &String)| {
+        format!(r#"{{"Id":"{id}","Path":"{path}","Headers":{{}},"Body":"cXVpbGw=","Tokens":5}}"#)
+    };
+    let items: Vec<String> = job.items.iter().zip(&job.paths).map(item).collect();
+    let prefix = job.route.map_or("/bulk/".to_owned(), |route| format!("/added-bulk-{route}/"));
     let body = format!(r#"{{"Requests":[{}]}}"#, items.join(","));
     let request = format!(
-        "POST /bulk/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {}\r\nAuthorization: {KEY}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        "POST {prefix} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {}\r\nAuthorization: {KEY}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
         job.id,
         body.len()
     );
     job.call(soak, courier, &request)
 }
 
-/// Submits a job until it is accepted, or the run stops.
+/// Submits a job until it is accepted, its route is denied, or the run stops.
 fn submit_until_accepted(soak: &Soak, random: &mut Random, number: u64) -> Job {
-    let id = format!("job-{}-{number}", soak.seed);
-    let items = (0..ITEMS).map(|item| format!("{id}-{item}")).collect();
-    let (missing, unanswered, results, faults) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-    let mut job =
-        Job { id, items, accepted_at: None, is_refused: true, missing, unanswered, results, faults };
+    let mut job = Job::draw(soak, random, number);
     while job.accepted_at.is_none() && !soak.is_stopped() {
         let answer = submit(soak, random.index(soak.clients.len()), &mut job);
         match answer.map(|answer| answer.status) {
@@ -150,6 +194,8 @@
                 job.accepted_at = Some(Instant::now());
             }
             Some(408 | 421 | 429 | 503) => {}
+            // The route may have lost the race of two changes.
+            Some(404) if job.route.is_some() => return job,
             _ => job.is_refused = false,
         }
         if job.accepted_at.is_none() {
--- a/tier/node/tests/tier/soak/operator.rs
+++ b/tier/node/tests/tier/soak/operator.rs
@@ -14,7 +14,7 @@
 
 /// A change that was sent until its answer was clear, or the run ended.
 pub struct Change {
-    /// The number of the route that it adds, of no other change.
+    /// The number of the routes that it adds, of no other change.
     pub number: u64,
     pub version: u64,
     pub base: u64,
@@ -25,7 +25,7 @@
     pub ended_at: Instant,
     /// The clear answer.
     pub status: Option<u16>,
-    /// Routes that it takes away.
+    /// Numbers of the routes that it takes away.
     pub removes: Vec<u64>,
 }
 
@@ -35,9 +35,11 @@
     }
 }
 
-fn route(number: u64) -> String {
+/// The routes that the change of this number adds, for requests and for batch jobs, separated by a comma.
+fn routes(number: u64) -> String {
     format!(
-        r#"{{"Name":"added-{number}","Host":"a.example","PathPrefix":"/added-{number}/","Mode":"mutating","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}}"#
+        r#"{{"Name":"added-{number}","Host":"a.example","PathPrefix":"/added-{number}/","Mode":"mutating","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}},
+        {{"Name":"added-bulk-{number}","Host":"a.example","PathPrefix":"/added-bulk-{number}/","Mode":"bulk","DeadlineMs":6000,"TargetMs":2000,"Prio":2,"Backend":"llm","Tries":3,"Public":false,"DueMs":8000,"RetainS":40}}"#
     )
 }
 
@@ -73,26 +75,26 @@
         let change = self.change(version, is_contested);
         let number = change.number;
         if self.random.chance(50) {
-            let removed: Vec<String> =
-                change.removes.iter().map(|removed| format!("\"added-{removed}\"")).collect();
+            let names = |removed: &u64| format!(r#""added-{removed}","added-bulk-{removed}""#);
+            let removed: Vec<String> = change.removes.iter().map(names).collect();
             let body = format!(
                 r#"{{"Gen":{version},"Upsert":{{"Routes":[{}]}},"Remove":{{"Routes":[{}]}}}}"#,
-                route(number),
+                routes(number),
                 removed.join(",")
             );
             return Order { path: "/-/config/patch", body, change };
         }
         let kept = self.routes.iter().filter(|kept| !change.removes.contains(kept));
-        let routes: String = kept.chain([&number]).map(|number| route(*number) + ",").collect();
+        let routes: String = kept.chain([&number]).map(|number| routes(*number) + ",").collect();
         Order { path: "/-/config/put", body: configuration_with(version, &routes), change }
     }
 
     fn invalid(&mut self) -> Order {
         let next = self.version + 1;
         let change = Change { is_valid: false, ..self.change(next, false) };
-        let added = route(change.number) + ",";
+        let added = routes(change.number) + ",";
         if self.random.chance(25) {
-            let added = route(change.number);
+            let added = routes(change.number);
             // The routes would name a service that is not there.
             let body = format!(
                 r#"{{"Gen":{next},"Upsert":{{"Routes":[{added}]}},"Remove":{{"Backends":["llm"]}}}}"#
--- a/tier/node/tests/tier/soak/rules.rs
+++ b/tier/node/tests/tier/soak/rules.rs
@@ -1,6 +1,6 @@
 //! Judges what everybody saw in a run by RULES.md.
 
-use super::client::{Exchange, Kind, Outcome};
+use super::client::{Exchange, Kind, LATE_REJECTION, Outcome};
 use super::jobs::{Job, Unanswered};
 use super::operator::Change;
 use super::trouble::{History, courier};
@@ -34,6 +34,9 @@
 
     /// How often endpoints ran a request: they turn away the first attempt of those that end in `not-run`.
     fn runs(&self, exchange: &Exchange) -> u32 {
+        if exchange.ending == LATE_REJECTION {
+            return self.arrivals.lock().unwrap().get(&exchange.id).map_or(0, |arrival| arrival.runs);
+        }
         let arrivals = self.arrivals(&exchange.id);
         if exchange.ending == "not-run" { arrivals.saturating_sub(1) } else { arrivals }
     }
@@ -200,6 +203,7 @@
             if job.is_refused && job.items.iter().any(|item| self.arrivals(item) > 0) {
                 violations.push(format!("REFUSED: {:?} run, and all tries were refused", job.items));
             }
+            violations.extend(self.check_given_up(job));
             violations.extend(job.unanswered.iter().filter_map(|call| self.check_unanswered(call)));
             for (courier, sent_at, ended_at) in &job.missing {
                 let is_settled = job.accepted_at.is_some_and(|accepted| *sent_at > accepted + SETTLE);
@@ -213,6 +217,19 @@
         violations
     }
 
+    /// Checks that items were given up only after a change that took the route of their job away: all others can be done.
+    fn check_given_up(&self, job: &Job) -> Option<String> {
+        let given_up_by = job.given_up_by?;
+        let is_removal = |change: &&Change| {
+            let is_possible = change.is_acknowledged() || change.status.is_none();
+            is_possible && job.route.is_some_and(|route| change.removes.contains(&route))
+        };
+        let removal = self.changes.iter().find(is_removal);
+        let has_ended = removal.is_some_and(|removal| removal.sent_at < given_up_by);
+        let at = self.history.at(given_up_by);
+        (!has_ended).then(|| format!("MIXED: items of {:?} are given up, read at {at}", job.items))
+    }
+
     /// Checks a call about batch jobs that ended without a whole answer, as a request of a client.
     fn check_unanswered(&self, call: &Unanswered) -> Option<String> {
         let Unanswered { courier: number, call: what, sent_at, ended_at, is_broken_off } = call;
@@ -246,10 +263,13 @@
         let served = self.exchanges.iter().filter(|exchange| exchange.status() == Some(200)).count();
         let changes = self.changes.iter().filter(|change| change.is_acknowledged()).count();
         let jobs = self.jobs.iter().filter(|job| job.accepted_at.is_some()).count();
+        let on_added =
+            self.jobs.iter().filter(|job| job.accepted_at.is_some() && job.route.is_some()).count();
+        let given_up = self.jobs.iter().filter(|job| job.given_up_by.is_some()).count();
         let requests = self.exchanges.len();
         let (due, stopping) = self.judged();
         let reach = format!(
-            "{requests} requests, {served} served, {stopping} at couriers in trouble, {due} by a due configuration, {changes} changes, {jobs} jobs"
+            "{requests} requests, {served} served, {stopping} at couriers in trouble, {due} by a due configuration, {changes} changes, {jobs} jobs, {on_added} of them on added routes, {given_up} with items given up"
         );
         eprintln!("soak: {reach}");
         let is_enough = served >= LEAST_SERVED && changes >= 2 && jobs >= 1 && due >= 1 && stopping >= 1;
