Batch items are attempted as often as their route says, also over 16 times

Cause: the bound of 16 attempts for single requests applied to every route when the configuration was compiled.

Change: routes for batch jobs are only bounded below; single requests keep 16.

Evidence: the new test failed before: Some(Failed) after 39 failures of 40.

Why it works: an item's attempts are counted, one at a time and with a pause, until Tries or RetainS, so that the larger number needs no more resources at a time.

--- a/tier/dataplane/src/routes/route.rs
+++ b/tier/dataplane/src/routes/route.rs
@@ -2,8 +2,9 @@
 
 use quillmount_wire::configuration::Route;
 
-/// Upper bound of the attempts of one request, whatever is configured.
-const MAX_ATTEMPTS: u64 = 16;
+/// Upper bound of the attempts of one request, whatever is configured. It does not apply to batch items: an item must not be given up
+/// before it failed as often as its route says.
+const MAX_REQUEST_ATTEMPTS: u64 = 16;
 
 /// How the requests of a route are answered, and whether they may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +40,8 @@
     pub mode: RouteMode,
     /// Whether an interrupted stream can be resumed after its last event.
     pub resumable: bool,
-    /// Maximum number of endpoints that may execute one request, 1 to 16.
+    /// Maximum number of endpoints that may execute one request, 1 to 16; on routes for batch jobs, number of failed attempts
+    /// after which an item is given up, at least 1.
     pub max_attempts: u32,
     /// Default priority, for requests whose tenant has none.
     pub priority: i64,
@@ -47,10 +49,12 @@
 
 impl From<&Route> for CompiledRoute {
     fn from(route: &Route) -> CompiledRoute {
+        let mode = RouteMode::from(route);
+        let upper_bound = if mode == RouteMode::Bulk { u64::from(u32::MAX) } else { MAX_REQUEST_ATTEMPTS };
         CompiledRoute {
-            mode: RouteMode::from(route),
+            mode,
             resumable: route.resumable.unwrap_or(false),
-            max_attempts: route.max_attempts.unwrap_or(1).clamp(1, MAX_ATTEMPTS) as u32,
+            max_attempts: route.max_attempts.unwrap_or(1).clamp(1, upper_bound) as u32,
             priority: route.priority.unwrap_or(0),
             route: route.clone(),
         }
--- a/tier/dataplane/tests/batch_item.rs
+++ b/tier/dataplane/tests/batch_item.rs
@@ -10,8 +10,15 @@
 
 /// A route that keeps items for [`RETENTION`] and allows [`MAX_ATTEMPTS`].
 fn route() -> CompiledRoute {
-    let text = r#"{"Gen":1,"Routes":[{"Name":"bulk","Host":"h","PathPrefix":"/bulk/","Mode":"bulk","DeadlineMs":4000,"Backend":"s","Tries":3,"RetainS":40}],"Backends":[{"Name":"s","MaxConns":64}]}"#;
-    let configuration = Configuration::parse(text).expect("a valid configuration");
+    route_with("bulk", MAX_ATTEMPTS)
+}
+
+/// A route of a mode that allows so many attempts.
+fn route_with(mode: &str, max_attempts: u32) -> CompiledRoute {
+    let text = format!(
+        r#"{{"Gen":1,"Routes":[{{"Name":"r","Host":"h","PathPrefix":"/r/","Mode":"{mode}","DeadlineMs":4000,"Backend":"s","Tries":{max_attempts},"RetainS":40}}],"Backends":[{{"Name":"s","MaxConns":64}}]}}"#
+    );
+    let configuration = Configuration::parse(&text).expect("a valid configuration");
     CompiledRoute::from(&configuration.routes[0])
 }
 
@@ -51,3 +58,12 @@
     let progress = ItemProgress { has_configuration_of_job: false, ..progress(RETENTION, 0) };
     assert!(matches!(decide(Some(&route), progress), ItemDecision::Run(_)));
 }
+
+/// Guards against dead-letter results before `Tries` failures on routes with more than 16 of them, the bound for single requests.
+#[test]
+fn an_item_is_attempted_as_often_as_its_route_says() {
+    let route = route_with("bulk", 40);
+    assert_eq!(reason(Some(&route), progress(0, 39)), None);
+    assert_eq!(reason(Some(&route), progress(0, 40)), Some(GiveUpReason::Failed));
+    assert_eq!(route_with("safe", 40).max_attempts, 16);
+}
