A rejection whose body never ends does not hold the request

What callers see: an endpoint that fell silent inside a rejection (Not-Run) held the request, its client's connection and its own for as long as the endpoint pleased, although the request has not run and could go on elsewhere.

Cause: the rest of a rejection was read without a time limit and without watching the client; every other read of an answer has both.

Change: the rest is waited for 100 ms at most; then the connection is closed and the request goes on. A client that leaves ends the wait.

Evidence: the new row of the table, not-run-stalled, failed before on the first route: (1 arrival, no status) in place of (2, 200).

The same commit makes the preparation of a known red test certain: a rejection without a request id counts only on a new connection. It needs an idle connection to each endpoint and took eight requests to leave them; now it asks the stand-ins until each endpoint has kept one, which does not expire after 2 s. Its assertion is unchanged.

--- a/tier/node/src/edge/forward/attempt.rs
+++ b/tier/node/src/edge/forward/attempt.rs
@@ -4,13 +4,17 @@
 use super::request::{Attempt, AttemptOutcome, ForwardedRequest, unless_disconnected};
 use super::{buffered, stream};
 use crate::clock;
-use crate::edge::response::refusal;
+use crate::edge::response::{ServeOutcome, refusal};
 use crate::http::{Connection, HttpResponse};
 use crate::upstream::{UpstreamAnswer, UpstreamError, UpstreamRequest};
 use quillmount_dataplane::dispatch::{CallOutcome, Reservation};
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// Largest rejection of an endpoint that is read to its end, bytes.
 const REJECTION_LIMIT: usize = 16 << 20;
+/// Time for which the rest of a rejection is waited for, so that its connection can be used again.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Statuses that promise to a client that its request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
 
@@ -47,7 +51,7 @@
     answer: UpstreamAnswer,
 ) -> AttemptOutcome {
     if let Some(rejection) = CallOutcome::from_rejection(&answer.head) {
-        return rejected(request, attempt, answer, rejection).await;
+        return rejected(request, connection, attempt, answer, rejection).await;
     }
     if NOT_RUN_STATUSES.contains(&answer.head.status) {
         // Forwarded, it would promise to the client that the request has not run, which the endpoint does not say.
@@ -83,6 +87,7 @@
 /// The endpoint has not run the request and says so.
 async fn rejected(
     request: &mut ForwardedRequest<'_>,
+    connection: &mut Connection,
     attempt: &Attempt<'_>,
     mut answer: UpstreamAnswer,
     rejection: CallOutcome,
@@ -90,7 +95,11 @@
     request.runs -= 1;
     request.misses += 1;
     request.finish(attempt, rejection, false);
-    if answer.read_all(REJECTION_LIMIT).await.is_some() {
+    let reading = timeout(REJECTION_TIMEOUT, answer.read_all(REJECTION_LIMIT));
+    let Some(read) = unless_disconnected(connection, reading).await else {
+        return AttemptOutcome::Done(ServeOutcome::Abort);
+    };
+    if matches!(read, Ok(Some(_))) {
         answer.release(&request.node.upstreams);
     }
     AttemptOutcome::Retry(refusal("endpoints are full"))
--- a/tier/node/tests/tier/answers.rs
+++ b/tier/node/tests/tier/answers.rs
@@ -1,14 +1,15 @@
 //! Retries and responses, for each kind of route and each outcome of the first attempt: how often the request reaches an
 //! endpoint, and the status that its client receives.
 
-use crate::harness::{KEY, Tier, call_with_key, configuration, eventually, order, send_request};
+use crate::harness::{ENDPOINTS, KEY, Tier, call_with_key, configuration, eventually, order, send_request};
+use std::collections::BTreeSet;
 
 /// Stands for the status of an answer that broke off.
 const BROKEN_OFF: u16 = 0;
 
 /// For each outcome of the first attempt: arrivals at endpoints and final status on the routes `safe`, `once`, `live`
 /// (resumable) and `flow`.
-const TABLE: [(&str, [(u32, u16); 4]); 14] = [
+const TABLE: [(&str, [(u32, u16); 4]); 15] = [
     // No answer arrived: the request may have run, so only idempotent requests are retried.
     ("close-before", [(2, 200), (1, 502), (2, 200), (1, 502)]),
     ("close-in-head", [(2, 200), (1, 502), (2, 200), (1, 502)]),
@@ -19,6 +20,8 @@
     // A rejection with the promise that the request has not run.
     ("not-run", [(2, 200), (2, 200), (2, 200), (2, 200)]),
     ("not-run-cut", [(2, 200), (2, 200), (2, 200), (2, 200)]),
+    // The rest of a rejection never comes: it says nothing more about the request, which goes on.
+    ("not-run-stalled", [(2, 200), (2, 200), (2, 200), (2, 200)]),
     // Without the promise a rejection must not reach the client, to which its status would be one.
     ("lie", [(2, 200), (1, 502), (2, 200), (1, 502)]),
     ("failed", [(2, 200), (1, 500), (2, 200), (1, 500)]),
@@ -51,7 +54,7 @@
 /// Arrivals and status if no second endpoint has a free slot: 503 promises that the request has not run.
 fn expected_without_second_endpoint(ending: &str) -> (u32, u16) {
     match ending {
-        "not-run" | "not-run-cut" | "nameless" => (1, 503),
+        "not-run" | "not-run-cut" | "not-run-stalled" | "nameless" => (1, 503),
         "silent" => (1, 504),
         _ => (1, 502),
     }
@@ -102,13 +105,15 @@
 fn a_rejection_without_a_request_id_counts_only_on_a_new_connection() {
     let tier = started();
     check_case(&tier, "once", "nameless", (2, 200));
-    // Afterwards both endpoints have an idle connection, and the next request reuses one of them.
-    for number in 0..8 {
-        let path = format!("/safe/{number}/keep");
-        eventually("a kept connection", || {
-            send_request(&tier, 0, &path, KEY, 1500).filter(|answer| answer.status == 200)
-        });
-    }
+    // Afterwards both endpoints have an idle connection, which does not expire, and the next request reuses one of them.
+    let (mut number, mut kept) = (0, BTreeSet::new());
+    eventually("a kept connection to each endpoint", || {
+        number += 1;
+        let path = format!("/safe/{number}/keep-long");
+        send_request(&tier, 0, &path, KEY, 1500).filter(|answer| answer.status == 200)?;
+        kept.extend(tier.arrival(&format!("r-{path}")).endpoint);
+        (kept.len() == ENDPOINTS).then_some(())
+    });
     let reused = send_request(&tier, 0, "/once/kept/nameless", KEY, 1500).map(|answer| answer.status);
     assert_eq!((reused, tier.arrivals("r-/once/kept/nameless")), (Some(502), 1));
 }
--- a/tier/node/tests/tier/harness.rs
+++ b/tier/node/tests/tier/harness.rs
@@ -20,6 +20,8 @@
 const METRICS: u16 = 28690;
 const ENDPOINT: u16 = 28080;
 
+/// Endpoints of a tier.
+pub const ENDPOINTS: usize = 2;
 /// Couriers with a disk; further ones have none.
 pub const CORE: usize = 3;
 /// A path's last word that asks for an answer of its own: `own-` and the ms that it takes.
@@ -157,6 +159,8 @@
 pub struct Arrival {
     /// How often it arrived.
     pub count: u32,
+    /// The endpoint at which it last arrived.
+    pub endpoint: Option<&'static str>,
     /// How often an endpoint with late copies began to work on it.
     pub runs: u32,
     /// Its `Deadline` when it last arrived, milliseconds.
@@ -184,6 +188,7 @@
             let mut arrivals = arrivals.lock().unwrap();
             let arrival = arrivals.entry(id.clone()).or_default();
             arrival.count += 1;
+            arrival.endpoint = Some(endpoint);
             arrival.deadline_ms = header(&received.head, "Deadline").and_then(|value| value.parse().ok());
             arrival.count
         };
@@ -269,6 +274,14 @@
                 format!("HTTP/1.1 503 Service Unavailable\r\n{own}Not-Run: 1\r\nContent-Length: 9\r\n\r\nfu");
             let _ = stream.write_all(head.as_bytes());
         }
+        "not-run-stalled" => {
+            let head =
+                format!("HTTP/1.1 503 Service Unavailable\r\n{own}Not-Run: 1\r\nContent-Length: 9\r\n\r\nfu");
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.set_read_timeout(None);
+            // Until the other side closes the connection.
+            let _ = stream.read(&mut [0; 1]);
+        }
         "lie" => answer_with(stream, "503 Service Unavailable", &own, ""),
         "gone" => answer_with(stream, "421 Misdirected Request", &own, ""),
         "always-failed" => answer_with(stream, "500 Internal Server Error", &own, "failed"),
