Tier tests: stand-in endpoints in a file of their own

Change: stand_in.rs serves connections, endpoint.rs has the endpoints, harness.rs the tier. The test for streams that stood three times, and the wait for a close that stood twice, are functions. No test, table or bound differs.

--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -1,6 +1,7 @@
 //! Whole tiers on loopback.
 
 mod answers;
+mod endpoint;
 mod harness;
 mod interfaces;
 mod late_copies;
@@ -10,6 +11,7 @@
 mod seeds;
 mod soak;
 mod stale;
+mod stand_in;
 mod stop;
 mod terms;
 mod whole_path;
--- a/tier/node/tests/tier/soak/rules.rs
+++ b/tier/node/tests/tier/soak/rules.rs
@@ -5,7 +5,8 @@
 use super::operator::Change;
 use super::trouble::{History, courier};
 use super::{ACKNOWLEDGE, APPLY, CONTACT, DOWNGRADE, SETTLE, SLACK, STRETCH};
-use crate::harness::{Answer, Arrivals, header, own_event};
+use crate::endpoint::{Arrivals, own_event};
+use crate::harness::{Answer, header};
 use std::time::{Duration, Instant};
 
 /// Statuses that promise that a request has not run and never will.
