A store takes no job of a route that it does not know yet past a limit on tokens

What callers see: a job on a route that a change had just added was answered 202 though it exceeded the route's MaxQueued (QUOTA).

Change: if other routes have a limit, the store answers that it can't decide, as when the ledger of the tokens can't be asked; the courier tries on and answers 503 at the end. Where no route has a limit, such jobs are accepted as before.

Why it works: the ledger applies the lower of its own limit and the sender's, so that the sender's store only has to know that there is one.

A limit that a change lowers on a route that stays can be exceeded until the change is in force at the stores, as before.

--- a/tier/node/src/store/quota.rs
+++ b/tier/node/src/store/quota.rs
@@ -10,6 +10,7 @@
 use super::term::PrimaryTerm;
 use quillmount_batch::ClaimOutcome;
 use quillmount_control::{SHARDS, shard_of};
+use quillmount_dataplane::routes::RouteTable;
 use quillmount_wire::messages::{
     Epoch, Job, NodeInfo, QuotaClaim, QuotaKey, QuotaStatement, Request, Response,
 };
@@ -49,8 +50,8 @@
     /// The tokens exceed the limit.
     #[error("the tokens of the job exceed the limit on queued tokens of its tenant")]
     Exceeded,
-    /// The ledger did not answer or can't decide yet; no tokens were reserved.
-    #[error("the quota ledger gave no decision; retry later")]
+    /// The limit is not known here yet, or the ledger did not answer or can't decide yet; no tokens were reserved.
+    #[error("the limit on queued tokens or the decision of its ledger is not known; retry later")]
     Unknown,
 }
 
@@ -68,16 +69,22 @@
     statement: QuotaStatement,
 }
 
-/// Claims a job's tokens at the ledger; `None` if the job's route has no limit on queued tokens.
+/// Claims a job's tokens at the ledger; `None` if the job's route has no limit on queued tokens. A route that the configuration of
+/// this store does not have may be a new one. It is taken for one with a limit if other routes have one.
 ///
 /// # Errors
-/// [`ClaimError::Exceeded`] if the tokens exceed the limit, [`ClaimError::Unknown`] if the ledger gave no decision.
+/// [`ClaimError::Exceeded`] if the tokens exceed the limit, [`ClaimError::Unknown`] if the ledger gave no decision or the limit is not
+/// known here.
 pub async fn claim(
     store: &Rc<Store>,
     served: &ServedShard,
     job: &Job,
 ) -> Result<Option<ClaimGuard>, ClaimError> {
-    let Some(limit) = queued_token_limit(store, &job.route) else { return Ok(None) };
+    let tables = store.node.tables();
+    if tables.routes.by_name(&job.route).is_none() && tables.routes.limits_queued_tokens() {
+        return Err(ClaimError::Unknown);
+    }
+    let Some(limit) = queued_token_limit(&tables.routes, &job.route) else { return Ok(None) };
     let key = QuotaKey { tenant: job.tenant.clone(), route: job.route.clone() };
     let tokens = job.tokens();
     let ledger_shard = ledger_shard_of(&key);
@@ -113,7 +120,8 @@
     let Some(term) = store.shards.get(claim.ledger_shard as usize).and_then(|shard| shard.term()) else {
         return Response::WrongEpoch;
     };
-    match term.quota.decide(claim, queued_token_limit(store, &claim.key.route)) {
+    let limit = queued_token_limit(&store.node.tables().routes, &claim.key.route);
+    match term.quota.decide(claim, limit) {
         ClaimOutcome::Granted => Response::Done,
         ClaimOutcome::Exceeded => Response::Full,
         ClaimOutcome::Unknown => Response::WrongEpoch,
@@ -142,9 +150,8 @@
 }
 
 /// Returns the limit on a tenant's queued tokens on a route, if there is one.
-fn queued_token_limit(store: &Store, route: &str) -> Option<u64> {
-    let tables = store.node.tables();
-    tables.routes.by_name(route).and_then(|route| route.route.queued_token_limit())
+fn queued_token_limit(routes: &RouteTable, route: &str) -> Option<u64> {
+    routes.by_name(route).and_then(|route| route.route.queued_token_limit())
 }
 
 /// Returns the shard whose primary has the ledger for a tenant and route.
