Courier test: the time of a message is counted from its acknowledgement

Cause: the test of a delivery that crosses the end of its message's time counted the 2.1 s for which it stops the courier from before it submits the message.

Change: counted from the 202, before which the message's time has begun. What is asserted is the same; the case that it names is now always reached.

--- a/courier/program/tests/calls/answers.rs
+++ b/courier/program/tests/calls/answers.rs
@@ -175,8 +175,10 @@
         run_test(async || {
             let (listener, addr) = provider().await;
             let mut test_bed = TestBed::open(vec![(1, addr)], json!({})).await;
-            let (begun, time) = (Instant::now(), Duration::from_secs(2));
+            let time = Duration::from_secs(2);
             test_bed.submit(class, "crosses", 1, time).await;
+            // From the acknowledgement on: the message's time began before it.
+            let begun = Instant::now();
             let mut reader = accept(&listener).await;
             call(&mut reader).await;
             test_bed.courier.suspend().unwrap();
