--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -5,6 +5,7 @@
 mod forged_path;
 mod large_configuration;
 mod large_job;
+mod same_id;
 mod two_services;
 
 use crate::Verdict;
@@ -26,6 +27,7 @@
         "first-start" => first_start::run(root, trouble, record),
         "large-configuration" => large_configuration::run(root, trouble, record),
         "large-job" => large_job::run(root, trouble, record),
+        "same-id" => same_id::run(root, trouble, record),
         "two-services" => two_services::run(root, trouble, record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
