Each item that is given up has a log line with what the decision rests on

Change: a line at info with age, retention, attempts, endpoints, versions, age of the configuration, shard and epoch; the acceptance of a job has a line at debug with the version at the courier. Items whose path or id can't be sent have a reason of their own, Malformed; they were counted as answers of endpoints.

--- a/tier/dataplane/src/batch_item.rs
+++ b/tier/dataplane/src/batch_item.rs
@@ -34,6 +34,8 @@
     Failed,
     /// An endpoint answered that it can't be processed anywhere.
     Unprocessable,
+    /// Its path or id can't be part of a request.
+    Malformed,
 }
 
 /// What is to happen to an item.
--- a/tier/node/src/edge/batch_api/mod.rs
+++ b/tier/node/src/edge/batch_api/mod.rs
@@ -93,7 +93,12 @@
     let until = request.arrived + target * SUBMIT_SEARCH_TARGETS;
     let submission = |shard, epoch| StoreRequest::Submit { shard, epoch, job: job.clone() };
     match call_primary(node, id, until, Duration::ZERO, submission).await {
-        Ok(Response::Done) => HttpResponse::text(202, "taken"),
+        Ok(Response::Done) => {
+            let (route, items) = (&job.route, job.items.len());
+            let version = node.tables().versions.configuration;
+            tracing::debug!(job = id, route, items, version, "accepted a batch job");
+            HttpResponse::text(202, "taken")
+        }
         Ok(Response::Full) => {
             HttpResponse::text(429, "the stores are full").with_header("Retry-After", "1".to_owned())
         }
--- a/tier/node/src/metrics/labels.rs
+++ b/tier/node/src/metrics/labels.rs
@@ -137,6 +137,8 @@
     Failed,
     /// An endpoint answered that it can't be processed.
     Unprocessable,
+    /// Its path or id can't be part of a request.
+    Malformed,
 }
 
 impl From<GiveUpReason> for GiveUpKind {
@@ -146,6 +148,7 @@
             GiveUpReason::Expired => GiveUpKind::Expired,
             GiveUpReason::Failed => GiveUpKind::Failed,
             GiveUpReason::Unprocessable => GiveUpKind::Unprocessable,
+            GiveUpReason::Malformed => GiveUpKind::Malformed,
         }
     }
 }
--- a/tier/node/src/store/items.rs
+++ b/tier/node/src/store/items.rs
@@ -8,7 +8,9 @@
 //! Items about which the configuration can't decide yet are set aside; [`review_waiting_items`] queues them again.
 
 mod attempt;
+mod failed_attempts;
 pub mod full_services;
+mod give_up_log;
 mod item_run;
 pub mod queue;
 mod reservation;
--- a/tier/node/src/store/items/attempt.rs
+++ b/tier/node/src/store/items/attempt.rs
@@ -191,10 +191,19 @@
                 let text = self.run.text.join("\n");
                 append_result(&self.store, self.run, Phase::Done, text);
             }
-            ItemAttemptOutcome::Unprocessable => give_up(&self.store, self.run, GiveUpReason::Unprocessable),
+            ItemAttemptOutcome::Unprocessable => {
+                let endpoint = &self.reservation.id;
+                tracing::info!(
+                    job = self.run.job.id,
+                    item = self.run.item().id,
+                    endpoint,
+                    "an endpoint can't process an item"
+                );
+                give_up(&self.store, self.run, GiveUpReason::Unprocessable);
+            }
             ItemAttemptOutcome::Cancelled => {}
             ItemAttemptOutcome::Failed => {
-                self.run.failures += 1;
+                self.run.failed_attempts.add(&self.reservation.id);
                 match self.run.next_step(&self.store.node) {
                     NextStep::Stop(reason) => stop(&self.store, self.run, reason),
                     NextStep::Reserve => self.requeue_without_progress().await,
--- a/tier/node/src/store/items/item_run.rs
+++ b/tier/node/src/store/items/item_run.rs
@@ -1,5 +1,6 @@
 //! State of a batch item until it has a result.
 
+use super::failed_attempts::FailedAttempts;
 use crate::clock;
 use crate::node::Node;
 use crate::store::shard::ServedShard;
@@ -8,7 +9,7 @@
 use quillmount_dataplane::dispatch::{Misdirection, Reservation};
 use quillmount_dataplane::head::{is_header_name, is_header_value, is_request_target};
 use quillmount_dataplane::request_profile::RequestProfile;
-use quillmount_dataplane::routes::RouteTable;
+use quillmount_dataplane::routes::{CompiledRoute, RouteTable};
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{Item, Job};
 use std::rc::Rc;
@@ -35,12 +36,14 @@
     pub text: Vec<String>,
     /// Number of the last received event, after which the next attempt resumes.
     pub last_event: Option<u64>,
-    /// Number of attempts that an endpoint answered with status 500.
-    pub failures: u32,
+    /// Attempts that an endpoint answered with status 500.
+    pub failed_attempts: FailedAttempts,
     /// Ids of the endpoints tried since the last progress.
     pub tried_endpoints: Vec<String>,
     /// Time by which the result is due.
     pub due_at: Micros,
+    /// Version of the configuration that was in force here when the item was first queued.
+    pub known_version: u64,
 }
 
 /// Decision about a waiting item.
@@ -69,6 +72,11 @@
         &self.job.items[self.item as usize]
     }
 
+    /// Returns the route of the item's job, if there is one.
+    pub fn route<'a>(&self, routes: &'a RouteTable) -> Option<&'a CompiledRoute> {
+        routes.by_name(&self.job.route).map(|route| &**route)
+    }
+
     /// Decides whether the item runs, according to the current configuration.
     pub fn next_step(&self, node: &Node) -> NextStep {
         if self.tracked.cancelled.is_set() || !self.served.term.is_serving() {
@@ -77,13 +85,13 @@
         let item = self.item();
         // Earlier releases accepted any text; it must not reach an endpoint as a request of its own.
         if !is_request_target(&item.path) || !is_header_value(&item.id) {
-            return NextStep::Stop(StopReason::GivenUp(GiveUpReason::Unprocessable));
+            return NextStep::Stop(StopReason::GivenUp(GiveUpReason::Malformed));
         }
         let tables = node.tables();
-        let route = tables.routes.by_name(&self.job.route).map(|route| &**route);
+        let route = self.route(&tables.routes);
         let progress = ItemProgress {
             age: clock::now().saturating_sub(self.tracked.known_since),
-            failures: self.failures,
+            failures: self.failed_attempts.count(),
             has_configuration_of_job: node.has_configurations_of(self.tracked.known_since),
         };
         match decide(route, progress) {
@@ -97,7 +105,7 @@
     /// there is no such service.
     pub fn pick_service(&self, node: &Node, is_candidate: impl Fn(&str) -> bool) -> Option<String> {
         let tables = node.tables();
-        let route = tables.routes.by_name(&self.job.route)?;
+        let route = self.route(&tables.routes)?;
         route.pick_service_among(clock::random_fraction(), is_candidate).map(str::to_owned)
     }
 
@@ -121,7 +129,7 @@
 
     /// Sets the time by which the result is due from the route of the job, as far as that is known.
     pub fn update_due_time(&mut self, routes: &RouteTable) {
-        let route = routes.by_name(&self.job.route);
+        let route = self.route(routes);
         let due_ms = route.and_then(|route| route.route.due_ms).unwrap_or(DEFAULT_DUE_MS);
         self.due_at = self.tracked.known_since + clock::micros_from_ms(due_ms);
     }
--- a/tier/node/src/store/items/queue.rs
+++ b/tier/node/src/store/items/queue.rs
@@ -1,5 +1,6 @@
 //! The items of a store that wait for capacity, and those that wait for a newer configuration.
 
+use super::failed_attempts::FailedAttempts;
 use super::item_run::ItemRun;
 use crate::clock;
 use crate::store::shard::ServedShard;
@@ -57,9 +58,10 @@
                 item,
                 text: Vec::new(),
                 last_event: None,
-                failures: 0,
+                failed_attempts: FailedAttempts::default(),
                 tried_endpoints: Vec::new(),
                 due_at: tracked.known_since,
+                known_version: routes.version,
             };
             run.update_due_time(routes);
             self.enqueue(run);
--- a/tier/node/src/store/items/results.rs
+++ b/tier/node/src/store/items/results.rs
@@ -1,5 +1,6 @@
 //! Commits the results of items to their jobs, and ends items that do not run.
 
+use super::give_up_log;
 use super::item_run::{ItemRun, StopReason};
 use crate::store::state::Store;
 use quillmount_dataplane::batch_item::GiveUpReason;
@@ -26,7 +27,7 @@
 
 /// Commits a dead-letter result for an item that is given up.
 pub fn give_up(store: &Rc<Store>, run: ItemRun, reason: GiveUpReason) {
-    tracing::debug!(job = run.job.id, item = run.item, ?reason, "gave up an item of a batch job");
+    give_up_log::write(&store.node, &run, reason);
     store.node.metrics.count_given_up_item(reason);
     append_result(store, run, Phase::DeadLetter, String::new());
 }
