Failing test: items whose route got another name are given up

Cause: a store looks for the route of an accepted job by its name alone. When a change gives the route at the same host and prefix another name, the items are listed as dead_letter at once, without 422, Tries or RetainS.

--- a/tier/node/tests/tier/main.rs
+++ b/tier/node/tests/tier/main.rs
@@ -16,6 +16,7 @@
 mod outdated_stores;
 mod platform;
 mod quorum;
+mod renamed_routes;
 mod repeated_jobs;
 mod seeds;
 mod soak;
