Tests of one primary of the core are one target

Cause: the shared primary had methods that one of the two targets did not use, which clippy refuses.

--- a/tier/control/tests/late_replies.rs
+++ b/tier/control/tests/primary/late_replies.rs
@@ -1,8 +1,6 @@
 //! Replies that reach a primary long after it has sent what they answer, as after the process stood still.
 
-mod common;
-
-use common::Primary;
+use crate::harness::Primary;
 
 /// Time within which a majority must have answered a primary that serves its state, microseconds.
 const SILENCE_TIMEOUT: u64 = 500_000;
--- a/tier/control/tests/unaltered_changes.rs
+++ b/tier/control/tests/primary/unaltered_changes.rs
@@ -1,8 +1,6 @@
 //! Changes that alter nothing, such as an order that is rejected, while an earlier change waits for its commit.
 
-mod common;
-
-use common::Primary;
+use crate::harness::Primary;
 
 // Guards against a rejection (412) of an order that a newer primary had applied: the acknowledgements on which the commit rests may be
 // older than the order, and the primary may have stood still since.
