A primary serves its state only while a majority confirmed it recently, counted from the sending

Callers saw, or could have seen: batch items as dead_letter without a run, and requests on new routes refused, by a configuration that a successor had replaced. Cause: contact with a majority counted from the arrival of a reply. Replies that waited in the sockets of a process that stood still made its old state look recent; a poll that waited there too was answered from it, and its sender took its own configuration for the newest one. Change: a primary remembers when it sent each heartbeat round and proposal. Its state is served only if a majority has answered something that was sent within a second, the bound that stores and couriers already rest on (MAX_PUBLISHED_STATE_AGE, now in one place), and besides, as before, within half a second of the last answer. Elections and commits go on counting from arrivals: they decide when to act, not what is true. Why it works: what is sent before a stop is older than a second after any stop that a successor needs to be elected and to commit in, and a store defers decisions until a poll that it sent a second after it knew the job.

--- a/tier/control/src/core_contact.rs
+++ b/tier/control/src/core_contact.rs
@@ -1,12 +1,9 @@
 //! What a process knows about the core: which address answers its polls, and which member is primary.
 
+use quillmount_replication::MAX_PUBLISHED_STATE_AGE;
 use quillmount_wire::Micros;
 use std::time::Duration;
 
-/// Upper bound on the age of the state that a primary publishes, microseconds: twice the time without replies of a majority after
-/// which it stops.
-const MAX_PUBLISHED_STATE_AGE: Micros = 1_000_000;
-
 /// Addresses at which a process reaches the core, and when the primary last answered. The caller passes in the
 /// current time.
 ///
--- a/tier/control/tests/primary/late_replies.rs
+++ b/tier/control/tests/primary/late_replies.rs
@@ -2,8 +2,10 @@
 
 use crate::harness::Primary;
 
-/// Time within which a majority must have answered a primary that serves its state, microseconds.
+/// Time after the last answer of a majority for which a primary serves its state, microseconds.
 const SILENCE_TIMEOUT: u64 = 500_000;
+/// The same after the sending of what the majority has answered, microseconds.
+const MAX_STATE_AGE: u64 = quillmount_replication::MAX_PUBLISHED_STATE_AGE;
 /// Interval between two heartbeats, microseconds.
 const HEARTBEAT_INTERVAL: u64 = 150_000;
 /// Time for which the process stands still, microseconds.
@@ -14,12 +16,23 @@
 }
 
 #[test]
-fn a_primary_serves_its_state_until_the_silence_timeout_after_an_answered_heartbeat() {
+fn a_primary_serves_its_state_until_the_silence_timeout_after_an_answer() {
     let mut primary = Primary::serving();
     primary.tick_after(HEARTBEAT_INTERVAL);
     primary.now += HEARTBEAT_INTERVAL;
     primary.reply();
-    primary.now += SILENCE_TIMEOUT - HEARTBEAT_INTERVAL - 1;
+    primary.now += SILENCE_TIMEOUT - 1;
+    assert!(serves_state(&primary));
+    primary.now += 1;
+    assert!(!serves_state(&primary));
+}
+
+#[test]
+fn a_primary_serves_no_state_that_a_majority_has_not_confirmed_within_its_largest_age() {
+    let mut primary = Primary::serving();
+    primary.tick_after(HEARTBEAT_INTERVAL);
+    primary.now += MAX_STATE_AGE - 1;
+    primary.reply();
     assert!(serves_state(&primary));
     primary.now += 1;
     assert!(!serves_state(&primary));
--- a/tier/replication/src/lib.rs
+++ b/tier/replication/src/lib.rs
@@ -16,4 +16,6 @@
 mod replica;
 
 pub use group::ReplicaGroup;
-pub use replica::{MAX_PAYLOAD_BYTES, Position, ReadId, RegisterAction, RegisterReplica, Timing};
+pub use replica::{
+    MAX_PAYLOAD_BYTES, MAX_PUBLISHED_STATE_AGE, Position, ReadId, RegisterAction, RegisterReplica, Timing,
+};
--- a/tier/replication/src/replica.rs
+++ b/tier/replication/src/replica.rs
@@ -24,6 +24,7 @@
 mod primary;
 mod proposals;
 mod role;
+mod sent_rounds;
 mod timing;
 
 use self::disk_progress::DiskProgress;
@@ -35,7 +36,7 @@
 
 pub use self::action::{ReadId, RegisterAction};
 pub use self::position::Position;
-pub use self::timing::Timing;
+pub use self::timing::{MAX_PUBLISHED_STATE_AGE, Timing};
 
 /// Value of `promised_to` when the epoch is promised to no candidate.
 const NO_MEMBER: DiskId = 0;
--- a/tier/replication/src/replica/heartbeats.rs
+++ b/tier/replication/src/replica/heartbeats.rs
@@ -3,18 +3,23 @@
 use super::RegisterReplica;
 use super::action::{ReadId, RegisterAction};
 use super::position::Position;
+#[cfg(doc)]
+use super::timing::MAX_PUBLISHED_STATE_AGE;
 use crate::quorum;
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{DiskId, Epoch, RegisterMessage};
 
 impl RegisterReplica {
     /// Returns whether this member is primary, has committed a value, and heard from a quorum within the silence
-    /// timeout. The committed value was the newest one at that time.
+    /// timeout, in answer to messages that were sent within [`MAX_PUBLISHED_STATE_AGE`]. The committed value was the newest one
+    /// when they were sent.
     #[must_use]
     pub fn has_recent_majority(&self, now: Micros) -> bool {
         let Some(primary) = self.role.as_primary() else { return false };
+        let Some(committed) = &primary.committed else { return false };
         let responsive = primary.responsive_members(self.timing.silence_timeout, now);
-        primary.committed.as_ref().is_some_and(|accepted| quorum::is_quorum(&accepted.value, &responsive))
+        let confirming = primary.confirming_members(now);
+        quorum::is_quorum(&committed.value, &responsive) && quorum::is_quorum(&committed.value, &confirming)
     }
 
     /// Returns the time at which a member last answered this primary in its epoch; `None` if it has not answered,
--- a/tier/replication/src/replica/primary.rs
+++ b/tier/replication/src/replica/primary.rs
@@ -2,6 +2,8 @@
 
 use super::action::ReadId;
 use super::position::Position;
+use super::sent_rounds::SentRounds;
+use super::timing::MAX_PUBLISHED_STATE_AGE;
 use crate::quorum::{self, all_members};
 use quillmount_wire::Micros;
 use quillmount_wire::messages::{Accepted, DiskId, Epoch, RegisterValue};
@@ -27,6 +29,22 @@
     round: u64,
     /// Time at which the member last answered a heartbeat or acknowledged a proposal.
     received_at: Micros,
+    /// Latest time at which a message was sent that the member has answered; `None` if that is not known of any.
+    answered_sent_at: Option<Micros>,
+}
+
+impl LastReply {
+    /// Records an answer to a message that was sent at `sent_at`, if that is known.
+    fn record(&mut self, sent_at: Option<Micros>, now: Micros) {
+        self.received_at = now;
+        self.answered_sent_at = self.answered_sent_at.max(sent_at);
+    }
+
+    /// Whether a message was answered that is recent enough.
+    fn is_confirming(&self, now: Micros) -> bool {
+        let is_recent = |sent_at: Micros| now.saturating_sub(sent_at) < MAX_PUBLISHED_STATE_AGE;
+        self.answered_sent_at.is_some_and(is_recent)
+    }
 }
 
 /// State of a primary in one epoch.
@@ -44,8 +62,8 @@
     pub(super) committed: Option<Accepted>,
     /// Sequence number of the last proposal in this epoch.
     last_sequence: u64,
-    /// Number of the last heartbeat round.
-    last_round: u64,
+    /// Heartbeat rounds.
+    rounds: SentRounds,
     /// Time at which the next heartbeat round is due.
     pub(super) next_heartbeat: Micros,
     last_replies: BTreeMap<DiskId, LastReply>,
@@ -62,7 +80,7 @@
             proposal: None,
             committed: None,
             last_sequence: 0,
-            last_round: 0,
+            rounds: SentRounds::default(),
             next_heartbeat: now,
             last_replies: BTreeMap::new(),
             pending_reads: BTreeMap::new(),
@@ -115,16 +133,28 @@
         answered.chain([self.own_disk]).collect()
     }
 
+    /// Returns the members, including this one, that have answered a message which was sent so recently that the state which it
+    /// confirms may be published. Unlike [`Primary::responsive_members`] this does not depend on when the answers arrived: they may
+    /// have waited here while this process stood still.
+    pub(super) fn confirming_members(&self, now: Micros) -> BTreeSet<DiskId> {
+        let confirming =
+            self.last_replies.iter().filter(|(_, reply)| reply.is_confirming(now)).map(|(member, _)| *member);
+        confirming.chain([self.own_disk]).collect()
+    }
+
     /// Records the time and round of an answer to a heartbeat.
     pub(super) fn record_heartbeat_reply(&mut self, member: DiskId, round: u64, now: Micros) {
+        let sent_at = self.rounds.sent_at(round);
         let reply = self.last_replies.entry(member).or_default();
         reply.round = reply.round.max(round);
-        reply.received_at = now;
+        reply.record(sent_at, now);
     }
 
-    /// Records the time of an answer to a message other than a heartbeat.
-    pub(super) fn record_reply(&mut self, member: DiskId, now: Micros) {
-        self.last_replies.entry(member).or_default().received_at = now;
+    /// Records the time of an acknowledgement of the proposal with this sequence number.
+    pub(super) fn record_acknowledgement(&mut self, member: DiskId, sequence: u64, now: Micros) {
+        let in_flight = self.proposal.as_ref().filter(|proposal| proposal.accepted.sequence == sequence);
+        let sent_at = in_flight.map(|proposal| proposal.proposed_at);
+        self.last_replies.entry(member).or_default().record(sent_at, now);
     }
 
     /// Returns the time at which a member last answered in this epoch.
@@ -134,14 +164,13 @@
 
     /// Starts a heartbeat round and returns its number.
     pub(super) fn begin_round(&mut self, heartbeat_interval: Micros, now: Micros) -> u64 {
-        self.last_round += 1;
         self.next_heartbeat = now + heartbeat_interval;
-        self.last_round
+        self.rounds.begin(now)
     }
 
     /// Adds a read, which the next heartbeat round confirms.
     pub(super) fn add_read(&mut self, read: ReadId) {
-        self.pending_reads.insert(read, self.last_round + 1);
+        self.pending_reads.insert(read, self.rounds.last() + 1);
     }
 
     /// Removes and returns the reads whose heartbeat round was answered by a quorum of the value's members.
--- a/tier/replication/src/replica/proposals.rs
+++ b/tier/replication/src/replica/proposals.rs
@@ -109,7 +109,7 @@
         if primary.epoch != epoch {
             return Vec::new();
         }
-        primary.record_reply(from, now);
+        primary.record_acknowledgement(from, sequence, now);
         let Some(proposal) = &mut primary.proposal else { return Vec::new() };
         if proposal.accepted.sequence != sequence {
             return Vec::new();
--- a/tier/replication/src/replica/timing.rs
+++ b/tier/replication/src/replica/timing.rs
@@ -2,6 +2,10 @@
 
 use quillmount_wire::Micros;
 
+/// Upper bound on the age of the state that a primary publishes, microseconds: a majority has answered messages that were sent within
+/// it.
+pub const MAX_PUBLISHED_STATE_AGE: Micros = 1_000_000;
+
 /// Timing parameters of the register's replicas; all members have to use the same ones.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
