Items run on when their route gets another name

Callers saw: all waiting items of open jobs as dead_letter at once, without a run, when a change gave the route at the same host and prefix another name. Cause: the route of an accepted job was looked up by its name alone, so a new name looked like the end of the route. Change: where no route has the name, the route for batch jobs at the host and path of the submission counts (RouteTable::of_job). Decisions, choice of a service, due times and the demand of waiting items use it alike.

--- a/tier/dataplane/src/item_queue.rs
+++ b/tier/dataplane/src/item_queue.rs
@@ -23,6 +23,17 @@
     position: Position,
 }
 
+/// A route that has waiting items.
+#[derive(Debug)]
+pub struct WaitingRoute<'a, T> {
+    /// Its name.
+    pub name: &'a str,
+    /// Number of its waiting items.
+    pub items: usize,
+    /// The one of them that is due first.
+    pub oldest: &'a T,
+}
+
 /// A pass over the queue, with the routes that it no longer offers.
 #[derive(Debug, Default)]
 pub struct QueuePass {
@@ -80,9 +91,12 @@
         self.take(route.to_owned(), position)
     }
 
-    /// Returns the number of waiting items of each route that has any.
-    pub fn waiting_by_route(&self) -> impl Iterator<Item = (&str, usize)> {
-        self.routes.iter().map(|(route, items)| (route.as_str(), items.len()))
+    /// Returns the routes that have waiting items.
+    pub fn waiting_routes(&self) -> impl Iterator<Item = WaitingRoute<'_, T>> {
+        self.routes.iter().filter_map(|(name, items)| {
+            let (_, oldest) = items.first_key_value()?;
+            Some(WaitingRoute { name, items: items.len(), oldest })
+        })
     }
 
     /// Returns whether no item waits.
--- a/tier/dataplane/src/routes/table.rs
+++ b/tier/dataplane/src/routes/table.rs
@@ -1,6 +1,6 @@
 //! Lookup table for the routes, tenants and services of a configuration.
 
-use super::route::CompiledRoute;
+use super::route::{CompiledRoute, RouteMode};
 use crate::dispatch::ServiceShare;
 use quillmount_wire::configuration::{ClientLimits, Configuration, Service, Tenant};
 use std::collections::HashMap;
@@ -94,6 +94,13 @@
         self.routes_by_name.get(name)
     }
 
+    /// Returns the route of a batch job that was submitted at this host and path on the route of this name: the one of the same name,
+    /// or the route for batch jobs that has taken its place, as after a change of its name. `None` once the route has ended.
+    pub fn of_job(&self, name: &str, host: &str, path: &str) -> Option<&Rc<CompiledRoute>> {
+        let at_its_place = || self.find(host, path).filter(|route| route.mode == RouteMode::Bulk);
+        self.by_name(name).or_else(at_its_place)
+    }
+
     /// Whether any route limits the tokens of queued requests.
     pub fn limits_queued_tokens(&self) -> bool {
         self.routes_by_name.values().any(|route| route.route.queued_token_limit().is_some())
--- a/tier/dataplane/tests/item_queue.rs
+++ b/tier/dataplane/tests/item_queue.rs
@@ -52,7 +52,8 @@
         ("well", 160, "well-2"),
     ]);
     assert_eq!(place(&mut queue, &["well"]), ["well-2", "well-1"]);
-    assert_eq!(queue.waiting_by_route().collect::<Vec<_>>(), [("lost", 2)]);
+    let waiting: Vec<_> = queue.waiting_routes().map(|route| (route.name, route.items)).collect();
+    assert_eq!(waiting, [("lost", 2)]);
 }
 
 #[test]
--- a/tier/dataplane/tests/routes.rs
+++ b/tier/dataplane/tests/routes.rs
@@ -26,6 +26,17 @@
     assert_eq!(table.by_name("long").unwrap().mode, RouteMode::Bulk);
 }
 
+#[test]
+fn the_route_of_a_job_is_found_by_its_name_or_at_its_place() {
+    let table = table();
+    let name = |name, path| table.of_job(name, "a.example", path).map(|route| route.route.name.as_str());
+    assert_eq!(name("long", "/x/y/1"), Some("long"));
+    assert_eq!(name("long", "/moved/1"), Some("long"));
+    assert_eq!(name("renamed", "/x/y/1"), Some("long"));
+    assert_eq!(name("renamed", "/x/1"), None, "the route there is not for batch jobs");
+    assert_eq!(name("renamed", "/moved/1"), None);
+}
+
 #[test]
 fn keys_name_their_tenant_and_unknown_ones_are_denied() {
     let table = table();
--- a/tier/node/src/store/items/item_run.rs
+++ b/tier/node/src/store/items/item_run.rs
@@ -72,9 +72,9 @@
         &self.job.items[self.item as usize]
     }
 
-    /// Returns the route of the item's job, if there is one.
+    /// Returns the route of the item's job; `None` if it has ended or is not known yet.
     pub fn route<'a>(&self, routes: &'a RouteTable) -> Option<&'a CompiledRoute> {
-        routes.by_name(&self.job.route).map(|route| &**route)
+        routes.of_job(&self.job.route, &self.job.host, &self.job.path).map(|route| &**route)
     }
 
     /// Decides whether the item runs, according to the current configuration.
--- a/tier/node/src/store/items/queue.rs
+++ b/tier/node/src/store/items/queue.rs
@@ -94,10 +94,10 @@
     /// Returns the number of waiting items by service. An item of a route with several services counts for the first of them.
     pub fn waiting_by_service(&self, routes: &RouteTable) -> HashMap<String, u32> {
         let mut waiting: HashMap<String, u32> = HashMap::new();
-        for (route, items) in self.queue.borrow().waiting_by_route() {
-            let route = routes.by_name(route);
+        for waiting_route in self.queue.borrow().waiting_routes() {
+            let route = waiting_route.oldest.route(routes);
             if let Some(service) = route.and_then(|route| route.pick_service(0.0)) {
-                *waiting.entry(service.to_owned()).or_default() += items as u32;
+                *waiting.entry(service.to_owned()).or_default() += waiting_route.items as u32;
             }
         }
         waiting
@@ -122,7 +122,7 @@
 
     /// Returns the routes that have waiting items.
     pub fn routes(&self) -> Vec<String> {
-        self.queue.borrow().waiting_by_route().map(|(route, _)| route.to_owned()).collect()
+        self.queue.borrow().waiting_routes().map(|route| route.name.to_owned()).collect()
     }
 
     /// Takes out the item of a route that is due first.
