The soak gives routes other names, freezes machines for longer than an election, and has items that wait

Cause: its freezes of 0.9 s at most ended before a successor of the core's primary was elected, its items were done within milliseconds, so that no change met one that waited, and no change gave a route another name. Change: 30 in 100 freezes last up to 3 s longer; 20 in 100 items get no answer at first; 40 in 100 changes give the route for batch jobs of an earlier one another name, by patch and by whole configuration. Other draws of a seed stay.

--- a/tier/node/tests/tier/soak/jobs.rs
+++ b/tier/node/tests/tier/soak/jobs.rs
@@ -18,6 +18,8 @@
 /// Jobs on a route that a change has added, and items whose first attempts fail and whose failure comes once more.
 const ADDED_ROUTE_PERCENT: u64 = 60;
 const LATE_FAILURE_PERCENT: u64 = 20;
+/// Items whose first attempt is not answered, so that changes and troubles meet them while they wait.
+const SILENT_PERCENT: u64 = 20;
 /// Tries of a submission that another courier gets at the same time.
 const REPEATED_PERCENT: u64 = 30;
 /// Statuses by which nothing of a job runs.
@@ -94,8 +96,15 @@
         let newest = soak.offered.lock().unwrap().last().copied();
         let route = newest.filter(|_| random.chance(ADDED_ROUTE_PERCENT));
         let items: Vec<String> = (0..ITEMS).map(|item| format!("{id}-{item}")).collect();
+        // A source of its own, so that the other draws of a seed stay.
+        let mut silences = Random::from_mixed_seed(soak.seed ^ 0x736c ^ (number << 32));
         let mut path = |item: &String| {
-            let ending = if random.chance(LATE_FAILURE_PERCENT) { "/late-failure" } else { "" };
+            let is_late_failure = random.chance(LATE_FAILURE_PERCENT);
+            let ending = match (is_late_failure, silences.chance(SILENT_PERCENT)) {
+                (true, _) => "/late-failure",
+                (false, true) => "/silent",
+                (false, false) => "",
+            };
             format!("/bulk/{item}{ending}")
         };
         let paths = items.iter().map(&mut path).collect();
--- a/tier/node/tests/tier/soak/operator.rs
+++ b/tier/node/tests/tier/soak/operator.rs
@@ -6,6 +6,7 @@
 use crate::configurations::configuration_with;
 use crate::http::{Answer, http};
 use quillmount_test_support::random::Random;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Routes of so many acknowledged changes are in force at a time.
@@ -14,6 +15,8 @@
 /// Whole configurations that are large, and how much larger they are, bytes.
 const PADDED_PERCENT: u64 = 25;
 const PADDING_BYTES: usize = 1 << 20;
+/// Changes that give the route for batch jobs of an earlier change another name.
+const RENAMING_PERCENT: u64 = 40;
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// For how long the newest configuration is asked for at the end.
 const READ_BACK: Duration = Duration::from_secs(10);
@@ -33,6 +36,16 @@
     pub status: Option<u16>,
     /// Numbers of the routes that it takes away.
     pub removes: Vec<u64>,
+    /// The new name of the route for batch jobs of an earlier change, if it gives it one.
+    renames: Option<Renaming>,
+}
+
+/// A new name of the route for batch jobs of a change.
+#[derive(Clone)]
+struct Renaming {
+    /// Number of the change that added it.
+    number: u64,
+    name: String,
 }
 
 impl Change {
@@ -43,9 +56,27 @@
 
 /// The routes that the change of this number adds, for requests and for batch jobs, separated by a comma.
 fn routes(number: u64) -> String {
+    routes_with(number, &bulk_name(number))
+}
+
+/// The same, with this name of the route for batch jobs.
+fn routes_with(number: u64, bulk_name: &str) -> String {
     format!(
         r#"{{"Name":"added-{number}","Host":"a.example","PathPrefix":"/added-{number}/","Mode":"mutating","DeadlineMs":4000,"TargetMs":300,"Prio":0,"Backend":"llm","Tries":2,"Public":false}},
-        {{"Name":"added-bulk-{number}","Host":"a.example","PathPrefix":"/added-bulk-{number}/","Mode":"bulk","DeadlineMs":6000,"TargetMs":2000,"Prio":2,"Backend":"llm","Tries":3,"Public":false,"DueMs":8000,"RetainS":40}}"#
+        {}"#,
+        bulk_route(number, bulk_name)
+    )
+}
+
+/// The name with which the route for batch jobs of a change begins.
+fn bulk_name(number: u64) -> String {
+    format!("added-bulk-{number}")
+}
+
+/// The route for batch jobs that the change of this number adds, with a name.
+fn bulk_route(number: u64, name: &str) -> String {
+    format!(
+        r#"{{"Name":"{name}","Host":"a.example","PathPrefix":"/added-bulk-{number}/","Mode":"bulk","DeadlineMs":6000,"TargetMs":2000,"Prio":2,"Backend":"llm","Tries":3,"Public":false,"DueMs":8000,"RetainS":40}}"#
     )
 }
 
@@ -67,9 +98,13 @@
     random: Random,
     /// Draws which configurations are large, beside the other draws.
     padding: Random,
+    /// Draws which routes get another name, likewise.
+    renaming: Random,
     /// The newest acknowledged version, and the routes it has.
     version: u64,
     routes: Vec<u64>,
+    /// Names of routes for batch jobs that have got another one, by the number of their change.
+    new_names: BTreeMap<u64, String>,
     newest_route: u64,
     changes: Vec<Change>,
 }
@@ -81,25 +116,42 @@
         let now = Instant::now();
         let kept = self.routes.len().min(KEPT_ROUTES - 1);
         let removes = self.routes[..self.routes.len() - kept].to_vec();
+        let renames = self.draw_renaming(version, &removes);
         let (base, is_valid, status) = (self.version, true, None);
-        Change { number, version, base, is_valid, is_contested, sent_at: now, ended_at: now, status, removes }
+        let (sent_at, ended_at) = (now, now);
+        Change { number, version, base, is_valid, is_contested, sent_at, ended_at, status, removes, renames }
+    }
+
+    /// Draws a route for batch jobs that gets a new name, among those that are not taken away.
+    fn draw_renaming(&mut self, version: u64, removes: &[u64]) -> Option<Renaming> {
+        let kept: Vec<u64> = self.routes.iter().filter(|route| !removes.contains(route)).copied().collect();
+        if kept.is_empty() || !self.renaming.chance(RENAMING_PERCENT) {
+            return None;
+        }
+        let number = kept[self.renaming.index(kept.len())];
+        Some(Renaming { number, name: format!("{}-of-{version}", bulk_name(number)) })
+    }
+
+    /// The name that the route for batch jobs of an earlier change has.
+    fn name_of(&self, number: u64) -> String {
+        self.new_names.get(&number).cloned().unwrap_or_else(|| bulk_name(number))
     }
 
     fn valid(&mut self, version: u64, is_contested: bool) -> Order {
         let change = self.change(version, is_contested);
         let number = change.number;
         if self.random.chance(50) {
-            let names = |removed: &u64| format!(r#""added-{removed}","added-bulk-{removed}""#);
-            let removed: Vec<String> = change.removes.iter().map(names).collect();
-            let body = format!(
-                r#"{{"Gen":{version},"Upsert":{{"Routes":[{}]}},"Remove":{{"Routes":[{}]}}}}"#,
-                routes(number),
-                removed.join(",")
-            );
+            let body = self.patch(&change);
             return Order { path: "/-/config/patch", body, change };
         }
         let kept = self.routes.iter().filter(|kept| !change.removes.contains(kept));
-        let routes: String = kept.chain([&number]).map(|number| routes(*number) + ",").collect();
+        let renamed = change.renames.as_ref();
+        let name = |number: u64| match renamed.filter(|renaming| renaming.number == number) {
+            Some(renaming) => renaming.name.clone(),
+            None => self.name_of(number),
+        };
+        let routes: String =
+            kept.chain([&number]).map(|number| routes_with(*number, &name(*number)) + ",").collect();
         let mut body = configuration_of(version, &routes);
         if self.padding.chance(PADDED_PERCENT) {
             body.push_str(&" ".repeat(PADDING_BYTES));
@@ -107,6 +159,23 @@
         Order { path: "/-/config/put", body, change }
     }
 
+    /// A change as a patch. A route that gets a new name is removed by its former one.
+    fn patch(&self, change: &Change) -> String {
+        let names = |number: &u64| format!(r#""added-{number}","{}""#, self.name_of(*number));
+        let mut removed: Vec<String> = change.removes.iter().map(names).collect();
+        let mut added = vec![routes(change.number)];
+        if let Some(Renaming { number, name }) = &change.renames {
+            removed.push(format!("\"{}\"", self.name_of(*number)));
+            added.push(bulk_route(*number, name));
+        }
+        format!(
+            r#"{{"Gen":{},"Upsert":{{"Routes":[{}]}},"Remove":{{"Routes":[{}]}}}}"#,
+            change.version,
+            added.join(","),
+            removed.join(",")
+        )
+    }
+
     fn invalid(&mut self) -> Order {
         let next = self.version + 1;
         let change = Change { is_valid: false, ..self.change(next, false) };
@@ -154,6 +223,9 @@
                 self.version = change.version;
                 self.routes.retain(|route| !change.removes.contains(route));
                 self.routes.push(change.number);
+                if let Some(Renaming { number, name }) = &change.renames {
+                    self.new_names.insert(*number, name.clone());
+                }
             }
             self.changes.push(change);
         }
@@ -182,8 +254,11 @@
 pub fn play(soak: &Soak) -> Vec<Change> {
     let random = Random::from_mixed_seed(soak.seed ^ 0x6f70);
     let padding = Random::from_mixed_seed(soak.seed ^ 0x7061);
+    let renaming = Random::from_mixed_seed(soak.seed ^ 0x6e61);
     let (version, routes, changes) = (FIRST_VERSION, Vec::new(), Vec::new());
-    let mut operator = Operator { soak, random, padding, version, routes, newest_route: 0, changes };
+    let new_names = BTreeMap::new();
+    let mut operator =
+        Operator { soak, random, padding, renaming, version, routes, new_names, newest_route: 0, changes };
     while !soak.is_stopped() {
         operator.step();
         let pause = operator.random.below(MOST_BETWEEN_MS);
--- a/tier/node/tests/tier/soak/trouble.rs
+++ b/tier/node/tests/tier/soak/trouble.rs
@@ -15,6 +15,9 @@
 /// Longest times: between events, of a freeze, until a process is started again.
 const MOST_BETWEEN_MS: u64 = 500;
 const MOST_FROZEN_MS: u64 = 900;
+/// Freezes that last so long that a successor of the core's primary is elected and changes the configuration.
+const LONG_FREEZE_PERCENT: u64 = 30;
+const MOST_LONG_FROZEN_MS: u64 = 3000;
 const MOST_DOWN_MS: u64 = 500;
 /// A stopping process that was frozen may take so much longer.
 const FROZEN_ALLOWANCE: Duration = Duration::from_secs(2);
@@ -132,6 +135,8 @@
 struct Player<'tier> {
     tier: &'tier mut Tier,
     random: Random,
+    /// Draws which freezes are long, beside the other draws.
+    long_freezes: Random,
     profile: Profile,
     machines: Vec<Machine>,
     ongoing: Vec<Trouble>,
@@ -202,7 +207,11 @@
         {
             return;
         }
-        let due = self.draw_due(MOST_FROZEN_MS);
+        let mut due = self.draw_due(MOST_FROZEN_MS);
+        if self.long_freezes.chance(LONG_FREEZE_PERCENT) {
+            let added = Duration::from_millis(self.long_freezes.below(MOST_LONG_FROZEN_MS));
+            due = due.map(|due| due + added);
+        }
         self.begin(machine, Kind::Frozen, due);
     }
 
@@ -272,7 +281,8 @@
     let (troubles, hangups, faults) = (Vec::new(), Vec::new(), Vec::new());
     let history = History { started_at, troubles, hangups, faults };
     let random = Random::from_mixed_seed(soak.seed);
-    let mut player = Player { tier, random, profile, machines, ongoing: Vec::new(), history };
+    let long_freezes = Random::from_mixed_seed(soak.seed ^ 0x6672);
+    let mut player = Player { tier, random, long_freezes, profile, machines, ongoing: Vec::new(), history };
     while started_at.elapsed() < TURMOIL {
         player.draw_event();
         let pause = player.random.below(MOST_BETWEEN_MS);
