--- a/tier/node/tests/tier/callers.rs
+++ b/tier/node/tests/tier/callers.rs
@@ -1,6 +1,6 @@
 //! Calls of operators and of the clients of the only tenant.
 
-use crate::harness::Tier;
+use crate::harness::{Tier, eventually};
 use crate::http::{Answer, header, http};
 
 /// A key of the only tenant.
@@ -76,6 +76,13 @@
     format!(r#"{{"Id":"{id}","Path":"{path}","Headers":{{}},"Body":"cXVpbGw=","Tokens":5}}"#)
 }
 
+/// The results of a batch job as a text, once a store can be asked.
+pub fn read_results(address: &str, job: &str) -> String {
+    let line = format!("GET /-/lots/{job}?StartAfter=0");
+    let read = || call_with_key(address, &line, "", "").filter(|answer| answer.status == 200);
+    eventually("the results are read", read).body
+}
+
 /// Number of items of a batch job that are listed as done; 0 if it can't be read.
 pub fn done_items(address: &str, job: &str) -> usize {
     let answer = call_with_key(address, &format!("GET /-/lots/{job}?StartAfter=0"), "", "");
